Lay out the workspace and the contracts between the core and its edges

Cause: nothing stood yet; the parts can only be built side by side once events, actions, platform objects and messages are fixed. Before: nothing. After: types only, no behaviour. Conclusion: the core is a function from events to actions; all edges are typed.

--- /dev/null
+++ b/crates/beechsaddle-core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! The `admission` module provides limits, load shedding and the retry budget.
--- /dev/null
+++ b/crates/beechsaddle-core/src/money/budget_ledger.rs
@@ -0,0 +1,44 @@
+//! The `budget_ledger` module provides the durable state of budgets.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::names::{BudgetName, KeyText, OwnerName, TopUpId, WorkspaceName};
+
+/// One shard of the ledger: some budgets, at `ledger/<shard>`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetLedger {
+    /// The id of the last write, so that a writer whose answer was lost can recognise its write.
+    pub write_id: String,
+    /// The budgets of this shard.
+    pub budgets: BTreeMap<BudgetName, BudgetAccount>,
+}
+
+/// One budget, in tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetAccount {
+    /// The workspace that may spend it.
+    pub workspace: WorkspaceName,
+    /// Who answers for it.
+    pub owner: OwnerName,
+    /// What was paid in, each once.
+    pub top_ups: BTreeMap<TopUpId, u64>,
+    /// What was billed.
+    pub settled: u64,
+    /// How many bills that are.
+    pub bills: u64,
+    /// What may have been spent by routers that died.
+    pub written_off: u64,
+    /// Open grants by the journal that marks them.
+    pub grants: BTreeMap<KeyText, OpenGrant>,
+}
+
+/// What a router may spend of a budget, in tokens, counted over the journal's whole life.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenGrant {
+    /// Granted in all.
+    pub amount: u64,
+    /// Of it, already counted into the account's `settled`.
+    pub folded: u64,
+}
--- /dev/null
+++ b/crates/beechsaddle-core/src/money/journal_segment.rs
@@ -0,0 +1,37 @@
+//! The `journal_segment` module provides the durable parts of a router's spend journal.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::names::{BudgetName, CallId, KeyText, RequestKey};
+
+/// An immutable part of a journal, at `journal/<journal>/<number>`, created if absent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JournalSegment {
+    /// The id of this write, so that a writer whose answer was lost can recognise it.
+    pub write_id: String,
+    /// Whether this segment closes the journal: the fence.
+    pub closed: bool,
+    /// High-water marks that changed, in tokens counted over the journal's whole life.
+    pub marks: BTreeMap<BudgetName, u64>,
+    /// Bills.
+    pub bills: Vec<BillRecord>,
+}
+
+/// One bill.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BillRecord {
+    /// The call.
+    pub call: CallId,
+    /// Its idempotency key.
+    pub key: RequestKey,
+    /// The budget.
+    pub budget: BudgetName,
+    /// What is billed, in tokens.
+    pub tokens: u64,
+    /// Whether the entry router died before it told the usage.
+    pub provisional: bool,
+    /// The closed journal whose write-off this bill is taken against, if not this journal's grant.
+    pub against: Option<KeyText>,
+}
--- /dev/null
+++ b/crates/beechsaddle-core/src/targets/mod.rs
@@ -0,0 +1,1 @@
+//! The `targets` module provides which target gets a call.
--- /dev/null
+++ b/crates/beechsaddle-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! beechsaddle-lab
--- /dev/null
+++ b/crates/beechsaddle/src/lib.rs
@@ -0,0 +1,1 @@
+//! beechsaddle
