--- a/crates/beechsaddle-core/src/once/dedup_shard.rs
+++ b/crates/beechsaddle-core/src/once/dedup_shard.rs
@@ -2,15 +2,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::ClockTime;
 use crate::names::{CallId, RequestKey};
 
 /// Some dedup records, at `dedup/<shard>`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DedupShard {
-    /// The id of the last write, so that a writer whose answer was lost can recognise its write.
+    /// The id of the last write, for those who read the object to find out who wrote it. Writers
+    /// recognise their own records by the call.
     pub write_id: String,
-    /// The records.
+    /// The records, in the order of their keys.
     pub records: Vec<DedupRecord>,
 }
 
@@ -21,6 +21,15 @@
     pub key: RequestKey,
     /// The call that may dispatch it.
     pub call: CallId,
-    /// When the record was made; old records are dropped after the retention time.
-    pub made: ClockTime,
+    /// How old the record is at least, in milliseconds, as of the shard's last write. Committers
+    /// add only time that they have themselves watched pass, so that no two clocks are compared.
+    pub age_ms: u64,
+    /// Whether the call gave its right up without dispatching: another call may take the key, and
+    /// this one never gets it again.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub released: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
 }
