--- a/crates/beechsaddle-core/src/once/commit_reply.rs
+++ b/crates/beechsaddle-core/src/once/commit_reply.rs
@@ -34,7 +34,7 @@
     ) -> Option<PlatformPause> {
         let flight = self.flight.take()?;
         match flight.step {
-            CommitStep::Read => self.on_read(scene, flight.started, reply),
+            CommitStep::Read => self.on_read(scene, flight.started, flight.questions, reply),
             CommitStep::Write {
                 next,
                 records,
@@ -43,7 +43,7 @@
                 PlatformReply::Written { version } => {
                     self.view = next;
                     self.view.version = Some(version);
-                    self.fresh = Some(flight.started);
+                    self.fresh = Some(flight.questions);
                     self.settle_written(records, releases, verdicts);
                     None
                 }
@@ -56,6 +56,7 @@
         &mut self,
         scene: &CommitScene<'_>,
         started: ClockTime,
+        questions: u64,
         reply: PlatformReply,
     ) -> Option<PlatformPause> {
         match reply {
@@ -64,7 +65,7 @@
             }) => match object.map(|object| *object) {
                 Some(PlatformObject::Dedup(shard)) => {
                     self.view.read_object(version, shard, scene.watched_ms);
-                    self.fresh = Some(started);
+                    self.fresh = Some(questions);
                     None
                 }
                 Some(_) | None => Some(PlatformPause::Invalid),
@@ -74,7 +75,7 @@
             PlatformReply::Absent if self.view.version.is_some() => Some(PlatformPause::Invalid),
             PlatformReply::Absent => {
                 self.view = ShardView::default();
-                self.fresh = Some(started);
+                self.fresh = Some(questions);
                 None
             }
             PlatformReply::Throttled { retry_after_ms } => {
--- a/crates/beechsaddle-core/src/once/dedup_shard.rs
+++ b/crates/beechsaddle-core/src/once/dedup_shard.rs
@@ -10,7 +10,7 @@
     /// The id of the last write, for those who read the object to find out who wrote it. Writers
     /// recognise their own records by the call.
     pub write_id: String,
-    /// The records, in the order of their keys.
+    /// The records: one for each key that a call holds, and one for each call that gave its key up.
     pub records: Vec<DedupRecord>,
 }
 
@@ -24,7 +24,7 @@
     /// How old the record is at least, in milliseconds, as of the shard's last write. Committers
     /// add only time that they have themselves watched pass, so that no two clocks are compared.
     pub age_ms: u64,
-    /// Whether the call gave its right up without dispatching: another call may take the key, and
+    /// Whether the call gave its right up without dispatching: any other call may take the key, and
     /// this one never gets it again.
     #[serde(default, skip_serializing_if = "is_false")]
     pub released: bool,
--- a/crates/beechsaddle-core/src/once/once_desk.rs
+++ b/crates/beechsaddle-core/src/once/once_desk.rs
@@ -227,6 +227,7 @@
                 address,
             },
             since: now,
+            question: 0,
             in_doubt: false,
         };
         self.queue_record(now, request.call, record, outbox);
@@ -274,6 +275,7 @@
             key: open.key.clone(),
             asker: RecordAsker::Own,
             since: open.since,
+            question: 0,
             in_doubt: false,
         };
         self.queue_record(now, call.clone(), record, outbox);
--- a/crates/beechsaddle-core/src/once/record_verdict.rs
+++ b/crates/beechsaddle-core/src/once/record_verdict.rs
@@ -24,6 +24,8 @@
     pub(super) key: RequestKey,
     pub(super) asker: RecordAsker,
     pub(super) since: ClockTime,
+    /// Counts the records that were put to the shard's committer.
+    pub(super) question: u64,
     /// Whether a write that holds the record was sent and its outcome is not known.
     pub(super) in_doubt: bool,
 }
--- a/crates/beechsaddle-core/src/once/shard_committer.rs
+++ b/crates/beechsaddle-core/src/once/shard_committer.rs
@@ -8,7 +8,7 @@
 
 use super::OnceOptions;
 use super::record_verdict::{RecordAsker, RecordVerdict, WaitingRecord};
-use super::shard_view::{KeyHolder, ShardView};
+use super::shard_view::ShardView;
 use crate::clock::ClockTime;
 use crate::names::{CallId, ObjectKey, RequestKey, RouterIncarnation};
 use crate::objects::PlatformObject;
@@ -29,19 +29,24 @@
 pub(super) struct ShardCommitter {
     object: ObjectKey,
     pub(super) view: ShardView,
-    /// When the view was known to be the newest; `None` when it has to be read again.
-    pub(super) fresh: Option<ClockTime>,
+    /// How many questions had been put when the view was last known to be the newest; `None` when
+    /// it has to be read again.
+    pub(super) fresh: Option<u64>,
     pub(super) waiting: BTreeMap<CallId, WaitingRecord>,
     pub(super) releases: BTreeMap<CallId, RequestKey>,
     pub(super) flight: Option<CommitFlight>,
     pub(super) next_commit: ClockTime,
     writes: u64,
+    /// Counts the records that were put into the queue.
+    questions: u64,
 }
 
 /// The call on the platform that is in flight.
 #[derive(Debug)]
 pub(super) struct CommitFlight {
     pub(super) started: ClockTime,
+    /// How many questions had been put when it started.
+    pub(super) questions: u64,
     pub(super) step: CommitStep,
 }
 
@@ -69,6 +74,7 @@
             flight: None,
             next_commit: ClockTime::ZERO,
             writes: 0,
+            questions: 0,
         }
     }
 
@@ -81,7 +87,9 @@
         self.flight.as_ref().map(|flight| flight.started)
     }
 
-    pub(super) fn add_record(&mut self, call: CallId, record: WaitingRecord) {
+    pub(super) fn add_record(&mut self, call: CallId, mut record: WaitingRecord) {
+        self.questions += 1;
+        record.question = self.questions;
         self.waiting.entry(call).or_insert(record);
     }
 
@@ -154,6 +162,7 @@
     fn start_read(&mut self, now: ClockTime) -> PlatformCall {
         self.flight = Some(CommitFlight {
             started: now,
+            questions: self.questions,
             step: CommitStep::Read,
         });
         PlatformCall::Read {
@@ -165,7 +174,7 @@
     fn draft(
         &mut self,
         scene: &CommitScene<'_>,
-        fresh: ClockTime,
+        fresh: u64,
         verdicts: &mut Vec<RecordVerdict>,
     ) -> Option<PlatformCall> {
         self.view.expire(scene.options, scene.watched_ms);
@@ -178,7 +187,7 @@
                 RecordStep::Decide(outcome) => {
                     // A refusal by a view that is older than the question may be out of date: the
                     // other call may have given the key up. It is decided after another read.
-                    if outcome.is_err() && fresh < record.since {
+                    if outcome.is_err() && fresh < record.question {
                         is_stale = true;
                     } else {
                         decided.push((call.clone(), outcome));
@@ -218,53 +227,40 @@
         call: &CallId,
         record: &WaitingRecord,
     ) -> RecordStep {
+        // The call gave the key up and its caller was told "not run". A message that was late must
+        // not bring the record back, for nobody would release it a second time.
+        if self.view.is_released(call) {
+            return RecordStep::Decide(Err(unavailable(scene.options)));
+        }
         match self.view.holder(&record.key) {
-            KeyHolder::Call(holder) if holder == call => RecordStep::Decide(Ok(())),
-            KeyHolder::Call(holder) if self.releases.contains_key(holder) => RecordStep::Wait,
-            KeyHolder::Call(_) => RecordStep::Decide(Err(CallRefusal::unknown(
+            Some(holder) if holder == call => RecordStep::Decide(Ok(())),
+            Some(holder) if self.releases.contains_key(holder) => RecordStep::Wait,
+            Some(_) => RecordStep::Decide(Err(CallRefusal::unknown(
                 RefusalReason::AlreadyDispatched,
                 None,
             ))),
-            // The call gave the key up and its caller was told "not run". A message that was late
-            // must not bring the record back, for nobody would release it a second time.
-            KeyHolder::Released(holder) if holder == call => {
+            // Another call of this batch has taken the key just now. This one is told what came of
+            // that when the write is done, not on the strength of a plan.
+            None if next.holder(&record.key).is_some() => RecordStep::Wait,
+            None if next.is_full(scene.options) => {
                 RecordStep::Decide(Err(unavailable(scene.options)))
             }
-            KeyHolder::Released(_) | KeyHolder::Nobody => {
-                // Another call of this batch may have taken the key just now. It is told what
-                // came of that when the write is done, not on the strength of a plan.
-                if matches!(next.holder(&record.key), KeyHolder::Call(_)) {
-                    RecordStep::Wait
-                } else if next.is_full(scene.options) {
-                    RecordStep::Decide(Err(unavailable(scene.options)))
-                } else {
-                    RecordStep::Take
-                }
-            }
+            None => RecordStep::Take,
         }
     }
 
+    /// Adds the releases to the next view, also of calls for which no record is found: a write that
+    /// makes it may still be on its way, and whoever looks again finds that it must not be made.
     fn draft_releases(&mut self, scene: &CommitScene<'_>, next: &mut ShardView) -> Vec<CallId> {
+        let view = &self.view;
+        self.releases.retain(|call, _| !view.is_released(call));
         let mut written = Vec::new();
-        let mut done = Vec::new();
         for (call, key) in &self.releases {
-            match self.view.holder(key) {
-                KeyHolder::Released(holder) if holder == call => done.push(call.clone()),
-                KeyHolder::Call(holder) if holder != call => done.push(call.clone()),
-                KeyHolder::Nobody if next.is_at_limit() => {}
-                // Also where no record is found: a write whose answer was lost may still be on its
-                // way, and this write moves the version on from under it. A key that another call
-                // takes in this batch is looked at again when the batch is durable.
-                KeyHolder::Nobody | KeyHolder::Call(_) | KeyHolder::Released(_) => {
-                    if !matches!(next.holder(key), KeyHolder::Call(taker) if taker != call) {
-                        next.release(key, call, scene.watched_ms);
-                        written.push(call.clone());
-                    }
-                }
+            if next.is_at_limit() {
+                break;
             }
-        }
-        for call in done {
-            self.releases.remove(&call);
+            next.release(key, call, scene.watched_ms);
+            written.push(call.clone());
         }
         written
     }
@@ -286,6 +282,7 @@
         self.next_commit = scene.now.plus_ms(scene.options.commit_period_ms);
         self.flight = Some(CommitFlight {
             started: scene.now,
+            questions: self.questions,
             step: CommitStep::Write {
                 next,
                 records,
