--- a/crates/beechsaddle-core/src/members/member_table.rs
+++ b/crates/beechsaddle-core/src/members/member_table.rs
@@ -38,7 +38,7 @@
 }
 
 /// The routers that this one knows.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct MemberTable {
     me: RouterIncarnation,
     domain: DomainName,
--- a/crates/beechsaddle-core/src/once/once_desk.rs
+++ b/crates/beechsaddle-core/src/once/once_desk.rs
@@ -27,7 +27,7 @@
 const LONGEST_TICK_MS: u64 = 1_000;
 
 /// The duty that makes dedup records durable.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct OnceDesk {
     pub(super) options: OnceOptions,
     pub(super) me: RouterIncarnation,
--- a/crates/beechsaddle-core/src/once/once_options.rs
+++ b/crates/beechsaddle-core/src/once/once_options.rs
@@ -32,7 +32,7 @@
     /// The defaults; `docs/ONCE.md` works out their sizes.
     fn default() -> Self {
         OnceOptions {
-            shard_count: 64,
+            shard_count: 512,
             commit_period_ms: 50,
             record_timeout_ms: 1_500,
             handover_ms: 400,
--- a/crates/beechsaddle-core/src/once/shard_committer.rs
+++ b/crates/beechsaddle-core/src/once/shard_committer.rs
@@ -25,7 +25,7 @@
 }
 
 /// The waiting records and releases of one shard.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ShardCommitter {
     object: ObjectKey,
     pub(super) view: ShardView,
@@ -42,7 +42,7 @@
 }
 
 /// The call on the platform that is in flight.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct CommitFlight {
     pub(super) started: ClockTime,
     /// How many questions had been put when it started.
@@ -50,7 +50,7 @@
     pub(super) step: CommitStep,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum CommitStep {
     Read,
     Write {
