Read router settings from TOML with all findings at once

Cause: a router must never start on doubtful settings, and an operator must not mend a file one mistake at a time.

The recovering parser of the toml crate keeps spans and reads on behind a syntax error, so findings carry their line and the mistakes behind the first show too. Ruled out: serde derive (it stops at the first mistake) and toml_edit (the same, and its spans are lost on edit).

--- /dev/null
+++ b/crates/beechsaddle/src/findings/mod.rs
@@ -0,0 +1,14 @@
+//! The `findings` module provides what is wrong with input files, each with its place.
+//!
+//! Checks collect findings instead of stopping at the first, so that one run shows all there is to
+//! mend.
+
+mod finding_list;
+mod source_finding;
+mod source_text;
+mod table_reader;
+
+pub use finding_list::FindingList;
+pub use source_finding::SourceFinding;
+pub use source_text::SourceText;
+pub use table_reader::TableReader;
--- /dev/null
+++ b/crates/beechsaddle/src/findings/source_text.rs
@@ -0,0 +1,49 @@
+//! The `source_text` module provides the text of a file with its line numbers.
+
+use std::sync::Arc;
+
+use toml::Spanned;
+use toml::de::DeTable;
+
+use super::FindingList;
+
+/// The text of a file.
+#[derive(Clone, Debug)]
+pub struct SourceText {
+    file: Arc<str>,
+    text: Arc<str>,
+}
+
+impl SourceText {
+    /// A text with the name of the file that it came from.
+    pub fn new(file: impl AsRef<str>, text: impl AsRef<str>) -> Self {
+        SourceText {
+            file: Arc::from(file.as_ref()),
+            text: Arc::from(text.as_ref()),
+        }
+    }
+
+    /// The name of the file.
+    pub fn file(&self) -> &Arc<str> {
+        &self.file
+    }
+
+    /// The line of a byte offset, counted from one.
+    pub fn line_of(&self, offset: usize) -> usize {
+        let end = offset.min(self.text.len());
+        let before = &self.text.as_bytes()[..end];
+        1 + before.iter().filter(|byte| **byte == b'\n').count()
+    }
+
+    /// Reads the text as TOML. Errors of syntax become findings and what can be read is read, so
+    /// that the mistakes behind the first one show too.
+    pub fn read_table(&self, findings: &mut FindingList) -> Spanned<DeTable<'_>> {
+        let (table, errors) = DeTable::parse_recoverable(&self.text);
+        for error in errors {
+            let offset = error.span().map_or(0, |span| span.start);
+            let message = error.message().replace('\n', ", ");
+            findings.add(self, offset, format!("not valid TOML: {message}"));
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle/src/settings/budget_settings.rs
@@ -0,0 +1,127 @@
+//! The `budget_settings` module provides the `[budgets]` table.
+
+use crate::findings::{FindingList, TableReader};
+
+/// How budgets are held and journalled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BudgetSettings {
+    /// Ledger shards of a new fleet; a fleet that exists keeps the count of its layout.
+    pub ledger_shards: u32,
+    /// Dedup shards of a new fleet; a fleet that exists keeps the count of its layout.
+    pub dedup_shards: u32,
+    /// How long a holder can sit out an outage of the platform on an ample budget.
+    pub endurance_ms: u64,
+    /// The same on a scarce budget.
+    pub scarce_endurance_ms: u64,
+    /// How often a journal is written while there is news.
+    pub journal_period_ms: u64,
+    /// How long a journal of a router that is gone must have stopped before it is fenced.
+    pub fence_after_ms: u64,
+    /// How long a grant may lie idle before it is given back.
+    pub idle_grant_ms: u64,
+    /// How long a dedup record is kept.
+    pub dedup_retention_ms: u64,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        BudgetSettings {
+            ledger_shards: 16,
+            dedup_shards: 16,
+            endurance_ms: 30_000,
+            scarce_endurance_ms: 2_000,
+            journal_period_ms: 1_000,
+            fence_after_ms: 10_000,
+            idle_grant_ms: 60_000,
+            dedup_retention_ms: 86_400_000,
+        }
+    }
+}
+
+impl BudgetSettings {
+    /// Reads the table; absent keys keep their defaults.
+    pub fn read(reader: &TableReader<'_>, findings: &mut FindingList) -> Self {
+        let default = BudgetSettings::default();
+        let settings = BudgetSettings {
+            ledger_shards: read_shards(reader, "ledger_shards", default.ledger_shards, findings),
+            dedup_shards: read_shards(reader, "dedup_shards", default.dedup_shards, findings),
+            endurance_ms: reader.read_u64_or(
+                "endurance_ms",
+                default.endurance_ms,
+                0..=3_600_000,
+                findings,
+            ),
+            scarce_endurance_ms: reader.read_u64_or(
+                "scarce_endurance_ms",
+                default.scarce_endurance_ms,
+                0..=3_600_000,
+                findings,
+            ),
+            journal_period_ms: reader.read_u64_or(
+                "journal_period_ms",
+                default.journal_period_ms,
+                50..=60_000,
+                findings,
+            ),
+            fence_after_ms: reader.read_u64_or(
+                "fence_after_ms",
+                default.fence_after_ms,
+                1_000..=3_600_000,
+                findings,
+            ),
+            idle_grant_ms: reader.read_u64_or(
+                "idle_grant_ms",
+                default.idle_grant_ms,
+                1_000..=86_400_000,
+                findings,
+            ),
+            dedup_retention_ms: reader.read_u64_or(
+                "dedup_retention_ms",
+                default.dedup_retention_ms,
+                60_000..=604_800_000,
+                findings,
+            ),
+        };
+        settings.check(reader, findings);
+        reader.finish(findings);
+        settings
+    }
+
+    fn check(&self, reader: &TableReader<'_>, findings: &mut FindingList) {
+        if self.scarce_endurance_ms > self.endurance_ms {
+            reader.report(
+                "scarce_endurance_ms",
+                format!(
+                    "is {}; at most `endurance_ms`, {}, would be right",
+                    self.scarce_endurance_ms, self.endurance_ms
+                ),
+                findings,
+            );
+        }
+        // A journal that is written less often than it takes to be called stopped would be fenced
+        // while its router is alive.
+        if self.fence_after_ms < self.journal_period_ms.saturating_mul(2) {
+            reader.report(
+                "fence_after_ms",
+                format!(
+                    "is {}; at least twice `journal_period_ms`, {}, would be right",
+                    self.fence_after_ms, self.journal_period_ms
+                ),
+                findings,
+            );
+        }
+    }
+}
+
+/// The largest shard count; each shard is an object that some routers read.
+const SHARDS_MAX: u64 = 65_536;
+
+fn read_shards(
+    reader: &TableReader<'_>,
+    key: &str,
+    default: u32,
+    findings: &mut FindingList,
+) -> u32 {
+    let count = reader.read_u64_or(key, u64::from(default), 1..=SHARDS_MAX, findings);
+    u32::try_from(count).unwrap_or(default)
+}
--- /dev/null
+++ b/crates/beechsaddle/src/settings/router_settings.rs
@@ -0,0 +1,180 @@
+//! The `router_settings` module provides the whole settings file of a router.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use beechsaddle_core::prelude::*;
+
+use super::{
+    BudgetSettings, LimitSettings, LogSettings, MetricSettings, PeerSettings, PlatformSettings,
+    RoutingSettings, SettingsFindings,
+};
+use crate::findings::{FindingList, SourceText, TableReader};
+
+/// What a router is told about itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouterSettings {
+    /// Its host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The region that the domain is in.
+    pub region: String,
+    /// Where callers reach it.
+    pub call_address: SocketAddr,
+    /// Where its peers reach it.
+    pub peer_address: SocketAddr,
+    /// Where operators reach it.
+    pub admin_address: SocketAddr,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Peers.
+    pub peers: PeerSettings,
+    /// Budgets.
+    pub budgets: BudgetSettings,
+    /// Limits towards callers.
+    pub limits: LimitSettings,
+    /// Targets.
+    pub routing: RoutingSettings,
+    /// Logs.
+    pub log: LogSettings,
+    /// Metrics.
+    pub metrics: MetricSettings,
+}
+
+/// The `[router]` table.
+struct RouterIdentity {
+    host: HostName,
+    domain: DomainName,
+    region: String,
+    call_address: SocketAddr,
+    peer_address: SocketAddr,
+    admin_address: SocketAddr,
+}
+
+impl RouterSettings {
+    /// Reads a settings file, or reports all that is wrong with it.
+    pub fn try_load(path: impl AsRef<Path>) -> Result<Self, SettingsFindings> {
+        let file = path.as_ref().display().to_string();
+        match std::fs::read_to_string(&path) {
+            Ok(text) => RouterSettings::try_parse(file, text),
+            Err(error) => {
+                let mut findings = FindingList::new();
+                findings.add_file(file, format!("cannot be read: {error}"));
+                Err(findings)
+            }
+        }
+    }
+
+    /// Reads settings from a text; `file` names it in the findings.
+    pub fn try_parse(
+        file: impl AsRef<str>,
+        text: impl AsRef<str>,
+    ) -> Result<Self, SettingsFindings> {
+        let source = SourceText::new(file, text);
+        let mut findings = FindingList::new();
+        let table = source.read_table(&mut findings);
+        let reader = TableReader::new(&source, "", 0, table.get_ref());
+        let settings = read_settings(&reader, &mut findings);
+        reader.finish(&mut findings);
+        match settings {
+            Some(settings) if findings.is_empty() => Ok(settings),
+            Some(_) | None => Err(findings),
+        }
+    }
+}
+
+fn read_settings(reader: &TableReader<'_>, findings: &mut FindingList) -> Option<RouterSettings> {
+    let router =
+        need_table(reader, "router", findings).and_then(|table| read_identity(&table, findings));
+    let platform = need_table(reader, "platform", findings)
+        .and_then(|table| PlatformSettings::read(&table, findings));
+    let peers = need_table(reader, "peers", findings)
+        .and_then(|table| PeerSettings::read(&table, findings));
+    let budgets = reader
+        .read_table("budgets", findings)
+        .map(|table| BudgetSettings::read(&table, findings));
+    let limits = reader
+        .read_table("limits", findings)
+        .map(|table| LimitSettings::read(&table, findings));
+    let routing = reader
+        .read_table("routing", findings)
+        .map(|table| RoutingSettings::read(&table, findings));
+    let log = reader
+        .read_table("log", findings)
+        .map(|table| LogSettings::read(&table, findings));
+    let metrics = reader
+        .read_table("metrics", findings)
+        .map(|table| MetricSettings::read(&table, findings));
+    let router = router?;
+    Some(RouterSettings {
+        host: router.host,
+        domain: router.domain,
+        region: router.region,
+        call_address: router.call_address,
+        peer_address: router.peer_address,
+        admin_address: router.admin_address,
+        platform: platform?,
+        peers: peers?,
+        budgets: budgets.unwrap_or_default(),
+        limits: limits.unwrap_or_default(),
+        routing: routing.unwrap_or_default(),
+        log: log.unwrap_or_default(),
+        metrics: metrics.unwrap_or_default(),
+    })
+}
+
+fn need_table<'a>(
+    reader: &TableReader<'a>,
+    key: &str,
+    findings: &mut FindingList,
+) -> Option<TableReader<'a>> {
+    if !reader.has(key) {
+        let file = reader.source().file();
+        findings.add_file(file, format!("the table `[{key}]` is missing"));
+    }
+    reader.read_table(key, findings)
+}
+
+fn read_identity(reader: &TableReader<'_>, findings: &mut FindingList) -> Option<RouterIdentity> {
+    let host = reader.need_name("host", findings);
+    let domain = reader.need_name("domain", findings);
+    let region = reader.need_name("region", findings);
+    let call_address = reader.need_address("call_address", findings);
+    let peer_address = reader.need_address("peer_address", findings);
+    let admin_address = reader.need_address("admin_address", findings);
+    reader.finish(findings);
+    check_addresses(reader, findings);
+    Some(RouterIdentity {
+        host: HostName::new(host?),
+        domain: DomainName::new(domain?),
+        region: region?,
+        call_address: call_address?,
+        peer_address: peer_address?,
+        admin_address: admin_address?,
+    })
+}
+
+/// Peers are told the peer address as it stands here, so it must be one that they can reach, and
+/// one port cannot serve two protocols.
+fn check_addresses(reader: &TableReader<'_>, findings: &mut FindingList) {
+    let mut quiet = FindingList::new();
+    let mut taken: BTreeMap<SocketAddr, &str> = BTreeMap::new();
+    for key in ["call_address", "peer_address", "admin_address"] {
+        let Some(address) = reader.read_address(key, &mut quiet) else {
+            continue;
+        };
+        if key == "peer_address" && (address.ip().is_unspecified() || address.port() == 0) {
+            let what = format!("is {address}; an address that peers can reach would be right");
+            reader.report(key, what, findings);
+        }
+        if address.port() == 0 {
+            continue;
+        }
+        if let Some(other) = taken.insert(address, key) {
+            let what = format!("is {address} as is `{other}`; an own port would be right");
+            reader.report(key, what, findings);
+        }
+    }
+}
