Add the duties that keep members and the catalogue true

Cause: routers need to know which of them live, and which catalogue is in force.

Heartbeats stay within a domain but for a few bridges; the platform's list, a later incarnation or the router's own leave say that it is gone. The catalogue is read from the newest base and the changes after it, watched by two routers of each domain, pushed to the rest and repaired by the revision in heartbeats.

Ruled out: a watch on the catalogue by every router, since a waiting watch counts as a call; full heartbeat mesh between domains.

--- a/crates/beechsaddle-core/src/catalogue/catalogue_view.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_view.rs
@@ -85,6 +85,14 @@
             .collect()
     }
 
+    /// The whole catalogue, for a router that is too far behind for single changes.
+    pub fn base(&self) -> CatalogueBase {
+        CatalogueBase {
+            revision: self.revision,
+            entries: self.entries().into_values().collect(),
+        }
+    }
+
     /// Replaces everything by a base, unless the base is not newer. Tells whether it did.
     pub fn load_base(&mut self, parts: impl IntoIterator<Item = CatalogueBase>) -> bool {
         let mut view = CatalogueView::new();
@@ -144,7 +152,7 @@
         match id.kind {
             EntryKind::Workspace => {
                 if let Some((_, entry)) = self.workspaces.remove(id.name.as_str()) {
-                    self.keys.retain(|_, name| *name != entry.name);
+                    self.remove_keys(&entry);
                 }
             }
             EntryKind::Service => {
@@ -155,4 +163,14 @@
             }
         }
     }
+
+    /// Looks up the workspace's own keys instead of going through those of all workspaces. A key
+    /// that was given to another workspace since then stays with it.
+    fn remove_keys(&mut self, entry: &WorkspaceEntry) {
+        for digest in &entry.keys {
+            if self.keys.get(digest) == Some(&entry.name) {
+                self.keys.remove(digest);
+            }
+        }
+    }
 }
--- a/crates/beechsaddle-core/src/catalogue/mod.rs
+++ b/crates/beechsaddle-core/src/catalogue/mod.rs
@@ -1,12 +1,20 @@
 //! The `catalogue` module provides what operators declare and how it comes into force.
 
 mod catalogue_change;
+mod catalogue_desk;
 mod catalogue_entry;
+mod catalogue_keys;
+mod catalogue_log;
+mod catalogue_options;
+mod catalogue_reader;
 mod catalogue_view;
 
 pub use catalogue_change::{CatalogueBase, CatalogueChange, CatalogueHead, EntryEdit};
+pub use catalogue_desk::CatalogueDesk;
 pub use catalogue_entry::{
     CatalogueEntry, EntryClass, EntryHeader, EntryId, EntryKind, EntryLimits, ModelEntry,
     ServiceEntry, ServiceKind, WorkspaceEntry,
 };
+pub use catalogue_keys::{CHANGE_PREFIX, HEAD_KEY, base_key, change_key};
+pub use catalogue_options::CatalogueOptions;
 pub use catalogue_view::CatalogueView;
--- a/crates/beechsaddle-core/src/lib.rs
+++ b/crates/beechsaddle-core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod action;
 pub mod admission;
+pub mod backoff;
 pub mod call;
 pub mod calls;
 pub mod catalogue;
--- a/crates/beechsaddle-core/src/members/host_list.rs
+++ b/crates/beechsaddle-core/src/members/host_list.rs
@@ -35,6 +35,8 @@
     Router {
         /// Where its peers reach it, as `address:port`.
         peer_address: String,
+        /// Where operators reach it, as `address:port`.
+        admin_address: String,
     },
     /// It is a target of a service.
     Target {
--- /dev/null
+++ b/crates/beechsaddle-core/src/members/member_desk.rs
@@ -0,0 +1,335 @@
+//! The `member_desk` module provides the duty that keeps the member table true.
+
+use std::collections::BTreeMap;
+
+use super::heartbeat_plan::HeartbeatPlan;
+use super::heartbeat_writer::HeartbeatWriter;
+use super::host_view::HostView;
+use super::host_watch::{HostUpdate, HostWatch};
+use super::peer_contacts::PeerContacts;
+use super::{HeartbeatNews, HostList, MemberEntry, MemberLiveness, MemberOptions, MemberTable};
+use crate::action::CoreAction;
+use crate::clock::ClockTime;
+use crate::names::{DomainName, RouterIncarnation};
+use crate::outbox::CoreOutbox;
+use crate::peer::{PeerHeartbeat, PeerMessage, RouterNews, RouterState};
+use crate::platform::{PlatformReply, PlatformTicket};
+use crate::signal::CoreSignal;
+use crate::status::PeerStatus;
+
+/// How long a router counts as new, in milliseconds: the others are told of it meanwhile, in case
+/// its address is in nobody's list yet.
+const FRESH_MS: u64 = 10_000;
+
+/// How long a router that is gone stays in the table, in milliseconds, for operators to see.
+const GONE_KEPT_MS: u64 = 600_000;
+
+/// Keeps track of the routers and hosts that there are.
+#[derive(Debug)]
+pub struct MemberDesk {
+    options: MemberOptions,
+    address: String,
+    state: RouterState,
+    table: MemberTable,
+    hosts: HostView,
+    watch: HostWatch,
+    contacts: PeerContacts,
+    /// When routers were first heard, for those that are new.
+    fresh: BTreeMap<RouterIncarnation, ClockTime>,
+    news: HeartbeatNews,
+    sequence: u64,
+    next_beat: ClockTime,
+    last_tick: Option<ClockTime>,
+}
+
+impl MemberDesk {
+    /// The desk of the router `me`, whose peers reach it at `peer_address`.
+    pub fn new(
+        options: MemberOptions,
+        me: RouterIncarnation,
+        domain: DomainName,
+        peer_address: impl Into<String>,
+    ) -> Self {
+        MemberDesk {
+            address: peer_address.into(),
+            state: RouterState::Live,
+            hosts: HostView::default(),
+            watch: HostWatch::new(&me, domain.clone()),
+            contacts: PeerContacts::new(&options.seeds),
+            table: MemberTable::new(me, domain),
+            fresh: BTreeMap::new(),
+            news: HeartbeatNews::default(),
+            sequence: 0,
+            next_beat: ClockTime::ZERO,
+            last_tick: None,
+            options,
+        }
+    }
+
+    /// The routers that this one knows.
+    pub fn table(&self) -> &MemberTable {
+        &self.table
+    }
+
+    /// The hosts of all domains, as the platform last listed them.
+    pub fn hosts(&self) -> &HostList {
+        self.hosts.joined()
+    }
+
+    /// Begins to read the list of hosts.
+    pub fn start(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        self.watch.start(now, outbox);
+    }
+
+    /// Takes the outcome of a platform call.
+    pub fn on_platform(
+        &mut self,
+        now: ClockTime,
+        ticket: PlatformTicket,
+        reply: PlatformReply,
+        outbox: &mut CoreOutbox,
+    ) {
+        for update in self.watch.on_platform(now, ticket, reply, outbox) {
+            self.on_hosts(now, update, outbox);
+        }
+    }
+
+    /// Takes a heartbeat.
+    pub fn on_peer(
+        &mut self,
+        now: ClockTime,
+        from: &RouterIncarnation,
+        heartbeat: &PeerHeartbeat,
+        outbox: &mut CoreOutbox,
+    ) {
+        if from.host == self.table.me().host || !self.is_news(from, heartbeat) {
+            return;
+        }
+        self.replace_older(from, outbox);
+        let was_live = self
+            .table
+            .get(from)
+            .is_some_and(|entry| entry.liveness == MemberLiveness::Live);
+        if self.table.get(from).is_none() {
+            self.fresh.insert(from.clone(), now);
+        }
+        let entry = entry_of(now, heartbeat);
+        let liveness = entry.liveness;
+        self.table.insert(from.clone(), entry);
+        match liveness {
+            MemberLiveness::Gone => outbox.signal(CoreSignal::MemberGone(from.clone())),
+            MemberLiveness::Live if !was_live && heartbeat.domain == *self.table.domain() => {
+                outbox.signal(CoreSignal::MemberUp(from.clone()));
+            }
+            MemberLiveness::Live | MemberLiveness::Down => {}
+        }
+        self.learn_routers(now, &heartbeat.routers);
+    }
+
+    /// Whether it is time for a heartbeat.
+    pub fn is_heartbeat_due(&self, now: ClockTime) -> bool {
+        now >= self.next_beat
+    }
+
+    /// Sends a heartbeat.
+    pub fn beat(&mut self, now: ClockTime, news: HeartbeatNews, outbox: &mut CoreOutbox) {
+        self.news = news;
+        self.next_beat = now.plus_ms(self.options.heartbeat_ms);
+        let slow = self.sequence.is_multiple_of(self.options.slow_beats.max(1));
+        self.send(now, slow, outbox);
+    }
+
+    /// Notices routers that fell silent.
+    pub fn tick(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        self.watch.tick(now, outbox);
+        self.contacts.expire(now);
+        self.excuse_own_pause(now);
+        self.find_silent(now, outbox);
+        self.find_ended(now, outbox);
+        self.table.forget_gone(now, GONE_KEPT_MS);
+        self.fresh.retain(|_, heard| now.since(*heard) < FRESH_MS);
+    }
+
+    /// Tells everybody that this router takes nothing new.
+    pub fn drain(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        self.state = RouterState::Draining;
+        self.table.set_draining();
+        self.send(now, true, outbox);
+    }
+
+    /// Tells everybody that this router has handed over everything and exits.
+    pub fn leave(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        self.state = RouterState::Left;
+        self.send(now, true, outbox);
+    }
+
+    /// What operators are told of other routers.
+    pub fn status(&self, now: ClockTime) -> Vec<PeerStatus> {
+        self.table
+            .iter()
+            .map(|(router, entry)| PeerStatus {
+                router: router.clone(),
+                domain: entry.domain.clone(),
+                state: state_word(entry).to_string(),
+                catalogue_revision: entry.catalogue_revision,
+                age_ms: now.since(entry.heard),
+            })
+            .collect()
+    }
+
+    /// A heartbeat that was overtaken or doubled would make a router look alive that is not, and
+    /// one of an earlier life would replace its successor.
+    fn is_news(&self, from: &RouterIncarnation, heartbeat: &PeerHeartbeat) -> bool {
+        if self.table.is_outdated(from) {
+            return false;
+        }
+        match self.table.get(from) {
+            None => true,
+            Some(entry) => entry.state != RouterState::Left && entry.sequence < heartbeat.sequence,
+        }
+    }
+
+    /// A later life on the same host is proof that the earlier ones have ended.
+    fn replace_older(&mut self, from: &RouterIncarnation, outbox: &mut CoreOutbox) {
+        for (router, entry) in self.table.iter_mut() {
+            let older = router.host == from.host && router.epoch < from.epoch;
+            if older && entry.liveness != MemberLiveness::Gone {
+                entry.liveness = MemberLiveness::Gone;
+                outbox.signal(CoreSignal::MemberGone(router.clone()));
+            }
+        }
+    }
+
+    fn learn_routers(&mut self, now: ClockTime, routers: &[RouterNews]) {
+        for news in routers {
+            let known = news.router.host == self.table.me().host
+                || self.table.live_on(&news.router.host).is_some()
+                || self.table.is_gone(&news.router);
+            if !known {
+                self.contacts.note_hearsay(now, news);
+            }
+        }
+    }
+
+    fn on_hosts(&mut self, now: ClockTime, update: HostUpdate, outbox: &mut CoreOutbox) {
+        let domain = update.domain;
+        let changes = self.hosts.update(now, &domain, update.version, update.list);
+        let Some(changes) = changes else {
+            return;
+        };
+        self.contacts.set_listed(self.hosts.joined());
+        outbox.signal(CoreSignal::HostsChanged);
+        if domain != *self.table.domain() {
+            return;
+        }
+        for host in changes.leaving {
+            outbox.signal(CoreSignal::HostLeaving(host));
+        }
+    }
+
+    /// A router that was paused has heard nobody meanwhile and would call the whole domain down.
+    /// The pause is taken off the silence of the others: they get a full waiting time to be heard.
+    fn excuse_own_pause(&mut self, now: ClockTime) {
+        let pause_ms = self.last_tick.map_or(0, |last| now.since(last));
+        self.last_tick = Some(now);
+        if pause_ms < self.options.heartbeat_ms {
+            return;
+        }
+        for (_, entry) in self.table.iter_mut() {
+            entry.heard = entry.heard.plus_ms(pause_ms).min(now);
+        }
+    }
+
+    fn find_silent(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        let own = self.table.domain().clone();
+        let own_limit_ms = self.options.down_after_ms;
+        let foreign_limit_ms = own_limit_ms.saturating_mul(self.options.slow_beats.max(1));
+        for (router, entry) in self.table.iter_mut() {
+            let limit_ms = match entry.domain == own {
+                true => own_limit_ms,
+                false => foreign_limit_ms,
+            };
+            let silent = now.since(entry.heard) >= limit_ms;
+            if entry.liveness == MemberLiveness::Live && silent {
+                entry.liveness = MemberLiveness::Down;
+                if entry.domain == own {
+                    outbox.signal(CoreSignal::MemberDown(router.clone()));
+                }
+            }
+        }
+    }
+
+    /// A silent router has ended when the platform took its host off the list, or lists a
+    /// replacement, after the router was last heard.
+    fn find_ended(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        for (router, entry) in self.table.iter_mut() {
+            if entry.liveness != MemberLiveness::Down {
+                continue;
+            }
+            let replaced = self
+                .hosts
+                .replaced_at(&router.host)
+                .is_some_and(|time| entry.heard <= time);
+            // A host that is in no list may be so new that the list lags behind it.
+            let unlisted = self.hosts.knows(&entry.domain)
+                && self.hosts.get(&entry.domain, &router.host).is_none()
+                && now.since(entry.heard) >= self.options.list_lag_ms;
+            if replaced || unlisted {
+                entry.liveness = MemberLiveness::Gone;
+                outbox.signal(CoreSignal::MemberGone(router.clone()));
+            }
+        }
+    }
+
+    fn send(&mut self, now: ClockTime, slow: bool, outbox: &mut CoreOutbox) {
+        self.sequence += 1;
+        let plan = HeartbeatPlan {
+            table: &self.table,
+            contacts: &self.contacts,
+            bridges: self.options.bridges,
+            slow,
+        };
+        let writer = HeartbeatWriter {
+            table: &self.table,
+            fresh: &self.fresh,
+            bridges: plan.own_bridges(),
+            address: &self.address,
+            state: self.state,
+            sequence: self.sequence,
+            news: &self.news,
+        };
+        for receiver in plan.receivers() {
+            let heartbeat = writer.write(now, &receiver);
+            outbox.act(CoreAction::Peer {
+                to: receiver.router,
+                address: receiver.address,
+                message: PeerMessage::Heartbeat(heartbeat),
+            });
+        }
+    }
+}
+
+fn entry_of(now: ClockTime, heartbeat: &PeerHeartbeat) -> MemberEntry {
+    let liveness = match heartbeat.state {
+        RouterState::Live | RouterState::Draining => MemberLiveness::Live,
+        RouterState::Left => MemberLiveness::Gone,
+    };
+    MemberEntry {
+        domain: heartbeat.domain.clone(),
+        address: heartbeat.address.clone(),
+        state: heartbeat.state,
+        liveness,
+        catalogue_revision: heartbeat.catalogue_revision,
+        heard: now,
+        sequence: heartbeat.sequence,
+    }
+}
+
+fn state_word(entry: &MemberEntry) -> &'static str {
+    match (entry.liveness, entry.state) {
+        (MemberLiveness::Live, RouterState::Live) => "live",
+        (MemberLiveness::Live, RouterState::Draining | RouterState::Left) => "draining",
+        (MemberLiveness::Down, _) => "down",
+        (MemberLiveness::Gone, _) => "gone",
+    }
+}
--- a/crates/beechsaddle-core/src/members/member_table.rs
+++ b/crates/beechsaddle-core/src/members/member_table.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::ClockTime;
 use crate::hash::rendezvous_weight;
-use crate::names::{DomainName, RouterIncarnation};
+use crate::names::{DomainName, HostName, RouterIncarnation};
 use crate::peer::RouterState;
 
 /// How alive a router is to this one.
@@ -44,6 +44,8 @@
     domain: DomainName,
     draining: bool,
     members: BTreeMap<RouterIncarnation, MemberEntry>,
+    /// The latest epoch that each host was heard with.
+    latest: BTreeMap<HostName, u64>,
 }
 
 impl MemberTable {
@@ -54,6 +56,7 @@
             domain,
             draining: false,
             members: BTreeMap::new(),
+            latest: BTreeMap::new(),
         }
     }
 
@@ -79,9 +82,54 @@
 
     /// Sets or replaces the entry of another router.
     pub fn insert(&mut self, router: RouterIncarnation, entry: MemberEntry) {
+        let latest = self.latest.entry(router.host.clone()).or_default();
+        *latest = router.epoch.max(*latest);
         self.members.insert(router, entry);
     }
 
+    /// Whether a later life of the router's host was heard: the sender of a message is then a
+    /// process that no longer exists, or a frozen one that was replaced, and the message is to be
+    /// dropped.
+    pub fn is_outdated(&self, router: &RouterIncarnation) -> bool {
+        if router.host == self.me.host {
+            return router.epoch < self.me.epoch;
+        }
+        self.latest
+            .get(&router.host)
+            .is_some_and(|latest| router.epoch < *latest)
+    }
+
+    /// Whether the router's process is known to have ended.
+    pub fn is_gone(&self, router: &RouterIncarnation) -> bool {
+        let left = self
+            .members
+            .get(router)
+            .is_some_and(|entry| entry.liveness == MemberLiveness::Gone);
+        left || self.is_outdated(router)
+    }
+
+    /// The live router on a host.
+    pub fn live_on(&self, host: &HostName) -> Option<&RouterIncarnation> {
+        self.members
+            .iter()
+            .find(|(router, entry)| router.host == *host && entry.liveness == MemberLiveness::Live)
+            .map(|(router, _)| router)
+    }
+
+    pub(super) fn iter_mut(
+        &mut self,
+    ) -> impl Iterator<Item = (&RouterIncarnation, &mut MemberEntry)> {
+        self.members.iter_mut()
+    }
+
+    /// Forgets routers that have been gone for longer than `span_ms`. The latest epoch of their
+    /// host stays known, so that a late message of theirs is still dropped.
+    pub(super) fn forget_gone(&mut self, now: ClockTime, span_ms: u64) {
+        self.members.retain(|_, entry| {
+            entry.liveness != MemberLiveness::Gone || now.since(entry.heard) < span_ms
+        });
+    }
+
     /// All other routers.
     pub fn iter(&self) -> impl Iterator<Item = (&RouterIncarnation, &MemberEntry)> {
         self.members.iter()
--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -90,7 +90,8 @@
     pub targets: Vec<TargetNews>,
     /// What its callers use of shared limits.
     pub limits: Vec<LimitUse>,
-    /// Routers of other domains that it knows to be alive; sent between bridges only.
+    /// Live routers of its domain that the receiver may not know: new ones, and towards other
+    /// domains the bridges.
     pub routers: Vec<RouterNews>,
 }
 
