Lay out the lab's command line and its table of experiments

The stand-ins, the demo, the load tool and the experiments are written side by side; each gets its own module with a command() and a run(), so that filling one touches no other. An experiment is one line in the table of measure/mod.rs.

--- a/crates/beechsaddle-lab/src/lib.rs
+++ b/crates/beechsaddle-lab/src/lib.rs
@@ -1,1 +1,9 @@
-//! beechsaddle-lab
+//! Stand-ins, a load tool and experiments for beechsaddle. Not shipped.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod demo;
+pub mod load;
+pub mod measure;
+pub mod stand_in;
--- /dev/null
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -0,0 +1,71 @@
+//! The `measure` module provides the experiments behind the figures in the documentation.
+//!
+//! To add an experiment: a `mod` line and a line in [`EXPERIMENTS`].
+
+mod experiment;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+pub use experiment::MeasureExperiment;
+
+/// Every experiment, in the order of `measure --list`.
+pub const EXPERIMENTS: &[MeasureExperiment] = &[];
+
+/// The seed when none is given.
+const DEFAULT_SEED: u64 = 1;
+
+/// Describes the `measure` subcommand.
+pub fn command() -> Command {
+    Command::new("measure")
+        .about("Runs one experiment and prints a key=value line for each measured point")
+        .arg(
+            Arg::new("name")
+                .value_name("NAME")
+                .required_unless_present("list")
+                .help("Which experiment to run"),
+        )
+        .arg(
+            Arg::new("list")
+                .long("list")
+                .action(ArgAction::SetTrue)
+                .help("Print the name of each experiment and what it shows"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .help("Seed of all random choices [default: 1]"),
+        )
+}
+
+/// Runs the `measure` subcommand.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    if matches.get_flag("list") {
+        print_list();
+        return Ok(());
+    }
+    let name = matches.get_one::<String>("name").map(String::as_str);
+    let name = name.unwrap_or_default();
+    let seed = matches.get_one("seed").copied().unwrap_or(DEFAULT_SEED);
+    let Some(experiment) = find(name) else {
+        eyre::bail!("no experiment is named {name:?}; see measure --list");
+    };
+    for line in (experiment.run)(seed) {
+        println!("experiment={} seed={seed} {line}", experiment.name);
+    }
+    Ok(())
+}
+
+/// The experiment of that name.
+pub fn find(name: &str) -> Option<&'static MeasureExperiment> {
+    EXPERIMENTS
+        .iter()
+        .find(|experiment| experiment.name == name)
+}
+
+fn print_list() {
+    for experiment in EXPERIMENTS {
+        println!("{:<16} {}", experiment.name, experiment.shows);
+    }
+}
