Add an open-loop load tool that checks every answer

Arrivals are Poisson and wait for no answer; latency counts from the intended time of sending, so that a stall of the tool or of a router shows in each call it delayed. Each answer has to be whole and to bear the mark of its own call: another mark is crossed=, an answer that ends as if it were whole without its usage and end is short=, a broken connection is lost= unless a further try with the same key brings a final word.

The client is hyper's connection of its own and not volo-http's pool: it must not resend by itself, or the doubled= of a run would be the tool's own. reused_connection_closes_under_request holds that.

--- /dev/null
+++ b/crates/beechsaddle-lab/src/load/call_request.rs
@@ -0,0 +1,63 @@
+//! The `call_request` module provides the request of a planned call.
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use serde_json::json;
+
+use super::{CallKind, CallerSettings, PlannedCall};
+
+/// How often a shared beginning is repeated, so that it covers a few prefix blocks.
+const OPENING_REPEATS: usize = 24;
+
+/// Makes the request of `call`; `keyed` sends its idempotency key also where it need not.
+///
+/// # Errors
+///
+/// When a key or name cannot stand in a header or path.
+pub fn build_request(
+    settings: &CallerSettings,
+    call: &PlannedCall,
+    keyed: bool,
+) -> eyre::Result<Request<Full<Bytes>>> {
+    let workspace = &settings.workspaces[call.workspace % settings.workspaces.len()];
+    let mut request = Request::post(call_path(settings, call.kind))
+        .header("host", "beechsaddle")
+        .header("authorization", format!("Bearer {}", workspace.key))
+        .header("beechsaddle-budget", &workspace.budget)
+        .header("content-type", "application/json");
+    if keyed || call.kind == CallKind::NotRepeatable {
+        request = request.header("idempotency-key", &call.key);
+    }
+    if call.kind == CallKind::NotRepeatable {
+        request = request.header("beechsaddle-repeatable", "no");
+    }
+    let body = call_body(settings, call, &workspace.name);
+    Ok(request.body(Full::new(Bytes::from(body)))?)
+}
+
+fn call_path(settings: &CallerSettings, kind: CallKind) -> String {
+    if kind.is_chat() {
+        "/v1/chat/completions".to_owned()
+    } else {
+        format!("/svc/{}/confirm", settings.service)
+    }
+}
+
+fn call_body(settings: &CallerSettings, call: &PlannedCall, workspace: &str) -> String {
+    if !call.kind.is_chat() {
+        return json!({"mark": call.key}).to_string();
+    }
+    let sentence = format!("Rules {} of {workspace}. ", call.opening);
+    let opening = sentence.repeat(OPENING_REPEATS);
+    json!({
+        "model": settings.model,
+        "stream": call.kind == CallKind::StreamedChat,
+        "max_tokens": call.max_tokens,
+        "messages": [
+            {"role": "system", "content": opening},
+            {"role": "user", "content": format!("request {}", call.key)},
+        ],
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/load/call_result.rs
@@ -0,0 +1,42 @@
+//! The `call_result` module provides everything that a caller knows of a call in the end.
+
+use std::time::Instant;
+
+use super::{CallOutcome, PlannedCall};
+
+/// A call with the outcome of its last try.
+#[derive(Clone, Debug)]
+pub struct CallResult {
+    /// The call.
+    pub call: PlannedCall,
+    /// When it should have been sent. Latency counts from here and not from the real sending, so
+    /// that a stall of sender or router shows in every call that it delayed.
+    pub intended: Instant,
+    /// How many tries there were.
+    pub tries: u32,
+    /// Whether every try so far ended in a refusal that says that the call did not run.
+    pub never_ran: bool,
+    /// How the last try ended.
+    pub outcome: CallOutcome,
+}
+
+impl CallResult {
+    /// A call that was not tried yet.
+    pub fn new(call: PlannedCall, start: Instant) -> Self {
+        let intended = start + call.offset;
+        CallResult {
+            call,
+            intended,
+            tries: 0,
+            never_ran: true,
+            outcome: CallOutcome::Broken,
+        }
+    }
+
+    /// Takes the outcome of a try.
+    pub fn note(&mut self, outcome: CallOutcome) {
+        self.tries += 1;
+        self.never_ran &= matches!(&outcome, CallOutcome::Refused(refusal) if refusal.not_run);
+        self.outcome = outcome;
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/load/load_options.rs
@@ -0,0 +1,137 @@
+//! The `load_options` module provides the settings of a run.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use super::{CallMix, CallerPatience, PlanOptions};
+
+/// Seconds that a caller waits for one try when nothing else is said.
+const DEFAULT_TRY_TIMEOUT_S: u64 = 60;
+
+/// The settings of a run, as given on the command line.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// The file that says where a running fleet is.
+    pub callers: Option<PathBuf>,
+    /// Calls a second.
+    pub rate: f64,
+    /// How long calls are sent.
+    pub span: Duration,
+    /// The seed.
+    pub seed: u64,
+    /// The shares of the kinds of calls.
+    pub mix: CallMix,
+    /// The exponent of the workspaces' shares.
+    pub skew: f64,
+    /// The most tokens that a call generates.
+    pub max_tokens: u64,
+    /// How callers go on without an answer.
+    pub patience: CallerPatience,
+    /// Where to draw the chart.
+    pub plot: Option<PathBuf>,
+}
+
+impl LoadOptions {
+    /// Adds the arguments that [`LoadOptions::read`] reads.
+    pub fn add_to(command: Command) -> Command {
+        command
+            .arg(path_arg(
+                "callers",
+                "TOML file that says where a running fleet is",
+            ))
+            .arg(number_arg::<f64>(
+                "rate",
+                "20",
+                "Calls a second, on average",
+            ))
+            .arg(number_arg::<u64>(
+                "seconds",
+                "20",
+                "How long calls are sent",
+            ))
+            .arg(number_arg::<u64>("seed", "1", "Seed of all random choices"))
+            .arg(number_arg::<f64>(
+                "skew",
+                "1.1",
+                "Zipf exponent of the workspaces' shares",
+            ))
+            .arg(number_arg::<u64>(
+                "max-tokens",
+                "64",
+                "Most tokens that a chat generates",
+            ))
+            .arg(number_arg::<u32>(
+                "retries",
+                "0",
+                "Further tries with the same idempotency key",
+            ))
+            .arg(
+                Arg::new("mix")
+                    .long("mix")
+                    .value_name("S:W:P:N")
+                    .default_value("60:10:25:5")
+                    .value_parser(|text: &str| text.parse::<CallMix>())
+                    .help("Weights of streamed chats, whole chats, plain and not-repeatable calls"),
+            )
+            .arg(path_arg("plot", "SVG file for a chart of the latencies"))
+    }
+
+    /// Reads the arguments; all have defaults or may be absent.
+    pub fn read(matches: &ArgMatches) -> Self {
+        let seconds = read_number(matches, "seconds", 20);
+        LoadOptions {
+            callers: matches.get_one("callers").cloned(),
+            rate: read_number(matches, "rate", 20.0),
+            span: Duration::from_secs(seconds),
+            seed: read_number(matches, "seed", 1),
+            mix: read_number(matches, "mix", CallMix::default()),
+            skew: read_number(matches, "skew", 1.1),
+            max_tokens: read_number(matches, "max-tokens", 64),
+            patience: CallerPatience {
+                retries: read_number(matches, "retries", 0),
+                try_timeout: Duration::from_secs(DEFAULT_TRY_TIMEOUT_S),
+            },
+            plot: matches.get_one("plot").cloned(),
+        }
+    }
+
+    /// What the calls are drawn from when `workspaces` send them.
+    pub fn plan(&self, workspaces: usize) -> PlanOptions {
+        PlanOptions {
+            seed: self.seed,
+            rate: self.rate,
+            span: self.span,
+            mix: self.mix,
+            workspaces,
+            skew: self.skew,
+            max_tokens: self.max_tokens,
+        }
+    }
+}
+
+fn path_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+fn number_arg<T>(name: &'static str, value: &'static str, help: &'static str) -> Arg
+where
+    T: Clone + Send + Sync + std::str::FromStr + 'static,
+    T::Err: std::error::Error + Send + Sync,
+{
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(value)
+        .value_parser(|text: &str| text.parse::<T>())
+        .help(help)
+}
+
+fn read_number<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str, absent: T) -> T {
+    matches.get_one(name).cloned().unwrap_or(absent)
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/load/load_run.rs
@@ -0,0 +1,120 @@
+//! The `load_run` module provides the sending of a plan.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
+
+use super::{ArrivalPlan, CallResult, CallSender, LoadTally};
+
+/// How often a progress line goes to the standard error stream.
+const PROGRESS_PERIOD: Duration = Duration::from_secs(2);
+
+/// How many results may wait to be counted; counting is far quicker than answering.
+const RESULT_QUEUE: usize = 65_536;
+
+/// A point of a run's course.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ProgressPoint {
+    /// Seconds since the start.
+    pub second: f64,
+    /// Calls that ended.
+    pub ended: u64,
+    /// Calls answered.
+    pub answered: u64,
+    /// Calls refused.
+    pub refused: u64,
+}
+
+/// What a run gave.
+#[derive(Debug)]
+pub struct LoadOutcome {
+    /// Calls sent.
+    pub sent: u64,
+    /// How long sending and waiting for the last answer took.
+    pub elapsed: Duration,
+    /// The count.
+    pub tally: LoadTally,
+    /// The course.
+    pub course: Vec<ProgressPoint>,
+}
+
+/// Sends all calls of a plan at their times and waits until each has ended.
+///
+/// # Errors
+///
+/// When a histogram cannot be made.
+pub async fn run_plan(plan: ArrivalPlan, sender: CallSender) -> eyre::Result<LoadOutcome> {
+    let start = Instant::now();
+    let (results, counted) = mpsc::channel(RESULT_QUEUE);
+    let sender = Arc::new(sender);
+    let sending = tokio::spawn(send_all(plan, sender, start, results));
+    let (tally, course) = count_all(counted, start).await?;
+    let sent = sending.await?;
+    Ok(LoadOutcome {
+        sent,
+        elapsed: start.elapsed(),
+        tally,
+        course,
+    })
+}
+
+async fn send_all(
+    plan: ArrivalPlan,
+    sender: Arc<CallSender>,
+    start: Instant,
+    results: mpsc::Sender<CallResult>,
+) -> u64 {
+    let mut sent = 0;
+    for call in plan {
+        sleep_until((start + call.offset).into()).await;
+        let sender = Arc::clone(&sender);
+        let results = results.clone();
+        tokio::spawn(async move {
+            let result = sender.send(call, start).await;
+            results.send(result).await.ok();
+        });
+        sent += 1;
+    }
+    sent
+}
+
+async fn count_all(
+    mut results: mpsc::Receiver<CallResult>,
+    start: Instant,
+) -> eyre::Result<(LoadTally, Vec<ProgressPoint>)> {
+    let mut tally = LoadTally::try_new()?;
+    let mut course = Vec::new();
+    let mut ticks = interval(PROGRESS_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            result = results.recv() => match result {
+                Some(result) => tally.add(result),
+                None => return Ok((tally, course)),
+            },
+            _ = ticks.tick() => course.push(note_progress(&tally, start)),
+        }
+    }
+}
+
+fn note_progress(tally: &LoadTally, start: Instant) -> ProgressPoint {
+    let point = ProgressPoint {
+        second: start.elapsed().as_secs_f64(),
+        ended: tally.ended,
+        answered: tally.answered,
+        refused: tally.refusals(),
+    };
+    eprintln!(
+        "second={:.0} ended={} answered={} refused={} lost={} crossed={} p99_whole_ms={:.1}",
+        point.second,
+        tally.ended,
+        tally.answered,
+        point.refused,
+        tally.lost,
+        tally.crossed,
+        tally.whole.value_at_quantile(0.99) as f64 / 1_000.0,
+    );
+    point
+}
--- a/crates/beechsaddle-lab/src/load/mod.rs
+++ b/crates/beechsaddle-lab/src/load/mod.rs
@@ -1,13 +1,81 @@
 //! The `load` module provides an open-loop load tool that checks every answer.
 
+mod answer_reader;
+mod arrival_plan;
+mod call_kind;
+mod call_mix;
+mod call_outcome;
+mod call_request;
+mod call_result;
+mod call_sender;
+mod caller_patience;
+mod caller_settings;
+mod http_client;
+mod load_options;
+mod load_plot;
+mod load_report;
+mod load_run;
+mod load_tally;
+mod planned_call;
+mod share_table;
+mod sse_lines;
+
+use std::sync::Arc;
+
 use clap::{ArgMatches, Command};
 
+pub use answer_reader::{AnswerReader, bears_mark};
+pub use arrival_plan::{ArrivalPlan, PlanOptions};
+pub use call_kind::CallKind;
+pub use call_mix::CallMix;
+pub use call_outcome::{AnswerTimes, CallOutcome, ReadRefusal};
+pub use call_request::build_request;
+pub use call_result::CallResult;
+pub use call_sender::CallSender;
+pub use caller_patience::CallerPatience;
+pub use caller_settings::{CallerSettings, CallerWorkspace};
+pub use http_client::{HttpClient, OpenConnection};
+pub use load_options::LoadOptions;
+pub use load_plot::draw_chart;
+pub use load_report::report_line;
+pub use load_run::{LoadOutcome, ProgressPoint, run_plan};
+pub use load_tally::LoadTally;
+pub use planned_call::PlannedCall;
+pub use share_table::ShareTable;
+pub use sse_lines::SseLines;
+
 /// Describes the `load` subcommand.
 pub fn command() -> Command {
-    Command::new("load").about("Sends calls at random times and checks every answer")
+    let command = Command::new("load").about("Sends calls at random times and checks every answer");
+    LoadOptions::add_to(command)
 }
 
 /// Runs the `load` subcommand.
-pub fn run(_matches: &ArgMatches) -> eyre::Result<()> {
-    eyre::bail!("the load tool is not written yet")
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let options = LoadOptions::read(matches);
+    let Some(path) = &options.callers else {
+        eyre::bail!("--callers FILE has to say where the fleet is");
+    };
+    let settings = CallerSettings::try_read(path)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let outcome = runtime.block_on(run_load(&options, settings))?;
+    println!("{}", report_line(&outcome));
+    if let Some(path) = &options.plot {
+        draw_chart(&outcome, path)?;
+    }
+    Ok(())
+}
+
+/// Sends the load of `options` to the fleet of `settings`.
+///
+/// # Errors
+///
+/// When the run cannot be set up.
+pub async fn run_load(
+    options: &LoadOptions,
+    settings: CallerSettings,
+) -> eyre::Result<LoadOutcome> {
+    let plan = ArrivalPlan::new(options.plan(settings.workspaces.len()));
+    let sender = CallSender::new(Arc::new(settings), options.patience);
+    run_plan(plan, sender).await
 }
--- /dev/null
+++ b/crates/beechsaddle-lab/tests/load_answers.rs
@@ -0,0 +1,215 @@
+//! Tests of what the load tool makes of good and bad answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use beechsaddle_lab::load::{
+    CallKind, CallOutcome, CallResult, CallSender, CallerPatience, CallerSettings, CallerWorkspace,
+    PlannedCall,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const MARK: &str = "load-1-5";
+
+/// A router that gives the same bytes to each request of a connection, up to `answers` of them.
+struct FakeRouter {
+    address: SocketAddr,
+    requests: Arc<AtomicUsize>,
+}
+
+impl FakeRouter {
+    async fn start(answer: impl Into<String>, answers: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&requests);
+        let answer = answer.into();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, answer.clone(), answers, Arc::clone(&counter)));
+            }
+        });
+        FakeRouter { address, requests }
+    }
+
+    fn requests(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+async fn serve(mut stream: TcpStream, answer: String, answers: usize, counter: Arc<AtomicUsize>) {
+    let mut buffer = vec![0; 65_536];
+    // Requests of these tests fit into one segment.
+    for index in 0.. {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => counter.fetch_add(1, Ordering::SeqCst),
+        };
+        if index >= answers {
+            return;
+        }
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        if answer.contains("chunked") {
+            // Closes behind the stream, whether or not its last chunk was sent.
+            return;
+        }
+    }
+}
+
+fn chunked(body: &str, ended: bool) -> String {
+    let end = if ended { "0\r\n\r\n" } else { "" };
+    format!(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n{end}",
+        body.len()
+    )
+}
+
+fn sized(status: u16, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn events(mark: &str, last: &str) -> String {
+    format!(
+        "data: {{\"choices\":[{{\"delta\":{{\"content\":\"for {mark} \"}}}}]}}\n\n\
+         data: {{\"choices\":[{{\"delta\":{{}},\"finish_reason\":\"stop\"}}]}}\n\n\
+         data: {{\"choices\":[],\"usage\":{{\"total_tokens\":9}}}}\n\n{last}"
+    )
+}
+
+fn planned(kind: CallKind) -> PlannedCall {
+    PlannedCall {
+        number: 5,
+        offset: Duration::ZERO,
+        kind,
+        workspace: 0,
+        key: MARK.to_owned(),
+        opening: 0,
+        max_tokens: 8,
+    }
+}
+
+fn sender(router: &FakeRouter, retries: u32) -> CallSender {
+    let settings = CallerSettings {
+        routers: vec![router.address.to_string()],
+        model: "m".to_owned(),
+        service: "s".to_owned(),
+        call_cost: 1,
+        workspaces: vec![CallerWorkspace {
+            name: "w".to_owned(),
+            key: "k".to_owned(),
+            budget: "b".to_owned(),
+        }],
+        ..CallerSettings::default()
+    };
+    let patience = CallerPatience {
+        retries,
+        try_timeout: Duration::from_secs(2),
+    };
+    CallSender::new(Arc::new(settings), patience)
+}
+
+async fn outcome_of(answer: String, kind: CallKind) -> CallOutcome {
+    let router = FakeRouter::start(answer, 1).await;
+    let call = planned(kind);
+    let result = sender(&router, 0).send(call, Instant::now()).await;
+    result.outcome
+}
+
+#[tokio::test]
+async fn stream_whole() {
+    let answer = chunked(&events(MARK, "data: [DONE]\n\n"), true);
+    let outcome = outcome_of(answer, CallKind::StreamedChat).await;
+    let CallOutcome::Answered(times) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(times.tokens, 9);
+}
+
+#[tokio::test]
+async fn stream_of_another_call() {
+    let answer = chunked(&events("load-1-55", "data: [DONE]\n\n"), true);
+    let outcome = outcome_of(answer, CallKind::StreamedChat).await;
+    assert_eq!(outcome, CallOutcome::Crossed);
+}
+
+#[tokio::test]
+async fn stream_ended_without_done() {
+    let answer = chunked(&events(MARK, ""), true);
+    let outcome = outcome_of(answer, CallKind::StreamedChat).await;
+    assert_eq!(outcome, CallOutcome::Short);
+}
+
+#[tokio::test]
+async fn stream_broken_off() {
+    let answer = chunked(&events(MARK, ""), false);
+    let outcome = outcome_of(answer, CallKind::StreamedChat).await;
+    assert_eq!(outcome, CallOutcome::Broken);
+}
+
+#[tokio::test]
+async fn refusal_not_run() {
+    let body = r#"{"error":{"reason":"overloaded","ran":"no","retry_after_ms":1000}}"#;
+    let outcome = outcome_of(sized(503, body), CallKind::Plain).await;
+    let CallOutcome::Refused(refusal) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(refusal.reason, "overloaded");
+    assert!(refusal.not_run);
+}
+
+#[tokio::test]
+async fn refusal_unreadable() {
+    let outcome = outcome_of(sized(503, "<html>"), CallKind::Plain).await;
+    assert_eq!(outcome, CallOutcome::Broken);
+}
+
+// The router closes a kept connection just as the second call is sent on it. A client that sent
+// the call again by itself would run a payment confirmation twice without anybody's order, so the
+// router has to see each call once and the second caller has to be told that the outcome is open.
+#[tokio::test]
+async fn reused_connection_closes_under_request() {
+    let router = FakeRouter::start(sized(200, MARK), 1).await;
+    let sender = sender(&router, 0);
+    let first = sender
+        .send(planned(CallKind::NotRepeatable), Instant::now())
+        .await;
+    let second = sender
+        .send(planned(CallKind::NotRepeatable), Instant::now())
+        .await;
+    assert!(matches!(first.outcome, CallOutcome::Answered(_)));
+    assert_eq!(second.outcome, CallOutcome::Broken);
+    assert_eq!(router.requests(), 2);
+}
+
+#[tokio::test]
+async fn retries_until_patience_ends() {
+    let router = FakeRouter::start("", 0).await;
+    let result = sender(&router, 2)
+        .send(planned(CallKind::Plain), Instant::now())
+        .await;
+    assert_eq!((result.tries, router.requests()), (3, 3));
+    assert!(!result.never_ran);
+}
+
+// The tool itself was late by a second. A latency counted from the real sending would hide that
+// second from every call that waited in it.
+#[tokio::test]
+async fn latency_counts_from_intended_time() {
+    let router = FakeRouter::start(sized(200, MARK), 1).await;
+    let Some(start) = Instant::now().checked_sub(Duration::from_secs(1)) else {
+        return;
+    };
+    let result: CallResult = sender(&router, 0)
+        .send(planned(CallKind::Plain), start)
+        .await;
+    let CallOutcome::Answered(times) = result.outcome else {
+        panic!("{:?}", result.outcome);
+    };
+    assert!(times.whole >= Duration::from_secs(1), "{times:?}");
+}
