--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -3,10 +3,16 @@
 //! To add an experiment: a `mod` line and a line in [`EXPERIMENTS`].
 
 mod experiment;
+mod process_cost;
+mod slope_fit;
+mod thread_cost;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 pub use experiment::MeasureExperiment;
+pub use process_cost::ProcessCost;
+pub use slope_fit::SlopeFit;
+pub use thread_cost::read_thread_cpu;
 
 /// Every experiment, in the order of `measure --list`.
 pub const EXPERIMENTS: &[MeasureExperiment] = &[];
