Let peers tell load, engine state and limits of any entry

Only two routers probe a target, so the others learn its load and model by the heartbeat. Limits belong to services and models too, and a share can follow demand only when demand is told.

--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -4,13 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalogue::{CatalogueBase, CatalogueChange};
+use crate::catalogue::{CatalogueBase, CatalogueChange, EntryId};
 use crate::members::HostState;
 use crate::names::{
     BudgetName, CallId, DomainName, KeyText, RequestKey, RouterIncarnation, TargetName,
-    WorkspaceName,
 };
 use crate::refusal::CallRefusal;
+use crate::target::{EngineState, LoadReport};
 
 /// A message from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -117,18 +117,23 @@
     pub state: HostState,
     /// Counts observations of that target and epoch; a higher one replaces a lower one.
     pub sequence: u64,
+    /// The load that a prober saw, for routers that do not probe the target themselves.
+    pub load: Option<LoadReport>,
+    /// What a prober saw the engine serve.
+    pub engine: Option<EngineState>,
 }
 
-/// One router's use of a workspace's shared limits.
+/// What one router's callers ask of an entry's shared limits, whether it was admitted or refused:
+/// shares follow demand, and a router that was short of its share could not ask for more otherwise.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitUse {
-    /// The workspace.
-    pub workspace: WorkspaceName,
-    /// Calls running.
+    /// The entry.
+    pub entry: EntryId,
+    /// Calls running, with those that a limit refused in the last second.
     pub running: u32,
-    /// Calls admitted in the last second.
+    /// Calls asked for in the last second.
     pub requests: u32,
-    /// Tokens used in the last minute.
+    /// Tokens asked for in the last minute.
     pub tokens: u64,
 }
 
