--- a/crates/beechsaddle-core/src/lib.rs
+++ b/crates/beechsaddle-core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peer;
 pub mod platform;
 pub mod prelude;
+pub mod random;
 pub mod refusal;
 pub mod report;
 pub mod signal;
