Fix the face of the money desk and extend its contracts

Cause: the call life cycle needs stable signatures, and the codecs stable types, before the decisions behind them are whole. BillsDurable sent back confirms it; without that a holder cannot tell which bills an entry router may still hand to a successor. State: the desk admits everything; it is a placeholder.

--- a/crates/beechsaddle-core/src/money/journal_segment.rs
+++ b/crates/beechsaddle-core/src/money/journal_segment.rs
@@ -17,6 +17,22 @@
     pub marks: BTreeMap<BudgetName, u64>,
     /// Bills.
     pub bills: Vec<BillRecord>,
+    /// In a checkpoint: bills of earlier segments that a reader may still need, each with the
+    /// number of the segment that first held it.
+    pub carried: Vec<(u64, BillRecord)>,
+    /// Closed journals whose last bill on a budget is in this or an earlier segment.
+    pub finals: Vec<FinalSpend>,
+    /// Whether the owner itself closed the journal after its last call had ended.
+    pub handed_over: bool,
+}
+
+/// States that nothing more of a closed journal's write-off will be claimed for a budget.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FinalSpend {
+    /// The closed journal.
+    pub journal: KeyText,
+    /// The budget.
+    pub budget: BudgetName,
 }
 
 /// One bill.
@@ -30,6 +46,8 @@
     pub budget: BudgetName,
     /// What is billed, in tokens.
     pub tokens: u64,
+    /// What an earlier, provisional bill of the same call said; zero when there is none.
+    pub replaces: u64,
     /// Whether the entry router died before it told the usage.
     pub provisional: bool,
     /// The closed journal whose write-off this bill is taken against, if not this journal's grant.
--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -35,8 +35,8 @@
     AdmitReply {
         /// The call.
         call: CallId,
-        /// Reserved, or why not.
-        outcome: Result<(), CallRefusal>,
+        /// The journal that reserved, or why none did.
+        outcome: Result<KeyText, CallRefusal>,
     },
     /// Usage of running calls so far, batched.
     ProgressReport {
@@ -50,7 +50,8 @@
         /// The call.
         call: CallId,
     },
-    /// The settle's bill is durable: the sender of the settle may forget its copy.
+    /// The settle's bill is durable: the sender of the settle may forget its copy. It sends the
+    /// same message back, after which the holder need not remember the calls either.
     BillsDurable {
         /// The calls.
         calls: Vec<CallId>,
