--- a/crates/beechsaddle-core/src/catalogue/catalogue_change.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_change.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CatalogueEntry, EntryId};
+use super::{BudgetEdit, CatalogueEntry, EntryId};
 use crate::clock::ClockTime;
 use crate::names::OwnerName;
 
@@ -32,6 +32,8 @@
     Put(CatalogueEntry),
     /// The entry is removed.
     Remove(EntryId),
+    /// A budget is added, changed or removed; carried out in the ledger.
+    Budget(BudgetEdit),
 }
 
 /// A part of the whole catalogue, at `catalogue/base/<revision, 12 digits>/<part>`.
--- a/crates/beechsaddle-core/src/catalogue/catalogue_view.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_view.rs
@@ -121,6 +121,7 @@
             match edit {
                 EntryEdit::Put(entry) => self.put(change.revision, entry.clone()),
                 EntryEdit::Remove(id) => self.remove(id),
+                EntryEdit::Budget(_) => {}
             }
         }
         self.revision = change.revision;
--- a/crates/beechsaddle-core/src/catalogue/mod.rs
+++ b/crates/beechsaddle-core/src/catalogue/mod.rs
@@ -1,5 +1,6 @@
 //! The `catalogue` module provides what operators declare and how it comes into force.
 
+mod budget_edit;
 mod catalogue_change;
 mod catalogue_desk;
 mod catalogue_entry;
@@ -9,6 +10,7 @@
 mod catalogue_reader;
 mod catalogue_view;
 
+pub use budget_edit::{BudgetDeclaration, BudgetEdit};
 pub use catalogue_change::{CatalogueBase, CatalogueChange, CatalogueHead, EntryEdit};
 pub use catalogue_desk::CatalogueDesk;
 pub use catalogue_entry::{
--- /dev/null
+++ b/crates/beechsaddle/src/catalogue_files/base_file.rs
@@ -0,0 +1,66 @@
+//! The `base_file` module provides the revision that a directory was last in step with.
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use crate::findings::{FindingList, SourceText, TableReader};
+
+/// The name of the file; it belongs under version control with the catalogue.
+pub const BASE_FILE: &str = ".beechsaddle-base";
+
+/// The revision that a directory was last in step with.
+///
+/// Without it an entry that another operator added since would look like one that was removed here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BaseFile {
+    /// The revision.
+    pub revision: u64,
+}
+
+impl BaseFile {
+    /// Reads the file of a directory; `None` when there is none.
+    pub fn try_load(directory: impl AsRef<Path>) -> Result<Option<Self>, FindingList> {
+        let path = path_in(directory.as_ref());
+        let file = path.display().to_string();
+        let mut findings = FindingList::new();
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(error) => {
+                findings.add_file(file, format!("cannot be read: {error}"));
+                return Err(findings);
+            }
+        };
+        let source = SourceText::new(file, text);
+        let table = source.read_table(&mut findings);
+        let reader = TableReader::new(&source, "", 0, table.get_ref());
+        let revision = reader.read_u64("revision", 0..=u64::MAX, &mut findings);
+        if !reader.has("revision") {
+            findings.add(
+                &source,
+                0,
+                "`revision` is missing; a revision would be right",
+            );
+        }
+        reader.finish(&mut findings);
+        match revision {
+            Some(revision) if findings.is_empty() => Ok(Some(BaseFile { revision })),
+            Some(_) | None => Err(findings),
+        }
+    }
+
+    /// Writes the file of a directory.
+    pub fn store(self, directory: impl AsRef<Path>) -> io::Result<()> {
+        let text = format!(
+            "# The catalogue revision that these files were last in step with. \
+             Written by `beechsaddle catalogue apply`.\nrevision = {}\n",
+            self.revision
+        );
+        fs::write(path_in(directory.as_ref()), text)
+    }
+}
+
+fn path_in(directory: &Path) -> PathBuf {
+    directory.join(BASE_FILE)
+}
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -3,5 +3,6 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod catalogue_files;
 pub mod findings;
 pub mod settings;
