Add the Cap'n Proto schema and codec of messages between routers

Every variant has a typed place in the schema; changes and bases of the catalogue travel as the CBOR that the platform stores, since a second description of them would have to be kept in step. Refusal reasons travel as text, since they are added more often than the schema changes. Names must not be empty, texts, lists and messages have limits on both sides.

--- a/crates/beechsaddle-wire/src/error.rs
+++ b/crates/beechsaddle-wire/src/error.rs
@@ -12,6 +12,15 @@
         /// How large it may be.
         limit: usize,
     },
+    /// A list has more items than the limit.
+    TooMany {
+        /// How many it has.
+        count: usize,
+        /// How many it may have.
+        limit: usize,
+    },
+    /// A name that stands for something is empty.
+    EmptyName,
     /// The value cannot be encoded.
     Encode(String),
     /// The bytes are not the encoding of a value.
@@ -29,6 +38,13 @@
             WireError::TooLarge { size, limit } => {
                 write!(formatter, "{size} bytes are more than the limit of {limit}")
             }
+            WireError::TooMany { count, limit } => {
+                write!(
+                    formatter,
+                    "{count} items are more than the limit of {limit}"
+                )
+            }
+            WireError::EmptyName => formatter.write_str("a name is empty"),
             WireError::Encode(reason) => write!(formatter, "cannot encode: {reason}"),
             WireError::Decode(reason) => write!(formatter, "cannot decode: {reason}"),
             WireError::TrailingBytes(count) => {
--- a/crates/beechsaddle-wire/src/lib.rs
+++ b/crates/beechsaddle-wire/src/lib.rs
@@ -4,7 +4,13 @@
 #![warn(rust_2018_idioms)]
 
 mod error;
+pub mod peer;
 mod platform_codec;
 
+/// Generated from `schema/peer.capnp`; `docs/PEERS.md` says how. Not formatted and not linted.
+#[rustfmt::skip]
+#[allow(clippy::all, missing_docs, rust_2018_idioms, unused_qualifications)]
+pub mod peer_capnp;
+
 pub use error::{Result, WireError};
 pub use platform_codec::{OBJECT_BYTES_MAX, decode_object, encode_object};
--- /dev/null
+++ b/crates/beechsaddle-wire/src/peer/heartbeat_codec.rs
@@ -0,0 +1,160 @@
+//! The `heartbeat_codec` module provides heartbeats and the news in them.
+
+use beechsaddle_core::members::HostState;
+use beechsaddle_core::peer::{LimitUse, PeerHeartbeat, RouterNews, RouterState, TargetNews};
+
+use super::identity_codec::{read_incarnation, write_incarnation};
+use super::limits::NEWS_MAX;
+use super::text_codec::{check_count, check_name, check_text, read_name, read_text};
+use crate::error::Result;
+use crate::peer_capnp;
+
+/// Writes a heartbeat.
+pub(super) fn write_heartbeat(
+    heartbeat: &PeerHeartbeat,
+    mut builder: peer_capnp::heartbeat::Builder<'_>,
+) -> Result<()> {
+    builder.set_domain(check_name(heartbeat.domain.as_str())?);
+    builder.set_address(check_text(&heartbeat.address)?);
+    builder.set_sequence(heartbeat.sequence);
+    builder.set_state(match heartbeat.state {
+        RouterState::Live => peer_capnp::RouterState::Live,
+        RouterState::Draining => peer_capnp::RouterState::Draining,
+        RouterState::Left => peer_capnp::RouterState::Left,
+    });
+    builder.set_catalogue_revision(heartbeat.catalogue_revision);
+    write_targets(&heartbeat.targets, &mut builder)?;
+    write_limits(&heartbeat.limits, &mut builder)?;
+    write_routers(&heartbeat.routers, &mut builder)
+}
+
+/// Reads a heartbeat.
+pub(super) fn read_heartbeat(reader: peer_capnp::heartbeat::Reader<'_>) -> Result<PeerHeartbeat> {
+    Ok(PeerHeartbeat {
+        domain: read_name(reader.get_domain()?)?.into(),
+        address: read_text(reader.get_address()?)?.to_owned(),
+        sequence: reader.get_sequence(),
+        state: match reader.get_state()? {
+            peer_capnp::RouterState::Live => RouterState::Live,
+            peer_capnp::RouterState::Draining => RouterState::Draining,
+            peer_capnp::RouterState::Left => RouterState::Left,
+        },
+        catalogue_revision: reader.get_catalogue_revision(),
+        targets: read_targets(reader)?,
+        limits: read_limits(reader)?,
+        routers: read_routers(reader)?,
+    })
+}
+
+// An empty list is left out altogether: a heartbeat without news is the one that is sent most.
+fn write_targets(
+    targets: &[TargetNews],
+    builder: &mut peer_capnp::heartbeat::Builder<'_>,
+) -> Result<()> {
+    if targets.is_empty() {
+        return Ok(());
+    }
+    let count = check_count(targets.len(), NEWS_MAX)?;
+    let mut list = builder.reborrow().init_targets(count);
+    for (index, news) in (0..count).zip(targets) {
+        let mut item = list.reborrow().get(index);
+        item.set_target(check_name(news.target.as_str())?);
+        item.set_epoch(news.epoch);
+        item.set_state(match news.state {
+            HostState::Live => peer_capnp::HostState::Live,
+            HostState::Leaving => peer_capnp::HostState::Leaving,
+            HostState::Down => peer_capnp::HostState::Down,
+        });
+        item.set_sequence(news.sequence);
+    }
+    Ok(())
+}
+
+fn read_targets(reader: peer_capnp::heartbeat::Reader<'_>) -> Result<Vec<TargetNews>> {
+    let list = reader.get_targets()?;
+    check_count(list.len() as usize, NEWS_MAX)?;
+    list.iter().map(read_target).collect()
+}
+
+fn read_target(reader: peer_capnp::target_news::Reader<'_>) -> Result<TargetNews> {
+    Ok(TargetNews {
+        target: read_name(reader.get_target()?)?.into(),
+        epoch: reader.get_epoch(),
+        state: match reader.get_state()? {
+            peer_capnp::HostState::Live => HostState::Live,
+            peer_capnp::HostState::Leaving => HostState::Leaving,
+            peer_capnp::HostState::Down => HostState::Down,
+        },
+        sequence: reader.get_sequence(),
+    })
+}
+
+fn write_limits(
+    limits: &[LimitUse],
+    builder: &mut peer_capnp::heartbeat::Builder<'_>,
+) -> Result<()> {
+    if limits.is_empty() {
+        return Ok(());
+    }
+    let count = check_count(limits.len(), NEWS_MAX)?;
+    let mut list = builder.reborrow().init_limits(count);
+    for (index, limit) in (0..count).zip(limits) {
+        let mut item = list.reborrow().get(index);
+        item.set_workspace(check_name(limit.workspace.as_str())?);
+        item.set_running(limit.running);
+        item.set_requests(limit.requests);
+        item.set_tokens(limit.tokens);
+    }
+    Ok(())
+}
+
+fn read_limits(reader: peer_capnp::heartbeat::Reader<'_>) -> Result<Vec<LimitUse>> {
+    let list = reader.get_limits()?;
+    check_count(list.len() as usize, NEWS_MAX)?;
+    list.iter().map(read_limit).collect()
+}
+
+fn read_limit(reader: peer_capnp::limit_use::Reader<'_>) -> Result<LimitUse> {
+    Ok(LimitUse {
+        workspace: read_name(reader.get_workspace()?)?.into(),
+        running: reader.get_running(),
+        requests: reader.get_requests(),
+        tokens: reader.get_tokens(),
+    })
+}
+
+fn write_routers(
+    routers: &[RouterNews],
+    builder: &mut peer_capnp::heartbeat::Builder<'_>,
+) -> Result<()> {
+    if routers.is_empty() {
+        return Ok(());
+    }
+    let count = check_count(routers.len(), NEWS_MAX)?;
+    let mut list = builder.reborrow().init_routers(count);
+    for (index, news) in (0..count).zip(routers) {
+        let mut item = list.reborrow().get(index);
+        write_incarnation(&news.router, item.reborrow().init_router())?;
+        item.set_domain(check_name(news.domain.as_str())?);
+        item.set_address(check_text(&news.address)?);
+        item.set_catalogue_revision(news.catalogue_revision);
+        item.set_age_ms(news.age_ms);
+    }
+    Ok(())
+}
+
+fn read_routers(reader: peer_capnp::heartbeat::Reader<'_>) -> Result<Vec<RouterNews>> {
+    let list = reader.get_routers()?;
+    check_count(list.len() as usize, NEWS_MAX)?;
+    list.iter().map(read_router).collect()
+}
+
+fn read_router(reader: peer_capnp::router_news::Reader<'_>) -> Result<RouterNews> {
+    Ok(RouterNews {
+        router: read_incarnation(reader.get_router()?)?,
+        domain: read_name(reader.get_domain()?)?.into(),
+        address: read_text(reader.get_address()?)?.to_owned(),
+        catalogue_revision: reader.get_catalogue_revision(),
+        age_ms: reader.get_age_ms(),
+    })
+}
--- /dev/null
+++ b/crates/beechsaddle-wire/src/peer/mod.rs
@@ -0,0 +1,26 @@
+//! The `peer` module provides the Cap'n Proto form of the messages between routers.
+//!
+//! Reading checks the size of every text and the length of every list. What is read comes from a
+//! proven peer, but a peer may be of another version or may be broken, and one bad message must not
+//! end a router.
+
+mod admission_codec;
+mod catalogue_codec;
+mod heartbeat_codec;
+mod hello_codec;
+mod identity_codec;
+mod limits;
+mod message_codec;
+mod text_codec;
+
+pub use hello_codec::{
+    NONCE_BYTES, PROOF_BYTES, PeerChallenge, PeerHello, read_challenge, read_hello, read_proof,
+    write_challenge, write_hello,
+};
+pub use limits::{
+    BATCH_MESSAGES_MAX, CALLS_MAX, CHANGES_MAX, MESSAGE_BYTES_MAX, NEWS_MAX, TEXT_BYTES_MAX,
+    reader_options,
+};
+pub use message_codec::{
+    build_message, decode_message, encode_message, read_message, write_message,
+};
--- /dev/null
+++ b/crates/beechsaddle-wire/tests/peer_codec.rs
@@ -0,0 +1,171 @@
+//! Round trips of messages between routers, and bytes that are none.
+
+mod common;
+
+use beechsaddle_core::peer::{LimitUse, PeerHeartbeat, PeerMessage, RouterState};
+use beechsaddle_core::prelude::*;
+use beechsaddle_wire::WireError;
+use beechsaddle_wire::peer::{CALLS_MAX, NEWS_MAX, TEXT_BYTES_MAX, decode_message, encode_message};
+use beechsaddle_wire::peer_capnp;
+use quickcheck::{Gen, QuickCheck};
+
+use common::{AnyMessage, VARIANTS, message_of, variant_of};
+
+fn call(host: &str, number: u64) -> CallId {
+    CallId {
+        router: RouterIncarnation::new(host, 1),
+        number,
+    }
+}
+
+fn heartbeat(domain: &str) -> PeerHeartbeat {
+    PeerHeartbeat {
+        domain: domain.into(),
+        address: "127.0.0.1:1".to_owned(),
+        sequence: 1,
+        state: RouterState::Live,
+        catalogue_revision: 1,
+        targets: Vec::new(),
+        limits: Vec::new(),
+        routers: Vec::new(),
+    }
+}
+
+#[test]
+fn decode_message_gives_what_was_encoded() {
+    fn property(message: AnyMessage) -> bool {
+        let bytes = encode_message(&message.0).expect("within limits");
+        decode_message(&bytes) == Ok(message.0)
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(property as fn(AnyMessage) -> bool);
+}
+
+#[test]
+fn decode_message_knows_every_variant() {
+    let mut gen_ = Gen::new(8);
+    for variant in 0..VARIANTS {
+        let message = message_of(variant, &mut gen_);
+        assert_eq!(variant_of(&message), variant);
+        let bytes = encode_message(&message).expect("within limits");
+        assert_eq!(decode_message(&bytes), Ok(message));
+    }
+}
+
+// A peer of another version, or one whose memory is broken, sends bytes that are no message. The
+// receiver has to get an error for each of them: a panic would end the thread that all peers are
+// served by, and the router would look dead to its domain.
+#[test]
+fn decode_message_survives_any_bytes() {
+    fn property(bytes: Vec<u8>) -> bool {
+        decode_message(&bytes).is_err()
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+// Flipped bits in real messages reach deeper than noise: pointers that point elsewhere, lists of a
+// changed length, texts that are no UTF-8. The outcome may be an error or another message.
+#[test]
+fn decode_message_survives_flipped_bits() {
+    fn property(message: AnyMessage, flips: Vec<(usize, u8)>) -> bool {
+        let mut bytes = encode_message(&message.0).expect("within limits");
+        for (place, mask) in flips {
+            let length = bytes.len();
+            bytes[place % length] ^= mask;
+        }
+        let _ = decode_message(&bytes);
+        true
+    }
+    QuickCheck::new()
+        .tests(5_000)
+        .quickcheck(property as fn(AnyMessage, Vec<(usize, u8)>) -> bool);
+}
+
+#[test]
+fn decode_message_refuses_cut_bytes() {
+    fn property(message: AnyMessage, keep: usize) -> bool {
+        let bytes = encode_message(&message.0).expect("within limits");
+        decode_message(&bytes[..keep % bytes.len()]).is_err()
+    }
+    QuickCheck::new()
+        .tests(1_000)
+        .quickcheck(property as fn(AnyMessage, usize) -> bool);
+}
+
+#[test]
+fn decode_message_refuses_bytes_after_it() {
+    let message = PeerMessage::CatalogueRequest { after: 1 };
+    let mut bytes = encode_message(&message).expect("within limits");
+    bytes.extend_from_slice(&[0; 8]);
+    assert_eq!(decode_message(&bytes), Err(WireError::TrailingBytes(8)));
+}
+
+// A report of more calls than a fleet can have running at a time comes from a broken peer. Taking it
+// would spend the router's memory and time on calls that do not exist, while its own callers wait.
+#[test]
+fn decode_message_refuses_lists_over_the_limit() {
+    let mut builder = capnp::message::Builder::new_default();
+    let root: peer_capnp::peer_message::Builder<'_> = builder.init_root();
+    root.init_bills_durable(CALLS_MAX as u32 + 1);
+    let bytes = capnp::serialize::write_message_to_words(&builder);
+    assert_eq!(
+        decode_message(&bytes),
+        Err(WireError::TooMany {
+            count: CALLS_MAX + 1,
+            limit: CALLS_MAX
+        })
+    );
+}
+
+#[test]
+fn decode_message_refuses_empty_names() {
+    let mut builder = capnp::message::Builder::new_default();
+    let root: peer_capnp::peer_message::Builder<'_> = builder.init_root();
+    root.init_settle_reply();
+    let bytes = capnp::serialize::write_message_to_words(&builder);
+    assert_eq!(decode_message(&bytes), Err(WireError::EmptyName));
+}
+
+#[test]
+fn decode_message_refuses_unknown_reasons() {
+    let mut builder = capnp::message::Builder::new_default();
+    let root: peer_capnp::peer_message::Builder<'_> = builder.init_root();
+    let mut reply = root.init_admit_reply();
+    let mut name = reply.reborrow().init_call();
+    name.reborrow().init_router().set_host("a");
+    reply.init_refused().set_reason("because");
+    let bytes = capnp::serialize::write_message_to_words(&builder);
+    assert!(matches!(decode_message(&bytes), Err(WireError::Decode(_))));
+}
+
+#[test]
+fn encode_message_refuses_what_no_receiver_would_take() {
+    let long = "x".repeat(TEXT_BYTES_MAX + 1);
+    let message = PeerMessage::SettleReply {
+        call: call(&long, 1),
+    };
+    assert!(matches!(
+        encode_message(&message),
+        Err(WireError::TooLarge { .. })
+    ));
+
+    let message = PeerMessage::Heartbeat(heartbeat(""));
+    assert_eq!(encode_message(&message), Err(WireError::EmptyName));
+
+    let mut crowded = heartbeat("graz-nord");
+    crowded.limits = (0..=NEWS_MAX)
+        .map(|number| LimitUse {
+            workspace: format!("w{number}").as_str().into(),
+            running: 0,
+            requests: 0,
+            tokens: 0,
+        })
+        .collect();
+    assert!(matches!(
+        encode_message(&PeerMessage::Heartbeat(crowded)),
+        Err(WireError::TooMany { .. })
+    ));
+}
