Add the report edge: key=value lines and summed StatsD counters

A thread of its own behind a bounded ring, so that a blocked log reader holds up no decision; what does not fit is dropped and told by a line that needs no place in the ring. The list of counters and their names are generated from the one list of variants, and a test holds docs/METRICS.md against it.

Weighed: slog-async would be a second ring and thread behind this one, so it is not used; cadence's queuing sink for the same reason.

--- a/crates/beechsaddle-core/src/report.rs
+++ b/crates/beechsaddle-core/src/report.rs
@@ -18,9 +18,54 @@
     Error,
 }
 
-/// A counter. `docs/METRICS.md` lists each.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-pub enum CounterName {
+// The list of all counters and their names are made from the one list of variants, so that a counter
+// that is added cannot be missing from the documentation's test or have a name of its own.
+macro_rules! counter_names {
+    ($($(#[$meta:meta])* $variant:ident $(($detail:ident))?,)*) => {
+        /// A counter. `docs/METRICS.md` lists each.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+        pub enum CounterName {
+            $($(#[$meta])* $variant $(($detail))?,)*
+        }
+
+        impl CounterName {
+            /// Every counter, each reason by itself, in the order of the documentation.
+            pub fn all() -> Vec<CounterName> {
+                [$(counter_names!(@list $variant $(, $detail)?)),*].concat()
+            }
+
+            /// The counter as it stands in metrics, below the prefix of the settings.
+            pub fn metric(self) -> String {
+                match self {
+                    $(counter_names!(@pattern reason, $variant $(, $detail)?) => {
+                        let name = snake_case(stringify!($variant));
+                        counter_names!(@metric name, reason $(, $detail)?)
+                    })*
+                }
+            }
+        }
+    };
+    (@list $variant:ident) => {
+        vec![CounterName::$variant]
+    };
+    (@list $variant:ident, $detail:ident) => {
+        $detail::ALL.map(CounterName::$variant).to_vec()
+    };
+    (@pattern $reason:ident, $variant:ident) => {
+        CounterName::$variant
+    };
+    (@pattern $reason:ident, $variant:ident, $detail:ident) => {
+        CounterName::$variant($reason)
+    };
+    (@metric $name:ident, $reason:ident) => {
+        $name
+    };
+    (@metric $name:ident, $reason:ident, $detail:ident) => {
+        format!("{}.{}", $name, $reason.as_str())
+    };
+}
+
+counter_names! {
     /// Calls that arrived.
     CallsArrived,
     /// Calls answered in full.
@@ -57,12 +102,68 @@
     TargetsEjected,
     /// Messages to peers that could not be sent.
     PeerSendFailed,
+    /// Connections of peers that were refused, most of them for a wrong secret.
+    PeersRefused,
+    /// Messages of peers that could not be read.
+    PeerMessagesInvalid,
     /// Platform calls without a known outcome.
     PlatformUnknown,
     /// Messages dropped because a ring was full.
     RingFull,
 }
 
+fn snake_case(words: &str) -> String {
+    let mut name = String::new();
+    for letter in words.chars() {
+        if letter.is_ascii_uppercase() && !name.is_empty() {
+            name.push('_');
+        }
+        name.push(letter.to_ascii_lowercase());
+    }
+    name
+}
+
+/// A level that is measured now and then. `docs/METRICS.md` lists each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub enum GaugeName {
+    /// Calls that are running.
+    OpenCalls,
+    /// Bills that are not yet durable.
+    UnjournalledBills,
+    /// Grants that this router holds.
+    GrantsHeld,
+    /// Routers of the own domain that are alive.
+    PeersLive,
+    /// Targets of the own domain that get new work.
+    TargetsLive,
+    /// The catalogue revision in force.
+    CatalogueRevision,
+}
+
+impl GaugeName {
+    /// Every gauge, in the order of the documentation.
+    pub const ALL: [GaugeName; 6] = [
+        GaugeName::OpenCalls,
+        GaugeName::UnjournalledBills,
+        GaugeName::GrantsHeld,
+        GaugeName::PeersLive,
+        GaugeName::TargetsLive,
+        GaugeName::CatalogueRevision,
+    ];
+
+    /// The gauge as it stands in metrics, below the prefix of the settings.
+    pub fn metric(self) -> &'static str {
+        match self {
+            GaugeName::OpenCalls => "open_calls",
+            GaugeName::UnjournalledBills => "unjournalled_bills",
+            GaugeName::GrantsHeld => "grants_held",
+            GaugeName::PeersLive => "peers_live",
+            GaugeName::TargetsLive => "targets_live",
+            GaugeName::CatalogueRevision => "catalogue_revision",
+        }
+    }
+}
+
 /// One key=value line.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct LogLine {
@@ -88,4 +189,11 @@
         /// The amount.
         amount: u64,
     },
+    /// Sets a gauge.
+    Gauge {
+        /// The gauge.
+        gauge: GaugeName,
+        /// Its level.
+        level: u64,
+    },
 }
--- /dev/null
+++ b/crates/beechsaddle/src/report/mod.rs
@@ -0,0 +1,15 @@
+//! The `report` module provides the edge that logs and counts.
+//!
+//! It has a thread of its own, so that a slow log reader or network never holds up a decision. Lines
+//! and counts that do not fit into its ring are dropped, and how many is told later.
+
+mod line_fields;
+mod log_sink;
+mod metric_sink;
+mod report_edge;
+mod report_handle;
+mod report_options;
+
+pub use report_edge::ReportEdge;
+pub use report_handle::ReportHandle;
+pub use report_options::ReportOptions;
