Serve chats and plain calls between callers and targets

Cause: the contracts stood, and nothing carried a call. The edge now reads heads and bodies under limits, asks the core, sends the call once to the target that the core names, and relays the answer, holding back its last part until the core says that the usage is safe.

Weighed: the server loop of volo-http has no time limit on request heads, no limit on connections and ends 30 s after a signal, and none of it can be set from outside. So the accept loop and the connection loop are the edge's, over the HTTP connection that volo-http itself uses; services, requests, bodies, answers and the client stay volo-http's.

Contract: `Dispatch` carries `repeatable`; `ModelsQuery` and `Models` list models; a dispatch that crosses `CallerGone` is not carried out.

--- a/crates/beechsaddle-core/src/call.rs
+++ b/crates/beechsaddle-core/src/call.rs
@@ -136,8 +136,17 @@
     Arrived(Box<CallArrival>),
     /// The edge refused a malformed call by itself; only counted.
     Rejected(CallRefusal),
+    /// A caller asks which models its workspace may use; answered by [`CallAction::Models`] or
+    /// [`CallAction::Refuse`].
+    ModelsQuery {
+        /// Given by the edge.
+        call: CallId,
+        /// The digest of the caller's key.
+        key_digest: KeyDigest,
+    },
     /// The caller hung up before an answer was relayed. The edge cancels a running attempt by
-    /// itself and then raises `AnswerEnded` for it; this event comes when there is none.
+    /// itself and then raises `AnswerEnded` for it; this event comes when there is none. A
+    /// `Dispatch` that crosses this event is not carried out: no byte of it reached a target.
     CallerGone {
         /// The call.
         call: CallId,
@@ -167,7 +176,8 @@
         attempt: AttemptId,
         /// How.
         end: AnswerEnd,
-        /// The usage that the target reported, or what the edge counted when the answer broke off.
+        /// The usage that the target reported, or what the edge counted when the answer broke off;
+        /// the edge cannot count the prompt, so that `input` is zero where the target told nothing.
         usage: TokenUsage,
     },
 }
@@ -196,6 +206,16 @@
         head_timeout_ms: u64,
         /// When the caller gives up, passed on to the target.
         deadline: Option<ClockTime>,
+        /// Whether the call may be repeated. One that may not gets a connection of its own, and
+        /// the target's server error is relayed, since it is the call's outcome.
+        repeatable: bool,
+    },
+    /// The models that the caller of a [`CallEvent::ModelsQuery`] may use.
+    Models {
+        /// The call.
+        call: CallId,
+        /// The models, in order.
+        models: Vec<ModelName>,
     },
     /// The usage is safe: let the last part of the answer go.
     Finish {
--- /dev/null
+++ b/crates/beechsaddle/src/calls/attempt.rs
@@ -0,0 +1,213 @@
+//! The `attempt` module provides one dispatch of a call to a target, up to the head of its answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use beechsaddle_core::call::{AttemptFailure, CallAction};
+use beechsaddle_core::prelude::*;
+use http::header::{ACCEPT, CONTENT_TYPE, HOST};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::attempt_failure::read_client_error;
+use super::chat_request::ChatRequest;
+use super::edge_state::{EdgeState, system_time};
+use super::header_filter::{ATTEMPT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_HEADER};
+use super::plain_request::PlainRequest;
+use super::target_client::ConnectionChoice;
+
+/// Where engines take chats.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// What a call sends to its target.
+pub(crate) enum CallContent {
+    /// A chat for an engine.
+    Chat {
+        /// The chat.
+        chat: ChatRequest,
+        /// The caller's idempotency key.
+        idempotency: Option<KeyText>,
+    },
+    /// A call to a plain service.
+    Plain(PlainRequest),
+}
+
+/// What the core decided about one attempt.
+pub(crate) struct AttemptOrder {
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
+    /// Where the target listens.
+    pub(crate) address: String,
+    /// The `max_tokens` to send.
+    pub(crate) output_limit: Option<u64>,
+    /// How long to wait for the head, in milliseconds.
+    pub(crate) head_timeout_ms: u64,
+    /// When the caller gives up.
+    pub(crate) deadline: Option<ClockTime>,
+    /// Whether the call may be repeated.
+    pub(crate) repeatable: bool,
+}
+
+impl TryFrom<CallAction> for AttemptOrder {
+    type Error = CallAction;
+
+    fn try_from(action: CallAction) -> Result<Self, CallAction> {
+        match action {
+            CallAction::Dispatch {
+                attempt,
+                target: _,
+                address,
+                output_limit,
+                head_timeout_ms,
+                deadline,
+                repeatable,
+            } => Ok(AttemptOrder {
+                attempt,
+                address,
+                output_limit,
+                head_timeout_ms,
+                deadline,
+                repeatable,
+            }),
+            action => Err(action),
+        }
+    }
+}
+
+impl AttemptOrder {
+    /// Sends the call once and returns the head of an answer that may be relayed.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none; `ConnectFailed` only where no byte can have reached the target.
+    pub(crate) async fn try_send(
+        &self,
+        content: &CallContent,
+        state: &EdgeState,
+    ) -> Result<Response, AttemptFailure> {
+        let address: SocketAddr = self
+            .address
+            .parse()
+            .map_err(|_| AttemptFailure::ConnectFailed)?;
+        let request = self
+            .build_request(content)
+            .ok_or(AttemptFailure::ConnectFailed)?;
+        let choice = if self.repeatable {
+            ConnectionChoice::Pooled
+        } else {
+            ConnectionChoice::Fresh
+        };
+        let sending = state.client.send(address, request, choice);
+        let answer = match tokio::time::timeout(self.head_span(), sending).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => return Err(read_client_error(&error)),
+            Err(_elapsed) => return Err(AttemptFailure::TimedOut),
+        };
+        self.check_echo(answer.headers())?;
+        self.check_status(answer.status(), content)?;
+        Ok(answer)
+    }
+
+    fn head_span(&self) -> Duration {
+        let left_ms = self
+            .deadline
+            .map_or(u64::MAX, |deadline| deadline.since(system_time()));
+        Duration::from_millis(self.head_timeout_ms.min(left_ms).max(1))
+    }
+
+    fn build_request(&self, content: &CallContent) -> Option<Request<Body>> {
+        let mut request = match content {
+            CallContent::Chat { chat, idempotency } => {
+                self.build_chat(chat, idempotency.as_ref())?
+            }
+            CallContent::Plain(plain) => build_plain(plain),
+        };
+        let headers = request.headers_mut();
+        headers.insert(HOST, HeaderValue::try_from(&self.address).ok()?);
+        let attempt = HeaderValue::try_from(self.attempt.to_string()).ok()?;
+        headers.insert(ATTEMPT_HEADER, attempt);
+        if let Some(deadline) = self.deadline {
+            let left_ms = deadline.since(system_time());
+            headers.insert(DEADLINE_HEADER, HeaderValue::from(left_ms));
+        }
+        Some(request)
+    }
+
+    fn build_chat(
+        &self,
+        chat: &ChatRequest,
+        idempotency: Option<&KeyText>,
+    ) -> Option<Request<Body>> {
+        let body = chat.write_body(self.output_limit);
+        let mut request = Request::new(Body::from(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(CHAT_PATH);
+        let headers = request.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        let accepted = match chat.stream {
+            true => HeaderValue::from_static("text/event-stream"),
+            false => json.clone(),
+        };
+        headers.insert(CONTENT_TYPE, json);
+        headers.insert(ACCEPT, accepted);
+        if let Some(key) = idempotency {
+            headers.insert(
+                IDEMPOTENCY_HEADER,
+                HeaderValue::try_from(key.as_str()).ok()?,
+            );
+        }
+        Some(request)
+    }
+
+    /// Checks that the answer is this attempt's.
+    ///
+    /// A target, or something before it, that mixes up connections would give one caller another
+    /// caller's answer. Where the target echoes the attempt such an answer is found out and
+    /// dropped with its connection.
+    fn check_echo(&self, headers: &HeaderMap) -> Result<(), AttemptFailure> {
+        let expected = self.attempt.to_string();
+        let is_own = headers
+            .get_all(ATTEMPT_HEADER)
+            .iter()
+            .all(|echo| echo.as_bytes() == expected.as_bytes());
+        match is_own {
+            true => Ok(()),
+            false => Err(AttemptFailure::WrongAttempt),
+        }
+    }
+
+    /// Tells a failed attempt from an answer for the caller.
+    ///
+    /// The server error of a call that may not be repeated is relayed: nobody may try again, and
+    /// the target's own words are the best account of what happened.
+    fn check_status(
+        &self,
+        status: StatusCode,
+        content: &CallContent,
+    ) -> Result<(), AttemptFailure> {
+        let is_engine = matches!(content, CallContent::Chat { .. });
+        match status {
+            _ if status.is_informational() => Err(AttemptFailure::BadAnswer),
+            _ if status.is_redirection() && is_engine => Err(AttemptFailure::BadAnswer),
+            _ if !self.repeatable => Ok(()),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(AttemptFailure::TargetBusy)
+            }
+            _ if status.is_server_error() => Err(AttemptFailure::ServerError),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn build_plain(plain: &PlainRequest) -> Request<Body> {
+    let body = match plain.body.is_empty() {
+        true => Body::empty(),
+        false => Body::from(plain.body.clone()),
+    };
+    let mut request = Request::new(body);
+    *request.method_mut() = plain.method.clone();
+    *request.uri_mut() = http::Uri::from(plain.path.clone());
+    *request.headers_mut() = plain.headers.clone();
+    request
+}
--- /dev/null
+++ b/crates/beechsaddle/src/calls/call_table.rs
@@ -0,0 +1,66 @@
+//! The `call_table` module provides where the core's actions find the calls that they are for.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use beechsaddle_core::call::CallAction;
+use beechsaddle_core::prelude::*;
+use tokio::sync::mpsc;
+
+/// Actions that may wait for one call. The core sends a call at most one action ahead of the
+/// event that it waits for, and an abort beside it.
+const CALL_RING_SLOTS: usize = 4;
+
+/// The open calls, each with a bounded ring for the core's actions.
+pub(crate) struct CallTable {
+    router: RouterIncarnation,
+    last_number: AtomicU64,
+    calls: Mutex<BTreeMap<u64, mpsc::Sender<CallAction>>>,
+}
+
+impl CallTable {
+    /// An empty table of one life of a router.
+    pub(crate) fn new(router: RouterIncarnation) -> Self {
+        CallTable {
+            router,
+            last_number: AtomicU64::new(0),
+            calls: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// Takes a call in and gives it its id.
+    pub(crate) fn open(&self) -> (CallId, mpsc::Receiver<CallAction>) {
+        let number = self.last_number.fetch_add(1, Ordering::Relaxed) + 1;
+        let (sender, receiver) = mpsc::channel(CALL_RING_SLOTS);
+        self.lock().insert(number, sender);
+        let call = CallId {
+            router: self.router.clone(),
+            number,
+        };
+        (call, receiver)
+    }
+
+    /// Forgets a call.
+    pub(crate) fn close(&self, call: &CallId) {
+        self.lock().remove(&call.number);
+    }
+
+    /// Hands an action to its call without waiting. An action for a call that is gone is dropped:
+    /// the core has been told of its end.
+    pub(crate) fn deliver(&self, call: &CallId, action: CallAction) {
+        let sender = self.lock().get(&call.number).cloned();
+        if let Some(sender) = sender {
+            let _ = sender.try_send(action);
+        }
+    }
+
+    /// Calls that are open.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, mpsc::Sender<CallAction>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle/src/calls/calls_edge.rs
@@ -0,0 +1,102 @@
+//! The `calls_edge` module provides the start of the edge towards callers and targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
+
+use beechsaddle_core::prelude::*;
+use crossbeam_channel::Sender;
+use eyre::{Result, WrapErr};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
+
+use super::admin_service::AdminService;
+use super::body_memory::BodyMemory;
+use super::call_service::CallService;
+use super::call_table::CallTable;
+use super::calls_handle::CallsHandle;
+use super::calls_options::CallsOptions;
+use super::edge_phase::EdgePhase;
+use super::edge_state::EdgeState;
+use super::event_ring::EventRing;
+use super::listener::run_listener;
+use super::query_table::QueryTable;
+use super::target_client::TargetClient;
+
+/// The largest number of open connections of operators.
+const ADMIN_CONNECTIONS: usize = 64;
+
+/// The edge towards callers, operators and targets. It has a runtime and threads of its own.
+#[derive(Debug)]
+pub struct CallsEdge;
+
+impl CallsEdge {
+    /// Starts the edge of the router `me`. Its events go to `events`, the core's bounded ring; a
+    /// full ring refuses new calls and delays the ends of running ones.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound, or the runtime or the client cannot be made.
+    pub fn try_start(
+        options: CallsOptions,
+        me: RouterIncarnation,
+        events: Sender<CoreEvent>,
+    ) -> Result<CallsHandle> {
+        let runtime = try_build_runtime(&options)?;
+        let entered = runtime.enter();
+        let call_listener = try_bind(&runtime, options.call_address)?;
+        let admin_listener = try_bind(&runtime, options.admin_address)?;
+        let call_address = call_listener.local_addr()?;
+        let admin_address = admin_listener.local_addr()?;
+        let call_limit = options.max_connections;
+        let state = Arc::new(EdgeState {
+            ring: EventRing::new(events, runtime.handle().clone()),
+            calls: CallTable::new(me),
+            queries: QueryTable::default(),
+            client: TargetClient::try_new(&options)?,
+            body_memory: BodyMemory::new(options.body_memory_bytes),
+            phase: watch::Sender::new(EdgePhase::Accepting),
+            serving: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+            options,
+        });
+        runtime.spawn(run_listener(
+            call_listener,
+            CallService::new(Arc::clone(&state)),
+            Arc::clone(&state),
+            call_limit,
+            EdgePhase::Refusing,
+        ));
+        // Operators can watch the drain to its end.
+        runtime.spawn(run_listener(
+            admin_listener,
+            AdminService::new(Arc::clone(&state)),
+            Arc::clone(&state),
+            ADMIN_CONNECTIONS,
+            EdgePhase::Closing,
+        ));
+        drop(entered);
+        Ok(CallsHandle::new(
+            state,
+            runtime,
+            call_address,
+            admin_address,
+        ))
+    }
+}
+
+fn try_build_runtime(options: &CallsOptions) -> Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(options.worker_threads.max(1))
+        .thread_name("calls")
+        .enable_all()
+        .build()
+        .wrap_err("the runtime of the call edge cannot be made")
+}
+
+fn try_bind(runtime: &Runtime, address: SocketAddr) -> Result<TcpListener> {
+    runtime
+        .block_on(TcpListener::bind(address))
+        .wrap_err_with(|| format!("{address} cannot be bound"))
+}
--- /dev/null
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -0,0 +1,131 @@
+//! The `connection` module provides the serving of one connection.
+//!
+//! The library's own server loop has no time limit on request heads, no limit on connections, and
+//! ends 30 s after a signal whatever is still running. So the loop is the edge's, over the HTTP
+//! connection that the library itself uses; services, requests and answers are the library's.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use beechsaddle_core::prelude::*;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use motore::service::Service;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::response::Response;
+
+use super::call_fault::CallFault;
+use super::connection_mark::ConnectionMark;
+use super::edge_phase::EdgePhase;
+use super::edge_state::EdgeState;
+use super::guarded_stream::GuardedStream;
+
+/// How long to wait for a peer to take the last answer and close.
+const LINGER_SPAN: Duration = Duration::from_millis(500);
+/// What is read from a peer that goes on sending after the last answer, in bytes.
+const LINGER_BYTES: usize = 256 * 1_024;
+
+/// Serves one connection to its end.
+pub(crate) async fn serve_connection<S>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    service: S,
+    state: Arc<EdgeState>,
+) where
+    S: Service<ServerContext, Request<Body>, Response = Response, Error = Infallible>
+        + Clone
+        + Send
+        + Sync,
+{
+    let mark = ConnectionMark::default();
+    let write_stall = Duration::from_millis(state.options.write_stall_ms);
+    let stream = GuardedStream::new(stream, mark.clone(), write_stall);
+    let hyper_service = service_fn(|request: Request<Incoming>| {
+        let service = service.clone();
+        let mark = mark.clone();
+        Box::pin(async move {
+            let mut request = request.map(Body::from_incoming);
+            request.extensions_mut().insert(mark);
+            let mut context = ServerContext::new(Address::Ip(peer));
+            service.call(&mut context, request).await
+        })
+    });
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(state.options.head_timeout_ms))
+        .max_buf_size(state.options.head_bytes)
+        .max_headers(state.options.max_headers)
+        .serve_connection(TokioIo::new(stream), hyper_service);
+    let mut closing = pin!(wait_for_closing(&state));
+    let mut is_closing = false;
+    let ended = loop {
+        tokio::select! {
+            ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context)) => {
+                break ended;
+            }
+            () = &mut closing, if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+        }
+    };
+    if let Err(error) = ended {
+        count_unreadable(&error, &state);
+    }
+    if !mark.is_broken() {
+        linger(connection.into_parts().io.into_inner()).await;
+    }
+}
+
+/// Waits until a connection without a running call has to close.
+async fn wait_for_closing(state: &EdgeState) {
+    let mut phase = state.phase.subscribe();
+    let _ = phase.wait_for(|phase| *phase >= EdgePhase::Refusing).await;
+    // A call may be on its way on an idle connection. Closing now would leave its caller without
+    // an answer; in this grace it gets a refusal.
+    let grace = Duration::from_millis(state.options.drain_grace_ms);
+    let closing = phase.wait_for(|phase| *phase >= EdgePhase::Closing);
+    let _ = tokio::time::timeout(grace, closing).await;
+}
+
+/// Has a head counted that the library refused with a bare 4xx.
+fn count_unreadable(error: &hyper::Error, state: &EdgeState) {
+    if error.is_parse() || error.is_parse_too_large() {
+        state.count_fault(&CallFault::new(
+            RefusalReason::BadRequest,
+            "the request head cannot be read",
+        ));
+    }
+}
+
+/// Closes a connection so that the peer can read the last answer.
+///
+/// Closing while the peer's bytes are unread makes the host send a reset, which can destroy an
+/// answer that the peer has not read yet: a caller whose body is too large would see a broken
+/// connection instead of its 413. So the rest is read, within bounds, until the peer closes.
+async fn linger(mut stream: GuardedStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut buffer = [0_u8; 4_096];
+    let mut left = LINGER_BYTES;
+    let reading = async {
+        while left > 0 {
+            match stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => left = left.saturating_sub(count),
+            }
+        }
+    };
+    let _ = tokio::time::timeout(LINGER_SPAN, reading).await;
+}
--- /dev/null
+++ b/crates/beechsaddle/src/calls/listener.rs
@@ -0,0 +1,82 @@
+//! The `listener` module provides the accepting of connections under a limit.
+
+use std::convert::Infallible;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use beechsaddle_core::prelude::*;
+use http::Request;
+use motore::service::Service;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::response::Response;
+
+use super::call_fault::CallFault;
+use super::connection::serve_connection;
+use super::edge_phase::EdgePhase;
+use super::edge_state::EdgeState;
+
+/// How long to wait after a failed accept, which is mostly for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a connection beyond the limit gets.
+const CONNECTION_REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\n\
+    content-length: 137\r\n\r\n\
+    {\"error\":{\"type\":\"beechsaddle_refusal\",\"reason\":\"overloaded\",\"ran\":\"no\",\
+    \"message\":\"too many open connections\",\"retry_after_ms\":1000}}   ";
+
+/// Accepts connections until the edge has come to `last_phase`.
+pub(crate) async fn run_listener<S>(
+    listener: TcpListener,
+    service: S,
+    state: Arc<EdgeState>,
+    limit: usize,
+    last_phase: EdgePhase,
+) where
+    S: Service<ServerContext, Request<Body>, Response = Response, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+{
+    let slots = Arc::new(Semaphore::new(limit.min(Semaphore::MAX_PERMITS)));
+    let mut phase = state.phase.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase >= last_phase) => return,
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            refuse_connection(stream, &state);
+            continue;
+        };
+        // Events of a stream are small; waiting to fill a packet would delay every token.
+        let _ = stream.set_nodelay(true);
+        let service = service.clone();
+        let state = Arc::clone(&state);
+        state.connections.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            serve_connection(stream, peer, service, Arc::clone(&state)).await;
+            state.connections.fetch_sub(1, Ordering::Relaxed);
+            drop(slot);
+        });
+    }
+}
+
+/// Tells a caller beyond the limit so at once, without a task or a buffer for it.
+fn refuse_connection(stream: TcpStream, state: &EdgeState) {
+    let fault = CallFault::new(RefusalReason::Overloaded, "too many open connections");
+    state.count_fault(&fault);
+    if let Ok(mut stream) = stream.into_std() {
+        let _ = stream.write(CONNECTION_REFUSAL);
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle/src/calls/plain_request.rs
@@ -0,0 +1,74 @@
+//! The `plain_request` module provides calls to plain services.
+
+use beechsaddle_core::prelude::*;
+use bytes::Bytes;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Uri};
+
+use super::call_fault::CallFault;
+use super::header_filter::request_headers;
+
+/// Where plain services stand.
+pub(crate) const SERVICE_PREFIX: &str = "/svc/";
+
+/// A call to a plain service, as it goes to the target.
+#[derive(Clone, Debug)]
+pub(crate) struct PlainRequest {
+    /// The method.
+    pub(crate) method: Method,
+    /// The path behind the service's name, with its query.
+    pub(crate) path: PathAndQuery,
+    /// The caller's end-to-end headers.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+impl PlainRequest {
+    /// Makes the request of what the caller sent.
+    pub(crate) fn new(method: Method, path: PathAndQuery, headers: &HeaderMap) -> Self {
+        PlainRequest {
+            method,
+            path,
+            headers: request_headers(headers),
+            body: Bytes::new(),
+        }
+    }
+}
+
+/// Splits `/svc/<service>/<path>` into the service and the path that the target sees.
+///
+/// # Errors
+///
+/// `bad_request` for an empty service, and for `.` and `..` in the path: a target might resolve
+/// them into something that its operators never meant to offer.
+pub(crate) fn read_service_path(uri: &Uri) -> Result<(ServiceName, PathAndQuery), CallFault> {
+    let rest = uri.path().strip_prefix(SERVICE_PREFIX).unwrap_or_default();
+    let (service, path) = match rest.find('/') {
+        Some(place) => rest.split_at(place),
+        None => (rest, "/"),
+    };
+    if service.is_empty() {
+        return Err(CallFault::bad_request(
+            "the path must be /svc/<service>/<path>",
+        ));
+    }
+    if path.split('/').any(is_dot_segment) || is_dot_segment(service) {
+        return Err(CallFault::bad_request("the path must not contain . or .."));
+    }
+    let target = match uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    let target = PathAndQuery::try_from(target)
+        .map_err(|error| CallFault::bad_request(format!("the path cannot be read: {error}")))?;
+    Ok((ServiceName::new(service), target))
+}
+
+fn is_dot_segment(segment: &str) -> bool {
+    if segment.len() > "%2e%2e".len() {
+        return false;
+    }
+    let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+    plain == "." || plain == ".."
+}
--- /dev/null
+++ b/crates/beechsaddle/src/calls/probe.rs
@@ -0,0 +1,194 @@
+//! The `probe` module provides probes of targets and orders to engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::target::{
+    CacheNews, EngineState, OrderOutcome, ProbeOutcome, TargetAction, TargetEvent,
+};
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+use volo_http::body::Body;
+
+use super::edge_state::EdgeState;
+use super::probe_answer::{read_health, write_order};
+use super::target_client::ConnectionChoice;
+use super::whole_answer::read_whole;
+
+/// Probes and orders that run at a time.
+const PROBE_SLOTS: usize = 512;
+/// The largest answer to a probe in bytes.
+const PROBE_BYTES: usize = 1_024 * 1_024;
+/// When a throttled order comes back if the target did not say, in milliseconds.
+const THROTTLE_MS: u64 = 1_000;
+/// Milliseconds after which to come back.
+const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// Starts probes and orders.
+pub(crate) struct ProbeDesk {
+    state: Arc<EdgeState>,
+    runtime: Handle,
+    slots: Arc<Semaphore>,
+}
+
+/// A target's answer to a probe or an order.
+struct ProbeReply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl ProbeDesk {
+    /// A desk whose probes run on `runtime`.
+    pub(crate) fn new(state: Arc<EdgeState>, runtime: Handle) -> Self {
+        ProbeDesk {
+            state,
+            runtime,
+            slots: Arc::new(Semaphore::new(PROBE_SLOTS)),
+        }
+    }
+
+    /// Starts a probe or an order. Its outcome is raised in any case; without a free slot, which
+    /// means that hundreds of targets do not answer, it is raised as failed or unknown at once.
+    pub(crate) fn start(&self, action: TargetAction) {
+        let state = Arc::clone(&self.state);
+        let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() else {
+            state.ring.raise(CoreEvent::Target(without_answer(action)));
+            return;
+        };
+        self.runtime.spawn(async move {
+            let event = carry_out(action, &state).await;
+            state.ring.raise(CoreEvent::Target(event));
+            drop(slot);
+        });
+    }
+}
+
+fn without_answer(action: TargetAction) -> TargetEvent {
+    match action {
+        TargetAction::Probe { target, .. } => TargetEvent::Probed {
+            target,
+            outcome: ProbeOutcome::Failed,
+            cache: None,
+        },
+        TargetAction::Order { target, fence, .. } => TargetEvent::Ordered {
+            target,
+            fence,
+            outcome: OrderOutcome::Unknown,
+        },
+    }
+}
+
+async fn carry_out(action: TargetAction, state: &EdgeState) -> TargetEvent {
+    match action {
+        TargetAction::Probe {
+            target,
+            address,
+            cache_after,
+        } => {
+            let outcome = probe(&address, state).await;
+            let cache = match cache_after {
+                Some(after) if outcome != ProbeOutcome::Failed => {
+                    read_cache_news(&address, after, state).await
+                }
+                _ => None,
+            };
+            TargetEvent::Probed {
+                target,
+                outcome,
+                cache,
+            }
+        }
+        TargetAction::Order {
+            target,
+            address,
+            fence,
+            state: engine,
+        } => TargetEvent::Ordered {
+            target,
+            fence,
+            outcome: order(&address, fence, &engine, state).await,
+        },
+    }
+}
+
+async fn probe(address: &str, state: &EdgeState) -> ProbeOutcome {
+    let request = get_request("/health");
+    match exchange(address, request, ConnectionChoice::Pooled, state).await {
+        Some(reply) => read_health(reply.status.is_success(), &reply.body),
+        None => ProbeOutcome::Failed,
+    }
+}
+
+/// Cache events are hints: when they cannot be had the next probe asks again.
+async fn read_cache_news(address: &str, after: u64, state: &EdgeState) -> Option<CacheNews> {
+    let request = get_request(&format!("/cache-events?after={after}"));
+    let reply = exchange(address, request, ConnectionChoice::Pooled, state).await?;
+    match reply.status.is_success() {
+        true => serde_json::from_slice(&reply.body).ok(),
+        false => None,
+    }
+}
+
+async fn order(address: &str, fence: u64, engine: &EngineState, state: &EdgeState) -> OrderOutcome {
+    let mut request = Request::new(Body::from(write_order(fence, engine)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static("/orders");
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, json);
+    let reply = exchange(address, request, ConnectionChoice::Fresh, state).await;
+    let Some(reply) = reply else {
+        return OrderOutcome::Unknown;
+    };
+    match reply.status {
+        StatusCode::ACCEPTED | StatusCode::OK => OrderOutcome::Accepted,
+        StatusCode::CONFLICT => OrderOutcome::Fenced,
+        StatusCode::TOO_MANY_REQUESTS => OrderOutcome::Throttled {
+            retry_after_ms: read_retry_after(&reply.headers),
+        },
+        _ => OrderOutcome::Unknown,
+    }
+}
+
+fn read_retry_after(headers: &HeaderMap) -> u64 {
+    headers
+        .get(RETRY_AFTER_MS)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse().ok())
+        .unwrap_or(THROTTLE_MS)
+}
+
+fn get_request(path: &str) -> Request<Body> {
+    let mut request = Request::new(Body::empty());
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    request
+}
+
+/// Sends a small request and reads its answer whole, all within the time for probes.
+async fn exchange(
+    address: &str,
+    mut request: Request<Body>,
+    choice: ConnectionChoice,
+    state: &EdgeState,
+) -> Option<ProbeReply> {
+    let span = Duration::from_millis(state.options.probe_timeout_ms);
+    let peer: SocketAddr = address.parse().ok()?;
+    let host = HeaderValue::try_from(address).ok()?;
+    request.headers_mut().insert(HOST, host);
+    let exchange = async {
+        let answer = state.client.send(peer, request, choice).await.ok()?;
+        let (parts, body) = answer.into_parts();
+        let body = read_whole(body, PROBE_BYTES, span).await.ok()?;
+        Some(ProbeReply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    };
+    tokio::time::timeout(span, exchange).await.ok()?
+}
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -1,1 +1,8 @@
-//! beechsaddle
+//! The beechsaddle router and its command line.
+//!
+//! The crate carries out what `beechsaddle-core` decides: each edge is a module of its own.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod calls;
--- /dev/null
+++ b/crates/beechsaddle/tests/calls_support/raw_target.rs
@@ -0,0 +1,149 @@
+//! The `raw_target` module provides targets that write and read plain bytes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+
+use super::PATIENCE;
+
+/// A target whose connections are handled by a script, each on a thread.
+pub struct RawTarget {
+    pub address: SocketAddr,
+    requests: Receiver<String>,
+}
+
+/// One connection of the router's.
+pub struct TargetConnection {
+    pub stream: TcpStream,
+    /// Counts the connections from zero.
+    pub index: usize,
+    report: std::sync::mpsc::Sender<String>,
+}
+
+impl RawTarget {
+    /// Starts a target that runs `script` for each connection.
+    pub fn start(script: impl Fn(&mut TargetConnection) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (report, requests) = channel();
+        let script = std::sync::Arc::new(script);
+        thread::spawn(move || {
+            for (index, stream) in listener.incoming().enumerate() {
+                let Ok(stream) = stream else { return };
+                let _ = stream.set_nodelay(true);
+                let report = report.clone();
+                let script = script.clone();
+                thread::spawn(move || {
+                    script(&mut TargetConnection {
+                        stream,
+                        index,
+                        report,
+                    });
+                });
+            }
+        });
+        RawTarget { address, requests }
+    }
+
+    /// The next request that arrived, whole.
+    pub fn next_request(&self) -> String {
+        self.requests.recv_timeout(PATIENCE).expect("a request")
+    }
+
+    /// How many further requests arrived.
+    pub fn more_requests(&self) -> usize {
+        self.requests.try_iter().count()
+    }
+}
+
+impl TargetConnection {
+    /// Reads a request; `None` when the router closed the connection.
+    pub fn read_request(&mut self) -> Option<String> {
+        let mut bytes = Vec::new();
+        let mut buffer = [0_u8; 4_096];
+        loop {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            if let Some(place) = text.find("\r\n\r\n") {
+                let head = text[..place].to_ascii_lowercase();
+                let length = super::header(&head, "content-length")
+                    .map_or(0, |length| length.parse().expect("a length"));
+                if bytes.len() >= place + 4 + length {
+                    let _ = self.report.send(text.clone());
+                    return Some(text);
+                }
+            }
+            match self.stream.read(&mut buffer) {
+                Ok(0) | Err(_) => return None,
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            }
+        }
+    }
+
+    /// Writes; false when the router closed the connection.
+    pub fn write(&mut self, bytes: impl AsRef<[u8]>) -> bool {
+        self.stream.write_all(bytes.as_ref()).is_ok()
+    }
+
+    /// Waits until the router closes the connection.
+    pub fn await_close(&mut self) {
+        let mut buffer = [0_u8; 4_096];
+        while matches!(self.stream.read(&mut buffer), Ok(count) if count > 0) {}
+    }
+
+    /// Answers with a body of known length.
+    pub fn answer(&mut self, status: &str, extra: &str, body: &str) -> bool {
+        let length = body.len();
+        self.write(format!(
+            "HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{extra}\r\n{body}"
+        ))
+    }
+
+    pub fn start_chunked(&mut self, kind: &str) -> bool {
+        self.write(format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ntransfer-encoding: chunked\r\n\r\n"
+        ))
+    }
+
+    pub fn chunk(&mut self, text: &str) -> bool {
+        self.write(format!("{:x}\r\n{text}\r\n", text.len()))
+    }
+
+    pub fn end_chunks(&mut self) -> bool {
+        self.write("0\r\n\r\n")
+    }
+}
+
+/// The value that a request sent by the router has in a header.
+pub fn sent_header(request: &str, name: &str) -> Option<String> {
+    super::header(&request.to_ascii_lowercase(), name).map(str::to_owned)
+}
+
+/// The attempt that a request names.
+pub fn sent_attempt(request: &str) -> String {
+    sent_header(request, "beechsaddle-attempt").expect("an attempt")
+}
+
+/// An event of a streamed chat with one token.
+pub fn token_event(text: &str) -> String {
+    format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n")
+}
+
+/// The event that carries the usage.
+pub fn usage_event(input: u64, output: u64) -> String {
+    format!(
+        "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":{input},\
+         \"completion_tokens\":{output}}}}}\n\n"
+    )
+}
+
+/// The event that ends a streamed chat.
+pub const DONE_EVENT: &str = "data: [DONE]\n\n";
+
+/// A whole chat answer.
+pub fn chat_answer(input: u64, output: u64) -> String {
+    format!(
+        "{{\"choices\":[{{\"message\":{{\"content\":\"hi\"}}}}],\
+         \"usage\":{{\"prompt_tokens\":{input},\"completion_tokens\":{output}}}}}"
+    )
+}
