--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod calls;
 pub mod catalogue_files;
 pub mod findings;
 pub mod report;
