Add the platform edge and the platform stand-in

The core needs exactly one reply for each platform call, within its time, and above all must never take a write that may have happened for one that did not: it would grant or bill twice.

Findings on volo-http 0.5.7: it does not resend on a dead pooled connection; connect and exchange failures have the same kind and differ only in their source; the connect timeout never reaches its connector; the request timeout ends with the head. So connects that are refused are told by an io::Error right below, and everything else without an answer is unknown; each call is timed here, body included. Ruled out: one client timeout (cuts watches), a second HTTP client (no need).

Not tested: a call that panics.

--- /dev/null
+++ b/crates/beechsaddle-lab/src/stand_in/listen_gate.rs
@@ -0,0 +1,61 @@
+//! The `listen_gate` module provides outages in which connections are refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Says whether a stand-in listens.
+#[derive(Clone, Debug)]
+pub struct ListenGate {
+    closed_until: Arc<watch::Sender<Option<Instant>>>,
+}
+
+impl ListenGate {
+    /// An open gate.
+    pub fn new() -> Self {
+        let (closed_until, _) = watch::channel(None);
+        ListenGate {
+            closed_until: Arc::new(closed_until),
+        }
+    }
+
+    /// Closes the gate for a while.
+    pub fn refuse_for(&self, span: Duration) {
+        self.closed_until.send_replace(Some(Instant::now() + span));
+    }
+
+    /// Opens the gate.
+    pub fn open(&self) {
+        self.closed_until.send_replace(None);
+    }
+
+    pub(super) async fn until_closed(&self) {
+        let mut receiver = self.closed_until.subscribe();
+        // The sender lives as long as this gate.
+        let _ = receiver
+            .wait_for(|until| until.is_some_and(|until| until > Instant::now()))
+            .await;
+    }
+
+    pub(super) async fn until_open(&self) {
+        let mut receiver = self.closed_until.subscribe();
+        loop {
+            let until = *receiver.borrow_and_update();
+            let Some(until) = until.filter(|until| *until > Instant::now()) else {
+                return;
+            };
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => return,
+                _ = receiver.changed() => {}
+            }
+        }
+    }
+}
+
+impl Default for ListenGate {
+    fn default() -> Self {
+        ListenGate::new()
+    }
+}
--- a/crates/beechsaddle-lab/src/stand_in/mod.rs
+++ b/crates/beechsaddle-lab/src/stand_in/mod.rs
@@ -1,13 +1,13 @@
 //! The `stand_in` module provides small servers that take the place of the platform and of targets.
+//!
+//! Each runs as a process of its own (`beechsaddle-lab stand-in platform`), or inside a test.
 
-use clap::{ArgMatches, Command};
+mod answers;
+mod chance_source;
+mod command;
+mod listen_gate;
+pub mod platform;
+mod stand_in_server;
 
-/// Describes the `stand-in` subcommand.
-pub fn command() -> Command {
-    Command::new("stand-in").about("Serves in place of the platform, an engine or a plain service")
-}
-
-/// Runs the `stand-in` subcommand.
-pub fn run(_matches: &ArgMatches) -> eyre::Result<()> {
-    eyre::bail!("the stand-ins are not written yet")
-}
+pub use command::{command, run};
+pub use platform::{PlatformOptions, PlatformServer};
--- /dev/null
+++ b/crates/beechsaddle/src/platform/platform_client.rs
@@ -0,0 +1,209 @@
+//! The `platform_client` module provides calls on the platform's object API.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use http::Method;
+use http_body_util::{BodyExt, Limited};
+use tokio::time::timeout;
+use volo_http::client::{Client, RequestBuilder};
+use volo_http::error::ClientError;
+
+use beechsaddle_core::names::{ObjectKey, RouterIncarnation};
+use beechsaddle_core::objects::PlatformObject;
+use beechsaddle_core::platform::{PlatformCall, PlatformReply, WriteGuard};
+use beechsaddle_wire::encode_object;
+
+use super::answer_reader::{AnswerHead, AnswerReader};
+use super::platform_options::PlatformOptions;
+
+/// An answer larger than this is not read. A page of a watch holds at most 4 MB of values, which
+/// base64 makes a third larger.
+const ANSWER_BYTES_MAX: usize = 8_000_000;
+
+/// Names the calling router to the platform.
+const ROUTER_HEADER: &str = "beechsaddle-router";
+
+/// Calls the platform's object API. Every call ends within its time, in exactly one reply.
+#[derive(Clone)]
+pub struct PlatformClient {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+    caller: String,
+}
+
+impl PlatformClient {
+    /// Makes a client; `caller` is the router, or none for an operator's command.
+    pub fn try_new(
+        options: &PlatformOptions,
+        caller: Option<&RouterIncarnation>,
+    ) -> eyre::Result<Self> {
+        let client = Client::builder()
+            .build()
+            .wrap_err("cannot make an HTTP client")?;
+        Ok(PlatformClient {
+            client,
+            address: options.address,
+            timeout: Duration::from_millis(options.timeout_ms),
+            caller: caller.map(ToString::to_string).unwrap_or_default(),
+        })
+    }
+
+    /// Reads one object.
+    pub async fn read(&self, key: impl Into<ObjectKey>) -> PlatformReply {
+        self.call(&PlatformCall::Read { key: key.into() }).await
+    }
+
+    /// Writes one object conditionally.
+    pub async fn write(
+        &self,
+        key: impl Into<ObjectKey>,
+        object: PlatformObject,
+        guard: WriteGuard,
+    ) -> PlatformReply {
+        let call = PlatformCall::Write {
+            key: key.into(),
+            object: Box::new(object),
+            guard,
+        };
+        self.call(&call).await
+    }
+
+    /// Deletes one object at a version.
+    pub async fn delete(&self, key: impl Into<ObjectKey>, version: u64) -> PlatformReply {
+        let call = PlatformCall::Delete {
+            key: key.into(),
+            version,
+        };
+        self.call(&call).await
+    }
+
+    /// Lists keys under a prefix, at most 1,000.
+    pub async fn list(
+        &self,
+        prefix: impl Into<ObjectKey>,
+        after: Option<ObjectKey>,
+    ) -> PlatformReply {
+        let call = PlatformCall::List {
+            prefix: prefix.into(),
+            after,
+        };
+        self.call(&call).await
+    }
+
+    /// Makes any call.
+    pub async fn call(&self, call: &PlatformCall) -> PlatformReply {
+        let span = match call {
+            PlatformCall::Watch { .. } => Duration::from_millis(PlatformOptions::WATCH_MS),
+            PlatformCall::Read { .. }
+            | PlatformCall::Write { .. }
+            | PlatformCall::Delete { .. }
+            | PlatformCall::List { .. } => self.timeout,
+        };
+        // A platform that accepts a write and then says nothing would hold the ticket for ever, and
+        // with it the budget that waits for it. When the time is up the write may have taken
+        // effect, and may still do so.
+        match timeout(span, self.exchange(call)).await {
+            Ok(reply) => reply,
+            Err(_) => PlatformReply::Unknown,
+        }
+    }
+
+    async fn exchange(&self, call: &PlatformCall) -> PlatformReply {
+        let Some(request) = self.request(call) else {
+            return PlatformReply::Invalid;
+        };
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(error) => return failure_reply(&error),
+        };
+        let (parts, body) = response.into_parts();
+        let head = AnswerHead::read(parts.status, &parts.headers);
+        // An answer that breaks off is no answer: after a write it is not known what it would have
+        // said. Half of a value must never be taken for the value.
+        let Ok(body) = Limited::new(body, ANSWER_BYTES_MAX).collect().await else {
+            return PlatformReply::Unknown;
+        };
+        AnswerReader::new(call, head).read(&body.to_bytes())
+    }
+
+    /// The request of a call; `None` when the call can't be sent.
+    fn request(&self, call: &PlatformCall) -> Option<RequestBuilder<Client>> {
+        match call {
+            PlatformCall::Read { key } => self.start(Method::GET, &object_path(key)?),
+            PlatformCall::Write { key, object, guard } => {
+                let (name, value) = guard_header(*guard);
+                let bytes = encode_object(object).ok()?;
+                let request = self.start(Method::PUT, &object_path(key)?)?;
+                Some(request.header(name, value).data(Bytes::from(bytes)))
+            }
+            PlatformCall::Delete { key, version } => {
+                let (name, value) = guard_header(WriteGuard::Version(*version));
+                let request = self.start(Method::DELETE, &object_path(key)?)?;
+                Some(request.header(name, value))
+            }
+            PlatformCall::List { prefix, after } => {
+                let mut path = format!("/list?prefix={}", checked(prefix)?);
+                if let Some(after) = after {
+                    path.push_str("&after=");
+                    path.push_str(checked(after)?);
+                }
+                self.start(Method::GET, &path)
+            }
+            PlatformCall::Watch { prefix, after } => {
+                let path = format!("/watch?prefix={}&after={after}", checked(prefix)?);
+                self.start(Method::GET, &path)
+            }
+        }
+    }
+
+    fn start(&self, method: Method, path: &str) -> Option<RequestBuilder<Client>> {
+        let uri = format!("http://{}{path}", self.address);
+        let request = self.client.request(method, uri);
+        Some(request.header(ROUTER_HEADER, self.caller.as_str()))
+    }
+}
+
+impl fmt::Debug for PlatformClient {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "PlatformClient({})", self.address)
+    }
+}
+
+/// The reply to a call that got no answer.
+fn failure_reply(error: &ClientError) -> PlatformReply {
+    let mut source = std::error::Error::source(error);
+    // Taking a lost answer for a failed connect would make the core believe that a write did not
+    // take effect when it did, and grant or bill twice. Only an `io::Error` right below the client's
+    // error comes from the connect: what fails later is wrapped by hyper.
+    if let Some(cause) = source.take()
+        && cause.is::<io::Error>()
+    {
+        return PlatformReply::Unreachable;
+    }
+    PlatformReply::Unknown
+}
+
+fn guard_header(guard: WriteGuard) -> (&'static str, String) {
+    match guard {
+        WriteGuard::Absent => ("if-none-match", "*".to_owned()),
+        WriteGuard::Version(version) => ("if-match", format!("\"{version}\"")),
+    }
+}
+
+fn object_path(key: &ObjectKey) -> Option<String> {
+    Some(format!("/objects/{}", checked(key)?))
+}
+
+/// The key as text, unless it has a character that a key can't have: in a path or query such a
+/// character could name another object.
+fn checked(key: &ObjectKey) -> Option<&str> {
+    let text = key.as_str();
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._@-/".contains(&byte);
+    text.bytes().all(allowed).then_some(text)
+}
