--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod calls;
 pub mod catalogue_files;
 pub mod findings;
+pub mod platform;
 pub mod report;
 pub mod settings;
