Decide on budgets, grants, journals and bills in the core

Cause: the desk admitted everything. It now reserves below durable marks only, refills and folds by one conditional update of a ledger shard, closes and folds the journals of dead routers, takes late bills against the write-off, and keeps witnesses' copies.

--- a/crates/beechsaddle-core/src/money/budget_ledger.rs
+++ b/crates/beechsaddle-core/src/money/budget_ledger.rs
@@ -1,11 +1,13 @@
-//! The `budget_ledger` module provides the durable state of budgets.
+//! The `budget_ledger` module provides one shard of the durable state of budgets.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::ClockTime;
-use crate::names::{BudgetName, KeyText, OwnerName, TopUpId, WorkspaceName};
+use super::budget_account::BudgetAccount;
+use super::money_error::{MoneyError, Result};
+use crate::hash::shard_of;
+use crate::names::{BudgetName, ObjectKey, OwnerName, TopUpId, WorkspaceName};
 
 /// One shard of the ledger: some budgets, at `ledger/<shard>`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,58 +18,77 @@
     pub budgets: BTreeMap<BudgetName, BudgetAccount>,
 }
 
-/// One budget, in tokens.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BudgetAccount {
-    /// The workspace that may spend it.
-    pub workspace: WorkspaceName,
-    /// Who answers for it.
-    pub owner: OwnerName,
-    /// What was paid in, each once.
-    pub top_ups: BTreeMap<TopUpId, u64>,
-    /// What was taken out again, each once.
-    pub withdrawals: BTreeMap<TopUpId, u64>,
-    /// What was billed.
-    pub settled: u64,
-    /// How many bills that are.
-    pub bills: u64,
-    /// What may have been spent by routers that died.
-    pub written_off: u64,
-    /// Open grants by the journal that marks them.
-    pub grants: BTreeMap<KeyText, OpenGrant>,
-    /// Grants of closed journals whose late bills can still be taken against the write-off.
-    pub closed: BTreeMap<KeyText, ClosedGrant>,
-    /// Caller-made keys billed within the dedup window, by digest.
-    pub keys: BTreeMap<String, BilledKey>,
-}
+impl BudgetLedger {
+    /// The shard that a budget is in.
+    pub fn shard_for(budget: &BudgetName, shard_count: u32) -> u32 {
+        shard_of(budget, shard_count)
+    }
 
-/// What a router may spend of a budget, in tokens, counted over the journal's whole life.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OpenGrant {
-    /// Granted in all.
-    pub amount: u64,
-    /// Of it, already counted into the account's `settled`.
-    pub folded: u64,
-    /// Bills in segments before this number are counted.
-    pub cursor: u64,
-}
+    /// The key of a shard at the platform.
+    pub fn object_key(shard: u32) -> ObjectKey {
+        ObjectKey::new(format!("ledger/{shard}"))
+    }
 
-/// What is left of a closed journal's grant, in tokens.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClosedGrant {
-    /// Written off and not yet claimed by a late bill.
-    pub remaining: u64,
-    /// Late bills by call.
-    pub late: BTreeMap<String, u64>,
-    /// When it was closed, by the folder's clock.
-    pub closed_at: ClockTime,
-}
+    /// Adds a budget without tokens, unless the workspace has it already.
+    pub fn create_account(
+        &mut self,
+        budget: &BudgetName,
+        workspace: &WorkspaceName,
+        owner: &OwnerName,
+    ) -> Result<()> {
+        let account = self
+            .budgets
+            .entry(budget.clone())
+            .or_insert_with(|| BudgetAccount::new(workspace.clone(), owner.clone()));
+        if account.workspace != *workspace {
+            return Err(MoneyError::ForeignBudget {
+                budget: budget.clone(),
+                workspace: account.workspace.clone(),
+            });
+        }
+        account.owner = owner.clone();
+        Ok(())
+    }
+
+    /// Pays tokens in. An id that was applied before changes nothing; tells whether it was new.
+    pub fn top_up(&mut self, budget: &BudgetName, id: &TopUpId, tokens: u64) -> Result<bool> {
+        let account = self.account_mut(budget)?;
+        Ok(account.top_up(id, tokens))
+    }
+
+    /// Takes tokens out that are neither granted nor billed. An id that was applied before changes
+    /// nothing; tells whether it was new.
+    pub fn withdraw(&mut self, budget: &BudgetName, id: &TopUpId, tokens: u64) -> Result<bool> {
+        let account = self.account_mut(budget)?;
+        if account.withdraw(id, tokens) {
+            return Ok(true);
+        }
+        if account.withdrawals.contains_key(id) {
+            return Ok(false);
+        }
+        Err(MoneyError::NotFree {
+            budget: budget.clone(),
+            free: account.free(),
+        })
+    }
+
+    /// Checks that no account promises more than was paid in. Every writer calls it first.
+    pub fn check_invariant(&self) -> Result<()> {
+        for (budget, account) in &self.budgets {
+            if account.promised() > account.paid() {
+                return Err(MoneyError::Overspent {
+                    budget: budget.clone(),
+                    promised: account.promised(),
+                    paid: account.paid(),
+                });
+            }
+        }
+        Ok(())
+    }
 
-/// The bill of a caller-made key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BilledKey {
-    /// What is billed for it.
-    pub tokens: u64,
-    /// When it was last folded, by the folder's clock.
-    pub folded_at: ClockTime,
+    fn account_mut(&mut self, budget: &BudgetName) -> Result<&mut BudgetAccount> {
+        self.budgets
+            .get_mut(budget)
+            .ok_or_else(|| MoneyError::UnknownBudget(budget.clone()))
+    }
 }
--- /dev/null
+++ b/crates/beechsaddle-core/src/money/desk_holder.rs
@@ -0,0 +1,408 @@
+//! The `desk_holder` module provides what a router does for the budgets that it holds.
+
+use super::budget_holding::WaitingAdmit;
+use super::desk_turn::DeskTurn;
+use super::holder_call::{BilledCall, HolderCall};
+use super::journal_segment::BillRecord;
+use super::money_desk::MoneyDesk;
+use crate::peer::{AdmitRequest, PeerMessage, SettleRequest};
+use crate::prelude::*;
+use crate::report::CounterName;
+
+/// When a caller should ask again for a budget that ran out, in milliseconds. A top-up is spendable
+/// once the ledger is read again.
+const EXHAUSTED_RETRY_MS: u64 = 1_000;
+
+/// When a caller should ask again while the platform is away, in milliseconds.
+const UNREACHABLE_RETRY_MS: u64 = 2_000;
+
+impl MoneyDesk {
+    /// Reserves for a call, now or when the grant allows it, or refuses it.
+    pub(super) fn hold_call(&mut self, turn: &mut DeskTurn<'_>, request: AdmitRequest) {
+        let call = request.call.clone();
+        if let Some(open) = self.open.get(&call) {
+            let journal = open.journal.clone();
+            return self.answer_admit(turn, &call, Ok(journal));
+        }
+        if self.is_waiting(&request) || self.billed.contains_key(&call) {
+            return;
+        }
+        if self.is_draining() {
+            let refusal = CallRefusal::not_run(RefusalReason::Draining, Some(0));
+            return self.answer_admit(turn, &call, Err(refusal));
+        }
+        let started = self
+            .keys
+            .try_start(turn.now, &request.key, &call, self.options.max_reruns);
+        if let Err(refusal) = started {
+            return self.answer_admit(turn, &call, Err(refusal));
+        }
+        let holding = self.holdings.entry(request.budget.clone()).or_default();
+        holding.asked_at = turn.now;
+        holding.demand.note_bound(turn.now, request.bound);
+        let is_foreign = holding
+            .account
+            .as_ref()
+            .is_some_and(|account| account.workspace.as_ref() != Some(&request.key.workspace));
+        if holding.can_reserve(request.bound) && !is_foreign {
+            return self.reserve(turn, request);
+        }
+        if let Some(refusal) = self.refusal_at_once(turn.now, &request) {
+            return self.refuse(turn, &request, refusal);
+        }
+        if let Some(holding) = self.holdings.get_mut(&request.budget) {
+            holding.waiting.push_back(WaitingAdmit {
+                request,
+                since: turn.now,
+            });
+        }
+    }
+
+    /// Answers everything that waits for a budget and can be answered now.
+    pub(super) fn serve_waiting(&mut self, turn: &mut DeskTurn<'_>, budget: &BudgetName) {
+        let Some(holding) = self.holdings.get_mut(budget) else {
+            return;
+        };
+        let waiting = std::mem::take(&mut holding.waiting);
+        for admit in waiting {
+            self.serve_one(turn, budget, admit);
+        }
+    }
+
+    fn serve_one(&mut self, turn: &mut DeskTurn<'_>, budget: &BudgetName, admit: WaitingAdmit) {
+        let Some(holding) = self.holdings.get_mut(budget) else {
+            return;
+        };
+        let bound = admit.request.bound;
+        let account = holding.account.as_ref();
+        let is_read = account.is_some_and(|account| account.read_at >= admit.since);
+        let workspace = account.and_then(|account| account.workspace.as_ref());
+        let is_foreign = workspace != Some(&admit.request.key.workspace);
+        if is_read && is_foreign {
+            let refusal = CallRefusal::not_run(RefusalReason::ForeignBudget, None);
+            return self.refuse(turn, &admit.request, refusal);
+        }
+        if holding.can_reserve(bound) && !is_foreign {
+            return self.reserve(turn, admit.request);
+        }
+        if is_read && !holding.could_have(bound) {
+            return self.refuse(turn, &admit.request, exhausted());
+        }
+        if turn.now.since(admit.since) >= self.options.grant_timeout_ms {
+            return self.refuse(turn, &admit.request, unreachable());
+        }
+        holding.waiting.push_back(admit);
+    }
+
+    /// A refusal that needs no look at the ledger: the platform is away, or the ledger was read a
+    /// moment ago and had too little.
+    fn refusal_at_once(&self, now: ClockTime, request: &AdmitRequest) -> Option<CallRefusal> {
+        let holding = self.holdings.get(&request.budget)?;
+        let is_away = self
+            .away_since
+            .is_some_and(|since| now.since(since) >= self.options.grant_timeout_ms);
+        if is_away || holding.waiting.len() >= self.options.max_waiting {
+            return Some(unreachable());
+        }
+        let account = holding.account.as_ref()?;
+        if now.since(account.read_at) >= self.options.recheck_ms {
+            return None;
+        }
+        match &account.workspace {
+            Some(workspace) if *workspace == request.key.workspace => {
+                (!holding.could_have(request.bound)).then(exhausted)
+            }
+            Some(_) | None => Some(CallRefusal::not_run(RefusalReason::ForeignBudget, None)),
+        }
+    }
+
+    fn reserve(&mut self, turn: &mut DeskTurn<'_>, request: AdmitRequest) {
+        let call = request.call.clone();
+        let journal = self.writer.journal().clone();
+        if let Some(holding) = self.holdings.get_mut(&request.budget) {
+            holding.reserved += request.bound;
+        }
+        let open = HolderCall {
+            request,
+            journal: journal.clone(),
+            tokens: 0,
+            heard: turn.now,
+            provisional: None,
+        };
+        self.open.insert(call.clone(), open);
+        self.answer_admit(turn, &call, Ok(journal));
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        request: &AdmitRequest,
+        refusal: CallRefusal,
+    ) {
+        self.keys
+            .finish(turn.now, &request.key, &request.call, false);
+        self.answer_admit(turn, &request.call, Err(refusal));
+    }
+
+    fn answer_admit(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        call: &CallId,
+        outcome: Result<KeyText, CallRefusal>,
+    ) {
+        if call.router == self.me {
+            let me = self.me.clone();
+            return self.on_admit_reply(turn, &me, call, outcome);
+        }
+        let message = PeerMessage::AdmitReply {
+            call: call.clone(),
+            outcome,
+        };
+        turn.send(&call.router, message);
+    }
+
+    fn is_waiting(&self, request: &AdmitRequest) -> bool {
+        let holding = self.holdings.get(&request.budget);
+        holding.is_some_and(|holding| {
+            let mut waiting = holding.waiting.iter();
+            waiting.any(|admit| admit.request.call == request.call)
+        })
+    }
+
+    pub(super) fn cancel_waiting(&mut self, now: ClockTime, call: &CallId) {
+        for holding in self.holdings.values_mut() {
+            let found = holding
+                .waiting
+                .iter()
+                .position(|admit| admit.request.call == *call);
+            if let Some(admit) = found.and_then(|index| holding.waiting.remove(index)) {
+                self.keys.finish(now, &admit.request.key, call, false);
+            }
+        }
+    }
+
+    pub(super) fn note_progress(&mut self, now: ClockTime, call: &CallId, tokens: u64) {
+        if let Some(open) = self.open.get_mut(call) {
+            open.tokens = open.tokens.max(tokens);
+            open.heard = now;
+        }
+        if let Some(note) = self.notes.get_mut(call) {
+            note.settle.tokens = note.settle.tokens.max(tokens);
+        }
+    }
+
+    /// Ends a call that this router reserved for, or takes a bill of a closed journal.
+    pub(super) fn hold_settle(&mut self, turn: &mut DeskTurn<'_>, request: SettleRequest) {
+        let call = request.call.clone();
+        if call.router != self.me {
+            let call = call.clone();
+            turn.send(&request.call.router, PeerMessage::SettleReply { call });
+        }
+        if self.open.contains_key(&call) {
+            return self.settle_open(turn, request);
+        }
+        if let Some(billed) = self.billed.get(&call) {
+            if billed.is_durable {
+                self.tell_durable(turn, &call);
+            }
+            return;
+        }
+        if self.late.contains_key(&call) {
+            return self.raise_late(&request);
+        }
+        match request.against.clone() {
+            Some(journal) if request.ran && journal != *self.writer.journal() => {
+                self.add_late(turn, journal, bill_of(&request, false));
+            }
+            // The call is known as neither open nor billed: it was billed and confirmed before, or
+            // never reserved. Either way there is nothing left to do for its entry router.
+            Some(_) | None => self.tell_durable(turn, &call),
+        }
+    }
+
+    fn settle_open(&mut self, turn: &mut DeskTurn<'_>, request: SettleRequest) {
+        let Some(open) = self.open.remove(&request.call) else {
+            return;
+        };
+        let call = request.call.clone();
+        let whole = request.ran && request.complete;
+        self.keys.finish(turn.now, &request.key, &call, whole);
+        if request.ran && request.tokens > open.request.bound {
+            self.count_over_bound(turn);
+        }
+        let mut bill = bill_of(&request, false);
+        bill.tokens = request.tokens.min(open.request.bound);
+        bill.tokens = bill.tokens.max(open.provisional.unwrap_or(0));
+        bill.replaces = open.provisional;
+        let is_billed = request.ran || open.provisional.is_some();
+        if open.journal != *self.writer.journal() {
+            // The journal was closed while the call ran.
+            if is_billed {
+                return self.add_late(turn, open.journal, bill);
+            }
+            return self.tell_durable(turn, &call);
+        }
+        let provisional = open.provisional.unwrap_or(0);
+        let consumed = bill.tokens - provisional;
+        if let Some(holding) = self.holdings.get_mut(&open.request.budget) {
+            holding.reserved -= open.request.bound - provisional;
+            if request.ran {
+                holding.spent += consumed;
+                holding.demand.note_usage(turn.now, consumed);
+            }
+        }
+        let is_news = request.ran && (consumed > 0 || open.provisional.is_none());
+        if is_news {
+            self.add_bill(turn.now, bill);
+        } else {
+            self.tell_durable(turn, &call);
+        }
+        let budget = open.request.budget;
+        self.serve_waiting(turn, &budget);
+    }
+
+    /// Queues a bill for the next segment.
+    pub(super) fn add_bill(&mut self, now: ClockTime, bill: BillRecord) {
+        let billed = BilledCall {
+            is_durable: false,
+            billed_at: now,
+        };
+        self.billed.insert(bill.call.clone(), billed);
+        self.news.push(bill);
+    }
+
+    /// Gives up a reservation that the call's entry router does not use.
+    pub(super) fn drop_reservation(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        call: &CallId,
+        journal: &KeyText,
+    ) {
+        let is_meant = self
+            .open
+            .get(call)
+            .is_some_and(|open| open.journal == *journal && open.provisional.is_none());
+        if !is_meant {
+            return;
+        }
+        let Some(open) = self.open.remove(call) else {
+            return;
+        };
+        self.keys.finish(turn.now, &open.request.key, call, false);
+        if open.journal == *self.writer.journal() {
+            if let Some(holding) = self.holdings.get_mut(&open.request.budget) {
+                holding.reserved -= open.request.bound;
+            }
+        } else {
+            // The entry router may have given this call's bill to a successor, which takes it
+            // against the write-off. Stating the final spend now would return those tokens first.
+            self.block_final(journal, &open.request.budget);
+        }
+        let budget = open.request.budget;
+        self.serve_waiting(turn, &budget);
+    }
+
+    /// Tells the entry router of a call that its copy is not needed any more.
+    pub(super) fn tell_durable(&mut self, turn: &mut DeskTurn<'_>, call: &CallId) {
+        if call.router == self.me {
+            let me = self.me.clone();
+            return self.entry_durable(turn, &me, call);
+        }
+        let calls = vec![call.clone()];
+        turn.send(&call.router, PeerMessage::BillsDurable { calls });
+    }
+
+    /// Bills what is known of the calls of an entry router that is gone. What is left of their
+    /// bounds stays reserved: the targets may have served it.
+    pub(super) fn bill_orphans(&mut self, turn: &mut DeskTurn<'_>, gone: &RouterIncarnation) {
+        let orphans: Vec<CallId> = self
+            .open
+            .iter()
+            .filter(|(call, open)| call.router == *gone && open.provisional.is_none())
+            .map(|(call, _)| call.clone())
+            .collect();
+        for call in orphans {
+            self.bill_orphan(turn, &call);
+        }
+    }
+
+    fn bill_orphan(&mut self, turn: &mut DeskTurn<'_>, call: &CallId) {
+        let Some(open) = self.open.get_mut(call) else {
+            return;
+        };
+        let tokens = open.tokens.min(open.request.bound);
+        open.provisional = Some(tokens);
+        let journal = open.journal.clone();
+        let bill = BillRecord {
+            call: call.clone(),
+            key: open.request.key.clone(),
+            budget: open.request.budget.clone(),
+            tokens,
+            replaces: None,
+            provisional: true,
+            against: None,
+        };
+        self.keys.finish(turn.now, &bill.key, call, false);
+        turn.count(CounterName::OrphansBilled);
+        if journal != *self.writer.journal() {
+            return self.add_late(turn, journal, bill);
+        }
+        if let Some(holding) = self.holdings.get_mut(&bill.budget) {
+            holding.reserved -= tokens;
+            holding.spent += tokens;
+        }
+        self.news.push(bill);
+    }
+
+    pub(super) fn tick_holder(&mut self, turn: &mut DeskTurn<'_>) {
+        let budgets: Vec<BudgetName> = self.holdings.keys().cloned().collect();
+        for budget in &budgets {
+            if let Some(holding) = self.holdings.get_mut(budget) {
+                holding.demand.roll(turn.now);
+            }
+            self.serve_waiting(turn, budget);
+        }
+        self.ask_silent(turn);
+        let window_ms = self.options.dedup_window_ms;
+        self.keys.prune(turn.now, window_ms);
+        let now = turn.now;
+        self.billed
+            .retain(|_, billed| !billed.is_durable || now.since(billed.billed_at) <= window_ms);
+    }
+
+    /// Asks about calls whose entry routers gave no sign for long: they may have given up before
+    /// the admit reply came, and nothing else would end the reservation.
+    fn ask_silent(&mut self, turn: &mut DeskTurn<'_>) {
+        let mut silent = Vec::new();
+        for (call, open) in &mut self.open {
+            let is_silent = turn.now.since(open.heard) >= self.options.silence_ms;
+            if is_silent && open.provisional.is_none() && call.router != self.me {
+                open.heard = turn.now;
+                silent.push((call.clone(), open.journal.clone()));
+            }
+        }
+        for (call, journal) in silent {
+            self.answer_admit(turn, &call, Ok(journal));
+        }
+    }
+}
+
+pub(super) fn bill_of(request: &SettleRequest, provisional: bool) -> BillRecord {
+    BillRecord {
+        call: request.call.clone(),
+        key: request.key.clone(),
+        budget: request.budget.clone(),
+        tokens: request.tokens.min(request.bound),
+        replaces: None,
+        provisional,
+        against: None,
+    }
+}
+
+fn exhausted() -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::BudgetExhausted, Some(EXHAUSTED_RETRY_MS))
+}
+
+fn unreachable() -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::BudgetUnreachable, Some(UNREACHABLE_RETRY_MS))
+}
--- /dev/null
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -0,0 +1,333 @@
+//! The `desk_ledger` module provides what a router changes in the ledger's shards and when.
+//!
+//! Refilling and folding are one conditional write: it counts the durable bills, sets the grant, and
+//! takes in closed journals, for all budgets of a shard together.
+
+use std::collections::BTreeSet;
+
+use super::budget_account::{BudgetAccount, OpenGrant};
+use super::budget_holding::{AccountView, BudgetHolding, IntentState};
+use super::budget_ledger::BudgetLedger;
+use super::desk_turn::DeskTurn;
+use super::money_desk::{MoneyDesk, MoneyWait};
+use super::shard_writer::{ShardStep, ShardWriter};
+use crate::platform::PlatformReply;
+use crate::prelude::*;
+use crate::report::{CounterName, LogLevel};
+
+/// The least time between two reads of a shard for a grant that no request waits for.
+const ADJUST_PERIOD_MS: u64 = 500;
+
+impl MoneyDesk {
+    pub(super) fn pump_shards(&mut self, turn: &mut DeskTurn<'_>) {
+        let mut wanted: BTreeSet<u32> = BTreeSet::new();
+        for (budget, holding) in &self.holdings {
+            if self.wants_ledger(turn.now, holding) {
+                wanted.insert(BudgetLedger::shard_for(budget, self.options.shard_count));
+            }
+        }
+        wanted.extend(self.jobs.values().flat_map(|job| job.shards()));
+        let unresolved = self
+            .shards
+            .iter()
+            .filter(|(_, writer)| writer.is_unresolved());
+        wanted.extend(unresolved.map(|(shard, _)| *shard));
+        for shard in wanted {
+            let writer = self
+                .shards
+                .entry(shard)
+                .or_insert_with(|| ShardWriter::new(shard));
+            if let Some(call) = writer.next_call(turn.now) {
+                self.issue(turn, MoneyWait::Shard(shard), call);
+            }
+        }
+    }
+
+    /// Whether the ledger has to be read, and most likely written, for a budget.
+    fn wants_ledger(&self, now: ClockTime, holding: &BudgetHolding) -> bool {
+        if self.is_closing() || holding.is_leaving {
+            return false;
+        }
+        let is_announced = holding.intent == IntentState::Durable;
+        if is_announced && (holding.waits_for_grant() || (holding.has_late && !holding.has_entry)) {
+            return true;
+        }
+        let is_fold_due = holding
+            .unfolded_since
+            .is_some_and(|since| now.since(since) >= self.options.fold_period_ms);
+        if is_fold_due || holding.can_leave(self.checkpoint) {
+            return true;
+        }
+        let Some(account) = &holding.account else {
+            return false;
+        };
+        let view = holding.view(now, &self.options);
+        let target = view.grant_target(&self.options);
+        holding.has_entry
+            && is_announced
+            && now.since(account.read_at) >= ADJUST_PERIOD_MS
+            && view.is_grant_due(target)
+    }
+
+    pub(super) fn on_shard_reply(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        shard: u32,
+        reply: PlatformReply,
+    ) {
+        let Some(writer) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        match writer.on_reply(turn.now, reply) {
+            ShardStep::Pending => {}
+            ShardStep::Written(ledger) => self.adopt_shard(turn, shard, &ledger, false),
+            ShardStep::Read {
+                version,
+                ledger,
+                is_unresolved,
+            } => self.update_shard(turn, shard, version, ledger, is_unresolved),
+        }
+    }
+
+    fn update_shard(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        shard: u32,
+        version: u64,
+        ledger: BudgetLedger,
+        is_unresolved: bool,
+    ) {
+        if self.is_fenced_in(shard, &ledger) {
+            self.start_new_life(turn);
+        }
+        self.adopt_budgets(turn.now, shard, &ledger, is_unresolved);
+        let mut amended = ledger.clone();
+        let is_changed = self.amend_shard(turn, shard, &mut amended);
+        if !is_changed && !is_unresolved {
+            return self.adopt_shard(turn, shard, &ledger, false);
+        }
+        // An account that promises more than was paid in would let two holders spend the same
+        // tokens. Nothing that would make one is ever written, whatever led to it.
+        if let Err(error) = amended.check_invariant() {
+            let fields = vec![("shard", shard.to_string()), ("error", error.to_string())];
+            return turn.log(LogLevel::Error, "ledger_write_refused", fields);
+        }
+        self.write_count += 1;
+        amended.write_id = format!("{}/{}", self.me, self.write_count);
+        if let Some(writer) = self.shards.get_mut(&shard) {
+            let call = writer.write(version, amended);
+            self.issue(turn, MoneyWait::Shard(shard), call);
+        }
+    }
+
+    /// Takes over what the ledger says for certain and answers what waits for it.
+    fn adopt_shard(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        shard: u32,
+        ledger: &BudgetLedger,
+        is_unresolved: bool,
+    ) {
+        self.adopt_budgets(turn.now, shard, ledger, is_unresolved);
+        for job in self.jobs.values_mut() {
+            job.finish_if_folded(shard, ledger);
+        }
+        for budget in self.budgets_of(shard) {
+            self.serve_waiting(turn, &budget);
+        }
+    }
+
+    fn adopt_budgets(
+        &mut self,
+        now: ClockTime,
+        shard: u32,
+        ledger: &BudgetLedger,
+        is_unresolved: bool,
+    ) {
+        let journal = self.writer.journal().clone();
+        for budget in self.budgets_of(shard) {
+            let Some(holding) = self.holdings.get_mut(&budget) else {
+                continue;
+            };
+            let account = ledger.budgets.get(&budget);
+            holding.adopt(now, &journal, account, is_unresolved);
+        }
+        self.forget_left(now);
+    }
+
+    /// Forgets budgets that nothing is held of and nobody asked for lately.
+    fn forget_left(&mut self, now: ClockTime) {
+        let idle_ms = self.options.idle_return_ms;
+        self.holdings.retain(|_, holding| {
+            let is_unused = holding.is_dormant()
+                && !holding.has_entry
+                && !holding.is_leaving
+                && holding.intent == IntentState::Missing;
+            !is_unused || now.since(holding.asked_at) < idle_ms
+        });
+    }
+
+    /// Whether the ledger knows this router's journal as closed.
+    fn is_fenced_in(&self, shard: u32, ledger: &BudgetLedger) -> bool {
+        if self.is_closing() {
+            return false;
+        }
+        let journal = self.writer.journal();
+        self.budgets_of(shard).iter().any(|budget| {
+            let account = ledger.budgets.get(budget);
+            account.is_some_and(|account| account.closed.contains_key(journal))
+        })
+    }
+
+    fn budgets_of(&self, shard: u32) -> Vec<BudgetName> {
+        let count = self.options.shard_count;
+        self.holdings
+            .keys()
+            .filter(|budget| BudgetLedger::shard_for(budget, count) == shard)
+            .cloned()
+            .collect()
+    }
+
+    /// Changes a shard as everything here needs it; tells whether anything changed.
+    fn amend_shard(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        shard: u32,
+        ledger: &mut BudgetLedger,
+    ) -> bool {
+        let mut is_changed = false;
+        let mut duplicates = 0;
+        for job in self.jobs.values() {
+            if job.wants_shard(shard) {
+                let (is_amended, count) = job.amend(shard, ledger, turn.now);
+                is_changed |= is_amended;
+                duplicates += count;
+            }
+        }
+        if !self.is_closing() {
+            for budget in self.budgets_of(shard) {
+                let Some(account) = ledger.budgets.get_mut(&budget) else {
+                    continue;
+                };
+                let (is_amended, count) = self.amend_account(turn, &budget, account);
+                is_changed |= is_amended;
+                duplicates += count;
+            }
+        }
+        turn.add(CounterName::DuplicateBills, duplicates);
+        is_changed
+    }
+
+    fn amend_account(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        budget: &BudgetName,
+        account: &mut BudgetAccount,
+    ) -> (bool, u64) {
+        let journal = self.writer.journal().clone();
+        let next = self.writer.next_number();
+        let checkpoint = self.checkpoint;
+        let Some(holding) = self.holdings.get_mut(budget) else {
+            return (false, 0);
+        };
+        let mut is_changed = false;
+        if !account.grants.contains_key(&journal) {
+            let is_wanted = !holding.waiting.is_empty() || holding.has_late;
+            if holding.intent != IntentState::Durable || !is_wanted || holding.has_entry {
+                return (false, 0);
+            }
+            let grant = OpenGrant {
+                amount: holding.spent,
+                folded: holding.spent,
+                cursor: holding.named_in,
+            };
+            account.grants.insert(journal.clone(), grant);
+            turn.count(CounterName::GrantsTaken);
+            is_changed = true;
+        }
+        let mut duplicates = 0;
+        if !holding.unfolded.is_empty() || !holding.finals.is_empty() {
+            duplicates = account.fold_bills(&journal, &holding.unfolded, next, turn.now);
+            for (_, closed) in &holding.finals {
+                account.finish_closed(closed);
+            }
+            account.prune(
+                turn.now,
+                self.options.dedup_window_ms,
+                self.options.closed_retention_ms,
+            );
+            is_changed = true;
+        }
+        if holding.can_leave(checkpoint) && account.try_remove(&journal) {
+            holding.is_leaving = true;
+            turn.count(CounterName::GrantsReturned);
+            return (true, duplicates);
+        }
+        let mut view = holding.view_of(turn.now, &self.options, &journal, account);
+        let Some(grant) = account.grants.get_mut(&journal) else {
+            return (is_changed, duplicates);
+        };
+        view.amount = grant.amount;
+        let target = view.grant_target(&self.options);
+        if target != grant.amount && (is_changed || view.is_grant_due(target)) {
+            grant.amount = target;
+            // The write may take effect without an answer: from now on no more may be spent than
+            // the smaller of both amounts.
+            holding.amount = holding.amount.min(target);
+            is_changed = true;
+        }
+        (is_changed, duplicates)
+    }
+}
+
+impl BudgetHolding {
+    /// Takes over what the ledger says. While a write is unresolved, the amount only falls.
+    fn adopt(
+        &mut self,
+        now: ClockTime,
+        journal: &KeyText,
+        account: Option<&BudgetAccount>,
+        is_unresolved: bool,
+    ) {
+        let grant = account.and_then(|account| account.grants.get(journal));
+        match grant {
+            Some(grant) => {
+                self.has_entry = true;
+                self.amount = if is_unresolved {
+                    self.amount.min(grant.amount)
+                } else {
+                    grant.amount
+                };
+                self.unfolded.retain(|(number, _)| *number >= grant.cursor);
+                self.finals.retain(|(number, _)| *number >= grant.cursor);
+                if self.unfolded.is_empty() && self.finals.is_empty() {
+                    self.unfolded_since = None;
+                }
+            }
+            None if self.has_entry && self.is_leaving => {
+                *self = BudgetHolding {
+                    intent: IntentState::Missing,
+                    named_in: self.named_in,
+                    ..BudgetHolding::renewed_from(std::mem::take(self))
+                };
+            }
+            None => {}
+        }
+        if !is_unresolved {
+            self.is_leaving = false;
+        }
+        let others = account.map_or(0, |account| {
+            account
+                .grants
+                .keys()
+                .filter(|name| *name != journal)
+                .count()
+        });
+        self.account = Some(AccountView {
+            workspace: account.map(|account| account.workspace.clone()),
+            free: account.map_or(0, BudgetAccount::free),
+            holders: others as u64 + 1,
+            read_at: now,
+        });
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle-core/src/money/desk_turn.rs
@@ -0,0 +1,59 @@
+//! The `desk_turn` module provides what one event lets the money desk see and do.
+
+use crate::members::{MemberLiveness, MemberTable};
+use crate::peer::PeerMessage;
+use crate::prelude::*;
+use crate::report::{CounterName, LogLevel, LogLine, ReportAction};
+
+/// The time, the routers and the outbox of one event.
+#[derive(Debug)]
+pub(super) struct DeskTurn<'a> {
+    pub(super) now: ClockTime,
+    pub(super) members: &'a MemberTable,
+    pub(super) outbox: &'a mut CoreOutbox,
+}
+
+impl DeskTurn<'_> {
+    pub(super) fn send(&mut self, to: &RouterIncarnation, message: PeerMessage) {
+        let Some(address) = self.members.address_of(to) else {
+            self.count(CounterName::PeerSendFailed);
+            return;
+        };
+        let address = address.to_owned();
+        self.outbox.act(CoreAction::Peer {
+            to: to.clone(),
+            address,
+            message,
+        });
+    }
+
+    pub(super) fn count(&mut self, counter: CounterName) {
+        self.outbox.act(ReportAction::Count(counter));
+    }
+
+    pub(super) fn add(&mut self, counter: CounterName, amount: u64) {
+        if amount > 0 {
+            self.outbox.act(ReportAction::Add { counter, amount });
+        }
+    }
+
+    pub(super) fn log(
+        &mut self,
+        level: LogLevel,
+        event: &'static str,
+        fields: Vec<(&'static str, String)>,
+    ) {
+        let line = LogLine {
+            level,
+            event,
+            fields,
+        };
+        self.outbox.act(ReportAction::Log(line));
+    }
+
+    /// Whether another router is gone: its process ended, or it is no longer known at all.
+    pub(super) fn is_gone(&self, router: &RouterIncarnation) -> bool {
+        let entry = self.members.get(router);
+        entry.is_none_or(|entry| entry.liveness == MemberLiveness::Gone)
+    }
+}
--- a/crates/beechsaddle-core/src/money/journal_segment.rs
+++ b/crates/beechsaddle-core/src/money/journal_segment.rs
@@ -46,8 +46,8 @@
     pub budget: BudgetName,
     /// What is billed, in tokens.
     pub tokens: u64,
-    /// What an earlier, provisional bill of the same call said; zero when there is none.
-    pub replaces: u64,
+    /// What an earlier, provisional bill of the same call said, which this one takes the place of.
+    pub replaces: Option<u64>,
     /// Whether the entry router died before it told the usage.
     pub provisional: bool,
     /// The closed journal whose write-off this bill is taken against, if not this journal's grant.
--- a/crates/beechsaddle-core/src/money/money_options.rs
+++ b/crates/beechsaddle-core/src/money/money_options.rs
@@ -23,8 +23,12 @@
     pub fold_period_ms: u64,
     /// How long a budget that ran out is not read again.
     pub recheck_ms: u64,
-    /// How long an entry router waits for the holder, and a holder for a grant.
+    /// How long an entry router waits for the holder; longer than the holder waits for a grant.
     pub holder_timeout_ms: u64,
+    /// How long a request waits at the holder for a grant or a mark.
+    pub grant_timeout_ms: u64,
+    /// After how long without a sign of a call the holder asks its entry router about it.
+    pub silence_ms: u64,
     /// How long the last part of an answer waits until a second router knows the usage.
     pub settle_timeout_ms: u64,
     /// The time between two sendings of a message that was not answered.
@@ -53,7 +57,9 @@
             journal_period_ms: 1_000,
             fold_period_ms: 5_000,
             recheck_ms: 1_000,
-            holder_timeout_ms: 400,
+            holder_timeout_ms: 800,
+            grant_timeout_ms: 500,
+            silence_ms: 10_000,
             settle_timeout_ms: 1_000,
             resend_ms: 500,
             dedup_window_ms: 600_000,
--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -56,9 +56,17 @@
         /// The calls.
         calls: Vec<CallId>,
     },
+    /// Answers an admit reply for a call that its entry router does not run under that
+    /// reservation: it gave up waiting, or it settled the call with another holder.
+    CallUnknown {
+        /// The call.
+        call: CallId,
+        /// The journal that reserved.
+        journal: KeyText,
+    },
     /// Places a copy of what the sender holds for a call of its own with another router.
     WitnessNote(WitnessNote),
-    /// The copy is kept.
+    /// The copy of an ended call is kept, or was dropped after its bill became durable.
     WitnessReply {
         /// The call.
         call: CallId,
