Add the edge between routers: proven Cap'n Proto connections, bounded queues

A router opens one connection to each peer that it sends to. The object that takes messages is handed out only after both sides have proven by HMAC over fresh nonces that they know the shared secret, so no message can arrive from a stranger, and the sender of each is the one that was proven. A hello names the life of the host that it is meant for.

Messages wait in a bounded queue for each peer, travel in batches with a bound on what is on its way, and are never sent twice.

--- a/crates/beechsaddle-wire/src/peer/mod.rs
+++ b/crates/beechsaddle-wire/src/peer/mod.rs
@@ -11,6 +11,7 @@
 mod identity_codec;
 mod limits;
 mod message_codec;
+mod message_size;
 mod text_codec;
 
 pub use hello_codec::{
@@ -24,3 +25,4 @@
 pub use message_codec::{
     build_message, decode_message, encode_message, read_message, write_message,
 };
+pub use message_size::message_bytes_hint;
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -5,4 +5,5 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod peers;
 pub mod report;
--- /dev/null
+++ b/crates/beechsaddle/src/peers/mod.rs
@@ -0,0 +1,27 @@
+//! The `peers` module provides the edge between routers: Cap'n Proto calls over TCP.
+//!
+//! A router opens one connection to each peer that it sends to, proves itself, and delivers messages
+//! one way; answers come over the connection that the peer opened. Messages may be lost and are never
+//! sent twice. `docs/PEERS.md` gives the protocol and what was weighed.
+
+mod accept_loop;
+mod backoff_span;
+mod edge_context;
+mod gate_server;
+mod inbox_server;
+mod link_table;
+mod metered_stream;
+mod peer_auth;
+mod peer_link;
+mod peer_session;
+mod peers_edge;
+mod peers_handle;
+mod peers_options;
+mod peers_stats;
+mod send_queue;
+
+pub use peer_auth::PeerAuth;
+pub use peers_edge::PeersEdge;
+pub use peers_handle::PeersHandle;
+pub use peers_options::PeersOptions;
+pub use peers_stats::PeersCounts;
--- /dev/null
+++ b/crates/beechsaddle/src/peers/peers_edge.rs
@@ -0,0 +1,98 @@
+//! The `peers_edge` module provides the thread that talks to other routers.
+
+use std::io;
+use std::net::TcpListener as StdTcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::Builder as ThreadBuilder;
+use std::time::Duration;
+
+use beechsaddle_core::event::CoreEvent;
+use beechsaddle_core::names::RouterIncarnation;
+use crossbeam_channel::Sender;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::mpsc::{self, Receiver};
+use tokio::task::{LocalSet, spawn_local};
+
+use super::accept_loop::AcceptLoop;
+use super::edge_context::EdgeContext;
+use super::link_table::{LinkTable, OutboundMessage};
+use super::peers_stats::PeersStats;
+use super::{PeersHandle, PeersOptions};
+use crate::report::ReportHandle;
+
+/// The edge between routers, on a thread and runtime of its own: Cap'n Proto's calls cannot move
+/// between threads.
+pub struct PeersEdge {
+    context: EdgeContext,
+    listener: StdTcpListener,
+    ring: Receiver<OutboundMessage>,
+}
+
+impl PeersEdge {
+    /// Starts to listen. What peers send comes as [`CoreEvent::Peer`].
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened at, or the thread cannot be made.
+    pub fn try_start(
+        options: PeersOptions,
+        me: RouterIncarnation,
+        events: Sender<CoreEvent>,
+        reports: ReportHandle,
+    ) -> io::Result<PeersHandle> {
+        let listener = StdTcpListener::bind(options.listen)?;
+        listener.set_nonblocking(true)?;
+        let local_address = listener.local_addr()?;
+        let (sender, ring) = mpsc::channel(options.ring_size.max(1));
+        let stats = Arc::new(PeersStats::default());
+        let edge = PeersEdge {
+            context: EdgeContext {
+                options,
+                me,
+                stats: Arc::clone(&stats),
+                reports: reports.clone(),
+                events,
+            },
+            listener,
+            ring,
+        };
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let thread = ThreadBuilder::new()
+            .name("peers".to_owned())
+            .spawn(move || edge.run(&runtime))?;
+        Ok(PeersHandle::new(
+            sender,
+            thread,
+            stats,
+            reports,
+            local_address,
+        ))
+    }
+
+    fn run(self, runtime: &Runtime) {
+        let tasks = LocalSet::new();
+        tasks.block_on(runtime, self.serve());
+    }
+
+    async fn serve(mut self) {
+        let context = Rc::new(self.context);
+        let accept_loop = AcceptLoop::new(Rc::clone(&context));
+        // Only fails when the runtime has no reactor, and this one has.
+        let Ok(listener) = TcpListener::from_std(self.listener) else {
+            return;
+        };
+        let accepting = spawn_local(accept_loop.run(listener));
+        let links = LinkTable::new(Rc::clone(&context));
+        while let Some(outbound) = self.ring.recv().await {
+            links.send(outbound);
+        }
+        // The last messages of a router that leaves tell its peers that it left; without them they
+        // would wait for it to be missed.
+        links
+            .close(Duration::from_millis(context.options.drain_ms))
+            .await;
+        accepting.abort();
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle/tests/peers_support/mod.rs
@@ -0,0 +1,169 @@
+//! The `peers_support` module provides edges between routers and a relay between them that can be
+//! stopped.
+
+#![allow(dead_code)]
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use beechsaddle::peers::{PeerAuth, PeersCounts, PeersEdge, PeersHandle, PeersOptions};
+use beechsaddle::report::{ReportEdge, ReportHandle, ReportOptions};
+use beechsaddle_core::peer::{PeerHeartbeat, PeerMessage, RouterState};
+use beechsaddle_core::prelude::*;
+use crossbeam_channel::Receiver;
+
+/// The secret of the fleet in tests.
+pub const SECRET: &str = "0123456789abcdef0123456789abcdef";
+
+/// An edge with what it hands to the core.
+pub struct TestEdge {
+    pub me: RouterIncarnation,
+    pub handle: PeersHandle,
+    pub events: Receiver<CoreEvent>,
+}
+
+/// Options for tests: loopback, any port, short times.
+pub fn options(secret: &str) -> PeersOptions {
+    let auth = PeerAuth::try_new(secret).expect("long enough");
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut options = PeersOptions::new(listen, auth);
+    options.connect_timeout_ms = 500;
+    options.delivery_timeout_ms = 500;
+    options.backoff_max_ms = 100;
+    options
+}
+
+/// A report edge that writes nowhere.
+pub fn reports() -> ReportHandle {
+    let options = ReportOptions::new("").with_writer(io::sink());
+    ReportEdge::try_start(options).expect("starts").0
+}
+
+pub fn start(host: &str, epoch: u64, options: PeersOptions) -> TestEdge {
+    start_with_ring(host, epoch, options, 100_000)
+}
+
+pub fn start_with_ring(host: &str, epoch: u64, options: PeersOptions, ring: usize) -> TestEdge {
+    let me = RouterIncarnation::new(host, epoch);
+    let (sender, events) = crossbeam_channel::bounded(ring);
+    let handle = PeersEdge::try_start(options, me.clone(), sender, reports()).expect("starts");
+    TestEdge { me, handle, events }
+}
+
+impl TestEdge {
+    pub fn address(&self) -> String {
+        self.handle.local_address().to_string()
+    }
+
+    pub fn send(&self, to: &TestEdge, message: PeerMessage) {
+        self.handle.send(to.me.clone(), to.address(), message);
+    }
+
+    /// The next message, or a failed test after five seconds.
+    pub fn receive(&self) -> (RouterIncarnation, PeerMessage) {
+        match self.events.recv_timeout(Duration::from_secs(5)) {
+            Ok(CoreEvent::Peer { from, message }) => (from, message),
+            other => panic!("no message came: {other:?}; {:?}", self.handle.counts()),
+        }
+    }
+
+    /// Waits until the counts are as wanted, or fails after five seconds.
+    pub fn wait_for(&self, what: &str, is_met: impl Fn(&PeersCounts) -> bool) -> PeersCounts {
+        let until = Instant::now() + Duration::from_secs(5);
+        loop {
+            let counts = self.handle.counts();
+            if is_met(&counts) {
+                return counts;
+            }
+            assert!(Instant::now() < until, "never {what}: {counts:?}");
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
+/// A small message that can be told from others.
+pub fn note(number: u64) -> PeerMessage {
+    PeerMessage::SettleReply { call: call(number) }
+}
+
+pub fn call(number: u64) -> CallId {
+    CallId {
+        router: RouterIncarnation::new("host-z", 1),
+        number,
+    }
+}
+
+pub fn heartbeat(sequence: u64) -> PeerHeartbeat {
+    PeerHeartbeat {
+        domain: "graz-nord".into(),
+        address: "127.0.0.1:4000".to_owned(),
+        sequence,
+        state: RouterState::Live,
+        catalogue_revision: 3,
+        targets: Vec::new(),
+        limits: Vec::new(),
+        routers: Vec::new(),
+    }
+}
+
+/// Stands between two routers and can stop passing bytes on, as a frozen host or a cut network does:
+/// connections stay open, and the kernel goes on taking what fits into its buffers.
+pub struct PausableRelay {
+    pub address: SocketAddr,
+    paused: Arc<AtomicBool>,
+}
+
+impl PausableRelay {
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let address = listener.local_addr().expect("bound");
+        let paused = Arc::new(AtomicBool::new(false));
+        let is_paused = Arc::clone(&paused);
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let is_paused = Arc::clone(&is_paused);
+                thread::spawn(move || relay(stream, target, &is_paused));
+            }
+        });
+        PausableRelay { address, paused }
+    }
+
+    pub fn pause(&self) {
+        self.paused.store(true, Ordering::SeqCst);
+    }
+
+    pub fn resume(&self) {
+        self.paused.store(false, Ordering::SeqCst);
+    }
+}
+
+fn relay(near: TcpStream, target: SocketAddr, paused: &Arc<AtomicBool>) {
+    let Ok(far) = TcpStream::connect(target) else {
+        return;
+    };
+    let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else {
+        return;
+    };
+    let is_paused = Arc::clone(paused);
+    let back = thread::spawn(move || pass_on(far_copy, near_copy, &is_paused));
+    pass_on(near, far, paused);
+    let _ = back.join();
+}
+
+fn pass_on(mut from: TcpStream, mut to: TcpStream, paused: &AtomicBool) {
+    let mut buffer = [0; 4_096];
+    loop {
+        while paused.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(2));
+        }
+        match from.read(&mut buffer) {
+            Ok(size) if size > 0 && to.write_all(&buffer[..size]).is_ok() => {}
+            Ok(_) | Err(_) => break,
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+}
