Apply operators' files by conditional changes

Cause: operators of three shifts race each other with edits of the same entries, and the platform loses answers after a write took effect.

A change is one object, created if absent at the next revision. An edit is a three-way comparison of files, base and what is in force; other entries are rebased, the same entry is a conflict that names entry, owner, author and revision. The id of a change follows from files, base and author, so that a repeat after a lost answer finds its own change. Budgets are brought to what is declared by writes that can be repeated; a withdrawal beyond what is free is refused with the figure.

Ruled out: a version for each entry (an edit of several entries could be applied in part); moving the base of files that lack others' edits (the next apply would take those back); telling edits apart by values alone (a revert by another shift would be undone).

--- a/crates/beechsaddle/src/catalogue_files/base_file.rs
+++ b/crates/beechsaddle/src/catalogue_files/base_file.rs
@@ -1,5 +1,6 @@
 //! The `base_file` module provides the revision that a directory was last in step with.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -12,10 +13,13 @@
 /// The revision that a directory was last in step with.
 ///
 /// Without it an entry that another operator added since would look like one that was removed here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct BaseFile {
     /// The revision.
     pub revision: u64,
+    /// Later revisions that were applied from this directory, while it lacked what others applied
+    /// in between.
+    pub applied: BTreeSet<u64>,
 }
 
 impl BaseFile {
@@ -37,25 +41,29 @@
         let reader = TableReader::new(&source, "", 0, table.get_ref());
         let revision = reader.read_u64("revision", 0..=u64::MAX, &mut findings);
         if !reader.has("revision") {
-            findings.add(
-                &source,
-                0,
-                "`revision` is missing; a revision would be right",
-            );
+            let what = "`revision` is missing; a revision would be right";
+            findings.add(&source, 0, what);
         }
+        let applied = reader.read_numbers("applied", &mut findings);
         reader.finish(&mut findings);
         match revision {
-            Some(revision) if findings.is_empty() => Ok(Some(BaseFile { revision })),
+            Some(revision) if findings.is_empty() => Ok(Some(BaseFile {
+                revision,
+                applied: applied.into_iter().collect(),
+            })),
             Some(_) | None => Err(findings),
         }
     }
 
     /// Writes the file of a directory.
-    pub fn store(self, directory: impl AsRef<Path>) -> io::Result<()> {
+    pub fn store(&self, directory: impl AsRef<Path>) -> io::Result<()> {
+        let applied: Vec<String> = self.applied.iter().map(u64::to_string).collect();
         let text = format!(
-            "# The catalogue revision that these files were last in step with. \
-             Written by `beechsaddle catalogue apply`.\nrevision = {}\n",
-            self.revision
+            "# Written by `beechsaddle catalogue apply`: the revision these files were last in \
+             step with,\n# and later ones that were applied from them.\n\
+             revision = {}\napplied = [{}]\n",
+            self.revision,
+            applied.join(", ")
         );
         fs::write(path_in(directory.as_ref()), text)
     }
--- a/crates/beechsaddle/src/findings/table_reader.rs
+++ b/crates/beechsaddle/src/findings/table_reader.rs
@@ -187,6 +187,33 @@
         }
     }
 
+    /// A list of whole numbers; empty when absent.
+    pub fn read_numbers(&self, key: &str, findings: &mut FindingList) -> Vec<u64> {
+        let values = match self.value(key) {
+            None => return Vec::new(),
+            Some(DeValue::Array(values)) => values,
+            Some(other) => {
+                self.report_type::<()>(key, other, "an array of integers", findings);
+                return Vec::new();
+            }
+        };
+        let mut numbers = Vec::new();
+        for value in values.iter() {
+            let number = match value.get_ref() {
+                DeValue::Integer(number) => number.as_str().parse().ok(),
+                _ => None,
+            };
+            match number {
+                Some(number) => numbers.push(number),
+                None => {
+                    let what = format!("`{}` holds no whole number", self.name_of(key));
+                    findings.add(self.source, value.span().start, what);
+                }
+            }
+        }
+        numbers
+    }
+
     /// A whole number in a range, or its default.
     pub fn read_u64_or(
         &self,
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod catalogue_files;
 pub mod findings;
+pub mod operator;
 pub mod settings;
--- /dev/null
+++ b/crates/beechsaddle/src/operator/ledger_book.rs
@@ -0,0 +1,174 @@
+//! The `ledger_book` module provides the ledger at the platform.
+
+use std::collections::BTreeMap;
+
+use beechsaddle_core::catalogue::BudgetDeclaration;
+use beechsaddle_core::hash::shard_of;
+use beechsaddle_core::money::BudgetLedger;
+use beechsaddle_core::objects::{FleetLayout, PlatformObject};
+use beechsaddle_core::platform::WriteGuard;
+use beechsaddle_core::prelude::*;
+
+use super::{
+    LedgerRefusal, ObjectStore, OperatorError, Result, StoreCaller, WriteOutcome, declaration_of,
+    edit_ledger,
+};
+
+/// Where the shard counts are kept.
+const LAYOUT_KEY: &str = "fleet/layout";
+
+/// How often a shard is tried that routers write to at the same time.
+const SHARD_TRIES: u32 = 50;
+
+/// All shards of the ledger as read.
+#[derive(Clone, Debug, Default)]
+pub struct LedgerBook {
+    shards: BTreeMap<u32, BudgetLedger>,
+    shard_count: u32,
+}
+
+impl LedgerBook {
+    /// Reads all shards.
+    pub async fn read<S: ObjectStore>(
+        caller: &StoreCaller<'_, S>,
+        layout: FleetLayout,
+    ) -> Result<Self> {
+        let mut shards = BTreeMap::new();
+        for shard in 0..layout.ledger_shards {
+            let (_, ledger) = read_shard(caller, shard).await?;
+            shards.insert(shard, ledger);
+        }
+        Ok(LedgerBook {
+            shards,
+            shard_count: layout.ledger_shards,
+        })
+    }
+
+    /// All budgets as declarations.
+    pub fn declarations(&self) -> BTreeMap<BudgetName, BudgetDeclaration> {
+        self.shards
+            .values()
+            .flat_map(|ledger| ledger.budgets.iter())
+            .map(|(name, account)| (name.clone(), declaration_of(name, account)))
+            .collect()
+    }
+
+    /// What speaks against bringing budgets to what is declared.
+    pub fn check(&self, wanted: &WantedBudgets) -> Vec<LedgerRefusal> {
+        let mut refusals = Vec::new();
+        for (name, declared) in wanted {
+            let shard = shard_of(name, self.shard_count);
+            let mut ledger = self.shards.get(&shard).cloned().unwrap_or_default();
+            if let Err(refusal) = edit_ledger(&mut ledger, name, declared.as_ref()) {
+                refusals.push(refusal);
+            }
+        }
+        refusals
+    }
+}
+
+/// Budgets with what they shall be, `None` for nothing.
+pub type WantedBudgets = BTreeMap<BudgetName, Option<BudgetDeclaration>>;
+
+/// Reads the shard counts; a fleet that has none gets `layout`.
+///
+/// Two counts at once would put one budget into two shards, each with the full top-ups, and it
+/// could be spent twice. The object is created once and never written again.
+pub(super) async fn ensure_layout<S: ObjectStore>(
+    caller: &StoreCaller<'_, S>,
+    layout: FleetLayout,
+) -> Result<FleetLayout> {
+    let key = ObjectKey::new(LAYOUT_KEY);
+    for _ in 0..SHARD_TRIES {
+        match caller.read(&key).await?.map(|stored| stored.object) {
+            Some(PlatformObject::Layout(layout)) => return Ok(layout),
+            Some(_) => return Err(OperatorError::Corrupt(key)),
+            None => {}
+        }
+        let object = PlatformObject::Layout(layout);
+        caller.write(&key, object, WriteGuard::Absent).await?;
+    }
+    Err(OperatorError::Busy)
+}
+
+/// Reads the shard counts, if the fleet has any.
+pub(super) async fn read_layout<S: ObjectStore>(
+    caller: &StoreCaller<'_, S>,
+) -> Result<Option<FleetLayout>> {
+    let key = ObjectKey::new(LAYOUT_KEY);
+    match caller.read(&key).await?.map(|stored| stored.object) {
+        Some(PlatformObject::Layout(layout)) => Ok(Some(layout)),
+        Some(_) => Err(OperatorError::Corrupt(key)),
+        None => Ok(None),
+    }
+}
+
+/// Brings budgets to what is wanted and gives those that cannot be.
+pub(super) async fn book_budgets<S: ObjectStore>(
+    caller: &StoreCaller<'_, S>,
+    layout: FleetLayout,
+    write_id: &str,
+    wanted: &WantedBudgets,
+) -> Result<Vec<LedgerRefusal>> {
+    let mut by_shard: BTreeMap<u32, WantedBudgets> = BTreeMap::new();
+    for (name, declared) in wanted {
+        by_shard
+            .entry(shard_of(name, layout.ledger_shards))
+            .or_default()
+            .insert(name.clone(), declared.clone());
+    }
+    let mut refusals = Vec::new();
+    for (shard, wanted) in by_shard {
+        refusals.extend(book_shard(caller, shard, write_id, &wanted).await?);
+    }
+    Ok(refusals)
+}
+
+/// Whatever became of a write, the shard is read again and what is still missing is written: an
+/// answer that was lost needs no care of its own.
+async fn book_shard<S: ObjectStore>(
+    caller: &StoreCaller<'_, S>,
+    shard: u32,
+    write_id: &str,
+    wanted: &WantedBudgets,
+) -> Result<Vec<LedgerRefusal>> {
+    for _ in 0..SHARD_TRIES {
+        let (guard, mut ledger) = read_shard(caller, shard).await?;
+        let mut refusals = Vec::new();
+        let mut changed = false;
+        for (name, declared) in wanted {
+            match edit_ledger(&mut ledger, name, declared.as_ref()) {
+                Ok(edited) => changed |= edited,
+                Err(refusal) => refusals.push(refusal),
+            }
+        }
+        if !changed {
+            return Ok(refusals);
+        }
+        ledger.write_id = write_id.to_string();
+        let object = PlatformObject::Ledger(ledger);
+        match caller.write(&shard_key(shard), object, guard).await? {
+            WriteOutcome::Written => return Ok(refusals),
+            WriteOutcome::Conflict | WriteOutcome::Unknown => {}
+        }
+    }
+    Err(OperatorError::Busy)
+}
+
+async fn read_shard<S: ObjectStore>(
+    caller: &StoreCaller<'_, S>,
+    shard: u32,
+) -> Result<(WriteGuard, BudgetLedger)> {
+    let key = shard_key(shard);
+    match caller.read(&key).await? {
+        None => Ok((WriteGuard::Absent, BudgetLedger::default())),
+        Some(stored) => match stored.object {
+            PlatformObject::Ledger(ledger) => Ok((WriteGuard::Version(stored.version), ledger)),
+            _ => Err(OperatorError::Corrupt(key)),
+        },
+    }
+}
+
+fn shard_key(shard: u32) -> ObjectKey {
+    ObjectKey::new(format!("ledger/{shard}"))
+}
--- /dev/null
+++ b/crates/beechsaddle/src/operator/ledger_edit.rs
@@ -0,0 +1,229 @@
+//! The `ledger_edit` module provides how a declared budget is carried out in the ledger.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use beechsaddle_core::catalogue::BudgetDeclaration;
+use beechsaddle_core::money::{BudgetAccount, BudgetLedger};
+use beechsaddle_core::prelude::*;
+
+/// Stands between the id of a top-up and the number of a withdrawal from it; no id of a top-up has
+/// it.
+const WITHDRAWAL_MARK: char = '~';
+
+/// Why a budget cannot be changed as declared.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LedgerRefusal {
+    /// A withdrawal takes more than is free.
+    NotFree {
+        /// The budget.
+        budget: BudgetName,
+        /// Who answers for it.
+        owner: OwnerName,
+        /// What would be taken out, in tokens.
+        wanted: u64,
+        /// What is neither granted nor spent, in tokens.
+        free: u64,
+    },
+    /// A top-up was raised.
+    Raised {
+        /// The budget.
+        budget: BudgetName,
+        /// The top-up.
+        top_up: TopUpId,
+        /// What it was, in tokens.
+        was: u64,
+        /// What it is declared to be, in tokens.
+        wanted: u64,
+    },
+    /// The budget belongs to another workspace.
+    Foreign {
+        /// The budget.
+        budget: BudgetName,
+        /// The workspace that has it.
+        workspace: WorkspaceName,
+    },
+}
+
+impl fmt::Display for LedgerRefusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LedgerRefusal::NotFree {
+                budget,
+                owner,
+                wanted,
+                free,
+            } => write!(
+                formatter,
+                "budget {budget} (owner {owner}): {wanted} tokens cannot be withdrawn; {free} are \
+                 free, the rest is granted or spent"
+            ),
+            LedgerRefusal::Raised {
+                budget,
+                top_up,
+                was,
+                wanted,
+            } => write!(
+                formatter,
+                "budget {budget}: top-up {top_up} holds {was} tokens and cannot be raised to \
+                 {wanted}; a further top-up with an id of its own would be right"
+            ),
+            LedgerRefusal::Foreign { budget, workspace } => write!(
+                formatter,
+                "budget {budget} belongs to the workspace {workspace} and cannot be moved; a new \
+                 budget would be right"
+            ),
+        }
+    }
+}
+
+/// What an account amounts to as a declaration: top-ups less what was withdrawn from each.
+pub fn declaration_of(name: &BudgetName, account: &BudgetAccount) -> BudgetDeclaration {
+    let mut top_ups = account.top_ups.clone();
+    for (id, tokens) in &account.withdrawals {
+        let origin = id.as_str().split(WITHDRAWAL_MARK).next();
+        if let Some(left) = origin.and_then(|origin| top_ups.get_mut(origin)) {
+            *left = left.saturating_sub(*tokens);
+        }
+    }
+    top_ups.retain(|_, tokens| *tokens > 0);
+    BudgetDeclaration {
+        name: name.clone(),
+        owner: account.owner.clone(),
+        workspace: account.workspace.clone(),
+        top_ups,
+    }
+}
+
+/// Brings an account to what is declared, `None` for nothing. Doing it twice has the effect of
+/// once, so that a write whose answer was lost can be done again. Tells whether anything changed.
+pub fn edit_ledger(
+    ledger: &mut BudgetLedger,
+    name: &BudgetName,
+    declared: Option<&BudgetDeclaration>,
+) -> Result<bool, LedgerRefusal> {
+    let before = ledger.budgets.get(name).cloned();
+    let mut account = match (before.clone(), declared) {
+        (Some(account), _) => account,
+        (None, None) => return Ok(false),
+        (None, Some(declared)) => new_account(declared),
+    };
+    if let Some(declared) = declared {
+        check_workspace(&account, declared)?;
+        account.owner = declared.owner.clone();
+    }
+    let nothing = BTreeMap::new();
+    let wanted = declared.map_or(&nothing, |declared| &declared.top_ups);
+    top_up(&mut account, name, wanted)?;
+    withdraw(&mut account, name, wanted)?;
+    let changed = before.as_ref() != Some(&account);
+    ledger.budgets.insert(name.clone(), account);
+    Ok(changed)
+}
+
+fn new_account(declared: &BudgetDeclaration) -> BudgetAccount {
+    BudgetAccount {
+        workspace: declared.workspace.clone(),
+        owner: declared.owner.clone(),
+        top_ups: BTreeMap::new(),
+        withdrawals: BTreeMap::new(),
+        settled: 0,
+        bills: 0,
+        written_off: 0,
+        grants: BTreeMap::new(),
+        closed: BTreeMap::new(),
+        keys: BTreeMap::new(),
+    }
+}
+
+fn check_workspace(
+    account: &BudgetAccount,
+    declared: &BudgetDeclaration,
+) -> Result<(), LedgerRefusal> {
+    if account.workspace == declared.workspace {
+        return Ok(());
+    }
+    Err(LedgerRefusal::Foreign {
+        budget: declared.name.clone(),
+        workspace: account.workspace.clone(),
+    })
+}
+
+fn top_up(
+    account: &mut BudgetAccount,
+    name: &BudgetName,
+    wanted: &BTreeMap<TopUpId, u64>,
+) -> Result<(), LedgerRefusal> {
+    let current = declaration_of(name, account);
+    for (id, tokens) in wanted {
+        let was = current.top_ups.get(id).copied().unwrap_or(0);
+        // An id stands for one payment. Were a second amount booked under it, a repeat of the
+        // first edit could not be told from a new payment.
+        if account.top_ups.contains_key(id) && *tokens > was {
+            return Err(LedgerRefusal::Raised {
+                budget: name.clone(),
+                top_up: id.clone(),
+                was,
+                wanted: *tokens,
+            });
+        }
+        account.top_ups.entry(id.clone()).or_insert(*tokens);
+    }
+    Ok(())
+}
+
+fn withdraw(
+    account: &mut BudgetAccount,
+    name: &BudgetName,
+    wanted: &BTreeMap<TopUpId, u64>,
+) -> Result<(), LedgerRefusal> {
+    let current = declaration_of(name, account);
+    let free = free_tokens(account);
+    let mut total = 0_u64;
+    for (id, tokens) in &current.top_ups {
+        let left = wanted.get(id).copied().unwrap_or(0);
+        let surplus = tokens.saturating_sub(left);
+        if surplus > 0 {
+            total = total.saturating_add(surplus);
+            account
+                .withdrawals
+                .insert(withdrawal_id(account, id), surplus);
+        }
+    }
+    // Tokens that a router holds may be spent at any moment without asking the ledger. Taking them
+    // out would let the budget be overspent.
+    if total > free {
+        return Err(LedgerRefusal::NotFree {
+            budget: name.clone(),
+            owner: account.owner.clone(),
+            wanted: total,
+            free,
+        });
+    }
+    Ok(())
+}
+
+fn withdrawal_id(account: &BudgetAccount, id: &TopUpId) -> TopUpId {
+    let prefix = format!("{id}{WITHDRAWAL_MARK}");
+    let count = account
+        .withdrawals
+        .keys()
+        .filter(|withdrawal| withdrawal.as_str().starts_with(&prefix))
+        .count();
+    TopUpId::new(format!("{prefix}{}", count + 1))
+}
+
+/// Tokens that are neither withdrawn, billed, written off nor granted.
+pub(super) fn free_tokens(account: &BudgetAccount) -> u64 {
+    let paid: u64 = account.top_ups.values().sum();
+    let withdrawn: u64 = account.withdrawals.values().sum();
+    let granted: u64 = account
+        .grants
+        .values()
+        .map(|grant| grant.amount.saturating_sub(grant.folded))
+        .sum();
+    paid.saturating_sub(withdrawn)
+        .saturating_sub(account.settled)
+        .saturating_sub(account.written_off)
+        .saturating_sub(granted)
+}
--- /dev/null
+++ b/crates/beechsaddle/tests/operator_apply.rs
@@ -0,0 +1,377 @@
+//! Applying of operators' files: races, lost answers, withdrawals.
+
+mod operator_common;
+
+use beechsaddle::operator::{ItemId, LedgerRefusal, OperatorError};
+use beechsaddle_core::catalogue::{CatalogueChange, EntryEdit, change_key};
+use beechsaddle_core::clock::ClockTime;
+use beechsaddle_core::money::OpenGrant;
+use beechsaddle_core::names::{BudgetName, KeyText, OwnerName};
+use beechsaddle_core::objects::PlatformObject;
+
+use operator_common::{MemoryStore, WriteFault, apply, base, block_on, declared, small};
+
+const ONE: &str = r#"{ id = "jan", tokens = 1000 }"#;
+const TWO: &str = r#"{ id = "jan", tokens = 1000 }, { id = "feb", tokens = 500 }"#;
+
+fn rename_model_owner(text: &str, owner: &str) -> String {
+    let (head, model) = text.split_once("[[model]]").expect("model");
+    format!(
+        "{head}[[model]]{}",
+        model.replace("\"ana\"", &format!("{owner:?}"))
+    )
+}
+
+#[test]
+fn apply_empty_fleet_commits_and_books() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let files = declared(&small("iva", ONE));
+        let outcome = apply(&store, "iva", &files, &base(0))
+            .await
+            .expect("applied");
+        assert_eq!((outcome.revision, outcome.edits), (1, 4));
+        assert_eq!(outcome.base, base(1));
+        let account = store.account("pekara-main").expect("account");
+        assert_eq!(account.top_ups.get("jan"), Some(&1_000));
+        let again = apply(&store, "iva", &files, &outcome.base)
+            .await
+            .expect("applied");
+        assert_eq!((again.revision, again.edits), (1, 0));
+    });
+}
+
+// Two operators edit other entries from the same base. The second to arrive finds the next revision
+// taken, plans anew and is applied on top; neither edit is lost. Its files lack the other's edit,
+// so that their base must not move on: else the next apply would take the other's edit back.
+#[test]
+fn apply_race_other_entries_rebases() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let first = declared(&small("iva", ONE));
+        apply(&store, "iva", &first, &base(0))
+            .await
+            .expect("applied");
+        let mine = declared(&small("iva", TWO));
+        let theirs = declared(&rename_model_owner(&small("iva", ONE), "mato"));
+        apply(&store, "mato", &theirs, &base(1))
+            .await
+            .expect("applied");
+        let outcome = apply(&store, "iva", &mine, &base(1))
+            .await
+            .expect("rebased");
+        assert_eq!((outcome.revision, outcome.edits), (3, 1));
+        assert_eq!(outcome.missing.len(), 1);
+        assert_eq!(outcome.base.revision, 1);
+        // The same files once more undo nothing.
+        let again = apply(&store, "iva", &mine, &outcome.base)
+            .await
+            .expect("applied");
+        assert_eq!((again.revision, again.edits), (3, 0));
+        // With the other's edit taken in the files are in step.
+        let merged = declared(&rename_model_owner(&small("iva", TWO), "mato"));
+        let last = apply(&store, "iva", &merged, &again.base)
+            .await
+            .expect("applied");
+        assert_eq!((last.edits, last.base), (0, base(3)));
+    });
+}
+
+// Two operators edit the same workspace from the same base. The second is told the entry, its
+// owner, who was first and in which revision; nothing of its edit is applied, also not the parts
+// that nobody else touched.
+#[test]
+fn apply_race_same_entry_names_the_other() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let first = declared(&small("iva", ONE));
+        apply(&store, "iva", &first, &base(0))
+            .await
+            .expect("applied");
+        let theirs = declared(&small("mato", ONE));
+        apply(&store, "mato", &theirs, &base(1))
+            .await
+            .expect("applied");
+        let mine = declared(&rename_model_owner(&small("eva", ONE), "eva"));
+        let error = apply(&store, "eva", &mine, &base(1))
+            .await
+            .expect_err("conflict");
+        let OperatorError::Conflicts(conflicts) = &error else {
+            panic!("{error}");
+        };
+        assert_eq!(conflicts.len(), 2);
+        let text = error.to_string();
+        let line = "conflict: workspace pekara (owner mato) was changed by mato in revision 2; \
+                    your edit is based on revision 1";
+        assert!(text.contains(line), "{text}");
+        assert!(text.contains("budget pekara-main (owner mato)"), "{text}");
+        assert_eq!(store.get(change_key(3).as_str()), None);
+    });
+}
+
+// A revert by another operator brings an entry back to what it was at the base. The files that
+// made the reverted edit must not make it again without being asked: values alone do not show it.
+#[test]
+fn apply_after_revert_by_other_leaves_the_revert() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let first = declared(&small("iva", ONE));
+        apply(&store, "iva", &first, &base(0))
+            .await
+            .expect("applied");
+        let other = declared(&rename_model_owner(&small("iva", ONE), "mato"));
+        apply(&store, "mato", &other, &base(1))
+            .await
+            .expect("applied");
+        let mine = declared(&small("iva", TWO));
+        let rebased = apply(&store, "iva", &mine, &base(1))
+            .await
+            .expect("rebased");
+        let reverted = declared(&rename_model_owner(&small("iva", ONE), "mato"));
+        apply(&store, "mato", &reverted, &base(3))
+            .await
+            .expect("reverted");
+        let outcome = apply(&store, "iva", &mine, &rebased.base)
+            .await
+            .expect("left");
+        let budget = ItemId::Budget(BudgetName::new("pekara-main"));
+        assert_eq!(outcome.edits, 0);
+        assert!(outcome.missing.contains(&budget), "{:?}", outcome.missing);
+        // A further edit of the same budget is one that the other does not know of.
+        let mine = declared(&small("eva", TWO));
+        let error = apply(&store, "iva", &mine, &outcome.base)
+            .await
+            .expect_err("conflict");
+        assert!(error.to_string().contains("budget pekara-main"), "{error}");
+    });
+}
+
+// Another edit takes the next revision between this one's reading and its commit.
+#[test]
+fn commit_taken_revision_plans_anew() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let first = declared(&small("iva", ONE));
+        apply(&store, "iva", &first, &base(0))
+            .await
+            .expect("applied");
+        let theirs = declared(&rename_model_owner(&small("iva", ONE), "mato"));
+        let entry = theirs.entries.values().next_back().expect("model").clone();
+        let change = CatalogueChange {
+            revision: 2,
+            write_id: "other".to_string(),
+            author: OwnerName::new("mato"),
+            applied: ClockTime::ZERO,
+            edits: vec![EntryEdit::Put(entry)],
+        };
+        // The commit of revision 2 gets lost on its way, and meanwhile the other one arrives.
+        store.fault("catalogue/change/", WriteFault::RequestLost);
+        store.put(change_key(2).as_str(), PlatformObject::Change(change));
+        let mine = declared(&small("iva", TWO));
+        let outcome = apply(&store, "iva", &mine, &base(1))
+            .await
+            .expect("applied");
+        assert_eq!(outcome.revision, 3);
+    });
+}
+
+// The commit takes effect, its answer is lost and the platform is away at once. The operator is
+// told that the outcome is unknown; the same files later find their own change, even though others
+// came after it, and make no second one.
+#[test]
+fn apply_lost_answer_repeat_tells_the_truth() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let files = declared(&small("iva", ONE));
+        store.fault("catalogue/change/", WriteFault::AnswerLost);
+        store.die_after_fault();
+        let error = apply(&store, "iva", &files, &base(0))
+            .await
+            .expect_err("unknown");
+        assert!(
+            matches!(error, OperatorError::OutcomeUnknown { revision: 1 }),
+            "{error}"
+        );
+        store.heal();
+        let other = declared(&rename_model_owner(&small("iva", ONE), "mato"));
+        apply(&store, "mato", &other, &base(1))
+            .await
+            .expect("applied");
+        let outcome = apply(&store, "iva", &files, &base(0)).await.expect("told");
+        assert_eq!(
+            (outcome.earlier, outcome.edits, outcome.revision),
+            (Some(1), 0, 2)
+        );
+        assert_eq!(outcome.missing.len(), 1);
+        assert!(store.account("pekara-main").is_some());
+    });
+}
+
+#[test]
+fn apply_lost_answer_read_back_is_success() {
+    block_on(async {
+        for fault in [WriteFault::AnswerLost, WriteFault::RequestLost] {
+            let store = MemoryStore::default();
+            let files = declared(&small("iva", ONE));
+            store.fault("catalogue/change/", fault);
+            store.fault("ledger/", fault);
+            let outcome = apply(&store, "iva", &files, &base(0))
+                .await
+                .expect("applied");
+            assert_eq!((outcome.revision, outcome.edits), (1, 4));
+            let account = store.account("pekara-main").expect("account");
+            assert_eq!(account.top_ups.get("jan"), Some(&1_000));
+        }
+    });
+}
+
+// A router holds 700 tokens of 1,000 and 100 are billed. Taking 500 out would let the router spend
+// tokens that were paid back: the edit is refused with what is free, and nothing is changed. What is
+// free can be taken out, once, also when the answer of that write is lost.
+#[test]
+fn apply_withdrawal_beyond_free_is_refused() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let files = declared(&small("iva", ONE));
+        let outcome = apply(&store, "iva", &files, &base(0))
+            .await
+            .expect("applied");
+        store.edit_account("pekara-main", |account| {
+            account.settled = 100;
+            let grant = OpenGrant {
+                amount: 800,
+                folded: 100,
+                ..OpenGrant::default()
+            };
+            account.grants.insert(KeyText::new("entry-1@1.0"), grant);
+        });
+        let lowered = declared(&small("iva", r#"{ id = "jan", tokens = 500 }"#));
+        let error = apply(&store, "iva", &lowered, &outcome.base)
+            .await
+            .expect_err("refused");
+        let OperatorError::Refusals(refusals) = &error else {
+            panic!("{error}");
+        };
+        let refusal = LedgerRefusal::NotFree {
+            budget: BudgetName::new("pekara-main"),
+            owner: OwnerName::new("iva"),
+            wanted: 500,
+            free: 200,
+        };
+        assert_eq!(refusals, &[refusal]);
+        assert_eq!(store.get(change_key(2).as_str()), None);
+
+        store.fault("ledger/", WriteFault::AnswerLost);
+        let less = declared(&small("iva", r#"{ id = "jan", tokens = 850 }"#));
+        let done = apply(&store, "iva", &less, &outcome.base)
+            .await
+            .expect("withdrawn");
+        assert_eq!((done.revision, done.edits), (2, 1));
+        let account = store.account("pekara-main").expect("account");
+        assert_eq!(account.withdrawals.values().sum::<u64>(), 150);
+        let again = apply(&store, "iva", &less, &done.base)
+            .await
+            .expect("nothing");
+        assert_eq!(again.edits, 0);
+    });
+}
+
+#[test]
+fn apply_raised_top_up_is_refused() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let files = declared(&small("iva", ONE));
+        let outcome = apply(&store, "iva", &files, &base(0))
+            .await
+            .expect("applied");
+        let raised = declared(&small("iva", r#"{ id = "jan", tokens = 2000 }"#));
+        let error = apply(&store, "iva", &raised, &outcome.base)
+            .await
+            .expect_err("refused");
+        assert!(
+            error.to_string().contains("top-up jan holds 1000 tokens"),
+            "{error}"
+        );
+    });
+}
+
+// The platform goes away between the commit and the writing of the ledger. The operator learns that
+// the change is committed and the budgets are not; the same files finish the work.
+#[test]
+fn apply_platform_away_before_ledger_is_finished_by_repeat() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let files = declared(&small("iva", ONE));
+        store.fault("ledger/", WriteFault::RequestLost);
+        store.die_after_fault();
+        let error = apply(&store, "iva", &files, &base(0))
+            .await
+            .expect_err("behind");
+        assert!(
+            matches!(error, OperatorError::LedgerBehind { revision: 1 }),
+            "{error}"
+        );
+        store.heal();
+        let outcome = apply(&store, "iva", &files, &base(0))
+            .await
+            .expect("finished");
+        assert_eq!((outcome.earlier, outcome.edits), (Some(1), 0));
+        let account = store.account("pekara-main").expect("account");
+        assert_eq!(account.top_ups.get("jan"), Some(&1_000));
+    });
+}
+
+// A directory that was never in step with the fleet declares other entries than the fleet has. Were
+// a missing base taken for the newest, the first apply would remove all that others declared.
+#[test]
+fn apply_other_fleets_base_is_refused() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let files = declared(&small("iva", ONE));
+        let error = apply(&store, "iva", &files, &base(7))
+            .await
+            .expect_err("foreign");
+        assert!(
+            matches!(error, OperatorError::ForeignBase { base: 7, newest: 0 }),
+            "{error}"
+        );
+    });
+}
+
+#[test]
+fn apply_sixty_four_edits_write_a_base() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let mut at = base(0);
+        for number in 0..66 {
+            let files = declared(&rename_model_owner(
+                &small("iva", ONE),
+                &format!("o{number}"),
+            ));
+            at = apply(&store, "iva", &files, &at)
+                .await
+                .expect("applied")
+                .base;
+        }
+        assert_eq!(at, base(66));
+        let Some(PlatformObject::Head(head)) = store.get("catalogue/head") else {
+            panic!("no head");
+        };
+        assert_eq!((head.revision, head.parts), (64, 1));
+        // Reading from the base gives what the changes gave, and an older base is reached too.
+        let files = declared(&rename_model_owner(&small("iva", ONE), "o65"));
+        assert_eq!(
+            apply(&store, "iva", &files, &base(65))
+                .await
+                .expect("same")
+                .edits,
+            0
+        );
+        let model = ItemId::Entry(files.entries.keys().next_back().expect("model").clone());
+        let error = apply(&store, "iva", &declared(&small("iva", ONE)), &base(63)).await;
+        let Err(OperatorError::Conflicts(conflicts)) = error else {
+            panic!("{error:?}");
+        };
+        assert_eq!(conflicts[0].item, model);
+    });
+}
