--- a/crates/beechsaddle/tests/operator_apply.rs
+++ b/crates/beechsaddle/tests/operator_apply.rs
@@ -164,9 +164,7 @@
             applied: ClockTime::ZERO,
             edits: vec![EntryEdit::Put(entry)],
         };
-        // The commit of revision 2 gets lost on its way, and meanwhile the other one arrives.
-        store.fault("catalogue/change/", WriteFault::RequestLost);
-        store.put(change_key(2).as_str(), PlatformObject::Change(change));
+        store.race(change_key(2).as_str(), PlatformObject::Change(change));
         let mine = declared(&small("iva", TWO));
         let outcome = apply(&store, "iva", &mine, &base(1))
             .await
--- a/crates/beechsaddle/tests/operator_common/mod.rs
+++ b/crates/beechsaddle/tests/operator_common/mod.rs
@@ -28,6 +28,8 @@
     objects: BTreeMap<ObjectKey, (u64, PlatformObject)>,
     /// Faults of the next writes to keys that begin with the text.
     faults: VecDeque<(String, WriteFault)>,
+    /// What another operator writes right before the next write to the same key.
+    races: VecDeque<(ObjectKey, PlatformObject)>,
     /// Whether no call is answered from the next lost answer on.
     dies: bool,
     dead: bool,
@@ -45,6 +47,12 @@
         state.faults.push_back((prefix.to_string(), fault));
     }
 
+    /// Right before the next write to `key` somebody else creates it.
+    pub fn race(&self, key: &str, object: PlatformObject) {
+        let mut state = self.state.borrow_mut();
+        state.races.push_back((ObjectKey::new(key), object));
+    }
+
     /// After the next lost answer the platform is away.
     pub fn die_after_fault(&self) {
         self.state.borrow_mut().dies = true;
@@ -104,6 +112,12 @@
 
     fn write(&self, key: &ObjectKey, object: &PlatformObject, guard: WriteGuard) -> PlatformReply {
         let mut state = self.state.borrow_mut();
+        let raced = state.races.front().is_some_and(|(raced, _)| raced == key);
+        if raced && let Some((raced, other)) = state.races.pop_front() {
+            state.revision += 1;
+            let version = state.revision;
+            state.objects.insert(raced, (version, other));
+        }
         let faulty = state
             .faults
             .front()
