--- a/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
@@ -82,6 +82,7 @@
             | PeerMessage::SettleRequest(_)
             | PeerMessage::SettleReply { .. }
             | PeerMessage::BillsDurable { .. }
+            | PeerMessage::CallUnknown { .. }
             | PeerMessage::WitnessNote(_)
             | PeerMessage::WitnessReply { .. }
             | PeerMessage::RecordRequest(_)
--- a/crates/beechsaddle-core/src/once/once_desk.rs
+++ b/crates/beechsaddle-core/src/once/once_desk.rs
@@ -145,6 +145,7 @@
             | PeerMessage::SettleRequest(_)
             | PeerMessage::SettleReply { .. }
             | PeerMessage::BillsDurable { .. }
+            | PeerMessage::CallUnknown { .. }
             | PeerMessage::WitnessNote(_)
             | PeerMessage::WitnessReply { .. } => {}
         }
