--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod catalogue_files;
 pub mod findings;
+pub mod operator;
 pub mod peers;
 pub mod platform;
 pub mod report;
