Add the stand-ins for an engine and a plain service

Tests of the router need targets that prove what ran: both note each attempt and key before they answer, and an engine's answer names its attempt, the prompt and its own length, so that a whole answer can be told from a cut one and its own from another's. Faults are set by rules. Priorities and the export of KV cache are left out.

--- a/crates/beechsaddle-lab/src/stand_in/answers.rs
+++ b/crates/beechsaddle-lab/src/stand_in/answers.rs
@@ -1,7 +1,11 @@
 //! The `answers` module provides the plain answers of stand-ins.
 
+use std::io;
+
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use serde::Serialize;
 
 use super::stand_in_server::{AnswerBody, StandInAnswer, whole_body};
@@ -35,6 +39,31 @@
     StandInAnswer::Reply(response)
 }
 
+/// An answer that is not what any protocol says.
+pub fn garbage() -> StandInAnswer {
+    bytes(StatusCode::OK, "\u{1}garbage\n")
+}
+
+/// An answer that breaks off after some parts.
+pub fn broken(parts: Vec<Bytes>) -> StandInAnswer {
+    let parts = parts.into_iter().map(|part| Ok(Frame::data(part)));
+    let broken_off = Err(io::Error::other("broken off on purpose"));
+    let frames = futures::stream::iter(parts.chain([broken_off]));
+    let body = StreamBody::new(frames).boxed_unsync();
+    StandInAnswer::Reply(response(StatusCode::OK, body))
+}
+
+/// The answer with the id of the attempt that it is for.
+pub fn with_attempt(answer: StandInAnswer, attempt: &str) -> StandInAnswer {
+    match answer {
+        StandInAnswer::Reply(mut response) => {
+            set_header(&mut response, "beechsaddle-attempt", attempt);
+            StandInAnswer::Reply(response)
+        }
+        StandInAnswer::Close => StandInAnswer::Close,
+    }
+}
+
 /// Makes a response.
 pub fn response(code: StatusCode, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
--- /dev/null
+++ b/crates/beechsaddle-lab/src/stand_in/engine/engine_service.rs
@@ -0,0 +1,319 @@
+//! The `engine_service` module provides the answers of the engine stand-in.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use serde_json::json;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use beechsaddle_core::hash::prefix_chain;
+use beechsaddle_core::target::LoadReport;
+
+use super::chat_answer::ChatAnswer;
+use super::chat_proof::ChatProof;
+use super::chat_request::ChatRequest;
+use super::engine_options::EngineOptions;
+use super::load_history::LoadHistory;
+use super::order_desk::{EngineOrder, OrderAnswer, OrderDesk};
+use super::prefix_cache::PrefixCache;
+use super::token_stream::TokenStream;
+use crate::stand_in::answers;
+use crate::stand_in::chance_source::ChanceSource;
+use crate::stand_in::listen_gate::ListenGate;
+use crate::stand_in::run_ledger::RunGuard;
+use crate::stand_in::stand_in_server::{StandInAnswer, StandInService};
+use crate::stand_in::target_control::{TargetControl, header_text};
+use crate::stand_in::target_faults::{TargetFault, TargetScope};
+
+/// What a call that is not this one is called.
+const OTHER_ATTEMPT: &str = "other@1#1.0";
+
+/// What the engine knows and does.
+pub(super) struct EngineService {
+    pub(super) control: TargetControl,
+    options: EngineOptions,
+    gaps: ChanceSource,
+    batch: Arc<Semaphore>,
+    state: Mutex<EngineParts>,
+}
+
+struct EngineParts {
+    running: u32,
+    waiting: u32,
+    cache: PrefixCache,
+    loads: LoadHistory,
+    orders: OrderDesk,
+}
+
+/// A place in the engine's batch, or in the queue for it; left when dropped.
+pub(super) struct BatchPlace {
+    service: Arc<EngineService>,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+/// Answers requests for a shared engine.
+pub(super) struct EngineFront {
+    service: Arc<EngineService>,
+}
+
+impl EngineService {
+    pub(super) fn new(options: EngineOptions, gate: ListenGate) -> Self {
+        let parts = EngineParts {
+            running: 0,
+            waiting: 0,
+            cache: PrefixCache::new(options.cache_blocks, options.event_lag_ms),
+            loads: LoadHistory::new(options.load_lag_ms),
+            orders: OrderDesk::new(&options),
+        };
+        EngineService {
+            control: TargetControl::new(options.seed, gate),
+            gaps: ChanceSource::new(options.seed),
+            batch: Arc::new(Semaphore::new(options.batch_max)),
+            state: Mutex::new(parts),
+            options,
+        }
+    }
+
+    pub(super) fn orders(&self) -> Vec<EngineOrder> {
+        self.lock().orders.taken().to_vec()
+    }
+
+    /// The time between two tokens with what runs now.
+    pub(super) fn token_time(&self) -> Duration {
+        let others = u64::from(self.lock().running.saturating_sub(1));
+        let permille = 1000 + self.options.slowdown_permille * others;
+        Duration::from_micros(self.options.between_tokens_ms * permille)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineParts> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer_order(&self, body: &[u8]) -> StandInAnswer {
+        let order: EngineOrder = match serde_json::from_slice(body) {
+            Ok(order) => order,
+            Err(error) => return answers::bytes(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        let fault = self.control.faults.pick(TargetScope::Orders);
+        let taken = self.lock().orders.take(order);
+        if fault.is_some() {
+            return StandInAnswer::Close;
+        }
+        match taken {
+            OrderAnswer::Accepted => answers::status(StatusCode::ACCEPTED),
+            OrderAnswer::Fenced => answers::status(StatusCode::CONFLICT),
+            OrderAnswer::Throttled { retry_after_ms } => {
+                answers::retry_after(StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
+            }
+        }
+    }
+
+    fn answer_cache_events(&self, query: &str) -> StandInAnswer {
+        if self.control.faults.pick(TargetScope::CacheEvents).is_some() {
+            return StandInAnswer::Close;
+        }
+        let after = query.strip_prefix("after=").unwrap_or("0");
+        let Ok(after) = after.parse() else {
+            return answers::status(StatusCode::BAD_REQUEST);
+        };
+        let gap = self.gaps.draw(self.options.event_gap_permille);
+        let news = self.lock().cache.news(after, gap);
+        answers::json(StatusCode::OK, &news)
+    }
+
+    async fn answer_health(&self) -> StandInAnswer {
+        match self.control.faults.pick(TargetScope::Health) {
+            Some(TargetFault::Hang) => std::future::pending().await,
+            Some(TargetFault::Late { ms }) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            Some(_) => return StandInAnswer::Close,
+            None => {}
+        }
+        let state = self.control.state();
+        let mut parts = self.lock();
+        let load = parts.loads.report();
+        let engine = parts.orders.state();
+        let health = json!({"state": state, "load": load, "engine": engine});
+        answers::json(StatusCode::OK, &health)
+    }
+
+    fn plan(&self, request: &ChatRequest, attempt: String) -> (ChatAnswer, Duration) {
+        let prompt = request.prompt();
+        let chain = prefix_chain(&prompt);
+        let known = self.lock().cache.take(&chain);
+        let wanted = request.wanted_tokens(self.options.seed, self.options.answer_tokens);
+        let tokens = wanted.min(request.limit()).max(1);
+        let new_blocks = (chain.len() - known) as u64;
+        let first_ms = self.options.first_token_ms + self.options.block_ms * new_blocks;
+        let block_tokens = (beechsaddle_core::hash::PREFIX_BLOCK_BYTES / 4) as u64;
+        let answer = ChatAnswer {
+            proof: ChatProof {
+                attempt,
+                prompt: ChatProof::prompt_hash(&prompt),
+                tokens,
+            },
+            model: request.model.clone(),
+            input_tokens: request.input_tokens(),
+            cached_tokens: known as u64 * block_tokens,
+            limited: tokens < wanted,
+            wants_usage: request.wants_usage(),
+        };
+        (answer, Duration::from_millis(first_ms))
+    }
+}
+
+impl EngineFront {
+    pub(super) fn new(service: Arc<EngineService>) -> Self {
+        EngineFront { service }
+    }
+
+    async fn answer_chat(&self, request: Request<Bytes>) -> StandInAnswer {
+        let fault = self.service.control.faults.pick(TargetScope::Calls);
+        if let Some(TargetFault::Busy { retry_after_ms }) = fault {
+            return answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms);
+        }
+        let chat: ChatRequest = match serde_json::from_slice(request.body()) {
+            Ok(chat) => chat,
+            Err(error) => return answers::bytes(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        if self.service.lock().orders.state().model.as_str() != chat.model {
+            return answers::bytes(StatusCode::NOT_FOUND, "the model is not loaded here");
+        }
+        let headers = request.headers();
+        let mut attempt = header_text(headers, "beechsaddle-attempt");
+        let key = header_text(headers, "idempotency-key");
+        let place = BatchPlace::enter(Arc::clone(&self.service)).await;
+        let guard = self.service.control.ledger.start(&attempt, &key);
+        match fault {
+            Some(TargetFault::Hang) => std::future::pending().await,
+            Some(TargetFault::CloseAfterRead) => return StandInAnswer::Close,
+            Some(TargetFault::ServerError) => {
+                return answers::status(StatusCode::INTERNAL_SERVER_ERROR);
+            }
+            Some(TargetFault::Garbage) => return answers::garbage(),
+            Some(TargetFault::Late { ms }) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+            }
+            Some(TargetFault::WrongAttempt) => OTHER_ATTEMPT.clone_into(&mut attempt),
+            Some(TargetFault::DieAfter { .. } | TargetFault::Busy { .. }) | None => {}
+        }
+        let dies_after = match fault {
+            Some(TargetFault::DieAfter { tokens }) => Some(tokens),
+            Some(_) | None => None,
+        };
+        self.generate(&chat, attempt, place, guard, dies_after)
+            .await
+    }
+
+    async fn generate(
+        &self,
+        chat: &ChatRequest,
+        attempt: String,
+        place: BatchPlace,
+        guard: RunGuard,
+        dies_after: Option<u64>,
+    ) -> StandInAnswer {
+        let (answer, first_token) = self.service.plan(chat, attempt.clone());
+        tokio::time::sleep(first_token).await;
+        let stream = TokenStream {
+            service: Arc::clone(&self.service),
+            answer,
+            place,
+            guard,
+            sent: 0,
+            dies_after,
+        };
+        let answer = if chat.stream {
+            streamed(stream)
+        } else {
+            whole(stream).await
+        };
+        answers::with_attempt(answer, &attempt)
+    }
+}
+
+impl StandInService for EngineFront {
+    async fn answer(&self, request: Request<Bytes>) -> StandInAnswer {
+        if let Some(answer) = self.service.control.answer(&request) {
+            return answer;
+        }
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/chat/completions") => self.answer_chat(request).await,
+            (&Method::GET, "/health") => self.service.answer_health().await,
+            (&Method::GET, "/cache-events") => {
+                let query = request.uri().query().unwrap_or_default();
+                self.service.answer_cache_events(query)
+            }
+            (&Method::POST, "/orders") => self.service.answer_order(request.body()),
+            (&Method::GET, "/orders") => answers::json(StatusCode::OK, &self.service.orders()),
+            _ => answers::status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl fmt::Debug for EngineService {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("EngineService")
+    }
+}
+
+impl BatchPlace {
+    async fn enter(service: Arc<EngineService>) -> Self {
+        let batch = Arc::clone(&service.batch);
+        service.lock().change_load(0, 1);
+        let mut place = BatchPlace {
+            service,
+            permit: None,
+        };
+        // The semaphore is never closed.
+        place.permit = batch.acquire_owned().await.ok();
+        place.service.lock().change_load(1, -1);
+        place
+    }
+}
+
+impl Drop for BatchPlace {
+    fn drop(&mut self) {
+        let mut parts = self.service.lock();
+        if self.permit.is_some() {
+            parts.change_load(-1, 0);
+        } else {
+            parts.change_load(0, -1);
+        }
+    }
+}
+
+impl EngineParts {
+    fn change_load(&mut self, running: i32, waiting: i32) {
+        self.running = self.running.saturating_add_signed(running);
+        self.waiting = self.waiting.saturating_add_signed(waiting);
+        let load = LoadReport {
+            running: self.running,
+            waiting: self.waiting,
+            cache_permille: self.cache.permille(),
+        };
+        self.loads.note(load);
+    }
+}
+
+fn streamed(stream: TokenStream) -> StandInAnswer {
+    let body = StreamBody::new(stream.into_frames()).boxed_unsync();
+    let mut response = answers::response(StatusCode::OK, body);
+    answers::set_header(&mut response, "content-type", "text/event-stream");
+    StandInAnswer::Reply(response)
+}
+
+async fn whole(stream: TokenStream) -> StandInAnswer {
+    let pauses = stream.answer.proof.tokens.saturating_sub(1) as u32;
+    let body = stream.answer.whole();
+    tokio::time::sleep(stream.service.token_time() * pauses).await;
+    if stream.dies_after.is_some() {
+        let half = body.to_string().split_off(1);
+        return answers::broken(vec![Bytes::from(half)]);
+    }
+    stream.complete();
+    answers::json(StatusCode::OK, &body)
+}
