--- a/crates/beechsaddle-core/src/lib.rs
+++ b/crates/beechsaddle-core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod action;
 pub mod admission;
+pub mod backoff;
 pub mod call;
 pub mod calls;
 pub mod catalogue;
@@ -25,6 +26,7 @@
 pub mod peer;
 pub mod platform;
 pub mod prelude;
+pub mod random;
 pub mod refusal;
 pub mod report;
 pub mod signal;
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -1,6 +1,14 @@
 //! The beechsaddle router and its command line.
+//!
+//! The crate carries out what `beechsaddle-core` decides: each edge is a module of its own.
 
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod calls;
+pub mod catalogue_files;
+pub mod findings;
+pub mod peers;
 pub mod platform;
+pub mod report;
+pub mod settings;
