--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -3,7 +3,9 @@
 //! To add an experiment: a `mod` line and a line in [`EXPERIMENTS`].
 
 mod experiment;
+mod object_bytes;
 mod process_cost;
+pub mod sample_objects;
 mod slope_fit;
 mod thread_cost;
 
@@ -15,7 +17,11 @@
 pub use thread_cost::read_thread_cpu;
 
 /// Every experiment, in the order of `measure --list`.
-pub const EXPERIMENTS: &[MeasureExperiment] = &[];
+pub const EXPERIMENTS: &[MeasureExperiment] = &[MeasureExperiment {
+    name: "object-bytes",
+    shows: "bytes of each kind of platform object against what it holds",
+    run: object_bytes::run,
+}];
 
 /// The seed when none is given.
 const DEFAULT_SEED: u64 = 1;
