--- a/crates/beechsaddle-lab/src/load/ledger_totals.rs
+++ b/crates/beechsaddle-lab/src/load/ledger_totals.rs
@@ -11,7 +11,7 @@
 pub struct LedgerTotals {
     /// Budgets.
     pub budgets: u64,
-    /// Paid in.
+    /// Paid in and not taken out again.
     pub topped_up: u64,
     /// Billed.
     pub settled: u64,
@@ -46,7 +46,9 @@
 
     /// Adds a budget.
     pub fn add(&mut self, account: &BudgetAccount) {
-        let topped_up: u64 = account.top_ups.values().sum();
+        let paid_in: u64 = account.top_ups.values().sum();
+        let taken_out: u64 = account.withdrawals.values().sum();
+        let topped_up = paid_in.saturating_sub(taken_out);
         let open = account
             .grants
             .values()
--- a/crates/beechsaddle-lab/src/measure/object_bytes.rs
+++ b/crates/beechsaddle-lab/src/measure/object_bytes.rs
@@ -4,7 +4,7 @@
 use beechsaddle_wire::{OBJECT_BYTES_MAX, encode_object};
 
 use super::SlopeFit;
-use super::sample_objects::{base_of, dedup_of, hosts_of, ledger_of, segment_of};
+use super::sample_objects::{base_of, dedup_of, hosts_of, keys_of, ledger_of, segment_of};
 use crate::key_values::KeyValues;
 
 /// How many items the measured objects hold.
@@ -13,8 +13,9 @@
 /// An object and what one item of it is.
 type ObjectKind = (&'static str, &'static str, fn(u64) -> PlatformObject);
 
-const KINDS: [ObjectKind; 5] = [
+const KINDS: [ObjectKind; 6] = [
     ("ledger_shard", "budget", ledger_of),
+    ("ledger_shard", "billed_key", keys_of),
     ("journal_segment", "bill_and_mark", segment_of),
     ("dedup_shard", "record", dedup_of),
     ("catalogue_base", "workspace", base_of),
--- a/crates/beechsaddle-lab/src/measure/sample_objects.rs
+++ b/crates/beechsaddle-lab/src/measure/sample_objects.rs
@@ -8,8 +8,11 @@
     CatalogueBase, CatalogueEntry, EntryClass, EntryHeader, EntryLimits, WorkspaceEntry,
 };
 use beechsaddle_core::clock::ClockTime;
+use beechsaddle_core::hash::stable_hash;
 use beechsaddle_core::members::{HostList, HostRecord, HostRole, HostState};
-use beechsaddle_core::money::{BillRecord, BudgetAccount, BudgetLedger, JournalSegment, OpenGrant};
+use beechsaddle_core::money::{
+    BillRecord, BilledKey, BudgetAccount, BudgetLedger, JournalSegment, OpenGrant,
+};
 use beechsaddle_core::names::{CallId, KeyOrigin, RequestKey, RouterIncarnation};
 use beechsaddle_core::objects::PlatformObject;
 use beechsaddle_core::once::{DedupRecord, DedupShard};
@@ -31,6 +34,17 @@
     })
 }
 
+/// A ledger shard of one budget that was billed under `count` caller-made keys.
+pub fn keys_of(count: u64) -> PlatformObject {
+    let mut account = account(0);
+    account.keys = (0..count).map(billed_key).collect();
+    let name = budget_name(0);
+    PlatformObject::Ledger(BudgetLedger {
+        write_id: write_id(),
+        budgets: BTreeMap::from([(name.as_str().into(), account)]),
+    })
+}
+
 /// A journal segment of `count` bills and as many marks.
 pub fn segment_of(count: u64) -> PlatformObject {
     PlatformObject::Segment(JournalSegment {
@@ -103,6 +117,9 @@
         bills: 54_321,
         written_off: 1_234,
         grants,
+        withdrawals: BTreeMap::new(),
+        closed: BTreeMap::new(),
+        keys: BTreeMap::new(),
     }
 }
 
@@ -110,15 +127,26 @@
     OpenGrant {
         amount: 1_000_000,
         folded: 800_000,
+        cursor: 12_345,
     }
 }
 
+fn billed_key(number: u64) -> (String, BilledKey) {
+    let digest = stable_hash(number.to_le_bytes());
+    let key = BilledKey {
+        tokens: 233,
+        folded_at: ClockTime::from_millis(EPOCH + number),
+    };
+    (format!("{digest:016x}{digest:016x}"), key)
+}
+
 fn bill(number: u64) -> BillRecord {
     BillRecord {
         call: call_of(number),
         key: key_of(number),
         budget: budget_name(number).as_str().into(),
         tokens: 233,
+        replaces: 0,
         provisional: false,
         against: None,
     }
@@ -128,7 +156,8 @@
     DedupRecord {
         key: key_of(number),
         call: call_of(number),
-        made: ClockTime::from_millis(EPOCH + number),
+        age_ms: 123_456,
+        released: false,
     }
 }
 
