--- /dev/null
+++ b/crates/beechsaddle-lab/src/measure/catalogue_cost.rs
@@ -0,0 +1,71 @@
+//! The `catalogue_cost` module provides what the catalogue costs a router that holds all of it.
+
+use std::time::Instant;
+
+use beechsaddle_core::catalogue::{CatalogueChange, CatalogueView, EntryEdit};
+use beechsaddle_core::clock::ClockTime;
+
+use super::sample_objects::workspace;
+use super::{ProcessCost, SlopeFit};
+use crate::key_values::KeyValues;
+
+/// How many workspaces the measured catalogues hold; the last is the target size.
+const COUNTS: [u64; 5] = [1_000, 5_000, 10_000, 15_000, 25_000];
+
+/// How many edits of one entry are timed at each size.
+const TIMED_EDITS: u64 = 200;
+
+/// Grows one catalogue, and reads the memory and times single edits at each size.
+pub fn run(_seed: u64) -> Vec<String> {
+    let mut view = CatalogueView::new();
+    let before = rss_kib();
+    let mut lines = Vec::new();
+    let mut memory = Vec::new();
+    let mut time = Vec::new();
+    let mut next = 0;
+    for count in COUNTS {
+        while next < count {
+            apply(&mut view, next);
+            next += 1;
+        }
+        let kib = rss_kib().saturating_sub(before);
+        let micros = time_edits(&mut view, count);
+        memory.push((count as f64, kib as f64));
+        time.push((count as f64, micros));
+        let line = KeyValues::new()
+            .with("workspaces", count)
+            .with("rss_kib", kib)
+            .with_float("edit_us", micros);
+        lines.push(line.to_string());
+    }
+    lines.extend(fit_line("rss_kib", &memory));
+    lines.extend(fit_line("edit_us", &time));
+    lines
+}
+
+fn apply(view: &mut CatalogueView, number: u64) {
+    let change = CatalogueChange {
+        revision: view.revision() + 1,
+        write_id: String::new(),
+        author: "team-of-the-day-shift".into(),
+        applied: ClockTime::ZERO,
+        edits: vec![EntryEdit::Put(workspace(number))],
+    };
+    view.apply(&change);
+}
+
+fn time_edits(view: &mut CatalogueView, count: u64) -> f64 {
+    let start = Instant::now();
+    for edit in 0..TIMED_EDITS {
+        apply(view, edit * (count / TIMED_EDITS));
+    }
+    start.elapsed().as_secs_f64() * 1e6 / TIMED_EDITS as f64
+}
+
+fn rss_kib() -> u64 {
+    ProcessCost::read_own().map_or(0, |cost| cost.rss_kib)
+}
+
+fn fit_line(unit: &str, points: &[(f64, f64)]) -> Option<String> {
+    Some(SlopeFit::of(points)?.pairs(unit, "workspace").to_string())
+}
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! To add an experiment: a `mod` line and a line in [`EXPERIMENTS`].
 
+mod catalogue_cost;
 mod experiment;
 mod object_bytes;
 mod process_cost;
@@ -17,11 +18,18 @@
 pub use thread_cost::read_thread_cpu;
 
 /// Every experiment, in the order of `measure --list`.
-pub const EXPERIMENTS: &[MeasureExperiment] = &[MeasureExperiment {
-    name: "object-bytes",
-    shows: "bytes of each kind of platform object against what it holds",
-    run: object_bytes::run,
-}];
+pub const EXPERIMENTS: &[MeasureExperiment] = &[
+    MeasureExperiment {
+        name: "object-bytes",
+        shows: "bytes of each kind of platform object against what it holds",
+        run: object_bytes::run,
+    },
+    MeasureExperiment {
+        name: "catalogue-cost",
+        shows: "memory of a whole catalogue and time of an edit against its entries",
+        run: catalogue_cost::run,
+    },
+];
 
 /// The seed when none is given.
 const DEFAULT_SEED: u64 = 1;
