--- a/crates/beechsaddle-core/src/money/budget_account.rs
+++ b/crates/beechsaddle-core/src/money/budget_account.rs
@@ -7,7 +7,7 @@
 
 use super::journal_segment::BillRecord;
 use crate::clock::ClockTime;
-use crate::names::{KeyOrigin, KeyText, OwnerName, RequestKey, TopUpId, WorkspaceName};
+use crate::names::{KeyText, OwnerName, RequestKey, TopUpId, WorkspaceName};
 
 /// One budget, in tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,7 +30,7 @@
     pub grants: BTreeMap<KeyText, OpenGrant>,
     /// Grants of closed journals whose late bills can still be taken against the write-off.
     pub closed: BTreeMap<KeyText, ClosedGrant>,
-    /// Caller-made keys billed within the dedup window, by digest.
+    /// Keys billed within the dedup window that may come again, by digest.
     pub keys: BTreeMap<String, BilledKey>,
 }
 
@@ -254,7 +254,7 @@
     /// tokens of its other runs were consumed all the same and are written off, since giving them
     /// back would let the targets serve more than was paid for.
     fn book(&mut self, bill: &BillRecord, consumed: u64, is_first: bool, now: ClockTime) -> bool {
-        if bill.key.origin == KeyOrigin::Router {
+        if !bill.may_repeat() {
             self.settled += consumed;
             self.bills += u64::from(is_first);
             return false;
--- a/crates/beechsaddle-core/src/money/desk_entry.rs
+++ b/crates/beechsaddle-core/src/money/desk_entry.rs
@@ -232,6 +232,7 @@
             return;
         };
         entry.holder = self.me.clone();
+        entry.is_contested = true;
         entry.stage_since = turn.now;
         let request = entry.request.clone();
         self.hold_call(turn, request);
@@ -302,9 +303,9 @@
         let holder = entry.holder.clone();
         if holder == self.me {
             let request = entry.settle_request(None);
-            let ran = entry.ran;
+            let is_noted = !entry.ran || entry.is_released;
             self.hold_settle(turn, request);
-            if ran {
+            if !is_noted {
                 self.place_note(turn, call);
             }
         } else if !turn.is_gone(&holder) {
--- a/crates/beechsaddle-core/src/money/desk_holder.rs
+++ b/crates/beechsaddle-core/src/money/desk_holder.rs
@@ -194,6 +194,12 @@
     /// Ends a call that this router reserved for, or takes a bill of a closed journal.
     pub(super) fn hold_settle(&mut self, turn: &mut DeskTurn<'_>, request: SettleRequest) {
         let call = request.call.clone();
+        let is_known = self.open.contains_key(&call) || self.billed.contains_key(&call);
+        if self.is_closing() && !is_known {
+            // This router writes no bill any more. Without an answer the entry router goes to the
+            // one that is picked next.
+            return;
+        }
         if call.router != self.me {
             let call = call.clone();
             turn.send(&request.call.router, PeerMessage::SettleReply { call });
@@ -211,7 +217,11 @@
             return self.raise_late(&request);
         }
         match request.against.clone() {
-            Some(journal) if request.ran && journal != *self.writer.journal() => {
+            Some(journal)
+                if request.ran
+                    && journal != *self.writer.journal()
+                    && !self.closed_calls.contains_key(&call) =>
+            {
                 self.add_late(turn, journal, bill_of(&request, false));
             }
             // The call is known as neither open nor billed: it was billed and confirmed before, or
@@ -234,6 +244,7 @@
         bill.tokens = request.tokens.min(open.request.bound);
         bill.tokens = bill.tokens.max(open.provisional.unwrap_or(0));
         bill.replaces = open.provisional;
+        bill.contested = self.is_contested(&call);
         let is_billed = request.ran || open.provisional.is_some();
         if open.journal != *self.writer.journal() {
             // The journal was closed while the call ran.
@@ -261,6 +272,12 @@
         self.serve_waiting(turn, &budget);
     }
 
+    /// Whether another router was asked before this one reserved for its own call.
+    fn is_contested(&self, call: &CallId) -> bool {
+        let entry = self.entries.get(call);
+        entry.is_some_and(|entry| entry.is_contested)
+    }
+
     /// Queues a bill for the next segment.
     pub(super) fn add_bill(&mut self, now: ClockTime, bill: BillRecord) {
         let billed = BilledCall {
@@ -340,6 +357,7 @@
             tokens,
             replaces: None,
             provisional: true,
+            contested: false,
             against: None,
         };
         self.keys.finish(turn.now, &bill.key, call, false);
@@ -368,6 +386,8 @@
         let now = turn.now;
         self.billed
             .retain(|_, billed| !billed.is_durable || now.since(billed.billed_at) <= window_ms);
+        self.closed_calls
+            .retain(|_, told| now.since(*told) <= window_ms);
     }
 
     /// Asks about calls whose entry routers gave no sign for long: they may have given up before
@@ -395,6 +415,7 @@
         tokens: request.tokens.min(request.bound),
         replaces: None,
         provisional,
+        contested: false,
         against: None,
     }
 }
--- a/crates/beechsaddle-core/src/money/desk_journal.rs
+++ b/crates/beechsaddle-core/src/money/desk_journal.rs
@@ -134,13 +134,18 @@
     fn carried_bills(&self) -> Vec<(u64, BillRecord)> {
         let unconfirmed = self.unconfirmed.values();
         let unfolded = self.holdings.values().flat_map(|holding| &holding.unfolded);
-        let carried: BTreeMap<(u64, CallId), BillRecord> = unconfirmed
+        let carried: BTreeMap<(u64, CallId, bool), BillRecord> = unconfirmed
             .chain(unfolded)
-            .map(|(number, bill)| ((*number, bill.call.clone()), bill.clone()))
+            .map(|(number, bill)| {
+                (
+                    (*number, bill.call.clone(), !bill.provisional),
+                    bill.clone(),
+                )
+            })
             .collect();
         carried
             .into_iter()
-            .map(|((number, _), bill)| (number, bill))
+            .map(|((number, _, _), bill)| (number, bill))
             .collect()
     }
 
--- a/crates/beechsaddle-core/src/money/desk_late.rs
+++ b/crates/beechsaddle-core/src/money/desk_late.rs
@@ -167,6 +167,9 @@
         note: WitnessNote,
     ) {
         let call = note.settle.call.clone();
+        if self.is_draining() || self.closed_calls.contains_key(&call) {
+            return;
+        }
         let is_ended = note.ended;
         let is_newer = self
             .notes
@@ -193,6 +196,9 @@
                 self.entry_durable(turn, from, &call);
                 continue;
             }
+            // A copy of the call may still be on its way to here. Kept after this, it would be billed
+            // again when the entry router dies.
+            self.closed_calls.insert(call.clone(), turn.now);
             self.notes.remove(&call);
             self.late.remove(&call);
             self.unconfirmed.remove(&call);
--- a/crates/beechsaddle-core/src/money/entry_call.rs
+++ b/crates/beechsaddle-core/src/money/entry_call.rs
@@ -34,6 +34,8 @@
     pub(super) complete: bool,
     /// Whether the call's last part was let go.
     pub(super) is_released: bool,
+    /// Whether a router that did not answer was asked before.
+    pub(super) is_contested: bool,
     /// Routers that may keep a copy.
     pub(super) witnesses: BTreeSet<RouterIncarnation>,
     /// Who told that the bill is durable, and waits for the confirmation.
@@ -54,6 +56,7 @@
             ran: true,
             complete: false,
             is_released: false,
+            is_contested: false,
             witnesses: BTreeSet::new(),
             durable_at: None,
         }
--- a/crates/beechsaddle-core/src/money/fold_job.rs
+++ b/crates/beechsaddle-core/src/money/fold_job.rs
@@ -30,6 +30,7 @@
     retry_at: ClockTime,
     has_closed: bool,
     is_handed_over: bool,
+    first: u64,
     marks: BTreeMap<BudgetName, u64>,
     bills: BTreeMap<BudgetName, Vec<(u64, BillRecord)>>,
     finals: BTreeSet<FinalSpend>,
@@ -76,6 +77,7 @@
             retry_at: ClockTime::ZERO,
             has_closed: false,
             is_handed_over: false,
+            first: 0,
             marks: BTreeMap::new(),
             bills: BTreeMap::new(),
             finals: BTreeSet::new(),
@@ -279,6 +281,7 @@
 
     fn read_range(&mut self, closed: u64) {
         let number = last_checkpoint(closed);
+        self.first = number;
         self.step = FoldStep::ReadRange { number, closed };
     }
 
@@ -291,7 +294,9 @@
         for (budget, mark) in &segment.marks {
             self.marks.insert(budget.clone(), *mark);
         }
-        let carried = segment.carried.iter().cloned();
+        // A closing segment carries bills too, and some of them stand in the segments read before.
+        let carried = segment.carried.iter();
+        let carried = carried.filter(|(number, _)| *number < self.first).cloned();
         let own = segment.bills.iter().map(|bill| (number, bill.clone()));
         for (number, bill) in carried.chain(own) {
             let call = bill.call.clone();
--- a/crates/beechsaddle-core/src/money/journal_segment.rs
+++ b/crates/beechsaddle-core/src/money/journal_segment.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::{BudgetName, CallId, KeyText, RequestKey};
+use crate::names::{BudgetName, CallId, KeyOrigin, KeyText, RequestKey};
 
 /// An immutable part of a journal, at `journal/<journal>/<number>`, created if absent.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +50,21 @@
     pub replaces: Option<u64>,
     /// Whether the entry router died before it told the usage.
     pub provisional: bool,
+    /// Whether another router may bill the same call too: one that was asked to reserve for it and
+    /// did not answer in time.
+    pub contested: bool,
     /// The closed journal whose write-off this bill is taken against, if not this journal's grant.
     pub against: Option<KeyText>,
 }
+
+impl BillRecord {
+    /// Whether the ledger has to look for another bill of the same key. A caller may send its keys
+    /// again, and a call that changed hands may be billed by both; other keys cannot come twice.
+    pub fn may_repeat(&self) -> bool {
+        self.key.origin == KeyOrigin::Caller
+            || self.contested
+            || self.provisional
+            || self.replaces.is_some()
+            || self.against.is_some()
+    }
+}
--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -40,6 +40,8 @@
     pub(super) holdings: BTreeMap<BudgetName, BudgetHolding>,
     /// Copies of other routers' calls.
     pub(super) notes: BTreeMap<CallId, WitnessNote>,
+    /// Calls of other routers that are billed for good, and when that was told.
+    pub(super) closed_calls: BTreeMap<CallId, ClockTime>,
     pub(super) life: u32,
     pub(super) writer: JournalWriter,
     pub(super) written_at: ClockTime,
@@ -100,6 +102,7 @@
             keys: KeyBook::default(),
             holdings: BTreeMap::new(),
             notes: BTreeMap::new(),
+            closed_calls: BTreeMap::new(),
             life: FIRST_LIFE,
             writer,
             written_at: ClockTime::ZERO,
--- /dev/null
+++ b/crates/beechsaddle-core/tests/money_model.rs
@@ -0,0 +1,496 @@
+//! Random interleavings of everything that can happen to money.
+
+mod money_world;
+
+use beechsaddle_core::members::MemberLiveness;
+use beechsaddle_core::prelude::*;
+use money_world::{Flight, MoneyWorld, test_options};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const BUDGETS: [&str; 2] = ["north", "south"];
+const KEYS: [&str; 3] = ["k1", "k2", "k3"];
+
+/// One step; numbers are taken modulo what there is.
+#[derive(Clone, Debug)]
+enum Step {
+    Call {
+        router: u8,
+        budget: u8,
+        key: u8,
+        bound: u8,
+    },
+    Serve {
+        call: u8,
+        tokens: u8,
+    },
+    Settle {
+        call: u8,
+    },
+    Deliver {
+        flight: u8,
+        count: u8,
+    },
+    DropMessage {
+        flight: u8,
+    },
+    DoubleMessage {
+        flight: u8,
+    },
+    LoseAnswer {
+        flight: u8,
+    },
+    LoseCall {
+        flight: u8,
+    },
+    LandLater {
+        flight: u8,
+    },
+    Advance {
+        ticks: u8,
+    },
+    Run {
+        ticks: u8,
+    },
+    Crash {
+        router: u8,
+    },
+    Freeze {
+        router: u8,
+    },
+    Thaw {
+        router: u8,
+    },
+    Down {
+        router: u8,
+    },
+    Gone {
+        router: u8,
+    },
+    Start,
+    TopUp {
+        budget: u8,
+        id: u8,
+    },
+    Platform {
+        is_down: bool,
+    },
+    Drain {
+        router: u8,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let (a, b) = (u8::arbitrary(source), u8::arbitrary(source));
+        let (c, d) = (u8::arbitrary(source), u8::arbitrary(source));
+        match u8::arbitrary(source) % 64 {
+            0..=11 => Step::Call {
+                router: a,
+                budget: b,
+                key: c,
+                bound: d,
+            },
+            12..=17 => Step::Serve { call: a, tokens: b },
+            18..=23 => Step::Settle { call: a },
+            24..=37 => Step::Deliver {
+                flight: a,
+                count: b % 16,
+            },
+            38 => Step::DropMessage { flight: a },
+            39 => Step::DoubleMessage { flight: a },
+            40 | 41 => Step::LoseAnswer { flight: a },
+            42 => Step::LoseCall { flight: a },
+            43 => Step::LandLater { flight: a },
+            44..=47 => Step::Advance { ticks: a % 30 },
+            48..=53 => Step::Run { ticks: a % 40 },
+            54 => Step::Crash { router: a },
+            55 => Step::Freeze { router: a },
+            56 | 57 => Step::Thaw { router: a },
+            58 => Step::Down { router: a },
+            59 => Step::Gone { router: a },
+            60 => Step::Start,
+            61 => Step::TopUp {
+                budget: a,
+                id: b % 4,
+            },
+            62 => Step::Platform {
+                is_down: a % 3 == 0,
+            },
+            _ => Step::Drain { router: a },
+        }
+    }
+}
+
+fn pick<T>(items: &[T], number: u8) -> Option<&T> {
+    items.get(usize::from(number).checked_rem(items.len())?)
+}
+
+/// The index of a flight among those that `wanted` selects.
+fn pick_flight(world: &MoneyWorld, number: u8, wanted: fn(&Flight) -> bool) -> Option<usize> {
+    let found: Vec<usize> = (0..world.flights.len())
+        .filter(|index| wanted(&world.flights[*index]))
+        .collect();
+    pick(&found, number).copied()
+}
+
+fn is_peer(flight: &Flight) -> bool {
+    matches!(flight, Flight::Peer { .. })
+}
+
+fn is_call(flight: &Flight) -> bool {
+    matches!(flight, Flight::Call { .. })
+}
+
+fn take_step(world: &mut MoneyWorld, step: &Step) {
+    let routers = world.slots.len() as u8;
+    match *step {
+        Step::Call {
+            router,
+            budget,
+            key,
+            bound,
+        } => {
+            let router = usize::from(router % routers);
+            let slot = &world.slots[router];
+            if slot.desk.is_some() && !slot.is_frozen && !slot.is_draining {
+                let key = KEYS.get(usize::from(key % 8)).copied();
+                // A key always comes with the same budget, as docs/API.md asks of callers.
+                let budget = key.map_or(budget, |key| key.as_bytes()[1]);
+                let budget = BUDGETS[usize::from(budget % 2)];
+                world.call(router, budget, key, u64::from(bound) + 1);
+            }
+        }
+        Step::Serve { call, tokens } => {
+            let calls: Vec<CallId> = world.calls.keys().cloned().collect();
+            if let Some(call) = pick(&calls, call) {
+                world.serve(call, u64::from(tokens));
+            }
+        }
+        Step::Settle { call } => {
+            let calls: Vec<CallId> = world.calls.keys().cloned().collect();
+            if let Some(call) = pick(&calls, call) {
+                world.settle(call);
+            }
+        }
+        Step::Deliver { flight, count } => {
+            for offset in 0..=count {
+                let number = flight.wrapping_add(offset.wrapping_mul(7));
+                if let Some(index) = pick_flight(world, number, |_| true) {
+                    world.deliver(index);
+                }
+            }
+        }
+        Step::DropMessage { flight } => {
+            if let Some(index) = pick_flight(world, flight, is_peer) {
+                world.flights.remove(index);
+            }
+        }
+        Step::DoubleMessage { flight } => {
+            if let Some(index) = pick_flight(world, flight, is_peer) {
+                let copy = world.flights[index].clone();
+                world.flights.push(copy);
+            }
+        }
+        Step::LoseAnswer { flight } => lose(world, flight, Loss::Answer),
+        Step::LoseCall { flight } => lose(world, flight, Loss::Call),
+        Step::LandLater { flight } => lose(world, flight, Loss::Late),
+        Step::Advance { ticks } => world.advance(u64::from(ticks) * 50),
+        Step::Run { ticks } => world.run(u64::from(ticks) * 50),
+        Step::Crash { router } => {
+            let alive = world.slots.iter().filter(|slot| slot.desk.is_some());
+            if alive.count() > 1 {
+                world.crash(usize::from(router % routers));
+                world.slots[usize::from(router % routers)].is_lost = true;
+            }
+        }
+        Step::Freeze { router } => {
+            world.slots[usize::from(router % routers)].is_frozen = true;
+        }
+        Step::Thaw { router } => thaw(world, usize::from(router % routers)),
+        Step::Down { router } => {
+            let router = usize::from(router % routers);
+            if !world.slots[router].is_gone {
+                world.set_liveness(router, MemberLiveness::Down);
+            }
+        }
+        Step::Gone { router } => {
+            let router = usize::from(router % routers);
+            let slot = &world.slots[router];
+            if slot.is_frozen || slot.desk.is_none() {
+                world.set_liveness(router, MemberLiveness::Gone);
+            }
+        }
+        Step::Start => {
+            if world.slots.len() < 6 {
+                let host = format!("r{}", world.slots.len());
+                let domain = if world.slots.len() % 2 == 0 {
+                    "d1"
+                } else {
+                    "d2"
+                };
+                world.start(&host, 1, domain);
+            }
+        }
+        Step::TopUp { budget, id } => {
+            world.top_up(BUDGETS[usize::from(budget % 2)], &format!("t{id}"), 400);
+        }
+        Step::Platform { is_down } => world.is_platform_down = is_down,
+        Step::Drain { router } => {
+            let router = usize::from(router % routers);
+            let alive = world.slots.iter().filter(|slot| !slot.is_draining);
+            if alive.count() > 1 {
+                world.drain(router);
+            }
+        }
+    }
+}
+
+enum Loss {
+    Answer,
+    Call,
+    Late,
+}
+
+fn lose(world: &mut MoneyWorld, number: u8, loss: Loss) {
+    let Some(index) = pick_flight(world, number, is_call) else {
+        return;
+    };
+    let Flight::Call {
+        router,
+        ticket,
+        call,
+    } = world.flights.remove(index)
+    else {
+        return;
+    };
+    match loss {
+        Loss::Answer => {
+            world.store.apply(call);
+        }
+        Loss::Call => {}
+        Loss::Late => world.flights.push(Flight::Straggler { call }),
+    }
+    world.flights.push(Flight::Reply {
+        router,
+        ticket,
+        reply: beechsaddle_core::platform::PlatformReply::Unknown,
+    });
+}
+
+fn thaw(world: &mut MoneyWorld, router: usize) {
+    world.slots[router].is_frozen = false;
+    if world.slots[router].desk.is_some() {
+        world.set_liveness(router, MemberLiveness::Live);
+    }
+}
+
+/// What holds after every step, whatever happened.
+fn check_always(world: &MoneyWorld) -> Result<(), String> {
+    for shard in 0..world.options.shard_count {
+        if let Some(ledger) = world.store.ledger(shard) {
+            ledger
+                .check_invariant()
+                .map_err(|error| error.to_string())?;
+        }
+    }
+    for budget in BUDGETS {
+        let served: u64 = world
+            .calls
+            .values()
+            .filter(|record| record.budget.as_str() == budget)
+            .map(|record| record.served)
+            .sum();
+        let paid = world.account(budget).paid();
+        if served > paid {
+            return Err(format!("{budget}: served {served} of {paid}"));
+        }
+    }
+    Ok(())
+}
+
+/// Ends every fault, every call and every router in turn.
+fn heal(world: &mut MoneyWorld) -> Result<(), String> {
+    world.is_platform_down = false;
+    for router in 0..world.slots.len() {
+        thaw(world, router);
+    }
+    world.start("last1", 1, "d1");
+    world.start("last2", 1, "d2");
+    world.run(2_000);
+    check_always(world)?;
+    for router in 0..world.slots.len() {
+        if world.slots[router].desk.is_none() {
+            world.set_liveness(router, MemberLiveness::Gone);
+        }
+    }
+    world.run(10_000);
+    let calls: Vec<CallId> = world.calls.keys().cloned().collect();
+    for call in &calls {
+        world.settle(call);
+    }
+    world.run(20_000);
+    check_always(world)?;
+    // The last two take over the bills of the others and are drained at the end.
+    for router in 0..world.slots.len() {
+        world.drain(router);
+        world.run(10_000);
+        let slot = &world.slots[router];
+        if slot.desk.as_ref().is_some_and(|desk| !desk.is_drained()) {
+            return Err(format!("{} is not drained", slot.router));
+        }
+        world.crash(router);
+        world.set_liveness(router, MemberLiveness::Gone);
+    }
+    Ok(())
+}
+
+fn check_healed(world: &MoneyWorld) -> Result<(), String> {
+    check_always(world)?;
+    for budget in BUDGETS {
+        let account = world.account(budget);
+        if !account.grants.is_empty() {
+            return Err(format!("{budget}: open grants {:?}", account.grants));
+        }
+        let billed: Vec<u64> = world
+            .billed_keys()
+            .iter()
+            .filter(|(key, _)| budget_of(world, key) == budget)
+            .map(|(_, tokens)| *tokens)
+            .collect();
+        let sum: u64 = billed.iter().sum();
+        if sum != account.settled || billed.len() as u64 != account.bills {
+            return Err(format!(
+                "{budget}: {} bills over {sum}, but the ledger has {} over {}",
+                billed.len(),
+                account.bills,
+                account.settled
+            ));
+        }
+        let served: u64 = world
+            .calls
+            .values()
+            .filter(|record| record.budget.as_str() == budget)
+            .map(|record| record.served)
+            .sum();
+        if served > account.settled + account.written_off {
+            return Err(format!(
+                "{budget}: served {served}, settled {}, written off {}",
+                account.settled, account.written_off
+            ));
+        }
+    }
+    check_calls(world)
+}
+
+/// A call whose entry router never died is released and billed as it was settled, or its key's
+/// larger run is.
+fn check_calls(world: &MoneyWorld) -> Result<(), String> {
+    let billed = world.billed_keys();
+    for (call, record) in &world.calls {
+        let Some(tokens) = record.settled else {
+            continue;
+        };
+        if world.slots[record.entry].is_lost {
+            continue;
+        }
+        if !record.is_released {
+            return Err(format!("{call} was never released"));
+        }
+        let sum = billed.get(&record.key);
+        if sum.is_none_or(|sum| *sum < tokens) {
+            return Err(format!("{call} used {tokens}, billed {sum:?}"));
+        }
+    }
+    Ok(())
+}
+
+fn budget_of(world: &MoneyWorld, key: &RequestKey) -> String {
+    let mut records = world.calls.values();
+    let record = records.find(|record| record.key == *key);
+    record.map_or_else(String::new, |record| record.budget.to_string())
+}
+
+fn run_session(steps: &[Step]) -> Result<(), String> {
+    let mut world = MoneyWorld::new(test_options(), &["d1", "d1", "d1", "d2", "d2"]);
+    world.top_up("north", "first", 1_500);
+    world.top_up("south", "first", 700);
+    for (number, step) in steps.iter().enumerate() {
+        take_step(&mut world, step);
+        check_always(&world).map_err(|error| format!("step {number}: {error}"))?;
+    }
+    heal(&mut world)?;
+    check_healed(&world)
+}
+
+/// Runs one seed and shrinks the session when it fails.
+fn check_seed(seed: u64) {
+    fn session_holds(steps: Vec<Step>) -> Result<(), String> {
+        run_session(&steps)
+    }
+    let outcome = std::panic::catch_unwind(|| {
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(150, seed))
+            .tests(1)
+            .max_tests(1)
+            .quicktest(session_holds as fn(Vec<Step>) -> Result<(), String>)
+    });
+    match outcome {
+        Ok(Ok(_)) => {}
+        Ok(Err(failure)) => panic!("BEECHSADDLE_SEED={seed} fails: {failure:?}"),
+        Err(_) => panic!("BEECHSADDLE_SEED={seed} panics"),
+    }
+}
+
+/// A caller sees its budget spent and its bills; routers die, freeze, are fenced and come back, and
+/// the store loses answers, in any order. Whatever the order, no more is served than was paid for,
+/// each key is billed once, and the ledger's sum is that of the journals' bills.
+#[test]
+fn money_random_interleavings() {
+    if let Ok(seed) = std::env::var("BEECHSADDLE_SEED") {
+        return check_seed(seed.parse().expect("a seed is a number"));
+    }
+    let count = std::env::var("BEECHSADDLE_SEEDS").map_or(40, |text| {
+        text.parse()
+            .expect("BEECHSADDLE_SEEDS is a number of seeds")
+    });
+    for seed in 0..count {
+        check_seed(seed);
+    }
+}
+
+#[test]
+fn debug_session() {
+    use Step::*;
+    let steps = vec![Start, Call { router: 250, budget: 179, key: 167, bound: 231 }, Call { router: 43, budget: 184, key: 194, bound: 242 }, Advance { ticks: 24 }, LoseAnswer { flight: 19 }, Deliver { flight: 172, count: 2 }, Deliver { flight: 1, count: 12 }, Freeze { router: 235 }, Gone { router: 13 }];
+    let mut world = MoneyWorld::new(test_options(), &["d1", "d1", "d1", "d2", "d2"]);
+    world.top_up("north", "first", 1_500);
+    world.top_up("south", "first", 700);
+    for step in &steps {
+        take_step(&mut world, step);
+    }
+    let a = heal(&mut world);
+    for (key, segment) in &world.store.segments {
+        println!(
+            "{key} closed={} marks={:?} ho={}",
+            segment.closed, segment.marks, segment.handed_over
+        );
+        for b in &segment.bills {
+            println!(
+                "    {} {} prov={} rep={:?} against={:?}",
+                b.call, b.tokens, b.provisional, b.replaces, b.against
+            );
+        }
+    }
+    for (i, a) in &world.actions {
+        match a {
+            CoreAction::Peer { to, message, .. } => println!("r{i} -> {to} {message:?}"),
+            CoreAction::Platform { ticket, call } => {
+                let s = format!("{call:?}");
+                println!("r{i} platform {} {}", ticket.number, &s[..s.len().min(200)])
+            }
+            _ => println!("r{i} {a:?}"),
+        }
+    }
+    println!("{a:?} {:?}", check_healed(&world));
+    panic!();
+}
--- /dev/null
+++ b/crates/beechsaddle-core/tests/money_world/mod.rs
@@ -0,0 +1,465 @@
+//! Some money desks, a store and a network, every step of which the test decides.
+
+#![allow(dead_code)]
+
+mod fake_store;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use beechsaddle_core::members::{MemberEntry, MemberLiveness, MemberTable};
+use beechsaddle_core::money::{BudgetAccount, BudgetLedger, MoneyDesk, MoneyOptions};
+use beechsaddle_core::peer::{AdmitRequest, PeerMessage, RouterState};
+use beechsaddle_core::platform::{PlatformCall, PlatformReply, PlatformTicket};
+use beechsaddle_core::prelude::*;
+
+pub use fake_store::FakeStore;
+
+/// Something on its way.
+#[derive(Clone, Debug)]
+pub enum Flight {
+    Peer {
+        from: usize,
+        to: usize,
+        message: PeerMessage,
+    },
+    Call {
+        router: usize,
+        ticket: PlatformTicket,
+        call: PlatformCall,
+    },
+    Reply {
+        router: usize,
+        ticket: PlatformTicket,
+        reply: PlatformReply,
+    },
+    /// A write whose answer was lost before it took effect.
+    Straggler { call: PlatformCall },
+}
+
+/// A call as its caller and its engine see it.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    pub entry: usize,
+    pub key: RequestKey,
+    pub budget: BudgetName,
+    pub bound: u64,
+    /// `None` while the caller waits for a reservation.
+    pub admitted: Option<Result<(), CallRefusal>>,
+    /// What the engine generated.
+    pub served: u64,
+    pub settled: Option<u64>,
+    pub is_released: bool,
+}
+
+pub struct RouterSlot {
+    pub router: RouterIncarnation,
+    pub desk: Option<MoneyDesk>,
+    pub members: MemberTable,
+    pub domain: DomainName,
+    pub is_frozen: bool,
+    pub is_gone: bool,
+    /// Died with whatever it had in memory.
+    pub is_lost: bool,
+    pub is_draining: bool,
+    calls: u64,
+}
+
+pub struct MoneyWorld {
+    pub now: ClockTime,
+    pub store: FakeStore,
+    pub slots: Vec<RouterSlot>,
+    pub flights: Vec<Flight>,
+    pub calls: BTreeMap<CallId, CallRecord>,
+    pub options: MoneyOptions,
+    pub actions: Vec<(usize, CoreAction)>,
+    pub is_platform_down: bool,
+    pub cut_domains: BTreeSet<DomainName>,
+    pub top_ups: u64,
+}
+
+pub const WORKSPACE: &str = "tenant";
+
+pub fn test_options() -> MoneyOptions {
+    MoneyOptions {
+        shard_count: 2,
+        min_grant: 200,
+        ..MoneyOptions::default()
+    }
+}
+
+impl MoneyWorld {
+    /// Routers in one domain each listed; all know their own domain's routers.
+    pub fn new(options: MoneyOptions, domains: &[&str]) -> Self {
+        let mut world = MoneyWorld {
+            now: ClockTime::from_millis(1_000_000),
+            store: FakeStore::default(),
+            slots: Vec::new(),
+            flights: Vec::new(),
+            calls: BTreeMap::new(),
+            options,
+            actions: Vec::new(),
+            is_platform_down: false,
+            cut_domains: BTreeSet::new(),
+            top_ups: 0,
+        };
+        for (index, domain) in domains.iter().enumerate() {
+            world.start(&format!("r{index}"), 1, domain);
+        }
+        world
+    }
+
+    /// Starts a router process; the other routers of its domain hear of it.
+    pub fn start(&mut self, host: &str, epoch: u64, domain: &str) -> usize {
+        let router = RouterIncarnation::new(host, epoch);
+        let domain = DomainName::new(domain);
+        let mut members = MemberTable::new(router.clone(), domain.clone());
+        for slot in self.slots.iter_mut().filter(|slot| slot.domain == domain) {
+            members.insert(slot.router.clone(), member(&slot.router, &domain));
+            slot.members
+                .insert(router.clone(), member(&router, &domain));
+        }
+        self.slots.push(RouterSlot {
+            desk: Some(MoneyDesk::new(self.options.clone(), router.clone())),
+            router,
+            members,
+            domain,
+            is_frozen: false,
+            is_gone: false,
+            is_lost: false,
+            is_draining: false,
+            calls: 0,
+        });
+        self.slots.len() - 1
+    }
+
+    pub fn top_up(&mut self, budget: &str, id: &str, tokens: u64) {
+        let budget = BudgetName::new(budget);
+        let shard = BudgetLedger::shard_for(&budget, self.options.shard_count);
+        let mut ledger = self.store.ledger(shard).cloned().unwrap_or_default();
+        ledger
+            .create_account(&budget, &WORKSPACE.into(), &"owner".into())
+            .expect("the workspace is the same");
+        let is_new = ledger
+            .top_up(&budget, &TopUpId::new(id), tokens)
+            .expect("the account was created");
+        self.top_ups += if is_new { tokens } else { 0 };
+        self.store.put_ledger(shard, ledger);
+    }
+
+    pub fn account(&self, budget: &str) -> BudgetAccount {
+        let budget = BudgetName::new(budget);
+        let shard = BudgetLedger::shard_for(&budget, self.options.shard_count);
+        let ledger = self.store.ledger(shard).expect("the shard exists");
+        ledger.budgets[&budget].clone()
+    }
+
+    /// Runs a step of one desk and files its actions. `None` when it cannot run now.
+    pub fn with_desk<T>(
+        &mut self,
+        index: usize,
+        step: impl FnOnce(&mut MoneyDesk, ClockTime, &MemberTable, &mut CoreOutbox) -> T,
+    ) -> Option<T> {
+        let slot = &mut self.slots[index];
+        if slot.is_frozen {
+            return None;
+        }
+        let desk = slot.desk.as_mut()?;
+        let mut outbox = CoreOutbox::new();
+        let value = step(desk, self.now, &slot.members, &mut outbox);
+        self.file(index, outbox);
+        Some(value)
+    }
+
+    fn file(&mut self, index: usize, outbox: CoreOutbox) {
+        for action in outbox.actions {
+            match action.clone() {
+                CoreAction::Platform { ticket, call } => self.flights.push(Flight::Call {
+                    router: index,
+                    ticket,
+                    call,
+                }),
+                CoreAction::Peer { to, message, .. } => {
+                    if let Some(to) = self.slots.iter().position(|slot| slot.router == to) {
+                        self.flights.push(Flight::Peer {
+                            from: index,
+                            to,
+                            message,
+                        });
+                    }
+                }
+                _ => {}
+            }
+            self.actions.push((index, action));
+        }
+        for signal in outbox.signals {
+            match signal {
+                CoreSignal::AdmitDone { call, outcome } => {
+                    let record = self.calls.get_mut(&call).expect("the call was made");
+                    assert!(record.admitted.is_none(), "{call} was admitted twice");
+                    record.admitted = Some(outcome);
+                }
+                CoreSignal::SettleDone { call } => {
+                    let record = self.calls.get_mut(&call).expect("the call was made");
+                    assert!(!record.is_released, "{call} was released twice");
+                    record.is_released = true;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A caller sends a request with its own key, or without one.
+    pub fn call(&mut self, entry: usize, budget: &str, key: Option<&str>, bound: u64) -> CallId {
+        let slot = &mut self.slots[entry];
+        slot.calls += 1;
+        let call = CallId {
+            router: slot.router.clone(),
+            number: slot.calls,
+        };
+        let origin = if key.is_some() {
+            KeyOrigin::Caller
+        } else {
+            KeyOrigin::Router
+        };
+        let key = RequestKey {
+            workspace: WORKSPACE.into(),
+            text: key.map_or_else(|| KeyText::new(call.to_string()), KeyText::new),
+            origin,
+        };
+        let request = AdmitRequest {
+            call: call.clone(),
+            key: key.clone(),
+            budget: budget.into(),
+            bound,
+        };
+        let record = CallRecord {
+            entry,
+            key,
+            budget: budget.into(),
+            bound,
+            admitted: None,
+            served: 0,
+            settled: None,
+            is_released: false,
+        };
+        self.calls.insert(call.clone(), record);
+        self.with_desk(entry, |desk, now, members, outbox| {
+            desk.admit(now, request, members, outbox);
+        });
+        call
+    }
+
+    /// The engine generates tokens of an admitted call, at most its bound.
+    pub fn serve(&mut self, call: &CallId, tokens: u64) {
+        let record = self.calls.get_mut(call).expect("the call was made");
+        if matches!(record.admitted, Some(Ok(()))) && record.settled.is_none() {
+            record.served = (record.served + tokens).min(record.bound);
+            let (entry, served) = (record.entry, record.served);
+            self.with_desk(entry, |desk, now, _, _| desk.progress(now, call, served));
+        }
+    }
+
+    /// The call ends at its entry router with all that the engine generated.
+    pub fn settle(&mut self, call: &CallId) {
+        let record = self.calls.get(call).expect("the call was made");
+        let (entry, served) = (record.entry, record.served);
+        if !matches!(record.admitted, Some(Ok(()))) || record.settled.is_some() {
+            return;
+        }
+        let done = self.with_desk(entry, |desk, now, members, outbox| {
+            desk.settle(now, call, served, true, true, members, outbox);
+        });
+        if done.is_some() {
+            let record = self.calls.get_mut(call).expect("the call was made");
+            record.settled = Some(served);
+        }
+    }
+
+    pub fn advance(&mut self, span_ms: u64) {
+        self.now = self.now.plus_ms(span_ms);
+        for index in 0..self.slots.len() {
+            self.with_desk(index, |desk, now, members, outbox| {
+                desk.tick(now, members, outbox);
+            });
+        }
+    }
+
+    fn is_cut(&self, left: usize, right: usize) -> bool {
+        let left = &self.slots[left].domain;
+        let right = &self.slots[right].domain;
+        left != right && (self.cut_domains.contains(left) || self.cut_domains.contains(right))
+    }
+
+    fn is_away(&self, router: usize) -> bool {
+        self.is_platform_down || self.cut_domains.contains(&self.slots[router].domain)
+    }
+
+    /// Lets one flight arrive. What is meant for a frozen router stays on its way.
+    pub fn deliver(&mut self, index: usize) {
+        let flight = self.flights.remove(index);
+        match flight {
+            Flight::Peer { from, to, message } => {
+                if self.is_cut(from, to) {
+                    return;
+                }
+                if self.slots[to].is_frozen {
+                    self.flights.push(Flight::Peer { from, to, message });
+                    return;
+                }
+                let sender = self.slots[from].router.clone();
+                self.with_desk(to, |desk, now, members, outbox| {
+                    desk.on_peer(now, &sender, message, members, outbox);
+                });
+            }
+            Flight::Call {
+                router,
+                ticket,
+                call,
+            } => {
+                let reply = if self.is_away(router) {
+                    PlatformReply::Unreachable
+                } else {
+                    self.store.apply(call)
+                };
+                self.flights.push(Flight::Reply {
+                    router,
+                    ticket,
+                    reply,
+                });
+            }
+            Flight::Reply {
+                router,
+                ticket,
+                reply,
+            } => {
+                if self.slots[router].is_frozen {
+                    self.flights.push(Flight::Reply {
+                        router,
+                        ticket,
+                        reply,
+                    });
+                    return;
+                }
+                self.with_desk(router, |desk, now, members, outbox| {
+                    desk.on_platform(now, ticket, reply, members, outbox);
+                });
+            }
+            Flight::Straggler { call } => {
+                self.store.apply(call);
+            }
+        }
+    }
+
+    fn is_held(&self, flight: &Flight) -> bool {
+        match flight {
+            Flight::Peer { to, .. } => self.slots[*to].is_frozen,
+            Flight::Reply { router, .. } => self.slots[*router].is_frozen,
+            Flight::Call { .. } | Flight::Straggler { .. } => false,
+        }
+    }
+
+    /// Delivers everything that is on its way, and what follows from it.
+    pub fn settle_network(&mut self) {
+        for _ in 0..100_000 {
+            let next = (0..self.flights.len()).find(|index| !self.is_held(&self.flights[*index]));
+            let Some(index) = next else {
+                return;
+            };
+            self.deliver(index);
+        }
+        panic!("the network never comes to rest");
+    }
+
+    /// Lets time pass in steps of one tick, with everything delivered at once.
+    pub fn run(&mut self, span_ms: u64) {
+        for _ in 0..span_ms.div_ceil(50) {
+            self.advance(50);
+            self.settle_network();
+        }
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.slots[index].desk = None;
+    }
+
+    /// Changes how alive the others of its domain think a router is.
+    pub fn set_liveness(&mut self, index: usize, liveness: MemberLiveness) {
+        let router = self.slots[index].router.clone();
+        let domain = self.slots[index].domain.clone();
+        self.slots[index].is_gone = liveness == MemberLiveness::Gone;
+        let signal = match liveness {
+            MemberLiveness::Live => CoreSignal::MemberUp(router.clone()),
+            MemberLiveness::Down => CoreSignal::MemberDown(router.clone()),
+            MemberLiveness::Gone => CoreSignal::MemberGone(router.clone()),
+        };
+        for other in 0..self.slots.len() {
+            if other == index || self.slots[other].domain != domain {
+                continue;
+            }
+            let mut entry = member(&router, &domain);
+            entry.liveness = liveness;
+            if self.slots[index].is_draining {
+                entry.state = RouterState::Draining;
+            }
+            self.slots[other].members.insert(router.clone(), entry);
+            self.with_desk(other, |desk, now, members, outbox| {
+                desk.on_signal(now, &signal, members, outbox);
+            });
+        }
+    }
+
+    pub fn drain(&mut self, index: usize) {
+        self.slots[index].is_draining = true;
+        self.slots[index].members.set_draining();
+        let router = self.slots[index].router.clone();
+        let domain = self.slots[index].domain.clone();
+        for other in 0..self.slots.len() {
+            if other != index && self.slots[other].domain == domain {
+                let mut entry = member(&router, &domain);
+                entry.state = RouterState::Draining;
+                self.slots[other].members.insert(router.clone(), entry);
+            }
+        }
+        self.with_desk(index, |desk, now, members, outbox| {
+            desk.drain(now, members, outbox);
+        });
+    }
+
+    pub fn served(&self) -> u64 {
+        self.calls.values().map(|record| record.served).sum()
+    }
+
+    /// The bills that the journals hold: the largest for each call, then for each key.
+    pub fn billed_keys(&self) -> BTreeMap<RequestKey, u64> {
+        let mut keys: BTreeMap<RequestKey, u64> = BTreeMap::new();
+        for segment in self.store.segments.values() {
+            for bill in &segment.bills {
+                let billed = keys.entry(bill.key.clone()).or_default();
+                *billed = bill.tokens.max(*billed);
+            }
+        }
+        keys
+    }
+
+    pub fn reasons(&self) -> Vec<Option<RefusalReason>> {
+        self.calls
+            .values()
+            .map(|record| match &record.admitted {
+                Some(Err(refusal)) => Some(refusal.reason),
+                Some(Ok(())) | None => None,
+            })
+            .collect()
+    }
+}
+
+pub fn member(router: &RouterIncarnation, domain: &DomainName) -> MemberEntry {
+    MemberEntry {
+        domain: domain.clone(),
+        address: router.to_string(),
+        state: RouterState::Live,
+        liveness: MemberLiveness::Live,
+        catalogue_revision: 0,
+        heard: ClockTime::ZERO,
+        sequence: 0,
+    }
+}
