Follow the ledger's new fields in the codec's test and the measured objects

Cause: the money types gained cursor, keys, withdrawals and contested bills. Ruled out: defaults in serde, which would hide a missing field from a reader. Before: the tests did not compile. After: they do.

--- a/crates/beechsaddle-lab/src/measure/sample_objects.rs
+++ b/crates/beechsaddle-lab/src/measure/sample_objects.rs
@@ -146,7 +146,8 @@
         key: key_of(number),
         budget: budget_name(number).as_str().into(),
         tokens: 233,
-        replaces: 0,
+        replaces: None,
+        contested: false,
         provisional: false,
         against: None,
     }
--- a/crates/beechsaddle-wire/tests/platform_codec.rs
+++ b/crates/beechsaddle-wire/tests/platform_codec.rs
@@ -19,16 +19,11 @@
             let grant = OpenGrant {
                 amount: *granted,
                 folded: 0,
+                cursor: 0,
             };
-            let account = BudgetAccount {
-                workspace: WorkspaceName::new("zadruga"),
-                owner: OwnerName::new("ana"),
-                top_ups: BTreeMap::from([(TopUpId::new("t1"), *paid)]),
-                settled: 0,
-                bills: 0,
-                written_off: 0,
-                grants: BTreeMap::from([(KeyText::new("host-a@1"), grant)]),
-            };
+            let mut account = BudgetAccount::new("zadruga".into(), "ana".into());
+            account.top_ups = BTreeMap::from([(TopUpId::new("t1"), *paid)]);
+            account.grants = BTreeMap::from([(KeyText::new("host-a@1"), grant)]);
             (BudgetName::new(name), account)
         })
         .collect();
