Order engines from the router, and test whole calls through whole cores

Cause: orders were not wired, and no test saw a call pass all duties. Ruled out: feeding orders by own probes only; a picked issuer need not be a prober of its target, so it goes by the table that also holds the peers' word. Before: no test over the composed core. After: router_calls, 8 tests green: answered and billed once, refusals cost nothing, retry after a failed connect, a lost not-repeatable call runs once, caller gone, truncated, late answer of an earlier attempt, drain under a 45 s stream.

--- a/crates/beechsaddle-core/src/members/host_list.rs
+++ b/crates/beechsaddle-core/src/members/host_list.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::{DomainName, HostName, ServiceName};
+use crate::names::{DomainName, HostName, ServiceName, TargetName};
 
 /// The hosts of one domain, at `hosts/<domain>`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,6 +11,24 @@
     pub hosts: Vec<HostRecord>,
 }
 
+impl HostList {
+    /// Whether a target refuses orders with an old fencing number, as far as the list says.
+    pub fn checks_fence(&self, target: &TargetName) -> bool {
+        self.hosts
+            .iter()
+            .find(|record| record.host.as_str() == target.as_str())
+            .is_some_and(|record| {
+                matches!(
+                    record.role,
+                    HostRole::Target {
+                        checks_fence: true,
+                        ..
+                    }
+                )
+            })
+    }
+}
+
 /// One host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRecord {
--- a/crates/beechsaddle-core/src/orders/order_desk.rs
+++ b/crates/beechsaddle-core/src/orders/order_desk.rs
@@ -89,6 +89,12 @@
         orders.reported = reported;
     }
 
+    /// Forgets all targets that are not among `listed`.
+    pub fn retain_targets(&mut self, listed: &BTreeSet<TargetName>) {
+        self.targets.retain(|target, _| listed.contains(target));
+        self.wanted.retain(|target, _| listed.contains(target));
+    }
+
     /// Forgets a target that is no longer listed.
     pub fn remove_target(&mut self, target: &TargetName) {
         self.targets.remove(target);
--- a/crates/beechsaddle-core/src/router/router_core.rs
+++ b/crates/beechsaddle-core/src/router/router_core.rs
@@ -9,6 +9,7 @@
 use crate::members::{HeartbeatNews, MemberDesk};
 use crate::money::MoneyDesk;
 use crate::once::OnceDesk;
+use crate::orders::OrderDesk;
 use crate::peer::{PeerHeartbeat, PeerMessage, RouterState};
 use crate::platform::{PlatformDuty, PlatformReply, PlatformTicket};
 use crate::prelude::*;
@@ -20,6 +21,9 @@
 /// When a caller that found the router starting should come back, in milliseconds.
 const UNREADY_RETRY_MS: u64 = 1_000;
 
+/// How often orders hear of the engines' states, in milliseconds; a load takes far longer.
+const ORDERS_FEED_MS: u64 = 500;
+
 /// How far a graceful shutdown has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DrainPhase {
@@ -47,6 +51,8 @@
     targets: TargetTable,
     gate: AdmissionGate,
     retries: RetryPolicy,
+    orders: OrderDesk,
+    orders_fed: ClockTime,
 }
 
 impl RouterCore {
@@ -70,6 +76,8 @@
             targets: TargetTable::new(options.targets, me.clone(), domain, options.seed),
             gate: AdmissionGate::new(options.admission, options.seed),
             retries: RetryPolicy::new(options.retries, options.seed),
+            orders: OrderDesk::new(options.orders, me.clone()),
+            orders_fed: ClockTime::ZERO,
             me,
         }
     }
@@ -139,6 +147,10 @@
         self.once.tick(now, members, outbox);
         self.targets.tick(now, members, outbox);
         self.gate.tick(now, members);
+        self.feed_orders(now);
+        let members = self.members.table();
+        self.orders
+            .tick(now, members, self.catalogue.view(), outbox);
         if self.members.is_heartbeat_due(now) || self.targets.urgent_news() {
             let news = HeartbeatNews {
                 catalogue_revision: self.catalogue.view().revision(),
@@ -150,6 +162,28 @@
         self.members.tick(now, outbox);
     }
 
+    /// Tells the orders what is known of engines, by own probes and by those of peers.
+    fn feed_orders(&mut self, now: ClockTime) {
+        if now.since(self.orders_fed) < ORDERS_FEED_MS {
+            return;
+        }
+        self.orders_fed = now;
+        let engines: Vec<_> = self.targets.engines().collect();
+        let listed = engines.iter().map(|news| news.target.clone()).collect();
+        self.orders.retain_targets(&listed);
+        for news in engines {
+            let checks_fence = self.members.hosts().checks_fence(&news.target);
+            self.orders.on_target_state(
+                now,
+                news.target,
+                news.address,
+                news.service,
+                checks_fence,
+                Some(news.state),
+            );
+        }
+    }
+
     fn on_platform(
         &mut self,
         now: ClockTime,
@@ -166,7 +200,7 @@
                     .on_platform(now, ticket, reply, members, outbox);
             }
             PlatformDuty::Members => self.members.on_platform(now, ticket, reply, outbox),
-            PlatformDuty::Orders => {}
+            PlatformDuty::Orders => self.orders.on_platform(now, ticket, reply, outbox),
             PlatformDuty::Layout => self.on_layout(now, &reply),
         }
     }
@@ -233,6 +267,14 @@
 
     fn on_target(&mut self, now: ClockTime, event: TargetEvent, outbox: &mut CoreOutbox) {
         self.targets.on_target(now, &event, outbox);
+        if let TargetEvent::Ordered {
+            target,
+            fence,
+            outcome,
+        } = &event
+        {
+            self.orders.on_ordered(now, target, *fence, *outcome);
+        }
     }
 
     fn settle_signals(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
--- a/crates/beechsaddle-core/src/router/router_options.rs
+++ b/crates/beechsaddle-core/src/router/router_options.rs
@@ -7,6 +7,7 @@
 use crate::money::MoneyOptions;
 use crate::objects::FleetLayout;
 use crate::once::OnceOptions;
+use crate::orders::OrderOptions;
 use crate::prelude::*;
 use crate::targets::TargetOptions;
 
@@ -39,4 +40,6 @@
     pub admission: AdmissionOptions,
     /// Retries.
     pub retries: RetryOptions,
+    /// Orders to engines.
+    pub orders: OrderOptions,
 }
--- /dev/null
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -0,0 +1,236 @@
+//! Tests of whole calls through whole router cores.
+
+mod router_support;
+
+use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallEvent, CallRoute};
+use beechsaddle_core::prelude::*;
+
+use router_support::{ANSWER_USAGE, RouterWorld, TargetScript};
+
+fn chat() -> CallRoute {
+    CallRoute::Chat {
+        model: "glas".into(),
+    }
+}
+
+fn notify() -> CallRoute {
+    CallRoute::Service {
+        service: "notify".into(),
+    }
+}
+
+fn set_all(world: &mut RouterWorld, script: TargetScript) {
+    for target in ["engine-1", "engine-2", "notify-1", "notify-2"] {
+        world.scripts.insert(target.into(), script);
+    }
+}
+
+#[test]
+fn call_answered_is_billed_once() {
+    let mut world = RouterWorld::new(3, 100_000);
+    for router in 0..3 {
+        let arrival = world.arrival(router, chat());
+        let call = world.call(router, arrival);
+        assert_eq!(world.refused.get(&call), None);
+        assert!(world.finished.contains(&call));
+    }
+    world.run(30_000);
+    assert_eq!(world.dispatched.len(), 3);
+    assert_eq!(
+        world.bills().values().sum::<u64>(),
+        3 * ANSWER_USAGE.total()
+    );
+    assert_eq!(world.account().bills, 3);
+    assert_eq!(world.account().settled, 3 * ANSWER_USAGE.total());
+}
+
+#[test]
+fn call_refused_costs_nothing() {
+    let mut world = RouterWorld::new(1, 100_000);
+    let mut foreign = world.arrival(0, chat());
+    foreign.budget = Some("others".into());
+    let mut stranger = world.arrival(0, chat());
+    stranger.key_digest.0[0] = 0;
+    let unknown = world.arrival(
+        0,
+        CallRoute::Chat {
+            model: "none".into(),
+        },
+    );
+    let engine = world.arrival(
+        0,
+        CallRoute::Service {
+            service: "pool".into(),
+        },
+    );
+    let mut keyless = world.arrival(0, notify());
+    keyless.repeatable = Some(false);
+    let mut late = world.arrival(0, chat());
+    late.deadline = Some(world.now);
+    let cases = [
+        (foreign, RefusalReason::ForeignBudget),
+        (stranger, RefusalReason::UnknownKey),
+        (unknown, RefusalReason::UnknownService),
+        (engine, RefusalReason::NotAllowed),
+        (keyless, RefusalReason::BadRequest),
+        (late, RefusalReason::DeadlineExceeded),
+    ];
+    for (arrival, reason) in cases {
+        let call = world.call(0, arrival);
+        let refusal = &world.refused[&call];
+        assert_eq!((refusal.reason, refusal.ran), (reason, RanState::No));
+    }
+    world.run(10_000);
+    assert_eq!(world.dispatched.len(), 0);
+    assert_eq!(world.account().settled, 0);
+    assert_eq!(world.routers[0].open_calls(), 0);
+}
+
+// The caller sees one answer. Its first target takes no connection, so the call did not run there,
+// and the second target answers. The bill is for one answer.
+#[test]
+fn retry_connect_failed_goes_to_another_target() {
+    let mut world = RouterWorld::new(1, 100_000);
+    for target in ["notify-1", "engine-1"] {
+        let script = TargetScript::Fail(AttemptFailure::ConnectFailed);
+        world.scripts.insert(target.into(), script);
+    }
+    for _ in 0..4 {
+        let mut arrival = world.arrival(0, notify());
+        arrival.repeatable = Some(false);
+        arrival.idempotency = Some(arrival.call.to_string().as_str().into());
+        let call = world.call(0, arrival);
+        assert!(
+            world.finished.contains(&call),
+            "{:?}",
+            world.refused.get(&call)
+        );
+    }
+    world.run(10_000);
+    assert_eq!(world.account().bills, 4);
+}
+
+// The caller of a payout confirmation sees "outcome unknown": the target broke the connection after
+// the request was sent. A second try with the same key must not reach any target, through whichever
+// router it comes, and what the first may have cost is billed once.
+#[test]
+fn not_repeatable_lost_connection_runs_once() {
+    let mut world = RouterWorld::new(2, 100_000);
+    set_all(
+        &mut world,
+        TargetScript::Fail(AttemptFailure::ConnectionLost),
+    );
+    let mut first = world.arrival(0, notify());
+    first.repeatable = Some(false);
+    first.idempotency = Some("payout-7".into());
+    let mut second = world.arrival(1, notify());
+    second.repeatable = Some(false);
+    second.idempotency = Some("payout-7".into());
+    let first = world.call(0, first);
+    let refusal = &world.refused[&first];
+    assert_eq!(refusal.reason, RefusalReason::OutcomeUnknown);
+    assert_eq!(refusal.ran, RanState::Unknown);
+    set_all(&mut world, TargetScript::Answer);
+    let second = world.call(1, second);
+    assert!(world.refused.contains_key(&second));
+    assert_eq!(world.dispatched.len(), 1);
+    world.run(10_000);
+    assert_eq!(world.account().bills, 1);
+    assert_eq!(world.account().settled, 5);
+}
+
+// The caller hangs up while its reservation is on the way. Nothing is dispatched and nothing billed,
+// and what was reserved comes back.
+#[test]
+fn caller_gone_before_dispatch_costs_nothing() {
+    let mut world = RouterWorld::new(1, 100_000);
+    let arrival = world.arrival(0, chat());
+    let call = arrival.call.clone();
+    world.platform_away = true;
+    world.send(0, CoreEvent::Call(CallEvent::Arrived(Box::new(arrival))));
+    world.send(0, CoreEvent::Call(CallEvent::CallerGone { call }));
+    world.run(200);
+    world.platform_away = false;
+    world.run(10_000);
+    assert_eq!(world.dispatched.len(), 0);
+    assert_eq!(world.account().bills, 0);
+    assert_eq!(world.routers[0].open_calls(), 0);
+}
+
+// The caller sees a visibly broken answer. What was relayed is billed, once.
+#[test]
+fn answer_truncated_bills_what_was_relayed() {
+    let mut world = RouterWorld::new(2, 100_000);
+    set_all(&mut world, TargetScript::Stall);
+    let arrival = world.arrival(0, chat());
+    let call = world.call(0, arrival);
+    world.end_answer(0, AnswerEnd::Truncated);
+    world.run(10_000);
+    assert!(!world.finished.contains(&call));
+    assert_eq!(world.account().settled, ANSWER_USAGE.total());
+    assert_eq!(world.account().bills, 1);
+}
+
+// An answer of an attempt that was given up arrives after the next attempt began. It is void: the
+// caller gets the second target's answer only, and the bill is the second's.
+#[test]
+fn answer_of_an_earlier_attempt_is_ignored() {
+    let mut world = RouterWorld::new(1, 100_000);
+    set_all(&mut world, TargetScript::Stall);
+    for target in ["engine-1"] {
+        let script = TargetScript::Fail(AttemptFailure::TimedOut);
+        world.scripts.insert(target.into(), script);
+    }
+    while world
+        .dispatched
+        .last()
+        .is_none_or(|attempt| attempt.ordinal == 0)
+    {
+        let arrival = world.arrival(0, chat());
+        world.call(0, arrival);
+    }
+    let running = world.dispatched.last().expect("a second attempt").clone();
+    let late = AttemptId {
+        call: running.call.clone(),
+        ordinal: 0,
+    };
+    let event = CallEvent::AnswerEnded {
+        attempt: late,
+        end: AnswerEnd::Complete,
+        usage: ANSWER_USAGE,
+    };
+    world.send(0, CoreEvent::Call(event));
+    world.run(1_000);
+    assert!(!world.finished.contains(&running.call));
+    world.end_answer(0, AnswerEnd::Complete);
+    assert!(world.finished.contains(&running.call));
+}
+
+// An operator shuts a router down while an answer streams for 45 seconds. The stream goes on to its
+// end, a new call is refused with a time to come back, and the router exits only after its bill is
+// durable and its grant returned.
+#[test]
+fn drain_waits_for_open_streams() {
+    let mut world = RouterWorld::new(1, 100_000);
+    set_all(&mut world, TargetScript::Stall);
+    let arrival = world.arrival(0, chat());
+    let call = world.call(0, arrival);
+    world.send(0, CoreEvent::Drain);
+    world.run(45_000);
+    assert_eq!(world.stopped_accepting, vec![0]);
+    assert!(world.exited.is_empty());
+    let late = world.arrival(0, chat());
+    let late = world.call(0, late);
+    assert_eq!(world.refused[&late].reason, RefusalReason::Draining);
+    assert!(world.refused[&late].retry_after_ms.is_some());
+    world.end_answer(0, AnswerEnd::Complete);
+    assert!(world.finished.contains(&call));
+    world.run(10_000);
+    assert_eq!(world.exited, vec![0]);
+    assert_eq!(world.account().settled, ANSWER_USAGE.total());
+    assert!(
+        world.account().grants.is_empty(),
+        "{:?}",
+        world.account().grants
+    );
+}
--- /dev/null
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -0,0 +1,520 @@
+//! The `router_support` module provides whole router cores joined by a fake platform and network.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use beechsaddle_core::admission::{AdmissionOptions, RetryOptions};
+use beechsaddle_core::call::{
+    AnswerEnd, AttemptFailure, CallAction, CallArrival, CallEvent, CallRoute, KeyDigest, TokenUsage,
+};
+use beechsaddle_core::calls::CallOptions;
+use beechsaddle_core::catalogue::{
+    CatalogueChange, CatalogueEntry, CatalogueOptions, EntryClass, EntryEdit, EntryHeader,
+    EntryLimits, ModelEntry, ServiceEntry, ServiceKind, WorkspaceEntry,
+};
+use beechsaddle_core::event::TICK_MS;
+use beechsaddle_core::members::{
+    HostList, HostRecord, HostRole, HostState, MemberOptions, SeedPeer,
+};
+use beechsaddle_core::money::{BudgetAccount, BudgetLedger, MoneyOptions};
+use beechsaddle_core::objects::{FleetLayout, PlatformObject};
+use beechsaddle_core::once::OnceOptions;
+use beechsaddle_core::orders::OrderOptions;
+use beechsaddle_core::platform::{PlatformCall, PlatformReply, PlatformTicket, StoredObject};
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::router::{RouterCore, RouterOptions};
+use beechsaddle_core::target::{
+    EngineRole, EngineState, LoadReport, ProbeOutcome, TargetAction, TargetEvent,
+};
+use beechsaddle_core::targets::TargetOptions;
+
+/// The tokens that each engine's answer uses.
+pub const ANSWER_USAGE: TokenUsage = TokenUsage {
+    input: 10,
+    output: 20,
+};
+
+/// What a target does with a dispatched call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetScript {
+    /// Answers in full.
+    Answer,
+    /// Fails before the first byte.
+    Fail(AttemptFailure),
+    /// Starts an answer and then waits for [`RouterWorld::end_answer`].
+    Stall,
+}
+
+struct WaitingWatch {
+    router: usize,
+    ticket: PlatformTicket,
+    prefix: ObjectKey,
+    after: u64,
+}
+
+/// Routers of one domain, a platform, and targets that follow scripts.
+pub struct RouterWorld {
+    pub now: ClockTime,
+    pub routers: Vec<RouterCore>,
+    pub platform_away: bool,
+    pub scripts: BTreeMap<TargetName, TargetScript>,
+    /// Attempts in the order of their dispatch.
+    pub dispatched: Vec<AttemptId>,
+    pub refused: BTreeMap<CallId, CallRefusal>,
+    pub finished: Vec<CallId>,
+    pub aborted: Vec<CallId>,
+    pub exited: Vec<usize>,
+    pub stopped_accepting: Vec<usize>,
+    store: BTreeMap<ObjectKey, (u64, PlatformObject)>,
+    revision: u64,
+    watches: Vec<WaitingWatch>,
+    queue: VecDeque<(usize, CoreEvent)>,
+    names: Vec<RouterIncarnation>,
+    calls: u64,
+}
+
+impl RouterWorld {
+    /// A world of `count` routers with a budget of `tokens`, two engines and a plain service.
+    pub fn new(count: usize, tokens: u64) -> Self {
+        let names: Vec<_> = (0..count)
+            .map(|index| RouterIncarnation::new(format!("router-{index}").as_str(), 1))
+            .collect();
+        let mut world = RouterWorld {
+            now: ClockTime::from_millis(1_000_000),
+            routers: names.iter().map(|name| new_router(name, &names)).collect(),
+            platform_away: false,
+            scripts: BTreeMap::new(),
+            dispatched: Vec::new(),
+            refused: BTreeMap::new(),
+            finished: Vec::new(),
+            aborted: Vec::new(),
+            exited: Vec::new(),
+            stopped_accepting: Vec::new(),
+            store: BTreeMap::new(),
+            revision: 0,
+            watches: Vec::new(),
+            queue: VecDeque::new(),
+            names,
+            calls: 0,
+        };
+        world.put(
+            "hosts/graz-nord",
+            PlatformObject::Hosts(host_list(&world.names)),
+        );
+        world.put(
+            "catalogue/change/000000000001",
+            PlatformObject::Change(first_change()),
+        );
+        let mut account = BudgetAccount::new("verlag".into(), "ana".into());
+        account.top_up(&"paid".into(), tokens);
+        let mut ledger = BudgetLedger::default();
+        ledger.budgets.insert("main".into(), account);
+        world.put(
+            BudgetLedger::object_key(0).as_str(),
+            PlatformObject::Ledger(ledger),
+        );
+        for router in 0..count {
+            world.queue.push_back((router, CoreEvent::Started));
+        }
+        world.run(5_000);
+        world
+    }
+
+    /// Lets time pass in steps of one tick.
+    pub fn run(&mut self, span_ms: u64) {
+        let end = self.now.plus_ms(span_ms);
+        self.settle();
+        while self.now < end {
+            self.now = self.now.plus_ms(TICK_MS);
+            for router in 0..self.routers.len() {
+                self.queue.push_back((router, CoreEvent::Tick));
+            }
+            self.settle();
+        }
+    }
+
+    /// An arrival at a router, not yet sent.
+    pub fn arrival(&mut self, router: usize, route: CallRoute) -> CallArrival {
+        self.calls += 1;
+        CallArrival {
+            call: CallId {
+                router: self.names[router].clone(),
+                number: self.calls,
+            },
+            key_digest: KeyDigest([7; 32]),
+            route,
+            budget: None,
+            idempotency: None,
+            repeatable: None,
+            deadline: None,
+            input_bound: 100,
+            output_bound: Some(100),
+            prefix: Vec::new(),
+        }
+    }
+
+    /// Sends an arrival and lets the routers work on it for half a second.
+    pub fn call(&mut self, router: usize, arrival: CallArrival) -> CallId {
+        let call = arrival.call.clone();
+        self.send(
+            router,
+            CoreEvent::Call(CallEvent::Arrived(Box::new(arrival))),
+        );
+        self.run(500);
+        call
+    }
+
+    /// Raises an event at a router.
+    pub fn send(&mut self, router: usize, event: CoreEvent) {
+        self.queue.push_back((router, event));
+    }
+
+    /// Ends the stalled answer of the last attempt.
+    pub fn end_answer(&mut self, router: usize, end: AnswerEnd) {
+        let attempt = self.dispatched.last().expect("an attempt runs").clone();
+        let usage = ANSWER_USAGE;
+        self.send(
+            router,
+            CoreEvent::Call(CallEvent::AnswerEnded {
+                attempt,
+                end,
+                usage,
+            }),
+        );
+        self.run(500);
+    }
+
+    /// The budget's account at the platform.
+    pub fn account(&self) -> &BudgetAccount {
+        match self.store.get(BudgetLedger::object_key(0).as_str()) {
+            Some((_, PlatformObject::Ledger(ledger))) => &ledger.budgets["main"],
+            _ => panic!("the ledger is there"),
+        }
+    }
+
+    /// Every bill in every journal at the platform, in tokens by key.
+    pub fn bills(&self) -> BTreeMap<String, u64> {
+        let mut bills = BTreeMap::new();
+        for (_, object) in self.store.values() {
+            if let PlatformObject::Segment(segment) = object {
+                for bill in &segment.bills {
+                    bills.insert(bill.key.text.to_string(), bill.tokens);
+                }
+            }
+        }
+        bills
+    }
+
+    fn put(&mut self, key: &str, object: PlatformObject) {
+        self.revision += 1;
+        self.store.insert(key.into(), (self.revision, object));
+    }
+
+    fn settle(&mut self) {
+        while let Some((router, event)) = self.queue.pop_front() {
+            if self.exited.contains(&router) {
+                continue;
+            }
+            let mut outbox = CoreOutbox::new();
+            self.routers[router].handle(self.now, event, &mut outbox);
+            for action in outbox.actions {
+                self.carry_out(router, action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, router: usize, action: CoreAction) {
+        match action {
+            CoreAction::Call(action) => self.on_call(router, action),
+            CoreAction::Platform { ticket, call } => self.on_platform(router, ticket, call),
+            CoreAction::Peer { to, message, .. } => {
+                let from = self.names[router].clone();
+                if let Some(index) = self.names.iter().position(|name| *name == to) {
+                    self.queue
+                        .push_back((index, CoreEvent::Peer { from, message }));
+                }
+            }
+            CoreAction::Target(TargetAction::Probe { target, .. }) => {
+                let event = TargetEvent::Probed {
+                    outcome: probe_outcome(&target),
+                    target,
+                    cache: None,
+                };
+                self.queue.push_back((router, CoreEvent::Target(event)));
+            }
+            CoreAction::Target(TargetAction::Order { .. })
+            | CoreAction::Report(_)
+            | CoreAction::Status { .. } => {}
+            CoreAction::Exit => self.exited.push(router),
+        }
+    }
+
+    fn on_call(&mut self, router: usize, action: CallAction) {
+        match action {
+            CallAction::Refuse { call, refusal } => {
+                let earlier = self.refused.insert(call, refusal);
+                assert!(earlier.is_none(), "a call has one final answer");
+            }
+            CallAction::Dispatch {
+                attempt, target, ..
+            } => {
+                self.dispatched.push(attempt.clone());
+                let script = self
+                    .scripts
+                    .get(&target)
+                    .copied()
+                    .unwrap_or(TargetScript::Answer);
+                for event in script_events(script, attempt) {
+                    self.queue.push_back((router, CoreEvent::Call(event)));
+                }
+            }
+            CallAction::Finish { call } => self.finished.push(call),
+            CallAction::Abort { call } => self.aborted.push(call),
+            CallAction::StopAccepting => self.stopped_accepting.push(router),
+            CallAction::Models { .. } => {}
+        }
+    }
+
+    fn on_platform(&mut self, router: usize, ticket: PlatformTicket, call: PlatformCall) {
+        if let PlatformCall::Watch { prefix, after } = call {
+            self.watches.push(WaitingWatch {
+                router,
+                ticket,
+                prefix,
+                after,
+            });
+        } else {
+            let reply = match self.platform_away {
+                true => PlatformReply::Unreachable,
+                false => self.serve(call),
+            };
+            self.queue
+                .push_back((router, CoreEvent::Platform { ticket, reply }));
+        }
+        self.answer_watches();
+    }
+
+    fn serve(&mut self, call: PlatformCall) -> PlatformReply {
+        match call {
+            PlatformCall::Read { key } => match self.store.get(&key) {
+                Some((version, object)) => {
+                    PlatformReply::Found(stored(&key, *version, Some(object)))
+                }
+                None => PlatformReply::Absent,
+            },
+            PlatformCall::Write { key, object, guard } => {
+                let version = self.store.get(&key).map(|(version, _)| *version);
+                let holds = match guard {
+                    beechsaddle_core::platform::WriteGuard::Absent => version.is_none(),
+                    beechsaddle_core::platform::WriteGuard::Version(wanted) => {
+                        version == Some(wanted)
+                    }
+                };
+                if !holds {
+                    return PlatformReply::Conflict;
+                }
+                self.put(key.as_str(), *object);
+                PlatformReply::Written {
+                    version: self.revision,
+                }
+            }
+            PlatformCall::Delete { key, .. } => {
+                self.store.remove(&key);
+                PlatformReply::Deleted
+            }
+            PlatformCall::List { prefix, .. } => PlatformReply::Listed {
+                objects: self.changed(&prefix, 0, false),
+                revision: self.revision,
+            },
+            PlatformCall::Watch { .. } => PlatformReply::Invalid,
+        }
+    }
+
+    fn answer_watches(&mut self) {
+        if self.platform_away {
+            return;
+        }
+        for watch in std::mem::take(&mut self.watches) {
+            let objects = self.changed(&watch.prefix, watch.after, true);
+            if objects.is_empty() {
+                self.watches.push(watch);
+                continue;
+            }
+            let reply = PlatformReply::Changed {
+                objects,
+                revision: self.revision,
+            };
+            let event = CoreEvent::Platform {
+                ticket: watch.ticket,
+                reply,
+            };
+            self.queue.push_back((watch.router, event));
+        }
+    }
+
+    fn changed(&self, prefix: &ObjectKey, after: u64, with_value: bool) -> Vec<StoredObject> {
+        self.store
+            .iter()
+            .filter(|(key, (version, _))| {
+                key.as_str().starts_with(prefix.as_str()) && *version > after
+            })
+            .map(|(key, (version, object))| stored(key, *version, with_value.then_some(object)))
+            .collect()
+    }
+}
+
+fn stored(key: &ObjectKey, version: u64, object: Option<&PlatformObject>) -> StoredObject {
+    StoredObject {
+        key: key.clone(),
+        version,
+        object: object.map(|object| Box::new(object.clone())),
+    }
+}
+
+fn script_events(script: TargetScript, attempt: AttemptId) -> Vec<CallEvent> {
+    let started = CallEvent::AnswerStarted {
+        attempt: attempt.clone(),
+    };
+    match script {
+        TargetScript::Answer => {
+            let (end, usage) = (AnswerEnd::Complete, ANSWER_USAGE);
+            vec![
+                started,
+                CallEvent::AnswerEnded {
+                    attempt,
+                    end,
+                    usage,
+                },
+            ]
+        }
+        TargetScript::Fail(failure) => vec![CallEvent::AttemptFailed { attempt, failure }],
+        TargetScript::Stall => vec![started],
+    }
+}
+
+fn probe_outcome(target: &TargetName) -> ProbeOutcome {
+    let engine = target.as_str().starts_with("engine").then(|| EngineState {
+        model: "glas".into(),
+        version: 1,
+        adapters: Vec::new(),
+        role: EngineRole::Whole,
+    });
+    ProbeOutcome::Healthy {
+        load: LoadReport::default(),
+        engine,
+    }
+}
+
+fn new_router(me: &RouterIncarnation, all: &[RouterIncarnation]) -> RouterCore {
+    let seeds = all.iter().filter(|name| *name != me).map(|name| SeedPeer {
+        host: name.host.clone(),
+        domain: "graz-nord".into(),
+        address: name.host.to_string(),
+    });
+    let layout = FleetLayout {
+        ledger_shards: 1,
+        dedup_shards: 1,
+    };
+    RouterCore::new(RouterOptions {
+        me: me.clone(),
+        domain: "graz-nord".into(),
+        peer_address: me.host.to_string(),
+        seed: 1,
+        layout,
+        calls: CallOptions::default(),
+        money: MoneyOptions {
+            shard_count: 1,
+            ..MoneyOptions::default()
+        },
+        once: OnceOptions {
+            shard_count: 1,
+            ..OnceOptions::default()
+        },
+        members: MemberOptions {
+            seeds: seeds.collect(),
+            ..MemberOptions::default()
+        },
+        catalogue: CatalogueOptions::default(),
+        targets: TargetOptions::default(),
+        admission: AdmissionOptions::default(),
+        retries: RetryOptions::default(),
+        orders: OrderOptions::default(),
+    })
+}
+
+fn host_list(routers: &[RouterIncarnation]) -> HostList {
+    let router = |name: &RouterIncarnation| HostRecord {
+        host: name.host.clone(),
+        domain: "graz-nord".into(),
+        epoch: 1,
+        address: name.host.to_string(),
+        role: HostRole::Router {
+            peer_address: name.host.to_string(),
+            admin_address: name.host.to_string(),
+        },
+        state: HostState::Live,
+    };
+    let target = |host: &str, service: &str| HostRecord {
+        host: host.into(),
+        domain: "graz-nord".into(),
+        epoch: 1,
+        address: host.to_owned(),
+        role: HostRole::Target {
+            service: service.into(),
+            checks_fence: true,
+        },
+        state: HostState::Live,
+    };
+    let mut hosts: Vec<_> = routers.iter().map(router).collect();
+    hosts.push(target("engine-1", "pool"));
+    hosts.push(target("engine-2", "pool"));
+    hosts.push(target("notify-1", "notify"));
+    hosts.push(target("notify-2", "notify"));
+    HostList { hosts }
+}
+
+fn first_change() -> CatalogueChange {
+    let header = EntryHeader {
+        owner: "ana".into(),
+        class: EntryClass::Standard,
+        limits: EntryLimits::default(),
+    };
+    let service = |name: &str, kind, call_cost| {
+        EntryEdit::Put(CatalogueEntry::Service(ServiceEntry {
+            header: header.clone(),
+            name: name.into(),
+            kind,
+            repeatable: true,
+            call_cost,
+            head_timeout_ms: 1_000,
+        }))
+    };
+    let model = EntryEdit::Put(CatalogueEntry::Model(ModelEntry {
+        header: header.clone(),
+        name: "glas".into(),
+        service: "pool".into(),
+        version: 1,
+        adapters: Vec::new(),
+        role: EngineRole::Whole,
+        output_limit: 100,
+    }));
+    let workspace = EntryEdit::Put(CatalogueEntry::Workspace(WorkspaceEntry {
+        header: header.clone(),
+        name: "verlag".into(),
+        keys: vec![KeyDigest([7; 32])],
+        budgets: vec!["main".into()],
+        services: vec!["notify".into()],
+        models: vec!["glas".into()],
+    }));
+    CatalogueChange {
+        revision: 1,
+        write_id: "first".to_owned(),
+        author: "ana".into(),
+        applied: ClockTime::ZERO,
+        edits: vec![
+            service("pool", ServiceKind::Engine, 0),
+            service("notify", ServiceKind::Plain, 5),
+            model,
+            workspace,
+        ],
+    }
+}
--- a/crates/beechsaddle/src/router/router_setup.rs
+++ b/crates/beechsaddle/src/router/router_setup.rs
@@ -12,6 +12,7 @@
 use beechsaddle_core::money::MoneyOptions;
 use beechsaddle_core::objects::FleetLayout;
 use beechsaddle_core::once::OnceOptions;
+use beechsaddle_core::orders::OrderOptions;
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::{LogLevel, LogLine, ReportAction};
 use beechsaddle_core::router::RouterOptions;
@@ -102,6 +103,7 @@
             targets: self.targets(),
             admission: self.admission(),
             retries: self.retries(),
+            orders: OrderOptions::default(),
         }
     }
 
