--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod peers;
 pub mod platform;
 pub mod report;
+pub mod router;
 pub mod settings;
