Add the demonstration and fleets of real processes

The lab plays every part with its own program, the router included by a hidden subcommand that runs what the shipped binary runs, since cargo run of the lab builds no other package's binary. Processes end with the one that started them, by a pipe on their standard input. The demonstration isn't held yet: the router's runtime is being wired.

--- /dev/null
+++ b/crates/beechsaddle-lab/src/demo/demo_outcome.rs
@@ -0,0 +1,67 @@
+//! The `demo_outcome` module provides the judgement on the demonstration.
+
+use std::fmt;
+
+use super::demo_calls::{CLAIM_KEY, SentCalls};
+use super::demo_statement::DemoStatement;
+use crate::fleet::{FleetCaller, LabFleet};
+use crate::stand_in::RunReport;
+
+/// What the demonstration showed.
+#[derive(Clone, Debug)]
+pub struct DemoOutcome {
+    answered: u64,
+    refused: u64,
+    billed: u64,
+    overspend: u64,
+    /// What was not as it must be.
+    pub findings: Vec<String>,
+}
+
+impl DemoOutcome {
+    /// Holds the answers, what ran, and the statement against each other.
+    pub async fn judge(
+        fleet: &LabFleet,
+        calls: &SentCalls,
+        statement: &DemoStatement,
+    ) -> eyre::Result<Self> {
+        let totals = &statement.totals;
+        let mut findings = calls.findings.clone();
+        let mut expect = |what: &str, found: u64, wanted: u64| {
+            if found != wanted {
+                findings.push(format!("{what} is {found} and not {wanted}"));
+            }
+        };
+        expect("calls with an end", calls.answered + calls.refused, 4);
+        expect("bills", totals.bills, calls.bills);
+        expect("settled tokens", totals.settled, calls.tokens);
+        expect("written off tokens", totals.written_off, 0);
+        expect("overspend", totals.overspend, 0);
+        let address = fleet.target_address("trznica-1")?;
+        let ran: RunReport = FleetCaller::new().get(&address, "/ran").await?;
+        let claims = ran.keys.get(CLAIM_KEY).copied().unwrap_or(0);
+        expect("runs of the claim", claims, 1);
+        expect("runs at the plain service", ran.started, 2);
+        Ok(DemoOutcome {
+            answered: calls.answered,
+            refused: calls.refused,
+            billed: totals.bills,
+            overspend: totals.overspend,
+            findings,
+        })
+    }
+}
+
+impl fmt::Display for DemoOutcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "answered={} refused={} billed={} overspend={} ok={}",
+            self.answered,
+            self.refused,
+            self.billed,
+            self.overspend,
+            self.findings.is_empty()
+        )
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/fleet/router_command.rs
@@ -0,0 +1,57 @@
+//! The `router_command` module provides the lab's hidden `router` subcommand.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use eyre::eyre;
+
+use beechsaddle::settings::RouterSettings;
+
+/// Describes the hidden `router` subcommand.
+pub fn router_command() -> Command {
+    Command::new("router")
+        .about("Runs a router of the fleet, as the shipped binary does")
+        .hide(true)
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The router's settings"),
+        )
+        .arg(with_parent_argument())
+}
+
+/// Runs a router until it has shut down gracefully.
+pub fn run_router(matches: &ArgMatches) -> eyre::Result<()> {
+    end_with_parent(matches);
+    let file = matches
+        .get_one::<PathBuf>("config")
+        .ok_or_else(|| eyre!("--config is missing"))?;
+    let settings = RouterSettings::try_load(file).map_err(|findings| eyre!("{findings}"))?;
+    beechsaddle::router::run(&settings)
+}
+
+/// The flag by which a process ends with the one that started it.
+pub(crate) fn with_parent_argument() -> Arg {
+    Arg::new("with-parent")
+        .long("with-parent")
+        .action(ArgAction::SetTrue)
+        .hide(true)
+        .help("End when standard input is closed")
+}
+
+/// Ends this process when its standard input closes, if it was asked to.
+///
+/// A test or demo that is killed can't stop what it started. Its end of the pipe closes with it,
+/// and no process is left over.
+pub(crate) fn end_with_parent(matches: &ArgMatches) {
+    if !matches.get_flag("with-parent") {
+        return;
+    }
+    std::thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(1);
+    });
+}
--- a/crates/beechsaddle-lab/src/lib.rs
+++ b/crates/beechsaddle-lab/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod demo;
+pub mod fleet;
 pub mod key_values;
 pub mod load;
 pub mod measure;
--- a/crates/beechsaddle-lab/src/stand_in/command.rs
+++ b/crates/beechsaddle-lab/src/stand_in/command.rs
@@ -9,6 +9,7 @@
 use super::engine::{EngineOptions, EngineServer};
 use super::plain::{PlainOptions, PlainServer};
 use super::platform::{PlatformOptions, PlatformServer};
+use crate::fleet::{end_with_parent, with_parent_argument};
 
 /// Describes the `stand-in` subcommand.
 pub fn command() -> Command {
@@ -27,6 +28,9 @@
 
 /// Runs the `stand-in` subcommand.
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    if let Some((_, matches)) = matches.subcommand() {
+        end_with_parent(matches);
+    }
     match matches.subcommand() {
         Some(("platform", matches)) => run_platform(matches),
         Some(("engine", matches)) => run_engine(matches),
@@ -40,6 +44,7 @@
     Command::new("platform")
         .about("Serves the platform's object API from memory")
         .arg(listen_argument())
+        .arg(with_parent_argument())
         .arg(seed_argument())
 }
 
@@ -59,6 +64,7 @@
     Command::new("engine")
         .about("Serves in place of a model engine")
         .arg(listen_argument())
+        .arg(with_parent_argument())
         .arg(seed_argument())
         .arg(
             Arg::new("model")
@@ -128,6 +134,7 @@
     Command::new("plain")
         .about("Serves in place of a plain service: answers each call with what it saw of it")
         .arg(listen_argument())
+        .arg(with_parent_argument())
         .arg(seed_argument())
         .arg(number_argument(
             "answer-ms",
--- a/crates/beechsaddle-lab/src/stand_in/engine/chat_proof.rs
+++ b/crates/beechsaddle-lab/src/stand_in/engine/chat_proof.rs
@@ -13,6 +13,8 @@
     pub prompt: u64,
     /// How many tokens the answer has.
     pub tokens: u64,
+    /// The last word of the prompt, by which a caller knows its own answer.
+    pub mark: String,
 }
 
 impl ChatProof {
@@ -21,6 +23,13 @@
         stable_hash(prompt.as_ref())
     }
 
+    /// The mark of a prompt; what is no letter, digit or hyphen is left out.
+    pub fn mark_of(prompt: impl AsRef<str>) -> String {
+        let last = prompt.as_ref().split_whitespace().next_back();
+        let kept = |character: &char| character.is_ascii_alphanumeric() || *character == '-';
+        last.unwrap_or_default().chars().filter(kept).collect()
+    }
+
     /// The token at a place.
     pub fn token(&self, place: u64) -> String {
         if place == 0 {
@@ -37,6 +46,7 @@
             attempt: words.next()?.strip_prefix("attempt=")?.to_owned(),
             prompt: u64::from_str_radix(words.next()?.strip_prefix("prompt=")?, 16).ok()?,
             tokens: words.next()?.strip_prefix("tokens=")?.parse().ok()?,
+            mark: words.next()?.strip_prefix("mark=")?.to_owned(),
         };
         let whole = (1..proof.tokens).all(|place| {
             let word = words.next().and_then(|word| word.strip_prefix('t'));
@@ -50,8 +60,8 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "attempt={} prompt={:016x} tokens={}",
-            self.attempt, self.prompt, self.tokens
+            "attempt={} prompt={:016x} tokens={} mark={}",
+            self.attempt, self.prompt, self.tokens, self.mark
         )
     }
 }
--- a/crates/beechsaddle-lab/src/stand_in/engine/engine_service.rs
+++ b/crates/beechsaddle-lab/src/stand_in/engine/engine_service.rs
@@ -154,6 +154,7 @@
                 attempt,
                 prompt: ChatProof::prompt_hash(&prompt),
                 tokens,
+                mark: ChatProof::mark_of(&prompt),
             },
             model: request.model.clone(),
             input_tokens: request.input_tokens(),
--- a/crates/beechsaddle/src/platform/platform_client.rs
+++ b/crates/beechsaddle/src/platform/platform_client.rs
@@ -20,6 +20,7 @@
 
 use super::answer_reader::{AnswerHead, AnswerReader};
 use super::platform_options::PlatformOptions;
+use crate::operator::ObjectStore;
 
 /// An answer larger than this is not read. A page of a watch holds at most 4 MB of values, which
 /// base64 makes a third larger.
@@ -169,6 +170,12 @@
     }
 }
 
+impl ObjectStore for PlatformClient {
+    async fn call(&self, call: &PlatformCall) -> PlatformReply {
+        PlatformClient::call(self, call).await
+    }
+}
+
 impl fmt::Debug for PlatformClient {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "PlatformClient({})", self.address)
