--- a/crates/beechsaddle/src/peers/metered_stream.rs
+++ b/crates/beechsaddle/src/peers/metered_stream.rs
@@ -64,6 +64,14 @@
         self.last_read.get()
     }
 
+    // One byte over the allowance is enough to see that it is not kept.
+    fn read_limit(&self, size: usize) -> usize {
+        match self.allowance.get() {
+            Some(allowance) => size.min(allowance + 1),
+            None => size,
+        }
+    }
+
     fn note_read(&self, size: usize) -> io::Result<()> {
         self.last_read.set(Instant::now());
         if let Some(allowance) = self.allowance.get() {
@@ -136,7 +144,8 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let limit = self.gauge.read_limit(buffer.len());
+        let poll = Pin::new(&mut self.inner).poll_read(context, &mut buffer[..limit]);
         if let Poll::Ready(Ok(size)) = poll {
             add(&self.stats.bytes_in, size as u64);
             self.gauge.note_read(size)?;
--- a/crates/beechsaddle/src/peers/peer_session.rs
+++ b/crates/beechsaddle/src/peers/peer_session.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -80,6 +81,11 @@
         to: &RouterIncarnation,
         address: &str,
     ) -> Result<Self, SessionError> {
+        // Routers know each other by IP numbers. A name would be looked up by the system, on threads
+        // that this edge does not bound.
+        let address: SocketAddr = address
+            .parse()
+            .map_err(|_| SessionError::Unreachable("not an address".to_owned()))?;
         let stream = TcpStream::connect(address).await.map_err(unreachable)?;
         // Messages are small and someone waits for most of them; the batching is done here.
         stream.set_nodelay(true).map_err(unreachable)?;
--- a/crates/beechsaddle/tests/peers_support/mod.rs
+++ b/crates/beechsaddle/tests/peers_support/mod.rs
@@ -156,13 +156,12 @@
 
 fn pass_on(mut from: TcpStream, mut to: TcpStream, paused: &AtomicBool) {
     let mut buffer = [0; 4_096];
-    loop {
+    while let Ok(size) = from.read(&mut buffer) {
         while paused.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_millis(2));
         }
-        match from.read(&mut buffer) {
-            Ok(size) if size > 0 && to.write_all(&buffer[..size]).is_ok() => {}
-            Ok(_) | Err(_) => break,
+        if size == 0 || to.write_all(&buffer[..size]).is_err() {
+            break;
         }
     }
     let _ = to.shutdown(Shutdown::Both);
