--- a/crates/beechsaddle-wire/schema/peer.capnp
+++ b/crates/beechsaddle-wire/schema/peer.capnp
@@ -39,14 +39,27 @@
   retryAfterMs @3 :UInt64;
 }
 
-struct Outcome {
+struct AdmitReply {
   call @0 :CallName;
   union {
-    granted @1 :Void;
+    journal @1 :Text;
     refused @2 :Refusal;
   }
 }
 
+struct RecordReply {
+  call @0 :CallName;
+  union {
+    durable @1 :Void;
+    refused @2 :Refusal;
+  }
+}
+
+struct CallUnknown {
+  call @0 :CallName;
+  journal @1 :Text;
+}
+
 enum RouterState {
   live @0;
   draining @1;
@@ -64,10 +77,36 @@
   epoch @1 :UInt64;
   state @2 :HostState;
   sequence @3 :UInt64;
+  hasLoad @4 :Bool;
+  running @5 :UInt32;
+  waiting @6 :UInt32;
+  cachePermille @7 :UInt32;
+  engine @8 :EngineState;
+  # Absent for plain services, and when the sender does not probe the target itself.
+}
+
+enum EngineRole {
+  whole @0;
+  prefill @1;
+  decode @2;
+}
+
+struct EngineState {
+  model @0 :Text;
+  version @1 :UInt64;
+  adapters @2 :List(Text);
+  role @3 :EngineRole;
+}
+
+enum EntryKind {
+  workspace @0;
+  service @1;
+  model @2;
 }
 
 struct LimitUse {
-  workspace @0 :Text;
+  kind @4 :EntryKind;
+  entry @0 :Text;
   running @1 :UInt32;
   requests @2 :UInt32;
   tokens @3 :UInt64;
@@ -140,7 +179,7 @@
     catalogueRequest @1 :UInt64;
     catalogueUpdate @2 :CatalogueUpdate;
     admitRequest @3 :AdmitRequest;
-    admitReply @4 :Outcome;
+    admitReply @4 :AdmitReply;
     progressReport @5 :List(CallProgress);
     settleRequest @6 :SettleRequest;
     settleReply @7 :CallName;
@@ -148,7 +187,8 @@
     witnessNote @9 :WitnessNote;
     witnessReply @10 :CallName;
     recordRequest @11 :RecordRequest;
-    recordReply @12 :Outcome;
+    recordReply @12 :RecordReply;
+    callUnknown @13 :CallUnknown;
   }
 }
 
--- a/crates/beechsaddle-wire/src/peer/heartbeat_codec.rs
+++ b/crates/beechsaddle-wire/src/peer/heartbeat_codec.rs
@@ -1,8 +1,10 @@
 //! The `heartbeat_codec` module provides heartbeats and the news in them.
 
+use beechsaddle_core::catalogue::{EntryId, EntryKind};
 use beechsaddle_core::members::HostState;
 use beechsaddle_core::peer::{LimitUse, PeerHeartbeat, RouterNews, RouterState, TargetNews};
 
+use super::engine_codec::{read_engine, read_load, write_engine, write_load};
 use super::identity_codec::{read_incarnation, write_incarnation};
 use super::limits::NEWS_MAX;
 use super::text_codec::{check_count, check_name, check_text, read_name, read_text};
@@ -66,6 +68,12 @@
             HostState::Down => peer_capnp::HostState::Down,
         });
         item.set_sequence(news.sequence);
+        if let Some(load) = &news.load {
+            write_load(load, &mut item);
+        }
+        if let Some(engine) = &news.engine {
+            write_engine(engine, item.init_engine())?;
+        }
     }
     Ok(())
 }
@@ -86,6 +94,11 @@
             peer_capnp::HostState::Down => HostState::Down,
         },
         sequence: reader.get_sequence(),
+        load: read_load(reader),
+        engine: match reader.has_engine() {
+            true => Some(read_engine(reader.get_engine()?)?),
+            false => None,
+        },
     })
 }
 
@@ -100,7 +113,12 @@
     let mut list = builder.reborrow().init_limits(count);
     for (index, limit) in (0..count).zip(limits) {
         let mut item = list.reborrow().get(index);
-        item.set_workspace(check_name(limit.workspace.as_str())?);
+        item.set_kind(match limit.entry.kind {
+            EntryKind::Workspace => peer_capnp::EntryKind::Workspace,
+            EntryKind::Service => peer_capnp::EntryKind::Service,
+            EntryKind::Model => peer_capnp::EntryKind::Model,
+        });
+        item.set_entry(check_name(&limit.entry.name)?);
         item.set_running(limit.running);
         item.set_requests(limit.requests);
         item.set_tokens(limit.tokens);
@@ -116,7 +134,14 @@
 
 fn read_limit(reader: peer_capnp::limit_use::Reader<'_>) -> Result<LimitUse> {
     Ok(LimitUse {
-        workspace: read_name(reader.get_workspace()?)?.into(),
+        entry: EntryId {
+            kind: match reader.get_kind()? {
+                peer_capnp::EntryKind::Workspace => EntryKind::Workspace,
+                peer_capnp::EntryKind::Service => EntryKind::Service,
+                peer_capnp::EntryKind::Model => EntryKind::Model,
+            },
+            name: read_name(reader.get_entry()?)?.to_owned(),
+        },
         running: reader.get_running(),
         requests: reader.get_requests(),
         tokens: reader.get_tokens(),
--- a/crates/beechsaddle-wire/src/peer/limits.rs
+++ b/crates/beechsaddle-wire/src/peer/limits.rs
@@ -9,6 +9,9 @@
 /// the size planned for, which is 3,700 replicas in 19 domains.
 pub const NEWS_MAX: usize = 4_096;
 
+/// The most adapters of one engine.
+pub const ADAPTERS_MAX: usize = 1_024;
+
 /// The most calls in one report: twice the requests a second of the whole fleet, 15,000.
 pub const CALLS_MAX: usize = 32_768;
 
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -5,5 +5,10 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod calls;
+pub mod catalogue_files;
+pub mod findings;
 pub mod peers;
+pub mod platform;
 pub mod report;
+pub mod settings;
--- a/crates/beechsaddle/src/peers/send_queue.rs
+++ b/crates/beechsaddle/src/peers/send_queue.rs
@@ -143,6 +143,7 @@
         | PeerMessage::SettleRequest(_)
         | PeerMessage::SettleReply { .. }
         | PeerMessage::BillsDurable { .. }
+        | PeerMessage::CallUnknown { .. }
         | PeerMessage::WitnessNote(_)
         | PeerMessage::WitnessReply { .. }
         | PeerMessage::RecordRequest(_)
--- a/crates/beechsaddle/tests/peers_exchange.rs
+++ b/crates/beechsaddle/tests/peers_exchange.rs
@@ -12,6 +12,7 @@
     TargetNews, WitnessNote,
 };
 use beechsaddle_core::prelude::*;
+use beechsaddle_core::target::{EngineRole, EngineState, LoadReport};
 use beechsaddle_wire::peer::MESSAGE_BYTES_MAX;
 
 use peers_support::{SECRET, call, heartbeat, note, options, start, start_with_ring};
@@ -44,9 +45,23 @@
         epoch: 2,
         state: HostState::Leaving,
         sequence: 4,
+        load: Some(LoadReport {
+            running: 3,
+            waiting: 1,
+            cache_permille: 700,
+        }),
+        engine: Some(EngineState {
+            model: "statement-12b".into(),
+            version: 3,
+            adapters: vec!["cover-bands".to_owned()],
+            role: EngineRole::Whole,
+        }),
     });
     heartbeat.limits.push(LimitUse {
-        workspace: "verlag".into(),
+        entry: EntryId {
+            kind: EntryKind::Workspace,
+            name: "verlag".to_owned(),
+        },
         running: 1,
         requests: 2,
         tokens: 3,
@@ -115,6 +130,14 @@
             call: call(1),
             outcome: Err(refusal.clone()),
         },
+        PeerMessage::AdmitReply {
+            call: call(2),
+            outcome: Ok("host-b@7".into()),
+        },
+        PeerMessage::CallUnknown {
+            call: call(2),
+            journal: "host-b@7".into(),
+        },
         PeerMessage::ProgressReport {
             calls: vec![CallProgress {
                 call: call(1),
