--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -17,6 +17,7 @@
 use super::segment_sweeper::SegmentSweeper;
 use super::shard_writer::ShardWriter;
 use crate::members::MemberTable;
+use crate::objects::FleetLayout;
 use crate::peer::{AdmitRequest, PeerMessage, WitnessNote};
 use crate::platform::{PlatformReply, PlatformTicket};
 use crate::prelude::*;
@@ -40,6 +41,8 @@
     pub(super) holdings: BTreeMap<BudgetName, BudgetHolding>,
     /// Copies of other routers' calls.
     pub(super) notes: BTreeMap<CallId, WitnessNote>,
+    /// Calls of other routers that are billed for good, and when that was told.
+    pub(super) closed_calls: BTreeMap<CallId, ClockTime>,
     pub(super) life: u32,
     pub(super) writer: JournalWriter,
     pub(super) written_at: ClockTime,
@@ -100,6 +103,7 @@
             keys: KeyBook::default(),
             holdings: BTreeMap::new(),
             notes: BTreeMap::new(),
+            closed_calls: BTreeMap::new(),
             life: FIRST_LIFE,
             writer,
             written_at: ClockTime::ZERO,
@@ -121,6 +125,12 @@
         }
     }
 
+    /// Sets how many ledger shards there are, once the fleet's layout is known and before anything
+    /// is reserved.
+    pub fn set_layout(&mut self, layout: &FleetLayout) {
+        self.options.shard_count = layout.ledger_shards;
+    }
+
     /// Asks for a reservation; called at the call's entry router. Exactly one
     /// [`CoreSignal::AdmitDone`] follows in bounded time, unless the call is settled before.
     pub fn admit(
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod calls;
 pub mod catalogue_files;
 pub mod findings;
+pub mod operator;
 pub mod peers;
 pub mod platform;
 pub mod report;
+pub mod router;
 pub mod settings;
--- a/crates/beechsaddle/src/peers/send_queue.rs
+++ b/crates/beechsaddle/src/peers/send_queue.rs
@@ -142,8 +142,8 @@
         | PeerMessage::AdmitReply { .. }
         | PeerMessage::SettleRequest(_)
         | PeerMessage::SettleReply { .. }
-        | PeerMessage::BillsDurable { .. }
         | PeerMessage::CallUnknown { .. }
+        | PeerMessage::BillsDurable { .. }
         | PeerMessage::WitnessNote(_)
         | PeerMessage::WitnessReply { .. }
         | PeerMessage::RecordRequest(_)
