--- a/crates/beechsaddle-wire/src/peer/heartbeat_codec.rs
+++ b/crates/beechsaddle-wire/src/peer/heartbeat_codec.rs
@@ -3,8 +3,8 @@
 use beechsaddle_core::catalogue::{EntryId, EntryKind};
 use beechsaddle_core::members::HostState;
 use beechsaddle_core::peer::{LimitUse, PeerHeartbeat, RouterNews, RouterState, TargetNews};
-use beechsaddle_core::target::{EngineRole, EngineState, LoadReport};
 
+use super::engine_codec::{read_engine, read_load, write_engine, write_load};
 use super::identity_codec::{read_incarnation, write_incarnation};
 use super::limits::NEWS_MAX;
 use super::text_codec::{check_count, check_name, check_text, read_name, read_text};
@@ -69,7 +69,7 @@
         });
         item.set_sequence(news.sequence);
         if let Some(load) = &news.load {
-            write_load(load, item.reborrow().init_load());
+            write_load(load, &mut item);
         }
         if let Some(engine) = &news.engine {
             write_engine(engine, item.init_engine())?;
@@ -94,10 +94,7 @@
             peer_capnp::HostState::Down => HostState::Down,
         },
         sequence: reader.get_sequence(),
-        load: match reader.has_load() {
-            true => Some(read_load(reader.get_load()?)),
-            false => None,
-        },
+        load: read_load(reader),
         engine: match reader.has_engine() {
             true => Some(read_engine(reader.get_engine()?)?),
             false => None,
@@ -105,58 +102,6 @@
     })
 }
 
-fn write_load(load: &LoadReport, mut builder: peer_capnp::load_report::Builder<'_>) {
-    builder.set_running(load.running);
-    builder.set_waiting(load.waiting);
-    builder.set_cache_permille(load.cache_permille);
-}
-
-fn read_load(reader: peer_capnp::load_report::Reader<'_>) -> LoadReport {
-    LoadReport {
-        running: reader.get_running(),
-        waiting: reader.get_waiting(),
-        cache_permille: reader.get_cache_permille(),
-    }
-}
-
-fn write_engine(
-    engine: &EngineState,
-    mut builder: peer_capnp::engine_state::Builder<'_>,
-) -> Result<()> {
-    builder.set_model(check_name(engine.model.as_str())?);
-    builder.set_version(engine.version);
-    builder.set_role(match engine.role {
-        EngineRole::Whole => peer_capnp::EngineRole::Whole,
-        EngineRole::Prefill => peer_capnp::EngineRole::Prefill,
-        EngineRole::Decode => peer_capnp::EngineRole::Decode,
-    });
-    let count = check_count(engine.adapters.len(), NEWS_MAX)?;
-    let mut list = builder.init_adapters(count);
-    for (index, adapter) in (0..count).zip(&engine.adapters) {
-        list.set(index, check_text(adapter)?);
-    }
-    Ok(())
-}
-
-fn read_engine(reader: peer_capnp::engine_state::Reader<'_>) -> Result<EngineState> {
-    let list = reader.get_adapters()?;
-    check_count(list.len() as usize, NEWS_MAX)?;
-    let mut adapters = Vec::new();
-    for adapter in list.iter() {
-        adapters.push(read_text(adapter?)?.to_owned());
-    }
-    Ok(EngineState {
-        model: read_name(reader.get_model()?)?.into(),
-        version: reader.get_version(),
-        adapters,
-        role: match reader.get_role()? {
-            peer_capnp::EngineRole::Whole => EngineRole::Whole,
-            peer_capnp::EngineRole::Prefill => EngineRole::Prefill,
-            peer_capnp::EngineRole::Decode => EngineRole::Decode,
-        },
-    })
-}
-
 fn write_limits(
     limits: &[LimitUse],
     builder: &mut peer_capnp::heartbeat::Builder<'_>,
@@ -173,7 +118,7 @@
             EntryKind::Service => peer_capnp::EntryKind::Service,
             EntryKind::Model => peer_capnp::EntryKind::Model,
         });
-        item.set_name(check_text(&limit.entry.name)?);
+        item.set_entry(check_name(&limit.entry.name)?);
         item.set_running(limit.running);
         item.set_requests(limit.requests);
         item.set_tokens(limit.tokens);
@@ -195,7 +140,7 @@
                 peer_capnp::EntryKind::Service => EntryKind::Service,
                 peer_capnp::EntryKind::Model => EntryKind::Model,
             },
-            name: read_text(reader.get_name()?)?.to_owned(),
+            name: read_name(reader.get_entry()?)?.to_owned(),
         },
         running: reader.get_running(),
         requests: reader.get_requests(),
--- a/crates/beechsaddle-wire/src/peer/mod.rs
+++ b/crates/beechsaddle-wire/src/peer/mod.rs
@@ -6,12 +6,14 @@
 
 mod admission_codec;
 mod catalogue_codec;
+mod engine_codec;
 mod heartbeat_codec;
 mod hello_codec;
 mod identity_codec;
 mod limits;
 mod message_codec;
 mod message_size;
+mod reply_codec;
 mod text_codec;
 
 pub use hello_codec::{
@@ -19,8 +21,8 @@
     write_challenge, write_hello,
 };
 pub use limits::{
-    BATCH_MESSAGES_MAX, CALLS_MAX, CHANGES_MAX, MESSAGE_BYTES_MAX, NEWS_MAX, TEXT_BYTES_MAX,
-    reader_options,
+    ADAPTERS_MAX, BATCH_MESSAGES_MAX, CALLS_MAX, CHANGES_MAX, MESSAGE_BYTES_MAX, NEWS_MAX,
+    TEXT_BYTES_MAX, reader_options,
 };
 pub use message_codec::{
     build_message, decode_message, encode_message, read_message, write_message,
--- a/crates/beechsaddle-wire/src/peer_capnp.rs
+++ b/crates/beechsaddle-wire/src/peer_capnp.rs
@@ -1175,8 +1175,8 @@
     }
 }
 
-pub mod outcome {
-    pub use self::Which::{Granted,Refused};
+pub mod admit_reply {
+    pub use self::Which::{Journal,Refused};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1247,6 +1247,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_journal(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 0 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
         pub fn has_refused(&self) -> bool {
             if self.reader.get_data_field::<u16>(0) != 1 { return false; }
             !self.reader.get_pointer_field(1).is_null()
@@ -1255,8 +1260,8 @@
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
-                    ::core::result::Result::Ok(Granted(
-                        ()
+                    ::core::result::Result::Ok(Journal(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
                     ))
                 }
                 1 => {
@@ -1338,8 +1343,19 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_granted(&mut self, _value: ())  {
+        pub fn set_journal(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             self.builder.set_data_field::<u16>(0, 0);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_journal(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 0);
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_journal(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 0 { return false; }
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
         pub fn set_refused(&mut self, value: crate::peer_capnp::refusal::Reader<'_>) -> ::capnp::Result<()> {
@@ -1360,8 +1376,8 @@
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
-                    ::core::result::Result::Ok(Granted(
-                        ()
+                    ::core::result::Result::Ok(Journal(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
                     ))
                 }
                 1 => {
@@ -1388,20 +1404,20 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(44, 143, 120, 79, 25, 234, 225, 212),
+            ::capnp::word(75, 196, 111, 7, 135, 229, 14, 231),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
             ::capnp::word(2, 0, 7, 0, 0, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 79, 117, 116, 99, 111),
-            ::capnp::word(109, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 65, 100, 109, 105, 116),
+            ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1411,7 +1427,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
@@ -1433,12 +1449,12 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(106, 111, 117, 114, 110, 97, 108, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
@@ -1453,7 +1469,7 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::peer_capnp::call_name::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::peer_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -1471,18 +1487,18 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
-        pub(crate) const TYPE_ID: u64 = 0xd4e1_ea19_4f78_8f2c;
+        pub(crate) const TYPE_ID: u64 = 0xe70e_e587_076f_c44b;
     }
-    pub enum Which<A0> {
-        Granted(()),
-        Refused(A0),
+    pub enum Which<A0,A1> {
+        Journal(A0),
+        Refused(A1),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::refusal::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::refusal::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::peer_capnp::refusal::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::peer_capnp::refusal::Builder<'a>>>;
 }
 
-pub mod admit_reply {
-    pub use self::Which::{Granted,Refused};
+pub mod record_reply {
+    pub use self::Which::{Durable,Refused};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1553,11 +1569,6 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn has_granted(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 0 { return false; }
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
         pub fn has_refused(&self) -> bool {
             if self.reader.get_data_field::<u16>(0) != 1 { return false; }
             !self.reader.get_pointer_field(1).is_null()
@@ -1566,8 +1577,8 @@
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
-                    ::core::result::Result::Ok(Granted(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ::core::result::Result::Ok(Durable(
+                        ()
                     ))
                 }
                 1 => {
@@ -1649,19 +1660,8 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_granted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_durable(&mut self, _value: ())  {
             self.builder.set_data_field::<u16>(0, 0);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_granted(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 0);
-            self.builder.get_pointer_field(1).init_text(size)
-        }
-        #[inline]
-        pub fn has_granted(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 0 { return false; }
-            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
         pub fn set_refused(&mut self, value: crate::peer_capnp::refusal::Reader<'_>) -> ::capnp::Result<()> {
@@ -1682,8 +1682,8 @@
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
-                    ::core::result::Result::Ok(Granted(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ::core::result::Result::Ok(Durable(
+                        ()
                     ))
                 }
                 1 => {
@@ -1710,20 +1710,20 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(75, 196, 111, 7, 135, 229, 14, 231),
+            ::capnp::word(64, 178, 119, 91, 142, 176, 135, 194),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
             ::capnp::word(2, 0, 7, 0, 0, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 65, 100, 109, 105, 116),
-            ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 82, 101, 99, 111, 114),
+            ::capnp::word(100, 82, 101, 112, 108, 121, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1733,7 +1733,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 255, 255, 1, 0, 0, 0),
+            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
@@ -1755,12 +1755,12 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 117, 114, 97, 98, 108, 101, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
@@ -1775,7 +1775,7 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::peer_capnp::call_name::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <() as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::peer_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -1793,14 +1793,14 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
-        pub(crate) const TYPE_ID: u64 = 0xe70e_e587_076f_c44b;
+        pub(crate) const TYPE_ID: u64 = 0xc287_b08e_5b77_b240;
     }
-    pub enum Which<A0,A1> {
-        Granted(A0),
-        Refused(A1),
+    pub enum Which<A0> {
+        Durable(()),
+        Refused(A0),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::peer_capnp::refusal::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::peer_capnp::refusal::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::refusal::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::refusal::Builder<'a>>>;
 }
 
 pub mod call_unknown {
@@ -2276,26 +2276,34 @@
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_load(self) -> ::capnp::Result<crate::peer_capnp::load_report::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_has_load(self) -> bool {
+            self.reader.get_bool_field(80)
         }
         #[inline]
-        pub fn has_load(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_running(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_waiting(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_cache_permille(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
         }
         #[inline]
         pub fn get_engine(self) -> ::capnp::Result<crate::peer_capnp::engine_state::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_engine(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+            !self.reader.get_pointer_field(1).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2386,36 +2394,52 @@
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_load(self) -> ::capnp::Result<crate::peer_capnp::load_report::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_has_load(self) -> bool {
+            self.builder.get_bool_field(80)
         }
         #[inline]
-        pub fn set_load(&mut self, value: crate::peer_capnp::load_report::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn set_has_load(&mut self, value: bool)  {
+            self.builder.set_bool_field(80, value);
         }
         #[inline]
-        pub fn init_load(self, ) -> crate::peer_capnp::load_report::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn get_running(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
         }
         #[inline]
-        pub fn has_load(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_running(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_waiting(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_waiting(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_cache_permille(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_cache_permille(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
         }
         #[inline]
         pub fn get_engine(self) -> ::capnp::Result<crate::peer_capnp::engine_state::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_engine(&mut self, value: crate::peer_capnp::engine_state::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
         pub fn init_engine(self, ) -> crate::peer_capnp::engine_state::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
         pub fn has_engine(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+            !self.builder.is_pointer_field_null(1)
         }
     }
 
@@ -2426,74 +2450,92 @@
         }
     }
     impl Pipeline  {
-        pub fn get_load(&self) -> crate::peer_capnp::load_report::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-        }
         pub fn get_engine(&self) -> crate::peer_capnp::engine_state::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 177, 213, 66, 246, 140, 177, 193),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 84, 97, 114, 103, 101),
             ::capnp::word(116, 78, 101, 119, 115, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 80, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2527,252 +2569,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 97, 100, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(35, 21, 120, 155, 158, 42, 117, 205),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(43, 246, 188, 227, 97, 134, 233, 228),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::peer_capnp::HostState as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::peer_capnp::load_report::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <crate::peer_capnp::engine_state::Owned as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
-            }
-        }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-        }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,1,4,3,2,0];
-        pub(crate) const TYPE_ID: u64 = 0xc1b1_8cf6_42d5_b11a;
-    }
-}
-
-pub mod load_report {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
-
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
-        }
-    }
-
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
-        }
-    }
-
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-        }
-    }
-
-    impl <> Reader<'_,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
-        }
-        #[inline]
-        pub fn get_running(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn get_waiting(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn get_cache_permille(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
-        }
-    }
-
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
-    }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-    }
-
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
-            self.builder.into_reader().into()
-        }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
-        }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-            self.builder.as_reader().into()
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
-        }
-        #[inline]
-        pub fn get_running(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn set_running(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(0, value);
-        }
-        #[inline]
-        pub fn get_waiting(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn set_waiting(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(1, value);
-        }
-        #[inline]
-        pub fn get_cache_permille(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
-        }
-        #[inline]
-        pub fn set_cache_permille(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
-        }
-    }
-
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
-        }
-    }
-    impl Pipeline  {
-    }
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(35, 21, 120, 155, 158, 42, 117, 205),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
-            ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
-            ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 76, 111, 97, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2798,12 +2602,26 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(43, 246, 188, 227, 97, 134, 233, 228),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::peer_capnp::HostState as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::peer_capnp::engine_state::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2817,10 +2635,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
-        pub(crate) const TYPE_ID: u64 = 0xcd75_2a9e_9b78_1523;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,8,1,4,5,3,2,0,6];
+        pub(crate) const TYPE_ID: u64 = 0xc1b1_8cf6_42d5_b11a;
     }
 }
 
@@ -3335,28 +3153,28 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_kind(self) -> ::core::result::Result<crate::peer_capnp::EntryKind,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
-        }
-        #[inline]
-        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_entry(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_name(&self) -> bool {
+        pub fn has_entry(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
         pub fn get_running(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
+            self.reader.get_data_field::<u32>(0)
         }
         #[inline]
         pub fn get_requests(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+            self.reader.get_data_field::<u32>(1)
         }
         #[inline]
         pub fn get_tokens(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_kind(self) -> ::core::result::Result<crate::peer_capnp::EntryKind,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(8))
         }
     }
 
@@ -3413,52 +3231,52 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_kind(self) -> ::core::result::Result<crate::peer_capnp::EntryKind,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
-        }
-        #[inline]
-        pub fn set_kind(&mut self, value: crate::peer_capnp::EntryKind)  {
-            self.builder.set_data_field::<u16>(0, value as u16);
-        }
-        #[inline]
-        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_entry(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_name(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_entry(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_entry(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_name(&self) -> bool {
+        pub fn has_entry(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
         pub fn get_running(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
+            self.builder.get_data_field::<u32>(0)
         }
         #[inline]
         pub fn set_running(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(1, value);
+            self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
         pub fn get_requests(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+            self.builder.get_data_field::<u32>(1)
         }
         #[inline]
         pub fn set_requests(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
+            self.builder.set_data_field::<u32>(1, value);
         }
         #[inline]
         pub fn get_tokens(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
         pub fn set_tokens(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_kind(self) -> ::core::result::Result<crate::peer_capnp::EntryKind,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(8))
+        }
+        #[inline]
+        pub fn set_kind(&mut self, value: crate::peer_capnp::EntryKind)  {
+            self.builder.set_data_field::<u16>(8, value as u16);
         }
     }
 
@@ -3489,50 +3307,42 @@
             ::capnp::word(85, 115, 101, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 127, 210, 222, 38, 33, 120, 166),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3565,14 +3375,22 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 127, 210, 222, 38, 33, 120, 166),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::peer_capnp::EntryKind as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::peer_capnp::EntryKind as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3588,7 +3406,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,3,2,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,2,1,3];
         pub(crate) const TYPE_ID: u64 = 0xc4c3_42ac_b363_9dbf;
     }
 }
@@ -6630,12 +6448,12 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_record_reply(&mut self, value: crate::peer_capnp::outcome::Reader<'_>) -> ::capnp::Result<()> {
+        pub fn set_record_reply(&mut self, value: crate::peer_capnp::record_reply::Reader<'_>) -> ::capnp::Result<()> {
             self.builder.set_data_field::<u16>(0, 12);
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_record_reply(self, ) -> crate::peer_capnp::outcome::Builder<'a> {
+        pub fn init_record_reply(self, ) -> crate::peer_capnp::record_reply::Builder<'a> {
             self.builder.set_data_field::<u16>(0, 12);
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
@@ -6982,7 +6800,7 @@
             ::capnp::word(114, 101, 99, 111, 114, 100, 82, 101),
             ::capnp::word(112, 108, 121, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 143, 120, 79, 25, 234, 225, 212),
+            ::capnp::word(64, 178, 119, 91, 142, 176, 135, 194),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -7012,7 +6830,7 @@
                 9 => <crate::peer_capnp::witness_note::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <crate::peer_capnp::call_name::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <crate::peer_capnp::record_request::Owned as ::capnp::introspect::Introspect>::introspect(),
-                12 => <crate::peer_capnp::outcome::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <crate::peer_capnp::record_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <crate::peer_capnp::call_unknown::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -7048,8 +6866,8 @@
         RecordReply(A11),
         CallUnknown(A12),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<crate::peer_capnp::record_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::outcome::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<crate::peer_capnp::record_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::outcome::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<crate::peer_capnp::record_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::record_reply::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<crate::peer_capnp::record_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::record_reply::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Builder<'a>>>;
 }
 
 pub mod hello {
