--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -4,8 +4,10 @@
 
 mod catalogue_cost;
 mod experiment;
+mod message_bytes;
 mod object_bytes;
 mod process_cost;
+pub mod sample_messages;
 pub mod sample_objects;
 mod slope_fit;
 mod thread_cost;
@@ -24,6 +26,11 @@
         shows: "bytes of each kind of platform object against what it holds",
         run: object_bytes::run,
     },
+    MeasureExperiment {
+        name: "message-bytes",
+        shows: "bytes of each kind of message between routers against what it holds",
+        run: message_bytes::run,
+    },
     MeasureExperiment {
         name: "catalogue-cost",
         shows: "memory of a whole catalogue and time of an edit against its entries",
--- a/crates/beechsaddle-lab/src/measure/sample_objects.rs
+++ b/crates/beechsaddle-lab/src/measure/sample_objects.rs
@@ -146,7 +146,8 @@
         key: key_of(number),
         budget: budget_name(number).as_str().into(),
         tokens: 233,
-        replaces: 0,
+        replaces: None,
+        contested: false,
         provisional: false,
         against: None,
     }
@@ -175,7 +176,8 @@
     }
 }
 
-fn key_of(number: u64) -> RequestKey {
+/// A caller's key.
+pub fn key_of(number: u64) -> RequestKey {
     RequestKey {
         workspace: workspace_name(number).as_str().into(),
         text: format!("3f2a9c51-7d4e-4b7a-9f00-{number:012}")
@@ -185,14 +187,16 @@
     }
 }
 
-fn call_of(number: u64) -> CallId {
+/// A call.
+pub fn call_of(number: u64) -> CallId {
     CallId {
         router: router_of(number),
         number,
     }
 }
 
-fn router_of(number: u64) -> RouterIncarnation {
+/// One of the routers.
+pub fn router_of(number: u64) -> RouterIncarnation {
     RouterIncarnation::new(format!("entry-{:03}", number % 450).as_str(), EPOCH)
 }
 
