--- a/crates/beechsaddle-core/src/money/desk_entry.rs
+++ b/crates/beechsaddle-core/src/money/desk_entry.rs
@@ -119,6 +119,10 @@
         let Some(entry) = self.entries.get_mut(call) else {
             return self.confirm_bill(turn, holder, call);
         };
+        if matches!(entry.stage, EntryStage::Asking | EntryStage::Running) {
+            // A witness that took this router for gone billed the call while it runs.
+            return;
+        }
         entry.durable_at = Some(holder.clone());
         entry.witnesses.remove(holder);
         if entry.stage != EntryStage::Durable {
@@ -304,7 +308,7 @@
         if holder == self.me {
             let request = entry.settle_request(None);
             let is_noted = !entry.ran || entry.is_released;
-            self.hold_settle(turn, request);
+            self.hold_settle(turn, &holder, request);
             if !is_noted {
                 self.place_note(turn, call);
             }
@@ -325,7 +329,7 @@
         let request = entry.settle_request(entry.journal.clone());
         let successor = turn.members.picked_for(entry.request.budget.as_str());
         if successor == self.me {
-            self.hold_settle(turn, request);
+            self.hold_settle(turn, &successor, request);
             return self.place_note(turn, call);
         }
         entry.witnesses.insert(successor.clone());
--- a/crates/beechsaddle-core/src/money/desk_holder.rs
+++ b/crates/beechsaddle-core/src/money/desk_holder.rs
@@ -191,8 +191,14 @@
         }
     }
 
-    /// Ends a call that this router reserved for, or takes a bill of a closed journal.
-    pub(super) fn hold_settle(&mut self, turn: &mut DeskTurn<'_>, request: SettleRequest) {
+    /// Ends a call that this router reserved for, or takes a bill of a closed journal. `from` is the
+    /// call's entry router, or a witness that stands in for it.
+    pub(super) fn hold_settle(
+        &mut self,
+        turn: &mut DeskTurn<'_>,
+        from: &RouterIncarnation,
+        request: SettleRequest,
+    ) {
         let call = request.call.clone();
         let is_known = self.open.contains_key(&call) || self.billed.contains_key(&call);
         if self.is_closing() && !is_known {
@@ -200,16 +206,21 @@
             // one that is picked next.
             return;
         }
-        if call.router != self.me {
+        if *from != self.me {
             let call = call.clone();
-            turn.send(&request.call.router, PeerMessage::SettleReply { call });
+            turn.send(from, PeerMessage::SettleReply { call });
         }
         if self.open.contains_key(&call) {
             return self.settle_open(turn, request);
         }
-        if let Some(billed) = self.billed.get(&call) {
+        // A witness that took the entry router for gone bills what it knew. When the router is back
+        // and tells more, the call is billed again; the ledger counts the larger of both.
+        let tokens = request.tokens.min(request.bound);
+        let raised = request.against.is_some();
+        let billed = self.billed.get(&call);
+        if let Some(billed) = billed.filter(|billed| !raised || billed.tokens >= tokens) {
             if billed.is_durable {
-                self.tell_durable(turn, &call);
+                self.tell_durable_to(turn, from, &call);
             }
             return;
         }
@@ -226,7 +237,7 @@
             }
             // The call is known as neither open nor billed: it was billed and confirmed before, or
             // never reserved. Either way there is nothing left to do for its entry router.
-            Some(_) | None => self.tell_durable(turn, &call),
+            Some(_) | None => self.tell_durable_to(turn, from, &call),
         }
     }
 
@@ -281,6 +292,7 @@
     /// Queues a bill for the next segment.
     pub(super) fn add_bill(&mut self, now: ClockTime, bill: BillRecord) {
         let billed = BilledCall {
+            tokens: bill.tokens,
             is_durable: false,
             billed_at: now,
         };
@@ -321,12 +333,16 @@
 
     /// Tells the entry router of a call that its copy is not needed any more.
     pub(super) fn tell_durable(&mut self, turn: &mut DeskTurn<'_>, call: &CallId) {
-        if call.router == self.me {
+        self.tell_durable_to(turn, &call.router, call);
+    }
+
+    fn tell_durable_to(&mut self, turn: &mut DeskTurn<'_>, to: &RouterIncarnation, call: &CallId) {
+        if *to == self.me {
             let me = self.me.clone();
             return self.entry_durable(turn, &me, call);
         }
         let calls = vec![call.clone()];
-        turn.send(&call.router, PeerMessage::BillsDurable { calls });
+        turn.send(to, PeerMessage::BillsDurable { calls });
     }
 
     /// Bills what is known of the calls of an entry router that is gone. What is left of their
--- a/crates/beechsaddle-core/src/money/desk_journal.rs
+++ b/crates/beechsaddle-core/src/money/desk_journal.rs
@@ -131,7 +131,8 @@
 
     /// Bills that a reader needs and that are only in segments before this checkpoint: those that
     /// the ledger has not counted, and those that another router may still hand to a successor.
-    fn carried_bills(&self) -> Vec<(u64, BillRecord)> {
+    fn carried_bills(&mut self) -> Vec<(u64, BillRecord)> {
+        self.trim_unconfirmed();
         let unconfirmed = self.unconfirmed.values();
         let unfolded = self.holdings.values().flat_map(|holding| &holding.unfolded);
         let carried: BTreeMap<(u64, CallId, bool), BillRecord> = unconfirmed
@@ -149,6 +150,26 @@
             .collect()
     }
 
+    /// Keeps the list of unconfirmed bills within one object's size; the oldest are dropped.
+    fn trim_unconfirmed(&mut self) {
+        let excess = self
+            .unconfirmed
+            .len()
+            .saturating_sub(self.options.max_segment_bills);
+        if excess == 0 {
+            return;
+        }
+        let mut numbers: Vec<u64> = self
+            .unconfirmed
+            .values()
+            .map(|(number, _)| *number)
+            .collect();
+        numbers.sort_unstable();
+        let oldest_kept = numbers[excess];
+        self.unconfirmed
+            .retain(|_, (number, _)| *number >= oldest_kept);
+    }
+
     fn on_segment(&mut self, turn: &mut DeskTurn<'_>, number: u64, segment: &JournalSegment) {
         if number.is_multiple_of(CHECKPOINT_EVERY) && !segment.closed {
             self.checkpoint = number;
@@ -196,8 +217,10 @@
             .insert(bill.call.clone(), (number, bill.clone()));
         if let Some(billed) = self.billed.get_mut(&bill.call) {
             billed.is_durable = true;
-            let call = bill.call.clone();
-            self.tell_durable(turn, &call);
+            if !bill.provisional {
+                let call = bill.call.clone();
+                self.tell_durable(turn, &call);
+            }
         }
     }
 
--- a/crates/beechsaddle-core/src/money/desk_late.rs
+++ b/crates/beechsaddle-core/src/money/desk_late.rs
@@ -4,6 +4,7 @@
 
 use super::desk_holder::bill_of;
 use super::desk_turn::DeskTurn;
+use super::journal_name::journal_router;
 use super::journal_segment::{BillRecord, FinalSpend};
 use super::late_bill::LateBill;
 use super::money_desk::MoneyDesk;
@@ -200,6 +201,7 @@
             // again when the entry router dies.
             self.closed_calls.insert(call.clone(), turn.now);
             self.notes.remove(&call);
+            self.forwards.remove(&call);
             self.late.remove(&call);
             self.unconfirmed.remove(&call);
             if self
@@ -213,19 +215,55 @@
         }
     }
 
-    /// Bills the calls of a router that is gone from the copies that it placed here.
+    /// What the copies of a router's calls are good for once it is gone.
     pub(super) fn bill_notes(&mut self, turn: &mut DeskTurn<'_>, gone: &RouterIncarnation) {
-        let notes: Vec<WitnessNote> = self
+        let calls: Vec<CallId> = self
             .notes
-            .values()
-            .filter(|note| note.settle.call.router == *gone)
+            .keys()
+            .filter(|call| call.router == *gone)
             .cloned()
             .collect();
-        for note in notes {
-            self.notes.remove(&note.settle.call);
-            if note.settle.ran {
-                let bill = bill_of(&note.settle, !note.ended);
-                self.add_late(turn, note.journal, bill);
+        for call in calls {
+            let Some(note) = self.notes.remove(&call) else {
+                continue;
+            };
+            let holder = journal_router(&note.journal);
+            let has_holder = holder.is_some_and(|holder| !self.scans.contains_key(&holder));
+            if !has_holder {
+                self.bill_note(turn, note);
+            } else if note.ended {
+                // The holder may have heard of the usage or not. It is told, and says what it did.
+                self.forwards.insert(call, note);
+            }
+            // A holder bills a call that runs as an orphan by itself.
+        }
+    }
+
+    fn bill_note(&mut self, turn: &mut DeskTurn<'_>, note: WitnessNote) {
+        if note.settle.ran {
+            let bill = bill_of(&note.settle, !note.ended);
+            self.add_late(turn, note.journal, bill);
+        }
+    }
+
+    /// Tells holders the usage of ended calls whose entry routers are gone, until they confirm.
+    pub(super) fn tick_forwards(&mut self, turn: &mut DeskTurn<'_>) {
+        if turn.now.since(self.forwarded_at) < self.options.resend_ms {
+            return;
+        }
+        self.forwarded_at = turn.now;
+        for (call, note) in self.forwards.clone() {
+            let holder = journal_router(&note.journal);
+            match holder.filter(|holder| !self.scans.contains_key(holder)) {
+                Some(holder) if holder == self.me => {
+                    self.forwards.remove(&call);
+                    self.hold_settle(turn, &holder, note.settle);
+                }
+                Some(holder) => turn.send(&holder, PeerMessage::SettleRequest(note.settle)),
+                None => {
+                    self.forwards.remove(&call);
+                    self.bill_note(turn, note);
+                }
             }
         }
     }
--- a/crates/beechsaddle-core/src/money/holder_call.rs
+++ b/crates/beechsaddle-core/src/money/holder_call.rs
@@ -21,6 +21,7 @@
 /// A call whose bill is not confirmed by its entry router.
 #[derive(Debug)]
 pub(super) struct BilledCall {
+    pub(super) tokens: u64,
     pub(super) is_durable: bool,
     pub(super) billed_at: ClockTime,
 }
--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -40,6 +40,9 @@
     pub(super) holdings: BTreeMap<BudgetName, BudgetHolding>,
     /// Copies of other routers' calls.
     pub(super) notes: BTreeMap<CallId, WitnessNote>,
+    /// Copies of ended calls of routers that are gone, for holders that are not.
+    pub(super) forwards: BTreeMap<CallId, WitnessNote>,
+    pub(super) forwarded_at: ClockTime,
     /// Calls of other routers that are billed for good, and when that was told.
     pub(super) closed_calls: BTreeMap<CallId, ClockTime>,
     pub(super) life: u32,
@@ -102,6 +105,8 @@
             keys: KeyBook::default(),
             holdings: BTreeMap::new(),
             notes: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            forwarded_at: ClockTime::ZERO,
             closed_calls: BTreeMap::new(),
             life: FIRST_LIFE,
             writer,
@@ -201,7 +206,7 @@
                 }
             }
             PeerMessage::SettleRequest(request) => {
-                self.hold_settle(&mut turn, request);
+                self.hold_settle(&mut turn, from, request);
             }
             PeerMessage::SettleReply { call } => self.release_call(&mut turn, &call),
             PeerMessage::BillsDurable { calls } => self.on_durable(&mut turn, from, calls),
@@ -262,6 +267,7 @@
         };
         self.tick_entries(&mut turn);
         self.tick_holder(&mut turn);
+        self.tick_forwards(&mut turn);
         self.pump(&mut turn);
     }
 
