--- a/crates/beechsaddle-core/tests/money_model.rs
+++ b/crates/beechsaddle-core/tests/money_model.rs
@@ -223,7 +223,7 @@
         Step::Start => {
             if world.slots.len() < 6 {
                 let host = format!("r{}", world.slots.len());
-                let domain = if world.slots.len() % 2 == 0 {
+                let domain = if world.slots.len().is_multiple_of(2) {
                     "d1"
                 } else {
                     "d2"
