--- a/crates/beechsaddle-core/src/admission/limit_meter.rs
+++ b/crates/beechsaddle-core/src/admission/limit_meter.rs
@@ -90,7 +90,7 @@
         self.requests_asked.add(now, 1);
         self.tokens_asked.add(now, cost as u64);
         self.update_shares(now, routers, options);
-        self.check_running(now, options, random)?;
+        self.check_running(now, routers, options, random)?;
         self.check_requests(now, options, random)?;
         self.check_tokens(now, cost, options, random)
     }
@@ -121,7 +121,8 @@
         let held_back = u32::try_from(self.held_back.sum(now)).unwrap_or(u32::MAX);
         LimitUse {
             entry: entry.clone(),
-            running: self.running.saturating_add(held_back),
+            running: self.running,
+            held_back,
             requests: u32::try_from(self.requests_asked.sum(now)).unwrap_or(u32::MAX),
             tokens: self.tokens_asked.sum(now),
         }
@@ -143,7 +144,7 @@
         let peer_running: u64 = self
             .peers
             .values()
-            .map(|(peer, _)| u64::from(peer.running))
+            .map(|(peer, _)| u64::from(peer.running) + u64::from(peer.held_back))
             .sum();
         let peer_requests: u64 = self
             .peers
@@ -172,6 +173,7 @@
     fn check_running(
         &mut self,
         now: ClockTime,
+        routers: usize,
         options: &AdmissionOptions,
         random: &mut SeededRandom,
     ) -> Result<(), LimitShort> {
@@ -181,7 +183,12 @@
         let share = self.running_share.current();
         // Rounding up lets each router run at least one call of an entry whose limit is smaller
         // than the number of routers; together they may exceed it by one call a router.
-        let allowed = (share * f64::from(limit)).ceil() as u32;
+        let shared = (share * f64::from(limit)).ceil() as u32;
+        // Calls that run are not cut when a share falls. Until the losing router's calls have ended,
+        // the gaining one gets only what they leave, and its floor.
+        let even = options.floor_permille as f64 / 1_000.0 / routers.max(1) as f64;
+        let floor = (even * f64::from(limit)).ceil() as u32;
+        let allowed = shared.min(limit.saturating_sub(self.peer_running()).max(floor));
         if self.running < allowed {
             return Ok(());
         }
@@ -197,6 +204,13 @@
         Err(short(RefusalReason::ConcurrencyLimit, Some(promise)))
     }
 
+    /// Calls that peers said are running.
+    fn peer_running(&self) -> u32 {
+        self.peers
+            .values()
+            .fold(0, |sum, (peer, _)| sum.saturating_add(peer.running))
+    }
+
     fn check_requests(
         &mut self,
         now: ClockTime,
--- a/crates/beechsaddle-core/src/admission/limit_news.rs
+++ b/crates/beechsaddle-core/src/admission/limit_news.rs
@@ -77,6 +77,7 @@
             own = LimitUse {
                 entry: entry.clone(),
                 running: 0,
+                held_back: 0,
                 requests: 0,
                 tokens: 0,
             };
@@ -100,7 +101,7 @@
             limit.is_some_and(|limit| used as f64 > floor * limit as f64)
         };
         is_above(
-            u64::from(own.running),
+            u64::from(own.running) + u64::from(own.held_back),
             self.limits.concurrency.map(u64::from),
         ) || is_above(
             u64::from(own.requests),
@@ -110,13 +111,14 @@
 }
 
 fn is_nothing(told: &LimitUse) -> bool {
-    told.running == 0 && told.requests == 0 && told.tokens == 0
+    told.running == 0 && told.held_back == 0 && told.requests == 0 && told.tokens == 0
 }
 
 /// Whether a use changed by more than an eighth: less moves no share by a call worth telling.
 fn is_changed(told: &LimitUse, own: &LimitUse) -> bool {
     let differs = |before: u64, after: u64| before.abs_diff(after) * 8 > before.max(after);
     differs(u64::from(told.running), u64::from(own.running))
+        || differs(u64::from(told.held_back), u64::from(own.held_back))
         || differs(u64::from(told.requests), u64::from(own.requests))
         || differs(told.tokens, own.tokens)
 }
--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -129,8 +129,10 @@
 pub struct LimitUse {
     /// The entry.
     pub entry: EntryId,
-    /// Calls running, with those that a limit refused in the last second.
+    /// Calls running.
     pub running: u32,
+    /// Calls that the limit of calls at a time refused in the last second.
+    pub held_back: u32,
     /// Calls asked for in the last second.
     pub requests: u32,
     /// Tokens asked for in the last minute.
--- a/crates/beechsaddle-core/src/targets/load_estimate.rs
+++ b/crates/beechsaddle-core/src/targets/load_estimate.rs
@@ -12,6 +12,9 @@
 /// The weight of the newest call in averages over calls.
 const CALL_WEIGHT: f64 = 0.1;
 
+/// The prompt tokens that a waiting call of another router is taken for until own calls were sent.
+const USUAL_UNCACHED_TOKENS: f64 = 500.0;
+
 /// The bounds of a single measured slowness, so that one stalled call does not decide alone.
 const SLOWNESS_MIN: f64 = 0.05;
 const SLOWNESS_MAX: f64 = 20.0;
@@ -51,6 +54,7 @@
     pub fn new() -> Self {
         LoadEstimate {
             slowness: 1.0,
+            mean_uncached: USUAL_UNCACHED_TOKENS,
             ..LoadEstimate::default()
         }
     }
--- a/crates/beechsaddle-core/src/targets/outlier_watch.rs
+++ b/crates/beechsaddle-core/src/targets/outlier_watch.rs
@@ -10,6 +10,7 @@
     failures_in_row: u32,
     ejections: u32,
     ejected_until: Option<ClockTime>,
+    last_ejected: ClockTime,
     busy_until: ClockTime,
 }
 
@@ -24,10 +25,9 @@
         now < self.busy_until
     }
 
-    /// A call got its answer. The next ejection is short again.
+    /// A call got its answer.
     pub fn succeeded(&mut self) {
         self.failures_in_row = 0;
-        self.ejections = self.ejections.saturating_sub(1);
     }
 
     /// A call failed. Tells whether the target should be ejected for it.
@@ -58,6 +58,12 @@
 
     /// Ejects the target, each time for longer.
     pub fn eject(&mut self, now: ClockTime, options: &TargetOptions) {
+        // A target that was well for long starts over. Answers alone do not clear it: a slow target
+        // answers as well, and would come back every few seconds to be found slow again.
+        if now.since(self.last_ejected) > options.eject_max_ms * 2 {
+            self.ejections = 0;
+        }
+        self.last_ejected = now;
         let doublings = self.ejections.min(16);
         let span = options.eject_base_ms.saturating_mul(1 << doublings);
         self.ejected_until = Some(now.plus_ms(span.min(options.eject_max_ms)));
--- a/crates/beechsaddle-core/src/targets/table_news.rs
+++ b/crates/beechsaddle-core/src/targets/table_news.rs
@@ -1,7 +1,5 @@
 //! The `table_news` module provides what routers of a domain tell each other of targets.
 
-use std::ops::Bound;
-
 use super::{TargetEntry, TargetOptions, TargetTable, TargetWord, WordMerge};
 use crate::clock::ClockTime;
 use crate::members::HostState;
@@ -48,7 +46,7 @@
     /// What to tell in the next heartbeat, the urgent first.
     pub fn take_news(&mut self, now: ClockTime) -> Vec<TargetNews> {
         let mut names = self.names_by(|entry, _| entry.urgent);
-        names.extend(self.names_by(|entry, _| entry.tell > 0 && !entry.urgent));
+        names.extend(self.names_by(|entry, _| entry.tell && !entry.urgent));
         names.extend(self.take_repeated(now));
         names.extend(self.names_by(|entry, options| entry.has_load_news(options)));
         let mut told: Vec<TargetNews> = Vec::new();
@@ -61,7 +59,7 @@
             }
             if let Some(entry) = self.entries.get_mut(&target) {
                 entry.urgent = false;
-                entry.tell = entry.tell.saturating_sub(1);
+                entry.tell = false;
                 entry.told_load = entry.load.report();
                 told.push(entry.to_news());
             }
@@ -78,23 +76,19 @@
             .collect()
     }
 
+    /// The next targets in turn that do not serve.
     fn take_repeated(&mut self, now: ClockTime) -> Vec<TargetName> {
-        let start = match &self.news_cursor {
-            Some(target) => Bound::Excluded(target.clone()),
-            None => Bound::Unbounded,
-        };
-        let repeated: Vec<TargetName> = self
-            .entries
-            .range((start, Bound::Unbounded))
-            .map(|(_, entry)| entry)
-            .filter(|entry| entry.domain == self.domain && entry.listed.is_some())
-            .filter(|entry| entry.word.state() != HostState::Live)
-            .filter(|entry| entry.state(now, &self.options) != HostState::Live)
-            .map(|entry| entry.target.clone())
-            .take(REPEATED_NEWS)
-            .collect();
-        self.news_cursor = repeated.last().cloned();
-        repeated
+        let options = &self.options;
+        let mut bad = self.names_by(|entry, _| {
+            entry.word.state() != HostState::Live && entry.state(now, options) != HostState::Live
+        });
+        if let Some(last) = &self.news_cursor {
+            let place = bad.partition_point(|target| target <= last);
+            bad.rotate_left(place);
+        }
+        bad.truncate(REPEATED_NEWS);
+        self.news_cursor = bad.last().cloned();
+        bad
     }
 
     fn keep_early(&mut self, news: &TargetNews) {
@@ -123,7 +117,7 @@
                 // The peer cannot reach what this router reaches. Both go by what they see; the
                 // others get the last word of the one that got an answer.
                 self.word.observe(HostState::Live);
-                self.tell_urgently(options);
+                self.tell_urgently();
             }
             WordMerge::Adopted if news.state == HostState::Live => {
                 self.fresh_since = Some(now);
--- a/crates/beechsaddle-core/src/targets/table_probes.rs
+++ b/crates/beechsaddle-core/src/targets/table_probes.rs
@@ -28,7 +28,6 @@
         else {
             return;
         };
-        let options = &self.options;
         let Some(entry) = self.entries.get_mut(target) else {
             return;
         };
@@ -39,14 +38,14 @@
                 entry.take_cache(now, cache.as_ref());
                 if entry.word.observe(HostState::Live) {
                     entry.fresh_since = Some(now);
-                    entry.tell_urgently(options);
+                    entry.tell_urgently();
                     outbox.act(state_line("target_up", entry));
                 }
             }
             ProbeOutcome::Leaving => {
                 entry.probe.answered(now, HostState::Leaving);
                 if entry.word.observe(HostState::Leaving) {
-                    entry.tell_urgently(options);
+                    entry.tell_urgently();
                     outbox.act(state_line("target_leaving", entry));
                 }
             }
@@ -60,7 +59,7 @@
         };
         let is_down = entry.probe.failed(now, &self.options);
         if is_down && entry.word.observe(HostState::Down) {
-            entry.tell_urgently(&self.options);
+            entry.tell_urgently();
             outbox.act(state_line("target_down", entry));
         }
     }
--- a/crates/beechsaddle-core/src/targets/target_choice.rs
+++ b/crates/beechsaddle-core/src/targets/target_choice.rs
@@ -1,9 +1,11 @@
 //! The `target_choice` module provides the answer which target gets a call.
 
+use serde::Serialize;
+
 use crate::names::TargetName;
 
 /// A chosen target, or why there is none.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum TargetChoice {
     /// The call goes here.
     Chosen(ChosenTarget),
@@ -16,7 +18,7 @@
 }
 
 /// A chosen target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ChosenTarget {
     /// The target.
     pub target: TargetName,
--- a/crates/beechsaddle-core/src/targets/target_entry.rs
+++ b/crates/beechsaddle-core/src/targets/target_entry.rs
@@ -46,8 +46,8 @@
     pub outlier: OutlierWatch,
     /// Since when it gets work again, while it is in slow start.
     pub fresh_since: Option<ClockTime>,
-    /// In how many more heartbeats to tell of it.
-    pub tell: u32,
+    /// Whether to tell of it in the next heartbeat.
+    pub tell: bool,
     /// Whether to tell of it at once.
     pub urgent: bool,
     /// The load that peers were told last.
@@ -73,7 +73,7 @@
             prefixes: PrefixIndex::new(options.prefix_limit),
             outlier: OutlierWatch::default(),
             fresh_since: None,
-            tell: 0,
+            tell: false,
             urgent: false,
             told_load: LoadReport::default(),
         }
@@ -95,7 +95,7 @@
         self.prefixes.clear();
         self.outlier = OutlierWatch::default();
         self.fresh_since = Some(now);
-        self.tell = 0;
+        self.tell = false;
         self.urgent = false;
     }
 
@@ -164,15 +164,15 @@
         self.prefixes.touch(now, prefix);
     }
 
-    /// Marks an observation of this router for the next heartbeats.
-    pub fn tell_urgently(&mut self, options: &TargetOptions) {
-        self.tell = options.news_repeats;
+    /// Marks an observation of this router for a heartbeat at once.
+    pub fn tell_urgently(&mut self) {
+        self.tell = true;
         self.urgent = true;
     }
 
     /// Marks what is known for the next heartbeat.
     pub fn tell_once(&mut self) {
-        self.tell = self.tell.max(1);
+        self.tell = true;
     }
 
     /// Whether the load changed enough to tell peers, who do not see it themselves.
--- a/crates/beechsaddle-core/src/targets/target_options.rs
+++ b/crates/beechsaddle-core/src/targets/target_options.rs
@@ -22,8 +22,6 @@
     /// For how long a host that is no longer listed is remembered, in milliseconds, so that an
     /// older list cannot bring it back.
     pub forget_ms: u64,
-    /// In how many heartbeats each observation is told.
-    pub news_repeats: u32,
     /// How many observations one heartbeat carries at most.
     pub news_limit: usize,
     /// By how many calls a load has to change before peers are told, at least.
@@ -71,7 +69,6 @@
             down_after: 2,
             view_fresh_ms: 3_000,
             forget_ms: 600_000,
-            news_repeats: 5,
             news_limit: 64,
             load_news_step: 4,
             eject_after: 3,
--- a/crates/beechsaddle-core/src/targets/target_table.rs
+++ b/crates/beechsaddle-core/src/targets/target_table.rs
@@ -228,7 +228,7 @@
             }
         }
         if record.state == HostState::Leaving && entry.word.observe(HostState::Leaving) {
-            entry.tell_urgently(options);
+            entry.tell_urgently();
             outbox.act(state_line("target_leaving", entry));
         }
     }
--- /dev/null
+++ b/crates/beechsaddle-core/tests/admission_limits.rs
@@ -0,0 +1,433 @@
+//! Limits that routers share, deadlines and shedding.
+
+mod routing_support;
+
+use beechsaddle_core::admission::{AdmissionGate, AdmissionOptions, AdmissionPass, CallFacts};
+use beechsaddle_core::catalogue::{EntryClass, EntryLimits, ServiceEntry, WorkspaceEntry};
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::targets::ServiceLoad;
+use quickcheck::{QuickCheck, TestResult};
+use routing_support::*;
+
+const NO_LIMITS: EntryLimits = EntryLimits {
+    concurrency: None,
+    requests_per_second: None,
+    tokens_per_minute: None,
+};
+
+fn facts<'a>(workspace: &'a WorkspaceEntry, service: &'a ServiceEntry) -> CallFacts<'a> {
+    CallFacts {
+        workspace,
+        service,
+        model: None,
+        class: EntryClass::Standard,
+        tokens: 100,
+        deadline: None,
+        load: ServiceLoad::default(),
+    }
+}
+
+fn gate(count: usize, number: usize) -> AdmissionGate {
+    let mut gate = AdmissionGate::new(AdmissionOptions::default(), number as u64);
+    gate.tick(at(0), &members(number, count));
+    gate
+}
+
+/// Routers that exchange their uses every half second, 5 ms away.
+struct LimitDomain {
+    gates: Vec<AdmissionGate>,
+}
+
+impl LimitDomain {
+    fn new(count: usize) -> Self {
+        LimitDomain {
+            gates: (0..count).map(|number| gate(count, number)).collect(),
+        }
+    }
+
+    fn exchange(&mut self, now: ClockTime) {
+        let count = self.gates.len();
+        let told: Vec<_> = self
+            .gates
+            .iter_mut()
+            .map(|gate| gate.take_limits(now))
+            .collect();
+        for (to, gate) in self.gates.iter_mut().enumerate() {
+            for (from, uses) in told.iter().enumerate().filter(|(from, _)| *from != to) {
+                gate.on_limits(now.plus_ms(5), &router(from), uses);
+            }
+            gate.tick(now, &members(to, count));
+        }
+    }
+}
+
+#[test]
+fn admit_noisy_and_quiet_workspace() {
+    // One workspace sends fifty times what its limit allows. It is refused with its own reason; the
+    // quiet one beside it, on the same router and service, must not notice.
+    let limits = EntryLimits {
+        requests_per_second: Some(10),
+        ..NO_LIMITS
+    };
+    let (noisy, quiet) = (workspace("noisy", limits), workspace("quiet", limits));
+    let service = service(NO_LIMITS);
+    let mut gate = gate(1, 0);
+    let mut admitted = 0;
+    for step in 0..1_000 {
+        let now = at(step * 2);
+        if let Ok(pass) = gate.admit(now, &facts(&noisy, &service)) {
+            admitted += 1;
+            gate.ended(now, pass, 10);
+        }
+        if step % 100 == 0 {
+            let pass = gate
+                .admit(now, &facts(&quiet, &service))
+                .expect("within its limit");
+            gate.ended(now, pass, 10);
+        }
+    }
+    assert!(
+        (20..=31).contains(&admitted),
+        "{admitted} calls in two seconds"
+    );
+}
+
+#[test]
+fn admit_requests_shared_over_routers() {
+    // Four routers share 100 calls a second. All demand comes to one of them, then a second one is
+    // asked for as much, then the first falls silent. No phase may leave most of the limit unused,
+    // and no change may let two routers use the same part of it.
+    let limits = EntryLimits {
+        requests_per_second: Some(100),
+        ..NO_LIMITS
+    };
+    let (workspace, service) = (workspace("w", limits), service(NO_LIMITS));
+    let mut domain = LimitDomain::new(4);
+    let mut by_second = vec![0_u32; 30];
+    for step in 0..30_000_u64 {
+        let now = at(step);
+        if step % 500 == 0 {
+            domain.exchange(now);
+        }
+        if step % 4 != 0 {
+            continue;
+        }
+        let busy = match step / 10_000 {
+            0 => 0..1,
+            1 => 0..2,
+            _ => 1..2,
+        };
+        for gate in &mut domain.gates[busy] {
+            if let Ok(pass) = gate.admit(now, &facts(&workspace, &service)) {
+                gate.ended(now, pass, 10);
+                by_second[(step / 1_000) as usize] += 1;
+            }
+        }
+    }
+    for second in [6, 7, 8, 9, 16, 17, 18, 19, 26, 27, 28, 29] {
+        assert!((80..=100).contains(&by_second[second]), "{by_second:?}");
+    }
+    assert!(
+        by_second[3..].iter().all(|count| *count <= 105),
+        "{by_second:?}"
+    );
+}
+
+#[test]
+fn admit_concurrency_shared_over_routers() {
+    // Four routers share ten calls at a time and all are asked for more. Rounding may add at most
+    // one call a router.
+    let limits = EntryLimits {
+        concurrency: Some(10),
+        ..NO_LIMITS
+    };
+    let (workspace, service) = (workspace("w", limits), service(NO_LIMITS));
+    let mut domain = LimitDomain::new(4);
+    let mut open: Vec<(usize, AdmissionPass)> = Vec::new();
+    let mut most = 0;
+    for step in 0..200_u64 {
+        let now = at(step * 50);
+        if step % 10 == 0 {
+            domain.exchange(now);
+        }
+        for number in 0..4 {
+            if let Ok(pass) = domain.gates[number].admit(now, &facts(&workspace, &service)) {
+                open.push((number, pass));
+            }
+        }
+        most = most.max(open.len());
+        if open.len() > 6 {
+            let (number, pass) = open.remove(0);
+            domain.gates[number].ended(now, pass, 10);
+        }
+    }
+    assert!((10..=13).contains(&most), "{most} calls at a time");
+}
+
+#[test]
+fn admit_concurrency_demand_moves() {
+    // One router runs nearly all of an entry's 40 calls, each for five seconds, when as many are
+    // asked for at another. Its share falls at once, but what runs is not cut; the other may not
+    // use a part that is still in use.
+    let limits = EntryLimits {
+        concurrency: Some(40),
+        ..NO_LIMITS
+    };
+    let (workspace, service) = (workspace("w", limits), service(NO_LIMITS));
+    let mut domain = LimitDomain::new(4);
+    let mut open: Vec<(u64, usize, AdmissionPass)> = Vec::new();
+    let mut most = 0;
+    for step in 0..400_u64 {
+        let now = at(step * 50);
+        if step % 10 == 0 {
+            domain.exchange(now);
+        }
+        let busy = usize::from(step >= 150);
+        for _ in 0..4 {
+            if let Ok(pass) = domain.gates[busy].admit(now, &facts(&workspace, &service)) {
+                open.push((step + 100, busy, pass));
+            }
+        }
+        while open.first().is_some_and(|(end, _, _)| *end <= step) {
+            let (_, number, pass) = open.remove(0);
+            domain.gates[number].ended(now, pass, 10);
+        }
+        most = most.max(open.len());
+    }
+    assert!((30..=43).contains(&most), "{most} calls at a time");
+}
+
+#[test]
+fn admit_concurrency_below_router_count() {
+    // A limit of two over eight routers: whichever router the balancer picks has to take a call.
+    let limits = EntryLimits {
+        concurrency: Some(2),
+        ..NO_LIMITS
+    };
+    let (workspace, service) = (workspace("w", limits), service(NO_LIMITS));
+    let mut gate = gate(8, 5);
+    assert!(gate.admit(at(1), &facts(&workspace, &service)).is_ok());
+}
+
+#[test]
+fn admit_tokens_over_limit() {
+    // Bounds are far above what calls use. The bucket goes by what calls use, and a caller that is
+    // refused and comes back when it was told to is admitted.
+    let limits = EntryLimits {
+        tokens_per_minute: Some(6_000),
+        ..NO_LIMITS
+    };
+    let (workspace, service) = (workspace("w", limits), service(NO_LIMITS));
+    let mut gate = gate(1, 0);
+    let mut used = 0;
+    let mut refused = None;
+    for step in 0..600 {
+        let now = at(step * 100);
+        let call = CallFacts {
+            tokens: 1_000,
+            ..facts(&workspace, &service)
+        };
+        match gate.admit(now, &call) {
+            Ok(pass) => {
+                used += 50;
+                gate.ended(now, pass, 50);
+            }
+            Err(refusal) => refused = Some((now, refusal)),
+        }
+    }
+    assert!((5_000..=7_600).contains(&used), "{used} tokens in a minute");
+    let (now, refusal) = refused.expect("the limit was reached");
+    assert_eq!(refusal.reason, RefusalReason::TokenRateLimit);
+    assert_eq!(refusal.ran, RanState::No);
+    let back = now.plus_ms(refusal.retry_after_ms.expect("coming back helps"));
+    assert!(gate.admit(back, &facts(&workspace, &service)).is_ok());
+}
+
+#[test]
+fn admit_refused_callers_return_spread() {
+    // Fifty callers are refused in one moment. Told the same time, they would all come back to one
+    // free slot. Each comes back when told, and nearly all are admitted.
+    let limits = EntryLimits {
+        requests_per_second: Some(10),
+        ..NO_LIMITS
+    };
+    let (workspace, service) = (workspace("w", limits), service(NO_LIMITS));
+    let mut gate = gate(1, 0);
+    let mut returns = Vec::new();
+    for _ in 0..60 {
+        match gate.admit(at(0), &facts(&workspace, &service)) {
+            Ok(pass) => gate.ended(at(0), pass, 10),
+            Err(refusal) => returns.push(refusal.retry_after_ms.expect("coming back helps")),
+        }
+    }
+    assert_eq!(returns.len(), 50);
+    returns.sort_unstable();
+    let admitted = returns
+        .iter()
+        .filter(|span_ms| {
+            let now = at(**span_ms);
+            let pass = gate.admit(now, &facts(&workspace, &service));
+            pass.map(|pass| gate.ended(now, pass, 10)).is_ok()
+        })
+        .count();
+    assert!(
+        admitted >= 45,
+        "{admitted} of 50 were admitted when they came back"
+    );
+}
+
+#[test]
+fn admit_sheds_lowest_class_first() {
+    // Load grows until the router is full. Every batch call is shed before the first standard one,
+    // and every standard one before the first critical one.
+    let (workspace, service) = (workspace("w", NO_LIMITS), service(NO_LIMITS));
+    let mut last_full = [None; 3];
+    let mut first_shed = [None; 3];
+    for waiting in 0..=110_u32 {
+        let mut gate = gate(1, 0);
+        for (place, class) in [
+            EntryClass::Batch,
+            EntryClass::Standard,
+            EntryClass::Critical,
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let load = ServiceLoad {
+                targets: 100,
+                calls: 0,
+                waiting: waiting * 16,
+                first_token_ms: None,
+            };
+            for _ in 0..40 {
+                let call = CallFacts {
+                    class,
+                    load,
+                    ..facts(&workspace, &service)
+                };
+                match gate.admit(at(1), &call) {
+                    Ok(pass) => {
+                        last_full[place] = Some(waiting);
+                        gate.ended(at(2), pass, 1);
+                    }
+                    Err(refusal) => {
+                        assert_eq!(refusal.reason, RefusalReason::Overloaded);
+                        assert_eq!(refusal.ran, RanState::No);
+                        first_shed[place].get_or_insert(waiting);
+                    }
+                }
+            }
+        }
+    }
+    assert!(last_full[0] < first_shed[1], "{last_full:?} {first_shed:?}");
+    assert!(last_full[1] < first_shed[2], "{last_full:?} {first_shed:?}");
+}
+
+#[test]
+fn admit_open_calls_bounded() {
+    // Targets hang and calls pile up at the router, whose memory is small. It refuses before that.
+    let (workspace, service) = (workspace("w", NO_LIMITS), service(NO_LIMITS));
+    let mut gate = gate(1, 0);
+    let mut passes = Vec::new();
+    for _ in 0..5_000 {
+        let call = CallFacts {
+            class: EntryClass::Critical,
+            ..facts(&workspace, &service)
+        };
+        passes.extend(gate.admit(at(1), &call));
+    }
+    assert!(passes.len() <= 2_000, "{} calls are open", passes.len());
+}
+
+#[test]
+fn admit_deadline_cannot_be_met() {
+    // The first token is 900 ms away and the caller gives up in 500: the answer would reach nobody
+    // and take an engine's time from a caller that still waits.
+    let (workspace, service) = (workspace("w", NO_LIMITS), service(NO_LIMITS));
+    let mut gate = gate(1, 0);
+    let load = ServiceLoad {
+        targets: 1,
+        calls: 9,
+        waiting: 9,
+        first_token_ms: Some(900),
+    };
+    let call = |deadline| CallFacts {
+        deadline: Some(at(deadline)),
+        load,
+        ..facts(&workspace, &service)
+    };
+    let refusal = gate.admit(at(0), &call(500)).expect_err("it cannot be met");
+    assert_eq!(refusal.reason, RefusalReason::DeadlineExceeded);
+    assert_eq!(refusal.ran, RanState::No);
+    assert!(gate.admit(at(0), &call(1_000)).is_ok());
+    let refusal = gate.admit(at(0), &call(0)).expect_err("it is over");
+    assert_eq!(refusal.retry_after_ms, None);
+}
+
+#[test]
+fn admit_refused_holds_nothing() {
+    // The workspace's limit has room, the service's has none. The refused call must not use up the
+    // workspace's limit.
+    let limits = EntryLimits {
+        concurrency: Some(1),
+        ..NO_LIMITS
+    };
+    let (first, second) = (workspace("a", limits), workspace("b", limits));
+    let service = service(limits);
+    let mut gate = gate(1, 0);
+    let pass = gate
+        .admit(at(0), &facts(&first, &service))
+        .expect("both have room");
+    let refusal = gate
+        .admit(at(1), &facts(&second, &service))
+        .expect_err("the service is full");
+    assert_eq!(refusal.reason, RefusalReason::ConcurrencyLimit);
+    gate.ended(at(2), pass, 10);
+    assert!(gate.admit(at(3), &facts(&second, &service)).is_ok());
+}
+
+#[test]
+fn take_limits_quiet_entries_silent() {
+    // Thousands of workspaces far below their limits cost no byte of a heartbeat.
+    let limits = EntryLimits {
+        requests_per_second: Some(1_000),
+        ..NO_LIMITS
+    };
+    let service = service(NO_LIMITS);
+    let mut gate = gate(4, 0);
+    for number in 0..1_000 {
+        let workspace = workspace(&format!("w{number}"), limits);
+        let pass = gate
+            .admit(at(0), &facts(&workspace, &service))
+            .expect("it has room");
+        gate.ended(at(0), pass, 10);
+    }
+    assert_eq!(gate.take_limits(at(1)), []);
+}
+
+#[test]
+fn ended_random_histories() {
+    // Whatever the order of admissions and ends, no more than the limit runs and all is given back.
+    fn holds(steps: Vec<bool>, limit: u8) -> TestResult {
+        let limits = EntryLimits {
+            concurrency: Some(u32::from(limit)),
+            ..NO_LIMITS
+        };
+        let (workspace, service) = (workspace("w", limits), service(NO_LIMITS));
+        let mut gate = gate(1, 0);
+        let mut open = Vec::new();
+        for (number, is_call) in steps.into_iter().enumerate() {
+            let now = at(number as u64);
+            if is_call {
+                open.extend(gate.admit(now, &facts(&workspace, &service)));
+            } else if let Some(pass) = open.pop() {
+                gate.ended(now, pass, 1);
+            }
+            if open.len() > usize::from(limit) {
+                return TestResult::error(format!("{} run", open.len()));
+            }
+        }
+        TestResult::from_bool(gate.open_calls() as usize == open.len())
+    }
+    QuickCheck::new().quickcheck(holds as fn(Vec<bool>, u8) -> TestResult);
+}
--- /dev/null
+++ b/crates/beechsaddle-core/tests/targets_replaced.rs
@@ -0,0 +1,84 @@
+//! Hosts that take another one's name or address are told apart.
+
+mod routing_support;
+
+use beechsaddle_core::members::HostState;
+use beechsaddle_core::peer::TargetNews;
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::targets::{TargetChoice, TargetOptions};
+use routing_support::*;
+
+#[test]
+fn on_hosts_other_name_same_address() {
+    // A host is replaced by another with a new name at the old address, and the lagging list shows
+    // both. A call meant for the old one would reach the new one, which may serve another model.
+    let mut table = table(TargetOptions::default());
+    let old = host("old", 4, HostState::Live);
+    let mut new = host("new", 5, HostState::Live);
+    new.address = old.address.clone();
+    table.on_hosts(at(0), &[old, new], &mut CoreOutbox::new());
+    for _ in 0..50 {
+        let name = chosen(table.choose(at(1), &engine_call(&[], &[])));
+        assert_eq!(name, TargetName::new("new"));
+    }
+}
+
+#[test]
+fn on_news_later_epoch_than_listed() {
+    // A peer's newer list shows the host replaced; this router's list still has the old epoch. The
+    // old host is gone, so it gets no work until the own list shows where the new one listens.
+    let mut table = table(TargetOptions::default());
+    table.on_hosts(at(0), &hosts(1), &mut CoreOutbox::new());
+    let news = TargetNews {
+        target: target(0),
+        epoch: 2,
+        state: HostState::Live,
+        sequence: 1,
+        load: None,
+        engine: None,
+    };
+    table.on_news(at(10), &router(1), &[news]);
+    let choice = table.choose(at(11), &engine_call(&[], &[]));
+    assert_eq!(choice, TargetChoice::NoneAlive);
+    table.on_hosts(
+        at(20),
+        &[host("target-0", 2, HostState::Live)],
+        &mut CoreOutbox::new(),
+    );
+    assert_eq!(
+        chosen(table.choose(at(21), &engine_call(&[], &[]))),
+        target(0)
+    );
+}
+
+#[test]
+fn on_hosts_older_list_after_replaced() {
+    // Lists come in out of order. The older one must not bring back the replaced host's address.
+    let mut table = table(TargetOptions::default());
+    let mut new = host("target-0", 2, HostState::Live);
+    new.address = "10.9.9.9:80".to_owned();
+    table.on_hosts(at(0), &[new], &mut CoreOutbox::new());
+    table.on_hosts(at(10), &hosts(1), &mut CoreOutbox::new());
+    let TargetChoice::Chosen(chosen) = table.choose(at(11), &engine_call(&[], &[])) else {
+        panic!("the new host serves");
+    };
+    assert_eq!(chosen.address, "10.9.9.9:80");
+}
+
+#[test]
+fn ended_call_of_replaced_host() {
+    // A call that began on the old host ends after the new one took its place: it is counted until
+    // then, and once.
+    let mut table = table(TargetOptions::default());
+    table.on_hosts(at(0), &hosts(1), &mut CoreOutbox::new());
+    table.started(at(1), &target(0), &[], WORK);
+    table.on_hosts(
+        at(2),
+        &[host("target-0", 2, HostState::Live)],
+        &mut CoreOutbox::new(),
+    );
+    assert_eq!(table.status(at(3))[0].in_flight, 1);
+    table.ended(at(4), &target(0));
+    table.ended(at(5), &target(0));
+    assert_eq!(table.status(at(6))[0].in_flight, 0);
+}
