--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -35,8 +35,8 @@
     AdmitReply {
         /// The call.
         call: CallId,
-        /// Reserved, or why not.
-        outcome: Result<(), CallRefusal>,
+        /// The journal that reserved, or why none did.
+        outcome: Result<KeyText, CallRefusal>,
     },
     /// Usage of running calls so far, batched.
     ProgressReport {
@@ -50,14 +50,23 @@
         /// The call.
         call: CallId,
     },
-    /// The settle's bill is durable: the sender of the settle may forget its copy.
+    /// The settle's bill is durable: the sender of the settle may forget its copy. It sends the
+    /// same message back, after which the holder need not remember the calls either.
     BillsDurable {
         /// The calls.
         calls: Vec<CallId>,
     },
+    /// Answers an admit reply for a call that its entry router does not run under that
+    /// reservation: it gave up waiting, or it settled the call with another holder.
+    CallUnknown {
+        /// The call.
+        call: CallId,
+        /// The journal that reserved.
+        journal: KeyText,
+    },
     /// Places a copy of what the sender holds for a call of its own with another router.
     WitnessNote(WitnessNote),
-    /// The copy is kept.
+    /// The copy of an ended call is kept, or was dropped after its bill became durable.
     WitnessReply {
         /// The call.
         call: CallId,
@@ -90,7 +99,8 @@
     pub targets: Vec<TargetNews>,
     /// What its callers use of shared limits.
     pub limits: Vec<LimitUse>,
-    /// Routers of other domains that it knows to be alive; sent between bridges only.
+    /// Live routers of its domain that the receiver may not know: new ones, and towards other
+    /// domains the bridges.
     pub routers: Vec<RouterNews>,
 }
 
