--- a/crates/beechsaddle/tests/peers_exchange.rs
+++ b/crates/beechsaddle/tests/peers_exchange.rs
@@ -63,6 +63,7 @@
             name: "verlag".to_owned(),
         },
         running: 1,
+        held_back: 0,
         requests: 2,
         tokens: 3,
     });
