Add the command line: router, check, catalogue, status, statement

Cause: operators drive the fleet by files and need to see what became of an edit.

The base of the files is kept also when the ledger could not be finished, so that the next apply does not meet its own change as a conflict.

--- a/crates/beechsaddle/src/catalogue_files/mod.rs
+++ b/crates/beechsaddle/src/catalogue_files/mod.rs
@@ -6,6 +6,7 @@
 mod base_file;
 mod budget_reader;
 mod catalogue_directory;
+mod catalogue_writer;
 mod declared_catalogue;
 mod header_reader;
 mod model_reader;
@@ -15,4 +16,5 @@
 
 pub use base_file::{BASE_FILE, BaseFile};
 pub use catalogue_directory::{read_catalogue, read_catalogue_texts};
+pub use catalogue_writer::render_catalogue;
 pub use declared_catalogue::{DeclaredCatalogue, EntryPlace};
--- a/crates/beechsaddle/src/findings/mod.rs
+++ b/crates/beechsaddle/src/findings/mod.rs
@@ -6,7 +6,9 @@
 mod finding_list;
 mod source_finding;
 mod source_text;
+mod table_lists;
 mod table_reader;
+mod text_form;
 
 pub use finding_list::FindingList;
 pub use source_finding::SourceFinding;
--- a/crates/beechsaddle/src/findings/table_reader.rs
+++ b/crates/beechsaddle/src/findings/table_reader.rs
@@ -8,6 +8,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
+use super::text_form::{is_name, type_name};
 use super::{FindingList, SourceText};
 
 /// Reads the keys of one table; whatever is wrong becomes a finding.
@@ -101,62 +102,6 @@
         None
     }
 
-    /// A list of names without doubles; empty when absent.
-    pub fn read_names(&self, key: &str, findings: &mut FindingList) -> Vec<String> {
-        let mut names: Vec<String> = Vec::new();
-        for (offset, name) in self.read_texts(key, findings) {
-            let path = self.name_of(key);
-            if !is_name(&name) {
-                findings.add(
-                    self.source,
-                    offset,
-                    format!(
-                        "`{path}` names {name:?}; at most 64 of `A-Z a-z 0-9 . _ -` would be right"
-                    ),
-                );
-            } else if names.contains(&name) {
-                findings.add(
-                    self.source,
-                    offset,
-                    format!("`{path}` names {name:?} twice; once would be right"),
-                );
-            } else {
-                names.push(name);
-            }
-        }
-        names
-    }
-
-    /// A list of texts with the place of each; empty when absent.
-    pub fn read_texts(&self, key: &str, findings: &mut FindingList) -> Vec<(usize, String)> {
-        let mut texts = Vec::new();
-        match self.value(key) {
-            None => {}
-            Some(DeValue::Array(values)) => {
-                for value in values.iter() {
-                    match value.get_ref() {
-                        DeValue::String(text) => {
-                            texts.push((value.span().start, text.to_string()));
-                        }
-                        other => findings.add(
-                            self.source,
-                            value.span().start,
-                            format!(
-                                "`{}` holds {}; only strings would be right",
-                                self.name_of(key),
-                                type_name(other)
-                            ),
-                        ),
-                    }
-                }
-            }
-            Some(other) => {
-                self.report_type::<()>(key, other, "an array of strings", findings);
-            }
-        }
-        texts
-    }
-
     /// A whole number in a range.
     pub fn read_u64(
         &self,
@@ -187,33 +132,6 @@
         }
     }
 
-    /// A list of whole numbers; empty when absent.
-    pub fn read_numbers(&self, key: &str, findings: &mut FindingList) -> Vec<u64> {
-        let values = match self.value(key) {
-            None => return Vec::new(),
-            Some(DeValue::Array(values)) => values,
-            Some(other) => {
-                self.report_type::<()>(key, other, "an array of integers", findings);
-                return Vec::new();
-            }
-        };
-        let mut numbers = Vec::new();
-        for value in values.iter() {
-            let number = match value.get_ref() {
-                DeValue::Integer(number) => number.as_str().parse().ok(),
-                _ => None,
-            };
-            match number {
-                Some(number) => numbers.push(number),
-                None => {
-                    let what = format!("`{}` holds no whole number", self.name_of(key));
-                    findings.add(self.source, value.span().start, what);
-                }
-            }
-        }
-        numbers
-    }
-
     /// A whole number in a range, or its default.
     pub fn read_u64_or(
         &self,
@@ -288,26 +206,6 @@
         }
     }
 
-    /// The tables of `[[key]]`; none when absent.
-    pub fn read_tables(&self, key: &str, findings: &mut FindingList) -> Vec<TableReader<'a>> {
-        let mut readers = Vec::new();
-        match self.value(key) {
-            None => {}
-            Some(DeValue::Array(values)) => {
-                for value in values.iter() {
-                    if let Some(reader) = self.read_element(key, value, findings) {
-                        readers.push(reader);
-                    }
-                }
-            }
-            Some(other) => {
-                let wanted = format!("tables headed `[[{}]]`", self.name_of(key));
-                self.report_type::<()>(key, other, &wanted, findings);
-            }
-        }
-        readers
-    }
-
     /// Reports the keys that nothing asked for.
     pub fn finish(&self, findings: &mut FindingList) {
         let known = self.known.borrow();
@@ -326,32 +224,6 @@
         }
     }
 
-    fn read_element(
-        &self,
-        key: &str,
-        value: &'a Spanned<DeValue<'a>>,
-        findings: &mut FindingList,
-    ) -> Option<TableReader<'a>> {
-        let offset = value.span().start;
-        match value.get_ref() {
-            DeValue::Table(table) => Some(TableReader::new(
-                self.source,
-                self.name_of(key),
-                offset,
-                table,
-            )),
-            other => {
-                let what = format!(
-                    "`{}` holds {}; a table would be right",
-                    self.name_of(key),
-                    type_name(other)
-                );
-                findings.add(self.source, offset, what);
-                None
-            }
-        }
-    }
-
     fn need(&self, key: &str, wanted: &str, findings: &mut FindingList) -> Option<()> {
         self.known.borrow_mut().insert(key.to_string());
         if self.has(key) {
@@ -365,19 +237,19 @@
         None
     }
 
-    fn value(&self, key: &str) -> Option<&'a DeValue<'a>> {
+    pub(super) fn value(&self, key: &str) -> Option<&'a DeValue<'a>> {
         self.known.borrow_mut().insert(key.to_string());
         self.table.get(key).map(Spanned::get_ref)
     }
 
-    fn name_of(&self, key: &str) -> String {
+    pub(super) fn name_of(&self, key: &str) -> String {
         match self.path.as_str() {
             "" => key.to_string(),
             path => format!("{path}.{key}"),
         }
     }
 
-    fn report_type<T>(
+    pub(super) fn report_type<T>(
         &self,
         key: &str,
         value: &DeValue<'_>,
@@ -389,25 +261,3 @@
         None
     }
 }
-
-/// The longest name; names stand in object keys and in metrics.
-const NAME_BYTES: usize = 64;
-
-fn is_name(text: &str) -> bool {
-    let fits = !text.is_empty() && text.len() <= NAME_BYTES;
-    fits && text
-        .bytes()
-        .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-'))
-}
-
-fn type_name(value: &DeValue<'_>) -> &'static str {
-    match value {
-        DeValue::String(_) => "a string",
-        DeValue::Integer(_) => "an integer",
-        DeValue::Float(_) => "a float",
-        DeValue::Boolean(_) => "a boolean",
-        DeValue::Datetime(_) => "a date",
-        DeValue::Array(_) => "an array",
-        DeValue::Table(_) => "a table",
-    }
-}
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod calls;
 pub mod catalogue_files;
+pub mod command;
 pub mod findings;
 pub mod operator;
 pub mod peers;
--- a/crates/beechsaddle/src/operator/apply_run.rs
+++ b/crates/beechsaddle/src/operator/apply_run.rs
@@ -76,14 +76,15 @@
             self.check(&attempt)?;
             if attempt.plan.edits.is_empty() {
                 let revision = attempt.history.newest.revision();
-                self.book(layout, revision, &attempt.plan).await?;
+                self.book(layout, revision, &attempt).await?;
                 return Ok(self.outcome(attempt, None));
             }
             let change = self.change_of(&attempt);
             match self.commit(&change).await? {
                 CommitOutcome::Taken => {}
                 CommitOutcome::Committed => {
-                    self.book(layout, change.revision, &attempt.plan).await?;
+                    attempt.applied.insert(change.revision);
+                    self.book(layout, change.revision, &attempt).await?;
                     attempt.history.newest.apply(&change);
                     // A base only saves reading; the change holds without it, so that a failure
                     // here must not make the apply look failed.
@@ -179,13 +180,20 @@
         Err(OperatorError::OutcomeUnknown { revision })
     }
 
-    async fn book(&self, layout: FleetLayout, revision: u64, plan: &EditPlan) -> Result<()> {
-        let wanted = self.wanted(plan);
+    async fn book(&self, layout: FleetLayout, revision: u64, attempt: &ApplyTry) -> Result<()> {
+        let wanted = self.wanted(&attempt.plan);
         let booked = book_budgets(&self.caller, layout, &self.write_id, &wanted).await;
         match booked {
             Ok(refusals) if refusals.is_empty() => Ok(()),
-            Ok(refusals) => Err(OperatorError::PartlyRefused { revision, refusals }),
-            Err(_) => Err(OperatorError::LedgerBehind { revision }),
+            Ok(refusals) => Err(OperatorError::PartlyRefused {
+                revision,
+                refusals,
+                base: self.kept_base(attempt),
+            }),
+            Err(_) => Err(OperatorError::LedgerBehind {
+                revision,
+                base: self.kept_base(attempt),
+            }),
         }
     }
 
@@ -205,10 +213,16 @@
             .collect()
     }
 
+    /// The base that the files had, with what was applied from them since.
+    fn kept_base(&self, attempt: &ApplyTry) -> BaseFile {
+        BaseFile {
+            revision: self.base.revision,
+            applied: attempt.applied.clone(),
+        }
+    }
+
     fn outcome(&self, attempt: ApplyTry, change: Option<&CatalogueChange>) -> ApplyOutcome {
         let revision = attempt.history.newest.revision();
-        let mut applied = attempt.applied;
-        applied.extend(change.map(|change| change.revision));
         // The base only moves on when the files have all that others applied. Else what they lack
         // would look like something that was removed here.
         let base = match attempt.plan.ends_in_step() {
@@ -216,10 +230,7 @@
                 revision,
                 applied: BTreeSet::new(),
             },
-            false => BaseFile {
-                revision: self.base.revision,
-                applied,
-            },
+            false => self.kept_base(&attempt),
         };
         ApplyOutcome {
             revision,
@@ -261,3 +272,28 @@
     let content = format!("{}\n{base:?}\n{declared:?}", options.author);
     format!("{}-{:016x}", options.author, stable_hash(content))
 }
+
+/// The newest revision of the fleet; zero when it has no catalogue.
+pub async fn newest_revision<S: ObjectStore>(store: &S) -> Result<u64> {
+    let history = CatalogueHistory::read_newest(&StoreCaller::new(store)).await?;
+    Ok(history.newest.revision())
+}
+
+/// The newest revision and what is committed at it.
+pub async fn read_declared<S: ObjectStore>(store: &S) -> Result<(u64, DeclaredCatalogue)> {
+    let caller = StoreCaller::new(store);
+    let history = CatalogueHistory::read_newest(&caller).await?;
+    let budgets = match read_layout(&caller).await? {
+        Some(layout) => LedgerBook::read(&caller, layout).await?.declarations(),
+        None => BTreeMap::new(),
+    };
+    let entries = history.newest.entries();
+    let catalogue = DeclaredCatalogue {
+        entries: entries
+            .into_iter()
+            .map(|(id, (_, entry))| (id, entry))
+            .collect(),
+        budgets,
+    };
+    Ok((history.newest.revision(), catalogue))
+}
--- a/crates/beechsaddle/src/operator/ledger_book.rs
+++ b/crates/beechsaddle/src/operator/ledger_book.rs
@@ -3,8 +3,7 @@
 use std::collections::BTreeMap;
 
 use beechsaddle_core::catalogue::BudgetDeclaration;
-use beechsaddle_core::hash::shard_of;
-use beechsaddle_core::money::BudgetLedger;
+use beechsaddle_core::money::{BudgetAccount, BudgetLedger};
 use beechsaddle_core::objects::{FleetLayout, PlatformObject};
 use beechsaddle_core::platform::WriteGuard;
 use beechsaddle_core::prelude::*;
@@ -46,18 +45,23 @@
 
     /// All budgets as declarations.
     pub fn declarations(&self) -> BTreeMap<BudgetName, BudgetDeclaration> {
+        self.accounts()
+            .map(|(name, account)| (name.clone(), declaration_of(name, account)))
+            .collect()
+    }
+
+    /// All accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&BudgetName, &BudgetAccount)> {
         self.shards
             .values()
             .flat_map(|ledger| ledger.budgets.iter())
-            .map(|(name, account)| (name.clone(), declaration_of(name, account)))
-            .collect()
     }
 
     /// What speaks against bringing budgets to what is declared.
     pub fn check(&self, wanted: &WantedBudgets) -> Vec<LedgerRefusal> {
         let mut refusals = Vec::new();
         for (name, declared) in wanted {
-            let shard = shard_of(name, self.shard_count);
+            let shard = BudgetLedger::shard_for(name, self.shard_count);
             let mut ledger = self.shards.get(&shard).cloned().unwrap_or_default();
             if let Err(refusal) = edit_ledger(&mut ledger, name, declared.as_ref()) {
                 refusals.push(refusal);
@@ -113,7 +117,7 @@
     let mut by_shard: BTreeMap<u32, WantedBudgets> = BTreeMap::new();
     for (name, declared) in wanted {
         by_shard
-            .entry(shard_of(name, layout.ledger_shards))
+            .entry(BudgetLedger::shard_for(name, layout.ledger_shards))
             .or_default()
             .insert(name.clone(), declared.clone());
     }
@@ -147,7 +151,10 @@
         }
         ledger.write_id = write_id.to_string();
         let object = PlatformObject::Ledger(ledger);
-        match caller.write(&shard_key(shard), object, guard).await? {
+        match caller
+            .write(&BudgetLedger::object_key(shard), object, guard)
+            .await?
+        {
             WriteOutcome::Written => return Ok(refusals),
             WriteOutcome::Conflict | WriteOutcome::Unknown => {}
         }
@@ -159,7 +166,7 @@
     caller: &StoreCaller<'_, S>,
     shard: u32,
 ) -> Result<(WriteGuard, BudgetLedger)> {
-    let key = shard_key(shard);
+    let key = BudgetLedger::object_key(shard);
     match caller.read(&key).await? {
         None => Ok((WriteGuard::Absent, BudgetLedger::default())),
         Some(stored) => match stored.object {
@@ -168,7 +175,3 @@
         },
     }
 }
-
-fn shard_key(shard: u32) -> ObjectKey {
-    ObjectKey::new(format!("ledger/{shard}"))
-}
--- a/crates/beechsaddle/src/operator/ledger_edit.rs
+++ b/crates/beechsaddle/src/operator/ledger_edit.rs
@@ -106,7 +106,9 @@
     let mut account = match (before.clone(), declared) {
         (Some(account), _) => account,
         (None, None) => return Ok(false),
-        (None, Some(declared)) => new_account(declared),
+        (None, Some(declared)) => {
+            BudgetAccount::new(declared.workspace.clone(), declared.owner.clone())
+        }
     };
     if let Some(declared) = declared {
         check_workspace(&account, declared)?;
@@ -121,21 +123,6 @@
     Ok(changed)
 }
 
-fn new_account(declared: &BudgetDeclaration) -> BudgetAccount {
-    BudgetAccount {
-        workspace: declared.workspace.clone(),
-        owner: declared.owner.clone(),
-        top_ups: BTreeMap::new(),
-        withdrawals: BTreeMap::new(),
-        settled: 0,
-        bills: 0,
-        written_off: 0,
-        grants: BTreeMap::new(),
-        closed: BTreeMap::new(),
-        keys: BTreeMap::new(),
-    }
-}
-
 fn check_workspace(
     account: &BudgetAccount,
     declared: &BudgetDeclaration,
@@ -178,7 +165,7 @@
     wanted: &BTreeMap<TopUpId, u64>,
 ) -> Result<(), LedgerRefusal> {
     let current = declaration_of(name, account);
-    let free = free_tokens(account);
+    let free = account.free();
     let mut total = 0_u64;
     for (id, tokens) in &current.top_ups {
         let left = wanted.get(id).copied().unwrap_or(0);
@@ -212,18 +199,3 @@
         .count();
     TopUpId::new(format!("{prefix}{}", count + 1))
 }
-
-/// Tokens that are neither withdrawn, billed, written off nor granted.
-pub(super) fn free_tokens(account: &BudgetAccount) -> u64 {
-    let paid: u64 = account.top_ups.values().sum();
-    let withdrawn: u64 = account.withdrawals.values().sum();
-    let granted: u64 = account
-        .grants
-        .values()
-        .map(|grant| grant.amount.saturating_sub(grant.folded))
-        .sum();
-    paid.saturating_sub(withdrawn)
-        .saturating_sub(account.settled)
-        .saturating_sub(account.written_off)
-        .saturating_sub(granted)
-}
--- a/crates/beechsaddle/src/operator/operator_error.rs
+++ b/crates/beechsaddle/src/operator/operator_error.rs
@@ -6,6 +6,7 @@
 use beechsaddle_core::prelude::*;
 
 use super::{EditConflict, LedgerRefusal};
+use crate::catalogue_files::BaseFile;
 use crate::findings::FindingList;
 
 /// The result of an operator's command.
@@ -30,11 +31,15 @@
         revision: u64,
         /// The budgets that stay as they were.
         refusals: Vec<LedgerRefusal>,
+        /// The new base of the files.
+        base: BaseFile,
     },
     /// The change is committed, but the platform went away before the ledger was written.
     LedgerBehind {
         /// The revision that the change made.
         revision: u64,
+        /// The new base of the files.
+        base: BaseFile,
     },
     /// The answer to the commit was lost, and it cannot be read back.
     OutcomeUnknown {
@@ -89,7 +94,9 @@
                 write_lines(formatter, refusals)?;
                 write!(formatter, "nothing was changed")
             }
-            OperatorError::PartlyRefused { revision, refusals } => {
+            OperatorError::PartlyRefused {
+                revision, refusals, ..
+            } => {
                 write_lines(formatter, refusals)?;
                 write!(
                     formatter,
@@ -97,7 +104,7 @@
                      spent meanwhile; correct the files and apply again"
                 )
             }
-            OperatorError::LedgerBehind { revision } => write!(
+            OperatorError::LedgerBehind { revision, .. } => write!(
                 formatter,
                 "revision {revision} is applied, but the platform went away before all budgets \
                  were written; apply the same files again"
--- a/crates/beechsaddle/tests/operator_apply.rs
+++ b/crates/beechsaddle/tests/operator_apply.rs
@@ -306,7 +306,7 @@
             .await
             .expect_err("behind");
         assert!(
-            matches!(error, OperatorError::LedgerBehind { revision: 1 }),
+            matches!(error, OperatorError::LedgerBehind { revision: 1, .. }),
             "{error}"
         );
         store.heal();
