--- a/crates/beechsaddle-wire/src/peer/admission_codec.rs
+++ b/crates/beechsaddle-wire/src/peer/admission_codec.rs
@@ -4,12 +4,11 @@
 use beechsaddle_core::peer::{
     AdmitRequest, CallProgress, RecordRequest, SettleRequest, WitnessNote,
 };
-use beechsaddle_core::refusal::{CallRefusal, RanState, RefusalReason};
 
 use super::identity_codec::{read_call, read_key, write_call, write_key};
 use super::limits::CALLS_MAX;
-use super::text_codec::{check_count, check_name, read_name, read_text};
-use crate::error::{Result, WireError};
+use super::text_codec::{check_count, check_name, read_name};
+use crate::error::Result;
 use crate::peer_capnp;
 
 /// Writes an admit request.
@@ -34,108 +33,6 @@
     })
 }
 
-/// Writes the answer to an admit request.
-pub(super) fn write_admit_reply(
-    call: &CallId,
-    outcome: &std::result::Result<KeyText, CallRefusal>,
-    mut builder: peer_capnp::admit_reply::Builder<'_>,
-) -> Result<()> {
-    write_call(call, builder.reborrow().init_call())?;
-    match outcome {
-        Ok(journal) => builder.set_granted(check_name(journal.as_str())?),
-        Err(refusal) => write_refusal(refusal, builder.init_refused()),
-    }
-    Ok(())
-}
-
-/// Reads the answer to an admit request.
-pub(super) fn read_admit_reply(
-    reader: peer_capnp::admit_reply::Reader<'_>,
-) -> Result<(CallId, std::result::Result<KeyText, CallRefusal>)> {
-    let call = read_call(reader.get_call()?)?;
-    let outcome = match reader.which()? {
-        peer_capnp::admit_reply::Granted(journal) => Ok(read_name(journal?)?.into()),
-        peer_capnp::admit_reply::Refused(refusal) => Err(read_refusal(refusal?)?),
-    };
-    Ok((call, outcome))
-}
-
-/// Writes that a reservation is not used.
-pub(super) fn write_unknown(
-    call: &CallId,
-    journal: &KeyText,
-    mut builder: peer_capnp::call_unknown::Builder<'_>,
-) -> Result<()> {
-    builder.set_journal(check_name(journal.as_str())?);
-    write_call(call, builder.init_call())
-}
-
-/// Reads that a reservation is not used.
-pub(super) fn read_unknown(
-    reader: peer_capnp::call_unknown::Reader<'_>,
-) -> Result<(CallId, KeyText)> {
-    let journal = read_name(reader.get_journal()?)?.into();
-    Ok((read_call(reader.get_call()?)?, journal))
-}
-
-/// Writes the answer to a request about a call.
-pub(super) fn write_outcome(
-    call: &CallId,
-    outcome: &std::result::Result<(), CallRefusal>,
-    mut builder: peer_capnp::outcome::Builder<'_>,
-) -> Result<()> {
-    write_call(call, builder.reborrow().init_call())?;
-    match outcome {
-        Ok(()) => builder.set_granted(()),
-        Err(refusal) => write_refusal(refusal, builder.init_refused()),
-    }
-    Ok(())
-}
-
-/// Reads the answer to a request about a call.
-pub(super) fn read_outcome(
-    reader: peer_capnp::outcome::Reader<'_>,
-) -> Result<(CallId, std::result::Result<(), CallRefusal>)> {
-    let call = read_call(reader.get_call()?)?;
-    let outcome = match reader.which()? {
-        peer_capnp::outcome::Granted(()) => Ok(()),
-        peer_capnp::outcome::Refused(refusal) => Err(read_refusal(refusal?)?),
-    };
-    Ok((call, outcome))
-}
-
-fn write_refusal(refusal: &CallRefusal, mut builder: peer_capnp::refusal::Builder<'_>) {
-    builder.set_reason(refusal.reason.as_str());
-    builder.set_ran(match refusal.ran {
-        RanState::No => peer_capnp::RanState::No,
-        RanState::Unknown => peer_capnp::RanState::Unknown,
-    });
-    if let Some(retry_after_ms) = refusal.retry_after_ms {
-        builder.set_has_retry_after(true);
-        builder.set_retry_after_ms(retry_after_ms);
-    }
-}
-
-fn read_refusal(reader: peer_capnp::refusal::Reader<'_>) -> Result<CallRefusal> {
-    Ok(CallRefusal {
-        reason: read_reason(read_text(reader.get_reason()?)?)?,
-        ran: match reader.get_ran()? {
-            peer_capnp::RanState::No => RanState::No,
-            peer_capnp::RanState::Unknown => RanState::Unknown,
-        },
-        retry_after_ms: reader
-            .get_has_retry_after()
-            .then(|| reader.get_retry_after_ms()),
-    })
-}
-
-fn read_reason(text: &str) -> Result<RefusalReason> {
-    RefusalReason::ALL
-        .into_iter()
-        .find(|reason| reason.as_str() == text)
-        .ok_or_else(|| WireError::Decode("unknown refusal reason".to_owned()))
-}
-
 /// Writes the usage of running calls.
 pub(super) fn write_progress(
     calls: &[CallProgress],
--- a/crates/beechsaddle-wire/tests/common/mod.rs
+++ b/crates/beechsaddle-wire/tests/common/mod.rs
@@ -74,13 +74,13 @@
             call: any_call(gen_),
             key: any_key(gen_),
         }),
-        12 => PeerMessage::RecordReply {
+        12 => PeerMessage::CallUnknown {
             call: any_call(gen_),
-            outcome: any_outcome(gen_),
+            journal: any_name(gen_).as_str().into(),
         },
-        _ => PeerMessage::CallUnknown {
+        _ => PeerMessage::RecordReply {
             call: any_call(gen_),
-            journal: any_name(gen_).as_str().into(),
+            outcome: any_outcome(gen_),
         },
     }
 }
@@ -101,8 +101,8 @@
         PeerMessage::WitnessNote(_) => 9,
         PeerMessage::WitnessReply { .. } => 10,
         PeerMessage::RecordRequest(_) => 11,
-        PeerMessage::RecordReply { .. } => 12,
-        PeerMessage::CallUnknown { .. } => 13,
+        PeerMessage::CallUnknown { .. } => 12,
+        PeerMessage::RecordReply { .. } => 13,
     }
 }
 
@@ -188,15 +188,20 @@
                 model: any_name(gen_).as_str().into(),
                 version: u64::arbitrary(gen_),
                 adapters: any_list(gen_, any_name),
-                role: EngineRole::Decode,
+                role: *gen_
+                    .choose(&[EngineRole::Whole, EngineRole::Prefill, EngineRole::Decode])
+                    .expect("not empty"),
             }),
         }),
         limits: any_list(gen_, |gen_| LimitUse {
             entry: EntryId {
-                kind: EntryKind::Model,
+                kind: *gen_
+                    .choose(&[EntryKind::Workspace, EntryKind::Service, EntryKind::Model])
+                    .expect("not empty"),
                 name: any_name(gen_),
             },
             running: u32::arbitrary(gen_),
+            held_back: u32::arbitrary(gen_),
             requests: u32::arbitrary(gen_),
             tokens: u64::arbitrary(gen_),
         }),
