--- a/crates/beechsaddle/src/operator/mod.rs
+++ b/crates/beechsaddle/src/operator/mod.rs
@@ -15,7 +15,6 @@
 mod ledger_edit;
 mod object_store;
 mod operator_error;
-mod platform_store;
 mod statement;
 mod wait_run;
 
