Ask only engines for cache events, and hold the demonstration

The demonstration failed with "runs at the plain service is 4 and not 2": until a target had shown to be a plain service it was asked for cache events, and a plain service takes GET /cache-events for a caller's call and runs it. A target is now asked once it has said what it serves. The chat of the demonstration asks for its usage, which the router leaves out otherwise, as it should.

--- a/crates/beechsaddle-core/src/targets/probe_state.rs
+++ b/crates/beechsaddle-core/src/targets/probe_state.rs
@@ -23,11 +23,6 @@
             .map(|(state, _)| state)
     }
 
-    /// Whether a probe was ever answered.
-    pub fn is_answered(&self) -> bool {
-        self.view.is_some_and(|(state, _)| state != HostState::Down)
-    }
-
     /// Forgets what probes told, because another host took the target's place.
     pub fn reset(&mut self) {
         let rank = self.rank;
--- a/crates/beechsaddle-core/src/targets/table_probes.rs
+++ b/crates/beechsaddle-core/src/targets/table_probes.rs
@@ -135,10 +135,11 @@
         }
     }
 
-    /// After which cache event to ask; a target is asked until it shows to be a plain service.
+    /// After which cache event to ask, once the target has shown to be an engine.
+    ///
+    /// A plain service would take the question for a caller's call and run it.
     fn cache_after(&self) -> Option<u64> {
-        let is_plain = self.probe.is_answered() && self.engine.is_none();
-        (!is_plain).then(|| self.prefixes.next_event())
+        self.engine.as_ref().map(|_| self.prefixes.next_event())
     }
 }
 
--- a/crates/beechsaddle-lab/src/demo/demo_calls.rs
+++ b/crates/beechsaddle-lab/src/demo/demo_calls.rs
@@ -75,8 +75,9 @@
         let answer = self
             .send("plain_call", router, post(&path, &body, &[])?)
             .await?;
+        let sent = body.to_string();
         match serde_json::from_str::<PlainEcho>(&answer.body) {
-            Ok(echo) if echo.path == "/pickups" && echo.body == body.to_string() => {
+            Ok(echo) if echo.path == "/pickups" && echo.body == sent => {
                 self.note_answer(CALL_COST);
             }
             Ok(echo) => self.find(format!(
--- a/crates/beechsaddle-lab/src/fleet/fleet_caller.rs
+++ b/crates/beechsaddle-lab/src/fleet/fleet_caller.rs
@@ -121,12 +121,16 @@
     }
 }
 
-/// The body of a chat with one message.
+/// The body of a chat with one message; a streamed one asks for its usage.
 pub fn chat_body(model: &str, text: &str, streamed: bool, max_tokens: u64) -> Value {
-    json!({
+    let mut body = json!({
         "model": model,
         "stream": streamed,
         "max_tokens": max_tokens,
         "messages": [{"role": "user", "content": text}],
-    })
+    });
+    if streamed {
+        body["stream_options"] = json!({"include_usage": true});
+    }
+    body
 }
