--- a/crates/beechsaddle-wire/schema/peer.capnp
+++ b/crates/beechsaddle-wire/schema/peer.capnp
@@ -39,19 +39,18 @@
   retryAfterMs @3 :UInt64;
 }
 
-struct Outcome {
+struct AdmitReply {
   call @0 :CallName;
   union {
-    granted @1 :Void;
+    journal @1 :Text;
     refused @2 :Refusal;
   }
 }
 
-struct AdmitReply {
+struct RecordReply {
   call @0 :CallName;
   union {
-    granted @1 :Text;
-    # The journal that reserved.
+    durable @1 :Void;
     refused @2 :Refusal;
   }
 }
@@ -78,16 +77,12 @@
   epoch @1 :UInt64;
   state @2 :HostState;
   sequence @3 :UInt64;
-  load @4 :LoadReport;
-  # Absent when no prober told it.
-  engine @5 :EngineState;
-  # Absent for a plain service.
-}
-
-struct LoadReport {
-  running @0 :UInt32;
-  waiting @1 :UInt32;
-  cachePermille @2 :UInt32;
+  hasLoad @4 :Bool;
+  running @5 :UInt32;
+  waiting @6 :UInt32;
+  cachePermille @7 :UInt32;
+  engine @8 :EngineState;
+  # Absent for plain services, and when the sender does not probe the target itself.
 }
 
 enum EngineRole {
@@ -110,11 +105,12 @@
 }
 
 struct LimitUse {
-  kind @0 :EntryKind;
-  name @1 :Text;
-  running @2 :UInt32;
-  requests @3 :UInt32;
-  tokens @4 :UInt64;
+  kind @4 :EntryKind;
+  entry @0 :Text;
+  running @1 :UInt32;
+  requests @2 :UInt32;
+  tokens @3 :UInt64;
+  heldBack @5 :UInt32;
 }
 
 struct RouterNews {
@@ -192,7 +188,7 @@
     witnessNote @9 :WitnessNote;
     witnessReply @10 :CallName;
     recordRequest @11 :RecordRequest;
-    recordReply @12 :Outcome;
+    recordReply @12 :RecordReply;
     callUnknown @13 :CallUnknown;
   }
 }
--- a/crates/beechsaddle-wire/src/peer/message_codec.rs
+++ b/crates/beechsaddle-wire/src/peer/message_codec.rs
@@ -4,14 +4,17 @@
 use capnp::message::{Builder, HeapAllocator};
 
 use super::admission_codec::{
-    read_admit, read_admit_reply, read_calls, read_outcome, read_progress, read_record,
-    read_settle, read_unknown, read_witness, write_admit, write_admit_reply, write_calls,
-    write_outcome, write_progress, write_record, write_settle, write_unknown, write_witness,
+    read_admit, read_calls, read_progress, read_record, read_settle, read_witness, write_admit,
+    write_calls, write_progress, write_record, write_settle, write_witness,
 };
 use super::catalogue_codec::{read_update, write_update};
 use super::heartbeat_codec::{read_heartbeat, write_heartbeat};
 use super::identity_codec::{read_call, write_call};
 use super::limits::{CALLS_MAX, MESSAGE_BYTES_MAX, reader_options};
+use super::reply_codec::{
+    read_admit_reply, read_record_reply, read_unknown, write_admit_reply, write_record_reply,
+    write_unknown,
+};
 use super::text_codec::{check_count, check_size};
 use crate::error::{Result, WireError};
 use crate::peer_capnp::peer_message;
@@ -48,7 +51,7 @@
         PeerMessage::WitnessReply { call } => write_call(call, builder.init_witness_reply()),
         PeerMessage::RecordRequest(request) => write_record(request, builder.init_record_request()),
         PeerMessage::RecordReply { call, outcome } => {
-            write_outcome(call, outcome, builder.init_record_reply())
+            write_record_reply(call, outcome, builder.init_record_reply())
         }
     }
 }
@@ -83,7 +86,7 @@
         },
         peer_message::RecordRequest(request) => PeerMessage::RecordRequest(read_record(request?)?),
         peer_message::RecordReply(reply) => {
-            let (call, outcome) = read_outcome(reply?)?;
+            let (call, outcome) = read_record_reply(reply?)?;
             PeerMessage::RecordReply { call, outcome }
         }
         peer_message::CallUnknown(unknown) => {
