Check a load against the ledger and against what ran at the targets

An answer is whole only when each of its tokens is there and the proof in it bears the call's mark. After a run the tool reads the ledger until it holds what the callers were told, and asks every target what ran: doubled= counts not-repeatable keys that ran twice over all targets together, false_not_run= refusals that said "not run" of a call that reached a target.

--- a/crates/beechsaddle-lab/src/load/answer_reader.rs
+++ b/crates/beechsaddle-lab/src/load/answer_reader.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use super::{AnswerTimes, CallOutcome, ReadRefusal, SseLines};
+use crate::stand_in::{ChatProof, PlainEcho};
 
 /// Reads the answer of one call.
 #[derive(Clone, Debug)]
@@ -27,12 +28,16 @@
         }
     }
 
-    /// Reads the answer of a plain service, which has to bear the mark.
+    /// Reads the answer of a plain service, which has to give the mark back.
     pub async fn read_plain(&self, body: Incoming, tokens: u64) -> CallOutcome {
         let Some(body) = read_whole(body).await else {
             return CallOutcome::Broken;
         };
-        self.judge(&String::from_utf8_lossy(&body), true, tokens)
+        match serde_json::from_slice::<PlainEcho>(&body) {
+            Ok(echo) if bears_mark(&echo.body, &self.mark) => self.answered(tokens),
+            Ok(_) => CallOutcome::Crossed,
+            Err(_) => CallOutcome::Short,
+        }
     }
 
     /// Reads a chat answer that comes in one piece.
@@ -43,11 +48,10 @@
         let Ok(value) = serde_json::from_slice::<Value>(&body) else {
             return CallOutcome::Short;
         };
-        let content = value["choices"][0]["message"]["content"].as_str();
-        let ended = value["choices"][0]["finish_reason"].is_string();
-        let tokens = value["usage"]["total_tokens"].as_u64();
-        let whole = ended && tokens.is_some();
-        self.judge(content.unwrap_or_default(), whole, tokens.unwrap_or(0))
+        let choice = &value["choices"][0];
+        let content = choice["message"]["content"].as_str().unwrap_or_default();
+        let ended = choice["finish_reason"].is_string();
+        self.judge(content, ended, value["usage"]["total_tokens"].as_u64())
     }
 
     /// Reads a streamed chat answer.
@@ -67,8 +71,8 @@
                 stream.take(&line, now);
             }
         }
-        let whole = stream.done && stream.finished && stream.tokens.is_some();
-        let outcome = self.judge(&stream.content, whole, stream.tokens.unwrap_or(0));
+        let ended = stream.done && stream.finished;
+        let outcome = self.judge(&stream.content, ended, stream.tokens);
         match outcome {
             CallOutcome::Answered(times) => CallOutcome::Answered(AnswerTimes {
                 first: stream.first.unwrap_or(times.whole),
@@ -82,17 +86,20 @@
         }
     }
 
-    fn judge(&self, content: &str, whole: bool, tokens: u64) -> CallOutcome {
-        if !bears_mark(content, &self.mark) {
-            return if whole {
-                CallOutcome::Crossed
-            } else {
-                CallOutcome::Short
-            };
-        }
-        if !whole {
+    fn judge(&self, content: &str, ended: bool, tokens: Option<u64>) -> CallOutcome {
+        let Some(proof) = ChatProof::read(content) else {
             return CallOutcome::Short;
+        };
+        if proof.mark != self.mark {
+            return CallOutcome::Crossed;
         }
+        match tokens {
+            Some(tokens) if ended => self.answered(tokens),
+            Some(_) | None => CallOutcome::Short,
+        }
+    }
+
+    fn answered(&self, tokens: u64) -> CallOutcome {
         let whole = self.intended.elapsed();
         CallOutcome::Answered(AnswerTimes {
             first: whole,
@@ -161,5 +168,6 @@
         reason: error["reason"].as_str()?.to_owned(),
         not_run: error["ran"].as_str()? == "no",
         retry_after_ms: error["retry_after_ms"].as_u64(),
+        call: error["call"].as_str().unwrap_or_default().to_owned(),
     })
 }
--- a/crates/beechsaddle-lab/src/load/call_outcome.rs
+++ b/crates/beechsaddle-lab/src/load/call_outcome.rs
@@ -39,4 +39,6 @@
     pub not_run: bool,
     /// After how many milliseconds it says that coming back helps.
     pub retry_after_ms: Option<u64>,
+    /// The router's id of the call, under which its attempts are known at the targets.
+    pub call: String,
 }
--- a/crates/beechsaddle-lab/src/load/call_request.rs
+++ b/crates/beechsaddle-lab/src/load/call_request.rs
@@ -50,14 +50,18 @@
     }
     let sentence = format!("Rules {} of {workspace}. ", call.opening);
     let opening = sentence.repeat(OPENING_REPEATS);
-    json!({
+    // The mark has to be the last word of the prompt: the stand-in of an engine gives that back.
+    let mut body = json!({
         "model": settings.model,
-        "stream": call.kind == CallKind::StreamedChat,
         "max_tokens": call.max_tokens,
         "messages": [
             {"role": "system", "content": opening},
             {"role": "user", "content": format!("request {}", call.key)},
         ],
-    })
-    .to_string()
+    });
+    if call.kind == CallKind::StreamedChat {
+        body["stream"] = json!(true);
+        body["stream_options"] = json!({"include_usage": true});
+    }
+    body.to_string()
 }
--- a/crates/beechsaddle-lab/src/load/call_result.rs
+++ b/crates/beechsaddle-lab/src/load/call_result.rs
@@ -14,8 +14,8 @@
     pub intended: Instant,
     /// How many tries there were.
     pub tries: u32,
-    /// Whether every try so far ended in a refusal that says that the call did not run.
-    pub never_ran: bool,
+    /// The router's ids of the tries that were told that they did not run.
+    pub not_run: Vec<String>,
     /// How the last try ended.
     pub outcome: CallOutcome,
 }
@@ -28,7 +28,7 @@
             call,
             intended,
             tries: 0,
-            never_ran: true,
+            not_run: Vec::new(),
             outcome: CallOutcome::Broken,
         }
     }
@@ -36,7 +36,11 @@
     /// Takes the outcome of a try.
     pub fn note(&mut self, outcome: CallOutcome) {
         self.tries += 1;
-        self.never_ran &= matches!(&outcome, CallOutcome::Refused(refusal) if refusal.not_run);
+        if let CallOutcome::Refused(refusal) = &outcome
+            && refusal.not_run
+        {
+            self.not_run.push(refusal.call.clone());
+        }
         self.outcome = outcome;
     }
 }
--- a/crates/beechsaddle-lab/src/load/load_tally.rs
+++ b/crates/beechsaddle-lab/src/load/load_tally.rs
@@ -27,12 +27,10 @@
     pub short: u64,
     /// Further tries.
     pub retried: u64,
-    /// Tokens of the answers, by the index of the workspace.
-    pub tokens: BTreeMap<usize, u64>,
-    /// Marks of calls of which every try was told that the call did not run.
-    pub never_ran: Vec<String>,
-    /// Marks of calls that were answered.
-    pub answered_marks: Vec<String>,
+    /// Tokens of the answers.
+    pub tokens: u64,
+    /// The router's ids of tries that were told that they did not run.
+    pub not_run: Vec<String>,
     /// Microseconds to the first token of a streamed answer.
     pub first: Histogram<u64>,
     /// Microseconds to the end of any answer.
@@ -56,9 +54,8 @@
             crossed: 0,
             short: 0,
             retried: 0,
-            tokens: BTreeMap::new(),
-            never_ran: Vec::new(),
-            answered_marks: Vec::new(),
+            tokens: 0,
+            not_run: Vec::new(),
             first: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
             whole: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
             gap: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
@@ -73,14 +70,12 @@
             CallOutcome::Answered(times) => self.add_answer(&result, times),
             CallOutcome::Refused(refusal) => {
                 *self.refused.entry(refusal.reason.clone()).or_default() += 1;
-                if result.never_ran {
-                    self.never_ran.push(result.call.key);
-                }
             }
             CallOutcome::Crossed => self.crossed += 1,
             CallOutcome::Short => self.short += 1,
             CallOutcome::Broken => self.lost += 1,
         }
+        self.not_run.extend(result.not_run);
     }
 
     /// All final refusals.
@@ -90,8 +85,7 @@
 
     fn add_answer(&mut self, result: &CallResult, times: &AnswerTimes) {
         self.answered += 1;
-        self.answered_marks.push(result.call.key.clone());
-        *self.tokens.entry(result.call.workspace).or_default() += times.tokens;
+        self.tokens += times.tokens;
         self.whole.saturating_record(micros(times.whole));
         if result.call.kind == super::CallKind::StreamedChat {
             self.first.saturating_record(micros(times.first));
--- a/crates/beechsaddle-lab/src/load/mod.rs
+++ b/crates/beechsaddle-lab/src/load/mod.rs
@@ -15,11 +15,13 @@
 mod ledger_totals;
 mod load_options;
 mod load_plot;
+mod load_proof;
 mod load_report;
 mod load_run;
 mod load_tally;
 mod planned_call;
 mod platform_reader;
+mod run_totals;
 mod share_table;
 mod sse_lines;
 
@@ -42,11 +44,13 @@
 pub use ledger_totals::LedgerTotals;
 pub use load_options::LoadOptions;
 pub use load_plot::draw_chart;
+pub use load_proof::LoadProof;
 pub use load_report::report_line;
 pub use load_run::{LoadOutcome, ProgressPoint, run_plan};
 pub use load_tally::LoadTally;
 pub use planned_call::PlannedCall;
 pub use platform_reader::PlatformReader;
+pub use run_totals::RunTotals;
 pub use share_table::ShareTable;
 pub use sse_lines::SseLines;
 
@@ -64,24 +68,35 @@
     };
     let settings = CallerSettings::try_read(path)?;
     let runtime = tokio::runtime::Runtime::new()?;
-    let outcome = runtime.block_on(run_load(&options, settings))?;
-    println!("{}", report_line(&outcome));
+    let (outcome, proof) = runtime.block_on(run_load(&options, settings))?;
+    println!(
+        "{}",
+        report_line(&outcome).joined(proof.pairs(&outcome.tally))
+    );
     if let Some(path) = &options.plot {
         draw_chart(&outcome, path)?;
     }
     Ok(())
 }
 
-/// Sends the load of `options` to the fleet of `settings`.
+/// Sends the load of `options` to the fleet of `settings`, and asks the platform and the targets
+/// what they saw of it.
 ///
 /// # Errors
 ///
-/// When the run cannot be set up.
+/// When the run cannot be set up, or the platform or a target does not answer after it.
 pub async fn run_load(
     options: &LoadOptions,
     settings: CallerSettings,
-) -> eyre::Result<LoadOutcome> {
+) -> eyre::Result<(LoadOutcome, LoadProof)> {
+    let before = match &settings.platform {
+        Some(address) => LedgerTotals::read(&PlatformReader::new(address)).await?,
+        None => LedgerTotals::default(),
+    };
+    let settings = Arc::new(settings);
     let plan = ArrivalPlan::new(options.plan(settings.workspaces.len()));
-    let sender = CallSender::new(Arc::new(settings), options.patience);
-    run_plan(plan, sender).await
+    let sender = CallSender::new(Arc::clone(&settings), options.patience);
+    let outcome = run_plan(plan, sender).await?;
+    let proof = LoadProof::read(&settings, &outcome.tally, before).await?;
+    Ok((outcome, proof))
 }
--- a/crates/beechsaddle-lab/tests/load_answers.rs
+++ b/crates/beechsaddle-lab/tests/load_answers.rs
@@ -9,6 +9,7 @@
     CallKind, CallOutcome, CallResult, CallSender, CallerPatience, CallerSettings, CallerWorkspace,
     PlannedCall,
 };
+use beechsaddle_lab::stand_in::ChatProof;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -74,11 +75,30 @@
     )
 }
 
+fn content(mark: &str) -> String {
+    let proof = ChatProof {
+        attempt: "a@1#2.0".to_owned(),
+        prompt: 1,
+        tokens: 3,
+        mark: mark.to_owned(),
+    };
+    (0..3).map(|place| proof.token(place)).collect()
+}
+
 fn events(mark: &str, last: &str) -> String {
     format!(
-        "data: {{\"choices\":[{{\"delta\":{{\"content\":\"for {mark} \"}}}}]}}\n\n\
+        "data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n\
          data: {{\"choices\":[{{\"delta\":{{}},\"finish_reason\":\"stop\"}}]}}\n\n\
-         data: {{\"choices\":[],\"usage\":{{\"total_tokens\":9}}}}\n\n{last}"
+         data: {{\"choices\":[],\"usage\":{{\"total_tokens\":9}}}}\n\n{last}",
+        content(mark)
+    )
+}
+
+fn echo(mark: &str) -> String {
+    let body = format!("{{\\\"mark\\\":\\\"{mark}\\\"}}");
+    format!(
+        "{{\"method\":\"POST\",\"path\":\"/\",\"query\":\"\",\"body\":\"{body}\",\
+          \"key\":\"\",\"attempt\":\"\",\"runs\":0}}"
     )
 }
 
@@ -152,15 +172,36 @@
     assert_eq!(outcome, CallOutcome::Broken);
 }
 
+#[tokio::test]
+async fn stream_token_missing() {
+    let gap = events(MARK, "data: [DONE]\n\n").replace(" t1", "");
+    let outcome = outcome_of(chunked(&gap, true), CallKind::StreamedChat).await;
+    assert_eq!(outcome, CallOutcome::Short);
+}
+
+#[tokio::test]
+async fn plain_of_another_call() {
+    let outcome = outcome_of(sized(200, &echo("load-1-55")), CallKind::Plain).await;
+    assert_eq!(outcome, CallOutcome::Crossed);
+}
+
+#[tokio::test]
+async fn plain_cut_short() {
+    let whole = echo(MARK);
+    let half = &whole[..whole.len() - 9];
+    let outcome = outcome_of(sized(200, half), CallKind::Plain).await;
+    assert_eq!(outcome, CallOutcome::Short);
+}
+
 #[tokio::test]
 async fn refusal_not_run() {
-    let body = r#"{"error":{"reason":"overloaded","ran":"no","retry_after_ms":1000}}"#;
+    let body = r#"{"error":{"reason":"overloaded","ran":"no","call":"a@1#2"}}"#;
     let outcome = outcome_of(sized(503, body), CallKind::Plain).await;
     let CallOutcome::Refused(refusal) = outcome else {
         panic!("{outcome:?}");
     };
     assert_eq!(refusal.reason, "overloaded");
-    assert!(refusal.not_run);
+    assert_eq!((refusal.not_run, refusal.call.as_str()), (true, "a@1#2"));
 }
 
 #[tokio::test]
@@ -174,7 +215,7 @@
 // router has to see each call once and the second caller has to be told that the outcome is open.
 #[tokio::test]
 async fn reused_connection_closes_under_request() {
-    let router = FakeRouter::start(sized(200, MARK), 1).await;
+    let router = FakeRouter::start(sized(200, &echo(MARK)), 1).await;
     let sender = sender(&router, 0);
     let first = sender
         .send(planned(CallKind::NotRepeatable), Instant::now())
@@ -194,14 +235,14 @@
         .send(planned(CallKind::Plain), Instant::now())
         .await;
     assert_eq!((result.tries, router.requests()), (3, 3));
-    assert!(!result.never_ran);
+    assert!(result.not_run.is_empty());
 }
 
 // The tool itself was late by a second. A latency counted from the real sending would hide that
 // second from every call that waited in it.
 #[tokio::test]
 async fn latency_counts_from_intended_time() {
-    let router = FakeRouter::start(sized(200, MARK), 1).await;
+    let router = FakeRouter::start(sized(200, &echo(MARK)), 1).await;
     let Some(start) = Instant::now().checked_sub(Duration::from_secs(1)) else {
         return;
     };
