--- a/crates/beechsaddle-lab/src/measure/sample_messages.rs
+++ b/crates/beechsaddle-lab/src/measure/sample_messages.rs
@@ -151,6 +151,7 @@
             name: format!("workspace-{number:05}"),
         },
         running: 3,
+        held_back: 0,
         requests: 2,
         tokens: 1_000,
     }
--- a/crates/beechsaddle-wire/schema/peer.capnp
+++ b/crates/beechsaddle-wire/schema/peer.capnp
@@ -110,6 +110,7 @@
   running @1 :UInt32;
   requests @2 :UInt32;
   tokens @3 :UInt64;
+  heldBack @5 :UInt32;
 }
 
 struct RouterNews {
