Read a bill once that both a checkpoint and the closing segment carry

Cause: with checkpoints every four segments the model found '4 bills over 0, but the ledger has 5 over 0': the closing segment carried what the checkpoint before it carried, and a folder counted both.

--- a/crates/beechsaddle-core/src/money/desk_journal.rs
+++ b/crates/beechsaddle-core/src/money/desk_journal.rs
@@ -4,7 +4,7 @@
 
 use super::budget_holding::{BudgetHolding, IntentState};
 use super::desk_turn::DeskTurn;
-use super::journal_name::{CHECKPOINT_EVERY, journal_name};
+use super::journal_name::journal_name;
 use super::journal_segment::{BillRecord, FinalSpend, JournalSegment};
 use super::journal_writer::{JournalWriter, WriterOutcome};
 use super::late_bill::ClosedLife;
@@ -79,7 +79,7 @@
     fn build_segment(&mut self, now: ClockTime) -> JournalSegment {
         let number = self.writer.next_number();
         let closed = self.drain == DrainState::Closing;
-        let is_checkpoint = number.is_multiple_of(CHECKPOINT_EVERY) || closed;
+        let is_checkpoint = number.is_multiple_of(self.options.checkpoint_every) || closed;
         let count = if closed {
             self.news.len()
         } else {
@@ -101,7 +101,8 @@
                 let is_due = view.is_mark_due(target) || holding.waits_for_mark();
                 if is_due { target } else { holding.mark }
             };
-            if holding.is_named(target, is_checkpoint) {
+            let is_left = closed && holding.has_entry;
+            if is_left || holding.is_named(target, is_checkpoint) {
                 holding.named_in = number;
                 holding.intent = holding.intent.max(IntentState::Sent);
                 holding.mark_sent = Some(target);
@@ -135,19 +136,13 @@
         self.trim_unconfirmed();
         let unconfirmed = self.unconfirmed.values();
         let unfolded = self.holdings.values().flat_map(|holding| &holding.unfolded);
-        let carried: BTreeMap<(u64, CallId, bool), BillRecord> = unconfirmed
-            .chain(unfolded)
-            .map(|(number, bill)| {
-                (
-                    (*number, bill.call.clone(), !bill.provisional),
-                    bill.clone(),
-                )
-            })
-            .collect();
+        let mut carried: Vec<(u64, BillRecord)> = unconfirmed.chain(unfolded).cloned().collect();
+        carried.sort_by(|left, right| {
+            let left = (left.0, &left.1.call, left.1.tokens);
+            left.cmp(&(right.0, &right.1.call, right.1.tokens))
+        });
+        carried.dedup();
         carried
-            .into_iter()
-            .map(|((number, _, _), bill)| (number, bill))
-            .collect()
     }
 
     /// Keeps the list of unconfirmed bills within one object's size; the oldest are dropped.
@@ -171,7 +166,7 @@
     }
 
     fn on_segment(&mut self, turn: &mut DeskTurn<'_>, number: u64, segment: &JournalSegment) {
-        if number.is_multiple_of(CHECKPOINT_EVERY) && !segment.closed {
+        if number.is_multiple_of(self.options.checkpoint_every) && !segment.closed {
             self.checkpoint = number;
             let journal = self.writer.journal().clone();
             self.sweeper.sweep_before(&journal, number);
--- a/crates/beechsaddle-core/src/money/desk_pump.rs
+++ b/crates/beechsaddle-core/src/money/desk_pump.rs
@@ -130,12 +130,7 @@
         }
         self.write_count += 1;
         let write_id = format!("{}/close/{}", self.me, self.write_count);
-        let job = FoldJob::new(
-            journal.clone(),
-            may_close,
-            write_id,
-            self.options.shard_count,
-        );
+        let job = FoldJob::new(journal.clone(), may_close, write_id, &self.options);
         self.jobs.insert(journal.clone(), job);
     }
 
--- a/crates/beechsaddle-core/src/money/fold_job.rs
+++ b/crates/beechsaddle-core/src/money/fold_job.rs
@@ -3,11 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::budget_ledger::BudgetLedger;
-use super::journal_name::{
-    CHECKPOINT_EVERY, journal_prefix, last_checkpoint, read_segment_key, segment_key,
-};
+use super::journal_name::{journal_prefix, last_checkpoint, read_segment_key, segment_key};
 use super::journal_segment::{BillRecord, FinalSpend, JournalSegment};
 use super::journal_writer::RETRY_MS;
+use super::money_options::MoneyOptions;
 use crate::clock::ClockTime;
 use crate::names::{BudgetName, CallId, KeyText, ObjectKey};
 use crate::objects::PlatformObject;
@@ -30,13 +29,14 @@
     retry_at: ClockTime,
     has_closed: bool,
     is_handed_over: bool,
-    first: u64,
+    seen: BTreeSet<(u64, CallId, u64, bool)>,
     marks: BTreeMap<BudgetName, u64>,
     bills: BTreeMap<BudgetName, Vec<(u64, BillRecord)>>,
     finals: BTreeSet<FinalSpend>,
     calls: BTreeMap<CallId, (u64, bool)>,
     shards: BTreeSet<u32>,
     shard_count: u32,
+    checkpoint_every: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,7 +63,7 @@
         journal: KeyText,
         may_close: bool,
         write_id: String,
-        shard_count: u32,
+        options: &MoneyOptions,
     ) -> Self {
         FoldJob {
             journal,
@@ -77,13 +77,14 @@
             retry_at: ClockTime::ZERO,
             has_closed: false,
             is_handed_over: false,
-            first: 0,
+            seen: BTreeSet::new(),
             marks: BTreeMap::new(),
             bills: BTreeMap::new(),
             finals: BTreeSet::new(),
             calls: BTreeMap::new(),
             shards: BTreeSet::new(),
-            shard_count,
+            shard_count: options.shard_count,
+            checkpoint_every: options.checkpoint_every,
         }
     }
 
@@ -280,25 +281,28 @@
     }
 
     fn read_range(&mut self, closed: u64) {
-        let number = last_checkpoint(closed);
-        self.first = number;
+        let number = last_checkpoint(closed, self.checkpoint_every);
         self.step = FoldStep::ReadRange { number, closed };
     }
 
     fn absorb(&mut self, number: u64, segment: &JournalSegment) {
         // A checkpoint names every budget that still has a grant. Budgets that it leaves out were
         // returned to the ledger before.
-        if number.is_multiple_of(CHECKPOINT_EVERY) && !segment.closed {
+        if number.is_multiple_of(self.checkpoint_every) && !segment.closed {
             self.marks.clear();
         }
         for (budget, mark) in &segment.marks {
             self.marks.insert(budget.clone(), *mark);
         }
-        // A closing segment carries bills too, and some of them stand in the segments read before.
-        let carried = segment.carried.iter();
-        let carried = carried.filter(|(number, _)| *number < self.first).cloned();
+        let carried = segment.carried.iter().cloned();
         let own = segment.bills.iter().map(|bill| (number, bill.clone()));
         for (number, bill) in carried.chain(own) {
+            // A closing segment carries bills too, and some of them were read before, in their own
+            // segments or in the checkpoint.
+            let name = (number, bill.call.clone(), bill.tokens, bill.provisional);
+            if !self.seen.insert(name) {
+                continue;
+            }
             let call = bill.call.clone();
             self.calls.insert(call, (bill.tokens, bill.provisional));
             self.bills
--- a/crates/beechsaddle-core/src/money/journal_name.rs
+++ b/crates/beechsaddle-core/src/money/journal_name.rs
@@ -2,10 +2,6 @@
 
 use crate::names::{KeyText, ObjectKey, RouterIncarnation};
 
-/// Every segment whose number is a multiple of this is a checkpoint: a reader needs the segments
-/// from the last checkpoint on and none before.
-pub const CHECKPOINT_EVERY: u64 = 64;
-
 /// The name of a router's journal. `life` grows each time it found its journal closed.
 pub fn journal_name(router: &RouterIncarnation, life: u32) -> KeyText {
     KeyText::new(format!("{router}.{life}"))
@@ -33,9 +29,11 @@
     Some((KeyText::new(journal), number.parse().ok()?))
 }
 
-/// The checkpoint that a reader of a journal closed at `closed` starts from.
-pub fn last_checkpoint(closed: u64) -> u64 {
-    closed.saturating_sub(1) / CHECKPOINT_EVERY * CHECKPOINT_EVERY
+/// The checkpoint that a reader of a journal closed at `closed` starts from, when every segment
+/// whose number is a multiple of `every` is one.
+pub fn last_checkpoint(closed: u64, every: u64) -> u64 {
+    let every = every.max(1);
+    closed.saturating_sub(1) / every * every
 }
 
 /// The router whose journal this is.
--- a/crates/beechsaddle-core/src/money/mod.rs
+++ b/crates/beechsaddle-core/src/money/mod.rs
@@ -30,8 +30,7 @@
 pub use budget_account::{BilledKey, BudgetAccount, ClosedGrant, OpenGrant};
 pub use budget_ledger::BudgetLedger;
 pub use journal_name::{
-    CHECKPOINT_EVERY, journal_name, journal_prefix, journal_router, read_segment_key,
-    router_prefix, segment_key,
+    journal_name, journal_prefix, journal_router, read_segment_key, router_prefix, segment_key,
 };
 pub use journal_segment::{BillRecord, FinalSpend, JournalSegment};
 pub use money_desk::MoneyDesk;
--- a/crates/beechsaddle-core/src/money/money_options.rs
+++ b/crates/beechsaddle-core/src/money/money_options.rs
@@ -19,6 +19,9 @@
     pub idle_return_ms: u64,
     /// The time between two writes of the journal, when nothing waits for one.
     pub journal_period_ms: u64,
+    /// Every segment whose number is a multiple of this is a checkpoint, from which a reader starts;
+    /// the same on all routers.
+    pub checkpoint_every: u64,
     /// The longest time between a durable bill and its folding into the ledger.
     pub fold_period_ms: u64,
     /// How long a budget that ran out is not read again.
@@ -55,6 +58,7 @@
             min_grant: 20_000,
             idle_return_ms: 60_000,
             journal_period_ms: 1_000,
+            checkpoint_every: 64,
             fold_period_ms: 5_000,
             recheck_ms: 1_000,
             holder_timeout_ms: 800,
