--- a/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
@@ -83,6 +83,8 @@
             | PeerMessage::SettleReply { .. }
             | PeerMessage::BillsDurable { .. }
             | PeerMessage::CallUnknown { .. }
+            | PeerMessage::HostsRequest
+            | PeerMessage::HostsUpdate { .. }
             | PeerMessage::WitnessNote(_)
             | PeerMessage::WitnessReply { .. }
             | PeerMessage::RecordRequest(_)
--- a/crates/beechsaddle-core/src/members/heartbeat_writer.rs
+++ b/crates/beechsaddle-core/src/members/heartbeat_writer.rs
@@ -31,6 +31,7 @@
             sequence: self.sequence,
             state: self.state,
             catalogue_revision: self.news.catalogue_revision,
+            layout: self.news.layout,
             targets,
             limits,
             routers: self.router_news(now, receiver),
--- a/crates/beechsaddle-core/src/members/host_view.rs
+++ b/crates/beechsaddle-core/src/members/host_view.rs
@@ -40,6 +40,12 @@
         self.lists.contains_key(domain)
     }
 
+    /// The list of a domain with its version, if it was ever read.
+    pub fn list(&self, domain: &DomainName) -> Option<(u64, &HostList)> {
+        let listed = self.lists.get(domain)?;
+        Some((listed.version, &listed.list))
+    }
+
     /// The record of a host.
     pub fn get(&self, domain: &DomainName, host: &HostName) -> Option<&HostRecord> {
         let listed = self.lists.get(domain)?;
--- a/crates/beechsaddle-core/src/members/member_desk.rs
+++ b/crates/beechsaddle-core/src/members/member_desk.rs
@@ -40,6 +40,8 @@
     sequence: u64,
     next_beat: ClockTime,
     last_tick: Option<ClockTime>,
+    /// When a peer was last asked for the list of hosts.
+    hosts_asked: ClockTime,
 }
 
 impl MemberDesk {
@@ -62,6 +64,7 @@
             sequence: 0,
             next_beat: ClockTime::ZERO,
             last_tick: None,
+            hosts_asked: ClockTime::ZERO,
             options,
         }
     }
@@ -124,6 +127,51 @@
             MemberLiveness::Live | MemberLiveness::Down => {}
         }
         self.learn_routers(now, &heartbeat.routers);
+        self.ask_for_hosts(now, from, heartbeat, outbox);
+    }
+
+    /// Answers a router of the own domain that has no list of hosts.
+    pub fn answer_hosts(&self, from: &RouterIncarnation, outbox: &mut CoreOutbox) {
+        let Some((version, hosts)) = self.hosts.list(self.table.domain()) else {
+            return;
+        };
+        let Some(entry) = self
+            .table
+            .get(from)
+            .filter(|entry| entry.domain == *self.table.domain())
+        else {
+            return;
+        };
+        let message = PeerMessage::HostsUpdate {
+            version,
+            hosts: hosts.clone(),
+        };
+        let address = entry.address.clone();
+        outbox.act(CoreAction::Peer {
+            to: from.clone(),
+            address,
+            message,
+        });
+    }
+
+    /// Takes a peer's list of the own domain's hosts, unless a newer one is known.
+    pub fn on_peer_hosts(
+        &mut self,
+        now: ClockTime,
+        version: u64,
+        list: HostList,
+        outbox: &mut CoreOutbox,
+    ) {
+        let domain = self.table.domain().clone();
+        self.on_hosts(
+            now,
+            HostUpdate {
+                domain,
+                version,
+                list,
+            },
+            outbox,
+        );
     }
 
     /// Whether it is time for a heartbeat.
@@ -211,6 +259,28 @@
         }
     }
 
+    /// A router that started while the platform is away has no list of hosts, and would refuse
+    /// every call for want of a target. A peer's list lags no more than it did for the peer.
+    fn ask_for_hosts(
+        &mut self,
+        now: ClockTime,
+        from: &RouterIncarnation,
+        heartbeat: &PeerHeartbeat,
+        outbox: &mut CoreOutbox,
+    ) {
+        let domain = self.table.domain();
+        let is_able = heartbeat.domain == *domain && !self.hosts.knows(domain);
+        if !is_able || now < self.hosts_asked.plus_ms(self.options.heartbeat_ms) {
+            return;
+        }
+        self.hosts_asked = now;
+        outbox.act(CoreAction::Peer {
+            to: from.clone(),
+            address: heartbeat.address.clone(),
+            message: PeerMessage::HostsRequest,
+        });
+    }
+
     fn on_hosts(&mut self, now: ClockTime, update: HostUpdate, outbox: &mut CoreOutbox) {
         let domain = update.domain;
         let changes = self.hosts.update(now, &domain, update.version, update.list);
--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -220,6 +220,8 @@
             PeerMessage::WitnessNote(note) => self.keep_note(&mut turn, from, note),
             PeerMessage::WitnessReply { call } => self.on_witness_reply(&mut turn, from, &call),
             PeerMessage::Heartbeat(_)
+            | PeerMessage::HostsRequest
+            | PeerMessage::HostsUpdate { .. }
             | PeerMessage::CatalogueRequest { .. }
             | PeerMessage::CatalogueUpdate { .. }
             | PeerMessage::RecordRequest(_)
--- a/crates/beechsaddle-core/src/once/once_desk.rs
+++ b/crates/beechsaddle-core/src/once/once_desk.rs
@@ -146,6 +146,8 @@
             | PeerMessage::SettleReply { .. }
             | PeerMessage::BillsDurable { .. }
             | PeerMessage::CallUnknown { .. }
+            | PeerMessage::HostsRequest
+            | PeerMessage::HostsUpdate { .. }
             | PeerMessage::WitnessNote(_)
             | PeerMessage::WitnessReply { .. } => {}
         }
--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -5,10 +5,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalogue::{CatalogueBase, CatalogueChange, EntryId};
-use crate::members::HostState;
+use crate::members::{HostList, HostState};
 use crate::names::{
     BudgetName, CallId, DomainName, KeyText, RequestKey, RouterIncarnation, TargetName,
 };
+use crate::objects::FleetLayout;
 use crate::refusal::CallRefusal;
 use crate::target::{EngineState, LoadReport};
 
@@ -29,6 +30,16 @@
         /// The changes.
         changes: Vec<CatalogueChange>,
     },
+    /// Asks for the list of hosts of the sender's domain; sent by a router that has none, because
+    /// it started while the platform was away.
+    HostsRequest,
+    /// The list of hosts of the sender's domain as last read from the platform.
+    HostsUpdate {
+        /// The list's version at the platform; a higher one replaces a lower one.
+        version: u64,
+        /// The list.
+        hosts: HostList,
+    },
     /// Asks a budget's holder to reserve for a call and to be its witness.
     AdmitRequest(AdmitRequest),
     /// Answers it.
@@ -95,6 +106,9 @@
     pub state: RouterState,
     /// The catalogue revision in force there.
     pub catalogue_revision: u64,
+    /// The fleet's shard counts, if it knows them; a router that starts while the platform is away
+    /// learns them here.
+    pub layout: Option<FleetLayout>,
     /// What it knows of targets of its domain, newest observations only.
     pub targets: Vec<TargetNews>,
     /// What its callers use of shared limits.
--- a/crates/beechsaddle-core/src/router/layout_desk.rs
+++ b/crates/beechsaddle-core/src/router/layout_desk.rs
@@ -10,7 +10,7 @@
 /// How long to wait before the platform is asked again, in milliseconds.
 const RETRY_MS: u64 = 500;
 
-/// Learns the fleet's layout from the platform, or creates it for a new fleet.
+/// Learns the fleet's layout from the platform or from peers, or creates it for a new fleet.
 ///
 /// A router that placed budgets by its own settings while others use other counts would find its
 /// budgets in other ledgers, each with the full top-ups, and spend them twice. So nothing is placed
@@ -44,6 +44,11 @@
         self.known.as_ref()
     }
 
+    /// Takes the layout from a peer, which has it from the platform.
+    pub fn learn(&mut self, layout: FleetLayout) {
+        self.known = Some(layout);
+    }
+
     /// Asks the platform when it is time to.
     pub fn tick(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
         if self.known.is_some() || self.in_flight || now < self.next {
--- a/crates/beechsaddle-core/src/router/router_core.rs
+++ b/crates/beechsaddle-core/src/router/router_core.rs
@@ -14,7 +14,7 @@
 use crate::platform::{PlatformDuty, PlatformReply, PlatformTicket};
 use crate::prelude::*;
 use crate::report::{CounterName, ReportAction};
-use crate::status::RouterStatus;
+use crate::status::{GrantStatus, RouterStatus};
 use crate::target::TargetEvent;
 use crate::targets::TargetTable;
 
@@ -114,6 +114,11 @@
         self.calls.open_calls()
     }
 
+    /// The grants that it holds.
+    pub fn grants(&self) -> Vec<GrantStatus> {
+        self.money.grants()
+    }
+
     /// Whether the router can take calls: it has a catalogue and does not drain.
     pub fn is_serving(&self) -> bool {
         let is_ready = self.layout.known().is_some() && self.catalogue.view().revision() > 0;
@@ -154,6 +159,7 @@
         if self.members.is_heartbeat_due(now) || self.targets.urgent_news() {
             let news = HeartbeatNews {
                 catalogue_revision: self.catalogue.view().revision(),
+                layout: self.layout.known().copied(),
                 targets: self.targets.take_news(now),
                 limits: self.gate.take_limits(now),
             };
@@ -207,6 +213,10 @@
 
     fn on_layout(&mut self, now: ClockTime, reply: &PlatformReply) {
         self.layout.on_platform(now, reply);
+        self.use_layout();
+    }
+
+    fn use_layout(&mut self) {
         if let Some(layout) = self.layout.known() {
             self.money.set_layout(layout);
             self.once.set_layout(layout);
@@ -223,6 +233,10 @@
         let is_ready = self.layout.known().is_some();
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, &from, heartbeat, outbox),
+            PeerMessage::HostsRequest => self.members.answer_hosts(&from, outbox),
+            PeerMessage::HostsUpdate { version, hosts } => {
+                self.members.on_peer_hosts(now, version, hosts, outbox);
+            }
             PeerMessage::CatalogueRequest { .. } | PeerMessage::CatalogueUpdate { .. } => {
                 self.catalogue
                     .on_peer(now, &from, message, self.members.table(), outbox);
@@ -260,6 +274,10 @@
             self.gate.on_limits(now, from, &heartbeat.limits);
         }
         self.members.on_peer(now, from, &heartbeat, outbox);
+        if let Some(layout) = heartbeat.layout.filter(|_| self.layout.known().is_none()) {
+            self.layout.learn(layout);
+            self.use_layout();
+        }
         let revision = heartbeat.catalogue_revision;
         self.catalogue
             .on_heartbeat_revision(now, from, revision, self.members.table(), outbox);
--- a/crates/beechsaddle-core/tests/members_support/mod.rs
+++ b/crates/beechsaddle-core/tests/members_support/mod.rs
@@ -51,6 +51,7 @@
         sequence,
         state,
         catalogue_revision: 0,
+        layout: None,
         targets: Vec::new(),
         limits: Vec::new(),
         routers: Vec::new(),
--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -234,3 +234,29 @@
         world.account().grants
     );
 }
+
+// A router's host is replaced while the platform is away. The new router learns the catalogue and the
+// fleet's layout from its peers; its callers are served out of the grant that a peer still holds.
+#[test]
+fn restart_in_an_outage_serves_by_its_peers() {
+    let mut world = RouterWorld::new(3, 100_000);
+    for router in 0..3 {
+        let arrival = world.arrival(router, chat());
+        world.call(router, arrival);
+    }
+    let holder = world
+        .routers
+        .iter()
+        .position(|router| !router.grants().is_empty());
+    let restarted = (holder.expect("a router holds the budget") + 1) % 3;
+    world.platform_away = true;
+    world.restart(restarted);
+    world.run(5_000);
+    let arrival = world.arrival(restarted, chat());
+    let call = world.call(restarted, arrival);
+    assert!(
+        world.finished.contains(&call),
+        "{:?}",
+        world.refused.get(&call)
+    );
+}
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -183,6 +183,19 @@
         self.run(500);
     }
 
+    /// Replaces a router by a later life on the same host, as after a crash: nothing is kept.
+    pub fn restart(&mut self, router: usize) {
+        let earlier = &self.names[router];
+        let name = RouterIncarnation {
+            host: earlier.host.clone(),
+            epoch: earlier.epoch + 1,
+        };
+        self.names[router] = name.clone();
+        self.watches.retain(|watch| watch.router != router);
+        self.routers[router] = new_router(&name, &self.names);
+        self.send(router, CoreEvent::Started);
+    }
+
     /// The budget's account at the platform.
     pub fn account(&self) -> &BudgetAccount {
         match self.store.get(BudgetLedger::object_key(0).as_str()) {
@@ -228,7 +241,7 @@
             CoreAction::Platform { ticket, call } => self.on_platform(router, ticket, call),
             CoreAction::Peer { to, message, .. } => {
                 let from = self.names[router].clone();
-                if let Some(index) = self.names.iter().position(|name| *name == to) {
+                if let Some(index) = self.names.iter().position(|name| is_meant(name, &to)) {
                     self.queue
                         .push_back((index, CoreEvent::Peer { from, message }));
                 }
@@ -362,6 +375,11 @@
     }
 }
 
+/// Whether a message to `to` reaches `name`; a sender that knows only the host names epoch zero.
+fn is_meant(name: &RouterIncarnation, to: &RouterIncarnation) -> bool {
+    name.host == to.host && (to.epoch == 0 || to.epoch == name.epoch)
+}
+
 fn stored(key: &ObjectKey, version: u64, object: Option<&PlatformObject>) -> StoredObject {
     StoredObject {
         key: key.clone(),
--- a/crates/beechsaddle-lab/src/measure/sample_messages.rs
+++ b/crates/beechsaddle-lab/src/measure/sample_messages.rs
@@ -118,6 +118,7 @@
         sequence: 1_000_000,
         state: RouterState::Live,
         catalogue_revision: 1_000_000,
+        layout: None,
         targets: Vec::new(),
         limits: Vec::new(),
         routers: Vec::new(),
--- a/crates/beechsaddle-wire/schema/peer.capnp
+++ b/crates/beechsaddle-wire/schema/peer.capnp
@@ -121,6 +121,11 @@
   ageMs @4 :UInt64;
 }
 
+struct FleetLayout {
+  ledgerShards @0 :UInt32;
+  dedupShards @1 :UInt32;
+}
+
 struct Heartbeat {
   domain @0 :Text;
   address @1 :Text;
@@ -130,6 +135,8 @@
   targets @5 :List(TargetNews);
   limits @6 :List(LimitUse);
   routers @7 :List(RouterNews);
+  layout @8 :FleetLayout;
+  # Absent while the sender does not know it.
 }
 
 struct CatalogueUpdate {
@@ -139,6 +146,12 @@
   # One change each, CBOR as the platform stores it.
 }
 
+struct HostsUpdate {
+  version @0 :UInt64;
+  hosts @1 :Data;
+  # CBOR as the platform stores it.
+}
+
 struct AdmitRequest {
   call @0 :CallName;
   key @1 :RequestKey;
@@ -190,6 +203,8 @@
     recordRequest @11 :RecordRequest;
     recordReply @12 :RecordReply;
     callUnknown @13 :CallUnknown;
+    hostsRequest @14 :Void;
+    hostsUpdate @15 :HostsUpdate;
   }
 }
 
--- a/crates/beechsaddle-wire/src/peer/heartbeat_codec.rs
+++ b/crates/beechsaddle-wire/src/peer/heartbeat_codec.rs
@@ -2,6 +2,7 @@
 
 use beechsaddle_core::catalogue::{EntryId, EntryKind};
 use beechsaddle_core::members::HostState;
+use beechsaddle_core::objects::FleetLayout;
 use beechsaddle_core::peer::{LimitUse, PeerHeartbeat, RouterNews, RouterState, TargetNews};
 
 use super::engine_codec::{read_engine, read_load, write_engine, write_load};
@@ -25,6 +26,9 @@
         RouterState::Left => peer_capnp::RouterState::Left,
     });
     builder.set_catalogue_revision(heartbeat.catalogue_revision);
+    if let Some(layout) = &heartbeat.layout {
+        write_layout(layout, builder.reborrow().init_layout());
+    }
     write_targets(&heartbeat.targets, &mut builder)?;
     write_limits(&heartbeat.limits, &mut builder)?;
     write_routers(&heartbeat.routers, &mut builder)
@@ -42,12 +46,28 @@
             peer_capnp::RouterState::Left => RouterState::Left,
         },
         catalogue_revision: reader.get_catalogue_revision(),
+        layout: match reader.has_layout() {
+            true => Some(read_layout(reader.get_layout()?)),
+            false => None,
+        },
         targets: read_targets(reader)?,
         limits: read_limits(reader)?,
         routers: read_routers(reader)?,
     })
 }
 
+fn write_layout(layout: &FleetLayout, mut builder: peer_capnp::fleet_layout::Builder<'_>) {
+    builder.set_ledger_shards(layout.ledger_shards);
+    builder.set_dedup_shards(layout.dedup_shards);
+}
+
+fn read_layout(reader: peer_capnp::fleet_layout::Reader<'_>) -> FleetLayout {
+    FleetLayout {
+        ledger_shards: reader.get_ledger_shards(),
+        dedup_shards: reader.get_dedup_shards(),
+    }
+}
+
 // An empty list is left out altogether: a heartbeat without news is the one that is sent most.
 fn write_targets(
     targets: &[TargetNews],
--- a/crates/beechsaddle-wire/src/peer/message_codec.rs
+++ b/crates/beechsaddle-wire/src/peer/message_codec.rs
@@ -9,6 +9,7 @@
 };
 use super::catalogue_codec::{read_update, write_update};
 use super::heartbeat_codec::{read_heartbeat, write_heartbeat};
+use super::hosts_codec::{read_hosts, write_hosts};
 use super::identity_codec::{read_call, write_call};
 use super::limits::{CALLS_MAX, MESSAGE_BYTES_MAX, reader_options};
 use super::reply_codec::{
@@ -44,6 +45,13 @@
             let count = check_count(calls.len(), CALLS_MAX)?;
             write_calls(calls, builder.init_bills_durable(count))
         }
+        PeerMessage::HostsRequest => {
+            builder.set_hosts_request(());
+            Ok(())
+        }
+        PeerMessage::HostsUpdate { version, hosts } => {
+            write_hosts(*version, hosts, builder.init_hosts_update())
+        }
         PeerMessage::CallUnknown { call, journal } => {
             write_unknown(call, journal, builder.init_call_unknown())
         }
@@ -89,6 +97,11 @@
             let (call, outcome) = read_record_reply(reply?)?;
             PeerMessage::RecordReply { call, outcome }
         }
+        peer_message::HostsRequest(()) => PeerMessage::HostsRequest,
+        peer_message::HostsUpdate(update) => {
+            let (version, hosts) = read_hosts(update?)?;
+            PeerMessage::HostsUpdate { version, hosts }
+        }
         peer_message::CallUnknown(unknown) => {
             let (call, journal) = read_unknown(unknown?)?;
             PeerMessage::CallUnknown { call, journal }
--- a/crates/beechsaddle-wire/src/peer/message_size.rs
+++ b/crates/beechsaddle-wire/src/peer/message_size.rs
@@ -9,6 +9,7 @@
 const LIMIT_BYTES: usize = 80;
 const ROUTER_BYTES: usize = 160;
 const CALL_BYTES: usize = 88;
+const HOST_BYTES: usize = 192;
 const ENTRY_BYTES: usize = 512;
 
 /// About how many bytes a message will have.
@@ -24,6 +25,7 @@
             let edits: usize = changes.iter().map(|change| 1 + change.edits.len()).sum();
             (entries + edits) * ENTRY_BYTES
         }
+        PeerMessage::HostsUpdate { hosts, .. } => hosts.hosts.len() * HOST_BYTES,
         PeerMessage::ProgressReport { calls } => calls.len() * CALL_BYTES,
         PeerMessage::BillsDurable { calls } => calls.len() * CALL_BYTES,
         PeerMessage::CatalogueRequest { .. }
@@ -32,6 +34,7 @@
         | PeerMessage::SettleRequest(_)
         | PeerMessage::SettleReply { .. }
         | PeerMessage::CallUnknown { .. }
+        | PeerMessage::HostsRequest
         | PeerMessage::WitnessNote(_)
         | PeerMessage::WitnessReply { .. }
         | PeerMessage::RecordRequest(_)
--- a/crates/beechsaddle-wire/src/peer/mod.rs
+++ b/crates/beechsaddle-wire/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod engine_codec;
 mod heartbeat_codec;
 mod hello_codec;
+mod hosts_codec;
 mod identity_codec;
 mod limits;
 mod message_codec;
--- a/crates/beechsaddle-wire/src/peer_capnp.rs
+++ b/crates/beechsaddle-wire/src/peer_capnp.rs
@@ -3788,6 +3788,231 @@
     }
 }
 
+pub mod fleet_layout {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_ledger_shards(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_dedup_shards(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_ledger_shards(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_ledger_shards(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_dedup_shards(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_dedup_shards(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(72, 139, 216, 17, 38, 84, 226, 192),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 70, 108, 101, 101, 116),
+            ::capnp::word(76, 97, 121, 111, 117, 116, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 101, 100, 103, 101, 114, 83, 104),
+            ::capnp::word(97, 114, 100, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 100, 117, 112, 83, 104, 97),
+            ::capnp::word(114, 100, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xc0e2_5426_11d8_8b48;
+    }
+}
+
 pub mod heartbeat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3901,11 +4126,19 @@
         pub fn has_routers(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_layout(self) -> ::capnp::Result<crate::peer_capnp::fleet_layout::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_layout(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4059,6 +4292,22 @@
         pub fn has_routers(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_layout(self) -> ::capnp::Result<crate::peer_capnp::fleet_layout::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_layout(&mut self, value: crate::peer_capnp::fleet_layout::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_layout(self, ) -> crate::peer_capnp::fleet_layout::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), 0)
+        }
+        #[inline]
+        pub fn has_layout(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4068,82 +4317,92 @@
         }
     }
     impl Pipeline  {
+        pub fn get_layout(&self) -> crate::peer_capnp::fleet_layout::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(5))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 152] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 167] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(19, 145, 195, 203, 159, 231, 44, 171),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4174,50 +4433,321 @@
             ::capnp::word(58, 1, 45, 196, 156, 130, 162, 237),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 116, 97, 108, 111, 103, 117),
+            ::capnp::word(101, 82, 101, 118, 105, 115, 105, 111),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(26, 177, 213, 66, 246, 140, 177, 193),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(191, 157, 99, 179, 172, 66, 195, 196),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 114, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 194, 43, 195, 227, 32, 228, 230),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 121, 111, 117, 116, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 139, 216, 17, 38, 84, 226, 192),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::peer_capnp::RouterState as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::target_news::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::limit_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::peer_capnp::router_news::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::peer_capnp::fleet_layout::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,0,8,6,7,2,3,5];
+        pub(crate) const TYPE_ID: u64 = 0xab2c_e79f_cbc3_9113;
+    }
+}
+
+pub mod catalogue_update {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_base(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_base(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_base(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_base(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_base(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_base(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_changes(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_changes(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(14, 53, 110, 40, 91, 180, 229, 219),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 97, 116, 97, 108, 111, 103, 117),
-            ::capnp::word(101, 82, 101, 118, 105, 115, 105, 111),
-            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 97, 116, 97, 108),
+            ::capnp::word(111, 103, 117, 101, 85, 112, 100, 97),
+            ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(26, 177, 213, 66, 246, 140, 177, 193),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(191, 157, 99, 179, 172, 66, 195, 196),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 117, 116, 101, 114, 115, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 194, 43, 195, 227, 32, 228, 230),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -4226,14 +4756,8 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <crate::peer_capnp::RouterState as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::peer_capnp::target_news::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::peer_capnp::limit_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::peer_capnp::router_news::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4247,14 +4771,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,0,6,7,2,3,5];
-        pub(crate) const TYPE_ID: u64 = 0xab2c_e79f_cbc3_9113;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xdbe5_b45b_286e_350e;
     }
 }
 
-pub mod catalogue_update {
+pub mod hosts_update {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4316,26 +4840,22 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_base(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_base(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_changes(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_changes(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn has_hosts(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4386,36 +4906,28 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_base(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_base(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-        }
-        #[inline]
-        pub fn init_base(self, size: u32) -> ::capnp::data_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_base(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_changes(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_changes(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn set_hosts(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
         }
         #[inline]
-        pub fn init_changes(self, size: u32) -> ::capnp::data_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        pub fn init_hosts(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
         }
         #[inline]
-        pub fn has_changes(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn has_hosts(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
     }
 
@@ -4428,68 +4940,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(14, 53, 110, 40, 91, 180, 229, 219),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(86, 38, 123, 64, 9, 187, 233, 216),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 67, 97, 116, 97, 108),
-            ::capnp::word(111, 103, 117, 101, 85, 112, 100, 97),
-            ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 72, 111, 115, 116, 115),
+            ::capnp::word(85, 112, 100, 97, 116, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4505,8 +5008,8 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xdbe5_b45b_286e_350e;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xd8e9_bb09_407b_2656;
     }
 }
 
@@ -6049,7 +6552,7 @@
 }
 
 pub mod peer_message {
-    pub use self::Which::{Heartbeat,CatalogueRequest,CatalogueUpdate,AdmitRequest,AdmitReply,ProgressReport,SettleRequest,SettleReply,BillsDurable,WitnessNote,WitnessReply,RecordRequest,RecordReply,CallUnknown};
+    pub use self::Which::{Heartbeat,CatalogueRequest,CatalogueUpdate,AdmitRequest,AdmitReply,ProgressReport,SettleRequest,SettleReply,BillsDurable,WitnessNote,WitnessReply,RecordRequest,RecordReply,CallUnknown,HostsRequest,HostsUpdate};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -6177,6 +6680,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_hosts_update(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 15 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -6249,6 +6757,16 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                14 => {
+                    ::core::result::Result::Ok(HostsRequest(
+                        ()
+                    ))
+                }
+                15 => {
+                    ::core::result::Result::Ok(HostsUpdate(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -6507,6 +7025,25 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_hosts_request(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 14);
+        }
+        #[inline]
+        pub fn set_hosts_update(&mut self, value: crate::peer_capnp::hosts_update::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 15);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_hosts_update(self, ) -> crate::peer_capnp::hosts_update::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 15);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_hosts_update(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 15 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -6579,6 +7116,16 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                14 => {
+                    ::core::result::Result::Ok(HostsRequest(
+                        ()
+                    ))
+                }
+                15 => {
+                    ::core::result::Result::Ok(HostsUpdate(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -6593,122 +7140,136 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 250] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 282] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(5, 40, 137, 138, 152, 29, 21, 165),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(171, 240, 153, 163, 191, 53, 166, 180),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 14, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 16, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 101, 101, 114, 77),
             ::capnp::word(101, 115, 115, 97, 103, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 240, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -6844,6 +7405,24 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 82, 101, 113),
+            ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 85, 112, 100),
+            ::capnp::word(97, 116, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(86, 38, 123, 64, 9, 187, 233, 216),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6861,6 +7440,8 @@
                 11 => <crate::peer_capnp::record_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <crate::peer_capnp::record_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <crate::peer_capnp::call_unknown::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <() as ::capnp::introspect::Introspect>::introspect(),
+                15 => <crate::peer_capnp::hosts_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6875,11 +7456,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,8,13,1,2,0,5,12,11,7,6,9,10];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,8,13,1,2,0,14,15,5,12,11,7,6,9,10];
         pub(crate) const TYPE_ID: u64 = 0xa515_1d98_8a89_2805;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13> {
         Heartbeat(A0),
         CatalogueRequest(u64),
         CatalogueUpdate(A1),
@@ -6894,9 +7475,11 @@
         RecordRequest(A10),
         RecordReply(A11),
         CallUnknown(A12),
+        HostsRequest(()),
+        HostsUpdate(A13),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<crate::peer_capnp::record_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::record_reply::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<crate::peer_capnp::record_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::record_reply::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_name::Reader<'a>>,::capnp::Result<crate::peer_capnp::record_request::Reader<'a>>,::capnp::Result<crate::peer_capnp::record_reply::Reader<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Reader<'a>>,::capnp::Result<crate::peer_capnp::hosts_update::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<crate::peer_capnp::catalogue_update::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::admit_reply::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_progress::Owned>>,::capnp::Result<crate::peer_capnp::settle_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::call_name::Owned>>,::capnp::Result<crate::peer_capnp::witness_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_name::Builder<'a>>,::capnp::Result<crate::peer_capnp::record_request::Builder<'a>>,::capnp::Result<crate::peer_capnp::record_reply::Builder<'a>>,::capnp::Result<crate::peer_capnp::call_unknown::Builder<'a>>,::capnp::Result<crate::peer_capnp::hosts_update::Builder<'a>>>;
 }
 
 pub mod hello {
--- a/crates/beechsaddle-wire/tests/common/mod.rs
+++ b/crates/beechsaddle-wire/tests/common/mod.rs
@@ -5,7 +5,8 @@
     CatalogueBase, CatalogueChange, CatalogueEntry, EntryClass, EntryEdit, EntryHeader, EntryId,
     EntryKind, EntryLimits, ModelEntry, ServiceEntry, ServiceKind, WorkspaceEntry,
 };
-use beechsaddle_core::members::HostState;
+use beechsaddle_core::members::{HostList, HostRecord, HostRole, HostState};
+use beechsaddle_core::objects::FleetLayout;
 use beechsaddle_core::peer::{
     AdmitRequest, CallProgress, LimitUse, PeerHeartbeat, PeerMessage, RecordRequest, RouterNews,
     RouterState, SettleRequest, TargetNews, WitnessNote,
@@ -15,7 +16,7 @@
 use quickcheck::{Arbitrary, Gen};
 
 /// How many variants [`AnyMessage`] draws from; one arm of [`message_of`] each.
-pub const VARIANTS: u8 = 14;
+pub const VARIANTS: u8 = 16;
 
 /// Any message that the core may send.
 #[derive(Clone, Debug)]
@@ -78,6 +79,13 @@
             call: any_call(gen_),
             journal: any_name(gen_).as_str().into(),
         },
+        13 => PeerMessage::HostsRequest,
+        14 => PeerMessage::HostsUpdate {
+            version: u64::arbitrary(gen_),
+            hosts: HostList {
+                hosts: any_list(gen_, any_host),
+            },
+        },
         _ => PeerMessage::RecordReply {
             call: any_call(gen_),
             outcome: any_outcome(gen_),
@@ -102,7 +110,23 @@
         PeerMessage::WitnessReply { .. } => 10,
         PeerMessage::RecordRequest(_) => 11,
         PeerMessage::CallUnknown { .. } => 12,
-        PeerMessage::RecordReply { .. } => 13,
+        PeerMessage::HostsRequest => 13,
+        PeerMessage::HostsUpdate { .. } => 14,
+        PeerMessage::RecordReply { .. } => 15,
+    }
+}
+
+fn any_host(gen_: &mut Gen) -> HostRecord {
+    HostRecord {
+        host: any_name(gen_).as_str().into(),
+        domain: any_name(gen_).as_str().into(),
+        epoch: u64::arbitrary(gen_),
+        address: any_name(gen_),
+        role: HostRole::Target {
+            service: any_name(gen_).as_str().into(),
+            checks_fence: bool::arbitrary(gen_),
+        },
+        state: HostState::Leaving,
     }
 }
 
@@ -172,6 +196,10 @@
             .choose(&[RouterState::Live, RouterState::Draining, RouterState::Left])
             .expect("not empty"),
         catalogue_revision: u64::arbitrary(gen_),
+        layout: bool::arbitrary(gen_).then(|| FleetLayout {
+            ledger_shards: u32::arbitrary(gen_),
+            dedup_shards: u32::arbitrary(gen_),
+        }),
         targets: any_list(gen_, |gen_| TargetNews {
             target: any_name(gen_).as_str().into(),
             epoch: u64::arbitrary(gen_),
--- a/crates/beechsaddle-wire/tests/peer_codec.rs
+++ b/crates/beechsaddle-wire/tests/peer_codec.rs
@@ -26,6 +26,7 @@
         sequence: 1,
         state: RouterState::Live,
         catalogue_revision: 1,
+        layout: None,
         targets: Vec::new(),
         limits: Vec::new(),
         routers: Vec::new(),
--- a/crates/beechsaddle/src/peers/send_queue.rs
+++ b/crates/beechsaddle/src/peers/send_queue.rs
@@ -137,6 +137,8 @@
         PeerMessage::Heartbeat(_)
         | PeerMessage::ProgressReport { .. }
         | PeerMessage::CatalogueRequest { .. }
+        | PeerMessage::HostsRequest
+        | PeerMessage::HostsUpdate { .. }
         | PeerMessage::CatalogueUpdate { .. } => true,
         PeerMessage::AdmitRequest(_)
         | PeerMessage::AdmitReply { .. }
--- a/crates/beechsaddle/tests/peers_support/mod.rs
+++ b/crates/beechsaddle/tests/peers_support/mod.rs
@@ -104,6 +104,7 @@
         sequence,
         state: RouterState::Live,
         catalogue_revision: 3,
+        layout: None,
         targets: Vec::new(),
         limits: Vec::new(),
         routers: Vec::new(),
