--- a/crates/beechsaddle/tests/operator_apply.rs
+++ b/crates/beechsaddle/tests/operator_apply.rs
@@ -77,6 +77,33 @@
     });
 }
 
+// An operator's files lack what another applied, so that their base stays. A second edit of what
+// they applied themselves is no conflict with their own first one.
+#[test]
+fn apply_second_own_edit_on_old_base_is_no_conflict() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let first = declared(&small("iva", ONE));
+        apply(&store, "iva", &first, &base(0))
+            .await
+            .expect("applied");
+        let theirs = declared(&rename_model_owner(&small("iva", ONE), "mato"));
+        apply(&store, "mato", &theirs, &base(1))
+            .await
+            .expect("applied");
+        let mine = declared(&small("iva", TWO));
+        let rebased = apply(&store, "iva", &mine, &base(1))
+            .await
+            .expect("rebased");
+        assert_eq!(rebased.base.applied, [3].into_iter().collect());
+        let mine = declared(&small("iva", ONE));
+        let again = apply(&store, "iva", &mine, &rebased.base)
+            .await
+            .expect("applied");
+        assert_eq!((again.revision, again.edits), (4, 1));
+    });
+}
+
 // Two operators edit the same workspace from the same base. The second is told the entry, its
 // owner, who was first and in which revision; nothing of its edit is applied, also not the parts
 // that nobody else touched.
--- a/crates/beechsaddle/tests/operator_random.rs
+++ b/crates/beechsaddle/tests/operator_random.rs
@@ -116,10 +116,7 @@
         match result {
             Ok(outcome) => {
                 self.check_commits(who, outcome.revision);
-                // Files in step with a revision show all of it.
-                let operator = &mut self.operators[who];
-                operator.seen = operator.seen.max(outcome.base.revision);
-                operator.base = outcome.base;
+                self.operators[who].base = outcome.base;
                 self.check_in_force(who, &outcome.missing).await;
             }
             Err(OperatorError::Conflicts(_) | OperatorError::Refusals(_)) => {
@@ -152,8 +149,8 @@
     }
 
     /// What was accepted is committed, but for what others changed since.
-    async fn check_in_force(&self, who: usize, missing: &[ItemId]) {
-        let (_, committed) = read_declared(&self.store).await.expect("committed");
+    async fn check_in_force(&mut self, who: usize, missing: &[ItemId]) {
+        let (revision, committed) = read_declared(&self.store).await.expect("committed");
         let missing: BTreeSet<&ItemId> = missing.iter().collect();
         let mine = items(&self.operators[who].files);
         let theirs = items(&committed);
@@ -162,6 +159,10 @@
                 assert_eq!(mine.get(id), theirs.get(id), "{id}");
             }
         }
+        // Files that are the same as what is committed show all of it.
+        if mine == theirs {
+            self.operators[who].seen = revision;
+        }
     }
 
     async fn pull(&mut self, who: usize) {
