Prove the call edge's safeguards against bad input, targets and callers

Found by them and mended: - A connection on which an answer of another attempt came went back into the library's pool, whole as its answer was; the next attempt ran into it (`crossed_answer_by_echo`: TimedOut). The pool is given up as a whole then, as it cannot be told to drop one connection. - The refusal beyond the connection limit had a wrong length ("closed within a body"). - A caller with a body beyond the limit failed in writing instead of seeing its 413; the edge now reads on within bounds before it closes. - An action that finds a call's ring full closes the call instead of being lost.

--- a/crates/beechsaddle/src/calls/attempt.rs
+++ b/crates/beechsaddle/src/calls/attempt.rs
@@ -104,7 +104,10 @@
             Ok(Err(error)) => return Err(read_client_error(&error)),
             Err(_elapsed) => return Err(AttemptFailure::TimedOut),
         };
-        self.check_echo(answer.headers())?;
+        if !self.is_own_answer(answer.headers()) {
+            state.client.drop_pool();
+            return Err(AttemptFailure::WrongAttempt);
+        }
         self.check_status(answer.status(), content)?;
         Ok(answer)
     }
@@ -160,21 +163,17 @@
         Some(request)
     }
 
-    /// Checks that the answer is this attempt's.
+    /// Whether the answer is this attempt's.
     ///
     /// A target, or something before it, that mixes up connections would give one caller another
     /// caller's answer. Where the target echoes the attempt such an answer is found out and
     /// dropped with its connection.
-    fn check_echo(&self, headers: &HeaderMap) -> Result<(), AttemptFailure> {
+    fn is_own_answer(&self, headers: &HeaderMap) -> bool {
         let expected = self.attempt.to_string();
-        let is_own = headers
+        headers
             .get_all(ATTEMPT_HEADER)
             .iter()
-            .all(|echo| echo.as_bytes() == expected.as_bytes());
-        match is_own {
-            true => Ok(()),
-            false => Err(AttemptFailure::WrongAttempt),
-        }
+            .all(|echo| echo.as_bytes() == expected.as_bytes())
     }
 
     /// Tells a failed attempt from an answer for the caller.
--- a/crates/beechsaddle/src/calls/call_run.rs
+++ b/crates/beechsaddle/src/calls/call_run.rs
@@ -2,9 +2,13 @@
 
 use std::sync::Arc;
 
-use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallAction, CallArrival, CallEvent};
+use beechsaddle_core::call::{
+    AnswerEnd, AttemptFailure, CallAction, CallArrival, CallEvent, TokenUsage,
+};
 use beechsaddle_core::prelude::*;
+use bytes::Bytes;
 use tokio::sync::mpsc;
+use volo_http::body::Body;
 use volo_http::response::Response;
 
 use super::answer_body::AnswerBody;
@@ -13,7 +17,7 @@
 use super::call_fault::CallFault;
 use super::call_guard::CallGuard;
 use super::connection_mark::ConnectionMark;
-use super::ready_answer::ReadyAnswer;
+use super::ready_answer::{AnswerHead, ReadyAnswer};
 use super::refusal_answer::{fault_answer, refusal_answer};
 
 /// After how many milliseconds a caller may come back when the core's ring is full.
@@ -39,8 +43,8 @@
     Answered(ReadyAnswer),
     /// There is none.
     Failed(AttemptFailure),
-    /// The core decided otherwise in the meantime.
-    Overruled(CallAction),
+    /// The core decided otherwise in the meantime, or closed the call.
+    Overruled(Option<CallAction>),
 }
 
 impl CallRun {
@@ -53,15 +57,14 @@
         }
         self.guard.wait();
         loop {
-            let Some(action) = self.actions.recv().await else {
-                return self.give_up();
-            };
-            let order = match AttemptOrder::try_from(action) {
-                Ok(order) => order,
-                Err(action) => match self.overrule(action) {
+            let action = self.actions.recv().await;
+            let order = match action.map(AttemptOrder::try_from) {
+                Some(Ok(order)) => order,
+                Some(Err(action)) => match self.overrule(Some(action)) {
                     Some(response) => return response,
                     None => continue,
                 },
+                None => return self.give_up(),
             };
             match self.attempt(&order).await {
                 AttemptOutcome::Answered(answer) => return self.answer(answer).await,
@@ -94,46 +97,49 @@
         self.guard.state().ring.raise_call(failed);
     }
 
-    async fn answer(mut self, answer: ReadyAnswer) -> Response {
+    async fn answer(self, answer: ReadyAnswer) -> Response {
         self.guard.tell_started();
         match answer {
-            ReadyAnswer::Whole { head, body, usage } => {
-                self.guard.note_usage(usage);
-                self.guard.end_answer(AnswerEnd::Complete);
-                // The body is not sent again from here on.
-                drop(self.share);
-                loop {
-                    match self.actions.recv().await {
-                        Some(CallAction::Finish { .. }) => {
-                            return head.with_body(body.into(), self.guard.call());
-                        }
-                        Some(CallAction::Refuse { refusal, .. }) => {
-                            return refusal_answer(&refusal, self.guard.call());
-                        }
-                        Some(CallAction::Abort { .. }) | None => {
-                            return unknown_outcome(self.guard.call());
-                        }
-                        Some(_) => {}
-                    }
-                }
-            }
+            ReadyAnswer::Whole { head, body, usage } => self.hold_answer(head, body, usage).await,
             ReadyAnswer::Streamed { head, body, tail } => {
                 let call = self.guard.call().clone();
                 let body = AnswerBody::new(body, tail, self.guard, self.actions, self.mark);
-                head.with_body(volo_http::body::Body::from_body(body), &call)
+                head.with_body(Body::from_body(body), &call)
+            }
+        }
+    }
+
+    /// Holds a whole answer back until the core says that its usage is safe.
+    async fn hold_answer(mut self, head: AnswerHead, body: Bytes, usage: TokenUsage) -> Response {
+        self.guard.note_usage(usage);
+        self.guard.end_answer(AnswerEnd::Complete);
+        // The request's body is not sent again from here on.
+        drop(self.share);
+        loop {
+            match self.actions.recv().await {
+                Some(CallAction::Finish { .. }) => {
+                    return head.with_body(body.into(), self.guard.call());
+                }
+                Some(CallAction::Refuse { refusal, .. }) => {
+                    return refusal_answer(&refusal, self.guard.call());
+                }
+                Some(CallAction::Abort { .. }) | None => {
+                    return unknown_outcome(self.guard.call());
+                }
+                Some(_) => {}
             }
         }
     }
 
     /// Carries out an action other than a dispatch; `None` when the call goes on.
-    fn overrule(&mut self, action: CallAction) -> Option<Response> {
+    fn overrule(&mut self, action: Option<CallAction>) -> Option<Response> {
         match action {
-            CallAction::Refuse { refusal, .. } => {
+            Some(CallAction::Refuse { refusal, .. }) => {
                 self.guard.settle();
                 Some(refusal_answer(&refusal, self.guard.call()))
             }
-            CallAction::Abort { .. } => Some(self.give_up()),
-            _ => None,
+            Some(CallAction::Abort { .. }) | None => Some(self.give_up()),
+            Some(_) => None,
         }
     }
 
@@ -144,14 +150,16 @@
     }
 }
 
-/// Waits for an action that ends a running attempt.
-async fn receive_final(actions: &mut mpsc::Receiver<CallAction>) -> CallAction {
+/// Waits for an action that ends a running attempt; `None` when the call was closed.
+async fn receive_final(actions: &mut mpsc::Receiver<CallAction>) -> Option<CallAction> {
     loop {
-        match actions.recv().await {
-            Some(action @ (CallAction::Refuse { .. } | CallAction::Abort { .. })) => return action,
-            Some(_) => {}
-            // The sender lives as long as the call's guard, so that this is not reached.
-            None => std::future::pending().await,
+        let action = actions.recv().await;
+        let is_final = matches!(
+            action,
+            Some(CallAction::Refuse { .. } | CallAction::Abort { .. }) | None
+        );
+        if is_final {
+            return action;
         }
     }
 }
--- a/crates/beechsaddle/src/calls/call_table.rs
+++ b/crates/beechsaddle/src/calls/call_table.rs
@@ -7,6 +7,7 @@
 use beechsaddle_core::call::CallAction;
 use beechsaddle_core::prelude::*;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 
 /// Actions that may wait for one call. The core sends a call at most one action ahead of the
 /// event that it waits for, and an abort beside it.
@@ -48,10 +49,16 @@
 
     /// Hands an action to its call without waiting. An action for a call that is gone is dropped:
     /// the core has been told of its end.
+    ///
+    /// A full ring means that the core and the edge disagree about the call. The call is closed,
+    /// so that it ends as broken, instead of missing an action and waiting for ever.
     pub(crate) fn deliver(&self, call: &CallId, action: CallAction) {
         let sender = self.lock().get(&call.number).cloned();
-        if let Some(sender) = sender {
-            let _ = sender.try_send(action);
+        let Some(sender) = sender else {
+            return;
+        };
+        if let Err(TrySendError::Full(_)) = sender.try_send(action) {
+            self.close(call);
         }
     }
 
--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -31,9 +31,10 @@
 use super::guarded_stream::GuardedStream;
 
 /// How long to wait for a peer to take the last answer and close.
-const LINGER_SPAN: Duration = Duration::from_millis(500);
-/// What is read from a peer that goes on sending after the last answer, in bytes.
-const LINGER_BYTES: usize = 256 * 1_024;
+const LINGER_SPAN: Duration = Duration::from_secs(2);
+/// What is read from a peer that goes on sending after the last answer, in bytes: a few times the
+/// largest body that is taken, so that a caller just beyond it still sees why it is refused.
+const LINGER_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// Serves one connection to its end.
 pub(crate) async fn serve_connection<S>(
@@ -117,7 +118,7 @@
     if stream.shutdown().await.is_err() {
         return;
     }
-    let mut buffer = [0_u8; 4_096];
+    let mut buffer = [0_u8; 16 * 1_024];
     let mut left = LINGER_BYTES;
     let reading = async {
         while left > 0 {
--- a/crates/beechsaddle/src/calls/listener.rs
+++ b/crates/beechsaddle/src/calls/listener.rs
@@ -24,11 +24,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a connection beyond the limit gets.
-const CONNECTION_REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
-    content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\n\
-    content-length: 137\r\n\r\n\
-    {\"error\":{\"type\":\"beechsaddle_refusal\",\"reason\":\"overloaded\",\"ran\":\"no\",\
-    \"message\":\"too many open connections\",\"retry_after_ms\":1000}}   ";
+const CONNECTION_REFUSAL: &str = "{\"error\":{\"type\":\"beechsaddle_refusal\",\
+    \"reason\":\"overloaded\",\"ran\":\"no\",\"message\":\"too many open connections\",\
+    \"retry_after_ms\":1000}}";
 
 /// Accepts connections until the edge has come to `last_phase`.
 pub(crate) async fn run_listener<S>(
@@ -76,7 +74,13 @@
 fn refuse_connection(stream: TcpStream, state: &EdgeState) {
     let fault = CallFault::new(RefusalReason::Overloaded, "too many open connections");
     state.count_fault(&fault);
+    let length = CONNECTION_REFUSAL.len();
+    let answer = format!(
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
+         retry-after: 1\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n\
+         {CONNECTION_REFUSAL}"
+    );
     if let Ok(mut stream) = stream.into_std() {
-        let _ = stream.write(CONNECTION_REFUSAL);
+        let _ = stream.write(answer.as_bytes());
     }
 }
--- a/crates/beechsaddle/src/calls/target_client.rs
+++ b/crates/beechsaddle/src/calls/target_client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::panic;
+use std::sync::{PoisonError, RwLock};
 use std::time::Duration;
 
 use eyre::{Result, eyre};
@@ -50,7 +51,8 @@
 /// the library's pool nor the connections below ever send a request twice; `docs/CALL-EDGE.md`
 /// tells how that was found out.
 pub(crate) struct TargetClient {
-    pooled: Client,
+    options: CallsOptions,
+    pooled: RwLock<Client>,
     fresh: Client,
 }
 
@@ -63,11 +65,32 @@
     /// and panics where there are none; that is told as an error.
     pub(crate) fn try_new(options: &CallsOptions) -> Result<Self> {
         Ok(TargetClient {
-            pooled: try_build(options, IDLE_CONNECTIONS)?,
+            options: options.clone(),
+            pooled: RwLock::new(try_build(options, IDLE_CONNECTIONS)?),
             fresh: try_build(options, 0)?,
         })
     }
 
+    /// Gives up all kept connections, because an answer came on one that belongs to another
+    /// attempt.
+    ///
+    /// A connection whose answers are one behind gives each call the answer of the one before.
+    /// The library's pool has taken it back by then and cannot be told to drop it, so that every
+    /// further call on it would fail. Such a mix-up is a grave fault of a target and rare;
+    /// connecting anew to the others costs little. Answers that are being relayed go on.
+    pub(crate) fn drop_pool(&self) {
+        if let Ok(client) = try_build(&self.options, IDLE_CONNECTIONS) {
+            *self.pooled.write().unwrap_or_else(PoisonError::into_inner) = client;
+        }
+    }
+
+    fn pooled(&self) -> Client {
+        self.pooled
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
     /// Sends one request once and waits for the head of its answer.
     pub(crate) async fn send(
         &self,
@@ -77,11 +100,11 @@
     ) -> Result<Response, ClientError> {
         let (mut parts, body) = request.into_parts();
         let client = match choice {
-            ConnectionChoice::Pooled => &self.pooled,
+            ConnectionChoice::Pooled => self.pooled(),
             ConnectionChoice::Fresh => {
                 let close = HeaderValue::from_static("close");
                 parts.headers.insert(CONNECTION, close);
-                &self.fresh
+                self.fresh.clone()
             }
         };
         let path = parts.uri.path_and_query().cloned();
--- a/crates/beechsaddle/tests/calls_path.rs
+++ b/crates/beechsaddle/tests/calls_path.rs
@@ -102,7 +102,7 @@
     });
     let core = FakeCore::start();
     let extra = "x-own: 7\r\nconnection: x-hop\r\nx-hop: 1\r\nte: trailers\r\n\
-                 beechsaddle-attempt: forged\r\nidempotency-key: k1\r\n";
+                 beechsaddle-attempt: forged\r\nbeechsaddle-deadline-ms: 1\r\nidempotency-key: k1\r\n";
     let request = plain_call("PUT", "/a/b?c=d", extra, "payload");
     let mut caller = RawCaller::send(core.address(), request);
     let arrival = core.next_arrival();
@@ -122,7 +122,7 @@
         sent_header(&request, "idempotency-key").as_deref(),
         Some("k1")
     );
-    for dropped in ["authorization", "x-hop", "te"] {
+    for dropped in ["authorization", "x-hop", "te", "beechsaddle-deadline-ms"] {
         assert_eq!(sent_header(&request, dropped), None, "{request}");
     }
     assert_eq!(
@@ -136,6 +136,7 @@
     assert_eq!((answer.status, answer.body.as_str()), (201, "done"));
     assert_eq!(header(&answer.head, "x-answer"), Some("1"));
     assert_eq!(header(&answer.head, "keep-alive"), None);
+    assert_eq!(header(&answer.head, "beechsaddle-attempt-x"), None);
 }
 
 #[test]
--- /dev/null
+++ b/crates/beechsaddle/tests/calls_streams.rs
@@ -0,0 +1,384 @@
+//! Tests of answers that are relayed part by part.
+
+mod calls_support;
+
+use std::io::{ErrorKind, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use beechsaddle::calls::CallsOptions;
+use beechsaddle_core::call::{AnswerEnd, CallAction, CallEvent, TokenUsage};
+use beechsaddle_core::prelude::*;
+use calls_support::*;
+
+/// Relays a stream that breaks off by `script` and checks that the caller sees it broken.
+fn expect_truncated(script: impl Fn(&mut TargetConnection) + Send + Sync + 'static) -> TokenUsage {
+    let target = RawTarget::start(script);
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    core.dispatch_next(target.address);
+    core.next_start();
+    let (end, usage) = core.next_end();
+    assert_eq!(end, AnswerEnd::Truncated);
+    let (text, end) = caller.read_end();
+    assert!(!text.contains("[DONE]"), "{text}");
+    assert!(!text.contains("\r\n0\r\n"), "{text}");
+    assert_eq!(end, RawEnd::Reset);
+    core.await_no_calls();
+    usage
+}
+
+#[test]
+fn stream_cut_by_close() {
+    // The engine dies after two tokens. The caller has read them and must not take them for the
+    // whole answer: no [DONE], no last chunk, and the connection ends in a reset.
+    let usage = expect_truncated(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        connection.chunk(&token_event("b"));
+        std::thread::sleep(Duration::from_millis(30));
+    });
+    assert_eq!(
+        usage,
+        TokenUsage {
+            input: 0,
+            output: 2
+        }
+    );
+}
+
+#[test]
+fn stream_ended_without_done() {
+    // The engine ends its body properly but never said [DONE], as when its worker died behind a
+    // front end that goes on. On the wire it looks whole; by the protocol it is not.
+    expect_truncated(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        connection.end_chunks();
+        connection.await_close();
+    });
+}
+
+#[test]
+fn stream_broken_chunk() {
+    expect_truncated(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        connection.write("zz\r\n");
+        connection.await_close();
+    });
+}
+
+#[test]
+fn stream_stalled() {
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        connection.await_close();
+    });
+    let options = CallsOptions {
+        answer_idle_ms: 150,
+        ..CallsOptions::default()
+    };
+    let core = FakeCore::start_with(options, 64);
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    core.dispatch_next(target.address);
+    core.next_start();
+    assert_eq!(core.next_end().0, AnswerEnd::Truncated);
+    assert_eq!(caller.read_end().1, RawEnd::Reset);
+}
+
+#[test]
+fn plain_short_of_length() {
+    // A plain service promises more bytes than it sends. What came has gone to the caller, who
+    // must see that the rest is missing.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        let part = "x".repeat(100_000);
+        connection.write(format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n{part}"
+        ));
+        std::thread::sleep(Duration::from_millis(30));
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), plain_call("GET", "/", "", ""));
+    core.dispatch_next(target.address);
+    core.next_start();
+    let reading = std::thread::spawn(move || caller.read_end());
+    assert_eq!(core.next_end().0, AnswerEnd::Truncated);
+    assert_eq!(reading.join().expect("a reader").1, RawEnd::Reset);
+}
+
+#[test]
+fn last_part_held_until_finish() {
+    // The answer is whole, but its usage is not safe yet: a router that dies now must not leave a
+    // caller with a whole answer that nobody bills. So the end waits for the core.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&(token_event("a") + &usage_event(5, 1) + DONE_EVENT));
+        connection.end_chunks();
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    assert_eq!(core.next_end().0, AnswerEnd::Complete);
+    caller.read_until("\"a\"");
+    let short = Duration::from_millis(150);
+    caller
+        .stream
+        .set_read_timeout(Some(short))
+        .expect("a timeout");
+    let (text, end) = caller.read_end();
+    assert_eq!(end, RawEnd::Open);
+    assert!(!text.contains("[DONE]"), "{text}");
+    core.act(CallAction::Finish { call });
+    caller
+        .stream
+        .set_read_timeout(Some(PATIENCE))
+        .expect("a timeout");
+    caller.read_until("[DONE]");
+    caller.read_until("\r\n0\r\n\r\n");
+}
+
+#[test]
+fn last_bytes_held_until_finish() {
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.answer("200 OK", "", &"x".repeat(200_000));
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), plain_call("GET", "/", "", ""));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    caller.read_until("\r\n\r\n");
+    let short = Duration::from_millis(150);
+    caller
+        .stream
+        .set_read_timeout(Some(short))
+        .expect("a timeout");
+    let (text, end) = caller.read_end();
+    assert_eq!(core.next_end().0, AnswerEnd::Complete);
+    assert_eq!(end, RawEnd::Open);
+    assert!(text.len() < 200_000);
+    core.act(CallAction::Finish { call });
+    let (rest, _) = caller.read_end();
+    assert_eq!(text.len() + rest.len(), 200_000);
+}
+
+#[test]
+fn abort_breaks_off() {
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    caller.read_until("\"a\"");
+    core.act(CallAction::Abort { call });
+    assert_eq!(core.next_end().0, AnswerEnd::Truncated);
+    assert_eq!(caller.read_end().1, RawEnd::Reset);
+}
+
+#[test]
+fn events_split_anywhere() {
+    // The engine's events come in pieces of one byte. Nothing may be lost, doubled or let go
+    // early, and the usage must be found.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        let text = format!(
+            ": ping\r\n\r\nevent: x\ndata: 1\n\n{}{}{}",
+            token_event("a"),
+            usage_event(5, 1),
+            DONE_EVENT
+        );
+        for piece in text.split("").filter(|piece| !piece.is_empty()) {
+            connection.chunk(piece);
+        }
+        connection.end_chunks();
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    let usage = TokenUsage {
+        input: 5,
+        output: 1,
+    };
+    assert_eq!(core.next_end(), (AnswerEnd::Complete, usage));
+    core.act(CallAction::Finish { call });
+    let expected = format!(
+        ": ping\r\n\r\nevent: x\ndata: 1\n\n{}{DONE_EVENT}",
+        token_event("a")
+    );
+    assert_eq!(caller.read_answer().body, expected);
+}
+
+#[test]
+fn progress_told() {
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        for _ in 0..13 {
+            connection.chunk(&token_event("a"));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let _caller = RawCaller::send(core.address(), chat_call("", true));
+    core.dispatch_next(target.address);
+    core.next_start();
+    let event = core.events.recv_timeout(PATIENCE).expect("an event");
+    let CoreEvent::Call(CallEvent::AnswerProgress { usage, .. }) = event else {
+        panic!("expected progress, got {event:?}");
+    };
+    assert!((8..=12).contains(&usage.output), "{usage:?}");
+}
+
+#[test]
+fn caller_hangs_up_within_stream() {
+    // The caller closes after the first token. The engine must be told at once by the end of its
+    // connection, or it would go on generating for nobody; what was used is billed.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        connection.await_close();
+        let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+        connection.report_closed();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    core.dispatch_next(target.address);
+    core.next_start();
+    target.next_request();
+    caller.read_until("\"a\"");
+    let start = Instant::now();
+    caller.hang_up();
+    let usage = TokenUsage {
+        input: 0,
+        output: 1,
+    };
+    assert_eq!(core.next_end(), (AnswerEnd::CallerGone, usage));
+    assert_eq!(target.next_request(), "closed");
+    assert!(start.elapsed() < Duration::from_millis(500));
+    core.await_no_calls();
+}
+
+#[test]
+fn caller_hangs_up_before_head() {
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.await_close();
+        connection.report_closed();
+    });
+    let core = FakeCore::start();
+    let caller = RawCaller::send(core.address(), chat_call("", true));
+    core.dispatch_next(target.address);
+    target.next_request();
+    caller.hang_up();
+    assert_eq!(core.next_end().0, AnswerEnd::CallerGone);
+    assert_eq!(target.next_request(), "closed");
+    core.await_no_calls();
+}
+
+#[test]
+fn caller_hangs_up_before_dispatch() {
+    // The caller is gone before the core has decided. The dispatch that crosses the news must
+    // not be carried out: the core was told that nothing ran.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+    });
+    let core = FakeCore::start();
+    let caller = RawCaller::send(core.address(), chat_call("", true));
+    let call = core.next_arrival().call;
+    caller.hang_up();
+    assert_eq!(
+        core.next_event(),
+        CallEvent::CallerGone { call: call.clone() }
+    );
+    core.act(dispatch(&call, 0, target.address));
+    core.expect_silence(Duration::from_millis(100));
+    assert_eq!(target.more_requests(), 0);
+}
+
+/// Starts a target that streams without end and counts what it could write.
+fn flooding_target(written: Arc<AtomicUsize>, is_closed: Arc<AtomicBool>) -> RawTarget {
+    RawTarget::start(move |connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        let event = token_event(&"x".repeat(1_000));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        loop {
+            match connection.stream.write(chunk.as_bytes()) {
+                Ok(count) if count == chunk.len() => {
+                    written.fetch_add(count, Ordering::Relaxed);
+                }
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return is_closed.store(true, Ordering::Relaxed),
+            }
+        }
+    })
+}
+
+#[test]
+fn slow_reader_slows_target() {
+    // The caller stops reading while the engine could send for ever. The engine must be held up
+    // by its own connection; otherwise the router would buffer the stream until it is killed.
+    let written = Arc::new(AtomicUsize::new(0));
+    let target = flooding_target(Arc::clone(&written), Arc::default());
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    core.dispatch_next(target.address);
+    core.next_start();
+    caller.read_until("data:");
+    let mut before = usize::MAX;
+    let deadline = Instant::now() + PATIENCE;
+    while written.load(Ordering::Relaxed) != before {
+        assert!(Instant::now() < deadline, "the target is never held up");
+        before = written.load(Ordering::Relaxed);
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    // Most of this is what the host's sockets hold, on both sides of the router.
+    let most = 24 * 1_024 * 1_024;
+    assert!(before < most, "{before} bytes were taken");
+    println!("taken from the target: {before} bytes");
+}
+
+#[test]
+fn stalled_reader_cut() {
+    // The caller never reads on. After a time without any progress its connection is cut, so that
+    // it cannot hold an engine's slot and a reservation for ever.
+    let is_closed = Arc::new(AtomicBool::new(false));
+    let target = flooding_target(Arc::default(), Arc::clone(&is_closed));
+    let options = CallsOptions {
+        write_stall_ms: 200,
+        ..CallsOptions::default()
+    };
+    let core = FakeCore::start_with(options, 64);
+    let _caller = RawCaller::send(core.address(), chat_call("", true));
+    core.dispatch_next(target.address);
+    core.next_start();
+    assert_eq!(core.next_end().0, AnswerEnd::CallerGone);
+    let deadline = Instant::now() + PATIENCE;
+    while !is_closed.load(Ordering::Relaxed) {
+        assert!(Instant::now() < deadline, "the target goes on");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
--- a/crates/beechsaddle/tests/calls_support/fake_core.rs
+++ b/crates/beechsaddle/tests/calls_support/fake_core.rs
@@ -84,7 +84,12 @@
 
     /// The next call event other than progress.
     pub fn next_event(&self) -> CallEvent {
-        let deadline = Instant::now() + PATIENCE;
+        self.next_event_within(PATIENCE)
+    }
+
+    /// The same, for what takes longer.
+    pub fn next_event_within(&self, span: Duration) -> CallEvent {
+        let deadline = Instant::now() + span;
         loop {
             match self.events.recv_deadline(deadline).expect("an event comes") {
                 CoreEvent::Call(CallEvent::AnswerProgress { .. }) => {}
--- a/crates/beechsaddle/tests/calls_support/mod.rs
+++ b/crates/beechsaddle/tests/calls_support/mod.rs
@@ -1,5 +1,6 @@
 //! The `calls_support` module provides a scripted core, raw callers and raw targets.
-#![allow(dead_code)]
+// Each test file is a program of its own and uses only a part of this module.
+#![allow(dead_code, unused_imports)]
 
 mod fake_core;
 mod raw_caller;
--- a/crates/beechsaddle/tests/calls_support/raw_target.rs
+++ b/crates/beechsaddle/tests/calls_support/raw_target.rs
@@ -91,6 +91,11 @@
         while matches!(self.stream.read(&mut buffer), Ok(count) if count > 0) {}
     }
 
+    /// Tells the test that the connection was closed.
+    pub fn report_closed(&mut self) {
+        let _ = self.report.send("closed".to_owned());
+    }
+
     /// Answers with a body of known length.
     pub fn answer(&mut self, status: &str, extra: &str, body: &str) -> bool {
         let length = body.len();
--- /dev/null
+++ b/crates/beechsaddle/tests/calls_targets.rs
@@ -0,0 +1,339 @@
+//! Tests of targets that fail, before anything of their answer has gone to the caller.
+
+mod calls_support;
+
+use std::net::TcpListener;
+use std::time::Duration;
+
+use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallAction, TokenUsage};
+use beechsaddle_core::prelude::*;
+use calls_support::*;
+
+/// Sends a chat to `target` and returns how the attempt failed.
+fn failure_at(script: impl Fn(&mut TargetConnection) + Send + Sync + 'static) -> AttemptFailure {
+    let target = RawTarget::start(script);
+    let core = FakeCore::start();
+    let _caller = RawCaller::send(core.address(), chat_call("", false));
+    core.dispatch_next(target.address);
+    core.next_failure()
+}
+
+#[test]
+fn connect_refused() {
+    // Nothing listens at the target's address, so that the call is known not to have run. The
+    // library reports a failed connect as a failed request; taken at its word, every dead target
+    // would turn calls that did not run into calls of unknown outcome.
+    let free = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = free.local_addr().expect("an address");
+    drop(free);
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", false));
+    let call = core.dispatch_next(address);
+    assert_eq!(core.next_failure(), AttemptFailure::ConnectFailed);
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.answer("200 OK", "", &chat_answer(5, 2));
+    });
+    core.act(dispatch(&call, 1, target.address));
+    assert_eq!(core.next_start(), attempt(&call, 1));
+    core.next_end();
+    core.act(CallAction::Finish { call });
+    assert_eq!(caller.read_answer().status, 200);
+}
+
+#[test]
+fn connection_lost_after_request() {
+    let failure = failure_at(|connection| {
+        connection.read_request();
+    });
+    assert_eq!(failure, AttemptFailure::ConnectionLost);
+}
+
+#[test]
+fn connection_lost_within_whole_answer() {
+    let failure = failure_at(|connection| {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n{\"choices\"");
+    });
+    assert_eq!(failure, AttemptFailure::ConnectionLost);
+}
+
+#[test]
+fn answer_unreadable() {
+    let failure = failure_at(|connection| {
+        connection.read_request();
+        connection.write("NONSENSE\r\n\r\n");
+    });
+    assert_eq!(failure, AttemptFailure::BadAnswer);
+}
+
+#[test]
+fn answer_without_usage() {
+    let failure = failure_at(|connection| {
+        connection.read_request();
+        connection.answer("200 OK", "", "{\"choices\":[]}");
+    });
+    assert_eq!(failure, AttemptFailure::BadAnswer);
+}
+
+#[test]
+fn answer_server_error() {
+    let failure = failure_at(|connection| {
+        connection.read_request();
+        connection.answer("500 Oops", "", "");
+    });
+    assert_eq!(failure, AttemptFailure::ServerError);
+}
+
+#[test]
+fn answer_busy() {
+    for status in ["429 Busy", "503 Leaving"] {
+        let failure = failure_at(move |connection| {
+            connection.read_request();
+            connection.answer(status, "", "");
+        });
+        assert_eq!(failure, AttemptFailure::TargetBusy);
+    }
+}
+
+#[test]
+fn answer_of_unknown_end() {
+    // The target's body ends with its connection, so that a whole one and one cut off by a crash
+    // look the same. It must not go to the caller as if it were whole.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\n\r\nhalf an ans");
+    });
+    let core = FakeCore::start();
+    let _caller = RawCaller::send(core.address(), plain_call("GET", "/", "", ""));
+    core.dispatch_next(target.address);
+    assert_eq!(core.next_failure(), AttemptFailure::BadAnswer);
+}
+
+#[test]
+fn engine_rejection_relayed() {
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.answer("400 Bad Request", "", "{\"error\":\"context too long\"}");
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    assert_eq!(
+        core.next_end(),
+        (AnswerEnd::Complete, TokenUsage::default())
+    );
+    core.act(CallAction::Finish { call });
+    assert_eq!(caller.read_answer().status, 400);
+}
+
+#[test]
+fn server_error_of_once_only_call() {
+    // A call that may not be repeated gets the target's 500: it ran, and this is its outcome.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.answer("500 Oops", "", "claim already closed");
+    });
+    let core = FakeCore::start();
+    let extra = "idempotency-key: k1\r\n";
+    let mut caller = RawCaller::send(core.address(), plain_call("POST", "/", extra, "x"));
+    let call = core.next_arrival().call;
+    core.act(dispatch_once(&call, target.address));
+    core.next_start();
+    core.next_end();
+    core.act(CallAction::Finish { call });
+    let answer = caller.read_answer();
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (500, "claim already closed")
+    );
+}
+
+#[test]
+fn reused_connection_closes_under_request() {
+    // The target answers one call and keeps its connection. The next call goes over it; the
+    // target reads it and closes without an answer, as after a crash. The call may have run, so
+    // that nothing on the way may send it again: exactly one more request must arrive.
+    let target = RawTarget::start(|connection| {
+        if connection.index == 0 {
+            connection.read_request();
+            connection.answer("200 OK", "", &chat_answer(5, 2));
+        }
+        connection.read_request();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", false));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    core.next_end();
+    core.act(CallAction::Finish { call });
+    assert_eq!(caller.read_answer().status, 200);
+    target.next_request();
+    std::thread::sleep(Duration::from_millis(20));
+    caller.write(chat_call("", false));
+    let call = core.dispatch_next(target.address);
+    assert_eq!(core.next_failure(), AttemptFailure::ConnectionLost);
+    assert_eq!(
+        sent_attempt(&target.next_request()),
+        attempt(&call, 0).to_string()
+    );
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(target.more_requests(), 0, "the call was sent again");
+}
+
+#[test]
+fn once_only_call_on_fresh_connection() {
+    // A target may close an idle connection just when a request is sent over it, and then nobody
+    // knows whether it ran. A call that may not be repeated must not run into this, although a
+    // kept connection is at hand.
+    let target = RawTarget::start(|connection| {
+        while connection.read_request().is_some() {
+            connection.answer("200 OK", &format!("x-index: {}\r\n", connection.index), "");
+        }
+    });
+    let core = FakeCore::start();
+    let mut indexes = Vec::new();
+    for is_once_only in [false, true, true] {
+        let extra = "idempotency-key: k1\r\n";
+        let mut caller = RawCaller::send(core.address(), plain_call("POST", "/", extra, "x"));
+        let call = core.next_arrival().call;
+        match is_once_only {
+            true => core.act(dispatch_once(&call, target.address)),
+            false => core.act(dispatch(&call, 0, target.address)),
+        }
+        core.next_start();
+        core.next_end();
+        core.act(CallAction::Finish { call });
+        let answer = caller.read_answer();
+        indexes.push(
+            header(&answer.head, "x-index")
+                .expect("an index")
+                .to_owned(),
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(indexes, ["0", "1", "2"]);
+}
+
+#[test]
+fn late_answer_not_given_to_next_call() {
+    // The target answers the first call only after the router has given up on it, and the second
+    // call follows at once. The late answer must not be taken for the second call's, though this
+    // target echoes no attempts: the first connection must be gone.
+    let target = RawTarget::start(|connection| {
+        let mut number = 0;
+        while connection.read_request().is_some() {
+            number += 1;
+            let is_first = connection.index == 0 && number == 1;
+            if is_first {
+                std::thread::sleep(Duration::from_millis(250));
+            }
+            let body = chat_answer(5, if is_first { 2 } else { 3 });
+            connection.answer("200 OK", "", &body);
+        }
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", false));
+    let call = core.next_arrival().call;
+    if let CallAction::Dispatch {
+        attempt,
+        target,
+        address,
+        output_limit,
+        deadline,
+        ..
+    } = dispatch(&call, 0, target.address)
+    {
+        core.act(CallAction::Dispatch {
+            attempt,
+            target,
+            address,
+            output_limit,
+            head_timeout_ms: 100,
+            deadline,
+            repeatable: true,
+        });
+    }
+    assert_eq!(core.next_failure(), AttemptFailure::TimedOut);
+    core.act(dispatch(&call, 1, target.address));
+    core.next_start();
+    assert_eq!(core.next_end().1.output, 3);
+    core.act(CallAction::Finish { call });
+    assert_eq!(caller.read_answer().body, chat_answer(5, 3));
+}
+
+#[test]
+fn crossed_answer_by_echo() {
+    // The target mixes up its connections and answers this call with another attempt's answer.
+    // It echoes attempts, so that the mix-up is seen; the answer is dropped, and the caller gets
+    // that of the next attempt.
+    let target = RawTarget::start(|connection| {
+        let request = connection.read_request().expect("a request");
+        let own = sent_attempt(&request);
+        let echo = match connection.index {
+            0 => "host-a@7#99.0".to_owned(),
+            _ => own,
+        };
+        let extra = format!("beechsaddle-attempt: {echo}\r\n");
+        connection.answer("200 OK", &extra, &chat_answer(5, connection.index as u64));
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", false));
+    let call = core.dispatch_next(target.address);
+    assert_eq!(core.next_failure(), AttemptFailure::WrongAttempt);
+    core.act(dispatch(&call, 1, target.address));
+    core.next_start();
+    core.next_end();
+    core.act(CallAction::Finish { call });
+    assert_eq!(caller.read_answer().body, chat_answer(5, 1));
+}
+
+#[test]
+fn answer_sent_twice() {
+    // The target answers the first call twice on its connection. The second copy must not become
+    // the answer of the next call.
+    let target = RawTarget::start(|connection| {
+        let mut number = 0;
+        while connection.read_request().is_some() {
+            number += 1;
+            let is_first = connection.index == 0 && number == 1;
+            let body = chat_answer(5, if is_first { 2 } else { 3 });
+            connection.answer("200 OK", "", &body);
+            if is_first {
+                connection.answer("200 OK", "", &body);
+            }
+        }
+    });
+    let core = FakeCore::start();
+    for output in [2, 3] {
+        let mut caller = RawCaller::send(core.address(), chat_call("", false));
+        let call = core.dispatch_next(target.address);
+        core.next_start();
+        assert_eq!(core.next_end().1.output, output);
+        core.act(CallAction::Finish { call });
+        assert_eq!(caller.read_answer().body, chat_answer(5, output));
+    }
+}
+
+#[test]
+fn refusal_while_attempt_runs() {
+    // The core gives a call up while its target is silent. The caller hears it at once, and the
+    // target's connection is closed.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.await_close();
+        let _ = connection.read_request();
+    });
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", false));
+    let call = core.dispatch_next(target.address);
+    target.next_request();
+    let refusal = CallRefusal::unknown(RefusalReason::DeadlineExceeded, None);
+    core.act(CallAction::Refuse { call, refusal });
+    let answer = caller.read_answer();
+    assert_eq!(answer.status, 504);
+    assert!(answer.body.contains("\"ran\":\"unknown\""), "{answer:?}");
+    core.await_no_calls();
+}
