Describe the call edge and pin what it relies on in its libraries

Cause: what was found out about the HTTP library stood in code comments only, and one finding was wrong. The outer layers stay out all the same: they set headers that are the caller's business.

The limit of the head cannot be set below what makes the library panic.

--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -30,6 +30,8 @@
 use super::edge_state::EdgeState;
 use super::guarded_stream::GuardedStream;
 
+/// The library panics below this limit.
+const SMALLEST_HEAD_BYTES: usize = 8_192;
 /// How long to wait for a peer to take the last answer and close.
 const LINGER_SPAN: Duration = Duration::from_secs(2);
 /// What is read from a peer that goes on sending after the last answer, in bytes: a few times the
@@ -64,7 +66,7 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(state.options.head_timeout_ms))
-        .max_buf_size(state.options.head_bytes)
+        .max_buf_size(state.options.head_bytes.max(SMALLEST_HEAD_BYTES))
         .max_headers(state.options.max_headers)
         .serve_connection(TokioIo::new(stream), hyper_service);
     let mut closing = pin!(wait_for_closing(&state));
--- a/crates/beechsaddle/src/calls/target_client.rs
+++ b/crates/beechsaddle/src/calls/target_client.rs
@@ -47,9 +47,9 @@
 
 /// The client towards targets.
 ///
-/// It is built without the library's outer layers: their timeout would cut long streams. Neither
-/// the library's pool nor the connections below ever send a request twice; `docs/CALL-EDGE.md`
-/// tells how that was found out.
+/// It is built without the library's outer layers, which would set headers that are the caller's
+/// business. Neither the library's pool nor the connections below ever send a request twice;
+/// `docs/CALL-EDGE.md` tells how that was found out.
 pub(crate) struct TargetClient {
     options: CallsOptions,
     pooled: RwLock<Client>,
--- a/crates/beechsaddle/tests/calls_path.rs
+++ b/crates/beechsaddle/tests/calls_path.rs
@@ -183,3 +183,27 @@
     assert_eq!(exchange(core.address(), request).status, 200);
     core.act(CallAction::StopAccepting);
 }
+
+#[test]
+fn body_after_continue() {
+    let core = FakeCore::start();
+    let call = chat_call("expect: 100-continue\r\n", false);
+    let (head, body) = call.split_once("\r\n\r\n").expect("a head");
+    let mut caller = RawCaller::send(core.address(), format!("{head}\r\n\r\n"));
+    caller.read_until("100 Continue\r\n\r\n");
+    caller.write(body);
+    core.next_arrival();
+}
+
+#[test]
+fn calls_pipelined() {
+    let core = FakeCore::start();
+    let call = chat_call("", false);
+    let mut caller = RawCaller::send(core.address(), format!("{call}{call}"));
+    for reason in [RefusalReason::NoTarget, RefusalReason::Overloaded] {
+        let call = core.next_arrival().call;
+        let refusal = CallRefusal::not_run(reason, None);
+        core.act(CallAction::Refuse { call, refusal });
+        assert!(caller.read_answer().body.contains(reason.as_str()));
+    }
+}
--- a/crates/beechsaddle/tests/calls_targets.rs
+++ b/crates/beechsaddle/tests/calls_targets.rs
@@ -5,6 +5,7 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
+use beechsaddle::calls::CallsOptions;
 use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallAction, TokenUsage};
 use beechsaddle_core::prelude::*;
 use calls_support::*;
@@ -76,6 +77,23 @@
     assert_eq!(failure, AttemptFailure::BadAnswer);
 }
 
+#[test]
+fn answer_too_large() {
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.answer("200 OK", "", &"x".repeat(2_000));
+        connection.await_close();
+    });
+    let options = CallsOptions {
+        answer_bytes: 1_000,
+        ..CallsOptions::default()
+    };
+    let core = FakeCore::start_with(options, 64);
+    let _caller = RawCaller::send(core.address(), chat_call("", false));
+    core.dispatch_next(target.address);
+    assert_eq!(core.next_failure(), AttemptFailure::BadAnswer);
+}
+
 #[test]
 fn answer_server_error() {
     let failure = failure_at(|connection| {
