Test fleets of real processes that are killed, frozen and drained

Failed tries: without the platform's list dropping the dead host, the retry through another router was refused in_progress for 20 s (no answer through split-2: ["in_progress"]) and the dead holder's bills stayed out of the ledger, since a silent router that is still listed may only be cut off. The tests now drop the host from the list 200 ms after the kill, as the platform does with a lag.

--- a/crates/beechsaddle-lab/src/demo/mod.rs
+++ b/crates/beechsaddle-lab/src/demo/mod.rs
@@ -5,7 +5,7 @@
 //! targets, and the statement against each other.
 
 mod demo_calls;
-mod demo_fleet;
+pub mod demo_fleet;
 mod demo_outcome;
 mod demo_statement;
 mod demo_stay;
--- a/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
+++ b/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
@@ -45,6 +45,8 @@
 pub struct LabRouter {
     /// Where it listens.
     pub file: RouterFile,
+    /// Whether the platform lists its host.
+    pub is_listed: bool,
     /// Its process, unless it was killed.
     pub process: Option<LabProcess>,
 }
@@ -209,6 +211,17 @@
         self.write_hosts().await
     }
 
+    /// Takes a router's host off the platform's list, as the platform does some time after the host
+    /// has died, or puts it back.
+    pub async fn set_router_listed(&mut self, host: &str, is_listed: bool) -> eyre::Result<()> {
+        let router = self
+            .routers
+            .get_mut(host)
+            .ok_or_else(|| eyre!("there is no router {host}"))?;
+        router.is_listed = is_listed;
+        self.write_hosts().await
+    }
+
     /// The log of a router.
     pub fn log_path(&self, host: &str) -> PathBuf {
         self.directory.path().join(format!("{host}.log"))
@@ -241,6 +254,7 @@
         for plan in &self.plan.routers {
             let router = LabRouter {
                 file: RouterFile::try_new(plan)?,
+                is_listed: true,
                 process: None,
             };
             self.routers.insert(plan.host.clone(), router);
@@ -249,8 +263,9 @@
     }
 
     async fn write_hosts(&self) -> eyre::Result<()> {
-        let routers = self.routers.values().map(|router| &router.file);
-        let lists = host_lists(routers, self.targets.values());
+        let listed = self.routers.values().filter(|router| router.is_listed);
+        let files = listed.map(|router| &router.file);
+        let lists = host_lists(files, self.targets.values());
         write_hosts(&self.platform_client()?, lists).await
     }
 }
--- /dev/null
+++ b/crates/beechsaddle-lab/tests/process_pauses.rs
@@ -0,0 +1,75 @@
+//! Tests with real processes that are frozen and go on, or shut down.
+
+mod process_support;
+
+use std::time::Duration;
+
+use beechsaddle_lab::fleet::FleetCaller;
+use process_support::*;
+
+// The holder of the budget is frozen for longer than it takes to be fenced, and then goes on and
+// believes that it still holds the budget. Meanwhile the others serve through a successor. After
+// it goes on, calls through it are answered too, and no token is spent twice.
+#[tokio::test]
+async fn holder_frozen_and_thawed() {
+    let mut fleet = start_fleet().await;
+    let holder = find_holder(&fleet).await;
+    let hosts = others(&fleet, &holder);
+    fleet.process(&holder).unwrap().freeze().unwrap();
+    for (number, host) in hosts.iter().enumerate() {
+        let key = format!("frozen-{number}");
+        let answer = answer_in_the_end(&fleet, host, 20, &key).await;
+        assert!(answer.chat_content().is_some());
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    fleet.process(&holder).unwrap().thaw().unwrap();
+    let answer = answer_in_the_end(&fleet, &holder, 20, "thawed").await;
+    assert!(answer.chat_content().is_some());
+    let totals = settled_bills(&fleet, 4).await;
+    assert_eq!((totals.bills, totals.overspend), (4, 0), "{totals:?}");
+}
+
+// A router is frozen in the middle of a stream that it relays, and goes on after the others have
+// given it up. Its caller is patient: the stream is either whole or visibly broken, and billed once.
+#[tokio::test]
+async fn entry_frozen_mid_stream() {
+    let mut fleet = start_fleet().await;
+    let holder = find_holder(&fleet).await;
+    let hosts = others(&fleet, &holder);
+    let mut stream = open_stream(&fleet, &hosts[0], 100, "claim-1").await;
+    stream.read_some().await;
+    fleet.process(&hosts[0]).unwrap().freeze().unwrap();
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    fleet.process(&hosts[0]).unwrap().thaw().unwrap();
+    stream.read_all().await;
+    let totals = settled_bills(&fleet, 2).await;
+    assert_eq!((totals.bills, totals.overspend), (2, 0), "{totals:?}");
+}
+
+// A router is asked to shut down while it relays a long stream. The stream goes on to its end,
+// nothing new is taken, and the process ends by itself with its bills handed over.
+#[tokio::test]
+async fn drain_with_long_stream() {
+    let mut fleet = start_fleet().await;
+    let holder = find_holder(&fleet).await;
+    for (number, host) in [others(&fleet, &holder)[0].clone(), holder.clone()]
+        .iter()
+        .enumerate()
+    {
+        let key = format!("drain-{number}");
+        let mut stream = open_stream(&fleet, host, 250, &key).await;
+        stream.read_some().await;
+        fleet.process(host).unwrap().terminate().unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let address = fleet.call_address(host).unwrap();
+        let late = FleetCaller::new().send(&address, chat(1, "late")).await;
+        let taken = late.is_ok_and(|answer| answer.status.is_success());
+        assert!(!taken, "a draining router took a call");
+        assert!(stream.read_all().await, "the drain cut a stream");
+        let status = fleet.process(host).unwrap().wait(PATIENCE).unwrap();
+        assert_eq!(status.map(|status| status.code()), Some(Some(0)));
+    }
+    let totals = settled_bills(&fleet, 3).await;
+    assert_eq!((totals.bills, totals.overspend), (3, 0), "{totals:?}");
+    assert_eq!(totals.written_off, 0, "{totals:?}");
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/tests/process_support/mod.rs
@@ -0,0 +1,209 @@
+//! What the tests with real processes share.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::{Duration, Instant};
+
+use beechsaddle_core::catalogue::ServiceKind;
+use beechsaddle_core::status::RouterStatus;
+use beechsaddle_lab::demo::demo_fleet::{ENGINE_SERVICE, KEY, MODEL, PLAIN_SERVICE, catalogue};
+use beechsaddle_lab::fleet::{
+    CallerAnswer, FleetCaller, FleetPlan, LabFleet, RouterPlan, TargetPlan, chat_body,
+};
+use beechsaddle_lab::load::{HttpClient, LedgerTotals, OpenConnection, PlatformReader, SseLines};
+use beechsaddle_lab::stand_in::ChatProof;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::Value;
+
+/// How long anything may take that has to come about.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Shorter spans than in production, so that a dead router is noticed within a test.
+const QUICK_SETTINGS: &str = "
+[peers]
+heartbeat_ms = 100
+down_after_ms = 400
+
+[budgets]
+journal_period_ms = 100
+fence_after_ms = 1000
+endurance_ms = 5000
+scarce_endurance_ms = 500
+
+[routing]
+probe_ms = 100
+";
+
+/// Three routers in one domain, two engines and a plain service.
+pub async fn start_fleet() -> LabFleet {
+    let domain = "split-hala";
+    let engine = |host: &str| {
+        TargetPlan::new(host, domain, ENGINE_SERVICE, ServiceKind::Engine)
+            .with_arguments(&["--between-tokens-ms", "5"])
+    };
+    let plan = FleetPlan {
+        program: env!("CARGO_BIN_EXE_beechsaddle-lab").into(),
+        region: "jadran".to_owned(),
+        routers: ["split-1", "split-2", "split-3"]
+            .map(|host| RouterPlan::new(host, domain))
+            .to_vec(),
+        targets: vec![
+            engine("pomocnik-1"),
+            engine("pomocnik-2"),
+            TargetPlan::new("trznica-1", domain, PLAIN_SERVICE, ServiceKind::Plain),
+        ],
+        catalogue: catalogue(),
+        settings: QUICK_SETTINGS.to_owned(),
+    };
+    LabFleet::try_start(plan).await.unwrap()
+}
+
+/// A streamed chat whose answer has this many tokens.
+pub fn chat(tokens: u64, key: &str) -> Request<Full<Bytes>> {
+    let text = format!("tokens={tokens} request {key}");
+    let body = chat_body(MODEL, &text, true, tokens).to_string();
+    Request::post("/v1/chat/completions")
+        .header("host", "beechsaddle")
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("idempotency-key", key)
+        .body(Full::new(Bytes::from(body)))
+        .unwrap()
+}
+
+/// A stream that is being read.
+pub struct OpenStream {
+    response: Response<Incoming>,
+    _connection: OpenConnection,
+    lines: SseLines,
+    pub content: String,
+    pub tokens: u64,
+    pub done: bool,
+}
+
+/// Sends a chat and reads its head.
+pub async fn open_stream(fleet: &LabFleet, host: &str, tokens: u64, key: &str) -> OpenStream {
+    let address = fleet.call_address(host).unwrap();
+    let client = HttpClient::new();
+    let (response, connection) = client.send(&address, chat(tokens, key)).await.unwrap();
+    assert_eq!(response.status().as_u16(), 200, "through {host}");
+    OpenStream {
+        response,
+        _connection: connection,
+        lines: SseLines::default(),
+        content: String::new(),
+        tokens: 0,
+        done: false,
+    }
+}
+
+impl OpenStream {
+    /// Reads on; `false` when the stream has ended or broken off.
+    pub async fn read_frame(&mut self) -> bool {
+        let Some(Ok(frame)) = self.response.frame().await else {
+            return false;
+        };
+        if let Ok(data) = frame.into_data() {
+            self.lines.push(&data);
+        }
+        while let Some(line) = self.lines.next_data() {
+            self.take(&line);
+        }
+        true
+    }
+
+    /// Reads until some of the answer is there.
+    pub async fn read_some(&mut self) {
+        while self.content.split(' ').count() < 10 {
+            assert!(self.read_frame().await, "the stream ended too early");
+        }
+    }
+
+    /// Reads to the end, and tells whether the answer is whole.
+    pub async fn read_all(&mut self) -> bool {
+        while self.read_frame().await {}
+        self.done && ChatProof::read(&self.content).is_some()
+    }
+
+    fn take(&mut self, line: &str) {
+        if line == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        let chunk: Value = serde_json::from_str(line).unwrap();
+        let delta = chunk["choices"][0]["delta"]["content"].as_str();
+        self.content.push_str(delta.unwrap_or_default());
+        if let Some(tokens) = chunk["usage"]["total_tokens"].as_u64() {
+            self.tokens = tokens;
+        }
+    }
+}
+
+/// Sends a chat again and again, as a caller does, until it gets its answer.
+pub async fn answer_in_the_end(
+    fleet: &LabFleet,
+    host: &str,
+    tokens: u64,
+    key: &str,
+) -> CallerAnswer {
+    let address = fleet.call_address(host).unwrap();
+    let started = Instant::now();
+    let mut refusals = Vec::new();
+    while started.elapsed() < PATIENCE {
+        let answer = FleetCaller::new().send(&address, chat(tokens, key)).await;
+        match answer {
+            Ok(answer) if answer.status.is_success() => return answer,
+            Ok(answer) => refusals.push(answer.refusal().unwrap_or(answer.body)),
+            Err(error) => refusals.push(error.to_string()),
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    refusals.dedup();
+    panic!("no answer through {host}: {refusals:?}");
+}
+
+/// The router that holds the grant of the budget, after a call that made one take it.
+pub async fn find_holder(fleet: &LabFleet) -> String {
+    answer_in_the_end(fleet, "split-1", 1, "first").await;
+    for (host, router) in fleet.routers() {
+        let admin = router.file.admin_address.to_string();
+        let status: RouterStatus = FleetCaller::new()
+            .get(&admin, "/admin/status")
+            .await
+            .unwrap();
+        if !status.grants.is_empty() {
+            return host.to_string();
+        }
+    }
+    panic!("no router holds a grant");
+}
+
+/// The hosts of the other routers.
+pub fn others(fleet: &LabFleet, host: &str) -> Vec<String> {
+    let hosts = fleet.routers().keys().map(ToString::to_string);
+    hosts.filter(|name| name != host).collect()
+}
+
+/// Kills a router's host; the platform's list says so some time later.
+pub async fn lose_host(fleet: &mut LabFleet, host: &str) {
+    fleet.kill_router(host).unwrap();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.set_router_listed(host, false).await.unwrap();
+}
+
+/// Waits until the ledger has this many bills, and a little longer to see that no more come.
+pub async fn settled_bills(fleet: &LabFleet, bills: u64) -> LedgerTotals {
+    let platform = PlatformReader::new(fleet.platform().to_string());
+    let started = Instant::now();
+    loop {
+        let totals = LedgerTotals::read(&platform).await.unwrap();
+        if totals.bills >= bills || started.elapsed() > PATIENCE {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    LedgerTotals::read(&platform).await.unwrap()
+}
