--- a/crates/beechsaddle-lab/src/load/call_request.rs
+++ b/crates/beechsaddle-lab/src/load/call_request.rs
@@ -29,8 +29,10 @@
     if keyed || call.kind == CallKind::NotRepeatable {
         request = request.header("idempotency-key", &call.key);
     }
-    if call.kind == CallKind::NotRepeatable {
-        request = request.header("beechsaddle-repeatable", "no");
+    match call.kind {
+        CallKind::StreamedChat | CallKind::WholeChat => {}
+        CallKind::Plain => request = request.header("beechsaddle-repeatable", "yes"),
+        CallKind::NotRepeatable => request = request.header("beechsaddle-repeatable", "no"),
     }
     let body = call_body(settings, call, &workspace.name);
     Ok(request.body(Full::new(Bytes::from(body)))?)
--- a/crates/beechsaddle-lab/src/load/fleet_file.rs
+++ b/crates/beechsaddle-lab/src/load/fleet_file.rs
@@ -93,6 +93,11 @@
         self.services.iter().map(|service| service.replicas).sum()
     }
 
+    /// The key of a workspace, for callers on this machine.
+    pub fn key_of(workspace: &WorkspaceName) -> String {
+        format!("key-of-{workspace}")
+    }
+
     /// The first service of a kind.
     pub fn service_of(&self, kind: ServiceKind) -> Option<&FleetService> {
         self.services.iter().find(|service| service.kind == kind)
--- a/crates/beechsaddle-lab/src/load/load_options.rs
+++ b/crates/beechsaddle-lab/src/load/load_options.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use super::{CallMix, CallerPatience, PlanOptions};
 
@@ -15,6 +15,10 @@
 pub struct LoadOptions {
     /// The file that says where a running fleet is.
     pub callers: Option<PathBuf>,
+    /// The file that describes a deployment to start.
+    pub fleet: Option<PathBuf>,
+    /// Whether routers and the platform fail all the while.
+    pub soak: bool,
     /// Calls a second.
     pub rate: f64,
     /// How long calls are sent.
@@ -41,6 +45,17 @@
                 "callers",
                 "TOML file that says where a running fleet is",
             ))
+            .arg(path_arg(
+                "fleet",
+                "TOML file of a deployment to start on this machine, as under examples/",
+            ))
+            .arg(
+                Arg::new("soak")
+                    .long("soak")
+                    .requires("fleet")
+                    .action(ArgAction::SetTrue)
+                    .help("Kill and freeze routers and cut the platform off all the while"),
+            )
             .arg(number_arg::<f64>(
                 "rate",
                 "20",
@@ -83,6 +98,8 @@
         let seconds = read_number(matches, "seconds", 20);
         LoadOptions {
             callers: matches.get_one("callers").cloned(),
+            fleet: matches.get_one("fleet").cloned(),
+            soak: matches.get_flag("soak"),
             rate: read_number(matches, "rate", 20.0),
             span: Duration::from_secs(seconds),
             seed: read_number(matches, "seed", 1),
--- a/crates/beechsaddle-lab/src/load/mod.rs
+++ b/crates/beechsaddle-lab/src/load/mod.rs
@@ -10,6 +10,8 @@
 mod call_sender;
 mod caller_patience;
 mod caller_settings;
+mod deployment;
+mod deployment_catalogue;
 mod fleet_file;
 mod http_client;
 mod ledger_totals;
@@ -23,12 +25,16 @@
 mod platform_reader;
 mod run_totals;
 mod share_table;
+mod soak_plan;
+mod soak_run;
 mod sse_lines;
 
 use std::sync::Arc;
 
 use clap::{ArgMatches, Command};
 
+use crate::key_values::KeyValues;
+
 pub use answer_reader::{AnswerReader, bears_mark};
 pub use arrival_plan::{ArrivalPlan, PlanOptions};
 pub use call_kind::CallKind;
@@ -39,6 +45,7 @@
 pub use call_sender::CallSender;
 pub use caller_patience::CallerPatience;
 pub use caller_settings::{CallerSettings, CallerWorkspace};
+pub use deployment::Deployment;
 pub use fleet_file::{FleetDomain, FleetFile, FleetService, FleetWorkspace};
 pub use http_client::{HttpClient, OpenConnection};
 pub use ledger_totals::LedgerTotals;
@@ -52,6 +59,8 @@
 pub use platform_reader::PlatformReader;
 pub use run_totals::RunTotals;
 pub use share_table::ShareTable;
+pub use soak_plan::{SoakPlan, SoakStep};
+pub use soak_run::{SoakOutcome, run_soak};
 pub use sse_lines::SseLines;
 
 /// Describes the `load` subcommand.
@@ -63,22 +72,39 @@
 /// Runs the `load` subcommand.
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
     let options = LoadOptions::read(matches);
-    let Some(path) = &options.callers else {
-        eyre::bail!("--callers FILE has to say where the fleet is");
-    };
-    let settings = CallerSettings::try_read(path)?;
     let runtime = tokio::runtime::Runtime::new()?;
-    let (outcome, proof) = runtime.block_on(run_load(&options, settings))?;
-    println!(
-        "{}",
-        report_line(&outcome).joined(proof.pairs(&outcome.tally))
-    );
+    let (outcome, line) = runtime.block_on(run_chosen(&options))?;
+    println!("{line}");
     if let Some(path) = &options.plot {
         draw_chart(&outcome, path)?;
     }
     Ok(())
 }
 
+async fn run_chosen(options: &LoadOptions) -> eyre::Result<(LoadOutcome, KeyValues)> {
+    if let Some(path) = &options.callers {
+        let (outcome, proof) = run_load(options, CallerSettings::try_read(path)?).await?;
+        let line = report_line(&outcome).joined(proof.pairs(&outcome.tally));
+        return Ok((outcome, line));
+    }
+    let Some(path) = &options.fleet else {
+        eyre::bail!("either --callers FILE or --fleet FILE is needed");
+    };
+    let deployment = Deployment::new(FleetFile::try_read(path)?);
+    if options.soak {
+        let soak = run_soak(options, &deployment).await?;
+        let line = report_line(&soak.load)
+            .with("faults", soak.faults)
+            .with("unclean_exits", soak.unclean_exits)
+            .joined(soak.proof.pairs(&soak.load.tally));
+        return Ok((soak.load, line));
+    }
+    let fleet = deployment.start().await?;
+    let (outcome, proof) = run_load(options, deployment.callers(&fleet)).await?;
+    let line = report_line(&outcome).joined(proof.pairs(&outcome.tally));
+    Ok((outcome, line))
+}
+
 /// Sends the load of `options` to the fleet of `settings`, and asks the platform and the targets
 /// what they saw of it.
 ///
--- /dev/null
+++ b/crates/beechsaddle-lab/src/load/soak_run.rs
@@ -0,0 +1,130 @@
+//! The `soak_run` module provides a load on a fleet whose parts fail all the while.
+
+use std::time::{Duration, Instant};
+
+use eyre::eyre;
+use tokio::time::sleep_until;
+
+use super::{ArrivalPlan, CallSender, LedgerTotals, PlatformReader, run_plan};
+use super::{CallerSettings, Deployment, LoadOptions, LoadOutcome, LoadProof, SoakPlan, SoakStep};
+use crate::fleet::LabFleet;
+use crate::stand_in::platform::{CallScope, FaultRule, PlatformFault, PlatformFaults};
+
+/// The share of write answers that get lost, in thousandths.
+const LOST_PERMILLE: u32 = 300;
+
+/// How long a router may take to shut down after the last call.
+const DRAIN_PATIENCE: Duration = Duration::from_secs(60);
+
+/// How long a router may take to be ready again.
+const READY_PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a soak gave.
+#[derive(Debug)]
+pub struct SoakOutcome {
+    /// What the callers saw.
+    pub load: LoadOutcome,
+    /// What platform and targets say.
+    pub proof: LoadProof,
+    /// Faults that were brought about.
+    pub faults: u64,
+    /// Routers that did not shut down with exit code 0 at the end.
+    pub unclean_exits: u64,
+}
+
+/// Runs a load against a deployment while routers are killed and frozen, and the platform goes away
+/// and loses answers. All routers are shut down gracefully at the end, before the ledger is read.
+///
+/// # Errors
+///
+/// When the fleet does not start, or cannot be read at the end.
+pub async fn run_soak(options: &LoadOptions, deployment: &Deployment) -> eyre::Result<SoakOutcome> {
+    let mut fleet = deployment.start().await?;
+    let callers = deployment.callers(&fleet);
+    let routers: Vec<String> = fleet.routers().keys().map(ToString::to_string).collect();
+    let plan = SoakPlan::new(options.seed, &routers, options.span);
+    let load = tokio::spawn(send_load(options.clone(), callers.clone()));
+    let faults = plan.steps.len() as u64;
+    bring_about(&mut fleet, plan).await?;
+    let load = load.await??;
+    let unclean_exits = drain(&mut fleet, &routers).await?;
+    let proof = LoadProof::read(&callers, &load.tally, LedgerTotals::default()).await?;
+    Ok(SoakOutcome {
+        load,
+        proof,
+        faults,
+        unclean_exits,
+    })
+}
+
+async fn send_load(options: LoadOptions, callers: CallerSettings) -> eyre::Result<LoadOutcome> {
+    let plan = ArrivalPlan::new(options.plan(callers.workspaces.len()));
+    let sender = CallSender::new(callers.into(), options.patience);
+    run_plan(plan, sender).await
+}
+
+async fn bring_about(fleet: &mut LabFleet, plan: SoakPlan) -> eyre::Result<()> {
+    let start = Instant::now();
+    for (time, step) in plan.steps {
+        sleep_until((start + time).into()).await;
+        eprintln!("second={} step={step:?}", time.as_secs());
+        match step {
+            SoakStep::Kill(host) => fleet.kill_router(&host)?,
+            SoakStep::Restart(host) => fleet.start_router(&host)?,
+            SoakStep::Freeze(host) => fleet.process(&host)?.freeze()?,
+            SoakStep::Thaw(host) => fleet.process(&host)?.thaw()?,
+            SoakStep::PlatformAway(span) => set_faults(fleet, away(span)).await?,
+            SoakStep::AnswersLost(span) => set_faults(fleet, lost_answers(span)).await?,
+        }
+    }
+    Ok(())
+}
+
+async fn set_faults(fleet: &LabFleet, faults: PlatformFaults) -> eyre::Result<()> {
+    let body = serde_json::to_vec(&faults)?;
+    let platform = PlatformReader::new(fleet.platform().to_string());
+    let status = platform.post("/faults", body).await?;
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(eyre!("the platform took no faults: {status}"))
+}
+
+fn away(span: Duration) -> PlatformFaults {
+    PlatformFaults {
+        refuse_ms: span.as_millis() as u64,
+        ..PlatformFaults::default()
+    }
+}
+
+fn lost_answers(span: Duration) -> PlatformFaults {
+    let rule = FaultRule {
+        scope: CallScope::Writes,
+        permille: LOST_PERMILLE,
+        for_ms: Some(span.as_millis() as u64),
+        ..FaultRule::all(PlatformFault::LostAnswer)
+    };
+    PlatformFaults {
+        rules: vec![rule],
+        ..PlatformFaults::default()
+    }
+}
+
+// Shuts all routers down one after another, as an operator does in a rolling restart, so that each
+// can hand over to the next. The last one has nobody left and writes what it has by itself.
+async fn drain(fleet: &mut LabFleet, routers: &[String]) -> eyre::Result<u64> {
+    let mut unclean = 0;
+    for host in routers {
+        fleet.wait_ready(host, READY_PATIENCE).await?;
+        fleet.process(host)?.terminate()?;
+        let status = fleet.process(host)?.wait(DRAIN_PATIENCE)?;
+        if !status.is_some_and(|status| status.success()) {
+            eprintln!(
+                "router={host} exit={status:?} log={:?}",
+                fleet.log_end(host)
+            );
+            unclean += 1;
+        }
+    }
+    Ok(unclean)
+}
