--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -5,6 +5,13 @@
 mod catalogue_cost;
 mod experiment;
 mod object_bytes;
+mod peer_bytes;
+mod peer_fleet;
+mod peer_heartbeats;
+mod peer_memory;
+mod peer_round_trip;
+pub mod peer_samples;
+mod peers;
 mod process_cost;
 pub mod sample_objects;
 mod slope_fit;
@@ -29,6 +36,11 @@
         shows: "memory of a whole catalogue and time of an edit against its entries",
         run: catalogue_cost::run,
     },
+    MeasureExperiment {
+        name: "peers",
+        shows: "bytes, processor time, memory and latency of messages between routers",
+        run: peers::run,
+    },
 ];
 
 /// The seed when none is given.
--- /dev/null
+++ b/crates/beechsaddle-lab/src/measure/peer_round_trip.rs
@@ -0,0 +1,166 @@
+//! The `peer_round_trip` module provides latency and rate of admit and settle between two routers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use beechsaddle_core::peer::PeerMessage;
+use beechsaddle_core::prelude::*;
+use hdrhistogram::Histogram;
+
+use super::peer_fleet::{FleetEdge, PeerFleet};
+use super::peer_samples::{admit_request, settle_request};
+use crate::key_values::KeyValues;
+
+/// How many round trips are measured one after the other.
+const ROUND_TRIPS: u64 = 2_000;
+
+/// How many calls are under way at once when the rate is measured.
+const WINDOWS: [u64; 4] = [1, 8, 64, 512];
+
+/// How long the rate is measured for each window.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+/// Measures round trips one at a time and many at once.
+pub fn run() -> Vec<String> {
+    let Some(fleet) = PeerFleet::try_start(1) else {
+        return Vec::new();
+    };
+    let done = Arc::new(AtomicBool::new(false));
+    let PeerFleet {
+        measured,
+        mut peers,
+    } = fleet;
+    let Some(holder) = peers.pop() else {
+        return Vec::new();
+    };
+    let place = Place::of(&holder);
+    let answering = answer_all(holder, Place::of(&measured), Arc::clone(&done));
+    let mut lines = vec![measure_latency(&measured, &place).to_string()];
+    let rates = WINDOWS.map(|window| measure_rate(&measured, &place, window).to_string());
+    lines.extend(rates);
+    done.store(true, Ordering::SeqCst);
+    let _ = answering.join();
+    lines
+}
+
+/// Where an edge is.
+#[derive(Clone)]
+struct Place {
+    router: RouterIncarnation,
+    address: String,
+}
+
+impl Place {
+    fn of(edge: &FleetEdge) -> Self {
+        Place {
+            router: edge.me.clone(),
+            address: edge.handle.local_address().to_string(),
+        }
+    }
+}
+
+// Stands in for the core of the holder: answers at once.
+fn answer_all(holder: FleetEdge, to: Place, done: Arc<AtomicBool>) -> thread::JoinHandle<()> {
+    thread::spawn(move || {
+        while !done.load(Ordering::SeqCst) {
+            let event = holder.events.recv_timeout(Duration::from_millis(20));
+            if let Ok(CoreEvent::Peer { message, .. }) = event {
+                if let Some(reply) = reply_to(message) {
+                    let (router, address) = (to.router.clone(), to.address.clone());
+                    holder.handle.send(router, address, reply);
+                }
+            }
+        }
+    })
+}
+
+fn reply_to(message: PeerMessage) -> Option<PeerMessage> {
+    match message {
+        PeerMessage::AdmitRequest(request) => Some(PeerMessage::AdmitReply {
+            call: request.call,
+            outcome: Ok("graz-nord-entry-001@1700000000000".into()),
+        }),
+        PeerMessage::SettleRequest(request) => {
+            Some(PeerMessage::SettleReply { call: request.call })
+        }
+        _ => None,
+    }
+}
+
+fn send(edge: &FleetEdge, to: &Place, message: PeerMessage) {
+    edge.handle
+        .send(to.router.clone(), to.address.clone(), message);
+}
+
+fn measure_latency(edge: &FleetEdge, holder: &Place) -> KeyValues {
+    let mut spans = Histogram::<u64>::new(3).ok();
+    for number in 0..ROUND_TRIPS {
+        let start = Instant::now();
+        send(edge, holder, admit_request(number));
+        let _ = edge.events.recv_timeout(Duration::from_secs(1));
+        send(
+            edge,
+            holder,
+            PeerMessage::SettleRequest(settle_request(number)),
+        );
+        let _ = edge.events.recv_timeout(Duration::from_secs(1));
+        if let Some(spans) = &mut spans {
+            let _ = spans.record(start.elapsed().as_micros() as u64);
+        }
+    }
+    let quantile = |share| {
+        spans
+            .as_ref()
+            .map_or(0, |spans| spans.value_at_quantile(share))
+    };
+    KeyValues::new()
+        .with("part", "admit_and_settle")
+        .with("count", ROUND_TRIPS)
+        .with("p50_us", quantile(0.5))
+        .with("p99_us", quantile(0.99))
+}
+
+// Keeps so many requests without an answer, for a while. A message that was lost would shrink the
+// window; the counts would show it.
+fn measure_rate(edge: &FleetEdge, holder: &Place, window: u64) -> KeyValues {
+    let cpu = thread_cpu();
+    let before = edge.handle.counts();
+    let start = Instant::now();
+    let mut sent = 0;
+    let mut answered = 0;
+    while start.elapsed() < RATE_SPAN {
+        while sent - answered < window {
+            send(edge, holder, admit_request(sent));
+            sent += 1;
+        }
+        if edge.events.recv_timeout(Duration::from_secs(1)).is_ok() {
+            answered += 1;
+        }
+    }
+    while answered < sent && edge.events.recv_timeout(Duration::from_secs(1)).is_ok() {
+        answered += 1;
+    }
+    let span_s = start.elapsed().as_secs_f64();
+    let cpu_s = thread_cpu() - cpu;
+    let after = edge.handle.counts();
+    // The edge sends a request and receives an answer for each.
+    let messages = (answered * 2) as f64;
+    KeyValues::new()
+        .with("part", "rate")
+        .with("window", window)
+        .with("lost", sent - answered)
+        .with_float("round_trips_a_second", answered as f64 / span_s)
+        .with_float("cpu_us_a_message", cpu_s * 1e6 / messages)
+        .with_float("messages_a_second_a_core", messages / cpu_s)
+        .with_float(
+            "messages_a_delivery",
+            sent as f64 / (after.deliveries - before.deliveries) as f64,
+        )
+}
+
+fn thread_cpu() -> f64 {
+    let costs = super::read_thread_cpu(std::process::id());
+    costs.get("peers-measured").copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/measure/peer_samples.rs
@@ -0,0 +1,157 @@
+//! The `peer_samples` module provides messages between routers as a fleet sends them.
+
+use beechsaddle_core::catalogue::{EntryId, EntryKind};
+use beechsaddle_core::members::HostState;
+use beechsaddle_core::peer::{
+    AdmitRequest, LimitUse, PeerHeartbeat, PeerMessage, RecordRequest, RouterState, SettleRequest,
+    TargetNews, WitnessNote,
+};
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::target::{EngineRole, EngineState, LoadReport};
+
+/// A name as long as those of the deployments that this is built for.
+pub fn host_name(number: usize) -> String {
+    format!("graz-nord-entry-{number:03}")
+}
+
+/// A call id.
+pub fn call_id(number: u64) -> CallId {
+    CallId {
+        router: RouterIncarnation::new(host_name(1).as_str(), 1_700_000_000_000),
+        number,
+    }
+}
+
+/// A heartbeat with news of targets, each with its load, and with its engine's state if wanted.
+pub fn heartbeat(sequence: u64, targets: usize, engines: bool, limits: usize) -> PeerMessage {
+    PeerMessage::Heartbeat(PeerHeartbeat {
+        domain: "graz-nord".into(),
+        address: "10.20.30.40:7400".to_owned(),
+        sequence,
+        state: RouterState::Live,
+        catalogue_revision: 11_000,
+        targets: (0..targets)
+            .map(|item| target_news(item, engines))
+            .collect(),
+        limits: (0..limits).map(limit_use).collect(),
+        routers: Vec::new(),
+    })
+}
+
+fn target_news(number: usize, engines: bool) -> TargetNews {
+    TargetNews {
+        target: format!("graz-nord-pool-{number:04}").as_str().into(),
+        epoch: 3,
+        state: HostState::Live,
+        sequence: 1_234,
+        load: Some(LoadReport {
+            running: 40,
+            waiting: 3,
+            cache_permille: 700,
+        }),
+        engine: engines.then(|| EngineState {
+            model: "statement-12b".into(),
+            version: 4,
+            adapters: vec!["cover-bands".to_owned()],
+            role: EngineRole::Whole,
+        }),
+    }
+}
+
+fn limit_use(number: usize) -> LimitUse {
+    LimitUse {
+        entry: EntryId {
+            kind: EntryKind::Workspace,
+            name: format!("workspace-{number:05}"),
+        },
+        running: 12,
+        requests: 30,
+        tokens: 40_000,
+    }
+}
+
+/// An idempotency key that a caller chose.
+pub fn request_key(number: u64) -> RequestKey {
+    RequestKey {
+        workspace: "workspace-00017".into(),
+        text: format!("3f0c2a56-7d1e-4c1b-9b7d-{number:012}")
+            .as_str()
+            .into(),
+        origin: KeyOrigin::Caller,
+    }
+}
+
+/// Asks a holder to reserve.
+pub fn admit_request(number: u64) -> PeerMessage {
+    PeerMessage::AdmitRequest(AdmitRequest {
+        call: call_id(number),
+        key: request_key(number),
+        budget: "workspace-00017-main".into(),
+        bound: 4_000,
+    })
+}
+
+/// Tells a holder the usage of a call.
+pub fn settle_request(number: u64) -> SettleRequest {
+    SettleRequest {
+        call: call_id(number),
+        key: request_key(number),
+        budget: "workspace-00017-main".into(),
+        bound: 4_000,
+        tokens: 1_200,
+        ran: true,
+        complete: true,
+        against: None,
+    }
+}
+
+/// The messages of a call whose budget another router holds, and of one that may not be repeated.
+pub fn call_messages(number: u64) -> Vec<(&'static str, PeerMessage)> {
+    let call = call_id(number);
+    vec![
+        ("admit_request", admit_request(number)),
+        (
+            "admit_reply",
+            PeerMessage::AdmitReply {
+                call: call.clone(),
+                outcome: Ok("graz-nord-entry-002@1700000000000".into()),
+            },
+        ),
+        (
+            "settle_request",
+            PeerMessage::SettleRequest(settle_request(number)),
+        ),
+        (
+            "settle_reply",
+            PeerMessage::SettleReply { call: call.clone() },
+        ),
+        (
+            "bills_durable",
+            PeerMessage::BillsDurable {
+                calls: vec![call.clone()],
+            },
+        ),
+        (
+            "witness_note",
+            PeerMessage::WitnessNote(WitnessNote {
+                journal: "graz-nord-entry-002@1700000000000".into(),
+                settle: settle_request(number),
+                ended: true,
+            }),
+        ),
+        (
+            "record_request",
+            PeerMessage::RecordRequest(RecordRequest {
+                call: call.clone(),
+                key: request_key(number),
+            }),
+        ),
+        (
+            "record_reply",
+            PeerMessage::RecordReply {
+                call,
+                outcome: Ok(()),
+            },
+        ),
+    ]
+}
--- a/crates/beechsaddle/src/peers/accept_loop.rs
+++ b/crates/beechsaddle/src/peers/accept_loop.rs
@@ -20,7 +20,8 @@
 
 use super::edge_context::EdgeContext;
 use super::gate_server::{GateServer, GateState};
-use super::metered_stream::{StreamGauge, split_metered};
+use super::metered_stream::split_metered;
+use super::stream_gauge::StreamGauge;
 
 /// How long to wait after the system could not accept a connection, as when files ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/beechsaddle/src/peers/gate_server.rs
+++ b/crates/beechsaddle/src/peers/gate_server.rs
@@ -13,8 +13,8 @@
 
 use super::edge_context::EdgeContext;
 use super::inbox_server::InboxServer;
-use super::metered_stream::StreamGauge;
 use super::peer_auth::AuthRole;
+use super::stream_gauge::StreamGauge;
 
 /// How far a connection has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/beechsaddle/src/peers/mod.rs
+++ b/crates/beechsaddle/src/peers/mod.rs
@@ -19,6 +19,7 @@
 mod peers_options;
 mod peers_stats;
 mod send_queue;
+mod stream_gauge;
 
 pub use peer_auth::PeerAuth;
 pub use peers_edge::PeersEdge;
--- a/crates/beechsaddle/src/peers/peer_session.rs
+++ b/crates/beechsaddle/src/peers/peer_session.rs
@@ -25,8 +25,9 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::edge_context::EdgeContext;
-use super::metered_stream::{StreamGauge, split_metered};
+use super::metered_stream::split_metered;
 use super::peer_auth::AuthRole;
+use super::stream_gauge::StreamGauge;
 
 /// Room that a delivery's own framing takes of the largest message, in bytes.
 const FRAME_BYTES: usize = 4_096;
--- a/crates/beechsaddle/src/peers/peers_edge.rs
+++ b/crates/beechsaddle/src/peers/peers_edge.rs
@@ -45,6 +45,7 @@
         let listener = StdTcpListener::bind(options.listen)?;
         listener.set_nonblocking(true)?;
         let local_address = listener.local_addr()?;
+        let thread_name = options.thread_name.clone();
         let (sender, ring) = mpsc::channel(options.ring_size.max(1));
         let stats = Arc::new(PeersStats::default());
         let edge = PeersEdge {
@@ -60,7 +61,7 @@
         };
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let thread = ThreadBuilder::new()
-            .name("peers".to_owned())
+            .name(thread_name)
             .spawn(move || edge.run(&runtime))?;
         Ok(PeersHandle::new(
             sender,
--- a/crates/beechsaddle/src/peers/peers_options.rs
+++ b/crates/beechsaddle/src/peers/peers_options.rs
@@ -10,6 +10,8 @@
 /// of them frozen, 30 times `queue_bytes` and `flight_bytes`, about 10 MB.
 #[derive(Clone, Debug)]
 pub struct PeersOptions {
+    /// What the edge's thread is called; several edges in one process are told apart by it.
+    pub thread_name: String,
     /// Where peers reach this router.
     pub listen: SocketAddr,
     /// How routers prove that they belong to the fleet.
@@ -54,6 +56,7 @@
     /// Defaults for a fleet with heartbeats every second.
     pub fn new(listen: SocketAddr, auth: PeerAuth) -> Self {
         PeersOptions {
+            thread_name: "peers".to_owned(),
             listen,
             auth,
             ring_size: 4_096,
