--- a/crates/beechsaddle-lab/src/measure/peer_round_trip.rs
+++ b/crates/beechsaddle-lab/src/measure/peer_round_trip.rs
@@ -66,11 +66,12 @@
     thread::spawn(move || {
         while !done.load(Ordering::SeqCst) {
             let event = holder.events.recv_timeout(Duration::from_millis(20));
-            if let Ok(CoreEvent::Peer { message, .. }) = event {
-                if let Some(reply) = reply_to(message) {
-                    let (router, address) = (to.router.clone(), to.address.clone());
-                    holder.handle.send(router, address, reply);
-                }
+            let Ok(CoreEvent::Peer { message, .. }) = event else {
+                continue;
+            };
+            if let Some(reply) = reply_to(message) {
+                let (router, address) = (to.router.clone(), to.address.clone());
+                holder.handle.send(router, address, reply);
             }
         }
     })
