--- a/crates/beechsaddle-core/src/targets/table_probes.rs
+++ b/crates/beechsaddle-core/src/targets/table_probes.rs
@@ -28,7 +28,6 @@
         else {
             return;
         };
-        let options = &self.options;
         let Some(entry) = self.entries.get_mut(target) else {
             return;
         };
@@ -39,14 +38,14 @@
                 entry.take_cache(now, cache.as_ref());
                 if entry.word.observe(HostState::Live) {
                     entry.fresh_since = Some(now);
-                    entry.tell_urgently(options);
+                    entry.tell_urgently();
                     outbox.act(state_line("target_up", entry));
                 }
             }
             ProbeOutcome::Leaving => {
                 entry.probe.answered(now, HostState::Leaving);
                 if entry.word.observe(HostState::Leaving) {
-                    entry.tell_urgently(options);
+                    entry.tell_urgently();
                     outbox.act(state_line("target_leaving", entry));
                 }
             }
@@ -60,7 +59,7 @@
         };
         let is_down = entry.probe.failed(now, &self.options);
         if is_down && entry.word.observe(HostState::Down) {
-            entry.tell_urgently(&self.options);
+            entry.tell_urgently();
             outbox.act(state_line("target_down", entry));
         }
     }
@@ -135,10 +134,11 @@
         }
     }
 
-    /// After which cache event to ask; a target is asked until it shows to be a plain service.
+    /// After which cache event to ask, once the target has shown to be an engine.
+    ///
+    /// A plain service would take the question for a caller's call and run it.
     fn cache_after(&self) -> Option<u64> {
-        let is_plain = self.probe.is_answered() && self.engine.is_none();
-        (!is_plain).then(|| self.prefixes.next_event())
+        self.engine.as_ref().map(|_| self.prefixes.next_event())
     }
 }
 
--- a/crates/beechsaddle-wire/tests/peer_codec.rs
+++ b/crates/beechsaddle-wire/tests/peer_codec.rs
@@ -26,6 +26,7 @@
         sequence: 1,
         state: RouterState::Live,
         catalogue_revision: 1,
+        layout: None,
         targets: Vec::new(),
         limits: Vec::new(),
         routers: Vec::new(),
@@ -164,6 +165,7 @@
                 name: format!("w{number}"),
             },
             running: 0,
+            held_back: 0,
             requests: 0,
             tokens: 0,
         })
