--- a/crates/beechsaddle-core/tests/money_model.rs
+++ b/crates/beechsaddle-core/tests/money_model.rs
@@ -461,7 +461,33 @@
 #[test]
 fn debug_session() {
     use Step::*;
-    let steps = vec![Start, Call { router: 250, budget: 179, key: 167, bound: 231 }, Call { router: 43, budget: 184, key: 194, bound: 242 }, Advance { ticks: 24 }, LoseAnswer { flight: 19 }, Deliver { flight: 172, count: 2 }, Deliver { flight: 1, count: 12 }, Freeze { router: 235 }, Gone { router: 13 }];
+    let steps = vec![
+        Start,
+        Call {
+            router: 250,
+            budget: 179,
+            key: 167,
+            bound: 231,
+        },
+        Call {
+            router: 43,
+            budget: 184,
+            key: 194,
+            bound: 242,
+        },
+        Advance { ticks: 24 },
+        LoseAnswer { flight: 19 },
+        Deliver {
+            flight: 172,
+            count: 2,
+        },
+        Deliver {
+            flight: 1,
+            count: 12,
+        },
+        Freeze { router: 235 },
+        Gone { router: 13 },
+    ];
     let mut world = MoneyWorld::new(test_options(), &["d1", "d1", "d1", "d2", "d2"]);
     world.top_up("north", "first", 1_500);
     world.top_up("south", "first", 700);
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -6,6 +6,7 @@
 mod experiment;
 mod object_bytes;
 mod process_cost;
+pub mod routing;
 pub mod sample_objects;
 mod slope_fit;
 mod thread_cost;
@@ -29,6 +30,11 @@
         shows: "memory of a whole catalogue and time of an edit against its entries",
         run: catalogue_cost::run,
     },
+    MeasureExperiment {
+        name: "routing",
+        shows: "times to first token and prefix hits of each way to choose a target",
+        run: routing::run,
+    },
 ];
 
 /// The seed when none is given.
