--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -14,6 +14,7 @@
 pub mod peer_samples;
 mod peers;
 mod process_cost;
+pub mod routing;
 pub mod sample_messages;
 pub mod sample_objects;
 mod slope_fit;
@@ -48,6 +49,11 @@
         shows: "bytes, processor time, memory and latency of messages between routers",
         run: peers::run,
     },
+    MeasureExperiment {
+        name: "routing",
+        shows: "times to first token and prefix hits of each way to choose a target",
+        run: routing::run,
+    },
 ];
 
 /// The seed when none is given.
