Follow new fields of messages in the samples that are measured

Ruled out: defaults in the codec, which would hide a field left out by accident. Before: the lab did not compile.

--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -177,10 +177,8 @@
 fn answer_of_an_earlier_attempt_is_ignored() {
     let mut world = RouterWorld::new(1, 100_000);
     set_all(&mut world, TargetScript::Stall);
-    for target in ["engine-1"] {
-        let script = TargetScript::Fail(AttemptFailure::TimedOut);
-        world.scripts.insert(target.into(), script);
-    }
+    let slow = TargetScript::Fail(AttemptFailure::TimedOut);
+    world.scripts.insert("engine-1".into(), slow);
     while world
         .dispatched
         .last()
--- a/crates/beechsaddle-lab/src/measure/peer_samples.rs
+++ b/crates/beechsaddle-lab/src/measure/peer_samples.rs
@@ -30,6 +30,7 @@
         sequence,
         state: RouterState::Live,
         catalogue_revision: 11_000,
+        layout: None,
         targets: (0..targets)
             .map(|item| target_news(item, engines))
             .collect(),
@@ -65,6 +66,7 @@
             name: format!("workspace-{number:05}"),
         },
         running: 12,
+        held_back: 0,
         requests: 30,
         tokens: 40_000,
     }
