--- a/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
+++ b/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
@@ -187,7 +187,7 @@
                 }
             }
         }
-        if count % HEARTBEAT_TICKS == 0 {
+        if count.is_multiple_of(HEARTBEAT_TICKS) {
             self.exchange(now);
         }
         if millis(now) >= self.setup.warm_ms && millis(now) < self.setup.span_ms {
