--- a/crates/beechsaddle-core/src/once/once_desk.rs
+++ b/crates/beechsaddle-core/src/once/once_desk.rs
@@ -145,6 +145,9 @@
             | PeerMessage::SettleRequest(_)
             | PeerMessage::SettleReply { .. }
             | PeerMessage::BillsDurable { .. }
+            | PeerMessage::CallUnknown { .. }
+            | PeerMessage::HostsRequest
+            | PeerMessage::HostsUpdate { .. }
             | PeerMessage::WitnessNote(_)
             | PeerMessage::WitnessReply { .. } => {}
         }
--- a/crates/beechsaddle-lab/src/lib.rs
+++ b/crates/beechsaddle-lab/src/lib.rs
@@ -1,1 +1,11 @@
-//! beechsaddle-lab
+//! Stand-ins, a load tool and experiments for beechsaddle. Not shipped.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod demo;
+pub mod fleet;
+pub mod key_values;
+pub mod load;
+pub mod measure;
+pub mod stand_in;
--- /dev/null
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -0,0 +1,116 @@
+//! The `measure` module provides the experiments behind the figures in the documentation.
+//!
+//! To add an experiment: a `mod` line and a line in [`EXPERIMENTS`].
+
+mod catalogue_cost;
+mod experiment;
+mod message_bytes;
+mod object_bytes;
+mod peer_bytes;
+mod peer_fleet;
+mod peer_heartbeats;
+mod peer_memory;
+mod peer_round_trip;
+pub mod peer_samples;
+mod peers;
+mod process_cost;
+pub mod routing;
+pub mod sample_messages;
+pub mod sample_objects;
+mod slope_fit;
+mod thread_cost;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+pub use experiment::MeasureExperiment;
+pub use process_cost::ProcessCost;
+pub use slope_fit::SlopeFit;
+pub use thread_cost::read_thread_cpu;
+
+/// Every experiment, in the order of `measure --list`.
+pub const EXPERIMENTS: &[MeasureExperiment] = &[
+    MeasureExperiment {
+        name: "object-bytes",
+        shows: "bytes of each kind of platform object against what it holds",
+        run: object_bytes::run,
+    },
+    MeasureExperiment {
+        name: "message-bytes",
+        shows: "bytes of each kind of message between routers against what it holds",
+        run: message_bytes::run,
+    },
+    MeasureExperiment {
+        name: "catalogue-cost",
+        shows: "memory of a whole catalogue and time of an edit against its entries",
+        run: catalogue_cost::run,
+    },
+    MeasureExperiment {
+        name: "peers",
+        shows: "bytes, processor time, memory and latency of messages between routers",
+        run: peers::run,
+    },
+    MeasureExperiment {
+        name: "routing",
+        shows: "times to first token and prefix hits of each way to choose a target",
+        run: routing::run,
+    },
+];
+
+/// The seed when none is given.
+const DEFAULT_SEED: u64 = 1;
+
+/// Describes the `measure` subcommand.
+pub fn command() -> Command {
+    Command::new("measure")
+        .about("Runs one experiment and prints a key=value line for each measured point")
+        .arg(
+            Arg::new("name")
+                .value_name("NAME")
+                .required_unless_present("list")
+                .help("Which experiment to run"),
+        )
+        .arg(
+            Arg::new("list")
+                .long("list")
+                .action(ArgAction::SetTrue)
+                .help("Print the name of each experiment and what it shows"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .help("Seed of all random choices [default: 1]"),
+        )
+}
+
+/// Runs the `measure` subcommand.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    if matches.get_flag("list") {
+        print_list();
+        return Ok(());
+    }
+    let name = matches.get_one::<String>("name").map(String::as_str);
+    let name = name.unwrap_or_default();
+    let seed = matches.get_one("seed").copied().unwrap_or(DEFAULT_SEED);
+    let Some(experiment) = find(name) else {
+        eyre::bail!("no experiment is named {name:?}; see measure --list");
+    };
+    for line in (experiment.run)(seed) {
+        println!("experiment={} seed={seed} {line}", experiment.name);
+    }
+    Ok(())
+}
+
+/// The experiment of that name.
+pub fn find(name: &str) -> Option<&'static MeasureExperiment> {
+    EXPERIMENTS
+        .iter()
+        .find(|experiment| experiment.name == name)
+}
+
+fn print_list() {
+    for experiment in EXPERIMENTS {
+        println!("{:<16} {}", experiment.name, experiment.shows);
+    }
+}
