Spread dedup records of a new fleet over 512 shards

Cause: a commit writes a whole shard. Ruled out: a shorter retention (a retry on the next morning would run again). Before: 16 shards by default. After: 512, 169 records of 163 bytes each at that rate, as worked out in docs/ONCE.md. A fleet that exists keeps its layout.

--- a/crates/beechsaddle/src/command/command_line.rs
+++ b/crates/beechsaddle/src/command/command_line.rs
@@ -8,8 +8,11 @@
 /// How long `--wait` waits when it is not told, in seconds.
 const WAIT_SECONDS: &str = "30";
 
-/// Shards of a new fleet when it is not told.
-const SHARDS: &str = "16";
+/// How many ledger shards a new fleet has.
+const LEDGER_SHARDS: &str = "16";
+
+/// How many dedup shards a new fleet has: `docs/ONCE.md` works it out.
+const DEDUP_SHARDS: &str = "512";
 
 /// The description of the whole command line.
 pub fn command_line() -> Command {
@@ -128,10 +131,12 @@
         )
         .arg(shards(
             "ledger-shards",
+            LEDGER_SHARDS,
             "Ledger shards of a fleet that is new",
         ))
         .arg(shards(
             "dedup-shards",
+            DEDUP_SHARDS,
             "Dedup shards of a fleet that is new",
         ))
 }
@@ -193,11 +198,11 @@
         .help("The revision the files are based on, in place of what `.beechsaddle-base` says")
 }
 
-fn shards(name: &'static str, help: &'static str) -> Arg {
+fn shards(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
         .value_name("COUNT")
-        .default_value(SHARDS)
+        .default_value(default)
         .value_parser(value_parser!(u32).range(1..=65_536))
         .help(help)
 }
--- a/crates/beechsaddle/src/settings/budget_settings.rs
+++ b/crates/beechsaddle/src/settings/budget_settings.rs
@@ -27,7 +27,7 @@
     fn default() -> Self {
         BudgetSettings {
             ledger_shards: 16,
-            dedup_shards: 16,
+            dedup_shards: 512,
             endurance_ms: 30_000,
             scarce_endurance_ms: 2_000,
             journal_period_ms: 1_000,
