Let a budget be removed once nothing of it is granted

Cause: a workspace that had spent anything could never be removed, because its budget could not: all its top-ups had to be free.

What is free is withdrawn, what was spent stays in the account as the record of it. Files without it are in step. Refused while a router holds a grant, with what is free.

--- a/crates/beechsaddle/src/operator/apply_run.rs
+++ b/crates/beechsaddle/src/operator/apply_run.rs
@@ -10,7 +10,7 @@
 
 use super::base_writer::refresh_base;
 use super::catalogue_history::read_change;
-use super::ledger_book::{WantedBudgets, book_budgets, ensure_layout, read_layout};
+use super::ledger_book::{WantedBudgets, book_budgets, ensure_layout, read_book};
 use super::{
     ApplyOptions, ApplyOutcome, CatalogueHistory, DeclaredItem, EditPlan, EditScene, ItemId,
     LedgerBook, ObjectStore, OperatorError, Result, StoreCaller, WriteOutcome, plan_edits,
@@ -112,6 +112,7 @@
             history: &history,
             applied: &applied,
             ledger: &book.declarations(),
+            used_up: &book.used_up(),
         });
         Ok(ApplyTry {
             history,
@@ -250,15 +251,13 @@
 ) -> Result<EditPlan> {
     let caller = StoreCaller::new(store);
     let history = CatalogueHistory::read(&caller, base.revision).await?;
-    let ledger = match read_layout(&caller).await? {
-        Some(layout) => LedgerBook::read(&caller, layout).await?.declarations(),
-        None => BTreeMap::new(),
-    };
+    let book = read_book(&caller).await?;
     Ok(plan_edits(EditScene {
         declared: &DeclaredItem::all_of(declared),
         history: &history,
         applied: &base.applied,
-        ledger: &ledger,
+        ledger: &book.declarations(),
+        used_up: &book.used_up(),
     }))
 }
 
@@ -283,10 +282,16 @@
 pub async fn read_declared<S: ObjectStore>(store: &S) -> Result<(u64, DeclaredCatalogue)> {
     let caller = StoreCaller::new(store);
     let history = CatalogueHistory::read_newest(&caller).await?;
-    let budgets = match read_layout(&caller).await? {
-        Some(layout) => LedgerBook::read(&caller, layout).await?.declarations(),
-        None => BTreeMap::new(),
-    };
+    let book = read_book(&caller).await?;
+    let mut budgets = book.declarations();
+    for name in book.used_up() {
+        let workspace = budgets.get(&name).map(|budget| budget.workspace.clone());
+        let entry = workspace.and_then(|workspace| history.newest.workspace(&workspace));
+        // The account of a removed budget is only the record of what was spent.
+        if !entry.is_some_and(|entry| entry.budgets.contains(&name)) {
+            budgets.remove(&name);
+        }
+    }
     let entries = history.newest.entries();
     let catalogue = DeclaredCatalogue {
         entries: entries
--- a/crates/beechsaddle/src/operator/edit_plan.rs
+++ b/crates/beechsaddle/src/operator/edit_plan.rs
@@ -20,6 +20,8 @@
     pub applied: &'a BTreeSet<u64>,
     /// What the ledger holds of each budget.
     pub ledger: &'a BTreeMap<BudgetName, BudgetDeclaration>,
+    /// Budgets of which nothing can be spent any more.
+    pub used_up: &'a BTreeSet<BudgetName>,
 }
 
 /// What an operator's files change.
@@ -122,6 +124,9 @@
     fn plan(&mut self, id: ItemId) {
         let mine = self.scene.declared.get(&id).cloned();
         let theirs = self.in_force(&id);
+        if mine.is_none() && self.is_retired(&id) {
+            return;
+        }
         if is_same(mine.as_ref(), theirs.as_ref()) {
             self.note_unbooked(&id, mine.as_ref());
             return;
@@ -153,6 +158,20 @@
         });
     }
 
+    /// Whether a budget is used up and no change after the base says otherwise. Its account stays as
+    /// the record of what was spent, and its files need not: it is the same as one that is not
+    /// there.
+    fn is_retired(&self, id: &ItemId) -> bool {
+        let ItemId::Budget(name) = id else {
+            return false;
+        };
+        let touches = self.touches.get(id).map(Vec::as_slice).unwrap_or_default();
+        let declared = touches.last().is_some_and(
+            |(_, edit)| matches!(edit, EntryEdit::Budget(edit) if edit.after.is_some()),
+        );
+        !declared && self.scene.used_up.contains(name)
+    }
+
     /// What is in force: for a budget that was changed after the base, what the change says, since
     /// the ledger may follow a moment later.
     fn in_force(&self, id: &ItemId) -> Option<DeclaredItem> {
--- a/crates/beechsaddle/src/operator/ledger_book.rs
+++ b/crates/beechsaddle/src/operator/ledger_book.rs
@@ -1,6 +1,6 @@
 //! The `ledger_book` module provides the ledger at the platform.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use beechsaddle_core::catalogue::BudgetDeclaration;
 use beechsaddle_core::money::{BudgetAccount, BudgetLedger};
@@ -10,7 +10,7 @@
 
 use super::{
     LedgerRefusal, ObjectStore, OperatorError, Result, StoreCaller, WriteOutcome, declaration_of,
-    edit_ledger,
+    edit_ledger, is_used_up,
 };
 
 /// Where the shard counts are kept.
@@ -50,6 +50,14 @@
             .collect()
     }
 
+    /// Budgets of which nothing can be spent any more.
+    pub fn used_up(&self) -> BTreeSet<BudgetName> {
+        self.accounts()
+            .filter(|(_, account)| is_used_up(account))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// All accounts.
     pub fn accounts(&self) -> impl Iterator<Item = (&BudgetName, &BudgetAccount)> {
         self.shards
@@ -95,10 +103,16 @@
     Err(OperatorError::Busy)
 }
 
+/// Reads all shards; none when the fleet is new.
+pub(super) async fn read_book<S: ObjectStore>(caller: &StoreCaller<'_, S>) -> Result<LedgerBook> {
+    match read_layout(caller).await? {
+        Some(layout) => LedgerBook::read(caller, layout).await,
+        None => Ok(LedgerBook::default()),
+    }
+}
+
 /// Reads the shard counts, if the fleet has any.
-pub(super) async fn read_layout<S: ObjectStore>(
-    caller: &StoreCaller<'_, S>,
-) -> Result<Option<FleetLayout>> {
+async fn read_layout<S: ObjectStore>(caller: &StoreCaller<'_, S>) -> Result<Option<FleetLayout>> {
     let key = ObjectKey::new(LAYOUT_KEY);
     match caller.read(&key).await?.map(|stored| stored.object) {
         Some(PlatformObject::Layout(layout)) => Ok(Some(layout)),
@@ -149,6 +163,10 @@
         if !changed {
             return Ok(refusals);
         }
+        // A shard in which more is promised than was paid must not be built upon.
+        if ledger.check_invariant().is_err() {
+            return Err(OperatorError::Corrupt(BudgetLedger::object_key(shard)));
+        }
         ledger.write_id = write_id.to_string();
         let object = PlatformObject::Ledger(ledger);
         match caller
--- a/crates/beechsaddle/src/operator/ledger_edit.rs
+++ b/crates/beechsaddle/src/operator/ledger_edit.rs
@@ -95,6 +95,11 @@
     }
 }
 
+/// Whether nothing of a budget can be spent any more.
+pub fn is_used_up(account: &BudgetAccount) -> bool {
+    account.free() == 0 && account.granted() == 0
+}
+
 /// Brings an account to what is declared, `None` for nothing. Doing it twice has the effect of
 /// once, so that a write whose answer was lost can be done again. Tells whether anything changed.
 pub fn edit_ledger(
@@ -114,10 +119,13 @@
         check_workspace(&account, declared)?;
         account.owner = declared.owner.clone();
     }
-    let nothing = BTreeMap::new();
-    let wanted = declared.map_or(&nothing, |declared| &declared.top_ups);
-    top_up(&mut account, name, wanted)?;
-    withdraw(&mut account, name, wanted)?;
+    match declared {
+        Some(declared) => {
+            top_up(&mut account, name, &declared.top_ups)?;
+            withdraw(&mut account, name, &declared.top_ups)?;
+        }
+        None => retire(&mut account, name)?,
+    }
     let changed = before.as_ref() != Some(&account);
     ledger.budgets.insert(name.clone(), account);
     Ok(changed)
@@ -190,6 +198,31 @@
     Ok(())
 }
 
+/// Takes out all that is free. What was spent stays in the account as the record of it, and what is
+/// granted may still be spent: then the budget is in use.
+fn retire(account: &mut BudgetAccount, name: &BudgetName) -> Result<(), LedgerRefusal> {
+    let granted = account.granted();
+    let mut left = account.free();
+    if granted > 0 {
+        return Err(LedgerRefusal::NotFree {
+            budget: name.clone(),
+            owner: account.owner.clone(),
+            wanted: left.saturating_add(granted),
+            free: left,
+        });
+    }
+    for (id, tokens) in declaration_of(name, account).top_ups.iter().rev() {
+        let taken = left.min(*tokens);
+        if taken > 0 {
+            left -= taken;
+            account
+                .withdrawals
+                .insert(withdrawal_id(account, id), taken);
+        }
+    }
+    Ok(())
+}
+
 fn withdrawal_id(account: &BudgetAccount, id: &TopUpId) -> TopUpId {
     let prefix = format!("{id}{WITHDRAWAL_MARK}");
     let count = account
--- a/crates/beechsaddle/src/operator/statement.rs
+++ b/crates/beechsaddle/src/operator/statement.rs
@@ -8,8 +8,8 @@
 use beechsaddle_core::prelude::*;
 use serde::Serialize;
 
-use super::ledger_book::read_layout;
-use super::{LedgerBook, ObjectStore, Result, StoreCaller};
+use super::ledger_book::read_book;
+use super::{ObjectStore, Result, StoreCaller};
 
 /// What a workspace paid, used and has left, in tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -69,10 +69,7 @@
         with_bills: bool,
     ) -> Result<Self> {
         let caller = StoreCaller::new(store);
-        let book = match read_layout(&caller).await? {
-            Some(layout) => LedgerBook::read(&caller, layout).await?,
-            None => LedgerBook::default(),
-        };
+        let book = read_book(&caller).await?;
         let accounts = book
             .accounts()
             .filter(|(_, account)| account.workspace == *workspace);
--- a/crates/beechsaddle/tests/operator_apply.rs
+++ b/crates/beechsaddle/tests/operator_apply.rs
@@ -2,7 +2,7 @@
 
 mod operator_common;
 
-use beechsaddle::operator::{ItemId, LedgerRefusal, OperatorError};
+use beechsaddle::operator::{ItemId, LedgerRefusal, OperatorError, read_declared};
 use beechsaddle_core::catalogue::{CatalogueChange, EntryEdit, change_key};
 use beechsaddle_core::clock::ClockTime;
 use beechsaddle_core::money::OpenGrant;
@@ -301,6 +301,56 @@
     });
 }
 
+// A workspace with its budget is removed while a router still holds a grant: refused, for the router
+// may spend it. Once the grant is back what is free is withdrawn, and what was spent stays on record
+// without looking like a difference to the files for ever.
+#[test]
+fn apply_removed_budget_in_use_is_refused_until_idle() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let files = declared(&small("iva", ONE));
+        let outcome = apply(&store, "iva", &files, &base(0))
+            .await
+            .expect("applied");
+        store.edit_account("pekara-main", |account| {
+            account.settled = 300;
+            let grant = OpenGrant {
+                amount: 100,
+                ..OpenGrant::default()
+            };
+            account.grants.insert(KeyText::new("entry-1@1.0"), grant);
+        });
+        let mut removed = files.clone();
+        removed.budgets.clear();
+        removed.entries.pop_first();
+        let error = apply(&store, "iva", &removed, &outcome.base)
+            .await
+            .expect_err("in use");
+        assert!(
+            error
+                .to_string()
+                .contains("700 tokens cannot be withdrawn; 600 are free"),
+            "{error}"
+        );
+        store.edit_account("pekara-main", |account| account.grants.clear());
+        let done = apply(&store, "iva", &removed, &outcome.base)
+            .await
+            .expect("removed");
+        assert_eq!((done.edits, done.base), (2, base(2)));
+        let account = store.account("pekara-main").expect("on record");
+        assert_eq!(
+            (account.paid(), account.free(), account.settled),
+            (300, 0, 300)
+        );
+        let again = apply(&store, "iva", &removed, &base(2))
+            .await
+            .expect("nothing");
+        assert_eq!(again.edits, 0);
+        let (_, shown) = read_declared(&store).await.expect("shown");
+        assert_eq!(shown, removed);
+    });
+}
+
 #[test]
 fn apply_raised_top_up_is_refused() {
     block_on(async {
