Keep bridges few and changes quick

Cause: a test that lets 48 routers in two domains run found three faults. At a start every router knew nobody and took itself for a watcher (48 in place of 4) and for a bridge; the routers that called each other then kept each other talking for ever, all of a domain to the other's bridges; and a change that reached a bridge from its own domain crossed only with the next slow heartbeat. By reading, a fourth: a router that was known by word of others alone was not sought after a long cut.

A router watches and bridges only after it had the time to hear its domain; bridges announce themselves, and only they are answered; bridges pass changes on at once; lost routers are tried now and then.

Failing output with one safeguard out at a time: - watching at once: left: 48, right: 4; with all watchers cut off never in force - not passed on: in force after 3150 ms, at most 1000 wanted - request at every heartbeat: in force after 6000 ms with pushes lost, at most 3000 wanted - no look of those that don't watch: never in force with all watchers cut off - everybody answered: heartbeat to c@1, which is no bridge - announced bridges ignored: left: [b2, b3], right: [b1, b3] - lost routers not sought: left: 0, right: 1 - bridge before it heard its domain: left: 59, right: 23

After, in the same run of catalogue_spread (2 domains of 24 routers, ticks of 50 ms): pushed 50 ms, domain without platform 150 ms, pushes lost 2150 ms, watchers cut off 6050 ms.

Conclusion: core tests of members and catalogue pass.

--- a/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
@@ -28,6 +28,7 @@
     view: CatalogueView,
     log: CatalogueLog,
     reader: CatalogueReader,
+    started: ClockTime,
     requested: Option<ClockTime>,
 }
 
@@ -38,6 +39,7 @@
             view: CatalogueView::new(),
             log: CatalogueLog::new(options.kept_changes),
             reader: CatalogueReader::new(&me),
+            started: ClockTime::ZERO,
             requested: None,
             options,
             me,
@@ -51,7 +53,8 @@
 
     /// Begins to read the catalogue.
     pub fn start(&mut self, now: ClockTime, members: &MemberTable, outbox: &mut CoreOutbox) {
-        let scene = self.scene(members);
+        self.started = now;
+        let scene = self.scene(now, members);
         self.reader.proceed(now, scene, outbox);
     }
 
@@ -110,7 +113,7 @@
         if self.view.revision() > before && before > 0 {
             self.push(before, members, |_| true, outbox);
         }
-        let scene = self.scene(members);
+        let scene = self.scene(now, members);
         self.reader.proceed(now, scene, outbox);
     }
 
@@ -137,16 +140,17 @@
 
     /// Looks at the platform when it is time.
     pub fn tick(&mut self, now: ClockTime, members: &MemberTable, outbox: &mut CoreOutbox) {
-        let scene = self.scene(members);
+        let scene = self.scene(now, members);
         self.reader.tick(now, scene, outbox);
     }
 
-    fn scene(&self, members: &MemberTable) -> ReaderScene {
+    fn scene(&self, now: ClockTime, members: &MemberTable) -> ReaderScene {
+        let settled = now.since(self.started) >= self.options.settle_ms;
         let mut ranked = members.ranked(WATCHER_NAME);
         ranked.truncate(self.options.watchers);
         ReaderScene {
             revision: self.view.revision(),
-            watches: ranked.contains(&self.me),
+            watches: settled && ranked.contains(&self.me),
             poll_ms: self.options.poll_ms,
         }
     }
@@ -204,8 +208,8 @@
         send(to, message, members, outbox);
     }
 
-    /// An update from another domain came through this router alone: the own domain gets it at
-    /// once, and not only after a heartbeat.
+    /// An update that came to a bridge from one side may have come through it alone: the other side
+    /// gets it at once, and not only after a heartbeat.
     fn pass_on(
         &self,
         from: &RouterIncarnation,
@@ -213,10 +217,9 @@
         members: &MemberTable,
         outbox: &mut CoreOutbox,
     ) {
-        let own = members.domain();
-        let foreign = members.get(from).is_some_and(|entry| entry.domain != *own);
-        if foreign {
-            self.push(before, members, |entry| entry.domain == *own, outbox);
+        if let Some(sender) = members.get(from) {
+            let other_side = |entry: &MemberEntry| entry.domain != sender.domain;
+            self.push(before, members, other_side, outbox);
         }
     }
 
--- a/crates/beechsaddle-core/src/members/heartbeat_plan.rs
+++ b/crates/beechsaddle-core/src/members/heartbeat_plan.rs
@@ -1,7 +1,8 @@
 //! The `heartbeat_plan` module provides who gets a heartbeat.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
+use super::bridge_book::BridgeBook;
 use super::peer_contacts::{PeerContact, PeerContacts};
 use super::{MemberLiveness, MemberTable};
 use crate::hash::rendezvous_weight;
@@ -30,7 +31,11 @@
 pub(super) struct HeartbeatPlan<'a> {
     pub table: &'a MemberTable,
     pub contacts: &'a PeerContacts,
+    pub book: &'a BridgeBook,
     pub bridges: usize,
+    /// Whether this router had the time to hear its domain. Before, it would take itself for the
+    /// only router there, and for a bridge.
+    pub settled: bool,
     /// Whether routers that do not answer and other domains get one too.
     pub slow: bool,
 }
@@ -49,6 +54,7 @@
     /// The routers of the own domain that talk to other domains.
     pub fn own_bridges(&self) -> Vec<RouterIncarnation> {
         let mut ranked = self.table.ranked(BRIDGE_NAME);
+        ranked.retain(|router| self.settled || router != self.table.me());
         ranked.truncate(self.bridges);
         ranked
     }
@@ -77,53 +83,74 @@
                 continue;
             }
             if self.slow || !self.was_heard(host) {
-                receivers.push(receiver_at(host, contact, false));
+                receivers.push(receiver_at(host, &contact.address, false));
             }
         }
+        if self.slow {
+            receivers.extend(self.lost_receivers());
+        }
         receivers
     }
 
+    /// Routers that fell silent and are in nobody's list, as after a long cut while the platform is
+    /// away: without a try now and then both sides would wait for the other for ever.
+    fn lost_receivers(&self) -> Vec<HeartbeatReceiver> {
+        let contacts = self.contacts.joined();
+        self.table
+            .iter()
+            .filter(|(router, entry)| {
+                entry.liveness == MemberLiveness::Down
+                    && entry.domain == *self.table.domain()
+                    && !contacts.contains_key(&router.host)
+            })
+            .map(|(router, entry)| receiver_at(&router.host, &entry.address, false))
+            .collect()
+    }
+
+    /// A bridge talks to the bridges of each other domain; another router only answers those that
+    /// took it for one, so that they learn who is.
     fn foreign_receivers(&self) -> Vec<HeartbeatReceiver> {
         let bridging = self.own_bridges().contains(self.table.me());
+        if !bridging {
+            let callers = self.book.callers().iter();
+            return callers
+                .filter_map(|router| self.answer_to(router))
+                .collect();
+        }
         let mut receivers = Vec::new();
         for (domain, hosts) in self.foreign_hosts() {
-            let picked = self.picked_hosts(hosts);
-            for (host, contact) in &picked {
-                // A router that is not a bridge any more still answers a bridge of the other
-                // domain, which may have picked it by an older list. When neither is a bridge,
-                // both fall silent.
-                let answers = self.table.live_on(host).is_some();
-                if bridging || answers {
-                    receivers.push(self.foreign_receiver(host, contact));
-                }
-            }
-            if bridging {
-                let hosts: BTreeSet<&HostName> = picked.iter().map(|(host, _)| *host).collect();
-                receivers.extend(self.callers_of(domain, &hosts));
+            for (host, contact) in self.bridge_hosts(domain, hosts) {
+                receivers.push(self.foreign_receiver(host, contact));
             }
         }
         receivers
     }
 
-    /// Live routers of another domain that called here though they were not picked.
-    fn callers_of(
+    fn answer_to(&self, router: &RouterIncarnation) -> Option<HeartbeatReceiver> {
+        let address = self.table.address_of(router)?;
+        Some(HeartbeatReceiver {
+            router: router.clone(),
+            address: address.to_string(),
+            foreign: true,
+        })
+    }
+
+    /// The bridges that a domain announced while one of them is heard; the likely ones otherwise.
+    fn bridge_hosts<'h>(
         &self,
         domain: &DomainName,
-        picked: &BTreeSet<&HostName>,
-    ) -> Vec<HeartbeatReceiver> {
-        self.table
-            .iter()
-            .filter(|(router, entry)| {
-                entry.liveness == MemberLiveness::Live
-                    && entry.domain == *domain
-                    && !picked.contains(&router.host)
-            })
-            .map(|(router, entry)| HeartbeatReceiver {
-                router: router.clone(),
-                address: entry.address.clone(),
-                foreign: true,
-            })
-            .collect()
+        mut hosts: Vec<(&'h HostName, &'h PeerContact)>,
+    ) -> Vec<(&'h HostName, &'h PeerContact)> {
+        if let Some(announced) = self.book.announced(domain) {
+            let heard = announced
+                .iter()
+                .any(|host| self.table.live_on(host).is_some());
+            if heard {
+                hosts.retain(|(host, _)| announced.contains(*host));
+                return hosts;
+            }
+        }
+        self.picked_hosts(hosts)
     }
 
     fn foreign_receiver(&self, host: &HostName, contact: &PeerContact) -> HeartbeatReceiver {
@@ -137,7 +164,7 @@
                     .to_string(),
                 foreign: true,
             },
-            None => receiver_at(host, contact, true),
+            None => receiver_at(host, &contact.address, true),
         }
     }
 
@@ -175,10 +202,10 @@
     }
 }
 
-fn receiver_at(host: &HostName, contact: &PeerContact, foreign: bool) -> HeartbeatReceiver {
+fn receiver_at(host: &HostName, address: &str, foreign: bool) -> HeartbeatReceiver {
     HeartbeatReceiver {
         router: RouterIncarnation::new(host.clone(), ANY_EPOCH),
-        address: contact.address.clone(),
+        address: address.to_string(),
         foreign,
     }
 }
--- a/crates/beechsaddle-core/src/members/heartbeat_writer.rs
+++ b/crates/beechsaddle-core/src/members/heartbeat_writer.rs
@@ -54,7 +54,10 @@
             true => self.bridges.contains(router),
             false => receiver_fresh || self.fresh.contains_key(router),
         };
-        self.table
+        let own =
+            (receiver.foreign && self.bridges.contains(self.table.me())).then(|| self.own_news());
+        let others = self
+            .table
             .iter()
             .filter(|(router, entry)| {
                 entry.liveness == MemberLiveness::Live
@@ -68,7 +71,18 @@
                 address: entry.address.clone(),
                 catalogue_revision: entry.catalogue_revision,
                 age_ms: now.since(entry.heard),
-            })
-            .collect()
+            });
+        others.chain(own).collect()
+    }
+
+    /// This router as others see it; in a heartbeat to another domain it says that it is a bridge.
+    fn own_news(&self) -> RouterNews {
+        RouterNews {
+            router: self.table.me().clone(),
+            domain: self.table.domain().clone(),
+            address: self.address.to_string(),
+            catalogue_revision: self.news.catalogue_revision,
+            age_ms: 0,
+        }
     }
 }
--- a/crates/beechsaddle-core/src/members/member_desk.rs
+++ b/crates/beechsaddle-core/src/members/member_desk.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use super::bridge_book::BridgeBook;
 use super::heartbeat_plan::HeartbeatPlan;
 use super::heartbeat_writer::HeartbeatWriter;
 use super::host_view::HostView;
 use super::host_watch::{HostUpdate, HostWatch};
+use super::liveness_check::LivenessCheck;
+use super::member_status::status_of;
 use super::peer_contacts::PeerContacts;
 use super::{HeartbeatNews, HostList, MemberEntry, MemberLiveness, MemberOptions, MemberTable};
 use crate::action::CoreAction;
@@ -34,11 +37,13 @@
     hosts: HostView,
     watch: HostWatch,
     contacts: PeerContacts,
+    bridges: BridgeBook,
     /// When routers were first heard, for those that are new.
     fresh: BTreeMap<RouterIncarnation, ClockTime>,
     news: HeartbeatNews,
     sequence: u64,
     next_beat: ClockTime,
+    started: ClockTime,
     last_tick: Option<ClockTime>,
     /// When a peer was last asked for the list of hosts.
     hosts_asked: ClockTime,
@@ -59,10 +64,12 @@
             watch: HostWatch::new(&me, domain.clone()),
             contacts: PeerContacts::new(&options.seeds),
             table: MemberTable::new(me, domain),
+            bridges: BridgeBook::default(),
             fresh: BTreeMap::new(),
             news: HeartbeatNews::default(),
             sequence: 0,
             next_beat: ClockTime::ZERO,
+            started: ClockTime::ZERO,
             last_tick: None,
             hosts_asked: ClockTime::ZERO,
             options,
@@ -81,6 +88,7 @@
 
     /// Begins to read the list of hosts.
     pub fn start(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        self.started = now;
         self.watch.start(now, outbox);
     }
 
@@ -126,6 +134,9 @@
             }
             MemberLiveness::Live | MemberLiveness::Down => {}
         }
+        if heartbeat.domain != *self.table.domain() {
+            self.bridges.note(from, heartbeat);
+        }
         self.learn_routers(now, &heartbeat.routers);
         self.ask_for_hosts(now, from, heartbeat, outbox);
     }
@@ -191,9 +202,14 @@
     pub fn tick(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
         self.watch.tick(now, outbox);
         self.contacts.expire(now);
-        self.excuse_own_pause(now);
-        self.find_silent(now, outbox);
-        self.find_ended(now, outbox);
+        let check = LivenessCheck {
+            options: &self.options,
+            hosts: &self.hosts,
+            now,
+        };
+        check.excuse_own_pause(&mut self.table, self.last_tick);
+        check.run(&mut self.table, outbox);
+        self.last_tick = Some(now);
         self.table.forget_gone(now, GONE_KEPT_MS);
         self.fresh.retain(|_, heard| now.since(*heard) < FRESH_MS);
     }
@@ -213,16 +229,7 @@
 
     /// What operators are told of other routers.
     pub fn status(&self, now: ClockTime) -> Vec<PeerStatus> {
-        self.table
-            .iter()
-            .map(|(router, entry)| PeerStatus {
-                router: router.clone(),
-                domain: entry.domain.clone(),
-                state: state_word(entry).to_string(),
-                catalogue_revision: entry.catalogue_revision,
-                age_ms: now.since(entry.heard),
-            })
-            .collect()
+        status_of(&self.table, now)
     }
 
     /// A heartbeat that was overtaken or doubled would make a router look alive that is not, and
@@ -250,8 +257,11 @@
 
     fn learn_routers(&mut self, now: ClockTime, routers: &[RouterNews]) {
         for news in routers {
-            let known = news.router.host == self.table.me().host
-                || self.table.live_on(&news.router.host).is_some()
+            // Bridges of other domains stay known by what is said of them for as long as it is.
+            let heard = news.domain == *self.table.domain()
+                && self.table.live_on(&news.router.host).is_some();
+            let known = heard
+                || news.router.host == self.table.me().host
                 || self.table.is_gone(&news.router);
             if !known {
                 self.contacts.note_hearsay(now, news);
@@ -297,66 +307,14 @@
         }
     }
 
-    /// A router that was paused has heard nobody meanwhile and would call the whole domain down.
-    /// The pause is taken off the silence of the others: they get a full waiting time to be heard.
-    fn excuse_own_pause(&mut self, now: ClockTime) {
-        let pause_ms = self.last_tick.map_or(0, |last| now.since(last));
-        self.last_tick = Some(now);
-        if pause_ms < self.options.heartbeat_ms {
-            return;
-        }
-        for (_, entry) in self.table.iter_mut() {
-            entry.heard = entry.heard.plus_ms(pause_ms).min(now);
-        }
-    }
-
-    fn find_silent(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
-        let own = self.table.domain().clone();
-        let own_limit_ms = self.options.down_after_ms;
-        let foreign_limit_ms = own_limit_ms.saturating_mul(self.options.slow_beats.max(1));
-        for (router, entry) in self.table.iter_mut() {
-            let limit_ms = match entry.domain == own {
-                true => own_limit_ms,
-                false => foreign_limit_ms,
-            };
-            let silent = now.since(entry.heard) >= limit_ms;
-            if entry.liveness == MemberLiveness::Live && silent {
-                entry.liveness = MemberLiveness::Down;
-                if entry.domain == own {
-                    outbox.signal(CoreSignal::MemberDown(router.clone()));
-                }
-            }
-        }
-    }
-
-    /// A silent router has ended when the platform took its host off the list, or lists a
-    /// replacement, after the router was last heard.
-    fn find_ended(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
-        for (router, entry) in self.table.iter_mut() {
-            if entry.liveness != MemberLiveness::Down {
-                continue;
-            }
-            let replaced = self
-                .hosts
-                .replaced_at(&router.host)
-                .is_some_and(|time| entry.heard <= time);
-            // A host that is in no list may be so new that the list lags behind it.
-            let unlisted = self.hosts.knows(&entry.domain)
-                && self.hosts.get(&entry.domain, &router.host).is_none()
-                && now.since(entry.heard) >= self.options.list_lag_ms;
-            if replaced || unlisted {
-                entry.liveness = MemberLiveness::Gone;
-                outbox.signal(CoreSignal::MemberGone(router.clone()));
-            }
-        }
-    }
-
     fn send(&mut self, now: ClockTime, slow: bool, outbox: &mut CoreOutbox) {
         self.sequence += 1;
         let plan = HeartbeatPlan {
             table: &self.table,
             contacts: &self.contacts,
+            book: &self.bridges,
             bridges: self.options.bridges,
+            settled: now.since(self.started) >= self.options.down_after_ms,
             slow,
         };
         let writer = HeartbeatWriter {
@@ -376,6 +334,9 @@
                 message: PeerMessage::Heartbeat(heartbeat),
             });
         }
+        if slow {
+            self.bridges.clear_callers();
+        }
     }
 }
 
@@ -394,12 +355,3 @@
         sequence: heartbeat.sequence,
     }
 }
-
-fn state_word(entry: &MemberEntry) -> &'static str {
-    match (entry.liveness, entry.state) {
-        (MemberLiveness::Live, RouterState::Live) => "live",
-        (MemberLiveness::Live, RouterState::Draining | RouterState::Left) => "draining",
-        (MemberLiveness::Down, _) => "down",
-        (MemberLiveness::Gone, _) => "gone",
-    }
-}
--- a/crates/beechsaddle-core/src/members/mod.rs
+++ b/crates/beechsaddle-core/src/members/mod.rs
@@ -3,14 +3,17 @@
 //! The platform's lagging list says which hosts there are; heartbeats say which of them live.
 //! Nothing here is safe to rest a budget on: two routers may see two memberships at any moment.
 
+mod bridge_book;
 mod heartbeat_news;
 mod heartbeat_plan;
 mod heartbeat_writer;
 mod host_list;
 mod host_view;
 mod host_watch;
+mod liveness_check;
 mod member_desk;
 mod member_options;
+mod member_status;
 mod member_table;
 mod peer_contacts;
 
