--- a/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_desk.rs
@@ -16,6 +16,9 @@
 /// What the routers that watch the catalogue are ranked by.
 const WATCHER_NAME: &str = "catalogue-watch";
 
+/// How often a router looks at the platform that may not watch yet, in milliseconds.
+const SETTLE_POLL_MS: u64 = 500;
+
 /// Follows the catalogue: from the platform where this router watches, from peers otherwise.
 ///
 /// Whatever the source, the revision in force only goes up: a change applies to the revision right
@@ -151,7 +154,10 @@
         ReaderScene {
             revision: self.view.revision(),
             watches: settled && ranked.contains(&self.me),
-            poll_ms: self.options.poll_ms,
+            poll_ms: match settled {
+                true => self.options.poll_ms,
+                false => SETTLE_POLL_MS,
+            },
         }
     }
 
