--- a/crates/beechsaddle-core/src/calls/call_checks.rs
+++ b/crates/beechsaddle-core/src/calls/call_checks.rs
@@ -89,7 +89,7 @@
     match &arrival.budget {
         Some(budget) if workspace.budgets.contains(budget) => Ok(budget.clone()),
         Some(_) => Err(foreign()),
-        None => workspace.budgets.first().cloned().ok_or_else(foreign),
+        None => workspace.budgets.first().ok_or_else(foreign),
     }
 }
 
--- a/crates/beechsaddle-core/src/catalogue/catalogue_entry.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_entry.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::BudgetNames;
 use crate::call::KeyDigest;
-use crate::names::{BudgetName, ModelName, OwnerName, ServiceName, WorkspaceName};
+use crate::names::{ModelName, OwnerName, ServiceName, WorkspaceName};
 use crate::target::EngineRole;
 
 /// The kinds of entries that every router knows.
@@ -87,7 +88,7 @@
     /// Digests of its keys.
     pub keys: Vec<KeyDigest>,
     /// Its budgets; the first is the default.
-    pub budgets: Vec<BudgetName>,
+    pub budgets: BudgetNames,
     /// Services it may call.
     pub services: Vec<ServiceName>,
     /// Models it may use.
--- a/crates/beechsaddle-core/src/catalogue/catalogue_view.rs
+++ b/crates/beechsaddle-core/src/catalogue/catalogue_view.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::shared_names::SharedNames;
 use super::{
     CatalogueBase, CatalogueChange, CatalogueEntry, EntryEdit, EntryId, EntryKind, ModelEntry,
     ServiceEntry, WorkspaceEntry,
@@ -18,6 +19,7 @@
     services: BTreeMap<ServiceName, (u64, Arc<ServiceEntry>)>,
     models: BTreeMap<ModelName, (u64, Arc<ModelEntry>)>,
     keys: BTreeMap<KeyDigest, WorkspaceName>,
+    names: SharedNames,
 }
 
 impl CatalogueView {
@@ -128,8 +130,9 @@
         true
     }
 
-    fn put(&mut self, revision: u64, entry: CatalogueEntry) {
+    fn put(&mut self, revision: u64, mut entry: CatalogueEntry) {
         self.remove(&entry.id());
+        self.names.share(&mut entry);
         match entry {
             CatalogueEntry::Workspace(entry) => {
                 for digest in &entry.keys {
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -519,7 +519,7 @@
         header: header.clone(),
         name: "verlag".into(),
         keys: vec![KeyDigest([7; 32])],
-        budgets: vec!["main".into()],
+        budgets: vec!["main".into()].into(),
         services: vec!["notify".into()],
         models: vec!["glas".into()],
     }));
--- a/crates/beechsaddle-lab/src/measure/catalogue_cost.rs
+++ b/crates/beechsaddle-lab/src/measure/catalogue_cost.rs
@@ -2,16 +2,19 @@
 
 use std::time::Instant;
 
-use beechsaddle_core::catalogue::{CatalogueChange, CatalogueView, EntryEdit};
+use beechsaddle_core::catalogue::{CatalogueChange, CatalogueEntry, CatalogueView, EntryEdit};
 use beechsaddle_core::clock::ClockTime;
 
-use super::sample_objects::workspace;
+use super::sample_objects::{budget_name, workspace};
 use super::{ProcessCost, SlopeFit};
 use crate::key_values::KeyValues;
 
 /// How many workspaces the measured catalogues hold; the last is the target size.
 const COUNTS: [u64; 5] = [1_000, 5_000, 10_000, 15_000, 25_000];
 
+/// Budgets of each workspace: 650,000 among 25,000.
+const BUDGETS_EACH: u64 = 26;
+
 /// How many edits of one entry are timed at each size.
 const TIMED_EDITS: u64 = 200;
 
@@ -49,11 +52,22 @@
         write_id: String::new(),
         author: "team-of-the-day-shift".into(),
         applied: ClockTime::ZERO,
-        edits: vec![EntryEdit::Put(workspace(number))],
+        edits: vec![EntryEdit::Put(workspace_with_budgets(number))],
     };
     view.apply(&change);
 }
 
+/// A workspace with as many budgets as it has at the target size.
+fn workspace_with_budgets(number: u64) -> CatalogueEntry {
+    let mut entry = workspace(number);
+    if let CatalogueEntry::Workspace(workspace) = &mut entry {
+        let first = number * BUDGETS_EACH;
+        let names = (first..first + BUDGETS_EACH).map(|budget| budget_name(budget).as_str().into());
+        workspace.budgets = names.collect();
+    }
+    entry
+}
+
 fn time_edits(view: &mut CatalogueView, count: u64) -> f64 {
     let start = Instant::now();
     for edit in 0..TIMED_EDITS {
--- a/crates/beechsaddle-lab/src/measure/sample_objects.rs
+++ b/crates/beechsaddle-lab/src/measure/sample_objects.rs
@@ -96,7 +96,7 @@
         },
         name: workspace_name(number).as_str().into(),
         keys: vec![digest(number, 1), digest(number, 2)],
-        budgets: vec![budget_name(number).as_str().into()],
+        budgets: vec![budget_name(number).as_str().into()].into(),
         services: vec!["assistant-pool".into(), "notify".into()],
         models: vec!["assistant-large".into(), "assistant-small".into()],
     })
@@ -200,7 +200,7 @@
     RouterIncarnation::new(format!("entry-{:03}", number % 450).as_str(), EPOCH)
 }
 
-fn budget_name(number: u64) -> String {
+pub fn budget_name(number: u64) -> String {
     format!("budget-{number:06}")
 }
 
--- a/crates/beechsaddle/src/catalogue_files/reference_check.rs
+++ b/crates/beechsaddle/src/catalogue_files/reference_check.rs
@@ -49,7 +49,7 @@
 impl<'a> ReferenceCheck<'a> {
     fn check_workspace(&mut self, entry: &'a WorkspaceEntry) {
         let id = entry_id(EntryKind::Workspace, entry.name.as_str());
-        for budget in &entry.budgets {
+        for budget in entry.budgets.iter() {
             match self.catalogue.budgets.get(budget) {
                 None => self.report(
                     &id,
--- a/crates/beechsaddle/tests/catalogue_files.rs
+++ b/crates/beechsaddle/tests/catalogue_files.rs
@@ -173,16 +173,19 @@
     }
 }
 
-fn catalogue_of(items: Vec<(u8, u8, Option<u32>, [bool; 2])>) -> DeclaredCatalogue {
+/// Owner, class, limit, and whether it is repeatable and paid for.
+type RandomItem = (u8, u8, Option<u32>, (bool, bool));
+
+fn catalogue_of(items: impl Iterator<Item = RandomItem>) -> DeclaredCatalogue {
     let mut catalogue = DeclaredCatalogue::default();
-    for (number, (name, class, limit, flags)) in items.into_iter().enumerate() {
+    for (number, (name, class, limit, flags)) in items.enumerate() {
         let budget = BudgetName::new(format!("b{number}"));
         let workspace = WorkspaceName::new(format!("w{number}"));
         let service = CatalogueEntry::Service(ServiceEntry {
             header: header(name, class, limit),
             name: ServiceName::new(format!("s{number}")),
             kind: ServiceKind::Plain,
-            repeatable: flags[0],
+            repeatable: flags.0,
             call_cost: u64::from(name),
             head_timeout_ms: u64::from(class) + 1,
         });
@@ -190,11 +193,11 @@
             header: header(class, name, None),
             name: workspace.clone(),
             keys: vec![KeyDigest([number as u8; 32])],
-            budgets: vec![budget.clone()],
+            budgets: vec![budget.clone()].into(),
             services: vec![ServiceName::new(format!("s{number}"))],
             models: Vec::new(),
         });
-        let top_ups = flags[1].then(|| (TopUpId::new("t"), u64::from(name) + 1));
+        let top_ups = flags.1.then(|| (TopUpId::new("t"), u64::from(name) + 1));
         let declaration = BudgetDeclaration {
             name: budget.clone(),
             owner: OwnerName::new("o"),
@@ -210,10 +213,8 @@
 
 quickcheck! {
     // What `show` prints reads back as the same catalogue.
-    fn render_then_read_is_the_same(items: Vec<(u8, u8, Option<u32>, (bool, bool))>) -> bool {
-        let items = items.into_iter().take(200);
-        let items = items.map(|(name, class, limit, flags)| (name, class, limit, flags.into()));
-        let catalogue = catalogue_of(items.collect());
+    fn render_then_read_is_the_same(items: Vec<RandomItem>) -> bool {
+        let catalogue = catalogue_of(items.into_iter().take(200));
         declared(&render_catalogue(&catalogue)) == catalogue
     }
 }
