--- a/crates/beechsaddle/src/operator/statement.rs
+++ b/crates/beechsaddle/src/operator/statement.rs
@@ -131,13 +131,14 @@
     }
 }
 
-/// The bills in the segments that are still there. A bill that a checkpoint carries on stands in
-/// its first segment too, and a corrected one replaces what was billed for its call before.
+/// The bills in the segments that are still there, one for each key. A bill that a checkpoint carries
+/// on stands in its first segment too; a provisional one gives way to the one that replaces it; and of
+/// two for one key the ledger counts the first.
 async fn read_bills<S: ObjectStore>(
     caller: &StoreCaller<'_, S>,
     workspace: &WorkspaceName,
 ) -> Result<Vec<BillLine>> {
-    let mut bills: BTreeMap<(KeyText, String), BillLine> = BTreeMap::new();
+    let mut bills: BTreeMap<KeyText, BillLine> = BTreeMap::new();
     for key in caller.list(ObjectKey::new("journal/")).await? {
         let Some((journal, _)) = read_segment_key(&key) else {
             continue;
@@ -149,7 +150,12 @@
         };
         for bill in bills_of(&segment).filter(|bill| bill.key.workspace == *workspace) {
             let line = bill_line(&journal, bill);
-            bills.insert((journal.clone(), line.call.clone()), line);
+            let replaced = bills
+                .get(&line.key)
+                .is_none_or(|known| known.provisional && !line.provisional);
+            if replaced {
+                bills.insert(line.key.clone(), line);
+            }
         }
     }
     Ok(bills.into_values().collect())
