--- a/crates/beechsaddle/src/command/catalogue_command.rs
+++ b/crates/beechsaddle/src/command/catalogue_command.rs
@@ -171,8 +171,8 @@
     for name in &plan.unbooked {
         println!("~ budget {name} (committed, not yet in the ledger)");
     }
-    for item in &plan.missing {
-        println!("! {item} (changed by others, not yet in these files)");
+    for missing in &plan.missing {
+        println!("! {missing}");
     }
     for conflict in &plan.conflicts {
         println!("{conflict}");
--- a/crates/beechsaddle/src/operator/apply_outcome.rs
+++ b/crates/beechsaddle/src/operator/apply_outcome.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::ItemId;
+use super::MissingEdit;
 use crate::catalogue_files::BaseFile;
 
 /// What an apply did.
@@ -15,7 +15,7 @@
     /// The revision of an earlier apply of the same files whose answer had been lost.
     pub earlier: Option<u64>,
     /// Things that others changed and these files do not have yet.
-    pub missing: Vec<ItemId>,
+    pub missing: Vec<MissingEdit>,
     /// The new base of the files.
     pub base: BaseFile,
 }
@@ -36,11 +36,8 @@
                 self.revision
             )?,
         }
-        for item in &self.missing {
-            write!(
-                formatter,
-                "\nchanged by others and not yet in these files: {item}"
-            )?;
+        for missing in &self.missing {
+            write!(formatter, "\n{missing}")?;
         }
         Ok(())
     }
--- a/crates/beechsaddle/src/operator/edit_plan.rs
+++ b/crates/beechsaddle/src/operator/edit_plan.rs
@@ -32,7 +32,7 @@
     /// Things that were edited here and by others.
     pub conflicts: Vec<EditConflict>,
     /// Things that others changed and these files do not have yet.
-    pub missing: Vec<ItemId>,
+    pub missing: Vec<MissingEdit>,
     /// Budgets that are as declared in the order of changes, but not yet in the ledger.
     pub unbooked: Vec<BudgetName>,
 }
@@ -49,6 +49,27 @@
     }
 }
 
+/// A thing that others changed and these files do not have yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MissingEdit {
+    /// The thing.
+    pub item: ItemId,
+    /// Who applied the edit.
+    pub author: OwnerName,
+    /// The revision that it made.
+    pub revision: u64,
+}
+
+impl fmt::Display for MissingEdit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} was changed by {} in revision {}; these files do not have it yet",
+            self.item, self.author, self.revision
+        )
+    }
+}
+
 /// A thing that was edited here and by others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EditConflict {
@@ -144,7 +165,11 @@
         let known = self.known(&id, &touches);
         if is_same(mine.as_ref(), known.as_ref()) {
             // Others changed it and these files did not: it is theirs, and it stays.
-            self.plan.missing.push(id);
+            self.plan.missing.push(MissingEdit {
+                item: id,
+                author: change.author.clone(),
+                revision: change.revision,
+            });
             return;
         }
         let owner = theirs.as_ref().or(known.as_ref()).or(mine.as_ref());
--- a/crates/beechsaddle/src/operator/mod.rs
+++ b/crates/beechsaddle/src/operator/mod.rs
@@ -24,7 +24,7 @@
 pub use apply_run::{ApplyRun, diff_catalogue, newest_revision, read_declared};
 pub use catalogue_history::CatalogueHistory;
 pub use declared_item::{DeclaredItem, ItemId};
-pub use edit_plan::{EditConflict, EditPlan, EditScene, plan_edits};
+pub use edit_plan::{EditConflict, EditPlan, EditScene, MissingEdit, plan_edits};
 pub use ledger_book::LedgerBook;
 pub use ledger_edit::{LedgerRefusal, declaration_of, edit_ledger, is_used_up};
 pub use object_store::{ObjectStore, StoreCaller, WriteOutcome};
--- a/crates/beechsaddle/tests/operator_apply.rs
+++ b/crates/beechsaddle/tests/operator_apply.rs
@@ -163,7 +163,12 @@
             .expect("left");
         let budget = ItemId::Budget(BudgetName::new("pekara-main"));
         assert_eq!(outcome.edits, 0);
-        assert!(outcome.missing.contains(&budget), "{:?}", outcome.missing);
+        let missing = outcome
+            .missing
+            .iter()
+            .find(|missing| missing.item == budget);
+        let missing = missing.expect("the reverted budget");
+        assert_eq!((missing.author.as_str(), missing.revision), ("mato", 4));
         // A further edit of the same budget is one that the other does not know of.
         let mine = declared(&small("eva", TWO));
         let error = apply(&store, "iva", &mine, &outcome.base)
--- a/crates/beechsaddle/tests/operator_random.rs
+++ b/crates/beechsaddle/tests/operator_random.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use beechsaddle::catalogue_files::{BaseFile, DeclaredCatalogue};
-use beechsaddle::operator::{ItemId, OperatorError, read_declared};
+use beechsaddle::operator::{ItemId, MissingEdit, OperatorError, read_declared};
 use beechsaddle_core::catalogue::{
     BudgetDeclaration, CatalogueEntry, EntryClass, EntryHeader, EntryId, EntryKind, EntryLimits,
     ServiceEntry, ServiceKind, change_key,
@@ -117,7 +117,7 @@
             Ok(outcome) => {
                 self.check_commits(who, outcome.revision);
                 self.operators[who].base = outcome.base;
-                self.check_in_force(who, &outcome.missing).await;
+                self.check_in_force(who, outcome.missing).await;
             }
             Err(OperatorError::Conflicts(_) | OperatorError::Refusals(_)) => {
                 self.pull(who).await;
@@ -149,9 +149,9 @@
     }
 
     /// What was accepted is committed, but for what others changed since.
-    async fn check_in_force(&mut self, who: usize, missing: &[ItemId]) {
+    async fn check_in_force(&mut self, who: usize, missing: Vec<MissingEdit>) {
         let (revision, committed) = read_declared(&self.store).await.expect("committed");
-        let missing: BTreeSet<&ItemId> = missing.iter().collect();
+        let missing: BTreeSet<ItemId> = missing.into_iter().map(|edit| edit.item).collect();
         let mine = items(&self.operators[who].files);
         let theirs = items(&committed);
         for id in mine.keys().chain(theirs.keys()) {
