--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -6,3 +6,12 @@
 #![warn(rust_2018_idioms)]
 
 pub mod calls;
+pub mod catalogue_files;
+pub mod command;
+pub mod findings;
+pub mod operator;
+pub mod peers;
+pub mod platform;
+pub mod report;
+pub mod router;
+pub mod settings;
