Bound request heads by their own time and estimate the prompt of broken answers

And an answer that broke off was billed without its prompt: its usage said 0, and the core bills what the usage says.

Ruled out: a shorter limit for both would close idle connections before balancers do, and their next call would be lost on the way. Billing the prompt's bound would charge four times the usual.

After: the connection's own timer runs from the first byte of a head (`head_dripping`, `head_dripping_on_kept_connection`). The prompt counts a quarter of its bytes once the first event has come. Found on the way by `actions_beyond_ring`: an action that is not meant for the stage of an answer swallowed the wake-up, and a later abort was not heard; actions are now read to the end.

Without each: timer check, "the connection stays open" (both tests); timer started anew by each byte, the same; answer's end not marked, the same on the kept connection; request's start not marked, "closed before"; idle limit, connection_idle: left Open; estimate, stream_cut_by_close: left input 0; ring closed when full, actions_beyond_ring: Timeout.

--- a/crates/beechsaddle-core/src/call.rs
+++ b/crates/beechsaddle-core/src/call.rs
@@ -176,8 +176,9 @@
         attempt: AttemptId,
         /// How.
         end: AnswerEnd,
-        /// The usage that the target reported, or what the edge counted when the answer broke off;
-        /// the edge cannot count the prompt, so that `input` is zero where the target told nothing.
+        /// The usage that the target reported. When the answer broke off before, `output` is what
+        /// the edge counted and `input` its estimate of the prompt; both are zero when nothing of
+        /// an answer had come.
         usage: TokenUsage,
     },
 }
--- a/crates/beechsaddle/src/calls/answer_body.rs
+++ b/crates/beechsaddle/src/calls/answer_body.rs
@@ -88,8 +88,7 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Result<Option<Bytes>, BrokenAnswer>> {
-        if let Poll::Ready(Some(CallAction::Abort { .. }) | None) = self.actions.poll_recv(context)
-        {
+        if self.is_aborted(context) {
             return Poll::Ready(Err(BrokenAnswer));
         }
         loop {
@@ -122,6 +121,18 @@
         }
     }
 
+    /// Whether the core wants the answer broken off. Polls until nothing is left, since only then
+    /// the next action wakes the answer up.
+    fn is_aborted(&mut self, context: &mut Context<'_>) -> bool {
+        loop {
+            match self.actions.poll_recv(context) {
+                Poll::Ready(Some(CallAction::Abort { .. }) | None) => return true,
+                Poll::Ready(Some(_)) => {}
+                Poll::Pending => return false,
+            }
+        }
+    }
+
     /// Ready when the target has sent nothing for too long. Time in which the caller took nothing
     /// does not count, since the target was not read then.
     fn poll_idle(&mut self, context: &mut Context<'_>) -> Poll<()> {
--- a/crates/beechsaddle/src/calls/calls_options.rs
+++ b/crates/beechsaddle/src/calls/calls_options.rs
@@ -17,9 +17,12 @@
     pub head_bytes: usize,
     /// The largest number of request headers.
     pub max_headers: usize,
-    /// How long a connection may take to the end of the next request head, in milliseconds. It
-    /// bounds slow heads and idle connections alike.
+    /// How long a request head may take from its first byte to its end, in milliseconds.
     pub head_timeout_ms: u64,
+    /// How long a connection may wait for its next request, in milliseconds; longer than the
+    /// balancer keeps idle connections, so that the balancer closes first. A head that is begun in
+    /// time may still take `head_timeout_ms`.
+    pub idle_timeout_ms: u64,
     /// The largest request body in bytes.
     pub body_bytes: usize,
     /// How long a request body may take in all, in milliseconds.
@@ -56,7 +59,8 @@
             max_connections: 10_000,
             head_bytes: 32 * 1024,
             max_headers: 64,
-            head_timeout_ms: 30_000,
+            head_timeout_ms: 10_000,
+            idle_timeout_ms: 60_000,
             body_bytes: 4 * 1024 * 1024,
             body_timeout_ms: 30_000,
             body_memory_bytes: 128 * 1024 * 1024,
--- a/crates/beechsaddle/src/calls/chat_request.rs
+++ b/crates/beechsaddle/src/calls/chat_request.rs
@@ -13,6 +13,8 @@
 
 /// Tokens that a chat template may add to the whole prompt.
 const PROMPT_TEMPLATE_TOKENS: u64 = 64;
+/// The customary estimate of the bytes that one token of a prompt stands for.
+const BYTES_PER_TOKEN: u64 = 4;
 /// Prefix blocks that are hashed at most: affinity beyond 64 KiB of prompt gains nothing.
 const PREFIX_BLOCKS: usize = 256;
 /// The longest model name in bytes.
@@ -46,6 +48,8 @@
     pub(crate) output_bound: Option<u64>,
     /// An upper bound of the prompt's tokens.
     pub(crate) input_bound: u64,
+    /// About how many tokens the prompt has, for answers that break off before the engine says.
+    pub(crate) input_estimate: u64,
     /// Hashes of the prompt's leading blocks.
     pub(crate) prefix: Vec<u64>,
     /// The body without the members that the router sets, and without its closing brace.
@@ -100,6 +104,7 @@
                 .and_then(|options| options.include_usage)
                 .unwrap_or(false),
             output_bound: read_output_bound(&known)?,
+            input_estimate: (prompt.text.len() as u64).div_ceil(BYTES_PER_TOKEN),
             input_bound: prompt.token_bound + PROMPT_TEMPLATE_TOKENS + known.other_bytes,
             prefix: prefix_chain(&prompt.text.as_bytes()[..prefix_end]),
             kept: keep_members(&members, text.len()),
--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -29,6 +29,7 @@
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::guarded_stream::GuardedStream;
+use super::marked_body::MarkedBody;
 
 /// The library panics below this limit.
 const SMALLEST_HEAD_BYTES: usize = 8_192;
@@ -51,21 +52,25 @@
         + Sync,
 {
     let mark = ConnectionMark::default();
+    let head_span = Duration::from_millis(state.options.head_timeout_ms);
+    let idle_span = Duration::from_millis(state.options.idle_timeout_ms);
     let write_stall = Duration::from_millis(state.options.write_stall_ms);
-    let stream = GuardedStream::new(stream, mark.clone(), write_stall);
+    let stream = GuardedStream::new(stream, mark.clone(), head_span, write_stall);
     let hyper_service = service_fn(|request: Request<Incoming>| {
         let service = service.clone();
         let mark = mark.clone();
         Box::pin(async move {
+            mark.start_request();
             let mut request = request.map(Body::from_incoming);
-            request.extensions_mut().insert(mark);
+            request.extensions_mut().insert(mark.clone());
             let mut context = ServerContext::new(Address::Ip(peer));
-            service.call(&mut context, request).await
+            let response = service.call(&mut context, request).await;
+            response.map(|response| response.map(|body| MarkedBody::new(body, mark)))
         })
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(state.options.head_timeout_ms))
+        .header_read_timeout(idle_span + head_span)
         .max_buf_size(state.options.head_bytes.max(SMALLEST_HEAD_BYTES))
         .max_headers(state.options.max_headers)
         .serve_connection(TokioIo::new(stream), hyper_service);
--- a/crates/beechsaddle/src/calls/event_scanner.rs
+++ b/crates/beechsaddle/src/calls/event_scanner.rs
@@ -50,13 +50,16 @@
 
 impl EventScanner {
     /// A scanner at the start of an answer; `include_usage` says whether the caller wants to see
-    /// the event with the usage.
-    pub(crate) fn new(include_usage: bool) -> Self {
+    /// the event with the usage, and `input_estimate` counts for the prompt until the engine says.
+    pub(crate) fn new(include_usage: bool, input_estimate: u64) -> Self {
         EventScanner {
             include_usage,
             carry: BytesMut::new(),
             tail: BytesMut::new(),
-            usage: TokenUsage::default(),
+            usage: TokenUsage {
+                input: input_estimate,
+                output: 0,
+            },
             has_report: false,
             is_done: false,
         }
--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -10,8 +10,10 @@
 use tokio::time::{Instant, Sleep};
 
 use super::connection_mark::ConnectionMark;
+use super::head_timer::HeadTimer;
 
-/// A TCP stream that fails when the peer takes no bytes for too long.
+/// A TCP stream that fails when the peer takes too long over a request head, or takes no bytes of
+/// its answer for too long.
 ///
 /// A caller that stops reading gets no more bytes, and so its target is not read either. Without
 /// a bound on that, one caller could hold an engine's slot and a reservation for as long as it
@@ -19,17 +21,25 @@
 pub(crate) struct GuardedStream {
     stream: TcpStream,
     mark: ConnectionMark,
+    head_timer: HeadTimer,
     write_stall: Duration,
     stall: Option<Pin<Box<Sleep>>>,
     is_stalled: bool,
 }
 
 impl GuardedStream {
-    /// Guards `stream`.
-    pub(crate) fn new(stream: TcpStream, mark: ConnectionMark, write_stall: Duration) -> Self {
+    /// Guards `stream`; a request head may take `head_span`, and a write may make no progress for
+    /// `write_stall`.
+    pub(crate) fn new(
+        stream: TcpStream,
+        mark: ConnectionMark,
+        head_span: Duration,
+        write_stall: Duration,
+    ) -> Self {
         GuardedStream {
             stream,
             mark,
+            head_timer: HeadTimer::new(head_span),
             write_stall,
             stall: None,
             is_stalled: false,
@@ -73,7 +83,18 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let awaited = self.mark.awaited_request();
+        if let Some(request) = awaited {
+            self.head_timer.check(request, context)?;
+        }
+        let filled = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let Some(request) = awaited
+            && buffer.filled().len() > filled
+        {
+            self.head_timer.start(request);
+        }
+        read
     }
 }
 
--- a/crates/beechsaddle/src/calls/ready_answer.rs
+++ b/crates/beechsaddle/src/calls/ready_answer.rs
@@ -103,7 +103,7 @@
     let mut head = AnswerHead::new(&answer);
     // The event with the usage may be left out, so that a length of the target's would be wrong.
     head.headers.remove(CONTENT_LENGTH);
-    let scanner = EventScanner::new(chat.include_usage);
+    let scanner = EventScanner::new(chat.include_usage, chat.input_estimate);
     Ok(ReadyAnswer::Streamed {
         head,
         body: answer.into_body(),
--- a/crates/beechsaddle/tests/calls_limits.rs
+++ b/crates/beechsaddle/tests/calls_limits.rs
@@ -2,9 +2,11 @@
 
 mod calls_support;
 
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 use beechsaddle::calls::CallsOptions;
+use beechsaddle_core::call::{AnswerEnd, CallAction, CallEvent};
 use beechsaddle_core::prelude::*;
 use calls_support::*;
 
@@ -37,30 +39,64 @@
     core.next_arrival();
 }
 
+/// Sends a byte now and then until the connection is closed, and tells how long that took.
+fn drip_until_closed(core: &FakeCore, caller: &mut RawCaller) -> Duration {
+    let start = Instant::now();
+    while core.handle.open_connections() > 0 {
+        assert!(start.elapsed() < PATIENCE, "the connection stays open");
+        let _ = caller.stream.write_all(b"G");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    start.elapsed()
+}
+
 #[test]
 fn head_dripping() {
     // A caller sends one byte of its head now and then, never the end, to hold a connection for
-    // ever. The time for a head runs from its start, so that dripping does not stretch it.
+    // ever. The time for a head runs from its first byte, so that dripping does not stretch it,
+    // and it is far shorter than the time that an idle connection may stay.
     let options = CallsOptions {
         head_timeout_ms: 200,
+        idle_timeout_ms: 60_000,
+        ..CallsOptions::default()
+    };
+    let core = FakeCore::start_with(options, 64);
+    let mut caller = RawCaller::send(core.address(), "G");
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(core.handle.open_connections(), 1);
+    let span = drip_until_closed(&core, &mut caller);
+    assert!(span >= Duration::from_millis(100));
+}
+
+#[test]
+fn head_dripping_on_kept_connection() {
+    // The same after a call that took longer than a head may take: neither the time of the call
+    // nor that of waiting for the next counts, but the next head's own does.
+    let options = CallsOptions {
+        head_timeout_ms: 200,
+        idle_timeout_ms: 60_000,
         ..CallsOptions::default()
     };
     let core = FakeCore::start_with(options, 64);
     let mut caller = RawCaller::connect(core.address());
-    let start = Instant::now();
-    while core.handle.open_connections() > 0 || start.elapsed() < Duration::from_millis(50) {
-        assert!(start.elapsed() < PATIENCE, "the connection stays open");
-        use std::io::Write;
-        let _ = caller.stream.write_all(b"G");
-        std::thread::sleep(Duration::from_millis(20));
+    for _ in 0..2 {
+        std::thread::sleep(Duration::from_millis(250));
+        caller.write(chat_call("", false));
+        let call = core.next_arrival().call;
+        std::thread::sleep(Duration::from_millis(250));
+        let refusal = CallRefusal::not_run(RefusalReason::NoTarget, None);
+        core.act(CallAction::Refuse { call, refusal });
+        assert_eq!(caller.read_answer().status, 503);
     }
-    assert!(start.elapsed() >= Duration::from_millis(150));
+    caller.write("G");
+    drip_until_closed(&core, &mut caller);
 }
 
 #[test]
 fn connection_idle() {
     let options = CallsOptions {
-        head_timeout_ms: 100,
+        head_timeout_ms: 10,
+        idle_timeout_ms: 100,
         ..CallsOptions::default()
     };
     let core = FakeCore::start_with(options, 64);
@@ -112,6 +148,28 @@
     first.hang_up();
     core.await_no_calls();
     let call = core.next_arrival().call;
-    let gone = beechsaddle_core::call::CallEvent::CallerGone { call };
+    let gone = CallEvent::CallerGone { call };
     assert_eq!(core.next_event(), gone);
 }
+
+#[test]
+fn actions_beyond_ring() {
+    // The core sends a call far more actions than it can have use for. The call must end as
+    // broken instead of missing one of them and waiting for ever.
+    let core = FakeCore::start();
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        connection.await_close();
+    });
+    let mut caller = RawCaller::send(core.address(), chat_call("", true));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    caller.read_until("\"a\"");
+    for _ in 0..100 {
+        core.act(CallAction::Finish { call: call.clone() });
+    }
+    assert_eq!(core.next_end().0, AnswerEnd::Truncated);
+    assert_eq!(caller.read_end().1, RawEnd::Reset);
+}
--- a/crates/beechsaddle/tests/calls_streams.rs
+++ b/crates/beechsaddle/tests/calls_streams.rs
@@ -12,6 +12,9 @@
 use beechsaddle_core::prelude::*;
 use calls_support::*;
 
+/// A quarter of the bytes of the prompt that `chat_call` sends, rounded up.
+const PROMPT_ESTIMATE: u64 = "user\nhello\n".len().div_ceil(4) as u64;
+
 /// Relays a stream that breaks off by `script` and checks that the caller sees it broken.
 fn expect_truncated(script: impl Fn(&mut TargetConnection) + Send + Sync + 'static) -> TokenUsage {
     let target = RawTarget::start(script);
@@ -43,7 +46,7 @@
     assert_eq!(
         usage,
         TokenUsage {
-            input: 0,
+            input: PROMPT_ESTIMATE,
             output: 2
         }
     );
@@ -271,7 +274,7 @@
     let start = Instant::now();
     caller.hang_up();
     let usage = TokenUsage {
-        input: 0,
+        input: PROMPT_ESTIMATE,
         output: 1,
     };
     assert_eq!(core.next_end(), (AnswerEnd::CallerGone, usage));
@@ -292,7 +295,8 @@
     core.dispatch_next(target.address);
     target.next_request();
     caller.hang_up();
-    assert_eq!(core.next_end().0, AnswerEnd::CallerGone);
+    let nothing = TokenUsage::default();
+    assert_eq!(core.next_end(), (AnswerEnd::CallerGone, nothing));
     assert_eq!(target.next_request(), "closed");
     core.await_no_calls();
 }
