--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -6,7 +6,15 @@
 mod experiment;
 mod message_bytes;
 mod object_bytes;
+mod peer_bytes;
+mod peer_fleet;
+mod peer_heartbeats;
+mod peer_memory;
+mod peer_round_trip;
+pub mod peer_samples;
+mod peers;
 mod process_cost;
+pub mod routing;
 pub mod sample_messages;
 pub mod sample_objects;
 mod slope_fit;
@@ -36,6 +44,16 @@
         shows: "memory of a whole catalogue and time of an edit against its entries",
         run: catalogue_cost::run,
     },
+    MeasureExperiment {
+        name: "peers",
+        shows: "bytes, processor time, memory and latency of messages between routers",
+        run: peers::run,
+    },
+    MeasureExperiment {
+        name: "routing",
+        shows: "times to first token and prefix hits of each way to choose a target",
+        run: routing::run,
+    },
 ];
 
 /// The seed when none is given.
