Bound the memory of reading a chat request

Cause: a body of a few megabytes made of tiny members or messages took many times its size while it was read, and the body was held beside the request's own copy for as long as the call ran.

After: an object may have 256 members, messages are read one by one, and the body is let go once it is read.

--- a/crates/beechsaddle/src/calls/call_service.rs
+++ b/crates/beechsaddle/src/calls/call_service.rs
@@ -118,7 +118,9 @@
         let mark = connection_mark(&request);
         let RequestBody { bytes, share } =
             RequestBody::try_read(request.into_body(), &self.state).await?;
-        let chat = ChatRequest::try_read(&bytes)?;
+        let mut chat = ChatRequest::try_read(&bytes)?;
+        // The request keeps a copy of its own; the call may run for minutes.
+        drop(bytes);
         let (call, actions) = self.state.calls.open();
         let guard = CallGuard::new(Arc::clone(&self.state), call.clone());
         let arrival = CallArrival {
@@ -133,7 +135,7 @@
             deadline: head.deadline,
             input_bound: chat.input_bound,
             output_bound: chat.output_bound,
-            prefix: chat.prefix.clone(),
+            prefix: std::mem::take(&mut chat.prefix),
         };
         let run = CallRun {
             guard,
--- a/crates/beechsaddle/src/calls/chat_message.rs
+++ b/crates/beechsaddle/src/calls/chat_message.rs
@@ -33,7 +33,7 @@
     ///
     /// `bad_request` for what is not a list of messages with text content.
     pub(crate) fn try_read(messages: &RawValue) -> Result<Self, CallFault> {
-        let messages: Vec<JsonMembers<'_>> = serde_json::from_str(messages.get())
+        let messages: Vec<&RawValue> = serde_json::from_str(messages.get())
             .map_err(|error| CallFault::bad_request(format!("messages must be a list: {error}")))?;
         if messages.is_empty() {
             return Err(CallFault::bad_request("messages must not be empty"));
@@ -48,7 +48,9 @@
         Ok(prompt)
     }
 
-    fn read_message(&mut self, message: &JsonMembers<'_>) -> Result<(), String> {
+    fn read_message(&mut self, message: &RawValue) -> Result<(), String> {
+        let message: JsonMembers<'_> =
+            serde_json::from_str(message.get()).map_err(|error| error.to_string())?;
         if let Some(name) = message.duplicate() {
             return Err(format!("{name} comes twice"));
         }
--- a/crates/beechsaddle/src/calls/json_members.rs
+++ b/crates/beechsaddle/src/calls/json_members.rs
@@ -4,9 +4,13 @@
 use std::fmt;
 
 use serde::Deserialize;
-use serde::de::{Deserializer, MapAccess, Visitor};
+use serde::de::{Deserializer, Error, MapAccess, Visitor};
 use serde_json::value::RawValue;
 
+/// The largest number of members of an object; requests have a few dozen. Without a limit a body
+/// of small members would take ten times its size in memory while it is read.
+const MOST_MEMBERS: usize = 256;
+
 /// A JSON string, borrowed where it has no escapes.
 #[derive(Deserialize)]
 pub(crate) struct JsonText<'a>(#[serde(borrow)] pub(crate) Cow<'a, str>);
@@ -53,6 +57,10 @@
     {
         let mut members = Vec::new();
         while let Some(name) = access.next_key::<JsonText<'de>>()? {
+            if members.len() == MOST_MEMBERS {
+                let message = format!("an object may have at most {MOST_MEMBERS} members");
+                return Err(A::Error::custom(message));
+            }
             let value = access.next_value::<&'de RawValue>()?;
             members.push((name.0, value));
         }
--- a/crates/beechsaddle/tests/calls_bad_input.rs
+++ b/crates/beechsaddle/tests/calls_bad_input.rs
@@ -174,6 +174,12 @@
     );
 }
 
+#[test]
+fn body_members_flood() {
+    let flood: Vec<String> = (0..300).map(|index| format!("\"x{index}\":1")).collect();
+    expect_bad_member(&flood.join(","), "at most 256 members");
+}
+
 #[test]
 fn body_images() {
     let body = "{\"model\":\"m1\",\"messages\":[{\"role\":\"user\",\"content\":\
