Fix the size of send buffers towards callers

Cause: the relay pulls, so that a caller that stops reading costs the router no memory; the host let the socket's buffer grow to megabytes all the same, and that memory is shared by all connections.

--- a/crates/beechsaddle/src/calls/calls_edge.rs
+++ b/crates/beechsaddle/src/calls/calls_edge.rs
@@ -1,5 +1,6 @@
 //! The `calls_edge` module provides the start of the edge towards callers and targets.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
@@ -7,7 +8,7 @@
 use beechsaddle_core::prelude::*;
 use crossbeam_channel::Sender;
 use eyre::{Result, WrapErr};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 
@@ -26,6 +27,11 @@
 
 /// The largest number of open connections of operators.
 const ADMIN_CONNECTIONS: usize = 64;
+/// What the host buffers of an answer for a caller that reads slowly, in bytes: some seconds of a
+/// stream of tokens, and enough for tens of megabytes a second over a few milliseconds.
+const SEND_BUFFER_BYTES: u32 = 256 * 1_024;
+/// Connections that may wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
 
 /// The edge towards callers, operators and targets. It has a runtime and threads of its own.
 #[derive(Debug)]
@@ -45,8 +51,8 @@
     ) -> Result<CallsHandle> {
         let runtime = try_build_runtime(&options)?;
         let entered = runtime.enter();
-        let call_listener = try_bind(&runtime, options.call_address)?;
-        let admin_listener = try_bind(&runtime, options.admin_address)?;
+        let call_listener = try_bind(options.call_address)?;
+        let admin_listener = try_bind(options.admin_address)?;
         let call_address = call_listener.local_addr()?;
         let admin_address = admin_listener.local_addr()?;
         let call_limit = options.max_connections;
@@ -95,8 +101,21 @@
         .wrap_err("the runtime of the call edge cannot be made")
 }
 
-fn try_bind(runtime: &Runtime, address: SocketAddr) -> Result<TcpListener> {
-    runtime
-        .block_on(TcpListener::bind(address))
-        .wrap_err_with(|| format!("{address} cannot be bound"))
+fn try_bind(address: SocketAddr) -> Result<TcpListener> {
+    open_listener(address).wrap_err_with(|| format!("{address} cannot be bound"))
+}
+
+/// Opens a listener whose connections have send buffers of a fixed size.
+///
+/// The host would let each grow to megabytes. A caller that stops reading should hold up its
+/// target instead of filling the host's memory for sockets, which all connections share.
+fn open_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_BACKLOG)
 }
