Fold the journals of earlier routers on the own host

A router that starts searches the journals of earlier incarnations on its host, closes and folds them. Cause: only a router that had heard of the dead one searches, and only the one that is picked for it. When the picked one never heard of it (it lived for 80 ms), or all routers of a domain restart together, nobody did: the bills never reached the ledger and the grants stayed open. Proof that the earlier ones have ended is this router's own life on the host, no clock and no list.

Not covered: all routers of a domain replaced at once under new host names.

Logs of a fleet are printed when its test panics.

--- a/crates/beechsaddle-core/src/money/desk_pump.rs
+++ b/crates/beechsaddle-core/src/money/desk_pump.rs
@@ -16,6 +16,7 @@
         self.pump_drain();
         self.pump_journal(turn);
         self.pump_scans(turn);
+        self.pump_earlier(turn);
         self.pump_jobs(turn);
         self.pump_shards(turn);
         if let Some(call) = self.sweeper.next_call(turn.now) {
@@ -52,6 +53,7 @@
                 }
             }
             MoneyWait::Scan(router) => self.on_scan_reply(turn.now, &router, reply),
+            MoneyWait::Earlier => self.on_earlier_reply(turn.now, reply),
             MoneyWait::Sweep => self.sweeper.on_reply(&reply),
         }
     }
@@ -84,7 +86,7 @@
         }
         self.scans
             .entry(gone.clone())
-            .or_insert_with(|| FoldScan::new(gone.clone()));
+            .or_insert_with(|| FoldScan::new(gone));
         self.entries_on_gone(turn, gone);
         self.bill_orphans(turn, gone);
         self.bill_notes(turn, gone);
@@ -117,6 +119,41 @@
         }
     }
 
+    /// Searches the journals of earlier routers on the own host, once after the start.
+    ///
+    /// The others close the journal of a router that they know to be gone. Nobody does when all of
+    /// them were restarted together, as after a power cut, or when the router had died before the
+    /// one that is picked heard of it: its bills would never reach the ledger, and its grants never
+    /// return. That this router runs is proof that the earlier ones on its host have ended.
+    fn pump_earlier(&mut self, turn: &mut DeskTurn<'_>) {
+        let call = self
+            .earlier
+            .as_mut()
+            .and_then(|scan| scan.next_call(turn.now));
+        if let Some(call) = call {
+            self.issue(turn, MoneyWait::Earlier, call);
+        }
+    }
+
+    fn on_earlier_reply(&mut self, now: ClockTime, reply: PlatformReply) {
+        let found = self
+            .earlier
+            .as_mut()
+            .and_then(|scan| scan.on_reply(now, reply));
+        for journal in found.unwrap_or_default() {
+            let Some(router) = journal_router(&journal) else {
+                continue;
+            };
+            if router.host != self.me.host || router.epoch >= self.me.epoch {
+                continue;
+            }
+            self.scans
+                .entry(router.clone())
+                .or_insert_with(|| FoldScan::new(&router));
+            self.want_job(now, &journal);
+        }
+    }
+
     /// Makes sure that a journal is folded once it is closed; closes it only when its router is
     /// known to be gone. A router that is merely cut off must not be fenced into refusing.
     pub(super) fn want_job(&mut self, _now: ClockTime, journal: &KeyText) {
--- a/crates/beechsaddle-core/src/money/fold_scan.rs
+++ b/crates/beechsaddle-core/src/money/fold_scan.rs
@@ -2,16 +2,16 @@
 
 use std::collections::BTreeSet;
 
-use super::journal_name::{read_segment_key, router_prefix};
+use super::journal_name::{host_prefix, read_segment_key, router_prefix};
 use super::journal_writer::RETRY_MS;
 use crate::clock::ClockTime;
-use crate::names::{KeyText, ObjectKey, RouterIncarnation};
+use crate::names::{HostName, KeyText, ObjectKey, RouterIncarnation};
 use crate::platform::{PlatformCall, PlatformReply};
 
-/// Lists the segments of all lives of one router process.
+/// Lists the segments of all journals of one router process, or of all processes of one host.
 #[derive(Debug)]
 pub(super) struct FoldScan {
-    router: RouterIncarnation,
+    prefix: ObjectKey,
     after: Option<ObjectKey>,
     found: BTreeSet<KeyText>,
     is_sent: bool,
@@ -20,9 +20,18 @@
 }
 
 impl FoldScan {
-    pub(super) fn new(router: RouterIncarnation) -> Self {
+    pub(super) fn new(router: &RouterIncarnation) -> Self {
+        FoldScan::of_prefix(router_prefix(router))
+    }
+
+    /// A search for the journals of every router that ever ran on a host.
+    pub(super) fn of_host(host: &HostName) -> Self {
+        FoldScan::of_prefix(host_prefix(host))
+    }
+
+    fn of_prefix(prefix: ObjectKey) -> Self {
         FoldScan {
-            router,
+            prefix,
             after: None,
             found: BTreeSet::new(),
             is_sent: false,
@@ -42,7 +51,7 @@
         }
         self.is_sent = true;
         Some(PlatformCall::List {
-            prefix: router_prefix(&self.router),
+            prefix: self.prefix.clone(),
             after: self.after.clone(),
         })
     }
--- a/crates/beechsaddle-core/src/money/journal_name.rs
+++ b/crates/beechsaddle-core/src/money/journal_name.rs
@@ -1,6 +1,6 @@
 //! The `journal_name` module provides the names of journals and the keys of their segments.
 
-use crate::names::{KeyText, ObjectKey, RouterIncarnation};
+use crate::names::{HostName, KeyText, ObjectKey, RouterIncarnation};
 
 /// The name of a router's journal. `life` grows each time it found its journal closed.
 pub fn journal_name(router: &RouterIncarnation, life: u32) -> KeyText {
@@ -22,6 +22,11 @@
     ObjectKey::new(format!("journal/{router}."))
 }
 
+/// The prefix of all journals of all router incarnations of one host.
+pub fn host_prefix(host: &HostName) -> ObjectKey {
+    ObjectKey::new(format!("journal/{host}@"))
+}
+
 /// Reads a journal's name and a segment's number from a segment's key.
 pub fn read_segment_key(key: &ObjectKey) -> Option<(KeyText, u64)> {
     let rest = key.as_str().strip_prefix("journal/")?;
--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -61,6 +61,8 @@
     pub(super) shards: BTreeMap<u32, ShardWriter>,
     pub(super) jobs: BTreeMap<KeyText, FoldJob>,
     pub(super) scans: BTreeMap<RouterIncarnation, FoldScan>,
+    /// The search for journals of earlier routers on the own host; begins with the layout.
+    pub(super) earlier: Option<FoldScan>,
     pub(super) sweeper: SegmentSweeper,
     pub(super) tickets: BTreeMap<u64, MoneyWait>,
     pub(super) ticket_count: u64,
@@ -76,6 +78,7 @@
     Shard(u32),
     Fold(KeyText),
     Scan(RouterIncarnation),
+    Earlier,
     Sweep,
 }
 
@@ -121,6 +124,7 @@
             shards: BTreeMap::new(),
             jobs: BTreeMap::new(),
             scans: BTreeMap::new(),
+            earlier: None,
             sweeper: SegmentSweeper::default(),
             tickets: BTreeMap::new(),
             ticket_count: 0,
@@ -134,6 +138,9 @@
     /// is reserved.
     pub fn set_layout(&mut self, layout: &FleetLayout) {
         self.options.shard_count = layout.ledger_shards;
+        if self.earlier.is_none() {
+            self.earlier = Some(FoldScan::of_host(&self.me.host));
+        }
     }
 
     /// Asks for a reservation; called at the call's entry router. Exactly one
--- a/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
+++ b/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
@@ -231,7 +231,7 @@
     pub fn log_end(&self, host: &str) -> String {
         let log = std::fs::read_to_string(self.log_path(host)).unwrap_or_default();
         let lines: Vec<&str> = log.lines().collect();
-        lines[lines.len().saturating_sub(12)..].join("\n")
+        lines[lines.len().saturating_sub(40)..].join("\n")
     }
 
     fn start_targets(&mut self) -> eyre::Result<()> {
@@ -270,6 +270,17 @@
     }
 }
 
+impl Drop for LabFleet {
+    fn drop(&mut self) {
+        // The logs go away with the directory, and a test that failed needs them.
+        if std::thread::panicking() {
+            for host in self.routers.keys() {
+                eprintln!("log of {host}:\n{}", self.log_end(host.as_str()));
+            }
+        }
+    }
+}
+
 fn random_secret() -> String {
     let mut generator = rand::rng();
     (0..4)
--- a/crates/beechsaddle-lab/tests/process_kills.rs
+++ b/crates/beechsaddle-lab/tests/process_kills.rs
@@ -19,8 +19,7 @@
 
     let answer = answer_in_the_end(&fleet, &hosts[1], 20, "claim-1").await;
     assert!(answer.chat_content().is_some());
-    let totals = settled_bills(&fleet, 2).await;
-    assert_eq!((totals.bills, totals.overspend), (2, 0), "{totals:?}");
+    check_bills(&fleet, 2).await;
 }
 
 // The host of the router that holds the budget dies while another one streams an answer. The stream goes
@@ -38,8 +37,7 @@
 
     let answer = answer_in_the_end(&fleet, &hosts[1], 20, "claim-2").await;
     assert!(answer.chat_content().is_some());
-    let totals = settled_bills(&fleet, 3).await;
-    assert_eq!((totals.bills, totals.overspend), (3, 0), "{totals:?}");
+    check_bills(&fleet, 3).await;
 }
 
 // A killed router comes back at its old addresses as another incarnation, and serves.
@@ -52,6 +50,27 @@
     fleet.wait_ready(&holder, PATIENCE).await.unwrap();
     let answer = answer_in_the_end(&fleet, &holder, 20, "claim-1").await;
     assert!(answer.chat_content().is_some());
-    let totals = settled_bills(&fleet, 2).await;
-    assert_eq!((totals.bills, totals.overspend), (2, 0), "{totals:?}");
+    check_bills(&fleet, 2).await;
+}
+
+// All routers of a domain lose power right after a call was answered, and start again on the same
+// hosts. None of them has heard of the lives before. What those had billed still reaches the
+// ledger, and their grants return.
+#[tokio::test]
+async fn domain_killed_and_restarted() {
+    let mut fleet = start_fleet().await;
+    answer_in_the_end(&fleet, "split-2", 30, "claim-1").await;
+    tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    let hosts: Vec<String> = fleet.routers().keys().map(ToString::to_string).collect();
+    for host in &hosts {
+        fleet.kill_router(host).unwrap();
+    }
+    for host in &hosts {
+        fleet.start_router(host).unwrap();
+    }
+    for host in &hosts {
+        fleet.wait_ready(host, PATIENCE).await.unwrap();
+    }
+    let totals = check_bills(&fleet, 1).await;
+    assert_eq!(totals.open, 0, "{totals:?}");
 }
--- a/crates/beechsaddle-lab/tests/process_pauses.rs
+++ b/crates/beechsaddle-lab/tests/process_pauses.rs
@@ -25,8 +25,7 @@
     fleet.process(&holder).unwrap().thaw().unwrap();
     let answer = answer_in_the_end(&fleet, &holder, 20, "thawed").await;
     assert!(answer.chat_content().is_some());
-    let totals = settled_bills(&fleet, 4).await;
-    assert_eq!((totals.bills, totals.overspend), (4, 0), "{totals:?}");
+    check_bills(&fleet, 4).await;
 }
 
 // A router is frozen in the middle of a stream that it relays, and goes on after the others have
@@ -42,8 +41,7 @@
     tokio::time::sleep(Duration::from_millis(1500)).await;
     fleet.process(&hosts[0]).unwrap().thaw().unwrap();
     stream.read_all().await;
-    let totals = settled_bills(&fleet, 2).await;
-    assert_eq!((totals.bills, totals.overspend), (2, 0), "{totals:?}");
+    check_bills(&fleet, 2).await;
 }
 
 // A router is asked to shut down while it relays a long stream. The stream goes on to its end,
@@ -69,7 +67,6 @@
         let status = fleet.process(host).unwrap().wait(PATIENCE).unwrap();
         assert_eq!(status.map(|status| status.code()), Some(Some(0)));
     }
-    let totals = settled_bills(&fleet, 3).await;
-    assert_eq!((totals.bills, totals.overspend), (3, 0), "{totals:?}");
+    let totals = check_bills(&fleet, 3).await;
     assert_eq!(totals.written_off, 0, "{totals:?}");
 }
--- a/crates/beechsaddle-lab/tests/process_support/mod.rs
+++ b/crates/beechsaddle-lab/tests/process_support/mod.rs
@@ -194,7 +194,8 @@
 }
 
 /// Waits until the ledger has this many bills, and a little longer to see that no more come.
-pub async fn settled_bills(fleet: &LabFleet, bills: u64) -> LedgerTotals {
+/// Checks that it has just these, and that nothing is overspent.
+pub async fn check_bills(fleet: &LabFleet, bills: u64) -> LedgerTotals {
     let platform = PlatformReader::new(fleet.platform().to_string());
     let started = Instant::now();
     loop {
@@ -205,5 +206,14 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
-    LedgerTotals::read(&platform).await.unwrap()
+    let totals = LedgerTotals::read(&platform).await.unwrap();
+    if (totals.bills, totals.overspend) != (bills, 0) {
+        for prefix in ["ledger/", "journal/"] {
+            for (key, object) in platform.read_all(prefix).await.unwrap() {
+                eprintln!("{key}: {object:?}");
+            }
+        }
+    }
+    assert_eq!((totals.bills, totals.overspend), (bills, 0), "{totals:?}");
+    totals
 }
--- a/crates/beechsaddle/src/router/router_setup.rs
+++ b/crates/beechsaddle/src/router/router_setup.rs
@@ -27,6 +27,10 @@
 /// Thousandths in a hundredth.
 const PERMILLE_PER_PERCENT: u64 = 10;
 
+/// How many writes of a journal a folding into the ledger takes in. Folding each one would make a
+/// ledger write of every journal write.
+const FOLD_JOURNALS: u64 = 5;
+
 /// Turns settings into options.
 pub struct RouterSetup<'a> {
     settings: &'a RouterSettings,
@@ -127,6 +131,7 @@
             shard_count: budgets.ledger_shards,
             endurance_ms: budgets.endurance_ms,
             journal_period_ms: budgets.journal_period_ms,
+            fold_period_ms: budgets.journal_period_ms * FOLD_JOURNALS,
             idle_return_ms: budgets.idle_grant_ms,
             ..MoneyOptions::default()
         }
