--- a/crates/beechsaddle-lab/src/demo/demo_outcome.rs
+++ b/crates/beechsaddle-lab/src/demo/demo_outcome.rs
@@ -25,7 +25,6 @@
         calls: &SentCalls,
         statement: &DemoStatement,
     ) -> eyre::Result<Self> {
-        let totals = &statement.totals;
         let mut findings = calls.findings.clone();
         let mut expect = |what: &str, found: u64, wanted: u64| {
             if found != wanted {
@@ -33,10 +32,10 @@
             }
         };
         expect("calls with an end", calls.answered + calls.refused, 4);
-        expect("bills", totals.bills, calls.bills);
-        expect("settled tokens", totals.settled, calls.tokens);
-        expect("written off tokens", totals.written_off, 0);
-        expect("overspend", totals.overspend, 0);
+        expect("bills", statement.bills(), calls.bills);
+        expect("settled tokens", statement.settled(), calls.tokens);
+        expect("written off tokens", statement.written_off(), 0);
+        expect("overspend", statement.overspend(), 0);
         let address = fleet.target_address("trznica-1")?;
         let ran: RunReport = FleetCaller::new().get(&address, "/ran").await?;
         let claims = ran.keys.get(CLAIM_KEY).copied().unwrap_or(0);
@@ -45,8 +44,8 @@
         Ok(DemoOutcome {
             answered: calls.answered,
             refused: calls.refused,
-            billed: totals.bills,
-            overspend: totals.overspend,
+            billed: statement.bills(),
+            overspend: statement.overspend(),
             findings,
         })
     }
--- a/crates/beechsaddle-lab/src/demo/demo_statement.rs
+++ b/crates/beechsaddle-lab/src/demo/demo_statement.rs
@@ -3,13 +3,11 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use beechsaddle_core::money::BudgetAccount;
-use beechsaddle_core::names::BudgetName;
-use beechsaddle_core::objects::PlatformObject;
+use beechsaddle::operator::WorkspaceStatement;
+use beechsaddle_core::names::WorkspaceName;
 
-use super::demo_fleet::{BUDGET, WORKSPACE};
+use super::demo_fleet::WORKSPACE;
 use crate::fleet::LabFleet;
-use crate::load::{LedgerTotals, PlatformReader};
 
 /// How long bills may take into the ledger.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -17,66 +15,58 @@
 /// How often the ledger is read meanwhile.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// What the ledger says of the workspace's budget.
+/// What `beechsaddle statement` says of the workspace.
 #[derive(Clone, Debug)]
 pub struct DemoStatement {
-    account: BudgetAccount,
-    /// Sums over it.
-    pub totals: LedgerTotals,
+    statement: WorkspaceStatement,
 }
 
 impl DemoStatement {
     /// Waits until the ledger has as many bills as are due, or says what it has after a while.
     pub async fn wait(fleet: &LabFleet, bills: u64) -> eyre::Result<Self> {
-        let platform = PlatformReader::new(fleet.platform().to_string());
+        let client = fleet.platform_client()?;
+        let workspace = WorkspaceName::new(WORKSPACE);
         let started = Instant::now();
         loop {
-            let account = read_account(&platform).await?;
-            if let Some(account) = account
-                && (account.bills >= bills || started.elapsed() > PATIENCE)
-            {
-                let mut totals = LedgerTotals::default();
-                totals.add(&account);
-                return Ok(DemoStatement { account, totals });
+            let statement = WorkspaceStatement::read(&client, &workspace, false).await?;
+            let statement = DemoStatement { statement };
+            if statement.bills() >= bills || started.elapsed() > PATIENCE {
+                return Ok(statement);
             }
-            eyre::ensure!(
-                started.elapsed() <= PATIENCE,
-                "the ledger has no budget {BUDGET}"
-            );
             tokio::time::sleep(PAUSE).await;
         }
     }
-}
 
-impl fmt::Display for DemoStatement {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let totals = &self.totals;
-        writeln!(formatter, "statement workspace={WORKSPACE} budget={BUDGET}")?;
-        for (id, tokens) in &self.account.top_ups {
-            writeln!(formatter, "  top_up={id} tokens={tokens}")?;
-        }
-        writeln!(
-            formatter,
-            "  settled={} bills={} written_off={} open_grants={} free={}",
-            totals.settled,
-            totals.bills,
-            totals.written_off,
-            totals.open,
-            totals
-                .topped_up
-                .saturating_sub(totals.settled + totals.written_off + totals.open)
-        )
+    /// How many bills there are.
+    pub fn bills(&self) -> u64 {
+        self.statement.budgets.iter().map(|line| line.bills).sum()
+    }
+
+    /// What was billed, in tokens.
+    pub fn settled(&self) -> u64 {
+        self.statement.budgets.iter().map(|line| line.settled).sum()
+    }
+
+    /// What was written off, in tokens.
+    pub fn written_off(&self) -> u64 {
+        let lines = self.statement.budgets.iter();
+        lines.map(|line| line.written_off).sum()
+    }
+
+    /// By how much any budget was spent or granted above what was paid in.
+    pub fn overspend(&self) -> u64 {
+        let lines = self.statement.budgets.iter();
+        lines
+            .map(|line| {
+                let used = line.settled + line.written_off + line.open;
+                used.saturating_sub(line.topped_up)
+            })
+            .sum()
     }
 }
 
-async fn read_account(platform: &PlatformReader) -> eyre::Result<Option<BudgetAccount>> {
-    let budget = BudgetName::new(BUDGET);
-    for (_, object) in platform.read_all("ledger/").await? {
-        if let PlatformObject::Ledger(ledger) = object
-            && let Some(account) = ledger.budgets.get(&budget)
-        {
-            return Ok(Some(account.clone()));
-        }
+impl fmt::Display for DemoStatement {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.statement.fmt(formatter)
     }
-    Ok(None)
 }
--- a/crates/beechsaddle-lab/src/demo/mod.rs
+++ b/crates/beechsaddle-lab/src/demo/mod.rs
@@ -48,7 +48,7 @@
     let fleet = LabFleet::try_start(demo_fleet::plan(program)).await?;
     let calls = DemoCalls::new(&fleet).send_all().await?;
     let statement = DemoStatement::wait(&fleet, calls.bills).await?;
-    print!("{statement}");
+    println!("{statement}");
     let outcome = DemoOutcome::judge(&fleet, &calls, &statement).await?;
     if stay {
         demo_stay::print_hints(&fleet);
