--- a/crates/beechsaddle-lab/src/demo/demo_fleet.rs
+++ b/crates/beechsaddle-lab/src/demo/demo_fleet.rs
@@ -49,6 +49,15 @@
 
 /// The catalogue as an operator writes it.
 pub fn catalogue() -> String {
+    catalogue_with_top_ups(&[("first", TOP_UP)])
+}
+
+/// The same with other top-ups.
+pub fn catalogue_with_top_ups(top_ups: &[(&str, u64)]) -> String {
+    let top_ups: String = top_ups
+        .iter()
+        .map(|(id, tokens)| format!("[[budget.top_up]]\nid = \"{id}\"\ntokens = {tokens}\n\n"))
+        .collect();
     let digest = key_digest(KEY);
     format!(
         r#"[[workspace]]
@@ -65,11 +74,7 @@
 owner = "ana"
 workspace = "{WORKSPACE}"
 
-[[budget.top_up]]
-id = "first"
-tokens = {TOP_UP}
-
-[[service]]
+{top_ups}[[service]]
 name = "{ENGINE_SERVICE}"
 owner = "ana"
 kind = "engine"
--- a/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
+++ b/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use rand::Rng;
 
+use beechsaddle::catalogue_files::BaseFile;
 use beechsaddle::platform::{PlatformClient, PlatformOptions};
 use beechsaddle_core::members::HostState;
 use beechsaddle_core::names::HostName;
@@ -37,6 +38,7 @@
     directory: ScratchDirectory,
     routers: BTreeMap<HostName, LabRouter>,
     targets: BTreeMap<HostName, LabTarget>,
+    base: BaseFile,
     _platform: LabProcess,
 }
 
@@ -82,6 +84,7 @@
             directory: ScratchDirectory::try_new()?,
             routers: BTreeMap::new(),
             targets: BTreeMap::new(),
+            base: BaseFile::default(),
             _platform: platform,
             plan,
             commons,
@@ -89,7 +92,7 @@
         fleet.start_targets()?;
         fleet.plan_routers()?;
         fleet.write_hosts().await?;
-        apply_catalogue(&fleet.platform_client()?, &fleet.plan.catalogue).await?;
+        fleet.apply_catalogue(&fleet.plan.catalogue.clone()).await?;
         let hosts: Vec<HostName> = fleet.routers.keys().cloned().collect();
         for host in &hosts {
             fleet.start_router(host.as_str())?;
@@ -110,6 +113,13 @@
         PlatformClient::try_new(&PlatformOptions::new(self.platform()), None)
     }
 
+    /// Applies a catalogue, edited from the one before.
+    pub async fn apply_catalogue(&mut self, text: &str) -> eyre::Result<()> {
+        let client = self.platform_client()?;
+        self.base = apply_catalogue(&client, text, self.base.clone()).await?;
+        Ok(())
+    }
+
     /// All routers.
     pub fn routers(&self) -> &BTreeMap<HostName, LabRouter> {
         &self.routers
--- a/crates/beechsaddle-lab/src/fleet/operator_part.rs
+++ b/crates/beechsaddle-lab/src/fleet/operator_part.rs
@@ -21,7 +21,13 @@
 };
 
 /// Applies a catalogue, as `beechsaddle catalogue apply` does.
-pub(super) async fn apply_catalogue(platform: &PlatformClient, text: &str) -> eyre::Result<()> {
+///
+/// `base` is what the files were last in step with; the new base comes back.
+pub(super) async fn apply_catalogue(
+    platform: &PlatformClient,
+    text: &str,
+    base: BaseFile,
+) -> eyre::Result<BaseFile> {
     let texts = [("catalogue.toml".to_owned(), text.to_owned())];
     let declared = read_catalogue_texts(texts).map_err(|findings| eyre!("{findings}"))?;
     let options = ApplyOptions {
@@ -29,9 +35,9 @@
         now: system_time(),
         layout: LAYOUT,
     };
-    let run = ApplyRun::new(platform, options, &declared, BaseFile::default());
-    run.run().await.wrap_err("cannot apply the catalogue")?;
-    Ok(())
+    let run = ApplyRun::new(platform, options, &declared, base);
+    let outcome = run.run().await.wrap_err("cannot apply the catalogue")?;
+    Ok(outcome.base)
 }
 
 /// Writes the host lists, as the platform does.
--- a/crates/beechsaddle-lab/tests/process_support/mod.rs
+++ b/crates/beechsaddle-lab/tests/process_support/mod.rs
@@ -22,7 +22,7 @@
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Shorter spans than in production, so that a dead router is noticed within a test.
-const QUICK_SETTINGS: &str = "
+pub const QUICK_SETTINGS: &str = "
 [peers]
 heartbeat_ms = 100
 down_after_ms = 400
