--- a/crates/beechsaddle-lab/src/load/call_request.rs
+++ b/crates/beechsaddle-lab/src/load/call_request.rs
@@ -26,13 +26,12 @@
         .header("authorization", format!("Bearer {}", workspace.key))
         .header("beechsaddle-budget", &workspace.budget)
         .header("content-type", "application/json");
-    if keyed || call.kind == CallKind::NotRepeatable {
+    // A service may declare that none of its calls may be repeated, and then asks for a key.
+    if keyed || !call.kind.is_chat() {
         request = request.header("idempotency-key", &call.key);
     }
-    match call.kind {
-        CallKind::StreamedChat | CallKind::WholeChat => {}
-        CallKind::Plain => request = request.header("beechsaddle-repeatable", "yes"),
-        CallKind::NotRepeatable => request = request.header("beechsaddle-repeatable", "no"),
+    if call.kind == CallKind::NotRepeatable {
+        request = request.header("beechsaddle-repeatable", "no");
     }
     let body = call_body(settings, call, &workspace.name);
     Ok(request.body(Full::new(Bytes::from(body)))?)
