--- a/crates/beechsaddle-lab/src/load/arrival_plan.rs
+++ b/crates/beechsaddle-lab/src/load/arrival_plan.rs
@@ -27,6 +27,8 @@
     pub skew: f64,
     /// The most tokens that a call generates; each call asks for half of it to all of it.
     pub max_tokens: u64,
+    /// Whether progress lines go to the standard error stream.
+    pub progress: bool,
 }
 
 /// The calls of a run: open-loop Poisson arrivals, which wait for no answer.
@@ -51,6 +53,11 @@
         }
     }
 
+    /// Whether progress lines go to the standard error stream.
+    pub fn shows_progress(&self) -> bool {
+        self.options.progress
+    }
+
     // The time to the next arrival of a Poisson process is exponential; `1 - u` is never zero, so
     // that the logarithm is finite.
     fn next_gap(&mut self) -> Duration {
--- a/crates/beechsaddle-lab/src/load/call_mix.rs
+++ b/crates/beechsaddle-lab/src/load/call_mix.rs
@@ -25,6 +25,13 @@
         Ok(CallMix { weights })
     }
 
+    /// Streamed chats and nothing else.
+    pub fn only_streams() -> Self {
+        CallMix {
+            weights: [1, 0, 0, 0],
+        }
+    }
+
     /// Draws a kind.
     pub fn pick(&self, random: &mut impl Rng) -> CallKind {
         let sum: u32 = self.weights.iter().sum();
--- a/crates/beechsaddle-lab/src/load/load_options.rs
+++ b/crates/beechsaddle-lab/src/load/load_options.rs
@@ -124,6 +124,7 @@
             workspaces,
             skew: self.skew,
             max_tokens: self.max_tokens,
+            progress: true,
         }
     }
 }
--- a/crates/beechsaddle-lab/src/load/load_run.rs
+++ b/crates/beechsaddle-lab/src/load/load_run.rs
@@ -49,8 +49,9 @@
     let start = Instant::now();
     let (results, counted) = mpsc::channel(RESULT_QUEUE);
     let sender = Arc::new(sender);
+    let progress = plan.shows_progress();
     let sending = tokio::spawn(send_all(plan, sender, start, results));
-    let (tally, course) = count_all(counted, start).await?;
+    let (tally, course) = count_all(counted, start, progress).await?;
     let sent = sending.await?;
     Ok(LoadOutcome {
         sent,
@@ -83,6 +84,7 @@
 async fn count_all(
     mut results: mpsc::Receiver<CallResult>,
     start: Instant,
+    progress: bool,
 ) -> eyre::Result<(LoadTally, Vec<ProgressPoint>)> {
     let mut tally = LoadTally::try_new()?;
     let mut course = Vec::new();
@@ -94,27 +96,37 @@
                 Some(result) => tally.add(result),
                 None => return Ok((tally, course)),
             },
-            _ = ticks.tick() => course.push(note_progress(&tally, start)),
+            _ = ticks.tick() => {
+                let point = ProgressPoint::of(&tally, start);
+                if progress {
+                    print_progress(&tally, &point);
+                }
+                course.push(point);
+            }
         }
     }
 }
 
-fn note_progress(tally: &LoadTally, start: Instant) -> ProgressPoint {
-    let point = ProgressPoint {
-        second: start.elapsed().as_secs_f64(),
-        ended: tally.ended,
-        answered: tally.answered,
-        refused: tally.refusals(),
-    };
+impl ProgressPoint {
+    fn of(tally: &LoadTally, start: Instant) -> Self {
+        ProgressPoint {
+            second: start.elapsed().as_secs_f64(),
+            ended: tally.ended,
+            answered: tally.answered,
+            refused: tally.refusals(),
+        }
+    }
+}
+
+fn print_progress(tally: &LoadTally, point: &ProgressPoint) {
     eprintln!(
         "second={:.0} ended={} answered={} refused={} lost={} crossed={} p99_whole_ms={:.1}",
         point.second,
-        tally.ended,
-        tally.answered,
+        point.ended,
+        point.answered,
         point.refused,
         tally.lost,
         tally.crossed,
         tally.whole.value_at_quantile(0.99) as f64 / 1_000.0,
     );
-    point
 }
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -6,10 +6,13 @@
 mod experiment;
 mod message_bytes;
 mod object_bytes;
+mod overhead;
 mod process_cost;
+mod run_async;
 pub mod sample_messages;
 pub mod sample_objects;
 mod slope_fit;
+mod small_fleet;
 mod thread_cost;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -36,6 +39,11 @@
         shows: "memory of a whole catalogue and time of an edit against its entries",
         run: catalogue_cost::run,
     },
+    MeasureExperiment {
+        name: "overhead",
+        shows: "latency and processor time that a router adds to the same engine asked straight",
+        run: overhead::run,
+    },
 ];
 
 /// The seed when none is given.
--- a/crates/beechsaddle-lab/tests/load_plan.rs
+++ b/crates/beechsaddle-lab/tests/load_plan.rs
@@ -15,6 +15,7 @@
         workspaces: 10,
         skew: 1.1,
         max_tokens: 64,
+        progress: false,
     }
 }
 
