Count as doubled only what may not be repeated

A soak printed doubled=1 with ran=2980, bills=2979 and answered=2979: routers pass the keys of chats on as well, and a chat whose router died is run again under its key, by design. The tally now keeps the keys of calls that may not be repeated, and only they are looked up in what the targets ran.

--- a/crates/beechsaddle-lab/src/load/call_result.rs
+++ b/crates/beechsaddle-lab/src/load/call_result.rs
@@ -16,19 +16,22 @@
     pub tries: u32,
     /// The router's ids of the tries that were told that they did not run.
     pub not_run: Vec<String>,
+    /// Whether the call may be repeated.
+    pub repeatable: bool,
     /// How the last try ended.
     pub outcome: CallOutcome,
 }
 
 impl CallResult {
     /// A call that was not tried yet.
-    pub fn new(call: PlannedCall, start: Instant) -> Self {
+    pub fn new(call: PlannedCall, start: Instant, repeatable: bool) -> Self {
         let intended = start + call.offset;
         CallResult {
             call,
             intended,
             tries: 0,
             not_run: Vec::new(),
+            repeatable,
             outcome: CallOutcome::Broken,
         }
     }
--- a/crates/beechsaddle-lab/src/load/call_sender.rs
+++ b/crates/beechsaddle-lab/src/load/call_sender.rs
@@ -30,7 +30,8 @@
 
     /// Sends a call, and again while the caller has patience, each time through another router.
     pub async fn send(&self, call: PlannedCall, start: Instant) -> CallResult {
-        let mut result = CallResult::new(call, start);
+        let repeatable = self.settings.may_repeat(call.kind);
+        let mut result = CallResult::new(call, start, repeatable);
         loop {
             let outcome = self.try_once(&result).await;
             result.note(outcome);
--- a/crates/beechsaddle-lab/src/load/caller_settings.rs
+++ b/crates/beechsaddle-lab/src/load/caller_settings.rs
@@ -5,6 +5,8 @@
 use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
 
+use super::CallKind;
+
 /// Where a fleet is and what its callers ask for, read from a TOML file.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,6 +26,9 @@
     /// What a plain call costs, in tokens.
     #[serde(default)]
     pub call_cost: u64,
+    /// Whether the service declares that its calls may be repeated.
+    #[serde(default)]
+    pub repeatable: bool,
     /// The workspaces, the busiest first.
     pub workspaces: Vec<CallerWorkspace>,
 }
@@ -41,6 +46,15 @@
 }
 
 impl CallerSettings {
+    /// Whether a call of a kind may be repeated; a call can only narrow what its service declares.
+    pub fn may_repeat(&self, kind: CallKind) -> bool {
+        match kind {
+            CallKind::StreamedChat | CallKind::WholeChat => true,
+            CallKind::Plain => self.repeatable,
+            CallKind::NotRepeatable => false,
+        }
+    }
+
     /// Reads a file.
     ///
     /// # Errors
--- a/crates/beechsaddle-lab/src/load/deployment.rs
+++ b/crates/beechsaddle-lab/src/load/deployment.rs
@@ -80,6 +80,7 @@
             model: model.map_or_else(String::new, ToString::to_string),
             service: plain.map_or_else(String::new, |service| service.name.to_string()),
             call_cost: plain.map_or(0, |service| service.call_cost),
+            repeatable: plain.is_some_and(|service| service.repeatable),
             workspaces: self.workspaces(),
         }
     }
--- a/crates/beechsaddle-lab/src/load/load_proof.rs
+++ b/crates/beechsaddle-lab/src/load/load_proof.rs
@@ -51,7 +51,7 @@
         if let Some(ran) = &self.ran {
             pairs = pairs
                 .with("ran", ran.started)
-                .with("doubled", ran.doubled())
+                .with("doubled", ran.doubled(tally))
                 .with("false_not_run", ran.false_not_run(tally));
         }
         if let Some(ledger) = &self.ledger {
--- a/crates/beechsaddle-lab/src/load/load_tally.rs
+++ b/crates/beechsaddle-lab/src/load/load_tally.rs
@@ -27,6 +27,8 @@
     pub short: u64,
     /// Further tries.
     pub retried: u64,
+    /// Idempotency keys of calls that may not be repeated.
+    pub once_keys: Vec<String>,
     /// Tokens of the answers.
     pub tokens: u64,
     /// The router's ids of tries that were told that they did not run.
@@ -54,6 +56,7 @@
             crossed: 0,
             short: 0,
             retried: 0,
+            once_keys: Vec::new(),
             tokens: 0,
             not_run: Vec::new(),
             first: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
@@ -76,6 +79,9 @@
             CallOutcome::Broken => self.lost += 1,
         }
         self.not_run.extend(result.not_run);
+        if !result.repeatable {
+            self.once_keys.push(result.call.key);
+        }
     }
 
     /// All final refusals.
--- a/crates/beechsaddle-lab/src/load/run_totals.rs
+++ b/crates/beechsaddle-lab/src/load/run_totals.rs
@@ -10,7 +10,7 @@
 pub struct RunTotals {
     /// Runs by the router's id of the call.
     calls: BTreeMap<String, u64>,
-    /// Runs by idempotency key; targets see only those of not-repeatable calls.
+    /// Runs by idempotency key.
     keys: BTreeMap<String, u64>,
     /// Runs that began.
     pub started: u64,
@@ -46,9 +46,12 @@
         self.tokens += report.tokens;
     }
 
-    /// Not-repeatable keys that ran more than once.
-    pub fn doubled(&self) -> u64 {
-        self.keys.values().filter(|runs| **runs > 1).count() as u64
+    /// Calls that may not be repeated, and ran more than once all the same. A key of any other call
+    /// may run again, when its first answer was lost.
+    pub fn doubled(&self, tally: &LoadTally) -> u64 {
+        let runs = |key: &String| self.keys.get(key).copied().unwrap_or(0);
+        let doubled = |key: &&String| runs(key) > 1;
+        tally.once_keys.iter().filter(doubled).count() as u64
     }
 
     /// Refusals that said "not run" of a call that did run.
--- a/crates/beechsaddle-lab/tests/load_proof.rs
+++ b/crates/beechsaddle-lab/tests/load_proof.rs
@@ -26,7 +26,20 @@
     let mut totals = RunTotals::default();
     totals.add(report(&[("a@1#1.0", 1)], &[("k", 1), ("other", 1)]));
     totals.add(report(&[("b@1#1.0", 1)], &[("k", 1)]));
-    assert_eq!(totals.doubled(), 1);
+    let mut tally = LoadTally::try_new().unwrap();
+    tally.once_keys = vec!["k".to_owned(), "other".to_owned()];
+    assert_eq!(totals.doubled(&tally), 1);
+}
+
+// A router died with a chat's answer on its way, and the caller sent the chat again. That is what
+// the key is for, and no fault.
+#[test]
+fn doubled_chat_run_again() {
+    let mut totals = RunTotals::default();
+    totals.add(report(&[("a@1#1.0", 1), ("b@1#1.0", 1)], &[("chat", 2)]));
+    let mut tally = LoadTally::try_new().unwrap();
+    tally.once_keys = vec!["k".to_owned()];
+    assert_eq!(totals.doubled(&tally), 0);
 }
 
 #[test]
