--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -7,7 +7,15 @@
 mod message_bytes;
 mod object_bytes;
 mod overhead;
+mod peer_bytes;
+mod peer_fleet;
+mod peer_heartbeats;
+mod peer_memory;
+mod peer_round_trip;
+pub mod peer_samples;
+mod peers;
 mod process_cost;
+pub mod routing;
 mod run_async;
 pub mod sample_messages;
 pub mod sample_objects;
@@ -44,6 +52,16 @@
         shows: "latency and processor time that a router adds to the same engine asked straight",
         run: overhead::run,
     },
+    MeasureExperiment {
+        name: "peers",
+        shows: "bytes, processor time, memory and latency of messages between routers",
+        run: peers::run,
+    },
+    MeasureExperiment {
+        name: "routing",
+        shows: "times to first token and prefix hits of each way to choose a target",
+        run: routing::run,
+    },
 ];
 
 /// The seed when none is given.
