--- a/crates/beechsaddle-lab/src/load/call_mix.rs
+++ b/crates/beechsaddle-lab/src/load/call_mix.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Calls to a plain service and nothing else.
+    pub fn only_plain() -> Self {
+        CallMix {
+            weights: [0, 0, 1, 0],
+        }
+    }
+
     /// Draws a kind.
     pub fn pick(&self, random: &mut impl Rng) -> CallKind {
         let sum: u32 = self.weights.iter().sum();
--- /dev/null
+++ b/crates/beechsaddle-lab/src/measure/idle_streams.rs
@@ -0,0 +1,66 @@
+//! The `idle_streams` module provides streams that are held open.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::load::{
+    CallKind, CallerSettings, HttpClient, OpenConnection, PlannedCall, build_request,
+};
+
+/// Streams that gave their first part and are then left open.
+#[derive(Debug)]
+pub struct IdleStreams {
+    settings: CallerSettings,
+    router: String,
+    client: HttpClient,
+    open: Vec<(Incoming, OpenConnection)>,
+}
+
+impl IdleStreams {
+    /// No streams yet, through the router at an address.
+    pub fn new(settings: CallerSettings, router: String) -> Self {
+        IdleStreams {
+            settings,
+            router,
+            client: HttpClient::new(),
+            open: Vec::new(),
+        }
+    }
+
+    /// Opens streams one after another until there are `count`.
+    ///
+    /// # Errors
+    ///
+    /// When one is refused or breaks.
+    pub async fn open_until(&mut self, count: usize) -> eyre::Result<()> {
+        while self.open.len() < count {
+            let stream = self.open_one().await?;
+            self.open.push(stream);
+        }
+        Ok(())
+    }
+
+    async fn open_one(&self) -> eyre::Result<(Incoming, OpenConnection)> {
+        let number = self.open.len() as u64;
+        let call = PlannedCall {
+            number,
+            offset: Duration::ZERO,
+            kind: CallKind::StreamedChat,
+            workspace: 0,
+            key: format!("idle-{number}"),
+            opening: 0,
+            max_tokens: 100,
+        };
+        let request = build_request(&self.settings, &call, false)?;
+        let (response, connection) = self.client.send(&self.router, request).await?;
+        let status = response.status();
+        eyre::ensure!(status.is_success(), "stream {number} was refused: {status}");
+        let mut body = response.into_body();
+        let first = body.frame().await;
+        let first = first.ok_or_else(|| eyre::eyre!("stream {number} ended at once"))?;
+        first?;
+        Ok((body, connection))
+    }
+}
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -4,6 +4,8 @@
 
 mod catalogue_cost;
 mod experiment;
+mod fleet_cost;
+mod idle_streams;
 mod message_bytes;
 mod object_bytes;
 mod overhead;
@@ -20,6 +22,7 @@
 pub mod sample_messages;
 pub mod sample_objects;
 mod slope_fit;
+mod slopes;
 mod small_fleet;
 mod thread_cost;
 
@@ -52,6 +55,36 @@
         shows: "latency and processor time that a router adds to the same engine asked straight",
         run: overhead::run,
     },
+    MeasureExperiment {
+        name: "slope-routers",
+        shows: "idle fleet: cost of a router, platform calls, against routers of one domain",
+        run: slopes::routers,
+    },
+    MeasureExperiment {
+        name: "slope-domains",
+        shows: "idle fleet: cost of a router, platform calls, against domains of two routers",
+        run: slopes::domains,
+    },
+    MeasureExperiment {
+        name: "slope-targets",
+        shows: "idle fleet: cost of a router against targets of its domain",
+        run: slopes::targets,
+    },
+    MeasureExperiment {
+        name: "slope-budgets",
+        shows: "idle fleet: cost of a router, platform calls, against budgets held",
+        run: slopes::budgets,
+    },
+    MeasureExperiment {
+        name: "slope-bills",
+        shows: "busy fleet: cost of a router, platform calls, against bills a second",
+        run: slopes::bills,
+    },
+    MeasureExperiment {
+        name: "slope-streams",
+        shows: "memory and processor time of a router against idle open streams",
+        run: slopes::streams,
+    },
     MeasureExperiment {
         name: "peers",
         shows: "bytes, processor time, memory and latency of messages between routers",
