Make two tests of the edge between routers fail without their safeguard

Each of 19 safeguards was taken out in a trial and the edge's tests run. 17 trials failed at least one test; two failed none: the bound on unproven connections (the silent strangers were refused later for their silence, and the test took that for the bound) and the incarnation in the hello (the sender refuses the receiver by itself). Now the first has to be refused at once, and the second is asked for by a client that does not look; both trials fail their tests.

Taken out one by one: the receiver's and the sender's check of the proof, the label of the side in it, one hello a connection, the incarnation in the hello, the allowance before the proof, the bounds on unproven connections, links, queues and deliveries on their way, one connection a peer, the time limits of handshake, delivery and waiting, the bound on reads while a write waits, the order of dropping, the leaving out of unencodable messages, the clearing of a refused peer's queue, and the drain.

--- a/crates/beechsaddle/tests/peers_auth.rs
+++ b/crates/beechsaddle/tests/peers_auth.rs
@@ -201,6 +201,17 @@
     assert!(right.events.is_empty());
 }
 
+// The same, and the sender does not look at who answers: the new life itself has to refuse.
+#[test]
+fn hello_for_other_incarnation_is_refused() {
+    let edge = start("host-b", 8, options(SECRET));
+    let earlier = hello(&RouterIncarnation::new("host-b", 7));
+    with_gate(edge.handle.local_address(), async |gate| {
+        assert!(say_hello(&gate, &earlier).await.is_err());
+    });
+    edge.wait_for("refused", |counts| counts.refused == 1);
+}
+
 // Bytes that are no Cap'n Proto reach the port: a scanner, or a caller at the wrong port. Each such
 // connection ends, and peers go on being served.
 #[test]
@@ -265,9 +276,12 @@
 fn accept_silent_strangers_are_bounded() {
     let mut few = options(SECRET);
     few.unproven_max = 3;
+    few.connect_timeout_ms = 1_500;
     let right = start("host-b", 7, few);
+    let begin = Instant::now();
     let silent: Vec<TcpStream> = (0..10).map(|_| connect(&right)).collect();
-    right.wait_for("refused", |counts| counts.refused >= 7);
+    right.wait_for("refused", |counts| counts.refused == 7);
+    assert!(begin.elapsed() < Duration::from_secs(1), "not at once");
     let left = start("host-a", 1, options(SECRET));
     left.send(&right, note(1));
     assert_eq!(right.receive().1, note(1));
