--- a/crates/beechsaddle/src/peers/link_table.rs
+++ b/crates/beechsaddle/src/peers/link_table.rs
@@ -13,7 +13,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::edge_context::EdgeContext;
-use super::peer_link::{LinkState, PeerLink};
+use super::link_state::LinkState;
+use super::peer_link::PeerLink;
 
 /// A message on its way from the core to a link.
 #[derive(Debug)]
--- a/crates/beechsaddle/src/peers/mod.rs
+++ b/crates/beechsaddle/src/peers/mod.rs
@@ -9,6 +9,8 @@
 mod edge_context;
 mod gate_server;
 mod inbox_server;
+mod link_flight;
+mod link_state;
 mod link_table;
 mod metered_stream;
 mod peer_auth;
--- a/crates/beechsaddle/src/peers/peer_link.rs
+++ b/crates/beechsaddle/src/peers/peer_link.rs
@@ -1,30 +1,18 @@
 //! The `peer_link` module provides the task that delivers to one peer.
 
-use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use beechsaddle_core::names::RouterIncarnation;
-use beechsaddle_core::peer::PeerMessage;
 use beechsaddle_core::report::LogLevel;
-use futures::stream::{FuturesUnordered, StreamExt};
-use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::backoff_span::BackoffSpan;
 use super::edge_context::EdgeContext;
+use super::link_flight::{DeliveryEnd, LinkFlight};
+use super::link_state::LinkState;
 use super::peer_session::{PeerSession, SentBatch, SessionError};
 use super::peers_stats::add;
-use super::send_queue::SendQueue;
-
-/// What the task of a link and those who feed it share.
-pub(super) struct LinkState {
-    queue: RefCell<SendQueue>,
-    news: Notify,
-    closing: Cell<bool>,
-}
 
 /// Delivers to one peer: connects when there is something to send, and again when it broke.
 pub(super) struct PeerLink {
@@ -36,20 +24,6 @@
     is_known_down: bool,
 }
 
-/// A delivery that has come to its end.
-struct DeliveryEnd {
-    count: usize,
-    bytes: usize,
-    outcome: Result<(), String>,
-}
-
-/// Deliveries that are on their way.
-struct LinkFlight {
-    pending: FuturesUnordered<Pin<Box<dyn Future<Output = DeliveryEnd>>>>,
-    messages: usize,
-    bytes: usize,
-}
-
 /// Why a session has come to its end.
 #[derive(Debug)]
 enum SessionEnd {
@@ -59,39 +33,6 @@
     Broken(String),
 }
 
-impl LinkState {
-    /// Nothing waits.
-    pub(super) fn new(context: &EdgeContext) -> Self {
-        LinkState {
-            queue: RefCell::new(SendQueue::new(&context.options)),
-            news: Notify::new(),
-            closing: Cell::new(false),
-        }
-    }
-
-    /// Adds a message and tells how many were dropped for it.
-    pub(super) fn push(&self, message: PeerMessage) -> usize {
-        let dropped = self.queue.borrow_mut().push(message, Instant::now());
-        self.news.notify_one();
-        dropped
-    }
-
-    /// Lets the task end once all is sent.
-    pub(super) fn close(&self) {
-        self.closing.set(true);
-        self.news.notify_one();
-    }
-
-    /// Whether nothing waits.
-    pub(super) fn is_empty(&self) -> bool {
-        self.queue.borrow().is_empty()
-    }
-
-    fn clear(&self) -> usize {
-        self.queue.borrow_mut().clear()
-    }
-}
-
 impl PeerLink {
     /// A link to one life of a peer at one address.
     pub(super) fn new(
@@ -132,10 +73,10 @@
     async fn wait_for_news(&self) -> bool {
         let idle = Duration::from_millis(self.context.options.idle_ms);
         while self.state.is_empty() {
-            if self.state.closing.get() {
+            if self.state.is_closing() {
                 return false;
             }
-            if timeout(idle, self.state.news.notified()).await.is_err() {
+            if timeout(idle, self.state.news()).await.is_err() {
                 return !self.state.is_empty();
             }
         }
@@ -150,22 +91,22 @@
             if self.send_waiting(&session, &mut flight) {
                 idle_at = Instant::now() + idle;
             }
-            if self.state.closing.get() && flight.is_empty() && self.state.is_empty() {
+            if self.state.is_closing() && flight.is_empty() && self.state.is_empty() {
                 break SessionEnd::Idle;
             }
             tokio::select! {
-                Some(done) = flight.pending.next(), if !flight.is_empty() => {
-                    if let Err(reason) = self.note_delivered(&mut flight, done) {
+                Some(done) = flight.next(), if !flight.is_empty() => {
+                    if let Err(reason) = self.note_delivered(done) {
                         break SessionEnd::Broken(reason);
                     }
                 }
-                () = self.state.news.notified() => {}
+                () = self.state.news() => {}
                 reason = session.broken() => break SessionEnd::Broken(reason),
                 () = sleep_until(idle_at), if flight.is_empty() => break SessionEnd::Idle,
             }
         };
         // What was on its way may have been taken: sending it again could do something twice.
-        self.context.count_lost(flight.messages);
+        self.context.count_lost(flight.messages());
         end
     }
 
@@ -173,12 +114,8 @@
     fn send_waiting(&self, session: &PeerSession, flight: &mut LinkFlight) -> bool {
         let options = &self.context.options;
         let mut sent = false;
-        while flight.pending.len() < options.flight_calls && flight.bytes < options.flight_bytes {
-            let (batch, expired) = self.state.queue.borrow_mut().take_batch(
-                options.batch_messages,
-                options.batch_bytes,
-                Instant::now(),
-            );
+        while flight.has_room(options) {
+            let (batch, expired) = self.state.take_batch(options);
             self.context.count_dropped(expired);
             if batch.messages.is_empty() {
                 break;
@@ -200,10 +137,8 @@
         }
     }
 
-    fn note_delivered(&self, flight: &mut LinkFlight, done: DeliveryEnd) -> Result<(), String> {
+    fn note_delivered(&self, done: DeliveryEnd) -> Result<(), String> {
         if done.outcome.is_ok() {
-            flight.messages -= done.count;
-            flight.bytes -= done.bytes;
             add(&self.context.stats.delivered, done.count as u64);
         }
         done.outcome
@@ -257,41 +192,3 @@
         self.context.reports.log(level, event, fields);
     }
 }
-
-impl LinkFlight {
-    fn new() -> Self {
-        LinkFlight {
-            pending: FuturesUnordered::new(),
-            messages: 0,
-            bytes: 0,
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.pending.is_empty()
-    }
-
-    fn add(&mut self, delivery: SentBatch, bytes: usize, timeout_ms: u64) {
-        let Some(answer) = delivery.answer else {
-            return;
-        };
-        let count = delivery.count;
-        self.messages += count;
-        self.bytes += bytes;
-        let span = Duration::from_millis(timeout_ms);
-        self.pending.push(Box::pin(async move {
-            // A frozen peer's kernel goes on taking bytes, so that nothing but the missing answer
-            // tells. Without the limit its deliveries would stay on their way for ever.
-            let outcome = match timeout(span, answer).await {
-                Ok(Ok(_)) => Ok(()),
-                Ok(Err(error)) => Err(error.to_string()),
-                Err(_) => Err("no answer in time".to_owned()),
-            };
-            DeliveryEnd {
-                count,
-                bytes,
-                outcome,
-            }
-        }));
-    }
-}
