Show each safeguard of money by its absence

Cause: a session that passes proves little unless it fails without what it is there for. Not seen to fail: the late-bill record by call (the dedup window stops the same doubles first).

--- a/crates/beechsaddle-core/tests/money_sessions.rs
+++ b/crates/beechsaddle-core/tests/money_sessions.rs
@@ -290,6 +290,99 @@
     world.check_golden("answer_lost_each_write");
 }
 
+/// Lets time pass until a write by `router` of an object below `prefix` is on its way.
+fn run_to_write(world: &mut MoneyWorld, router: usize, prefix: &str) {
+    let is_wanted = |flight: &Flight| match flight {
+        Flight::Call {
+            router: from,
+            call: PlatformCall::Write { key, .. },
+            ..
+        } => *from == router && key.as_str().starts_with(prefix),
+        _ => false,
+    };
+    for _ in 0..5_000 {
+        if world.flights.iter().any(is_wanted) {
+            return;
+        }
+        if world.flights.is_empty() {
+            world.advance(50);
+        } else {
+            world.deliver(0);
+        }
+    }
+    panic!("the router writes nothing there");
+}
+
+/// A holder gives part of its grant back, and the answer to that write is lost.
+/// The tokens go to a holder of another domain at once. The first one, which does not know yet
+/// whether its write took effect, must not reserve as if it had not: its caller waits or is
+/// refused, and no token is spent twice.
+#[test]
+fn grant_returned_answer_lost() {
+    let mut world = world_of(&["d1", "d2"], 10_000);
+    let call = run_call(&mut world, 0, 3_000, 10);
+    world.settle(&call);
+    // The first write that gives back a good part of the grant.
+    let after = loop {
+        let before = world.account(BUDGET).granted();
+        run_to_write(&mut world, 0, "ledger/");
+        lose_answer(&mut world, 0);
+        let after = world.account(BUDGET).granted();
+        if after + 300 < before {
+            break after;
+        }
+        world.settle_network();
+    };
+    let rest = world.account(BUDGET).free();
+    let taken = world.call(1, BUDGET, None, rest);
+    while world.calls[&taken].admitted.is_none() {
+        let index = world.flights.iter().position(|flight| match flight {
+            Flight::Call { router, .. } | Flight::Reply { router, .. } => *router == 1,
+            Flight::Peer { .. } | Flight::Straggler { .. } => false,
+        });
+        world.deliver(index.expect("the other holder goes on"));
+    }
+    assert!(admitted(&world, &taken), "the returned tokens are there");
+    let more = world.call(0, BUDGET, None, after + 100);
+    world.run(2_000);
+    assert!(!admitted(&world, &more), "they are not spent twice");
+    for call in [&taken, &more] {
+        world.serve(call, 10_000);
+        world.settle(call);
+    }
+    let account = close(&mut world);
+    assert_eq!(account.settled, world.served());
+    world.check_golden("grant_returned_answer_lost");
+}
+
+/// A holder lowers its mark, the answer to that write is lost, and the holder dies.
+/// Whoever fences it counts only the lower mark as spent. So a call that came in between must not
+/// be reserved below the old mark, or its tokens would be spent and given back.
+#[test]
+fn mark_lowered_answer_lost() {
+    let mut world = world_of(&["d1", "d1"], 10_000);
+    let holder = holder_of(&world, 0..2);
+    let call = run_call(&mut world, holder, 3_000, 10);
+    world.settle(&call);
+    let low = loop {
+        run_to_write(&mut world, holder, "journal/");
+        lose_answer(&mut world, holder);
+        let segment = world.store.segments.values().next_back();
+        let mark = segment.and_then(|segment| segment.marks.get(BUDGET).copied());
+        match mark {
+            Some(mark) if mark < 2_500 => break mark,
+            Some(_) | None => world.settle_network(),
+        }
+    };
+    let late = world.call(holder, BUDGET, None, 2_600);
+    assert!(!admitted(&world, &late), "the mark may be {low} already");
+    world.serve(&late, 2_600);
+    die(&mut world, holder);
+    let account = close(&mut world);
+    assert!(account.settled + account.written_off >= world.served());
+    world.check_golden("mark_lowered_answer_lost");
+}
+
 /// The platform is down for an hour while callers go on.
 /// They are served up to the durable mark, then refused at once with a time to come back. When the
 /// platform is back, every bill of the hour is folded and callers are served again.
