--- a/crates/beechsaddle-core/src/money/desk_late.rs
+++ b/crates/beechsaddle-core/src/money/desk_late.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::desk_holder::bill_of;
+use super::desk_settle::bill_of;
 use super::desk_turn::DeskTurn;
 use super::journal_name::journal_router;
 use super::journal_segment::{BillRecord, FinalSpend};
