--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -17,6 +17,7 @@
 use super::segment_sweeper::SegmentSweeper;
 use super::shard_writer::ShardWriter;
 use crate::members::MemberTable;
+use crate::objects::FleetLayout;
 use crate::peer::{AdmitRequest, PeerMessage, WitnessNote};
 use crate::platform::{PlatformReply, PlatformTicket};
 use crate::prelude::*;
@@ -129,6 +130,12 @@
         }
     }
 
+    /// Sets how many ledger shards there are, once the fleet's layout is known and before anything
+    /// is reserved.
+    pub fn set_layout(&mut self, layout: &FleetLayout) {
+        self.options.shard_count = layout.ledger_shards;
+    }
+
     /// Asks for a reservation; called at the call's entry router. Exactly one
     /// [`CoreSignal::AdmitDone`] follows in bounded time, unless the call is settled before.
     pub fn admit(
@@ -213,6 +220,8 @@
             PeerMessage::WitnessNote(note) => self.keep_note(&mut turn, from, note),
             PeerMessage::WitnessReply { call } => self.on_witness_reply(&mut turn, from, &call),
             PeerMessage::Heartbeat(_)
+            | PeerMessage::HostsRequest
+            | PeerMessage::HostsUpdate { .. }
             | PeerMessage::CatalogueRequest { .. }
             | PeerMessage::CatalogueUpdate { .. }
             | PeerMessage::RecordRequest(_)
--- a/crates/beechsaddle-core/src/peer.rs
+++ b/crates/beechsaddle-core/src/peer.rs
@@ -4,13 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalogue::{CatalogueBase, CatalogueChange};
-use crate::members::HostState;
+use crate::catalogue::{CatalogueBase, CatalogueChange, EntryId};
+use crate::members::{HostList, HostState};
 use crate::names::{
     BudgetName, CallId, DomainName, KeyText, RequestKey, RouterIncarnation, TargetName,
-    WorkspaceName,
 };
+use crate::objects::FleetLayout;
 use crate::refusal::CallRefusal;
+use crate::target::{EngineState, LoadReport};
 
 /// A message from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +30,16 @@
         /// The changes.
         changes: Vec<CatalogueChange>,
     },
+    /// Asks for the list of hosts of the sender's domain; sent by a router that has none, because
+    /// it started while the platform was away.
+    HostsRequest,
+    /// The list of hosts of the sender's domain as last read from the platform.
+    HostsUpdate {
+        /// The list's version at the platform; a higher one replaces a lower one.
+        version: u64,
+        /// The list.
+        hosts: HostList,
+    },
     /// Asks a budget's holder to reserve for a call and to be its witness.
     AdmitRequest(AdmitRequest),
     /// Answers it.
@@ -95,11 +106,15 @@
     pub state: RouterState,
     /// The catalogue revision in force there.
     pub catalogue_revision: u64,
+    /// The fleet's shard counts, if it knows them; a router that starts while the platform is away
+    /// learns them here.
+    pub layout: Option<FleetLayout>,
     /// What it knows of targets of its domain, newest observations only.
     pub targets: Vec<TargetNews>,
     /// What its callers use of shared limits.
     pub limits: Vec<LimitUse>,
-    /// Routers of other domains that it knows to be alive; sent between bridges only.
+    /// Live routers of its domain that the receiver may not know: new ones, and towards other
+    /// domains the bridges.
     pub routers: Vec<RouterNews>,
 }
 
@@ -126,18 +141,25 @@
     pub state: HostState,
     /// Counts observations of that target and epoch; a higher one replaces a lower one.
     pub sequence: u64,
+    /// The load that a prober saw, for routers that do not probe the target themselves.
+    pub load: Option<LoadReport>,
+    /// What a prober saw the engine serve.
+    pub engine: Option<EngineState>,
 }
 
-/// One router's use of a workspace's shared limits.
+/// What one router's callers ask of an entry's shared limits, whether it was admitted or refused:
+/// shares follow demand, and a router that was short of its share could not ask for more otherwise.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitUse {
-    /// The workspace.
-    pub workspace: WorkspaceName,
+    /// The entry.
+    pub entry: EntryId,
     /// Calls running.
     pub running: u32,
-    /// Calls admitted in the last second.
+    /// Calls that the limit of calls at a time refused in the last second.
+    pub held_back: u32,
+    /// Calls asked for in the last second.
     pub requests: u32,
-    /// Tokens used in the last minute.
+    /// Tokens asked for in the last minute.
     pub tokens: u64,
 }
 
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -1,1 +1,17 @@
-//! beechsaddle
+//! The beechsaddle router and its command line.
+//!
+//! The crate carries out what `beechsaddle-core` decides: each edge is a module of its own.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod calls;
+pub mod catalogue_files;
+pub mod command;
+pub mod findings;
+pub mod operator;
+pub mod peers;
+pub mod platform;
+pub mod report;
+pub mod router;
+pub mod settings;
