Name a budget in checkpoints while its grant is being written

Cause: a request gave up while its grant was on its way; the holding looked unused, the checkpoint left the budget out, the holder died and the grant landed. No folder looked for it.

--- a/crates/beechsaddle-core/src/money/budget_holding.rs
+++ b/crates/beechsaddle-core/src/money/budget_holding.rs
@@ -65,6 +65,9 @@
     pub(super) asked_at: ClockTime,
     /// Late bills of closed journals wait for the grant's entry, even of nothing.
     pub(super) has_late: bool,
+    /// A change of the grant is being written; until its outcome is known, a checkpoint has to name
+    /// the budget. Left out, a grant that is made after all would be found by nobody at a fence.
+    pub(super) is_in_doubt: bool,
     /// The removal of the grant's entry is being written.
     pub(super) is_leaving: bool,
     /// The last segment that names the budget; a checkpoint after it leaves the budget out.
@@ -158,6 +161,7 @@
             && self.unfolded.is_empty()
             && self.finals.is_empty()
             && !self.has_late
+            && !self.is_in_doubt
             && self.amount == self.spent
             && self.mark == self.spent
             && self.mark_sent.is_none()
--- a/crates/beechsaddle-core/src/money/desk_ledger.rs
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -255,6 +255,7 @@
                 folded: holding.spent,
                 cursor: holding.named_in,
             };
+            holding.is_in_doubt = true;
             account.grants.insert(journal.clone(), grant);
             turn.count(CounterName::GrantsTaken);
             is_changed = true;
@@ -288,6 +289,7 @@
             // The write may take effect without an answer: from now on no more may be spent than
             // the smaller of both amounts.
             holding.amount = holding.amount.min(target);
+            holding.is_in_doubt = true;
             is_changed = true;
         }
         (is_changed, duplicates)
@@ -329,6 +331,7 @@
         }
         if !is_unresolved {
             self.is_leaving = false;
+            self.is_in_doubt = false;
         }
         let others = account.map_or(0, |account| {
             account
