Give each conversation a home that all routers work out alone

Cause: turns of a conversation reach different routers, and only a target's two probers see its cache. The home by the first 16 blocks took the shared instructions for a conversation where those are long, and moved where a prompt grows past 16. Now each router learns from its own calls where prompts part, and hashes the first block after it.

choose_holder_of_prefix failed after the change ("target-1", not "target-4"): a home taken to hold all tied with a target known to hold all. A home is now taken to read one block at least.

--- a/crates/beechsaddle-core/src/targets/mod.rs
+++ b/crates/beechsaddle-core/src/targets/mod.rs
@@ -6,6 +6,8 @@
 mod call_work;
 mod choice_policy;
 mod choice_request;
+mod fork_table;
+mod home_target;
 mod load_estimate;
 mod outlier_watch;
 mod prefix_index;
@@ -24,6 +26,7 @@
 pub use call_work::CallWork;
 pub use choice_policy::ChoicePolicy;
 pub use choice_request::ChoiceRequest;
+pub use fork_table::{ForkTable, PromptFork};
 pub use load_estimate::LoadEstimate;
 pub use prefix_index::PrefixIndex;
 pub use service_load::ServiceLoad;
--- a/crates/beechsaddle-core/src/targets/target_options.rs
+++ b/crates/beechsaddle-core/src/targets/target_options.rs
@@ -50,8 +50,12 @@
     pub prefill_rate: f64,
     /// The milliseconds that each call in an engine's batch is taken to add to a first token.
     pub batch_ms: f64,
-    /// How many blocks of a prompt decide where it goes while no target is known to hold it.
-    pub anchor_blocks: usize,
+    /// How many blocks are remembered to find what prompts share.
+    pub fork_limit: usize,
+    /// The part of a prompt that its home is taken to have to read, unless less is known.
+    pub home_unread: f64,
+    /// How many times more targets than its share of calls a shared part is spread over.
+    pub home_slack: f64,
     /// How many calls above the mean a target may have before affinity no longer counts.
     pub bound_factor: f64,
     /// Whether calls may go to other domains when the own one cannot serve them.
@@ -83,7 +87,9 @@
             block_tokens: 64,
             prefill_rate: 8_000.0,
             batch_ms: 1.0,
-            anchor_blocks: 16,
+            fork_limit: 4_096,
+            home_unread: 0.2,
+            home_slack: 8.0,
             bound_factor: 1.5,
             cross_domain: true,
         }
--- a/crates/beechsaddle-core/src/targets/target_picker.rs
+++ b/crates/beechsaddle-core/src/targets/target_picker.rs
@@ -1,25 +1,32 @@
 //! The `target_picker` module provides the choice among targets that may all serve a call.
 
-use super::{ChoicePolicy, ChoiceRequest, TargetEntry, TargetOptions};
+use super::home_target::home_of;
+use super::{ChoicePolicy, ChoiceRequest, ForkTable, TargetEntry, TargetOptions};
 use crate::catalogue::ServiceKind;
 use crate::clock::ClockTime;
-use crate::hash::rendezvous_weight;
 use crate::random::SeededRandom;
 
 /// Chooses among targets.
 #[derive(Debug)]
 pub struct TargetPicker {
     random: SeededRandom,
+    forks: ForkTable,
 }
 
 impl TargetPicker {
     /// A picker; equal seeds give equal choices.
-    pub fn new(seed: u64) -> Self {
+    pub fn new(seed: u64, options: &TargetOptions) -> Self {
         TargetPicker {
             random: SeededRandom::new(seed),
+            forks: ForkTable::new(options.fork_limit),
         }
     }
 
+    /// Learns from a call that was sent.
+    pub fn learn(&mut self, prefix: &[u64]) {
+        self.forks.learn(prefix);
+    }
+
     /// One of the candidates; `None` when there are none.
     pub fn pick<'a>(
         &mut self,
@@ -76,13 +83,26 @@
         request: &ChoiceRequest<'_>,
         options: &TargetOptions,
     ) -> Option<&'a TargetEntry> {
-        let home = home_of(candidates, request, options);
+        let home = home_of(candidates, request.prefix, &self.forks, options);
+        let uncached: Vec<u64> = candidates
+            .iter()
+            .map(|entry| entry.uncached_tokens(request.prefix, request.work, options))
+            .collect();
+        let least = uncached.iter().copied().min()?;
         let start = self.random.below(candidates.len() as u64) as usize;
-        let rotated = candidates.iter().cycle().skip(start).take(candidates.len());
         let mut best: Option<(f64, &TargetEntry)> = None;
-        for entry in rotated.copied() {
-            let is_home = home.is_some_and(|home| home.target == entry.target);
-            let cost = cost_of(entry, is_home, request, options);
+        for step in 0..candidates.len() {
+            let place = (start + step) % candidates.len();
+            let entry = candidates[place];
+            let mut unread = uncached[place] as f64;
+            if home == Some(&entry.target) {
+                // Other routers send the same conversation there. What this one has not seen of it
+                // is taken to be a part of what even the best known target would have to read.
+                // A target that is known to hold all but a block comes before that assumption.
+                let assumed = least as f64 * options.home_unread;
+                unread = unread.min(assumed.max(options.block_tokens as f64));
+            }
+            let cost = entry.expected_ms(unread as u64, options) * entry.load.slowness();
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, entry));
             }
@@ -114,33 +134,3 @@
     }
     ready
 }
-
-/// The candidate that all routers agree on for a prompt that none is known to hold.
-fn home_of<'a>(
-    candidates: &[&'a TargetEntry],
-    request: &ChoiceRequest<'_>,
-    options: &TargetOptions,
-) -> Option<&'a TargetEntry> {
-    let depth = request.prefix.len().min(options.anchor_blocks);
-    let anchor = request.prefix.get(depth.checked_sub(1)?)?;
-    let text = format!("{anchor:016x}");
-    candidates
-        .iter()
-        .copied()
-        .max_by_key(|entry| rendezvous_weight(&text, entry.target.as_str()))
-}
-
-/// The expected time to the first token, in milliseconds.
-fn cost_of(
-    entry: &TargetEntry,
-    is_home: bool,
-    request: &ChoiceRequest<'_>,
-    options: &TargetOptions,
-) -> f64 {
-    let mut uncached = entry.uncached_tokens(request.prefix, request.work, options);
-    if is_home {
-        // Other routers send the same prompts there, whose prefixes this one has not seen.
-        uncached /= 2;
-    }
-    entry.expected_ms(uncached, options) * entry.load.slowness()
-}
--- a/crates/beechsaddle-core/src/targets/target_table.rs
+++ b/crates/beechsaddle-core/src/targets/target_table.rs
@@ -40,12 +40,12 @@
         seed: u64,
     ) -> Self {
         TargetTable {
+            picker: TargetPicker::new(seed, &options),
             options,
             me,
             domain,
             entries: BTreeMap::new(),
             early: BTreeMap::new(),
-            picker: TargetPicker::new(seed),
             planned_for: None,
             news_cursor: None,
             has_list: false,
@@ -86,6 +86,7 @@
             return;
         };
         entry.start(now, prefix, work, &self.options);
+        self.picker.learn(prefix);
         if entry.domain != self.domain {
             self.cross_domain_calls += 1;
         }
--- a/crates/beechsaddle-lab/src/measure/routing/call_mix.rs
+++ b/crates/beechsaddle-lab/src/measure/routing/call_mix.rs
@@ -6,9 +6,7 @@
 
 use super::engine_model::BLOCK_TOKENS;
 use super::routing_call::RoutingCall;
-
-/// How many workspaces there are; a few of them are large.
-const WORKSPACES: usize = 10;
+use super::trial_setup::TrialSetup;
 
 /// The mean pause between two turns of a conversation, in milliseconds.
 const PAUSE_MS: f64 = 8_000.0;
@@ -18,23 +16,25 @@
 pub struct CallMix {
     random: ChaCha8Rng,
     routers: usize,
+    workspaces: usize,
     next_block: u64,
 }
 
 impl CallMix {
     /// A mix; equal seeds give equal calls.
-    pub fn new(seed: u64, routers: usize) -> Self {
+    pub fn new(setup: &TrialSetup) -> Self {
         CallMix {
-            random: ChaCha8Rng::seed_from_u64(seed),
-            routers,
-            next_block: seed << 40,
+            random: ChaCha8Rng::seed_from_u64(setup.seed),
+            routers: setup.routers,
+            workspaces: setup.workspaces,
+            next_block: setup.seed << 40,
         }
     }
 
     /// The calls of `span_ms` milliseconds in the order of arrival, `rate` a second once the
     /// conversations have built up.
     pub fn draw(&mut self, span_ms: f64, rate: f64) -> Vec<RoutingCall> {
-        let instructions: Vec<Vec<u64>> = (0..WORKSPACES)
+        let instructions: Vec<Vec<u64>> = (0..self.workspaces)
             .map(|_| {
                 let count = self.random.random_range(4..=20);
                 self.blocks(count)
@@ -83,10 +83,10 @@
         }
     }
 
-    /// Workspace `n` makes about half as many calls as workspace `n - 2`.
+    /// A few workspaces make most of the calls: half of them come from a seventh.
     fn workspace(&mut self) -> usize {
-        let draw = self.exponential(2.0) as usize;
-        draw.min(WORKSPACES - 1)
+        let draw = self.exponential(self.workspaces as f64 / 5.0) as usize;
+        draw.min(self.workspaces - 1)
     }
 
     fn blocks(&mut self, count: usize) -> Vec<u64> {
--- a/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
+++ b/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
@@ -59,7 +59,7 @@
 impl RoutingTrial {
     /// Prepares a run.
     pub fn new(setup: TrialSetup, options: &TargetOptions) -> Self {
-        let calls = CallMix::new(setup.seed, setup.routers).draw(setup.span_ms, setup.rate);
+        let calls = CallMix::new(&setup).draw(setup.span_ms, setup.rate);
         let engines = (0..setup.engines)
             .map(|number| EngineModel::new(if number == 0 { setup.slowdown } else { 1.0 }))
             .collect();
--- a/crates/beechsaddle-lab/src/measure/routing/trial_setup.rs
+++ b/crates/beechsaddle-lab/src/measure/routing/trial_setup.rs
@@ -9,6 +9,8 @@
     pub routers: usize,
     /// How many engines there are.
     pub engines: usize,
+    /// How many workspaces call, each with its own instructions.
+    pub workspaces: usize,
     /// For how long calls arrive, in milliseconds.
     pub span_ms: f64,
     /// Calls that arrive before this time are not counted, in milliseconds.
@@ -27,6 +29,7 @@
             seed: 1,
             routers: 3,
             engines: 12,
+            workspaces: 10,
             span_ms: 150_000.0,
             warm_ms: 30_000.0,
             rate: 55.0,
