--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -4,8 +4,10 @@
 
 mod catalogue_cost;
 mod experiment;
+pub mod leave;
 mod object_bytes;
 mod process_cost;
+pub mod retries;
 pub mod routing;
 pub mod sample_objects;
 mod slope_fit;
@@ -35,6 +37,16 @@
         shows: "times to first token and prefix hits of each way to choose a target",
         run: routing::run,
     },
+    MeasureExperiment {
+        name: "retries",
+        shows: "attempts for each call when targets fail, with the retry budget and without",
+        run: retries::run,
+    },
+    MeasureExperiment {
+        name: "leave",
+        shows: "time until a leaving target gets no work, probes and news against routers",
+        run: leave::run,
+    },
 ];
 
 /// The seed when none is given.
--- a/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
+++ b/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
@@ -65,7 +65,7 @@
             .collect();
         let targets: Vec<TargetName> = (0..setup.engines).map(target).collect();
         let routers = (0..setup.routers)
-            .map(|number| router_of(number, &setup, options))
+            .map(|number| Self::router(number, &setup, options))
             .collect();
         let mut trial = RoutingTrial {
             routers,
@@ -86,6 +86,15 @@
         trial
     }
 
+    /// The target table and the members of one router.
+    pub fn router(
+        number: usize,
+        setup: &TrialSetup,
+        options: &TargetOptions,
+    ) -> (TargetTable, MemberTable) {
+        router_of(number, setup, options)
+    }
+
     /// Runs until the last call ended.
     pub fn run(mut self) -> TrialFigures {
         let mut left = self.calls.len();
@@ -187,7 +196,7 @@
                 }
             }
         }
-        if count % HEARTBEAT_TICKS == 0 {
+        if count.is_multiple_of(HEARTBEAT_TICKS) {
             self.exchange(now);
         }
         if millis(now) >= self.setup.warm_ms && millis(now) < self.setup.span_ms {
