Fence replaced processes, bound what objects hold, document budgets

Cause: when all routers of a domain died together, nobody had seen them alive, and their grants stayed open. Whoever reads the ledger now fences journals of processes that a later one on the same host has replaced. Before: domain_restarted_grant_returns fails, the grant of r0@1.1 is still open.

--- a/crates/beechsaddle-core/src/money/budget_account.rs
+++ b/crates/beechsaddle-core/src/money/budget_account.rs
@@ -73,6 +73,10 @@
 /// cost of a collision at 2^48 requests within one dedup window.
 const KEY_DIGEST_BYTES: usize = 12;
 
+/// How many billed keys one account remembers at most. At 63 bytes each they stay under a quarter of
+/// the platform's largest object; beyond it a shard could not be written any more.
+const MAX_KEYS: usize = 4_000;
+
 impl BudgetAccount {
     /// An account without tokens.
     pub fn new(workspace: WorkspaceName, owner: OwnerName) -> Self {
@@ -217,6 +221,13 @@
             .retain(|_, key| now.since(key.folded_at) <= dedup_window_ms);
         self.closed
             .retain(|_, closed| now.since(closed.closed_at) <= closed_retention_ms);
+        let excess = self.keys.len().saturating_sub(MAX_KEYS);
+        if excess > 0 {
+            let mut times: Vec<ClockTime> = self.keys.values().map(|key| key.folded_at).collect();
+            times.sort_unstable();
+            let oldest_kept = times[excess];
+            self.keys.retain(|_, key| key.folded_at >= oldest_kept);
+        }
     }
 
     fn fold_own(&mut self, journal: &KeyText, bill: &BillRecord, now: ClockTime) -> bool {
--- a/crates/beechsaddle-core/src/money/budget_holding.rs
+++ b/crates/beechsaddle-core/src/money/budget_holding.rs
@@ -222,6 +222,57 @@
             && checkpoint > self.named_in
     }
 
+    /// Takes over what the ledger says. While a write is unresolved, the amount only falls.
+    pub(super) fn adopt(
+        &mut self,
+        now: ClockTime,
+        journal: &KeyText,
+        account: Option<&BudgetAccount>,
+        is_unresolved: bool,
+    ) {
+        let grant = account.and_then(|account| account.grants.get(journal));
+        match grant {
+            Some(grant) => {
+                self.has_entry = true;
+                self.amount = if is_unresolved {
+                    self.amount.min(grant.amount)
+                } else {
+                    grant.amount
+                };
+                self.unfolded.retain(|(number, _)| *number >= grant.cursor);
+                self.finals.retain(|(number, _)| *number >= grant.cursor);
+                if self.unfolded.is_empty() && self.finals.is_empty() {
+                    self.unfolded_since = None;
+                }
+            }
+            None if self.has_entry && self.is_leaving => {
+                *self = BudgetHolding {
+                    intent: IntentState::Missing,
+                    named_in: self.named_in,
+                    ..BudgetHolding::renewed_from(std::mem::take(self))
+                };
+            }
+            None => {}
+        }
+        if !is_unresolved {
+            self.is_leaving = false;
+            self.is_in_doubt = false;
+        }
+        let others = account.map_or(0, |account| {
+            account
+                .grants
+                .keys()
+                .filter(|name| *name != journal)
+                .count()
+        });
+        self.account = Some(AccountView {
+            workspace: account.map(|account| account.workspace.clone()),
+            free: account.map_or(0, BudgetAccount::free),
+            holders: others as u64 + 1,
+            read_at: now,
+        });
+    }
+
     pub(super) fn status(&self, budget: &BudgetName) -> GrantStatus {
         GrantStatus {
             budget: budget.clone(),
--- a/crates/beechsaddle-core/src/money/desk_journal.rs
+++ b/crates/beechsaddle-core/src/money/desk_journal.rs
@@ -56,7 +56,7 @@
             return self.drain == DrainState::Closing;
         }
         let is_period = now.since(self.written_at) >= self.options.journal_period_ms;
-        if is_period && !self.news.is_empty() {
+        if is_period && !self.news.is_empty() && self.bill_room() > 0 {
             return true;
         }
         self.holdings.values().any(|holding| {
@@ -69,6 +69,17 @@
         })
     }
 
+    /// How many bills the next segment may hold. While the ledger lags, bills wait: a checkpoint that
+    /// carried them all would outgrow the platform's largest object and could never be written.
+    fn bill_room(&self) -> usize {
+        let unfolded: usize = self
+            .holdings
+            .values()
+            .map(|holding| holding.unfolded.len())
+            .sum();
+        self.options.max_segment_bills.saturating_sub(unfolded)
+    }
+
     pub(super) fn is_closing(&self) -> bool {
         matches!(
             self.drain,
@@ -83,7 +94,7 @@
         let count = if closed {
             self.news.len()
         } else {
-            self.options.max_segment_bills
+            self.bill_room()
         };
         let rest = self.news.split_off(count.min(self.news.len()));
         self.news_sent = std::mem::replace(&mut self.news, rest);
--- a/crates/beechsaddle-core/src/money/desk_ledger.rs
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -6,9 +6,11 @@
 use std::collections::BTreeSet;
 
 use super::budget_account::{BudgetAccount, OpenGrant};
-use super::budget_holding::{AccountView, BudgetHolding, IntentState};
+use super::budget_holding::{BudgetHolding, IntentState};
 use super::budget_ledger::BudgetLedger;
 use super::desk_turn::DeskTurn;
+use super::fold_scan::FoldScan;
+use super::journal_name::journal_router;
 use super::money_desk::{MoneyDesk, MoneyWait};
 use super::shard_writer::{ShardStep, ShardWriter};
 use crate::platform::PlatformReply;
@@ -61,9 +63,10 @@
         if is_announced && (waits_for_grant || (holding.has_late && !holding.has_entry)) {
             return true;
         }
+        let is_full = holding.unfolded.len() * 2 > self.options.max_segment_bills;
         let is_fold_due = holding
             .unfolded_since
-            .is_some_and(|since| now.since(since) >= self.options.fold_period_ms);
+            .is_some_and(|since| is_full || now.since(since) >= self.options.fold_period_ms);
         if (is_fold_due && holding.has_entry) || holding.can_leave(self.checkpoint) {
             return true;
         }
@@ -109,6 +112,7 @@
         if self.is_fenced_in(shard, &ledger) {
             self.start_new_life(turn);
         }
+        self.fence_replaced(turn, shard, &ledger);
         self.adopt_budgets(turn.now, shard, &ledger, is_unresolved);
         let mut amended = ledger.clone();
         let is_changed = self.amend_shard(turn, shard, &mut amended);
@@ -193,6 +197,27 @@
         })
     }
 
+    /// Fences journals of earlier processes on hosts that run a later one. When all routers of a
+    /// domain died together, nobody is left who saw them alive and could call them gone, and their
+    /// grants would stay open for ever.
+    fn fence_replaced(&mut self, turn: &DeskTurn<'_>, shard: u32, ledger: &BudgetLedger) {
+        for budget in self.budgets_of(shard) {
+            let Some(account) = ledger.budgets.get(&budget) else {
+                continue;
+            };
+            for journal in account.grants.keys() {
+                let owner = journal_router(journal);
+                let Some(owner) = owner.filter(|owner| turn.is_replaced(owner)) else {
+                    continue;
+                };
+                self.scans
+                    .entry(owner.clone())
+                    .or_insert_with(|| FoldScan::new(owner));
+                self.want_job(turn.now, journal);
+            }
+        }
+    }
+
     fn budgets_of(&self, shard: u32) -> Vec<BudgetName> {
         let count = self.options.shard_count;
         self.holdings
@@ -295,56 +320,3 @@
         (is_changed, duplicates)
     }
 }
-
-impl BudgetHolding {
-    /// Takes over what the ledger says. While a write is unresolved, the amount only falls.
-    fn adopt(
-        &mut self,
-        now: ClockTime,
-        journal: &KeyText,
-        account: Option<&BudgetAccount>,
-        is_unresolved: bool,
-    ) {
-        let grant = account.and_then(|account| account.grants.get(journal));
-        match grant {
-            Some(grant) => {
-                self.has_entry = true;
-                self.amount = if is_unresolved {
-                    self.amount.min(grant.amount)
-                } else {
-                    grant.amount
-                };
-                self.unfolded.retain(|(number, _)| *number >= grant.cursor);
-                self.finals.retain(|(number, _)| *number >= grant.cursor);
-                if self.unfolded.is_empty() && self.finals.is_empty() {
-                    self.unfolded_since = None;
-                }
-            }
-            None if self.has_entry && self.is_leaving => {
-                *self = BudgetHolding {
-                    intent: IntentState::Missing,
-                    named_in: self.named_in,
-                    ..BudgetHolding::renewed_from(std::mem::take(self))
-                };
-            }
-            None => {}
-        }
-        if !is_unresolved {
-            self.is_leaving = false;
-            self.is_in_doubt = false;
-        }
-        let others = account.map_or(0, |account| {
-            account
-                .grants
-                .keys()
-                .filter(|name| *name != journal)
-                .count()
-        });
-        self.account = Some(AccountView {
-            workspace: account.map(|account| account.workspace.clone()),
-            free: account.map_or(0, BudgetAccount::free),
-            holders: others as u64 + 1,
-            read_at: now,
-        });
-    }
-}
--- a/crates/beechsaddle-core/src/money/desk_turn.rs
+++ b/crates/beechsaddle-core/src/money/desk_turn.rs
@@ -56,4 +56,12 @@
         let entry = self.members.get(router);
         entry.is_none_or(|entry| entry.liveness == MemberLiveness::Gone)
     }
+
+    /// Whether a later process runs on a router's host.
+    pub(super) fn is_replaced(&self, router: &RouterIncarnation) -> bool {
+        let known = self.members.iter().map(|(other, _)| other);
+        known
+            .chain([self.members.me()])
+            .any(|other| other.host == router.host && other.epoch > router.epoch)
+    }
 }
--- a/crates/beechsaddle-core/src/money/money_options.rs
+++ b/crates/beechsaddle-core/src/money/money_options.rs
@@ -44,7 +44,8 @@
     pub closed_retention_ms: u64,
     /// How many requests wait for one budget's grant at most.
     pub max_waiting: usize,
-    /// How many bills one journal segment or checkpoint holds at most.
+    /// How many new bills one journal segment holds at most. A checkpoint holds as many again that
+    /// are not folded and as many that are not confirmed; at 235 bytes each that is under 1 MB.
     pub max_segment_bills: usize,
 }
 
@@ -70,7 +71,7 @@
             max_reruns: 3,
             closed_retention_ms: 7 * 86_400_000,
             max_waiting: 1_000,
-            max_segment_bills: 2_000,
+            max_segment_bills: 1_200,
         }
     }
 }
--- a/crates/beechsaddle-core/tests/money_sessions.rs
+++ b/crates/beechsaddle-core/tests/money_sessions.rs
@@ -551,3 +551,29 @@
     assert!(account.written_off >= 55, "what was generated is covered");
     world.check_golden("entry_and_holder_die");
 }
+
+/// Every router of a domain dies at once; new processes start on the same hosts.
+/// Nobody saw the old ones leave. The first reader of the ledger finds the grant of a process that
+/// its host has replaced, fences it, and callers can spend what was not marked.
+#[test]
+fn domain_restarted_grant_returns() {
+    let mut world = world_of(&["d1"], 3_000);
+    let call = run_call(&mut world, 0, 1_000, 400);
+    assert!(admitted(&world, &call));
+    world.crash(0);
+    let reborn = world.start("r0", 2, "d1");
+    let next = run_call(&mut world, reborn, 500, 300);
+    assert!(admitted(&world, &next));
+    world.settle(&next);
+    world.run(3_000);
+    let account = world.account(BUDGET);
+    assert!(account.grants.keys().all(|name| name.as_str() != "r0@1.1"));
+    assert!(
+        account.written_off >= 1_000,
+        "the reservation is written off"
+    );
+    let account = close(&mut world);
+    assert_eq!((account.settled, account.bills), (300, 1));
+    assert!(account.settled + account.written_off >= world.served());
+    world.check_golden("domain_restarted_grant_returns");
+}
--- a/crates/beechsaddle-core/tests/money_world/mod.rs
+++ b/crates/beechsaddle-core/tests/money_world/mod.rs
@@ -117,6 +117,9 @@
         let domain = DomainName::new(domain);
         let mut members = MemberTable::new(router.clone(), domain.clone());
         for slot in self.slots.iter_mut().filter(|slot| slot.domain == domain) {
+            if slot.desk.is_none() {
+                continue;
+            }
             members.insert(slot.router.clone(), member(&slot.router, &domain));
             slot.members
                 .insert(router.clone(), member(&router, &domain));
--- a/crates/beechsaddle-lab/tests/process_support/mod.rs
+++ b/crates/beechsaddle-lab/tests/process_support/mod.rs
@@ -31,7 +31,7 @@
 journal_period_ms = 100
 fence_after_ms = 1000
 endurance_ms = 5000
-scarce_endurance_ms = 500
+endurance_share_permille = 125
 
 [routing]
 probe_ms = 100
--- a/crates/beechsaddle/src/router/router_setup.rs
+++ b/crates/beechsaddle/src/router/router_setup.rs
@@ -126,6 +126,7 @@
         MoneyOptions {
             shard_count: budgets.ledger_shards,
             endurance_ms: budgets.endurance_ms,
+            endurance_share_permille: budgets.endurance_share_permille,
             journal_period_ms: budgets.journal_period_ms,
             idle_return_ms: budgets.idle_grant_ms,
             ..MoneyOptions::default()
--- a/crates/beechsaddle/src/settings/budget_settings.rs
+++ b/crates/beechsaddle/src/settings/budget_settings.rs
@@ -11,8 +11,8 @@
     pub dedup_shards: u32,
     /// How long a holder can sit out an outage of the platform on an ample budget.
     pub endurance_ms: u64,
-    /// The same on a scarce budget.
-    pub scarce_endurance_ms: u64,
+    /// The largest share of what is left of a budget that a mark runs ahead, in thousandths.
+    pub endurance_share_permille: u64,
     /// How often a journal is written while there is news.
     pub journal_period_ms: u64,
     /// How long a journal of a router that is gone must have stopped before it is fenced.
@@ -29,7 +29,7 @@
             ledger_shards: 16,
             dedup_shards: 16,
             endurance_ms: 30_000,
-            scarce_endurance_ms: 2_000,
+            endurance_share_permille: 125,
             journal_period_ms: 1_000,
             fence_after_ms: 10_000,
             idle_grant_ms: 60_000,
@@ -51,10 +51,10 @@
                 0..=3_600_000,
                 findings,
             ),
-            scarce_endurance_ms: reader.read_u64_or(
-                "scarce_endurance_ms",
-                default.scarce_endurance_ms,
-                0..=3_600_000,
+            endurance_share_permille: reader.read_u64_or(
+                "endurance_share_permille",
+                default.endurance_share_permille,
+                0..=1_000,
                 findings,
             ),
             journal_period_ms: reader.read_u64_or(
@@ -88,16 +88,6 @@
     }
 
     fn check(&self, reader: &TableReader<'_>, findings: &mut FindingList) {
-        if self.scarce_endurance_ms > self.endurance_ms {
-            reader.report(
-                "scarce_endurance_ms",
-                format!(
-                    "is {}; at most `endurance_ms`, {}, would be right",
-                    self.scarce_endurance_ms, self.endurance_ms
-                ),
-                findings,
-            );
-        }
         // A journal that is written less often than it takes to be called stopped would be fenced
         // while its router is alive.
         if self.fence_after_ms < self.journal_period_ms.saturating_mul(2) {
