--- a/crates/beechsaddle-core/src/once/shard_committer.rs
+++ b/crates/beechsaddle-core/src/once/shard_committer.rs
@@ -25,7 +25,7 @@
 }
 
 /// The waiting records and releases of one shard.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ShardCommitter {
     object: ObjectKey,
     pub(super) view: ShardView,
@@ -42,7 +42,7 @@
 }
 
 /// The call on the platform that is in flight.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct CommitFlight {
     pub(super) started: ClockTime,
     /// How many questions had been put when it started.
@@ -50,7 +50,7 @@
     pub(super) step: CommitStep,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum CommitStep {
     Read,
     Write {
@@ -78,8 +78,9 @@
         }
     }
 
-    pub(super) fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.releases.is_empty() && self.flight.is_none()
+    /// Whether nobody waits for a record and no call is in flight.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.waiting.is_empty() && self.flight.is_none()
     }
 
     /// When the call in flight was started.
--- a/crates/beechsaddle/src/operator/statement.rs
+++ b/crates/beechsaddle/src/operator/statement.rs
@@ -8,8 +8,8 @@
 use beechsaddle_core::prelude::*;
 use serde::Serialize;
 
-use super::ledger_book::read_layout;
-use super::{LedgerBook, ObjectStore, Result, StoreCaller};
+use super::ledger_book::read_book;
+use super::{ObjectStore, Result, StoreCaller};
 
 /// What a workspace paid, used and has left, in tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -69,10 +69,7 @@
         with_bills: bool,
     ) -> Result<Self> {
         let caller = StoreCaller::new(store);
-        let book = match read_layout(&caller).await? {
-            Some(layout) => LedgerBook::read(&caller, layout).await?,
-            None => LedgerBook::default(),
-        };
+        let book = read_book(&caller).await?;
         let accounts = book
             .accounts()
             .filter(|(_, account)| account.workspace == *workspace);
@@ -134,13 +131,14 @@
     }
 }
 
-/// The bills in the segments that are still there. A bill that a checkpoint carries on stands in
-/// its first segment too, and a corrected one replaces what was billed for its call before.
+/// The bills in the segments that are still there, one for each key. A bill that a checkpoint carries
+/// on stands in its first segment too; a provisional one gives way to the one that replaces it; and of
+/// two for one key the ledger counts the first.
 async fn read_bills<S: ObjectStore>(
     caller: &StoreCaller<'_, S>,
     workspace: &WorkspaceName,
 ) -> Result<Vec<BillLine>> {
-    let mut bills: BTreeMap<(KeyText, String), BillLine> = BTreeMap::new();
+    let mut bills: BTreeMap<KeyText, BillLine> = BTreeMap::new();
     for key in caller.list(ObjectKey::new("journal/")).await? {
         let Some((journal, _)) = read_segment_key(&key) else {
             continue;
@@ -152,7 +150,12 @@
         };
         for bill in bills_of(&segment).filter(|bill| bill.key.workspace == *workspace) {
             let line = bill_line(&journal, bill);
-            bills.insert((journal.clone(), line.call.clone()), line);
+            let replaced = bills
+                .get(&line.key)
+                .is_none_or(|known| known.provisional && !line.provisional);
+            if replaced {
+                bills.insert(line.key.clone(), line);
+            }
         }
     }
     Ok(bills.into_values().collect())
--- a/crates/beechsaddle/src/router/router_setup.rs
+++ b/crates/beechsaddle/src/router/router_setup.rs
@@ -27,6 +27,10 @@
 /// Thousandths in a hundredth.
 const PERMILLE_PER_PERCENT: u64 = 10;
 
+/// How many writes of a journal a folding into the ledger takes in. Folding each one would make a
+/// ledger write of every journal write.
+const FOLD_JOURNALS: u64 = 5;
+
 /// Turns settings into options.
 pub struct RouterSetup<'a> {
     settings: &'a RouterSettings,
@@ -74,7 +78,8 @@
             admin_address: self.settings.admin_address,
             max_connections: to_usize(limits.connections),
             head_bytes: to_usize(limits.header_bytes),
-            head_timeout_ms: limits.header_timeout_ms.max(limits.idle_timeout_ms),
+            head_timeout_ms: limits.header_timeout_ms,
+            idle_timeout_ms: limits.idle_timeout_ms,
             body_bytes: to_usize(limits.body_bytes),
             body_timeout_ms: limits.body_timeout_ms,
             write_stall_ms: limits.write_timeout_ms,
@@ -128,6 +133,7 @@
             endurance_ms: budgets.endurance_ms,
             endurance_share_permille: budgets.endurance_share_permille,
             journal_period_ms: budgets.journal_period_ms,
+            fold_period_ms: budgets.journal_period_ms * FOLD_JOURNALS,
             idle_return_ms: budgets.idle_grant_ms,
             ..MoneyOptions::default()
         }
