--- a/crates/beechsaddle/src/router/router_setup.rs
+++ b/crates/beechsaddle/src/router/router_setup.rs
@@ -131,6 +131,7 @@
         MoneyOptions {
             shard_count: budgets.ledger_shards,
             endurance_ms: budgets.endurance_ms,
+            endurance_share_permille: budgets.endurance_share_permille,
             journal_period_ms: budgets.journal_period_ms,
             fold_period_ms: budgets.journal_period_ms * FOLD_JOURNALS,
             idle_return_ms: budgets.idle_grant_ms,
