--- a/crates/beechsaddle-core/src/money/desk_ledger.rs
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -212,7 +212,7 @@
                 };
                 self.scans
                     .entry(owner.clone())
-                    .or_insert_with(|| FoldScan::new(owner));
+                    .or_insert_with(|| FoldScan::new(&owner));
                 self.want_job(turn.now, journal);
             }
         }
