--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -157,6 +157,35 @@
     assert_eq!(world.routers[0].open_calls(), 0);
 }
 
+// The caller hangs up at the moment in which its call is dispatched. The edge has let go of the call
+// and sends nothing; it says nothing more of it either. The call must not stay open for ever: its
+// reservation would never come back, and a drain would never end.
+#[test]
+fn caller_gone_as_dispatched_ends_call() {
+    for repeatable in [true, false] {
+        let mut world = RouterWorld::new(1, 100_000);
+        set_all(&mut world, TargetScript::Silent);
+        let mut arrival = world.arrival(0, notify());
+        arrival.repeatable = Some(repeatable);
+        arrival.idempotency = Some("payout-7".into());
+        let call = world.call(0, arrival);
+        assert_eq!(world.dispatched.len(), 1);
+        world.send(0, CoreEvent::Call(CallEvent::CallerGone { call }));
+        world.run(10_000);
+        assert_eq!(world.routers[0].open_calls(), 0);
+        assert_eq!(world.account().bills, 0);
+        set_all(&mut world, TargetScript::Answer);
+        let mut again = world.arrival(0, notify());
+        again.repeatable = Some(repeatable);
+        again.idempotency = Some("payout-7".into());
+        let again = world.call(0, again);
+        assert!(world.finished.contains(&again), "{:?}", world.refused);
+        world.send(0, CoreEvent::Drain);
+        world.run(10_000);
+        assert_eq!(world.exited, vec![0]);
+    }
+}
+
 // The caller sees a visibly broken answer. What was relayed is billed, once.
 #[test]
 fn answer_truncated_bills_what_was_relayed() {
--- /dev/null
+++ b/crates/beechsaddle-core/tests/router_support/fleet_setup.rs
@@ -0,0 +1,152 @@
+//! The `fleet_setup` module provides the catalogue, hosts and settings of the tests' fleets.
+
+use beechsaddle_core::admission::{AdmissionOptions, RetryOptions};
+use beechsaddle_core::call::KeyDigest;
+use beechsaddle_core::calls::CallOptions;
+use beechsaddle_core::catalogue::{
+    CatalogueChange, CatalogueEntry, CatalogueOptions, EntryClass, EntryEdit, EntryHeader,
+    EntryLimits, ModelEntry, ServiceEntry, ServiceKind, WorkspaceEntry,
+};
+use beechsaddle_core::members::{
+    HostList, HostRecord, HostRole, HostState, MemberOptions, SeedPeer,
+};
+use beechsaddle_core::money::MoneyOptions;
+use beechsaddle_core::objects::FleetLayout;
+use beechsaddle_core::once::OnceOptions;
+use beechsaddle_core::orders::OrderOptions;
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::router::{RouterCore, RouterOptions};
+use beechsaddle_core::target::{EngineRole, EngineState, LoadReport, ProbeOutcome};
+use beechsaddle_core::targets::TargetOptions;
+
+/// What a healthy target says of itself.
+pub fn probe_outcome(target: &TargetName) -> ProbeOutcome {
+    let engine = target.as_str().starts_with("engine").then(|| EngineState {
+        model: "glas".into(),
+        version: 1,
+        adapters: Vec::new(),
+        role: EngineRole::Whole,
+    });
+    ProbeOutcome::Healthy {
+        load: LoadReport::default(),
+        engine,
+    }
+}
+
+/// A router that knows the others as seeds.
+pub fn new_router(me: &RouterIncarnation, all: &[RouterIncarnation]) -> RouterCore {
+    let seeds = all.iter().filter(|name| *name != me).map(|name| SeedPeer {
+        host: name.host.clone(),
+        domain: "graz-nord".into(),
+        address: name.host.to_string(),
+    });
+    let layout = FleetLayout {
+        ledger_shards: 1,
+        dedup_shards: 1,
+    };
+    RouterCore::new(RouterOptions {
+        me: me.clone(),
+        domain: "graz-nord".into(),
+        peer_address: me.host.to_string(),
+        seed: 1,
+        layout,
+        calls: CallOptions::default(),
+        money: MoneyOptions {
+            shard_count: 1,
+            ..MoneyOptions::default()
+        },
+        once: OnceOptions {
+            shard_count: 1,
+            ..OnceOptions::default()
+        },
+        members: MemberOptions {
+            seeds: seeds.collect(),
+            ..MemberOptions::default()
+        },
+        catalogue: CatalogueOptions::default(),
+        targets: TargetOptions::default(),
+        admission: AdmissionOptions::default(),
+        retries: RetryOptions::default(),
+        orders: OrderOptions::default(),
+    })
+}
+
+/// The hosts of the one domain.
+pub fn host_list(routers: &[RouterIncarnation]) -> HostList {
+    let router = |name: &RouterIncarnation| HostRecord {
+        host: name.host.clone(),
+        domain: "graz-nord".into(),
+        epoch: 1,
+        address: name.host.to_string(),
+        role: HostRole::Router {
+            peer_address: name.host.to_string(),
+            admin_address: name.host.to_string(),
+        },
+        state: HostState::Live,
+    };
+    let target = |host: &str, service: &str| HostRecord {
+        host: host.into(),
+        domain: "graz-nord".into(),
+        epoch: 1,
+        address: host.to_owned(),
+        role: HostRole::Target {
+            service: service.into(),
+            checks_fence: true,
+        },
+        state: HostState::Live,
+    };
+    let mut hosts: Vec<_> = routers.iter().map(router).collect();
+    hosts.push(target("engine-1", "pool"));
+    hosts.push(target("engine-2", "pool"));
+    hosts.push(target("notify-1", "notify"));
+    hosts.push(target("notify-2", "notify"));
+    HostList { hosts }
+}
+
+/// The first catalogue: an engine service, a plain service, a model and a workspace.
+pub fn first_change() -> CatalogueChange {
+    let header = EntryHeader {
+        owner: "ana".into(),
+        class: EntryClass::Standard,
+        limits: EntryLimits::default(),
+    };
+    let service = |name: &str, kind, call_cost| {
+        EntryEdit::Put(CatalogueEntry::Service(ServiceEntry {
+            header: header.clone(),
+            name: name.into(),
+            kind,
+            repeatable: true,
+            call_cost,
+            head_timeout_ms: 1_000,
+        }))
+    };
+    let model = EntryEdit::Put(CatalogueEntry::Model(ModelEntry {
+        header: header.clone(),
+        name: "glas".into(),
+        service: "pool".into(),
+        version: 1,
+        adapters: Vec::new(),
+        role: EngineRole::Whole,
+        output_limit: 100,
+    }));
+    let workspace = EntryEdit::Put(CatalogueEntry::Workspace(WorkspaceEntry {
+        header: header.clone(),
+        name: "verlag".into(),
+        keys: vec![KeyDigest([7; 32])],
+        budgets: vec!["main".into()].into(),
+        services: vec!["notify".into()],
+        models: vec!["glas".into()],
+    }));
+    CatalogueChange {
+        revision: 1,
+        write_id: "first".to_owned(),
+        author: "ana".into(),
+        applied: ClockTime::ZERO,
+        edits: vec![
+            service("pool", ServiceKind::Engine, 0),
+            service("notify", ServiceKind::Plain, 5),
+            model,
+            workspace,
+        ],
+    }
+}
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -1,31 +1,21 @@
 //! The `router_support` module provides whole router cores joined by a fake platform and network.
 
+mod fleet_setup;
+
 use std::collections::{BTreeMap, VecDeque};
 
-use beechsaddle_core::admission::{AdmissionOptions, RetryOptions};
 use beechsaddle_core::call::{
     AnswerEnd, AttemptFailure, CallAction, CallArrival, CallEvent, CallRoute, KeyDigest, TokenUsage,
 };
-use beechsaddle_core::calls::CallOptions;
-use beechsaddle_core::catalogue::{
-    CatalogueChange, CatalogueEntry, CatalogueOptions, EntryClass, EntryEdit, EntryHeader,
-    EntryLimits, ModelEntry, ServiceEntry, ServiceKind, WorkspaceEntry,
-};
 use beechsaddle_core::event::TICK_MS;
-use beechsaddle_core::members::{
-    HostList, HostRecord, HostRole, HostState, MemberOptions, SeedPeer,
-};
-use beechsaddle_core::money::{BudgetAccount, BudgetLedger, MoneyOptions};
-use beechsaddle_core::objects::{FleetLayout, PlatformObject};
-use beechsaddle_core::once::OnceOptions;
-use beechsaddle_core::orders::OrderOptions;
+use beechsaddle_core::money::{BudgetAccount, BudgetLedger};
+use beechsaddle_core::objects::PlatformObject;
 use beechsaddle_core::platform::{PlatformCall, PlatformReply, PlatformTicket, StoredObject};
 use beechsaddle_core::prelude::*;
-use beechsaddle_core::router::{RouterCore, RouterOptions};
-use beechsaddle_core::target::{
-    EngineRole, EngineState, LoadReport, ProbeOutcome, TargetAction, TargetEvent,
-};
-use beechsaddle_core::targets::TargetOptions;
+use beechsaddle_core::router::RouterCore;
+use beechsaddle_core::target::{TargetAction, TargetEvent};
+
+use fleet_setup::{first_change, host_list, new_router, probe_outcome};
 
 /// The tokens that each engine's answer uses.
 pub const ANSWER_USAGE: TokenUsage = TokenUsage {
@@ -45,6 +35,8 @@
     Fail(AttemptFailure),
     /// Starts an answer and then waits for [`RouterWorld::end_answer`].
     Stall,
+    /// Says nothing at all.
+    Silent,
 }
 
 struct WaitingWatch {
@@ -423,133 +415,6 @@
         }
         TargetScript::Fail(failure) => vec![CallEvent::AttemptFailed { attempt, failure }],
         TargetScript::Stall => vec![started],
-    }
-}
-
-fn probe_outcome(target: &TargetName) -> ProbeOutcome {
-    let engine = target.as_str().starts_with("engine").then(|| EngineState {
-        model: "glas".into(),
-        version: 1,
-        adapters: Vec::new(),
-        role: EngineRole::Whole,
-    });
-    ProbeOutcome::Healthy {
-        load: LoadReport::default(),
-        engine,
-    }
-}
-
-fn new_router(me: &RouterIncarnation, all: &[RouterIncarnation]) -> RouterCore {
-    let seeds = all.iter().filter(|name| *name != me).map(|name| SeedPeer {
-        host: name.host.clone(),
-        domain: "graz-nord".into(),
-        address: name.host.to_string(),
-    });
-    let layout = FleetLayout {
-        ledger_shards: 1,
-        dedup_shards: 1,
-    };
-    RouterCore::new(RouterOptions {
-        me: me.clone(),
-        domain: "graz-nord".into(),
-        peer_address: me.host.to_string(),
-        seed: 1,
-        layout,
-        calls: CallOptions::default(),
-        money: MoneyOptions {
-            shard_count: 1,
-            ..MoneyOptions::default()
-        },
-        once: OnceOptions {
-            shard_count: 1,
-            ..OnceOptions::default()
-        },
-        members: MemberOptions {
-            seeds: seeds.collect(),
-            ..MemberOptions::default()
-        },
-        catalogue: CatalogueOptions::default(),
-        targets: TargetOptions::default(),
-        admission: AdmissionOptions::default(),
-        retries: RetryOptions::default(),
-        orders: OrderOptions::default(),
-    })
-}
-
-fn host_list(routers: &[RouterIncarnation]) -> HostList {
-    let router = |name: &RouterIncarnation| HostRecord {
-        host: name.host.clone(),
-        domain: "graz-nord".into(),
-        epoch: 1,
-        address: name.host.to_string(),
-        role: HostRole::Router {
-            peer_address: name.host.to_string(),
-            admin_address: name.host.to_string(),
-        },
-        state: HostState::Live,
-    };
-    let target = |host: &str, service: &str| HostRecord {
-        host: host.into(),
-        domain: "graz-nord".into(),
-        epoch: 1,
-        address: host.to_owned(),
-        role: HostRole::Target {
-            service: service.into(),
-            checks_fence: true,
-        },
-        state: HostState::Live,
-    };
-    let mut hosts: Vec<_> = routers.iter().map(router).collect();
-    hosts.push(target("engine-1", "pool"));
-    hosts.push(target("engine-2", "pool"));
-    hosts.push(target("notify-1", "notify"));
-    hosts.push(target("notify-2", "notify"));
-    HostList { hosts }
-}
-
-fn first_change() -> CatalogueChange {
-    let header = EntryHeader {
-        owner: "ana".into(),
-        class: EntryClass::Standard,
-        limits: EntryLimits::default(),
-    };
-    let service = |name: &str, kind, call_cost| {
-        EntryEdit::Put(CatalogueEntry::Service(ServiceEntry {
-            header: header.clone(),
-            name: name.into(),
-            kind,
-            repeatable: true,
-            call_cost,
-            head_timeout_ms: 1_000,
-        }))
-    };
-    let model = EntryEdit::Put(CatalogueEntry::Model(ModelEntry {
-        header: header.clone(),
-        name: "glas".into(),
-        service: "pool".into(),
-        version: 1,
-        adapters: Vec::new(),
-        role: EngineRole::Whole,
-        output_limit: 100,
-    }));
-    let workspace = EntryEdit::Put(CatalogueEntry::Workspace(WorkspaceEntry {
-        header: header.clone(),
-        name: "verlag".into(),
-        keys: vec![KeyDigest([7; 32])],
-        budgets: vec!["main".into()].into(),
-        services: vec!["notify".into()],
-        models: vec!["glas".into()],
-    }));
-    CatalogueChange {
-        revision: 1,
-        write_id: "first".to_owned(),
-        author: "ana".into(),
-        applied: ClockTime::ZERO,
-        edits: vec![
-            service("pool", ServiceKind::Engine, 0),
-            service("notify", ServiceKind::Plain, 5),
-            model,
-            workspace,
-        ],
+        TargetScript::Silent => Vec::new(),
     }
 }
