Make no reservation for a router that is gone

Cause: a request that waited at the budget's holder for a grant when its entry router died was served later. The reply found nobody, the holder's question about the silent call neither, and the tokens stayed reserved for as long as the holder lived. Found by random interleavings over whole routers: a frozen holder, a call, the entry router's restart.

Ruled out: billing such a call as an orphan. It was never dispatched, since no admit reply was sent.

Before: reservation_for_a_dead_router_is_not_made failed with 200 tokens granted instead of 0 after 200 s. After: it passes; the money model and sessions pass as before.

Conclusion: requests of a router that is gone are forgotten, and later ones of it are not taken.

--- a/crates/beechsaddle-core/src/money/desk_holder.rs
+++ b/crates/beechsaddle-core/src/money/desk_holder.rs
@@ -18,6 +18,10 @@
     /// Reserves for a call, now or when the grant allows it, or refuses it.
     pub(super) fn hold_call(&mut self, turn: &mut DeskTurn<'_>, request: AdmitRequest) {
         let call = request.call.clone();
+        if call.router != self.me && turn.is_gone(&call.router) {
+            // Its entry router died after it asked. Nobody would use the reservation or end it.
+            return;
+        }
         if let Some(open) = self.open.get(&call) {
             let journal = open.journal.clone();
             return self.answer_admit(turn, &call, Ok(journal));
@@ -180,6 +184,19 @@
         }
     }
 
+    /// Forgets the requests of a router that is gone. Served later, they would reserve tokens that
+    /// nobody uses and nobody gives back.
+    pub(super) fn cancel_gone(&mut self, now: ClockTime, gone: &RouterIncarnation) {
+        let waiting = self.holdings.values().flat_map(|holding| &holding.waiting);
+        let calls: Vec<CallId> = waiting
+            .map(|admit| admit.request.call.clone())
+            .filter(|call| call.router == *gone)
+            .collect();
+        for call in &calls {
+            self.cancel_waiting(now, call);
+        }
+    }
+
     pub(super) fn note_progress(&mut self, now: ClockTime, call: &CallId, tokens: u64) {
         if let Some(open) = self.open.get_mut(call) {
             open.tokens = open.tokens.max(tokens);
--- a/crates/beechsaddle-core/src/money/desk_pump.rs
+++ b/crates/beechsaddle-core/src/money/desk_pump.rs
@@ -88,6 +88,7 @@
             .entry(gone.clone())
             .or_insert_with(|| FoldScan::new(gone));
         self.entries_on_gone(turn, gone);
+        self.cancel_gone(turn.now, gone);
         self.bill_orphans(turn, gone);
         self.bill_notes(turn, gone);
     }
--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -1,5 +1,6 @@
 //! Tests of whole calls through whole router cores.
 
+mod fleet_setup;
 mod router_support;
 
 use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallEvent, CallRoute};
@@ -328,3 +329,29 @@
         );
     }
 }
+
+// A router dies while its call waits at the budget's holder for a grant, and comes back as another
+// life. The grant comes a moment later. Nobody waits for the reservation any more and nobody would
+// ever end it, so none is made: what the holder has goes back to the budget.
+#[test]
+fn reservation_for_a_dead_router_is_not_made() {
+    let mut world = RouterWorld::new(2, 100_000);
+    let arrival = world.arrival(0, chat());
+    world.call(0, arrival);
+    let holder = world
+        .routers
+        .iter()
+        .position(|router| !router.grants().is_empty());
+    let entry = 1 - holder.expect("a router holds the budget");
+    world.run(200_000);
+    assert_eq!(world.account().granted(), 0);
+    world.platform_away = true;
+    let arrival = world.arrival(entry, chat());
+    world.call_for(entry, arrival, 100);
+    world.restart(entry);
+    world.run(100);
+    world.platform_away = false;
+    world.run(200_000);
+    assert_eq!(world.dispatched.len(), 1);
+    assert_eq!(world.account().granted(), 0, "{:?}", world.account());
+}
