Look again after a grant's return failed

Cause: a holder counts on the smaller grant from the moment it sends the write that shrinks it. When that write was refused by a conflict or did not reach the platform, nothing made the holder look at the ledger again: by its own books the grant was what it should be. The tokens stayed with a holder that did not use them until its next call. The same held for an entry that was to be removed. Found by random interleavings over whole routers (conflicts of two holders that return grants at once).

Ruled out: keeping the old amount until the write is confirmed. The write may have taken effect without an answer, and spending beyond the smaller amount would then be spending twice.

The random interleavings come with this commit; they are described in their own files.

Conclusion: a shard is read again for as long as a change of a grant has no known outcome.

--- a/crates/beechsaddle-core/src/money/desk_ledger.rs
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -27,7 +27,11 @@
     pub(super) fn pump_shards(&mut self, turn: &mut DeskTurn<'_>) {
         let mut wanted: BTreeSet<u32> = BTreeSet::new();
         for (budget, holding) in &self.holdings {
-            if self.wants_ledger(turn.now, holding) {
+            // A write that failed left the holding with what it had asked for. Without another look
+            // at the ledger the two would differ until the next request, and tokens that were to be
+            // given back would be missing elsewhere.
+            let is_open = holding.is_in_doubt || holding.is_leaving;
+            if is_open || self.wants_ledger(turn.now, holding) {
                 wanted.insert(BudgetLedger::shard_for(budget, self.options.shard_count));
             }
         }
--- /dev/null
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_checks.rs
@@ -0,0 +1,161 @@
+//! The `fleet_checks` module provides what must hold after each step and after healing.
+
+use super::fault_network::FaultNetwork;
+use super::{FaultFleet, NODES};
+
+/// How long a healed fleet may take until all is folded and given back, in milliseconds.
+const HEAL_MS: u64 = 60_000;
+
+impl FaultFleet {
+    /// What must hold at every moment.
+    pub fn check(&mut self) {
+        self.faults.append(&mut self.store.faults);
+        self.faults.append(&mut self.book.faults);
+        let account = self.store.account();
+        let relayed = self.book.relayed();
+        if relayed > account.paid() {
+            let paid = account.paid();
+            self.faults.push(format!("{relayed} used of {paid} paid"));
+        }
+        if relayed > account.promised() {
+            let promised = account.promised();
+            self.faults
+                .push(format!("{relayed} used, {promised} accounted for"));
+        }
+    }
+
+    pub(super) fn check_revision(&mut self, node: usize, revision: u64) {
+        let host = &mut self.nodes[node];
+        if revision < host.revision {
+            self.faults.push(format!(
+                "{}: catalogue {revision} after {}",
+                host.name, host.revision
+            ));
+        }
+        host.revision = revision;
+    }
+
+    /// Ends every fault and checks what must hold once all has come to rest.
+    pub fn heal(&mut self) {
+        self.network = FaultNetwork::default();
+        self.scripts.clear();
+        for node in 0..NODES {
+            self.thaw(node);
+            if self.nodes[node].core.is_none() {
+                self.start(node);
+            }
+        }
+        self.answer_watches();
+        self.run(HEAL_MS);
+        self.check();
+        self.check_calls();
+        self.check_money();
+        self.check_catalogue();
+    }
+
+    fn check_calls(&mut self) {
+        for fate in self.book.calls.values().filter(|fate| fate.is_open()) {
+            self.faults.push(format!("{fate:?} has no answer"));
+        }
+        let lost = self.book.lost_bounds();
+        for host in &self.nodes {
+            let Some(core) = host.core.as_ref().filter(|_| host.is_alive()) else {
+                continue;
+            };
+            if core.open_calls() > 0 {
+                let open = core.open_calls();
+                self.faults
+                    .push(format!("{}: {open} open calls", host.name));
+            }
+            if host.is_draining {
+                self.faults.push(format!("{}: still drains", host.name));
+            }
+            for grant in core.grants() {
+                if grant.reserved > lost || grant.granted > grant.spent + grant.reserved {
+                    self.faults.push(format!("{}: holds {grant:?}", host.name));
+                }
+            }
+        }
+    }
+
+    fn check_money(&mut self) {
+        let account = self.store.account();
+        if account.granted() > self.book.lost_bounds() {
+            self.faults
+                .push(format!("grants stay: {:?}", account.grants));
+        }
+        if self.kill_count + self.freeze_count == 0 {
+            let (lost, doubled) = (account.written_off, self.book.doubled());
+            if lost > doubled {
+                self.faults
+                    .push(format!("{lost} written off, {doubled} used twice"));
+            }
+        }
+        let due = self.book.due();
+        let least: u64 = due.values().map(|due| due.0).sum();
+        let most: u64 = due.values().map(|due| due.1).sum();
+        let counted = match self.kill_count {
+            0 => account.settled,
+            _ => account.settled + account.written_off,
+        };
+        if counted < least || account.settled > most {
+            let (settled, lost) = (account.settled, account.written_off);
+            self.faults.push(format!(
+                "settled {settled}, written off {lost}, due {least} to {most}"
+            ));
+        }
+        self.check_bills(least);
+        let answered = due.values().filter(|due| due.0 > 0).count() as u64;
+        let served = self.book.ran_keys().len() as u64;
+        let is_short = self.kill_count == 0 && account.bills < answered;
+        if is_short || account.bills > served {
+            let bills = account.bills;
+            self.faults
+                .push(format!("{bills} bills of {answered} to {served} keys"));
+        }
+    }
+
+    /// Every whole answer stands in some journal, and none was written off while all routers lived.
+    fn check_bills(&mut self, least: u64) {
+        if self.kill_count > 0 || least == 0 {
+            return;
+        }
+        for (key, (least, _)) in self.book.due() {
+            let bills = self.store.bills.iter();
+            let bills = bills.filter(|bill| bill.key.text.as_str() == key);
+            let billed = bills.map(|bill| bill.tokens).max().unwrap_or(0);
+            if billed < least {
+                self.faults
+                    .push(format!("{key}: {least} used, {billed} billed"));
+            }
+        }
+    }
+
+    fn check_catalogue(&mut self) {
+        for host in self.nodes.iter().filter(|host| host.is_alive()) {
+            if host.revision != self.change_count {
+                self.faults.push(format!(
+                    "{}: catalogue {} of {}",
+                    host.name, host.revision, self.change_count
+                ));
+            }
+        }
+    }
+
+    /// The calls and the budget's account, for the report of a failed session.
+    pub fn report(&self) -> Vec<String> {
+        let mut lines = Vec::new();
+        for (call, fate) in &self.book.calls {
+            let (key, finals, attempts) = (fate.key(), &fate.finals, &fate.attempts);
+            let lost = if fate.is_lost { "lost" } else { "" };
+            lines.push(format!("{call} {key} {lost} {finals:?} {attempts:?}"));
+        }
+        for bill in &self.store.bills {
+            lines.push(format!("{bill:?}"));
+        }
+        let mut account = self.store.account();
+        account.keys.clear();
+        lines.push(format!("{account:?}"));
+        lines
+    }
+}
--- a/crates/beechsaddle-core/tests/router_support/fleet_setup.rs
+++ b/crates/beechsaddle-core/tests/fleet_setup/mod.rs
@@ -1,5 +1,7 @@
 //! The `fleet_setup` module provides the catalogue, hosts and settings of the tests' fleets.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use beechsaddle_core::admission::{AdmissionOptions, RetryOptions};
 use beechsaddle_core::call::KeyDigest;
 use beechsaddle_core::calls::CallOptions;
@@ -33,20 +35,38 @@
     }
 }
 
-/// A router that knows the others as seeds.
+/// The one domain of the simpler fleets.
+pub const DOMAIN: &str = "graz-nord";
+
+/// A router of the one domain that knows the others as seeds.
 pub fn new_router(me: &RouterIncarnation, all: &[RouterIncarnation]) -> RouterCore {
-    let seeds = all.iter().filter(|name| *name != me).map(|name| SeedPeer {
+    let seeds = all.iter().filter(|name| *name != me);
+    let seeds = seeds.map(|name| seed_peer(name, &DOMAIN.into())).collect();
+    RouterCore::new(router_options(me, &DOMAIN.into(), seeds))
+}
+
+/// A router that another one knows from its settings.
+pub fn seed_peer(name: &RouterIncarnation, domain: &DomainName) -> SeedPeer {
+    SeedPeer {
         host: name.host.clone(),
-        domain: "graz-nord".into(),
+        domain: domain.clone(),
         address: name.host.to_string(),
-    });
+    }
+}
+
+/// The default settings with one shard of each kind.
+pub fn router_options(
+    me: &RouterIncarnation,
+    domain: &DomainName,
+    seeds: Vec<SeedPeer>,
+) -> RouterOptions {
     let layout = FleetLayout {
         ledger_shards: 1,
         dedup_shards: 1,
     };
-    RouterCore::new(RouterOptions {
+    RouterOptions {
         me: me.clone(),
-        domain: "graz-nord".into(),
+        domain: domain.clone(),
         peer_address: me.host.to_string(),
         seed: 1,
         layout,
@@ -60,7 +80,7 @@
             ..OnceOptions::default()
         },
         members: MemberOptions {
-            seeds: seeds.collect(),
+            seeds,
             ..MemberOptions::default()
         },
         catalogue: CatalogueOptions::default(),
@@ -68,25 +88,33 @@
         admission: AdmissionOptions::default(),
         retries: RetryOptions::default(),
         orders: OrderOptions::default(),
-    })
+    }
 }
 
-/// The hosts of the one domain.
-pub fn host_list(routers: &[RouterIncarnation]) -> HostList {
-    let router = |name: &RouterIncarnation| HostRecord {
+/// A router in the platform's list of hosts.
+pub fn router_record(
+    name: &RouterIncarnation,
+    domain: &DomainName,
+    state: HostState,
+) -> HostRecord {
+    HostRecord {
         host: name.host.clone(),
-        domain: "graz-nord".into(),
-        epoch: 1,
+        domain: domain.clone(),
+        epoch: name.epoch,
         address: name.host.to_string(),
         role: HostRole::Router {
             peer_address: name.host.to_string(),
             admin_address: name.host.to_string(),
         },
-        state: HostState::Live,
-    };
-    let target = |host: &str, service: &str| HostRecord {
+        state,
+    }
+}
+
+/// A target in the platform's list of hosts.
+pub fn target_record(host: &str, service: &str, domain: &DomainName) -> HostRecord {
+    HostRecord {
         host: host.into(),
-        domain: "graz-nord".into(),
+        domain: domain.clone(),
         epoch: 1,
         address: host.to_owned(),
         role: HostRole::Target {
@@ -94,12 +122,24 @@
             checks_fence: true,
         },
         state: HostState::Live,
-    };
-    let mut hosts: Vec<_> = routers.iter().map(router).collect();
-    hosts.push(target("engine-1", "pool"));
-    hosts.push(target("engine-2", "pool"));
-    hosts.push(target("notify-1", "notify"));
-    hosts.push(target("notify-2", "notify"));
+    }
+}
+
+/// The hosts of the one domain.
+pub fn host_list(routers: &[RouterIncarnation]) -> HostList {
+    let domain = DomainName::from(DOMAIN);
+    let mut hosts: Vec<_> = routers
+        .iter()
+        .map(|name| router_record(name, &domain, HostState::Live))
+        .collect();
+    for (host, service) in [
+        ("engine-1", "pool"),
+        ("engine-2", "pool"),
+        ("notify-1", "notify"),
+        ("notify-2", "notify"),
+    ] {
+        hosts.push(target_record(host, service, &domain));
+    }
     HostList { hosts }
 }
 
--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -355,3 +355,18 @@
     assert_eq!(world.dispatched.len(), 1);
     assert_eq!(world.account().granted(), 0, "{:?}", world.account());
 }
+
+// A budget's holder gives back what it does not need, and the write does not reach the platform. The
+// holder already counts on the smaller grant, so nothing else would make it look again: the tokens
+// would be missing to all other routers until the next call comes.
+#[test]
+fn grant_return_that_failed_is_tried_again() {
+    let mut world = RouterWorld::new(1, 100_000);
+    let arrival = world.arrival(0, chat());
+    world.call(0, arrival);
+    world.run(30_000);
+    world.lost_ledger_writes = 1;
+    world.run(200_000);
+    assert_eq!(world.lost_ledger_writes, 0);
+    assert_eq!(world.account().granted(), 0, "{:?}", world.account());
+}
--- /dev/null
+++ b/crates/beechsaddle-core/tests/router_interleavings.rs
@@ -0,0 +1,107 @@
+//! Random interleavings of calls and faults over whole routers of two domains.
+//!
+//! `BEECHSADDLE_SEED=n` replays and shortens one session; `BEECHSADDLE_SEEDS=n` runs `n` of them,
+//! from `BEECHSADDLE_FIRST` on.
+
+mod fault_fleet;
+mod fleet_setup;
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use fault_fleet::{FaultFleet, FleetStep};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Steps of a session.
+const STEPS: usize = 60;
+
+/// Sessions of an ordinary run.
+const SEEDS: u64 = 6;
+
+/// Sessions that the search for a shorter one may run.
+const SHRINK_RUNS: usize = 150;
+
+fn draw_steps(seed: u64) -> Vec<FleetStep> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
+    (0..STEPS).map(|_| FleetStep::draw(&mut random)).collect()
+}
+
+/// What is wrong in a session, or nothing.
+fn run_session(seed: u64, steps: &[FleetStep]) -> Vec<String> {
+    let session = || {
+        let mut fleet = FaultFleet::new(seed);
+        for step in steps {
+            fleet.step(step);
+            fleet.check();
+            if !fleet.faults.is_empty() {
+                return fleet.faults;
+            }
+        }
+        fleet.heal();
+        if !fleet.faults.is_empty() && env_number("BEECHSADDLE_SEED").is_some() {
+            let report = fleet.report();
+            fleet.faults.extend(report);
+        }
+        fleet.faults
+    };
+    catch_unwind(AssertUnwindSafe(session)).unwrap_or_else(|panic| {
+        let text = panic.downcast_ref::<String>().cloned();
+        vec![format!("panic: {}", text.unwrap_or_default())]
+    })
+}
+
+/// Takes out steps for as long as the session stays wrong.
+fn shrink(seed: u64, steps: Vec<FleetStep>) -> Vec<FleetStep> {
+    let mut shortest = steps;
+    let mut length = shortest.len() / 2;
+    let mut runs = 0;
+    while length > 0 {
+        let mut start = 0;
+        while start < shortest.len() && runs < SHRINK_RUNS {
+            runs += 1;
+            let end = (start + length).min(shortest.len());
+            let mut shorter = shortest.clone();
+            shorter.drain(start..end);
+            if run_session(seed, &shorter).is_empty() {
+                start = end;
+            } else {
+                shortest = shorter;
+            }
+        }
+        length /= 2;
+    }
+    shortest
+}
+
+fn env_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+#[test]
+fn interleavings_keep_every_promise() {
+    let seeds = match env_number("BEECHSADDLE_SEED") {
+        Some(seed) => seed..seed + 1,
+        None => {
+            let first = env_number("BEECHSADDLE_FIRST").unwrap_or(0);
+            first..first + env_number("BEECHSADDLE_SEEDS").unwrap_or(SEEDS)
+        }
+    };
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let steps = draw_steps(seed);
+        let faults = run_session(seed, &steps);
+        if !faults.is_empty() {
+            eprintln!("seed {seed}: {faults:#?}");
+            failed.push(seed);
+        }
+    }
+    if let Some(seed) = env_number("BEECHSADDLE_SEED").filter(|seed| failed.contains(seed)) {
+        let steps = shrink(seed, draw_steps(seed));
+        eprintln!("seed {seed}, shortened: {steps:#?}");
+        eprintln!("{:#?}", run_session(seed, &steps));
+    }
+    assert!(
+        failed.is_empty(),
+        "failed seeds: {failed:?}; replay one by BEECHSADDLE_SEED"
+    );
+}
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -1,7 +1,5 @@
 //! The `router_support` module provides whole router cores joined by a fake platform and network.
 
-mod fleet_setup;
-
 use std::collections::{BTreeMap, VecDeque};
 
 use beechsaddle_core::call::{
@@ -15,7 +13,7 @@
 use beechsaddle_core::router::RouterCore;
 use beechsaddle_core::target::{TargetAction, TargetEvent};
 
-use fleet_setup::{first_change, host_list, new_router, probe_outcome};
+use crate::fleet_setup::{first_change, host_list, new_router, probe_outcome};
 
 /// The tokens that each engine's answer uses.
 pub const ANSWER_USAGE: TokenUsage = TokenUsage {
@@ -51,6 +49,8 @@
     pub now: ClockTime,
     pub routers: Vec<RouterCore>,
     pub platform_away: bool,
+    /// Writes of the ledger that do not reach the platform, from now on.
+    pub lost_ledger_writes: u32,
     pub scripts: BTreeMap<TargetName, TargetScript>,
     /// Attempts in the order of their dispatch.
     pub dispatched: Vec<AttemptId>,
@@ -77,6 +77,7 @@
             now: ClockTime::from_millis(1_000_000),
             routers: names.iter().map(|name| new_router(name, &names)).collect(),
             platform_away: false,
+            lost_ledger_writes: 0,
             scripts: BTreeMap::new(),
             dispatched: Vec::new(),
             refused: BTreeMap::new(),
@@ -301,7 +302,9 @@
                 after,
             });
         } else {
-            let reply = match self.platform_away {
+            let is_lost = self.lost_ledger_writes > 0 && is_ledger_write(&call);
+            self.lost_ledger_writes -= u32::from(is_lost);
+            let reply = match self.platform_away || is_lost {
                 true => PlatformReply::Unreachable,
                 false => self.serve(call),
             };
@@ -384,6 +387,10 @@
     }
 }
 
+fn is_ledger_write(call: &PlatformCall) -> bool {
+    matches!(call, PlatformCall::Write { object, .. } if matches!(**object, PlatformObject::Ledger(_)))
+}
+
 /// Whether a message to `to` reaches `name`; a sender that knows only the host names epoch zero.
 fn is_meant(name: &RouterIncarnation, to: &RouterIncarnation) -> bool {
     name.host == to.host && (to.epoch == 0 || to.epoch == name.epoch)
