--- a/crates/beechsaddle-lab/src/measure/peer_round_trip.rs
+++ b/crates/beechsaddle-lab/src/measure/peer_round_trip.rs
@@ -97,6 +97,7 @@
 
 fn measure_latency(edge: &FleetEdge, holder: &Place) -> KeyValues {
     let mut spans = Histogram::<u64>::new(3).ok();
+    let before = edge.handle.counts();
     for number in 0..ROUND_TRIPS {
         let start = Instant::now();
         send(edge, holder, admit_request(number));
@@ -116,11 +117,16 @@
             .as_ref()
             .map_or(0, |spans| spans.value_at_quantile(share))
     };
+    let after = edge.handle.counts();
+    let each = |sum: u64| sum as f64 / ROUND_TRIPS as f64;
     KeyValues::new()
         .with("part", "admit_and_settle")
         .with("count", ROUND_TRIPS)
         .with("p50_us", quantile(0.5))
         .with("p99_us", quantile(0.99))
+        .with_float("out_bytes_a_call", each(after.bytes_out - before.bytes_out))
+        .with_float("in_bytes_a_call", each(after.bytes_in - before.bytes_in))
+        .with_float("packets_out_a_call", each(after.writes - before.writes))
 }
 
 // Keeps so many requests without an answer, for a while. A message that was lost would shrink the
