--- a/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
+++ b/crates/beechsaddle-lab/src/measure/routing/routing_trial.rs
@@ -59,13 +59,13 @@
 impl RoutingTrial {
     /// Prepares a run.
     pub fn new(setup: TrialSetup, options: &TargetOptions) -> Self {
-        let calls = CallMix::new(setup.seed, setup.routers).draw(setup.span_ms, setup.rate);
+        let calls = CallMix::new(&setup).draw(setup.span_ms, setup.rate);
         let engines = (0..setup.engines)
             .map(|number| EngineModel::new(if number == 0 { setup.slowdown } else { 1.0 }))
             .collect();
         let targets: Vec<TargetName> = (0..setup.engines).map(target).collect();
         let routers = (0..setup.routers)
-            .map(|number| router_of(number, &setup, options))
+            .map(|number| Self::router(number, &setup, options))
             .collect();
         let mut trial = RoutingTrial {
             routers,
@@ -86,6 +86,15 @@
         trial
     }
 
+    /// The target table and the members of one router.
+    pub fn router(
+        number: usize,
+        setup: &TrialSetup,
+        options: &TargetOptions,
+    ) -> (TargetTable, MemberTable) {
+        router_of(number, setup, options)
+    }
+
     /// Runs until the last call ended.
     pub fn run(mut self) -> TrialFigures {
         let mut left = self.calls.len();
