--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -5,8 +5,8 @@
 mod catalogue_cost;
 mod experiment;
 mod fleet_cost;
-mod idle_streams;
 pub mod grants;
+mod idle_streams;
 mod message_bytes;
 mod object_bytes;
 mod overhead;
@@ -25,6 +25,7 @@
 mod slope_fit;
 mod slopes;
 mod small_fleet;
+mod spread;
 mod thread_cost;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -86,6 +87,11 @@
         shows: "memory and processor time of a router against idle open streams",
         run: slopes::streams,
     },
+    MeasureExperiment {
+        name: "spread",
+        shows: "time until an edit and a leave are in force at all routers, against routers",
+        run: spread::run,
+    },
     MeasureExperiment {
         name: "peers",
         shows: "bytes, processor time, memory and latency of messages between routers",
