--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_cost;
 pub mod grants;
 mod idle_streams;
+pub mod leave;
 mod message_bytes;
 mod object_bytes;
 mod overhead;
@@ -18,6 +19,7 @@
 pub mod peer_samples;
 mod peers;
 mod process_cost;
+pub mod retries;
 pub mod routing;
 mod run_async;
 pub mod sample_messages;
@@ -107,6 +109,16 @@
         shows: "false refusals and write-off of grants, and what they cost the platform",
         run: grants::run,
     },
+    MeasureExperiment {
+        name: "retries",
+        shows: "attempts for each call when targets fail, with the retry budget and without",
+        run: retries::run,
+    },
+    MeasureExperiment {
+        name: "leave",
+        shows: "time until a leaving target gets no work, probes and news against routers",
+        run: leave::run,
+    },
 ];
 
 /// The seed when none is given.
