Tell gauges from the core, and drop a setting that had no effect

Ruled out: giving the setting a meaning. A fence by time alone would fence a router that is cut off. Before: no gauges, one dead key. After: gauges once a second; the key is an unknown key. Conclusion: settings hold only what acts.

--- a/crates/beechsaddle-core/src/router/router_core.rs
+++ b/crates/beechsaddle-core/src/router/router_core.rs
@@ -6,14 +6,14 @@
 use crate::call::{CallAction, CallEvent};
 use crate::calls::{CallContext, CallDesk};
 use crate::catalogue::CatalogueDesk;
-use crate::members::{HeartbeatNews, MemberDesk};
+use crate::members::{HeartbeatNews, MemberDesk, MemberLiveness};
 use crate::money::MoneyDesk;
 use crate::once::OnceDesk;
 use crate::orders::OrderDesk;
 use crate::peer::{PeerHeartbeat, PeerMessage, RouterState};
 use crate::platform::{PlatformDuty, PlatformReply, PlatformTicket};
 use crate::prelude::*;
-use crate::report::{CounterName, ReportAction};
+use crate::report::{CounterName, GaugeName, ReportAction};
 use crate::status::{GrantStatus, RouterStatus};
 use crate::target::TargetEvent;
 use crate::targets::TargetTable;
@@ -24,6 +24,9 @@
 /// How often orders hear of the engines' states, in milliseconds; a load takes far longer.
 const ORDERS_FEED_MS: u64 = 500;
 
+/// How often gauges are told, in milliseconds.
+const GAUGES_MS: u64 = 1_000;
+
 /// How far a graceful shutdown has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DrainPhase {
@@ -53,6 +56,7 @@
     retries: RetryPolicy,
     orders: OrderDesk,
     orders_fed: ClockTime,
+    gauges_told: ClockTime,
 }
 
 impl RouterCore {
@@ -78,6 +82,7 @@
             retries: RetryPolicy::new(options.retries, options.seed),
             orders: OrderDesk::new(options.orders, me.clone()),
             orders_fed: ClockTime::ZERO,
+            gauges_told: ClockTime::ZERO,
             me,
         }
     }
@@ -166,6 +171,30 @@
             self.members.beat(now, news, outbox);
         }
         self.members.tick(now, outbox);
+        self.report_gauges(now, outbox);
+    }
+
+    fn report_gauges(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
+        if now.since(self.gauges_told) < GAUGES_MS {
+            return;
+        }
+        self.gauges_told = now;
+        let members = self.members.table();
+        let peers = members.iter().filter(|(_, entry)| {
+            entry.domain == *members.domain() && entry.liveness == MemberLiveness::Live
+        });
+        let peers = peers.count() as u64;
+        for gauge in GaugeName::ALL {
+            let level = match gauge {
+                GaugeName::OpenCalls => self.calls.open_calls() as u64,
+                GaugeName::UnjournalledBills => self.money.unjournalled(),
+                GaugeName::GrantsHeld => self.money.grants().len() as u64,
+                GaugeName::PeersLive => peers,
+                GaugeName::TargetsLive => self.targets.live_count(now),
+                GaugeName::CatalogueRevision => self.catalogue.view().revision(),
+            };
+            outbox.act(ReportAction::Gauge { gauge, level });
+        }
     }
 
     /// Tells the orders what is known of engines, by own probes and by those of peers.
--- a/crates/beechsaddle-core/src/targets/table_engines.rs
+++ b/crates/beechsaddle-core/src/targets/table_engines.rs
@@ -1,6 +1,8 @@
 //! The `table_engines` module provides what is known of engines, for those who order them.
 
 use super::{TargetEntry, TargetTable};
+use crate::clock::ClockTime;
+use crate::members::HostState;
 use crate::names::{ServiceName, TargetName};
 use crate::target::EngineState;
 
@@ -25,6 +27,15 @@
             .filter(|entry| entry.domain == self.domain)
             .filter_map(engine_news)
     }
+
+    /// How many targets of the own domain get new work.
+    pub fn live_count(&self, now: ClockTime) -> u64 {
+        self.entries
+            .values()
+            .filter(|entry| entry.domain == self.domain && entry.listed.is_some())
+            .filter(|entry| entry.state(now, &self.options) == HostState::Live)
+            .count() as u64
+    }
 }
 
 fn engine_news(entry: &TargetEntry) -> Option<EngineNews> {
--- a/crates/beechsaddle-lab/tests/process_support/mod.rs
+++ b/crates/beechsaddle-lab/tests/process_support/mod.rs
@@ -29,7 +29,6 @@
 
 [budgets]
 journal_period_ms = 100
-fence_after_ms = 1000
 endurance_ms = 5000
 endurance_share_permille = 125
 
--- a/crates/beechsaddle/src/settings/budget_settings.rs
+++ b/crates/beechsaddle/src/settings/budget_settings.rs
@@ -15,8 +15,6 @@
     pub endurance_share_permille: u64,
     /// How often a journal is written while there is news.
     pub journal_period_ms: u64,
-    /// How long a journal of a router that is gone must have stopped before it is fenced.
-    pub fence_after_ms: u64,
     /// How long a grant may lie idle before it is given back.
     pub idle_grant_ms: u64,
     /// How long a dedup record is kept.
@@ -31,7 +29,6 @@
             endurance_ms: 30_000,
             endurance_share_permille: 125,
             journal_period_ms: 1_000,
-            fence_after_ms: 10_000,
             idle_grant_ms: 60_000,
             dedup_retention_ms: 86_400_000,
         }
@@ -63,12 +60,6 @@
                 50..=60_000,
                 findings,
             ),
-            fence_after_ms: reader.read_u64_or(
-                "fence_after_ms",
-                default.fence_after_ms,
-                1_000..=3_600_000,
-                findings,
-            ),
             idle_grant_ms: reader.read_u64_or(
                 "idle_grant_ms",
                 default.idle_grant_ms,
@@ -82,25 +73,9 @@
                 findings,
             ),
         };
-        settings.check(reader, findings);
         reader.finish(findings);
         settings
     }
-
-    fn check(&self, reader: &TableReader<'_>, findings: &mut FindingList) {
-        // A journal that is written less often than it takes to be called stopped would be fenced
-        // while its router is alive.
-        if self.fence_after_ms < self.journal_period_ms.saturating_mul(2) {
-            reader.report(
-                "fence_after_ms",
-                format!(
-                    "is {}; at least twice `journal_period_ms`, {}, would be right",
-                    self.fence_after_ms, self.journal_period_ms
-                ),
-                findings,
-            );
-        }
-    }
 }
 
 /// The largest shard count; each shard is an object that some routers read.
