End a call whose dispatch crossed its caller's hang-up

Cause: the edge does not carry out a dispatch that crosses the caller's hang-up and says only that the caller is gone; the core took that as 'the edge will tell how the answer ended' and kept the call open, its reservation with it. Ruled out: an event of its own for the skipped dispatch; the one event is enough, since the edge raises it only when no attempt runs. Before: caller_gone_while_dispatched_ends_the_call: open calls left 1, right 0. After: green; the key is free again and nothing is billed. Conclusion: every path of a hang-up now ends the call.

--- a/crates/beechsaddle-core/src/calls/call_desk.rs
+++ b/crates/beechsaddle-core/src/calls/call_desk.rs
@@ -48,7 +48,7 @@
             CallEvent::Arrived(arrival) => self.on_arrival(now, *arrival, context),
             CallEvent::Rejected(refusal) => count_refusal(&refusal, context),
             CallEvent::ModelsQuery { call, key_digest } => list_models(&call, &key_digest, context),
-            CallEvent::CallerGone { call } => self.on_caller_gone(&call),
+            CallEvent::CallerGone { call } => self.on_caller_gone(now, &call, context),
             CallEvent::AttemptFailed { attempt, failure } => {
                 self.on_attempt_failed(now, &attempt, failure, context);
             }
@@ -132,12 +132,21 @@
         Ok(CallRecord::new(arrival, terms, pass))
     }
 
-    fn on_caller_gone(&mut self, call: &CallId) {
-        // A call that waits for its reservation or its record learns of it at the next step; one
-        // that was dispatched is cancelled by the edge, which then tells how its answer ended.
-        if let Some(record) = self.calls.get_mut(call) {
-            record.caller_gone = true;
+    fn on_caller_gone(&mut self, now: ClockTime, call: &CallId, context: &mut CallContext<'_>) {
+        let Some(record) = self.calls.get_mut(call) else {
+            return;
+        };
+        // A call that waits for its reservation or its record learns of it at the next step.
+        record.caller_gone = true;
+        if record.phase != CallPhase::Dispatched {
+            return;
+        }
+        // The edge says this only when no attempt runs: the dispatch crossed it on the way and was
+        // not carried out. Nothing else would ever end the call, and a drain would wait for it.
+        if let Some(running) = record.running.take() {
+            context.targets.ended(now, &running.target);
         }
+        self.release(now, call, context);
     }
 
     fn on_admit_done(
--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -299,3 +299,29 @@
         );
     }
 }
+
+// The caller hangs up at the moment its call is dispatched. The edge then does not carry out the
+// dispatch and says only that the caller is gone. Without an end the call would stay open, its
+// reservation with it, and a graceful shutdown would wait for ever.
+#[test]
+fn caller_gone_while_dispatched_ends_the_call() {
+    let mut world = RouterWorld::new(1, 100_000);
+    set_all(&mut world, TargetScript::Silent);
+    let mut arrival = world.arrival(0, notify());
+    arrival.repeatable = Some(false);
+    arrival.idempotency = Some("payout-8".into());
+    let call = world.call(0, arrival.clone());
+    assert_eq!(world.dispatched.len(), 1);
+    world.send(0, CoreEvent::Call(CallEvent::CallerGone { call }));
+    world.run(10_000);
+    assert_eq!(world.routers[0].open_calls(), 0);
+    assert_eq!(world.account().bills, 0);
+    set_all(&mut world, TargetScript::Answer);
+    arrival.call.number = 1_000;
+    let again = world.call(0, arrival);
+    assert!(
+        world.finished.contains(&again),
+        "{:?}",
+        world.refused.get(&again)
+    );
+}
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -43,6 +43,8 @@
     Answer,
     /// Fails before the first byte.
     Fail(AttemptFailure),
+    /// Takes the call and never says anything.
+    Silent,
     /// Starts an answer and then waits for [`RouterWorld::end_answer`].
     Stall,
 }
@@ -422,6 +424,7 @@
             ]
         }
         TargetScript::Fail(failure) => vec![CallEvent::AttemptFailed { attempt, failure }],
+        TargetScript::Silent => Vec::new(),
         TargetScript::Stall => vec![started],
     }
 }
