--- a/crates/beechsaddle-core/tests/money_world/mod.rs
+++ b/crates/beechsaddle-core/tests/money_world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 mod fake_store;
+pub mod session_steps;
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -5,8 +5,8 @@
 mod catalogue_cost;
 mod experiment;
 mod fleet_cost;
-mod idle_streams;
 pub mod grants;
+mod idle_streams;
 mod message_bytes;
 mod object_bytes;
 mod overhead;
