--- a/crates/beechsaddle-core/tests/money_world/mod.rs
+++ b/crates/beechsaddle-core/tests/money_world/mod.rs
@@ -3,67 +3,20 @@
 #![allow(dead_code)]
 
 mod fake_store;
+pub mod model_step;
 pub mod session_steps;
+mod world_network;
+mod world_types;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use beechsaddle_core::members::{MemberEntry, MemberLiveness, MemberTable};
+use beechsaddle_core::members::MemberTable;
 use beechsaddle_core::money::{BudgetAccount, BudgetLedger, MoneyDesk, MoneyOptions};
-use beechsaddle_core::peer::{AdmitRequest, PeerMessage, RouterState};
-use beechsaddle_core::platform::{PlatformCall, PlatformReply, PlatformTicket};
+use beechsaddle_core::peer::AdmitRequest;
 use beechsaddle_core::prelude::*;
 
 pub use fake_store::FakeStore;
-
-/// Something on its way.
-#[derive(Clone, Debug)]
-pub enum Flight {
-    Peer {
-        from: usize,
-        to: usize,
-        message: PeerMessage,
-    },
-    Call {
-        router: usize,
-        ticket: PlatformTicket,
-        call: PlatformCall,
-    },
-    Reply {
-        router: usize,
-        ticket: PlatformTicket,
-        reply: PlatformReply,
-    },
-    /// A write whose answer was lost before it took effect.
-    Straggler { call: PlatformCall },
-}
-
-/// A call as its caller and its engine see it.
-#[derive(Clone, Debug)]
-pub struct CallRecord {
-    pub entry: usize,
-    pub key: RequestKey,
-    pub budget: BudgetName,
-    pub bound: u64,
-    /// `None` while the caller waits for a reservation.
-    pub admitted: Option<Result<(), CallRefusal>>,
-    /// What the engine generated.
-    pub served: u64,
-    pub settled: Option<u64>,
-    pub is_released: bool,
-}
-
-pub struct RouterSlot {
-    pub router: RouterIncarnation,
-    pub desk: Option<MoneyDesk>,
-    pub members: MemberTable,
-    pub domain: DomainName,
-    pub is_frozen: bool,
-    pub is_gone: bool,
-    /// Died with whatever it had in memory.
-    pub is_lost: bool,
-    pub is_draining: bool,
-    calls: u64,
-}
+pub use world_types::{CallRecord, Flight, RouterSlot, member};
 
 pub struct MoneyWorld {
     pub now: ClockTime,
@@ -321,153 +274,6 @@
         }
     }
 
-    fn is_cut(&self, left: usize, right: usize) -> bool {
-        let left = &self.slots[left].domain;
-        let right = &self.slots[right].domain;
-        left != right && (self.cut_domains.contains(left) || self.cut_domains.contains(right))
-    }
-
-    fn is_away(&self, router: usize) -> bool {
-        self.is_platform_down || self.cut_domains.contains(&self.slots[router].domain)
-    }
-
-    /// Lets one flight arrive. What is meant for a frozen router stays on its way.
-    pub fn deliver(&mut self, index: usize) {
-        let flight = self.flights.remove(index);
-        match flight {
-            Flight::Peer { from, to, message } => {
-                if self.is_cut(from, to) {
-                    return;
-                }
-                if self.slots[to].is_frozen {
-                    self.flights.push(Flight::Peer { from, to, message });
-                    return;
-                }
-                let sender = self.slots[from].router.clone();
-                let receiver = self.slots[to].router.to_string();
-                self.note("hears", &receiver, &(sender.to_string(), &message));
-                self.with_desk(to, |desk, now, members, outbox| {
-                    desk.on_peer(now, &sender, message, members, outbox);
-                });
-            }
-            Flight::Call {
-                router,
-                ticket,
-                call,
-            } => {
-                let reply = if self.is_away(router) {
-                    PlatformReply::Unreachable
-                } else {
-                    self.store.apply(call)
-                };
-                self.flights.push(Flight::Reply {
-                    router,
-                    ticket,
-                    reply,
-                });
-            }
-            Flight::Reply {
-                router,
-                ticket,
-                reply,
-            } => {
-                if self.slots[router].is_frozen {
-                    self.flights.push(Flight::Reply {
-                        router,
-                        ticket,
-                        reply,
-                    });
-                    return;
-                }
-                let receiver = self.slots[router].router.to_string();
-                self.note("reply", &receiver, &(ticket.number, &reply));
-                self.with_desk(router, |desk, now, members, outbox| {
-                    desk.on_platform(now, ticket, reply, members, outbox);
-                });
-            }
-            Flight::Straggler { call } => {
-                self.store.apply(call);
-            }
-        }
-    }
-
-    fn is_held(&self, flight: &Flight) -> bool {
-        match flight {
-            Flight::Peer { to, .. } => self.slots[*to].is_frozen,
-            Flight::Reply { router, .. } => self.slots[*router].is_frozen,
-            Flight::Call { .. } | Flight::Straggler { .. } => false,
-        }
-    }
-
-    /// Delivers everything that is on its way, and what follows from it.
-    pub fn settle_network(&mut self) {
-        for _ in 0..20_000 {
-            let next = (0..self.flights.len()).find(|index| !self.is_held(&self.flights[*index]));
-            let Some(index) = next else {
-                return;
-            };
-            self.deliver(index);
-        }
-        panic!("the network never comes to rest");
-    }
-
-    /// Lets time pass in steps of one tick, with everything delivered at once.
-    pub fn run(&mut self, span_ms: u64) {
-        for _ in 0..span_ms.div_ceil(50) {
-            self.advance(50);
-            self.settle_network();
-        }
-    }
-
-    pub fn crash(&mut self, index: usize) {
-        self.slots[index].desk = None;
-        let router = self.slots[index].router.to_string();
-        self.note("crash", &router, &());
-    }
-
-    /// Changes how alive the others of its domain think a router is.
-    pub fn set_liveness(&mut self, index: usize, liveness: MemberLiveness) {
-        let router = self.slots[index].router.clone();
-        let domain = self.slots[index].domain.clone();
-        self.slots[index].is_gone = liveness == MemberLiveness::Gone;
-        let signal = match liveness {
-            MemberLiveness::Live => CoreSignal::MemberUp(router.clone()),
-            MemberLiveness::Down => CoreSignal::MemberDown(router.clone()),
-            MemberLiveness::Gone => CoreSignal::MemberGone(router.clone()),
-        };
-        for other in 0..self.slots.len() {
-            if other == index || self.slots[other].domain != domain {
-                continue;
-            }
-            let mut entry = member(&router, &domain);
-            entry.liveness = liveness;
-            if self.slots[index].is_draining {
-                entry.state = RouterState::Draining;
-            }
-            self.slots[other].members.insert(router.clone(), entry);
-            self.with_desk(other, |desk, now, members, outbox| {
-                desk.on_signal(now, &signal, members, outbox);
-            });
-        }
-    }
-
-    pub fn drain(&mut self, index: usize) {
-        self.slots[index].is_draining = true;
-        self.slots[index].members.set_draining();
-        let router = self.slots[index].router.clone();
-        let domain = self.slots[index].domain.clone();
-        for other in 0..self.slots.len() {
-            if other != index && self.slots[other].domain == domain {
-                let mut entry = member(&router, &domain);
-                entry.state = RouterState::Draining;
-                self.slots[other].members.insert(router.clone(), entry);
-            }
-        }
-        self.with_desk(index, |desk, now, members, outbox| {
-            desk.drain(now, members, outbox);
-        });
-    }
-
     pub fn served(&self) -> u64 {
         self.calls.values().map(|record| record.served).sum()
     }
@@ -494,15 +300,3 @@
             .collect()
     }
 }
-
-pub fn member(router: &RouterIncarnation, domain: &DomainName) -> MemberEntry {
-    MemberEntry {
-        domain: domain.clone(),
-        address: router.to_string(),
-        state: RouterState::Live,
-        liveness: MemberLiveness::Live,
-        catalogue_revision: 0,
-        heard: ClockTime::ZERO,
-        sequence: 0,
-    }
-}
