Let a key run again when its entry router has fallen silent

Cause: after an entry router was killed, a retry with the same key through another router was told 'in_progress' until the platform's list dropped the host, as long as the list lags. Ruled out: billing the orphan at once. A router that is cut off may still end its answer, and the reservation must stay until it is known to be gone. Conclusion: silence is enough to let the key run, since the ledger keeps one bill for a key.

--- a/crates/beechsaddle-core/src/money/desk_holder.rs
+++ b/crates/beechsaddle-core/src/money/desk_holder.rs
@@ -29,9 +29,12 @@
             let refusal = CallRefusal::not_run(RefusalReason::Draining, Some(0));
             return self.answer_admit(turn, &call, Err(refusal));
         }
+        let max_reruns = self.options.max_reruns;
         let started = self
             .keys
-            .try_start(turn.now, &request.key, &call, self.options.max_reruns);
+            .try_start(turn.now, &request.key, &call, max_reruns, |router| {
+                turn.is_silent(router)
+            });
         if let Err(refusal) = started {
             return self.answer_admit(turn, &call, Err(refusal));
         }
--- a/crates/beechsaddle-core/src/money/desk_turn.rs
+++ b/crates/beechsaddle-core/src/money/desk_turn.rs
@@ -51,6 +51,13 @@
         self.outbox.act(ReportAction::Log(line));
     }
 
+    /// Whether another router is known and not heard: it is dead, frozen or cut off.
+    pub(super) fn is_silent(&self, router: &RouterIncarnation) -> bool {
+        let entry = self.members.get(router);
+        *router != *self.members.me()
+            && entry.is_some_and(|entry| entry.liveness != MemberLiveness::Live)
+    }
+
     /// Whether another router is gone: its process ended, or it is no longer known at all.
     pub(super) fn is_gone(&self, router: &RouterIncarnation) -> bool {
         let entry = self.members.get(router);
--- a/crates/beechsaddle-core/src/money/key_book.rs
+++ b/crates/beechsaddle-core/src/money/key_book.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::clock::ClockTime;
-use crate::names::{CallId, KeyOrigin, RequestKey};
+use crate::names::{CallId, KeyOrigin, RequestKey, RouterIncarnation};
 use crate::refusal::{CallRefusal, RefusalReason};
 
 /// When a caller should ask again for a key that is running, in milliseconds.
@@ -31,6 +31,7 @@
         key: &RequestKey,
         call: &CallId,
         max_reruns: u32,
+        is_silent: impl Fn(&RouterIncarnation) -> bool,
     ) -> Result<(), CallRefusal> {
         if key.origin == KeyOrigin::Router {
             return Ok(());
@@ -45,7 +46,12 @@
             self.keys.insert(key.clone(), entry);
             return Ok(());
         };
-        if entry.is_running && entry.call != *call {
+        // The entry router of a running call may have died with the caller's stream, and its host may
+        // stay on the platform's list for long. Its caller would be told all the while that the key
+        // is running. If the router was only cut off, both calls run, and the ledger keeps the
+        // larger of two bills of one key.
+        let is_lost = is_silent(&entry.call.router);
+        if entry.is_running && entry.call != *call && !is_lost {
             let retry_after_ms = Some(RUNNING_RETRY_MS);
             return Err(CallRefusal::not_run(
                 RefusalReason::InProgress,
--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -325,3 +325,42 @@
         world.refused.get(&again)
     );
 }
+
+// The router that a caller is connected to dies in the middle of a stream; its host stays on the
+// platform's lagging list. The caller sees the stream break and asks again with the same key through
+// another router. It must not be told for as long as the list lags that the key is still running:
+// the router has fallen silent, and whichever of the two runs is billed, there is one bill.
+#[test]
+fn entry_silent_lets_its_key_run_again() {
+    let mut world = RouterWorld::new(3, 100_000);
+    let arrival = world.arrival(0, chat());
+    world.call(0, arrival);
+    let holder = world
+        .routers
+        .iter()
+        .position(|router| !router.grants().is_empty());
+    let holder = holder.expect("a router holds the budget");
+    let (entry, other) = ((holder + 1) % 3, (holder + 2) % 3);
+    set_all(&mut world, TargetScript::Stall);
+    let mut first = world.arrival(entry, chat());
+    first.idempotency = Some("claim-1".into());
+    world.call(entry, first);
+    world.exited.push(entry);
+    set_all(&mut world, TargetScript::Answer);
+    let mut early = world.arrival(other, chat());
+    early.idempotency = Some("claim-1".into());
+    let early = world.call(other, early);
+    assert_eq!(world.refused[&early].reason, RefusalReason::InProgress);
+    world.run(3_000);
+    let mut again = world.arrival(other, chat());
+    again.idempotency = Some("claim-1".into());
+    let again = world.call(other, again);
+    assert!(
+        world.finished.contains(&again),
+        "{:?}",
+        world.refused.get(&again)
+    );
+    world.run(20_000);
+    assert_eq!(world.account().bills, 2);
+    assert_eq!(world.account().settled, 2 * ANSWER_USAGE.total());
+}
