--- a/crates/beechsaddle-core/src/targets/load_estimate.rs
+++ b/crates/beechsaddle-core/src/targets/load_estimate.rs
@@ -15,6 +15,9 @@
 /// The prompt tokens that a waiting call of another router is taken for until own calls were sent.
 const USUAL_UNCACHED_TOKENS: f64 = 500.0;
 
+/// The time to a first token that means start from, in milliseconds.
+const USUAL_FIRST_MS: f64 = 100.0;
+
 /// The bounds of a single measured slowness, so that one stalled call does not decide alone.
 const SLOWNESS_MIN: f64 = 0.05;
 const SLOWNESS_MAX: f64 = 20.0;
@@ -45,6 +48,8 @@
     reported: bool,
     updated: ClockTime,
     mean_uncached: f64,
+    mean_seen_ms: f64,
+    mean_expected_ms: f64,
     slowness: f64,
     samples: u32,
 }
@@ -54,6 +59,8 @@
     pub fn new() -> Self {
         LoadEstimate {
             slowness: 1.0,
+            mean_seen_ms: USUAL_FIRST_MS,
+            mean_expected_ms: USUAL_FIRST_MS,
             mean_uncached: USUAL_UNCACHED_TOKENS,
             ..LoadEstimate::default()
         }
@@ -113,8 +120,14 @@
         if call.expected_ms <= 0.0 {
             return;
         }
-        let ratio = (latency_ms as f64 / call.expected_ms).clamp(SLOWNESS_MIN, SLOWNESS_MAX);
-        self.slowness += CALL_WEIGHT * (ratio - self.slowness);
+        // The ratio of means, not the mean of ratios: a short prompt that waits a little has a large
+        // ratio and says little about speed.
+        let weight = CALL_WEIGHT.max(1.0 / f64::from(self.samples + 2));
+        let most_ms = call.expected_ms * SLOWNESS_MAX;
+        let seen_ms = (latency_ms as f64).min(most_ms);
+        self.mean_seen_ms += weight * (seen_ms - self.mean_seen_ms);
+        self.mean_expected_ms += weight * (call.expected_ms - self.mean_expected_ms);
+        self.slowness = (self.mean_seen_ms / self.mean_expected_ms).max(SLOWNESS_MIN);
         self.samples = self.samples.saturating_add(1);
     }
 
@@ -145,6 +158,8 @@
     /// Forgets the measured speed, so that a target that comes back is measured anew.
     pub fn forget_speed(&mut self) {
         self.slowness = 1.0;
+        self.mean_seen_ms = USUAL_FIRST_MS;
+        self.mean_expected_ms = USUAL_FIRST_MS;
         self.samples = 0;
     }
 
--- a/crates/beechsaddle-core/src/targets/table_news.rs
+++ b/crates/beechsaddle-core/src/targets/table_news.rs
@@ -8,7 +8,7 @@
 
 /// How many targets that do not serve are told again in each heartbeat, in turn, for routers that
 /// missed it the first time.
-const REPEATED_NEWS: usize = 8;
+const REPEATED_NEWS: usize = 2;
 
 /// How many words about targets that are not listed here yet are kept.
 const EARLY_LIMIT: usize = 1_024;
--- a/crates/beechsaddle-core/src/targets/target_options.rs
+++ b/crates/beechsaddle-core/src/targets/target_options.rs
@@ -54,6 +54,8 @@
     pub fork_limit: usize,
     /// The part of a prompt that its home is taken to have to read, unless less is known.
     pub home_unread: f64,
+    /// How many times slower than the median a target may be and still be a home.
+    pub home_slowness: f64,
     /// How many times more targets than its share of calls a shared part is spread over.
     pub home_slack: f64,
     /// How many calls above the mean a target may have before affinity no longer counts.
@@ -89,6 +91,7 @@
             batch_ms: 1.0,
             fork_limit: 4_096,
             home_unread: 0.2,
+            home_slowness: 2.0,
             home_slack: 8.0,
             bound_factor: 1.5,
             cross_domain: true,
--- a/crates/beechsaddle-core/src/targets/target_picker.rs
+++ b/crates/beechsaddle-core/src/targets/target_picker.rs
@@ -83,7 +83,8 @@
         request: &ChoiceRequest<'_>,
         options: &TargetOptions,
     ) -> Option<&'a TargetEntry> {
-        let home = home_of(candidates, request.prefix, &self.forks, options);
+        let homes = usual_candidates(candidates, options);
+        let home = home_of(&homes, request.prefix, &self.forks, options);
         let uncached: Vec<u64> = candidates
             .iter()
             .map(|entry| entry.uncached_tokens(request.prefix, request.work, options))
@@ -111,6 +112,29 @@
     }
 }
 
+/// The candidates without those that are clearly slower than the others.
+///
+/// A slow target is no home: the first token may still come soonest from there while it has little
+/// to read, but every further turn of the conversation would be slow with it.
+fn usual_candidates<'a>(
+    candidates: &[&'a TargetEntry],
+    options: &TargetOptions,
+) -> Vec<&'a TargetEntry> {
+    let mut speeds: Vec<f64> = candidates
+        .iter()
+        .map(|entry| entry.load.slowness())
+        .collect();
+    speeds.sort_by(f64::total_cmp);
+    let Some(median) = speeds.get(speeds.len() / 2) else {
+        return Vec::new();
+    };
+    candidates
+        .iter()
+        .copied()
+        .filter(|entry| entry.load.slowness() <= median * options.home_slowness)
+        .collect()
+}
+
 /// The candidates without those that are busy or have had their share in slow start, unless that
 /// leaves none.
 fn ready_candidates<'a>(
--- a/crates/beechsaddle-core/tests/targets_outlier.rs
+++ b/crates/beechsaddle-core/tests/targets_outlier.rs
@@ -206,3 +206,27 @@
     }
     assert!((1..=10).contains(&sent), "{sent} probes in a second");
 }
+
+#[test]
+fn choose_slow_target_is_no_home() {
+    // One engine is three times slower, which is too little to eject it. As a home it would look
+    // the soonest, having little to read, and every turn of its conversations would be slow there.
+    let mut table = listed(4);
+    for round in 0..20 {
+        for number in 0..4 {
+            let now = at(100 + round * 100);
+            let latency_ms = if number == 1 { 384 } else { 128 };
+            table.started(now, &target(number), &[], WORK);
+            table.first_byte(now, &target(number), latency_ms);
+            table.ended(now, &target(number));
+        }
+    }
+    assert_eq!(ejected(&table, at(2_200)), 0);
+    for conversation in 0..40 {
+        let prefix: Vec<u64> = (0..16)
+            .map(|block| conversation * 100 + block + 1)
+            .collect();
+        let name = chosen(table.choose(at(2_200), &engine_call(&prefix, &[])));
+        assert_ne!(name, target(1));
+    }
+}
