--- a/crates/beechsaddle-core/src/money/budget_holding.rs
+++ b/crates/beechsaddle-core/src/money/budget_holding.rs
@@ -59,10 +59,15 @@
     pub(super) unfolded_since: Option<ClockTime>,
     pub(super) account: Option<AccountView>,
     pub(super) waiting: VecDeque<WaitingAdmit>,
+    /// When the ledger was read last without anything to change; cleared by a new request.
+    pub(super) checked_at: Option<ClockTime>,
     pub(super) demand: DemandMeter,
     pub(super) asked_at: ClockTime,
     /// Late bills of closed journals wait for the grant's entry, even of nothing.
     pub(super) has_late: bool,
+    /// A change of the grant is being written; until its outcome is known, a checkpoint has to name
+    /// the budget. Left out, a grant that is made after all would be found by nobody at a fence.
+    pub(super) is_in_doubt: bool,
     /// The removal of the grant's entry is being written.
     pub(super) is_leaving: bool,
     /// The last segment that names the budget; a checkpoint after it leaves the budget out.
@@ -156,6 +161,7 @@
             && self.unfolded.is_empty()
             && self.finals.is_empty()
             && !self.has_late
+            && !self.is_in_doubt
             && self.amount == self.spent
             && self.mark == self.spent
             && self.mark_sent.is_none()
@@ -216,6 +222,57 @@
             && checkpoint > self.named_in
     }
 
+    /// Takes over what the ledger says. While a write is unresolved, the amount only falls.
+    pub(super) fn adopt(
+        &mut self,
+        now: ClockTime,
+        journal: &KeyText,
+        account: Option<&BudgetAccount>,
+        is_unresolved: bool,
+    ) {
+        let grant = account.and_then(|account| account.grants.get(journal));
+        match grant {
+            Some(grant) => {
+                self.has_entry = true;
+                self.amount = if is_unresolved {
+                    self.amount.min(grant.amount)
+                } else {
+                    grant.amount
+                };
+                self.unfolded.retain(|(number, _)| *number >= grant.cursor);
+                self.finals.retain(|(number, _)| *number >= grant.cursor);
+                if self.unfolded.is_empty() && self.finals.is_empty() {
+                    self.unfolded_since = None;
+                }
+            }
+            None if self.has_entry && self.is_leaving => {
+                *self = BudgetHolding {
+                    intent: IntentState::Missing,
+                    named_in: self.named_in,
+                    ..BudgetHolding::renewed_from(std::mem::take(self))
+                };
+            }
+            None => {}
+        }
+        if !is_unresolved {
+            self.is_leaving = false;
+            self.is_in_doubt = false;
+        }
+        let others = account.map_or(0, |account| {
+            account
+                .grants
+                .keys()
+                .filter(|name| *name != journal)
+                .count()
+        });
+        self.account = Some(AccountView {
+            workspace: account.map(|account| account.workspace.clone()),
+            free: account.map_or(0, BudgetAccount::free),
+            holders: others as u64 + 1,
+            read_at: now,
+        });
+    }
+
     pub(super) fn status(&self, budget: &BudgetName) -> GrantStatus {
         GrantStatus {
             budget: budget.clone(),
--- a/crates/beechsaddle-core/src/money/desk_journal.rs
+++ b/crates/beechsaddle-core/src/money/desk_journal.rs
@@ -4,7 +4,7 @@
 
 use super::budget_holding::{BudgetHolding, IntentState};
 use super::desk_turn::DeskTurn;
-use super::journal_name::{CHECKPOINT_EVERY, journal_name};
+use super::journal_name::journal_name;
 use super::journal_segment::{BillRecord, FinalSpend, JournalSegment};
 use super::journal_writer::{JournalWriter, WriterOutcome};
 use super::late_bill::ClosedLife;
@@ -56,7 +56,7 @@
             return self.drain == DrainState::Closing;
         }
         let is_period = now.since(self.written_at) >= self.options.journal_period_ms;
-        if is_period && !self.news.is_empty() {
+        if is_period && !self.news.is_empty() && self.bill_room() > 0 {
             return true;
         }
         self.holdings.values().any(|holding| {
@@ -69,6 +69,17 @@
         })
     }
 
+    /// How many bills the next segment may hold. While the ledger lags, bills wait: a checkpoint that
+    /// carried them all would outgrow the platform's largest object and could never be written.
+    fn bill_room(&self) -> usize {
+        let unfolded: usize = self
+            .holdings
+            .values()
+            .map(|holding| holding.unfolded.len())
+            .sum();
+        self.options.max_segment_bills.saturating_sub(unfolded)
+    }
+
     pub(super) fn is_closing(&self) -> bool {
         matches!(
             self.drain,
@@ -79,11 +90,11 @@
     fn build_segment(&mut self, now: ClockTime) -> JournalSegment {
         let number = self.writer.next_number();
         let closed = self.drain == DrainState::Closing;
-        let is_checkpoint = number.is_multiple_of(CHECKPOINT_EVERY) || closed;
+        let is_checkpoint = number.is_multiple_of(self.options.checkpoint_every) || closed;
         let count = if closed {
             self.news.len()
         } else {
-            self.options.max_segment_bills
+            self.bill_room()
         };
         let rest = self.news.split_off(count.min(self.news.len()));
         self.news_sent = std::mem::replace(&mut self.news, rest);
@@ -101,7 +112,8 @@
                 let is_due = view.is_mark_due(target) || holding.waits_for_mark();
                 if is_due { target } else { holding.mark }
             };
-            if holding.is_named(target, is_checkpoint) {
+            let is_left = closed && holding.has_entry;
+            if is_left || holding.is_named(target, is_checkpoint) {
                 holding.named_in = number;
                 holding.intent = holding.intent.max(IntentState::Sent);
                 holding.mark_sent = Some(target);
@@ -131,26 +143,41 @@
 
     /// Bills that a reader needs and that are only in segments before this checkpoint: those that
     /// the ledger has not counted, and those that another router may still hand to a successor.
-    fn carried_bills(&self) -> Vec<(u64, BillRecord)> {
+    fn carried_bills(&mut self) -> Vec<(u64, BillRecord)> {
+        self.trim_unconfirmed();
         let unconfirmed = self.unconfirmed.values();
         let unfolded = self.holdings.values().flat_map(|holding| &holding.unfolded);
-        let carried: BTreeMap<(u64, CallId, bool), BillRecord> = unconfirmed
-            .chain(unfolded)
-            .map(|(number, bill)| {
-                (
-                    (*number, bill.call.clone(), !bill.provisional),
-                    bill.clone(),
-                )
-            })
-            .collect();
+        let mut carried: Vec<(u64, BillRecord)> = unconfirmed.chain(unfolded).cloned().collect();
+        carried.sort_by(|left, right| {
+            let left = (left.0, &left.1.call, left.1.tokens);
+            left.cmp(&(right.0, &right.1.call, right.1.tokens))
+        });
+        carried.dedup();
         carried
-            .into_iter()
-            .map(|((number, _, _), bill)| (number, bill))
-            .collect()
+    }
+
+    /// Keeps the list of unconfirmed bills within one object's size; the oldest are dropped.
+    fn trim_unconfirmed(&mut self) {
+        let excess = self
+            .unconfirmed
+            .len()
+            .saturating_sub(self.options.max_segment_bills);
+        if excess == 0 {
+            return;
+        }
+        let mut numbers: Vec<u64> = self
+            .unconfirmed
+            .values()
+            .map(|(number, _)| *number)
+            .collect();
+        numbers.sort_unstable();
+        let oldest_kept = numbers[excess];
+        self.unconfirmed
+            .retain(|_, (number, _)| *number >= oldest_kept);
     }
 
     fn on_segment(&mut self, turn: &mut DeskTurn<'_>, number: u64, segment: &JournalSegment) {
-        if number.is_multiple_of(CHECKPOINT_EVERY) && !segment.closed {
+        if number.is_multiple_of(self.options.checkpoint_every) && !segment.closed {
             self.checkpoint = number;
             let journal = self.writer.journal().clone();
             self.sweeper.sweep_before(&journal, number);
@@ -196,8 +223,10 @@
             .insert(bill.call.clone(), (number, bill.clone()));
         if let Some(billed) = self.billed.get_mut(&bill.call) {
             billed.is_durable = true;
-            let call = bill.call.clone();
-            self.tell_durable(turn, &call);
+            if !bill.provisional {
+                let call = bill.call.clone();
+                self.tell_durable(turn, &call);
+            }
         }
     }
 
--- a/crates/beechsaddle-core/src/money/desk_ledger.rs
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -6,9 +6,11 @@
 use std::collections::BTreeSet;
 
 use super::budget_account::{BudgetAccount, OpenGrant};
-use super::budget_holding::{AccountView, BudgetHolding, IntentState};
+use super::budget_holding::{BudgetHolding, IntentState};
 use super::budget_ledger::BudgetLedger;
 use super::desk_turn::DeskTurn;
+use super::fold_scan::FoldScan;
+use super::journal_name::journal_router;
 use super::money_desk::{MoneyDesk, MoneyWait};
 use super::shard_writer::{ShardStep, ShardWriter};
 use crate::platform::PlatformReply;
@@ -18,6 +20,9 @@
 /// The least time between two reads of a shard for a grant that no request waits for.
 const ADJUST_PERIOD_MS: u64 = 500;
 
+/// The least time between two reads of a shard for a request that the last one did not help.
+const RECHECK_MS: u64 = 100;
+
 impl MoneyDesk {
     pub(super) fn pump_shards(&mut self, turn: &mut DeskTurn<'_>) {
         let mut wanted: BTreeSet<u32> = BTreeSet::new();
@@ -49,13 +54,20 @@
             return false;
         }
         let is_announced = holding.intent == IntentState::Durable;
-        if is_announced && (holding.waits_for_grant() || (holding.has_late && !holding.has_entry)) {
+        // A request may wait for one before it that takes the last tokens. Reading again at once
+        // would find the same and fill the platform with reads.
+        let is_checked = holding
+            .checked_at
+            .is_some_and(|checked| now.since(checked) < RECHECK_MS);
+        let waits_for_grant = holding.waits_for_grant() && !is_checked;
+        if is_announced && (waits_for_grant || (holding.has_late && !holding.has_entry)) {
             return true;
         }
+        let is_full = holding.unfolded.len() * 2 > self.options.max_segment_bills;
         let is_fold_due = holding
             .unfolded_since
-            .is_some_and(|since| now.since(since) >= self.options.fold_period_ms);
-        if is_fold_due || holding.can_leave(self.checkpoint) {
+            .is_some_and(|since| is_full || now.since(since) >= self.options.fold_period_ms);
+        if (is_fold_due && holding.has_entry) || holding.can_leave(self.checkpoint) {
             return true;
         }
         let Some(account) = &holding.account else {
@@ -100,10 +112,16 @@
         if self.is_fenced_in(shard, &ledger) {
             self.start_new_life(turn);
         }
+        self.fence_replaced(turn, shard, &ledger);
         self.adopt_budgets(turn.now, shard, &ledger, is_unresolved);
         let mut amended = ledger.clone();
         let is_changed = self.amend_shard(turn, shard, &mut amended);
         if !is_changed && !is_unresolved {
+            for budget in self.budgets_of(shard) {
+                if let Some(holding) = self.holdings.get_mut(&budget) {
+                    holding.checked_at = Some(turn.now);
+                }
+            }
             return self.adopt_shard(turn, shard, &ledger, false);
         }
         // An account that promises more than was paid in would let two holders spend the same
@@ -179,6 +197,27 @@
         })
     }
 
+    /// Fences journals of earlier processes on hosts that run a later one. When all routers of a
+    /// domain died together, nobody is left who saw them alive and could call them gone, and their
+    /// grants would stay open for ever.
+    fn fence_replaced(&mut self, turn: &DeskTurn<'_>, shard: u32, ledger: &BudgetLedger) {
+        for budget in self.budgets_of(shard) {
+            let Some(account) = ledger.budgets.get(&budget) else {
+                continue;
+            };
+            for journal in account.grants.keys() {
+                let owner = journal_router(journal);
+                let Some(owner) = owner.filter(|owner| turn.is_replaced(owner)) else {
+                    continue;
+                };
+                self.scans
+                    .entry(owner.clone())
+                    .or_insert_with(|| FoldScan::new(&owner));
+                self.want_job(turn.now, journal);
+            }
+        }
+    }
+
     fn budgets_of(&self, shard: u32) -> Vec<BudgetName> {
         let count = self.options.shard_count;
         self.holdings
@@ -241,6 +280,7 @@
                 folded: holding.spent,
                 cursor: holding.named_in,
             };
+            holding.is_in_doubt = true;
             account.grants.insert(journal.clone(), grant);
             turn.count(CounterName::GrantsTaken);
             is_changed = true;
@@ -274,60 +314,9 @@
             // The write may take effect without an answer: from now on no more may be spent than
             // the smaller of both amounts.
             holding.amount = holding.amount.min(target);
+            holding.is_in_doubt = true;
             is_changed = true;
         }
         (is_changed, duplicates)
     }
 }
-
-impl BudgetHolding {
-    /// Takes over what the ledger says. While a write is unresolved, the amount only falls.
-    fn adopt(
-        &mut self,
-        now: ClockTime,
-        journal: &KeyText,
-        account: Option<&BudgetAccount>,
-        is_unresolved: bool,
-    ) {
-        let grant = account.and_then(|account| account.grants.get(journal));
-        match grant {
-            Some(grant) => {
-                self.has_entry = true;
-                self.amount = if is_unresolved {
-                    self.amount.min(grant.amount)
-                } else {
-                    grant.amount
-                };
-                self.unfolded.retain(|(number, _)| *number >= grant.cursor);
-                self.finals.retain(|(number, _)| *number >= grant.cursor);
-                if self.unfolded.is_empty() && self.finals.is_empty() {
-                    self.unfolded_since = None;
-                }
-            }
-            None if self.has_entry && self.is_leaving => {
-                *self = BudgetHolding {
-                    intent: IntentState::Missing,
-                    named_in: self.named_in,
-                    ..BudgetHolding::renewed_from(std::mem::take(self))
-                };
-            }
-            None => {}
-        }
-        if !is_unresolved {
-            self.is_leaving = false;
-        }
-        let others = account.map_or(0, |account| {
-            account
-                .grants
-                .keys()
-                .filter(|name| *name != journal)
-                .count()
-        });
-        self.account = Some(AccountView {
-            workspace: account.map(|account| account.workspace.clone()),
-            free: account.map_or(0, BudgetAccount::free),
-            holders: others as u64 + 1,
-            read_at: now,
-        });
-    }
-}
--- a/crates/beechsaddle-core/src/money/mod.rs
+++ b/crates/beechsaddle-core/src/money/mod.rs
@@ -5,11 +5,13 @@
 mod budget_ledger;
 mod demand_meter;
 mod desk_entry;
+mod desk_hand_over;
 mod desk_holder;
 mod desk_journal;
 mod desk_late;
 mod desk_ledger;
 mod desk_pump;
+mod desk_settle;
 mod desk_turn;
 mod entry_call;
 mod fold_job;
@@ -30,8 +32,7 @@
 pub use budget_account::{BilledKey, BudgetAccount, ClosedGrant, OpenGrant};
 pub use budget_ledger::BudgetLedger;
 pub use journal_name::{
-    CHECKPOINT_EVERY, journal_name, journal_prefix, journal_router, read_segment_key,
-    router_prefix, segment_key,
+    journal_name, journal_prefix, journal_router, read_segment_key, router_prefix, segment_key,
 };
 pub use journal_segment::{BillRecord, FinalSpend, JournalSegment};
 pub use money_desk::MoneyDesk;
--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -41,6 +41,9 @@
     pub(super) holdings: BTreeMap<BudgetName, BudgetHolding>,
     /// Copies of other routers' calls.
     pub(super) notes: BTreeMap<CallId, WitnessNote>,
+    /// Copies of ended calls of routers that are gone, for holders that are not.
+    pub(super) forwards: BTreeMap<CallId, WitnessNote>,
+    pub(super) forwarded_at: ClockTime,
     /// Calls of other routers that are billed for good, and when that was told.
     pub(super) closed_calls: BTreeMap<CallId, ClockTime>,
     pub(super) life: u32,
@@ -58,6 +61,8 @@
     pub(super) shards: BTreeMap<u32, ShardWriter>,
     pub(super) jobs: BTreeMap<KeyText, FoldJob>,
     pub(super) scans: BTreeMap<RouterIncarnation, FoldScan>,
+    /// The search for journals of earlier routers on the own host; begins with the layout.
+    pub(super) earlier: Option<FoldScan>,
     pub(super) sweeper: SegmentSweeper,
     pub(super) tickets: BTreeMap<u64, MoneyWait>,
     pub(super) ticket_count: u64,
@@ -73,6 +78,7 @@
     Shard(u32),
     Fold(KeyText),
     Scan(RouterIncarnation),
+    Earlier,
     Sweep,
 }
 
@@ -103,6 +109,8 @@
             keys: KeyBook::default(),
             holdings: BTreeMap::new(),
             notes: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            forwarded_at: ClockTime::ZERO,
             closed_calls: BTreeMap::new(),
             life: FIRST_LIFE,
             writer,
@@ -116,6 +124,7 @@
             shards: BTreeMap::new(),
             jobs: BTreeMap::new(),
             scans: BTreeMap::new(),
+            earlier: None,
             sweeper: SegmentSweeper::default(),
             tickets: BTreeMap::new(),
             ticket_count: 0,
@@ -129,6 +138,9 @@
     /// is reserved.
     pub fn set_layout(&mut self, layout: &FleetLayout) {
         self.options.shard_count = layout.ledger_shards;
+        if self.earlier.is_none() {
+            self.earlier = Some(FoldScan::of_host(&self.me.host));
+        }
     }
 
     /// Asks for a reservation; called at the call's entry router. Exactly one
@@ -208,13 +220,15 @@
                 }
             }
             PeerMessage::SettleRequest(request) => {
-                self.hold_settle(&mut turn, request);
+                self.hold_settle(&mut turn, from, request);
             }
             PeerMessage::SettleReply { call } => self.release_call(&mut turn, &call),
             PeerMessage::BillsDurable { calls } => self.on_durable(&mut turn, from, calls),
             PeerMessage::WitnessNote(note) => self.keep_note(&mut turn, from, note),
             PeerMessage::WitnessReply { call } => self.on_witness_reply(&mut turn, from, &call),
             PeerMessage::Heartbeat(_)
+            | PeerMessage::HostsRequest
+            | PeerMessage::HostsUpdate { .. }
             | PeerMessage::CatalogueRequest { .. }
             | PeerMessage::CatalogueUpdate { .. }
             | PeerMessage::RecordRequest(_)
@@ -269,6 +283,7 @@
         };
         self.tick_entries(&mut turn);
         self.tick_holder(&mut turn);
+        self.tick_forwards(&mut turn);
         self.pump(&mut turn);
     }
 
--- a/crates/beechsaddle-core/src/money/money_options.rs
+++ b/crates/beechsaddle-core/src/money/money_options.rs
@@ -19,6 +19,9 @@
     pub idle_return_ms: u64,
     /// The time between two writes of the journal, when nothing waits for one.
     pub journal_period_ms: u64,
+    /// Every segment whose number is a multiple of this is a checkpoint, from which a reader starts;
+    /// the same on all routers.
+    pub checkpoint_every: u64,
     /// The longest time between a durable bill and its folding into the ledger.
     pub fold_period_ms: u64,
     /// How long a budget that ran out is not read again.
@@ -41,7 +44,8 @@
     pub closed_retention_ms: u64,
     /// How many requests wait for one budget's grant at most.
     pub max_waiting: usize,
-    /// How many bills one journal segment or checkpoint holds at most.
+    /// How many new bills one journal segment holds at most. A checkpoint holds as many again that
+    /// are not folded and as many that are not confirmed; at 235 bytes each that is under 1 MB.
     pub max_segment_bills: usize,
 }
 
@@ -55,6 +59,7 @@
             min_grant: 20_000,
             idle_return_ms: 60_000,
             journal_period_ms: 1_000,
+            checkpoint_every: 64,
             fold_period_ms: 5_000,
             recheck_ms: 1_000,
             holder_timeout_ms: 800,
@@ -66,7 +71,28 @@
             max_reruns: 3,
             closed_retention_ms: 7 * 86_400_000,
             max_waiting: 1_000,
-            max_segment_bills: 2_000,
+            max_segment_bills: 1_200,
+        }
+    }
+}
+
+impl MoneyOptions {
+    /// Settings for operators to whom a request that is refused although it was paid for is worse
+    /// than tokens lost at a death. The figures behind them are in `docs/BUDGETS.md`.
+    pub fn favor_availability() -> Self {
+        MoneyOptions {
+            endurance_ms: 60_000,
+            endurance_share_permille: 250,
+            ..MoneyOptions::default()
+        }
+    }
+
+    /// Settings for operators to whom lost tokens are worse than refusals in an outage.
+    pub fn favor_budget() -> Self {
+        MoneyOptions {
+            endurance_ms: 10_000,
+            endurance_share_permille: 50,
+            ..MoneyOptions::default()
         }
     }
 }
--- a/crates/beechsaddle-core/src/once/once_desk.rs
+++ b/crates/beechsaddle-core/src/once/once_desk.rs
@@ -27,7 +27,7 @@
 const LONGEST_TICK_MS: u64 = 1_000;
 
 /// The duty that makes dedup records durable.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct OnceDesk {
     pub(super) options: OnceOptions,
     pub(super) me: RouterIncarnation,
@@ -146,6 +146,8 @@
             | PeerMessage::SettleReply { .. }
             | PeerMessage::BillsDurable { .. }
             | PeerMessage::CallUnknown { .. }
+            | PeerMessage::HostsRequest
+            | PeerMessage::HostsUpdate { .. }
             | PeerMessage::WitnessNote(_)
             | PeerMessage::WitnessReply { .. } => {}
         }
@@ -202,8 +204,16 @@
     }
 
     /// Whether nothing waits here: no call for its record, no record for its commit or release.
+    ///
+    /// While the platform is away, releases are not waited for: a router that drains in an outage
+    /// would never exit. What a release that is lost costs is a key that stays taken.
     pub fn is_idle(&self) -> bool {
-        self.open.is_empty() && self.committers.values().all(ShardCommitter::is_idle)
+        let is_quiet = self.committers.values().all(ShardCommitter::is_quiet);
+        let is_released = self
+            .committers
+            .values()
+            .all(|committer| committer.releases.is_empty());
+        self.open.is_empty() && is_quiet && (is_released || self.away.is_unreachable())
     }
 
     fn on_request(
--- a/crates/beechsaddle-lab/src/load/call_request.rs
+++ b/crates/beechsaddle-lab/src/load/call_request.rs
@@ -26,7 +26,8 @@
         .header("authorization", format!("Bearer {}", workspace.key))
         .header("beechsaddle-budget", &workspace.budget)
         .header("content-type", "application/json");
-    if keyed || call.kind == CallKind::NotRepeatable {
+    // A service may declare that none of its calls may be repeated, and then asks for a key.
+    if keyed || !call.kind.is_chat() {
         request = request.header("idempotency-key", &call.key);
     }
     if call.kind == CallKind::NotRepeatable {
@@ -50,14 +51,18 @@
     }
     let sentence = format!("Rules {} of {workspace}. ", call.opening);
     let opening = sentence.repeat(OPENING_REPEATS);
-    json!({
+    // The mark has to be the last word of the prompt: the stand-in of an engine gives that back.
+    let mut body = json!({
         "model": settings.model,
-        "stream": call.kind == CallKind::StreamedChat,
         "max_tokens": call.max_tokens,
         "messages": [
             {"role": "system", "content": opening},
             {"role": "user", "content": format!("request {}", call.key)},
         ],
-    })
-    .to_string()
+    });
+    if call.kind == CallKind::StreamedChat {
+        body["stream"] = json!(true);
+        body["stream_options"] = json!({"include_usage": true});
+    }
+    body.to_string()
 }
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -4,13 +4,29 @@
 
 mod catalogue_cost;
 mod experiment;
+mod fleet_cost;
+pub mod grants;
+mod idle_streams;
 pub mod leave;
+mod message_bytes;
 mod object_bytes;
+mod overhead;
+mod peer_bytes;
+mod peer_fleet;
+mod peer_heartbeats;
+mod peer_memory;
+mod peer_round_trip;
+pub mod peer_samples;
+mod peers;
 mod process_cost;
 pub mod retries;
 pub mod routing;
+mod run_async;
+pub mod sample_messages;
 pub mod sample_objects;
 mod slope_fit;
+mod slopes;
+mod small_fleet;
 mod thread_cost;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -27,16 +43,66 @@
         shows: "bytes of each kind of platform object against what it holds",
         run: object_bytes::run,
     },
+    MeasureExperiment {
+        name: "message-bytes",
+        shows: "bytes of each kind of message between routers against what it holds",
+        run: message_bytes::run,
+    },
     MeasureExperiment {
         name: "catalogue-cost",
         shows: "memory of a whole catalogue and time of an edit against its entries",
         run: catalogue_cost::run,
     },
+    MeasureExperiment {
+        name: "overhead",
+        shows: "latency and processor time that a router adds to the same engine asked straight",
+        run: overhead::run,
+    },
+    MeasureExperiment {
+        name: "slope-routers",
+        shows: "idle fleet: cost of a router, platform calls, against routers of one domain",
+        run: slopes::routers,
+    },
+    MeasureExperiment {
+        name: "slope-domains",
+        shows: "idle fleet: cost of a router, platform calls, against domains of two routers",
+        run: slopes::domains,
+    },
+    MeasureExperiment {
+        name: "slope-targets",
+        shows: "idle fleet: cost of a router against targets of its domain",
+        run: slopes::targets,
+    },
+    MeasureExperiment {
+        name: "slope-budgets",
+        shows: "idle fleet: cost of a router, platform calls, against budgets held",
+        run: slopes::budgets,
+    },
+    MeasureExperiment {
+        name: "slope-bills",
+        shows: "busy fleet: cost of a router, platform calls, against bills a second",
+        run: slopes::bills,
+    },
+    MeasureExperiment {
+        name: "slope-streams",
+        shows: "memory and processor time of a router against idle open streams",
+        run: slopes::streams,
+    },
+    MeasureExperiment {
+        name: "peers",
+        shows: "bytes, processor time, memory and latency of messages between routers",
+        run: peers::run,
+    },
     MeasureExperiment {
         name: "routing",
         shows: "times to first token and prefix hits of each way to choose a target",
         run: routing::run,
     },
+    MeasureExperiment {
+        name: "grants",
+        shows: "false refusals and write-off of grants, and what they cost the platform",
+        run: grants::run,
+    },
     MeasureExperiment {
         name: "retries",
         shows: "attempts for each call when targets fail, with the retry budget and without",
--- a/crates/beechsaddle-wire/src/peer/message_codec.rs
+++ b/crates/beechsaddle-wire/src/peer/message_codec.rs
@@ -4,14 +4,18 @@
 use capnp::message::{Builder, HeapAllocator};
 
 use super::admission_codec::{
-    read_admit, read_admit_reply, read_calls, read_outcome, read_progress, read_record,
-    read_settle, read_unknown, read_witness, write_admit, write_admit_reply, write_calls,
-    write_outcome, write_progress, write_record, write_settle, write_unknown, write_witness,
+    read_admit, read_calls, read_progress, read_record, read_settle, read_witness, write_admit,
+    write_calls, write_progress, write_record, write_settle, write_witness,
 };
 use super::catalogue_codec::{read_update, write_update};
 use super::heartbeat_codec::{read_heartbeat, write_heartbeat};
+use super::hosts_codec::{read_hosts, write_hosts};
 use super::identity_codec::{read_call, write_call};
 use super::limits::{CALLS_MAX, MESSAGE_BYTES_MAX, reader_options};
+use super::reply_codec::{
+    read_admit_reply, read_record_reply, read_unknown, write_admit_reply, write_record_reply,
+    write_unknown,
+};
 use super::text_codec::{check_count, check_size};
 use crate::error::{Result, WireError};
 use crate::peer_capnp::peer_message;
@@ -41,6 +45,13 @@
             let count = check_count(calls.len(), CALLS_MAX)?;
             write_calls(calls, builder.init_bills_durable(count))
         }
+        PeerMessage::HostsRequest => {
+            builder.set_hosts_request(());
+            Ok(())
+        }
+        PeerMessage::HostsUpdate { version, hosts } => {
+            write_hosts(*version, hosts, builder.init_hosts_update())
+        }
         PeerMessage::CallUnknown { call, journal } => {
             write_unknown(call, journal, builder.init_call_unknown())
         }
@@ -48,7 +59,7 @@
         PeerMessage::WitnessReply { call } => write_call(call, builder.init_witness_reply()),
         PeerMessage::RecordRequest(request) => write_record(request, builder.init_record_request()),
         PeerMessage::RecordReply { call, outcome } => {
-            write_outcome(call, outcome, builder.init_record_reply())
+            write_record_reply(call, outcome, builder.init_record_reply())
         }
     }
 }
@@ -83,9 +94,14 @@
         },
         peer_message::RecordRequest(request) => PeerMessage::RecordRequest(read_record(request?)?),
         peer_message::RecordReply(reply) => {
-            let (call, outcome) = read_outcome(reply?)?;
+            let (call, outcome) = read_record_reply(reply?)?;
             PeerMessage::RecordReply { call, outcome }
         }
+        peer_message::HostsRequest(()) => PeerMessage::HostsRequest,
+        peer_message::HostsUpdate(update) => {
+            let (version, hosts) = read_hosts(update?)?;
+            PeerMessage::HostsUpdate { version, hosts }
+        }
         peer_message::CallUnknown(unknown) => {
             let (call, journal) = read_unknown(unknown?)?;
             PeerMessage::CallUnknown { call, journal }
--- a/crates/beechsaddle/src/operator/edit_plan.rs
+++ b/crates/beechsaddle/src/operator/edit_plan.rs
@@ -20,6 +20,8 @@
     pub applied: &'a BTreeSet<u64>,
     /// What the ledger holds of each budget.
     pub ledger: &'a BTreeMap<BudgetName, BudgetDeclaration>,
+    /// Budgets of which nothing can be spent any more.
+    pub used_up: &'a BTreeSet<BudgetName>,
 }
 
 /// What an operator's files change.
@@ -30,7 +32,7 @@
     /// Things that were edited here and by others.
     pub conflicts: Vec<EditConflict>,
     /// Things that others changed and these files do not have yet.
-    pub missing: Vec<ItemId>,
+    pub missing: Vec<MissingEdit>,
     /// Budgets that are as declared in the order of changes, but not yet in the ledger.
     pub unbooked: Vec<BudgetName>,
 }
@@ -47,6 +49,27 @@
     }
 }
 
+/// A thing that others changed and these files do not have yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MissingEdit {
+    /// The thing.
+    pub item: ItemId,
+    /// Who applied the edit.
+    pub author: OwnerName,
+    /// The revision that it made.
+    pub revision: u64,
+}
+
+impl fmt::Display for MissingEdit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} was changed by {} in revision {}; these files do not have it yet",
+            self.item, self.author, self.revision
+        )
+    }
+}
+
 /// A thing that was edited here and by others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EditConflict {
@@ -122,6 +145,9 @@
     fn plan(&mut self, id: ItemId) {
         let mine = self.scene.declared.get(&id).cloned();
         let theirs = self.in_force(&id);
+        if mine.is_none() && self.is_retired(&id) {
+            return;
+        }
         if is_same(mine.as_ref(), theirs.as_ref()) {
             self.note_unbooked(&id, mine.as_ref());
             return;
@@ -139,7 +165,11 @@
         let known = self.known(&id, &touches);
         if is_same(mine.as_ref(), known.as_ref()) {
             // Others changed it and these files did not: it is theirs, and it stays.
-            self.plan.missing.push(id);
+            self.plan.missing.push(MissingEdit {
+                item: id,
+                author: change.author.clone(),
+                revision: change.revision,
+            });
             return;
         }
         let owner = theirs.as_ref().or(known.as_ref()).or(mine.as_ref());
@@ -153,6 +183,20 @@
         });
     }
 
+    /// Whether a budget is used up and no change after the base says otherwise. Its account stays as
+    /// the record of what was spent, and its files need not: it is the same as one that is not
+    /// there.
+    fn is_retired(&self, id: &ItemId) -> bool {
+        let ItemId::Budget(name) = id else {
+            return false;
+        };
+        let touches = self.touches.get(id).map(Vec::as_slice).unwrap_or_default();
+        let declared = touches.last().is_some_and(
+            |(_, edit)| matches!(edit, EntryEdit::Budget(edit) if edit.after.is_some()),
+        );
+        !declared && self.scene.used_up.contains(name)
+    }
+
     /// What is in force: for a budget that was changed after the base, what the change says, since
     /// the ledger may follow a moment later.
     fn in_force(&self, id: &ItemId) -> Option<DeclaredItem> {
--- a/crates/beechsaddle/src/operator/ledger_book.rs
+++ b/crates/beechsaddle/src/operator/ledger_book.rs
@@ -1,17 +1,16 @@
 //! The `ledger_book` module provides the ledger at the platform.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use beechsaddle_core::catalogue::BudgetDeclaration;
-use beechsaddle_core::hash::shard_of;
-use beechsaddle_core::money::BudgetLedger;
+use beechsaddle_core::money::{BudgetAccount, BudgetLedger};
 use beechsaddle_core::objects::{FleetLayout, PlatformObject};
 use beechsaddle_core::platform::WriteGuard;
 use beechsaddle_core::prelude::*;
 
 use super::{
     LedgerRefusal, ObjectStore, OperatorError, Result, StoreCaller, WriteOutcome, declaration_of,
-    edit_ledger,
+    edit_ledger, is_used_up,
 };
 
 /// Where the shard counts are kept.
@@ -46,18 +45,31 @@
 
     /// All budgets as declarations.
     pub fn declarations(&self) -> BTreeMap<BudgetName, BudgetDeclaration> {
+        self.accounts()
+            .map(|(name, account)| (name.clone(), declaration_of(name, account)))
+            .collect()
+    }
+
+    /// Budgets of which nothing can be spent any more.
+    pub fn used_up(&self) -> BTreeSet<BudgetName> {
+        self.accounts()
+            .filter(|(_, account)| is_used_up(account))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// All accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&BudgetName, &BudgetAccount)> {
         self.shards
             .values()
             .flat_map(|ledger| ledger.budgets.iter())
-            .map(|(name, account)| (name.clone(), declaration_of(name, account)))
-            .collect()
     }
 
     /// What speaks against bringing budgets to what is declared.
     pub fn check(&self, wanted: &WantedBudgets) -> Vec<LedgerRefusal> {
         let mut refusals = Vec::new();
         for (name, declared) in wanted {
-            let shard = shard_of(name, self.shard_count);
+            let shard = BudgetLedger::shard_for(name, self.shard_count);
             let mut ledger = self.shards.get(&shard).cloned().unwrap_or_default();
             if let Err(refusal) = edit_ledger(&mut ledger, name, declared.as_ref()) {
                 refusals.push(refusal);
@@ -91,10 +103,16 @@
     Err(OperatorError::Busy)
 }
 
+/// Reads all shards; none when the fleet is new.
+pub(super) async fn read_book<S: ObjectStore>(caller: &StoreCaller<'_, S>) -> Result<LedgerBook> {
+    match read_layout(caller).await? {
+        Some(layout) => LedgerBook::read(caller, layout).await,
+        None => Ok(LedgerBook::default()),
+    }
+}
+
 /// Reads the shard counts, if the fleet has any.
-pub(super) async fn read_layout<S: ObjectStore>(
-    caller: &StoreCaller<'_, S>,
-) -> Result<Option<FleetLayout>> {
+async fn read_layout<S: ObjectStore>(caller: &StoreCaller<'_, S>) -> Result<Option<FleetLayout>> {
     let key = ObjectKey::new(LAYOUT_KEY);
     match caller.read(&key).await?.map(|stored| stored.object) {
         Some(PlatformObject::Layout(layout)) => Ok(Some(layout)),
@@ -113,7 +131,7 @@
     let mut by_shard: BTreeMap<u32, WantedBudgets> = BTreeMap::new();
     for (name, declared) in wanted {
         by_shard
-            .entry(shard_of(name, layout.ledger_shards))
+            .entry(BudgetLedger::shard_for(name, layout.ledger_shards))
             .or_default()
             .insert(name.clone(), declared.clone());
     }
@@ -145,9 +163,16 @@
         if !changed {
             return Ok(refusals);
         }
+        // A shard in which more is promised than was paid must not be built upon.
+        if ledger.check_invariant().is_err() {
+            return Err(OperatorError::Corrupt(BudgetLedger::object_key(shard)));
+        }
         ledger.write_id = write_id.to_string();
         let object = PlatformObject::Ledger(ledger);
-        match caller.write(&shard_key(shard), object, guard).await? {
+        match caller
+            .write(&BudgetLedger::object_key(shard), object, guard)
+            .await?
+        {
             WriteOutcome::Written => return Ok(refusals),
             WriteOutcome::Conflict | WriteOutcome::Unknown => {}
         }
@@ -159,7 +184,7 @@
     caller: &StoreCaller<'_, S>,
     shard: u32,
 ) -> Result<(WriteGuard, BudgetLedger)> {
-    let key = shard_key(shard);
+    let key = BudgetLedger::object_key(shard);
     match caller.read(&key).await? {
         None => Ok((WriteGuard::Absent, BudgetLedger::default())),
         Some(stored) => match stored.object {
@@ -168,7 +193,3 @@
         },
     }
 }
-
-fn shard_key(shard: u32) -> ObjectKey {
-    ObjectKey::new(format!("ledger/{shard}"))
-}
--- a/crates/beechsaddle/src/operator/ledger_edit.rs
+++ b/crates/beechsaddle/src/operator/ledger_edit.rs
@@ -95,6 +95,11 @@
     }
 }
 
+/// Whether nothing of a budget can be spent any more.
+pub fn is_used_up(account: &BudgetAccount) -> bool {
+    account.free() == 0 && account.granted() == 0
+}
+
 /// Brings an account to what is declared, `None` for nothing. Doing it twice has the effect of
 /// once, so that a write whose answer was lost can be done again. Tells whether anything changed.
 pub fn edit_ledger(
@@ -106,36 +111,26 @@
     let mut account = match (before.clone(), declared) {
         (Some(account), _) => account,
         (None, None) => return Ok(false),
-        (None, Some(declared)) => new_account(declared),
+        (None, Some(declared)) => {
+            BudgetAccount::new(declared.workspace.clone(), declared.owner.clone())
+        }
     };
     if let Some(declared) = declared {
         check_workspace(&account, declared)?;
         account.owner = declared.owner.clone();
     }
-    let nothing = BTreeMap::new();
-    let wanted = declared.map_or(&nothing, |declared| &declared.top_ups);
-    top_up(&mut account, name, wanted)?;
-    withdraw(&mut account, name, wanted)?;
+    match declared {
+        Some(declared) => {
+            top_up(&mut account, name, &declared.top_ups)?;
+            withdraw(&mut account, name, &declared.top_ups)?;
+        }
+        None => retire(&mut account, name)?,
+    }
     let changed = before.as_ref() != Some(&account);
     ledger.budgets.insert(name.clone(), account);
     Ok(changed)
 }
 
-fn new_account(declared: &BudgetDeclaration) -> BudgetAccount {
-    BudgetAccount {
-        workspace: declared.workspace.clone(),
-        owner: declared.owner.clone(),
-        top_ups: BTreeMap::new(),
-        withdrawals: BTreeMap::new(),
-        settled: 0,
-        bills: 0,
-        written_off: 0,
-        grants: BTreeMap::new(),
-        closed: BTreeMap::new(),
-        keys: BTreeMap::new(),
-    }
-}
-
 fn check_workspace(
     account: &BudgetAccount,
     declared: &BudgetDeclaration,
@@ -178,7 +173,7 @@
     wanted: &BTreeMap<TopUpId, u64>,
 ) -> Result<(), LedgerRefusal> {
     let current = declaration_of(name, account);
-    let free = free_tokens(account);
+    let free = account.free();
     let mut total = 0_u64;
     for (id, tokens) in &current.top_ups {
         let left = wanted.get(id).copied().unwrap_or(0);
@@ -203,6 +198,31 @@
     Ok(())
 }
 
+/// Takes out all that is free. What was spent stays in the account as the record of it, and what is
+/// granted may still be spent: then the budget is in use.
+fn retire(account: &mut BudgetAccount, name: &BudgetName) -> Result<(), LedgerRefusal> {
+    let granted = account.granted();
+    let mut left = account.free();
+    if granted > 0 {
+        return Err(LedgerRefusal::NotFree {
+            budget: name.clone(),
+            owner: account.owner.clone(),
+            wanted: left.saturating_add(granted),
+            free: left,
+        });
+    }
+    for (id, tokens) in declaration_of(name, account).top_ups.iter().rev() {
+        let taken = left.min(*tokens);
+        if taken > 0 {
+            left -= taken;
+            account
+                .withdrawals
+                .insert(withdrawal_id(account, id), taken);
+        }
+    }
+    Ok(())
+}
+
 fn withdrawal_id(account: &BudgetAccount, id: &TopUpId) -> TopUpId {
     let prefix = format!("{id}{WITHDRAWAL_MARK}");
     let count = account
@@ -212,18 +232,3 @@
         .count();
     TopUpId::new(format!("{prefix}{}", count + 1))
 }
-
-/// Tokens that are neither withdrawn, billed, written off nor granted.
-pub(super) fn free_tokens(account: &BudgetAccount) -> u64 {
-    let paid: u64 = account.top_ups.values().sum();
-    let withdrawn: u64 = account.withdrawals.values().sum();
-    let granted: u64 = account
-        .grants
-        .values()
-        .map(|grant| grant.amount.saturating_sub(grant.folded))
-        .sum();
-    paid.saturating_sub(withdrawn)
-        .saturating_sub(account.settled)
-        .saturating_sub(account.written_off)
-        .saturating_sub(granted)
-}
--- a/crates/beechsaddle/tests/calls_bad_input.rs
+++ b/crates/beechsaddle/tests/calls_bad_input.rs
@@ -174,6 +174,12 @@
     );
 }
 
+#[test]
+fn body_members_flood() {
+    let flood: Vec<String> = (0..300).map(|index| format!("\"x{index}\":1")).collect();
+    expect_bad_member(&flood.join(","), "at most 256 members");
+}
+
 #[test]
 fn body_images() {
     let body = "{\"model\":\"m1\",\"messages\":[{\"role\":\"user\",\"content\":\
@@ -184,16 +190,15 @@
 #[test]
 fn body_too_large() {
     // The caller writes its whole body before it reads. The router refuses at the head, reads on
-    // within bounds and closes only then; a close with unread bytes would reset the connection
-    // and the caller would see a broken pipe instead of the 413.
+    // within bounds and closes only then; a close with unread bytes would reset the connection,
+    // and the caller would fail in writing instead of seeing the 413.
     let options = CallsOptions {
         body_bytes: 1_000,
         ..CallsOptions::default()
     };
     let core = FakeCore::start_with(options, 64);
-    let body = "x".repeat(120_000);
+    let body = "x".repeat(8_000_000);
     let mut caller = RawCaller::send(core.address(), chat_head("", body.len()) + &body);
-    std::thread::sleep(Duration::from_millis(50));
     let answer = caller.read_answer();
     assert_eq!(answer.status, 413);
     assert_eq!(header(&answer.head, "connection"), Some("close"));
