--- a/crates/beechsaddle-core/tests/targets_replaced.rs
+++ b/crates/beechsaddle-core/tests/targets_replaced.rs
@@ -5,6 +5,7 @@
 use beechsaddle_core::members::HostState;
 use beechsaddle_core::peer::TargetNews;
 use beechsaddle_core::prelude::*;
+use beechsaddle_core::target::ProbeOutcome;
 use beechsaddle_core::targets::{TargetChoice, TargetOptions};
 use routing_support::*;
 
@@ -82,3 +83,61 @@
     table.ended(at(5), &target(0));
     assert_eq!(table.status(at(6))[0].in_flight, 0);
 }
+
+#[test]
+fn on_hosts_empty_list() {
+    // The platform answers with an empty list. Every target gone at once is less likely than a
+    // fault there, and believing it would refuse every call.
+    let mut table = table(TargetOptions::default());
+    table.on_hosts(at(0), &hosts(2), &mut CoreOutbox::new());
+    table.on_hosts(at(10), &[], &mut CoreOutbox::new());
+    assert!(matches!(
+        table.choose(at(11), &engine_call(&[], &[])),
+        TargetChoice::Chosen(_)
+    ));
+}
+
+#[test]
+fn on_news_down_against_own_probe() {
+    // A peer cannot reach a target that this router reaches. It goes on here, the others hear that
+    // it lives, and the two do not answer each other without end.
+    let mut table = table(TargetOptions::default());
+    table.on_hosts(at(0), &hosts(1), &mut CoreOutbox::new());
+    table.on_target(at(10), &healthy(&target(0), 0, 0), &mut CoreOutbox::new());
+    let news = TargetNews {
+        target: target(0),
+        epoch: 1,
+        state: HostState::Down,
+        sequence: 5,
+        load: None,
+        engine: None,
+    };
+    table.on_news(at(20), &router(1), &[news]);
+    assert_eq!(table.status(at(30))[0].state, HostState::Live);
+    let told = table.take_news(at(40));
+    assert_eq!(told[0].state, HostState::Live);
+    assert!(told[0].sequence > 5);
+    assert_eq!(table.take_news(at(50)), []);
+}
+
+#[test]
+fn on_news_live_against_own_probe() {
+    // The other way round: peers reach the target and this router does not. It must not send calls
+    // into the void because others say that the target lives.
+    let mut table = table(TargetOptions::default());
+    table.on_hosts(at(0), &hosts(1), &mut CoreOutbox::new());
+    for moment in [10, 110] {
+        let event = probed(&target(0), ProbeOutcome::Failed);
+        table.on_target(at(moment), &event, &mut CoreOutbox::new());
+    }
+    let news = TargetNews {
+        target: target(0),
+        epoch: 1,
+        state: HostState::Live,
+        sequence: 99,
+        load: None,
+        engine: None,
+    };
+    table.on_news(at(120), &router(1), &[news]);
+    assert_eq!(table.status(at(130))[0].state, HostState::Down);
+}
