--- a/crates/beechsaddle-core/src/targets/target_options.rs
+++ b/crates/beechsaddle-core/src/targets/target_options.rs
@@ -58,8 +58,6 @@
     pub home_slowness: f64,
     /// How many times more targets than its share of calls a shared part is spread over.
     pub home_slack: f64,
-    /// How many calls above the mean a target may have before affinity no longer counts.
-    pub bound_factor: f64,
     /// Whether calls may go to other domains when the own one cannot serve them.
     pub cross_domain: bool,
 }
@@ -93,7 +91,6 @@
             home_unread: 0.2,
             home_slowness: 2.0,
             home_slack: 8.0,
-            bound_factor: 1.5,
             cross_domain: true,
         }
     }
