--- a/crates/beechsaddle-core/src/calls/call_desk.rs
+++ b/crates/beechsaddle-core/src/calls/call_desk.rs
@@ -141,9 +141,8 @@
         if record.phase != CallPhase::Dispatched {
             return;
         }
-        // The edge had no attempt, so it had not taken the last dispatch: no byte of that one
-        // reached a target, and nothing will be heard of it. Left open, the call would keep its
-        // reservation and its place at the target, and a drain would wait for it without end.
+        // The edge says this only when no attempt runs: the dispatch crossed it on the way and was
+        // not carried out. Nothing else would ever end the call, and a drain would wait for it.
         if let Some(running) = record.running.take() {
             context.targets.ended(now, &running.target);
         }
--- a/crates/beechsaddle-core/tests/fault_fleet/call_book.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/call_book.rs
@@ -156,10 +156,10 @@
         self.calls.values().map(CallFate::relayed).sum()
     }
 
-    /// The keys of calls that ran, or whose routers died so that a bill of zero may stand for them.
-    pub fn ran_keys(&self) -> BTreeSet<String> {
+    /// The keys of calls that ran, or whose routers are gone so that a bill of zero may stand for them.
+    pub fn ran_keys(&self, is_gone: impl Fn(&RouterIncarnation) -> bool) -> BTreeSet<String> {
         let fates = self.calls.values();
-        let fates = fates.filter(|fate| fate.is_orphan || fate.has_run());
+        let fates = fates.filter(|fate| fate.has_run() || is_gone(&fate.arrival.call.router));
         fates.map(CallFate::key).collect()
     }
 
--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_checks.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_checks.rs
@@ -1,5 +1,7 @@
 //! The `fleet_checks` module provides what must hold after each step and after healing.
 
+use beechsaddle_core::prelude::*;
+
 use super::fault_network::FaultNetwork;
 use super::{FaultFleet, NODES};
 
@@ -78,6 +80,11 @@
         }
     }
 
+    fn is_gone(&self, router: &RouterIncarnation) -> bool {
+        let mut alive = self.nodes.iter().filter(|host| host.is_alive());
+        alive.all(|host| host.name != *router)
+    }
+
     fn check_money(&mut self) {
         let account = self.store.account();
         if account.granted() > self.book.lost_bounds() {
@@ -106,7 +113,7 @@
         }
         self.check_bills(least);
         let answered = due.values().filter(|due| due.0 > 0).count() as u64;
-        let served = self.book.ran_keys().len() as u64;
+        let served = self.book.ran_keys(|router| self.is_gone(router)).len() as u64;
         let is_short = self.kill_count == 0 && account.bills < answered;
         if is_short || account.bills > served {
             let bills = account.bills;
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -31,10 +31,10 @@
     Answer,
     /// Fails before the first byte.
     Fail(AttemptFailure),
+    /// Takes the call and never says anything.
+    Silent,
     /// Starts an answer and then waits for [`RouterWorld::end_answer`].
     Stall,
-    /// Says nothing at all.
-    Silent,
 }
 
 struct WaitingWatch {
@@ -421,7 +421,7 @@
             ]
         }
         TargetScript::Fail(failure) => vec![CallEvent::AttemptFailed { attempt, failure }],
-        TargetScript::Stall => vec![started],
         TargetScript::Silent => Vec::new(),
+        TargetScript::Stall => vec![started],
     }
 }
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -27,6 +27,7 @@
 mod slope_fit;
 mod slopes;
 mod small_fleet;
+mod spread;
 mod thread_cost;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -88,6 +89,11 @@
         shows: "memory and processor time of a router against idle open streams",
         run: slopes::streams,
     },
+    MeasureExperiment {
+        name: "spread",
+        shows: "time until an edit and a leave are in force at all routers, against routers",
+        run: spread::run,
+    },
     MeasureExperiment {
         name: "peers",
         shows: "bytes, processor time, memory and latency of messages between routers",
