Fold a dead router's journals when the picked one knows nothing

Cause: the journals of a router that is gone were searched for by the router that is picked for them alone. That one may never have heard of the dead router: it started after the death, or it belongs to another domain, of which only the bridges knew the dead one. Nobody searched then; the grants stayed open and the bills unfolded for good if no successor came to the same host.

Before: fence_happens_when_the_picked_router_knows_nothing failed with 'settled 140, written off 0, due 145'. After: it passes, and the whole test suite of the crate.

Conclusion: whoever knows of a death searches once itself when the picked router has had 20 s. Folding is idempotent, so the search costs one listing for each router that knew the dead one.

--- a/crates/beechsaddle-core/src/money/desk_pump.rs
+++ b/crates/beechsaddle-core/src/money/desk_pump.rs
@@ -99,7 +99,8 @@
     fn pump_scans(&mut self, turn: &mut DeskTurn<'_>) {
         let mut calls = Vec::new();
         for (router, scan) in &mut self.scans {
-            if turn.members.picked_for(&router.to_string()) != self.me {
+            let is_picked = turn.members.picked_for(&router.to_string()) == self.me;
+            if !is_picked && !scan.is_overlooked(turn.now) {
                 continue;
             }
             if let Some(call) = scan.next_call(turn.now) {
--- a/crates/beechsaddle-core/src/money/fold_scan.rs
+++ b/crates/beechsaddle-core/src/money/fold_scan.rs
@@ -11,6 +11,10 @@
 /// The time between two searches for the journals of one router, in milliseconds.
 const RESCAN_MS: u64 = 30_000;
 
+/// How long the search is left to the router that is picked for it, in milliseconds: longer than it
+/// takes that one to hear of the death.
+const OVERLOOKED_MS: u64 = 20_000;
+
 /// How often they are searched for.
 ///
 /// A router that was taken for gone while it ran finds its journal closed and goes on with another
@@ -31,6 +35,8 @@
     retry_at: ClockTime,
     /// How often the search was done.
     rounds: u32,
+    /// Since when another router is relied on for it.
+    left_since: Option<ClockTime>,
 }
 
 impl FoldScan {
@@ -55,9 +61,21 @@
             is_done: false,
             retry_at: ClockTime::ZERO,
             rounds: 0,
+            left_since: None,
         }
     }
 
+    /// Whether it was left to another router for long enough.
+    ///
+    /// The router that is picked may never have heard of the dead one: it started later, or belongs
+    /// to another domain whose bridges alone knew it. The journals would then stay open for ever, and
+    /// their bills unfolded. Those who know of the death search once themselves; folding twice
+    /// changes nothing.
+    pub(super) fn is_overlooked(&mut self, now: ClockTime) -> bool {
+        let since = *self.left_since.get_or_insert(now);
+        self.rounds == 0 && now.since(since) >= OVERLOOKED_MS
+    }
+
     /// The platform call that is due, if any.
     pub(super) fn next_call(&mut self, now: ClockTime) -> Option<PlatformCall> {
         let is_over = self.is_done && self.rounds >= SCAN_ROUNDS;
--- a/crates/beechsaddle-core/tests/router_fences.rs
+++ b/crates/beechsaddle-core/tests/router_fences.rs
@@ -37,3 +37,28 @@
     fleet.heal();
     assert_eq!(fleet.faults, Vec::<String>::new());
 }
+
+// All routers of a domain end within seconds while the domain is cut off, and one of them by a crash.
+// Only one router of the other domain had ever heard of that one, and another that never did is picked
+// to fold its journals. The answer that a caller got must be billed all the same.
+#[test]
+fn fence_happens_when_the_picked_router_knows_nothing() {
+    let mut fleet = FaultFleet::new(209);
+    for step in [
+        step(call(1, 147, 72), 749),
+        step(call(4, 76, 140), 1_924),
+        step(StepKind::CutPlatform { node: 3 }, 298),
+        step(StepKind::Drain { node: 1 }, 3_155),
+        step(StepKind::CutDomains, 40),
+        step(StepKind::Restart { node: 3 }, 32),
+        step(call(0, 98, 182), 635),
+        step(call(0, 2, 159), 771),
+        step(StepKind::Drain { node: 3 }, 37),
+        step(StepKind::Kill { node: 0 }, 169),
+    ] {
+        fleet.step(&step);
+        fleet.check();
+    }
+    fleet.heal();
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
