--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_callers.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_callers.rs
@@ -46,6 +46,10 @@
             router: self.nodes[node].name.clone(),
             number: self.call_count,
         };
+        let deadline = self.chance(200).then(|| {
+            let patience_ms = self.between(1, 3_000);
+            self.now.plus_ms(patience_ms)
+        });
         let arrival = CallArrival {
             call: call.clone(),
             key_digest: KeyDigest([7; 32]),
@@ -53,7 +57,7 @@
             budget: None,
             idempotency: key,
             repeatable,
-            deadline: None,
+            deadline,
             input_bound: 100,
             output_bound: Some(100),
             prefix: Vec::new(),
--- a/crates/beechsaddle-core/tests/router_interleavings.rs
+++ b/crates/beechsaddle-core/tests/router_interleavings.rs
@@ -16,7 +16,7 @@
 const STEPS: u64 = 60;
 
 /// Sessions of an ordinary run.
-const SEEDS: u64 = 6;
+const SEEDS: u64 = 12;
 
 /// Sessions that the search for a shorter one may run.
 const SHRINK_RUNS: usize = 150;
