--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_step.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_step.rs
@@ -8,6 +8,9 @@
 use super::target_script::TargetScript;
 use super::{FaultFleet, NODES};
 
+/// Script steps from this number on change all targets of a domain.
+const WHOLE_DOMAIN: u8 = 160;
+
 /// What happens next; numbers are taken modulo what there is.
 #[derive(Clone, Debug)]
 pub enum StepKind {
@@ -162,12 +165,18 @@
         self.call(node, is_chat, repeatable, key);
     }
 
+    /// Changes what one target does, or what all targets of a domain do.
     fn set_script(&mut self, target: u8, script: u8) {
         let targets = ["engine-1", "engine-2", "notify-1", "notify-2"];
         let domain = super::DOMAINS[usize::from(target / 4) % super::DOMAINS.len()];
-        let target = format!("{}-{domain}", targets[usize::from(target) % targets.len()]);
         let script = TargetScript::ALL[usize::from(script) % TargetScript::ALL.len()];
-        self.scripts.insert(target.as_str().into(), script);
+        let chosen = usize::from(target) % targets.len();
+        for (index, name) in targets.iter().enumerate() {
+            if index == chosen || target >= WHOLE_DOMAIN {
+                let target = format!("{name}-{domain}");
+                self.scripts.insert(target.as_str().into(), script);
+            }
+        }
     }
 
     fn cut_domains(&mut self) {
