Shorten the rings from calls and peers into the core

Cause: an idle router had 7.4 MB in one anonymous mapping of 20.5 MB resident. That is the rings: a slot takes about 180 bytes and is touched when the ring is made, and there were 41 thousand. Ruled out: the executable's pages (8 MB, shared between processes of a host), the heap (0.2 MB). 4,096 events are seconds of work at the call edge's own bound of 2,048 calls at a time, and what does not fit is refused or counted as before. The platform's ring stays: it has to hold every reply.

--- a/crates/beechsaddle/src/router/core_rings.rs
+++ b/crates/beechsaddle/src/router/core_rings.rs
@@ -5,14 +5,14 @@
 use beechsaddle_core::prelude::*;
 
 /// Events of calls that may wait for the core. The calls edge refuses what does not fit.
-const CALL_RING: usize = 16_384;
+const CALL_RING: usize = 4_096;
 
 /// Platform replies that may wait. Above the platform edge's bound of calls in flight, so that a
 /// reply always fits: a lost reply would leave its duty waiting for ever.
 pub const PLATFORM_RING: usize = 8_192;
 
 /// Messages of peers that may wait. What does not fit is dropped and counted, as if lost on the way.
-const PEER_RING: usize = 16_384;
+const PEER_RING: usize = 4_096;
 
 /// Drain requests that may wait; one is enough.
 const CONTROL_RING: usize = 4;
