Keep the lingering buffer out of every connection's task

Cause: an idle open stream cost its router 54.5 KiB. An allocation trace showed the caller's connection task at 18,144 bytes, 16,384 of them the buffer that reads what a caller sends after its last answer. A local array of an async function is part of its future from the start. Ruled out: read and write buffers of 8 KiB on each of the two connections and 9 KiB of the client's queue are the library's and cannot be set.

--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -38,6 +38,8 @@
 /// What is read from a peer that goes on sending after the last answer, in bytes: a few times the
 /// largest body that is taken, so that a caller just beyond it still sees why it is refused.
 const LINGER_BYTES: usize = 16 * 1_024 * 1_024;
+/// What is read at a time while lingering, in bytes.
+const LINGER_BUFFER_BYTES: usize = 16 * 1_024;
 
 /// Serves one connection to its end.
 pub(crate) async fn serve_connection<S>(
@@ -125,7 +127,8 @@
     if stream.shutdown().await.is_err() {
         return;
     }
-    let mut buffer = [0_u8; 16 * 1_024];
+    // On the heap: in the future it would be part of every connection's task from its start.
+    let mut buffer = vec![0_u8; LINGER_BUFFER_BYTES];
     let mut left = LINGER_BYTES;
     let reading = async {
         while left > 0 {
