Run the call edge on one worker thread

Cause: the call edge spent 13 to 18 us of processor time a streamed token; 42% of all samples were in the kernel on its threads, first among them task switches and wake-ups. A token wakes the target's connection task and that wakes the caller's; with two workers at a few per cent of load each wake-up finds the other one asleep. Ruled out: scanning the events is 1.6% of the samples; nothing is copied but events cut by a read. Price: one router can now spend one core on streams, about 350 calls a second of 144 tokens, ten times its share at the size of docs/CAPACITY.md. The option stays for hosts that serve more.

--- a/crates/beechsaddle/src/calls/calls_options.rs
+++ b/crates/beechsaddle/src/calls/calls_options.rs
@@ -55,7 +55,7 @@
         CallsOptions {
             call_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             admin_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            worker_threads: 2,
+            worker_threads: 1,
             max_connections: 10_000,
             head_bytes: 32 * 1024,
             max_headers: 64,
