Drop the message sizes that the peers experiment measures better

measure peers gives each message packed, as it travels, with times; the copy here gave it unpacked and had to be changed with every new field of a message.

--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -8,7 +8,6 @@
 pub mod grants;
 mod idle_streams;
 pub mod leave;
-mod message_bytes;
 mod object_bytes;
 mod overhead;
 mod peer_bytes;
@@ -22,7 +21,6 @@
 pub mod retries;
 pub mod routing;
 mod run_async;
-pub mod sample_messages;
 pub mod sample_objects;
 mod slope_fit;
 mod slopes;
@@ -44,11 +42,6 @@
         shows: "bytes of each kind of platform object against what it holds",
         run: object_bytes::run,
     },
-    MeasureExperiment {
-        name: "message-bytes",
-        shows: "bytes of each kind of message between routers against what it holds",
-        run: message_bytes::run,
-    },
     MeasureExperiment {
         name: "catalogue-cost",
         shows: "memory of a whole catalogue and time of an edit against its entries",
