--- a/crates/beechsaddle-lab/src/load/load_plot.rs
+++ b/crates/beechsaddle-lab/src/load/load_plot.rs
@@ -5,8 +5,8 @@
 use eyre::eyre;
 use hdrhistogram::Histogram;
 use plotters::prelude::{
-    BLUE, ChartBuilder, GREEN, IntoDrawingArea, IntoLogRange, LineSeries, PathElement, RED,
-    RGBColor, SVGBackend, WHITE,
+    BLUE, ChartBuilder, DrawingAreaErrorKind, DrawingBackend, GREEN, IntoDrawingArea, IntoLogRange,
+    LineSeries, PathElement, RED, RGBColor, SVGBackend, WHITE,
 };
 
 use super::LoadOutcome;
@@ -20,6 +20,12 @@
 /// How many points a curve has.
 const CURVE_POINTS: u32 = 200;
 
+/// The lowest latency drawn, in milliseconds.
+const LOWEST_MS: f64 = 0.1;
+
+/// A curve: what it shows, its samples in microseconds and its colour.
+type LatencyCurve<'a> = (&'static str, &'a Histogram<u64>, RGBColor);
+
 /// Draws the latencies of a run over their quantiles into an SVG file.
 ///
 /// # Errors
@@ -32,9 +38,18 @@
         ("to the whole answer", &tally.whole, RED),
         ("longest wait between tokens", &tally.gap, GREEN),
     ];
-    let highest = millis(tally.whole.max().max(tally.first.max())).max(1.0);
+    // The library's errors borrow the file's name, so that only their text can be passed on.
+    draw_curves(path, &curves).map_err(|error| eyre!("{}: {error}", path.display()))
+}
+
+fn draw_curves<'a>(
+    path: &'a Path,
+    curves: &[LatencyCurve<'_>],
+) -> Result<(), DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>> {
+    let highest = curves.iter().map(|(_, samples, _)| samples.max()).max();
+    let highest_ms = millis(highest.unwrap_or_default()).max(1.0);
     let root = SVGBackend::new(path, CHART_SIZE).into_drawing_area();
-    root.fill(&WHITE).map_err(|error| eyre!("{error}"))?;
+    root.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&root)
         .margin(12)
         .x_label_area_size(40)
@@ -43,27 +58,21 @@
             "Latency from the intended time of sending",
             ("sans-serif", 20),
         )
-        .build_cartesian_2d(0.0..1.0, (0.1..highest).log_scale())
-        .map_err(|error| eyre!("{error}"))?;
+        .build_cartesian_2d(0.0..1.0, (LOWEST_MS..highest_ms).log_scale())?;
     chart
         .configure_mesh()
         .x_desc("quantile")
         .y_desc("milliseconds")
-        .draw()
-        .map_err(|error| eyre!("{error}"))?;
-    for (label, histogram, colour) in curves {
-        let points = curve_points(histogram);
+        .draw()?;
+    for (label, samples, colour) in curves {
+        let colour = *colour;
         chart
-            .draw_series(LineSeries::new(points, colour))
-            .map_err(|error| eyre!("{error}"))?
-            .label(label)
+            .draw_series(LineSeries::new(curve_points(samples), colour))?
+            .label(*label)
             .legend(move |(x, y)| legend_mark(x, y, colour));
     }
-    chart
-        .configure_series_labels()
-        .draw()
-        .map_err(|error| eyre!("{error}"))?;
-    root.present().map_err(|error| eyre!("{error}"))
+    chart.configure_series_labels().draw()?;
+    root.present()
 }
 
 fn curve_points(histogram: &Histogram<u64>) -> Vec<(f64, f64)> {
--- a/crates/beechsaddle-lab/src/load/load_run.rs
+++ b/crates/beechsaddle-lab/src/load/load_run.rs
@@ -14,19 +14,6 @@
 /// How many results may wait to be counted; counting is far quicker than answering.
 const RESULT_QUEUE: usize = 65_536;
 
-/// A point of a run's course.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ProgressPoint {
-    /// Seconds since the start.
-    pub second: f64,
-    /// Calls that ended.
-    pub ended: u64,
-    /// Calls answered.
-    pub answered: u64,
-    /// Calls refused.
-    pub refused: u64,
-}
-
 /// What a run gave.
 #[derive(Debug)]
 pub struct LoadOutcome {
@@ -36,8 +23,6 @@
     pub elapsed: Duration,
     /// The count.
     pub tally: LoadTally,
-    /// The course.
-    pub course: Vec<ProgressPoint>,
 }
 
 /// Sends all calls of a plan at their times and waits until each has ended.
@@ -51,13 +36,12 @@
     let sender = Arc::new(sender);
     let progress = plan.shows_progress();
     let sending = tokio::spawn(send_all(plan, sender, start, results));
-    let (tally, course) = count_all(counted, start, progress).await?;
+    let tally = count_all(counted, start, progress).await?;
     let sent = sending.await?;
     Ok(LoadOutcome {
         sent,
         elapsed: start.elapsed(),
         tally,
-        course,
     })
 }
 
@@ -85,46 +69,28 @@
     mut results: mpsc::Receiver<CallResult>,
     start: Instant,
     progress: bool,
-) -> eyre::Result<(LoadTally, Vec<ProgressPoint>)> {
+) -> eyre::Result<LoadTally> {
     let mut tally = LoadTally::try_new()?;
-    let mut course = Vec::new();
     let mut ticks = interval(PROGRESS_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         tokio::select! {
             result = results.recv() => match result {
                 Some(result) => tally.add(result),
-                None => return Ok((tally, course)),
+                None => return Ok(tally),
             },
-            _ = ticks.tick() => {
-                let point = ProgressPoint::of(&tally, start);
-                if progress {
-                    print_progress(&tally, &point);
-                }
-                course.push(point);
-            }
-        }
-    }
-}
-
-impl ProgressPoint {
-    fn of(tally: &LoadTally, start: Instant) -> Self {
-        ProgressPoint {
-            second: start.elapsed().as_secs_f64(),
-            ended: tally.ended,
-            answered: tally.answered,
-            refused: tally.refusals(),
+            _ = ticks.tick(), if progress => print_progress(&tally, start),
         }
     }
 }
 
-fn print_progress(tally: &LoadTally, point: &ProgressPoint) {
+fn print_progress(tally: &LoadTally, start: Instant) {
     eprintln!(
         "second={:.0} ended={} answered={} refused={} lost={} crossed={} p99_whole_ms={:.1}",
-        point.second,
-        point.ended,
-        point.answered,
-        point.refused,
+        start.elapsed().as_secs_f64(),
+        tally.ended,
+        tally.answered,
+        tally.refusals(),
         tally.lost,
         tally.crossed,
         tally.whole.value_at_quantile(0.99) as f64 / 1_000.0,
--- a/crates/beechsaddle-lab/src/load/mod.rs
+++ b/crates/beechsaddle-lab/src/load/mod.rs
@@ -53,7 +53,7 @@
 pub use load_plot::draw_chart;
 pub use load_proof::LoadProof;
 pub use load_report::report_line;
-pub use load_run::{LoadOutcome, ProgressPoint, run_plan};
+pub use load_run::{LoadOutcome, run_plan};
 pub use load_tally::LoadTally;
 pub use planned_call::PlannedCall;
 pub use platform_reader::PlatformReader;
