--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -1,5 +1,6 @@
 //! Tests of whole calls through whole router cores.
 
+mod fleet_setup;
 mod router_support;
 
 use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallEvent, CallRoute};
@@ -157,6 +158,35 @@
     assert_eq!(world.routers[0].open_calls(), 0);
 }
 
+// The caller hangs up at the moment in which its call is dispatched. The edge has let go of the call
+// and sends nothing; it says nothing more of it either. The call must not stay open for ever: its
+// reservation would never come back, and a drain would never end.
+#[test]
+fn caller_gone_as_dispatched_ends_call() {
+    for repeatable in [true, false] {
+        let mut world = RouterWorld::new(1, 100_000);
+        set_all(&mut world, TargetScript::Silent);
+        let mut arrival = world.arrival(0, notify());
+        arrival.repeatable = Some(repeatable);
+        arrival.idempotency = Some("payout-7".into());
+        let call = world.call(0, arrival);
+        assert_eq!(world.dispatched.len(), 1);
+        world.send(0, CoreEvent::Call(CallEvent::CallerGone { call }));
+        world.run(10_000);
+        assert_eq!(world.routers[0].open_calls(), 0);
+        assert_eq!(world.account().bills, 0);
+        set_all(&mut world, TargetScript::Answer);
+        let mut again = world.arrival(0, notify());
+        again.repeatable = Some(repeatable);
+        again.idempotency = Some("payout-7".into());
+        let again = world.call(0, again);
+        assert!(world.finished.contains(&again), "{:?}", world.refused);
+        world.send(0, CoreEvent::Drain);
+        world.run(10_000);
+        assert_eq!(world.exited, vec![0]);
+    }
+}
+
 // The caller sees a visibly broken answer. What was relayed is billed, once.
 #[test]
 fn answer_truncated_bills_what_was_relayed() {
@@ -300,6 +330,47 @@
     }
 }
 
+// A router dies while its call waits at the budget's holder for a grant, and comes back as another
+// life. The grant comes a moment later. Nobody waits for the reservation any more and nobody would
+// ever end it, so none is made: what the holder has goes back to the budget.
+#[test]
+fn reservation_for_a_dead_router_is_not_made() {
+    let mut world = RouterWorld::new(2, 100_000);
+    let arrival = world.arrival(0, chat());
+    world.call(0, arrival);
+    let holder = world
+        .routers
+        .iter()
+        .position(|router| !router.grants().is_empty());
+    let entry = 1 - holder.expect("a router holds the budget");
+    world.run(200_000);
+    assert_eq!(world.account().granted(), 0);
+    world.platform_away = true;
+    let arrival = world.arrival(entry, chat());
+    world.call_for(entry, arrival, 100);
+    world.restart(entry);
+    world.run(100);
+    world.platform_away = false;
+    world.run(200_000);
+    assert_eq!(world.dispatched.len(), 1);
+    assert_eq!(world.account().granted(), 0, "{:?}", world.account());
+}
+
+// A budget's holder gives back what it does not need, and the write does not reach the platform. The
+// holder already counts on the smaller grant, so nothing else would make it look again: the tokens
+// would be missing to all other routers until the next call comes.
+#[test]
+fn grant_return_that_failed_is_tried_again() {
+    let mut world = RouterWorld::new(1, 100_000);
+    let arrival = world.arrival(0, chat());
+    world.call(0, arrival);
+    world.run(30_000);
+    world.lost_ledger_writes = 1;
+    world.run(200_000);
+    assert_eq!(world.lost_ledger_writes, 0);
+    assert_eq!(world.account().granted(), 0, "{:?}", world.account());
+}
+
 // The caller hangs up at the moment its call is dispatched. The edge then does not carry out the
 // dispatch and says only that the caller is gone. Without an end the call would stay open, its
 // reservation with it, and a graceful shutdown would wait for ever.
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -2,30 +2,18 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use beechsaddle_core::admission::{AdmissionOptions, RetryOptions};
 use beechsaddle_core::call::{
     AnswerEnd, AttemptFailure, CallAction, CallArrival, CallEvent, CallRoute, KeyDigest, TokenUsage,
 };
-use beechsaddle_core::calls::CallOptions;
-use beechsaddle_core::catalogue::{
-    CatalogueChange, CatalogueEntry, CatalogueOptions, EntryClass, EntryEdit, EntryHeader,
-    EntryLimits, ModelEntry, ServiceEntry, ServiceKind, WorkspaceEntry,
-};
 use beechsaddle_core::event::TICK_MS;
-use beechsaddle_core::members::{
-    HostList, HostRecord, HostRole, HostState, MemberOptions, SeedPeer,
-};
-use beechsaddle_core::money::{BudgetAccount, BudgetLedger, MoneyOptions};
-use beechsaddle_core::objects::{FleetLayout, PlatformObject};
-use beechsaddle_core::once::OnceOptions;
-use beechsaddle_core::orders::OrderOptions;
+use beechsaddle_core::money::{BudgetAccount, BudgetLedger};
+use beechsaddle_core::objects::PlatformObject;
 use beechsaddle_core::platform::{PlatformCall, PlatformReply, PlatformTicket, StoredObject};
 use beechsaddle_core::prelude::*;
-use beechsaddle_core::router::{RouterCore, RouterOptions};
-use beechsaddle_core::target::{
-    EngineRole, EngineState, LoadReport, ProbeOutcome, TargetAction, TargetEvent,
-};
-use beechsaddle_core::targets::TargetOptions;
+use beechsaddle_core::router::RouterCore;
+use beechsaddle_core::target::{TargetAction, TargetEvent};
+
+use crate::fleet_setup::{first_change, host_list, new_router, probe_outcome};
 
 /// The tokens that each engine's answer uses.
 pub const ANSWER_USAGE: TokenUsage = TokenUsage {
@@ -61,6 +49,8 @@
     pub now: ClockTime,
     pub routers: Vec<RouterCore>,
     pub platform_away: bool,
+    /// Writes of the ledger that do not reach the platform, from now on.
+    pub lost_ledger_writes: u32,
     pub scripts: BTreeMap<TargetName, TargetScript>,
     /// Attempts in the order of their dispatch.
     pub dispatched: Vec<AttemptId>,
@@ -87,6 +77,7 @@
             now: ClockTime::from_millis(1_000_000),
             routers: names.iter().map(|name| new_router(name, &names)).collect(),
             platform_away: false,
+            lost_ledger_writes: 0,
             scripts: BTreeMap::new(),
             dispatched: Vec::new(),
             refused: BTreeMap::new(),
@@ -311,7 +302,9 @@
                 after,
             });
         } else {
-            let reply = match self.platform_away {
+            let is_lost = self.lost_ledger_writes > 0 && is_ledger_write(&call);
+            self.lost_ledger_writes -= u32::from(is_lost);
+            let reply = match self.platform_away || is_lost {
                 true => PlatformReply::Unreachable,
                 false => self.serve(call),
             };
@@ -394,6 +387,10 @@
     }
 }
 
+fn is_ledger_write(call: &PlatformCall) -> bool {
+    matches!(call, PlatformCall::Write { object, .. } if matches!(**object, PlatformObject::Ledger(_)))
+}
+
 /// Whether a message to `to` reaches `name`; a sender that knows only the host names epoch zero.
 fn is_meant(name: &RouterIncarnation, to: &RouterIncarnation) -> bool {
     name.host == to.host && (to.epoch == 0 || to.epoch == name.epoch)
@@ -428,131 +425,3 @@
         TargetScript::Stall => vec![started],
     }
 }
-
-fn probe_outcome(target: &TargetName) -> ProbeOutcome {
-    let engine = target.as_str().starts_with("engine").then(|| EngineState {
-        model: "glas".into(),
-        version: 1,
-        adapters: Vec::new(),
-        role: EngineRole::Whole,
-    });
-    ProbeOutcome::Healthy {
-        load: LoadReport::default(),
-        engine,
-    }
-}
-
-fn new_router(me: &RouterIncarnation, all: &[RouterIncarnation]) -> RouterCore {
-    let seeds = all.iter().filter(|name| *name != me).map(|name| SeedPeer {
-        host: name.host.clone(),
-        domain: "graz-nord".into(),
-        address: name.host.to_string(),
-    });
-    let layout = FleetLayout {
-        ledger_shards: 1,
-        dedup_shards: 1,
-    };
-    RouterCore::new(RouterOptions {
-        me: me.clone(),
-        domain: "graz-nord".into(),
-        peer_address: me.host.to_string(),
-        seed: 1,
-        layout,
-        calls: CallOptions::default(),
-        money: MoneyOptions {
-            shard_count: 1,
-            ..MoneyOptions::default()
-        },
-        once: OnceOptions {
-            shard_count: 1,
-            ..OnceOptions::default()
-        },
-        members: MemberOptions {
-            seeds: seeds.collect(),
-            ..MemberOptions::default()
-        },
-        catalogue: CatalogueOptions::default(),
-        targets: TargetOptions::default(),
-        admission: AdmissionOptions::default(),
-        retries: RetryOptions::default(),
-        orders: OrderOptions::default(),
-    })
-}
-
-fn host_list(routers: &[RouterIncarnation]) -> HostList {
-    let router = |name: &RouterIncarnation| HostRecord {
-        host: name.host.clone(),
-        domain: "graz-nord".into(),
-        epoch: 1,
-        address: name.host.to_string(),
-        role: HostRole::Router {
-            peer_address: name.host.to_string(),
-            admin_address: name.host.to_string(),
-        },
-        state: HostState::Live,
-    };
-    let target = |host: &str, service: &str| HostRecord {
-        host: host.into(),
-        domain: "graz-nord".into(),
-        epoch: 1,
-        address: host.to_owned(),
-        role: HostRole::Target {
-            service: service.into(),
-            checks_fence: true,
-        },
-        state: HostState::Live,
-    };
-    let mut hosts: Vec<_> = routers.iter().map(router).collect();
-    hosts.push(target("engine-1", "pool"));
-    hosts.push(target("engine-2", "pool"));
-    hosts.push(target("notify-1", "notify"));
-    hosts.push(target("notify-2", "notify"));
-    HostList { hosts }
-}
-
-fn first_change() -> CatalogueChange {
-    let header = EntryHeader {
-        owner: "ana".into(),
-        class: EntryClass::Standard,
-        limits: EntryLimits::default(),
-    };
-    let service = |name: &str, kind, call_cost| {
-        EntryEdit::Put(CatalogueEntry::Service(ServiceEntry {
-            header: header.clone(),
-            name: name.into(),
-            kind,
-            repeatable: true,
-            call_cost,
-            head_timeout_ms: 1_000,
-        }))
-    };
-    let model = EntryEdit::Put(CatalogueEntry::Model(ModelEntry {
-        header: header.clone(),
-        name: "glas".into(),
-        service: "pool".into(),
-        version: 1,
-        adapters: Vec::new(),
-        role: EngineRole::Whole,
-        output_limit: 100,
-    }));
-    let workspace = EntryEdit::Put(CatalogueEntry::Workspace(WorkspaceEntry {
-        header: header.clone(),
-        name: "verlag".into(),
-        keys: vec![KeyDigest([7; 32])],
-        budgets: vec!["main".into()].into(),
-        services: vec!["notify".into()],
-        models: vec!["glas".into()],
-    }));
-    CatalogueChange {
-        revision: 1,
-        write_id: "first".to_owned(),
-        author: "ana".into(),
-        applied: ClockTime::ZERO,
-        edits: vec![
-            service("pool", ServiceKind::Engine, 0),
-            service("notify", ServiceKind::Plain, 5),
-            model,
-            workspace,
-        ],
-    }
-}
