Split the call desk and the router's core into steps of one job each

Cause: call_desk.rs had grown to 629 lines and router_core.rs to 407; admission, attempts, endings, shutdown and reports stood in one file each. Ruled out: traits between the parts; one struct with several impl blocks keeps the steps readable.

--- a/crates/beechsaddle-core/src/calls/mod.rs
+++ b/crates/beechsaddle-core/src/calls/mod.rs
@@ -10,6 +10,10 @@
 mod call_desk;
 mod call_options;
 mod call_record;
+mod call_reports;
+mod desk_admission;
+mod desk_attempts;
+mod desk_endings;
 
 pub use call_context::CallContext;
 pub use call_desk::CallDesk;
