Keep a quiet budget's mark above one call

Cause: the largest recent reservation faded by an eighth a second, so that within seconds the mark of a budget used a few times a minute fell below one call; the first call of a platform outage was refused although the grant was ample. Ruled out: the slow bound everywhere. Before: outage_after_a_quiet_time_serves_the_next_call: BudgetUnreachable after 40 quiet seconds. Conclusion: only the mark's floor uses the lasting bound.

--- a/crates/beechsaddle-core/src/money/budget_holding.rs
+++ b/crates/beechsaddle-core/src/money/budget_holding.rs
@@ -150,6 +150,7 @@
             holders,
             rate: self.demand.rate(),
             bound: self.demand.bound(),
+            lasting_bound: self.demand.lasting_bound(),
             is_idle: now.since(self.asked_at) >= options.idle_return_ms,
         }
     }
--- a/crates/beechsaddle-core/src/money/grant_sizing.rs
+++ b/crates/beechsaddle-core/src/money/grant_sizing.rs
@@ -24,6 +24,8 @@
     pub(super) rate: u64,
     /// The largest reservation of late.
     pub(super) bound: u64,
+    /// The largest reservation of the last minute or so.
+    pub(super) lasting_bound: u64,
     /// Whether no request came for a while.
     pub(super) is_idle: bool,
 }
@@ -77,7 +79,11 @@
         if self.is_idle && self.waiting == 0 {
             return self.committed;
         }
-        let endurance = (self.rate.saturating_mul(options.endurance_ms) / 1_000).max(self.bound);
+        // A budget that is used a few times a minute has hardly a rate. Without a floor its mark would
+        // fall below one call within seconds, and the first call of an outage of the platform would be
+        // refused although the grant is ample.
+        let endurance =
+            (self.rate.saturating_mul(options.endurance_ms) / 1_000).max(self.lasting_bound);
         let scarce = self.reachable() / 1_000 * options.endurance_share_permille;
         let ahead = self.useful(endurance.min(scarce)).max(self.waiting);
         (self.committed + ahead).min(self.amount)
--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -435,3 +435,22 @@
     assert_eq!(world.account().bills, 2);
     assert_eq!(world.account().settled, 2 * ANSWER_USAGE.total());
 }
+
+// A workspace calls a few times a minute. The platform goes away between two of its calls. The holder
+// still has a large grant, and the next call must be served out of it: a mark that had shrunk below
+// one call's bound would refuse the first call of every outage.
+#[test]
+fn outage_after_a_quiet_time_serves_the_next_call() {
+    let mut world = RouterWorld::new(3, 100_000);
+    let arrival = world.arrival(0, chat());
+    world.call(0, arrival);
+    world.run(40_000);
+    world.platform_away = true;
+    let arrival = world.arrival(0, chat());
+    let call = world.call(0, arrival);
+    assert!(
+        world.finished.contains(&call),
+        "{:?}",
+        world.refused.get(&call)
+    );
+}
