--- a/crates/beechsaddle-lab/src/load/call_result.rs
+++ b/crates/beechsaddle-lab/src/load/call_result.rs
@@ -18,6 +18,8 @@
     pub not_run: Vec<String>,
     /// Whether the call may be repeated.
     pub repeatable: bool,
+    /// What happened in each try, for a person who looks for the cause of a lost call.
+    pub trail: Vec<String>,
     /// How the last try ended.
     pub outcome: CallOutcome,
 }
@@ -32,13 +34,16 @@
             tries: 0,
             not_run: Vec::new(),
             repeatable,
+            trail: Vec::new(),
             outcome: CallOutcome::Broken,
         }
     }
 
-    /// Takes the outcome of a try.
-    pub fn note(&mut self, outcome: CallOutcome) {
+    /// Takes the outcome of a try and what happened in it.
+    pub fn note(&mut self, outcome: CallOutcome, event: String) {
         self.tries += 1;
+        let after = self.intended.elapsed().as_millis();
+        self.trail.push(format!("{after} ms: {event}"));
         if let CallOutcome::Refused(refusal) = &outcome
             && refusal.not_run
         {
--- a/crates/beechsaddle-lab/src/load/call_sender.rs
+++ b/crates/beechsaddle-lab/src/load/call_sender.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use http::StatusCode;
 use tokio::time::{sleep, timeout};
 
 use super::{
@@ -33,8 +34,8 @@
         let repeatable = self.settings.may_repeat(call.kind);
         let mut result = CallResult::new(call, start, repeatable);
         loop {
-            let outcome = self.try_once(&result).await;
-            result.note(outcome);
+            let (outcome, event) = self.try_once(&result).await;
+            result.note(outcome, event);
             match self.patience.wait_after(&result.outcome, result.tries) {
                 Some(wait) => sleep(wait).await,
                 None => return result,
@@ -42,28 +43,37 @@
         }
     }
 
-    async fn try_once(&self, result: &CallResult) -> CallOutcome {
-        let attempt = self.exchange(result);
+    async fn try_once(&self, result: &CallResult) -> (CallOutcome, String) {
+        let address = self.router_for(result);
+        let attempt = self.exchange(result, address);
         match timeout(self.patience.try_timeout, attempt).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) | Err(_) => CallOutcome::Broken,
+            Ok(Ok((outcome, status))) => (outcome, format!("{address} answered {status}")),
+            Ok(Err(error)) => (CallOutcome::Broken, format!("{address} {error:#}")),
+            Err(_) => (CallOutcome::Broken, format!("{address} took too long")),
         }
     }
 
-    async fn exchange(&self, result: &CallResult) -> eyre::Result<CallOutcome> {
-        let call = &result.call;
+    fn router_for(&self, result: &CallResult) -> &str {
         let routers = &self.settings.routers;
-        let turn = call.number.wrapping_add(u64::from(result.tries));
-        let address = &routers[(turn % routers.len() as u64) as usize];
+        let turn = result.call.number.wrapping_add(u64::from(result.tries));
+        &routers[(turn % routers.len() as u64) as usize]
+    }
+
+    async fn exchange(
+        &self,
+        result: &CallResult,
+        address: &str,
+    ) -> eyre::Result<(CallOutcome, StatusCode)> {
+        let call = &result.call;
         let request = build_request(&self.settings, call, self.patience.retries > 0)?;
         let (response, connection) = self.client.send(address, request).await?;
         let reader = AnswerReader {
             mark: call.key.clone(),
             intended: result.intended,
         };
-        let success = response.status().is_success();
+        let status = response.status();
         let body = response.into_body();
-        let outcome = match (success, call.kind) {
+        let outcome = match (status.is_success(), call.kind) {
             (false, _) => reader.read_refusal(body).await,
             (true, CallKind::StreamedChat) => reader.read_stream(body).await,
             (true, CallKind::WholeChat) => reader.read_chat(body).await,
@@ -72,6 +82,6 @@
             }
         };
         self.client.give_back(address, connection);
-        Ok(outcome)
+        Ok((outcome, status))
     }
 }
--- a/crates/beechsaddle-lab/src/load/load_run.rs
+++ b/crates/beechsaddle-lab/src/load/load_run.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
-use super::{ArrivalPlan, CallResult, CallSender, LoadTally};
+use super::{ArrivalPlan, CallOutcome, CallResult, CallSender, LoadTally};
 
 /// How often a progress line goes to the standard error stream.
 const PROGRESS_PERIOD: Duration = Duration::from_secs(2);
@@ -76,7 +76,10 @@
     loop {
         tokio::select! {
             result = results.recv() => match result {
-                Some(result) => tally.add(result),
+                Some(result) => {
+                    report_fault(&result);
+                    tally.add(result);
+                }
                 None => return Ok(tally),
             },
             _ = ticks.tick(), if progress => print_progress(&tally, start),
@@ -84,6 +87,17 @@
     }
 }
 
+// What must never happen is told with its course; there are few such calls, or the run has failed.
+fn report_fault(result: &CallResult) {
+    match &result.outcome {
+        CallOutcome::Answered(_) | CallOutcome::Refused(_) => {}
+        CallOutcome::Crossed | CallOutcome::Short | CallOutcome::Broken => eprintln!(
+            "fault={:?} call={} kind={:?} trail={:?}",
+            result.outcome, result.call.key, result.call.kind, result.trail
+        ),
+    }
+}
+
 fn print_progress(tally: &LoadTally, start: Instant) {
     eprintln!(
         "second={:.0} ended={} answered={} refused={} lost={} crossed={} p99_whole_ms={:.1}",
