--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_step.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_step.rs
@@ -141,14 +141,14 @@
     }
 
     fn call_step(&mut self, node: usize, key: u8, route: u8) {
-        let is_chat = route % 4 != 0;
+        let is_chat = !route.is_multiple_of(4);
         let is_once = route % 8 == 4 || route % 8 == 3;
         let repeatable = is_once.then_some(false);
         let kind = if is_chat { "chat" } else { "notify" };
         // A key always comes with the same request.
         let key = match is_once {
             true => Some(format!("once-{kind}-{}", key % 32).as_str().into()),
-            false if key % 4 != 0 => Some(format!("{kind}-{}", key % 64).as_str().into()),
+            false if !key.is_multiple_of(4) => Some(format!("{kind}-{}", key % 64).as_str().into()),
             false => None,
         };
         self.call(node, is_chat, repeatable, key);
