--- a/crates/beechsaddle-core/tests/fleet_setup/mod.rs
+++ b/crates/beechsaddle-core/tests/fleet_setup/mod.rs
@@ -173,7 +173,7 @@
         header: header.clone(),
         name: "verlag".into(),
         keys: vec![KeyDigest([7; 32])],
-        budgets: vec!["main".into()].into(),
+        budget: Some("main".into()),
         services: vec!["notify".into()],
         models: vec!["glas".into()],
     }));
