Found new fleets with 8,192 ledger shards, and read only the shards that exist

Cause: shard counts cannot change later, and 16 shards end at about 56,000 budgets (285 bytes a budget, values under 1 MB); the operators' commands read every shard number one by one. Ruled out: keeping 16 with advice in the docs: a fleet that outgrows it would have to be founded anew. Before: 16 reads for a statement, and a wall at 56,000 budgets. After: one list and a read for each shard that exists; the command line's, the operators' and the settings' tests pass. Conclusion: the default carries the planned size.

--- a/crates/beechsaddle/src/command/command_line.rs
+++ b/crates/beechsaddle/src/command/command_line.rs
@@ -9,7 +9,7 @@
 const WAIT_SECONDS: &str = "30";
 
 /// How many ledger shards a new fleet has.
-const LEDGER_SHARDS: &str = "16";
+const LEDGER_SHARDS: &str = "8192";
 
 /// How many dedup shards a new fleet has: `docs/ONCE.md` works it out.
 const DEDUP_SHARDS: &str = "512";
--- a/crates/beechsaddle/src/operator/ledger_book.rs
+++ b/crates/beechsaddle/src/operator/ledger_book.rs
@@ -16,6 +16,9 @@
 /// Where the shard counts are kept.
 const LAYOUT_KEY: &str = "fleet/layout";
 
+/// What the keys of all shards begin with.
+const LEDGER_PREFIX: &str = "ledger/";
+
 /// How often a shard is tried that routers write to at the same time.
 const SHARD_TRIES: u32 = 50;
 
@@ -32,8 +35,15 @@
         caller: &StoreCaller<'_, S>,
         layout: FleetLayout,
     ) -> Result<Self> {
+        // Most shards of a young fleet do not exist, and a read of each would take longer than an
+        // operator's patience and more of the platform's reads than the routers leave.
+        let listed = caller.list(LEDGER_PREFIX).await?;
+        let listed: BTreeSet<ObjectKey> = listed.into_iter().collect();
         let mut shards = BTreeMap::new();
         for shard in 0..layout.ledger_shards {
+            if !listed.contains(&BudgetLedger::object_key(shard)) {
+                continue;
+            }
             let (_, ledger) = read_shard(caller, shard).await?;
             shards.insert(shard, ledger);
         }
--- a/crates/beechsaddle/src/settings/budget_settings.rs
+++ b/crates/beechsaddle/src/settings/budget_settings.rs
@@ -24,7 +24,7 @@
 impl Default for BudgetSettings {
     fn default() -> Self {
         BudgetSettings {
-            ledger_shards: 16,
+            ledger_shards: 8_192,
             dedup_shards: 512,
             endurance_ms: 30_000,
             endurance_share_permille: 125,
