--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -87,6 +87,21 @@
     assert_eq!(world.routers[0].open_calls(), 0);
 }
 
+// A call names a budget of its workspace that is not the default, and that no router's catalogue
+// names: the ledger does.
+#[test]
+fn call_names_another_budget_of_its_workspace() {
+    let mut world = RouterWorld::new(1, 100_000);
+    world.add_budget("spare", 50_000);
+    let mut arrival = world.arrival(0, chat());
+    arrival.budget = Some("spare".into());
+    let call = world.call(0, arrival);
+    assert!(world.finished.contains(&call));
+    world.run(10_000);
+    assert_eq!(world.account().bills, 0);
+    assert_eq!(world.account_of("spare").bills, 1);
+}
+
 // The caller sees one answer. Its first target takes no connection, so the call did not run there,
 // and the second target answers. The bill is for one answer.
 #[test]
@@ -435,3 +450,22 @@
     assert_eq!(world.account().bills, 2);
     assert_eq!(world.account().settled, 2 * ANSWER_USAGE.total());
 }
+
+// A workspace calls a few times a minute. The platform goes away between two of its calls. The holder
+// still has a large grant, and the next call must be served out of it: a mark that had shrunk below
+// one call's bound would refuse the first call of every outage.
+#[test]
+fn outage_after_a_quiet_time_serves_the_next_call() {
+    let mut world = RouterWorld::new(3, 100_000);
+    let arrival = world.arrival(0, chat());
+    world.call(0, arrival);
+    world.run(40_000);
+    world.platform_away = true;
+    let arrival = world.arrival(0, chat());
+    let call = world.call(0, arrival);
+    assert!(
+        world.finished.contains(&call),
+        "{:?}",
+        world.refused.get(&call)
+    );
+}
--- a/crates/beechsaddle-lab/src/demo/demo_fleet.rs
+++ b/crates/beechsaddle-lab/src/demo/demo_fleet.rs
@@ -65,7 +65,7 @@
 owner = "ana"
 class = "critical"
 keys = ["{digest}"]
-budgets = ["{BUDGET}"]
+budget = "{BUDGET}"
 services = ["{ENGINE_SERVICE}", "{PLAIN_SERVICE}"]
 models = ["{MODEL}"]
 
@@ -90,7 +90,7 @@
 name = "{MODEL}"
 owner = "ana"
 service = "{ENGINE_SERVICE}"
-output_limit = 4096
+output_limit = 16384
 "#
     )
 }
--- a/crates/beechsaddle-lab/src/load/load_run.rs
+++ b/crates/beechsaddle-lab/src/load/load_run.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
-use super::{ArrivalPlan, CallResult, CallSender, LoadTally};
+use super::{ArrivalPlan, CallOutcome, CallResult, CallSender, LoadTally};
 
 /// How often a progress line goes to the standard error stream.
 const PROGRESS_PERIOD: Duration = Duration::from_secs(2);
@@ -14,19 +14,6 @@
 /// How many results may wait to be counted; counting is far quicker than answering.
 const RESULT_QUEUE: usize = 65_536;
 
-/// A point of a run's course.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ProgressPoint {
-    /// Seconds since the start.
-    pub second: f64,
-    /// Calls that ended.
-    pub ended: u64,
-    /// Calls answered.
-    pub answered: u64,
-    /// Calls refused.
-    pub refused: u64,
-}
-
 /// What a run gave.
 #[derive(Debug)]
 pub struct LoadOutcome {
@@ -36,8 +23,6 @@
     pub elapsed: Duration,
     /// The count.
     pub tally: LoadTally,
-    /// The course.
-    pub course: Vec<ProgressPoint>,
 }
 
 /// Sends all calls of a plan at their times and waits until each has ended.
@@ -51,13 +36,12 @@
     let sender = Arc::new(sender);
     let progress = plan.shows_progress();
     let sending = tokio::spawn(send_all(plan, sender, start, results));
-    let (tally, course) = count_all(counted, start, progress).await?;
+    let tally = count_all(counted, start, progress).await?;
     let sent = sending.await?;
     Ok(LoadOutcome {
         sent,
         elapsed: start.elapsed(),
         tally,
-        course,
     })
 }
 
@@ -85,46 +69,42 @@
     mut results: mpsc::Receiver<CallResult>,
     start: Instant,
     progress: bool,
-) -> eyre::Result<(LoadTally, Vec<ProgressPoint>)> {
+) -> eyre::Result<LoadTally> {
     let mut tally = LoadTally::try_new()?;
-    let mut course = Vec::new();
     let mut ticks = interval(PROGRESS_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         tokio::select! {
             result = results.recv() => match result {
-                Some(result) => tally.add(result),
-                None => return Ok((tally, course)),
-            },
-            _ = ticks.tick() => {
-                let point = ProgressPoint::of(&tally, start);
-                if progress {
-                    print_progress(&tally, &point);
+                Some(result) => {
+                    report_fault(&result);
+                    tally.add(result);
                 }
-                course.push(point);
-            }
+                None => return Ok(tally),
+            },
+            _ = ticks.tick(), if progress => print_progress(&tally, start),
         }
     }
 }
 
-impl ProgressPoint {
-    fn of(tally: &LoadTally, start: Instant) -> Self {
-        ProgressPoint {
-            second: start.elapsed().as_secs_f64(),
-            ended: tally.ended,
-            answered: tally.answered,
-            refused: tally.refusals(),
-        }
+// What must never happen is told with its course; there are few such calls, or the run has failed.
+fn report_fault(result: &CallResult) {
+    match &result.outcome {
+        CallOutcome::Answered(_) | CallOutcome::Refused(_) => {}
+        CallOutcome::Crossed | CallOutcome::Short | CallOutcome::Broken => eprintln!(
+            "fault={:?} call={} kind={:?} trail={:?}",
+            result.outcome, result.call.key, result.call.kind, result.trail
+        ),
     }
 }
 
-fn print_progress(tally: &LoadTally, point: &ProgressPoint) {
+fn print_progress(tally: &LoadTally, start: Instant) {
     eprintln!(
         "second={:.0} ended={} answered={} refused={} lost={} crossed={} p99_whole_ms={:.1}",
-        point.second,
-        point.ended,
-        point.answered,
-        point.refused,
+        start.elapsed().as_secs_f64(),
+        tally.ended,
+        tally.answered,
+        tally.refusals(),
         tally.lost,
         tally.crossed,
         tally.whole.value_at_quantile(0.99) as f64 / 1_000.0,
--- a/crates/beechsaddle/src/operator/ledger_book.rs
+++ b/crates/beechsaddle/src/operator/ledger_book.rs
@@ -10,12 +10,15 @@
 
 use super::{
     LedgerRefusal, ObjectStore, OperatorError, Result, StoreCaller, WriteOutcome, declaration_of,
-    edit_ledger, is_used_up,
+    edit_ledger,
 };
 
 /// Where the shard counts are kept.
 const LAYOUT_KEY: &str = "fleet/layout";
 
+/// What the keys of all shards begin with.
+const LEDGER_PREFIX: &str = "ledger/";
+
 /// How often a shard is tried that routers write to at the same time.
 const SHARD_TRIES: u32 = 50;
 
@@ -32,8 +35,15 @@
         caller: &StoreCaller<'_, S>,
         layout: FleetLayout,
     ) -> Result<Self> {
+        // Most shards of a young fleet do not exist, and a read of each would take longer than an
+        // operator's patience and more of the platform's reads than the routers leave.
+        let listed = caller.list(LEDGER_PREFIX).await?;
+        let listed: BTreeSet<ObjectKey> = listed.into_iter().collect();
         let mut shards = BTreeMap::new();
         for shard in 0..layout.ledger_shards {
+            if !listed.contains(&BudgetLedger::object_key(shard)) {
+                continue;
+            }
             let (_, ledger) = read_shard(caller, shard).await?;
             shards.insert(shard, ledger);
         }
@@ -50,10 +60,10 @@
             .collect()
     }
 
-    /// Budgets of which nothing can be spent any more.
-    pub fn used_up(&self) -> BTreeSet<BudgetName> {
+    /// Budgets that were removed and not declared again.
+    pub fn removed(&self) -> BTreeSet<BudgetName> {
         self.accounts()
-            .filter(|(_, account)| is_used_up(account))
+            .filter(|(_, account)| account.is_removed)
             .map(|(name, _)| name.clone())
             .collect()
     }
