Keep connections only to targets that name the attempt they answer

Ruled out: a wait before a connection is reused (it only makes the race rarer); comparing contents (nothing in an answer without an echo tells whose it is). Before: stale_copy_without_echo_reaches_nobody gives call 2 the answer of call 1, every time. After: green; a target that does not echo gets a new connection for each call, and an answer without a name on a kept connection fails the attempt. Two tests of reuse now use a target that echoes, since only such a one has kept connections; they check the reuse itself more closely than before (the connection number). Taking out the book, the note and the once-only rule each fail a test. Conclusion: on one connection an answer can no longer reach another call unnoticed.

--- a/crates/beechsaddle/src/calls/attempt.rs
+++ b/crates/beechsaddle/src/calls/attempt.rs
@@ -33,6 +33,17 @@
     Plain(PlainRequest),
 }
 
+/// Whose answer a target says it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerEcho {
+    /// This attempt's.
+    Own,
+    /// Another attempt's.
+    Other,
+    /// It does not say.
+    None,
+}
+
 /// What the core decided about one attempt.
 pub(crate) struct AttemptOrder {
     /// The attempt.
@@ -93,10 +104,9 @@
         let request = self
             .build_request(content)
             .ok_or(AttemptFailure::ConnectFailed)?;
-        let choice = if self.repeatable {
-            ConnectionChoice::Pooled
-        } else {
-            ConnectionChoice::Fresh
+        let choice = match self.repeatable && state.echoes.echoes(&address) {
+            true => ConnectionChoice::Pooled,
+            false => ConnectionChoice::Fresh,
         };
         let sending = state.client.send(address, request, choice);
         let answer = match tokio::time::timeout(self.head_span(), sending).await {
@@ -104,9 +114,14 @@
             Ok(Err(error)) => return Err(read_client_error(&error)),
             Err(_elapsed) => return Err(AttemptFailure::TimedOut),
         };
-        if !self.is_own_answer(answer.headers()) {
-            state.client.drop_pool();
-            return Err(AttemptFailure::WrongAttempt);
+        let echo = self.read_echo(answer.headers());
+        state.echoes.note(address, echo == AnswerEcho::Own);
+        match (echo, choice) {
+            (AnswerEcho::Own, _) | (AnswerEcho::None, ConnectionChoice::Fresh) => {}
+            (AnswerEcho::Other, _) | (AnswerEcho::None, ConnectionChoice::Pooled) => {
+                state.client.drop_pool();
+                return Err(AttemptFailure::WrongAttempt);
+            }
         }
         self.check_status(answer.status(), content)?;
         Ok(answer)
@@ -163,17 +178,21 @@
         Some(request)
     }
 
-    /// Whether the answer is this attempt's.
+    /// Whose answer it is, as far as the target tells.
     ///
     /// A target, or something before it, that mixes up connections would give one caller another
-    /// caller's answer. Where the target echoes the attempt such an answer is found out and
-    /// dropped with its connection.
-    fn is_own_answer(&self, headers: &HeaderMap) -> bool {
+    /// caller's answer. An answer that names another attempt is dropped with its connection; so is
+    /// one without a name on a kept connection, which only targets that name attempts have.
+    fn read_echo(&self, headers: &HeaderMap) -> AnswerEcho {
         let expected = self.attempt.to_string();
-        headers
-            .get_all(ATTEMPT_HEADER)
-            .iter()
-            .all(|echo| echo.as_bytes() == expected.as_bytes())
+        let mut echoes = headers.get_all(ATTEMPT_HEADER).iter().peekable();
+        if echoes.peek().is_none() {
+            return AnswerEcho::None;
+        }
+        match echoes.all(|echo| echo.as_bytes() == expected.as_bytes()) {
+            true => AnswerEcho::Own,
+            false => AnswerEcho::Other,
+        }
     }
 
     /// Tells a failed attempt from an answer for the caller.
--- a/crates/beechsaddle/src/calls/calls_edge.rs
+++ b/crates/beechsaddle/src/calls/calls_edge.rs
@@ -18,6 +18,7 @@
 use super::call_table::CallTable;
 use super::calls_handle::CallsHandle;
 use super::calls_options::CallsOptions;
+use super::echo_book::EchoBook;
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::event_ring::EventRing;
@@ -61,6 +62,7 @@
             calls: CallTable::new(me),
             queries: QueryTable::default(),
             client: TargetClient::try_new(&options)?,
+            echoes: EchoBook::default(),
             body_memory: BodyMemory::new(options.body_memory_bytes),
             phase: watch::Sender::new(EdgePhase::Accepting),
             serving: AtomicBool::new(false),
--- a/crates/beechsaddle/src/calls/edge_state.rs
+++ b/crates/beechsaddle/src/calls/edge_state.rs
@@ -11,6 +11,7 @@
 use super::call_fault::CallFault;
 use super::call_table::CallTable;
 use super::calls_options::CallsOptions;
+use super::echo_book::EchoBook;
 use super::edge_phase::EdgePhase;
 use super::event_ring::EventRing;
 use super::query_table::QueryTable;
@@ -28,6 +29,8 @@
     pub(crate) queries: QueryTable,
     /// The way to targets.
     pub(crate) client: TargetClient,
+    /// Which targets echo attempts.
+    pub(crate) echoes: EchoBook,
     /// The bound on request bodies.
     pub(crate) body_memory: BodyMemory,
     /// How far shutting down has come.
--- a/crates/beechsaddle/src/calls/mod.rs
+++ b/crates/beechsaddle/src/calls/mod.rs
@@ -22,6 +22,7 @@
 mod chat_request;
 mod connection;
 mod connection_mark;
+mod echo_book;
 mod edge_phase;
 mod edge_state;
 mod event_ring;
--- a/crates/beechsaddle/tests/calls_support/raw_target.rs
+++ b/crates/beechsaddle/tests/calls_support/raw_target.rs
@@ -18,6 +18,8 @@
     pub stream: TcpStream,
     /// Counts the connections from zero.
     pub index: usize,
+    /// How many requests were read from it.
+    pub requests: usize,
     report: std::sync::mpsc::Sender<String>,
 }
 
@@ -38,6 +40,7 @@
                     script(&mut TargetConnection {
                         stream,
                         index,
+                        requests: 0,
                         report,
                     });
                 });
@@ -69,6 +72,7 @@
                 let length = super::header(&head, "content-length")
                     .map_or(0, |length| length.parse().expect("a length"));
                 if bytes.len() >= place + 4 + length {
+                    self.requests += 1;
                     let _ = self.report.send(text.clone());
                     return Some(text);
                 }
--- a/crates/beechsaddle/tests/calls_targets.rs
+++ b/crates/beechsaddle/tests/calls_targets.rs
@@ -168,28 +168,40 @@
     );
 }
 
+/// Answers a request with the echo that lets the router keep the connection.
+fn answer_with_echo(connection: &mut TargetConnection, request: &str, extra: &str, body: &str) {
+    let attempt = sent_attempt(request);
+    let extra = format!("beechsaddle-attempt: {attempt}\r\n{extra}");
+    connection.answer("200 OK", &extra, body);
+}
+
 #[test]
 fn reused_connection_closes_under_request() {
-    // The target answers one call and keeps its connection. The next call goes over it; the
-    // target reads it and closes without an answer, as after a crash. The call may have run, so
-    // that nothing on the way may send it again: exactly one more request must arrive.
+    // The target echoes attempts and keeps its connection from the second call on. The third call
+    // goes over it; the target reads it and closes without an answer, as after a crash. The call
+    // may have run, so that nothing on the way may send it again: exactly one more request must
+    // arrive, and on that connection; a new one would have answered.
     let target = RawTarget::start(|connection| {
-        if connection.index == 0 {
-            connection.read_request();
-            connection.answer("200 OK", "", &chat_answer(5, 2));
+        while let Some(request) = connection.read_request() {
+            let is_third = connection.index == 1 && connection.requests == 2;
+            if is_third {
+                return;
+            }
+            answer_with_echo(connection, &request, "", &chat_answer(5, 2));
         }
-        connection.read_request();
     });
     let core = FakeCore::start();
-    let mut caller = RawCaller::send(core.address(), chat_call("", false));
-    let call = core.dispatch_next(target.address);
-    core.next_start();
-    core.next_end();
-    core.act(CallAction::Finish { call });
-    assert_eq!(caller.read_answer().status, 200);
-    target.next_request();
-    std::thread::sleep(Duration::from_millis(20));
-    caller.write(chat_call("", false));
+    for _ in 0..2 {
+        let mut caller = RawCaller::send(core.address(), chat_call("", false));
+        let call = core.dispatch_next(target.address);
+        core.next_start();
+        core.next_end();
+        core.act(CallAction::Finish { call });
+        assert_eq!(caller.read_answer().status, 200);
+        target.next_request();
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let _caller = RawCaller::send(core.address(), chat_call("", false));
     let call = core.dispatch_next(target.address);
     assert_eq!(core.next_failure(), AttemptFailure::ConnectionLost);
     assert_eq!(
@@ -204,15 +216,16 @@
 fn once_only_call_on_fresh_connection() {
     // A target may close an idle connection just when a request is sent over it, and then nobody
     // knows whether it ran. A call that may not be repeated must not run into this, although a
-    // kept connection is at hand.
+    // kept connection is at hand from the second call on.
     let target = RawTarget::start(|connection| {
-        while connection.read_request().is_some() {
-            connection.answer("200 OK", &format!("x-index: {}\r\n", connection.index), "");
+        while let Some(request) = connection.read_request() {
+            let extra = format!("x-index: {}\r\n", connection.index);
+            answer_with_echo(connection, &request, &extra, "");
         }
     });
     let core = FakeCore::start();
     let mut indexes = Vec::new();
-    for is_once_only in [false, true, true] {
+    for is_once_only in [false, false, true, true, false] {
         let extra = "idempotency-key: k1\r\n";
         let mut caller = RawCaller::send(core.address(), plain_call("POST", "/", extra, "x"));
         let call = core.next_arrival().call;
@@ -224,14 +237,65 @@
         core.next_end();
         core.act(CallAction::Finish { call });
         let answer = caller.read_answer();
-        indexes.push(
-            header(&answer.head, "x-index")
-                .expect("an index")
-                .to_owned(),
-        );
+        let index = header(&answer.head, "x-index").expect("an index");
+        indexes.push(index.to_owned());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(indexes, ["0", "1", "2", "3", "1"]);
+}
+
+#[test]
+fn stale_copy_without_echo_reaches_nobody() {
+    // The target does not echo attempts. It answers each request on a kept connection with the
+    // answer of the one before, as one that sent an answer twice does. Nothing in such an answer
+    // tells whose it is, so that the next call must come on another connection.
+    let target = RawTarget::start(|connection| {
+        let mut output = 2 + connection.index as u64;
+        while connection.read_request().is_some() {
+            connection.answer("200 OK", "", &chat_answer(5, output));
+            output = 2;
+        }
+    });
+    let core = FakeCore::start();
+    for output in [2, 3, 4] {
+        let mut caller = RawCaller::send(core.address(), chat_call("", false));
+        let call = core.dispatch_next(target.address);
+        core.next_start();
+        assert_eq!(core.next_end().1.output, output);
+        core.act(CallAction::Finish { call });
+        assert_eq!(caller.read_answer().body, chat_answer(5, output));
         std::thread::sleep(Duration::from_millis(20));
     }
-    assert_eq!(indexes, ["0", "1", "2"]);
+}
+
+#[test]
+fn answer_without_echo_on_kept_connection() {
+    // A target that echoes attempts answers the third call, on a kept connection, without one. It
+    // may be an answer of the call before; the attempt fails, and the caller is not given it.
+    let target = RawTarget::start(|connection| {
+        while let Some(request) = connection.read_request() {
+            match connection.requests {
+                2 => connection.answer("200 OK", "", &chat_answer(5, 9)),
+                _ => {
+                    answer_with_echo(connection, &request, "", &chat_answer(5, 2));
+                    true
+                }
+            };
+        }
+    });
+    let core = FakeCore::start();
+    for _ in 0..2 {
+        let mut caller = RawCaller::send(core.address(), chat_call("", false));
+        let call = core.dispatch_next(target.address);
+        core.next_start();
+        core.next_end();
+        core.act(CallAction::Finish { call });
+        assert_eq!(caller.read_answer().status, 200);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let _caller = RawCaller::send(core.address(), chat_call("", false));
+    core.dispatch_next(target.address);
+    assert_eq!(core.next_failure(), AttemptFailure::WrongAttempt);
 }
 
 #[test]
