--- a/crates/beechsaddle-core/src/router/router_core.rs
+++ b/crates/beechsaddle-core/src/router/router_core.rs
@@ -110,6 +110,11 @@
         self.calls.open_calls()
     }
 
+    /// The catalogue revision in force.
+    pub fn catalogue_revision(&self) -> u64 {
+        self.catalogue.view().revision()
+    }
+
     /// The grants that it holds.
     pub fn grants(&self) -> Vec<GrantStatus> {
         self.money.grants()
--- a/crates/beechsaddle-lab/src/measure/mod.rs
+++ b/crates/beechsaddle-lab/src/measure/mod.rs
@@ -3,6 +3,7 @@
 //! To add an experiment: a `mod` line and a line in [`EXPERIMENTS`].
 
 mod catalogue_cost;
+mod domain_bytes;
 mod experiment;
 mod fleet_cost;
 pub mod grants;
@@ -92,6 +93,11 @@
         shows: "bytes, processor time, memory and latency of messages between routers",
         run: peers::run,
     },
+    MeasureExperiment {
+        name: "domain-bytes",
+        shows: "heartbeat and catalogue bytes between routers against the routers of a domain",
+        run: domain_bytes::run,
+    },
     MeasureExperiment {
         name: "routing",
         shows: "times to first token and prefix hits of each way to choose a target",
--- a/crates/beechsaddle-lab/src/measure/peer_bytes.rs
+++ b/crates/beechsaddle-lab/src/measure/peer_bytes.rs
@@ -62,7 +62,8 @@
     encode_message(message).map_or(0, |bytes| bytes.len())
 }
 
-fn packed_bytes(message: &PeerMessage) -> usize {
+/// The size of a message as it is sent, in bytes.
+pub fn packed_bytes(message: &PeerMessage) -> usize {
     let mut bytes = Vec::new();
     if let Ok(builder) = build_message(message) {
         let _ = capnp::serialize_packed::write_message(&mut bytes, &builder);
