Do not take an overtaken failure for a call that was not dispatched

Cause: when the ring into the core is full, the failure of an attempt waits in a task; the caller's hang-up could overtake it. The core took the hang-up for a dispatch that was not carried out, freed the dedup record and billed nothing, though the call may have run. Ruled out: ordering the events of a call at the edge; a queue for each call would be needed. The hang-up now names the last attempt that was carried out. Before: caller_gone_overtakes_failed_attempt: the second call with the key was dispatched. After: it is refused, one dispatch. Conclusion: a hang-up ends a dispatched call only if its attempt was not carried out.

--- a/crates/beechsaddle-core/src/call.rs
+++ b/crates/beechsaddle-core/src/call.rs
@@ -144,12 +144,14 @@
         /// The digest of the caller's key.
         key_digest: KeyDigest,
     },
-    /// The caller hung up before an answer was relayed. The edge cancels a running attempt by
-    /// itself and then raises `AnswerEnded` for it; this event comes when there is none. A
-    /// `Dispatch` that crosses this event is not carried out: no byte of it reached a target.
+    /// The caller hung up while no attempt was running. A running attempt is cancelled by the edge,
+    /// which then raises `AnswerEnded` in place of this event. A `Dispatch` that crosses this event
+    /// is not carried out: no byte of it reached a target.
     CallerGone {
         /// The call.
         call: CallId,
+        /// The last attempt that the edge carried out. Its `AttemptFailed` may still be on the way.
+        last_attempt: Option<AttemptId>,
     },
     /// An attempt failed and nothing of it was relayed.
     AttemptFailed {
--- a/crates/beechsaddle-core/src/calls/call_desk.rs
+++ b/crates/beechsaddle-core/src/calls/call_desk.rs
@@ -42,7 +42,9 @@
             CallEvent::Arrived(arrival) => self.on_arrival(now, *arrival, context),
             CallEvent::Rejected(refusal) => count_refusal(&refusal, context),
             CallEvent::ModelsQuery { call, key_digest } => list_models(&call, &key_digest, context),
-            CallEvent::CallerGone { call } => self.on_caller_gone(now, &call, context),
+            CallEvent::CallerGone { call, last_attempt } => {
+                self.on_caller_gone(now, &call, last_attempt.as_ref(), context);
+            }
             CallEvent::AttemptFailed { attempt, failure } => {
                 self.on_attempt_failed(now, &attempt, failure, context);
             }
--- a/crates/beechsaddle-core/src/calls/desk_admission.rs
+++ b/crates/beechsaddle-core/src/calls/desk_admission.rs
@@ -62,6 +62,7 @@
         &mut self,
         now: ClockTime,
         call: &CallId,
+        last_attempt: Option<&AttemptId>,
         context: &mut CallContext<'_>,
     ) {
         let Some(record) = self.calls.get_mut(call) else {
@@ -72,8 +73,13 @@
         if record.phase != CallPhase::Dispatched {
             return;
         }
-        // The edge says this only when no attempt runs: the dispatch crossed it on the way and was
-        // not carried out. Nothing else would ever end the call, and a drain would wait for it.
+        // The attempt was carried out and its failure is still on the way; a full ring may let this
+        // event overtake it. Taking the call for one that was not dispatched would free the key of a
+        // call that may have run, and the next one with that key would run it again.
+        if last_attempt.is_some_and(|attempt| record.is_running(attempt)) {
+            return;
+        }
+        // Otherwise the dispatch crossed this event and was not carried out. Nothing else would ever end the call, and a drain would wait for it.
         if let Some(running) = record.running.take() {
             context.targets.ended(now, &running.target);
         }
--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_callers.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_callers.rs
@@ -130,7 +130,10 @@
             Some((_, seen)) if seen.relayed > 0 => {
                 return self.book.end(&call, FinalAnswer::Left);
             }
-            Some(_) | None => CallEvent::CallerGone { call: call.clone() },
+            Some(_) | None => CallEvent::CallerGone {
+                call: call.clone(),
+                last_attempt: None,
+            },
         };
         self.book.end(&call, FinalAnswer::Left);
         self.take(node, CoreEvent::Call(event));
--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_edges.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_edges.rs
@@ -85,7 +85,10 @@
                 if self.chance(CROSSED_PERMILLE) {
                     let call = attempt.call;
                     self.book.end(&call, FinalAnswer::Left);
-                    let event = CallEvent::CallerGone { call };
+                    let event = CallEvent::CallerGone {
+                        call,
+                        last_attempt: None,
+                    };
                     return self.send_event(1, node, CoreEvent::Call(event));
                 }
                 let script = self.scripts.get(&target).copied().unwrap_or_default();
--- a/crates/beechsaddle-core/tests/router_calls.rs
+++ b/crates/beechsaddle-core/tests/router_calls.rs
@@ -164,7 +164,13 @@
     let call = arrival.call.clone();
     world.platform_away = true;
     world.send(0, CoreEvent::Call(CallEvent::Arrived(Box::new(arrival))));
-    world.send(0, CoreEvent::Call(CallEvent::CallerGone { call }));
+    world.send(
+        0,
+        CoreEvent::Call(CallEvent::CallerGone {
+            call,
+            last_attempt: None,
+        }),
+    );
     world.run(200);
     world.platform_away = false;
     world.run(10_000);
@@ -186,7 +192,13 @@
         arrival.idempotency = Some("payout-7".into());
         let call = world.call(0, arrival);
         assert_eq!(world.dispatched.len(), 1);
-        world.send(0, CoreEvent::Call(CallEvent::CallerGone { call }));
+        world.send(
+            0,
+            CoreEvent::Call(CallEvent::CallerGone {
+                call,
+                last_attempt: None,
+            }),
+        );
         world.run(10_000);
         assert_eq!(world.routers[0].open_calls(), 0);
         assert_eq!(world.account().bills, 0);
@@ -398,7 +410,13 @@
     arrival.idempotency = Some("payout-8".into());
     let call = world.call(0, arrival.clone());
     assert_eq!(world.dispatched.len(), 1);
-    world.send(0, CoreEvent::Call(CallEvent::CallerGone { call }));
+    world.send(
+        0,
+        CoreEvent::Call(CallEvent::CallerGone {
+            call,
+            last_attempt: None,
+        }),
+    );
     world.run(10_000);
     assert_eq!(world.routers[0].open_calls(), 0);
     assert_eq!(world.account().bills, 0);
@@ -469,3 +487,34 @@
         world.refused.get(&call)
     );
 }
+
+// The ring into the core is full when an attempt fails after its bytes were sent; the event waits.
+// The caller hangs up, and that event overtakes the other. The call may have run: its key must stay
+// spent, or the next call with it would pay out a second time.
+#[test]
+fn caller_gone_overtakes_failed_attempt() {
+    let mut world = RouterWorld::new(1, 100_000);
+    set_all(&mut world, TargetScript::Silent);
+    let mut arrival = world.arrival(0, notify());
+    arrival.repeatable = Some(false);
+    arrival.idempotency = Some("payout-9".into());
+    let call = world.call(0, arrival.clone());
+    let attempt = world.dispatched.last().expect("an attempt").clone();
+    let last_attempt = Some(attempt.clone());
+    world.send(
+        0,
+        CoreEvent::Call(CallEvent::CallerGone { call, last_attempt }),
+    );
+    let failure = AttemptFailure::ConnectionLost;
+    world.send(
+        0,
+        CoreEvent::Call(CallEvent::AttemptFailed { attempt, failure }),
+    );
+    world.run(5_000);
+    assert_eq!(world.routers[0].open_calls(), 0);
+    set_all(&mut world, TargetScript::Answer);
+    arrival.call.number = 1_000;
+    let again = world.call(0, arrival);
+    assert!(world.refused.contains_key(&again));
+    assert_eq!(world.dispatched.len(), 1);
+}
--- a/crates/beechsaddle/src/calls/call_guard.rs
+++ b/crates/beechsaddle/src/calls/call_guard.rs
@@ -27,6 +27,7 @@
     state: Arc<EdgeState>,
     call: CallId,
     stage: GuardState,
+    last_attempt: Option<AttemptId>,
     usage: TokenUsage,
 }
 
@@ -37,6 +38,7 @@
             state,
             call,
             stage: GuardState::Settled,
+            last_attempt: None,
             usage: TokenUsage::default(),
         }
     }
@@ -58,6 +60,7 @@
 
     /// An attempt is running.
     pub(crate) fn start_attempt(&mut self, attempt: AttemptId) {
+        self.last_attempt = Some(attempt.clone());
         self.stage = GuardState::Trying(attempt);
     }
 
@@ -112,7 +115,9 @@
             GuardState::Settled => {}
             GuardState::Waiting => {
                 let call = self.call.clone();
-                self.state.ring.raise_call(CallEvent::CallerGone { call });
+                let last_attempt = self.last_attempt.take();
+                let gone = CallEvent::CallerGone { call, last_attempt };
+                self.state.ring.raise_call(gone);
             }
             GuardState::Trying(_) => self.end_answer(AnswerEnd::CallerGone),
         }
--- a/crates/beechsaddle/src/calls/event_ring.rs
+++ b/crates/beechsaddle/src/calls/event_ring.rs
@@ -45,8 +45,9 @@
     /// Raises an event that must not be lost, such as the end of an answer.
     ///
     /// Without it a call whose end is dropped would hold its reservation for ever. When the ring
-    /// is full a task tries again until there is room; a call has at most one such event on its
-    /// way, so that these tasks are bounded by the open calls.
+    /// is full a task tries again until there is room; a call has at most two such events on its
+    /// way, a failed attempt and the caller's hang-up, so that these tasks are bounded by the open
+    /// calls. The two may change places.
     pub(crate) fn raise(&self, event: impl Into<CoreEvent>) {
         let event = match self.sender.try_send(event.into()) {
             Ok(()) | Err(TrySendError::Disconnected(_)) => return,
--- a/crates/beechsaddle/tests/calls_limits.rs
+++ b/crates/beechsaddle/tests/calls_limits.rs
@@ -148,7 +148,10 @@
     first.hang_up();
     core.await_no_calls();
     let call = core.next_arrival().call;
-    let gone = CallEvent::CallerGone { call };
+    let gone = CallEvent::CallerGone {
+        call,
+        last_attempt: None,
+    };
     assert_eq!(core.next_event(), gone);
 }
 
--- a/crates/beechsaddle/tests/calls_streams.rs
+++ b/crates/beechsaddle/tests/calls_streams.rs
@@ -314,7 +314,10 @@
     caller.hang_up();
     assert_eq!(
         core.next_event(),
-        CallEvent::CallerGone { call: call.clone() }
+        CallEvent::CallerGone {
+            call: call.clone(),
+            last_attempt: None
+        }
     );
     core.act(dispatch(&call, 0, target.address));
     core.expect_silence(Duration::from_millis(100));
