Mend what a reading of the edges found

Ruled out: a default deadline in place of the dead key: it would be sent on to every target. Before: write_unavailable_for_centuries: Throttled; stream_goes_on_after_usage: no end came in 4 s. After: both green. The clock, the dead edge, the queued calls and the earlier listing have no test of their own. Conclusion: waits from outside are at most a minute, and one clock serves the process.

--- a/crates/beechsaddle-core/src/money/desk_entry.rs
+++ b/crates/beechsaddle-core/src/money/desk_entry.rs
@@ -264,8 +264,8 @@
         turn.send(from, PeerMessage::CallUnknown { call, journal });
     }
 
-    /// Whether every call that this router took is over.
-    pub(super) fn has_entries(&self) -> bool {
+    /// Whether a call that this router took has run and its bill is not known to be durable.
+    pub(super) fn has_unbilled_calls(&self) -> bool {
         self.entries.values().any(|entry| {
             matches!(entry.stage, EntryStage::Running | EntryStage::Ended) && entry.ran
         })
--- a/crates/beechsaddle-core/src/money/desk_journal.rs
+++ b/crates/beechsaddle-core/src/money/desk_journal.rs
@@ -284,7 +284,7 @@
         if self.drain == DrainState::Ending {
             let is_open = self.open.values().any(|open| open.provisional.is_none());
             let is_late = !self.late.is_empty() || !self.ready_finals().is_empty();
-            if is_open || is_late || self.has_entries() || !self.writer.is_idle() {
+            if is_open || is_late || self.has_unbilled_calls() || !self.writer.is_idle() {
                 return;
             }
             let has_written = self.writer.next_number() > 0 || !self.news.is_empty();
--- a/crates/beechsaddle-core/src/orders/order_desk.rs
+++ b/crates/beechsaddle-core/src/orders/order_desk.rs
@@ -93,12 +93,8 @@
     pub fn retain_targets(&mut self, listed: &BTreeSet<TargetName>) {
         self.targets.retain(|target, _| listed.contains(target));
         self.wanted.retain(|target, _| listed.contains(target));
-    }
-
-    /// Forgets a target that is no longer listed.
-    pub fn remove_target(&mut self, target: &TargetName) {
-        self.targets.remove(target);
-        self.wanted.remove(target);
+        // A reply to a call about an earlier listing must not be taken for one about the next.
+        self.tickets.retain(|_, target| listed.contains(target));
     }
 
     /// Takes in the outcome of an order.
--- a/crates/beechsaddle-lab/src/measure/domain_bytes.rs
+++ b/crates/beechsaddle-lab/src/measure/domain_bytes.rs
@@ -68,6 +68,7 @@
     ];
     for (unit, points) in fits {
         let fit = SlopeFit::of(&points).map(|fit| fit.pairs(unit, "router"));
+        lines.extend(fit.map(|fit| fit.to_string()));
     }
     lines
 }
--- a/crates/beechsaddle/src/calls/edge_state.rs
+++ b/crates/beechsaddle/src/calls/edge_state.rs
@@ -1,7 +1,6 @@
 //! The `edge_state` module provides what all parts of the edge share.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use beechsaddle_core::call::CallEvent;
 use beechsaddle_core::prelude::*;
@@ -16,6 +15,7 @@
 use super::event_ring::EventRing;
 use super::query_table::QueryTable;
 use super::target_client::TargetClient;
+use crate::router::ClockSource;
 
 /// What all parts of the edge share.
 pub(crate) struct EdgeState {
@@ -35,7 +35,7 @@
     pub(crate) body_memory: BodyMemory,
     /// How far shutting down has come.
     pub(crate) phase: watch::Sender<EdgePhase>,
-    /// Whether the balancer may send calls here, as told by the maintainer of the process.
+    /// Whether the balancer may send calls here, as told by the core's thread.
     pub(crate) serving: AtomicBool,
     /// Open connections of callers and operators.
     pub(crate) connections: AtomicUsize,
@@ -71,10 +71,7 @@
     }
 }
 
-/// The host's clock.
+/// The time that the core goes by.
 pub(crate) fn system_time() -> ClockTime {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    ClockTime::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    ClockSource::of_process().now()
 }
--- a/crates/beechsaddle/src/calls/event_scanner.rs
+++ b/crates/beechsaddle/src/calls/event_scanner.rs
@@ -95,7 +95,8 @@
         if !self.is_done {
             self.carry.extend_from_slice(&part[start..]);
         }
-        match self.carry.len() > EVENT_BYTES {
+        // What follows an early event of usage is held back; it must not grow with the answer.
+        match self.carry.len().max(self.tail.len()) > EVENT_BYTES {
             true => Err(EventTooLong),
             false => Ok(part.slice(..relay_end)),
         }
--- a/crates/beechsaddle/src/calls/probe.rs
+++ b/crates/beechsaddle/src/calls/probe.rs
@@ -26,6 +26,10 @@
 const PROBE_BYTES: usize = 1_024 * 1_024;
 /// When a throttled order comes back if the target did not say, in milliseconds.
 const THROTTLE_MS: u64 = 1_000;
+
+/// The longest time that an engine may ask to stay away, in milliseconds. One broken answer would
+/// otherwise stop all loads that this router orders, for ever.
+const LONGEST_THROTTLE_MS: u64 = 60_000;
 /// Milliseconds after which to come back.
 const RETRY_AFTER_MS: &str = "retry-after-ms";
 
@@ -161,6 +165,7 @@
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.trim().parse().ok())
         .unwrap_or(THROTTLE_MS)
+        .min(LONGEST_THROTTLE_MS)
 }
 
 fn get_request(path: &str) -> Request<Body> {
--- a/crates/beechsaddle/src/platform/answer_reader.rs
+++ b/crates/beechsaddle/src/platform/answer_reader.rs
@@ -11,6 +11,10 @@
 /// Says when a throttled call may come back, in milliseconds.
 const RETRY_HEADER: &str = "retry-after-ms";
 
+/// The longest time that the platform may ask to stay away, in milliseconds. One broken answer would
+/// otherwise stop the journal or a ledger shard for ever.
+const LONGEST_THROTTLE_MS: u64 = 60_000;
+
 /// What is used of an answer's head.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerHead {
@@ -107,7 +111,9 @@
 
     fn read_throttle(&self) -> PlatformReply {
         match self.head.retry_after_ms {
-            Some(retry_after_ms) => PlatformReply::Throttled { retry_after_ms },
+            Some(retry_after_ms) => PlatformReply::Throttled {
+                retry_after_ms: retry_after_ms.min(LONGEST_THROTTLE_MS),
+            },
             // Only the platform itself sends the header, before anything takes effect.
             None => PlatformReply::Unknown,
         }
--- a/crates/beechsaddle/src/router/clock_source.rs
+++ b/crates/beechsaddle/src/router/clock_source.rs
@@ -1,5 +1,6 @@
 //! The `clock_source` module provides the time that the core is told.
 
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use beechsaddle_core::prelude::*;
@@ -15,8 +16,15 @@
 }
 
 impl ClockSource {
+    /// The clock of this process. The edge makes deadlines that the core compares with its own time;
+    /// on two clocks every call would be refused as late after the wall clock was stepped back.
+    pub fn of_process() -> Self {
+        static CLOCK: OnceLock<ClockSource> = OnceLock::new();
+        *CLOCK.get_or_init(ClockSource::start)
+    }
+
     /// Reads the wall clock once.
-    pub fn start() -> Self {
+    fn start() -> Self {
         let since_epoch = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or(Duration::ZERO);
--- a/crates/beechsaddle/src/router/core_loop.rs
+++ b/crates/beechsaddle/src/router/core_loop.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, select_biased};
+use eyre::{Result, WrapErr};
 
 use beechsaddle_core::event::TICK_MS;
 use beechsaddle_core::prelude::*;
@@ -64,33 +65,41 @@
     }
 
     /// Feeds events until the core asks to exit.
-    pub fn run(mut self, sources: &EventSources) -> EdgeHandles {
+    ///
+    /// # Errors
+    ///
+    /// When the thread of an edge has ended: without its edges the core can end no call.
+    pub fn run(mut self, sources: &EventSources) -> Result<EdgeHandles> {
         let mut exits = self.step(CoreEvent::Started);
         while !exits {
-            let event = self.next_event(sources);
+            let event = self.next_event(sources)?;
             exits = self.step(event);
         }
-        self.edges
+        // Calls that came while the core decided to exit get their refusal now.
+        while let Ok(event) = sources.calls.try_recv() {
+            self.step(event);
+        }
+        Ok(self.edges)
     }
 
     /// The next event: a due tick first, so that a flood cannot hold back timeouts, then control,
     /// the platform and peers, whose events end calls, and last the calls edge.
-    fn next_event(&mut self, sources: &EventSources) -> CoreEvent {
+    fn next_event(&mut self, sources: &EventSources) -> Result<CoreEvent> {
         if let Some(event) = self.refused.pop_front() {
-            return event;
+            return Ok(event);
         }
         let now = Instant::now();
         if now >= self.next_tick {
             self.next_tick = now + Duration::from_millis(TICK_MS);
-            return CoreEvent::Tick;
+            return Ok(CoreEvent::Tick);
         }
         let wait = self.next_tick - now;
         select_biased! {
-            recv(sources.control) -> event => event.unwrap_or(CoreEvent::Tick),
-            recv(sources.platform) -> event => event.unwrap_or(CoreEvent::Tick),
-            recv(sources.peers) -> event => event.unwrap_or(CoreEvent::Tick),
-            recv(sources.calls) -> event => event.unwrap_or(CoreEvent::Tick),
-            default(wait) => CoreEvent::Tick,
+            recv(sources.control) -> event => event.wrap_err("the ring of the edge `control` has ended"),
+            recv(sources.platform) -> event => event.wrap_err("the ring of the edge `platform` has ended"),
+            recv(sources.peers) -> event => event.wrap_err("the ring of the edge `peers` has ended"),
+            recv(sources.calls) -> event => event.wrap_err("the ring of the edge `calls` has ended"),
+            default(wait) => Ok(CoreEvent::Tick),
         }
     }
 
--- a/crates/beechsaddle/src/router/process.rs
+++ b/crates/beechsaddle/src/router/process.rs
@@ -25,7 +25,7 @@
 ///
 /// When an address is taken, a thread cannot be started, or the core's thread panicked.
 pub fn run(settings: &RouterSettings) -> Result<()> {
-    let clock = ClockSource::start();
+    let clock = ClockSource::of_process();
     let me = RouterIncarnation::new(settings.host.clone(), clock.now().as_millis());
     let setup = RouterSetup::new(settings, me.clone());
     let rings = CoreRings::new();
@@ -64,7 +64,7 @@
     // Without its core the process can end no call; it must not linger and look alive.
     let edges = thread
         .join()
-        .map_err(|_| eyre!("the core's thread panicked"))?;
+        .map_err(|_| eyre!("the core's thread panicked"))??;
     let EdgeHandles {
         calls,
         platform,
--- a/crates/beechsaddle/src/settings/limit_settings.rs
+++ b/crates/beechsaddle/src/settings/limit_settings.rs
@@ -21,8 +21,6 @@
     pub connections: u64,
     /// The most calls at a time.
     pub calls: u64,
-    /// The deadline of a call whose caller names none.
-    pub call_timeout_ms: u64,
     /// How long a graceful shutdown waits for open calls.
     pub drain_ms: u64,
 }
@@ -38,7 +36,6 @@
             write_timeout_ms: 60_000,
             connections: 4_096,
             calls: 2_048,
-            call_timeout_ms: 600_000,
             drain_ms: 900_000,
         }
     }
@@ -92,12 +89,6 @@
                 findings,
             ),
             calls: reader.read_u64_or("calls", default.calls, 1..=1_000_000, findings),
-            call_timeout_ms: read_span(
-                reader,
-                "call_timeout_ms",
-                default.call_timeout_ms,
-                findings,
-            ),
             drain_ms: read_span(reader, "drain_ms", default.drain_ms, findings),
         };
         reader.finish(findings);
--- a/crates/beechsaddle/tests/calls_streams.rs
+++ b/crates/beechsaddle/tests/calls_streams.rs
@@ -389,3 +389,26 @@
         std::thread::sleep(Duration::from_millis(2));
     }
 }
+
+#[test]
+fn stream_goes_on_after_usage() {
+    // The caller asked for the usage; the engine reports it early and then sends on without end.
+    // What follows the usage is held back until the answer is done; it must not fill the router's
+    // memory.
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        connection.start_chunked("text/event-stream");
+        connection.chunk(&token_event("a"));
+        let usage = "{\"prompt_tokens\":5,\"completion_tokens\":1}";
+        connection.chunk(&format!("data: {{\"choices\":[],\"usage\":{usage}}}\n\n"));
+        while connection.chunk(&token_event(&"x".repeat(8_192))) {}
+    });
+    let body = "{\"model\":\"m1\",\"stream\":true,\"stream_options\":{\"include_usage\":true},\
+                \"max_tokens\":9,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
+    let core = FakeCore::start();
+    let mut caller = RawCaller::send(core.address(), chat_head("", body.len()) + body);
+    core.dispatch_next(target.address);
+    core.next_start();
+    assert_eq!(core.next_end().0, AnswerEnd::Truncated);
+    assert_eq!(caller.read_end().1, RawEnd::Reset);
+}
--- a/crates/beechsaddle/tests/platform_outcomes.rs
+++ b/crates/beechsaddle/tests/platform_outcomes.rs
@@ -234,3 +234,16 @@
     let reply = client.write("a/1", layout(1), WriteGuard::Absent).await;
     assert_eq!(reply, PlatformReply::Throttled { retry_after_ms: 40 });
 }
+
+// A broken platform asks to stay away for centuries. Taken at its word, the journal would never be
+// written again; the answer is taken for a minute.
+#[tokio::test]
+async fn write_unavailable_for_centuries() {
+    let server = server();
+    let client = client(&options(&server));
+    let retry_after_ms = u64::MAX / 2;
+    server.set_faults(faults(PlatformFault::Unavailable { retry_after_ms }));
+    let reply = client.write("a/1", layout(1), WriteGuard::Absent).await;
+    let retry_after_ms = 60_000;
+    assert_eq!(reply, PlatformReply::Throttled { retry_after_ms });
+}
