Hold two tests to what their comments say

Ruled out: an earlier write only for the test: the holder may spend no further than its mark, so when it finds the fence does not matter to any budget. Before: nothing checked either. Conclusion: the comment of cut_and_freeze now says when.

--- a/crates/beechsaddle-core/tests/money_sessions.rs
+++ b/crates/beechsaddle-core/tests/money_sessions.rs
@@ -255,8 +255,9 @@
 }
 
 /// A domain is cut off, and the holder in it is frozen; its domain calls it gone, but cannot reach
-/// the platform to fence it. The other domain goes on. After healing, the holder resumes in the
-/// middle of being fenced, and what it reserved before is billed late.
+/// the platform to fence it. The other domain goes on. After healing, the holder resumes while it is
+/// being fenced. It spends no further than its last mark, finds the fence when it next writes its
+/// journal, and what it reserved before is billed late.
 #[test]
 fn cut_and_freeze() {
     let mut world = world_of(&["d1", "d2", "d2"], 4_000);
@@ -280,6 +281,11 @@
     world.set_liveness(holder, MemberLiveness::Live);
     let account = close(&mut world);
     assert_eq!((account.settled, account.bills), (110, 2));
+    let finds = world
+        .log
+        .iter()
+        .filter(|line| line.contains("own_journal_fenced"));
+    assert_eq!(finds.count(), 1, "the resumed holder finds its fence");
     world.check_golden("cut_and_freeze");
 }
 
--- a/crates/beechsaddle-lab/tests/process_pauses.rs
+++ b/crates/beechsaddle-lab/tests/process_pauses.rs
@@ -40,7 +40,12 @@
     fleet.process(&hosts[0]).unwrap().freeze().unwrap();
     tokio::time::sleep(Duration::from_millis(1500)).await;
     fleet.process(&hosts[0]).unwrap().thaw().unwrap();
-    stream.read_all().await;
+    let is_whole = stream.read_all().await;
+    assert_eq!(
+        is_whole,
+        stream.has_ended(),
+        "an answer with an end is not whole"
+    );
     check_bills(&fleet, 2).await;
 }
 
--- a/crates/beechsaddle-lab/tests/process_support/mod.rs
+++ b/crates/beechsaddle-lab/tests/process_support/mod.rs
@@ -126,6 +126,11 @@
         self.done && ChatProof::read(&self.content).is_some()
     }
 
+    /// Whether the end of the answer was read.
+    pub fn has_ended(&self) -> bool {
+        self.done
+    }
+
     fn take(&mut self, line: &str) {
         if line == "[DONE]" {
             self.done = true;
