--- /dev/null
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -0,0 +1,35 @@
+//! The `gateway` module provides the decisions of a router that serves routes: which rule a call
+//! falls under, which target it goes to, how often it is tried, and what it may spend.
+//!
+//! Nothing here does input or output. Each type takes the time and what an edge saw, and answers
+//! with a decision and the facts that led to it, so that tests replay any order of events.
+
+mod budget_ledger;
+mod caller_limits;
+mod demand_rate;
+mod gateway_config;
+mod outlier_score;
+mod prompt_shape;
+mod repeat_rule;
+mod retry_share;
+mod route_rule;
+mod target_chooser;
+mod target_gauge;
+mod target_record;
+mod target_roster;
+mod token_escrow;
+
+pub use budget_ledger::{BudgetLedger, LedgerChange};
+pub use caller_limits::CallerLimits;
+pub use demand_rate::DemandRate;
+pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
+pub use outlier_score::OutlierScore;
+pub use prompt_shape::{PromptPart, PromptShape, TokenBound};
+pub use repeat_rule::{AttemptEnd, AttemptHistory};
+pub use retry_share::{RetryShare, RetryShareOptions};
+pub use route_rule::{RouteKind, RouteRule, WeightedService};
+pub use target_chooser::{ChoiceInput, TargetChoice, choose_target};
+pub use target_gauge::{AttemptLoad, TargetGauge};
+pub use target_record::{TargetPhase, TargetRecord};
+pub use target_roster::{RosterChange, TargetRoster};
+pub use token_escrow::{EscrowOptions, EscrowPlan, ReserveOutcome, TokenEscrow};
--- /dev/null
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -0,0 +1,177 @@
+//! The `target_chooser` module provides the choice of a target for one attempt.
+
+use super::target_roster::RosterEntry;
+use super::{AttemptLoad, PromptShape, TargetRoster};
+use crate::clock::ClockTime;
+use crate::hash::rendezvous_weight;
+use crate::names::{DomainName, ServiceName, TargetName};
+
+/// How much an own pending token counts. Other routers of the domain place by the same rule, so
+/// that a target which is loaded here is loaded by them as well.
+const PENDING_WEIGHT: f64 = 2.0;
+
+/// What a target of another domain costs more, in tokens: about 80 ms of reading at an engine.
+const FOREIGN_TOKENS: f64 = 6_000.0;
+
+/// What an attempt in flight costs, in tokens: each running request slows all others of a batch.
+const ACTIVE_TOKENS: f64 = 150.0;
+
+/// Tokens that an engine reads in a millisecond, used to weigh waiting against reading. Only the
+/// order of magnitude matters.
+const TOKENS_PER_MS: f64 = 50.0;
+
+/// What a plain target of another domain costs more, in milliseconds of waiting.
+const FOREIGN_MS: f64 = 6.0;
+
+/// The wait that is assumed of a plain target without samples, in milliseconds.
+const UNKNOWN_SPEED_MS: f64 = 20.0;
+
+/// A share of failures that ordinary errors of a service explain.
+const USUAL_FAILURES: f64 = 0.2;
+
+/// How strongly failures beyond that count against a target.
+const FAILURE_WEIGHT: f64 = 12.0;
+
+/// What is asked of a choice.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceInput<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Whether its targets are engines.
+    pub is_engine: bool,
+    /// The router's own domain.
+    pub domain: &'a DomainName,
+    /// The prompt; empty for plain requests.
+    pub prompt: &'a PromptShape,
+    /// Spreads plain requests.
+    pub request_id: &'a str,
+    /// Targets that were tried before.
+    pub tried: &'a [TargetName],
+}
+
+/// A chosen target and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetChoice {
+    /// The target.
+    pub target: TargetName,
+    /// Its cost, the lowest of all.
+    pub cost: f64,
+    /// What the attempt puts on it.
+    pub load: AttemptLoad,
+    /// Whether it is the place of the prompt's shared parts in its domain.
+    pub is_home: bool,
+    /// How many targets were compared.
+    pub candidates: usize,
+}
+
+/// Chooses a target.
+///
+/// Requests that share the leading parts of their prompts meet at the same engine, which keeps
+/// those parts in memory: each domain has one engine for each shared part, by rendezvous hashing, so
+/// that all routers agree without talking. Another engine is taken when the wait there, with all
+/// parts to be read again, is expected to be shorter.
+pub fn choose_target(
+    roster: &TargetRoster,
+    now: ClockTime,
+    input: ChoiceInput<'_>,
+) -> Option<TargetChoice> {
+    let untried: Vec<_> = roster
+        .ready(input.service)
+        .filter(|entry| !input.tried.contains(&entry.record.name))
+        .collect();
+    let mut candidates: Vec<_> = untried
+        .iter()
+        .copied()
+        .filter(|entry| !entry.gauge.is_ejected(now))
+        .collect();
+    // Ejections are guesses. When all are ejected, the guess is about the way to them, and a try
+    // is better than a refusal.
+    if candidates.is_empty() {
+        candidates = untried;
+    }
+    let fastest = fastest_ms(&candidates, now);
+    candidates
+        .iter()
+        .map(|entry| weigh(entry, &candidates, now, &input, fastest))
+        .min_by(|left, right| left.cost.total_cmp(&right.cost))
+}
+
+/// The shortest recent wait among targets, in milliseconds.
+fn fastest_ms(candidates: &[&RosterEntry], now: ClockTime) -> f64 {
+    candidates
+        .iter()
+        .filter_map(|entry| entry.gauge.speed_ms(now))
+        .fold(f64::INFINITY, f64::min)
+}
+
+fn weigh(
+    entry: &RosterEntry,
+    candidates: &[&RosterEntry],
+    now: ClockTime,
+    input: &ChoiceInput<'_>,
+    fastest: f64,
+) -> TargetChoice {
+    let is_home = is_home(entry, candidates, input);
+    let is_foreign = entry.record.domain != *input.domain;
+    let failures = (entry.gauge.failure_share(now) - USUAL_FAILURES).max(0.0);
+    let load = match is_home {
+        true => input.prompt.own_tokens(),
+        false => input.prompt.own_tokens() + input.prompt.shared_tokens(),
+    };
+    let waiting = match input.is_engine {
+        true => engine_cost(entry, now, load, is_foreign, fastest),
+        false => plain_cost(entry, now, is_foreign),
+    };
+    let spread = rendezvous_weight(input.request_id, entry.record.name.as_str()) as f64;
+    let cost = waiting * (1.0 + FAILURE_WEIGHT * failures)
+        + spread / u64::MAX as f64
+        + entry.record.cold_ms as f64 * 0.1;
+    TargetChoice {
+        target: entry.record.name.clone(),
+        cost,
+        load: AttemptLoad {
+            prefill_tokens: load,
+        },
+        is_home,
+        candidates: candidates.len(),
+    }
+}
+
+/// The cost of an engine, in tokens to be read before the first event.
+fn engine_cost(
+    entry: &RosterEntry,
+    now: ClockTime,
+    load: u64,
+    is_foreign: bool,
+    fastest: f64,
+) -> f64 {
+    let gauge = &entry.gauge;
+    let pending = gauge.pending_tokens as f64 * PENDING_WEIGHT;
+    let active = gauge.active as f64 * ACTIVE_TOKENS;
+    let foreign = if is_foreign { FOREIGN_TOKENS } else { 0.0 };
+    let lag = gauge
+        .speed_ms(now)
+        .map_or(0.0, |speed| (speed - fastest).max(0.0) * TOKENS_PER_MS);
+    pending + active + foreign + lag + load as f64
+}
+
+/// The cost of a plain target, in milliseconds of waiting.
+fn plain_cost(entry: &RosterEntry, now: ClockTime, is_foreign: bool) -> f64 {
+    let speed = entry.gauge.speed_ms(now).unwrap_or(UNKNOWN_SPEED_MS);
+    let foreign = if is_foreign { FOREIGN_MS } else { 0.0 };
+    let slots = entry.record.slots.max(1) as f64;
+    let busy = entry.gauge.active as f64 * PENDING_WEIGHT;
+    speed * (1.0 + busy / slots) + foreign
+}
+
+/// Whether a target is the place of the prompt's shared parts among those of its domain.
+fn is_home(entry: &RosterEntry, candidates: &[&RosterEntry], input: &ChoiceInput<'_>) -> bool {
+    let Some(shared) = input.prompt.shared_id() else {
+        return false;
+    };
+    let own = rendezvous_weight(shared, entry.record.name.as_str());
+    candidates
+        .iter()
+        .filter(|other| other.record.domain == entry.record.domain)
+        .all(|other| rendezvous_weight(shared, other.record.name.as_str()) <= own)
+}
--- /dev/null
+++ b/crates/beechsaddle-core/src/gateway/target_record.rs
@@ -0,0 +1,33 @@
+//! The `target_record` module provides what discovery tells of a target.
+
+use std::net::SocketAddr;
+
+use crate::names::{DomainName, ServiceName, TargetName};
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetPhase {
+    /// It takes new work.
+    Ready,
+    /// It is about to leave and gets no new work.
+    Draining,
+}
+
+/// One incarnation of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRecord {
+    /// The id of the incarnation; a restart has another.
+    pub name: TargetName,
+    /// The service that it offers.
+    pub service: ServiceName,
+    /// Where it listens. Another target may get the address later.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// How many requests it works on at a time.
+    pub slots: u64,
+    /// Whether it takes new work.
+    pub phase: TargetPhase,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u64,
+}
--- /dev/null
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -0,0 +1,382 @@
+//! The `token_escrow` module provides the tokens that this router may spend for workspaces.
+
+use std::collections::BTreeMap;
+
+use super::{BudgetLedger, DemandRate, GatewayConfig, LedgerChange};
+use crate::clock::ClockTime;
+use crate::names::WorkspaceName;
+
+/// How fast demand is forgotten, in milliseconds.
+const DEMAND_HALF_LIFE_MS: u64 = 5_000;
+
+/// How the escrow trades tokens held idle against serving while the ledger cannot be written.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EscrowOptions {
+    /// Seconds of demand that are held in advance: an outage of this length refuses nobody, and a
+    /// kill loses as much.
+    pub hold_s: f64,
+    /// The part of the prepaid total below which nothing is held in advance.
+    pub scarce_part: f64,
+    /// How long the fleet has to give back what it holds once a total is scarce, in milliseconds.
+    /// Before that, a request that does not fit may fit in a moment.
+    pub give_back_ms: u64,
+}
+
+impl Default for EscrowOptions {
+    fn default() -> Self {
+        EscrowOptions {
+            hold_s: 4.0,
+            scarce_part: 0.15,
+            give_back_ms: 2_500,
+        }
+    }
+}
+
+/// What came of an attempt to reserve tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReserveOutcome {
+    /// The tokens are reserved.
+    Reserved,
+    /// The router holds too little, and the ledger has to be asked.
+    Short,
+    /// The fleet's remainder does not cover the request.
+    Exhausted,
+}
+
+/// What the ledger should be asked for next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EscrowPlan {
+    /// The change.
+    pub change: LedgerChange,
+    /// Whether requests wait for it.
+    pub is_urgent: bool,
+}
+
+#[derive(Clone, Debug)]
+struct EscrowAccount {
+    prepaid: Option<u64>,
+    free: u64,
+    reserved: u64,
+    awaited: u64,
+    largest: DemandPeak,
+    demand: DemandRate,
+    scarce_since: Option<ClockTime>,
+}
+
+/// The largest recent request.
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandPeak {
+    tokens: u64,
+    noted_at: ClockTime,
+}
+
+/// The tokens that this router took from the ledger, and what of them is promised to requests.
+#[derive(Clone, Debug)]
+pub struct TokenEscrow {
+    options: EscrowOptions,
+    router: String,
+    routers: u64,
+    accounts: BTreeMap<WorkspaceName, EscrowAccount>,
+    ledger: Option<BudgetLedger>,
+    pending: Option<LedgerChange>,
+    changes: u64,
+    is_closing: bool,
+}
+
+impl TokenEscrow {
+    /// An escrow that holds nothing; `router` is the incarnation that marks its changes.
+    pub fn new(options: EscrowOptions, router: impl Into<String>) -> Self {
+        TokenEscrow {
+            options,
+            router: router.into(),
+            routers: 1,
+            accounts: BTreeMap::new(),
+            ledger: None,
+            pending: None,
+            changes: 0,
+            is_closing: false,
+        }
+    }
+
+    /// Takes over the totals of a configuration.
+    pub fn set_config(&mut self, now: ClockTime, config: &GatewayConfig) {
+        for rule in config.workspaces() {
+            let account = self
+                .accounts
+                .entry(rule.name.clone())
+                .or_insert_with(|| EscrowAccount::new(now));
+            if account.prepaid != rule.prepaid {
+                account.prepaid = rule.prepaid;
+                account.scarce_since = None;
+            }
+        }
+        self.note_scarcity(now);
+    }
+
+    /// Takes over how many routers share the totals.
+    pub fn set_routers(&mut self, routers: u64) {
+        self.routers = routers.max(1);
+    }
+
+    /// Has everything that is not promised given back, and nothing taken any more.
+    pub fn close(&mut self) {
+        self.is_closing = true;
+    }
+
+    /// Takes over the ledger as it was read or written.
+    pub fn set_ledger(&mut self, now: ClockTime, ledger: BudgetLedger) {
+        self.ledger = Some(ledger);
+        self.note_scarcity(now);
+    }
+
+    /// The ledger as it was last seen.
+    pub fn ledger(&self) -> Option<&BudgetLedger> {
+        self.ledger.as_ref()
+    }
+
+    /// The number of the change whose outcome is not known yet.
+    pub fn pending_number(&self) -> Option<u64> {
+        self.pending.as_ref().map(|change| change.number)
+    }
+
+    /// The incarnation that marks this router's changes.
+    pub fn router(&self) -> &str {
+        &self.router
+    }
+
+    /// Reserves the most that a request may use.
+    pub fn try_reserve(
+        &mut self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        tokens: u64,
+    ) -> ReserveOutcome {
+        let left = self.left_of(workspace);
+        let give_back_ms = self.options.give_back_ms;
+        let account = self
+            .accounts
+            .entry(workspace.clone())
+            .or_insert_with(|| EscrowAccount::new(now));
+        if account.prepaid.is_none() {
+            return ReserveOutcome::Reserved;
+        }
+        if account.free >= tokens {
+            account.free -= tokens;
+            account.reserved += tokens;
+            account.note_demand(now, tokens);
+            return ReserveOutcome::Reserved;
+        }
+        let Some(left) = left else {
+            return ReserveOutcome::Short;
+        };
+        let is_settled = account
+            .scarce_since
+            .is_some_and(|since| now.since(since) >= give_back_ms);
+        if is_settled && left.saturating_add(account.free) < tokens {
+            return ReserveOutcome::Exhausted;
+        }
+        ReserveOutcome::Short
+    }
+
+    /// A request waits for `tokens`.
+    pub fn begin_wait(&mut self, now: ClockTime, workspace: &WorkspaceName, tokens: u64) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.awaited += tokens;
+            account.note_peak(now, tokens);
+        }
+    }
+
+    /// The request waits no more.
+    pub fn end_wait(&mut self, workspace: &WorkspaceName, tokens: u64) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.awaited = account.awaited.saturating_sub(tokens);
+        }
+    }
+
+    /// Ends a reservation; `used` of its tokens are spent.
+    pub fn settle(&mut self, workspace: &WorkspaceName, reserved: u64, used: u64) {
+        let Some(account) = self.accounts.get_mut(workspace) else {
+            return;
+        };
+        if account.prepaid.is_none() {
+            return;
+        }
+        account.reserved = account.reserved.saturating_sub(reserved);
+        account.free += reserved.saturating_sub(used);
+    }
+
+    /// What the ledger should be asked for; the same change until its outcome is known.
+    pub fn plan(&mut self, now: ClockTime) -> Option<EscrowPlan> {
+        let is_urgent = self.accounts.values().any(EscrowAccount::is_waiting);
+        if let Some(change) = &self.pending {
+            return Some(EscrowPlan {
+                change: change.clone(),
+                is_urgent,
+            });
+        }
+        let change = self.next_change(now)?;
+        // Given back now, so that it cannot be spent while the write is on its way.
+        for (workspace, tokens) in &change.returns {
+            if let Some(account) = self.accounts.get_mut(workspace) {
+                account.free = account.free.saturating_sub(*tokens);
+            }
+        }
+        self.pending = Some(change.clone());
+        Some(EscrowPlan { change, is_urgent })
+    }
+
+    /// The pending change is in the ledger.
+    pub fn commit(&mut self, now: ClockTime, ledger: BudgetLedger) {
+        if let Some(change) = self.pending.take() {
+            for (workspace, tokens) in change.takes {
+                if let Some(account) = self.accounts.get_mut(&workspace) {
+                    account.free += tokens;
+                }
+            }
+        }
+        self.set_ledger(now, ledger);
+    }
+
+    /// The pending change is not in the ledger and never will be.
+    pub fn revert(&mut self, now: ClockTime, ledger: BudgetLedger) {
+        if let Some(change) = self.pending.take() {
+            for (workspace, tokens) in change.returns {
+                if let Some(account) = self.accounts.get_mut(&workspace) {
+                    account.free += tokens;
+                }
+            }
+        }
+        self.set_ledger(now, ledger);
+    }
+
+    /// Tokens held and not promised, of all workspaces.
+    pub fn free_tokens(&self) -> u64 {
+        self.accounts.values().map(|account| account.free).sum()
+    }
+
+    /// Tokens that nobody has taken of a workspace's total; `None` while that is not known.
+    pub fn left_of(&self, workspace: &WorkspaceName) -> Option<u64> {
+        let prepaid = self.accounts.get(workspace)?.prepaid?;
+        let taken = self.ledger.as_ref()?.taken_of(workspace);
+        Some(prepaid.saturating_sub(taken))
+    }
+
+    fn next_change(&mut self, now: ClockTime) -> Option<LedgerChange> {
+        let ledger = self.ledger.as_ref()?;
+        let mut takes = BTreeMap::new();
+        let mut returns = BTreeMap::new();
+        for (workspace, account) in &self.accounts {
+            let Some(prepaid) = account.prepaid else {
+                continue;
+            };
+            let left = prepaid.saturating_sub(ledger.taken_of(workspace));
+            let wanted = match self.is_closing {
+                true => 0,
+                false => account.wanted(now, left, self.routers, &self.options),
+            };
+            if let Some(tokens) = account.take_for(wanted, left) {
+                takes.insert(workspace.clone(), tokens);
+            } else if let Some(tokens) = account.return_for(wanted) {
+                returns.insert(workspace.clone(), tokens);
+            }
+        }
+        if takes.is_empty() && returns.is_empty() {
+            return None;
+        }
+        self.changes += 1;
+        Some(LedgerChange {
+            number: self.changes,
+            takes,
+            returns,
+        })
+    }
+
+    fn note_scarcity(&mut self, now: ClockTime) {
+        let Some(ledger) = &self.ledger else {
+            return;
+        };
+        for (workspace, account) in &mut self.accounts {
+            let Some(prepaid) = account.prepaid else {
+                continue;
+            };
+            let left = prepaid.saturating_sub(ledger.taken_of(workspace));
+            let is_scarce = (left as f64) < prepaid as f64 * self.options.scarce_part;
+            match (is_scarce, account.scarce_since) {
+                (true, None) => account.scarce_since = Some(now),
+                (false, Some(_)) => account.scarce_since = None,
+                (true, Some(_)) | (false, None) => {}
+            }
+        }
+    }
+}
+
+impl EscrowAccount {
+    fn new(now: ClockTime) -> Self {
+        EscrowAccount {
+            prepaid: None,
+            free: 0,
+            reserved: 0,
+            awaited: 0,
+            largest: DemandPeak::default(),
+            demand: DemandRate::new(DEMAND_HALF_LIFE_MS, now),
+            scarce_since: None,
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.awaited > self.free
+    }
+
+    fn note_demand(&mut self, now: ClockTime, tokens: u64) {
+        self.demand.add(now, tokens as f64);
+        self.note_peak(now, tokens);
+    }
+
+    fn note_peak(&mut self, now: ClockTime, tokens: u64) {
+        let is_old = now.since(self.largest.noted_at) > 2 * DEMAND_HALF_LIFE_MS;
+        if is_old || tokens > self.largest.tokens {
+            self.largest = DemandPeak {
+                tokens,
+                noted_at: now,
+            };
+        }
+    }
+
+    /// How many free tokens the router should hold.
+    ///
+    /// While the total is ample it holds seconds of demand, but never so much that all routers
+    /// together could hold half of what is left. Once it is scarce, tokens held idle at one router
+    /// would refuse requests at another, so each request asks for just its own.
+    fn wanted(&self, now: ClockTime, left: u64, routers: u64, options: &EscrowOptions) -> u64 {
+        if self.scarce_since.is_some() {
+            return self.awaited;
+        }
+        let demand = self.demand.per_second(now) * options.hold_s;
+        let ahead = demand as u64 + self.largest.tokens;
+        // A new router has seen no demand; this serves its first requests without a wait.
+        let least = left / (24 * routers);
+        let most = left / (2 * routers);
+        self.awaited + ahead.max(least).min(most)
+    }
+
+    /// What to take, if anything: below half of what is wanted, or where a request waits.
+    fn take_for(&self, wanted: u64, left: u64) -> Option<u64> {
+        let is_low = self.free < wanted / 2 || self.is_waiting();
+        if !is_low {
+            return None;
+        }
+        let tokens = wanted.saturating_sub(self.free).min(left);
+        (tokens > 0).then_some(tokens)
+    }
+
+    /// What to give back, if anything: beyond twice of what is wanted.
+    fn return_for(&self, wanted: u64) -> Option<u64> {
+        let tokens = self.free.saturating_sub(wanted.saturating_mul(2));
+        let tokens = match wanted {
+            0 => self.free,
+            _ if tokens > 0 => self.free - wanted,
+            _ => 0,
+        };
+        (tokens > 0).then_some(tokens)
+    }
+}
--- a/crates/beechsaddle-core/src/lib.rs
+++ b/crates/beechsaddle-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod catalogue;
 pub mod clock;
 pub mod event;
+pub mod gateway;
 pub mod hash;
 pub mod members;
 pub mod money;
--- a/crates/beechsaddle-core/src/names.rs
+++ b/crates/beechsaddle-core/src/names.rs
@@ -85,6 +85,10 @@
     /// The name of a target, one replica of a service.
     TargetName
 }
+shared_name! {
+    /// The name of a route.
+    RouteName
+}
 shared_name! {
     /// The person or team that answers for a catalogue entry.
     OwnerName
--- a/crates/beechsaddle-lab/tests/free_addresses.rs
+++ b/crates/beechsaddle-lab/tests/free_addresses.rs
@@ -22,7 +22,9 @@
     }
     // The addresses stay chosen until this process ends, as those of a fleet that is starting.
     let mut line = String::new();
-    std::io::stdin().read_line(&mut line).expect("the end of input");
+    std::io::stdin()
+        .read_line(&mut line)
+        .expect("the end of input");
 }
 
 /// A test sees a router that cannot bind its address. Each address was drawn at random, tried and
--- /dev/null
+++ b/crates/beechsaddle-link/src/http_link.rs
@@ -0,0 +1,118 @@
+//! The `http_link` module provides one connection to an HTTP server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::LinkFailure;
+
+/// How connections are made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkOptions {
+    /// How long connecting may take.
+    pub connect_timeout: Duration,
+    /// How long written bytes may stay unacknowledged. A cut drops packets without a word, and the
+    /// system by itself goes on trying for a quarter of an hour.
+    pub unacknowledged_timeout: Duration,
+    /// The largest head of an answer, in bytes.
+    pub head_bytes: usize,
+}
+
+impl Default for LinkOptions {
+    /// For servers in the same region: some hundred times the usual round trip to connect, and six
+    /// retransmissions of written bytes.
+    fn default() -> Self {
+        LinkOptions {
+            connect_timeout: Duration::from_millis(350),
+            unacknowledged_timeout: Duration::from_millis(1_500),
+            head_bytes: 65_536,
+        }
+    }
+}
+
+/// One connection. Dropping it closes it at once, whatever is under way: the server sees that the
+/// caller has gone and can stop its work.
+#[derive(Debug)]
+pub struct HttpLink {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl HttpLink {
+    /// Connects.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkFailure::Connect`] or [`LinkFailure::ConnectTimeout`].
+    pub async fn try_connect(
+        address: SocketAddr,
+        options: LinkOptions,
+    ) -> Result<HttpLink, LinkFailure> {
+        let connecting = timeout(options.connect_timeout, TcpStream::connect(address));
+        let stream = match connecting.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(LinkFailure::Connect(error)),
+            Err(_) => return Err(LinkFailure::ConnectTimeout),
+        };
+        // A request is written at once, whole; waiting to fill a packet would only delay it.
+        stream.set_nodelay(true).map_err(LinkFailure::Connect)?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(options.unacknowledged_timeout))
+            .map_err(LinkFailure::Connect)?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(options.head_bytes.max(8_192));
+        let (sender, connection) = builder
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(LinkFailure::NotSent)?;
+        let task = tokio::spawn(async move {
+            // Its error also reaches the request that is under way, which tells of it. Without one
+            // the link is found closed before it is used again.
+            let _ = connection.await;
+        });
+        Ok(HttpLink { sender, task })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkFailure::NotSent`] or [`LinkFailure::Unanswered`]; the link is of no use then.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, LinkFailure> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut failure) => {
+                let is_unsent = failure.take_message().is_some();
+                let error = failure.into_error();
+                match is_unsent {
+                    true => Err(LinkFailure::NotSent(error)),
+                    false => Err(LinkFailure::Unanswered(error)),
+                }
+            }
+        }
+    }
+
+    /// Whether a request could be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready() && !self.task.is_finished()
+    }
+}
+
+impl Drop for HttpLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/crates/beechsaddle/src/calls/mod.rs
+++ b/crates/beechsaddle/src/calls/mod.rs
@@ -46,3 +46,5 @@
 pub use calls_edge::CallsEdge;
 pub use calls_handle::CallsHandle;
 pub use calls_options::CallsOptions;
+pub(crate) use connection_mark::ConnectionMark;
+pub(crate) use guarded_stream::GuardedStream;
--- a/crates/beechsaddle/src/command/check_command.rs
+++ b/crates/beechsaddle/src/command/check_command.rs
@@ -6,6 +6,7 @@
 
 use super::ExitStatus;
 use crate::findings::FindingList;
+use crate::gateway::{GatewaySettings, is_gateway_file};
 use crate::settings::RouterSettings;
 
 /// Checks settings files and shows the findings of all.
@@ -14,7 +15,11 @@
     let mut files = 0;
     for file in matches.get_many::<PathBuf>("file").into_iter().flatten() {
         files += 1;
-        if let Err(found) = RouterSettings::try_load(file) {
+        let checked = match is_gateway_file(file) {
+            true => GatewaySettings::try_load(file).map(|_| ()),
+            false => RouterSettings::try_load(file).map(|_| ()),
+        };
+        if let Err(found) = checked {
             findings.merge(found);
         }
     }
--- a/crates/beechsaddle/src/command/router_command.rs
+++ b/crates/beechsaddle/src/command/router_command.rs
@@ -1,10 +1,11 @@
 //! The `router_command` module provides `beechsaddle router`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use clap::ArgMatches;
 
 use super::ExitStatus;
+use crate::gateway::{GatewaySettings, is_gateway_file};
 use crate::settings::RouterSettings;
 
 /// Runs a router on checked settings.
@@ -12,6 +13,10 @@
     let Some(file) = matches.get_one::<PathBuf>("config") else {
         return ExitStatus::Usage;
     };
+    // A `[gateway]` table in the settings picks the platform's dialect, `[router]` the product's own.
+    if is_gateway_file(file) {
+        return run_gateway(file);
+    }
     let settings = match RouterSettings::try_load(file) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -27,3 +32,20 @@
         }
     }
 }
+
+fn run_gateway(file: &Path) -> ExitStatus {
+    let settings = match GatewaySettings::try_load(file) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitStatus::Findings;
+        }
+    };
+    match crate::gateway::run(settings, file) {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitStatus::Failed
+        }
+    }
+}
--- a/crates/beechsaddle/src/findings/mod.rs
+++ b/crates/beechsaddle/src/findings/mod.rs
@@ -7,6 +7,7 @@
 mod source_finding;
 mod source_text;
 mod table_lists;
+mod table_numbers;
 mod table_reader;
 mod text_form;
 
--- a/crates/beechsaddle/src/findings/table_reader.rs
+++ b/crates/beechsaddle/src/findings/table_reader.rs
@@ -142,6 +142,15 @@
         }
     }
 
+    /// A number as it stands in the file, whole or with a fraction.
+    pub(super) fn read_number_text(&self, key: &str, findings: &mut FindingList) -> Option<String> {
+        match self.value(key)? {
+            DeValue::Integer(value) => Some(value.to_string()),
+            DeValue::Float(value) => Some(value.to_string()),
+            other => self.report_type(key, other, "a number", findings),
+        }
+    }
+
     /// A whole number in a range, or its default.
     pub fn read_u64_or(
         &self,
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -0,0 +1,138 @@
+//! The `attempt_guard` module provides the load of one attempt on its target.
+
+use std::rc::Rc;
+
+use beechsaddle_core::gateway::{AttemptEnd, AttemptLoad, TargetGauge, TargetRecord};
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::report::LogLevel;
+
+use super::gateway_metrics::WordLabel;
+use super::gateway_state::GatewayState;
+
+/// Prompt tokens that an engine reads in a millisecond, to tell reading from waiting.
+const READ_TOKENS_PER_MS: u64 = 50;
+
+/// One attempt as its target's gauge counts it. Dropping it takes the attempt off the target.
+pub(super) struct AttemptGuard {
+    state: Rc<GatewayState>,
+    target: TargetRecord,
+    load: AttemptLoad,
+    started_at: ClockTime,
+    has_first: bool,
+}
+
+impl AttemptGuard {
+    /// Puts an attempt on a target.
+    pub(super) fn start(state: &Rc<GatewayState>, target: TargetRecord, load: AttemptLoad) -> Self {
+        let guard = AttemptGuard {
+            state: Rc::clone(state),
+            started_at: state.now(),
+            target,
+            load,
+            has_first: false,
+        };
+        guard.change(|gauge, _| gauge.start(load));
+        guard
+    }
+
+    /// The target.
+    pub(super) fn target(&self) -> &TargetRecord {
+        &self.target
+    }
+
+    /// The first event or the whole answer has come.
+    pub(super) fn note_first(&mut self) {
+        if self.has_first {
+            return;
+        }
+        self.has_first = true;
+        let (load, started_at) = (self.load, self.started_at);
+        let reading_ms = load.prefill_tokens / READ_TOKENS_PER_MS;
+        self.change(|gauge, now| {
+            let waited_ms = now.since(started_at).saturating_sub(reading_ms);
+            gauge.note_first(now, load, waited_ms.max(1));
+        });
+    }
+
+    /// Something came from the target.
+    pub(super) fn note_progress(&self) {
+        self.change(|gauge, now| gauge.progress_at = now);
+    }
+
+    /// How long nothing came from the target for any attempt, in milliseconds.
+    pub(super) fn silence_ms(&self) -> u64 {
+        let now = self.state.now();
+        let roster = self.state.roster.borrow();
+        let progress_at = roster
+            .get(&self.target.name)
+            .map_or(self.started_at, |entry| entry.gauge.progress_at);
+        now.since(progress_at.max(self.started_at))
+    }
+
+    /// The attempt brought a usable answer.
+    pub(super) fn note_success(&self) {
+        self.change(|gauge, now| gauge.note_outcome(now, false));
+    }
+
+    /// The attempt brought no usable answer.
+    pub(super) fn note_end(&self, end: AttemptEnd) {
+        let label = WordLabel { what: end.as_str() };
+        self.state.metrics.attempt_ends.get_or_create(&label).inc();
+        let mut is_ejected = false;
+        self.change(|gauge, now| {
+            match end {
+                // A full target is no broken one.
+                AttemptEnd::NotRun => return,
+                AttemptEnd::Failed | AttemptEnd::Broken => gauge.note_outcome(now, true),
+                AttemptEnd::Unsent | AttemptEnd::Silent => {
+                    gauge.note_outcome(now, true);
+                    gauge.eject(now);
+                    is_ejected = true;
+                }
+            }
+        });
+        if is_ejected {
+            self.log_ejection(end);
+        }
+    }
+
+    /// Takes a target out of use whose address another one has.
+    pub(super) fn note_misdirected(&self) {
+        self.change(|gauge, now| gauge.eject(now));
+        self.state.pool.forget(self.target.address);
+    }
+
+    fn log_ejection(&self, end: AttemptEnd) {
+        self.state.metrics.ejections.inc();
+        self.state.pool.forget(self.target.address);
+        let fields = [
+            ("target", self.target.name.to_string()),
+            ("address", self.target.address.to_string()),
+            ("end", end.as_str().to_owned()),
+        ];
+        self.state
+            .report
+            .log(LogLevel::Warning, "target_ejected", fields);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut TargetGauge, ClockTime)) {
+        let now = self.state.now();
+        let mut roster = self.state.roster.borrow_mut();
+        // A target that left while the attempt ran has no gauge any more.
+        if let Some(gauge) = roster.gauge_mut(&self.target.name) {
+            change(gauge, now);
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        let (load, has_first) = (self.load, self.has_first);
+        self.change(|gauge, _| {
+            if !has_first {
+                gauge.forget_pending(load);
+            }
+            gauge.end();
+        });
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -0,0 +1,256 @@
+//! The `call_exchange` module provides the life of one call, from its head to its final answer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::{
+    AttemptHistory, GatewayConfig, RouteMatch, RouteRule, ServiceRule, WorkspaceRule,
+};
+use beechsaddle_platform::CallHead;
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::answer_body::AnswerBody;
+use super::call_context::{CallContext, CallRecord};
+use super::gateway_state::{GatewayPhase, GatewayState};
+use super::plain_exchange::serve_plain;
+use super::refusal::RefusalCause;
+use super::stream_exchange::serve_stream;
+use super::token_reservation::TokenReservation;
+
+/// How long a body may take, in milliseconds, where the caller's deadline leaves more.
+const BODY_MS: u64 = 10_000;
+
+/// A call that the router answers by itself.
+struct CallRefused {
+    cause: RefusalCause,
+    message: String,
+}
+
+impl CallRefused {
+    fn new(cause: RefusalCause, message: impl Into<String>) -> Self {
+        CallRefused {
+            cause,
+            message: message.into(),
+        }
+    }
+}
+
+/// What the configuration says of a call.
+struct CallPlace {
+    config: Rc<GatewayConfig>,
+    route: Arc<RouteRule>,
+    workspace: Option<Arc<WorkspaceRule>>,
+}
+
+/// Serves one call.
+pub(super) async fn serve_call(
+    state: Rc<GatewayState>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let record = CallRecord::start(&state);
+    let (parts, body) = request.into_parts();
+    let mut response = match check_head(&state, &parts, &record) {
+        Ok((head, place)) => serve_checked(&state, parts, body, head, place, record).await,
+        Err(refused) => refuse(&record, &refused),
+    };
+    // Callers go elsewhere with their next request, before the connection is closed.
+    if state.phase() >= GatewayPhase::Leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn serve_checked(
+    state: &Rc<GatewayState>,
+    parts: Parts,
+    body: Incoming,
+    head: CallHead,
+    place: CallPlace,
+    record: CallRecord,
+) -> Response<AnswerBody> {
+    match read_call(state, parts, body, head, place, record).await {
+        Ok(call) => serve_read(Rc::new(call)).await,
+        Err((record, refused)) => refuse(&record, &refused),
+    }
+}
+
+async fn serve_read(call: Rc<CallContext>) -> Response<AnswerBody> {
+    let state = &call.state;
+    state
+        .retries
+        .borrow_mut()
+        .note_request(state.now(), &call.service);
+    let reservation = match reserve(&call).await {
+        Ok(reservation) => reservation,
+        Err(cause) => {
+            call.record.refuse(cause);
+            return cause.response("the workspace's tokens do not cover the request now");
+        }
+    };
+    if call.left_ms() == 0 {
+        call.record.refuse(RefusalCause::TooLate);
+        return RefusalCause::TooLate.response("the deadline is over");
+    }
+    match call.route.kind.is_stream() {
+        true => serve_stream(call, reservation).await,
+        false => {
+            let response = serve_plain(&call).await;
+            drop(reservation);
+            response
+        }
+    }
+}
+
+async fn reserve(call: &CallContext) -> Result<Option<TokenReservation>, RefusalCause> {
+    let Some((workspace, bound)) = call.reservation_bound() else {
+        return Ok(None);
+    };
+    let started = call.state.now();
+    let reservation = TokenReservation::try_take(&call.state, workspace, bound).await;
+    let waited_ms = call.state.now().since(started);
+    call.state
+        .metrics
+        .reserve_s
+        .observe(waited_ms as f64 / 1_000.0);
+    call.record.note("tokens", bound.total());
+    call.record.note("reserve_ms", waited_ms);
+    reservation.map(Some)
+}
+
+fn check_head(
+    state: &GatewayState,
+    parts: &Parts,
+    record: &CallRecord,
+) -> Result<(CallHead, CallPlace), CallRefused> {
+    // Two lengths are how one request is hidden in another: a target may believe the other one.
+    if parts.headers.contains_key(TRANSFER_ENCODING) && parts.headers.contains_key(CONTENT_LENGTH) {
+        return Err(CallRefused::new(
+            RefusalCause::BadHead,
+            "a body has one length",
+        ));
+    }
+    let Some(config) = state.config() else {
+        return Err(CallRefused::new(
+            RefusalCause::NoConfig,
+            "no configuration is known yet",
+        ));
+    };
+    let head = CallHead::try_read(parts)
+        .map_err(|fault| CallRefused::new(RefusalCause::BadHead, fault.to_string()))?;
+    record.note("id", &head.request_id);
+    record.note("config", config.version);
+    let RouteMatch::Found(route) = config.find_route(&head.host, &head.path) else {
+        return Err(CallRefused::new(
+            RefusalCause::UnknownRoute,
+            "no route takes this host and path",
+        ));
+    };
+    record.note("route", &route.name);
+    let workspace = find_workspace(&config, &route, &head)?;
+    if let Some(rule) = &workspace {
+        record.note("workspace", &rule.name);
+    }
+    let place = CallPlace {
+        config,
+        route,
+        workspace,
+    };
+    Ok((head, place))
+}
+
+fn find_workspace(
+    config: &GatewayConfig,
+    route: &RouteRule,
+    head: &CallHead,
+) -> Result<Option<Arc<WorkspaceRule>>, CallRefused> {
+    if !config.has_workspaces || route.is_open {
+        return Ok(None);
+    }
+    let found = head.key.as_ref().and_then(|key| config.find_key(key));
+    match found {
+        Some(rule) => Ok(Some(Arc::clone(rule))),
+        None => Err(CallRefused::new(
+            RefusalCause::UnknownKey,
+            "no workspace has this key",
+        )),
+    }
+}
+
+async fn read_call(
+    state: &Rc<GatewayState>,
+    parts: Parts,
+    body: Incoming,
+    head: CallHead,
+    place: CallPlace,
+    record: CallRecord,
+) -> Result<CallContext, (CallRecord, CallRefused)> {
+    let arrived_at = record.arrived_at();
+    let body_max = place.config.limits.body_bytes;
+    let span_ms = head.deadline_ms.unwrap_or(u64::MAX);
+    let span_ms = span_ms.min(place.route.timeout_ms);
+    let body = match read_body(body, body_max, span_ms.min(BODY_MS)).await {
+        Ok(body) => body,
+        Err(refused) => return Err((record, refused)),
+    };
+    let Some(service) = place.route.service_for(&head.request_id).cloned() else {
+        let refused = CallRefused::new(RefusalCause::NoTarget, "the route has no service");
+        return Err((record, refused));
+    };
+    record.note("service", &service);
+    let plain = ServiceRule {
+        is_engine: false,
+        event_tokens: 1,
+    };
+    let rule = place.config.services.get(&service).cloned();
+    Ok(CallContext {
+        state: Rc::clone(state),
+        head,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        route: place.route,
+        service,
+        rule: rule.unwrap_or(plain),
+        workspace: place.workspace,
+        arrived_at,
+        ends_at: arrived_at.plus_ms(span_ms),
+        history: RefCell::new(AttemptHistory::default()),
+        tried: RefCell::new(Vec::new()),
+        record,
+    })
+}
+
+async fn read_body(body: Incoming, body_max: usize, span_ms: u64) -> Result<Bytes, CallRefused> {
+    let reading = Limited::new(body, body_max).collect();
+    match timeout(Duration::from_millis(span_ms), reading).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallRefused::new(
+            RefusalCause::BodyTooLarge,
+            format!("at most {body_max} bytes are taken"),
+        )),
+        Ok(Err(error)) => Err(CallRefused::new(
+            RefusalCause::BadHead,
+            format!("the body cannot be read: {error}"),
+        )),
+        Err(_) => Err(CallRefused::new(
+            RefusalCause::BodyTimeout,
+            "the body did not come in time",
+        )),
+    }
+}
+
+fn refuse(record: &CallRecord, refused: &CallRefused) -> Response<AnswerBody> {
+    record.note("why", &refused.message);
+    record.refuse(refused.cause);
+    refused.cause.response(&refused.message)
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -0,0 +1,128 @@
+//! The `gateway_metrics` module provides counters and latency histograms as operators' tools read
+//! them.
+
+use std::fmt;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use super::refusal::RefusalCause;
+
+/// The cause of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct CauseLabel {
+    pub(super) cause: RefusalCause,
+}
+
+/// A word of a closed set: the end of an attempt, the outcome of a call or of a store call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct WordLabel {
+    pub(super) what: &'static str,
+}
+
+/// Everything that is counted and measured.
+pub(super) struct GatewayMetrics {
+    registry: Registry,
+    /// Calls that arrived.
+    pub(super) calls: Counter,
+    /// The router's own final answers, by cause.
+    pub(super) refusals: Family<CauseLabel, Counter>,
+    /// Calls by outcome.
+    pub(super) outcomes: Family<WordLabel, Counter>,
+    /// Attempts that failed, by their end.
+    pub(super) attempt_ends: Family<WordLabel, Counter>,
+    /// Further attempts, by the end of the one before.
+    pub(super) repeats: Family<WordLabel, Counter>,
+    /// Further attempts that the retry budget did not allow.
+    pub(super) repeats_denied: Counter,
+    /// Streams that went on at another target.
+    pub(super) resumes: Counter,
+    /// Targets taken out of use.
+    pub(super) ejections: Counter,
+    /// Calls to the store, by outcome.
+    pub(super) store_calls: Family<WordLabel, Counter>,
+    /// Open calls.
+    pub(super) open_calls: Gauge,
+    /// The version of the configuration in force.
+    pub(super) config_version: Gauge,
+    /// Seconds to the first event or the whole answer.
+    pub(super) first_s: Histogram,
+    /// Seconds to the end of the answer.
+    pub(super) whole_s: Histogram,
+    /// Seconds that a call waited for its reservation.
+    pub(super) reserve_s: Histogram,
+    /// Seconds of a store call.
+    pub(super) store_s: Histogram,
+}
+
+impl GatewayMetrics {
+    /// Metrics at zero.
+    pub(super) fn new() -> Self {
+        let mut metrics = GatewayMetrics {
+            registry: Registry::with_prefix("beechsaddle"),
+            calls: Counter::default(),
+            refusals: Family::default(),
+            outcomes: Family::default(),
+            attempt_ends: Family::default(),
+            repeats: Family::default(),
+            repeats_denied: Counter::default(),
+            resumes: Counter::default(),
+            ejections: Counter::default(),
+            store_calls: Family::default(),
+            open_calls: Gauge::default(),
+            config_version: Gauge::default(),
+            first_s: latency_histogram(),
+            whole_s: latency_histogram(),
+            reserve_s: latency_histogram(),
+            store_s: latency_histogram(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// All metrics as text.
+    pub(super) fn to_text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(fmt::Error) => String::new(),
+        }
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("calls", "Calls that arrived", self.calls.clone());
+        registry.register("refusals", "Own final answers", self.refusals.clone());
+        registry.register("outcomes", "Calls by outcome", self.outcomes.clone());
+        let ends = self.attempt_ends.clone();
+        registry.register("attempt_ends", "Attempts without a usable answer", ends);
+        registry.register("repeats", "Further attempts", self.repeats.clone());
+        let denied = self.repeats_denied.clone();
+        registry.register("repeats_denied", "Kept back by the retry budget", denied);
+        registry.register("resumes", "Streams resumed", self.resumes.clone());
+        registry.register("ejections", "Targets ejected", self.ejections.clone());
+        registry.register("store_calls", "Store calls", self.store_calls.clone());
+        registry.register("open_calls", "Open calls", self.open_calls.clone());
+        let version = self.config_version.clone();
+        registry.register("config_version", "Configuration in force", version);
+        registry.register("first_seconds", "Time to first event", self.first_s.clone());
+        registry.register(
+            "whole_seconds",
+            "Time to whole answer",
+            self.whole_s.clone(),
+        );
+        let reserve = self.reserve_s.clone();
+        registry.register("reserve_seconds", "Wait for a reservation", reserve);
+        registry.register("store_seconds", "Time of store calls", self.store_s.clone());
+    }
+}
+
+/// From 1 ms to about 16 s, doubling.
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 15))
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -0,0 +1,166 @@
+//! The `gateway_settings` module provides the settings of a router that serves the platform's routes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::RetryShareOptions;
+use beechsaddle_core::prelude::*;
+use beechsaddle_platform::StoreOptions;
+
+use crate::findings::{FindingList, SourceText, TableReader};
+use crate::settings::{LogSettings, SettingsFindings};
+
+/// How long a store call may take, in milliseconds: some hundred times its usual answer, and short
+/// enough to try again within the bound on new configurations.
+const STORE_CALL_MS: u64 = 900;
+
+/// How long connecting to the store may take, in milliseconds.
+const STORE_CONNECT_MS: u64 = 400;
+
+/// How long a watch waits for changes, in milliseconds. A watch that fell silent is noticed after
+/// this and one call timeout.
+const WATCH_MS: u64 = 2_000;
+
+/// What a router is told about itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Its host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where callers reach it.
+    pub call_address: SocketAddr,
+    /// Where the balancer asks whether it takes new connections.
+    pub ready_address: SocketAddr,
+    /// Where metrics are served; `None` serves none.
+    pub metrics_address: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: StoreOptions,
+    /// How long a watch of the store waits.
+    pub watch_wait: Duration,
+    /// The time between the signal to end and the kill, in milliseconds.
+    pub grace_ms: u64,
+    /// The fleet's retry budget.
+    pub retries: RetryShareOptions,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+impl GatewaySettings {
+    /// Reads a settings file, or reports all that is wrong with it.
+    pub fn try_load(path: impl AsRef<Path>) -> Result<Self, SettingsFindings> {
+        let file = path.as_ref().display().to_string();
+        match std::fs::read_to_string(&path) {
+            Ok(text) => GatewaySettings::try_parse(file, text),
+            Err(error) => {
+                let mut findings = FindingList::new();
+                findings.add_file(file, format!("cannot be read: {error}"));
+                Err(findings)
+            }
+        }
+    }
+
+    /// Reads settings from a text; `file` names it in the findings.
+    pub fn try_parse(
+        file: impl AsRef<str>,
+        text: impl AsRef<str>,
+    ) -> Result<Self, SettingsFindings> {
+        let source = SourceText::new(file, text);
+        let mut findings = FindingList::new();
+        let table = source.read_table(&mut findings);
+        let reader = TableReader::new(&source, "", 0, table.get_ref());
+        let settings = read_settings(&reader, &mut findings);
+        reader.finish(&mut findings);
+        match settings {
+            Some(settings) if findings.is_empty() => Ok(settings),
+            Some(_) | None => Err(findings),
+        }
+    }
+}
+
+/// Whether a settings file is for a gateway: it has a `[gateway]` table.
+pub(crate) fn is_gateway_file(path: &Path) -> bool {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    text.lines().any(|line| line.trim() == "[gateway]")
+}
+
+fn read_settings(reader: &TableReader<'_>, findings: &mut FindingList) -> Option<GatewaySettings> {
+    let gateway = need_table(reader, "gateway", findings)?;
+    let host = gateway.need_name("host", findings);
+    let domain = gateway.need_name("domain", findings);
+    let call_address = gateway.need_address("call_address", findings);
+    let ready_address = gateway.need_address("ready_address", findings);
+    let metrics_address = gateway.read_address("metrics_address", findings);
+    let grace_ms = gateway.read_seconds_ms("grace_s", 8.0, findings);
+    gateway.finish(findings);
+    let (store, watch_wait) = read_store(&need_table(reader, "store", findings)?, findings)?;
+    let retries = read_retries(reader, findings);
+    let log = reader
+        .read_table("log", findings)
+        .map(|table| LogSettings::read(&table, findings));
+    Some(GatewaySettings {
+        host: HostName::new(host?),
+        domain: DomainName::new(domain?),
+        call_address: call_address?,
+        ready_address: ready_address?,
+        metrics_address,
+        store,
+        watch_wait,
+        grace_ms,
+        retries,
+        log: log.unwrap_or_default(),
+    })
+}
+
+fn need_table<'a>(
+    reader: &TableReader<'a>,
+    key: &str,
+    findings: &mut FindingList,
+) -> Option<TableReader<'a>> {
+    if !reader.has(key) {
+        let file = reader.source().file();
+        findings.add_file(file, format!("the table `[{key}]` is missing"));
+    }
+    reader.read_table(key, findings)
+}
+
+fn read_store(
+    reader: &TableReader<'_>,
+    findings: &mut FindingList,
+) -> Option<(StoreOptions, Duration)> {
+    let address = reader.need_address("address", findings);
+    let call_ms = reader.read_u64_or("call_timeout_ms", STORE_CALL_MS, 50..=60_000, findings);
+    let connect_ms = reader.read_u64_or(
+        "connect_timeout_ms",
+        STORE_CONNECT_MS,
+        50..=60_000,
+        findings,
+    );
+    let watch_ms = reader.read_u64_or("watch_ms", WATCH_MS, 100..=30_000, findings);
+    reader.finish(findings);
+    let options = StoreOptions {
+        address: address?,
+        call_timeout: Duration::from_millis(call_ms),
+        connect_timeout: Duration::from_millis(connect_ms),
+    };
+    Some((options, Duration::from_millis(watch_ms)))
+}
+
+fn read_retries(reader: &TableReader<'_>, findings: &mut FindingList) -> RetryShareOptions {
+    let defaults = RetryShareOptions {
+        ratio: 0.1,
+        allowance: 0.0,
+        window_ms: 10_000,
+    };
+    let Some(table) = reader.read_table("retries", findings) else {
+        return defaults;
+    };
+    let options = RetryShareOptions {
+        ratio: table.read_f64_or("ratio", defaults.ratio, 0.0..=10.0, findings),
+        allowance: table.read_f64_or("allowance", defaults.allowance, 0.0..=1e6, findings),
+        window_ms: table.read_seconds_ms("window_s", 10.0, findings),
+    };
+    table.finish(findings);
+    options
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -0,0 +1,151 @@
+//! The `gateway_state` module provides what all parts of a gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use beechsaddle_core::backoff::RetryBackoff;
+use beechsaddle_core::gateway::{
+    EscrowOptions, GatewayConfig, RetryShare, RosterChange, TargetRoster, TokenEscrow,
+};
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::report::LogLevel;
+use beechsaddle_platform::{StoreClient, StoreFailure};
+use tokio::sync::{Notify, watch};
+
+use super::gateway_metrics::{GatewayMetrics, WordLabel};
+use super::gateway_settings::GatewaySettings;
+use super::target_pool::TargetPool;
+use crate::report::ReportHandle;
+use crate::router::ClockSource;
+
+/// How far the gateway has shut down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum GatewayPhase {
+    /// It serves.
+    Serving,
+    /// It is not ready any more, and still takes what comes; connections end with their answers.
+    Leaving,
+    /// It takes no new connections and closes idle ones.
+    Closing,
+}
+
+/// What all parts of a gateway share. They run on one thread and never hold a borrow while waiting.
+pub(super) struct GatewayState {
+    /// Settings as they were last read.
+    pub(super) settings: RefCell<Rc<GatewaySettings>>,
+    /// This incarnation of the router.
+    pub(super) me: RouterIncarnation,
+    /// The time.
+    pub(super) clock: ClockSource,
+    /// The configuration in force; `None` before the first.
+    pub(super) config: RefCell<Option<Rc<GatewayConfig>>>,
+    /// Targets.
+    pub(super) roster: RefCell<TargetRoster>,
+    /// Tokens.
+    pub(super) escrow: RefCell<TokenEscrow>,
+    /// The retry budget.
+    pub(super) retries: RefCell<RetryShare>,
+    /// Idle connections to targets.
+    pub(super) pool: TargetPool,
+    /// The platform's store.
+    pub(super) store: StoreClient,
+    /// Logs.
+    pub(super) report: ReportHandle,
+    /// Metrics.
+    pub(super) metrics: GatewayMetrics,
+    /// Wakes the keeper of the escrow.
+    pub(super) escrow_wake: Notify,
+    /// Wakes calls that wait for tokens.
+    pub(super) escrow_changed: Notify,
+    /// How far the gateway has shut down.
+    pub(super) phase: watch::Sender<GatewayPhase>,
+    /// Calls that are running.
+    pub(super) open_calls: Cell<u64>,
+    /// Wakes the shutdown when a call ends.
+    pub(super) call_ended: Notify,
+}
+
+impl GatewayState {
+    /// The state of a gateway that knows nothing yet.
+    pub(super) fn new(
+        settings: GatewaySettings,
+        me: RouterIncarnation,
+        report: ReportHandle,
+    ) -> Self {
+        GatewayState {
+            clock: ClockSource::of_process(),
+            config: RefCell::new(None),
+            roster: RefCell::new(TargetRoster::default()),
+            escrow: RefCell::new(TokenEscrow::new(EscrowOptions::default(), me.to_string())),
+            retries: RefCell::new(RetryShare::new(settings.retries)),
+            pool: TargetPool::default(),
+            store: StoreClient::new(settings.store),
+            report,
+            metrics: GatewayMetrics::new(),
+            escrow_wake: Notify::new(),
+            escrow_changed: Notify::new(),
+            phase: watch::Sender::new(GatewayPhase::Serving),
+            open_calls: Cell::new(0),
+            call_ended: Notify::new(),
+            settings: RefCell::new(Rc::new(settings)),
+            me,
+        }
+    }
+
+    /// The time now.
+    pub(super) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    /// The settings as they were last read.
+    pub(super) fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// The configuration in force.
+    pub(super) fn config(&self) -> Option<Rc<GatewayConfig>> {
+        self.config.borrow().clone()
+    }
+
+    /// How far the gateway has shut down.
+    pub(super) fn phase(&self) -> GatewayPhase {
+        *self.phase.borrow()
+    }
+
+    /// Waiting times of a duty.
+    pub(super) fn backoff(&self, duty: &str) -> RetryBackoff {
+        RetryBackoff::new(&self.me, duty)
+    }
+
+    /// Counts a store call, and notes when the store is away.
+    pub(super) fn note_store_call<T>(&self, started: ClockTime, outcome: &Result<T, StoreFailure>) {
+        let now = self.now();
+        let what = match outcome {
+            Ok(_) => "done",
+            Err(failure) => failure.as_str(),
+        };
+        self.metrics
+            .store_calls
+            .get_or_create(&WordLabel { what })
+            .inc();
+        let seconds = now.since(started) as f64 / 1_000.0;
+        self.metrics.store_s.observe(seconds);
+        if outcome.as_ref().is_err_and(StoreFailure::is_away) {
+            self.roster.borrow_mut().note_away(now);
+        }
+    }
+
+    /// Logs what changed among the targets.
+    pub(super) fn log_roster(&self, changes: impl IntoIterator<Item = RosterChange>) {
+        for change in changes {
+            let (event, target) = match change {
+                RosterChange::Joined(target) => ("target_joined", target),
+                RosterChange::Draining(target) => ("target_draining", target),
+                RosterChange::Gone(target) => ("target_gone", target),
+                RosterChange::Unconfirmed(target) => ("target_unconfirmed", target),
+            };
+            let fields = [("target", target.to_string())];
+            self.report.log(LogLevel::Info, event, fields);
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/host_listener.rs
@@ -0,0 +1,68 @@
+//! The `host_listener` module provides what the host and its operators ask: readiness and metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_platform::READY_PATH;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use super::gateway_state::{GatewayPhase, GatewayState};
+
+/// Where metrics are served.
+const METRICS_PATH: &str = "/metrics";
+
+/// How long a connection may stay idle: several times the pause between two questions.
+const IDLE_SPAN: Duration = Duration::from_secs(20);
+
+/// How long to wait after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers until the process ends.
+pub(super) async fn run_host_listener(listener: TcpListener, state: Rc<GatewayState>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let state = Rc::clone(&state);
+        spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = answer(&state, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_SPAN)
+                .serve_connection(TokioIo::new(stream), service);
+            // Whoever asked asks again; a connection that broke changes nothing here.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn answer(state: &GatewayState, path: &str) -> Response<Full<Bytes>> {
+    let (status, text) = match path {
+        READY_PATH if is_ready(state) => (StatusCode::OK, "ready\n".to_owned()),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        METRICS_PATH => (StatusCode::OK, state.metrics.to_text()),
+        _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+/// A router that knows a configuration serves what it can, also while the store is away: taking it
+/// out of rotation would leave its callers to routers that are cut off like itself.
+fn is_ready(state: &GatewayState) -> bool {
+    state.phase() == GatewayPhase::Serving && state.config().is_some()
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -0,0 +1,31 @@
+//! The `gateway` module provides a router that serves the platform's routes.
+//!
+//! One thread forwards calls, follows the store and keeps the escrow: it waits for the network
+//! nearly all of the time, and handing each call between threads would cost more than the call. A
+//! second thread writes logs. Decisions are `beechsaddle-core`'s, wire names `beechsaddle-platform`'s.
+
+mod answer_body;
+mod attempt_guard;
+mod call_context;
+mod call_exchange;
+mod caller_listener;
+mod escrow_keeper;
+mod event_splitter;
+mod gateway_metrics;
+mod gateway_process;
+mod gateway_settings;
+mod gateway_state;
+mod host_listener;
+mod plain_exchange;
+mod refusal;
+mod settings_watch;
+mod store_follow;
+mod stream_exchange;
+mod stream_relay;
+mod target_pool;
+mod target_send;
+mod token_reservation;
+
+pub use gateway_process::run;
+pub use gateway_settings::GatewaySettings;
+pub(crate) use gateway_settings::is_gateway_file;
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/store_follow.rs
@@ -0,0 +1,244 @@
+//! The `store_follow` module provides the following of the store: configuration, targets, routers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::report::LogLevel;
+use beechsaddle_platform::{
+    CONFIG_NAME, ObjectKind, StoreEvent, StoreFailure, StoreListing, StoreObject, read_config,
+    read_target,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::gateway_state::GatewayState;
+
+/// How often the routers of the fleet are counted. The count only divides allowances, and a larger
+/// fleet is noticed before its part of them is used up.
+const COUNT_SPAN: Duration = Duration::from_secs(4);
+
+/// How often targets that stayed unlisted are looked at.
+const EXPIRY_SPAN: Duration = Duration::from_millis(250);
+
+/// How long to wait after a failure at least, in milliseconds. A path that fails at once would
+/// otherwise be asked without pause, by all routers together.
+const LEAST_PAUSE_MS: u64 = 60;
+
+/// Follows one kind of objects for ever: a listing, then changes from its revision on.
+///
+/// A lost or silent watch begins again with a listing over a new connection, because changes may
+/// have been missed; the listing is the whole truth, whatever came before.
+pub(super) async fn follow_kind(state: Rc<GatewayState>, kind: ObjectKind) {
+    let mut backoff = state.backoff(duty_name(kind));
+    let mut is_lost = false;
+    loop {
+        let failure = match follow_once(&state, kind, &mut is_lost, &mut backoff).await {
+            Ok(never) => match never {},
+            Err(failure) => failure,
+        };
+        if !is_lost {
+            is_lost = true;
+            log_dependency(&state, "store_lost", kind, failure.to_string());
+        }
+        // Its history being gone is no fault of the store: the listing is asked for at once.
+        if failure != StoreFailure::HistoryGone {
+            sleep(Duration::from_millis(
+                backoff.next_ms(LEAST_PAUSE_MS).min(500),
+            ))
+            .await;
+        }
+    }
+}
+
+/// Nothing of this type exists: following ends only by a failure.
+enum Never {}
+
+async fn follow_once(
+    state: &GatewayState,
+    kind: ObjectKind,
+    is_lost: &mut bool,
+    backoff: &mut beechsaddle_core::backoff::RetryBackoff,
+) -> Result<Never, StoreFailure> {
+    let started = state.now();
+    let listed = state.store.list(kind).await;
+    state.note_store_call(started, &listed);
+    let listing = listed?;
+    backoff.reset();
+    if *is_lost {
+        *is_lost = false;
+        log_dependency(state, "store_regained", kind, listing.revision.to_string());
+    }
+    let mut revision = listing.revision;
+    take_listing(state, kind, &listing);
+    loop {
+        let wait = state.settings().watch_wait;
+        let started = state.now();
+        let watched = state.store.watch(kind, revision, wait).await;
+        state.note_store_call(started, &watched);
+        let news = watched?;
+        for event in &news.events {
+            take_event(state, kind, event);
+        }
+        revision = news.revision.max(revision);
+    }
+}
+
+fn take_listing(state: &GatewayState, kind: ObjectKind, listing: &StoreListing) {
+    match kind {
+        ObjectKind::Config => listing
+            .objects
+            .iter()
+            .for_each(|object| take_config(state, object)),
+        ObjectKind::Targets => {
+            let records: Vec<_> = listing
+                .objects
+                .iter()
+                .filter_map(|object| read_entry(state, object))
+                .collect();
+            let changes = state.roster.borrow_mut().take_listing(state.now(), records);
+            state.log_roster(changes);
+        }
+        ObjectKind::Routers | ObjectKind::Budgets => {}
+    }
+}
+
+fn take_event(state: &GatewayState, kind: ObjectKind, event: &StoreEvent) {
+    match (kind, event.is_removed) {
+        (ObjectKind::Config, false) => take_config(state, &event.object),
+        (ObjectKind::Targets, true) => {
+            let name = TargetName::new(event.object.name());
+            let change = state.roster.borrow_mut().remove(state.now(), &name);
+            state.log_roster(change);
+        }
+        (ObjectKind::Targets, false) => {
+            if let Some(record) = read_entry(state, &event.object) {
+                let change = state.roster.borrow_mut().put(state.now(), record);
+                state.log_roster(change);
+            }
+        }
+        // A configuration that was removed stays in force: there is nothing newer.
+        (ObjectKind::Config, true) | (ObjectKind::Routers | ObjectKind::Budgets, _) => {}
+    }
+}
+
+fn read_entry(
+    state: &GatewayState,
+    object: &StoreObject,
+) -> Option<beechsaddle_core::gateway::TargetRecord> {
+    match read_target(object) {
+        Ok(record) => Some(record),
+        Err(what) => {
+            let fields = [("target", object.name().to_owned()), ("error", what)];
+            state
+                .report
+                .log(LogLevel::Error, "target_unreadable", fields);
+            None
+        }
+    }
+}
+
+/// Takes over a configuration if it is newer than the one in force. An older one, as a late answer
+/// may bring it, would undo what callers have seen.
+fn take_config(state: &GatewayState, object: &StoreObject) {
+    if object.name() != CONFIG_NAME {
+        return;
+    }
+    let config = match read_config(object) {
+        Ok(config) => config,
+        Err(fault) => {
+            let fields = [
+                ("revision", object.revision().to_string()),
+                ("error", fault.to_string()),
+            ];
+            state
+                .report
+                .log(LogLevel::Error, "config_unreadable", fields);
+            return;
+        }
+    };
+    let known = state.config().map(|config| config.version);
+    if known.is_some_and(|known| known >= config.version) {
+        return;
+    }
+    let now = state.now();
+    let fields = [
+        ("version", config.version.to_string()),
+        (
+            "before",
+            known.map_or("none".to_owned(), |known| known.to_string()),
+        ),
+        ("revision", object.revision().to_string()),
+        ("routes", config.route_count().to_string()),
+    ];
+    state.report.log(LogLevel::Info, "config_in_force", fields);
+    state.metrics.config_version.set(config.version as i64);
+    state.escrow.borrow_mut().set_config(now, &config);
+    *state.config.borrow_mut() = Some(Rc::new(config));
+    state.escrow_wake.notify_one();
+    state.escrow_changed.notify_waiters();
+}
+
+/// Registers this router, and counts all routers now and then.
+pub(super) async fn run_registration(state: Rc<GatewayState>) {
+    let mut backoff = state.backoff("registration");
+    loop {
+        match register(&state).await {
+            Ok(()) => break,
+            Err(_) => sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await,
+        }
+    }
+    loop {
+        let started = state.now();
+        let listed = state.store.list_stale(ObjectKind::Routers).await;
+        state.note_store_call(started, &listed);
+        if let Ok(listing) = listed {
+            let routers = listing.objects.len().max(1) as u64;
+            state.retries.borrow_mut().set_routers(routers);
+            state.escrow.borrow_mut().set_routers(routers);
+        }
+        sleep(COUNT_SPAN).await;
+    }
+}
+
+/// Makes the entry of this host. It stays when the router ends: a host that is gone for good only
+/// makes the others' parts smaller, and one that is back has its part at once.
+async fn register(state: &GatewayState) -> Result<(), StoreFailure> {
+    let settings = state.settings();
+    let spec = json!({"domain": settings.domain.as_str()});
+    let started = state.now();
+    let created = state
+        .store
+        .create(ObjectKind::Routers, settings.host.as_str(), &spec)
+        .await;
+    state.note_store_call(started, &created);
+    match created {
+        Ok(_) | Err(StoreFailure::Conflict(_)) => Ok(()),
+        Err(failure) => Err(failure),
+    }
+}
+
+/// Drops targets that stayed unlisted after the store came back, and idle connections.
+pub(super) async fn run_expiry(state: Rc<GatewayState>) {
+    loop {
+        sleep(EXPIRY_SPAN).await;
+        let now = state.now();
+        let changes = state.roster.borrow_mut().expire(now);
+        state.log_roster(changes);
+        state.pool.prune(now);
+    }
+}
+
+fn log_dependency(state: &GatewayState, event: &'static str, kind: ObjectKind, detail: String) {
+    let fields = [("duty", duty_name(kind).to_owned()), ("detail", detail)];
+    state.report.log(LogLevel::Warning, event, fields);
+}
+
+fn duty_name(kind: ObjectKind) -> &'static str {
+    match kind {
+        ObjectKind::Config => "config",
+        ObjectKind::Targets => "targets",
+        ObjectKind::Routers => "routers",
+        ObjectKind::Budgets => "budgets",
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -0,0 +1,137 @@
+//! The `target_send` module provides the sending of one attempt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::{AttemptEnd, TargetRecord};
+use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions};
+use beechsaddle_platform::{AnswerFacts, ForwardFields, forward_headers};
+use bytes::Bytes;
+use http::{Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::call_context::CallContext;
+
+/// The head of a target's answer, and the connection that it came on.
+pub(super) struct TargetAnswer {
+    /// The answer.
+    pub(super) response: Response<Incoming>,
+    /// What its head says.
+    pub(super) facts: AnswerFacts,
+    /// The connection. It is of no use before the answer's body was read.
+    pub(super) link: HttpLink,
+}
+
+/// An attempt that brought no answer to this call.
+#[derive(Debug)]
+pub(super) struct SendFailure {
+    /// How it ended.
+    pub(super) end: AttemptEnd,
+    /// More words for the log.
+    pub(super) detail: String,
+}
+
+impl SendFailure {
+    pub(super) fn new(end: AttemptEnd, detail: impl Into<String>) -> Self {
+        SendFailure {
+            end,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// Sends a call to a target and waits for the head of the answer, for `patience` at most.
+///
+/// `last_event` replaces what the caller said it has of a stream.
+pub(super) async fn send_attempt(
+    call: &CallContext,
+    target: &TargetRecord,
+    last_event: Option<u64>,
+    patience: Duration,
+) -> Result<TargetAnswer, SendFailure> {
+    let pooled = call.state.pool.take(call.state.now(), target.address);
+    if let Some(link) = pooled {
+        let request = build_request(call, target, last_event);
+        match send_on(call, link, request, patience, false).await {
+            // The target closed the idle connection before anything was written; that says nothing
+            // of a new one.
+            Err((failure, true)) if failure.end == AttemptEnd::Unsent => {}
+            other => return other.map_err(|(failure, _)| failure),
+        }
+    }
+    let link = connect(target.address).await?;
+    let request = build_request(call, target, last_event);
+    let sent = send_on(call, link, request, patience, true).await;
+    sent.map_err(|(failure, _)| failure)
+}
+
+async fn connect(address: SocketAddr) -> Result<HttpLink, SendFailure> {
+    let connected = HttpLink::try_connect(address, LinkOptions::default()).await;
+    connected.map_err(|failure| SendFailure::new(AttemptEnd::Unsent, failure.to_string()))
+}
+
+/// Sends on a connection; the flag of a failure tells that the connection was closed before.
+async fn send_on(
+    call: &CallContext,
+    mut link: HttpLink,
+    request: Request<Full<Bytes>>,
+    patience: Duration,
+    is_fresh: bool,
+) -> Result<TargetAnswer, (SendFailure, bool)> {
+    let response = match timeout(patience, link.send(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(failure)) => return Err(read_failure(&failure)),
+        Err(_) => {
+            let failure = SendFailure::new(AttemptEnd::Silent, "no head of an answer in time");
+            return Err((failure, false));
+        }
+    };
+    let facts = AnswerFacts::read(&response);
+    // An answer to an earlier call can lie on a kept connection. Passing it on would give one
+    // caller another's answer; on a new connection nothing else can lie.
+    let is_ours = match &facts.request_id {
+        Some(id) => *id == call.head.request_id,
+        None => is_fresh && !facts.status.is_success(),
+    };
+    if !is_ours {
+        let failure = SendFailure::new(AttemptEnd::Broken, "an answer to another request");
+        return Err((failure, false));
+    }
+    Ok(TargetAnswer {
+        response,
+        facts,
+        link,
+    })
+}
+
+fn read_failure(failure: &LinkFailure) -> (SendFailure, bool) {
+    let end = match failure.is_unsent() {
+        true => AttemptEnd::Unsent,
+        false => AttemptEnd::Broken,
+    };
+    let is_closed = matches!(failure, LinkFailure::NotSent(_));
+    (SendFailure::new(end, failure.to_string()), is_closed)
+}
+
+fn build_request(
+    call: &CallContext,
+    target: &TargetRecord,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let fields = ForwardFields {
+        target: &target.name,
+        workspace: call.workspace.as_ref().map(|rule| &rule.name),
+        priority: call.rule.is_engine.then(|| call.priority()),
+        deadline_ms: call.left_ms(),
+        last_event,
+    };
+    let path = call.uri.path_and_query().cloned();
+    let uri = path.map(Uri::from).unwrap_or_default();
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = forward_headers(&call.headers, fields);
+    request
+}
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalogue_files;
 pub mod command;
 pub mod findings;
+pub mod gateway;
 pub mod operator;
 pub mod peers;
 pub mod platform;
