Write the ledger for all workspaces at once and pause longer after each conflict

Cause: on a grown site (86 routers) all waited the same few milliseconds after a conflict, met again, and 97,705 store calls of which nearly all were refused brought hardly any tokens.

--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -60,8 +60,6 @@
 pub struct EscrowPlan {
     /// The change.
     pub change: LedgerChange,
-    /// Whether requests wait for it.
-    pub is_urgent: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -217,13 +215,16 @@
         account.free += reserved.saturating_sub(used);
     }
 
+    /// Whether a call waits for tokens, or everything is to be given back.
+    pub fn is_urgent(&self) -> bool {
+        self.is_closing || self.accounts.values().any(EscrowAccount::is_waiting)
+    }
+
     /// What the ledger should be asked for; the same change until its outcome is known.
     pub fn plan(&mut self, now: ClockTime) -> Option<EscrowPlan> {
-        let is_urgent = self.accounts.values().any(EscrowAccount::is_waiting);
         if let Some(change) = &self.pending {
             return Some(EscrowPlan {
                 change: change.clone(),
-                is_urgent,
             });
         }
         let change = self.next_change(now)?;
@@ -234,7 +235,7 @@
             }
         }
         self.pending = Some(change.clone());
-        Some(EscrowPlan { change, is_urgent })
+        Some(EscrowPlan { change })
     }
 
     /// The pending change is in the ledger.
@@ -274,22 +275,19 @@
     }
 
     fn next_change(&mut self, now: ClockTime) -> Option<LedgerChange> {
-        let ledger = self.ledger.as_ref()?;
+        let levels = self.levels(now)?;
+        if !levels.iter().any(EscrowLevel::is_due) {
+            return None;
+        }
+        // One write moves the tokens of all workspaces. Those that are a little off go along, or
+        // each would ask for a write of its own soon after.
         let mut takes = BTreeMap::new();
         let mut returns = BTreeMap::new();
-        for (workspace, account) in &self.accounts {
-            let Some(prepaid) = account.prepaid else {
-                continue;
-            };
-            let left = prepaid.saturating_sub(ledger.taken_of(workspace));
-            let wanted = match self.is_closing {
-                true => 0,
-                false => account.wanted(now, left, self.routers, &self.options),
-            };
-            if let Some(tokens) = account.take_for(wanted, left) {
-                takes.insert(workspace.clone(), tokens);
-            } else if let Some(tokens) = account.return_for(wanted) {
-                returns.insert(workspace.clone(), tokens);
+        for level in levels {
+            if let Some(tokens) = level.take() {
+                takes.insert(level.workspace, tokens);
+            } else if let Some(tokens) = level.give_back() {
+                returns.insert(level.workspace, tokens);
             }
         }
         if takes.is_empty() && returns.is_empty() {
@@ -303,6 +301,30 @@
         })
     }
 
+    /// What is held and wanted of each workspace; `None` before the ledger is known.
+    fn levels(&self, now: ClockTime) -> Option<Vec<EscrowLevel>> {
+        let ledger = self.ledger.as_ref()?;
+        let mut levels = Vec::new();
+        for (workspace, account) in &self.accounts {
+            let Some(prepaid) = account.prepaid else {
+                continue;
+            };
+            let left = prepaid.saturating_sub(ledger.taken_of(workspace));
+            let wanted = match self.is_closing {
+                true => 0,
+                false => account.wanted(now, left, self.routers, &self.options),
+            };
+            levels.push(EscrowLevel {
+                workspace: workspace.clone(),
+                free: account.free,
+                wanted,
+                left,
+                is_waiting: account.is_waiting(),
+            });
+        }
+        Some(levels)
+    }
+
     fn note_scarcity(&mut self, now: ClockTime) {
         let Some(ledger) = &self.ledger else {
             return;
@@ -376,25 +398,36 @@
             false => self.largest.tokens,
         }
     }
+}
 
-    /// What to take, if anything: below half of what is wanted, or where a request waits.
-    fn take_for(&self, wanted: u64, left: u64) -> Option<u64> {
-        let is_low = self.free < wanted / 2 || self.is_waiting();
-        if !is_low {
-            return None;
-        }
-        let tokens = wanted.saturating_sub(self.free).min(left);
-        (tokens > 0).then_some(tokens)
+/// What a router holds and wants of one workspace, in tokens.
+#[derive(Clone, Debug)]
+struct EscrowLevel {
+    workspace: WorkspaceName,
+    free: u64,
+    wanted: u64,
+    left: u64,
+    is_waiting: bool,
+}
+
+impl EscrowLevel {
+    /// Whether it is worth a write by itself: half of what is wanted, or twice; or a call waits.
+    fn is_due(&self) -> bool {
+        let is_low = self.free < self.wanted / 2 || self.is_waiting;
+        let is_high = self.free > self.wanted.saturating_mul(2);
+        (is_low && self.left > 0) || is_high
     }
 
-    /// What to give back, if anything: beyond twice of what is wanted.
-    fn return_for(&self, wanted: u64) -> Option<u64> {
-        let tokens = self.free.saturating_sub(wanted.saturating_mul(2));
-        let tokens = match wanted {
-            0 => self.free,
-            _ if tokens > 0 => self.free - wanted,
-            _ => 0,
-        };
-        (tokens > 0).then_some(tokens)
+    /// What to take, if a write is made: from four fifths of what is wanted down.
+    fn take(&self) -> Option<u64> {
+        let is_low = self.free < self.wanted / 5 * 4 || self.is_waiting;
+        let tokens = self.wanted.saturating_sub(self.free).min(self.left);
+        (is_low && tokens > 0).then_some(tokens)
+    }
+
+    /// What to give back, if a write is made: from a half more than what is wanted up.
+    fn give_back(&self) -> Option<u64> {
+        let is_high = self.free > self.wanted + self.wanted / 2;
+        is_high.then(|| self.free - self.wanted)
     }
 }
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use beechsaddle_core::backoff::RetryBackoff;
-use beechsaddle_core::gateway::{BudgetLedger, LedgerChange};
+use beechsaddle_core::gateway::{BudgetLedger, EscrowPlan, LedgerChange};
+use beechsaddle_core::hash::stable_hash;
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::random::SeededRandom;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject};
 use serde_json::Value;
@@ -20,8 +23,18 @@
 /// workspace needs elsewhere are given back within this and one write.
 const TICK: Duration = Duration::from_millis(800);
 
-/// How long to wait after a write that met another router's, at most, in milliseconds.
-const CONFLICT_PAUSE_MS: u64 = 12;
+/// How long to wait at most after a write that met another router's, in milliseconds: two round trips
+/// at first, doubled each time. With pauses of one length a few dozen routers that all come back at
+/// once meet again and again, and hardly any write is done.
+const CONFLICT_FIRST_MS: u64 = 8;
+/// The longest such pause: some sixty routers write in turn in it.
+const CONFLICT_LONGEST_MS: u64 = 512;
+
+/// Failures in a row after which calls do not wait for the ledger any more.
+const AWAY_FAILURES: u32 = 2;
+
+/// The shortest time between two writes that no call waits for.
+const CALM_SPAN_MS: u64 = 1_500;
 
 /// How long to wait after a failure, at least, in milliseconds.
 const LEAST_PAUSE_MS: u64 = 60;
@@ -40,7 +53,10 @@
     state: Rc<GatewayState>,
     stored: Option<StoredLedger>,
     backoff: RetryBackoff,
-    is_lost: bool,
+    random: SeededRandom,
+    conflicts: u32,
+    failures: u32,
+    written_at: ClockTime,
 }
 
 impl EscrowKeeper {
@@ -48,9 +64,12 @@
     pub(super) fn new(state: Rc<GatewayState>) -> Self {
         EscrowKeeper {
             backoff: state.backoff("budgets"),
+            random: SeededRandom::new(stable_hash(state.me.to_string())),
             state,
             stored: None,
-            is_lost: false,
+            conflicts: 0,
+            failures: 0,
+            written_at: ClockTime::ZERO,
         }
     }
 
@@ -82,12 +101,7 @@
             return;
         }
         let mut is_written = false;
-        loop {
-            let now = self.state.now();
-            let plan = self.state.escrow.borrow_mut().plan(now);
-            let Some(plan) = plan else {
-                break;
-            };
+        while let Some(plan) = self.next_plan() {
             is_written = true;
             if !self.try_write(&plan.change).await {
                 return;
@@ -98,6 +112,17 @@
         }
     }
 
+    /// What to write now. What no call waits for is written together, now and then.
+    fn next_plan(&self) -> Option<EscrowPlan> {
+        let now = self.state.now();
+        let mut escrow = self.state.escrow.borrow_mut();
+        let is_calm = now.since(self.written_at) >= CALM_SPAN_MS;
+        match is_calm || escrow.is_urgent() {
+            true => escrow.plan(now),
+            false => None,
+        }
+    }
+
     /// Reads the ledger, or makes an empty one where there is none.
     async fn try_read(&mut self) -> bool {
         let started = self.state.now();
@@ -176,6 +201,8 @@
         match written {
             Ok(object) => {
                 self.log_change(change, object.revision());
+                self.conflicts = 0;
+                self.written_at = self.state.now();
                 self.keep(object.revision(), ledger.clone());
                 let now = self.state.now();
                 self.state.escrow.borrow_mut().commit(now, ledger);
@@ -213,7 +240,9 @@
             }
         }
         self.state.escrow_changed.notify_waiters();
-        let pause_ms = now.as_millis() % (CONFLICT_PAUSE_MS + 1);
+        let longest_ms = (CONFLICT_FIRST_MS << self.conflicts.min(8)).min(CONFLICT_LONGEST_MS);
+        self.conflicts += 1;
+        let pause_ms = self.random.below(longest_ms);
         sleep(Duration::from_millis(pause_ms)).await;
         true
     }
@@ -249,7 +278,7 @@
     fn keep(&mut self, revision: u64, ledger: BudgetLedger) {
         self.backoff.reset();
         self.state.is_ledger_away.set(false);
-        if std::mem::take(&mut self.is_lost) {
+        if std::mem::take(&mut self.failures) >= AWAY_FAILURES {
             let fields = [("duty", "budgets".to_owned())];
             self.state
                 .report
@@ -275,9 +304,10 @@
     }
 
     async fn note_failure(&mut self, failure: &StoreFailure) {
-        self.state.is_ledger_away.set(true);
-        self.state.escrow_changed.notify_waiters();
-        if !std::mem::replace(&mut self.is_lost, true) {
+        self.failures += 1;
+        if self.failures == AWAY_FAILURES {
+            self.state.is_ledger_away.set(true);
+            self.state.escrow_changed.notify_waiters();
             let fields = [
                 ("duty", "budgets".to_owned()),
                 ("detail", failure.to_string()),
