Keep each workspace at one router a domain, from which the others borrow

Now the highest rendezvous weight of the domain takes from the ledger for all; loans are capnp-rpc calls, given up by the lender before they are sent, so that no failure lets two routers spend them.

--- /dev/null
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -0,0 +1,40 @@
+//! The `escrow_options` module provides how an escrow trades idle tokens against outages.
+
+/// How the escrow trades tokens held idle against serving while the ledger cannot be written.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EscrowOptions {
+    /// Seconds of its domain's demand that a router holds of the workspaces that it keeps: an outage
+    /// of this length refuses nobody, and a kill loses as much.
+    pub hold_s: f64,
+    /// Seconds of its own demand that a router borrows ahead from the one that keeps a workspace:
+    /// enough that not every call waits for a loan.
+    pub borrow_s: f64,
+    /// The most that keepers hold, as a multiple of an equal part of what is not spent. When all
+    /// hold as much, 1.5 leaves a third of it to the ledger.
+    pub most_part: f64,
+    /// The most that one router holds, as a part of what is not spent: a kill loses no more, however
+    /// small the fleet is.
+    pub most_alone: f64,
+    /// What a keeper without demand holds, as a multiple of an equal part: its first requests are
+    /// served without a wait.
+    pub first_part: f64,
+    /// The part of the prepaid total below which a refusal for good may be due.
+    pub scarce_part: f64,
+    /// How long the fleet has to give back what it holds once a total is scarce, in milliseconds.
+    /// Before that, a request that does not fit may fit in a moment.
+    pub give_back_ms: u64,
+}
+
+impl Default for EscrowOptions {
+    fn default() -> Self {
+        EscrowOptions {
+            hold_s: 12.0,
+            borrow_s: 1.5,
+            most_part: 1.5,
+            most_alone: 0.3,
+            first_part: 0.12,
+            scarce_part: 0.15,
+            give_back_ms: 2_500,
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -0,0 +1,135 @@
+//! The `peer_ring` module provides the routers of the fleet, and which of them keeps a workspace.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::clock::ClockTime;
+use crate::hash::rendezvous_weight;
+use crate::names::{DomainName, HostName, WorkspaceName};
+
+/// How long a router that did not answer is passed over at first, in milliseconds. A try of one that
+/// is still down costs a waiting call one timeout.
+const FIRST_DOWN_MS: u64 = 1_000;
+
+/// The longest that a router is passed over, in milliseconds.
+const LONGEST_DOWN_MS: u64 = 8_000;
+
+/// What is listed of a router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerRecord {
+    /// Its host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where other routers reach it; `None` for one that lends nothing.
+    pub address: Option<SocketAddr>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerDown {
+    until: ClockTime,
+    failures: u32,
+}
+
+/// The routers of the fleet.
+///
+/// One router in each domain keeps a workspace: it takes tokens from the ledger, and the others of
+/// the domain borrow from it. Without that each router would hold and take by itself: several dozen
+/// routers that each see a request of a workspace now and then would strand most of its total and
+/// meet at the ledger all the time. Who keeps what follows from the list by rendezvous hashing. Two
+/// routers that disagree both keep it, which costs tokens held idle and nothing else.
+#[derive(Clone, Debug)]
+pub struct PeerRing {
+    me: HostName,
+    domain: DomainName,
+    peers: BTreeMap<HostName, PeerRecord>,
+    down: BTreeMap<HostName, PeerDown>,
+}
+
+impl PeerRing {
+    /// A ring that knows of no other router.
+    pub fn new(me: HostName, domain: DomainName) -> Self {
+        PeerRing {
+            me,
+            domain,
+            peers: BTreeMap::new(),
+            down: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over a whole listing.
+    pub fn take_listing(&mut self, records: impl IntoIterator<Item = PeerRecord>) {
+        let records = records
+            .into_iter()
+            .map(|record| (record.host.clone(), record));
+        self.peers = records.collect();
+        let peers = &self.peers;
+        self.down.retain(|host, _| peers.contains_key(host));
+    }
+
+    /// How many routers there are; 0 before the first listing.
+    pub fn router_count(&self) -> u64 {
+        self.peers.len() as u64
+    }
+
+    /// How many domains have routers.
+    pub fn domain_count(&self) -> u64 {
+        let domains: BTreeSet<_> = self.peers.values().map(|peer| &peer.domain).collect();
+        domains.len() as u64
+    }
+
+    /// The router of the own domain that keeps a workspace; `None` when it is this one.
+    pub fn keeper(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<&PeerRecord> {
+        let own = rendezvous_weight(workspace.as_str(), self.me.as_str());
+        let others = self.peers.values().filter(|peer| {
+            peer.domain == self.domain && self.is_usable(now, peer) && peer.host != self.me
+        });
+        others
+            .map(|peer| {
+                (
+                    rendezvous_weight(workspace.as_str(), peer.host.as_str()),
+                    peer,
+                )
+            })
+            .filter(|(weight, _)| *weight > own)
+            .max_by_key(|(weight, _)| *weight)
+            .map(|(_, peer)| peer)
+    }
+
+    /// The routers that probably keep a workspace in other domains, one in each.
+    pub fn foreign_keepers(&self, now: ClockTime, workspace: &WorkspaceName) -> Vec<&PeerRecord> {
+        let mut keepers = BTreeMap::<&DomainName, (u64, &PeerRecord)>::new();
+        for peer in self.peers.values() {
+            if peer.domain == self.domain || !self.is_usable(now, peer) {
+                continue;
+            }
+            let weight = rendezvous_weight(workspace.as_str(), peer.host.as_str());
+            let keeper = keepers.entry(&peer.domain).or_insert((weight, peer));
+            if weight > keeper.0 {
+                *keeper = (weight, peer);
+            }
+        }
+        keepers.into_values().map(|(_, peer)| peer).collect()
+    }
+
+    /// Notes that a router did not answer; it is passed over, each time for longer.
+    pub fn note_down(&mut self, now: ClockTime, host: &HostName) {
+        let down = self.down.entry(host.clone()).or_default();
+        let span = (FIRST_DOWN_MS << down.failures.min(8)).min(LONGEST_DOWN_MS);
+        down.until = now.plus_ms(span);
+        down.failures += 1;
+    }
+
+    /// Notes that a router answered.
+    pub fn note_up(&mut self, host: &HostName) {
+        self.down.remove(host);
+    }
+
+    fn is_usable(&self, now: ClockTime, peer: &PeerRecord) -> bool {
+        let is_down = self
+            .down
+            .get(&peer.host)
+            .is_some_and(|down| now < down.until);
+        peer.address.is_some() && !is_down
+    }
+}
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -2,51 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use super::{BudgetLedger, DemandRate, GatewayConfig, LedgerChange};
+use super::escrow_account::{EscrowAccount, LedgerLevel};
+use super::{BudgetLedger, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange};
 use crate::clock::ClockTime;
 use crate::names::WorkspaceName;
 
-/// How fast demand is forgotten, in milliseconds.
-const DEMAND_HALF_LIFE_MS: u64 = 5_000;
-
-/// How many routers are assumed to share totals until they are counted: a few more than a small
-/// fleet has, as the first holds are taken by all in the same moment.
-const ROUTERS_ASSUMED: u64 = 12;
-
-/// How the escrow trades tokens held idle against serving while the ledger cannot be written.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EscrowOptions {
-    /// Seconds of demand that are held in advance: an outage of this length refuses nobody, and a
-    /// kill loses as much.
-    pub hold_s: f64,
-    /// The most that routers hold, as a multiple of an equal part of what is not spent. When all
-    /// hold as much, 1.5 leaves a third of it to the ledger.
-    pub most_part: f64,
-    /// The most that one router holds, as a part of what is not spent: a kill loses no more, however
-    /// small the fleet is.
-    pub most_alone: f64,
-    /// What a router without demand holds, as a multiple of an equal part: its first requests are
-    /// served without a wait.
-    pub first_part: f64,
-    /// The part of the prepaid total below which a refusal for good may be due.
-    pub scarce_part: f64,
-    /// How long the fleet has to give back what it holds once a total is scarce, in milliseconds.
-    /// Before that, a request that does not fit may fit in a moment.
-    pub give_back_ms: u64,
-}
-
-impl Default for EscrowOptions {
-    fn default() -> Self {
-        EscrowOptions {
-            hold_s: 12.0,
-            most_part: 1.5,
-            most_alone: 0.3,
-            first_part: 0.12,
-            scarce_part: 0.15,
-            give_back_ms: 2_500,
-        }
-    }
-}
+/// How many routers are assumed to keep a workspace until they are counted: a few more than there
+/// are in a small fleet, as the first holds are taken by all in the same moment.
+const KEEPERS_ASSUMED: u64 = 12;
 
 /// What came of an attempt to reserve tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,30 +29,12 @@
     pub change: LedgerChange,
 }
 
-#[derive(Clone, Debug)]
-struct EscrowAccount {
-    prepaid: Option<u64>,
-    free: u64,
-    reserved: u64,
-    awaited: u64,
-    largest: DemandPeak,
-    demand: DemandRate,
-    scarce_since: Option<ClockTime>,
-}
-
-/// The largest recent request.
-#[derive(Clone, Copy, Debug, Default)]
-struct DemandPeak {
-    tokens: u64,
-    noted_at: ClockTime,
-}
-
 /// The tokens that this router took from the ledger, and what of them is promised to requests.
 #[derive(Clone, Debug)]
 pub struct TokenEscrow {
     options: EscrowOptions,
     router: String,
-    routers: u64,
+    keepers: u64,
     accounts: BTreeMap<WorkspaceName, EscrowAccount>,
     ledger: Option<BudgetLedger>,
     pending: Option<LedgerChange>,
@@ -103,7 +48,7 @@
         TokenEscrow {
             options,
             router: router.into(),
-            routers: ROUTERS_ASSUMED,
+            keepers: KEEPERS_ASSUMED,
             accounts: BTreeMap::new(),
             ledger: None,
             pending: None,
@@ -127,9 +72,61 @@
         self.note_scarcity(now);
     }
 
-    /// Takes over how many routers share the totals.
-    pub fn set_routers(&mut self, routers: u64) {
-        self.routers = routers.max(1);
+    /// Takes over how many routers keep each workspace, one in each domain.
+    pub fn set_keepers(&mut self, keepers: u64) {
+        self.keepers = keepers.max(1);
+    }
+
+    /// Takes over where the tokens of a workspace come from.
+    pub fn set_role(&mut self, workspace: &WorkspaceName, role: EscrowRole) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.role = role;
+        }
+    }
+
+    /// The workspaces whose totals are counted.
+    pub fn counted(&self) -> Vec<WorkspaceName> {
+        let counted = self.accounts.iter();
+        let counted = counted.filter(|(_, account)| account.prepaid.is_some());
+        counted.map(|(workspace, _)| workspace.clone()).collect()
+    }
+
+    /// What calls wait for beyond what is here, and what to borrow ahead of more.
+    pub fn loan_wanted(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<(u64, u64)> {
+        let account = self.accounts.get(workspace)?;
+        let need = account.awaited.saturating_sub(account.free);
+        (need > 0).then(|| (need, account.borrow_ahead(now, &self.options)))
+    }
+
+    /// Gives up tokens to another router: `need`, and of `ahead` what leaves as much here; or none.
+    ///
+    /// They are given up before they are sent. An answer that is lost loses them, and no order of
+    /// failures lets two routers spend the same ones.
+    pub fn lend(
+        &mut self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        need: u64,
+        ahead: u64,
+    ) -> u64 {
+        let Some(account) = self.accounts.get_mut(workspace) else {
+            return 0;
+        };
+        if account.free < need {
+            return 0;
+        }
+        let rest = account.free - need;
+        let lent = need + ahead.min(rest / 2);
+        account.free -= lent;
+        account.note_demand(now, lent);
+        lent
+    }
+
+    /// Takes over tokens that another router has given up.
+    pub fn receive(&mut self, workspace: &WorkspaceName, tokens: u64) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.free += tokens;
+        }
     }
 
     /// Has everything that is not promised given back, and nothing taken any more.
@@ -221,7 +218,7 @@
 
     /// Whether a call waits for tokens, or everything is to be given back.
     pub fn is_urgent(&self) -> bool {
-        self.is_closing || self.accounts.values().any(EscrowAccount::is_waiting)
+        self.is_closing || self.accounts.values().any(EscrowAccount::asks_ledger)
     }
 
     /// What the ledger should be asked for; the same change until its outcome is known.
@@ -316,7 +313,7 @@
             let level = LedgerLevel {
                 prepaid,
                 taken: ledger.taken_of(workspace),
-                routers: self.routers,
+                keepers: self.keepers,
             };
             let wanted = match self.is_closing {
                 true => 0,
@@ -327,7 +324,8 @@
                 free: account.free,
                 wanted,
                 left: level.left(),
-                is_waiting: account.is_waiting(),
+                is_waiting: account.asks_ledger(),
+                may_take: account.role == EscrowRole::Keeper,
             });
         }
         Some(levels)
@@ -352,87 +350,6 @@
     }
 }
 
-impl EscrowAccount {
-    fn new(now: ClockTime) -> Self {
-        EscrowAccount {
-            prepaid: None,
-            free: 0,
-            reserved: 0,
-            awaited: 0,
-            largest: DemandPeak::default(),
-            demand: DemandRate::new(DEMAND_HALF_LIFE_MS, now),
-            scarce_since: None,
-        }
-    }
-
-    fn is_waiting(&self) -> bool {
-        self.awaited > self.free
-    }
-
-    fn note_demand(&mut self, now: ClockTime, tokens: u64) {
-        self.demand.add(now, tokens as f64);
-        self.note_peak(now, tokens);
-    }
-
-    fn note_peak(&mut self, now: ClockTime, tokens: u64) {
-        let is_old = now.since(self.largest.noted_at) > 2 * DEMAND_HALF_LIFE_MS;
-        if is_old || tokens > self.largest.tokens {
-            self.largest = DemandPeak {
-                tokens,
-                noted_at: now,
-            };
-        }
-    }
-
-    /// How many free tokens the router should hold.
-    ///
-    /// It holds seconds of its own demand, so that it can serve while the ledger is out of reach,
-    /// but only a bounded part of what nobody has spent. That part shrinks as the total runs out,
-    /// so that near the end hardly anything lies idle at one router while another refuses.
-    fn wanted(&self, now: ClockTime, level: LedgerLevel, options: &EscrowOptions) -> u64 {
-        if level.is_overdrawn() {
-            return 0;
-        }
-        let unspent = level.left().saturating_add(self.free) as f64;
-        let scarce = level.prepaid as f64 * options.scarce_part;
-        let ease = (unspent / scarce.max(1.0)).min(1.0);
-        let part = unspent / level.routers as f64;
-        let most = (part * options.most_part).min(unspent * options.most_alone) * ease;
-        let demand = self.demand.per_second(now) * options.hold_s;
-        let ahead = demand + self.largest_at(now) as f64;
-        let held = ahead.max(part * options.first_part).min(most);
-        self.awaited + held as u64
-    }
-
-    /// The largest recent request, in tokens.
-    fn largest_at(&self, now: ClockTime) -> u64 {
-        match now.since(self.largest.noted_at) > 4 * DEMAND_HALF_LIFE_MS {
-            true => 0,
-            false => self.largest.tokens,
-        }
-    }
-}
-
-/// A workspace's total as the ledger has it.
-#[derive(Clone, Copy, Debug)]
-struct LedgerLevel {
-    prepaid: u64,
-    taken: u64,
-    routers: u64,
-}
-
-impl LedgerLevel {
-    /// What nobody has taken.
-    fn left(self) -> u64 {
-        self.prepaid.saturating_sub(self.taken)
-    }
-
-    /// Whether more is taken than there is, as after the total was lowered.
-    fn is_overdrawn(self) -> bool {
-        self.taken > self.prepaid
-    }
-}
-
 /// What a router holds and wants of one workspace, in tokens.
 #[derive(Clone, Debug)]
 struct EscrowLevel {
@@ -441,19 +358,20 @@
     wanted: u64,
     left: u64,
     is_waiting: bool,
+    may_take: bool,
 }
 
 impl EscrowLevel {
     /// Whether it is worth a write by itself: half of what is wanted, or twice; or a call waits.
     fn is_due(&self) -> bool {
-        let is_low = self.free < self.wanted / 2 || self.is_waiting;
+        let is_low = self.may_take && (self.free < self.wanted / 2 || self.is_waiting);
         let is_high = self.free > self.wanted.saturating_mul(2);
         (is_low && self.left > 0) || is_high
     }
 
     /// What to take, if a write is made: from four fifths of what is wanted down.
     fn take(&self) -> Option<u64> {
-        let is_low = self.free < self.wanted / 5 * 4 || self.is_waiting;
+        let is_low = self.may_take && (self.free < self.wanted / 5 * 4 || self.is_waiting);
         let tokens = self.wanted.saturating_sub(self.free).min(self.left);
         (is_low && tokens > 0).then_some(tokens)
     }
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -29,7 +29,7 @@
 fn escrow(prepaid: u64) -> TokenEscrow {
     let mut escrow = TokenEscrow::new(EscrowOptions::default(), "host@1");
     escrow.set_config(START, &config(1, prepaid));
-    escrow.set_routers(4);
+    escrow.set_keepers(4);
     escrow.set_ledger(START, BudgetLedger::default());
     escrow
 }
@@ -168,7 +168,7 @@
     let mut held = 0;
     for number in 0..7 {
         let mut escrow = escrow(100_000);
-        escrow.set_routers(7);
+        escrow.set_keepers(7);
         escrow.set_ledger(START, ledger.clone());
         for _ in 0..50 {
             escrow.begin_wait(START, &acme(), 400);
@@ -291,7 +291,7 @@
         let name = format!("host-{number}@{}", self.lives);
         let mut escrow = TokenEscrow::new(EscrowOptions::default(), name);
         escrow.set_config(self.now, &config(self.version, self.prepaid));
-        escrow.set_routers(3);
+        escrow.set_keepers(3);
         escrow.set_ledger(self.now, self.ledger.clone());
         let router = SessionRouter {
             escrow,
--- /dev/null
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -0,0 +1,13 @@
+# Tokens that routers of a fleet lend each other. docs/PEERS.md says how src/lending_capnp.rs is made
+# from this file.
+#
+# Parameters and results are only ever added at the end: routers of two versions talk to each other
+# while a fleet is being replaced.
+
+@0xd1b59c02e7f4a683;
+
+interface TokenLender {
+  borrow @0 (secret :Text, workspace :Text, need :UInt64, ahead :UInt64) -> (lent :UInt64);
+  # Hands over tokens of a workspace: `need` and up to `ahead` more, or none. The lender has given
+  # them up when it answers; an answer that is lost loses them.
+}
--- a/crates/beechsaddle-wire/src/lib.rs
+++ b/crates/beechsaddle-wire/src/lib.rs
@@ -4,6 +4,12 @@
 #![warn(rust_2018_idioms)]
 
 mod error;
+
+/// Generated from `schema/lending.capnp`; `docs/PEERS.md` says how. Not formatted and not linted.
+#[rustfmt::skip]
+#[allow(clippy::all, missing_docs, rust_2018_idioms, unused_qualifications)]
+pub mod lending_capnp;
+
 pub mod peer;
 mod platform_codec;
 
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::gateway_state::GatewayState;
+use super::token_lending::update_roles;
 
 /// The object with the ledger.
 const LEDGER_NAME: &str = "ledger";
@@ -57,6 +58,7 @@
     conflicts: u32,
     failures: u32,
     written_at: ClockTime,
+    ticked_at: ClockTime,
 }
 
 impl EscrowKeeper {
@@ -70,6 +72,7 @@
             conflicts: 0,
             failures: 0,
             written_at: ClockTime::ZERO,
+            ticked_at: ClockTime::ZERO,
         }
     }
 
@@ -79,10 +82,23 @@
             let waking = self.state.escrow_wake.notified();
             // A tick that comes without a wake is what the pause is for.
             let _ = timeout(TICK, waking).await;
+            if self.has_ticked() {
+                update_roles(&self.state);
+            }
             self.bring_up_to_date().await;
         }
     }
 
+    /// Whether it is time to set anew who keeps what.
+    fn has_ticked(&mut self) -> bool {
+        let now = self.state.now();
+        let has_ticked = now.since(self.ticked_at) >= TICK.as_millis() as u64;
+        if has_ticked {
+            self.ticked_at = now;
+        }
+        has_ticked
+    }
+
     /// Gives back everything that is not in use, for `span` at most.
     pub(super) async fn give_back(mut self, span: Duration) {
         self.state.escrow.borrow_mut().close();
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -46,6 +46,10 @@
     pub(super) ejections: Counter,
     /// Calls to the store, by outcome.
     pub(super) store_calls: Family<WordLabel, Counter>,
+    /// Tokens borrowed from other routers.
+    pub(super) tokens_borrowed: Counter,
+    /// Tokens lent to other routers.
+    pub(super) tokens_lent: Counter,
     /// Open calls.
     pub(super) open_calls: Gauge,
     /// The version of the configuration in force.
@@ -74,6 +78,8 @@
             resumes: Counter::default(),
             ejections: Counter::default(),
             store_calls: Family::default(),
+            tokens_borrowed: Counter::default(),
+            tokens_lent: Counter::default(),
             open_calls: Gauge::default(),
             config_version: Gauge::default(),
             first_s: latency_histogram(),
@@ -107,6 +113,9 @@
         registry.register("resumes", "Streams resumed", self.resumes.clone());
         registry.register("ejections", "Targets ejected", self.ejections.clone());
         registry.register("store_calls", "Store calls", self.store_calls.clone());
+        let borrowed = self.tokens_borrowed.clone();
+        registry.register("tokens_borrowed", "Tokens borrowed", borrowed);
+        registry.register("tokens_lent", "Tokens lent", self.tokens_lent.clone());
         registry.register("open_calls", "Open calls", self.open_calls.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -21,8 +21,10 @@
 use super::gateway_settings::GatewaySettings;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::host_listener::run_host_listener;
+use super::lending_server::run_lending_listener;
+use super::router_registry::run_registration;
 use super::settings_watch::run_settings_watch;
-use super::store_follow::{follow_kind, run_expiry, run_registration};
+use super::store_follow::{follow_kind, run_expiry};
 use crate::report::{ReportEdge, ReportOptions};
 use crate::router::ClockSource;
 
@@ -75,6 +77,9 @@
     if let Some(address) = settings.metrics_address {
         spawn_local(run_host_listener(try_bind(address)?, Rc::clone(&state)));
     }
+    if let Some(address) = settings.peer_address {
+        spawn_local(run_lending_listener(try_bind(address)?, Rc::clone(&state)));
+    }
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Config));
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Targets));
     spawn_local(run_registration(Rc::clone(&state)));
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -33,6 +33,8 @@
     pub call_address: SocketAddr,
     /// Where the balancer asks whether it takes new connections.
     pub ready_address: SocketAddr,
+    /// Where other routers borrow tokens; `None` lends nothing and borrows nothing.
+    pub peer_address: Option<SocketAddr>,
     /// Where metrics are served; `None` serves none.
     pub metrics_address: Option<SocketAddr>,
     /// The platform's store.
@@ -91,6 +93,7 @@
     let domain = gateway.need_name("domain", findings);
     let call_address = gateway.need_address("call_address", findings);
     let ready_address = gateway.need_address("ready_address", findings);
+    let peer_address = gateway.read_address("peer_address", findings);
     let metrics_address = gateway.read_address("metrics_address", findings);
     let grace_ms = gateway.read_seconds_ms("grace_s", 8.0, findings);
     gateway.finish(findings);
@@ -104,6 +107,7 @@
         domain: DomainName::new(domain?),
         call_address: call_address?,
         ready_address: ready_address?,
+        peer_address,
         metrics_address,
         store,
         watch_wait,
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -15,6 +15,7 @@
 use super::gateway_metrics::{GatewayMetrics, WordLabel};
 use super::gateway_settings::GatewaySettings;
 use super::target_pool::TargetPool;
+use super::token_lending::TokenLending;
 use crate::report::ReportHandle;
 use crate::router::ClockSource;
 
@@ -43,6 +44,8 @@
     pub(super) roster: RefCell<TargetRoster>,
     /// Tokens.
     pub(super) escrow: RefCell<TokenEscrow>,
+    /// Tokens borrowed from other routers, and what is known of these.
+    pub(super) lending: TokenLending,
     /// The retry budget.
     pub(super) retries: RefCell<RetryShare>,
     /// Idle connections to targets.
@@ -79,6 +82,7 @@
             config: RefCell::new(None),
             roster: RefCell::new(TargetRoster::default()),
             escrow: RefCell::new(TokenEscrow::new(EscrowOptions::default(), me.to_string())),
+            lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
             retries: RefCell::new(RetryShare::new(settings.retries)),
             pool: TargetPool::default(),
             store: StoreClient::new(settings.store),
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/lending_server.rs
@@ -0,0 +1,124 @@
+//! The `lending_server` module provides the lending of tokens to other routers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::report::LogLevel;
+use beechsaddle_wire::lending_capnp::token_lender;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use subtle::ConstantTimeEq;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout_at};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::gateway_state::GatewayState;
+use super::ledger_wait::LedgerWait;
+
+/// How long a borrower waits while this router asks the ledger, in milliseconds: a few tries of a
+/// write that meets others. The borrower's own limit is above it.
+const LEDGER_WAIT_MS: u64 = 250;
+
+/// How long to wait after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Lends until the process ends.
+pub(super) async fn run_lending_listener(listener: TcpListener, state: Rc<GatewayState>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                spawn_local(serve_peer(stream, peer, Rc::clone(&state)));
+            }
+            Err(error) => {
+                let fields = [("error", error.to_string())];
+                state.report.log(LogLevel::Warning, "accept_failed", fields);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(stream: TcpStream, peer: SocketAddr, state: Rc<GatewayState>) {
+    // A call waits for each of these small messages.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (reader, writer) = stream.into_split();
+    let options = capnp::message::ReaderOptions::new();
+    let network = VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        Side::Server,
+        options,
+    );
+    let server = LendingServer { state, peer };
+    let client: token_lender::Client = capnp_rpc::new_client(server);
+    // A borrower that leaves closes the connection; there is nothing to mend on this side.
+    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+}
+
+/// The lender as one peer sees it.
+struct LendingServer {
+    state: Rc<GatewayState>,
+    peer: SocketAddr,
+}
+
+impl LendingServer {
+    fn is_known(&self, secret: &str) -> bool {
+        let own = self.state.lending.secret();
+        let is_known = !own.is_empty() && bool::from(own.as_bytes().ct_eq(secret.as_bytes()));
+        if !is_known {
+            let fields = [("peer", self.peer.to_string())];
+            let report = &self.state.report;
+            report.log(LogLevel::Warning, "loan_refused", fields);
+        }
+        is_known
+    }
+
+    /// Lends, after asking the ledger if there is too little here.
+    async fn lend(&self, workspace: &WorkspaceName, need: u64, ahead: u64) -> u64 {
+        let waiting = LedgerWait::start(&self.state, workspace, need);
+        let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
+        loop {
+            let changed = self.state.escrow_changed.notified();
+            let now = self.state.now();
+            let lent = self
+                .state
+                .escrow
+                .borrow_mut()
+                .lend(now, workspace, need, ahead);
+            if lent > 0 || self.state.is_ledger_away.get() {
+                return lent;
+            }
+            waiting.begin();
+            self.state.escrow_wake.notify_one();
+            if timeout_at(until, changed).await.is_err() {
+                return 0;
+            }
+        }
+    }
+}
+
+impl token_lender::Server for LendingServer {
+    async fn borrow(
+        self: Rc<Self>,
+        parameters: token_lender::BorrowParams,
+        mut results: token_lender::BorrowResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        let secret = parameters.get_secret()?.to_str()?;
+        if !self.is_known(secret) {
+            return Err(capnp::Error::failed("wrong secret".to_owned()));
+        }
+        let workspace = WorkspaceName::new(parameters.get_workspace()?.to_str()?);
+        let (need, ahead) = (parameters.get_need(), parameters.get_ahead());
+        let lent = self.lend(&workspace, need, ahead).await;
+        self.state.metrics.tokens_lent.inc_by(lent);
+        results.get().set_lent(lent);
+        Ok(())
+    }
+}
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -16,14 +16,18 @@
 mod gateway_settings;
 mod gateway_state;
 mod host_listener;
+mod ledger_wait;
+mod lending_server;
 mod plain_exchange;
 mod refusal;
+mod router_registry;
 mod settings_watch;
 mod store_follow;
 mod stream_exchange;
 mod stream_relay;
 mod target_pool;
 mod target_send;
+mod token_lending;
 mod token_reservation;
 
 pub use gateway_process::run;
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/router_registry.rs
@@ -0,0 +1,155 @@
+//! The `router_registry` module provides the routers of the fleet, as they list themselves in the
+//! store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::PeerRecord;
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::report::LogLevel;
+use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject};
+use rand::RngCore;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::gateway_state::GatewayState;
+use super::token_lending::update_roles;
+
+/// How often the routers of the fleet are listed. A larger fleet is noticed before its part of the
+/// allowances is used up.
+const LIST_SPAN: Duration = Duration::from_secs(4);
+
+/// How long to wait after a failure at least, in milliseconds.
+const LEAST_PAUSE_MS: u64 = 60;
+
+/// The object with the secret that routers share.
+const SECRET_NAME: &str = "peer-secret";
+
+/// The length of the secret, in bytes of chance.
+const SECRET_BYTES: usize = 24;
+
+/// What a router writes of itself.
+#[derive(Debug, Deserialize, PartialEq, Eq, Serialize)]
+struct RouterEntry {
+    domain: String,
+    address: Option<String>,
+}
+
+/// What the routers of a fleet share.
+#[derive(Debug, Deserialize, Serialize)]
+struct SecretEntry {
+    secret: String,
+}
+
+/// Lists this router in the store, and follows who else is listed.
+pub(super) async fn run_registration(state: Rc<GatewayState>) {
+    let mut backoff = state.backoff("registration");
+    while register(&state).await.is_err() || share_secret(&state).await.is_err() {
+        sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await;
+    }
+    loop {
+        let started = state.now();
+        let listed = state.store.list_stale(ObjectKind::Routers).await;
+        state.note_store_call(started, &listed);
+        // While the store is away the routers that are known stay; those that are gone are noticed
+        // by asking them.
+        if let Ok(listing) = listed {
+            take_routers(&state, &listing.objects);
+        }
+        sleep(LIST_SPAN).await;
+    }
+}
+
+fn take_routers(state: &GatewayState, objects: &[StoreObject]) {
+    let records = objects
+        .iter()
+        .filter_map(|object| read_entry(state, object));
+    let records: Vec<_> = records.collect();
+    let mut ring = state.lending.ring.borrow_mut();
+    let before = ring.router_count();
+    ring.take_listing(records);
+    let routers = ring.router_count().max(1);
+    drop(ring);
+    state.retries.borrow_mut().set_routers(routers);
+    update_roles(state);
+    if before != routers {
+        let fields = [
+            ("before", before.to_string()),
+            ("routers", routers.to_string()),
+        ];
+        state.report.log(LogLevel::Info, "routers_listed", fields);
+    }
+}
+
+fn read_entry(state: &GatewayState, object: &StoreObject) -> Option<PeerRecord> {
+    match serde_json::from_value::<RouterEntry>(object.spec.clone()) {
+        Ok(entry) => Some(PeerRecord {
+            host: HostName::new(object.name()),
+            domain: DomainName::new(entry.domain),
+            address: entry.address.and_then(|address| address.parse().ok()),
+        }),
+        Err(error) => {
+            let fields = [
+                ("router", object.name().to_owned()),
+                ("error", error.to_string()),
+            ];
+            let report = &state.report;
+            report.log(LogLevel::Error, "router_unreadable", fields);
+            None
+        }
+    }
+}
+
+/// Makes or mends the entry of this host. It stays when the router ends: a host that is gone for
+/// good only makes the others' parts smaller, and one that is back has its part at once.
+async fn register(state: &GatewayState) -> Result<(), StoreFailure> {
+    let settings = state.settings();
+    let entry = RouterEntry {
+        domain: settings.domain.to_string(),
+        address: settings.peer_address.map(|address| address.to_string()),
+    };
+    let spec =
+        serde_json::to_value(&entry).map_err(|error| StoreFailure::Malformed(error.to_string()))?;
+    let name = settings.host.as_str();
+    let started = state.now();
+    let created = state.store.create(ObjectKind::Routers, name, &spec).await;
+    state.note_store_call(started, &created);
+    let object = match created {
+        Ok(_) | Err(StoreFailure::Conflict(None)) => return Ok(()),
+        Err(StoreFailure::Conflict(Some(object))) => object,
+        Err(failure) => return Err(failure),
+    };
+    if object.spec == spec {
+        return Ok(());
+    }
+    let started = state.now();
+    let revision = object.revision();
+    let kind = ObjectKind::Routers;
+    let replaced = state.store.replace(kind, name, revision, &spec).await;
+    state.note_store_call(started, &replaced);
+    replaced.map(|_| ())
+}
+
+/// Learns the secret that routers share. The first router of the fleet makes it.
+async fn share_secret(state: &GatewayState) -> Result<(), StoreFailure> {
+    let mut bytes = [0_u8; SECRET_BYTES];
+    rand::rng().fill_bytes(&mut bytes);
+    let entry = SecretEntry {
+        secret: data_encoding::HEXLOWER.encode(&bytes),
+    };
+    let spec =
+        serde_json::to_value(&entry).map_err(|error| StoreFailure::Malformed(error.to_string()))?;
+    let started = state.now();
+    let kind = ObjectKind::Budgets;
+    let created = state.store.create(kind, SECRET_NAME, &spec).await;
+    state.note_store_call(started, &created);
+    let object = match created {
+        Ok(object) => object,
+        Err(StoreFailure::Conflict(Some(object))) => *object,
+        Err(failure) => return Err(failure),
+    };
+    let entry: SecretEntry = serde_json::from_value(object.spec)
+        .map_err(|error| StoreFailure::Malformed(error.to_string()))?;
+    state.lending.set_secret(entry.secret);
+    Ok(())
+}
--- a/crates/beechsaddle/src/gateway/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/store_follow.rs
@@ -1,4 +1,4 @@
-//! The `store_follow` module provides the following of the store: configuration, targets, routers.
+//! The `store_follow` module provides the following of the store: configuration and targets.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,15 +9,10 @@
     CONFIG_NAME, ObjectKind, StoreEvent, StoreFailure, StoreListing, StoreObject, read_config,
     read_target,
 };
-use serde_json::json;
 use tokio::time::sleep;
 
 use super::gateway_state::GatewayState;
 
-/// How often the routers of the fleet are counted. The count only divides allowances, and a larger
-/// fleet is noticed before its part of them is used up.
-const COUNT_SPAN: Duration = Duration::from_secs(4);
-
 /// How often targets that stayed unlisted are looked at.
 const EXPIRY_SPAN: Duration = Duration::from_millis(250);
 
@@ -179,45 +174,6 @@
     state.escrow_changed.notify_waiters();
 }
 
-/// Registers this router, and counts all routers now and then.
-pub(super) async fn run_registration(state: Rc<GatewayState>) {
-    let mut backoff = state.backoff("registration");
-    loop {
-        match register(&state).await {
-            Ok(()) => break,
-            Err(_) => sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await,
-        }
-    }
-    loop {
-        let started = state.now();
-        let listed = state.store.list_stale(ObjectKind::Routers).await;
-        state.note_store_call(started, &listed);
-        if let Ok(listing) = listed {
-            let routers = listing.objects.len().max(1) as u64;
-            state.retries.borrow_mut().set_routers(routers);
-            state.escrow.borrow_mut().set_routers(routers);
-        }
-        sleep(COUNT_SPAN).await;
-    }
-}
-
-/// Makes the entry of this host. It stays when the router ends: a host that is gone for good only
-/// makes the others' parts smaller, and one that is back has its part at once.
-async fn register(state: &GatewayState) -> Result<(), StoreFailure> {
-    let settings = state.settings();
-    let spec = json!({"domain": settings.domain.as_str()});
-    let started = state.now();
-    let created = state
-        .store
-        .create(ObjectKind::Routers, settings.host.as_str(), &spec)
-        .await;
-    state.note_store_call(started, &created);
-    match created {
-        Ok(_) | Err(StoreFailure::Conflict(_)) => Ok(()),
-        Err(failure) => Err(failure),
-    }
-}
-
 /// Drops targets that stayed unlisted after the store came back, and idle connections.
 pub(super) async fn run_expiry(state: Rc<GatewayState>) {
     loop {
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -0,0 +1,263 @@
+//! The `token_lending` module provides the borrowing of tokens from other routers.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::{EscrowRole, PeerRecord, PeerRing};
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::report::LogLevel;
+use beechsaddle_wire::lending_capnp::token_lender;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::gateway_state::GatewayState;
+
+/// How long connecting to a router may take: some hundred round trips of a region.
+const CONNECT_SPAN: Duration = Duration::from_millis(150);
+
+/// How long a loan may take: the lender may have to ask the ledger first.
+const LOAN_SPAN: Duration = Duration::from_millis(400);
+
+/// How many routers of the own domain are asked in turn. Each that is down costs a timeout.
+const KEEPERS_ASKED: usize = 2;
+
+/// Why there was no loan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LoanFailure {
+    /// The router does not answer.
+    Unreachable,
+    /// It has too little, and could not get more.
+    Refused,
+}
+
+/// A connection to a router that lends.
+struct LenderLink {
+    client: token_lender::Client,
+    rpc: AbortOnDropHandle<()>,
+}
+
+impl LenderLink {
+    fn new(client: token_lender::Client, system: RpcSystem<Side>) -> Self {
+        let rpc = spawn_local(async move {
+            // What ends the connection also ends the loan that is under way, which tells of it.
+            let _ = system.await;
+        });
+        LenderLink {
+            client,
+            rpc: AbortOnDropHandle::new(rpc),
+        }
+    }
+}
+
+/// Borrows tokens from other routers.
+pub(super) struct TokenLending {
+    /// The routers of the fleet.
+    pub(super) ring: RefCell<PeerRing>,
+    links: RefCell<BTreeMap<HostName, Rc<LenderLink>>>,
+    active: RefCell<BTreeSet<WorkspaceName>>,
+    secret: RefCell<String>,
+}
+
+impl TokenLending {
+    /// Lending of a router that knows of no other.
+    pub(super) fn new(me: HostName, domain: DomainName) -> Self {
+        TokenLending {
+            ring: RefCell::new(PeerRing::new(me, domain)),
+            links: RefCell::default(),
+            active: RefCell::default(),
+            secret: RefCell::default(),
+        }
+    }
+
+    /// The secret that routers of the fleet share; empty before it is known.
+    pub(super) fn secret(&self) -> String {
+        self.secret.borrow().clone()
+    }
+
+    /// Takes over the shared secret.
+    pub(super) fn set_secret(&self, secret: impl Into<String>) {
+        *self.secret.borrow_mut() = secret.into();
+    }
+
+    /// Whether tokens of a workspace are being asked for.
+    pub(super) fn is_active(&self, workspace: &WorkspaceName) -> bool {
+        self.active.borrow().contains(workspace)
+    }
+
+    fn forget(&self, host: &HostName) {
+        self.links.borrow_mut().remove(host);
+    }
+}
+
+/// Has tokens asked for that calls wait for, from a router or the ledger.
+///
+/// The asking goes on when the call that began it leaves: a loan that is on its way would be lost.
+pub(super) fn want_tokens(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+    if !state.lending.active.borrow_mut().insert(workspace.clone()) {
+        return;
+    }
+    let (state, workspace) = (Rc::clone(state), workspace.clone());
+    spawn_local(async move {
+        ask_for_tokens(&state, &workspace).await;
+        state.lending.active.borrow_mut().remove(&workspace);
+        state.escrow_changed.notify_waiters();
+    });
+}
+
+/// Sets for each workspace whether this router keeps it, by the routers that are known and answer.
+pub(super) fn update_roles(state: &GatewayState) {
+    let now = state.now();
+    let ring = state.lending.ring.borrow();
+    let mut escrow = state.escrow.borrow_mut();
+    if ring.domain_count() > 0 {
+        escrow.set_keepers(ring.domain_count());
+    }
+    for workspace in escrow.counted() {
+        let role = match ring.keeper(now, &workspace) {
+            Some(_) => EscrowRole::Borrower,
+            None => EscrowRole::Keeper,
+        };
+        escrow.set_role(&workspace, role);
+    }
+}
+
+async fn ask_for_tokens(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+    for _ in 0..KEEPERS_ASKED {
+        let keeper = {
+            let ring = state.lending.ring.borrow();
+            ring.keeper(state.now(), workspace).cloned()
+        };
+        let Some(keeper) = keeper else {
+            break;
+        };
+        match ask_peer(state, &keeper, workspace).await {
+            Ok(()) => return,
+            Err(LoanFailure::Refused) => break,
+            Err(LoanFailure::Unreachable) => {}
+        }
+    }
+    // Nobody of the domain helps: the ledger is asked from here, until roles are set anew.
+    let mut escrow = state.escrow.borrow_mut();
+    escrow.set_role(workspace, EscrowRole::Keeper);
+    drop(escrow);
+    state.escrow_wake.notify_one();
+    if state.is_ledger_away.get() {
+        ask_foreign(state, workspace).await;
+    }
+}
+
+/// Asks the keepers of other domains, which may hold more than they need just now.
+async fn ask_foreign(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+    let keepers: Vec<_> = {
+        let ring = state.lending.ring.borrow();
+        let keepers = ring.foreign_keepers(state.now(), workspace);
+        keepers.into_iter().cloned().collect()
+    };
+    for keeper in keepers {
+        if ask_peer(state, &keeper, workspace).await.is_ok() {
+            return;
+        }
+    }
+}
+
+async fn ask_peer(
+    state: &Rc<GatewayState>,
+    peer: &PeerRecord,
+    workspace: &WorkspaceName,
+) -> Result<(), LoanFailure> {
+    let now = state.now();
+    let wanted = state.escrow.borrow().loan_wanted(now, workspace);
+    let Some((need, ahead)) = wanted else {
+        return Ok(());
+    };
+    let loan = timeout(LOAN_SPAN, borrow(state, peer, workspace, need, ahead)).await;
+    let lent = match loan {
+        Ok(Ok(lent)) => lent,
+        Ok(Err(error)) => return Err(note_down(state, peer, &error)),
+        Err(_) => return Err(note_down(state, peer, "no answer in time")),
+    };
+    state.lending.ring.borrow_mut().note_up(&peer.host);
+    if lent == 0 {
+        return Err(LoanFailure::Refused);
+    }
+    state.escrow.borrow_mut().receive(workspace, lent);
+    state.metrics.tokens_borrowed.inc_by(lent);
+    state.escrow_changed.notify_waiters();
+    Ok(())
+}
+
+async fn borrow(
+    state: &GatewayState,
+    peer: &PeerRecord,
+    workspace: &WorkspaceName,
+    need: u64,
+    ahead: u64,
+) -> Result<u64, String> {
+    let link = open_link(state, peer).await?;
+    let mut request = link.client.borrow_request();
+    let mut parameters = request.get();
+    parameters.set_secret(state.lending.secret());
+    parameters.set_workspace(workspace.as_str());
+    parameters.set_need(need);
+    parameters.set_ahead(ahead);
+    let reply = request
+        .send()
+        .promise
+        .await
+        .map_err(|error| error.to_string())?;
+    let reply = reply.get().map_err(|error| error.to_string())?;
+    Ok(reply.get_lent())
+}
+
+async fn open_link(state: &GatewayState, peer: &PeerRecord) -> Result<Rc<LenderLink>, String> {
+    let known = state.lending.links.borrow().get(&peer.host).cloned();
+    if let Some(link) = known
+        && !link.rpc.is_finished()
+    {
+        return Ok(link);
+    }
+    let address = peer.address.ok_or("it lends nothing")?;
+    let stream = match timeout(CONNECT_SPAN, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(error.to_string()),
+        Err(_) => return Err("no connection in time".to_owned()),
+    };
+    stream
+        .set_nodelay(true)
+        .map_err(|error| error.to_string())?;
+    let (reader, writer) = stream.into_split();
+    let options = capnp::message::ReaderOptions::new();
+    let network = VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        Side::Client,
+        options,
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: token_lender::Client = system.bootstrap(Side::Server);
+    let link = Rc::new(LenderLink::new(client, system));
+    let mut links = state.lending.links.borrow_mut();
+    links.insert(peer.host.clone(), Rc::clone(&link));
+    Ok(link)
+}
+
+fn note_down(state: &GatewayState, peer: &PeerRecord, error: &str) -> LoanFailure {
+    state.lending.forget(&peer.host);
+    state
+        .lending
+        .ring
+        .borrow_mut()
+        .note_down(state.now(), &peer.host);
+    update_roles(state);
+    let fields = [("peer", peer.host.to_string()), ("error", error.to_owned())];
+    state.report.log(LogLevel::Warning, "peer_lost", fields);
+    LoanFailure::Unreachable
+}
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -9,7 +9,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::gateway_state::GatewayState;
+use super::ledger_wait::LedgerWait;
 use super::refusal::RefusalCause;
+use super::token_lending::want_tokens;
 
 /// How long a call waits for the ledger, in milliseconds: a few tries of a write that meets others,
 /// and short against what callers wait for a first event.
@@ -34,16 +36,27 @@
         let tokens = bound.total();
         let waiting = LedgerWait::start(state, workspace, tokens);
         let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
+        let mut has_asked = false;
         loop {
             let changed = state.escrow_changed.notified();
-            let outcome = waiting.try_reserve();
+            let now = state.now();
+            let outcome = state
+                .escrow
+                .borrow_mut()
+                .try_reserve(now, workspace, tokens);
             match outcome {
                 ReserveOutcome::Reserved => break,
                 ReserveOutcome::Exhausted => return Err(RefusalCause::BudgetExhausted),
-                ReserveOutcome::Short => state.escrow_wake.notify_one(),
+                ReserveOutcome::Short => waiting.begin(),
             }
-            // While the ledger is away a wait would only make the refusal late.
-            if state.is_ledger_away.get() || timeout_at(until, changed).await.is_err() {
+            // While nobody can help, a wait would only make the refusal late.
+            let is_asking = state.lending.is_active(workspace);
+            if has_asked && !is_asking && state.is_ledger_away.get() {
+                return Err(RefusalCause::BudgetUnreachable);
+            }
+            has_asked = true;
+            want_tokens(state, workspace);
+            if timeout_at(until, changed).await.is_err() {
                 return Err(RefusalCause::BudgetUnreachable);
             }
         }
@@ -69,41 +82,3 @@
         escrow.settle(&self.workspace, self.bound.total(), self.used.get());
     }
 }
-
-/// A call in the queue for tokens; dropping it leaves the queue.
-struct LedgerWait<'a> {
-    state: &'a GatewayState,
-    workspace: &'a WorkspaceName,
-    tokens: u64,
-    is_waiting: Cell<bool>,
-}
-
-impl<'a> LedgerWait<'a> {
-    fn start(state: &'a GatewayState, workspace: &'a WorkspaceName, tokens: u64) -> Self {
-        LedgerWait {
-            state,
-            workspace,
-            tokens,
-            is_waiting: Cell::new(false),
-        }
-    }
-
-    fn try_reserve(&self) -> ReserveOutcome {
-        let now = self.state.now();
-        let mut escrow = self.state.escrow.borrow_mut();
-        let outcome = escrow.try_reserve(now, self.workspace, self.tokens);
-        if outcome == ReserveOutcome::Short && !self.is_waiting.replace(true) {
-            escrow.begin_wait(now, self.workspace, self.tokens);
-        }
-        outcome
-    }
-}
-
-impl Drop for LedgerWait<'_> {
-    fn drop(&mut self) {
-        if self.is_waiting.get() {
-            let mut escrow = self.state.escrow.borrow_mut();
-            escrow.end_wait(self.workspace, self.tokens);
-        }
-    }
-}
