--- a/crates/beechsaddle-core/src/gateway/budget_ledger.rs
+++ b/crates/beechsaddle-core/src/gateway/budget_ledger.rs
@@ -1,24 +1,21 @@
-//! The `budget_ledger` module provides the durable record of what routers took from budgets.
-
-use std::collections::BTreeMap;
+//! The `budget_ledger` module provides the durable record of what routers took from one total.
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::WorkspaceName;
-
-/// How many writers the ledger remembers, the latest first. A router asks after its own write within
-/// seconds; this many writes of others take longer than that.
-const WRITERS_MAX: usize = 256;
+/// How many writers a ledger remembers, the latest first. A router asks after its own write within
+/// seconds; a workspace has one keeper in each domain, and this many writes of others take longer.
+const WRITERS_MAX: usize = 24;
 
-/// Tokens that routers took from each workspace's prepaid total, less what they gave back.
+/// Tokens that routers took from a workspace's prepaid total, less what they gave back.
 ///
 /// A router spends only what it took here by a conditional write, so the sum of all spending stays
 /// within the prepaid total whatever routers are cut off, paused or killed, and without any clock.
-/// What a killed router held is lost to the workspace; it holds seconds of demand, no more.
+/// What a killed router held is lost to the workspace; it holds seconds of demand, no more. Each
+/// workspace has an object of its own, so that only its few keepers meet at it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetLedger {
-    /// Tokens taken, by workspace.
-    pub taken: BTreeMap<WorkspaceName, u64>,
+    /// Tokens taken.
+    pub taken: u64,
     /// The last change of each router, the latest first.
     pub writers: Vec<WriterMark>,
 }
@@ -32,50 +29,47 @@
     pub number: u64,
 }
 
-/// A change of the ledger by one router.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A change of a ledger by one router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LedgerChange {
     /// Counts the changes of this incarnation.
     pub number: u64,
-    /// Tokens to take, by workspace.
-    pub takes: BTreeMap<WorkspaceName, u64>,
-    /// Tokens to give back, by workspace.
-    pub returns: BTreeMap<WorkspaceName, u64>,
+    /// What is moved.
+    pub transfer: TokenTransfer,
 }
 
-impl BudgetLedger {
-    /// Tokens taken from a workspace's total.
-    pub fn taken_of(&self, workspace: &WorkspaceName) -> u64 {
-        self.taken.get(workspace).copied().unwrap_or(0)
-    }
+/// Tokens moved between a ledger and a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TokenTransfer {
+    /// The router takes them.
+    Take(u64),
+    /// The router gives them back.
+    GiveBack(u64),
+}
 
+impl BudgetLedger {
     /// The ledger after a change of `router`.
-    pub fn with_change(&self, router: &str, change: &LedgerChange) -> Self {
-        let mut ledger = self.clone();
-        for (workspace, tokens) in &change.takes {
-            let taken = ledger.taken.entry(workspace.clone()).or_default();
-            *taken = taken.saturating_add(*tokens);
-        }
-        for (workspace, tokens) in &change.returns {
-            let taken = ledger.taken.entry(workspace.clone()).or_default();
-            *taken = taken.saturating_sub(*tokens);
+    pub fn with_change(&self, router: &str, change: LedgerChange) -> Self {
+        let taken = match change.transfer {
+            TokenTransfer::Take(tokens) => self.taken.saturating_add(tokens),
+            TokenTransfer::GiveBack(tokens) => self.taken.saturating_sub(tokens),
+        };
+        let own = WriterMark {
+            router: router.to_owned(),
+            number: change.number,
+        };
+        let others = self.writers.iter().filter(|mark| mark.router != router);
+        let writers = std::iter::once(own).chain(others.cloned());
+        BudgetLedger {
+            taken,
+            writers: writers.take(WRITERS_MAX).collect(),
         }
-        ledger.writers.retain(|mark| mark.router != router);
-        ledger.writers.insert(
-            0,
-            WriterMark {
-                router: router.to_owned(),
-                number: change.number,
-            },
-        );
-        ledger.writers.truncate(WRITERS_MAX);
-        ledger
     }
 
     /// Whether a change of `router` is in this ledger.
     ///
     /// A write without an answer may have been done. Its mark is the only proof of that, and lives in
-    /// the same object as the sums.
+    /// the same object as the sum.
     pub fn has_change(&self, router: &str, number: u64) -> bool {
         self.writers
             .iter()
--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -1,10 +1,20 @@
 //! The `escrow_account` module provides what a router holds and wants of one workspace.
 
-use super::{DemandRate, EscrowOptions};
+use std::collections::BTreeMap;
+
+use super::{BudgetLedger, DemandRate, EscrowOptions, LedgerChange, TokenTransfer};
 use crate::clock::ClockTime;
 
 /// How fast demand is forgotten, in milliseconds.
-pub(super) const DEMAND_HALF_LIFE_MS: u64 = 5_000;
+const DEMAND_HALF_LIFE_MS: u64 = 5_000;
+
+/// How long the word of a keeper counts that a total does not cover a request, in milliseconds. The
+/// total may be raised at any moment.
+const EXHAUSTED_MS: u64 = 1_000;
+
+/// How old a ledger may be that a refusal for good rests on, in milliseconds: it is read again
+/// several times in this span.
+const LEDGER_FRESH_MS: u64 = 2_500;
 
 /// Where a router gets tokens of a workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,16 +34,31 @@
     pub(super) role: EscrowRole,
     /// Tokens that are not promised.
     pub(super) free: u64,
-    /// Tokens promised to calls that run.
-    pub(super) reserved: u64,
-    /// Tokens that calls wait for.
-    pub(super) awaited: u64,
-    /// Since when the total is nearly used up.
-    pub(super) scarce_since: Option<ClockTime>,
+    /// The ledger as it was last seen.
+    pub(super) ledger: Option<BudgetLedger>,
+    /// The change whose outcome is not known yet.
+    pub(super) pending: Option<LedgerChange>,
+    /// How many routers keep the workspace.
+    pub(super) keepers: u64,
+    /// Whether everything is to be given back.
+    pub(super) is_closing: bool,
+    reserved: u64,
+    awaited: BTreeMap<u64, u32>,
+    is_scarce: bool,
+    uncovered_since: Option<ClockTime>,
+    ledger_at: ClockTime,
+    exhausted: Option<ExhaustedWord>,
     largest: DemandPeak,
     demand: DemandRate,
 }
 
+/// A keeper's word that the total does not cover a request.
+#[derive(Clone, Copy, Debug)]
+struct ExhaustedWord {
+    tokens: u64,
+    noted_at: ClockTime,
+}
+
 /// The largest recent request.
 #[derive(Clone, Copy, Debug, Default)]
 struct DemandPeak {
@@ -42,28 +67,147 @@
 }
 
 impl EscrowAccount {
-    /// An account of a router that has nobody to borrow from.
+    /// An account of a router that does not know yet whether it keeps the workspace.
     pub(super) fn new(now: ClockTime) -> Self {
         EscrowAccount {
             prepaid: None,
-            role: EscrowRole::Keeper,
+            role: EscrowRole::Borrower,
             free: 0,
+            ledger: None,
+            pending: None,
+            keepers: 1,
+            is_closing: false,
             reserved: 0,
-            awaited: 0,
-            scarce_since: None,
+            awaited: BTreeMap::new(),
+            is_scarce: false,
+            uncovered_since: None,
+            ledger_at: now,
+            exhausted: None,
             largest: DemandPeak::default(),
             demand: DemandRate::new(DEMAND_HALF_LIFE_MS, now),
         }
     }
 
+    /// Takes over the total.
+    pub(super) fn set_prepaid(&mut self, prepaid: Option<u64>, options: &EscrowOptions) {
+        if self.prepaid != prepaid {
+            self.prepaid = prepaid;
+            self.uncovered_since = None;
+            self.exhausted = None;
+            self.note_scarcity(options);
+        }
+    }
+
+    /// Takes over the ledger as it was read or written.
+    pub(super) fn set_ledger(
+        &mut self,
+        now: ClockTime,
+        ledger: BudgetLedger,
+        options: &EscrowOptions,
+    ) {
+        let left = self.left();
+        self.ledger_at = now;
+        self.ledger = Some(ledger);
+        // Somebody gave back: what did not fit may fit now.
+        if self.left() > left {
+            self.uncovered_since = None;
+        }
+        self.note_scarcity(options);
+    }
+
+    /// Promises tokens to a call.
+    pub(super) fn reserve(&mut self, now: ClockTime, tokens: u64) {
+        self.free -= tokens;
+        self.reserved += tokens;
+        self.note_demand(now, tokens);
+    }
+
+    /// Ends a promise; `used` of it are spent.
+    pub(super) fn settle(&mut self, reserved: u64, used: u64) {
+        self.reserved = self.reserved.saturating_sub(reserved);
+        self.free += reserved.saturating_sub(used);
+    }
+
+    /// A call waits for tokens.
+    pub(super) fn begin_wait(&mut self, now: ClockTime, tokens: u64) {
+        *self.awaited.entry(tokens).or_default() += 1;
+        self.note_peak(now, tokens);
+    }
+
+    /// A call waits no more.
+    pub(super) fn end_wait(&mut self, tokens: u64) {
+        if let Some(count) = self.awaited.get_mut(&tokens) {
+            *count -= 1;
+            if *count == 0 {
+                self.awaited.remove(&tokens);
+            }
+        }
+    }
+
+    /// Tokens that calls wait for.
+    pub(super) fn awaited(&self) -> u64 {
+        let awaited = self.awaited.iter();
+        awaited
+            .map(|(tokens, count)| tokens * u64::from(*count))
+            .sum()
+    }
+
+    /// The smallest request that waits.
+    pub(super) fn least_awaited(&self) -> Option<u64> {
+        self.awaited.keys().next().copied()
+    }
+
     /// Whether calls wait for more than is here.
     pub(super) fn is_waiting(&self) -> bool {
-        self.awaited > self.free
+        self.awaited() > self.free
     }
 
     /// Whether the ledger should be asked at once.
     pub(super) fn asks_ledger(&self) -> bool {
-        self.is_waiting() && self.role == EscrowRole::Keeper
+        let is_asked = self.is_waiting() && self.role == EscrowRole::Keeper;
+        is_asked || (self.is_closing && self.free > 0)
+    }
+
+    /// Whether others may need what is given back here.
+    pub(super) fn is_missed(&self, now: ClockTime, options: &EscrowOptions) -> bool {
+        let transfer = self.next_transfer(now, options);
+        self.is_scarce && matches!(transfer, Some(TokenTransfer::GiveBack(_)))
+    }
+
+    /// Notes a keeper's word that the total does not cover a request.
+    pub(super) fn note_exhausted(&mut self, now: ClockTime, tokens: u64) {
+        self.exhausted = Some(ExhaustedWord {
+            tokens,
+            noted_at: now,
+        });
+    }
+
+    /// Whether the fleet's remainder certainly does not cover a request.
+    ///
+    /// Other routers may still hold some. Near the end they notice within a second and give it back;
+    /// only a request that still does not fit after that is refused for good.
+    pub(super) fn is_exhausted(
+        &mut self,
+        now: ClockTime,
+        tokens: u64,
+        options: &EscrowOptions,
+    ) -> bool {
+        let is_told = self
+            .exhausted
+            .is_some_and(|word| now.since(word.noted_at) < EXHAUSTED_MS && tokens >= word.tokens);
+        let fits = self
+            .left()
+            .is_none_or(|left| left.saturating_add(self.free) >= tokens);
+        if is_told || fits || self.role == EscrowRole::Borrower {
+            return is_told;
+        }
+        // While the ledger is out of reach nobody knows what others gave back.
+        if now.since(self.ledger_at) > LEDGER_FRESH_MS {
+            self.uncovered_since = None;
+            return false;
+        }
+        let since = *self.uncovered_since.get_or_insert(now);
+        now.since(since) >= options.give_back_ms
     }
 
     /// Notes tokens that were promised or lent.
@@ -72,21 +216,51 @@
         self.note_peak(now, tokens);
     }
 
-    /// Notes the size of a request.
-    pub(super) fn note_peak(&mut self, now: ClockTime, tokens: u64) {
-        let is_old = now.since(self.largest.noted_at) > 2 * DEMAND_HALF_LIFE_MS;
-        if is_old || tokens > self.largest.tokens {
-            self.largest = DemandPeak {
-                tokens,
-                noted_at: now,
-            };
+    /// How many tokens to borrow beyond what calls wait for.
+    pub(super) fn borrow_ahead(&self, now: ClockTime, options: &EscrowOptions) -> u64 {
+        (self.demand.per_second(now) * options.borrow_s) as u64
+    }
+
+    /// Tokens that nobody has taken; `None` while that is not known.
+    pub(super) fn left(&self) -> Option<u64> {
+        let taken = self.ledger.as_ref()?.taken;
+        Some(self.prepaid?.saturating_sub(taken))
+    }
+
+    /// Whether the ledger has to be read: a keeper works with it, and others that hold more than
+    /// they borrow give it back there.
+    pub(super) fn needs_ledger(&self, now: ClockTime, options: &EscrowOptions) -> bool {
+        if self.prepaid.is_none() || self.ledger.is_some() {
+            return false;
         }
+        let kept = 2 * (self.borrow_ahead(now, options) + self.largest_at(now));
+        let has_more = match self.is_closing {
+            true => self.free > 0,
+            false => self.free > kept,
+        };
+        (self.role == EscrowRole::Keeper && !self.is_closing) || has_more
     }
 
-    /// How many tokens to borrow beyond what calls wait for.
-    pub(super) fn borrow_ahead(&self, now: ClockTime, options: &EscrowOptions) -> u64 {
-        let demand = self.demand.per_second(now) * options.borrow_s;
-        demand as u64
+    /// What to ask the ledger for, if it is worth a write: from three fifths of what is wanted down, from
+    /// twice of it up, or where a call waits.
+    pub(super) fn next_transfer(
+        &self,
+        now: ClockTime,
+        options: &EscrowOptions,
+    ) -> Option<TokenTransfer> {
+        let left = self.left()?;
+        let wanted = match self.is_closing {
+            true => 0,
+            false => self.wanted(now, options)?,
+        };
+        let may_take = self.role == EscrowRole::Keeper && !self.is_closing;
+        if may_take && (self.free < wanted / 5 * 3 || self.is_waiting()) {
+            let tokens = wanted.saturating_sub(self.free).min(left);
+            return (tokens > 0).then_some(TokenTransfer::Take(tokens));
+        }
+        let tokens = self.free.saturating_sub(wanted);
+        let is_high = self.free > wanted.saturating_mul(2);
+        is_high.then_some(TokenTransfer::GiveBack(tokens))
     }
 
     /// How many free tokens the router should hold.
@@ -94,19 +268,18 @@
     /// A keeper holds seconds of its domain's demand, so that it can serve while the ledger is out
     /// of reach, but only a bounded part of what nobody has spent. That part shrinks as the total
     /// runs out, so that near the end hardly anything lies idle at one router while another refuses.
-    pub(super) fn wanted(
-        &self,
-        now: ClockTime,
-        level: LedgerLevel,
-        options: &EscrowOptions,
-    ) -> u64 {
-        if level.is_overdrawn() {
-            return 0;
+    fn wanted(&self, now: ClockTime, options: &EscrowOptions) -> Option<u64> {
+        let prepaid = self.prepaid?;
+        let left = self.left()?;
+        // More is taken than there is, as after the total was lowered.
+        if self.ledger.as_ref()?.taken > prepaid {
+            return Some(0);
         }
-        let unspent = level.left().saturating_add(self.free) as f64;
-        let scarce = level.prepaid as f64 * options.scarce_part;
-        let ease = (unspent / scarce.max(1.0)).min(1.0);
-        let part = unspent / level.keepers as f64;
+        let unspent = left.saturating_add(self.free) as f64;
+        let scarce = prepaid as f64 * options.scarce_part;
+        let last = prepaid as f64 * options.last_part;
+        let ease = ((unspent - last) / (scarce - last).max(1.0)).clamp(0.0, 1.0);
+        let part = unspent / self.keepers.max(1) as f64;
         let most = (part * options.most_part).min(unspent * options.most_alone) * ease;
         let ahead = match self.role {
             EscrowRole::Keeper => {
@@ -115,7 +288,7 @@
             }
             EscrowRole::Borrower => (self.borrow_ahead(now, options) + self.largest_at(now)) as f64,
         };
-        self.awaited + ahead.min(most) as u64
+        Some(self.awaited() + ahead.min(most) as u64)
     }
 
     /// The largest recent request, in tokens.
@@ -125,27 +298,25 @@
             false => self.largest.tokens,
         }
     }
-}
 
-/// A workspace's total as the ledger has it.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LedgerLevel {
-    /// The total.
-    pub(super) prepaid: u64,
-    /// What routers took of it.
-    pub(super) taken: u64,
-    /// How many routers keep the workspace.
-    pub(super) keepers: u64,
-}
+    fn note_peak(&mut self, now: ClockTime, tokens: u64) {
+        let is_old = now.since(self.largest.noted_at) > 2 * DEMAND_HALF_LIFE_MS;
+        if is_old || tokens > self.largest.tokens {
+            self.largest = DemandPeak {
+                tokens,
+                noted_at: now,
+            };
+        }
+    }
 
-impl LedgerLevel {
-    /// What nobody has taken.
-    pub(super) fn left(self) -> u64 {
-        self.prepaid.saturating_sub(self.taken)
+    fn note_scarcity(&mut self, options: &EscrowOptions) {
+        if let (Some(prepaid), Some(left)) = (self.prepaid, self.left()) {
+            self.is_scarce = (left as f64) < prepaid as f64 * options.scarce_part;
+        }
     }
 
-    /// Whether more is taken than there is, as after the total was lowered.
-    fn is_overdrawn(self) -> bool {
-        self.taken > self.prepaid
+    /// Whether the total is nearly used up.
+    pub(super) fn is_scarce(&self) -> bool {
+        self.is_scarce
     }
 }
--- a/crates/beechsaddle-core/src/gateway/escrow_options.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -18,10 +18,13 @@
     /// What a keeper without demand holds, as a multiple of an equal part: its first requests are
     /// served without a wait.
     pub first_part: f64,
-    /// The part of the prepaid total below which a refusal for good may be due.
+    /// The part of the prepaid total below which routers hold less and look more often.
     pub scarce_part: f64,
-    /// How long the fleet has to give back what it holds once a total is scarce, in milliseconds.
-    /// Before that, a request that does not fit may fit in a moment.
+    /// The last part of the prepaid total, of which nothing is held in advance: whoever needs it
+    /// finds it in the ledger.
+    pub last_part: f64,
+    /// How long a request must not have fitted before it is refused for good, in milliseconds. Until
+    /// then others may give back enough.
     pub give_back_ms: u64,
 }
 
@@ -34,7 +37,8 @@
             most_alone: 0.3,
             first_part: 0.12,
             scarce_part: 0.15,
-            give_back_ms: 2_500,
+            last_part: 0.04,
+            give_back_ms: 1_300,
         }
     }
 }
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 mod target_roster;
 mod token_escrow;
 
-pub use budget_ledger::{BudgetLedger, LedgerChange};
+pub use budget_ledger::{BudgetLedger, LedgerChange, TokenTransfer};
 pub use caller_limits::CallerLimits;
 pub use demand_rate::DemandRate;
 pub use escrow_account::EscrowRole;
@@ -38,4 +38,4 @@
 pub use target_gauge::{AttemptLoad, TargetGauge};
 pub use target_record::{TargetPhase, TargetRecord};
 pub use target_roster::{RosterChange, TargetRoster};
-pub use token_escrow::{EscrowPlan, ReserveOutcome, TokenEscrow};
+pub use token_escrow::{LoanReply, LoanRequest, ReserveOutcome, TokenEscrow};
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use beechsaddle_core::gateway::{
-    BudgetLedger, CallerLimits, EscrowOptions, GatewayConfig, LedgerChange, ReserveOutcome,
-    TokenEscrow, WorkspaceRule,
+    BudgetLedger, CallerLimits, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, LoanReply,
+    LoanRequest, ReserveOutcome, TokenEscrow, TokenTransfer, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -26,22 +26,28 @@
     WorkspaceName::new("acme")
 }
 
-fn escrow(prepaid: u64) -> TokenEscrow {
+fn taken(tokens: u64) -> BudgetLedger {
+    BudgetLedger {
+        taken: tokens,
+        writers: Vec::new(),
+    }
+}
+
+fn keeper(prepaid: u64) -> TokenEscrow {
     let mut escrow = TokenEscrow::new(EscrowOptions::default(), "host@1");
     escrow.set_config(START, &config(1, prepaid));
-    escrow.set_keepers(4);
-    escrow.set_ledger(START, BudgetLedger::default());
+    escrow.set_keepers(3);
+    escrow.set_role(&acme(), EscrowRole::Keeper);
+    escrow.set_ledger(START, &acme(), BudgetLedger::default());
     escrow
 }
 
-/// Writes what is due and gives the ledger after it.
+/// Writes what is due and gives the change.
 fn write_due(escrow: &mut TokenEscrow, now: ClockTime) -> Option<LedgerChange> {
-    let change = escrow.plan(now)?.change;
-    let ledger = escrow
-        .ledger()
-        .expect("a ledger")
-        .with_change("host@1", &change);
-    escrow.commit(now, ledger);
+    let change = escrow.plan(now, &acme())?;
+    let ledger = escrow.ledger(&acme()).expect("a ledger");
+    let ledger = ledger.with_change("host@1", change);
+    escrow.commit(now, &acme(), ledger);
     Some(change)
 }
 
@@ -56,16 +62,18 @@
 fn reserve_before_the_ledger_is_known_waits() {
     let mut escrow = TokenEscrow::new(EscrowOptions::default(), "host@1");
     escrow.set_config(START, &config(1, 1_000));
+    escrow.set_role(&acme(), EscrowRole::Keeper);
     assert_eq!(
         escrow.try_reserve(START, &acme(), 10),
         ReserveOutcome::Short
     );
-    assert!(escrow.plan(START).is_none());
+    assert!(escrow.plan(START, &acme()).is_none());
+    assert_eq!(escrow.unread(START), [acme()]);
 }
 
 #[test]
 fn reserve_settle_frees_the_unused() {
-    let mut escrow = escrow(10_000);
+    let mut escrow = keeper(10_000);
     write_due(&mut escrow, START);
     let held = escrow.free_tokens();
     assert!(held > 0);
@@ -80,39 +88,44 @@
 
 #[test]
 fn plan_waiting_call_is_urgent_and_covered() {
-    let mut escrow = escrow(10_000);
+    let mut escrow = keeper(10_000);
     assert_eq!(
         escrow.try_reserve(START, &acme(), 5_000),
         ReserveOutcome::Short
     );
     escrow.begin_wait(START, &acme(), 5_000);
-    assert!(escrow.is_urgent());
+    assert!(escrow.is_urgent(START, &acme()));
     write_due(&mut escrow, START);
     assert_eq!(
         escrow.try_reserve(START, &acme(), 5_000),
         ReserveOutcome::Reserved
     );
     escrow.end_wait(&acme(), 5_000);
-    assert!(!escrow.is_urgent());
+    assert!(!escrow.is_urgent(START, &acme()));
 }
 
 /// What is left is less than one request. While other routers may still give something back the
-/// request waits; after that it is refused for good, until the total is raised.
+/// request waits; after that it is refused for good, until somebody gives back or the total is
+/// raised.
 #[test]
 fn reserve_exhausted_only_after_others_gave_back() {
-    let mut escrow = escrow(10_000);
-    let mut ledger = BudgetLedger::default();
-    ledger.taken.insert(acme(), 9_900);
-    escrow.set_ledger(START, ledger);
+    let mut escrow = keeper(10_000);
+    escrow.set_ledger(START, &acme(), taken(9_900));
     assert_eq!(
         escrow.try_reserve(START, &acme(), 500),
         ReserveOutcome::Short
     );
-    let later = START.plus_ms(3_000);
+    let later = START.plus_ms(2_000);
+    escrow.set_ledger(later, &acme(), taken(9_900));
     assert_eq!(
         escrow.try_reserve(later, &acme(), 500),
         ReserveOutcome::Exhausted
     );
+    escrow.set_ledger(later, &acme(), taken(9_800));
+    assert_eq!(
+        escrow.try_reserve(later, &acme(), 500),
+        ReserveOutcome::Short
+    );
     escrow.set_config(later, &config(2, 20_000));
     assert_eq!(
         escrow.try_reserve(later, &acme(), 500),
@@ -120,10 +133,24 @@
     );
 }
 
+/// The ledger cannot be read for seconds, and by what was last seen of it a request does not fit.
+/// Others may have given back since: the caller must not be told that the total is used up.
+#[test]
+fn reserve_old_ledger_is_never_exhausted() {
+    let mut escrow = keeper(10_000);
+    escrow.set_ledger(START, &acme(), taken(9_900));
+    for step in 0..20 {
+        let now = START.plus_ms(step * 500);
+        let outcome = escrow.try_reserve(now, &acme(), 500);
+        let is_fresh = step * 500 <= 2_500;
+        assert!(is_fresh || outcome == ReserveOutcome::Short, "step {step}");
+    }
+}
+
 /// A total that is lowered below what is taken has everything given back that is not promised.
 #[test]
 fn plan_lowered_total_gives_back() {
-    let mut escrow = escrow(100_000);
+    let mut escrow = keeper(100_000);
     write_due(&mut escrow, START);
     assert!(escrow.free_tokens() > 0);
     escrow.set_config(START, &config(2, 0));
@@ -133,55 +160,134 @@
 
 #[test]
 fn plan_closing_gives_everything_back() {
-    let mut escrow = escrow(100_000);
+    let mut escrow = keeper(100_000);
     write_due(&mut escrow, START);
     escrow.try_reserve(START, &acme(), 300);
     escrow.settle(&acme(), 300, 120);
     escrow.close();
     write_due(&mut escrow, START);
     assert_eq!(escrow.free_tokens(), 0);
-    let ledger = escrow.ledger().expect("a ledger");
-    assert_eq!(ledger.taken_of(&acme()), 120);
+    let ledger = escrow.ledger(&acme()).expect("a ledger");
+    assert_eq!(ledger.taken, 120);
 }
 
 /// The same change is asked for until its outcome is known, and what it gives back cannot be spent
 /// in the meantime.
 #[test]
 fn plan_pending_change_is_repeated() {
-    let mut escrow = escrow(100_000);
+    let mut escrow = keeper(100_000);
     write_due(&mut escrow, START);
     escrow.close();
-    let first = escrow.plan(START).expect("a change");
+    let first = escrow.plan(START, &acme()).expect("a change");
+    assert!(matches!(first.transfer, TokenTransfer::GiveBack(_)));
     assert_eq!(escrow.free_tokens(), 0);
-    assert_eq!(escrow.plan(START.plus_ms(500)), Some(first.clone()));
-    let ledger = escrow.ledger().expect("a ledger").clone();
-    escrow.revert(START, ledger);
+    assert_eq!(escrow.plan(START.plus_ms(500), &acme()), Some(first));
+    let ledger = escrow.ledger(&acme()).expect("a ledger").clone();
+    escrow.revert(START, &acme(), ledger);
     assert!(escrow.free_tokens() > 0);
 }
 
-/// Little is left and several routers hold some of it. Each holds only a part of the rest, so that
-/// all together leave most of it to whoever needs it.
+/// The last part of a total is left, and several keepers have seen demand. None of them holds any
+/// of it in advance, so that whoever needs it finds it in the ledger.
 #[test]
-fn wanted_shrinks_with_the_remainder() {
-    let mut ledger = BudgetLedger::default();
-    ledger.taken.insert(acme(), 99_000);
-    let mut held = 0;
-    for number in 0..7 {
-        let mut escrow = escrow(100_000);
-        escrow.set_keepers(7);
-        escrow.set_ledger(START, ledger.clone());
-        for _ in 0..50 {
-            escrow.begin_wait(START, &acme(), 400);
-            escrow.end_wait(&acme(), 400);
-        }
-        let router = format!("host-{number}@1");
-        if let Some(plan) = escrow.plan(START) {
-            ledger = ledger.with_change(&router, &plan.change);
-            escrow.commit(START, ledger.clone());
+fn plan_last_part_is_held_by_nobody() {
+    let mut escrow = keeper(100_000);
+    for _ in 0..50 {
+        escrow.begin_wait(START, &acme(), 400);
+        escrow.end_wait(&acme(), 400);
+    }
+    escrow.set_ledger(START, &acme(), taken(97_000));
+    assert_eq!(escrow.plan(START, &acme()), None);
+    assert_eq!(escrow.free_tokens(), 0);
+}
+
+#[test]
+fn plan_one_keeper_holds_no_more_than_its_part() {
+    let mut escrow = keeper(100_000);
+    for step in 0..40 {
+        let now = START.plus_ms(step * 50);
+        escrow.begin_wait(now, &acme(), 5_000);
+        escrow.end_wait(&acme(), 5_000);
+        write_due(&mut escrow, now);
+        if escrow.try_reserve(now, &acme(), 100) == ReserveOutcome::Reserved {
+            escrow.settle(&acme(), 100, 0);
         }
-        held += escrow.free_tokens();
     }
-    assert!(held <= 200, "{held} of the last 1,000 are held idle");
+    assert!(escrow.free_tokens() <= 30_000, "{}", escrow.free_tokens());
+}
+
+#[test]
+fn borrower_takes_nothing_from_the_ledger() {
+    let mut escrow = keeper(100_000);
+    escrow.set_role(&acme(), EscrowRole::Borrower);
+    escrow.begin_wait(START, &acme(), 500);
+    assert_eq!(escrow.plan(START, &acme()), None);
+    let request = escrow.loan_wanted(START, &acme()).expect("a request");
+    assert_eq!((request.least, request.need), (500, 500));
+    escrow.receive(&acme(), 700);
+    assert_eq!(escrow.loan_wanted(START, &acme()), None);
+    assert_eq!(
+        escrow.try_reserve(START, &acme(), 500),
+        ReserveOutcome::Reserved
+    );
+}
+
+/// A keeper lends what is asked for, or as much of it as helps at least one call, or nothing.
+#[test]
+fn lend_whole_part_or_nothing() {
+    let request = |least, need| LoanRequest {
+        least,
+        need,
+        ahead: 0,
+    };
+    let mut escrow = keeper(100_000);
+    escrow.receive(&acme(), 1_000);
+    let held = escrow.free_tokens();
+    assert_eq!(
+        escrow.lend(START, &acme(), request(300, 600)),
+        LoanReply::Lent(600)
+    );
+    assert_eq!(escrow.free_tokens(), held - 600);
+    assert_eq!(
+        escrow.lend(START, &acme(), request(300, 5_000)),
+        LoanReply::Lent(held - 600)
+    );
+    assert_eq!(
+        escrow.lend(START, &acme(), request(300, 300)),
+        LoanReply::Short
+    );
+}
+
+/// The total is used up. A keeper says so, and the borrower refuses its callers for good for as
+/// long as that word counts.
+#[test]
+fn lend_exhausted_reaches_the_borrower() {
+    let mut lender = keeper(10_000);
+    lender.set_ledger(START, &acme(), taken(10_000));
+    let request = LoanRequest {
+        least: 400,
+        need: 900,
+        ahead: 0,
+    };
+    assert_eq!(lender.lend(START, &acme(), request), LoanReply::Short);
+    let later = START.plus_ms(1_500);
+    assert_eq!(lender.lend(later, &acme(), request), LoanReply::Exhausted);
+    let mut borrower = keeper(10_000);
+    borrower.set_role(&acme(), EscrowRole::Borrower);
+    borrower.note_exhausted(later, &acme(), 400);
+    assert_eq!(
+        borrower.try_reserve(later, &acme(), 400),
+        ReserveOutcome::Exhausted
+    );
+    assert_eq!(
+        borrower.try_reserve(later, &acme(), 300),
+        ReserveOutcome::Short
+    );
+    let after = later.plus_ms(1_200);
+    assert_eq!(
+        borrower.try_reserve(after, &acme(), 400),
+        ReserveOutcome::Short
+    );
 }
 
 /// What happens next in a session.
@@ -189,6 +295,15 @@
 enum SessionStep {
     /// A router reserves.
     Reserve { router: u8, tokens: u16 },
+    /// A router asks another for tokens; the answer may be lost.
+    Borrow {
+        router: u8,
+        lender: u8,
+        tokens: u16,
+        is_lost: bool,
+    },
+    /// A router keeps the workspace from now on, or borrows.
+    Role { router: u8, is_keeper: bool },
     /// A router ends its oldest call, which used a part of its bound.
     Settle { router: u8, part: u8 },
     /// A router writes, and the store does so and answers.
@@ -212,7 +327,17 @@
 impl Arbitrary for SessionStep {
     fn arbitrary(source: &mut Gen) -> Self {
         let router = u8::arbitrary(source) % 3;
-        match u8::arbitrary(source) % 16 {
+        match u8::arbitrary(source) % 20 {
+            16..=18 => SessionStep::Borrow {
+                router,
+                lender: u8::arbitrary(source) % 3,
+                tokens: u16::arbitrary(source) % 900,
+                is_lost: u8::arbitrary(source) % 4 == 0,
+            },
+            19 => SessionStep::Role {
+                router,
+                is_keeper: bool::arbitrary(source),
+            },
             0..=3 => SessionStep::Reserve {
                 router,
                 tokens: u16::arbitrary(source) % 900,
@@ -292,7 +417,8 @@
         let mut escrow = TokenEscrow::new(EscrowOptions::default(), name);
         escrow.set_config(self.now, &config(self.version, self.prepaid));
         escrow.set_keepers(3);
-        escrow.set_ledger(self.now, self.ledger.clone());
+        escrow.set_role(&acme(), EscrowRole::Keeper);
+        escrow.set_ledger(self.now, &acme(), self.ledger.clone());
         let router = SessionRouter {
             escrow,
             revision: self.revision,
@@ -304,6 +430,19 @@
     fn run(&mut self, step: SessionStep) {
         match step {
             SessionStep::Reserve { router, tokens } => self.reserve(router, tokens.into()),
+            SessionStep::Borrow {
+                router,
+                lender,
+                tokens,
+                is_lost,
+            } => self.borrow(router, lender, tokens.into(), is_lost),
+            SessionStep::Role { router, is_keeper } => {
+                let role = match is_keeper {
+                    true => EscrowRole::Keeper,
+                    false => EscrowRole::Borrower,
+                };
+                self.router(router).escrow.set_role(&acme(), role);
+            }
             SessionStep::Settle { router, part } => self.settle(router, part),
             SessionStep::Write { router } => self.write(router, true, true),
             SessionStep::WriteLost { router } => self.write(router, true, false),
@@ -333,6 +472,24 @@
         }
     }
 
+    fn borrow(&mut self, number: u8, lender: u8, tokens: u64, is_lost: bool) {
+        if number == lender {
+            return;
+        }
+        let request = LoanRequest {
+            least: tokens,
+            need: tokens,
+            ahead: tokens,
+        };
+        let now = self.now;
+        let reply = self.router(lender).escrow.lend(now, &acme(), request);
+        if let LoanReply::Lent(lent) = reply
+            && !is_lost
+        {
+            self.router(number).escrow.receive(&acme(), lent);
+        }
+    }
+
     fn settle(&mut self, number: u8, part: u8) {
         let router = self.router(number);
         if router.open.is_empty() {
@@ -367,19 +524,19 @@
         let (now, revision) = (self.now, self.revision);
         let stored = self.ledger.clone();
         let router = self.router(number);
-        let Some(plan) = router.escrow.plan(now) else {
+        let Some(change) = router.escrow.plan(now, &acme()) else {
             return;
         };
         let name = router.escrow.router().to_owned();
-        let base = router.escrow.ledger().expect("a ledger");
-        let next = base.with_change(&name, &plan.change);
+        let base = router.escrow.ledger(&acme()).expect("a ledger");
+        let next = base.with_change(&name, change);
         if router.revision != revision {
             if is_answered {
                 // 409 with the object as it is.
                 router.revision = revision;
-                match stored.has_change(&name, plan.change.number) {
-                    true => router.escrow.commit(now, stored),
-                    false => router.escrow.revert(now, stored),
+                match stored.has_change(&name, change.number) {
+                    true => router.escrow.commit(now, &acme(), stored),
+                    false => router.escrow.revert(now, &acme(), stored),
                 }
             }
             return;
@@ -391,7 +548,7 @@
             return;
         }
         if is_answered {
-            router.escrow.commit(now, next.clone());
+            router.escrow.commit(now, &acme(), next.clone());
             router.revision = revision + 1;
         }
         self.ledger = next;
@@ -418,8 +575,8 @@
     }
 }
 
-/// Routers reserve, settle, write, are killed and told to end; writes are lost, late or overtaken,
-/// and the total is raised. At no moment may what was spent and what can still be spent without
+/// Routers reserve, settle, write, lend, are killed and told to end; writes and loans are lost, writes
+/// are late or overtaken, and the total is raised. At no moment may what was spent and what can still be spent without
 /// asking exceed what the ledger says is taken, nor that the total.
 #[test]
 fn escrow_random_sessions_never_overspend() {
@@ -427,7 +584,7 @@
         let mut session = EscrowSession::new();
         for step in steps {
             session.run(step);
-            let taken = session.ledger.taken_of(&acme());
+            let taken = session.ledger.taken;
             if session.spent + session.exposure() > taken || taken > session.prepaid {
                 return false;
             }
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -6,8 +6,17 @@
 
 @0xd1b59c02e7f4a683;
 
+enum LoanOutcome {
+  lent @0;
+  short @1;
+  # The lender has too little now.
+  exhausted @2;
+  # The workspace's total does not cover `least`.
+}
+
 interface TokenLender {
-  borrow @0 (secret :Text, workspace :Text, need :UInt64, ahead :UInt64) -> (lent :UInt64);
-  # Hands over tokens of a workspace: `need` and up to `ahead` more, or none. The lender has given
-  # them up when it answers; an answer that is lost loses them.
+  borrow @0 (secret :Text, workspace :Text, least :UInt64, need :UInt64, ahead :UInt64)
+      -> (outcome :LoanOutcome, tokens :UInt64);
+  # Hands over tokens of a workspace: `need` and up to `ahead` more, at least `least`. The lender has
+  # given them up when it answers; an answer that is lost loses them.
 }
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -5,6 +5,78 @@
 // capnpc crate version: 0.27.0
 
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoanOutcome {
+    Lent = 0,
+    Short = 1,
+    Exhausted = 2,
+}
+
+impl ::capnp::introspect::Introspect for LoanOutcome {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&loan_outcome::ARENA, loan_outcome::get_annotation_types)).into() }
+}
+impl ::core::convert::From<LoanOutcome> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: LoanOutcome) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&loan_outcome::ARENA, loan_outcome::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for LoanOutcome {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <LoanOutcome as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Lent),
+            1 => ::core::result::Result::Ok(Self::Short),
+            2 => ::core::result::Result::Ok(Self::Exhausted),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<LoanOutcome> for u16 {
+    #[inline]
+    fn from(x: LoanOutcome) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for LoanOutcome {
+    const TYPE_ID: u64 = 0xfc66_2b4d_1154_f221u64;
+}
+mod loan_outcome {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(33, 242, 84, 17, 77, 43, 102, 252),
+    ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(131, 166, 244, 231, 2, 156, 181, 209),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+    ::capnp::word(99, 97, 112, 110, 112, 58, 76, 111),
+    ::capnp::word(97, 110, 79, 117, 116, 99, 111, 109),
+    ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(108, 101, 110, 116, 0, 0, 0, 0),
+    ::capnp::word(115, 104, 111, 114, 116, 0, 0, 0),
+    ::capnp::word(101, 120, 104, 97, 117, 115, 116, 101),
+    ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 
 pub mod token_lender {
     #![allow(unused_variables)]
@@ -181,18 +253,22 @@
                 !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
-            pub fn get_need(self) -> u64 {
+            pub fn get_least(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_ahead(self) -> u64 {
+            pub fn get_need(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_ahead(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -275,21 +351,29 @@
                 !self.builder.is_pointer_field_null(1)
             }
             #[inline]
-            pub fn get_need(self) -> u64 {
+            pub fn get_least(self) -> u64 {
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_need(&mut self, value: u64)  {
+            pub fn set_least(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_ahead(self) -> u64 {
+            pub fn get_need(self) -> u64 {
                 self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_ahead(&mut self, value: u64)  {
+            pub fn set_need(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_ahead(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_ahead(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -301,17 +385,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(202, 87, 53, 254, 164, 225, 113, 195),
-                ::capnp::word(26, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
@@ -319,35 +403,42 @@
                 ::capnp::word(107, 101, 110, 76, 101, 110, 100, 101),
                 ::capnp::word(114, 46, 98, 111, 114, 114, 111, 119),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 99, 114, 101, 116, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -365,6 +456,14 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 115, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 101, 100, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -388,6 +487,7 @@
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -401,9 +501,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,3,0,1];
             pub(crate) const TYPE_ID: u64 = 0xc371_e1a4_fe35_57ca;
         }
     }
@@ -470,14 +570,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_lent(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_outcome(self) -> ::core::result::Result<crate::lending_capnp::LoanOutcome,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn get_tokens(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -528,12 +632,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_lent(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_outcome(self) -> ::core::result::Result<crate::lending_capnp::LoanOutcome,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
             }
             #[inline]
-            pub fn set_lent(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_outcome(&mut self, value: crate::lending_capnp::LoanOutcome)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+            #[inline]
+            pub fn get_tokens(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_tokens(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -546,17 +658,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(255, 99, 17, 58, 126, 220, 240, 219),
-                ::capnp::word(26, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
@@ -565,15 +677,30 @@
                 ::capnp::word(114, 46, 98, 111, 114, 114, 111, 119),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 242, 84, 17, 77, 43, 102, 252),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(108, 101, 110, 116, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -584,7 +711,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::lending_capnp::LoanOutcome as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -598,9 +726,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xdbf0_dc7e_3a11_63ff;
         }
     }
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -82,7 +82,7 @@
         self.change(|gauge, now| {
             match end {
                 // A full target is no broken one.
-                AttemptEnd::NotRun => return,
+                AttemptEnd::NotRun => {}
                 AttemptEnd::Failed | AttemptEnd::Broken => gauge.note_outcome(now, true),
                 AttemptEnd::Unsent | AttemptEnd::Silent => {
                     gauge.note_outcome(now, true);
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -1,83 +1,87 @@
-//! The `escrow_keeper` module provides the writes that move tokens between the ledger and the
-//! router.
+//! The `escrow_keeper` module provides the writes that move tokens between ledgers and the router.
 
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use beechsaddle_core::backoff::RetryBackoff;
-use beechsaddle_core::gateway::{BudgetLedger, EscrowPlan, LedgerChange};
-use beechsaddle_core::hash::stable_hash;
 use beechsaddle_core::prelude::*;
-use beechsaddle_core::random::SeededRandom;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject};
-use serde_json::Value;
+use beechsaddle_platform::StoreFailure;
+use futures::stream::{self, StreamExt};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::gateway_state::GatewayState;
+use super::ledger_store::{LedgerStore, StoredLedger, WriteOutcome};
 use super::token_lending::update_roles;
 
-/// The object with the ledger.
-const LEDGER_NAME: &str = "ledger";
-
-/// How often the ledger is brought up to date without a call that waits. Tokens that a scarce
+/// How often ledgers are brought up to date without a call that waits. Tokens that a scarce
 /// workspace needs elsewhere are given back within this and one write.
 const TICK: Duration = Duration::from_millis(800);
 
 /// How long to wait at most after a write that met another router's, in milliseconds: two round trips
-/// at first, doubled each time. With pauses of one length a few dozen routers that all come back at
-/// once meet again and again, and hardly any write is done.
+/// at first, doubled each time. With pauses of one length routers that all come back at once meet
+/// again and again, and hardly any write is done.
 const CONFLICT_FIRST_MS: u64 = 8;
-/// The longest such pause: some sixty routers write in turn in it.
-const CONFLICT_LONGEST_MS: u64 = 512;
+/// The longest such pause, in milliseconds.
+const CONFLICT_LONGEST_MS: u64 = 256;
 
-/// Failures in a row after which calls do not wait for the ledger any more.
-const AWAY_FAILURES: u32 = 2;
+/// How often a write is tried in one round.
+const TRIES_MAX: u32 = 8;
 
-/// The shortest time between two writes that no call waits for.
-const CALM_SPAN_MS: u64 = 1_500;
+/// Failures in a row after which calls do not wait for ledgers any more.
+const AWAY_FAILURES: u32 = 2;
 
-/// How long to wait after a failure, at least, in milliseconds.
+/// How long to wait after a failure, at least and at most, in milliseconds.
 const LEAST_PAUSE_MS: u64 = 60;
-
-/// The longest wait after a failure, in milliseconds: calls wait for the ledger that long.
+/// See [`LEAST_PAUSE_MS`]; calls wait for the ledger that long.
 const LONGEST_PAUSE_MS: u64 = 500;
 
-/// The ledger as it lies in the store.
-struct StoredLedger {
-    revision: u64,
-    ledger: BudgetLedger,
-}
+/// The shortest time between two writes of a ledger that no call waits for.
+const CALM_SPAN_MS: u64 = 2_500;
+
+/// How old a scarce workspace's ledger may be, in milliseconds. Whoever holds some has to notice.
+const SCARCE_AGE_MS: u64 = 600;
+/// How old any other ledger may be, in milliseconds.
+const LEDGER_AGE_MS: u64 = 2_000;
+
+/// Ledgers that are read or written at the same time.
+const PARALLEL: usize = 6;
 
-/// Moves tokens between the ledger and the router.
+/// Moves tokens between ledgers and the router.
 pub(super) struct EscrowKeeper {
     state: Rc<GatewayState>,
-    stored: Option<StoredLedger>,
-    backoff: RetryBackoff,
-    random: SeededRandom,
-    conflicts: u32,
-    failures: u32,
+    store: LedgerStore,
+    stored: RefCell<BTreeMap<WorkspaceName, KeptLedger>>,
+    backoff: RefCell<RetryBackoff>,
+    failures: Cell<u32>,
+    ticked_at: Cell<ClockTime>,
+}
+
+/// A ledger as it was last seen, and when.
+#[derive(Clone, Copy, Debug)]
+struct KeptLedger {
+    revision: u64,
+    seen_at: ClockTime,
     written_at: ClockTime,
-    ticked_at: ClockTime,
 }
 
 impl EscrowKeeper {
-    /// A keeper that has not read the ledger yet.
+    /// A keeper that has not read any ledger yet.
     pub(super) fn new(state: Rc<GatewayState>) -> Self {
         EscrowKeeper {
-            backoff: state.backoff("budgets"),
-            random: SeededRandom::new(stable_hash(state.me.to_string())),
+            store: LedgerStore::new(Rc::clone(&state)),
+            backoff: RefCell::new(state.backoff("budgets")),
             state,
-            stored: None,
-            conflicts: 0,
-            failures: 0,
-            written_at: ClockTime::ZERO,
-            ticked_at: ClockTime::ZERO,
+            stored: RefCell::default(),
+            failures: Cell::new(0),
+            ticked_at: Cell::new(ClockTime::ZERO),
         }
     }
 
     /// Keeps the escrow for ever.
-    pub(super) async fn run(mut self) {
+    pub(super) async fn run(self) {
         loop {
             let waking = self.state.escrow_wake.notified();
             // A tick that comes without a wake is what the pause is for.
@@ -89,18 +93,8 @@
         }
     }
 
-    /// Whether it is time to set anew who keeps what.
-    fn has_ticked(&mut self) -> bool {
-        let now = self.state.now();
-        let has_ticked = now.since(self.ticked_at) >= TICK.as_millis() as u64;
-        if has_ticked {
-            self.ticked_at = now;
-        }
-        has_ticked
-    }
-
     /// Gives back everything that is not in use, for `span` at most.
-    pub(super) async fn give_back(mut self, span: Duration) {
+    pub(super) async fn give_back(self, span: Duration) {
         self.state.escrow.borrow_mut().close();
         let until = Instant::now() + span;
         while Instant::now() < until {
@@ -111,247 +105,216 @@
         }
     }
 
-    /// Reads the ledger if it is not known, and writes what is due.
-    async fn bring_up_to_date(&mut self) {
-        if self.stored.is_none() && !self.try_read().await {
-            return;
-        }
-        let mut is_written = false;
-        while let Some(plan) = self.next_plan() {
-            is_written = true;
-            if !self.try_write(&plan.change).await {
-                return;
-            }
+    /// Whether it is time to set anew who keeps what.
+    fn has_ticked(&self) -> bool {
+        let now = self.state.now();
+        let has_ticked = now.since(self.ticked_at.get()) >= TICK.as_millis() as u64;
+        if has_ticked {
+            self.ticked_at.set(now);
         }
-        if !is_written {
-            self.refresh().await;
+        has_ticked
+    }
+
+    /// Reads the ledgers that are not known, writes what is due, and looks after old ones.
+    async fn bring_up_to_date(&self) {
+        let before = self.failures.get();
+        self.each(self.unread(), |workspace| self.read(workspace))
+            .await;
+        let due = self.due();
+        self.each(due, |workspace| self.write(workspace)).await;
+        let old = self.old();
+        self.each(old, |workspace| self.refresh(workspace)).await;
+        if self.failures.get() > before {
+            let pause_ms = self.backoff.borrow_mut().next_ms(LEAST_PAUSE_MS);
+            sleep(Duration::from_millis(pause_ms.min(LONGEST_PAUSE_MS))).await;
         }
     }
 
-    /// What to write now. What no call waits for is written together, now and then.
-    fn next_plan(&self) -> Option<EscrowPlan> {
+    async fn each<F: Future<Output = ()>>(
+        &self,
+        workspaces: Vec<WorkspaceName>,
+        work: impl Fn(WorkspaceName) -> F,
+    ) {
+        let works = stream::iter(workspaces.into_iter().map(work));
+        works.buffer_unordered(PARALLEL).collect::<()>().await;
+    }
+
+    /// Ledgers to read first: those that are not known, and those that another keeper of this process
+    /// knew, whose changes may still be on their way.
+    fn unread(&self) -> Vec<WorkspaceName> {
         let now = self.state.now();
-        let mut escrow = self.state.escrow.borrow_mut();
-        let is_calm = now.since(self.written_at) >= CALM_SPAN_MS;
-        match is_calm || escrow.is_urgent() {
-            true => escrow.plan(now),
-            false => None,
-        }
+        let escrow = self.state.escrow.borrow();
+        let stored = self.stored.borrow();
+        let mut unread = escrow.unread(now);
+        let due = escrow.due(now).into_iter();
+        unread.extend(due.filter(|workspace| !stored.contains_key(workspace)));
+        unread
     }
 
-    /// Reads the ledger, or makes an empty one where there is none.
-    async fn try_read(&mut self) -> bool {
-        let started = self.state.now();
-        let read = self
-            .state
-            .store
-            .read(ObjectKind::Budgets, LEDGER_NAME)
-            .await;
-        self.state.note_store_call(started, &read);
-        match read {
-            Ok(object) => self.take_object(&object),
-            Err(StoreFailure::Missing) => self.create().await,
-            Err(failure) => self.note_failure(&failure).await,
-        }
-        self.stored.is_some()
+    /// Ledgers to write now. What no call waits for is written now and then.
+    fn due(&self) -> Vec<WorkspaceName> {
+        let now = self.state.now();
+        let escrow = self.state.escrow.borrow();
+        let stored = self.stored.borrow();
+        let due = escrow.due(now).into_iter();
+        let due = due.filter(|workspace| {
+            let kept = stored.get(workspace);
+            let is_calm = kept.is_some_and(|kept| now.since(kept.written_at) >= CALM_SPAN_MS);
+            kept.is_some() && (is_calm || escrow.is_urgent(now, workspace))
+        });
+        due.collect()
     }
 
-    async fn create(&mut self) {
-        let Some(empty) = to_spec(&BudgetLedger::default()) else {
-            return;
-        };
-        let started = self.state.now();
-        let created = self
-            .state
-            .store
-            .create(ObjectKind::Budgets, LEDGER_NAME, &empty)
-            .await;
-        self.state.note_store_call(started, &created);
-        match created {
-            Ok(object) => self.take_object(&object),
-            Err(StoreFailure::Conflict(Some(object))) => self.take_object(&object),
-            Err(failure) => self.note_failure(&failure).await,
-        }
+    /// Ledgers that others may have changed for too long.
+    fn old(&self) -> Vec<WorkspaceName> {
+        let now = self.state.now();
+        let escrow = self.state.escrow.borrow();
+        let (scarce, keeping) = (escrow.scarce(), escrow.kept());
+        let stored = self.stored.borrow();
+        let old = stored.iter().filter(|(workspace, kept)| {
+            let age_ms = now.since(kept.seen_at);
+            let is_missed = scarce.contains(workspace) && age_ms >= SCARCE_AGE_MS;
+            is_missed || (keeping.contains(workspace) && age_ms >= LEDGER_AGE_MS)
+        });
+        old.map(|(workspace, _)| workspace.clone()).collect()
     }
 
-    /// Learns what others took, for a tenth of the price, so that a workspace that got scarce is
-    /// noticed here as well. What is read may be older than what is known.
-    async fn refresh(&mut self) {
-        if self.state.escrow.borrow().free_tokens() == 0 {
-            return;
+    async fn read(&self, workspace: WorkspaceName) {
+        match self.store.read_or_create(&workspace).await {
+            Ok(ledger) => self.take(&workspace, ledger),
+            Err(failure) => self.note_failure(&failure),
         }
-        let started = self.state.now();
-        let read = self
-            .state
-            .store
-            .read_stale(ObjectKind::Budgets, LEDGER_NAME)
-            .await;
-        self.state.note_store_call(started, &read);
-        match read {
-            Ok(object) => self.take_object(&object),
-            Err(failure) => self.note_failure(&failure).await,
+    }
+
+    /// Learns what others took, for a tenth of the price. What is read may be older than what is
+    /// known.
+    async fn refresh(&self, workspace: WorkspaceName) {
+        match self.store.read_stale(&workspace).await {
+            Ok(ledger) => self.take(&workspace, ledger),
+            Err(failure) => self.note_failure(&failure),
         }
     }
 
-    /// Writes a change; tells whether its outcome is known.
-    ///
-    /// A write without an answer may be done now, later or never. The same write, on the same
-    /// revision, is tried until the store tells: at most one of the tries can be done, since each
-    /// changes the revision that all of them ask for.
-    async fn try_write(&mut self, change: &LedgerChange) -> bool {
-        let Some(stored) = &self.stored else {
-            return false;
-        };
-        let router = self.state.escrow.borrow().router().to_owned();
-        let ledger = stored.ledger.with_change(&router, change);
-        let Some(spec) = to_spec(&ledger) else {
-            return false;
-        };
-        let started = self.state.now();
-        let written = self
-            .state
-            .store
-            .replace(ObjectKind::Budgets, LEDGER_NAME, stored.revision, &spec)
-            .await;
-        self.state.note_store_call(started, &written);
-        match written {
-            Ok(object) => {
-                self.log_change(change, object.revision());
-                self.conflicts = 0;
-                self.written_at = self.state.now();
-                self.keep(object.revision(), ledger.clone());
-                let now = self.state.now();
-                self.state.escrow.borrow_mut().commit(now, ledger);
-                self.state.escrow_changed.notify_waiters();
-                true
-            }
-            Err(StoreFailure::Conflict(Some(object))) => {
-                self.settle_conflict(change, &router, &object).await
-            }
-            Err(failure) => {
-                self.note_failure(&failure).await;
-                false
+    /// Writes what is due of a workspace until nothing is, or the store does not tell.
+    async fn write(&self, workspace: WorkspaceName) {
+        for conflicts in 0..TRIES_MAX {
+            let now = self.state.now();
+            let change = self.state.escrow.borrow_mut().plan(now, &workspace);
+            let known = self.known(&workspace);
+            let (Some(change), Some(known)) = (change, known) else {
+                return;
+            };
+            match self.store.write(&workspace, &known, change).await {
+                WriteOutcome::Done(ledger) => {
+                    self.note_written(&workspace);
+                    self.finish(&workspace, ledger, true);
+                    return;
+                }
+                WriteOutcome::Overtaken { ledger, has_change } => {
+                    self.finish(&workspace, ledger, has_change);
+                    let longest_ms = (CONFLICT_FIRST_MS << conflicts).min(CONFLICT_LONGEST_MS);
+                    let pause_ms = rand::random_range(0..=longest_ms);
+                    sleep(Duration::from_millis(pause_ms)).await;
+                }
+                WriteOutcome::Failed(failure) => {
+                    self.note_failure(&failure);
+                    return;
+                }
             }
         }
     }
 
-    /// Another write came first, perhaps an earlier try of this one.
-    async fn settle_conflict(
-        &mut self,
-        change: &LedgerChange,
-        router: &str,
-        object: &StoreObject,
-    ) -> bool {
-        let Some(ledger) = self.read_ledger(object) else {
-            return false;
-        };
-        let is_done = ledger.has_change(router, change.number);
-        self.keep(object.revision(), ledger.clone());
+    /// The ledger that a change is made from.
+    fn known(&self, workspace: &WorkspaceName) -> Option<StoredLedger> {
+        let revision = self.stored.borrow().get(workspace)?.revision;
+        let ledger = self.state.escrow.borrow().ledger(workspace)?.clone();
+        Some(StoredLedger { revision, ledger })
+    }
+
+    /// Takes over what became of a change.
+    fn finish(&self, workspace: &WorkspaceName, stored: StoredLedger, is_done: bool) {
+        self.keep(workspace, stored.revision);
         let now = self.state.now();
-        {
-            let mut escrow = self.state.escrow.borrow_mut();
-            match is_done {
-                true => escrow.commit(now, ledger),
-                false => escrow.revert(now, ledger),
-            }
+        let mut escrow = self.state.escrow.borrow_mut();
+        match is_done {
+            true => escrow.commit(now, workspace, stored.ledger),
+            false => escrow.revert(now, workspace, stored.ledger),
         }
+        drop(escrow);
         self.state.escrow_changed.notify_waiters();
-        let longest_ms = (CONFLICT_FIRST_MS << self.conflicts.min(8)).min(CONFLICT_LONGEST_MS);
-        self.conflicts += 1;
-        let pause_ms = self.random.below(longest_ms);
-        sleep(Duration::from_millis(pause_ms)).await;
-        true
     }
 
-    fn take_object(&mut self, object: &StoreObject) {
-        let is_older = self
+    /// Takes over a ledger that was read.
+    fn take(&self, workspace: &WorkspaceName, stored: StoredLedger) {
+        let known = self
             .stored
-            .as_ref()
-            .is_some_and(|stored| stored.revision >= object.revision());
-        if is_older {
+            .borrow()
+            .get(workspace)
+            .map(|kept| kept.revision);
+        if known.is_some_and(|known| known > stored.revision) {
+            self.keep(workspace, known.unwrap_or_default());
             return;
         }
-        let Some(ledger) = self.read_ledger(object) else {
-            return;
+        // A write that was given up half-way, as at shutdown, may have been done. Writing the change
+        // again would give the same tokens back twice, and others could spend both.
+        let is_done = {
+            let escrow = self.state.escrow.borrow();
+            let pending = escrow.pending_number(workspace);
+            pending.is_some_and(|number| stored.ledger.has_change(escrow.router(), number))
         };
-        self.keep(object.revision(), ledger.clone());
-        let now = self.state.now();
-        {
-            let mut escrow = self.state.escrow.borrow_mut();
-            // A write that was given up half-way, as at shutdown, may have been done. Writing the
-            // change again would give the same tokens back twice, and others could spend both.
-            let is_done = escrow
-                .pending_number()
-                .is_some_and(|number| ledger.has_change(escrow.router(), number));
-            match is_done {
-                true => escrow.commit(now, ledger),
-                false => escrow.set_ledger(now, ledger),
-            }
+        if is_done {
+            self.finish(workspace, stored, true);
+            return;
         }
+        self.keep(workspace, stored.revision);
+        let mut escrow = self.state.escrow.borrow_mut();
+        escrow.set_ledger(self.state.now(), workspace, stored.ledger);
+        drop(escrow);
         self.state.escrow_changed.notify_waiters();
     }
 
-    fn keep(&mut self, revision: u64, ledger: BudgetLedger) {
-        self.backoff.reset();
-        self.state.is_ledger_away.set(false);
-        if std::mem::take(&mut self.failures) >= AWAY_FAILURES {
-            let fields = [("duty", "budgets".to_owned())];
-            self.state
-                .report
-                .log(LogLevel::Warning, "store_regained", fields);
+    fn keep(&self, workspace: &WorkspaceName, revision: u64) {
+        let now = self.state.now();
+        let mut stored = self.stored.borrow_mut();
+        let kept = stored.entry(workspace.clone()).or_insert(KeptLedger {
+            revision,
+            seen_at: now,
+            written_at: ClockTime::ZERO,
+        });
+        kept.revision = revision;
+        kept.seen_at = now;
+        drop(stored);
+        self.note_answer();
+    }
+
+    fn note_written(&self, workspace: &WorkspaceName) {
+        let now = self.state.now();
+        if let Some(kept) = self.stored.borrow_mut().get_mut(workspace) {
+            kept.written_at = now;
         }
-        self.stored = Some(StoredLedger { revision, ledger });
     }
 
-    fn read_ledger(&self, object: &StoreObject) -> Option<BudgetLedger> {
-        match serde_json::from_value(object.spec.clone()) {
-            Ok(ledger) => Some(ledger),
-            Err(error) => {
-                let fields = [
-                    ("revision", object.revision().to_string()),
-                    ("error", error.to_string()),
-                ];
-                self.state
-                    .report
-                    .log(LogLevel::Error, "ledger_unreadable", fields);
-                None
-            }
+    fn note_answer(&self) {
+        self.backoff.borrow_mut().reset();
+        self.state.is_ledger_away.set(false);
+        if self.failures.replace(0) >= AWAY_FAILURES {
+            let fields = [("duty", "budgets".to_owned())];
+            let report = &self.state.report;
+            report.log(LogLevel::Warning, "store_regained", fields);
         }
     }
 
-    async fn note_failure(&mut self, failure: &StoreFailure) {
-        self.failures += 1;
-        if self.failures == AWAY_FAILURES {
+    fn note_failure(&self, failure: &StoreFailure) {
+        self.failures.set(self.failures.get() + 1);
+        if self.failures.get() == AWAY_FAILURES {
             self.state.is_ledger_away.set(true);
             self.state.escrow_changed.notify_waiters();
             let fields = [
                 ("duty", "budgets".to_owned()),
                 ("detail", failure.to_string()),
             ];
-            self.state
-                .report
-                .log(LogLevel::Warning, "store_lost", fields);
+            let report = &self.state.report;
+            report.log(LogLevel::Warning, "store_lost", fields);
         }
-        let pause_ms = self.backoff.next_ms(LEAST_PAUSE_MS).min(LONGEST_PAUSE_MS);
-        sleep(Duration::from_millis(pause_ms)).await;
     }
-
-    fn log_change(&self, change: &LedgerChange, revision: u64) {
-        let taken: u64 = change.takes.values().sum();
-        let returned: u64 = change.returns.values().sum();
-        let fields = [
-            ("number", change.number.to_string()),
-            ("taken", taken.to_string()),
-            ("returned", returned.to_string()),
-            ("revision", revision.to_string()),
-        ];
-        self.state
-            .report
-            .log(LogLevel::Info, "ledger_written", fields);
-    }
-}
-
-/// The ledger as it is written. It is a map of names and numbers, which always can be.
-fn to_spec(ledger: &BudgetLedger) -> Option<Value> {
-    serde_json::to_value(ledger).ok()
 }
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -79,6 +79,9 @@
     }
     if let Some(address) = settings.peer_address {
         spawn_local(run_lending_listener(try_bind(address)?, Rc::clone(&state)));
+    } else {
+        // There is nobody to borrow from.
+        state.lending.settle();
     }
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Config));
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Targets));
--- a/crates/beechsaddle/src/gateway/lending_server.rs
+++ b/crates/beechsaddle/src/gateway/lending_server.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use beechsaddle_core::gateway::{LoanReply, LoanRequest};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_wire::lending_capnp::token_lender;
+use beechsaddle_wire::lending_capnp::{LoanOutcome, token_lender};
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
@@ -80,24 +81,21 @@
     }
 
     /// Lends, after asking the ledger if there is too little here.
-    async fn lend(&self, workspace: &WorkspaceName, need: u64, ahead: u64) -> u64 {
-        let waiting = LedgerWait::start(&self.state, workspace, need);
+    async fn lend(&self, workspace: &WorkspaceName, request: LoanRequest) -> LoanReply {
+        let waiting = LedgerWait::start(&self.state, workspace, request.least);
         let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
         loop {
             let changed = self.state.escrow_changed.notified();
             let now = self.state.now();
-            let lent = self
-                .state
-                .escrow
-                .borrow_mut()
-                .lend(now, workspace, need, ahead);
-            if lent > 0 || self.state.is_ledger_away.get() {
-                return lent;
+            let reply = self.state.escrow.borrow_mut().lend(now, workspace, request);
+            let is_final = reply != LoanReply::Short || self.state.is_ledger_away.get();
+            if is_final {
+                return reply;
             }
             waiting.begin();
             self.state.escrow_wake.notify_one();
             if timeout_at(until, changed).await.is_err() {
-                return 0;
+                return LoanReply::Short;
             }
         }
     }
@@ -115,10 +113,20 @@
             return Err(capnp::Error::failed("wrong secret".to_owned()));
         }
         let workspace = WorkspaceName::new(parameters.get_workspace()?.to_str()?);
-        let (need, ahead) = (parameters.get_need(), parameters.get_ahead());
-        let lent = self.lend(&workspace, need, ahead).await;
-        self.state.metrics.tokens_lent.inc_by(lent);
-        results.get().set_lent(lent);
+        let request = LoanRequest {
+            least: parameters.get_least(),
+            need: parameters.get_need(),
+            ahead: parameters.get_ahead(),
+        };
+        let (outcome, tokens) = match self.lend(&workspace, request).await {
+            LoanReply::Lent(tokens) => (LoanOutcome::Lent, tokens),
+            LoanReply::Short => (LoanOutcome::Short, 0),
+            LoanReply::Exhausted => (LoanOutcome::Exhausted, 0),
+        };
+        self.state.metrics.tokens_lent.inc_by(tokens);
+        let mut reply = results.get();
+        reply.set_outcome(outcome);
+        reply.set_tokens(tokens);
         Ok(())
     }
 }
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod gateway_settings;
 mod gateway_state;
 mod host_listener;
+mod ledger_store;
 mod ledger_wait;
 mod lending_server;
 mod plain_exchange;
--- a/crates/beechsaddle/src/gateway/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/router_registry.rs
@@ -19,6 +19,9 @@
 /// allowances is used up.
 const LIST_SPAN: Duration = Duration::from_secs(4);
 
+/// When the routers are listed for the second time: those that started together are listed by then.
+const SETTLE_SPAN: Duration = Duration::from_millis(1_500);
+
 /// How long to wait after a failure at least, in milliseconds.
 const LEAST_PAUSE_MS: u64 = 60;
 
@@ -47,19 +50,26 @@
     while register(&state).await.is_err() || share_secret(&state).await.is_err() {
         sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await;
     }
+    list_routers(&state).await;
+    sleep(SETTLE_SPAN).await;
+    state.lending.settle();
     loop {
-        let started = state.now();
-        let listed = state.store.list_stale(ObjectKind::Routers).await;
-        state.note_store_call(started, &listed);
-        // While the store is away the routers that are known stay; those that are gone are noticed
-        // by asking them.
-        if let Ok(listing) = listed {
-            take_routers(&state, &listing.objects);
-        }
+        list_routers(&state).await;
         sleep(LIST_SPAN).await;
     }
 }
 
+/// Learns who is listed. While the store is away the routers that are known stay; those that are
+/// gone are noticed by asking them.
+async fn list_routers(state: &GatewayState) {
+    let started = state.now();
+    let listed = state.store.list_stale(ObjectKind::Routers).await;
+    state.note_store_call(started, &listed);
+    if let Ok(listing) = listed {
+        take_routers(state, &listing.objects);
+    }
+}
+
 fn take_routers(state: &GatewayState, objects: &[StoreObject]) {
     let records = objects
         .iter()
--- a/crates/beechsaddle/src/gateway/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/store_follow.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use super::gateway_state::GatewayState;
+use super::token_lending::update_roles;
 
 /// How often targets that stayed unlisted are looked at.
 const EXPIRY_SPAN: Duration = Duration::from_millis(250);
@@ -170,6 +171,7 @@
     state.metrics.config_version.set(config.version as i64);
     state.escrow.borrow_mut().set_config(now, &config);
     *state.config.borrow_mut() = Some(Rc::new(config));
+    update_roles(state);
     state.escrow_wake.notify_one();
     state.escrow_changed.notify_waiters();
 }
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -1,14 +1,14 @@
 //! The `token_lending` module provides the borrowing of tokens from other routers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{EscrowRole, PeerRecord, PeerRing};
+use beechsaddle_core::gateway::{EscrowRole, LoanReply, LoanRequest, PeerRecord, PeerRing};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_wire::lending_capnp::token_lender;
+use beechsaddle_wire::lending_capnp::{LoanOutcome, token_lender};
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
@@ -29,6 +29,11 @@
 /// How many routers of the own domain are asked in turn. Each that is down costs a timeout.
 const KEEPERS_ASKED: usize = 2;
 
+/// How long nobody is asked again while the ledger is away and all have refused, in milliseconds.
+/// Without it each new call would begin to ask anew, and all of them would wait for the outcome
+/// until it is late for them to be refused.
+const REFUSED_MS: u64 = 400;
+
 /// Why there was no loan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LoanFailure {
@@ -63,7 +68,9 @@
     pub(super) ring: RefCell<PeerRing>,
     links: RefCell<BTreeMap<HostName, Rc<LenderLink>>>,
     active: RefCell<BTreeSet<WorkspaceName>>,
+    refused: RefCell<BTreeMap<WorkspaceName, ClockTime>>,
     secret: RefCell<String>,
+    is_settled: Cell<bool>,
 }
 
 impl TokenLending {
@@ -73,7 +80,9 @@
             ring: RefCell::new(PeerRing::new(me, domain)),
             links: RefCell::default(),
             active: RefCell::default(),
+            refused: RefCell::default(),
             secret: RefCell::default(),
+            is_settled: Cell::new(false),
         }
     }
 
@@ -87,9 +96,24 @@
         *self.secret.borrow_mut() = secret.into();
     }
 
-    /// Whether tokens of a workspace are being asked for.
-    pub(super) fn is_active(&self, workspace: &WorkspaceName) -> bool {
-        self.active.borrow().contains(workspace)
+    /// Has roles set by the routers that are listed, from now on.
+    ///
+    /// When a whole fleet starts, the first listing shows the few that were faster. Each router would
+    /// keep every workspace for some seconds, and take and give back tokens of all.
+    pub(super) fn settle(&self) {
+        self.is_settled.set(true);
+    }
+
+    /// Whether tokens of a workspace may come: they are being asked for, and were not refused a
+    /// moment ago.
+    pub(super) fn may_come(&self, now: ClockTime, workspace: &WorkspaceName) -> bool {
+        self.active.borrow().contains(workspace) && !self.was_refused(now, workspace)
+    }
+
+    fn was_refused(&self, now: ClockTime, workspace: &WorkspaceName) -> bool {
+        let refused = self.refused.borrow();
+        let at = refused.get(workspace);
+        at.is_some_and(|at| now.since(*at) < REFUSED_MS)
     }
 
     fn forget(&self, host: &HostName) {
@@ -101,19 +125,28 @@
 ///
 /// The asking goes on when the call that began it leaves: a loan that is on its way would be lost.
 pub(super) fn want_tokens(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
-    if !state.lending.active.borrow_mut().insert(workspace.clone()) {
+    let is_refused = state.lending.was_refused(state.now(), workspace);
+    if is_refused || !state.lending.active.borrow_mut().insert(workspace.clone()) {
         return;
     }
     let (state, workspace) = (Rc::clone(state), workspace.clone());
     spawn_local(async move {
         ask_for_tokens(&state, &workspace).await;
         state.lending.active.borrow_mut().remove(&workspace);
-        state.escrow_changed.notify_waiters();
+        // Loans and writes of the ledger wake the calls that wait. Only where neither will come do
+        // they have to be told here; telling them each time would have them ask again at once, and
+        // the process would spin until they give up.
+        if state.is_ledger_away.get() {
+            state.escrow_changed.notify_waiters();
+        }
     });
 }
 
 /// Sets for each workspace whether this router keeps it, by the routers that are known and answer.
 pub(super) fn update_roles(state: &GatewayState) {
+    if !state.lending.is_settled.get() {
+        return;
+    }
     let now = state.now();
     let ring = state.lending.ring.borrow();
     let mut escrow = state.escrow.borrow_mut();
@@ -145,17 +178,20 @@
         }
     }
     // Nobody of the domain helps: the ledger is asked from here, until roles are set anew.
-    let mut escrow = state.escrow.borrow_mut();
-    escrow.set_role(workspace, EscrowRole::Keeper);
-    drop(escrow);
+    state
+        .escrow
+        .borrow_mut()
+        .set_role(workspace, EscrowRole::Keeper);
     state.escrow_wake.notify_one();
-    if state.is_ledger_away.get() {
-        ask_foreign(state, workspace).await;
+    if state.is_ledger_away.get() && !ask_foreign(state, workspace).await {
+        let mut refused = state.lending.refused.borrow_mut();
+        refused.insert(workspace.clone(), state.now());
     }
 }
 
-/// Asks the keepers of other domains, which may hold more than they need just now.
-async fn ask_foreign(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+/// Asks the keepers of other domains, which may hold more than they need just now; tells whether one
+/// helped.
+async fn ask_foreign(state: &Rc<GatewayState>, workspace: &WorkspaceName) -> bool {
     let keepers: Vec<_> = {
         let ring = state.lending.ring.borrow();
         let keepers = ring.foreign_keepers(state.now(), workspace);
@@ -163,9 +199,10 @@
     };
     for keeper in keepers {
         if ask_peer(state, &keeper, workspace).await.is_ok() {
-            return;
+            return true;
         }
     }
+    false
 }
 
 async fn ask_peer(
@@ -175,46 +212,69 @@
 ) -> Result<(), LoanFailure> {
     let now = state.now();
     let wanted = state.escrow.borrow().loan_wanted(now, workspace);
-    let Some((need, ahead)) = wanted else {
+    let Some(request) = wanted else {
         return Ok(());
     };
-    let loan = timeout(LOAN_SPAN, borrow(state, peer, workspace, need, ahead)).await;
-    let lent = match loan {
-        Ok(Ok(lent)) => lent,
+    let loan = timeout(LOAN_SPAN, borrow(state, peer, workspace, request)).await;
+    let reply = match loan {
+        Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return Err(note_down(state, peer, &error)),
         Err(_) => return Err(note_down(state, peer, "no answer in time")),
     };
     state.lending.ring.borrow_mut().note_up(&peer.host);
-    if lent == 0 {
-        return Err(LoanFailure::Refused);
-    }
-    state.escrow.borrow_mut().receive(workspace, lent);
-    state.metrics.tokens_borrowed.inc_by(lent);
+    take_reply(state, workspace, request, reply)
+}
+
+fn take_reply(
+    state: &GatewayState,
+    workspace: &WorkspaceName,
+    request: LoanRequest,
+    reply: LoanReply,
+) -> Result<(), LoanFailure> {
+    let mut escrow = state.escrow.borrow_mut();
+    let taken = match reply {
+        LoanReply::Lent(tokens) => {
+            escrow.receive(workspace, tokens);
+            state.metrics.tokens_borrowed.inc_by(tokens);
+            Ok(())
+        }
+        LoanReply::Exhausted => {
+            escrow.note_exhausted(state.now(), workspace, request.least);
+            Ok(())
+        }
+        LoanReply::Short => Err(LoanFailure::Refused),
+    };
+    drop(escrow);
     state.escrow_changed.notify_waiters();
-    Ok(())
+    taken
 }
 
 async fn borrow(
     state: &GatewayState,
     peer: &PeerRecord,
     workspace: &WorkspaceName,
-    need: u64,
-    ahead: u64,
-) -> Result<u64, String> {
+    request: LoanRequest,
+) -> Result<LoanReply, String> {
     let link = open_link(state, peer).await?;
-    let mut request = link.client.borrow_request();
-    let mut parameters = request.get();
+    let mut call = link.client.borrow_request();
+    let mut parameters = call.get();
     parameters.set_secret(state.lending.secret());
     parameters.set_workspace(workspace.as_str());
-    parameters.set_need(need);
-    parameters.set_ahead(ahead);
-    let reply = request
+    parameters.set_least(request.least);
+    parameters.set_need(request.need);
+    parameters.set_ahead(request.ahead);
+    let reply = call
         .send()
         .promise
         .await
         .map_err(|error| error.to_string())?;
     let reply = reply.get().map_err(|error| error.to_string())?;
-    Ok(reply.get_lent())
+    match reply.get_outcome() {
+        Ok(LoanOutcome::Lent) => Ok(LoanReply::Lent(reply.get_tokens())),
+        Ok(LoanOutcome::Short) => Ok(LoanReply::Short),
+        Ok(LoanOutcome::Exhausted) => Ok(LoanReply::Exhausted),
+        Err(error) => Err(error.to_string()),
+    }
 }
 
 async fn open_link(state: &GatewayState, peer: &PeerRecord) -> Result<Rc<LenderLink>, String> {
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -50,8 +50,8 @@
                 ReserveOutcome::Short => waiting.begin(),
             }
             // While nobody can help, a wait would only make the refusal late.
-            let is_asking = state.lending.is_active(workspace);
-            if has_asked && !is_asking && state.is_ledger_away.get() {
+            let may_come = state.lending.may_come(now, workspace);
+            if has_asked && !may_come && state.is_ledger_away.get() {
                 return Err(RefusalCause::BudgetUnreachable);
             }
             has_asked = true;
--- a/crates/beechsaddle/tests/gateway_budgets.rs
+++ b/crates/beechsaddle/tests/gateway_budgets.rs
@@ -24,7 +24,7 @@
 }
 
 fn taken(ledger: &Value) -> u64 {
-    ledger["taken"]["acme"].as_u64().unwrap_or(0)
+    ledger["taken"].as_u64().unwrap_or(0)
 }
 
 /// Calls until the total is refused for good; gives how many were served.
@@ -69,7 +69,7 @@
 /// of each: callers are served, and not a token beyond the total.
 #[tokio::test]
 async fn lost_and_late_writes_never_overspend() {
-    let prepaid = 20_000;
+    let prepaid = 12_000;
     for fault in [StoreFault::AnswersLost, StoreFault::LateWrites(1_500)] {
         let bench = GatewayBench::start(&draft(1, prepaid)).await;
         let mut served = 0;
@@ -125,7 +125,10 @@
     }
     bench.router.signal(Signal::SIGTERM);
     assert_eq!(bench.router.wait_end().await, Some(0));
-    let ledger = bench.store.spec("budgets", "ledger").expect("a ledger");
+    let ledger = bench
+        .store
+        .spec("budgets", "ledger-acme")
+        .expect("a ledger");
     assert_eq!(taken(&ledger), 10 * USED);
 }
 
@@ -162,7 +165,10 @@
     }
     bench.router.signal(Signal::SIGTERM);
     assert_eq!(bench.router.wait_end().await, Some(0));
-    let ledger = bench.store.spec("budgets", "ledger").expect("a ledger");
+    let ledger = bench
+        .store
+        .spec("budgets", "ledger-acme")
+        .expect("a ledger");
     assert_eq!(taken(&ledger), 0);
 }
 
@@ -171,3 +177,27 @@
     let spec = ConfigDraft::spec(&draft(1, 7));
     assert_eq!(spec["tenants"][0]["prepaid"], 7);
 }
+
+/// Nearly all of the total is taken elsewhere, so that calls wait for tokens that do not come. The
+/// router sleeps while they wait. Asking anew at each wake once had it spin at full speed until the
+/// calls gave up.
+#[tokio::test]
+async fn waiting_calls_cost_no_processor_time() {
+    let bench = GatewayBench::start(&draft(1, 100_000)).await;
+    let ledger = serde_json::json!({"taken": 99_950, "writers": []});
+    bench.store.put("budgets", "ledger-acme", &ledger);
+    sleep(Duration::from_millis(2_500)).await;
+    let before = bench.router.processor_ms();
+    for number in 0..3 {
+        let reply = bench
+            .router
+            .call(&stream_request(&format!("call-{number}")))
+            .await;
+        assert!([402, 503].contains(&reply.status), "{}", reply.status);
+    }
+    let spent = bench.router.processor_ms() - before;
+    assert!(
+        spent <= 250,
+        "{spent} ms of processor time for three refusals"
+    );
+}
--- /dev/null
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -0,0 +1,130 @@
+//! Tests of routers that lend each other tokens.
+
+mod gateway_support;
+
+use std::time::Duration;
+
+use beechsaddle_platform_stand_in::{CallRequest, StoreFault};
+use gateway_support::{GatewayBench, GatewayProcess, draft, request, wait_for};
+use nix::sys::signal::Signal;
+use tokio::time::sleep;
+
+/// What one stream uses: its prompt, and three events of three tokens.
+const USED: u64 = 109;
+
+fn stream_request(id: &str) -> CallRequest {
+    let mut call = request("POST /stream/on/1", id);
+    call.tokens = Some((100, 20));
+    call
+}
+
+async fn second_router(bench: &GatewayBench, host: &str) -> GatewayProcess {
+    let router = GatewayProcess::start(bench.store.address(), host, "north");
+    router.wait_ready().await;
+    router.wait_log(&["target_joined", "engine-1"]).await;
+    router.wait_log(&["target_joined", "engine-2"]).await;
+    router.wait_log(&["routers_listed", "routers=2"]).await;
+    bench
+        .router
+        .wait_log(&["routers_listed", "routers=2"])
+        .await;
+    // Roles follow the list at the next tick.
+    sleep(Duration::from_millis(1_200)).await;
+    router
+}
+
+/// Two routers of a domain serve one workspace. Only one of them writes the ledger; the other is
+/// lent what it needs.
+#[tokio::test]
+async fn one_router_of_a_domain_keeps_the_workspace() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    let second = second_router(&bench, "host-2").await;
+    let before: Vec<_> = [&bench.router, &second]
+        .iter()
+        .map(|router| router.log_lines(&["ledger_written", "transfer=take"]).len())
+        .collect();
+    for number in 0..30 {
+        for router in [&bench.router, &second] {
+            let reply = router
+                .call(&stream_request(&format!("call-{number}")))
+                .await;
+            assert_eq!(reply.status, 200);
+        }
+    }
+    sleep(Duration::from_millis(500)).await;
+    let after: Vec<_> = [&bench.router, &second]
+        .iter()
+        .map(|router| router.log_lines(&["ledger_written", "transfer=take"]).len())
+        .collect();
+    let unchanged = before.iter().zip(&after).filter(|(old, new)| old == new);
+    assert!(unchanged.count() >= 1, "both wrote: {before:?} {after:?}");
+}
+
+/// The store is away for both routers. The one that keeps the workspace still holds some, and lends
+/// the other what its callers need.
+#[tokio::test]
+async fn store_away_loans_go_on() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    let second = second_router(&bench, "host-2").await;
+    for number in 0..10 {
+        for router in [&bench.router, &second] {
+            router
+                .call(&stream_request(&format!("warm-{number}")))
+                .await;
+        }
+    }
+    bench.store.set_fault(StoreFault::Refusing);
+    bench.router.wait_log(&["store_lost", "duty=config"]).await;
+    for number in 0..20 {
+        for router in [&bench.router, &second] {
+            let reply = router
+                .call(&stream_request(&format!("away-{number}")))
+                .await;
+            assert_eq!(reply.status, 200, "{}", reply.body);
+        }
+    }
+}
+
+/// The router that keeps a workspace is killed. The other notices when it asks, keeps the workspace
+/// itself and serves on; both together never use more than the total.
+#[tokio::test]
+async fn killed_keeper_is_replaced() {
+    let prepaid = 200_000;
+    let bench = GatewayBench::start(&draft(1, prepaid)).await;
+    let second = second_router(&bench, "host-2").await;
+    let mut served = 0;
+    for number in 0..10 {
+        for router in [&bench.router, &second] {
+            let reply = router.call(&stream_request(&format!("a-{number}"))).await;
+            served += u64::from(reply.status == 200);
+        }
+    }
+    bench.router.signal(Signal::SIGKILL);
+    wait_for("service", || async {
+        second.call(&stream_request("b")).await.status == 200
+    })
+    .await;
+    for number in 0..40 {
+        let reply = second.call(&stream_request(&format!("c-{number}"))).await;
+        served += u64::from(reply.status == 200);
+    }
+    assert!(served >= 55, "{served} of 60 were served");
+    assert!(served * USED <= prepaid);
+}
+
+/// Somebody without the secret of the fleet asks for tokens, or sends what is no message at all.
+/// Nothing is lent, and callers are served on.
+#[tokio::test]
+async fn stranger_is_lent_nothing() {
+    use tokio::io::AsyncWriteExt;
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    let entry = bench.store.spec("routers", "host-1").expect("an entry");
+    let address = entry["address"].as_str().expect("an address").to_owned();
+    let mut stream = tokio::net::TcpStream::connect(&address)
+        .await
+        .expect("a connection");
+    stream.write_all(&[0xff; 4_096]).await.expect("bytes");
+    sleep(Duration::from_millis(100)).await;
+    let reply = bench.router.call(&stream_request("call-1")).await;
+    assert_eq!(reply.status, 200);
+}
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -41,11 +41,9 @@
         let name = format!("{host}-{}", address.port());
         let settings = folder.join(format!("{name}.toml"));
         let log = folder.join(format!("{name}.log"));
-        fs::write(
-            &settings,
-            settings_text(store, host, domain, address, ready),
-        )
-        .expect("settings");
+        let peer = free_address().expect("an address");
+        let text = settings_text(store, host, domain, [address, ready, peer]);
+        fs::write(&settings, text).expect("settings");
         let output = fs::File::create(&log).expect("a log file");
         let child = Command::new(env!("CARGO_BIN_EXE_beechsaddle"))
             .args(["router", "--config"])
@@ -85,6 +83,18 @@
         kill(Pid::from_raw(id), signal).expect("a signal");
     }
 
+    /// The processor time that it has used, in milliseconds.
+    pub fn processor_ms(&self) -> u64 {
+        let stat =
+            fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("its status");
+        // The name in parentheses may hold spaces; behind it user and system time are the 12th and
+        // 13th fields, in hundredths of a second.
+        let (_, fields) = stat.rsplit_once(')').expect("a name");
+        let fields: Vec<_> = fields.split_whitespace().collect();
+        let ticks = |index: usize| fields[index].parse::<u64>().expect("a number");
+        (ticks(11) + ticks(12)) * 10
+    }
+
     /// Waits for its end and gives its exit code.
     pub async fn wait_end(&mut self) -> Option<i32> {
         let until = Instant::now() + Duration::from_secs(15);
@@ -139,13 +149,13 @@
     store: SocketAddr,
     host: &str,
     domain: &str,
-    address: SocketAddr,
-    ready: SocketAddr,
+    [address, ready, peer]: [SocketAddr; 3],
 ) -> String {
     format!(
         "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{address}\"\n\
-         ready_address = \"{ready}\"\ngrace_s = 6\n\n[store]\naddress = \"{store}\"\n\
-         watch_ms = 600\n\n[retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n"
+         ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n\n\
+         [store]\naddress = \"{store}\"\nwatch_ms = 600\n\n\
+         [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n"
     )
 }
 
