--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -152,6 +152,23 @@
             .sum()
     }
 
+    /// Tokens that calls wait for, the smallest first, as far as `limit` covers whole calls.
+    ///
+    /// Taking a rest that covers no call would keep it from smaller calls elsewhere, and giving it
+    /// back would look as if something had become free.
+    fn awaited_within(&self, limit: u64) -> u64 {
+        let mut sum = 0_u64;
+        for (tokens, count) in &self.awaited {
+            let room = limit.saturating_sub(sum) / (*tokens).max(1);
+            let fitting = u64::from(*count).min(room);
+            sum += tokens * fitting;
+            if fitting < u64::from(*count) {
+                break;
+            }
+        }
+        sum
+    }
+
     /// The smallest request that waits.
     pub(super) fn least_awaited(&self) -> Option<u64> {
         self.awaited.keys().next().copied()
@@ -254,7 +271,8 @@
             false => self.wanted(now, options)?,
         };
         let may_take = self.role == EscrowRole::Keeper && !self.is_closing;
-        if may_take && (self.free < wanted / 5 * 3 || self.is_waiting()) {
+        let has_waiting = self.awaited_within(left.saturating_add(self.free)) > self.free;
+        if may_take && (self.free < wanted / 5 * 3 || has_waiting) {
             let tokens = wanted.saturating_sub(self.free).min(left);
             return (tokens > 0).then_some(TokenTransfer::Take(tokens));
         }
@@ -288,7 +306,8 @@
             }
             EscrowRole::Borrower => (self.borrow_ahead(now, options) + self.largest_at(now)) as f64,
         };
-        Some(self.awaited() + ahead.min(most) as u64)
+        let awaited = self.awaited_within(left.saturating_add(self.free));
+        Some(awaited + ahead.min(most) as u64)
     }
 
     /// The largest recent request, in tokens.
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -147,6 +147,20 @@
     }
 }
 
+/// A call waits for more than is left. Nothing is taken for it: smaller calls elsewhere can use the
+/// rest, and the call is refused for good in time. The rest once went back and forth, and each time
+/// looked as if somebody had given something back.
+#[test]
+fn plan_rest_that_covers_no_call_stays() {
+    let mut escrow = keeper(10_000);
+    escrow.set_ledger(START, &acme(), taken(9_700));
+    escrow.begin_wait(START, &acme(), 5_000);
+    assert_eq!(escrow.plan(START, &acme()), None);
+    escrow.begin_wait(START, &acme(), 200);
+    let change = escrow.plan(START, &acme()).expect("a change");
+    assert_eq!(change.transfer, TokenTransfer::Take(200));
+}
+
 /// A total that is lowered below what is taken has everything given back that is not promised.
 #[test]
 fn plan_lowered_total_gives_back() {
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -149,6 +149,9 @@
     is_first_noted: Cell<bool>,
 }
 
+/// The outcome of a call that a target answered.
+pub(super) const ANSWERED: &str = "answered";
+
 /// The outcome of a call whose caller left.
 const CALLER_GONE: &str = "caller_gone";
 
@@ -216,6 +219,10 @@
             .open_calls
             .set(state.open_calls.get().saturating_sub(1));
         state.call_ended.notify_one();
+        if outcome == ANSWERED && !state.line_budget.try_take(state.now()) {
+            state.metrics.lines_sampled_out.inc();
+            return;
+        }
         let mut fields = self.fields.take();
         fields.push(("total_ms", span_ms.to_string()));
         fields.push(("outcome", outcome.to_owned()));
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -50,6 +50,8 @@
     pub(super) tokens_borrowed: Counter,
     /// Tokens lent to other routers.
     pub(super) tokens_lent: Counter,
+    /// Lines of answered calls that were left out of the log.
+    pub(super) lines_sampled_out: Counter,
     /// Open calls.
     pub(super) open_calls: Gauge,
     /// The version of the configuration in force.
@@ -80,6 +82,7 @@
             store_calls: Family::default(),
             tokens_borrowed: Counter::default(),
             tokens_lent: Counter::default(),
+            lines_sampled_out: Counter::default(),
             open_calls: Gauge::default(),
             config_version: Gauge::default(),
             first_s: latency_histogram(),
@@ -116,6 +119,8 @@
         let borrowed = self.tokens_borrowed.clone();
         registry.register("tokens_borrowed", "Tokens borrowed", borrowed);
         registry.register("tokens_lent", "Tokens lent", self.tokens_lent.clone());
+        let sampled_out = self.lines_sampled_out.clone();
+        registry.register("lines_sampled_out", "Log lines left out", sampled_out);
         registry.register("open_calls", "Open calls", self.open_calls.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -14,6 +14,7 @@
 
 use super::gateway_metrics::{GatewayMetrics, WordLabel};
 use super::gateway_settings::GatewaySettings;
+use super::line_budget::LineBudget;
 use super::target_pool::TargetPool;
 use super::token_lending::TokenLending;
 use crate::report::ReportHandle;
@@ -64,6 +65,8 @@
     pub(super) is_ledger_away: Cell<bool>,
     /// How far the gateway has shut down.
     pub(super) phase: watch::Sender<GatewayPhase>,
+    /// The bound on log lines of calls that went well.
+    pub(super) line_budget: LineBudget,
     /// Calls that are running.
     pub(super) open_calls: Cell<u64>,
     /// Wakes the shutdown when a call ends.
@@ -92,6 +95,7 @@
             escrow_changed: Notify::new(),
             is_ledger_away: Cell::new(false),
             phase: watch::Sender::new(GatewayPhase::Serving),
+            line_budget: LineBudget::default(),
             open_calls: Cell::new(0),
             call_ended: Notify::new(),
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod ledger_store;
 mod ledger_wait;
 mod lending_server;
+mod line_budget;
 mod plain_exchange;
 mod refusal;
 mod router_registry;
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -13,7 +13,7 @@
 
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
-use super::call_context::CallContext;
+use super::call_context::{ANSWERED, CallContext};
 use super::refusal::RefusalCause;
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 
@@ -211,7 +211,7 @@
     call.record.note_first();
     call.record.end(match answer.status.is_server_error() {
         true => "target_failed",
-        false => "answered",
+        false => ANSWERED,
     });
     let mut response = Response::new(AnswerBody::whole(answer.body));
     *response.status_mut() = answer.status;
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -17,7 +17,7 @@
 
 use super::answer_body::PartStream;
 use super::attempt_guard::AttemptGuard;
-use super::call_context::CallContext;
+use super::call_context::{ANSWERED, CallContext};
 use super::event_splitter::EventSplitter;
 use super::stream_exchange::{StreamOpening, open_stream};
 use super::token_reservation::TokenReservation;
@@ -247,7 +247,7 @@
             attempt.finish(&self.call);
         }
         self.call.record.note("events", self.events);
-        self.call.record.end("answered");
+        self.call.record.end(ANSWERED);
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
