Decide a pending ledger change by every newer ledger that is read; spend prompts from dispatch on

Replayed with logs: a take planned before a cut of the store was still pending when the ledger was read again after it, and was written on top of the newer ledger, which others had used up (taken 1,406,458 of 1,359,431). Also found on the way: a caller that left before the first event left its prompt unspent (calls_left_before_the_first_event_are_spent), and the keeper of the escrow was replaced at shutdown by one that knew no revisions: it now gives back itself. Ruled out: lost loans (the lender gives up first), late writes (their condition fails).

--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -253,8 +253,30 @@
         Some(pending.number)
     }
 
-    /// Takes over the ledger of a workspace as it was read.
-    pub fn set_ledger(&mut self, now: ClockTime, workspace: &WorkspaceName, ledger: BudgetLedger) {
+    /// Takes over the ledger of a workspace as it was read; `is_newer` tells whether its revision is
+    /// another than that of the ledger which was known.
+    ///
+    /// A change whose outcome is not known was made from the ledger that was known, and can only be
+    /// done while that is the newest. On a newer one it either shows its mark, or never will be done.
+    /// Left pending, it would be written on top of the newer ledger: tokens given back twice, or
+    /// taken beyond a total that others have used up meanwhile.
+    pub fn take_ledger(
+        &mut self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        ledger: BudgetLedger,
+        is_newer: bool,
+    ) {
+        let pending = self.pending_number(workspace);
+        let has_change = pending.is_some_and(|number| ledger.has_change(&self.router, number));
+        match (pending, has_change, is_newer) {
+            (Some(_), true, _) => self.commit(now, workspace, ledger),
+            (Some(_), false, true) => self.revert(now, workspace, ledger),
+            (Some(_), false, false) | (None, _, _) => self.set_ledger(now, workspace, ledger),
+        }
+    }
+
+    fn set_ledger(&mut self, now: ClockTime, workspace: &WorkspaceName, ledger: BudgetLedger) {
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.set_ledger(now, ledger, &self.options);
         }
@@ -301,6 +323,12 @@
         self.set_ledger(now, workspace, ledger);
     }
 
+    /// Whether tokens are held and not promised, or on their way to a ledger.
+    pub fn has_tokens(&self) -> bool {
+        let mut accounts = self.accounts.values();
+        accounts.any(|account| account.free > 0 || account.pending.is_some())
+    }
+
     /// Tokens held and not promised, of all workspaces.
     pub fn free_tokens(&self) -> u64 {
         self.accounts.values().map(|account| account.free).sum()
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -38,7 +38,7 @@
     escrow.set_config(START, &config(1, prepaid));
     escrow.set_keepers(3);
     escrow.set_role(&acme(), EscrowRole::Keeper);
-    escrow.set_ledger(START, &acme(), BudgetLedger::default());
+    escrow.take_ledger(START, &acme(), BudgetLedger::default(), true);
     escrow
 }
 
@@ -110,18 +110,18 @@
 #[test]
 fn reserve_exhausted_only_after_others_gave_back() {
     let mut escrow = keeper(10_000);
-    escrow.set_ledger(START, &acme(), taken(9_900));
+    escrow.take_ledger(START, &acme(), taken(9_900), true);
     assert_eq!(
         escrow.try_reserve(START, &acme(), 500),
         ReserveOutcome::Short
     );
     let later = START.plus_ms(2_000);
-    escrow.set_ledger(later, &acme(), taken(9_900));
+    escrow.take_ledger(later, &acme(), taken(9_900), true);
     assert_eq!(
         escrow.try_reserve(later, &acme(), 500),
         ReserveOutcome::Exhausted
     );
-    escrow.set_ledger(later, &acme(), taken(9_800));
+    escrow.take_ledger(later, &acme(), taken(9_800), true);
     assert_eq!(
         escrow.try_reserve(later, &acme(), 500),
         ReserveOutcome::Short
@@ -138,7 +138,7 @@
 #[test]
 fn reserve_old_ledger_is_never_exhausted() {
     let mut escrow = keeper(10_000);
-    escrow.set_ledger(START, &acme(), taken(9_900));
+    escrow.take_ledger(START, &acme(), taken(9_900), true);
     for step in 0..20 {
         let now = START.plus_ms(step * 500);
         let outcome = escrow.try_reserve(now, &acme(), 500);
@@ -153,7 +153,7 @@
 #[test]
 fn plan_rest_that_covers_no_call_stays() {
     let mut escrow = keeper(10_000);
-    escrow.set_ledger(START, &acme(), taken(9_700));
+    escrow.take_ledger(START, &acme(), taken(9_700), true);
     escrow.begin_wait(START, &acme(), 5_000);
     assert_eq!(escrow.plan(START, &acme()), None);
     escrow.begin_wait(START, &acme(), 200);
@@ -210,7 +210,7 @@
         escrow.begin_wait(START, &acme(), 400);
         escrow.end_wait(&acme(), 400);
     }
-    escrow.set_ledger(START, &acme(), taken(97_000));
+    escrow.take_ledger(START, &acme(), taken(97_000), true);
     assert_eq!(escrow.plan(START, &acme()), None);
     assert_eq!(escrow.free_tokens(), 0);
 }
@@ -277,7 +277,7 @@
 #[test]
 fn lend_exhausted_reaches_the_borrower() {
     let mut lender = keeper(10_000);
-    lender.set_ledger(START, &acme(), taken(10_000));
+    lender.take_ledger(START, &acme(), taken(10_000), true);
     let request = LoanRequest {
         least: 400,
         need: 900,
@@ -316,6 +316,8 @@
         tokens: u16,
         is_lost: bool,
     },
+    /// A router reads the ledger.
+    Read { router: u8 },
     /// A router keeps the workspace from now on, or borrows.
     Role { router: u8, is_keeper: bool },
     /// A router ends its oldest call, which used a part of its bound.
@@ -341,7 +343,8 @@
 impl Arbitrary for SessionStep {
     fn arbitrary(source: &mut Gen) -> Self {
         let router = u8::arbitrary(source) % 3;
-        match u8::arbitrary(source) % 20 {
+        match u8::arbitrary(source) % 22 {
+            20..=21 => SessionStep::Read { router },
             16..=18 => SessionStep::Borrow {
                 router,
                 lender: u8::arbitrary(source) % 3,
@@ -432,7 +435,7 @@
         escrow.set_config(self.now, &config(self.version, self.prepaid));
         escrow.set_keepers(3);
         escrow.set_role(&acme(), EscrowRole::Keeper);
-        escrow.set_ledger(self.now, &acme(), self.ledger.clone());
+        escrow.take_ledger(self.now, &acme(), self.ledger.clone(), true);
         let router = SessionRouter {
             escrow,
             revision: self.revision,
@@ -450,6 +453,7 @@
                 tokens,
                 is_lost,
             } => self.borrow(router, lender, tokens.into(), is_lost),
+            SessionStep::Read { router } => self.read(router),
             SessionStep::Role { router, is_keeper } => {
                 let role = match is_keeper {
                     true => EscrowRole::Keeper,
@@ -569,6 +573,14 @@
         self.revision += 1;
     }
 
+    fn read(&mut self, number: u8) {
+        let (now, revision, ledger) = (self.now, self.revision, self.ledger.clone());
+        let router = self.router(number);
+        let is_newer = router.revision != revision;
+        router.escrow.take_ledger(now, &acme(), ledger, is_newer);
+        router.revision = revision;
+    }
+
     fn do_late(&mut self, index: u8) {
         if self.late.is_empty() {
             return;
@@ -589,7 +601,7 @@
     }
 }
 
-/// Routers reserve, settle, write, lend, are killed and told to end; writes and loans are lost, writes
+/// Routers reserve, settle, write, read, lend, are killed and told to end; writes and loans are lost, writes
 /// are late or overtaken, and the total is raised. At no moment may what was spent and what can still be spent without
 /// asking exceed what the ledger says is taken, nor that the total.
 #[test]
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -103,8 +103,17 @@
     match call.route.kind.is_stream() {
         true => serve_stream(call, reservation).await,
         false => {
+            // A plain answer does not tell its tokens: the call counts as the most it may use.
+            if let Some(reservation) = &reservation {
+                reservation.note_delivered(u64::MAX);
+            }
             let response = serve_plain(&call).await;
-            drop(reservation);
+            if let Some(reservation) = &reservation
+                && !call.history.borrow().may_have_run()
+                && response.status() == http::StatusCode::SERVICE_UNAVAILABLE
+            {
+                reservation.undo_attempts();
+            }
             response
         }
     }
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -10,7 +10,7 @@
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::StoreFailure;
 use futures::stream::{self, StreamExt};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
 use super::ledger_store::{LedgerStore, StoredLedger, WriteOutcome};
@@ -93,18 +93,6 @@
         }
     }
 
-    /// Gives back everything that is not in use, for `span` at most.
-    pub(super) async fn give_back(self, span: Duration) {
-        self.state.escrow.borrow_mut().close();
-        let until = Instant::now() + span;
-        while Instant::now() < until {
-            self.bring_up_to_date().await;
-            if self.state.escrow.borrow().free_tokens() == 0 {
-                return;
-            }
-        }
-    }
-
     /// Whether it is time to set anew who keeps what.
     fn has_ticked(&self) -> bool {
         let now = self.state.now();
@@ -118,8 +106,8 @@
     /// Reads the ledgers that are not known, writes what is due, and looks after old ones.
     async fn bring_up_to_date(&self) {
         let before = self.failures.get();
-        self.each(self.unread(), |workspace| self.read(workspace))
-            .await;
+        let unread = self.state.escrow.borrow().unread(self.state.now());
+        self.each(unread, |workspace| self.read(workspace)).await;
         let due = self.due();
         self.each(due, |workspace| self.write(workspace)).await;
         let old = self.old();
@@ -139,18 +127,6 @@
         works.buffer_unordered(PARALLEL).collect::<()>().await;
     }
 
-    /// Ledgers to read first: those that are not known, and those that another keeper of this process
-    /// knew, whose changes may still be on their way.
-    fn unread(&self) -> Vec<WorkspaceName> {
-        let now = self.state.now();
-        let escrow = self.state.escrow.borrow();
-        let stored = self.stored.borrow();
-        let mut unread = escrow.unread(now);
-        let due = escrow.due(now).into_iter();
-        unread.extend(due.filter(|workspace| !stored.contains_key(workspace)));
-        unread
-    }
-
     /// Ledgers to write now. What no call waits for is written now and then.
     fn due(&self) -> Vec<WorkspaceName> {
         let now = self.state.now();
@@ -255,20 +231,11 @@
             self.keep(workspace, known.unwrap_or_default());
             return;
         }
-        // A write that was given up half-way, as at shutdown, may have been done. Writing the change
-        // again would give the same tokens back twice, and others could spend both.
-        let is_done = {
-            let escrow = self.state.escrow.borrow();
-            let pending = escrow.pending_number(workspace);
-            pending.is_some_and(|number| stored.ledger.has_change(escrow.router(), number))
-        };
-        if is_done {
-            self.finish(workspace, stored, true);
-            return;
-        }
         self.keep(workspace, stored.revision);
+        let now = self.state.now();
+        let is_newer = known.is_some_and(|known| known < stored.revision);
         let mut escrow = self.state.escrow.borrow_mut();
-        escrow.set_ledger(self.state.now(), workspace, stored.ledger);
+        escrow.take_ledger(now, workspace, stored.ledger, is_newer);
         drop(escrow);
         self.state.escrow_changed.notify_waiters();
     }
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -87,7 +87,7 @@
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Targets));
     spawn_local(run_registration(Rc::clone(&state)));
     spawn_local(run_expiry(Rc::clone(&state)));
-    let keeper = spawn_local(EscrowKeeper::new(Rc::clone(&state)).run());
+    spawn_local(EscrowKeeper::new(Rc::clone(&state)).run());
     spawn_local(run_settings_watch(path.to_owned(), Rc::clone(&state)));
     let fields = [
         ("version", env!("CARGO_PKG_VERSION").to_owned()),
@@ -103,15 +103,27 @@
         _ = interrupt.recv() => {}
     }
     shut_down(&state).await;
-    // The keeper that runs is ended between two writes at most; a write of it whose outcome is
-    // unknown then only loses what it would have brought.
-    keeper.abort();
-    EscrowKeeper::new(Rc::clone(&state))
-        .give_back(GIVE_BACK)
-        .await;
+    give_back(&state).await;
     Ok(())
 }
 
+/// Has all tokens given back that are not in use. The keeper of the escrow does so, as it alone knows
+/// which of its writes may still be done.
+async fn give_back(state: &GatewayState) {
+    state.escrow.borrow_mut().close();
+    let until = Instant::now() + GIVE_BACK;
+    while state.escrow.borrow().has_tokens() {
+        let changed = state.escrow_changed.notified();
+        state.escrow_wake.notify_one();
+        if timeout_at(until, changed).await.is_err() {
+            let free = state.escrow.borrow().free_tokens();
+            let fields = [("free", free.to_string())];
+            state.report.log(LogLevel::Warning, "tokens_kept", fields);
+            return;
+        }
+    }
+}
+
 /// Ends all calls within the grace.
 ///
 /// The router is not ready from the first moment on, so that the balancer turns to others; until it
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -89,11 +89,11 @@
             );
         };
         note_choice(call, &choice);
+        if let Some(reservation) = reservation {
+            reservation.begin_attempt();
+        }
         let (end, detail) = match run_attempt(call, choice, &target, last_event).await {
-            Ok(AttemptAnswer::Stream(open)) => {
-                note_tokens(reservation);
-                return StreamOpening::Open(open);
-            }
+            Ok(AttemptAnswer::Stream(open)) => return StreamOpening::Open(open),
             Ok(AttemptAnswer::Failure(response)) => {
                 let detail = format!("status {}", response.status());
                 failure = Some(response);
@@ -101,10 +101,12 @@
             }
             Err(failure) => (failure.end, failure.detail),
         };
-        if end.may_have_run() {
-            note_tokens(reservation);
-        }
         call.note_end(&target, end, &detail);
+        if let Some(reservation) = reservation
+            && !call.history.borrow().may_have_run()
+        {
+            reservation.undo_attempts();
+        }
         if !call.try_repeat(end) {
             return match failure {
                 Some(response) if end == AttemptEnd::Failed => StreamOpening::Failed(response),
@@ -114,13 +116,6 @@
     }
 }
 
-/// The prompt may have been read: it is spent, whatever becomes of the call.
-fn note_tokens(reservation: Option<&TokenReservation>) {
-    if let Some(reservation) = reservation {
-        reservation.note_used(0);
-    }
-}
-
 enum AttemptAnswer {
     Stream(Box<OpenStream>),
     Failure(Response<AnswerBody>),
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -232,7 +232,7 @@
         self.events += part.events;
         if let Some(reservation) = &self.reservation {
             // The tokens of an event are not told one by one; each counts as the most it can hold.
-            reservation.note_used(self.events.saturating_mul(self.call.rule.event_tokens));
+            reservation.note_delivered(self.events.saturating_mul(self.call.rule.event_tokens));
         }
         if part.bytes.is_empty() {
             return None;
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -68,8 +68,20 @@
         })
     }
 
-    /// Notes that a target may be reading the prompt; `output` tokens were delivered so far.
-    pub(super) fn note_used(&self, output: u64) {
+    /// Notes that a target is sent the call. From here on the prompt is spent, unless the target
+    /// turns out not to have run it: a caller that leaves now ends this future at any point, and the
+    /// target may be reading all the same.
+    pub(super) fn begin_attempt(&self) {
+        self.used.set(self.used.get().max(self.bound.input));
+    }
+
+    /// Notes that no target ran the call so far.
+    pub(super) fn undo_attempts(&self) {
+        self.used.set(0);
+    }
+
+    /// Notes how many tokens were delivered so far.
+    pub(super) fn note_delivered(&self, output: u64) {
         let output = output.min(self.bound.output_max);
         let used = self.bound.input.saturating_add(output);
         self.used.set(self.used.get().max(used));
--- a/crates/beechsaddle/tests/gateway_budgets.rs
+++ b/crates/beechsaddle/tests/gateway_budgets.rs
@@ -201,3 +201,31 @@
         "{spent} ms of processor time for three refusals"
     );
 }
+
+/// Callers leave before the first event, while the target is reading their prompts. What was read is
+/// spent: the ledger counts it, or a workspace could use its total many times over.
+#[tokio::test]
+async fn calls_left_before_the_first_event_are_spent() {
+    use tokio::io::AsyncWriteExt;
+    let mut bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    for target in &bench.engines {
+        target.set_work(Duration::from_secs(5));
+    }
+    for number in 0..5 {
+        let call = stream_request(&format!("call-{number}"));
+        let stream = tokio::net::TcpStream::connect(bench.router.address).await;
+        let mut stream = stream.expect("a connection");
+        stream.write_all(&call.bytes()).await.expect("a call");
+        wait_for("an arrival", || async {
+            GatewayBench::arrival_count(&bench.engines) == number + 1
+        })
+        .await;
+    }
+    bench.router.signal(Signal::SIGTERM);
+    assert_eq!(bench.router.wait_end().await, Some(0));
+    let ledger = bench
+        .store
+        .spec("budgets", "ledger-acme")
+        .expect("a ledger");
+    assert_eq!(taken(&ledger), 5 * INPUT);
+}
