--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -38,6 +38,7 @@
     headers: HeaderMap,
     body: Bytes,
     end: Option<AttemptEnd>,
+    is_misdirected: bool,
 }
 
 /// Serves a call.
@@ -123,7 +124,12 @@
     let outcome = exchange(call, target, patience(call, target)).await;
     match &outcome {
         Ok(answer) => match answer.end {
-            Some(end) => guard.note_end(end),
+            Some(end) => {
+                if answer.is_misdirected {
+                    guard.note_misdirected();
+                }
+                guard.note_end(end);
+            }
             None => {
                 guard.note_first();
                 guard.note_success();
@@ -171,6 +177,7 @@
         headers: parts.headers,
         body,
         end,
+        is_misdirected: facts.is_misdirected,
     })
 }
 
--- a/crates/beechsaddle/tests/gateway_calls.rs
+++ b/crates/beechsaddle/tests/gateway_calls.rs
@@ -260,3 +260,20 @@
         .await;
     assert!(bench.router.log_lines(&["target_ejected"]).is_empty());
 }
+
+/// A target has gone and another has its address, which the store does not tell yet. The first call
+/// is told so and goes elsewhere; the following ones do not try the address again at once.
+#[tokio::test]
+async fn misdirected_address_is_left_alone() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    bench.plain[0].set_fault(TargetFault::Misdirected);
+    // Slow enough that the other address looks the better choice each time.
+    bench.plain[1].set_work(Duration::from_millis(60));
+    for number in 0..10 {
+        let call = request(&format!("GET /get/{number}"), &format!("call-{number}"));
+        let reply = bench.router.call(&call).await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "plain-2"));
+    }
+    let arrivals = bench.plain[0].runs().len();
+    assert!(arrivals <= 2, "{arrivals} calls went to the address");
+}
