--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -97,6 +97,7 @@
     /// All metrics as text.
     pub(super) fn to_text(&self) -> String {
         let mut text = String::new();
+        // Writing to a text fails only where a metric's own words cannot be written, which are fixed.
         match encode(&mut text, &self.registry) {
             Ok(()) => text,
             Err(fmt::Error) => String::new(),
--- a/crates/beechsaddle/src/gateway/host_listener.rs
+++ b/crates/beechsaddle/src/gateway/host_listener.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::READY_PATH;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -29,9 +30,14 @@
 /// Answers until the process ends.
 pub(super) async fn run_host_listener(listener: TcpListener, state: Rc<GatewayState>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                let fields = [("error", error.to_string())];
+                state.report.log(LogLevel::Warning, "accept_failed", fields);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let state = Rc::clone(&state);
         spawn_local(async move {
--- a/crates/beechsaddle/src/gateway/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/router_registry.rs
@@ -92,17 +92,10 @@
 }
 
 fn read_entry(state: &GatewayState, object: &StoreObject) -> Option<PeerRecord> {
-    match serde_json::from_value::<RouterEntry>(object.spec.clone()) {
-        Ok(entry) => Some(PeerRecord {
-            host: HostName::new(object.name()),
-            domain: DomainName::new(entry.domain),
-            address: entry.address.and_then(|address| address.parse().ok()),
-        }),
+    match decode_entry(object) {
+        Ok(record) => Some(record),
         Err(error) => {
-            let fields = [
-                ("router", object.name().to_owned()),
-                ("error", error.to_string()),
-            ];
+            let fields = [("router", object.name().to_owned()), ("error", error)];
             let report = &state.report;
             report.log(LogLevel::Error, "router_unreadable", fields);
             None
@@ -110,6 +103,23 @@
     }
 }
 
+fn decode_entry(object: &StoreObject) -> Result<PeerRecord, String> {
+    let entry: RouterEntry =
+        serde_json::from_value(object.spec.clone()).map_err(|error| error.to_string())?;
+    let address = match entry.address {
+        Some(text) => {
+            let address = text.parse();
+            Some(address.map_err(|_| format!("`address` is {text:?}, not IP:PORT"))?)
+        }
+        None => None,
+    };
+    Ok(PeerRecord {
+        host: HostName::new(object.name()),
+        domain: DomainName::new(entry.domain),
+        address,
+    })
+}
+
 /// Makes or mends the entry of this host. It stays when the router ends: a host that is gone for
 /// good only makes the others' parts smaller, and one that is back has its part at once.
 async fn register(state: &GatewayState) -> Result<(), StoreFailure> {
