Log each decision of a call, show what a gateway believes, end with an unread log

Cause: a call had one line at its end, so that a router that was killed told nothing of the calls that it had, and neither loans nor who keeps a workspace could be read from logs. `beechsaddle status` did not know gateways. And a router whose standard output nobody reads never ended: its calls were served, but the last join waited for a thread that could not write, until the kill.

Change: a line for each decision (call_admitted, tokens_reserved, call_placed, attempt_ended, call_repeated, repeat_denied, stream_resumed) with its inputs and their age; keeper_changed, tokens_borrowed, tokens_lent, peer_regained. Which answered calls are left out under load is settled when a call arrives, so that its lines are there as a whole or not at all; failed ones come first. A histogram of the time that the router adds. `/admin/status` and the command show configuration, store, peers, workspaces and targets with ages. The end waits 150 ms for the log, no longer.

Tests: decisions_of_a_call_stand_in_order, burst_keeps_failures_and_whole_calls, status_shows_beliefs_with_ages, unread_log_blocks_nothing (the last failed with the join as it was: "the router did not end"). Walks now ask for `event=call ` with the space, since other events begin so.

--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -25,6 +25,31 @@
     Borrower,
 }
 
+impl EscrowRole {
+    /// A word for logs and operators.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EscrowRole::Keeper => "keeper",
+            EscrowRole::Borrower => "borrower",
+        }
+    }
+}
+
+/// What a router holds and knows of one workspace, in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EscrowFacts {
+    /// Where its tokens come from.
+    pub role: EscrowRole,
+    /// Held and not promised.
+    pub free: u64,
+    /// Promised to calls that run.
+    pub reserved: u64,
+    /// Taken by nobody, as the ledger was last seen; `None` before that.
+    pub left: Option<u64>,
+    /// How long ago the ledger was seen, in milliseconds.
+    pub ledger_age_ms: Option<u64>,
+}
+
 /// What a router holds of one workspace.
 #[derive(Clone, Debug)]
 pub(super) struct EscrowAccount {
@@ -241,6 +266,18 @@
         (self.demand.per_second(now) * options.borrow_s) as u64
     }
 
+    /// What is held and known.
+    pub(super) fn facts(&self, now: ClockTime) -> EscrowFacts {
+        let has_ledger = self.ledger.is_some();
+        EscrowFacts {
+            role: self.role,
+            free: self.free,
+            reserved: self.reserved,
+            left: self.left(),
+            ledger_age_ms: has_ledger.then(|| now.since(self.ledger_at)),
+        }
+    }
+
     /// Tokens that nobody has taken; `None` while that is not known.
     pub(super) fn left(&self) -> Option<u64> {
         let taken = self.ledger.as_ref()?.taken;
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod escrow_account;
 mod escrow_options;
 mod gateway_config;
+mod gateway_status;
 mod outlier_score;
 mod peer_ring;
 mod prompt_shape;
@@ -25,9 +26,12 @@
 pub use budget_ledger::{BudgetLedger, LedgerChange, TokenTransfer};
 pub use caller_limits::CallerLimits;
 pub use demand_rate::DemandRate;
-pub use escrow_account::EscrowRole;
+pub use escrow_account::{EscrowFacts, EscrowRole};
 pub use escrow_options::EscrowOptions;
 pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
+pub use gateway_status::{
+    ConfigStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
+};
 pub use outlier_score::OutlierScore;
 pub use peer_ring::{PeerRecord, PeerRing};
 pub use prompt_shape::{PromptPart, PromptShape, TokenBound};
@@ -37,5 +41,5 @@
 pub use target_chooser::{ChoiceInput, TargetChoice, choose_target};
 pub use target_gauge::{AttemptLoad, TargetGauge};
 pub use target_record::{TargetPhase, TargetRecord};
-pub use target_roster::{RosterChange, TargetRoster};
+pub use target_roster::{RosterChange, RosterEntry, TargetRoster};
 pub use token_escrow::{LoanReply, LoanRequest, ReserveOutcome, TokenEscrow};
--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -120,9 +120,18 @@
         down.failures += 1;
     }
 
-    /// Notes that a router answered.
-    pub fn note_up(&mut self, host: &HostName) {
-        self.down.remove(host);
+    /// Notes that a router answered; tells whether it did not before.
+    pub fn note_up(&mut self, host: &HostName) -> bool {
+        self.down.remove(host).is_some()
+    }
+
+    /// All routers but this one, each with how long it is passed over yet, in milliseconds.
+    pub fn others(&self, now: ClockTime) -> impl Iterator<Item = (&PeerRecord, u64)> {
+        let others = self.peers.values().filter(|peer| peer.host != self.me);
+        others.map(move |peer| {
+            let down = self.down.get(&peer.host);
+            (peer, down.map_or(0, |down| down.until.since(now)))
+        })
     }
 
     fn is_usable(&self, now: ClockTime, peer: &PeerRecord) -> bool {
--- a/crates/beechsaddle-core/src/gateway/target_gauge.rs
+++ b/crates/beechsaddle-core/src/gateway/target_gauge.rs
@@ -108,6 +108,11 @@
         now < self.ejected_until
     }
 
+    /// For how long the target is out of use yet, in milliseconds.
+    pub fn ejected_for_ms(&self, now: ClockTime) -> u64 {
+        self.ejected_until.since(now)
+    }
+
     /// The share of recent attempts that failed.
     pub fn failure_share(&self, now: ClockTime) -> f64 {
         self.outliers.failure_share(now)
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -44,6 +44,17 @@
     away_until: Option<ClockTime>,
 }
 
+impl RosterEntry {
+    /// A word for what the list says, for operators.
+    pub fn phase_word(&self) -> &'static str {
+        match (self.missing_since, self.record.phase) {
+            (Some(_), _) => "unlisted",
+            (None, TargetPhase::Ready) => "ready",
+            (None, TargetPhase::Draining) => "draining",
+        }
+    }
+}
+
 impl TargetRoster {
     /// Notes that the store did not answer.
     pub fn note_away(&mut self, now: ClockTime) {
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::escrow_account::EscrowAccount;
+use super::escrow_account::{EscrowAccount, EscrowFacts};
 use super::{BudgetLedger, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, TokenTransfer};
 use crate::clock::ClockTime;
 use crate::names::WorkspaceName;
@@ -98,11 +98,12 @@
         }
     }
 
-    /// Takes over where the tokens of a workspace come from.
-    pub fn set_role(&mut self, workspace: &WorkspaceName, role: EscrowRole) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.role = role;
-        }
+    /// Takes over where the tokens of a workspace come from; tells whether that is a change.
+    pub fn set_role(&mut self, workspace: &WorkspaceName, role: EscrowRole) -> bool {
+        let Some(account) = self.accounts.get_mut(workspace) else {
+            return false;
+        };
+        std::mem::replace(&mut account.role, role) != role
     }
 
     /// Has everything that is not promised given back, and nothing taken any more.
@@ -344,6 +345,13 @@
         self.accounts.get(workspace)?.left()
     }
 
+    /// What is held and known of a workspace, for logs and operators; `None` where nothing is counted.
+    pub fn facts(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<EscrowFacts> {
+        let account = self.accounts.get(workspace)?;
+        account.prepaid?;
+        Some(account.facts(now))
+    }
+
     fn select(&self, is_meant: impl Fn(&EscrowAccount) -> bool) -> Vec<WorkspaceName> {
         let accounts = self.accounts.iter();
         let meant = accounts.filter(|(_, account)| is_meant(account));
--- /dev/null
+++ b/crates/beechsaddle/src/command/gateway_text.rs
@@ -0,0 +1,65 @@
+//! The `gateway_text` module provides the status of a gateway as lines of text.
+
+use beechsaddle_core::gateway::{
+    GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
+};
+
+/// One line for the router, and one for each thing that it believes.
+pub(super) fn gateway_text(status: &GatewayStatus) -> String {
+    let mut lines = vec![format!(
+        "gateway {} domain={} phase={} open_calls={} store_age_ms={} routers={}",
+        status.gateway,
+        status.domain,
+        status.phase,
+        status.open_calls,
+        status.store_age_ms,
+        status.routers
+    )];
+    lines.push(match &status.config {
+        Some(config) => format!(
+            "config version={} age_ms={} routes={}",
+            config.version, config.age_ms, config.routes
+        ),
+        None => "config none".to_owned(),
+    });
+    lines.extend(status.peers.iter().map(peer_line));
+    lines.extend(status.workspaces.iter().map(workspace_line));
+    lines.extend(status.targets.iter().map(target_line));
+    lines.join("\n")
+}
+
+fn peer_line(peer: &GatewayPeerStatus) -> String {
+    format!(
+        "peer {} domain={} down_for_ms={}",
+        peer.host, peer.domain, peer.down_for_ms
+    )
+}
+
+fn workspace_line(workspace: &WorkspaceStatus) -> String {
+    format!(
+        "workspace {} role={} free={} reserved={} left={} ledger_age_ms={}",
+        workspace.workspace,
+        workspace.role,
+        workspace.free,
+        workspace.reserved,
+        or_unknown(workspace.left),
+        or_unknown(workspace.ledger_age_ms)
+    )
+}
+
+fn target_line(target: &GatewayTargetStatus) -> String {
+    format!(
+        "target {} service={} phase={} active={} ejected_for_ms={} failures={:.2} heard_age_ms={}",
+        target.target,
+        target.service,
+        target.phase,
+        target.active,
+        target.ejected_for_ms,
+        target.failure_share,
+        target.heard_age_ms
+    )
+}
+
+fn or_unknown(number: Option<u64>) -> String {
+    number.map_or("unknown".to_owned(), |number| number.to_string())
+}
--- a/crates/beechsaddle/src/command/mod.rs
+++ b/crates/beechsaddle/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod command_runtime;
 mod exit_status;
+mod gateway_text;
 mod router_command;
 mod statement_command;
 mod status_command;
--- a/crates/beechsaddle/src/command/status_command.rs
+++ b/crates/beechsaddle/src/command/status_command.rs
@@ -8,7 +8,8 @@
 
 use super::ExitStatus;
 use super::command_runtime::run_async;
-use crate::operator::AdminClient;
+use super::gateway_text::gateway_text;
+use crate::operator::{AdminClient, StatusReply};
 
 /// Shows the status of a router.
 pub(super) fn run(matches: &ArgMatches) -> ExitStatus {
@@ -17,11 +18,14 @@
     };
     let status = run_async(async {
         let client = AdminClient::try_new()?;
-        client.status(&address.to_string()).await
+        client.any_status(&address.to_string()).await
     });
     let shown = status.and_then(|status| match matches.get_flag("json") {
         true => serde_json::to_string_pretty(&status).wrap_err("cannot write JSON"),
-        false => Ok(text_of(&status)),
+        false => Ok(match &status {
+            StatusReply::Router(status) => text_of(status),
+            StatusReply::Gateway(status) => gateway_text(status),
+        }),
     });
     match shown {
         Ok(text) => {
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -1,6 +1,6 @@
 //! The `call_context` module provides one call: what was asked, what is known of it, how it ended.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,12 +9,12 @@
     AttemptEnd, AttemptHistory, RouteRule, ServiceRule, TargetRecord, TokenBound, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
-use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::CallHead;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use super::gateway_metrics::{CauseLabel, WordLabel};
+use super::call_record::CallRecord;
+use super::gateway_metrics::WordLabel;
 use super::gateway_state::GatewayState;
 use super::refusal::RefusalCause;
 
@@ -40,15 +40,13 @@
     pub(super) rule: ServiceRule,
     /// The workspace of its key.
     pub(super) workspace: Option<Arc<WorkspaceRule>>,
-    /// When the head was read.
-    pub(super) arrived_at: ClockTime,
     /// When the final answer is due: the caller's deadline or the route's timeout.
     pub(super) ends_at: ClockTime,
     /// Attempts so far.
     pub(super) history: RefCell<AttemptHistory>,
     /// Targets that were tried.
     pub(super) tried: RefCell<Vec<TargetName>>,
-    /// Its log line.
+    /// Its log lines.
     pub(super) record: CallRecord,
 }
 
@@ -81,17 +79,11 @@
         self.history.borrow_mut().note(end);
         self.tried.borrow_mut().push(target.name.clone());
         let fields = [
-            ("id", self.head.request_id.clone()),
             ("target", target.name.to_string()),
             ("end", end.as_str().to_owned()),
             ("detail", detail.to_owned()),
-            (
-                "age_ms",
-                self.state.now().since(self.arrived_at).to_string(),
-            ),
         ];
-        let report = &self.state.report;
-        report.log(LogLevel::Info, "attempt_ended", fields);
+        self.record.decide("attempt_ended", fields);
     }
 
     /// Whether the call is sent once more after an attempt that ended so. Counts it if so.
@@ -115,10 +107,18 @@
         if !fits {
             state.metrics.repeats_denied.inc();
             self.record.note("retry_budget", "empty");
+            let fields = [("after", end.as_str().to_owned())];
+            self.record.decide("repeat_denied", fields);
             return false;
         }
         let label = WordLabel { what: end.as_str() };
         state.metrics.repeats.get_or_create(&label).inc();
+        let fields = [
+            ("after", end.as_str().to_owned()),
+            ("sent", self.history.borrow().sent().to_string()),
+            ("left_ms", self.left_ms().to_string()),
+        ];
+        self.record.decide("call_repeated", fields);
         true
     }
 
@@ -138,94 +138,3 @@
         }
     }
 }
-
-/// The one line that tells of a call's end. It is written when the call is dropped, so that none
-/// goes without, whatever ends it.
-pub(super) struct CallRecord {
-    state: Rc<GatewayState>,
-    arrived_at: ClockTime,
-    fields: RefCell<Vec<(&'static str, String)>>,
-    outcome: Cell<&'static str>,
-    is_first_noted: Cell<bool>,
-}
-
-/// The outcome of a call that a target answered.
-pub(super) const ANSWERED: &str = "answered";
-
-/// The outcome of a call whose caller left.
-const CALLER_GONE: &str = "caller_gone";
-
-impl CallRecord {
-    /// The record of a call that arrived now.
-    pub(super) fn start(state: &Rc<GatewayState>) -> Self {
-        state.open_calls.set(state.open_calls.get() + 1);
-        state.metrics.open_calls.inc();
-        state.metrics.calls.inc();
-        CallRecord {
-            state: Rc::clone(state),
-            arrived_at: state.now(),
-            fields: RefCell::new(Vec::with_capacity(12)),
-            outcome: Cell::new(CALLER_GONE),
-            is_first_noted: Cell::new(false),
-        }
-    }
-
-    /// When the call arrived.
-    pub(super) fn arrived_at(&self) -> ClockTime {
-        self.arrived_at
-    }
-
-    /// Adds a fact.
-    pub(super) fn note(&self, key: &'static str, value: impl ToString) {
-        self.fields.borrow_mut().push((key, value.to_string()));
-    }
-
-    /// Notes that the first event or the whole answer goes out.
-    pub(super) fn note_first(&self) {
-        if self.is_first_noted.replace(true) {
-            return;
-        }
-        let span_ms = self.state.now().since(self.arrived_at);
-        self.state.metrics.first_s.observe(span_ms as f64 / 1_000.0);
-        self.note("first_ms", span_ms);
-    }
-
-    /// Notes how the call ended; what is not noted is a caller who left.
-    pub(super) fn end(&self, outcome: &'static str) {
-        self.outcome.set(outcome);
-    }
-
-    /// Notes that the router answers by itself.
-    pub(super) fn refuse(&self, cause: RefusalCause) {
-        self.state
-            .metrics
-            .refusals
-            .get_or_create(&CauseLabel { cause })
-            .inc();
-        self.end(cause.as_str());
-    }
-}
-
-impl Drop for CallRecord {
-    fn drop(&mut self) {
-        let state = &self.state;
-        let span_ms = state.now().since(self.arrived_at);
-        let outcome = self.outcome.get();
-        state.metrics.whole_s.observe(span_ms as f64 / 1_000.0);
-        let label = WordLabel { what: outcome };
-        state.metrics.outcomes.get_or_create(&label).inc();
-        state.metrics.open_calls.dec();
-        state
-            .open_calls
-            .set(state.open_calls.get().saturating_sub(1));
-        state.call_ended.notify_one();
-        if outcome == ANSWERED && !state.line_budget.try_take(state.now()) {
-            state.metrics.lines_sampled_out.inc();
-            return;
-        }
-        let mut fields = self.fields.take();
-        fields.push(("total_ms", span_ms.to_string()));
-        fields.push(("outcome", outcome.to_owned()));
-        state.report.log(LogLevel::Info, "call", fields);
-    }
-}
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -8,6 +8,7 @@
 use beechsaddle_core::gateway::{
     AttemptHistory, GatewayConfig, RouteMatch, RouteRule, ServiceRule, WorkspaceRule,
 };
+use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
@@ -18,7 +19,8 @@
 use tokio::time::timeout;
 
 use super::answer_body::AnswerBody;
-use super::call_context::{CallContext, CallRecord};
+use super::call_context::CallContext;
+use super::call_record::CallRecord;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::plain_exchange::serve_plain;
 use super::refusal::RefusalCause;
@@ -132,9 +134,42 @@
         .observe(waited_ms as f64 / 1_000.0);
     call.record.note("tokens", bound.total());
     call.record.note("reserve_ms", waited_ms);
+    log_reservation(call, workspace, bound.total(), reservation.as_ref().err());
     reservation.map(Some)
 }
 
+/// Logs whether a call got its tokens, with what was known of the total and how old that was.
+fn log_reservation(
+    call: &CallContext,
+    workspace: &WorkspaceName,
+    tokens: u64,
+    refused: Option<&RefusalCause>,
+) {
+    let facts = call
+        .state
+        .escrow
+        .borrow()
+        .facts(call.state.now(), workspace);
+    let mut fields = vec![
+        ("workspace", workspace.to_string()),
+        ("tokens", tokens.to_string()),
+        (
+            "outcome",
+            refused
+                .map_or("reserved", |cause| cause.as_str())
+                .to_owned(),
+        ),
+    ];
+    if let Some(facts) = facts {
+        fields.push(("free", facts.free.to_string()));
+        fields.push(("role", facts.role.as_str().to_owned()));
+        fields.extend(facts.left.map(|left| ("left", left.to_string())));
+        let age_ms = facts.ledger_age_ms;
+        fields.extend(age_ms.map(|age_ms| ("ledger_age_ms", age_ms.to_string())));
+    }
+    call.record.decide("tokens_reserved", fields);
+}
+
 fn check_head(
     state: &GatewayState,
     parts: &Parts,
@@ -148,7 +183,7 @@
     };
     let head = CallHead::try_read(parts)
         .map_err(|fault| CallRefused::new(RefusalCause::BadHead, fault.to_string()))?;
-    record.note("id", &head.request_id);
+    record.set_id(&head.request_id);
     record.note("config", config.version);
     let RouteMatch::Found(route) = config.find_route(&head.host, &head.path) else {
         return Err(CallRefused::new(
@@ -208,6 +243,16 @@
         return Err((record, refused));
     };
     record.note("service", &service);
+    record.decide(
+        "call_admitted",
+        [
+            ("config", place.config.version.to_string()),
+            ("route", place.route.name.to_string()),
+            ("service", service.to_string()),
+            ("body_bytes", body.len().to_string()),
+            ("span_ms", span_ms.to_string()),
+        ],
+    );
     let plain = ServiceRule {
         is_engine: false,
         event_tokens: 1,
@@ -224,7 +269,6 @@
         service,
         rule: rule.unwrap_or(plain),
         workspace: place.workspace,
-        arrived_at,
         ends_at: arrived_at.plus_ms(span_ms),
         history: RefCell::new(AttemptHistory::default()),
         tried: RefCell::new(Vec::new()),
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -59,7 +59,7 @@
     pub(super) tokens_borrowed: Counter,
     /// Tokens lent to other routers.
     pub(super) tokens_lent: Counter,
-    /// Lines of answered calls that were left out of the log.
+    /// Lines that were left out of the log under load.
     pub(super) lines_sampled_out: Counter,
     /// Open calls.
     pub(super) open_calls: Gauge,
@@ -67,6 +67,9 @@
     pub(super) config_version: Gauge,
     /// Seconds to the first event or the whole answer.
     pub(super) first_s: Histogram,
+    /// Seconds from the arrival to the start of the attempt that was answered: what the router and
+    /// earlier attempts added.
+    pub(super) added_s: Histogram,
     /// Seconds to the end of the answer.
     pub(super) whole_s: Histogram,
     /// Seconds that a call waited for its reservation.
@@ -95,6 +98,7 @@
             open_calls: Gauge::default(),
             config_version: Gauge::default(),
             first_s: latency_histogram(),
+            added_s: latency_histogram(),
             whole_s: latency_histogram(),
             reserve_s: latency_histogram(),
             store_s: latency_histogram(),
@@ -135,6 +139,8 @@
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
         registry.register("first_seconds", "Time to first event", self.first_s.clone());
+        let added = self.added_s.clone();
+        registry.register("added_seconds", "Time before the answered attempt", added);
         registry.register(
             "whole_seconds",
             "Time to whole answer",
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use beechsaddle_core::prelude::*;
@@ -43,6 +44,12 @@
 /// How long giving tokens back may take.
 const GIVE_BACK: Duration = Duration::from_millis(450);
 
+/// How long writing the last log lines may take.
+const LOG_SPAN: Duration = Duration::from_millis(150);
+
+/// How often the writer of log lines is looked at in the end.
+const LOG_LOOK: Duration = Duration::from_millis(2);
+
 /// Runs a gateway until it has shut down.
 ///
 /// # Errors
@@ -64,11 +71,24 @@
     drop(runtime);
     state.report.log(LogLevel::Info, "stopped", []);
     drop(state);
-    // A thread that panicked has nothing more to write.
-    let _ = report_thread.join();
+    finish_log(report_thread);
     served
 }
 
+/// Waits until the last lines are written. Whoever reads them may have stopped reading: waiting on
+/// would leave the process to the kill, and the host without a restart until then.
+fn finish_log(thread: JoinHandle<()>) {
+    let until = std::time::Instant::now() + LOG_SPAN;
+    while !thread.is_finished() {
+        if std::time::Instant::now() >= until {
+            return;
+        }
+        std::thread::sleep(LOG_LOOK);
+    }
+    // A thread that panicked has nothing more to write.
+    let _ = thread.join();
+}
+
 async fn serve(state: Rc<GatewayState>, path: &Path) -> Result<()> {
     let settings = state.settings();
     let calls = try_bind(settings.call_address)?;
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -43,6 +43,8 @@
     pub(super) clock: ClockSource,
     /// The configuration in force; `None` before the first.
     pub(super) config: RefCell<Option<Rc<GatewayConfig>>>,
+    /// Since when it is in force.
+    pub(super) config_at: Cell<ClockTime>,
     /// Targets.
     pub(super) roster: RefCell<TargetRoster>,
     /// Tokens.
@@ -57,6 +59,8 @@
     pub(super) store: StoreClient,
     /// Whether the store answers.
     pub(super) store_health: StoreHealth,
+    /// When the store last answered.
+    pub(super) store_answered_at: Cell<ClockTime>,
     /// Logs.
     pub(super) report: ReportHandle,
     /// Metrics.
@@ -87,6 +91,7 @@
         GatewayState {
             clock: ClockSource::of_process(),
             config: RefCell::new(None),
+            config_at: Cell::new(ClockTime::ZERO),
             roster: RefCell::new(TargetRoster::default()),
             escrow: RefCell::new(TokenEscrow::new(EscrowOptions::default(), me.to_string())),
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
@@ -94,6 +99,7 @@
             pool: TargetPool::default(),
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
+            store_answered_at: Cell::new(ClockTime::ZERO),
             report,
             metrics: GatewayMetrics::new(),
             escrow_wake: Notify::new(),
@@ -158,11 +164,20 @@
             ("took_ms", took_ms.to_string()),
         ];
         self.report.log(LogLevel::Debug, "store_call", fields);
-        if outcome.as_ref().is_err_and(StoreFailure::is_away) {
+        let is_away = outcome.as_ref().is_err_and(StoreFailure::is_away);
+        if !is_away {
+            self.store_answered_at.set(now);
+        } else {
             self.roster.borrow_mut().note_away(now);
         }
     }
 
+    /// How long ago the store last answered, in milliseconds: what is believed of configuration and
+    /// targets is as old.
+    pub(super) fn store_age_ms(&self) -> u64 {
+        self.now().since(self.store_answered_at.get())
+    }
+
     /// Logs what changed among the targets.
     pub(super) fn log_roster(&self, changes: impl IntoIterator<Item = RosterChange>) {
         for change in changes {
--- a/crates/beechsaddle/src/gateway/host_listener.rs
+++ b/crates/beechsaddle/src/gateway/host_listener.rs
@@ -1,4 +1,5 @@
-//! The `host_listener` module provides what the host and its operators ask: readiness and metrics.
+//! The `host_listener` module provides what the host and its operators ask: readiness, status and
+//! metrics.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -17,10 +18,14 @@
 use tokio::task::spawn_local;
 
 use super::gateway_state::{GatewayPhase, GatewayState};
+use super::status_view::view_status;
 
 /// Where metrics are served.
 const METRICS_PATH: &str = "/metrics";
 
+/// Where the status is served, as by the routers of the product's own interface.
+const STATUS_PATH: &str = "/admin/status";
+
 /// How long a connection may stay idle: several times the pause between two questions.
 const IDLE_SPAN: Duration = Duration::from_secs(20);
 
@@ -60,6 +65,7 @@
         READY_PATH if is_ready(state) => (StatusCode::OK, "ready\n".to_owned()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         METRICS_PATH => (StatusCode::OK, state.metrics.to_text()),
+        STATUS_PATH => status_text(state),
         _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -67,6 +73,13 @@
     response
 }
 
+fn status_text(state: &GatewayState) -> (StatusCode, String) {
+    match serde_json::to_string(&view_status(state)) {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
 /// A router that knows a configuration serves what it can, also while the store is away: taking it
 /// out of rotation would leave its callers to routers that are cut off like itself.
 fn is_ready(state: &GatewayState) -> bool {
--- a/crates/beechsaddle/src/gateway/lending_server.rs
+++ b/crates/beechsaddle/src/gateway/lending_server.rs
@@ -124,6 +124,13 @@
             LoanReply::Exhausted => (LoanOutcome::Exhausted, 0),
         };
         self.state.metrics.tokens_lent.inc_by(tokens);
+        let fields = [
+            ("workspace", workspace.to_string()),
+            ("peer", self.peer.ip().to_string()),
+            ("tokens", tokens.to_string()),
+        ];
+        let report = &self.state.report;
+        report.log(LogLevel::Info, "tokens_lent", fields);
         let mut reply = results.get();
         reply.set_outcome(outcome);
         reply.set_tokens(tokens);
--- a/crates/beechsaddle/src/gateway/line_budget.rs
+++ b/crates/beechsaddle/src/gateway/line_budget.rs
@@ -1,32 +1,51 @@
-//! The `line_budget` module provides the bound on log lines of calls that went well.
+//! The `line_budget` module provides the bound on log lines under load.
 
 use std::cell::Cell;
 
 use beechsaddle_core::prelude::*;
 
-/// Lines of answered calls in a second. A call that went otherwise is always logged: it is what
-/// somebody will ask about, and there is one line of it beside those of its failed attempts.
-const LINES_PER_S: u64 = 100;
+/// Calls a second that are logged whatever becomes of them: some hundred lines. Beyond that their
+/// lines would be the bulk of what a router does in a burst.
+const CALLS_PER_S: u64 = 30;
 
-/// Counts lines by the second.
-///
-/// Under a burst the lines of calls that went well are the bulk, and writing them takes processor
-/// time from the calls. Each call has one line, so that leaving some out keeps the others whole.
+/// Failed calls a second that are logged beside those. They are what somebody will ask about; a flood
+/// of refusals is told by its counters and its first hundred lines of each second.
+const FAILURES_PER_S: u64 = 100;
+
+/// Bounds the calls that are logged, by the second.
 #[derive(Debug, Default)]
 pub(super) struct LineBudget {
     second: Cell<u64>,
-    lines: Cell<u64>,
+    calls: Cell<u64>,
+    failures: Cell<u64>,
 }
 
 impl LineBudget {
-    /// Whether one more line fits into this second; it is counted if so.
-    pub(super) fn try_take(&self, now: ClockTime) -> bool {
+    /// Whether the lines of a call that arrives now are written; it is counted if so.
+    pub(super) fn try_take_call(&self, now: ClockTime) -> bool {
+        self.begin_second(now);
+        try_count(&self.calls, CALLS_PER_S)
+    }
+
+    /// Whether the lines of a call that failed are written, though it was not picked at its arrival.
+    pub(super) fn try_take_failure(&self, now: ClockTime) -> bool {
+        self.begin_second(now);
+        try_count(&self.failures, FAILURES_PER_S)
+    }
+
+    fn begin_second(&self, now: ClockTime) {
         let second = now.as_millis() / 1_000;
         if self.second.replace(second) != second {
-            self.lines.set(0);
+            self.calls.set(0);
+            self.failures.set(0);
         }
-        let lines = self.lines.get();
-        self.lines.set(lines + 1);
-        lines < LINES_PER_S
     }
 }
+
+fn try_count(count: &Cell<u64>, most: u64) -> bool {
+    let fits = count.get() < most;
+    if fits {
+        count.set(count.get() + 1);
+    }
+    fits
+}
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -13,7 +13,8 @@
 
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
-use super::call_context::{ANSWERED, CallContext};
+use super::call_context::CallContext;
+use super::call_record::ANSWERED;
 use super::refusal::RefusalCause;
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 
@@ -113,6 +114,19 @@
     call.record.note("cost", choice.cost as u64);
     call.record.note("home", choice.is_home);
     call.record.note("of", choice.candidates);
+    let target = &choice.target;
+    let roster = call.state.roster.borrow();
+    let active = roster.get(target).map(|entry| entry.gauge.active);
+    let fields = [
+        ("target", target.to_string()),
+        ("cost", (choice.cost as u64).to_string()),
+        ("home", choice.is_home.to_string()),
+        ("of", choice.candidates.to_string()),
+        ("active", active.unwrap_or(0).to_string()),
+        ("store_age_ms", call.state.store_age_ms().to_string()),
+    ];
+    call.record.decide("call_placed", fields);
+    call.record.note_sent();
 }
 
 async fn run_attempt(
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/status_view.rs
@@ -0,0 +1,86 @@
+//! The `status_view` module provides what operators are told of a router's beliefs.
+
+use beechsaddle_core::gateway::{
+    ConfigStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, RosterEntry,
+    WorkspaceStatus,
+};
+use beechsaddle_core::prelude::*;
+
+use super::gateway_state::{GatewayPhase, GatewayState};
+
+/// What the router believes now, each item with its age.
+pub(super) fn view_status(state: &GatewayState) -> GatewayStatus {
+    let now = state.now();
+    let ring = state.lending.ring.borrow();
+    let roster = state.roster.borrow();
+    GatewayStatus {
+        gateway: state.me.clone(),
+        domain: state.settings().domain.clone(),
+        phase: phase_word(state.phase()).to_owned(),
+        open_calls: state.open_calls.get(),
+        store_age_ms: state.store_age_ms(),
+        config: view_config(state),
+        routers: ring.router_count(),
+        peers: ring
+            .others(now)
+            .map(|(peer, down_for_ms)| GatewayPeerStatus {
+                host: peer.host.clone(),
+                domain: peer.domain.clone(),
+                down_for_ms,
+            })
+            .collect(),
+        workspaces: view_workspaces(state),
+        targets: roster
+            .entries()
+            .map(|entry| view_target(now, entry))
+            .collect(),
+    }
+}
+
+fn view_config(state: &GatewayState) -> Option<ConfigStatus> {
+    let config = state.config()?;
+    Some(ConfigStatus {
+        version: config.version,
+        age_ms: state.now().since(state.config_at.get()),
+        routes: config.route_count() as u64,
+    })
+}
+
+fn view_workspaces(state: &GatewayState) -> Vec<WorkspaceStatus> {
+    let now = state.now();
+    let escrow = state.escrow.borrow();
+    let counted = escrow.counted().into_iter();
+    let viewed = counted.filter_map(|workspace| {
+        let facts = escrow.facts(now, &workspace)?;
+        Some(WorkspaceStatus {
+            workspace,
+            role: facts.role.as_str().to_owned(),
+            free: facts.free,
+            reserved: facts.reserved,
+            left: facts.left,
+            ledger_age_ms: facts.ledger_age_ms,
+        })
+    });
+    viewed.collect()
+}
+
+fn view_target(now: ClockTime, entry: &RosterEntry) -> GatewayTargetStatus {
+    let gauge = &entry.gauge;
+    GatewayTargetStatus {
+        target: entry.record.name.clone(),
+        service: entry.record.service.clone(),
+        phase: entry.phase_word().to_owned(),
+        active: gauge.active,
+        ejected_for_ms: gauge.ejected_for_ms(now),
+        failure_share: gauge.failure_share(now),
+        heard_age_ms: now.since(gauge.progress_at),
+    }
+}
+
+fn phase_word(phase: GatewayPhase) -> &'static str {
+    match phase {
+        GatewayPhase::Serving => "serving",
+        GatewayPhase::Leaving => "leaving",
+        GatewayPhase::Closing => "closing",
+    }
+}
--- a/crates/beechsaddle/src/gateway/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/store_follow.rs
@@ -187,6 +187,7 @@
     state.metrics.config_version.set(config.version as i64);
     state.escrow.borrow_mut().set_config(now, &config);
     *state.config.borrow_mut() = Some(Rc::new(config));
+    state.config_at.set(now);
     update_roles(state);
     state.escrow_wake.notify_one();
     state.escrow_changed.notify_waiters();
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -6,7 +6,6 @@
 
 use beechsaddle_core::gateway::{AttemptEnd, RouteKind};
 use beechsaddle_core::prelude::*;
-use beechsaddle_core::report::LogLevel;
 use beechsaddle_link::HttpLink;
 use beechsaddle_platform::AnswerFacts;
 use bytes::Bytes;
@@ -17,7 +16,8 @@
 
 use super::answer_body::PartStream;
 use super::attempt_guard::AttemptGuard;
-use super::call_context::{ANSWERED, CallContext};
+use super::call_context::CallContext;
+use super::call_record::ANSWERED;
 use super::event_splitter::EventSplitter;
 use super::stream_exchange::{StreamOpening, open_stream};
 use super::token_reservation::TokenReservation;
@@ -281,14 +281,10 @@
     }
 
     fn log_resume(&self, last_event: Option<u64>) {
-        let state = &self.call.state;
-        state.metrics.resumes.inc();
-        let fields = [
-            ("id", self.call.head.request_id.clone()),
-            ("last_event", format!("{last_event:?}")),
-            ("events", self.events.to_string()),
-        ];
-        state.report.log(LogLevel::Info, "stream_resumed", fields);
+        self.call.state.metrics.resumes.inc();
+        let last = last_event.map_or("none".to_owned(), |last| last.to_string());
+        let fields = [("last_event", last), ("events", self.events.to_string())];
+        self.call.record.decide("stream_resumed", fields);
     }
 
     fn break_off(&mut self, why: &str) -> StreamBroken {
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -154,11 +154,16 @@
         escrow.set_fleet(ring.domain_count(), ring.router_count());
     }
     for workspace in escrow.counted() {
-        let role = match ring.keeper(now, &workspace) {
+        let keeper = ring.keeper(now, &workspace);
+        let role = match keeper {
             Some(_) => EscrowRole::Borrower,
             None => EscrowRole::Keeper,
         };
-        escrow.set_role(&workspace, role);
+        if escrow.set_role(&workspace, role) {
+            let keeper = keeper.map_or("self".to_owned(), |peer| peer.host.to_string());
+            let fields = [("workspace", workspace.to_string()), ("keeper", keeper)];
+            state.report.log(LogLevel::Info, "keeper_changed", fields);
+        }
     }
 }
 
@@ -221,10 +226,38 @@
         Ok(Err(error)) => return Err(note_down(state, peer, &error)),
         Err(_) => return Err(note_down(state, peer, "no answer in time")),
     };
-    state.lending.ring.borrow_mut().note_up(&peer.host);
+    if state.lending.ring.borrow_mut().note_up(&peer.host) {
+        let fields = [("peer", peer.host.to_string())];
+        state.report.log(LogLevel::Info, "peer_regained", fields);
+    }
+    log_loan(state, peer, workspace, request, reply);
     take_reply(state, workspace, request, reply)
 }
 
+fn log_loan(
+    state: &GatewayState,
+    peer: &PeerRecord,
+    workspace: &WorkspaceName,
+    request: LoanRequest,
+    reply: LoanReply,
+) {
+    let (outcome, tokens) = match reply {
+        LoanReply::Lent(tokens) => ("lent", tokens),
+        LoanReply::Short => ("short", 0),
+        LoanReply::Exhausted => ("exhausted", 0),
+    };
+    let fields = [
+        ("workspace", workspace.to_string()),
+        ("peer", peer.host.to_string()),
+        ("least", request.least.to_string()),
+        ("need", request.need.to_string()),
+        ("ahead", request.ahead.to_string()),
+        ("outcome", outcome.to_owned()),
+        ("tokens", tokens.to_string()),
+    ];
+    state.report.log(LogLevel::Info, "tokens_borrowed", fields);
+}
+
 fn take_reply(
     state: &GatewayState,
     workspace: &WorkspaceName,
--- a/crates/beechsaddle/src/operator/admin_client.rs
+++ b/crates/beechsaddle/src/operator/admin_client.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use beechsaddle_core::gateway::GatewayStatus;
 use beechsaddle_core::status::RouterStatus;
 use eyre::{WrapErr, bail};
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 use volo_http::client::Client;
 
@@ -15,6 +17,16 @@
 /// A larger answer is not read.
 const ANSWER_BYTES_MAX: usize = 8_000_000;
 
+/// What a running router answers, by the interface that it serves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum StatusReply {
+    /// A router of the product's own interface.
+    Router(RouterStatus),
+    /// A gateway.
+    Gateway(GatewayStatus),
+}
+
 /// Asks running routers.
 #[derive(Clone)]
 pub struct AdminClient {
@@ -31,14 +43,26 @@
     }
 
     /// Asks a router for its status, at its admin address.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer, or is a gateway.
     pub async fn status(&self, address: &str) -> eyre::Result<RouterStatus> {
+        match self.any_status(address).await? {
+            StatusReply::Router(status) => Ok(status),
+            StatusReply::Gateway(_) => bail!("{address} is a gateway, which has no catalogue"),
+        }
+    }
+
+    /// Asks a router of either interface for its status.
+    pub async fn any_status(&self, address: &str) -> eyre::Result<StatusReply> {
         match timeout(Duration::from_millis(ANSWER_MS), self.exchange(address)).await {
             Ok(answer) => answer,
             Err(_) => bail!("{address} does not answer within {ANSWER_MS} ms"),
         }
     }
 
-    async fn exchange(&self, address: &str) -> eyre::Result<RouterStatus> {
+    async fn exchange(&self, address: &str) -> eyre::Result<StatusReply> {
         let uri = format!("http://{address}/admin/status");
         let response = self
             .client
--- a/crates/beechsaddle/src/operator/mod.rs
+++ b/crates/beechsaddle/src/operator/mod.rs
@@ -18,7 +18,7 @@
 mod statement;
 mod wait_run;
 
-pub use admin_client::AdminClient;
+pub use admin_client::{AdminClient, StatusReply};
 pub use apply_options::ApplyOptions;
 pub use apply_outcome::ApplyOutcome;
 pub use apply_run::{ApplyRun, diff_catalogue, newest_revision, read_declared};
--- a/crates/beechsaddle/tests/gateway_calls.rs
+++ b/crates/beechsaddle/tests/gateway_calls.rs
@@ -139,7 +139,7 @@
     assert_eq!(reply.status, 502);
     assert!(!reply.headers.contains_key("retry-after"));
     assert_eq!(GatewayBench::run_count(&bench.plain), 1);
-    let line = bench.router.wait_log(&["event=call", "call-1"]).await;
+    let line = bench.router.wait_log(&["event=call ", "call-1"]).await;
     assert!(line.contains("outcome=outcome_unknown"), "{line}");
 }
 
@@ -225,7 +225,7 @@
         runs.any(|run| run.is_cancelled)
     })
     .await;
-    let line = bench.router.wait_log(&["event=call", "call-1"]).await;
+    let line = bench.router.wait_log(&["event=call ", "call-1"]).await;
     assert!(line.contains("outcome=caller_gone"), "{line}");
 }
 
--- a/crates/beechsaddle/tests/gateway_logs.rs
+++ b/crates/beechsaddle/tests/gateway_logs.rs
@@ -25,7 +25,7 @@
         bench.router.call(&stream_request(&id, 50_000)).await;
         tokio::time::sleep(std::time::Duration::from_millis(700)).await;
     }
-    let line = bench.router.wait_log(&["event=call", "complaint-5"]).await;
+    let line = bench.router.wait_log(&["event=call ", "complaint-5"]).await;
     for word in ["workspace=acme", "tokens=50020", "outcome=budget_exhausted"] {
         assert!(line.contains(word), "no {word} in {line}");
     }
@@ -46,7 +46,7 @@
         target.set_fault(TargetFault::CutEvents(2));
     }
     bench.router.call(&stream_request("complaint", 100)).await;
-    let line = bench.router.wait_log(&["event=call", "complaint"]).await;
+    let line = bench.router.wait_log(&["event=call ", "complaint"]).await;
     for word in ["outcome=broken_off", "events=4", "target=engine-", "why="] {
         assert!(line.contains(word), "no {word} in {line}");
     }
@@ -70,7 +70,7 @@
         .router
         .call(&request("POST /order/1", "complaint"))
         .await;
-    let line = bench.router.wait_log(&["event=call", "complaint"]).await;
+    let line = bench.router.wait_log(&["event=call ", "complaint"]).await;
     assert!(line.contains("outcome=outcome_unknown"), "{line}");
     let ends = bench
         .router
@@ -79,6 +79,130 @@
     assert!(ends[0].contains("target=plain-"), "{}", ends[0]);
 }
 
+/// An engineer follows one answered call. Each decision has a line with the call's id, in order: what
+/// it was admitted by, its tokens and how old the knowledge of the total was, and where it was sent.
+#[tokio::test]
+async fn decisions_of_a_call_stand_in_order() {
+    let bench = GatewayBench::start(&draft(3, AMPLE)).await;
+    bench.router.call(&stream_request("followed", 100)).await;
+    bench.router.wait_log(&["event=call ", "id=followed"]).await;
+    let lines = bench.router.log_lines(&["id=followed"]);
+    let events = ["call_admitted", "tokens_reserved", "call_placed", "call "];
+    assert_eq!(lines.len(), events.len(), "{lines:#?}");
+    for (line, event) in lines.iter().zip(events) {
+        assert!(line.contains(&format!("event={event}")), "{line}");
+    }
+    for (line, word) in [
+        (0, "config=3"),
+        (1, "ledger_age_ms="),
+        (2, "store_age_ms="),
+        (3, "added_ms="),
+    ] {
+        assert!(lines[line].contains(word), "no {word} in {}", lines[line]);
+    }
+}
+
+/// A burst of calls comes, some of which fail. The lines of most answered calls are left out, those of
+/// the failed ones are all there, and no call has half of its lines. What was left out is counted.
+#[tokio::test]
+async fn burst_keeps_failures_and_whole_calls() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    let calls = (0..240).map(|number| {
+        let path = match number % 12 {
+            0 => "GET /nowhere/1",
+            _ => "GET /get/1",
+        };
+        let call = request(path, &format!("burst-{number}-"));
+        async move { bench_call(bench.router.address, &call).await }
+    });
+    let statuses = futures::future::join_all(calls).await;
+    assert_eq!(statuses.iter().filter(|status| **status == 404).count(), 20);
+    let reply = call(
+        bench.router.ready,
+        &CallRequest::new("GET /metrics", "m", KEY),
+    )
+    .await;
+    let text = reply.expect("metrics").body;
+    let left_out = text
+        .lines()
+        .find_map(|line| line.strip_prefix("beechsaddle_lines_sampled_out_total "));
+    let left_out: u64 = left_out.expect("a counter").parse().expect("a number");
+    assert!(left_out > 0);
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let refused = bench
+        .router
+        .log_lines(&["event=call ", "outcome=unknown_route"]);
+    assert_eq!(refused.len(), 20);
+    for line in bench.router.log_lines(&["event=call ", "outcome=answered"]) {
+        let id = line
+            .split("id=")
+            .nth(1)
+            .and_then(|rest| rest.split(' ').next());
+        let id = format!("id={} ", id.expect("an id"));
+        let lines = bench.router.log_lines(&[&id]);
+        assert_eq!(lines.len(), 3, "{lines:#?}");
+    }
+}
+
+async fn bench_call(address: std::net::SocketAddr, request: &CallRequest) -> u16 {
+    call(address, request).await.expect("an answer").status
+}
+
+/// Nobody reads the router's log any more, and its pipe and ring are full. Callers are served as
+/// before, and the router ends in time when it is told to, though its last lines cannot be written.
+#[tokio::test]
+async fn unread_log_blocks_nothing() {
+    let mut bench = GatewayBench::start_unread(&draft(1, AMPLE)).await;
+    // 4,096 lines in the ring and 64 KiB in the pipe; the ids are long to get there sooner.
+    let filler = "x".repeat(2_000);
+    for number in 0..2_500 {
+        let id = format!("{filler}{number}");
+        let status = bench
+            .router
+            .call(&request("GET /nowhere/1", &id))
+            .await
+            .status;
+        assert_eq!(status, 404);
+    }
+    let started = std::time::Instant::now();
+    assert_eq!(
+        bench
+            .router
+            .call(&request("GET /get/1", "last"))
+            .await
+            .status,
+        200
+    );
+    assert!(started.elapsed().as_millis() < 500);
+    bench.router.signal(nix::sys::signal::Signal::SIGTERM);
+    assert_eq!(bench.router.wait_end().await, Some(0));
+}
+
+/// An operator asks a router what it believes. Each item comes with its age, and the command line
+/// shows the same.
+#[tokio::test]
+async fn status_shows_beliefs_with_ages() {
+    let bench = GatewayBench::start(&draft(7, AMPLE)).await;
+    bench.router.call(&stream_request("call-1", 100)).await;
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_beechsaddle"))
+        .args(["status", &bench.router.ready.to_string()])
+        .output()
+        .expect("the command");
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8(output.stdout).expect("text");
+    for word in [
+        "gateway host-1@",
+        "phase=serving",
+        "config version=7 age_ms=",
+        "workspace acme role=keeper free=",
+        "ledger_age_ms=",
+        "target engine-1 service=engine phase=ready active=0 ejected_for_ms=0",
+        "heard_age_ms=",
+    ] {
+        assert!(text.contains(word), "no {word} in {text}");
+    }
+}
+
 /// The page of metrics lists what a router serves, and nothing else.
 #[tokio::test]
 async fn metrics_page_lists_each() {
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -36,6 +36,15 @@
 impl GatewayProcess {
     /// Starts a router of a host in a failure domain.
     pub fn start(store: SocketAddr, host: &str, domain: &str) -> Self {
+        GatewayProcess::start_with(store, host, domain, true)
+    }
+
+    /// Starts a router whose log nobody reads.
+    pub fn start_unread(store: SocketAddr, host: &str, domain: &str) -> Self {
+        GatewayProcess::start_with(store, host, domain, false)
+    }
+
+    fn start_with(store: SocketAddr, host: &str, domain: &str, is_read: bool) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let address = free_address().expect("an address");
         let ready = free_address().expect("an address");
@@ -45,11 +54,14 @@
         let peer = free_address().expect("an address");
         let text = settings_text(store, host, domain, [address, ready, peer]);
         fs::write(&settings, text).expect("settings");
-        let output = fs::File::create(&log).expect("a log file");
+        let output = match is_read {
+            true => Stdio::from(fs::File::create(&log).expect("a log file")),
+            false => Stdio::piped(),
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_beechsaddle"))
             .args(["router", "--config"])
             .arg(&settings)
-            .stdout(Stdio::from(output))
+            .stdout(output)
             .spawn()
             .expect("a router");
         GatewayProcess {
@@ -175,15 +187,39 @@
 impl GatewayBench {
     /// Starts two targets of each service and a router, and waits until all is in force.
     pub async fn start(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start).await;
+        for target in bench.plain.iter().chain(&bench.engines) {
+            let words = ["target_joined", target.name()];
+            bench.router.wait_log(&words).await;
+        }
+        bench
+    }
+
+    /// The same with a router whose log nobody reads.
+    pub async fn start_unread(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_unread).await;
+        wait_for("targets", || async {
+            bench
+                .router
+                .call(&request("GET /get/1", "first"))
+                .await
+                .status
+                == 200
+        })
+        .await;
+        bench
+    }
+
+    async fn start_with(
+        draft: &ConfigDraft,
+        start: fn(SocketAddr, &str, &str) -> GatewayProcess,
+    ) -> Self {
         let store = StoreStandIn::try_start().await.expect("a store");
         let plain = start_targets(&store, "plain").await;
         let engines = start_targets(&store, "engine").await;
         store.put_config(draft);
-        let router = GatewayProcess::start(store.address(), "host-1", "north");
+        let router = start(store.address(), "host-1", "north");
         router.wait_ready().await;
-        for target in plain.iter().chain(&engines) {
-            router.wait_log(&["target_joined", target.name()]).await;
-        }
         GatewayBench {
             store,
             plain,
