Leave the ledger to the keeper that reaches it

Cause: a borrower whose keeper had too little for the moment became a keeper itself: it read the ledger, wrote it, and met the keeper's and all other borrowers' writes.

Change: a keeper says whether it has too little now (it is asking the ledger, and is asked again after 150 ms, three times) or cannot reach the ledger (`ledgerAway`, a new answer; only then does the borrower ask the ledger, and other domains). Routers that do not know the new answer take it for a lost peer.

Ruled out: a longer wait of the keeper (calls wait 700 ms at most).

Test: borrower_leaves_the_ledger_to_its_keeper failed first (one read of the ledger).

--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -42,6 +42,28 @@
     Short,
     /// The total does not cover the smallest loan that helps.
     Exhausted,
+    /// It has too little, and cannot reach the ledger to get more.
+    LedgerAway,
+}
+
+impl LoanReply {
+    /// A word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LoanReply::Lent(_) => "lent",
+            LoanReply::Short => "short",
+            LoanReply::Exhausted => "exhausted",
+            LoanReply::LedgerAway => "ledger_away",
+        }
+    }
+
+    /// Tokens that were lent.
+    pub fn tokens(self) -> u64 {
+        match self {
+            LoanReply::Lent(tokens) => tokens,
+            LoanReply::Short | LoanReply::Exhausted | LoanReply::LedgerAway => 0,
+        }
+    }
 }
 
 /// The tokens that this router took from ledgers, and what of them is promised to requests.
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -12,6 +12,8 @@
   # The lender has too little now.
   exhausted @2;
   # The workspace's total does not cover `least`.
+  ledgerAway @3;
+  # The lender has too little, and cannot reach the ledger to get more.
 }
 
 interface TokenLender {
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -11,6 +11,7 @@
     Lent = 0,
     Short = 1,
     Exhausted = 2,
+    LedgerAway = 3,
 }
 
 impl ::capnp::introspect::Introspect for LoanOutcome {
@@ -26,6 +27,7 @@
             0 => ::core::result::Result::Ok(Self::Lent),
             1 => ::core::result::Result::Ok(Self::Short),
             2 => ::core::result::Result::Ok(Self::Exhausted),
+            3 => ::core::result::Result::Ok(Self::LedgerAway),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -38,7 +40,7 @@
     const TYPE_ID: u64 = 0xfc66_2b4d_1154_f221u64;
 }
 mod loan_outcome {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(33, 242, 84, 17, 77, 43, 102, 252),
     ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
@@ -48,7 +50,7 @@
     ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
     ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 103, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
@@ -56,20 +58,25 @@
     ::capnp::word(97, 110, 79, 117, 116, 99, 111, 109),
     ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 101, 110, 116, 0, 0, 0, 0),
     ::capnp::word(115, 104, 111, 114, 116, 0, 0, 0),
     ::capnp::word(101, 120, 104, 97, 117, 115, 116, 101),
     ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(108, 101, 100, 103, 101, 114, 65, 119),
+    ::capnp::word(97, 121, 0, 0, 0, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/crates/beechsaddle/src/gateway/lending_server.rs
+++ b/crates/beechsaddle/src/gateway/lending_server.rs
@@ -88,10 +88,12 @@
             let changed = self.state.escrow_changed.notified();
             let now = self.state.now();
             let reply = self.state.escrow.borrow_mut().lend(now, workspace, request);
-            let is_final = reply != LoanReply::Short || self.state.is_ledger_away.get();
-            if is_final {
+            if reply != LoanReply::Short {
                 return reply;
             }
+            if self.state.is_ledger_away.get() {
+                return LoanReply::LedgerAway;
+            }
             waiting.begin();
             self.state.escrow_wake.notify_one();
             if timeout_at(until, changed).await.is_err() {
@@ -118,22 +120,26 @@
             need: parameters.get_need(),
             ahead: parameters.get_ahead(),
         };
-        let (outcome, tokens) = match self.lend(&workspace, request).await {
-            LoanReply::Lent(tokens) => (LoanOutcome::Lent, tokens),
-            LoanReply::Short => (LoanOutcome::Short, 0),
-            LoanReply::Exhausted => (LoanOutcome::Exhausted, 0),
+        let reply = self.lend(&workspace, request).await;
+        let tokens = reply.tokens();
+        let outcome = match reply {
+            LoanReply::Lent(_) => LoanOutcome::Lent,
+            LoanReply::Short => LoanOutcome::Short,
+            LoanReply::Exhausted => LoanOutcome::Exhausted,
+            LoanReply::LedgerAway => LoanOutcome::LedgerAway,
         };
         self.state.metrics.tokens_lent.inc_by(tokens);
         let fields = [
             ("workspace", workspace.to_string()),
             ("peer", self.peer.ip().to_string()),
+            ("outcome", reply.as_str().to_owned()),
             ("tokens", tokens.to_string()),
         ];
         let report = &self.state.report;
         report.log(LogLevel::Info, "tokens_lent", fields);
-        let mut reply = results.get();
-        reply.set_outcome(outcome);
-        reply.set_tokens(tokens);
+        let mut answer = results.get();
+        answer.set_outcome(outcome);
+        answer.set_tokens(tokens);
         Ok(())
     }
 }
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -14,7 +14,7 @@
 use capnp_rpc::twoparty::VatNetwork;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -29,6 +29,12 @@
 /// How many routers of the own domain are asked in turn. Each that is down costs a timeout.
 const KEEPERS_ASKED: usize = 2;
 
+/// How long to wait before a keeper that had too little is asked again: several writes of the ledger.
+const SHORT_PAUSE: Duration = Duration::from_millis(150);
+
+/// How often a keeper that has too little is asked: for as long as calls wait for tokens.
+const SHORT_ROUNDS: usize = 3;
+
 /// How long nobody is asked again while the ledger is away and all have refused, in milliseconds.
 /// Without it each new call would begin to ask anew, and all of them would wait for the outcome
 /// until it is late for them to be refused.
@@ -39,8 +45,21 @@
 enum LoanFailure {
     /// The router does not answer.
     Unreachable,
-    /// It has too little, and could not get more.
-    Refused,
+    /// It has too little now, and asks the ledger.
+    Short,
+    /// It has too little, and cannot reach the ledger.
+    LedgerAway,
+}
+
+/// What came of asking in the own domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DomainAnswer {
+    /// Tokens came, or are known to be used up, or nothing is wanted any more.
+    Helped,
+    /// The keeper has too little now.
+    Short,
+    /// There is no keeper that answers and reaches the ledger.
+    Nobody,
 }
 
 /// A connection to a router that lends.
@@ -167,22 +186,48 @@
     }
 }
 
+/// Asks until no call waits, or asking does not help.
 async fn ask_for_tokens(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+    for _ in 0..SHORT_ROUNDS {
+        match ask_domain(state, workspace).await {
+            DomainAnswer::Helped => return,
+            DomainAnswer::Short => sleep(SHORT_PAUSE).await,
+            DomainAnswer::Nobody => {
+                ask_elsewhere(state, workspace).await;
+                return;
+            }
+        }
+    }
+}
+
+/// Asks whoever keeps the workspace for this domain, and the next if that one does not answer.
+///
+/// A keeper that has too little is asking the ledger already. A borrower that asked it too would find
+/// the same: dozens of them then meet at the ledger, and the keeper's own write is the one that does
+/// not come through. Of a trouble day's 13,700 store calls with 86 routers 6,000 were such reads and
+/// writes. Only where the keeper cannot reach the ledger does it help to ask from here.
+async fn ask_domain(state: &Rc<GatewayState>, workspace: &WorkspaceName) -> DomainAnswer {
     for _ in 0..KEEPERS_ASKED {
         let keeper = {
             let ring = state.lending.ring.borrow();
             ring.keeper(state.now(), workspace).cloned()
         };
         let Some(keeper) = keeper else {
-            break;
+            return DomainAnswer::Nobody;
         };
         match ask_peer(state, &keeper, workspace).await {
-            Ok(()) => return,
-            Err(LoanFailure::Refused) => break,
+            Ok(()) => return DomainAnswer::Helped,
+            Err(LoanFailure::Short) => return DomainAnswer::Short,
+            Err(LoanFailure::LedgerAway) => return DomainAnswer::Nobody,
             Err(LoanFailure::Unreachable) => {}
         }
     }
-    // Nobody of the domain helps: the ledger is asked from here, until roles are set anew.
+    DomainAnswer::Nobody
+}
+
+/// Nobody of the domain helps: the ledger is asked from here, until roles are set anew, and while it
+/// is away the routers of other domains.
+async fn ask_elsewhere(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
     state
         .escrow
         .borrow_mut()
@@ -241,19 +286,14 @@
     request: LoanRequest,
     reply: LoanReply,
 ) {
-    let (outcome, tokens) = match reply {
-        LoanReply::Lent(tokens) => ("lent", tokens),
-        LoanReply::Short => ("short", 0),
-        LoanReply::Exhausted => ("exhausted", 0),
-    };
     let fields = [
         ("workspace", workspace.to_string()),
         ("peer", peer.host.to_string()),
         ("least", request.least.to_string()),
         ("need", request.need.to_string()),
         ("ahead", request.ahead.to_string()),
-        ("outcome", outcome.to_owned()),
-        ("tokens", tokens.to_string()),
+        ("outcome", reply.as_str().to_owned()),
+        ("tokens", reply.tokens().to_string()),
     ];
     state.report.log(LogLevel::Info, "tokens_borrowed", fields);
 }
@@ -275,7 +315,8 @@
             escrow.note_exhausted(state.now(), workspace, request.least);
             Ok(())
         }
-        LoanReply::Short => Err(LoanFailure::Refused),
+        LoanReply::Short => Err(LoanFailure::Short),
+        LoanReply::LedgerAway => Err(LoanFailure::LedgerAway),
     };
     drop(escrow);
     state.escrow_changed.notify_waiters();
@@ -306,6 +347,7 @@
         Ok(LoanOutcome::Lent) => Ok(LoanReply::Lent(reply.get_tokens())),
         Ok(LoanOutcome::Short) => Ok(LoanReply::Short),
         Ok(LoanOutcome::Exhausted) => Ok(LoanReply::Exhausted),
+        Ok(LoanOutcome::LedgerAway) => Ok(LoanReply::LedgerAway),
         Err(error) => Err(error.to_string()),
     }
 }
--- a/crates/beechsaddle/tests/gateway_lending.rs
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -112,6 +112,26 @@
     assert!(served * USED <= prepaid);
 }
 
+/// The total does not cover a call, and the keeper waits whether others give something back. The
+/// other router leaves the ledger to it: if it asked too, with dozens of routers, none of them would
+/// get a write through, and its own answer would be the same.
+#[tokio::test]
+async fn borrower_leaves_the_ledger_to_its_keeper() {
+    let bench = GatewayBench::start(&draft(1, 50_000)).await;
+    // Of these two hosts the second keeps the workspace.
+    let second = second_router(&bench, "host-2").await;
+    let mut large = stream_request("large");
+    large.tokens = Some((90_000, 20));
+    let borrower = &bench.router;
+    assert_eq!(borrower.call(&large).await.status, 503);
+    let words = ["event=tokens_reserved", "id=large"];
+    let line = borrower.wait_log(&words).await;
+    assert!(line.contains("role=borrower"), "{line}");
+    let asked = borrower.metric("store_calls_total{call=\"read_ledger\"");
+    assert_eq!(asked.await, None);
+    drop(second);
+}
+
 /// Somebody without the secret of the fleet asks for tokens, or sends what is no message at all.
 /// Nothing is lent, and callers are served on.
 #[tokio::test]
--- a/crates/beechsaddle/tests/gateway_logs.rs
+++ b/crates/beechsaddle/tests/gateway_logs.rs
@@ -117,17 +117,8 @@
     });
     let statuses = futures::future::join_all(calls).await;
     assert_eq!(statuses.iter().filter(|status| **status == 404).count(), 20);
-    let reply = call(
-        bench.router.ready,
-        &CallRequest::new("GET /metrics", "m", KEY),
-    )
-    .await;
-    let text = reply.expect("metrics").body;
-    let left_out = text
-        .lines()
-        .find_map(|line| line.strip_prefix("beechsaddle_lines_sampled_out_total "));
-    let left_out: u64 = left_out.expect("a counter").parse().expect("a number");
-    assert!(left_out > 0);
+    let left_out = bench.router.metric("lines_sampled_out_total ").await;
+    assert!(left_out > Some(0.0));
     tokio::time::sleep(std::time::Duration::from_millis(300)).await;
     let refused = bench
         .router
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -90,6 +90,16 @@
         call(self.address, request).await.expect("an answer")
     }
 
+    /// A metric whose line begins so; `None` if there is no such line.
+    pub async fn metric(&self, beginning: &str) -> Option<f64> {
+        let request = CallRequest::new("GET /metrics", "metrics", KEY);
+        let reply = call(self.ready, &request).await.expect("metrics");
+        let beginning = format!("beechsaddle_{beginning}");
+        let mut lines = reply.body.lines();
+        let line = lines.find(|line| line.starts_with(&beginning))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id");
