--- a/crates/beechsaddle-lab/src/fleet/lab_process.rs
+++ b/crates/beechsaddle-lab/src/fleet/lab_process.rs
@@ -87,6 +87,11 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Has it read its settings again.
+    pub fn reload(&self) -> eyre::Result<()> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Waits until it has ended; `None` when it has not after `patience`.
     pub fn wait(&mut self, patience: Duration) -> eyre::Result<Option<ExitStatus>> {
         let started = Instant::now();
--- a/crates/beechsaddle-lab/src/fleet/router_command.rs
+++ b/crates/beechsaddle-lab/src/fleet/router_command.rs
@@ -5,6 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::eyre;
 
+use beechsaddle::gateway::{GatewaySettings, is_gateway_file};
 use beechsaddle::settings::RouterSettings;
 
 /// Describes the hidden `router` subcommand.
@@ -29,6 +30,10 @@
     let file = matches
         .get_one::<PathBuf>("config")
         .ok_or_else(|| eyre!("--config is missing"))?;
+    if is_gateway_file(file) {
+        let settings = GatewaySettings::try_load(file).map_err(|findings| eyre!("{findings}"))?;
+        return beechsaddle::gateway::run(settings, file);
+    }
     let settings = RouterSettings::try_load(file).map_err(|findings| eyre!("{findings}"))?;
     beechsaddle::router::run(&settings)
 }
--- a/crates/beechsaddle-lab/src/lib.rs
+++ b/crates/beechsaddle-lab/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod key_values;
 pub mod load;
 pub mod measure;
+pub mod soak;
 pub mod stand_in;
--- a/crates/beechsaddle-lab/src/main.rs
+++ b/crates/beechsaddle-lab/src/main.rs
@@ -2,7 +2,7 @@
 
 #![forbid(unsafe_code)]
 
-use beechsaddle_lab::{demo, fleet, load, measure, stand_in};
+use beechsaddle_lab::{demo, fleet, load, measure, soak, stand_in};
 use clap::Command;
 
 fn main() -> eyre::Result<()> {
@@ -12,6 +12,7 @@
         Some(("stand-in", matches)) => stand_in::run(matches),
         Some(("load", matches)) => load::run(matches),
         Some(("measure", matches)) => measure::run(matches),
+        Some(("soak", matches)) => soak::run(matches),
         Some(("router", matches)) => fleet::run_router(matches),
         Some((name, _)) => eyre::bail!("subcommand {name} has no code"),
         None => eyre::bail!("a subcommand is needed, see --help"),
@@ -27,5 +28,6 @@
         .subcommand(stand_in::command())
         .subcommand(load::command())
         .subcommand(measure::command())
+        .subcommand(soak::command())
         .subcommand(fleet::router_command())
 }
--- /dev/null
+++ b/crates/beechsaddle-lab/src/soak/call_book.rs
@@ -0,0 +1,198 @@
+//! The `call_book` module provides what callers asked and saw, and whether the promises were kept.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use beechsaddle_platform_stand_in::{CallReply, RunRecord};
+
+/// Tokens of one event, as the drafts declare them.
+pub const EVENT_TOKENS: u64 = 3;
+
+/// Statuses that promise that a call did not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// What may be repeated of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakKind {
+    /// A short call that may run several times.
+    Idempotent,
+    /// A short call that may run once.
+    Once,
+    /// A stream that may run once.
+    Stream,
+    /// A stream that may go on at another target.
+    Resumable,
+}
+
+impl SoakKind {
+    /// Its method and path.
+    pub fn line(self) -> &'static str {
+        match self {
+            SoakKind::Idempotent => "GET /get/1",
+            SoakKind::Once => "POST /order/1",
+            SoakKind::Stream => "POST /stream/once/1",
+            SoakKind::Resumable => "POST /stream/on/1",
+        }
+    }
+
+    /// Whether its answer is a stream.
+    pub fn is_stream(self) -> bool {
+        matches!(self, SoakKind::Stream | SoakKind::Resumable)
+    }
+
+    fn runs_once(self) -> bool {
+        matches!(self, SoakKind::Once | SoakKind::Stream)
+    }
+}
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct BookedCall {
+    /// What may be repeated.
+    pub kind: SoakKind,
+    /// Its workspace.
+    pub workspace: &'static str,
+    /// Prompt tokens that it named; 0 for none.
+    pub input: u64,
+    /// The answer; `None` when the connection ended before its head.
+    pub reply: Option<CallReply>,
+}
+
+impl BookedCall {
+    /// The ids of the events that came.
+    fn events(&self) -> Vec<u64> {
+        let body = self.reply.as_ref().map_or("", |reply| reply.body.as_str());
+        // An event counts when all of it came.
+        let events = body.split_inclusive("\n\n");
+        let events = events.filter(|event| event.ends_with("\n\n"));
+        events
+            .filter_map(|event| event.strip_prefix("id: "))
+            .filter_map(|event| event.split('\n').next()?.parse().ok())
+            .collect()
+    }
+}
+
+/// All calls of a soak.
+#[derive(Clone, Debug, Default)]
+pub struct CallBook {
+    calls: Arc<Mutex<BTreeMap<String, BookedCall>>>,
+    broken: Arc<Mutex<Vec<String>>>,
+}
+
+impl CallBook {
+    /// Writes down a call and its answer.
+    pub fn note(&self, id: String, call: BookedCall) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.insert(id, call);
+    }
+
+    /// Writes down a broken promise that was seen at once.
+    pub fn note_broken(&self, what: String) {
+        let mut broken = self.broken.lock().unwrap_or_else(PoisonError::into_inner);
+        broken.push(what);
+    }
+
+    /// How many calls there were, and how many of them were answered by a target.
+    pub fn counts(&self) -> (usize, usize) {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let answered = calls.values().filter(|call| status(call) == 200);
+        (calls.len(), answered.count())
+    }
+
+    /// The promises that were broken, with the calls that show it. `runs` are those of all targets,
+    /// by their names; `prepaid` and `taken` are the totals of the workspaces and of their ledgers.
+    pub fn check(
+        &self,
+        events: u64,
+        runs: &BTreeMap<String, Vec<RunRecord>>,
+        prepaid: &BTreeMap<&'static str, u64>,
+        taken: &BTreeMap<&'static str, u64>,
+    ) -> Vec<String> {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ran = BTreeMap::<&str, Vec<&str>>::new();
+        for (target, records) in runs {
+            for record in records.iter().filter(|record| record.is_run) {
+                let targets = ran.entry(record.request_id()).or_default();
+                targets.push(target);
+            }
+        }
+        let mut broken = {
+            let seen = self.broken.lock().unwrap_or_else(PoisonError::into_inner);
+            seen.clone()
+        };
+        let mut spent = BTreeMap::<&'static str, u64>::new();
+        for (id, call) in calls.iter() {
+            let targets = ran.get(id.as_str()).map_or(&[][..], Vec::as_slice);
+            broken.extend(check_call(id, call, targets, events));
+            let input = if targets.is_empty() { 0 } else { call.input };
+            let output = call.events().len() as u64 * EVENT_TOKENS;
+            *spent.entry(call.workspace).or_default() += input + output;
+        }
+        broken.extend(ran.keys().filter_map(|id| {
+            let is_known = calls.contains_key(*id) || id.starts_with("extra-");
+            (!is_known).then(|| format!("{id} ran and nobody sent it"))
+        }));
+        for (workspace, total) in prepaid {
+            let spent = spent.get(workspace).copied().unwrap_or(0);
+            let taken = taken.get(workspace).copied().unwrap_or(0);
+            if spent > *total || taken > *total || spent > taken {
+                broken.push(format!(
+                    "{workspace}: {spent} spent, {taken} taken, {total} prepaid"
+                ));
+            }
+        }
+        broken
+    }
+}
+
+fn status(call: &BookedCall) -> u16 {
+    call.reply.as_ref().map_or(0, |reply| reply.status)
+}
+
+fn check_call(id: &str, call: &BookedCall, targets: &[&str], events: u64) -> Vec<String> {
+    let mut broken = Vec::new();
+    if call.kind.runs_once() && targets.len() > 1 {
+        broken.push(format!("{id} may run once and ran at {targets:?}"));
+    }
+    if call.kind.runs_once() && NOT_RUN.contains(&status(call)) && !targets.is_empty() {
+        broken.push(format!("{id} got {} and ran at {targets:?}", status(call)));
+    }
+    if [401, 403, 404].contains(&status(call)) {
+        broken.push(format!(
+            "{id} got {} on a route of all versions",
+            status(call)
+        ));
+    }
+    if let Some(reply) = call.reply.as_ref().filter(|reply| reply.status == 200) {
+        broken.extend(check_answer(id, call, reply, targets, events));
+    }
+    broken
+}
+
+fn check_answer(
+    id: &str,
+    call: &BookedCall,
+    reply: &CallReply,
+    targets: &[&str],
+    events: u64,
+) -> Option<String> {
+    let seal = reply.seal().strip_prefix("seal-").unwrap_or_default();
+    if reply.request_id() != id || !targets.contains(&seal) {
+        return Some(format!(
+            "{id} got another's answer: {reply:?}, ran at {targets:?}"
+        ));
+    }
+    if !call.kind.is_stream() {
+        let is_right = !reply.is_whole || reply.body == seal;
+        return (!is_right).then(|| format!("{id} got a wrong body: {reply:?}"));
+    }
+    let seen = call.events();
+    let is_in_order = seen.iter().copied().eq(1..=seen.len() as u64);
+    let is_complete = seen.len() as u64 == events;
+    (!is_in_order || (reply.is_whole && !is_complete)).then(|| {
+        format!(
+            "{id} got the events {seen:?} of {events}, whole: {}",
+            reply.is_whole
+        )
+    })
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/soak/soak_command.rs
@@ -0,0 +1,96 @@
+//! The `soak_command` module provides `beechsaddle-lab soak`.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{WrapErr, bail};
+use futures::stream::{self, StreamExt};
+use tokio::runtime::Builder;
+
+use super::soak_run::{SoakOptions, SoakOutcome, run_seed};
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("soak")
+        .about("Soaks small fleets of gateways in random faults and checks their promises")
+        .arg(number("seed", "1", "The first seed"))
+        .arg(number("seeds", "50", "How many seeds"))
+        .arg(number(
+            "seconds",
+            "8",
+            "How long there are faults, for each seed",
+        ))
+        .arg(number("routers", "3", "Routers of a fleet"))
+        .arg(number("callers", "12", "Callers of a fleet"))
+        .arg(number("jobs", "4", "Fleets at the same time"))
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("DIR")
+                .default_value("target/soak")
+                .value_parser(value_parser!(PathBuf))
+                .help("Where settings and logs go; those of seeds that broke nothing are removed"),
+        )
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .default_value(default)
+        .value_parser(value_parser!(u64).range(1..))
+        .help(help)
+}
+
+/// Runs the seeds and prints a line for each.
+///
+/// # Errors
+///
+/// When a fleet cannot be run, or a promise was broken.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let read = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let options = SoakOptions {
+        program: std::env::current_exe().wrap_err("the lab's own program is not known")?,
+        folder: matches
+            .get_one::<PathBuf>("logs")
+            .cloned()
+            .unwrap_or_else(|| PathBuf::from("target/soak")),
+        span: Duration::from_secs(read("seconds")),
+        routers: read("routers") as usize,
+        callers: read("callers"),
+    };
+    let seeds = read("seed")..read("seed") + read("seeds");
+    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    let broken = runtime.block_on(async {
+        let runs = stream::iter(seeds).map(|seed| run_seed(&options, seed));
+        let mut runs = runs.buffer_unordered(read("jobs") as usize);
+        let mut broken = Vec::new();
+        while let Some(outcome) = runs.next().await {
+            let outcome = outcome?;
+            print_outcome(&outcome);
+            if !outcome.broken.is_empty() {
+                broken.push(outcome.seed);
+            }
+        }
+        eyre::Ok(broken)
+    })?;
+    match broken.is_empty() {
+        true => Ok(()),
+        false => bail!("promises were broken with the seeds {broken:?}"),
+    }
+}
+
+fn print_outcome(outcome: &SoakOutcome) {
+    println!(
+        "seed={} faults={} calls={} answered={} broken={}",
+        outcome.seed,
+        outcome.faults,
+        outcome.calls,
+        outcome.answered,
+        outcome.broken.len()
+    );
+    for broken in &outcome.broken {
+        println!("  {broken}");
+    }
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -0,0 +1,296 @@
+//! The `soak_fleet` module provides the routers of a soak, and what stands around them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use beechsaddle_platform_stand_in::{
+    CallRequest, ConfigDraft, DraftKind, EntryState, READY_LINE, RouteDraft, RunRecord,
+    StoreStandIn, TargetStandIn, call,
+};
+use eyre::{WrapErr, bail};
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+use super::fault_proxy::{FaultProxy, PathFault};
+use crate::fleet::{LabProcess, free_address};
+
+/// The workspaces: one that is never used up, and one that is.
+pub const WORKSPACES: [(&str, &str, u64); 2] = [
+    ("ample", "key-of-ample", 50_000_000),
+    ("scant", "key-of-scant", 150_000),
+];
+
+/// How long a router may take to be ready.
+const READY_SPAN: Duration = Duration::from_secs(8);
+
+/// The seconds between SIGTERM and the kill that routers are told.
+pub const GRACE: Duration = Duration::from_secs(4);
+
+/// Events of a stream, and the pause between two.
+pub const EVENTS: u64 = 6;
+const EVENT_GAP: Duration = Duration::from_millis(15);
+
+/// One router, and the ways from it and to it.
+pub struct SoakRouter {
+    /// Where callers reach it.
+    pub calls: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Its way to the store.
+    pub store_path: FaultProxy,
+    /// The way to the tokens that it lends.
+    pub peer_path: FaultProxy,
+    /// Its process; `None` while it is down.
+    pub process: Option<LabProcess>,
+    /// How often it was started.
+    pub starts: u64,
+    host: String,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+/// One target, and the way to it.
+#[derive(Clone)]
+pub struct SoakTarget {
+    /// The target.
+    pub stand_in: TargetStandIn,
+    /// The way to it.
+    pub path: FaultProxy,
+    service: &'static str,
+    zone: &'static str,
+}
+
+/// Everything of a soak.
+pub struct SoakFleet {
+    /// The store.
+    pub store: StoreStandIn,
+    /// Routers.
+    pub routers: Vec<SoakRouter>,
+    /// Targets that were ever there; those of the first places are replaced.
+    pub targets: Vec<SoakTarget>,
+    /// The newest configuration.
+    pub config: ConfigDraft,
+    program: PathBuf,
+}
+
+impl SoakFleet {
+    /// Starts a store, two targets of each service and routers in two domains, and waits until these
+    /// are ready. `folder` takes settings and logs.
+    pub async fn try_start(program: &Path, folder: &Path, routers: usize) -> eyre::Result<Self> {
+        let mut fleet = SoakFleet {
+            store: StoreStandIn::try_start().await?,
+            routers: Vec::new(),
+            targets: Vec::new(),
+            config: first_config(),
+            program: program.to_owned(),
+        };
+        fleet.store.put_config(&fleet.config);
+        for (service, zone) in [
+            ("plain", "north"),
+            ("plain", "south"),
+            ("engine", "north"),
+            ("engine", "south"),
+        ] {
+            fleet.add_target(service, zone).await?;
+        }
+        for number in 0..routers {
+            let router = make_router(&fleet.store, folder, number).await?;
+            fleet.routers.push(router);
+            fleet.start_router(number)?;
+        }
+        for number in 0..routers {
+            fleet.wait_ready(number).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a router's process.
+    pub fn start_router(&mut self, number: usize) -> eyre::Result<()> {
+        let router = &mut self.routers[number];
+        let process = LabProcess::try_start_router(&self.program, &router.settings, &router.log)?;
+        router.process = Some(process);
+        router.starts += 1;
+        Ok(())
+    }
+
+    /// Waits until a router says that it is ready.
+    pub async fn wait_ready(&self, number: usize) -> eyre::Result<()> {
+        let until = Instant::now() + READY_SPAN;
+        while Instant::now() < until {
+            let request = CallRequest::new(READY_LINE, "ready", "");
+            let reply = call(self.routers[number].ready, &request).await;
+            if reply.is_ok_and(|reply| reply.status == 200) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        bail!("router {number} is not ready within {READY_SPAN:?}")
+    }
+
+    /// Adds a target.
+    pub async fn add_target(
+        &mut self,
+        service: &'static str,
+        zone: &'static str,
+    ) -> eyre::Result<()> {
+        let name = format!("{service}-{}", self.targets.len());
+        let stand_in = TargetStandIn::try_start(&name).await?;
+        stand_in.set_work(Duration::from_millis(5));
+        stand_in.set_events(EVENTS, EVENT_GAP);
+        let path = FaultProxy::try_start(stand_in.address()).await?;
+        self.targets.push(SoakTarget {
+            stand_in,
+            path,
+            service,
+            zone,
+        });
+        self.list_target(self.targets.len() - 1, EntryState::Ready);
+        Ok(())
+    }
+
+    /// Writes a target's entry.
+    pub fn list_target(&self, number: usize, state: EntryState) {
+        let target = &self.targets[number];
+        let address = target.path.address();
+        let entry = target
+            .stand_in
+            .entry_at(address, target.service, target.zone, state);
+        self.store.put("servers", target.stand_in.name(), &entry);
+    }
+
+    /// Has a target leave and another come.
+    pub async fn replace_target(&mut self, number: usize) -> eyre::Result<()> {
+        let (service, zone) = (self.targets[number].service, self.targets[number].zone);
+        self.add_target(service, zone).await?;
+        self.list_target(number, EntryState::Draining);
+        // Faults of this place hit the new one from now on.
+        let last = self.targets.len() - 1;
+        self.targets.swap(number, last);
+        Ok(())
+    }
+
+    /// Writes a configuration with one more route.
+    pub fn put_config(&mut self) {
+        self.config.version += 1;
+        let prefix: &'static str = version_prefix(self.config.version).leak();
+        let route = RouteDraft::new(prefix, prefix, DraftKind::Idempotent, "plain");
+        self.config.routes.push(route);
+        self.store.put_config(&self.config);
+    }
+
+    /// Has routers that list themselves be reached by way of their proxies.
+    pub fn lead_peers(&self) {
+        for router in &self.routers {
+            let Some(mut entry) = self.store.spec("routers", &router.host) else {
+                continue;
+            };
+            let led = Value::String(router.peer_path.address().to_string());
+            if entry["address"] != led {
+                entry["address"] = led;
+                self.store.put("routers", &router.host, &entry);
+            }
+        }
+    }
+
+    /// Ends all faults of paths, store and targets.
+    pub fn heal(&self) {
+        self.store.set_fault(Default::default());
+        for router in &self.routers {
+            router.store_path.set(PathFault::None);
+            router.peer_path.set(PathFault::None);
+        }
+        for target in &self.targets {
+            target.path.set(PathFault::None);
+            target.stand_in.set_fault(Default::default());
+        }
+    }
+
+    /// What reached each target.
+    pub fn runs(&self) -> BTreeMap<String, Vec<RunRecord>> {
+        let targets = self.targets.iter().map(|target| &target.stand_in);
+        targets
+            .map(|target| (target.name().to_owned(), target.runs()))
+            .collect()
+    }
+
+    /// What is taken from each workspace's ledger.
+    pub fn taken(&self) -> BTreeMap<&'static str, u64> {
+        let taken = WORKSPACES.iter().map(|(name, _, _)| {
+            let ledger = self.store.spec("budgets", &format!("ledger-{name}"));
+            let taken = ledger.and_then(|ledger| ledger["taken"].as_u64());
+            (*name, taken.unwrap_or(0))
+        });
+        taken.collect()
+    }
+}
+
+impl SoakRouter {
+    /// Changes the settings file and tells the process.
+    pub fn reload(&self, number: u64) -> eyre::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        let lines = text.lines().map(|line| match line.starts_with("watch_ms") {
+            true => format!("watch_ms = {}", 2_000 + number * 500),
+            false => line.to_owned(),
+        });
+        let text = lines.collect::<Vec<_>>().join("\n");
+        std::fs::write(&self.settings, text).wrap_err("cannot write settings")?;
+        match &self.process {
+            Some(process) => process.reload(),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The path prefix of the route that a version adds.
+pub fn version_prefix(version: u64) -> String {
+    format!("/v{version}/")
+}
+
+fn first_config() -> ConfigDraft {
+    let mut resumable = RouteDraft::new("on", "/stream/on/", DraftKind::Stream, "engine");
+    resumable.is_resumable = true;
+    ConfigDraft {
+        version: 1,
+        routes: vec![
+            RouteDraft::new("get", "/get/", DraftKind::Idempotent, "plain"),
+            RouteDraft::new("order", "/order/", DraftKind::NotRepeatable, "plain"),
+            RouteDraft::new("once", "/stream/once/", DraftKind::Stream, "engine"),
+            resumable,
+        ],
+        workspaces: WORKSPACES.to_vec(),
+    }
+}
+
+async fn make_router(
+    store: &StoreStandIn,
+    folder: &Path,
+    number: usize,
+) -> eyre::Result<SoakRouter> {
+    let host = format!("host-{number}");
+    let domain = if number % 2 == 0 { "north" } else { "south" };
+    let (calls, ready, peer) = (free_address()?, free_address()?, free_address()?);
+    let store_path = FaultProxy::try_start(store.address()).await?;
+    let text = format!(
+        "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{calls}\"\n\
+         ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = {}\n\n\
+         [store]\naddress = \"{}\"\nwatch_ms = 15000\n\n\
+         [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n",
+        GRACE.as_secs(),
+        store_path.address()
+    );
+    let settings = folder.join(format!("{host}.toml"));
+    std::fs::write(&settings, text)?;
+    Ok(SoakRouter {
+        calls,
+        ready,
+        store_path,
+        peer_path: FaultProxy::try_start(peer).await?,
+        process: None,
+        starts: 0,
+        log: folder.join(format!("{host}.log")),
+        host,
+        settings,
+    })
+}
--- /dev/null
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -0,0 +1,278 @@
+//! The `soak_run` module provides one seed of a soak, from the start of a fleet to its verdict.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+use super::call_load::CallLoad;
+use super::calm_checks::check_calm;
+use super::fault_plan::{FaultPlan, PlannedFault, SoakFault};
+use super::fault_proxy::PathFault;
+use super::soak_fleet::{EVENTS, SoakFleet, WORKSPACES};
+use super::version_watch::VersionWatch;
+
+/// How often it is seen to that routers reach each other by way of their proxies.
+const PEER_SPAN: Duration = Duration::from_millis(200);
+
+/// How long a router that was told to end is waited for before it is looked at again.
+const END_SPAN: Duration = Duration::from_millis(250);
+
+/// Targets of a fleet; a fault names one of these places.
+const TARGETS: usize = 4;
+
+/// How a soak is run.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// The program that also runs routers.
+    pub program: PathBuf,
+    /// Where settings and logs go.
+    pub folder: PathBuf,
+    /// How long there are faults.
+    pub span: Duration,
+    /// Routers.
+    pub routers: usize,
+    /// Callers.
+    pub callers: u64,
+}
+
+/// What came of a seed.
+#[derive(Clone, Debug)]
+pub struct SoakOutcome {
+    /// The seed.
+    pub seed: u64,
+    /// Calls that were made.
+    pub calls: usize,
+    /// Calls that a target answered with success.
+    pub answered: usize,
+    /// Faults that were brought about.
+    pub faults: usize,
+    /// Promises that were broken, each with the call that shows it.
+    pub broken: Vec<String>,
+}
+
+/// A fault that begins or ends.
+#[derive(Clone, Copy, Debug)]
+enum SoakStep {
+    Begin(PlannedFault),
+    End(SoakFault),
+}
+
+/// Runs one seed.
+///
+/// # Errors
+///
+/// When a process cannot be started, or a router does not get ready.
+pub async fn run_seed(options: &SoakOptions, seed: u64) -> eyre::Result<SoakOutcome> {
+    let folder = options.folder.join(seed.to_string());
+    std::fs::create_dir_all(&folder)?;
+    let fleet = SoakFleet::try_start(&options.program, &folder, options.routers).await?;
+    let load = CallLoad::new(fleet.routers.iter().map(|router| router.calls).collect());
+    let mut callers = JoinSet::new();
+    for caller in 0..options.callers {
+        callers.spawn(load.clone().run(seed, caller));
+    }
+    let plan = FaultPlan::new(seed, options.span, options.routers, TARGETS);
+    let faults = plan.faults.len();
+    let mut run = SeedRun::new(fleet, &load);
+    run.bring_about(plan).await?;
+    let mut broken = check_calm(&mut run.fleet).await?;
+    load.is_over.store(true, Ordering::Relaxed);
+    callers.join_all().await;
+    let prepaid = WORKSPACES.iter().map(|(name, _, total)| (*name, *total));
+    let prepaid: BTreeMap<_, _> = prepaid.collect();
+    let fleet = &run.fleet;
+    broken.extend(
+        load.book
+            .check(EVENTS, &fleet.runs(), &prepaid, &fleet.taken()),
+    );
+    let (calls, answered) = load.book.counts();
+    drop(run);
+    if broken.is_empty() {
+        remove_folder(&folder);
+    }
+    Ok(SoakOutcome {
+        seed,
+        calls,
+        answered,
+        faults,
+        broken,
+    })
+}
+
+fn remove_folder(folder: &Path) {
+    if let Err(error) = std::fs::remove_dir_all(folder) {
+        eprintln!("{} stays: {error}", folder.display());
+    }
+}
+
+/// A fleet under faults.
+struct SeedRun {
+    fleet: SoakFleet,
+    starts: Vec<Arc<AtomicU64>>,
+    terminated: Vec<u64>,
+    newest: watch::Sender<u64>,
+    _watches: JoinSet<()>,
+}
+
+impl SeedRun {
+    fn new(fleet: SoakFleet, load: &CallLoad) -> Self {
+        let starts: Vec<_> = fleet
+            .routers
+            .iter()
+            .map(|_| Arc::new(AtomicU64::new(1)))
+            .collect();
+        let newest = watch::Sender::new(fleet.config.version);
+        let mut watches = JoinSet::new();
+        for (router, starts) in fleet.routers.iter().zip(&starts) {
+            let version_watch = VersionWatch {
+                router: router.calls,
+                starts: Arc::clone(starts),
+                newest: newest.subscribe(),
+                book: load.book.clone(),
+            };
+            watches.spawn(version_watch.run());
+        }
+        SeedRun {
+            terminated: vec![0; fleet.routers.len()],
+            fleet,
+            starts,
+            newest,
+            _watches: watches,
+        }
+    }
+
+    /// Brings the faults about, each at its time, and ends all of them.
+    async fn bring_about(&mut self, plan: FaultPlan) -> eyre::Result<()> {
+        let start = Instant::now();
+        let begins = plan.faults.into_iter().enumerate();
+        let mut steps: BTreeMap<(Duration, usize), SoakStep> = begins
+            .map(|(number, planned)| ((planned.at, number), SoakStep::Begin(planned)))
+            .collect();
+        let mut number = steps.len();
+        while let Some(((at, _), step)) = steps.pop_first() {
+            while Instant::now() < start + at {
+                self.fleet.lead_peers();
+                sleep_until((start + at).min(Instant::now() + PEER_SPAN)).await;
+            }
+            number += 1;
+            match step {
+                SoakStep::Begin(planned) => {
+                    self.begin(planned.fault, number as u64).await?;
+                    let end = SoakStep::End(planned.fault);
+                    steps.insert((at + planned.span, number), end);
+                }
+                SoakStep::End(fault) if self.end(fault)? => {}
+                SoakStep::End(_) => drop(steps.insert((at + END_SPAN, number), step)),
+            }
+        }
+        self.fleet.heal();
+        self.fleet.lead_peers();
+        for router in 0..self.fleet.routers.len() {
+            self.fleet.wait_ready(router).await?;
+        }
+        Ok(())
+    }
+
+    async fn begin(&mut self, fault: SoakFault, number: u64) -> eyre::Result<()> {
+        let fleet = &mut self.fleet;
+        match fault {
+            SoakFault::Kill(router) => {
+                if let Some(mut process) = fleet.routers[router].process.take() {
+                    process.kill()?;
+                }
+            }
+            SoakFault::Terminate(router) => {
+                if let Some(process) = &fleet.routers[router].process {
+                    process.terminate()?;
+                }
+                self.terminated[router] = fleet.routers[router].starts;
+            }
+            SoakFault::Pause(router) => {
+                if let Some(process) = &fleet.routers[router].process {
+                    process.freeze()?;
+                }
+            }
+            SoakFault::Reload(router) => fleet.routers[router].reload(number)?,
+            SoakFault::StorePath(router, fault) => fleet.routers[router].store_path.set(fault),
+            SoakFault::PeerPath(router, fault) => fleet.routers[router].peer_path.set(fault),
+            SoakFault::TargetPath(target, fault) => fleet.targets[target].path.set(fault),
+            SoakFault::Store(fault) => fleet.store.set_fault(fault),
+            SoakFault::Compact => fleet.store.compact(),
+            SoakFault::Target(target, fault) => fleet.targets[target].stand_in.set_fault(fault),
+            SoakFault::Replace(target) => fleet.replace_target(target).await?,
+            SoakFault::Lapse(target) => {
+                fleet
+                    .store
+                    .remove_target(fleet.targets[target].stand_in.name());
+            }
+            SoakFault::Config => {
+                fleet.put_config();
+                self.newest.send_replace(fleet.config.version);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends a fault; tells whether it is over.
+    fn end(&mut self, fault: SoakFault) -> eyre::Result<bool> {
+        let fleet = &mut self.fleet;
+        match fault {
+            SoakFault::Kill(router) => self.start_again(router)?,
+            SoakFault::Terminate(router) => return self.end_terminated(router),
+            SoakFault::Pause(router) => {
+                if let Some(process) = &fleet.routers[router].process {
+                    process.thaw()?;
+                }
+            }
+            SoakFault::StorePath(router, _) => {
+                fleet.routers[router].store_path.set(PathFault::None)
+            }
+            SoakFault::PeerPath(router, _) => fleet.routers[router].peer_path.set(PathFault::None),
+            SoakFault::TargetPath(target, _) => fleet.targets[target].path.set(PathFault::None),
+            SoakFault::Store(_) => fleet.store.set_fault(Default::default()),
+            SoakFault::Target(target, _) => {
+                fleet.targets[target].stand_in.set_fault(Default::default());
+            }
+            SoakFault::Lapse(target) => {
+                fleet.list_target(target, beechsaddle_platform_stand_in::EntryState::Ready);
+            }
+            SoakFault::Reload(_)
+            | SoakFault::Compact
+            | SoakFault::Replace(_)
+            | SoakFault::Config => {}
+        }
+        Ok(true)
+    }
+
+    /// Starts a router again that was told to end, once it has ended.
+    fn end_terminated(&mut self, router: usize) -> eyre::Result<bool> {
+        let terminated = self.terminated[router];
+        let ended = &mut self.fleet.routers[router];
+        // Another fault may have killed it meanwhile, and it was started again.
+        if ended.starts != terminated {
+            return Ok(true);
+        }
+        if let Some(process) = &mut ended.process
+            && process.wait(Duration::ZERO)?.is_none()
+        {
+            return Ok(false);
+        }
+        ended.process = None;
+        self.start_again(router)?;
+        Ok(true)
+    }
+
+    fn start_again(&mut self, router: usize) -> eyre::Result<()> {
+        if self.fleet.routers[router].process.is_none() {
+            self.starts[router].fetch_add(1, Ordering::SeqCst);
+            self.fleet.start_router(router)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -90,7 +90,7 @@
 
 /// Whether a settings file is for a gateway: it has a `[gateway]` table. A file that cannot be read is
 /// left to the other reader, which tells why.
-pub(crate) fn is_gateway_file(path: &Path) -> bool {
+pub fn is_gateway_file(path: &Path) -> bool {
     let text = std::fs::read_to_string(path).unwrap_or_default();
     text.lines().any(|line| line.trim() == "[gateway]")
 }
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -37,5 +37,4 @@
 mod token_reservation;
 
 pub use gateway_process::run;
-pub use gateway_settings::GatewaySettings;
-pub(crate) use gateway_settings::is_gateway_file;
+pub use gateway_settings::{GatewaySettings, is_gateway_file};
