--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{BudgetLedger, DemandRate, EscrowOptions, LedgerChange, MARK_LIFE_MS, TokenTransfer};
+use super::{BudgetLedger, DemandRate, EscrowOptions, LedgerChange, TokenTransfer};
 use crate::clock::ClockTime;
 
 /// How fast demand is forgotten, in milliseconds.
@@ -16,10 +16,6 @@
 /// several times in this span.
 const LEDGER_FRESH_MS: u64 = 2_500;
 
-/// Seconds of demand that a mark does not cover: two spans between marks. A call that needs more waits
-/// for the ledger, or in an outage for the end of the mark's life; more would be lost in a kill.
-const MARK_USED_S: f64 = 2.0;
-
 /// Where a router gets tokens of a workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EscrowRole {
@@ -73,8 +69,6 @@
     pub(super) routers: u64,
     /// Whether everything is to be given back.
     pub(super) is_closing: bool,
-    /// Tokens that marks say are left alone, the latest mark last.
-    pub(super) floors: Vec<SpendFloor>,
     reserved: u64,
     awaited: BTreeMap<u64, u32>,
     is_scarce: bool,
@@ -92,17 +86,6 @@
     noted_at: ClockTime,
 }
 
-/// Tokens that a mark says are left alone.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SpendFloor {
-    /// The number of the mark.
-    pub(super) mark: u64,
-    /// How many.
-    pub(super) tokens: u64,
-    /// Until when the router keeps to it.
-    pub(super) until: ClockTime,
-}
-
 /// The largest recent request.
 #[derive(Clone, Copy, Debug, Default)]
 struct DemandPeak {
@@ -122,7 +105,6 @@
             keepers: 1,
             routers: 1,
             is_closing: false,
-            floors: Vec::new(),
             reserved: 0,
             awaited: BTreeMap::new(),
             is_scarce: false,
@@ -161,32 +143,6 @@
         self.note_scarcity(options);
     }
 
-    /// Tokens that may be promised, lent or given back now: what is free beyond all marks that may be
-    /// in the store.
-    pub(super) fn spendable(&self, now: ClockTime) -> u64 {
-        let floors = self.floors.iter().filter(|floor| now < floor.until);
-        let most = floors.map(|floor| floor.tokens).max();
-        self.free.saturating_sub(most.unwrap_or(0))
-    }
-
-    /// Leaves alone what is free beyond the demand of a mark's life, from now on, and gives how many
-    /// tokens that are.
-    pub(super) fn set_floor(&mut self, now: ClockTime, mark: u64) -> u64 {
-        let used = (self.demand.per_second(now) * MARK_USED_S) as u64;
-        let used = used.max(self.largest_at(now));
-        let tokens = match self.is_closing {
-            true => 0,
-            false => self.free.saturating_sub(used),
-        };
-        self.floors.retain(|floor| now < floor.until);
-        self.floors.push(SpendFloor {
-            mark,
-            tokens,
-            until: now.plus_ms(MARK_LIFE_MS),
-        });
-        tokens
-    }
-
     /// Promises tokens to a call.
     pub(super) fn reserve(&mut self, now: ClockTime, tokens: u64) {
         self.free -= tokens;
@@ -247,14 +203,14 @@
     }
 
     /// Whether calls wait for more than is here.
-    pub(super) fn is_waiting(&self, now: ClockTime) -> bool {
-        self.awaited() > self.spendable(now)
+    pub(super) fn is_waiting(&self) -> bool {
+        self.awaited() > self.free
     }
 
     /// Whether the ledger should be asked at once.
-    pub(super) fn asks_ledger(&self, now: ClockTime) -> bool {
-        let is_asked = self.is_waiting(now) && self.role == EscrowRole::Keeper;
-        is_asked || (self.is_closing && self.spendable(now) > 0)
+    pub(super) fn asks_ledger(&self) -> bool {
+        let is_asked = self.is_waiting() && self.role == EscrowRole::Keeper;
+        is_asked || (self.is_closing && self.free > 0)
     }
 
     /// Whether others may need what is given back here.
@@ -355,20 +311,12 @@
             false => self.wanted(now, options)?,
         };
         let may_take = self.role == EscrowRole::Keeper && !self.is_closing;
-        let spendable = self.spendable(now);
-        let has_waiting = self.awaited_within(left.saturating_add(spendable)) > spendable;
+        let has_waiting = self.awaited_within(left.saturating_add(self.free)) > self.free;
         if may_take && (self.free < wanted / 5 * 3 || has_waiting) {
-            let held = match has_waiting {
-                true => spendable,
-                false => self.free,
-            };
-            let tokens = wanted.saturating_sub(held).min(left);
+            let tokens = wanted.saturating_sub(self.free).min(left);
             return (tokens > 0).then_some(TokenTransfer::Take(tokens));
         }
-        let tokens = self.free.saturating_sub(wanted).min(spendable);
-        if tokens == 0 {
-            return None;
-        }
+        let tokens = self.free.saturating_sub(wanted);
         let is_high = self.free > self.most_kept(now, wanted, options);
         is_high.then_some(TokenTransfer::GiveBack(tokens))
     }
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -11,7 +11,6 @@
 mod escrow_options;
 mod gateway_config;
 mod gateway_status;
-mod holding_mark;
 mod outlier_score;
 mod peer_ring;
 mod prompt_shape;
@@ -33,7 +32,6 @@
 pub use gateway_status::{
     ConfigStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
 };
-pub use holding_mark::{BootMoment, HoldingMark, MARK_LIFE_MS};
 pub use outlier_score::OutlierScore;
 pub use peer_ring::{PeerRecord, PeerRing};
 pub use prompt_shape::{PromptPart, PromptShape, TokenBound};
@@ -44,4 +42,4 @@
 pub use target_gauge::{AttemptLoad, TargetGauge};
 pub use target_record::{TargetPhase, TargetRecord};
 pub use target_roster::{RosterChange, RosterEntry, TargetRoster};
-pub use token_escrow::{LoanReply, LoanRequest, MarkDraft, ReserveOutcome, TokenEscrow};
+pub use token_escrow::{LoanReply, LoanRequest, ReserveOutcome, TokenEscrow};
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -22,15 +22,6 @@
     Exhausted,
 }
 
-/// Tokens that a router leaves alone from now on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MarkDraft {
-    /// Counts the marks of this incarnation.
-    pub number: u64,
-    /// How many, by workspace.
-    pub tokens: BTreeMap<WorkspaceName, u64>,
-}
-
 /// What a router asks another for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoanRequest {
@@ -84,7 +75,6 @@
     routers: u64,
     accounts: BTreeMap<WorkspaceName, EscrowAccount>,
     changes: u64,
-    marks: u64,
     is_closing: bool,
 }
 
@@ -98,7 +88,6 @@
             routers: KEEPERS_ASSUMED,
             accounts: BTreeMap::new(),
             changes: 0,
-            marks: 0,
             is_closing: false,
         }
     }
@@ -178,9 +167,8 @@
     /// Whether calls wait for a write of a workspace's ledger, here or elsewhere.
     pub fn is_urgent(&self, now: ClockTime, workspace: &WorkspaceName) -> bool {
         let account = self.accounts.get(workspace);
-        account.is_some_and(|account| {
-            account.asks_ledger(now) || account.is_missed(now, &self.options)
-        })
+        account
+            .is_some_and(|account| account.asks_ledger() || account.is_missed(now, &self.options))
     }
 
     /// Reserves the most that a request may use.
@@ -196,7 +184,7 @@
         if account.prepaid.is_none() {
             return ReserveOutcome::Reserved;
         }
-        if account.spendable(now) >= tokens {
+        if account.free >= tokens {
             account.reserve(now, tokens);
             return ReserveOutcome::Reserved;
         }
@@ -231,9 +219,8 @@
     /// What to ask another router for; `None` when no call waits.
     pub fn loan_wanted(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<LoanRequest> {
         let account = self.accounts.get(workspace)?;
-        let spendable = account.spendable(now);
-        let least = account.least_awaited()?.saturating_sub(spendable);
-        let need = account.awaited().saturating_sub(spendable);
+        let least = account.least_awaited()?.saturating_sub(account.free);
+        let need = account.awaited().saturating_sub(account.free);
         (need > 0).then(|| LoanRequest {
             least,
             need,
@@ -255,15 +242,14 @@
         let Some(account) = self.accounts.get_mut(workspace) else {
             return LoanReply::Short;
         };
-        let spendable = account.spendable(now);
-        if spendable < request.least {
+        if account.free < request.least {
             return match account.is_exhausted(now, request.least, &self.options) {
                 true => LoanReply::Exhausted,
                 false => LoanReply::Short,
             };
         }
-        let needed = request.need.min(spendable);
-        let rest = spendable - needed;
+        let needed = request.need.min(account.free);
+        let rest = account.free - needed;
         let lent = needed + request.ahead.min(rest / 2);
         account.free -= lent;
         account.note_demand(now, lent);
@@ -277,37 +263,6 @@
         }
     }
 
-    /// Begins a mark: what is free beyond the demand of its life is left alone from now on. It is
-    /// kept to whether or not the mark reaches the store, as nobody may ever tell.
-    pub fn begin_mark(&mut self, now: ClockTime) -> MarkDraft {
-        self.marks += 1;
-        let mark = self.marks;
-        let counted = self.accounts.iter_mut();
-        let counted = counted.filter(|(_, account)| account.prepaid.is_some());
-        let tokens = counted
-            .map(|(workspace, account)| (workspace.clone(), account.set_floor(now, mark)))
-            .filter(|(_, tokens)| *tokens > 0)
-            .collect();
-        MarkDraft {
-            number: mark,
-            tokens,
-        }
-    }
-
-    /// The store has a mark, so that none before it can come there any more.
-    pub fn confirm_mark(&mut self, number: u64) {
-        for account in self.accounts.values_mut() {
-            account.floors.retain(|floor| floor.mark >= number);
-        }
-    }
-
-    /// The store has a mark of nothing: all tokens may be spent again.
-    pub fn forget_marks(&mut self) {
-        for account in self.accounts.values_mut() {
-            account.floors.clear();
-        }
-    }
-
     /// Notes a keeper's word that the total does not cover `tokens`.
     pub fn note_exhausted(&mut self, now: ClockTime, workspace: &WorkspaceName, tokens: u64) {
         if let Some(account) = self.accounts.get_mut(workspace) {
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -3,9 +3,8 @@
 use std::collections::BTreeMap;
 
 use beechsaddle_core::gateway::{
-    BootMoment, BudgetLedger, CallerLimits, EscrowOptions, EscrowRole, GatewayConfig, HoldingMark,
-    LedgerChange, LoanReply, LoanRequest, MARK_LIFE_MS, ReserveOutcome, TokenEscrow, TokenTransfer,
-    WorkspaceRule,
+    BudgetLedger, CallerLimits, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, LoanReply,
+    LoanRequest, ReserveOutcome, TokenEscrow, TokenTransfer, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -330,51 +329,6 @@
     );
 }
 
-/// A router is killed and starts again on the same machine. Within a mark's life it takes over what the
-/// one before it had left alone; after that, after another boot, or where a boot is not told, nothing.
-#[test]
-fn mark_is_taken_over_only_while_it_is_kept_to() {
-    let mut escrow = keeper(100_000);
-    write_due(&mut escrow, START);
-    let held = escrow.free_tokens();
-    let draft = escrow.begin_mark(START);
-    let mark = HoldingMark {
-        router: escrow.router().to_owned(),
-        boot: "boot".to_owned(),
-        marked_ms: START.as_millis(),
-        tokens: draft.tokens,
-    };
-    let left_alone = mark.tokens[&acme()];
-    assert_eq!(left_alone, held);
-    let young = boot_moment(START.plus_ms(MARK_LIFE_MS - 1));
-    assert_eq!(mark.unspent(&young), mark.tokens);
-    for started in [
-        boot_moment(START.plus_ms(MARK_LIFE_MS)),
-        boot_moment(ClockTime::from_millis(START.as_millis() - 1)),
-        BootMoment {
-            boot: "another".to_owned(),
-            ..young.clone()
-        },
-        BootMoment {
-            boot: String::new(),
-            ..young
-        },
-    ] {
-        assert!(mark.unspent(&started).is_empty(), "{started:?}");
-    }
-    // The router itself keeps to it for as long, and is free of it after that.
-    let until = START.plus_ms(MARK_LIFE_MS);
-    let before = ClockTime::from_millis(until.as_millis() - 1);
-    assert_eq!(
-        escrow.try_reserve(before, &acme(), 1),
-        ReserveOutcome::Short
-    );
-    assert_eq!(
-        escrow.try_reserve(until, &acme(), held),
-        ReserveOutcome::Reserved
-    );
-}
-
 /// What happens next in a session.
 #[derive(Clone, Copy, Debug)]
 enum SessionStep {
@@ -401,12 +355,8 @@
     WriteLate { router: u8 },
     /// One of the late writes is done, if its condition still holds.
     Late { index: u8 },
-    /// A router is killed, and another incarnation starts after a while.
-    Kill { router: u8, down_ms: u16 },
-    /// A router marks what it leaves alone; the write may be done, answered, or done later.
-    Mark { router: u8, write: MarkWrite },
-    /// One of the late marks is done, if its condition still holds.
-    LateMark { index: u8 },
+    /// A router is killed, and another incarnation starts.
+    Kill { router: u8 },
     /// A router is told to end.
     Close { router: u8 },
     /// The operator raises the total.
@@ -415,29 +365,10 @@
     Wait { ms: u16 },
 }
 
-/// What becomes of the write of a mark.
-#[derive(Clone, Copy, Debug)]
-enum MarkWrite {
-    Answered,
-    Lost,
-    Late,
-}
-
 impl Arbitrary for SessionStep {
     fn arbitrary(source: &mut Gen) -> Self {
         let router = u8::arbitrary(source) % 3;
-        match u8::arbitrary(source) % 26 {
-            22..=24 => SessionStep::Mark {
-                router,
-                write: match u8::arbitrary(source) % 4 {
-                    0 => MarkWrite::Lost,
-                    1 => MarkWrite::Late,
-                    _ => MarkWrite::Answered,
-                },
-            },
-            25 => SessionStep::LateMark {
-                index: u8::arbitrary(source),
-            },
+        match u8::arbitrary(source) % 22 {
             20..=21 => SessionStep::Read { router },
             16..=18 => SessionStep::Borrow {
                 router,
@@ -463,11 +394,8 @@
             12 => SessionStep::Late {
                 index: u8::arbitrary(source),
             },
-            13 => match u8::arbitrary(source) % 4 {
-                0 | 3 => SessionStep::Kill {
-                    router,
-                    down_ms: u16::arbitrary(source) % 4_000,
-                },
+            13 => match u8::arbitrary(source) % 3 {
+                0 => SessionStep::Kill { router },
                 1 => SessionStep::Close { router },
                 _ => SessionStep::Raise {
                     tokens: u16::arbitrary(source) % 2_000,
@@ -505,34 +433,9 @@
     ledger: BudgetLedger,
     late: Vec<LateWrite>,
     routers: BTreeMap<u8, SessionRouter>,
-    marks: BTreeMap<u8, StoredMark>,
-    late_marks: Vec<LateMark>,
-    reclaimed: u64,
     spent: u64,
 }
 
-/// The mark of a host in the store.
-#[derive(Clone, Debug, Default)]
-struct StoredMark {
-    revision: u64,
-    mark: Option<HoldingMark>,
-}
-
-/// A mark that was sent and may be done later.
-#[derive(Clone, Debug)]
-struct LateMark {
-    router: u8,
-    revision: u64,
-    mark: HoldingMark,
-}
-
-fn boot_moment(now: ClockTime) -> BootMoment {
-    BootMoment {
-        boot: "boot".to_owned(),
-        ms: now.as_millis(),
-    }
-}
-
 impl EscrowSession {
     fn new() -> Self {
         let mut session = EscrowSession {
@@ -544,9 +447,6 @@
             ledger: BudgetLedger::default(),
             late: Vec::new(),
             routers: BTreeMap::new(),
-            marks: BTreeMap::new(),
-            late_marks: Vec::new(),
-            reclaimed: 0,
             spent: 0,
         };
         (0..3).for_each(|number| session.start(number));
@@ -591,9 +491,7 @@
             SessionStep::WriteLost { router } => self.write(router, true, false),
             SessionStep::WriteLate { router } => self.write(router, false, false),
             SessionStep::Late { index } => self.do_late(index),
-            SessionStep::Kill { router, down_ms } => self.kill(router, down_ms.into()),
-            SessionStep::Mark { router, write } => self.mark(router, write),
-            SessionStep::LateMark { index } => self.do_late_mark(index),
+            SessionStep::Kill { router } => self.kill(router),
             SessionStep::Close { router } => {
                 self.router(router).escrow.close();
             }
@@ -647,66 +545,10 @@
     }
 
     /// The calls of a killed router may have used all that was reserved for them.
-    fn kill(&mut self, number: u8, down_ms: u64) {
+    fn kill(&mut self, number: u8) {
         let open: u64 = self.router(number).open.iter().sum();
         self.spent += open;
-        self.now = self.now.plus_ms(down_ms);
         self.start(number);
-        let started = boot_moment(self.now);
-        let stored = self.marks.entry(number).or_default();
-        let Some(mark) = stored.mark.take() else {
-            return;
-        };
-        // The new incarnation puts a mark of its own in its place before it takes over.
-        stored.revision += 1;
-        let tokens = mark.unspent(&started);
-        self.reclaimed += tokens.values().sum::<u64>();
-        for (workspace, tokens) in tokens {
-            self.router(number).escrow.receive(&workspace, tokens);
-        }
-    }
-
-    fn mark(&mut self, number: u8, write: MarkWrite) {
-        let now = self.now;
-        let escrow = &mut self.router(number).escrow;
-        let draft = escrow.begin_mark(now);
-        let moment = boot_moment(now);
-        let mark = HoldingMark {
-            router: escrow.router().to_owned(),
-            boot: moment.boot,
-            marked_ms: moment.ms,
-            tokens: draft.tokens,
-        };
-        let revision = self.marks.entry(number).or_default().revision;
-        let late = LateMark {
-            router: number,
-            revision,
-            mark,
-        };
-        match write {
-            MarkWrite::Late => self.late_marks.push(late),
-            MarkWrite::Lost => self.store_mark(late),
-            MarkWrite::Answered => {
-                self.store_mark(late);
-                self.router(number).escrow.confirm_mark(draft.number);
-            }
-        }
-    }
-
-    fn store_mark(&mut self, late: LateMark) {
-        let stored = self.marks.entry(late.router).or_default();
-        if stored.revision == late.revision {
-            stored.revision += 1;
-            stored.mark = Some(late.mark);
-        }
-    }
-
-    fn do_late_mark(&mut self, index: u8) {
-        if !self.late_marks.is_empty() {
-            let index = usize::from(index) % self.late_marks.len();
-            let late = self.late_marks.remove(index);
-            self.store_mark(late);
-        }
     }
 
     fn raise(&mut self, tokens: u64) {
@@ -784,9 +626,8 @@
     }
 }
 
-/// Routers reserve, settle, write, read, lend, mark, are killed and told to end; those that start after
-/// a kill take over what was marked. Writes and loans are lost, writes are late or overtaken, and the
-/// total is raised. At no moment may what was spent and what can still be spent without
+/// Routers reserve, settle, write, read, lend, are killed and told to end; writes and loans are lost, writes
+/// are late or overtaken, and the total is raised. At no moment may what was spent and what can still be spent without
 /// asking exceed what the ledger says is taken, nor that the total.
 #[test]
 fn escrow_random_sessions_never_overspend() {
@@ -806,18 +647,3 @@
         .tests(4_000)
         .quickcheck(holds as fn(Vec<SessionStep>) -> bool);
 }
-
-/// The sessions above do take over marked tokens: a model in which nothing is taken over shows nothing.
-#[test]
-fn escrow_random_sessions_take_over_marks() {
-    let mut source = Gen::new(400);
-    let reclaimed: u64 = (0..50)
-        .map(|_| {
-            let mut session = EscrowSession::new();
-            let steps = Vec::<SessionStep>::arbitrary(&mut source);
-            steps.into_iter().for_each(|step| session.run(step));
-            session.reclaimed
-        })
-        .sum();
-    assert!(reclaimed > 0);
-}
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -17,12 +17,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::boot_clock::boot_moment;
 use super::caller_listener::run_listener;
 use super::escrow_keeper::EscrowKeeper;
 use super::gateway_settings::GatewaySettings;
 use super::gateway_state::{GatewayPhase, GatewayState};
-use super::holding_marker::run_marks;
 use super::host_listener::run_host_listener;
 use super::lending_server::run_lending_listener;
 use super::router_registry::run_registration;
@@ -95,8 +93,6 @@
     let settings = state.settings();
     let calls = try_bind(settings.call_address)?;
     let ready = try_bind(settings.ready_address)?;
-    // A router listens there until its process has ended: the one before it is gone by now.
-    let started = boot_moment();
     spawn_local(run_listener(calls, Rc::clone(&state)));
     spawn_local(run_host_listener(ready, Rc::clone(&state)));
     if let Some(address) = settings.metrics_address {
@@ -112,7 +108,6 @@
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Config));
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Targets));
     spawn_local(run_registration(Rc::clone(&state)));
-    spawn_local(run_marks(Rc::clone(&state), started));
     spawn_local(run_expiry(Rc::clone(&state)));
     spawn_local(EscrowKeeper::new(Rc::clone(&state)).run());
     spawn_local(run_settings_watch(path.to_owned(), Rc::clone(&state)));
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -6,7 +6,6 @@
 
 mod answer_body;
 mod attempt_guard;
-mod boot_clock;
 mod call_context;
 mod call_exchange;
 mod call_record;
@@ -17,7 +16,6 @@
 mod gateway_process;
 mod gateway_settings;
 mod gateway_state;
-mod holding_marker;
 mod host_listener;
 mod ledger_store;
 mod ledger_wait;
--- a/crates/beechsaddle/src/gateway/store_call.rs
+++ b/crates/beechsaddle/src/gateway/store_call.rs
@@ -17,8 +17,6 @@
     WriteLedger,
     /// The entry or the secret of routers.
     Register,
-    /// The mark of what this router holds.
-    Mark,
     /// Whether the store answers.
     Probe,
 }
@@ -39,7 +37,6 @@
             StoreCall::ReadStaleLedger => "read_stale_ledger",
             StoreCall::WriteLedger => "write_ledger",
             StoreCall::Register => "register",
-            StoreCall::Mark => "mark",
             StoreCall::Probe => "probe",
         }
     }
--- a/crates/beechsaddle/src/gateway/store_probe.rs
+++ b/crates/beechsaddle/src/gateway/store_probe.rs
@@ -43,11 +43,6 @@
         }
     }
 
-    /// Whether the last probe was answered.
-    pub(super) fn answers(&self) -> bool {
-        *self.answers.borrow()
-    }
-
     /// Ends when a probe fails from now on.
     pub(super) async fn lost(&self) {
         let mut answers = self.answers.subscribe();
@@ -57,7 +52,7 @@
 
     /// Waits while probes fail, though no longer than until a call is worth a try anyway.
     pub(super) async fn answering(&self) {
-        if !self.answers() {
+        if !*self.answers.borrow() {
             // A wait that was too long ends like one that was not.
             let _ = timeout(ANSWER_WAIT, self.answered.notified()).await;
         }
