Reach the store again over a crowded path, and at the first sign that it answers

The router's own link was full: each connection to the store was given up after 400 ms while its packets waited longer than that, and each new try began at the end of the same queue. Its probe, its listings and its ledgers each tried by themselves; the ledger's calls got through 0.6 s before the configuration was listed.

Any call that is answered ends the wait of those that wait for the store, and the pause after it starts small again.

Ruled out: a silent watch (the system's keepalive ended it 5.4 s after its last answer, before the probe failed); a longer timeout of a single try (where a path is cut and whole again, the system repeats a connect after a second only, and a new try is faster).

--- a/crates/beechsaddle-link/src/http_link.rs
+++ b/crates/beechsaddle-link/src/http_link.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -23,8 +24,13 @@
 /// How connections are made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkOptions {
-    /// How long connecting may take.
+    /// How long one try to connect may go alone. After it the next one begins, and the last one ends
+    /// them all.
     pub connect_timeout: Duration,
+    /// How many tries there are. The tries before the last go on beside it: on a path that was cut
+    /// and is whole again a new try is faster, since the old one asks again after a second only; on a
+    /// crowded path an old one is, since every new one waits in the same queue from its end.
+    pub connect_tries: u32,
     /// How long written bytes may stay unacknowledged. A cut drops packets without a word, and the
     /// system by itself goes on trying for a quarter of an hour.
     pub unacknowledged_timeout: Duration,
@@ -42,6 +48,7 @@
     fn default() -> Self {
         LinkOptions {
             connect_timeout: Duration::from_millis(350),
+            connect_tries: 1,
             unacknowledged_timeout: Duration::from_millis(1_500),
             keepalive: None,
             head_bytes: 65_536,
@@ -67,12 +74,7 @@
         address: SocketAddr,
         options: LinkOptions,
     ) -> Result<HttpLink, LinkFailure> {
-        let connecting = timeout(options.connect_timeout, TcpStream::connect(address));
-        let stream = match connecting.await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(LinkFailure::Connect(error)),
-            Err(_) => return Err(LinkFailure::ConnectTimeout),
-        };
+        let stream = connect(address, &options).await?;
         // A request is written at once, whole; waiting to fill a packet would only delay it.
         stream.set_nodelay(true).map_err(LinkFailure::Connect)?;
         set_timeouts(&stream, &options).map_err(LinkFailure::Connect)?;
@@ -118,6 +120,20 @@
     }
 }
 
+/// Connects by the first of some tries that succeeds. A refusal ends them: somebody answered.
+async fn connect(address: SocketAddr, options: &LinkOptions) -> Result<TcpStream, LinkFailure> {
+    let mut tries = FuturesUnordered::new();
+    for _ in 0..options.connect_tries.max(1) {
+        tries.push(TcpStream::connect(address));
+        match timeout(options.connect_timeout, tries.next()).await {
+            Ok(Some(Ok(stream))) => return Ok(stream),
+            Ok(Some(Err(error))) => return Err(LinkFailure::Connect(error)),
+            Ok(None) | Err(_) => {}
+        }
+    }
+    Err(LinkFailure::ConnectTimeout)
+}
+
 /// Has the system end a connection whose peer does not acknowledge, or is not there any more.
 fn set_timeouts(stream: &TcpStream, options: &LinkOptions) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -167,6 +167,7 @@
         let is_away = outcome.as_ref().is_err_and(StoreFailure::is_away);
         if !is_away {
             self.store_answered_at.set(now);
+            self.store_health.note(true);
         } else {
             self.roster.borrow_mut().note_away(now);
         }
--- a/crates/beechsaddle/src/gateway/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/store_follow.rs
@@ -51,7 +51,9 @@
         }
         // Its history being gone is no fault of the store: the listing is asked for at once.
         if failure != StoreFailure::HistoryGone {
-            state.store_health.answering().await;
+            if state.store_health.answering().await {
+                backoff.reset();
+            }
             let pause_ms = backoff.next_ms(LEAST_PAUSE_MS).min(LONGEST_PAUSE_MS);
             sleep(Duration::from_millis(pause_ms)).await;
         }
--- a/crates/beechsaddle/src/gateway/store_probe.rs
+++ b/crates/beechsaddle/src/gateway/store_probe.rs
@@ -50,15 +50,19 @@
         let _ = answers.wait_for(|answers| !answers).await;
     }
 
-    /// Waits while probes fail, though no longer than until a call is worth a try anyway.
-    pub(super) async fn answering(&self) {
-        if !*self.answers.borrow() {
-            // A wait that was too long ends like one that was not.
-            let _ = timeout(ANSWER_WAIT, self.answered.notified()).await;
+    /// Waits while probes fail, though no longer than until a call is worth a try anyway; tells whether
+    /// the store is back.
+    pub(super) async fn answering(&self) -> bool {
+        if *self.answers.borrow() {
+            return false;
         }
+        // A wait that was too long ends like one that was not.
+        let _ = timeout(ANSWER_WAIT, self.answered.notified()).await;
+        *self.answers.borrow()
     }
 
-    fn note(&self, answers: bool) {
+    /// Notes whether a probe was answered, or that any other call was.
+    pub(super) fn note(&self, answers: bool) {
         self.answers.send_replace(answers);
         if answers {
             self.answered.notify_waiters();
@@ -82,10 +86,7 @@
 
 async fn probe(state: &GatewayState) -> bool {
     let started = state.now();
-    let read = state
-        .store
-        .read_stale(ObjectKind::Budgets, SECRET_NAME)
-        .await;
+    let read = state.store.probe(ObjectKind::Budgets, SECRET_NAME).await;
     state.note_store_call(StoreCall::Probe, started, &read);
     !read.as_ref().is_err_and(StoreFailure::is_away)
 }
