--- a/crates/beechsaddle-lab/src/fleet/host_lists.rs
+++ b/crates/beechsaddle-lab/src/fleet/host_lists.rs
@@ -5,7 +5,7 @@
 use beechsaddle_core::members::{HostList, HostRecord, HostRole, HostState};
 use beechsaddle_core::names::DomainName;
 
-use super::lab_fleet::LabTarget;
+use super::lab_target::LabTarget;
 use super::router_file::RouterFile;
 
 /// The list of each domain.
--- a/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
+++ b/crates/beechsaddle-lab/src/fleet/lab_fleet.rs
@@ -17,9 +17,10 @@
 use beechsaddle_core::names::HostName;
 
 use super::fleet_caller::FleetCaller;
-use super::fleet_plan::{FleetPlan, TargetPlan};
+use super::fleet_plan::FleetPlan;
 use super::host_lists::host_lists;
 use super::lab_process::LabProcess;
+use super::lab_target::LabTarget;
 use super::operator_part::{apply_catalogue, write_hosts};
 use super::router_file::{FleetCommons, RouterFile};
 use super::scratch_directory::ScratchDirectory;
@@ -53,18 +54,6 @@
     pub process: Option<LabProcess>,
 }
 
-/// A target of the fleet.
-#[derive(Debug)]
-pub struct LabTarget {
-    /// What it is.
-    pub plan: TargetPlan,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Whether it is announced as leaving.
-    pub state: HostState,
-    _process: LabProcess,
-}
-
 impl LabFleet {
     /// Starts the stand-ins, declares the catalogue and the hosts, starts the routers, and waits
     /// until they take calls.
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -269,7 +269,11 @@
     number: usize,
 ) -> eyre::Result<SoakRouter> {
     let host = format!("host-{number}");
-    let domain = if number % 2 == 0 { "north" } else { "south" };
+    let domain = if number.is_multiple_of(2) {
+        "north"
+    } else {
+        "south"
+    };
     let (calls, ready, peer) = (free_address()?, free_address()?, free_address()?);
     let store_path = FaultProxy::try_start(store.address()).await?;
     let text = format!(
--- a/crates/beechsaddle-lab/src/stand_in/engine/engine_server.rs
+++ b/crates/beechsaddle-lab/src/stand_in/engine/engine_server.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::engine_front::EngineFront;
 use super::engine_options::EngineOptions;
-use super::engine_service::{EngineFront, EngineService};
+use super::engine_service::EngineService;
 use super::order_desk::EngineOrder;
 use crate::stand_in::listen_gate::ListenGate;
 use crate::stand_in::run_ledger::RunReport;
--- a/crates/beechsaddle-lab/src/stand_in/engine/engine_service.rs
+++ b/crates/beechsaddle-lab/src/stand_in/engine/engine_service.rs
@@ -4,9 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
+use http::StatusCode;
 use serde_json::json;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -20,18 +18,13 @@
 use super::load_history::LoadHistory;
 use super::order_desk::{EngineOrder, OrderAnswer, OrderDesk};
 use super::prefix_cache::PrefixCache;
-use super::token_stream::TokenStream;
 use crate::stand_in::answers;
 use crate::stand_in::chance_source::ChanceSource;
 use crate::stand_in::listen_gate::ListenGate;
-use crate::stand_in::run_ledger::RunGuard;
-use crate::stand_in::stand_in_server::{StandInAnswer, StandInService};
-use crate::stand_in::target_control::{TargetControl, header_text};
+use crate::stand_in::stand_in_server::StandInAnswer;
+use crate::stand_in::target_control::TargetControl;
 use crate::stand_in::target_faults::{TargetFault, TargetScope};
 
-/// What a call that is not this one is called.
-const OTHER_ATTEMPT: &str = "other@1#1.0";
-
 /// What the engine knows and does.
 pub(super) struct EngineService {
     pub(super) control: TargetControl,
@@ -55,11 +48,6 @@
     permit: Option<OwnedSemaphorePermit>,
 }
 
-/// Answers requests for a shared engine.
-pub(super) struct EngineFront {
-    service: Arc<EngineService>,
-}
-
 impl EngineService {
     pub(super) fn new(options: EngineOptions, gate: ListenGate) -> Self {
         let parts = EngineParts {
@@ -78,6 +66,11 @@
         }
     }
 
+    /// Whether calls for a model are answered.
+    pub(super) fn has_model(&self, model: &str) -> bool {
+        self.lock().orders.state().model.as_str() == model
+    }
+
     pub(super) fn orders(&self) -> Vec<EngineOrder> {
         self.lock().orders.taken().to_vec()
     }
@@ -93,7 +86,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn answer_order(&self, body: &[u8]) -> StandInAnswer {
+    pub(super) fn answer_order(&self, body: &[u8]) -> StandInAnswer {
         let order: EngineOrder = match serde_json::from_slice(body) {
             Ok(order) => order,
             Err(error) => return answers::bytes(StatusCode::BAD_REQUEST, error.to_string()),
@@ -112,7 +105,7 @@
         }
     }
 
-    fn answer_cache_events(&self, query: &str) -> StandInAnswer {
+    pub(super) fn answer_cache_events(&self, query: &str) -> StandInAnswer {
         if self.control.faults.pick(TargetScope::CacheEvents).is_some() {
             return StandInAnswer::Close;
         }
@@ -125,7 +118,7 @@
         answers::json(StatusCode::OK, &news)
     }
 
-    async fn answer_health(&self) -> StandInAnswer {
+    pub(super) async fn answer_health(&self) -> StandInAnswer {
         match self.control.faults.pick(TargetScope::Health) {
             Some(TargetFault::Hang) => std::future::pending().await,
             Some(TargetFault::Late { ms }) => tokio::time::sleep(Duration::from_millis(ms)).await,
@@ -140,7 +133,7 @@
         answers::json(StatusCode::OK, &health)
     }
 
-    fn plan(&self, request: &ChatRequest, attempt: String) -> (ChatAnswer, Duration) {
+    pub(super) fn plan(&self, request: &ChatRequest, attempt: String) -> (ChatAnswer, Duration) {
         let prompt = request.prompt();
         let chain = prefix_chain(&prompt);
         let known = self.lock().cache.take(&chain);
@@ -166,95 +159,6 @@
     }
 }
 
-impl EngineFront {
-    pub(super) fn new(service: Arc<EngineService>) -> Self {
-        EngineFront { service }
-    }
-
-    async fn answer_chat(&self, request: Request<Bytes>) -> StandInAnswer {
-        let fault = self.service.control.faults.pick(TargetScope::Calls);
-        if let Some(TargetFault::Busy { retry_after_ms }) = fault {
-            return answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms);
-        }
-        let chat: ChatRequest = match serde_json::from_slice(request.body()) {
-            Ok(chat) => chat,
-            Err(error) => return answers::bytes(StatusCode::BAD_REQUEST, error.to_string()),
-        };
-        if self.service.lock().orders.state().model.as_str() != chat.model {
-            return answers::bytes(StatusCode::NOT_FOUND, "the model is not loaded here");
-        }
-        let headers = request.headers();
-        let mut attempt = header_text(headers, "beechsaddle-attempt");
-        let key = header_text(headers, "idempotency-key");
-        let place = BatchPlace::enter(Arc::clone(&self.service)).await;
-        let guard = self.service.control.ledger.start(&attempt, &key);
-        match fault {
-            Some(TargetFault::Hang) => std::future::pending().await,
-            Some(TargetFault::CloseAfterRead) => return StandInAnswer::Close,
-            Some(TargetFault::ServerError) => {
-                return answers::status(StatusCode::INTERNAL_SERVER_ERROR);
-            }
-            Some(TargetFault::Garbage) => return answers::garbage(),
-            Some(TargetFault::Late { ms }) => {
-                tokio::time::sleep(Duration::from_millis(ms)).await;
-            }
-            Some(TargetFault::WrongAttempt) => OTHER_ATTEMPT.clone_into(&mut attempt),
-            Some(TargetFault::DieAfter { .. } | TargetFault::Busy { .. }) | None => {}
-        }
-        let dies_after = match fault {
-            Some(TargetFault::DieAfter { tokens }) => Some(tokens),
-            Some(_) | None => None,
-        };
-        self.generate(&chat, attempt, place, guard, dies_after)
-            .await
-    }
-
-    async fn generate(
-        &self,
-        chat: &ChatRequest,
-        attempt: String,
-        place: BatchPlace,
-        guard: RunGuard,
-        dies_after: Option<u64>,
-    ) -> StandInAnswer {
-        let (answer, first_token) = self.service.plan(chat, attempt.clone());
-        tokio::time::sleep(first_token).await;
-        let stream = TokenStream {
-            service: Arc::clone(&self.service),
-            answer,
-            place,
-            guard,
-            sent: 0,
-            dies_after,
-        };
-        let answer = if chat.stream {
-            streamed(stream)
-        } else {
-            whole(stream).await
-        };
-        answers::with_attempt(answer, &attempt)
-    }
-}
-
-impl StandInService for EngineFront {
-    async fn answer(&self, request: Request<Bytes>) -> StandInAnswer {
-        if let Some(answer) = self.service.control.answer(&request) {
-            return answer;
-        }
-        match (request.method(), request.uri().path()) {
-            (&Method::POST, "/v1/chat/completions") => self.answer_chat(request).await,
-            (&Method::GET, "/health") => self.service.answer_health().await,
-            (&Method::GET, "/cache-events") => {
-                let query = request.uri().query().unwrap_or_default();
-                self.service.answer_cache_events(query)
-            }
-            (&Method::POST, "/orders") => self.service.answer_order(request.body()),
-            (&Method::GET, "/orders") => answers::json(StatusCode::OK, &self.service.orders()),
-            _ => answers::status(StatusCode::NOT_FOUND),
-        }
-    }
-}
-
 impl fmt::Debug for EngineService {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str("EngineService")
@@ -262,7 +166,7 @@
 }
 
 impl BatchPlace {
-    async fn enter(service: Arc<EngineService>) -> Self {
+    pub(super) async fn enter(service: Arc<EngineService>) -> Self {
         let batch = Arc::clone(&service.batch);
         service.lock().change_load(0, 1);
         let mut place = BatchPlace {
@@ -299,22 +203,3 @@
         self.loads.note(load);
     }
 }
-
-fn streamed(stream: TokenStream) -> StandInAnswer {
-    let body = StreamBody::new(stream.into_frames()).boxed_unsync();
-    let mut response = answers::response(StatusCode::OK, body);
-    answers::set_header(&mut response, "content-type", "text/event-stream");
-    StandInAnswer::Reply(response)
-}
-
-async fn whole(stream: TokenStream) -> StandInAnswer {
-    let pauses = stream.answer.proof.tokens.saturating_sub(1) as u32;
-    let body = stream.answer.whole();
-    tokio::time::sleep(stream.service.token_time() * pauses).await;
-    if stream.dies_after.is_some() {
-        let half = body.to_string().split_off(1);
-        return answers::broken(vec![Bytes::from(half)]);
-    }
-    stream.complete();
-    answers::json(StatusCode::OK, &body)
-}
--- a/crates/beechsaddle-lab/src/stand_in/engine/mod.rs
+++ b/crates/beechsaddle-lab/src/stand_in/engine/mod.rs
@@ -8,6 +8,7 @@
 mod chat_answer;
 mod chat_proof;
 mod chat_request;
+mod engine_front;
 mod engine_options;
 mod engine_server;
 mod engine_service;
--- a/crates/beechsaddle/src/catalogue_files/catalogue_directory.rs
+++ b/crates/beechsaddle/src/catalogue_files/catalogue_directory.rs
@@ -1,13 +1,12 @@
 //! The `catalogue_directory` module provides the reading of all files of a catalogue.
 
-use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use beechsaddle_core::catalogue::{CatalogueEntry, EntryId};
-use beechsaddle_core::prelude::*;
+use beechsaddle_core::catalogue::CatalogueEntry;
 
 use super::budget_reader::read_budget;
+use super::declared_places::DeclaredPlaces;
 use super::model_reader::read_model;
 use super::reference_check::check_references;
 use super::service_reader::read_service;
@@ -99,13 +98,6 @@
     }
 }
 
-/// Where entries and budgets were declared.
-#[derive(Debug, Default)]
-pub(super) struct DeclaredPlaces {
-    pub entries: BTreeMap<EntryId, EntryPlace>,
-    pub budgets: BTreeMap<BudgetName, EntryPlace>,
-}
-
 #[derive(Debug, Default)]
 struct EntryCollector {
     catalogue: DeclaredCatalogue,
--- a/crates/beechsaddle/src/catalogue_files/mod.rs
+++ b/crates/beechsaddle/src/catalogue_files/mod.rs
@@ -8,6 +8,7 @@
 mod catalogue_directory;
 mod catalogue_writer;
 mod declared_catalogue;
+mod declared_places;
 mod header_reader;
 mod model_reader;
 mod reference_check;
--- a/crates/beechsaddle/src/catalogue_files/reference_check.rs
+++ b/crates/beechsaddle/src/catalogue_files/reference_check.rs
@@ -8,7 +8,7 @@
 };
 use beechsaddle_core::prelude::*;
 
-use super::catalogue_directory::DeclaredPlaces;
+use super::declared_places::DeclaredPlaces;
 use super::{DeclaredCatalogue, EntryPlace};
 use crate::findings::{FindingList, SourceText};
 
