Trial: pass over a domain of which two targets do not connect

Trial: a second target of a domain whose connect gets no answer, while nothing comes from any of the domain, takes all of them out of use. Tests: unreachable_domain_is_passed_over, silent_targets_of_a_living_domain_are_lost_alone.

--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -216,3 +216,53 @@
     let choice = choose(&roster, START.plus_ms(700), &plain, &[]).expect("a target");
     assert_eq!(choice.target.as_str(), "b");
 }
+
+/// The domains of a roster of two in the south and three in the north.
+fn two_domains() -> TargetRoster {
+    let mut roster = TargetRoster::default();
+    let north = ["n-1", "n-2", "n-3"].map(|name| record(name, "north"));
+    let south = ["s-1", "s-2"].map(|name| record(name, "south"));
+    roster.take_listing(START, north.into_iter().chain(south));
+    roster
+}
+
+/// A domain is cut off. Connects to two of its targets get no answer and nothing comes from the third:
+/// calls go to the other domain at once, instead of waiting for the third to time out as well.
+#[test]
+fn unreachable_domain_is_passed_over() {
+    let mut roster = two_domains();
+    let now = START.plus_ms(2_000);
+    let first = roster.note_unreachable(now, &TargetName::new("n-1"));
+    assert!(first.is_empty());
+    let lost = roster.note_unreachable(now.plus_ms(100), &TargetName::new("n-2"));
+    assert_eq!(lost.len(), 3, "{lost:?}");
+    for number in 0..20 {
+        let choice = choose(
+            &roster,
+            now.plus_ms(110),
+            &prompt(&format!("part-{number}")),
+            &[],
+        );
+        let choice = choice.expect("a target");
+        assert!(choice.target.as_str().starts_with("s-"), "{choice:?}");
+    }
+}
+
+/// Two targets of a domain crash without a word while the third goes on. It is not taken out of use,
+/// nor is it when one target does not answer twice, or the two are long apart.
+#[test]
+fn silent_targets_of_a_living_domain_are_lost_alone() {
+    let mut roster = two_domains();
+    let now = START.plus_ms(2_000);
+    let third = TargetName::new("n-3");
+    roster.gauge_mut(&third).expect("a gauge").progress_at = now;
+    roster.note_unreachable(now, &TargetName::new("n-1"));
+    let lost = roster.note_unreachable(now.plus_ms(100), &TargetName::new("n-2"));
+    assert!(lost.is_empty(), "{lost:?}");
+    let later = now.plus_ms(5_000);
+    roster.note_unreachable(later, &TargetName::new("n-1"));
+    let lost = roster.note_unreachable(later.plus_ms(50), &TargetName::new("n-1"));
+    assert!(lost.is_empty(), "{lost:?}");
+    let lost = roster.note_unreachable(later.plus_ms(2_000), &TargetName::new("n-2"));
+    assert!(lost.is_empty(), "{lost:?}");
+}
