--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -1,26 +1,15 @@
 //! The `target_roster` module provides the targets that discovery lists.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::{TargetGauge, TargetPhase, TargetRecord};
 use crate::clock::ClockTime;
-use crate::names::{DomainName, ServiceName, TargetName};
+use crate::names::{ServiceName, TargetName};
 
 /// How long an entry may be missing after the store was away before its target counts as gone, in
 /// milliseconds. Live targets write their entries again within two seconds.
 const RETURN_GRACE_MS: u64 = 2_200;
 
-/// How long a connect that got no answer counts towards the loss of the way to a domain, in
-/// milliseconds: several connect timeouts.
-const WAY_SPAN_MS: u64 = 1_500;
-
-/// Targets to which no connection is made before the way to their domain counts as lost.
-const WAY_TARGETS: usize = 2;
-
-/// How long nothing must have come from any target of a domain for its way to count as lost, in
-/// milliseconds: the pause between two events of a busy engine, and most of a connect timeout.
-const WAY_SILENCE_MS: u64 = 300;
-
 /// What a listing or an event changed, for logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RosterChange {
@@ -44,13 +33,6 @@
     missing_since: Option<ClockTime>,
 }
 
-/// Targets of a domain to which no connection was made lately.
-#[derive(Clone, Debug, Default)]
-struct LostWay {
-    since: ClockTime,
-    targets: BTreeSet<TargetName>,
-}
-
 /// All targets that may be in use.
 ///
 /// Entries expire while the store is away, though their targets live: taking every missing entry
@@ -60,7 +42,6 @@
 pub struct TargetRoster {
     entries: BTreeMap<TargetName, RosterEntry>,
     away_until: Option<ClockTime>,
-    lost_ways: BTreeMap<DomainName, LostWay>,
 }
 
 impl RosterEntry {
@@ -163,44 +144,6 @@
         self.entries.get(name)
     }
 
-    /// Notes that a connect to a target got no answer. When a second target of its domain does not
-    /// answer either, and nothing comes from any, the way to the domain is lost: its targets are taken
-    /// out of use together, and given back.
-    ///
-    /// Otherwise each of them has to time out by itself before calls go elsewhere; a domain of five
-    /// that is cut off costs the calls of a router five connect timeouts, and again at each retry.
-    pub fn note_unreachable(&mut self, now: ClockTime, name: &TargetName) -> Vec<TargetName> {
-        let Some(domain) = self.get(name).map(|entry| entry.record.domain.clone()) else {
-            return Vec::new();
-        };
-        let way = self.lost_ways.entry(domain.clone()).or_default();
-        if now.since(way.since) > WAY_SPAN_MS {
-            *way = LostWay {
-                since: now,
-                targets: BTreeSet::new(),
-            };
-        }
-        way.targets.insert(name.clone());
-        if way.targets.len() < WAY_TARGETS {
-            return Vec::new();
-        }
-        let targets = self.entries.values_mut();
-        let mut targets: Vec<_> = targets
-            .filter(|entry| entry.record.domain == domain)
-            .collect();
-        let is_silent =
-            |entry: &&mut RosterEntry| now.since(entry.gauge.progress_at) >= WAY_SILENCE_MS;
-        if !targets.iter().all(is_silent) {
-            return Vec::new();
-        }
-        targets.retain(|entry| !entry.gauge.is_ejected(now));
-        for entry in &mut targets {
-            entry.gauge.eject(now);
-        }
-        let names = targets.iter().map(|entry| entry.record.name.clone());
-        names.collect()
-    }
-
     /// What is seen of one target, for changes.
     pub fn gauge_mut(&mut self, name: &TargetName) -> Option<&mut TargetGauge> {
         self.entries.get_mut(name).map(|entry| &mut entry.gauge)
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -1,9 +1,9 @@
 //! The `target_send` module provides the sending of one attempt.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{AttemptEnd, TargetRecord};
-use beechsaddle_core::report::LogLevel;
 use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions};
 use beechsaddle_platform::{AnswerFacts, ForwardFields, forward_headers};
 use bytes::Bytes;
@@ -61,39 +61,15 @@
             other => return other.map_err(|(failure, _)| failure),
         }
     }
-    let link = connect(call, target).await?;
+    let link = connect(target.address).await?;
     let request = build_request(call, target, last_event);
     let sent = send_on(call, link, request, patience, true).await;
     sent.map_err(|(failure, _)| failure)
 }
 
-async fn connect(call: &CallContext, target: &TargetRecord) -> Result<HttpLink, SendFailure> {
-    let connected = HttpLink::try_connect(target.address, LinkOptions::default()).await;
-    connected.map_err(|failure| {
-        // A refusal comes from the target's host; silence may be the way there.
-        if matches!(failure, LinkFailure::ConnectTimeout) {
-            note_unreachable(call, target);
-        }
-        SendFailure::new(AttemptEnd::Unsent, failure.to_string())
-    })
-}
-
-fn note_unreachable(call: &CallContext, target: &TargetRecord) {
-    let state = &call.state;
-    let mut roster = state.roster.borrow_mut();
-    let lost = roster.note_unreachable(state.now(), &target.name);
-    if lost.is_empty() {
-        return;
-    }
-    state.metrics.ejections.inc_by(lost.len() as u64);
-    let fields = [
-        ("domain", target.domain.to_string()),
-        ("by", target.name.to_string()),
-        ("targets", lost.len().to_string()),
-    ];
-    state
-        .report
-        .log(LogLevel::Warning, "domain_ejected", fields);
+async fn connect(address: SocketAddr) -> Result<HttpLink, SendFailure> {
+    let connected = HttpLink::try_connect(address, LinkOptions::default()).await;
+    connected.map_err(|failure| SendFailure::new(AttemptEnd::Unsent, failure.to_string()))
 }
 
 /// Sends on a connection; the flag of a failure tells that the connection was closed before.
