--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{BudgetLedger, DemandRate, EscrowOptions, LedgerChange, TokenTransfer};
+use super::{
+    BudgetLedger, DemandRate, EscrowFacts, EscrowOptions, EscrowRole, LedgerChange, TokenTransfer,
+};
 use crate::clock::ClockTime;
 
 /// How fast demand is forgotten, in milliseconds.
@@ -16,40 +18,6 @@
 /// several times in this span.
 const LEDGER_FRESH_MS: u64 = 2_500;
 
-/// Where a router gets tokens of a workspace.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EscrowRole {
-    /// It takes them from the ledger, for itself and for those that borrow from it.
-    Keeper,
-    /// It borrows them from the keeper of its domain.
-    Borrower,
-}
-
-impl EscrowRole {
-    /// A word for logs and operators.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            EscrowRole::Keeper => "keeper",
-            EscrowRole::Borrower => "borrower",
-        }
-    }
-}
-
-/// What a router holds and knows of one workspace, in tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EscrowFacts {
-    /// Where its tokens come from.
-    pub role: EscrowRole,
-    /// Held and not promised.
-    pub free: u64,
-    /// Promised to calls that run.
-    pub reserved: u64,
-    /// Taken by nobody, as the ledger was last seen; `None` before that.
-    pub left: Option<u64>,
-    /// How long ago the ledger was seen, in milliseconds.
-    pub ledger_age_ms: Option<u64>,
-}
-
 /// What a router holds of one workspace.
 #[derive(Clone, Debug)]
 pub(super) struct EscrowAccount {
@@ -69,14 +37,16 @@
     pub(super) routers: u64,
     /// Whether everything is to be given back.
     pub(super) is_closing: bool,
+    /// The average demand.
+    pub(super) demand: DemandRate,
+    /// Whether little is left of the total.
+    pub(super) is_scarce: bool,
     reserved: u64,
     awaited: BTreeMap<u64, u32>,
-    is_scarce: bool,
     uncovered_since: Option<ClockTime>,
     ledger_at: ClockTime,
     exhausted: Option<ExhaustedWord>,
     largest: DemandPeak,
-    demand: DemandRate,
 }
 
 /// A keeper's word that the total does not cover a request.
@@ -184,7 +154,7 @@
     ///
     /// Taking a rest that covers no call would keep it from smaller calls elsewhere, and giving it
     /// back would look as if something had become free.
-    fn awaited_within(&self, limit: u64) -> u64 {
+    pub(super) fn awaited_within(&self, limit: u64) -> u64 {
         let mut sum = 0_u64;
         for (tokens, count) in &self.awaited {
             let room = limit.saturating_sub(sum) / (*tokens).max(1);
@@ -298,84 +268,8 @@
         (self.role == EscrowRole::Keeper && !self.is_closing) || has_more
     }
 
-    /// What to ask the ledger for, if it is worth a write: from three fifths of what is wanted down, from
-    /// twice of it up, or where a call waits.
-    pub(super) fn next_transfer(
-        &self,
-        now: ClockTime,
-        options: &EscrowOptions,
-    ) -> Option<TokenTransfer> {
-        let left = self.left()?;
-        let wanted = match self.is_closing {
-            true => 0,
-            false => self.wanted(now, options)?,
-        };
-        let may_take = self.role == EscrowRole::Keeper && !self.is_closing;
-        let has_waiting = self.awaited_within(left.saturating_add(self.free)) > self.free;
-        if may_take && (self.free < wanted / 5 * 3 || has_waiting) {
-            let tokens = wanted.saturating_sub(self.free).min(left);
-            return (tokens > 0).then_some(TokenTransfer::Take(tokens));
-        }
-        let tokens = self.free.saturating_sub(wanted);
-        let is_high = self.free > self.most_kept(now, wanted, options);
-        is_high.then_some(TokenTransfer::GiveBack(tokens))
-    }
-
-    /// How many free tokens are kept before any are given back.
-    ///
-    /// A router that was cut off from the keeper has taken seconds of its own demand from the ledger.
-    /// While nobody lacks them it uses them up by itself, which costs no write; with several dozen
-    /// routers the writes after a cut would be a burst that meets itself at each ledger. Amounts that
-    /// are small for the whole fleet stay too: what calls leave of their reservations was written back
-    /// in parts of some hundred tokens, which was a third of all writes of 86 routers.
-    fn most_kept(&self, now: ClockTime, wanted: u64, options: &EscrowOptions) -> u64 {
-        let usual = wanted.saturating_mul(2);
-        if self.is_closing {
-            return usual;
-        }
-        let part = self.prepaid.unwrap_or(0) as f64 / self.routers.max(1) as f64;
-        if self.is_scarce {
-            return usual.max((part * options.crumbs_scarce) as u64);
-        }
-        let ahead = match self.role {
-            EscrowRole::Borrower => self.demand.per_second(now) * options.hold_s,
-            EscrowRole::Keeper => 0.0,
-        };
-        let kept = ahead.max(part * options.crumbs_part) as u64;
-        usual.max(kept + self.largest_at(now))
-    }
-
-    /// How many free tokens the router should hold.
-    ///
-    /// A keeper holds seconds of its domain's demand, so that it can serve while the ledger is out
-    /// of reach, but only a bounded part of what nobody has spent. That part shrinks as the total
-    /// runs out, so that near the end hardly anything lies idle at one router while another refuses.
-    fn wanted(&self, now: ClockTime, options: &EscrowOptions) -> Option<u64> {
-        let prepaid = self.prepaid?;
-        let left = self.left()?;
-        // More is taken than there is, as after the total was lowered.
-        if self.ledger.as_ref()?.taken > prepaid {
-            return Some(0);
-        }
-        let unspent = left.saturating_add(self.free) as f64;
-        let scarce = prepaid as f64 * options.scarce_part;
-        let last = prepaid as f64 * options.last_part;
-        let ease = ((unspent - last) / (scarce - last).max(1.0)).clamp(0.0, 1.0);
-        let part = unspent / self.keepers.max(1) as f64;
-        let most = (part * options.most_part).min(unspent * options.most_alone) * ease;
-        let ahead = match self.role {
-            EscrowRole::Keeper => {
-                let demand = self.demand.per_second(now) * options.hold_s;
-                (demand + self.largest_at(now) as f64).max(part * options.first_part)
-            }
-            EscrowRole::Borrower => (self.borrow_ahead(now, options) + self.largest_at(now)) as f64,
-        };
-        let awaited = self.awaited_within(left.saturating_add(self.free));
-        Some(awaited + ahead.min(most) as u64)
-    }
-
     /// The largest recent request, in tokens.
-    fn largest_at(&self, now: ClockTime) -> u64 {
+    pub(super) fn largest_at(&self, now: ClockTime) -> u64 {
         match now.since(self.largest.noted_at) > 4 * DEMAND_HALF_LIFE_MS {
             true => 0,
             false => self.largest.tokens,
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -2,8 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use super::escrow_account::{EscrowAccount, EscrowFacts};
-use super::{BudgetLedger, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, TokenTransfer};
+use super::EscrowFacts;
+use super::escrow_account::EscrowAccount;
+use super::{
+    BudgetLedger, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, LoanReply, LoanRequest,
+    TokenTransfer,
+};
 use crate::clock::ClockTime;
 use crate::names::WorkspaceName;
 
@@ -22,50 +26,6 @@
     Exhausted,
 }
 
-/// What a router asks another for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoanRequest {
-    /// The smallest loan that helps.
-    pub least: u64,
-    /// What calls wait for.
-    pub need: u64,
-    /// What to lend beyond that.
-    pub ahead: u64,
-}
-
-/// What another router answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LoanReply {
-    /// Tokens that it has given up.
-    Lent(u64),
-    /// It has too little now.
-    Short,
-    /// The total does not cover the smallest loan that helps.
-    Exhausted,
-    /// It has too little, and cannot reach the ledger to get more.
-    LedgerAway,
-}
-
-impl LoanReply {
-    /// A word for logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            LoanReply::Lent(_) => "lent",
-            LoanReply::Short => "short",
-            LoanReply::Exhausted => "exhausted",
-            LoanReply::LedgerAway => "ledger_away",
-        }
-    }
-
-    /// Tokens that were lent.
-    pub fn tokens(self) -> u64 {
-        match self {
-            LoanReply::Lent(tokens) => tokens,
-            LoanReply::Short | LoanReply::Exhausted | LoanReply::LedgerAway => 0,
-        }
-    }
-}
-
 /// The tokens that this router took from ledgers, and what of them is promised to requests.
 #[derive(Clone, Debug)]
 pub struct TokenEscrow {
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -8,8 +8,8 @@
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::StoreOptions;
 
-use crate::findings::{FindingList, SourceText, TableReader};
-use crate::settings::{LogSettings, SettingsFindings};
+use crate::findings::{FindingList, TableReader};
+use crate::settings::{LogSettings, SettingsFindings, load_settings, need_table, parse_settings};
 
 /// How long a store call may take, in milliseconds: some hundred times its usual answer, and short
 /// enough to try again within the bound on new configurations.
@@ -59,15 +59,7 @@
 impl GatewaySettings {
     /// Reads a settings file, or reports all that is wrong with it.
     pub fn try_load(path: impl AsRef<Path>) -> Result<Self, SettingsFindings> {
-        let file = path.as_ref().display().to_string();
-        match std::fs::read_to_string(&path) {
-            Ok(text) => GatewaySettings::try_parse(file, text),
-            Err(error) => {
-                let mut findings = FindingList::new();
-                findings.add_file(file, format!("cannot be read: {error}"));
-                Err(findings)
-            }
-        }
+        load_settings(path, read_settings)
     }
 
     /// Reads settings from a text; `file` names it in the findings.
@@ -75,16 +67,7 @@
         file: impl AsRef<str>,
         text: impl AsRef<str>,
     ) -> Result<Self, SettingsFindings> {
-        let source = SourceText::new(file, text);
-        let mut findings = FindingList::new();
-        let table = source.read_table(&mut findings);
-        let reader = TableReader::new(&source, "", 0, table.get_ref());
-        let settings = read_settings(&reader, &mut findings);
-        reader.finish(&mut findings);
-        match settings {
-            Some(settings) if findings.is_empty() => Ok(settings),
-            Some(_) | None => Err(findings),
-        }
+        parse_settings(file, text, read_settings)
     }
 }
 
@@ -129,18 +112,6 @@
     })
 }
 
-fn need_table<'a>(
-    reader: &TableReader<'a>,
-    key: &str,
-    findings: &mut FindingList,
-) -> Option<TableReader<'a>> {
-    if !reader.has(key) {
-        let file = reader.source().file();
-        findings.add_file(file, format!("the table `[{key}]` is missing"));
-    }
-    reader.read_table(key, findings)
-}
-
 fn read_store(
     reader: &TableReader<'_>,
     findings: &mut FindingList,
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod host_listener;
 mod ledger_store;
 mod ledger_wait;
+mod lender_link;
 mod lending_server;
 mod line_budget;
 mod plain_exchange;
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -8,20 +8,11 @@
 use beechsaddle_core::gateway::{EscrowRole, LoanReply, LoanRequest, PeerRecord, PeerRing};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_wire::lending_capnp::{LoanOutcome, token_lender};
-use capnp_rpc::RpcSystem;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::twoparty::VatNetwork;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
-use tokio_util::task::AbortOnDropHandle;
 
 use super::gateway_state::GatewayState;
-
-/// How long connecting to a router may take: some hundred round trips of a region.
-const CONNECT_SPAN: Duration = Duration::from_millis(150);
+use super::lender_link::LenderLinks;
 
 /// How long a loan may take: the lender may have to ask the ledger first.
 const LOAN_SPAN: Duration = Duration::from_millis(400);
@@ -62,30 +53,11 @@
     Nobody,
 }
 
-/// A connection to a router that lends.
-struct LenderLink {
-    client: token_lender::Client,
-    rpc: AbortOnDropHandle<()>,
-}
-
-impl LenderLink {
-    fn new(client: token_lender::Client, system: RpcSystem<Side>) -> Self {
-        let rpc = spawn_local(async move {
-            // What ends the connection also ends the loan that is under way, which tells of it.
-            let _ = system.await;
-        });
-        LenderLink {
-            client,
-            rpc: AbortOnDropHandle::new(rpc),
-        }
-    }
-}
-
 /// Borrows tokens from other routers.
 pub(super) struct TokenLending {
     /// The routers of the fleet.
     pub(super) ring: RefCell<PeerRing>,
-    links: RefCell<BTreeMap<HostName, Rc<LenderLink>>>,
+    links: LenderLinks,
     active: RefCell<BTreeSet<WorkspaceName>>,
     refused: RefCell<BTreeMap<WorkspaceName, ClockTime>>,
     secret: RefCell<String>,
@@ -97,7 +69,7 @@
     pub(super) fn new(me: HostName, domain: DomainName) -> Self {
         TokenLending {
             ring: RefCell::new(PeerRing::new(me, domain)),
-            links: RefCell::default(),
+            links: LenderLinks::default(),
             active: RefCell::default(),
             refused: RefCell::default(),
             secret: RefCell::default(),
@@ -134,10 +106,6 @@
         let at = refused.get(workspace);
         at.is_some_and(|at| now.since(*at) < REFUSED_MS)
     }
-
-    fn forget(&self, host: &HostName) {
-        self.links.borrow_mut().remove(host);
-    }
 }
 
 /// Has tokens asked for that calls wait for, from a router or the ledger.
@@ -265,7 +233,10 @@
     let Some(request) = wanted else {
         return Ok(());
     };
-    let loan = timeout(LOAN_SPAN, borrow(state, peer, workspace, request)).await;
+    let secret = state.lending.secret();
+    let links = &state.lending.links;
+    let loan = links.borrow_tokens(peer, &secret, workspace, request);
+    let loan = timeout(LOAN_SPAN, loan).await;
     let reply = match loan {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return Err(note_down(state, peer, &error)),
@@ -323,69 +294,8 @@
     taken
 }
 
-async fn borrow(
-    state: &GatewayState,
-    peer: &PeerRecord,
-    workspace: &WorkspaceName,
-    request: LoanRequest,
-) -> Result<LoanReply, String> {
-    let link = open_link(state, peer).await?;
-    let mut call = link.client.borrow_request();
-    let mut parameters = call.get();
-    parameters.set_secret(state.lending.secret());
-    parameters.set_workspace(workspace.as_str());
-    parameters.set_least(request.least);
-    parameters.set_need(request.need);
-    parameters.set_ahead(request.ahead);
-    let reply = call
-        .send()
-        .promise
-        .await
-        .map_err(|error| error.to_string())?;
-    let reply = reply.get().map_err(|error| error.to_string())?;
-    match reply.get_outcome() {
-        Ok(LoanOutcome::Lent) => Ok(LoanReply::Lent(reply.get_tokens())),
-        Ok(LoanOutcome::Short) => Ok(LoanReply::Short),
-        Ok(LoanOutcome::Exhausted) => Ok(LoanReply::Exhausted),
-        Ok(LoanOutcome::LedgerAway) => Ok(LoanReply::LedgerAway),
-        Err(error) => Err(error.to_string()),
-    }
-}
-
-async fn open_link(state: &GatewayState, peer: &PeerRecord) -> Result<Rc<LenderLink>, String> {
-    let known = state.lending.links.borrow().get(&peer.host).cloned();
-    if let Some(link) = known
-        && !link.rpc.is_finished()
-    {
-        return Ok(link);
-    }
-    let address = peer.address.ok_or("it lends nothing")?;
-    let stream = match timeout(CONNECT_SPAN, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(error.to_string()),
-        Err(_) => return Err("no connection in time".to_owned()),
-    };
-    stream
-        .set_nodelay(true)
-        .map_err(|error| error.to_string())?;
-    let (reader, writer) = stream.into_split();
-    let options = capnp::message::ReaderOptions::new();
-    let network = VatNetwork::new(
-        reader.compat(),
-        writer.compat_write(),
-        Side::Client,
-        options,
-    );
-    let mut system = RpcSystem::new(Box::new(network), None);
-    let client: token_lender::Client = system.bootstrap(Side::Server);
-    let link = Rc::new(LenderLink::new(client, system));
-    let mut links = state.lending.links.borrow_mut();
-    links.insert(peer.host.clone(), Rc::clone(&link));
-    Ok(link)
-}
-
 fn note_down(state: &GatewayState, peer: &PeerRecord, error: &str) -> LoanFailure {
-    state.lending.forget(&peer.host);
+    state.lending.links.forget(&peer.host);
     state
         .lending
         .ring
--- a/crates/beechsaddle/src/settings/mod.rs
+++ b/crates/beechsaddle/src/settings/mod.rs
@@ -12,6 +12,7 @@
 mod platform_settings;
 mod router_settings;
 mod routing_settings;
+mod settings_file;
 
 pub use budget_settings::BudgetSettings;
 pub use limit_settings::LimitSettings;
@@ -22,6 +23,7 @@
 pub use platform_settings::PlatformSettings;
 pub use router_settings::RouterSettings;
 pub use routing_settings::RoutingSettings;
+pub(crate) use settings_file::{load_settings, need_table, parse_settings};
 
 use crate::findings::FindingList;
 
--- a/crates/beechsaddle/src/settings/router_settings.rs
+++ b/crates/beechsaddle/src/settings/router_settings.rs
@@ -6,11 +6,12 @@
 
 use beechsaddle_core::prelude::*;
 
+use super::settings_file::{load_settings, need_table, parse_settings};
 use super::{
     BudgetSettings, LimitSettings, LogSettings, MetricSettings, PeerSettings, PlatformSettings,
     RoutingSettings, SettingsFindings,
 };
-use crate::findings::{FindingList, SourceText, TableReader};
+use crate::findings::{FindingList, TableReader};
 
 /// What a router is told about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,15 +57,7 @@
 impl RouterSettings {
     /// Reads a settings file, or reports all that is wrong with it.
     pub fn try_load(path: impl AsRef<Path>) -> Result<Self, SettingsFindings> {
-        let file = path.as_ref().display().to_string();
-        match std::fs::read_to_string(&path) {
-            Ok(text) => RouterSettings::try_parse(file, text),
-            Err(error) => {
-                let mut findings = FindingList::new();
-                findings.add_file(file, format!("cannot be read: {error}"));
-                Err(findings)
-            }
-        }
+        load_settings(path, read_settings)
     }
 
     /// Reads settings from a text; `file` names it in the findings.
@@ -72,16 +65,7 @@
         file: impl AsRef<str>,
         text: impl AsRef<str>,
     ) -> Result<Self, SettingsFindings> {
-        let source = SourceText::new(file, text);
-        let mut findings = FindingList::new();
-        let table = source.read_table(&mut findings);
-        let reader = TableReader::new(&source, "", 0, table.get_ref());
-        let settings = read_settings(&reader, &mut findings);
-        reader.finish(&mut findings);
-        match settings {
-            Some(settings) if findings.is_empty() => Ok(settings),
-            Some(_) | None => Err(findings),
-        }
+        parse_settings(file, text, read_settings)
     }
 }
 
@@ -125,18 +109,6 @@
     })
 }
 
-fn need_table<'a>(
-    reader: &TableReader<'a>,
-    key: &str,
-    findings: &mut FindingList,
-) -> Option<TableReader<'a>> {
-    if !reader.has(key) {
-        let file = reader.source().file();
-        findings.add_file(file, format!("the table `[{key}]` is missing"));
-    }
-    reader.read_table(key, findings)
-}
-
 fn read_identity(reader: &TableReader<'_>, findings: &mut FindingList) -> Option<RouterIdentity> {
     let host = reader.need_name("host", findings);
     let domain = reader.need_name("domain", findings);
