Hold the soak's evidence in types

The check of a soak took maps of targets and totals side by side, and one function read them all. What targets and store know is a type of its own now, as are a workspace's totals, and each does its part of the check.

--- a/crates/beechsaddle-lab/src/soak/call_book.rs
+++ b/crates/beechsaddle-lab/src/soak/call_book.rs
@@ -59,6 +59,12 @@
 }
 
 impl BookedCall {
+    /// Tokens that it spent: its prompt if any target ran it, and the events that came.
+    fn spent(&self, has_run: bool) -> u64 {
+        let input = if has_run { self.input } else { 0 };
+        input + self.events().len() as u64 * EVENT_TOKENS
+    }
+
     /// The ids of the events that came.
     fn events(&self) -> Vec<u64> {
         let body = self.reply.as_ref().map_or("", |reply| reply.body.as_str());
@@ -99,52 +105,80 @@
         (calls.len(), answered.count())
     }
 
-    /// The promises that were broken, with the calls that show it. `runs` are those of all targets,
-    /// by their names; `prepaid` and `taken` are the totals of the workspaces and of their ledgers.
-    pub fn check(
-        &self,
-        events: u64,
-        runs: &BTreeMap<String, Vec<RunRecord>>,
-        prepaid: &BTreeMap<&'static str, u64>,
-        taken: &BTreeMap<&'static str, u64>,
-    ) -> Vec<String> {
+    /// The promises that were broken, with the calls that show it.
+    pub fn check(&self, evidence: &SoakEvidence) -> Vec<String> {
         let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut ran = BTreeMap::<&str, Vec<&str>>::new();
-        for (target, records) in runs {
-            for record in records.iter().filter(|record| record.is_run) {
-                let targets = ran.entry(record.request_id()).or_default();
-                targets.push(target);
-            }
-        }
+        let ran = evidence.targets_by_id();
         let mut broken = {
             let seen = self.broken.lock().unwrap_or_else(PoisonError::into_inner);
             seen.clone()
         };
-        let mut spent = BTreeMap::<&'static str, u64>::new();
         for (id, call) in calls.iter() {
             let targets = ran.get(id.as_str()).map_or(&[][..], Vec::as_slice);
-            broken.extend(check_call(id, call, targets, events));
-            let input = if targets.is_empty() { 0 } else { call.input };
-            let output = call.events().len() as u64 * EVENT_TOKENS;
-            *spent.entry(call.workspace).or_default() += input + output;
+            broken.extend(check_call(id, call, targets, evidence.events));
         }
         broken.extend(ran.keys().filter_map(|id| {
-            let is_known = calls.contains_key(*id) || id.starts_with("extra-");
+            let is_known = calls.contains_key(*id) || id.starts_with(EXTRA_CALL);
             (!is_known).then(|| format!("{id} ran and nobody sent it"))
         }));
-        for (workspace, total) in prepaid {
-            let spent = spent.get(workspace).copied().unwrap_or(0);
-            let taken = taken.get(workspace).copied().unwrap_or(0);
-            if spent > *total || taken > *total || spent > taken {
-                broken.push(format!(
-                    "{workspace}: {spent} spent, {taken} taken, {total} prepaid"
-                ));
-            }
+        for totals in &evidence.totals {
+            let own = calls
+                .iter()
+                .filter(|(_, call)| call.workspace == totals.workspace);
+            let spent = own
+                .map(|(id, call)| call.spent(ran.contains_key(id.as_str())))
+                .sum();
+            broken.extend(totals.check(spent));
         }
         broken
     }
 }
 
+/// What the ids of calls begin with that are made beside the load.
+pub const EXTRA_CALL: &str = "extra-";
+
+/// What targets and store know at the end.
+#[derive(Clone, Debug)]
+pub struct SoakEvidence {
+    /// Events of a whole stream.
+    pub events: u64,
+    /// What reached each target, by its name.
+    pub runs: BTreeMap<String, Vec<RunRecord>>,
+    /// The totals of each workspace.
+    pub totals: Vec<WorkspaceTotals>,
+}
+
+impl SoakEvidence {
+    /// The targets that ran each call, by its id.
+    fn targets_by_id(&self) -> BTreeMap<&str, Vec<&str>> {
+        let mut ran = BTreeMap::<&str, Vec<&str>>::new();
+        for (target, records) in &self.runs {
+            for record in records.iter().filter(|record| record.is_run) {
+                ran.entry(record.request_id()).or_default().push(target);
+            }
+        }
+        ran
+    }
+}
+
+/// A workspace's totals, in tokens.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkspaceTotals {
+    /// The workspace.
+    pub workspace: &'static str,
+    /// What it may spend.
+    pub prepaid: u64,
+    /// What routers took from its ledger.
+    pub taken: u64,
+}
+
+impl WorkspaceTotals {
+    fn check(&self, spent: u64) -> Option<String> {
+        let holds = spent <= self.taken && self.taken <= self.prepaid;
+        (!holds).then(|| format!("{self:?}, {spent} spent"))
+    }
+}
+
 fn status(call: &BookedCall) -> u16 {
     call.reply.as_ref().map_or(0, |reply| reply.status)
 }
--- a/crates/beechsaddle-lab/src/soak/calm_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/calm_checks.rs
@@ -6,7 +6,7 @@
 use futures::future::join_all;
 use tokio::time::{Instant, sleep};
 
-use super::call_book::SoakKind;
+use super::call_book::{EXTRA_CALL, SoakKind};
 use super::soak_fleet::{EVENTS, GRACE, SoakFleet, WORKSPACES};
 use super::version_watch::ask_version;
 
@@ -117,7 +117,7 @@
 fn extra_call(kind: SoakKind, number: usize) -> CallRequest {
     CallRequest::new(
         kind.line(),
-        &format!("extra-{kind:?}-{number}"),
+        &format!("{EXTRA_CALL}{kind:?}-{number}"),
         WORKSPACES[0].1,
     )
 }
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -1,18 +1,18 @@
 //! The `soak_fleet` module provides the routers of a soak, and what stands around them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use beechsaddle_platform_stand_in::{
-    CallRequest, ConfigDraft, DraftKind, EntryState, READY_LINE, RouteDraft, RunRecord,
-    StoreStandIn, TargetStandIn, call,
+    CallRequest, ConfigDraft, DraftKind, EntryState, READY_LINE, RouteDraft, StoreStandIn,
+    TargetStandIn, call,
 };
 use eyre::{WrapErr, bail};
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
+use super::call_book::{SoakEvidence, WorkspaceTotals};
 use super::fault_proxy::{FaultProxy, PathFault};
 use crate::fleet::{LabProcess, free_address};
 
@@ -207,22 +207,26 @@
         }
     }
 
-    /// What reached each target.
-    pub fn runs(&self) -> BTreeMap<String, Vec<RunRecord>> {
+    /// What targets and store know.
+    pub fn evidence(&self) -> SoakEvidence {
         let targets = self.targets.iter().map(|target| &target.stand_in);
-        targets
-            .map(|target| (target.name().to_owned(), target.runs()))
-            .collect()
-    }
-
-    /// What is taken from each workspace's ledger.
-    pub fn taken(&self) -> BTreeMap<&'static str, u64> {
-        let taken = WORKSPACES.iter().map(|(name, _, _)| {
-            let ledger = self.store.spec("budgets", &format!("ledger-{name}"));
+        let totals = WORKSPACES.iter().map(|(workspace, _, prepaid)| {
+            let ledger = self.store.spec("budgets", &format!("ledger-{workspace}"));
             let taken = ledger.and_then(|ledger| ledger["taken"].as_u64());
-            (*name, taken.unwrap_or(0))
+            WorkspaceTotals {
+                workspace,
+                prepaid: *prepaid,
+                // A workspace that nobody called has no ledger.
+                taken: taken.unwrap_or(0),
+            }
         });
-        taken.collect()
+        SoakEvidence {
+            events: EVENTS,
+            runs: targets
+                .map(|target| (target.name().to_owned(), target.runs()))
+                .collect(),
+            totals: totals.collect(),
+        }
     }
 }
 
--- a/crates/beechsaddle-lab/src/soak/soak_run.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -14,7 +14,7 @@
 use super::calm_checks::check_calm;
 use super::fault_plan::{FaultPlan, PlannedFault, SoakFault};
 use super::fault_proxy::PathFault;
-use super::soak_fleet::{EVENTS, SoakFleet, WORKSPACES};
+use super::soak_fleet::SoakFleet;
 use super::version_watch::VersionWatch;
 
 /// How often it is seen to that routers reach each other by way of their proxies.
@@ -84,13 +84,7 @@
     let mut broken = check_calm(&mut run.fleet).await?;
     load.is_over.store(true, Ordering::Relaxed);
     callers.join_all().await;
-    let prepaid = WORKSPACES.iter().map(|(name, _, total)| (*name, *total));
-    let prepaid: BTreeMap<_, _> = prepaid.collect();
-    let fleet = &run.fleet;
-    broken.extend(
-        load.book
-            .check(EVENTS, &fleet.runs(), &prepaid, &fleet.taken()),
-    );
+    broken.extend(load.book.check(&run.fleet.evidence()));
     let (calls, answered) = load.book.counts();
     drop(run);
     if broken.is_empty() {
--- a/crates/beechsaddle-lab/src/soak/version_watch.rs
+++ b/crates/beechsaddle-lab/src/soak/version_watch.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::call_book::CallBook;
+use super::call_book::{CallBook, EXTRA_CALL};
 use super::soak_fleet::{WORKSPACES, version_prefix};
 
 /// How often a router is asked.
@@ -63,7 +63,7 @@
 /// The status of a call on the route that a version added; `None` without an answer.
 pub async fn ask_version(router: SocketAddr, version: u64) -> Option<u16> {
     let line = format!("GET {}1", version_prefix(version));
-    let mut request = CallRequest::new(&line, "extra-version", WORKSPACES[0].1);
+    let mut request = CallRequest::new(&line, &format!("{EXTRA_CALL}version"), WORKSPACES[0].1);
     request.deadline_ms = ANSWER_SPAN.as_millis() as u64;
     let reply = timeout(ANSWER_SPAN, call(router, &request)).await;
     Some(reply.ok()?.ok()?.status)
