--- a/crates/beechsaddle/src/gateway/store_probe.rs
+++ b/crates/beechsaddle/src/gateway/store_probe.rs
@@ -23,10 +23,9 @@
 ///
 /// A waiting watch looks the same whether nothing changes, its connection lost its way, or the store
 /// took the call during an outage and forgot it. A probe reads one small object as it was some seconds
-/// ago, for a tenth of the price of a call. Where it fails, the watches are given up and begun anew
-/// with listings, and nothing but probes is asked until the store answers again. A connection that is
-/// silent by itself is found by the system's keepalive, and a watch that was forgotten between two probes
-/// when its short wait is over.
+/// ago, for a tenth of the price of a call. Where it fails, the watches are given up, and begun anew
+/// with listings as soon as the store answers any call. A connection that is silent by itself is found by
+/// the system's keepalive, and a watch that was forgotten between two probes when its short wait is over.
 #[derive(Debug)]
 pub(super) struct StoreHealth {
     answers: watch::Sender<bool>,
