Leave the rotation behind a full link, keep late watches, read entries of restarts and other writers

Connects to targets time out after 350 ms, each ejects a target and is repeated; loans time out after 400 ms, so the router passes over one keeper after the other and refuses 100 calls a second, whose retries fill the next router; the probe of the store fails, the waiting watch is given up, and new connections to the store fail as well: versions 3 to 8 s late. A router behind a full link blames neither targets nor peers. A watch that is late is waited for while a listing is asked for beside it.

--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -12,11 +12,13 @@
 mod escrow_options;
 mod gateway_config;
 mod gateway_status;
+mod link_meter;
 mod outlier_score;
 mod peer_ring;
 mod prompt_shape;
 mod repeat_rule;
 mod retry_share;
+mod rotation_gate;
 mod route_rule;
 mod target_chooser;
 mod target_gauge;
@@ -35,11 +37,13 @@
 pub use gateway_status::{
     ConfigStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
 };
+pub use link_meter::{LinkMeter, LinkWay};
 pub use outlier_score::OutlierScore;
 pub use peer_ring::{PeerRecord, PeerRing};
 pub use prompt_shape::{PromptPart, PromptShape, TokenBound};
 pub use repeat_rule::{AttemptEnd, AttemptHistory};
 pub use retry_share::{RetryShare, RetryShareOptions};
+pub use rotation_gate::RotationGate;
 pub use route_rule::{RouteKind, RouteRule, WeightedService};
 pub use target_chooser::{ChoiceInput, TargetChoice, choose_target};
 pub use target_gauge::{AttemptLoad, TargetGauge};
--- a/crates/beechsaddle-core/src/gateway/route_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/route_rule.rs
@@ -62,6 +62,9 @@
     pub timeout_ms: u64,
     /// The time in which an answer, or a stream's first event, is on time, in milliseconds.
     pub objective_ms: u64,
+    /// The longest pause between two events of a stream that is on time, in milliseconds; `None`
+    /// where any is.
+    pub pause_ms: Option<u64>,
     /// The largest number of targets that one request is sent to.
     pub attempts_max: u32,
     /// The rank of its requests; 0 goes first.
--- a/crates/beechsaddle-core/src/gateway/target_record.rs
+++ b/crates/beechsaddle-core/src/gateway/target_record.rs
@@ -13,11 +13,16 @@
     Draining,
 }
 
-/// One incarnation of a target.
+/// One incarnation of a target, as its entry tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRecord {
-    /// The id of the incarnation; a restart has another.
+    /// Its id.
     pub name: TargetName,
+    /// When this incarnation started, in Unix milliseconds of its own clock; `None` where the entry
+    /// does not say. Another value under the same id is another incarnation.
+    pub started: Option<u64>,
+    /// The revision of the entry in the store, which orders entries of one target.
+    pub revision: u64,
     /// The service that it offers.
     pub service: ServiceName,
     /// Where it listens. Another target may get the address later.
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -1,6 +1,7 @@
 //! The `target_roster` module provides the targets that discovery lists.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use super::{TargetGauge, TargetPhase, TargetRecord};
 use crate::clock::ClockTime;
@@ -15,10 +16,12 @@
 pub enum RosterChange {
     /// A target came up.
     Joined(TargetName),
+    /// A target started again under its id, at this address; nothing of before holds.
+    Restarted(TargetName, SocketAddr),
     /// A target takes no new work.
     Draining(TargetName),
-    /// A target is gone.
-    Gone(TargetName),
+    /// A target at this address is gone.
+    Gone(TargetName, SocketAddr),
     /// An entry is missing, but the store was away a moment ago.
     Unconfirmed(TargetName),
 }
@@ -31,6 +34,7 @@
     /// What this router sees.
     pub gauge: TargetGauge,
     missing_since: Option<ClockTime>,
+    doubted: Option<u64>,
 }
 
 /// All targets that may be in use.
@@ -44,7 +48,63 @@
     away_until: Option<ClockTime>,
 }
 
+/// How an entry relates to the one that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntryAge {
+    /// It is older.
+    Stale,
+    /// It is of the same incarnation.
+    Current,
+    /// It is of another incarnation.
+    Restarted,
+}
+
 impl RosterEntry {
+    fn new(now: ClockTime, record: TargetRecord) -> Self {
+        RosterEntry {
+            gauge: TargetGauge::new(now),
+            record,
+            missing_since: None,
+            doubted: None,
+        }
+    }
+
+    /// How an entry relates to this one.
+    ///
+    /// The store's revisions order entries, however late an answer brings them. One write of a process
+    /// that has died can still land behind those of its successor, so an earlier start is believed only
+    /// when it is told a second time: a dead process has one write under way at most, and clocks that
+    /// were set back keep a living one out for one heartbeat, not for good.
+    fn compare(&mut self, record: &TargetRecord) -> EntryAge {
+        if record.revision < self.record.revision {
+            return EntryAge::Stale;
+        }
+        if record.started == self.record.started {
+            self.doubted = None;
+            return EntryAge::Current;
+        }
+        let is_earlier = record.started < self.record.started;
+        let is_told_again = record.revision > self.record.revision
+            && self
+                .doubted
+                .is_some_and(|revision| revision < record.revision);
+        if is_earlier && !is_told_again {
+            self.doubted.get_or_insert(record.revision);
+            return EntryAge::Stale;
+        }
+        EntryAge::Restarted
+    }
+
+    /// Takes over what the same incarnation says now.
+    fn update(&mut self, record: TargetRecord) -> Option<RosterChange> {
+        let was = self.record.phase;
+        self.record = record;
+        self.missing_since = None;
+        let drains = self.record.phase == TargetPhase::Draining;
+        (was == TargetPhase::Ready && drains)
+            .then(|| RosterChange::Draining(self.record.name.clone()))
+    }
+
     /// A word for what the list says, for operators.
     pub fn phase_word(&self) -> &'static str {
         match (self.missing_since, self.record.phase) {
@@ -90,21 +150,27 @@
     /// Takes over one entry.
     pub fn put(&mut self, now: ClockTime, record: TargetRecord) -> Option<RosterChange> {
         let name = record.name.clone();
-        if let Some(entry) = self.entries.get_mut(&name) {
-            let was = entry.record.phase;
-            entry.record = record;
-            entry.missing_since = None;
-            let drains = entry.record.phase == TargetPhase::Draining;
-            return (was == TargetPhase::Ready && drains).then_some(RosterChange::Draining(name));
-        }
-        let gauge = TargetGauge::new(now);
-        let entry = RosterEntry {
-            record,
-            gauge,
-            missing_since: None,
+        let Some(entry) = self.entries.get_mut(&name) else {
+            self.entries
+                .insert(name.clone(), RosterEntry::new(now, record));
+            return Some(RosterChange::Joined(name));
         };
-        self.entries.insert(name.clone(), entry);
-        Some(RosterChange::Joined(name))
+        match entry.compare(&record) {
+            EntryAge::Stale => None,
+            EntryAge::Current => entry.update(record),
+            EntryAge::Restarted => {
+                let before = entry.record.address;
+                *entry = RosterEntry::new(now, record);
+                Some(RosterChange::Restarted(name, before))
+            }
+        }
+    }
+
+    /// Takes a target out of use whose entry cannot be read: it names no target, whatever it said
+    /// before. Unlike an entry that lapsed with an outage it is there, and is not waited for.
+    pub fn withdraw(&mut self, name: &TargetName) -> Option<RosterChange> {
+        let entry = self.entries.remove(name)?;
+        Some(RosterChange::Gone(name.clone(), entry.record.address))
     }
 
     /// Takes note that an entry is not listed any more.
@@ -118,8 +184,7 @@
             entry.missing_since = Some(now);
             return Some(RosterChange::Unconfirmed(name.clone()));
         }
-        self.entries.remove(name);
-        Some(RosterChange::Gone(name.clone()))
+        self.withdraw(name)
     }
 
     /// Drops entries that were missing for too long after the store's return.
@@ -133,10 +198,8 @@
             .filter(|(_, entry)| entry.missing_since.is_some())
             .map(|(name, _)| name.clone())
             .collect();
-        for name in &late {
-            self.entries.remove(name);
-        }
-        late.into_iter().map(RosterChange::Gone).collect()
+        let gone = late.iter().filter_map(|name| self.withdraw(name));
+        gone.collect()
     }
 
     /// One target.
--- a/crates/beechsaddle-core/tests/gateway_routes.rs
+++ b/crates/beechsaddle-core/tests/gateway_routes.rs
@@ -22,6 +22,7 @@
             .collect(),
         timeout_ms: 1_000,
         objective_ms: 100,
+        pause_ms: None,
         attempts_max: 2,
         priority: 0,
         is_open: false,
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -13,8 +13,10 @@
 fn record(name: &str, domain: &str) -> TargetRecord {
     TargetRecord {
         name: TargetName::new(name),
+        started: None,
+        revision: 1,
         service: ServiceName::new("engine"),
-        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        address: address(),
         domain: DomainName::new(domain),
         slots: 6,
         phase: TargetPhase::Ready,
@@ -22,6 +24,10 @@
     }
 }
 
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 80))
+}
+
 fn roster(names: &[&str]) -> TargetRoster {
     let mut roster = TargetRoster::default();
     let records = names.iter().map(|name| record(name, "north"));
@@ -76,7 +82,10 @@
 fn removed_is_gone_at_once_while_the_store_is_well() {
     let mut roster = roster(&["a", "b"]);
     let change = roster.remove(START, &TargetName::new("a"));
-    assert_eq!(change, Some(RosterChange::Gone(TargetName::new("a"))));
+    assert_eq!(
+        change,
+        Some(RosterChange::Gone(TargetName::new("a"), address()))
+    );
     assert_eq!(ready(&roster), ["b"]);
 }
 
@@ -92,7 +101,7 @@
     assert_eq!(ready(&roster), ["a", "b"]);
     assert!(roster.expire(back.plus_ms(1_500)).is_empty());
     let gone = roster.expire(back.plus_ms(2_500));
-    assert_eq!(gone, [RosterChange::Gone(TargetName::new("a"))]);
+    assert_eq!(gone, [RosterChange::Gone(TargetName::new("a"), address())]);
     assert_eq!(ready(&roster), ["b"]);
 }
 
@@ -115,7 +124,10 @@
     roster.put(START, leaving);
     roster.note_away(START);
     let change = roster.remove(START.plus_ms(50), &TargetName::new("a"));
-    assert_eq!(change, Some(RosterChange::Gone(TargetName::new("a"))));
+    assert_eq!(
+        change,
+        Some(RosterChange::Gone(TargetName::new("a"), address()))
+    );
 }
 
 /// All requests of one shared part meet at one engine, whichever router chooses; different parts
@@ -216,3 +228,89 @@
     let choice = choose(&roster, START.plus_ms(700), &plain, &[]).expect("a target");
     assert_eq!(choice.target.as_str(), "b");
 }
+
+fn record_of_start(started: u64, revision: u64) -> TargetRecord {
+    TargetRecord {
+        started: Some(started),
+        revision,
+        ..record("a", "north")
+    }
+}
+
+/// A target crashes and is back under its id within a heartbeat. Its memory is empty and its queue too:
+/// what was seen of it before, work in flight and ejections, would keep calls away from it or send
+/// them for parts that it has not.
+#[test]
+fn restarted_target_begins_anew() {
+    let mut roster = TargetRoster::default();
+    roster.put(START, record_of_start(100, 1));
+    let name = TargetName::new("a");
+    let gauge = roster.gauge_mut(&name).expect("a gauge");
+    gauge.start(AttemptLoad {
+        prefill_tokens: 9_000,
+    });
+    gauge.eject(START);
+    let change = roster.put(START.plus_ms(300), record_of_start(400, 2));
+    assert_eq!(
+        change,
+        Some(RosterChange::Restarted(name.clone(), address()))
+    );
+    let gauge = &roster.get(&name).expect("an entry").gauge;
+    assert_eq!((gauge.active, gauge.pending_tokens), (0, 0));
+    assert!(!gauge.is_ejected(START.plus_ms(300)));
+}
+
+/// A target that was leaving crashes and starts again under its id, before its entry is gone: it takes
+/// new work.
+#[test]
+fn leaving_target_that_restarted_is_used() {
+    let mut roster = TargetRoster::default();
+    let mut leaving = record_of_start(100, 1);
+    leaving.phase = TargetPhase::Draining;
+    roster.put(START, leaving);
+    assert!(ready(&roster).is_empty());
+    roster.put(START, record_of_start(400, 3));
+    assert_eq!(ready(&roster), ["a"]);
+}
+
+/// Answers of the store come out of order: one that was under way for long brings an entry of the start
+/// before. And one write of the process that died lands after those of its successor. Neither takes the
+/// running target's place.
+#[test]
+fn earlier_starts_change_nothing() {
+    let mut roster = TargetRoster::default();
+    roster.put(START, record_of_start(400, 7));
+    let mut late = record_of_start(100, 3);
+    late.phase = TargetPhase::Draining;
+    assert_eq!(roster.put(START, late.clone()), None);
+    late.revision = 8;
+    assert_eq!(roster.put(START, late), None);
+    assert_eq!(ready(&roster), ["a"]);
+    assert_eq!(roster.put(START, record_of_start(400, 9)), None);
+    assert_eq!(ready(&roster), ["a"]);
+}
+
+/// The clock of a target's host was set back before the target started again. Its first entry looks
+/// like one of a dead process; the second shows that it lives.
+#[test]
+fn earlier_start_told_twice_is_believed() {
+    let mut roster = TargetRoster::default();
+    roster.put(START, record_of_start(400, 7));
+    assert_eq!(roster.put(START, record_of_start(250, 8)), None);
+    let change = roster.put(START, record_of_start(250, 9));
+    assert!(matches!(change, Some(RosterChange::Restarted(..))));
+}
+
+/// Somebody else overwrites an entry with what cannot be read, right after an outage of the store. The
+/// entry names no target from then on, and there is no grace for it: it has not lapsed.
+#[test]
+fn unreadable_entry_is_withdrawn() {
+    let mut roster = roster(&["a", "b"]);
+    roster.note_away(START);
+    let change = roster.withdraw(&TargetName::new("a"));
+    assert_eq!(
+        change,
+        Some(RosterChange::Gone(TargetName::new("a"), address()))
+    );
+    assert_eq!(ready(&roster), ["b"]);
+}
--- a/crates/beechsaddle/src/findings/table_numbers.rs
+++ b/crates/beechsaddle/src/findings/table_numbers.rs
@@ -16,16 +16,24 @@
         range: RangeInclusive<f64>,
         findings: &mut FindingList,
     ) -> f64 {
-        let Some(text) = self.read_number_text(key, findings) else {
-            return default;
-        };
+        self.read_f64(key, range, findings).unwrap_or(default)
+    }
+
+    /// A number in a range, whole or with a fraction, if there is one.
+    pub fn read_f64(
+        &self,
+        key: &str,
+        range: RangeInclusive<f64>,
+        findings: &mut FindingList,
+    ) -> Option<f64> {
+        let text = self.read_number_text(key, findings)?;
         match text.parse::<f64>() {
-            Ok(number) if range.contains(&number) => number,
+            Ok(number) if range.contains(&number) => Some(number),
             Ok(_) | Err(_) => {
                 let (low, high) = (range.start(), range.end());
                 let what = format!("is {text}; a number from {low} to {high} would be right");
                 self.report(key, what, findings);
-                default
+                None
             }
         }
     }
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -84,6 +84,7 @@
         let label = WordLabel { what: end.as_str() };
         self.state.metrics.attempt_ends.get_or_create(&label).inc();
         let is_dead = self.silence_ms() >= DEAD_MS;
+        let is_link_full = self.state.is_link_full();
         let mut is_ejected = false;
         self.change(|gauge, now| {
             match end {
@@ -91,6 +92,9 @@
                 AttemptEnd::NotRun => {}
                 AttemptEnd::Failed | AttemptEnd::Broken => gauge.note_outcome(now, true),
                 AttemptEnd::Silent if !is_dead => gauge.note_outcome(now, true),
+                // Behind a full link of its own a router reaches nobody in time; that says nothing of
+                // the target, and ejecting all of them would leave only bad choices.
+                AttemptEnd::Unsent if is_link_full => {}
                 AttemptEnd::Unsent | AttemptEnd::Silent => {
                     gauge.note_outcome(now, true);
                     gauge.eject(now);
@@ -125,8 +129,12 @@
     fn change(&self, change: impl FnOnce(&mut TargetGauge, ClockTime)) {
         let now = self.state.now();
         let mut roster = self.state.roster.borrow_mut();
-        // A target that left while the attempt ran has no gauge any more.
-        if let Some(gauge) = roster.gauge_mut(&self.target.name) {
+        // A target that left while the attempt ran has no gauge any more, and one that started again
+        // has another, which this attempt was never counted in.
+        let is_same = roster
+            .get(&self.target.name)
+            .is_some_and(|entry| entry.record.started == self.target.started);
+        if let Some(gauge) = roster.gauge_mut(&self.target.name).filter(|_| is_same) {
             change(gauge, now);
         }
     }
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptHistory, GatewayConfig, RouteMatch, RouteRule, ServiceRule, WorkspaceRule,
+    AttemptHistory, GatewayConfig, LinkWay, RouteMatch, RouteRule, ServiceRule, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -64,7 +64,7 @@
         Err(refused) => refuse(&record, &refused),
     };
     // Callers go elsewhere with their next request, before the connection is closed.
-    if state.phase() >= GatewayPhase::Leaving {
+    if state.phase() >= GatewayPhase::Leaving || state.rotation.borrow().is_out(state.now()) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -238,6 +238,7 @@
         Ok(body) => body,
         Err(refused) => return Err((record, refused)),
     };
+    state.note_message(LinkWay::In, &body);
     let Some(service) = place.route.service_for(&head.request_id).cloned() else {
         let refused = CallRefused::new(RefusalCause::NoTarget, "the route has no service");
         return Err((record, refused));
--- a/crates/beechsaddle/src/gateway/call_record.rs
+++ b/crates/beechsaddle/src/gateway/call_record.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use beechsaddle_core::gateway::RouteRule;
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::{LogLevel, LogLine};
 
@@ -30,7 +31,9 @@
     id: RefCell<String>,
     fields: RefCell<Vec<(&'static str, String)>>,
     outcome: Cell<&'static str>,
-    is_first_noted: Cell<bool>,
+    first_ms: Cell<Option<u64>>,
+    event_at: Cell<Option<ClockTime>>,
+    longest_pause_ms: Cell<u64>,
     is_picked: bool,
     held: RefCell<Vec<LogLine>>,
 }
@@ -49,7 +52,9 @@
             id: RefCell::default(),
             fields: RefCell::new(Vec::with_capacity(12)),
             outcome: Cell::new(CALLER_GONE),
-            is_first_noted: Cell::new(false),
+            first_ms: Cell::new(None),
+            event_at: Cell::new(None),
+            longest_pause_ms: Cell::new(0),
             is_picked: state.line_budget.try_take_call(now),
             held: RefCell::default(),
         }
@@ -98,10 +103,11 @@
 
     /// Notes that the first event or the whole answer goes out.
     pub(super) fn note_first(&self) {
-        if self.is_first_noted.replace(true) {
+        if self.first_ms.get().is_some() {
             return;
         }
         let span_ms = self.state.now().since(self.arrived_at);
+        self.first_ms.set(Some(span_ms));
         let added_ms = self.sent_at.get().since(self.arrived_at);
         let metrics = &self.state.metrics;
         metrics.first_s.observe(span_ms as f64 / 1_000.0);
@@ -110,6 +116,52 @@
         self.note("first_ms", span_ms);
     }
 
+    /// Notes that events of a stream go out: the time since those before them was a pause.
+    pub(super) fn note_event(&self) {
+        self.note_first();
+        let now = self.state.now();
+        if let Some(before) = self.event_at.replace(Some(now)) {
+            let pause_ms = now.since(before).max(self.longest_pause_ms.get());
+            self.longest_pause_ms.set(pause_ms);
+        }
+    }
+
+    /// Notes how a stream went, whoever ended it: its events, the tokens that it spent, and its longest
+    /// pause. A caller that waits for the next event feels a pause as much as a late first one.
+    pub(super) fn note_stream(&self, events: u64, spent: Option<u64>) {
+        self.note("events", events);
+        if let Some(spent) = spent {
+            self.note("spent", spent);
+        }
+        if self.event_at.get().is_some() {
+            let pause_ms = self.longest_pause_ms.get();
+            self.state
+                .metrics
+                .pause_s
+                .observe(pause_ms as f64 / 1_000.0);
+            self.note("pause_ms", pause_ms);
+        }
+    }
+
+    /// Notes whether an answer was late by the route's objectives, and what made it so.
+    pub(super) fn note_lateness(&self, route: &RouteRule) {
+        let is_late_first = self
+            .first_ms
+            .get()
+            .is_some_and(|first_ms| route.objective_ms > 0 && first_ms > route.objective_ms);
+        let has_paused = route
+            .pause_ms
+            .is_some_and(|allowed_ms| self.longest_pause_ms.get() > allowed_ms);
+        let what = match (is_late_first, has_paused) {
+            (true, _) => "first",
+            (false, true) => "pause",
+            (false, false) => return,
+        };
+        let label = WordLabel { what };
+        self.state.metrics.late.get_or_create(&label).inc();
+        self.note("late", what);
+    }
+
     /// Notes how the call ended; what is not noted is a caller who left.
     pub(super) fn end(&self, outcome: &'static str) {
         self.outcome.set(outcome);
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -34,6 +34,9 @@
     pub(super) what: &'static str,
 }
 
+/// What makes an answer late: its first event, or a pause between two.
+const LATE_WORDS: [&str; 2] = ["first", "pause"];
+
 /// Everything that is counted and measured.
 pub(super) struct GatewayMetrics {
     registry: Registry,
@@ -70,6 +73,10 @@
     /// Seconds from the arrival to the start of the attempt that was answered: what the router and
     /// earlier attempts added.
     pub(super) added_s: Histogram,
+    /// Seconds of the longest pause between two events, of each stream.
+    pub(super) pause_s: Histogram,
+    /// Calls that were answered late, by what made them so.
+    pub(super) late: Family<WordLabel, Counter>,
     /// Seconds to the end of the answer.
     pub(super) whole_s: Histogram,
     /// Seconds that a call waited for its reservation.
@@ -99,10 +106,16 @@
             config_version: Gauge::default(),
             first_s: latency_histogram(),
             added_s: latency_histogram(),
+            pause_s: latency_histogram(),
+            late: Family::default(),
             whole_s: latency_histogram(),
             reserve_s: latency_histogram(),
             store_s: latency_histogram(),
         };
+        // Both show from the start, so that a rate can be taken of the first late answer.
+        for what in LATE_WORDS {
+            metrics.late.get_or_create(&WordLabel { what });
+        }
         metrics.register();
         metrics
     }
@@ -141,6 +154,9 @@
         registry.register("first_seconds", "Time to first event", self.first_s.clone());
         let added = self.added_s.clone();
         registry.register("added_seconds", "Time before the answered attempt", added);
+        let pause = self.pause_s.clone();
+        registry.register("pause_seconds", "Longest pause of a stream", pause);
+        registry.register("late_answers", "Late answers", self.late.clone());
         registry.register(
             "whole_seconds",
             "Time to whole answer",
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -27,6 +27,9 @@
 /// call timeout: before new configurations have to be in force again after the path is back.
 const PROBE_MS: u64 = 1_000;
 
+/// The narrowest link that a router is told of, in megabits a second: one prompt a second.
+const LEAST_LINK_MBPS: f64 = 0.1;
+
 /// What a router is told about itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -48,6 +51,8 @@
     pub watch_wait: Duration,
     /// How often the store is probed.
     pub probe_span: Duration,
+    /// What the host's link carries, in megabits a second; `None` where that is not known.
+    pub link_mbps: Option<f64>,
     /// The time between the signal to end and the kill, in milliseconds.
     pub grace_ms: u64,
     /// The fleet's retry budget.
@@ -94,6 +99,7 @@
     let peer_address = gateway.read_address("peer_address", findings);
     let metrics_address = gateway.read_address("metrics_address", findings);
     let grace_ms = gateway.read_seconds_ms("grace_s", 8.0, findings);
+    let link_mbps = gateway.read_f64("link_mbps", LEAST_LINK_MBPS..=1e6, findings);
     gateway.finish(findings);
     let (store, watch_wait, probe_span) = store?;
     Some(GatewaySettings {
@@ -106,6 +112,7 @@
         store,
         watch_wait,
         probe_span,
+        link_mbps,
         grace_ms,
         retries,
         log: log.unwrap_or_default(),
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -5,11 +5,13 @@
 
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
-    EscrowOptions, GatewayConfig, RetryShare, RosterChange, TargetRoster, TokenEscrow,
+    EscrowOptions, GatewayConfig, LinkMeter, LinkWay, RetryShare, RosterChange, RotationGate,
+    TargetRoster, TokenEscrow,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{StoreClient, StoreFailure};
+use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
 use super::gateway_metrics::{GatewayMetrics, StoreLabel};
@@ -51,6 +53,10 @@
     pub(super) escrow: RefCell<TokenEscrow>,
     /// Tokens borrowed from other routers, and what is known of these.
     pub(super) lending: TokenLending,
+    /// How full the router's own link is.
+    pub(super) link: RefCell<LinkMeter>,
+    /// Whether the router asks for new callers.
+    pub(super) rotation: RefCell<RotationGate>,
     /// The retry budget.
     pub(super) retries: RefCell<RetryShare>,
     /// Idle connections to targets.
@@ -95,6 +101,8 @@
             roster: RefCell::new(TargetRoster::default()),
             escrow: RefCell::new(TokenEscrow::new(EscrowOptions::default(), me.to_string())),
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
+            link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
+            rotation: RefCell::default(),
             retries: RefCell::new(RetryShare::new(settings.retries)),
             pool: TargetPool::default(),
             store: StoreClient::new(settings.store),
@@ -134,6 +142,43 @@
         *self.phase.borrow()
     }
 
+    /// Notes a request or a whole answer on the router's link.
+    pub(super) fn note_message(&self, way: LinkWay, body: &Bytes) {
+        let now = self.now();
+        let mut link = self.link.borrow_mut();
+        link.note_message(now, way, body.len() as u64);
+    }
+
+    /// Notes a part of a stream that comes in over the router's link and goes out over it.
+    pub(super) fn note_part(&self, part: &Bytes) {
+        let now = self.now();
+        let mut link = self.link.borrow_mut();
+        for way in [LinkWay::In, LinkWay::Out] {
+            link.note_part(now, way, part.len() as u64);
+        }
+    }
+
+    /// Whether the router's own link is full.
+    pub(super) fn is_link_full(&self) -> bool {
+        self.link.borrow().is_full(self.now())
+    }
+
+    /// Whether the router asks for new callers.
+    ///
+    /// A router that knows a configuration serves what it can, also while the store is away: taking it
+    /// out of rotation would leave its callers to routers that are cut off like itself.
+    pub(super) fn is_in_rotation(&self) -> bool {
+        let now = self.now();
+        let load = self.link.borrow().load(now);
+        let mut rotation = self.rotation.borrow_mut();
+        if rotation.note(now, self.is_link_full()) {
+            let fields = [("link_load", format!("{load:.2}"))];
+            self.report.log(LogLevel::Warning, "link_full", fields);
+        }
+        let serves = self.phase() == GatewayPhase::Serving && self.config.borrow().is_some();
+        serves && !rotation.is_out(now)
+    }
+
     /// Waiting times of a duty.
     pub(super) fn backoff(&self, duty: &str) -> RetryBackoff {
         RetryBackoff::new(&self.me, duty)
@@ -166,26 +211,35 @@
         self.report.log(LogLevel::Debug, "store_call", fields);
         let is_away = outcome.as_ref().is_err_and(StoreFailure::is_away);
         if !is_away {
-            self.store_answered_at.set(now);
-            self.store_health.note(true);
+            self.note_store_answer();
         } else {
             self.roster.borrow_mut().note_away(now);
         }
     }
 
+    /// Notes that the store answered.
+    pub(super) fn note_store_answer(&self) {
+        self.store_answered_at.set(self.now());
+        self.store_health.note(true);
+    }
+
     /// How long ago the store last answered, in milliseconds: what is believed of configuration and
     /// targets is as old.
     pub(super) fn store_age_ms(&self) -> u64 {
         self.now().since(self.store_answered_at.get())
     }
 
-    /// Logs what changed among the targets.
+    /// Logs what changed among the targets, and closes connections to incarnations that are gone.
     pub(super) fn log_roster(&self, changes: impl IntoIterator<Item = RosterChange>) {
         for change in changes {
+            if let RosterChange::Gone(_, address) | RosterChange::Restarted(_, address) = change {
+                self.pool.forget(address);
+            }
             let (event, target) = match change {
                 RosterChange::Joined(target) => ("target_joined", target),
+                RosterChange::Restarted(target, _) => ("target_restarted", target),
                 RosterChange::Draining(target) => ("target_draining", target),
-                RosterChange::Gone(target) => ("target_gone", target),
+                RosterChange::Gone(target, _) => ("target_gone", target),
                 RosterChange::Unconfirmed(target) => ("target_unconfirmed", target),
             };
             let fields = [("target", target.to_string())];
--- a/crates/beechsaddle/src/gateway/host_listener.rs
+++ b/crates/beechsaddle/src/gateway/host_listener.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
-use super::gateway_state::{GatewayPhase, GatewayState};
+use super::gateway_state::GatewayState;
 use super::status_view::view_status;
 
 /// Where metrics are served.
@@ -62,7 +62,7 @@
 
 fn answer(state: &GatewayState, path: &str) -> Response<Full<Bytes>> {
     let (status, text) = match path {
-        READY_PATH if is_ready(state) => (StatusCode::OK, "ready\n".to_owned()),
+        READY_PATH if state.is_in_rotation() => (StatusCode::OK, "ready\n".to_owned()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         METRICS_PATH => (StatusCode::OK, state.metrics.to_text()),
         STATUS_PATH => status_text(state),
@@ -79,9 +79,3 @@
         Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
 }
-
-/// A router that knows a configuration serves what it can, also while the store is away: taking it
-/// out of rotation would leave its callers to routers that are cut off like itself.
-fn is_ready(state: &GatewayState) -> bool {
-    state.phase() == GatewayPhase::Serving && state.config().is_some()
-}
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptEnd, ChoiceInput, TargetChoice, TargetRecord, choose_target,
+    AttemptEnd, ChoiceInput, LinkWay, TargetChoice, TargetRecord, choose_target,
 };
 use beechsaddle_platform::answer_headers;
 use bytes::Bytes;
@@ -232,8 +232,14 @@
     call.record.note_first();
     call.record.end(match answer.status.is_server_error() {
         true => "target_failed",
-        false => ANSWERED,
+        false => {
+            call.record.note_lateness(&call.route);
+            ANSWERED
+        }
     });
+    for way in [LinkWay::In, LinkWay::Out] {
+        call.state.note_message(way, &answer.body);
+    }
     let mut response = Response::new(AnswerBody::whole(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer_headers(&answer.headers);
--- a/crates/beechsaddle/src/gateway/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/store_follow.rs
@@ -1,13 +1,15 @@
 //! The `store_follow` module provides the following of the store: configuration and targets.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use beechsaddle_core::gateway::TargetRecord;
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{
-    CONFIG_NAME, ObjectKind, StoreEvent, StoreFailure, StoreListing, StoreObject, read_config,
-    read_target,
+    CONFIG_NAME, ObjectKind, StoreEvent, StoreFailure, StoreListing, StoreNews, StoreObject,
+    UnreadableObject, read_config, read_target,
 };
 use tokio::time::sleep;
 
@@ -33,72 +35,127 @@
 /// still serves.
 const NEWS_SPAN_MS: u64 = 400;
 
+/// What the store told of a kind next.
+enum StoreStep {
+    /// Changes since the last step.
+    News(StoreNews),
+    /// Everything, as changes may have been missed.
+    Listing(StoreListing),
+}
+
 /// Follows one kind of objects for ever: a listing, then changes from its revision on.
 ///
-/// A lost watch begins again with a listing over a new connection as soon as the store answers,
-/// because changes may have been missed; the listing is the whole truth, whatever came before.
+/// Where a watch is late or a probe fails, a listing is asked for over a new connection, because changes
+/// may have been missed; the listing is the whole truth, whatever came before. The watch is waited for
+/// all the same, and whichever answers first counts. Behind a full link of the router's own an answer is
+/// late but comes, while new connections time out: giving the old one up left routers of a large fleet
+/// without new configurations for three to eight seconds.
 pub(super) async fn follow_kind(state: Rc<GatewayState>, kind: ObjectKind) {
-    let mut backoff = state.backoff(duty_name(kind));
-    let mut is_lost = false;
+    let mut listing = list_again(&state, kind).await;
     loop {
-        let failure = match follow_once(&state, kind, &mut is_lost, &mut backoff).await {
-            Ok(never) => match never {},
-            Err(failure) => failure,
+        let mut revision = listing.revision;
+        take_listing(&state, kind, &listing);
+        listing = loop {
+            let started = state.now();
+            match next_step(&state, kind, revision).await {
+                StoreStep::Listing(listing) => break listing,
+                StoreStep::News(news) => {
+                    take_news(&state, kind, &news);
+                    revision = news.revision.max(revision);
+                }
+            }
+            let took_ms = state.now().since(started);
+            sleep(Duration::from_millis(NEWS_SPAN_MS.saturating_sub(took_ms))).await;
         };
-        if !is_lost {
-            is_lost = true;
-            log_dependency(&state, "store_lost", kind, failure.to_string());
-        }
-        // Its history being gone is no fault of the store: the listing is asked for at once.
-        if failure != StoreFailure::HistoryGone {
-            if state.store_health.answering().await {
-                backoff.reset();
+    }
+}
+
+/// Waits for what the store tells after `revision`.
+async fn next_step(state: &GatewayState, kind: ObjectKind, revision: u64) -> StoreStep {
+    let settings = state.settings();
+    let started = state.now();
+    let mut watching = pin!(state.store.watch(kind, revision, settings.watch_wait));
+    let on_time = settings.watch_wait + settings.store.call_timeout;
+    let watched = tokio::select! {
+        watched = &mut watching => Some(watched),
+        () = state.store_health.lost() => None,
+        () = sleep(on_time) => None,
+    };
+    if let Some(watched) = watched {
+        state.note_store_call(StoreCall::Watch(kind), started, &watched);
+        return match watched {
+            Ok(news) => StoreStep::News(news),
+            // Its history being gone is no fault of the store: the listing is asked for at once.
+            Err(StoreFailure::HistoryGone) => StoreStep::Listing(list_again(state, kind).await),
+            Err(failure) => {
+                log_dependency(state, "store_lost", kind, failure.to_string());
+                let listing = list_later(state, kind).await;
+                log_dependency(state, "store_regained", kind, listing.revision.to_string());
+                StoreStep::Listing(listing)
             }
-            let pause_ms = backoff.next_ms(LEAST_PAUSE_MS).min(LONGEST_PAUSE_MS);
-            sleep(Duration::from_millis(pause_ms)).await;
+        };
+    }
+    let late = StoreFailure::Unknown("no answer in time, or a probe failed".to_owned());
+    log_dependency(state, "store_lost", kind, late.to_string());
+    state.note_store_call::<()>(StoreCall::Watch(kind), started, &Err(late));
+    let mut listing = pin!(list_later(state, kind));
+    let step = tokio::select! {
+        watched = &mut watching => match watched {
+            Ok(news) => StoreStep::News(news),
+            // The watch has told how it failed; the listing decides.
+            Err(_) => StoreStep::Listing(listing.await),
+        },
+        listing = &mut listing => StoreStep::Listing(listing),
+    };
+    state.note_store_answer();
+    let revision = match &step {
+        StoreStep::News(news) => news.revision,
+        StoreStep::Listing(listing) => listing.revision,
+    };
+    log_dependency(state, "store_regained", kind, revision.to_string());
+    step
+}
+
+/// Asks for a listing after a pause, until there is one.
+async fn list_later(state: &GatewayState, kind: ObjectKind) -> StoreListing {
+    let mut backoff = state.backoff(duty_name(kind));
+    loop {
+        if state.store_health.answering().await {
+            backoff.reset();
+        }
+        let pause_ms = backoff.next_ms(LEAST_PAUSE_MS).min(LONGEST_PAUSE_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+        if let Some(listing) = try_list(state, kind).await {
+            return listing;
         }
     }
 }
 
-/// Nothing of this type exists: following ends only by a failure.
-enum Never {}
+/// Asks for a listing at once, then after pauses, until there is one.
+async fn list_again(state: &GatewayState, kind: ObjectKind) -> StoreListing {
+    match try_list(state, kind).await {
+        Some(listing) => listing,
+        None => list_later(state, kind).await,
+    }
+}
 
-async fn follow_once(
-    state: &GatewayState,
-    kind: ObjectKind,
-    is_lost: &mut bool,
-    backoff: &mut beechsaddle_core::backoff::RetryBackoff,
-) -> Result<Never, StoreFailure> {
+/// Asks for a listing; a failure is counted and logged as a call to the store.
+async fn try_list(state: &GatewayState, kind: ObjectKind) -> Option<StoreListing> {
     let started = state.now();
     let listed = state.store.list(kind).await;
     state.note_store_call(StoreCall::List(kind), started, &listed);
-    let listing = listed?;
-    backoff.reset();
-    if *is_lost {
-        *is_lost = false;
-        log_dependency(state, "store_regained", kind, listing.revision.to_string());
-    }
-    let mut revision = listing.revision;
-    take_listing(state, kind, &listing);
-    loop {
-        let wait = state.settings().watch_wait;
-        let started = state.now();
-        let watched = tokio::select! {
-            watched = state.store.watch(kind, revision, wait) => watched,
-            () = state.store_health.lost() => Err(StoreFailure::Unknown("probe failed".to_owned())),
-        };
-        state.note_store_call(StoreCall::Watch(kind), started, &watched);
-        let news = watched?;
-        for event in &news.events {
-            take_event(state, kind, event);
-        }
-        revision = news.revision.max(revision);
-        let took_ms = state.now().since(started);
-        sleep(Duration::from_millis(NEWS_SPAN_MS.saturating_sub(took_ms))).await;
+    listed.ok()
+}
+
+fn take_news(state: &GatewayState, kind: ObjectKind, news: &StoreNews) {
+    for event in &news.events {
+        take_event(state, kind, event);
     }
+    drop_unreadable(state, kind, &news.unreadable);
 }
 
 fn take_listing(state: &GatewayState, kind: ObjectKind, listing: &StoreListing) {
+    drop_unreadable(state, kind, &listing.unreadable);
     match kind {
         ObjectKind::Config => listing
             .objects
@@ -136,22 +193,43 @@
     }
 }
 
-fn read_entry(
-    state: &GatewayState,
-    object: &StoreObject,
-) -> Option<beechsaddle_core::gateway::TargetRecord> {
+/// Reads an entry; one that cannot be read names no target from now on.
+fn read_entry(state: &GatewayState, object: &StoreObject) -> Option<TargetRecord> {
     match read_target(object) {
         Ok(record) => Some(record),
-        Err(what) => {
-            let fields = [("target", object.name().to_owned()), ("error", what)];
-            state
-                .report
-                .log(LogLevel::Error, "target_unreadable", fields);
+        Err(error) => {
+            withdraw_target(state, object.name(), error);
             None
         }
     }
 }
 
+/// Logs objects that are not even objects, and takes targets of their names out of use.
+fn drop_unreadable(state: &GatewayState, kind: ObjectKind, objects: &[UnreadableObject]) {
+    for object in objects {
+        match kind {
+            ObjectKind::Targets => withdraw_target(state, &object.name, object.error.clone()),
+            ObjectKind::Config | ObjectKind::Routers | ObjectKind::Budgets => {
+                let fields = [
+                    ("duty", duty_name(kind).to_owned()),
+                    ("name", object.name.clone()),
+                    ("error", object.error.clone()),
+                ];
+                let report = &state.report;
+                report.log(LogLevel::Error, "object_unreadable", fields);
+            }
+        }
+    }
+}
+
+fn withdraw_target(state: &GatewayState, name: &str, error: String) {
+    let change = state.roster.borrow_mut().withdraw(&TargetName::new(name));
+    let fields = [("target", name.to_owned()), ("error", error)];
+    let report = &state.report;
+    report.log(LogLevel::Error, "target_unreadable", fields);
+    state.log_roster(change);
+}
+
 /// Takes over a configuration if it is newer than the one in force. An older one, as a late answer
 /// may bring it, would undo what callers have seen.
 fn take_config(state: &GatewayState, object: &StoreObject) {
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -237,7 +237,8 @@
         if part.bytes.is_empty() {
             return None;
         }
-        self.call.record.note_first();
+        self.call.record.note_event();
+        self.call.state.note_part(&part.bytes);
         Some(Ok(part.bytes))
     }
 
@@ -246,7 +247,7 @@
         if let Some(attempt) = self.attempt.take() {
             attempt.finish(&self.call);
         }
-        self.call.record.note("events", self.events);
+        self.call.record.note_lateness(&self.call.route);
         self.call.record.end(ANSWERED);
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
@@ -290,7 +291,6 @@
     fn break_off(&mut self, why: &str) -> StreamBroken {
         self.is_over = true;
         self.attempt = None;
-        self.call.record.note("events", self.events);
         self.call.record.note("why", why);
         self.call.record.end(match self.call.left_ms() {
             0 => "timed_out",
@@ -299,3 +299,10 @@
         StreamBroken
     }
 }
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        let spent = self.reservation.as_ref().map(TokenReservation::used);
+        self.call.record.note_stream(self.events, spent);
+    }
+}
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -296,12 +296,14 @@
 
 fn note_down(state: &GatewayState, peer: &PeerRecord, error: &str) -> LoanFailure {
     state.lending.links.forget(&peer.host);
-    state
-        .lending
-        .ring
-        .borrow_mut()
-        .note_down(state.now(), &peer.host);
-    update_roles(state);
+    // Behind a full link of its own every router seems silent: passing over one after the other would
+    // make this one the keeper of everything, with nobody to borrow from.
+    if !state.is_link_full() {
+        let mut ring = state.lending.ring.borrow_mut();
+        ring.note_down(state.now(), &peer.host);
+        drop(ring);
+        update_roles(state);
+    }
     let fields = [("peer", peer.host.to_string()), ("error", error.to_owned())];
     state.report.log(LogLevel::Warning, "peer_lost", fields);
     LoanFailure::Unreachable
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -80,6 +80,11 @@
         self.used.set(0);
     }
 
+    /// How many tokens are used so far.
+    pub(super) fn used(&self) -> u64 {
+        self.used.get()
+    }
+
     /// Notes how many tokens were delivered so far.
     pub(super) fn note_delivered(&self, output: u64) {
         let output = output.min(self.bound.output_max);
--- a/crates/beechsaddle/tests/gateway_settings.rs
+++ b/crates/beechsaddle/tests/gateway_settings.rs
@@ -30,12 +30,15 @@
             name if name.contains("port") => "7000",
             name if name.starts_with("listen") || name.contains("address") => "10.0.0.1:80",
             name if name.starts_with("bounds") => "0.5",
+            name if name.starts_with(['#', '/']) => "",
+            "." => "200",
             _ => "name",
         };
         text.push_str(value);
         text.push_str(rest);
     }
     let settings = GatewaySettings::try_parse("router.toml", text).expect("settings");
+    assert_eq!(settings.link_mbps, Some(200.0));
     assert!(settings.peer_address.is_some() && settings.metrics_address.is_some());
 }
 
--- a/crates/beechsaddle/tests/gateway_shutdown.rs
+++ b/crates/beechsaddle/tests/gateway_shutdown.rs
@@ -61,3 +61,28 @@
     assert_eq!(bench.router.wait_end().await, Some(0));
     assert!(started.elapsed() < Duration::from_secs(6));
 }
+
+/// Callers with large bodies fill the link of a router's host. It says so to the balancer, goes on serving
+/// what comes, and has its callers connect anew, which brings them to other routers. When the load has
+/// gone it is ready again.
+#[tokio::test]
+async fn full_link_leaves_the_rotation() {
+    let bench = GatewayBench::start_narrow(&draft(1, AMPLE)).await;
+    assert!(bench.router.is_ready().await);
+    let mut call = request("GET /get/1", "call-1");
+    call.body = vec![b'x'; 20_000];
+    wait_for("a router that is not ready", || async {
+        let reply = bench.router.call(&call).await;
+        assert_eq!(reply.status, 200);
+        !bench.router.is_ready().await
+    })
+    .await;
+    let reply = bench.router.call(&call).await;
+    assert_eq!(
+        (reply.status, &*reply.headers["connection"]),
+        (200, "close")
+    );
+    bench.router.wait_log(&["link_full", "link_load"]).await;
+    sleep(Duration::from_millis(8_100)).await;
+    assert!(bench.router.is_ready().await);
+}
--- a/crates/beechsaddle/tests/gateway_store.rs
+++ b/crates/beechsaddle/tests/gateway_store.rs
@@ -196,3 +196,56 @@
     assert!(line.contains(".toml:"), "{line}");
     assert_eq!(status_of(&bench, "/get/1").await, 200);
 }
+
+/// A router waits for news of the configuration when the store turns away each new call, its probes too.
+/// The watch that is waiting is answered all the same: the new version is in force at once, and not only
+/// when the store takes new calls again.
+#[tokio::test]
+async fn late_watch_brings_news_while_new_calls_fail() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    let begun = bench.store.calls("GET config");
+    wait_for("a new watch", || async {
+        bench.store.calls("GET config") > begun
+    })
+    .await;
+    bench.store.set_fault(StoreFault::Refusing);
+    bench.router.wait_log(&["store_lost", "duty=config"]).await;
+    let mut newer = draft(2, AMPLE);
+    let route = RouteDraft::new("more", "/more/", DraftKind::Idempotent, "plain");
+    newer.routes.push(route);
+    bench.store.put_config(&newer);
+    wait_status(&bench, "/more/1", 200).await;
+    bench
+        .router
+        .wait_log(&["store_regained", "duty=config"])
+        .await;
+}
+
+/// A target crashes and starts again under its id at another address. Its entry changes, and calls that
+/// follow go there on new connections; then somebody overwrites the entry, which names no target from
+/// then on, until the target writes it again.
+#[tokio::test]
+async fn restarted_and_overwritten_entries() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    bench.store.remove_target("plain-2");
+    bench.router.wait_log(&["target_gone", "plain-2"]).await;
+    let call = request("GET /get/1", "call-1");
+    assert_eq!(bench.router.call(&call).await.body, "plain-1");
+    let mut entry = bench.plain[1].entry("plain", "north", EntryState::Ready);
+    entry["born"] = 1_770_000_000_000_u64.into();
+    bench.store.put("servers", "plain-1", &entry);
+    bench
+        .router
+        .wait_log(&["target_restarted", "plain-1"])
+        .await;
+    assert_eq!(bench.router.call(&call).await.body, "plain-2");
+    bench.store.put("servers", "plain-1", &"torn".into());
+    bench
+        .router
+        .wait_log(&["target_unreadable", "plain-1"])
+        .await;
+    bench.router.wait_log(&["target_gone", "plain-1"]).await;
+    let entry = bench.plain[0].entry("plain", "north", EntryState::Ready);
+    bench.store.put("servers", "plain-1", &entry);
+    wait_status(&bench, "/get/1", 200).await;
+}
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -36,15 +36,20 @@
 impl GatewayProcess {
     /// Starts a router of a host in a failure domain.
     pub fn start(store: SocketAddr, host: &str, domain: &str) -> Self {
-        GatewayProcess::start_with(store, host, domain, true)
+        GatewayProcess::start_with(store, host, domain, true, "")
+    }
+
+    /// Starts a router on a host with a link of 2 Mbit/s.
+    pub fn start_narrow(store: SocketAddr, host: &str, domain: &str) -> Self {
+        GatewayProcess::start_with(store, host, domain, true, "link_mbps = 2\n")
     }
 
     /// Starts a router whose log nobody reads.
     pub fn start_unread(store: SocketAddr, host: &str, domain: &str) -> Self {
-        GatewayProcess::start_with(store, host, domain, false)
+        GatewayProcess::start_with(store, host, domain, false, "")
     }
 
-    fn start_with(store: SocketAddr, host: &str, domain: &str, is_read: bool) -> Self {
+    fn start_with(store: SocketAddr, host: &str, domain: &str, is_read: bool, more: &str) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let address = free_address().expect("an address");
         let ready = free_address().expect("an address");
@@ -52,7 +57,7 @@
         let settings = folder.join(format!("{name}.toml"));
         let log = folder.join(format!("{name}.log"));
         let peer = free_address().expect("an address");
-        let text = settings_text(store, host, domain, [address, ready, peer]);
+        let text = settings_text(store, host, domain, [address, ready, peer], more);
         fs::write(&settings, text).expect("settings");
         let output = match is_read {
             true => Stdio::from(fs::File::create(&log).expect("a log file")),
@@ -173,10 +178,11 @@
     host: &str,
     domain: &str,
     [address, ready, peer]: [SocketAddr; 3],
+    more: &str,
 ) -> String {
     format!(
         "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{address}\"\n\
-         ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n\n\
+         ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n{more}\n\
          [store]\naddress = \"{store}\"\n\n\
          [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n"
     )
@@ -205,6 +211,13 @@
         bench
     }
 
+    /// The same with a router on a host with a narrow link.
+    pub async fn start_narrow(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_narrow).await;
+        bench.router.wait_log(&["target_joined", "plain-1"]).await;
+        bench
+    }
+
     /// The same with a router whose log nobody reads.
     pub async fn start_unread(draft: &ConfigDraft) -> Self {
         let bench = GatewayBench::start_with(draft, GatewayProcess::start_unread).await;
