--- a/crates/beechsaddle/src/command/command_line.rs
+++ b/crates/beechsaddle/src/command/command_line.rs
@@ -31,6 +31,7 @@
         .subcommand(catalogue())
         .subcommand(status())
         .subcommand(statement())
+        .subcommand(explain())
 }
 
 fn router() -> Command {
@@ -173,6 +174,38 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Shows from logs what became of a call, or of all that were lost")
+        .long_about(
+            "Shows from the logs of routers what became of a call, in order, with what was believed \
+             of its targets, its workspace and the routers (lines of the call itself have a star). \
+             With --losses it sums up the calls that were refused, failed, late or repeated.",
+        )
+        .override_usage("beechsaddle explain ID LOG...\n       beechsaddle explain --losses [--plot FILE] LOG...")
+        .arg(
+            Arg::new("words")
+                .value_name("ID | LOG")
+                .required(true)
+                .num_args(1..)
+                .help("The id of the call, and files with routers' logs"),
+        )
+        .arg(
+            Arg::new("losses")
+                .long("losses")
+                .action(ArgAction::SetTrue)
+                .help("Sum up all lost calls by cause, workspace, target and second"),
+        )
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .requires("losses")
+                .value_parser(value_parser!(PathBuf))
+                .help("Draw them over time as an SVG file"),
+        )
+}
+
 fn directory() -> Arg {
     Arg::new("directory")
         .value_name("DIR")
--- a/crates/beechsaddle/src/command/mod.rs
+++ b/crates/beechsaddle/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod command_runtime;
 mod exit_status;
+mod explain_command;
 mod gateway_text;
 mod router_command;
 mod statement_command;
@@ -22,6 +23,7 @@
         Some(("router", matches)) => router_command::run(matches),
         Some(("check", matches)) => check_command::run(matches),
         Some(("catalogue", matches)) => catalogue_command::run(matches),
+        Some(("explain", matches)) => explain_command::run(matches),
         Some(("status", matches)) => status_command::run(matches),
         Some(("statement", matches)) => statement_command::run(matches),
         Some(_) | None => ExitStatus::Usage,
--- /dev/null
+++ b/crates/beechsaddle/src/explain/mod.rs
@@ -0,0 +1,13 @@
+//! The `explain` module provides what the logs of routers tell of one call, and of all that were lost.
+
+mod call_story;
+mod log_book;
+mod log_entry;
+mod loss_plot;
+mod loss_report;
+
+pub use call_story::tell_call;
+pub use log_book::LogBook;
+pub use log_entry::LogEntry;
+pub use loss_plot::plot_losses;
+pub use loss_report::LossReport;
--- a/crates/beechsaddle/src/lib.rs
+++ b/crates/beechsaddle/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod catalogue_files;
 pub mod command;
+pub mod explain;
 pub mod findings;
 pub mod gateway;
 pub mod operator;
--- /dev/null
+++ b/crates/beechsaddle/tests/explain.rs
@@ -0,0 +1,141 @@
+//! Tests of what is told from logs, against a running router and against lines that are no log.
+
+mod gateway_support;
+
+use beechsaddle::explain::{LogBook, LogEntry, LossReport, tell_call};
+use beechsaddle_platform_stand_in::TargetFault;
+use gateway_support::{GatewayBench, draft, request};
+
+/// A line as a collector passes it on, with a prefix, quoted values and a value with spaces.
+#[test]
+fn log_entry_read_back() {
+    let line = "  12.5 host-1 ts=1770000000123 level=info router=host-1@7 event=call id=a why=\"it \\\"broke\\\" off\" total_ms=4\n";
+    let entry = LogEntry::read(line).expect("an entry");
+    assert_eq!(
+        (entry.at_ms, entry.host(), entry.event.as_str()),
+        (1_770_000_000_123, "host-1", "call")
+    );
+    assert_eq!(entry.field("why"), Some("it \"broke\" off"));
+    assert_eq!(entry.field("total_ms"), Some("4"));
+}
+
+/// Logs hold lines of others, half lines of processes that died, and bytes. They are counted and never
+/// fatal, and the lines beside them are read.
+#[test]
+fn unreadable_lines_are_counted() {
+    let mut book = LogBook::default();
+    for line in [
+        "",
+        "panicked at",
+        "ts=soon router=a event=call",
+        "ts=5 level=info router=a@1 event=call outcome=no_target",
+        "ts=6 level=info rou",
+    ] {
+        book.add_line(line);
+    }
+    assert_eq!((book.entries().len(), book.unreadable()), (1, 3));
+    assert!(tell_call(&book, "x").is_none());
+}
+
+/// Two routers' logs in no order: a call that was sent to a target which its router ejected a moment
+/// before. The story has the ejection and the call's own lines in the order of time, and no line of the
+/// other router or of other calls.
+#[test]
+fn tell_call_with_what_decided() {
+    let mut book = LogBook::default();
+    for line in [
+        "ts=9000 level=info router=a@1 event=call id=one workspace=w target=t1 total_ms=30 outcome=answered",
+        "ts=8975 level=info router=a@1 event=call_placed id=one target=t1 cost=4",
+        "ts=8970 level=info router=a@1 event=call_admitted id=one",
+        "ts=8000 level=warning router=a@1 event=target_ejected target=t1 end=silent",
+        "ts=8000 level=warning router=b@1 event=target_ejected target=t1 end=silent",
+        "ts=2000 level=warning router=a@1 event=target_ejected target=t1 end=silent",
+        "ts=8500 level=info router=a@1 event=tokens_lent workspace=w tokens=5",
+        "ts=8500 level=info router=a@1 event=tokens_lent workspace=v tokens=5",
+        "ts=8990 level=info router=a@1 event=call id=two target=t1",
+    ] {
+        book.add_line(line);
+    }
+    book.sort();
+    let lines = tell_call(&book, "one").expect("a story");
+    let starts: Vec<_> = lines
+        .iter()
+        .map(|line| line.split_whitespace().collect::<Vec<_>>().join(" "))
+        .collect();
+    assert_eq!(starts.len(), 5, "{starts:?}");
+    assert!(starts[0].starts_with("-970 ms a target_ejected target=t1"));
+    assert!(starts[1].contains("tokens_lent workspace=w"));
+    assert!(starts[2].starts_with("* 0 ms a call_admitted"));
+    assert!(starts[4].starts_with("* 30 ms a call id=one"));
+}
+
+#[test]
+fn losses_by_cause_and_second() {
+    let mut book = LogBook::default();
+    for line in [
+        "ts=1000 level=info router=a@1 event=call id=1 workspace=w outcome=answered",
+        "ts=1500 level=info router=a@1 event=call id=2 workspace=w target=t1 late=pause outcome=answered",
+        "ts=2500 level=info router=b@1 event=call id=3 workspace=w outcome=budget_exhausted",
+        "ts=2600 level=info router=b@1 event=call_repeated id=4 after=unsent sent=0",
+        "ts=2700 level=info router=b@1 event=call id=4 workspace=v target=t2 outcome=outcome_unknown",
+    ] {
+        book.add_line(line);
+    }
+    let report = LossReport::of(&book);
+    let first = report.seconds()[&1];
+    let second = report.seconds()[&2];
+    assert_eq!((first.calls, first.lost, first.late), (2, 0, 1));
+    assert_eq!((second.calls, second.lost, second.late), (2, 2, 0));
+    let text = report.to_string();
+    for words in ["calls 4", "late by pause", "budget_exhausted", "unsent"] {
+        assert!(text.contains(words), "no {words} in {text}");
+    }
+}
+
+/// An operator has the id of a call that failed at its target, and the router's log. The command shows
+/// the way from its arrival to its end, the sums and a plot; a missing log is a clear error.
+#[tokio::test]
+async fn command_explains_a_failed_call() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    for target in &bench.plain {
+        target.set_fault(TargetFault::Failing);
+    }
+    let reply = bench
+        .router
+        .call(&request("POST /order/1", "order-1"))
+        .await;
+    assert!(reply.status >= 500);
+    bench.router.wait_log(&["event=call ", "id=order-1"]).await;
+    let log = bench.router.log_path();
+    let run = |words: &[&str]| {
+        let command = std::process::Command::new(env!("CARGO_BIN_EXE_beechsaddle"))
+            .arg("explain")
+            .args(words)
+            .output()
+            .expect("the binary runs");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (
+            command.status.code(),
+            text(&command.stdout),
+            text(&command.stderr),
+        )
+    };
+    let (code, told, _) = run(&["order-1", &log]);
+    assert_eq!(code, Some(0));
+    let places =
+        ["call_admitted", "call_placed", "attempt_ended", "outcome="].map(|word| told.find(word));
+    assert!(places.is_sorted() && places[0].is_some(), "{told}");
+    let plot = format!("{log}.svg");
+    let (code, told, _) = run(&["--losses", "--plot", &plot, &log]);
+    assert!(code == Some(0) && told.contains("target_failed"), "{told}");
+    assert!(
+        std::fs::read_to_string(&plot)
+            .expect("a plot")
+            .contains("<svg")
+    );
+    let (code, _, error) = run(&["order-1", "nowhere.log"]);
+    assert!(
+        code == Some(1) && error.contains("nowhere.log cannot be read"),
+        "{error}"
+    );
+}
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -147,6 +147,11 @@
         fs::write(&self.settings, text.replace(from, to)).expect("settings");
     }
 
+    /// Where its log is.
+    pub fn log_path(&self) -> String {
+        self.log.display().to_string()
+    }
+
     /// Its log lines with all of some words.
     pub fn log_lines(&self, words: &[&str]) -> Vec<String> {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
