--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -124,9 +124,11 @@
         candidates = untried;
     }
     let fastest = fastest_ms(&candidates, now);
+    let places = PartPlaces::find(&candidates, &input);
+    let count = candidates.len();
     candidates
         .iter()
-        .map(|entry| weigh(entry, &candidates, now, &input, fastest))
+        .map(|entry| weigh(entry, &places, count, now, &input, fastest))
         .min_by(|left, right| left.cost.total_cmp(&right.cost))
 }
 
@@ -140,12 +142,13 @@
 
 fn weigh(
     entry: &RosterEntry,
-    candidates: &[&RosterEntry],
+    places: &PartPlaces<'_>,
+    candidates: usize,
     now: ClockTime,
     input: &ChoiceInput<'_>,
     fastest: f64,
 ) -> TargetChoice {
-    let is_home = is_home(entry, candidates, input);
+    let is_home = places.is_first(entry);
     let is_foreign = entry.record.domain != *input.domain;
     let failures = (entry.gauge.failure_share(now) - USUAL_FAILURES).max(0.0);
     let load = match is_home {
@@ -174,8 +177,8 @@
             prefill_tokens: load,
         },
         is_home,
-        candidates: candidates.len(),
-        fetch_from: fetch_source(entry, candidates, now, input),
+        candidates,
+        fetch_from: fetch_source(entry, places, now, input),
     }
 }
 
@@ -229,7 +232,7 @@
 /// in their order, which was their place until then.
 fn fetch_source(
     entry: &RosterEntry,
-    candidates: &[&RosterEntry],
+    places: &PartPlaces<'_>,
     now: ClockTime,
     input: &ChoiceInput<'_>,
 ) -> Option<SocketAddr> {
@@ -237,24 +240,46 @@
     if !is_worth || !input.policy.fetches_parts {
         return None;
     }
-    let shared = input.prompt.shared_id()?;
-    let others = candidates
-        .iter()
-        .filter(|other| other.record.name != entry.record.name);
-    let weight = |other: &RosterEntry| rendezvous_weight(shared, other.record.name.as_str());
-    let first = others.max_by_key(|other| weight(other))?;
-    let is_place = weight(entry) > weight(first);
-    let has_parts = is_place && !entry.is_new(now, NEW_MS);
-    (!has_parts).then_some(first.record.address)
+    let source = match places.is_first(entry) {
+        true if entry.is_new(now, NEW_MS) => places.second,
+        true => None,
+        false => places.first,
+    };
+    source.map(|source| source.record.address)
 }
 
-/// Whether a target is the place of the prompt's shared parts.
-fn is_home(entry: &RosterEntry, candidates: &[&RosterEntry], input: &ChoiceInput<'_>) -> bool {
-    let Some(shared) = input.prompt.shared_id() else {
-        return false;
-    };
-    let own = rendezvous_weight(shared, entry.record.name.as_str());
-    candidates
-        .iter()
-        .all(|other| rendezvous_weight(shared, other.record.name.as_str()) <= own)
+/// The two engines that come first in the order of a prompt's shared part: its place, and the engine that
+/// is its place where the first is missing.
+struct PartPlaces<'a> {
+    first: Option<&'a RosterEntry>,
+    second: Option<&'a RosterEntry>,
+}
+
+impl<'a> PartPlaces<'a> {
+    fn find(candidates: &[&'a RosterEntry], input: &ChoiceInput<'_>) -> Self {
+        let mut places = PartPlaces {
+            first: None,
+            second: None,
+        };
+        let Some(shared) = input.prompt.shared_id() else {
+            return places;
+        };
+        let (mut most, mut more) = (0, 0);
+        for &entry in candidates {
+            let weight = rendezvous_weight(shared, entry.record.name.as_str());
+            if places.first.is_none() || weight > most {
+                (places.second, more) = (places.first, most);
+                (places.first, most) = (Some(entry), weight);
+            } else if places.second.is_none() || weight > more {
+                (places.second, more) = (Some(entry), weight);
+            }
+        }
+        places
+    }
+
+    /// Whether a target is the place of the prompt's shared parts.
+    fn is_first(&self, entry: &RosterEntry) -> bool {
+        self.first
+            .is_some_and(|first| first.record.name == entry.record.name)
+    }
 }
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -64,7 +64,7 @@
         Err(refused) => refuse(&record, &refused),
     };
     // Callers go elsewhere with their next request, before the connection is closed.
-    if state.phase() >= GatewayPhase::Leaving || state.rotation.borrow().is_out(state.now()) {
+    if state.phase() >= GatewayPhase::Leaving || state.has_left_rotation() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -18,11 +18,16 @@
 /// How long connecting to the store may take, in milliseconds.
 const STORE_CONNECT_MS: u64 = 400;
 
-/// How long a watch waits for changes, in milliseconds. A watch that the store forgot while it was away
-/// for less than the span between two probes is noticed after this and one call timeout, before the
-/// bounds of configurations and of leaving targets hold again.
+/// How long a watch waits for changes where the platform's bounds are not told, in milliseconds.
 const WATCH_MS: u64 = 2_000;
 
+/// What is left between the end of a watch that the store forgot and the moment at which a change has to be
+/// in force, in milliseconds: a listing, and timers that fire late.
+const WATCH_MARGIN_MS: u64 = 600;
+
+/// The longest wait of a watch, in milliseconds, whatever the bounds allow.
+const LONGEST_WATCH_MS: u64 = 10_000;
+
 /// How often the store is probed, in milliseconds. A path that was lost is noticed within this and a
 /// call timeout: before new configurations have to be in force again after the path is back.
 const PROBE_MS: u64 = 1_000;
@@ -135,7 +140,8 @@
         50..=60_000,
         findings,
     );
-    let watch_ms = reader.read_u64_or("watch_ms", WATCH_MS, 100..=30_000, findings);
+    let usual_ms = read_usual_watch(reader, call_ms, findings);
+    let watch_ms = reader.read_u64_or("watch_ms", usual_ms, 100..=30_000, findings);
     let probe_ms = reader.read_u64_or("probe_ms", PROBE_MS, 50..=30_000, findings);
     reader.finish(findings);
     let options = StoreOptions {
@@ -148,6 +154,25 @@
     Some((options, watch_wait, probe_span))
 }
 
+/// How long a watch may wait by the platform's bounds.
+///
+/// A store that is silent for less than the span between two probes forgets watches, and nothing shows it
+/// before their wait and a call's time are over. The platform holds no bound for `settle_ms` after such a
+/// silence, and a change that follows has to be in force within `in_force_ms`: the wait ends before
+/// both are over. Watches are half of what a large fleet asks of the store, so longer ones are worth it.
+fn read_usual_watch(reader: &TableReader<'_>, call_ms: u64, findings: &mut FindingList) -> u64 {
+    let settle_ms = reader.read_f64("settle_ms", 0.0..=60_000.0, findings);
+    let in_force_ms = reader.read_f64("in_force_ms", 0.0..=60_000.0, findings);
+    let leave_ms = reader.read_f64("leave_ms", 0.0..=60_000.0, findings);
+    let (Some(settle_ms), Some(in_force_ms), Some(leave_ms)) = (settle_ms, in_force_ms, leave_ms)
+    else {
+        return WATCH_MS;
+    };
+    let known_by_ms = settle_ms + in_force_ms.min(leave_ms);
+    let wait_ms = (known_by_ms as u64).saturating_sub(call_ms + WATCH_MARGIN_MS);
+    wait_ms.clamp(WATCH_MS / 2, LONGEST_WATCH_MS)
+}
+
 fn read_retries(reader: &TableReader<'_>, findings: &mut FindingList) -> RetryShareOptions {
     let defaults = RetryShareOptions {
         ratio: 0.1,
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -175,8 +175,15 @@
             let fields = [("link_load", format!("{load:.2}"))];
             self.report.log(LogLevel::Warning, "link_full", fields);
         }
-        let stays = !self.settings().policy.leaves_full_link || !rotation.is_out(now);
-        self.phase() == GatewayPhase::Serving && self.config.borrow().is_some() && stays
+        drop(rotation);
+        let serves = self.phase() == GatewayPhase::Serving && self.config.borrow().is_some();
+        serves && !self.has_left_rotation()
+    }
+
+    /// Whether the router has left the rotation because its own link was full.
+    pub(super) fn has_left_rotation(&self) -> bool {
+        let policy = self.settings().policy;
+        policy.leaves_full_link && self.rotation.borrow().is_out(self.now())
     }
 
     /// Waiting times of a duty.
--- a/crates/beechsaddle/src/gateway/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/store_follow.rs
@@ -1,5 +1,6 @@
 //! The `store_follow` module provides the following of the store: configuration and targets.
 
+use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,28 +82,33 @@
         () = state.store_health.lost() => None,
         () = sleep(on_time) => None,
     };
-    if let Some(watched) = watched {
-        state.note_store_call(StoreCall::Watch(kind), started, &watched);
-        return match watched {
-            Ok(news) => StoreStep::News(news),
-            // Its history being gone is no fault of the store: the listing is asked for at once.
-            Err(StoreFailure::HistoryGone) => StoreStep::Listing(list_again(state, kind).await),
-            Err(failure) => {
-                log_dependency(state, "store_lost", kind, failure.to_string());
-                let listing = list_later(state, kind).await;
-                log_dependency(state, "store_regained", kind, listing.revision.to_string());
-                StoreStep::Listing(listing)
-            }
-        };
+    let Some(watched) = watched else {
+        let late = StoreFailure::Unknown("no answer in time, or a probe failed".to_owned());
+        state.note_store_call::<()>(StoreCall::Watch(kind), started, &Err(late.clone()));
+        return regain(state, kind, &late, watching.as_mut()).await;
+    };
+    state.note_store_call(StoreCall::Watch(kind), started, &watched);
+    match watched {
+        Ok(news) => StoreStep::News(news),
+        // Its history being gone is no fault of the store: the listing is asked for at once.
+        Err(StoreFailure::HistoryGone) => StoreStep::Listing(list_again(state, kind).await),
+        Err(failure) => regain(state, kind, &failure, pending()).await,
     }
-    let late = StoreFailure::Unknown("no answer in time, or a probe failed".to_owned());
-    log_dependency(state, "store_lost", kind, late.to_string());
-    state.note_store_call::<()>(StoreCall::Watch(kind), started, &Err(late));
+}
+
+/// Waits for a listing, or for the late answer of a watch, whichever comes first.
+async fn regain(
+    state: &GatewayState,
+    kind: ObjectKind,
+    failure: &StoreFailure,
+    watching: impl Future<Output = Result<StoreNews, StoreFailure>>,
+) -> StoreStep {
+    log_dependency(state, "store_lost", kind, failure.to_string());
     let mut listing = pin!(list_later(state, kind));
     let step = tokio::select! {
-        watched = &mut watching => match watched {
+        watched = watching => match watched {
             Ok(news) => StoreStep::News(news),
-            // The watch has told how it failed; the listing decides.
+            // Whatever became of the watch, the listing decides.
             Err(_) => StoreStep::Listing(listing.await),
         },
         listing = &mut listing => StoreStep::Listing(listing),
--- a/crates/beechsaddle/tests/gateway_settings.rs
+++ b/crates/beechsaddle/tests/gateway_settings.rs
@@ -78,3 +78,29 @@
     let settings = GatewaySettings::try_parse("p.toml", text).expect("settings");
     assert!(!settings.policy.fetches_parts && settings.policy.keeps_single_runs_near);
 }
+
+/// Watches wait as long as the platform's bounds allow: a watch that the store forgot has to end, and its
+/// listing to come, before a change that follows has to be in force. Without the bounds they wait 2 s.
+#[test]
+fn watch_wait_follows_the_bounds() {
+    let watch_ms = |store: &str| {
+        let text = format!(
+            "[gateway]\nhost = \"h\"\ndomain = \"d\"\ncall_address = \"10.0.0.1:1\"\n\
+             ready_address = \"10.0.0.1:2\"\n[store]\naddress = \"10.0.0.1:3\"\n{store}"
+        );
+        let settings = GatewaySettings::try_parse("w.toml", text).expect("settings");
+        settings.watch_wait.as_millis()
+    };
+    assert_eq!(watch_ms(""), 2_000);
+    let small = "settle_ms = 3000\nin_force_ms = 2000\nleave_ms = 2000\n";
+    assert_eq!(watch_ms(small), 3_500);
+    assert_eq!(
+        watch_ms("settle_ms = 4000\nin_force_ms = 3000\nleave_ms = 3500\n"),
+        5_500
+    );
+    assert_eq!(
+        watch_ms("settle_ms = 0\nin_force_ms = 500\nleave_ms = 500\n"),
+        1_000
+    );
+    assert_eq!(watch_ms(&format!("{small}watch_ms = 700\n")), 700);
+}
