--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -317,7 +317,7 @@
     assert_eq!(ready(&roster), ["b"]);
 }
 
-/// Twelve engines in three domains, as three shared days of seven routers had them.
+/// Twelve engines in three domains, listed at `listed_at`.
 fn three_domains(listed_at: ClockTime) -> TargetRoster {
     let mut roster = TargetRoster::default();
     for number in 0..12_u16 {
