--- a/crates/beechsaddle/src/command/explain_command.rs
+++ b/crates/beechsaddle/src/command/explain_command.rs
@@ -6,7 +6,7 @@
 use eyre::{Result, WrapErr, bail};
 
 use super::ExitStatus;
-use crate::explain::{LogBook, LossReport, plot_losses, tell_call};
+use crate::explain::{LogBook, LossReport, TokenAccount, plot_losses, tell_call};
 
 /// Shows what logs tell of one call, or of all that were lost.
 pub(super) fn run(matches: &ArgMatches) -> ExitStatus {
@@ -25,11 +25,13 @@
 fn explain(matches: &ArgMatches) -> Result<String> {
     let mut words = matches.get_many::<String>("words").into_iter().flatten();
     if matches.get_flag("losses") {
-        let report = LossReport::of(&read_logs(words)?);
+        let book = read_logs(words)?;
+        let report = LossReport::of(&book);
         if let Some(path) = matches.get_one::<PathBuf>("plot") {
             plot_losses(&report, path)?;
         }
-        return Ok(report.to_string());
+        let account = TokenAccount::of(&book);
+        return Ok(format!("{report}\n{account}"));
     }
     let Some(id) = words.next() else {
         bail!("the id of a call is missing");
--- a/crates/beechsaddle/src/explain/mod.rs
+++ b/crates/beechsaddle/src/explain/mod.rs
@@ -5,9 +5,11 @@
 mod log_entry;
 mod loss_plot;
 mod loss_report;
+mod token_account;
 
 pub use call_story::tell_call;
 pub use log_book::LogBook;
 pub use log_entry::LogEntry;
 pub use loss_plot::plot_losses;
 pub use loss_report::LossReport;
+pub use token_account::{TokenAccount, TokenLoss};
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use beechsaddle::explain::{LogBook, LogEntry, LossReport, tell_call};
+use beechsaddle::explain::{LogBook, LogEntry, LossReport, TokenAccount, TokenLoss, tell_call};
 use beechsaddle_platform_stand_in::TargetFault;
 use gateway_support::{GatewayBench, draft, request};
 
@@ -69,6 +69,38 @@
     assert!(starts[4].starts_with("* 30 ms a call id=one"));
 }
 
+/// Callers are refused for want of tokens. A keeper that took 900 lent 300 and was killed with one call open;
+/// the borrower spent 250 and lives. 600 of 900 tokens are gone with one process: the sum has to say so.
+#[test]
+fn token_account_tells_lost_from_spent() {
+    let mut book = LogBook::default();
+    for line in [
+        "ts=1000 level=info router=a@1 event=ledger_written workspace=w transfer=take tokens=1000 taken=1000",
+        "ts=1100 level=info router=a@1 event=ledger_written workspace=w transfer=give_back tokens=100 taken=900",
+        "ts=1200 level=info router=a@1 event=tokens_lent workspace=w outcome=lent tokens=300",
+        "ts=1210 level=info router=b@1 event=tokens_borrowed workspace=w outcome=lent tokens=300",
+        "ts=1220 level=info router=b@1 event=tokens_reserved id=1 workspace=w tokens=280 outcome=reserved",
+        "ts=1300 level=info router=b@1 event=call id=1 workspace=w tokens=280 spent=250 outcome=answered",
+        "ts=1400 level=info router=a@1 event=tokens_reserved id=2 workspace=w tokens=200 outcome=reserved",
+        "ts=1450 level=info router=a@1 event=tokens_reserved id=3 workspace=w tokens=800 outcome=budget_exhausted",
+        "ts=3000 level=info router=a@2 event=started",
+    ] {
+        book.add_line(line);
+    }
+    let account = TokenAccount::of(&book);
+    let loss = TokenLoss {
+        at_ms: 3_000,
+        routers: 1,
+        free: 400,
+        promised: 200,
+    };
+    assert_eq!(
+        (account.taken, account.given_back, account.spent),
+        (1_000, 100, 250)
+    );
+    assert_eq!(account.losses, [loss]);
+}
+
 #[test]
 fn losses_by_cause_and_second() {
     let mut book = LogBook::default();
