--- a/crates/beechsaddle/tests/gateway_lending.rs
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use beechsaddle_core::hash::rendezvous_weight;
 use beechsaddle_platform_stand_in::{CallRequest, StoreFault};
 use gateway_support::{GatewayBench, GatewayProcess, draft, request, wait_for};
 use nix::sys::signal::Signal;
@@ -112,6 +113,34 @@
     assert!(served * USED <= prepaid);
 }
 
+/// Callers are told to come back although the store is reachable and hardly anything of the total is used.
+/// The keeper of the domain was killed. A borrower finds that out and asks the next router in line, which
+/// nobody has called since: it still takes itself for a borrower of the dead one, answers that it has too
+/// little, and asks nobody. So it went on until it had calls of its own that needed tokens.
+#[tokio::test]
+async fn next_in_line_takes_over_when_asked() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    let weight = |host: &str| rendezvous_weight("acme", host);
+    let hosts = (2..20).map(|number| format!("host-{number}"));
+    let mut above: Vec<_> = hosts
+        .filter(|host| weight(host) > weight("host-1"))
+        .collect();
+    above.sort_by_key(|host| weight(host));
+    let next = GatewayProcess::start(bench.store.address(), &above[0], "north");
+    let keeper = GatewayProcess::start(bench.store.address(), &above[1], "north");
+    for router in [&bench.router, &next, &keeper] {
+        router.wait_ready().await;
+        router.wait_log(&["target_joined", "engine-1"]).await;
+        router.wait_log(&["routers_listed", "routers=3"]).await;
+    }
+    // Roles follow the list at the next tick.
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(keeper.call(&stream_request("a")).await.status, 200);
+    keeper.signal(Signal::SIGKILL);
+    let reply = bench.router.call(&stream_request("b")).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+}
+
 /// The total does not cover a call, and the keeper waits whether others give something back. The
 /// other router leaves the ledger to it: if it asked too, with dozens of routers, none of them would
 /// get a write through, and its own answer would be the same.
