Look after the own keeper when asked for tokens as the next in line

Cause: a borrower whose keeper is dead asks the next router of the domain in rendezvous order. Ruled out: a slow ledger (the first write after a loss is done in 20 ms), the list of routers (it is right). Each router asks only those before it in the same order, so no circle arises.

--- a/crates/beechsaddle/src/gateway/lending_server.rs
+++ b/crates/beechsaddle/src/gateway/lending_server.rs
@@ -19,6 +19,7 @@
 
 use super::gateway_state::GatewayState;
 use super::ledger_wait::LedgerWait;
+use super::token_lending::want_tokens;
 
 /// How long a borrower waits while this router asks the ledger, in milliseconds: a few tries of a
 /// write that meets others. The borrower's own limit is above it.
@@ -96,11 +97,32 @@
             }
             waiting.begin();
             self.state.escrow_wake.notify_one();
+            self.ask_own_keeper(workspace);
             if timeout_at(until, changed).await.is_err() {
                 return LoanReply::Short;
             }
         }
     }
+
+    /// Asks the keeper that this router knows of, as for a call of its own.
+    ///
+    /// Whoever asks found the routers before this one silent. This one has not met them and takes itself for
+    /// a borrower yet: it would answer short for over a second, and calls would be refused with the store
+    /// reachable. Asking either brings tokens or shows that the keeper is gone, which makes this router the
+    /// keeper. Each router asks one that comes before it in the same order, so that no circle arises.
+    fn ask_own_keeper(&self, workspace: &WorkspaceName) {
+        let now = self.state.now();
+        let has_keeper = self
+            .state
+            .lending
+            .ring
+            .borrow()
+            .keeper(now, workspace)
+            .is_some();
+        if has_keeper {
+            want_tokens(&self.state, workspace);
+        }
+    }
 }
 
 impl token_lender::Server for LendingServer {
