--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -189,7 +189,9 @@
     }
 
     /// Gives up tokens to another router: what it needs, or the smallest part that helps; beyond
-    /// that as much as leaves the same here.
+    /// that as much as leaves the same here, and the less the more has died with routers. A borrower
+    /// does not know the ledger, and what it holds dies with it as well: on a day of 92 s with four losses
+    /// this brought 0.446 to 0.464 and 0.331 to 0.350, two seeds with 86 routers.
     ///
     /// They are given up before they are sent. An answer that is lost loses them, and no order of
     /// failures lets two routers spend the same ones.
@@ -210,7 +212,8 @@
         }
         let needed = request.need.min(account.free);
         let rest = account.free - needed;
-        let lent = needed + request.ahead.min(rest / 2);
+        let ahead = (request.ahead as f64 * account.patience(&self.options)) as u64;
+        let lent = needed + ahead.min(rest / 2);
         account.free -= lent;
         account.note_demand(now, lent);
         LoanReply::Lent(lent)
--- a/crates/beechsaddle-core/src/gateway/transfer_plan.rs
+++ b/crates/beechsaddle-core/src/gateway/transfer_plan.rs
@@ -76,7 +76,7 @@
         let most = (part * options.most_part).min(unspent * options.most_alone) * ease;
         let ahead = match self.role {
             EscrowRole::Keeper => {
-                let patience = self.patience(prepaid, options);
+                let patience = self.patience(options);
                 let span_s = (options.hold_s * patience).max(options.least_s);
                 let demand = self.demand.per_second(now) * span_s;
                 let first = part * options.first_part * patience;
@@ -88,15 +88,15 @@
         Some(awaited + ahead.min(most) as u64)
     }
 
-    /// How much of the usual a keeper holds ahead, from 1 down to 0, by what died with routers so far.
+    /// How much of the usual is held ahead, from 1 down to 0, by what died with routers so far.
     ///
     /// Routers that start again after a loss take what they need anew. Without this each death of all routers
     /// costs as many seconds of demand as they hold: three of them used up what a total had to spare, and
     /// callers whose prompts were paid for were refused for good for the rest of it. Before the first loss
     /// nothing is held back, as what is held serves while the ledger is out of reach.
-    fn patience(&self, prepaid: u64, options: &EscrowOptions) -> f64 {
+    pub(super) fn patience(&self, options: &EscrowOptions) -> f64 {
         let lost = self.ledger.as_ref().map_or(0, |ledger| ledger.lost) as f64;
-        let bearable = prepaid as f64 * options.lost_part;
+        let bearable = self.prepaid.unwrap_or(0) as f64 * options.lost_part;
         (1.0 - lost / bearable.max(1.0)).max(0.0)
     }
 
