--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -212,7 +212,7 @@
         }
         let needed = request.need.min(account.free);
         let rest = account.free - needed;
-        let ahead = (request.ahead as f64 * account.patience(&self.options)) as u64;
+        let ahead = (request.ahead as f64 * account.hold_factor(&self.options)) as u64;
         let lent = needed + ahead.min(rest / 2);
         account.free -= lent;
         account.note_demand(now, lent);
--- a/crates/beechsaddle-core/src/gateway/transfer_plan.rs
+++ b/crates/beechsaddle-core/src/gateway/transfer_plan.rs
@@ -76,10 +76,10 @@
         let most = (part * options.most_part).min(unspent * options.most_alone) * ease;
         let ahead = match self.role {
             EscrowRole::Keeper => {
-                let patience = self.patience(options);
-                let span_s = (options.hold_s * patience).max(options.least_s);
+                let hold_factor = self.hold_factor(options);
+                let span_s = (options.hold_s * hold_factor).max(options.least_s);
                 let demand = self.demand.per_second(now) * span_s;
-                let first = part * options.first_part * patience;
+                let first = part * options.first_part * hold_factor;
                 (demand + self.largest_at(now) as f64).max(first)
             }
             EscrowRole::Borrower => (self.borrow_ahead(now, options) + self.largest_at(now)) as f64,
@@ -94,7 +94,7 @@
     /// costs as many seconds of demand as they hold: three of them used up what a total had to spare, and
     /// callers whose prompts were paid for were refused for good for the rest of it. Before the first loss
     /// nothing is held back, as what is held serves while the ledger is out of reach.
-    pub(super) fn patience(&self, options: &EscrowOptions) -> f64 {
+    pub(super) fn hold_factor(&self, options: &EscrowOptions) -> f64 {
         let lost = self.ledger.as_ref().map_or(0, |ledger| ledger.lost) as f64;
         let bearable = self.prepaid.unwrap_or(0) as f64 * options.lost_part;
         (1.0 - lost / bearable.max(1.0)).max(0.0)
