--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -295,12 +295,12 @@
 
     /// The pending change of a workspace is in its ledger.
     pub fn commit(&mut self, now: ClockTime, workspace: &WorkspaceName, ledger: BudgetLedger) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            if let Some(change) = account.pending.take() {
-                account.told = change.idle;
-                if let TokenTransfer::Take(tokens) = change.transfer {
-                    account.free += tokens;
-                }
+        if let Some(account) = self.accounts.get_mut(workspace)
+            && let Some(change) = account.pending.take()
+        {
+            account.told = change.idle;
+            if let TokenTransfer::Take(tokens) = change.transfer {
+                account.free += tokens;
             }
         }
         self.set_ledger(now, workspace, ledger);
