Settle at once after a restart, keep no removed target on a follower's word, spread first writes

It now asks the store itself, and only its own failed call counts.

An entry that was there before shows that the list is complete. Just after an outage a borrower took a late keeper's place; it now waits until the store has been steady for 1.5 s.

Ruled out: that the broken DRAIN came from the age of what followers know; the routers that kept the targets had been told in time.

--- a/crates/beechsaddle-core/src/gateway/news_source.rs
+++ b/crates/beechsaddle-core/src/gateway/news_source.rs
@@ -16,6 +16,16 @@
 /// asking the store themselves.
 const FOLLOWERS: usize = 2;
 
+/// How many routers are asked in turn before the store is: where those that follow it cannot reach it any more,
+/// the next in line begin to. Each that answers so costs one way within the domain.
+const CANDIDATES: usize = 4;
+
+/// How many routers may go silent before the store is asked, and for how long that counts, in milliseconds: each
+/// costs the time of an answer, and with more of them a change would be in force too late.
+const SILENT_MOST: usize = 2;
+/// See [`SILENT_MOST`].
+const SILENT_COUNT_MS: u64 = 3_000;
+
 /// The fewest routers of a domain that relay: with fewer nearly all follow the store anyway.
 const RELAYING_LEAST: usize = 6;
 
@@ -79,17 +89,24 @@
 pub struct NewsChoice {
     asked_at: Option<ClockTime>,
     doubted: BTreeMap<HostName, ClockTime>,
+    silences: Vec<ClockTime>,
 }
 
 impl NewsChoice {
     /// From whom to learn changes now. Where all followers are doubted it is the store: a router that reaches
     /// it never waits for one that does not.
     pub fn source(&self, now: ClockTime, ring: &PeerRing) -> NewsSource {
-        if self.was_asked(now) {
+        if self.is_follower(now, ring) || self.has_many_silent(now) {
             return NewsSource::Store;
         }
-        let followers = ring.followers(now, FOLLOWERS, RELAYING_LEAST);
-        let trusted = followers.into_iter().find(|peer| {
+        let mut line = ring.followers(now, FOLLOWERS, RELAYING_LEAST);
+        let next = ring.followers(now, CANDIDATES, RELAYING_LEAST);
+        let next: Vec<_> = next
+            .into_iter()
+            .filter(|peer| !line.contains(peer))
+            .collect();
+        line.extend(next);
+        let trusted = line.into_iter().find(|peer| {
             let until = self.doubted.get(&peer.host);
             until.is_none_or(|until| now >= *until)
         });
@@ -115,6 +132,16 @@
     pub fn note_doubt(&mut self, now: ClockTime, host: &HostName, doubt: FollowDoubt) {
         let until = now.plus_ms(doubt.span_ms());
         self.doubted.insert(host.clone(), until);
+        if doubt == FollowDoubt::Silent {
+            self.silences.retain(|at| now.since(*at) < SILENT_COUNT_MS);
+            self.silences.push(now);
+        }
+    }
+
+    fn has_many_silent(&self, now: ClockTime) -> bool {
+        let silences = self.silences.iter();
+        let recent = silences.filter(|at| now.since(**at) < SILENT_COUNT_MS);
+        recent.count() >= SILENT_MOST
     }
 
     fn was_asked(&self, now: ClockTime) -> bool {
--- a/crates/beechsaddle/src/command/explain_command.rs
+++ b/crates/beechsaddle/src/command/explain_command.rs
@@ -6,7 +6,7 @@
 use eyre::{Result, WrapErr, bail};
 
 use super::ExitStatus;
-use crate::explain::{LogBook, LossReport, TokenAccount, plot_losses, tell_call};
+use crate::explain::{LogBook, LossReport, StoreSums, TokenAccount, plot_losses, tell_call};
 
 /// Shows what logs tell of one call, or of all that were lost.
 pub(super) fn run(matches: &ArgMatches) -> ExitStatus {
@@ -31,7 +31,8 @@
             plot_losses(&report, path)?;
         }
         let account = TokenAccount::of(&book);
-        return Ok(format!("{report}\n{account}"));
+        let sums = StoreSums::of(&book);
+        return Ok(format!("{report}\n{account}{sums}"));
     }
     let Some(id) = words.next() else {
         bail!("the id of a call is missing");
--- a/crates/beechsaddle/src/explain/token_account.rs
+++ b/crates/beechsaddle/src/explain/token_account.rs
@@ -77,6 +77,10 @@
             "ledger_written" => self.add_transfer(entry),
             "tokens_lent" => self.holding(entry).free -= tokens_of(entry),
             "tokens_borrowed" => self.holding(entry).free += tokens_of(entry),
+            "tokens_returned" => self.add_return(entry),
+            "tokens_taken_back" if entry.field("is_taken") == Some("true") => {
+                self.holding(entry).free += tokens_of(entry);
+            }
             "tokens_reserved" => self.add_promise(entry),
             "call" => self.add_call(entry),
             _ => {}
@@ -102,6 +106,13 @@
         }
     }
 
+    /// Of a return whose end is not known the tokens are gone here, and may be at the keeper.
+    fn add_return(&mut self, entry: &LogEntry) {
+        if matches!(entry.field("outcome"), Some("returned" | "unknown")) {
+            self.holding(entry).free -= tokens_of(entry);
+        }
+    }
+
     fn add_promise(&mut self, entry: &LogEntry) {
         let (Some("reserved"), Some(id)) = (entry.field("outcome"), entry.field("id")) else {
             return;
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -42,6 +42,10 @@
 /// The shortest time between two writes of a ledger that no call waits for.
 const CALM_SPAN_MS: u64 = 2_500;
 
+/// Over how long the first writes of a ledger are spread, in milliseconds. The keepers of a fleet that starts find
+/// all ledgers in the same moment, long before callers come.
+const FIRST_SPREAD_MS: u64 = 2_000;
+
 /// How old a scarce workspace's ledger may be, in milliseconds. Whoever holds some has to notice.
 const SCARCE_AGE_MS: u64 = 600;
 /// How old any other ledger may be, in milliseconds.
@@ -70,7 +74,19 @@
 struct KeptLedger {
     revision: u64,
     seen_at: ClockTime,
+    /// When it was last written here; before that, when it may be.
     written_at: ClockTime,
+    is_written: bool,
+}
+
+/// Whether a ledger may be written that no call waits for. One that was not written yet is written once the
+/// spread that was drawn for it is over.
+fn is_calm(now: ClockTime, kept: &KeptLedger) -> bool {
+    let span_ms = match kept.is_written {
+        true => CALM_SPAN_MS,
+        false => 1,
+    };
+    now.since(kept.written_at) >= span_ms
 }
 
 impl EscrowKeeper {
@@ -115,7 +131,7 @@
         let before = self.failures.get();
         self.returns.begin();
         let unread = self.state.escrow.borrow().unread();
-        self.each(unread, |workspace| self.read(workspace)).await;
+        self.each(unread, |workspace| self.find(workspace)).await;
         let due = self.due();
         self.each(due, |workspace| self.write(workspace)).await;
         let old = self.old();
@@ -143,7 +159,7 @@
         let due = escrow.due(now).into_iter();
         let due = due.filter(|workspace| {
             let kept = stored.get(workspace);
-            let is_calm = kept.is_some_and(|kept| now.since(kept.written_at) >= CALM_SPAN_MS);
+            let is_calm = kept.is_some_and(|kept| is_calm(now, kept));
             kept.is_some() && (is_calm || escrow.is_urgent(now, workspace))
         });
         due.collect()
@@ -163,18 +179,21 @@
         old.map(|(workspace, _)| workspace.clone()).collect()
     }
 
-    async fn read(&self, workspace: WorkspaceName) {
-        match self.store.read_or_create(&workspace).await {
-            Ok(ledger) => self.take(&workspace, ledger),
-            Err(failure) => self.note_failure(&failure),
-        }
+    async fn find(&self, workspace: WorkspaceName) {
+        let found = self.store.find_or_create(&workspace).await;
+        self.take_read(&workspace, found);
     }
 
     /// Learns what others took, for a tenth of the price. What is read may be older than what is
     /// known.
     async fn refresh(&self, workspace: WorkspaceName) {
-        match self.store.read_stale(&workspace).await {
-            Ok(ledger) => self.take(&workspace, ledger),
+        let read = self.store.read_stale(&workspace).await;
+        self.take_read(&workspace, read);
+    }
+
+    fn take_read(&self, workspace: &WorkspaceName, read: Result<StoredLedger, StoreFailure>) {
+        match read {
+            Ok(ledger) => self.take(workspace, ledger),
             Err(failure) => self.note_failure(&failure),
         }
     }
@@ -216,7 +235,8 @@
     async fn look_before_write(&self, workspace: &WorkspaceName) {
         let pending = self.state.escrow.borrow().pending_number(workspace);
         if pending.is_some() {
-            return self.read(workspace.clone()).await;
+            let read = self.store.read(workspace).await;
+            return self.take_read(workspace, read);
         }
         let seen_at = self.stored.borrow().get(workspace).map(|kept| kept.seen_at);
         if seen_at.is_some_and(|at| self.state.now().since(at) >= WRITE_AGE_MS) {
@@ -270,7 +290,8 @@
         let kept = stored.entry(workspace.clone()).or_insert(KeptLedger {
             revision,
             seen_at: now,
-            written_at: ClockTime::ZERO,
+            written_at: now.plus_ms(rand::random_range(0..=FIRST_SPREAD_MS)),
+            is_written: false,
         });
         kept.revision = revision;
         kept.seen_at = now;
@@ -282,6 +303,7 @@
         let now = self.state.now();
         if let Some(kept) = self.stored.borrow_mut().get_mut(workspace) {
             kept.written_at = now;
+            kept.is_written = true;
         }
     }
 
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -22,9 +22,10 @@
 use super::gateway_settings::GatewaySettings;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::host_listener::run_host_listener;
-use super::lending_server::run_lending_listener;
 use super::news::{follow_kind, run_expiry, run_probes, run_registration};
+use super::peer_server::run_peer_listener;
 use super::settings_watch::run_settings_watch;
+use super::store_tally::run_store_tally;
 use crate::report::{ReportEdge, ReportOptions};
 use crate::router::ClockSource;
 
@@ -67,6 +68,7 @@
     let served = LocalSet::new().block_on(&runtime, serve(Rc::clone(&state), path));
     // Tasks that hold the state end with the runtime; the log ends with the state.
     drop(runtime);
+    state.log_store_tally();
     state.report.log(LogLevel::Info, "stopped", []);
     drop(state);
     finish_log(report_thread);
@@ -97,7 +99,7 @@
         spawn_local(run_host_listener(try_bind(address)?, Rc::clone(&state)));
     }
     if let Some(address) = settings.peer_address {
-        spawn_local(run_lending_listener(try_bind(address)?, Rc::clone(&state)));
+        spawn_local(run_peer_listener(try_bind(address)?, Rc::clone(&state)));
     } else {
         // There is nobody to borrow from.
         state.lending.settle();
@@ -108,6 +110,7 @@
     spawn_local(run_registration(Rc::clone(&state)));
     spawn_local(run_expiry(Rc::clone(&state)));
     spawn_local(EscrowKeeper::new(Rc::clone(&state)).run());
+    spawn_local(run_store_tally(Rc::clone(&state)));
     spawn_local(run_settings_watch(path.to_owned(), Rc::clone(&state)));
     let fields = [
         ("version", env!("CARGO_PKG_VERSION").to_owned()),
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -19,6 +19,7 @@
 use super::line_budget::LineBudget;
 use super::news::{NewsRelay, StoreHealth};
 use super::store_call::StoreCall;
+use super::store_tally::StoreTally;
 use super::target_pool::TargetPool;
 use super::token_lending::TokenLending;
 use crate::report::ReportHandle;
@@ -69,6 +70,8 @@
     pub(super) store_health: StoreHealth,
     /// When the store last answered.
     pub(super) store_answered_at: Cell<ClockTime>,
+    /// Calls to the store since they were last logged.
+    pub(super) store_tally: StoreTally,
     /// Logs.
     pub(super) report: ReportHandle,
     /// Metrics.
@@ -111,6 +114,7 @@
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
             store_answered_at: Cell::new(ClockTime::ZERO),
+            store_tally: StoreTally::default(),
             report,
             metrics: GatewayMetrics::new(),
             escrow_wake: Notify::new(),
@@ -211,6 +215,7 @@
             what,
         };
         self.metrics.store_calls.get_or_create(&label).inc();
+        self.store_tally.note(call, what);
         let took_ms = now.since(started);
         self.metrics.store_s.observe(took_ms as f64 / 1_000.0);
         let fields = [
@@ -223,10 +228,19 @@
         if !is_away {
             self.note_store_answer();
         } else {
-            self.roster.borrow_mut().note_away(now);
+            self.note_store_away();
         }
     }
 
+    /// Notes that the store is out of reach of this router. Entries of targets may lapse meanwhile though these live.
+    /// The word of another router is no ground for it: an entry that is removed would be kept in use here for
+    /// seconds, though the store told of it in time.
+    fn note_store_away(&self) {
+        let now = self.now();
+        self.roster.borrow_mut().note_away(now);
+        self.store_health.note_away(now);
+    }
+
     /// Notes that the store answered.
     pub(super) fn note_store_answer(&self) {
         self.store_answered_at.set(self.now());
--- a/crates/beechsaddle/src/gateway/ledger_store.rs
+++ b/crates/beechsaddle/src/gateway/ledger_store.rs
@@ -48,8 +48,22 @@
         LedgerStore { state }
     }
 
-    /// Reads a ledger, or makes an empty one where there is none.
-    pub(super) async fn read_or_create(
+    /// Finds a ledger, or makes an empty one where there is none.
+    ///
+    /// One that is some seconds old will do, for a tenth of the price: a write that is made from it meets the
+    /// newest, which comes with the refusal.
+    pub(super) async fn find_or_create(
+        &self,
+        workspace: &WorkspaceName,
+    ) -> Result<StoredLedger, StoreFailure> {
+        match self.read_stale(workspace).await {
+            Err(StoreFailure::Missing) => self.create(&object_name(workspace)).await,
+            found => found,
+        }
+    }
+
+    /// Reads a ledger as it is now.
+    pub(super) async fn read(
         &self,
         workspace: &WorkspaceName,
     ) -> Result<StoredLedger, StoreFailure> {
@@ -58,10 +72,7 @@
         let read = self.state.store.read(ObjectKind::Budgets, &name).await;
         self.state
             .note_store_call(StoreCall::ReadLedger, started, &read);
-        match read {
-            Err(StoreFailure::Missing) => self.create(&name).await,
-            read => self.decode(&read?),
-        }
+        self.decode(&read?)
     }
 
     async fn create(&self, name: &str) -> Result<StoredLedger, StoreFailure> {
--- a/crates/beechsaddle/src/gateway/news/follow_call.rs
+++ b/crates/beechsaddle/src/gateway/news/follow_call.rs
@@ -77,8 +77,8 @@
             FollowStep::Gone
         }
         FollowReply::Away => {
-            // Entries may lapse with the outage, as for a router that sees it by itself.
-            state.roster.borrow_mut().note_away(state.now());
+            // This router may reach the store: it asks it next, and finds out.
+            state.store_health.note_away(state.now());
             note_doubt(state, peer, FollowDoubt::Away)
         }
         FollowReply::Beginning => note_doubt(state, peer, FollowDoubt::Beginning),
--- a/crates/beechsaddle/src/gateway/news/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/news/router_registry.rs
@@ -10,6 +10,7 @@
 use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject};
 use rand::RngCore;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::time::sleep;
 
 use crate::gateway::gateway_state::GatewayState;
@@ -29,6 +30,10 @@
 /// The object with the secret that routers share.
 pub(in crate::gateway) const SECRET_NAME: &str = "peer-secret";
 
+/// Over how long the routers of a fleet that starts spread their tries to make the secret, in milliseconds: long
+/// against a call to the store, and over before the second listing of routers.
+const SECRET_SPREAD_MS: u64 = 400;
+
 /// The length of the secret, in bytes of chance.
 const SECRET_BYTES: usize = 24;
 
@@ -45,21 +50,45 @@
     secret: String,
 }
 
+/// Whether this host was listed before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnEntry {
+    /// A process before listed it, and the fleet with it: nobody has to be waited for. After a loss of all
+    /// routers callers were refused for 1.5 s more, until each had been listed a second time.
+    Found,
+    /// It is new, as it is for all of a fleet that starts for the first time.
+    Made,
+}
+
 /// Lists this router in the store, and follows who else is listed.
 pub(in crate::gateway) async fn run_registration(state: Rc<GatewayState>) {
     let mut backoff = state.backoff("registration");
-    while register(&state).await.is_err() || share_secret(&state).await.is_err() {
+    let entry = loop {
+        if let Ok(entry) = join_fleet(&state).await {
+            break entry;
+        }
         sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await;
-    }
+    };
     list_routers(&state).await;
-    sleep(SETTLE_SPAN).await;
+    let is_complete = entry == OwnEntry::Found && state.lending.knows_routers();
+    if !is_complete {
+        sleep(SETTLE_SPAN).await;
+        list_routers(&state).await;
+    }
     state.lending.settle();
+    update_roles(&state);
     loop {
-        list_routers(&state).await;
         sleep(LIST_SPAN).await;
+        list_routers(&state).await;
     }
 }
 
+async fn join_fleet(state: &GatewayState) -> Result<OwnEntry, StoreFailure> {
+    let entry = register(state).await?;
+    share_secret(state).await?;
+    Ok(entry)
+}
+
 /// Learns who is listed. While the store is away the routers that are known stay; those that are
 /// gone are noticed by asking them.
 async fn list_routers(state: &GatewayState) {
@@ -123,7 +152,7 @@
 
 /// Makes or mends the entry of this host. It stays when the router ends: a host that is gone for
 /// good only makes the others' parts smaller, and one that is back has its part at once.
-async fn register(state: &GatewayState) -> Result<(), StoreFailure> {
+async fn register(state: &GatewayState) -> Result<OwnEntry, StoreFailure> {
     let settings = state.settings();
     let entry = RouterEntry {
         domain: settings.domain.to_string(),
@@ -132,27 +161,68 @@
     let spec =
         serde_json::to_value(&entry).map_err(|error| StoreFailure::Malformed(error.to_string()))?;
     let name = settings.host.as_str();
+    if is_listed(state, name, &spec).await {
+        return Ok(OwnEntry::Found);
+    }
     let started = state.now();
     let created = state.store.create(ObjectKind::Routers, name, &spec).await;
     state.note_store_call(StoreCall::Register, started, &created);
     let object = match created {
-        Ok(_) | Err(StoreFailure::Conflict(None)) => return Ok(()),
+        Ok(_) | Err(StoreFailure::Conflict(None)) => return Ok(OwnEntry::Made),
         Err(StoreFailure::Conflict(Some(object))) => object,
         Err(failure) => return Err(failure),
     };
     if object.spec == spec {
-        return Ok(());
+        return Ok(OwnEntry::Found);
     }
     let started = state.now();
     let revision = object.revision();
     let kind = ObjectKind::Routers;
     let replaced = state.store.replace(kind, name, revision, &spec).await;
     state.note_store_call(StoreCall::Register, started, &replaced);
-    replaced.map(|_| ())
+    replaced.map(|_| OwnEntry::Made)
 }
 
-/// Learns the secret that routers share. The first router of the fleet makes it.
+/// Whether the entry of this host is there from a process before, as it usually is when a router starts again.
+async fn is_listed(state: &GatewayState, name: &str, spec: &Value) -> bool {
+    let started = state.now();
+    let read = state.store.read_stale(ObjectKind::Routers, name).await;
+    state.note_store_call(StoreCall::ReadStaleEntry, started, &read);
+    read.is_ok_and(|object| object.spec == *spec)
+}
+
+/// Learns the secret that routers share. The first router of the fleet makes it; the others that start with it
+/// look for it once more before they try, as each of them would do so otherwise.
 async fn share_secret(state: &GatewayState) -> Result<(), StoreFailure> {
+    if let Some(secret) = find_secret(state).await {
+        return take_secret(state, secret);
+    }
+    let spread_ms = rand::random_range(0..=SECRET_SPREAD_MS);
+    sleep(Duration::from_millis(spread_ms)).await;
+    if let Some(secret) = find_secret(state).await {
+        return take_secret(state, secret);
+    }
+    let made = make_secret(state).await?;
+    take_secret(state, made)
+}
+
+/// Reads the secret, which never changes: an old answer is as good as a new one.
+async fn find_secret(state: &GatewayState) -> Option<StoreObject> {
+    let started = state.now();
+    let kind = ObjectKind::Budgets;
+    let read = state.store.read_stale(kind, SECRET_NAME).await;
+    state.note_store_call(StoreCall::ReadStaleEntry, started, &read);
+    read.ok()
+}
+
+fn take_secret(state: &GatewayState, object: StoreObject) -> Result<(), StoreFailure> {
+    let entry: SecretEntry = serde_json::from_value(object.spec)
+        .map_err(|error| StoreFailure::Malformed(error.to_string()))?;
+    state.lending.set_secret(entry.secret);
+    Ok(())
+}
+
+async fn make_secret(state: &GatewayState) -> Result<StoreObject, StoreFailure> {
     let mut bytes = [0_u8; SECRET_BYTES];
     rand::rng().fill_bytes(&mut bytes);
     let entry = SecretEntry {
@@ -164,13 +234,8 @@
     let kind = ObjectKind::Budgets;
     let created = state.store.create(kind, SECRET_NAME, &spec).await;
     state.note_store_call(StoreCall::Register, started, &created);
-    let object = match created {
-        Ok(object) => object,
-        Err(StoreFailure::Conflict(Some(object))) => *object,
-        Err(failure) => return Err(failure),
-    };
-    let entry: SecretEntry = serde_json::from_value(object.spec)
-        .map_err(|error| StoreFailure::Malformed(error.to_string()))?;
-    state.lending.set_secret(entry.secret);
-    Ok(())
+    match created {
+        Err(StoreFailure::Conflict(Some(object))) => Ok(*object),
+        created => created,
+    }
 }
--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -43,6 +43,10 @@
 /// See [`DOUBT_WATCH`].
 const DOUBT_PAUSE: Duration = Duration::from_millis(250);
 
+/// How long a router that starts waits until it knows the others: well within the time in which it has to be as
+/// up to date as they are.
+const SETTLE_WAIT: Duration = Duration::from_millis(2_500);
+
 /// What was told of a kind next.
 enum StoreStep {
     /// Changes since the last step.
@@ -63,6 +67,14 @@
     let listing = list_again(&state, kind).await;
     state.relay.begin(kind, &listing);
     take_listing(&state, kind, &listing);
+    // Whom to follow is known once the others that started with this router are listed. Each of them would begin
+    // with some watches of its own.
+    let settled = timeout(SETTLE_WAIT, state.lending.settled()).await;
+    if settled.is_err() {
+        let fields = [("duty", duty_name(kind).to_owned())];
+        let report = &state.report;
+        report.log(LogLevel::Warning, "routers_unlisted", fields);
+    }
     let mut revision = listing.revision;
     loop {
         let is_follower = {
--- a/crates/beechsaddle/src/gateway/news/store_probe.rs
+++ b/crates/beechsaddle/src/gateway/news/store_probe.rs
@@ -1,8 +1,10 @@
 //! The `store_probe` module provides the knowledge whether the store answers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use beechsaddle_core::prelude::*;
 use beechsaddle_platform::{ObjectKind, StoreFailure};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
@@ -19,6 +21,10 @@
 /// use connections of their own, which may fail each by itself.
 const ANSWER_WAIT: Duration = Duration::from_millis(2_000);
 
+/// How long after an outage the store counts as steady, in milliseconds: the longest time between two tries of a
+/// router that it is away from, and one call.
+const STEADY_MS: u64 = 1_500;
+
 /// Whether the store answers.
 ///
 /// A waiting watch looks the same whether nothing changes, its connection lost its way, or the store
@@ -30,6 +36,8 @@
 pub(in crate::gateway) struct StoreHealth {
     answers: watch::Sender<bool>,
     answered: Notify,
+    /// When the store was last out of reach, here or for the router that is followed.
+    away_at: Cell<Option<ClockTime>>,
 }
 
 impl StoreHealth {
@@ -38,6 +46,7 @@
         StoreHealth {
             answers: watch::Sender::new(true),
             answered: Notify::new(),
+            away_at: Cell::new(None),
         }
     }
 
@@ -46,6 +55,19 @@
         *self.answers.borrow()
     }
 
+    /// Whether the store has answered for a while. Just after an outage for all, a router that cannot reach the store
+    /// yet is only a moment later than this one, and not cut off by itself.
+    pub(in crate::gateway) fn is_steady(&self, now: ClockTime) -> bool {
+        let away_at = self.away_at.get();
+        let was_away = away_at.is_some_and(|at| now.since(at) < STEADY_MS);
+        self.answers() && !was_away
+    }
+
+    /// Notes that the store is out of reach of this router, or of the one that it follows.
+    pub(in crate::gateway) fn note_away(&self, now: ClockTime) {
+        self.away_at.set(Some(now));
+    }
+
     /// Ends when a probe fails from now on.
     pub(in crate::gateway) async fn lost(&self) {
         let mut answers = self.answers.subscribe();
--- a/crates/beechsaddle/src/gateway/lender_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -1,4 +1,4 @@
-//! The `lender_link` module provides connections to routers that lend, and the loans over them.
+//! The `peer_link` module provides connections to other routers: loans, returns, and what changes in the store.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -45,19 +45,19 @@
     Unknown(String),
 }
 
-/// A connection to a router that lends.
-struct LenderLink {
+/// A connection to a router.
+struct PeerLink {
     client: router_peer::Client,
     rpc: AbortOnDropHandle<()>,
 }
 
-impl LenderLink {
+impl PeerLink {
     fn new(client: router_peer::Client, system: RpcSystem<Side>) -> Self {
         let rpc = spawn_local(async move {
             // What ends the connection also ends the loan that is under way, which tells of it.
             let _ = system.await;
         });
-        LenderLink {
+        PeerLink {
             client,
             rpc: AbortOnDropHandle::new(rpc),
         }
@@ -74,13 +74,13 @@
     }
 }
 
-/// Connections to routers that lend, one each.
+/// Connections to routers, one each.
 #[derive(Default)]
-pub(super) struct LenderLinks {
-    links: RefCell<BTreeMap<HostName, Rc<LenderLink>>>,
+pub(super) struct PeerLinks {
+    links: RefCell<BTreeMap<HostName, Rc<PeerLink>>>,
 }
 
-impl LenderLinks {
+impl PeerLinks {
     /// Asks a router for a loan. A failure does not tell whether it has given the tokens up; those are
     /// lost then.
     pub(super) async fn borrow_tokens(
@@ -185,7 +185,7 @@
         self.links.borrow_mut().remove(host);
     }
 
-    async fn open(&self, peer: &PeerRecord) -> Result<Rc<LenderLink>, String> {
+    async fn open(&self, peer: &PeerRecord) -> Result<Rc<PeerLink>, String> {
         let known = self.links.borrow().get(&peer.host).cloned();
         if let Some(link) = known
             && !link.rpc.is_finished()
@@ -211,7 +211,7 @@
         );
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: router_peer::Client = system.bootstrap(Side::Server);
-        let link = Rc::new(LenderLink::new(client, system));
+        let link = Rc::new(PeerLink::new(client, system));
         let mut links = self.links.borrow_mut();
         links.insert(peer.host.clone(), Rc::clone(&link));
         Ok(link)
--- a/crates/beechsaddle/src/gateway/lending_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -1,4 +1,4 @@
-//! The `lending_server` module provides the lending of tokens to other routers.
+//! The `peer_server` module provides what this router answers others: loans, returns, and what changes in the store.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,23 +17,17 @@
 use subtle::ConstantTimeEq;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout_at};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::gateway_state::GatewayState;
-use super::ledger_wait::LedgerWait;
 use super::news::{FollowReply, serve_follow};
-use super::token_lending::want_tokens;
-
-/// How long a borrower waits while this router asks the ledger, in milliseconds: a few tries of a
-/// write that meets others. The borrower's own limit is above it.
-const LEDGER_WAIT_MS: u64 = 250;
+use super::token_lender::lend_tokens;
 
 /// How long to wait after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Lends until the process ends.
-pub(super) async fn run_lending_listener(listener: TcpListener, state: Rc<GatewayState>) {
+/// Serves other routers until the process ends.
+pub(super) async fn run_peer_listener(listener: TcpListener, state: Rc<GatewayState>) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
@@ -61,19 +55,19 @@
         Side::Server,
         options,
     );
-    let server = LendingServer { state, peer };
+    let server = PeerServer { state, peer };
     let client: router_peer::Client = capnp_rpc::new_client(server);
     // A borrower that leaves closes the connection; there is nothing to mend on this side.
     let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
 }
 
-/// The lender as one peer sees it.
-struct LendingServer {
+/// This router as one peer sees it.
+struct PeerServer {
     state: Rc<GatewayState>,
     peer: SocketAddr,
 }
 
-impl LendingServer {
+impl PeerServer {
     fn is_known(&self, secret: &str) -> bool {
         let own = self.state.lending.secret();
         let is_known = !own.is_empty() && bool::from(own.as_bytes().ct_eq(secret.as_bytes()));
@@ -85,79 +79,14 @@
         is_known
     }
 
-    fn note_request(&self, workspace: &WorkspaceName, request: LoanRequest) {
-        let mut escrow = self.state.escrow.borrow_mut();
-        escrow.note_request(self.state.now(), workspace, request);
-    }
-
     /// What all routers took of a total, for a borrower; 0 if that is not known here.
     fn taken_of(&self, workspace: &WorkspaceName) -> u64 {
         let escrow = self.state.escrow.borrow();
         escrow.taken_of(workspace).unwrap_or(0)
     }
-
-    /// Lends, after asking the ledger if there is too little here.
-    ///
-    /// While the ledger is away a keeper asks those of other domains, for all routers of its own. A router of
-    /// another domain that asks is answered from what is here: it has asked all others by itself.
-    async fn lend(
-        &self,
-        workspace: &WorkspaceName,
-        request: LoanRequest,
-        is_foreign: bool,
-    ) -> LoanReply {
-        self.note_request(workspace, request);
-        let waiting = LedgerWait::start(&self.state, workspace, request.least);
-        let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
-        loop {
-            let changed = self.state.escrow_changed.notified();
-            let now = self.state.now();
-            let reply = self.state.escrow.borrow_mut().lend(now, workspace, request);
-            if reply != LoanReply::Short {
-                return reply;
-            }
-            let is_away = self.state.is_ledger_away.get();
-            if (is_away && is_foreign) || self.state.lending.was_refused(now, workspace) {
-                return LoanReply::LedgerAway;
-            }
-            waiting.begin();
-            self.state.escrow_wake.notify_one();
-            if is_away {
-                want_tokens(&self.state, workspace);
-            } else {
-                self.ask_own_keeper(workspace);
-            }
-            if timeout_at(until, changed).await.is_err() {
-                return match self.state.is_ledger_away.get() {
-                    true => LoanReply::LedgerAway,
-                    false => LoanReply::Short,
-                };
-            }
-        }
-    }
-
-    /// Asks the keeper that this router knows of, as for a call of its own.
-    ///
-    /// Whoever asks found the routers before this one silent. This one has not met them and takes itself for
-    /// a borrower yet: it would answer short for over a second, and calls would be refused with the store
-    /// reachable. Asking either brings tokens or shows that the keeper is gone, which makes this router the
-    /// keeper. Each router asks one that comes before it in the same order, so that no circle arises.
-    fn ask_own_keeper(&self, workspace: &WorkspaceName) {
-        let now = self.state.now();
-        let has_keeper = self
-            .state
-            .lending
-            .ring
-            .borrow()
-            .keeper(now, workspace)
-            .is_some();
-        if has_keeper {
-            want_tokens(&self.state, workspace);
-        }
-    }
 }
 
-impl token_lender::Server for LendingServer {
+impl token_lender::Server for PeerServer {
     async fn borrow(
         self: Rc<Self>,
         parameters: token_lender::BorrowParams,
@@ -178,7 +107,7 @@
         let domain = parameters.get_domain()?.to_str()?;
         let own = self.state.settings().domain.clone();
         let is_foreign = !domain.is_empty() && domain != own.as_str();
-        let reply = self.lend(&workspace, request, is_foreign).await;
+        let reply = lend_tokens(&self.state, &workspace, request, is_foreign).await;
         let tokens = reply.tokens();
         let outcome = match reply {
             LoanReply::Lent(_) => LoanOutcome::Lent,
@@ -236,7 +165,7 @@
     }
 }
 
-impl news_relay::Server for LendingServer {
+impl news_relay::Server for PeerServer {
     async fn follow(
         self: Rc<Self>,
         parameters: news_relay::FollowParams,
@@ -272,4 +201,4 @@
     }
 }
 
-impl router_peer::Server for LendingServer {}
+impl router_peer::Server for PeerServer {}
--- a/crates/beechsaddle/src/gateway/store_call.rs
+++ b/crates/beechsaddle/src/gateway/store_call.rs
@@ -17,6 +17,8 @@
     WriteLedger,
     /// The entry or the secret of routers.
     Register,
+    /// The same as it was some seconds ago.
+    ReadStaleEntry,
     /// Whether the store answers.
     Probe,
 }
@@ -37,6 +39,7 @@
             StoreCall::ReadStaleLedger => "read_stale_ledger",
             StoreCall::WriteLedger => "write_ledger",
             StoreCall::Register => "register",
+            StoreCall::ReadStaleEntry => "read_stale_entry",
             StoreCall::Probe => "probe",
         }
     }
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -10,11 +10,12 @@
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
-use super::lender_link::{LenderAnswer, LenderLinks};
+use super::peer_link::{LenderAnswer, PeerLinks};
 
 /// How long a loan may take: the lender may have to ask the ledger first.
 pub(super) const LOAN_SPAN: Duration = Duration::from_millis(400);
@@ -57,12 +58,13 @@
 pub(super) struct TokenLending {
     /// The routers of the fleet.
     pub(super) ring: RefCell<PeerRing>,
-    pub(super) links: LenderLinks,
+    pub(super) links: PeerLinks,
     /// Workspaces that nobody is asked for just now.
     pub(super) pauses: RefCell<LoanPauses>,
     active: RefCell<BTreeSet<WorkspaceName>>,
     secret: RefCell<String>,
     is_settled: Cell<bool>,
+    settled: Notify,
 }
 
 impl TokenLending {
@@ -70,11 +72,12 @@
     pub(super) fn new(me: HostName, domain: DomainName) -> Self {
         TokenLending {
             ring: RefCell::new(PeerRing::new(me, domain)),
-            links: LenderLinks::default(),
+            links: PeerLinks::default(),
             pauses: RefCell::default(),
             active: RefCell::default(),
             secret: RefCell::default(),
             is_settled: Cell::new(false),
+            settled: Notify::new(),
         }
     }
 
@@ -94,6 +97,20 @@
     /// keep every workspace for some seconds, and take and give back tokens of all.
     pub(super) fn settle(&self) {
         self.is_settled.set(true);
+        self.settled.notify_waiters();
+    }
+
+    /// Whether any router is listed.
+    pub(super) fn knows_routers(&self) -> bool {
+        self.ring.borrow().router_count() > 0
+    }
+
+    /// Ends once the listed routers count.
+    pub(super) async fn settled(&self) {
+        let settled = self.settled.notified();
+        if !self.is_settled.get() {
+            settled.await;
+        }
     }
 
     /// Whether tokens of a workspace may come: they are being asked for, and were not refused a
@@ -187,7 +204,7 @@
         match ask_peer(state, &keeper, workspace).await {
             Ok(()) => return DomainAnswer::Helped,
             Err(LoanFailure::Short) => return DomainAnswer::Short,
-            Err(LoanFailure::LedgerAway) if state.store_health.answers() => {
+            Err(LoanFailure::LedgerAway) if state.store_health.is_steady(state.now()) => {
                 let mut ring = state.lending.ring.borrow_mut();
                 ring.note_cut_off(state.now(), &keeper.host);
                 drop(ring);
--- a/crates/beechsaddle/src/gateway/token_return.rs
+++ b/crates/beechsaddle/src/gateway/token_return.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::gateway_state::GatewayState;
-use super::lender_link::ReturnFailure;
+use super::peer_link::ReturnFailure;
 use super::token_lending::{LOAN_SPAN, note_down};
 
 /// The shortest time between two returns of a workspace, in milliseconds: some calls, so that what one call
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -2,7 +2,9 @@
 
 mod gateway_support;
 
-use beechsaddle::explain::{LogBook, LogEntry, LossReport, TokenAccount, TokenLoss, tell_call};
+use beechsaddle::explain::{
+    LogBook, LogEntry, LossReport, StoreSums, TokenAccount, TokenLoss, tell_call,
+};
 use beechsaddle_platform_stand_in::TargetFault;
 use gateway_support::{GatewayBench, draft, request};
 
@@ -171,3 +173,49 @@
         "{error}"
     );
 }
+
+/// Calls to the store are a large part of what a fleet costs. The routers' sums are added up by purpose and by time,
+/// and one that cannot be read is told and hides no other.
+#[test]
+fn store_sums_by_purpose_and_time() {
+    let mut book = LogBook::default();
+    for line in [
+        "ts=11000 level=info router=a@1 event=store_calls calls=\"watch_config/done:2 write_ledger/conflict:3\"",
+        "ts=16000 level=info router=a@1 event=store_calls calls=\"write_ledger/conflict:1 odd write_ledger/done:x\"",
+        "ts=12000 level=info router=b@1 event=store_calls calls=watch_config/done:5",
+    ] {
+        book.add_line(line);
+    }
+    let sums = StoreSums::of(&book);
+    let purposes: Vec<_> = sums.purposes.into_iter().collect();
+    let expected = [("watch_config/done", 7), ("write_ledger/conflict", 4)];
+    assert_eq!(
+        purposes,
+        expected.map(|(purpose, count)| (purpose.to_owned(), count))
+    );
+    assert_eq!(
+        sums.seconds.into_iter().collect::<Vec<_>>(),
+        [(10, 10), (15, 1)]
+    );
+    assert_eq!(sums.unreadable, 2);
+}
+
+/// A borrower hands tokens to its keeper, and the keeper dies with them: they are counted there, and not at the
+/// borrower as well.
+#[test]
+fn token_account_follows_returns() {
+    let mut book = LogBook::default();
+    for line in [
+        "ts=1000 level=info router=a@1 event=tokens_borrowed workspace=w tokens=700",
+        "ts=2000 level=info router=a@1 event=tokens_returned workspace=w outcome=returned tokens=500",
+        "ts=2000 level=info router=k@1 event=tokens_taken_back workspace=w is_taken=true tokens=500",
+        "ts=3000 level=info router=a@1 event=tokens_returned workspace=w outcome=refused tokens=100",
+        "ts=9000 level=info router=a@9 event=started",
+        "ts=9500 level=info router=k@9 event=started",
+    ] {
+        book.add_line(line);
+    }
+    let account = TokenAccount::of(&book);
+    let free: Vec<_> = account.losses.iter().map(|loss| loss.free).collect();
+    assert_eq!(free, [700]);
+}
--- a/crates/beechsaddle/tests/gateway_lending.rs
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use beechsaddle_core::hash::rendezvous_weight;
 use beechsaddle_platform_stand_in::{CallRequest, StoreFault};
@@ -209,6 +209,32 @@
     assert!(!second.log_lines(&["event=ledger_written"]).is_empty());
 }
 
+/// All routers lose power and start again. Who keeps what follows from the list, which is as it was: callers are
+/// served as soon as the routers are ready. Each router once waited 1.5 s for others to be listed, and refused them
+/// as long.
+#[tokio::test]
+async fn restarted_routers_lend_at_once() {
+    let mut bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    let mut second = second_router(&bench, "host-2").await;
+    assert_eq!(bench.router.call(&stream_request("a")).await.status, 200);
+    bench.router.restart();
+    second.restart();
+    for router in [&bench.router, &second] {
+        router.wait_ready().await;
+        router.wait_log(&["target_joined", "engine-1"]).await;
+    }
+    let ready = Instant::now();
+    for router in [&bench.router, &second] {
+        let reply = router.call(&stream_request("b")).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    assert!(
+        ready.elapsed() < Duration::from_millis(700),
+        "{:?}",
+        ready.elapsed()
+    );
+}
+
 /// Somebody without the secret of the fleet asks for tokens, or sends what is no message at all.
 /// Nothing is lent, and callers are served on.
 #[tokio::test]
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -78,6 +78,19 @@
         }
     }
 
+    /// Kills it and starts another one on its host, with the same settings and an empty log.
+    pub fn restart(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = Command::new(env!("CARGO_BIN_EXE_beechsaddle"))
+            .args(["router", "--config"])
+            .arg(&self.settings)
+            .stdout(fs::File::create(&self.log).expect("a log file"))
+            .spawn()
+            .expect("a router");
+    }
+
     /// Waits until it is ready.
     pub async fn wait_ready(&self) {
         wait_for("readiness", || async { self.is_ready().await }).await;
