--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -1,26 +1,20 @@
-//! The `store_follow` module provides the following of the store: configuration and targets.
+//! The `store_follow` module provides the following of configurations and targets, by the store or by a router that
+//! follows it.
 
 use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{NewsSource, TargetRecord};
-use beechsaddle_core::prelude::*;
+use beechsaddle_core::gateway::NewsSource;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_platform::{
-    CONFIG_NAME, ObjectKind, StoreEvent, StoreFailure, StoreListing, StoreNews, StoreObject,
-    UnreadableObject, read_config, read_target,
-};
+use beechsaddle_platform::{ObjectKind, StoreFailure, StoreListing, StoreNews};
 use tokio::time::{sleep, timeout};
 
 use super::follow_call::{FollowStep, follow_router};
+use super::news_intake::{take_listing, take_news};
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::store_call::StoreCall;
-use crate::gateway::token_lending::update_roles;
-
-/// How often targets that stayed unlisted are looked at.
-const EXPIRY_SPAN: Duration = Duration::from_millis(250);
 
 /// How long to wait after a failure at least, in milliseconds. A path that fails at once would
 /// otherwise be asked without pause, by all routers together.
@@ -257,149 +251,12 @@
     listed.ok()
 }
 
-fn take_news(state: &GatewayState, kind: ObjectKind, news: &StoreNews) {
-    for event in &news.events {
-        take_event(state, kind, event);
-    }
-    drop_unreadable(state, kind, &news.unreadable);
-}
-
-fn take_listing(state: &GatewayState, kind: ObjectKind, listing: &StoreListing) {
-    drop_unreadable(state, kind, &listing.unreadable);
-    match kind {
-        ObjectKind::Config => listing
-            .objects
-            .iter()
-            .for_each(|object| take_config(state, object)),
-        ObjectKind::Targets => {
-            let records: Vec<_> = listing
-                .objects
-                .iter()
-                .filter_map(|object| read_entry(state, object))
-                .collect();
-            let changes = state.roster.borrow_mut().take_listing(state.now(), records);
-            state.log_roster(changes);
-        }
-        ObjectKind::Routers | ObjectKind::Budgets => {}
-    }
-}
-
-fn take_event(state: &GatewayState, kind: ObjectKind, event: &StoreEvent) {
-    match (kind, event.is_removed) {
-        (ObjectKind::Config, false) => take_config(state, &event.object),
-        (ObjectKind::Targets, true) => {
-            let name = TargetName::new(event.object.name());
-            let change = state.roster.borrow_mut().remove(state.now(), &name);
-            state.log_roster(change);
-        }
-        (ObjectKind::Targets, false) => {
-            if let Some(record) = read_entry(state, &event.object) {
-                let change = state.roster.borrow_mut().put(state.now(), record);
-                state.log_roster(change);
-            }
-        }
-        // A configuration that was removed stays in force: there is nothing newer.
-        (ObjectKind::Config, true) | (ObjectKind::Routers | ObjectKind::Budgets, _) => {}
-    }
-}
-
-/// Reads an entry; one that cannot be read names no target from now on.
-fn read_entry(state: &GatewayState, object: &StoreObject) -> Option<TargetRecord> {
-    match read_target(object) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            withdraw_target(state, object.name(), error);
-            None
-        }
-    }
-}
-
-/// Logs objects that are not even objects, and takes targets of their names out of use.
-fn drop_unreadable(state: &GatewayState, kind: ObjectKind, objects: &[UnreadableObject]) {
-    for object in objects {
-        match kind {
-            ObjectKind::Targets => withdraw_target(state, &object.name, object.error.clone()),
-            ObjectKind::Config | ObjectKind::Routers | ObjectKind::Budgets => {
-                let fields = [
-                    ("duty", duty_name(kind).to_owned()),
-                    ("name", object.name.clone()),
-                    ("error", object.error.clone()),
-                ];
-                let report = &state.report;
-                report.log(LogLevel::Error, "object_unreadable", fields);
-            }
-        }
-    }
-}
-
-fn withdraw_target(state: &GatewayState, name: &str, error: String) {
-    let change = state.roster.borrow_mut().withdraw(&TargetName::new(name));
-    let fields = [("target", name.to_owned()), ("error", error)];
-    let report = &state.report;
-    report.log(LogLevel::Error, "target_unreadable", fields);
-    state.log_roster(change);
-}
-
-/// Takes over a configuration if it is newer than the one in force. An older one, as a late answer
-/// may bring it, would undo what callers have seen.
-fn take_config(state: &GatewayState, object: &StoreObject) {
-    if object.name() != CONFIG_NAME {
-        return;
-    }
-    let config = match read_config(object) {
-        Ok(config) => config,
-        Err(fault) => {
-            let fields = [
-                ("revision", object.revision().to_string()),
-                ("error", fault.to_string()),
-            ];
-            state
-                .report
-                .log(LogLevel::Error, "config_unreadable", fields);
-            return;
-        }
-    };
-    let known = state.config().map(|config| config.version);
-    if known.is_some_and(|known| known >= config.version) {
-        return;
-    }
-    let now = state.now();
-    let fields = [
-        ("version", config.version.to_string()),
-        (
-            "before",
-            known.map_or("none".to_owned(), |known| known.to_string()),
-        ),
-        ("revision", object.revision().to_string()),
-        ("routes", config.route_count().to_string()),
-    ];
-    state.report.log(LogLevel::Info, "config_in_force", fields);
-    state.metrics.config_version.set(config.version as i64);
-    state.escrow.borrow_mut().set_config(now, &config);
-    *state.config.borrow_mut() = Some(Rc::new(config));
-    state.config_at.set(now);
-    update_roles(state);
-    state.escrow_wake.notify_one();
-    state.escrow_changed.notify_waiters();
-}
-
-/// Drops targets that stayed unlisted after the store came back, and idle connections.
-pub(in crate::gateway) async fn run_expiry(state: Rc<GatewayState>) {
-    loop {
-        sleep(EXPIRY_SPAN).await;
-        let now = state.now();
-        let changes = state.roster.borrow_mut().expire(now);
-        state.log_roster(changes);
-        state.pool.prune(now);
-    }
-}
-
 fn log_dependency(state: &GatewayState, event: &'static str, kind: ObjectKind, detail: String) {
     let fields = [("duty", duty_name(kind).to_owned()), ("detail", detail)];
     state.report.log(LogLevel::Warning, event, fields);
 }
 
-fn duty_name(kind: ObjectKind) -> &'static str {
+pub(super) fn duty_name(kind: ObjectKind) -> &'static str {
     match kind {
         ObjectKind::Config => "config",
         ObjectKind::Targets => "targets",
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -68,15 +68,17 @@
 }
 
 impl PeerServer {
-    fn is_known(&self, secret: &str) -> bool {
+    /// Refuses whoever does not know the secret of the fleet.
+    fn check_secret(&self, secret: capnp::text::Reader<'_>) -> Result<(), capnp::Error> {
         let own = self.state.lending.secret();
         let is_known = !own.is_empty() && bool::from(own.as_bytes().ct_eq(secret.as_bytes()));
-        if !is_known {
-            let fields = [("peer", self.peer.to_string())];
-            let report = &self.state.report;
-            report.log(LogLevel::Warning, "loan_refused", fields);
+        if is_known {
+            return Ok(());
         }
-        is_known
+        let fields = [("peer", self.peer.to_string())];
+        let report = &self.state.report;
+        report.log(LogLevel::Warning, "loan_refused", fields);
+        Err(capnp::Error::failed("wrong secret".to_owned()))
     }
 
     /// What all routers took of a total, for a borrower; 0 if that is not known here.
@@ -93,10 +95,7 @@
         mut results: token_lender::BorrowResults,
     ) -> Result<(), capnp::Error> {
         let parameters = parameters.get()?;
-        let secret = parameters.get_secret()?.to_str()?;
-        if !self.is_known(secret) {
-            return Err(capnp::Error::failed("wrong secret".to_owned()));
-        }
+        self.check_secret(parameters.get_secret()?)?;
         let workspace = WorkspaceName::new(parameters.get_workspace()?.to_str()?);
         let request = LoanRequest {
             least: parameters.get_least(),
@@ -137,10 +136,7 @@
         mut results: token_lender::GiveBackResults,
     ) -> Result<(), capnp::Error> {
         let parameters = parameters.get()?;
-        let secret = parameters.get_secret()?.to_str()?;
-        if !self.is_known(secret) {
-            return Err(capnp::Error::failed("wrong secret".to_owned()));
-        }
+        self.check_secret(parameters.get_secret()?)?;
         let workspace = WorkspaceName::new(parameters.get_workspace()?.to_str()?);
         let handed = LoanReturn {
             tokens: parameters.get_tokens(),
@@ -172,9 +168,7 @@
         mut results: news_relay::FollowResults,
     ) -> Result<(), capnp::Error> {
         let parameters = parameters.get()?;
-        if !self.is_known(parameters.get_secret()?.to_str()?) {
-            return Err(capnp::Error::failed("wrong secret".to_owned()));
-        }
+        self.check_secret(parameters.get_secret()?)?;
         let kind = match parameters.get_kind()? {
             FollowedKind::Configuration => ObjectKind::Config,
             FollowedKind::Targets => ObjectKind::Targets,
