Have roles follow from the list alone, look at idle ledgers too

Who keeps what waited for the shared secret, whose first look is spread over 0.4 s; a store that went away meanwhile left the router without roles, and it did not notice the outage: a first caller would have waited 0.7 s for a refusal. The secret is learned beside the list now. Ruled out: that ledgers without calls were not looked at any more (alone, undone, it still failed); that is undone as well, since the first caller of an outage is served by it.

--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -123,9 +123,9 @@
         })
     }
 
-    /// The workspaces that this router keeps and that had calls lately.
-    pub fn kept_in_use(&self, now: ClockTime) -> Vec<WorkspaceName> {
-        self.select(|account| account.role == EscrowRole::Keeper && account.largest_at(now) > 0)
+    /// The workspaces that this router keeps.
+    pub fn kept(&self) -> Vec<WorkspaceName> {
+        self.select(|account| account.role == EscrowRole::Keeper)
     }
 
     /// Whether calls wait for a write of a workspace's ledger, here or elsewhere.
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -48,7 +48,8 @@
 
 /// How old a scarce workspace's ledger may be, in milliseconds. Whoever holds some has to notice.
 const SCARCE_AGE_MS: u64 = 600;
-/// How old any other ledger may be, in milliseconds.
+/// How old any other ledger may be, in milliseconds, also one of which nobody calls: the first caller after an
+/// outage has begun is refused at once, as the router knows of it.
 const LEDGER_AGE_MS: u64 = 2_000;
 
 /// How old a ledger may be that a write is made from, in milliseconds. A look at it costs a tenth of a write
@@ -169,7 +170,7 @@
     fn old(&self) -> Vec<WorkspaceName> {
         let now = self.state.now();
         let escrow = self.state.escrow.borrow();
-        let (scarce, keeping) = (escrow.scarce(), escrow.kept_in_use(now));
+        let (scarce, keeping) = (escrow.scarce(), escrow.kept());
         let stored = self.stored.borrow();
         let old = stored.iter().filter(|(workspace, kept)| {
             let age_ms = now.since(kept.seen_at);
--- a/crates/beechsaddle/src/gateway/news/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/news/router_registry.rs
@@ -11,6 +11,7 @@
 use rand::RngCore;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::gateway::gateway_state::GatewayState;
@@ -62,9 +63,10 @@
 
 /// Lists this router in the store, and follows who else is listed.
 pub(in crate::gateway) async fn run_registration(state: Rc<GatewayState>) {
+    spawn_local(run_secret(Rc::clone(&state)));
     let mut backoff = state.backoff("registration");
     let entry = loop {
-        if let Ok(entry) = join_fleet(&state).await {
+        if let Ok(entry) = register(&state).await {
             break entry;
         }
         sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await;
@@ -83,10 +85,12 @@
     }
 }
 
-async fn join_fleet(state: &GatewayState) -> Result<OwnEntry, StoreFailure> {
-    let entry = register(state).await?;
-    share_secret(state).await?;
-    Ok(entry)
+/// Learns the shared secret. Who keeps what does not wait for it: a keeper serves its own callers without.
+async fn run_secret(state: Rc<GatewayState>) {
+    let mut backoff = state.backoff("secret");
+    while share_secret(&state).await.is_err() {
+        sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await;
+    }
 }
 
 /// Learns who is listed. While the store is away the routers that are known stay; those that are
