Have a followed router look at the store when asked, keep stand-ins for 3 s, hand out ports that can be bound

Traced by a run of six copies of the test binary at once: a router learns that others follow it when they ask, the store has not answered it for up to a second then (its probe sleeps on at the usual span), it says 'away', and the askers go on to the next in line, which follows the store for 10 s. Four routers of seven did so; the test waits 8 s for two. A second failure of the same runs: 'address already in use'. free_address listened on the address for a moment to try it; a process that another thread starts in that moment holds it until it runs its program. Ruled out: routers that follow others for good (their counters stop when the stand-ins end), a port given twice (claims are atomic). Change: whoever is asked while what it knows is old has the store probed and waits 100 ms for the answer; a router that was asked follows the store for 3 s; gauge follows_store, by which the test tells followers; ports are tried by a connection.

--- a/crates/beechsaddle-core/src/gateway/news_source.rs
+++ b/crates/beechsaddle-core/src/gateway/news_source.rs
@@ -41,9 +41,10 @@
 /// that it is gone, and the next in line takes its place.
 const SILENT_MS: u64 = 4_000;
 
-/// How long a router that was asked for changes follows the store, in milliseconds: several questions of those
-/// that follow it.
-const ASKED_MS: u64 = 10_000;
+/// How long a router that was asked for changes follows the store, in milliseconds: longer than one question of
+/// those that follow it takes, even where it is cut short by a frozen router. With more each passing doubt of a
+/// fleet that starts leaves routers that watch the store for every change beside those that have to.
+const ASKED_MS: u64 = 3_000;
 
 /// From whom to learn changes next.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/beechsaddle-core/tests/gateway_news.rs
+++ b/crates/beechsaddle-core/tests/gateway_news.rs
@@ -137,7 +137,8 @@
     choice.note_asked(START);
     assert!(choice.is_follower(START, &ring));
     assert_eq!(choice.source(START, &ring), NewsSource::Store);
-    assert!(!choice.is_follower(START.plus_ms(60_000), &ring));
+    assert!(choice.is_follower(START.plus_ms(2_000), &ring));
+    assert!(!choice.is_follower(START.plus_ms(5_000), &ring));
 }
 
 /// Of many routers each asks the same keeper all through an outage, for each call that waits. The pauses double,
--- a/crates/beechsaddle-lab/src/fleet/free_address.rs
+++ b/crates/beechsaddle-lab/src/fleet/free_address.rs
@@ -1,6 +1,6 @@
 //! The `free_address` module provides addresses that nobody listens on.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Mutex, PoisonError};
 
 use rand::Rng;
@@ -34,10 +34,14 @@
         let Ok(claim) = TcpListener::bind((CLAIM_HOST, port)) else {
             continue;
         };
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        // Whoever listens is found by a connection. Binding the address to find out would hold it for
+        // longer than this call: a process that another thread starts just now keeps what is open
+        // until it runs its program.
+        if TcpStream::connect(address).is_err() {
             let mut claims = CLAIMS.lock().unwrap_or_else(PoisonError::into_inner);
             claims.push(claim);
-            return Ok(listener.local_addr()?);
+            return Ok(address);
         }
     }
     Err(eyre::eyre!("there is no free port on loopback"))
--- a/crates/beechsaddle-lab/tests/free_addresses.rs
+++ b/crates/beechsaddle-lab/tests/free_addresses.rs
@@ -1,7 +1,10 @@
 //! Tests of addresses handed out on loopback.
 
 use std::collections::BTreeSet;
+use std::net::TcpListener;
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 
 use beechsaddle_lab::fleet::free_address;
 
@@ -10,6 +13,8 @@
 /// As many as a few fleets of routers choose before any of them is bound.
 const ADDRESSES: usize = 200;
 const ASKERS: usize = 4;
+/// Enough that one of them meets a process that is starting, where that matters.
+const BOUND: usize = 5_000;
 
 /// Prints addresses when it is run as a process of its own by the test below, else does nothing.
 #[test]
@@ -76,3 +81,27 @@
         }
     }
 }
+
+/// A test sees a router that cannot bind its address, although nobody else was given it. The address was tried by
+/// listening on it for a moment; another thread started a process in that moment, and until the new process runs its
+/// program it holds whatever was open. Beside load that lasts longer than it takes to start a router.
+#[test]
+fn free_address_can_be_bound_while_processes_start() {
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..ASKERS {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    let status = Command::new("true").status().expect("a process");
+                    assert!(status.success());
+                }
+            });
+        }
+        let bound = (0..BOUND).all(|_| {
+            let address = free_address().expect("an address");
+            TcpListener::bind(address).is_ok()
+        });
+        is_over.store(true, Ordering::Relaxed);
+        assert!(bound, "an address was in use");
+    });
+}
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -73,6 +73,8 @@
     pub(super) store_calls: Family<StoreLabel, Counter>,
     /// Steps of following another router, by what came of them.
     pub(super) news_steps: Family<WordLabel, Counter>,
+    /// Whether this router follows the store itself: 1, or 0 where it follows a router that does.
+    pub(super) follows_store: Gauge,
     /// Tokens borrowed from other routers.
     pub(super) tokens_borrowed: Counter,
     /// Tokens lent to other routers.
@@ -115,6 +117,7 @@
             ejections: Counter::default(),
             store_calls: Family::default(),
             news_steps: counted_from_zero(NEWS_WORDS),
+            follows_store: Gauge::default(),
             tokens_borrowed: Counter::default(),
             tokens_lent: Counter::default(),
             lines_sampled_out: Counter::default(),
@@ -161,6 +164,8 @@
         registry.register("store_calls", "Store calls", self.store_calls.clone());
         let steps = self.news_steps.clone();
         registry.register("news_steps", "Steps of following another router", steps);
+        let follows = self.follows_store.clone();
+        registry.register("follows_store", "Whether it follows the store", follows);
         let borrowed = self.tokens_borrowed.clone();
         registry.register("tokens_borrowed", "Tokens borrowed", borrowed);
         registry.register("tokens_lent", "Tokens lent", self.tokens_lent.clone());
--- a/crates/beechsaddle/src/gateway/news/relay_server.rs
+++ b/crates/beechsaddle/src/gateway/news/relay_server.rs
@@ -25,6 +25,9 @@
     wait: Duration,
 ) -> FollowAnswer {
     let until = Instant::now() + wait.min(WAIT_MAX);
+    if is_old(state) && state.store_health.answers() {
+        state.store_health.refresh().await;
+    }
     loop {
         let changed = state.relay.changed.notified();
         if let Some(reply) = reply_now(state, kind, revision) {
@@ -58,9 +61,7 @@
         return Some(FollowReply::Beginning);
     }
     drop(choice);
-    // What a router knows that hears nothing from the store may be old without a sign of it.
-    let is_old = state.store_age_ms() > state.settings().relay_age.as_millis() as u64;
-    if is_old || !state.store_health.answers() {
+    if is_old(state) || !state.store_health.answers() {
         return Some(FollowReply::Away);
     }
     match state.relay.since(kind, revision) {
@@ -71,6 +72,11 @@
     }
 }
 
+/// Whether what is known may be old without a sign of it, as the store has not answered for a while.
+fn is_old(state: &GatewayState) -> bool {
+    state.store_age_ms() > state.settings().relay_age.as_millis() as u64
+}
+
 fn size_of(batches: &[NewsBatch]) -> usize {
     batches.iter().map(|batch| batch.body.len()).sum()
 }
--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -75,6 +75,7 @@
             let choice = state.relay.choice.borrow();
             choice.is_follower(state.now(), &state.lending.ring.borrow())
         };
+        state.metrics.follows_store.set(is_follower.into());
         revision = match is_follower {
             true => follow_store(&state, kind, revision).await,
             false => follow_fleet(&state, kind, revision).await,
--- a/crates/beechsaddle/src/gateway/news/store_probe.rs
+++ b/crates/beechsaddle/src/gateway/news/store_probe.rs
@@ -21,6 +21,10 @@
 /// use connections of their own, which may fail each by itself.
 const ANSWER_WAIT: Duration = Duration::from_millis(2_000);
 
+/// How long whoever asks for what changed waits for a fresh answer of the store, in milliseconds: some round trips,
+/// and short against the time in which it would go on to another router.
+const REFRESH_WAIT: Duration = Duration::from_millis(100);
+
 /// How long after an outage the store counts as steady, in milliseconds: the longest time between two tries of a
 /// router that it is away from, and one call.
 const STEADY_MS: u64 = 1_500;
@@ -36,6 +40,8 @@
 pub(in crate::gateway) struct StoreHealth {
     answers: watch::Sender<bool>,
     answered: Notify,
+    /// Has the next probe made at once.
+    wanted: Notify,
     /// When the store was last out of reach, here or for the router that is followed.
     away_at: Cell<Option<ClockTime>>,
 }
@@ -46,6 +52,7 @@
         StoreHealth {
             answers: watch::Sender::new(true),
             answered: Notify::new(),
+            wanted: Notify::new(),
             away_at: Cell::new(None),
         }
     }
@@ -86,6 +93,17 @@
         self.answers()
     }
 
+    /// Has the store probed at once, and waits a moment for its answer.
+    ///
+    /// A router learns that others follow it when they ask, and the store may not have answered it for a second then.
+    /// Without the look it sent them on, and each start of a fleet left four followers in a domain in place of two.
+    pub(in crate::gateway) async fn refresh(&self) {
+        let answered = self.answered.notified();
+        self.wanted.notify_one();
+        // Without an answer in time what is known stays old, and whoever asks is told so.
+        let _ = timeout(REFRESH_WAIT, answered).await;
+    }
+
     /// Notes whether a probe was answered, or that any other call was; tells whether the store is back.
     pub(in crate::gateway) fn note(&self, answers: bool) -> bool {
         let before = self.answers.send_replace(answers);
@@ -105,12 +123,12 @@
         }
         let answers = probe(&state).await;
         state.store_health.note(answers);
-        let span = probe_span(&state);
-        sleep(match answers {
-            true => span,
-            false => span.min(Duration::from_millis(AWAY_SPAN_MS)),
-        })
-        .await;
+        let span = match answers {
+            true => probe_span(&state),
+            false => probe_span(&state).min(Duration::from_millis(AWAY_SPAN_MS)),
+        };
+        // A span that nobody cuts short is the usual one.
+        let _ = timeout(span, state.store_health.wanted.notified()).await;
     }
 }
 
--- a/crates/beechsaddle/tests/gateway_relay.rs
+++ b/crates/beechsaddle/tests/gateway_relay.rs
@@ -64,12 +64,16 @@
 
 impl RelayFleet {
     async fn start() -> Self {
+        RelayFleet::start_with(GatewayProcess::start).await
+    }
+
+    async fn start_with(start: fn(SocketAddr, &str, &str) -> GatewayProcess) -> Self {
         let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
         let (mut routers, mut paths) = (Vec::new(), Vec::new());
         for number in 2..ROUTERS + 2 {
             let path = StorePath::start(bench.store.address()).await;
             let host = format!("host-{number}");
-            routers.push(GatewayProcess::start(path.address, &host, "south"));
+            routers.push(start(path.address, &host, "south"));
             paths.push(path);
         }
         let fleet = RelayFleet {
@@ -84,12 +88,22 @@
         }
         // A router that was listed alone at first watches the store until that watch ends.
         wait_for("two followers", || async {
-            fleet.followers().await.len() == 2
+            fleet.followers().await.len() == 2 && fleet.step_count("news").await > 0.0
         })
         .await;
         fleet
     }
 
+    /// Steps of all routers that ended so.
+    async fn step_count(&self, what: &str) -> f64 {
+        let mut steps = 0.0;
+        for router in self.routers() {
+            let metric = format!("news_steps_total{{what=\"{what}\"}}");
+            steps += router.metric(&metric).await.unwrap_or(0.0);
+        }
+        steps
+    }
+
     fn routers(&self) -> impl Iterator<Item = &GatewayProcess> {
         self.routers.iter()
     }
@@ -105,12 +119,11 @@
         assert!(applied.elapsed() < IN_FORCE, "{:?}", applied.elapsed());
     }
 
-    /// The routers that others follow: they are the ones that go on watching the store.
+    /// The routers that follow the store now.
     async fn followers(&self) -> Vec<usize> {
         let mut followers = Vec::new();
         for (index, router) in self.routers().enumerate() {
-            let steps = router.metric("news_steps_total{what=\"news\"}").await;
-            if steps == Some(0.0) {
+            if router.metric("follows_store").await == Some(1.0) {
                 followers.push(index);
             }
         }
@@ -143,6 +156,15 @@
     }
 }
 
+/// Seven routers of a domain start together. Each asks one of the two that follow the store for changes, the first
+/// time a second after the store has last answered that one. It was told that what the follower knows is old, asked
+/// the next in line, and that one began to follow the store as well: four watched it for every change.
+#[tokio::test]
+async fn fleet_that_starts_doubts_no_follower() {
+    let fleet = RelayFleet::start_with(GatewayProcess::start_seldom_probing).await;
+    assert_eq!(fleet.step_count("away").await, 0.0);
+}
+
 /// The store turns away both routers that follow it, and serves the others. A target leaves without notice: its entry
 /// is removed. Those that reach the store have to leave it alone within their bound, as if nothing had happened.
 /// Told by their followers that the store was away, they once took the entry for one that had lapsed with an outage,
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -22,6 +22,13 @@
 /// How long anything that should happen is waited for.
 const PATIENCE: Duration = Duration::from_secs(8);
 
+/// Lines of settings beyond the usual ones, by table.
+#[derive(Debug, Default)]
+struct MoreSettings {
+    gateway: &'static str,
+    store: &'static str,
+}
+
 /// A router's process; dropping it kills it.
 pub struct GatewayProcess {
     child: Child,
@@ -36,20 +43,39 @@
 impl GatewayProcess {
     /// Starts a router of a host in a failure domain.
     pub fn start(store: SocketAddr, host: &str, domain: &str) -> Self {
-        GatewayProcess::start_with(store, host, domain, true, "")
+        GatewayProcess::start_with(store, host, domain, true, &MoreSettings::default())
+    }
+
+    /// Starts a router that probes the store every 30 s, unless something has it probe sooner.
+    pub fn start_seldom_probing(store: SocketAddr, host: &str, domain: &str) -> Self {
+        let more = MoreSettings {
+            store: "probe_ms = 30000\n",
+            ..MoreSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &more)
     }
 
     /// Starts a router on a host with a link of 2 Mbit/s.
     pub fn start_narrow(store: SocketAddr, host: &str, domain: &str) -> Self {
-        GatewayProcess::start_with(store, host, domain, true, "link_mbps = 2\n")
+        let more = MoreSettings {
+            gateway: "link_mbps = 2\n",
+            ..MoreSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &more)
     }
 
     /// Starts a router whose log nobody reads.
     pub fn start_unread(store: SocketAddr, host: &str, domain: &str) -> Self {
-        GatewayProcess::start_with(store, host, domain, false, "")
+        GatewayProcess::start_with(store, host, domain, false, &MoreSettings::default())
     }
 
-    fn start_with(store: SocketAddr, host: &str, domain: &str, is_read: bool, more: &str) -> Self {
+    fn start_with(
+        store: SocketAddr,
+        host: &str,
+        domain: &str,
+        is_read: bool,
+        more: &MoreSettings,
+    ) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let address = free_address().expect("an address");
         let ready = free_address().expect("an address");
@@ -196,12 +222,16 @@
     host: &str,
     domain: &str,
     [address, ready, peer]: [SocketAddr; 3],
-    more: &str,
+    more: &MoreSettings,
 ) -> String {
+    let MoreSettings {
+        gateway,
+        store: store_lines,
+    } = more;
     format!(
         "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{address}\"\n\
-         ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n{more}\n\
-         [store]\naddress = \"{store}\"\n\n\
+         ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n{gateway}\n\
+         [store]\naddress = \"{store}\"\n{store_lines}\n\
          [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n"
     )
 }
