Keepers tell nobody what they used, former keepers only what they use from then on

Cause: what calls used beyond what the keeper was told was counted at keepers as well, which tell nobody. A keeper that asked those of other domains in an outage, or became a borrower, told all since its start as new demand. Tests: keeper_that_borrows_tells_no_past_use, former_keeper_tells_what_calls_use_from_then_on, both red before.

--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -45,7 +45,8 @@
     pub(super) demand: DemandRate,
     /// Whether little is left of the total.
     pub(super) is_scarce: bool,
-    /// What calls used here beyond what the keeper was told, in tokens.
+    /// What calls of a borrower used beyond what the keeper was told, in tokens. A keeper knows its own demand
+    /// and tells nobody.
     pub(super) untold: i64,
     /// What all routers took of the total, as it was last seen here or told by the keeper.
     seen_taken: Option<u64>,
@@ -136,7 +137,7 @@
     pub(super) fn reserve(&mut self, now: ClockTime, tokens: u64) {
         self.free -= tokens;
         self.reserved += tokens;
-        self.untold += tokens as i64;
+        self.note_untold(tokens as i64);
         self.note_use(now, tokens as f64);
         self.note_peak(now, tokens);
     }
@@ -146,10 +147,27 @@
         self.reserved = self.reserved.saturating_sub(reserved);
         let unused = reserved.saturating_sub(used);
         self.free += unused;
-        self.untold -= unused as i64;
+        self.note_untold(-(unused as i64));
         self.note_use(now, -(unused as f64));
     }
 
+    /// Takes over where the tokens come from; tells whether that is a change.
+    pub(super) fn set_role(&mut self, role: EscrowRole) -> bool {
+        let is_changed = std::mem::replace(&mut self.role, role) != role;
+        if is_changed {
+            // Another router keeps the workspace now, or none: what was used before is no news to it.
+            self.untold = 0;
+        }
+        is_changed
+    }
+
+    /// Notes what calls use of a borrower, or less than zero for what the keeper was told.
+    pub(super) fn note_untold(&mut self, tokens: i64) {
+        if self.role == EscrowRole::Borrower {
+            self.untold += tokens;
+        }
+    }
+
     /// A call waits for tokens.
     pub(super) fn begin_wait(&mut self, now: ClockTime, tokens: u64) {
         *self.awaited.entry(tokens).or_default() += 1;
--- a/crates/beechsaddle-core/src/gateway/escrow_loans.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_loans.rs
@@ -72,7 +72,7 @@
     pub fn receive(&mut self, workspace: &WorkspaceName, request: LoanRequest, tokens: u64) {
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.free += tokens;
-            account.untold -= request.used + request.need as i64;
+            account.note_untold(-(request.used + request.need as i64));
         }
     }
 
@@ -106,7 +106,7 @@
     pub fn finish_return(&mut self, workspace: &WorkspaceName, handed: LoanReturn) {
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.returning -= handed.tokens;
-            account.untold -= handed.used;
+            account.note_untold(-handed.used);
         }
     }
 
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -79,10 +79,8 @@
 
     /// Takes over where the tokens of a workspace come from; tells whether that is a change.
     pub fn set_role(&mut self, workspace: &WorkspaceName, role: EscrowRole) -> bool {
-        let Some(account) = self.accounts.get_mut(workspace) else {
-            return false;
-        };
-        std::mem::replace(&mut account.role, role) != role
+        let account = self.accounts.get_mut(workspace);
+        account.is_some_and(|account| account.set_role(role))
     }
 
     /// Has everything that is not promised given back, and nothing taken any more.
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -52,6 +52,13 @@
     }
 }
 
+/// A call that uses all that is reserved for it.
+fn use_tokens(escrow: &mut TokenEscrow, tokens: u64) {
+    let outcome = escrow.try_reserve(START, &acme(), tokens);
+    assert_eq!(outcome, ReserveOutcome::Reserved);
+    escrow.settle(START, &acme(), tokens, tokens);
+}
+
 /// Writes what is due and gives the change.
 fn write_due(escrow: &mut TokenEscrow, now: ClockTime) -> Option<LedgerChange> {
     let change = escrow.plan(now, &acme())?;
@@ -340,6 +347,33 @@
     assert!(stocked < usual * 17 / 10, "{stocked} held and not {usual}");
 }
 
+/// The ledger gets out of reach, and a keeper asks those of other domains for tokens. With its first question it told
+/// all that its callers had used since it started as if that were new: the other keeper took 3 million tokens where
+/// 0.2 million a second were used, out of reach of everybody else, and as much was lost where it died.
+#[test]
+fn keeper_that_borrows_tells_no_past_use() {
+    let mut escrow = keeper(1_000_000);
+    escrow.receive(&acme(), loan(0), 200_000);
+    use_tokens(&mut escrow, 150_000);
+    escrow.begin_wait(START, &acme(), 90_000);
+    let request = escrow.loan_wanted(START, &acme()).expect("a request");
+    assert_eq!((request.need, request.used), (40_000, 0));
+}
+
+/// A keeper becomes a borrower, as a router that comes before it is back. What its callers used before is no demand
+/// of the one that keeps the workspace now; what they use from then on is.
+#[test]
+fn former_keeper_tells_what_calls_use_from_then_on() {
+    let mut escrow = keeper(1_000_000);
+    escrow.receive(&acme(), loan(0), 200_000);
+    use_tokens(&mut escrow, 150_000);
+    escrow.set_role(&acme(), EscrowRole::Borrower);
+    use_tokens(&mut escrow, 20_000);
+    escrow.begin_wait(START, &acme(), 90_000);
+    let request = escrow.loan_wanted(START, &acme()).expect("a request");
+    assert_eq!(request.used, 20_000);
+}
+
 /// A keeper lends what is asked for, or as much of it as helps at least one call, or nothing.
 #[test]
 fn lend_whole_part_or_nothing() {
