Keepers of other domains are told what was written of a ledger

Cause: five keepers write a ledger, each from what it last saw; a quarter of all writes met another's, which costs a call and has callers wait for the next try. A stale look before each write is seconds old itself. Ruled out: pauses between writes (calls wait for them), one keeper for the fleet (a domain that is cut off would write all the same). Change: whoever has written sends ledger and revision to the keepers of the other domains. A lost or old note costs a conflict, nothing else: a write is done only on the revision that it was made from, and a ledger that is told is taken over like one that was read.

--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -30,6 +30,10 @@
       -> (isTaken :Bool, taken :UInt64);
   # Hands tokens back to the router that keeps the workspace. The caller has given them up before it
   # asks, and has them again only where `isTaken` is false; an answer that is lost loses them.
+
+  noteLedger @2 (secret :Text, workspace :Text, revision :UInt64, ledger :Data) -> ();
+  # Tells the keeper of another domain what the caller has just written: the workspace's ledger as it
+  # lies in the store, and its revision. Whoever does not hear of it learns so from the store.
 }
 
 enum FollowedKind {
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -13,6 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
+use super::ledger_notes::tell_keepers;
 use super::ledger_store::{LedgerStore, StoredLedger, WriteOutcome};
 use super::token_lending::update_roles;
 use super::token_return::TokenReturns;
@@ -133,6 +134,8 @@
         self.returns.begin();
         let unread = self.state.escrow.borrow().unread();
         self.each(unread, |workspace| self.find(workspace)).await;
+        let kept = self.state.escrow.borrow().kept();
+        kept.iter().for_each(|workspace| self.take_note(workspace));
         let due = self.due();
         self.each(due, |workspace| self.write(workspace)).await;
         let old = self.old();
@@ -201,8 +204,10 @@
 
     /// Writes what is due of a workspace until nothing is, or the store does not tell.
     async fn write(&self, workspace: WorkspaceName) {
+        self.take_note(&workspace);
         self.look_before_write(&workspace).await;
         for conflicts in 0..TRIES_MAX {
+            self.take_note(&workspace);
             let now = self.state.now();
             let change = self.state.escrow.borrow_mut().plan(now, &workspace);
             let known = self.known(&workspace);
@@ -212,6 +217,7 @@
             match self.store.write(&workspace, &known, change).await {
                 WriteOutcome::Done(ledger) => {
                     self.note_written(&workspace);
+                    tell_keepers(&self.state, &workspace, &ledger);
                     self.finish(&workspace, ledger, true);
                     return;
                 }
@@ -229,6 +235,27 @@
         }
     }
 
+    /// Takes over what another keeper told of a ledger. It says nothing of whether the store answers this router.
+    fn take_note(&self, workspace: &WorkspaceName) {
+        let Some(note) = self.state.ledger_notes.take(workspace) else {
+            return;
+        };
+        let mut kept_ledgers = self.stored.borrow_mut();
+        let Some(kept) = kept_ledgers.get_mut(workspace) else {
+            return;
+        };
+        if kept.revision >= note.stored.revision {
+            return;
+        }
+        kept.revision = note.stored.revision;
+        kept.seen_at = kept.seen_at.max(note.told_at);
+        drop(kept_ledgers);
+        let mut escrow = self.state.escrow.borrow_mut();
+        escrow.take_ledger(note.told_at, workspace, note.stored.ledger, true);
+        drop(escrow);
+        self.state.escrow_changed.notify_waiters();
+    }
+
     /// Brings a ledger up to date that others may have changed since it was seen.
     ///
     /// A write without an answer is looked for in the ledger as it is now: made again it might be as silent, and
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -16,6 +16,7 @@
 
 use super::gateway_metrics::{GatewayMetrics, StoreLabel};
 use super::gateway_settings::GatewaySettings;
+use super::ledger_notes::LedgerNotes;
 use super::line_budget::LineBudget;
 use super::news::{NewsRelay, StoreHealth};
 use super::store_call::StoreCall;
@@ -54,6 +55,8 @@
     pub(super) escrow: RefCell<TokenEscrow>,
     /// Tokens borrowed from other routers, and what is known of these.
     pub(super) lending: TokenLending,
+    /// What other keepers told of ledgers.
+    pub(super) ledger_notes: LedgerNotes,
     /// What the store told, for those that follow this router, and whom this one follows.
     pub(super) relay: NewsRelay,
     /// How full the router's own link is.
@@ -106,6 +109,7 @@
             roster: RefCell::new(TargetRoster::default()),
             escrow: RefCell::new(TokenEscrow::new(settings.budgets, me.to_string())),
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
+            ledger_notes: LedgerNotes::default(),
             relay: NewsRelay::default(),
             link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
             rotation: RefCell::default(),
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod gateway_settings;
 mod gateway_state;
 mod host_listener;
+mod ledger_notes;
 mod ledger_store;
 mod ledger_wait;
 mod line_budget;
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -143,6 +143,26 @@
         }
     }
 
+    /// Tells a router what was written of a workspace's ledger; `ledger` is as it lies in the store.
+    pub(super) async fn note_ledger(
+        &self,
+        peer: &PeerRecord,
+        secret: &str,
+        workspace: &WorkspaceName,
+        revision: u64,
+        ledger: &[u8],
+    ) -> Result<(), String> {
+        let link = self.open(peer).await?;
+        let mut call = link.lender().note_ledger_request();
+        let mut parameters = call.get();
+        parameters.set_secret(secret);
+        parameters.set_workspace(workspace.as_str());
+        parameters.set_revision(revision);
+        parameters.set_ledger(ledger);
+        let told = call.send().promise.await;
+        told.map(drop).map_err(|error| error.to_string())
+    }
+
     /// Asks a router what changed after a revision.
     pub(super) async fn follow_news(
         &self,
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -20,6 +20,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::gateway_state::GatewayState;
+use super::ledger_notes::note_ledger;
 use super::news::{FollowReply, serve_follow};
 use super::token_lender::lend_tokens;
 
@@ -159,6 +160,26 @@
         answer.set_taken(self.taken_of(&workspace));
         Ok(())
     }
+
+    async fn note_ledger(
+        self: Rc<Self>,
+        parameters: token_lender::NoteLedgerParams,
+        _: token_lender::NoteLedgerResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        self.check_secret(parameters.get_secret()?)?;
+        let workspace = WorkspaceName::new(parameters.get_workspace()?.to_str()?);
+        let (revision, ledger) = (parameters.get_revision(), parameters.get_ledger()?);
+        note_ledger(&self.state, workspace, revision, ledger).map_err(|error| {
+            let fields = [
+                ("peer", self.peer.to_string()),
+                ("error", error.to_string()),
+            ];
+            let report = &self.state.report;
+            report.log(LogLevel::Error, "ledger_unreadable", fields);
+            capnp::Error::failed(error.to_string())
+        })
+    }
 }
 
 impl news_relay::Server for PeerServer {
--- a/crates/beechsaddle/tests/gateway_lending.rs
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -2,6 +2,7 @@
 
 mod gateway_support;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use beechsaddle_core::hash::rendezvous_weight;
@@ -37,6 +38,23 @@
     router
 }
 
+/// A router of another domain, once it and the first know each other.
+async fn southern_router(
+    bench: &GatewayBench,
+    start: fn(SocketAddr, &str, &str) -> GatewayProcess,
+) -> GatewayProcess {
+    let south = start(bench.store.address(), "host-2", "south");
+    for router in [&bench.router, &south] {
+        router.wait_ready().await;
+        router.wait_log(&["target_joined", "engine-1"]).await;
+        router.wait_log(&["target_joined", "engine-2"]).await;
+        router.wait_log(&["routers_listed", "routers=2"]).await;
+    }
+    // Roles follow the list at the next tick.
+    sleep(Duration::from_millis(1_200)).await;
+    south
+}
+
 /// Two routers of a domain serve one workspace. Only one of them writes the ledger; the other is
 /// lent what it needs.
 #[tokio::test]
@@ -96,15 +114,7 @@
 async fn rest_in_another_domain_is_borrowed() {
     let prepaid = 12_000;
     let bench = GatewayBench::start(&draft(1, prepaid)).await;
-    let south = GatewayProcess::start(bench.store.address(), "host-2", "south");
-    for router in [&bench.router, &south] {
-        router.wait_ready().await;
-        router.wait_log(&["target_joined", "engine-1"]).await;
-        router.wait_log(&["target_joined", "engine-2"]).await;
-        router.wait_log(&["routers_listed", "routers=2"]).await;
-    }
-    // Roles follow the list at the next tick.
-    sleep(Duration::from_millis(1_200)).await;
+    let south = southern_router(&bench, GatewayProcess::start).await;
     for number in 0..20 {
         for router in [&bench.router, &south] {
             let reply = router
@@ -127,6 +137,44 @@
     assert!(used <= prepaid, "{used} used of {prepaid}");
 }
 
+/// The keepers of two domains write a ledger in turns. Each wrote from what the store had told it some seconds ago,
+/// met the other's write, and had its caller wait for another try: a quarter of all writes of a fleet in five domains.
+/// Told by each other what was written, they write from the newest.
+#[tokio::test]
+async fn keepers_of_two_domains_write_without_conflict() {
+    let bench = GatewayBench::start_holding_little(&draft(1, 500_000_000)).await;
+    let south = southern_router(&bench, GatewayProcess::start_holding_little).await;
+    let routers = [&bench.router, &south];
+    for router in routers {
+        assert_eq!(router.call(&stream_request("small")).await.status, 200);
+    }
+    bench.store.freeze_stale_reads();
+    let before = write_count(routers, "conflict").await;
+    // Each call needs more than a keeper holds after the one before.
+    for prompt in [1_000, 4_000, 16_000, 64_000, 256_000] {
+        for router in routers {
+            let mut call = stream_request(&format!("large-{prompt}"));
+            call.tokens = Some((prompt, 20));
+            assert_eq!(router.call(&call).await.status, 200);
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    let met = write_count(routers, "conflict").await - before;
+    let done = write_count(routers, "done").await;
+    assert!(done >= 10.0, "{done} writes");
+    assert!(met <= 1.0, "{met} conflicts");
+}
+
+/// Writes of ledgers by what came of them.
+async fn write_count(routers: [&GatewayProcess; 2], what: &str) -> f64 {
+    let mut count = 0.0;
+    for router in routers {
+        let metric = format!("store_calls_total{{call=\"write_ledger\",what=\"{what}\"}}");
+        count += router.metric(&metric).await.unwrap_or(0.0);
+    }
+    count
+}
+
 /// The router that keeps a workspace is killed. The other notices when it asks, keeps the workspace
 /// itself and serves on; both together never use more than the total.
 #[tokio::test]
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -27,6 +27,7 @@
 struct MoreSettings {
     gateway: &'static str,
     store: &'static str,
+    budgets: &'static str,
 }
 
 /// A router's process; dropping it kills it.
@@ -64,6 +65,15 @@
         GatewayProcess::start_with(store, host, domain, true, &more)
     }
 
+    /// Starts a router that holds no tokens ahead but for one call like the largest.
+    pub fn start_holding_little(store: SocketAddr, host: &str, domain: &str) -> Self {
+        let more = MoreSettings {
+            budgets: "hold_s = 0\nleast_s = 0\nfirst_part = 0\n",
+            ..MoreSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &more)
+    }
+
     /// Starts a router whose log nobody reads.
     pub fn start_unread(store: SocketAddr, host: &str, domain: &str) -> Self {
         GatewayProcess::start_with(store, host, domain, false, &MoreSettings::default())
@@ -227,12 +237,14 @@
     let MoreSettings {
         gateway,
         store: store_lines,
+        budgets,
     } = more;
     format!(
         "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{address}\"\n\
          ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n{gateway}\n\
          [store]\naddress = \"{store}\"\n{store_lines}\n\
-         [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n"
+         [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n\n\
+         [budgets]\n{budgets}"
     )
 }
 
@@ -259,6 +271,13 @@
         bench
     }
 
+    /// The same with a router that holds no tokens ahead but for one call like the largest.
+    pub async fn start_holding_little(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_holding_little).await;
+        bench.router.wait_log(&["target_joined", "engine-1"]).await;
+        bench
+    }
+
     /// The same with a router on a host with a narrow link.
     pub async fn start_narrow(draft: &ConfigDraft) -> Self {
         let bench = GatewayBench::start_with(draft, GatewayProcess::start_narrow).await;
