--- a/crates/beechsaddle-core/src/members/member_desk.rs
+++ b/crates/beechsaddle-core/src/members/member_desk.rs
@@ -6,7 +6,7 @@
 use super::heartbeat_plan::HeartbeatPlan;
 use super::heartbeat_writer::HeartbeatWriter;
 use super::host_view::HostView;
-use super::host_watch::{HostUpdate, HostWatch};
+use super::host_watch::HostWatch;
 use super::liveness_check::LivenessCheck;
 use super::member_status::status_of;
 use super::peer_contacts::PeerContacts;
@@ -30,13 +30,13 @@
 /// Keeps track of the routers and hosts that there are.
 #[derive(Debug)]
 pub struct MemberDesk {
-    options: MemberOptions,
+    pub(super) options: MemberOptions,
     address: String,
     state: RouterState,
-    table: MemberTable,
-    hosts: HostView,
+    pub(super) table: MemberTable,
+    pub(super) hosts: HostView,
     watch: HostWatch,
-    contacts: PeerContacts,
+    pub(super) contacts: PeerContacts,
     bridges: BridgeBook,
     /// When routers were first heard, for those that are new.
     fresh: BTreeMap<RouterIncarnation, ClockTime>,
@@ -46,7 +46,7 @@
     started: ClockTime,
     last_tick: Option<ClockTime>,
     /// When a peer was last asked for the list of hosts.
-    hosts_asked: ClockTime,
+    pub(super) hosts_asked: ClockTime,
 }
 
 impl MemberDesk {
@@ -141,50 +141,6 @@
         self.ask_for_hosts(now, from, heartbeat, outbox);
     }
 
-    /// Answers a router of the own domain that has no list of hosts.
-    pub fn answer_hosts(&self, from: &RouterIncarnation, outbox: &mut CoreOutbox) {
-        let Some((version, hosts)) = self.hosts.list(self.table.domain()) else {
-            return;
-        };
-        let Some(entry) = self
-            .table
-            .get(from)
-            .filter(|entry| entry.domain == *self.table.domain())
-        else {
-            return;
-        };
-        let message = PeerMessage::HostsUpdate {
-            version,
-            hosts: hosts.clone(),
-        };
-        let address = entry.address.clone();
-        outbox.act(CoreAction::Peer {
-            to: from.clone(),
-            address,
-            message,
-        });
-    }
-
-    /// Takes a peer's list of the own domain's hosts, unless a newer one is known.
-    pub fn on_peer_hosts(
-        &mut self,
-        now: ClockTime,
-        version: u64,
-        list: HostList,
-        outbox: &mut CoreOutbox,
-    ) {
-        let domain = self.table.domain().clone();
-        self.on_hosts(
-            now,
-            HostUpdate {
-                domain,
-                version,
-                list,
-            },
-            outbox,
-        );
-    }
-
     /// Whether it is time for a heartbeat.
     pub fn is_heartbeat_due(&self, now: ClockTime) -> bool {
         now >= self.next_beat
@@ -269,44 +225,6 @@
         }
     }
 
-    /// A router that started while the platform is away has no list of hosts, and would refuse
-    /// every call for want of a target. A peer's list lags no more than it did for the peer.
-    fn ask_for_hosts(
-        &mut self,
-        now: ClockTime,
-        from: &RouterIncarnation,
-        heartbeat: &PeerHeartbeat,
-        outbox: &mut CoreOutbox,
-    ) {
-        let domain = self.table.domain();
-        let is_able = heartbeat.domain == *domain && !self.hosts.knows(domain);
-        if !is_able || now < self.hosts_asked.plus_ms(self.options.heartbeat_ms) {
-            return;
-        }
-        self.hosts_asked = now;
-        outbox.act(CoreAction::Peer {
-            to: from.clone(),
-            address: heartbeat.address.clone(),
-            message: PeerMessage::HostsRequest,
-        });
-    }
-
-    fn on_hosts(&mut self, now: ClockTime, update: HostUpdate, outbox: &mut CoreOutbox) {
-        let domain = update.domain;
-        let changes = self.hosts.update(now, &domain, update.version, update.list);
-        let Some(changes) = changes else {
-            return;
-        };
-        self.contacts.set_listed(self.hosts.joined());
-        outbox.signal(CoreSignal::HostsChanged);
-        if domain != *self.table.domain() {
-            return;
-        }
-        for host in changes.leaving {
-            outbox.signal(CoreSignal::HostLeaving(host));
-        }
-    }
-
     fn send(&mut self, now: ClockTime, slow: bool, outbox: &mut CoreOutbox) {
         self.sequence += 1;
         let plan = HeartbeatPlan {
--- a/crates/beechsaddle-core/src/members/mod.rs
+++ b/crates/beechsaddle-core/src/members/mod.rs
@@ -7,6 +7,7 @@
 mod heartbeat_news;
 mod heartbeat_plan;
 mod heartbeat_writer;
+mod host_exchange;
 mod host_list;
 mod host_view;
 mod host_watch;
