--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -13,6 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
+use super::kept_ledger::KeptLedger;
 use super::ledger_notes::tell_keepers;
 use super::ledger_store::{LedgerStore, StoredLedger, WriteOutcome};
 use super::token_lending::update_roles;
@@ -40,13 +41,6 @@
 /// See [`LEAST_PAUSE_MS`]; calls wait for the ledger that long.
 const LONGEST_PAUSE_MS: u64 = 500;
 
-/// The shortest time between two writes of a ledger that no call waits for.
-const CALM_SPAN_MS: u64 = 2_500;
-
-/// Over how long the first writes of a ledger are spread, in milliseconds. The keepers of a fleet that starts find
-/// all ledgers in the same moment, long before callers come.
-const FIRST_SPREAD_MS: u64 = 2_000;
-
 /// How old a scarce workspace's ledger may be, in milliseconds. Whoever holds some has to notice.
 const SCARCE_AGE_MS: u64 = 600;
 /// How old any other ledger may be, in milliseconds, also one of which nobody calls: the first caller after an
@@ -71,26 +65,6 @@
     ticked_at: Cell<ClockTime>,
 }
 
-/// A ledger as it was last seen, and when.
-#[derive(Clone, Copy, Debug)]
-struct KeptLedger {
-    revision: u64,
-    seen_at: ClockTime,
-    /// When it was last written here; before that, when it may be.
-    written_at: ClockTime,
-    is_written: bool,
-}
-
-/// Whether a ledger may be written that no call waits for. One that was not written yet is written once the
-/// spread that was drawn for it is over.
-fn is_calm(now: ClockTime, kept: &KeptLedger) -> bool {
-    let span_ms = match kept.is_written {
-        true => CALM_SPAN_MS,
-        false => 1,
-    };
-    now.since(kept.written_at) >= span_ms
-}
-
 impl EscrowKeeper {
     /// A keeper that has not read any ledger yet.
     pub(super) fn new(state: Rc<GatewayState>) -> Self {
@@ -163,7 +137,7 @@
         let due = escrow.due(now).into_iter();
         let due = due.filter(|workspace| {
             let kept = stored.get(workspace);
-            let is_calm = kept.is_some_and(|kept| is_calm(now, kept));
+            let is_calm = kept.is_some_and(|kept| kept.is_calm(now));
             kept.is_some() && (is_calm || escrow.is_urgent(now, workspace))
         });
         due.collect()
@@ -316,12 +290,8 @@
     fn keep(&self, workspace: &WorkspaceName, revision: u64) {
         let now = self.state.now();
         let mut stored = self.stored.borrow_mut();
-        let kept = stored.entry(workspace.clone()).or_insert(KeptLedger {
-            revision,
-            seen_at: now,
-            written_at: now.plus_ms(rand::random_range(0..=FIRST_SPREAD_MS)),
-            is_written: false,
-        });
+        let kept = stored.entry(workspace.clone());
+        let kept = kept.or_insert_with(|| KeptLedger::new(now, revision));
         kept.revision = revision;
         kept.seen_at = now;
         drop(stored);
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -159,8 +159,12 @@
         parameters.set_workspace(workspace.as_str());
         parameters.set_revision(revision);
         parameters.set_ledger(ledger);
-        let told = call.send().promise.await;
-        told.map(drop).map_err(|error| error.to_string())
+        match call.send().promise.await {
+            Ok(_) => Ok(()),
+            // A router of an older version does not know the call, and looks after the ledger by itself.
+            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => Ok(()),
+            Err(error) => Err(error.to_string()),
+        }
     }
 
     /// Asks a router what changed after a revision.
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -1,35 +1,23 @@
-//! The `token_lending` module provides the borrowing of tokens from other routers.
+//! The `token_lending` module provides what a router knows of those that lend to it, and when it asks them.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{
-    EscrowRole, LoanPauses, LoanReply, LoanRequest, PeerRecord, PeerRing,
-};
+use beechsaddle_core::gateway::{EscrowRole, LoanPauses, PeerRecord, PeerRing};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
-use super::peer_link::{LenderAnswer, PeerLinks};
+use super::peer_link::PeerLinks;
+use super::token_borrow::ask_for_tokens;
 
 /// How long a loan may take: the lender may have to ask the ledger first.
 pub(super) const LOAN_SPAN: Duration = Duration::from_millis(400);
 
-/// How long routers of the own domain are asked in turn, in milliseconds. After a loss of many most of those
-/// in line refuse a connection at once, and the next that runs is found in time for the call that waits.
-const LINE_MS: u64 = 400;
-
-/// How long to wait before a keeper that had too little is asked again: several writes of the ledger.
-const SHORT_PAUSE: Duration = Duration::from_millis(150);
-
-/// How often a keeper that has too little is asked: for as long as calls wait for tokens.
-const SHORT_ROUNDS: usize = 3;
-
 /// Why there was no loan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LoanFailure {
@@ -41,20 +29,7 @@
     LedgerAway,
 }
 
-/// What came of asking in the own domain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum DomainAnswer {
-    /// Tokens came, or are known to be used up, or nothing is wanted any more.
-    Helped,
-    /// The keeper has too little now.
-    Short,
-    /// Neither the keeper nor this router reaches the ledger.
-    LedgerAway,
-    /// There is no keeper but this router.
-    Nobody,
-}
-
-/// Borrows tokens from other routers.
+/// What is known of the routers that lend tokens, and of workspaces whose tokens are being asked for.
 pub(super) struct TokenLending {
     /// The routers of the fleet.
     pub(super) ring: RefCell<PeerRing>,
@@ -62,7 +37,7 @@
     /// Workspaces that nobody is asked for just now.
     pub(super) pauses: RefCell<LoanPauses>,
     /// Workspaces whose keepers in other domains had nothing left beside a ledger that has too little.
-    foreign_pauses: RefCell<LoanPauses>,
+    pub(super) foreign_pauses: RefCell<LoanPauses>,
     active: RefCell<BTreeSet<WorkspaceName>>,
     secret: RefCell<String>,
     is_settled: Cell<bool>,
@@ -174,187 +149,6 @@
     }
 }
 
-/// Asks until no call waits, or asking does not help.
-async fn ask_for_tokens(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
-    for _ in 0..SHORT_ROUNDS {
-        match ask_domain(state, workspace).await {
-            DomainAnswer::Helped => return,
-            DomainAnswer::Short => sleep(SHORT_PAUSE).await,
-            DomainAnswer::LedgerAway => return note_refused(state, workspace),
-            DomainAnswer::Nobody => return ask_as_keeper(state, workspace).await,
-        }
-    }
-}
-
-/// Asks whoever keeps the workspace for this domain, and the next in line where that one does not answer.
-///
-/// A keeper that has too little is asking the ledger already. A borrower that asked it too would find
-/// the same: dozens of them then meet at the ledger, and the keeper's own write is the one that does
-/// not come through. Where the keeper cannot reach the ledger and this router can, the next in line that
-/// reaches it is asked, which is this one in the end. Where neither can, no router writes in the keeper's
-/// place: all of a domain did so when the store came back, took what the keeper took as well, and gave it
-/// back in as many writes.
-async fn ask_domain(state: &Rc<GatewayState>, workspace: &WorkspaceName) -> DomainAnswer {
-    let until = state.now().plus_ms(LINE_MS);
-    while state.now() < until {
-        let keeper = {
-            let ring = state.lending.ring.borrow();
-            ring.keeper(state.now(), workspace).cloned()
-        };
-        let Some(keeper) = keeper else {
-            return DomainAnswer::Nobody;
-        };
-        match ask_peer(state, &keeper, workspace).await {
-            Ok(()) => return DomainAnswer::Helped,
-            Err(LoanFailure::Short) => return DomainAnswer::Short,
-            Err(LoanFailure::LedgerAway) if state.store_health.is_steady(state.now()) => {
-                let mut ring = state.lending.ring.borrow_mut();
-                ring.note_cut_off(state.now(), &keeper.host);
-                drop(ring);
-                update_roles(state);
-            }
-            Err(LoanFailure::LedgerAway) => return DomainAnswer::LedgerAway,
-            Err(LoanFailure::Unreachable) => {}
-        }
-    }
-    DomainAnswer::Short
-}
-
-/// This router keeps the workspace: it asks the ledger, and while that is away the keepers of other domains.
-///
-/// They are asked as well where the ledger has too little. The last part of a total lies with keepers in rests: each
-/// gave them back in writes of its own for others to find, and calls were refused meanwhile.
-async fn ask_as_keeper(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
-    state
-        .escrow
-        .borrow_mut()
-        .set_role(workspace, EscrowRole::Keeper);
-    state.escrow_wake.notify_one();
-    if state.is_ledger_away.get() {
-        if !ask_foreign(state, workspace).await {
-            note_refused(state, workspace);
-        }
-    } else if state.escrow.borrow().outgrows_ledger(workspace) {
-        ask_for_rests(state, workspace).await;
-    }
-}
-
-/// Asks the keepers of other domains for what they have left, unless none had any a moment ago.
-async fn ask_for_rests(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
-    let pauses = &state.lending.foreign_pauses;
-    if pauses.borrow().is_paused(state.now(), workspace) {
-        return;
-    }
-    match ask_foreign(state, workspace).await {
-        true => pauses.borrow_mut().note_lent(workspace),
-        false => pauses.borrow_mut().note_refused(state.now(), workspace),
-    }
-}
-
-fn note_refused(state: &GatewayState, workspace: &WorkspaceName) {
-    let mut pauses = state.lending.pauses.borrow_mut();
-    pauses.note_refused(state.now(), workspace);
-}
-
-/// Asks the keepers of other domains, which may hold more than they need just now; tells whether one
-/// helped.
-async fn ask_foreign(state: &Rc<GatewayState>, workspace: &WorkspaceName) -> bool {
-    let keepers: Vec<_> = {
-        let ring = state.lending.ring.borrow();
-        let keepers = ring.foreign_keepers(state.now(), workspace);
-        keepers.into_iter().cloned().collect()
-    };
-    for keeper in keepers {
-        if ask_peer(state, &keeper, workspace).await.is_ok() {
-            return true;
-        }
-    }
-    false
-}
-
-async fn ask_peer(
-    state: &Rc<GatewayState>,
-    peer: &PeerRecord,
-    workspace: &WorkspaceName,
-) -> Result<(), LoanFailure> {
-    let now = state.now();
-    let wanted = state.escrow.borrow().loan_wanted(now, workspace);
-    let Some(request) = wanted else {
-        return Ok(());
-    };
-    let secret = state.lending.secret();
-    let links = &state.lending.links;
-    let domain = state.settings().domain.clone();
-    let loan = links.borrow_tokens(peer, &secret, &domain, workspace, request);
-    let loan = timeout(LOAN_SPAN, loan).await;
-    let answer = match loan {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return Err(note_down(state, peer, &error)),
-        Err(_) => return Err(note_down(state, peer, "no answer in time")),
-    };
-    if state.lending.ring.borrow_mut().note_up(&peer.host) {
-        let fields = [("peer", peer.host.to_string())];
-        state.report.log(LogLevel::Info, "peer_regained", fields);
-    }
-    log_loan(state, peer, workspace, request, answer.reply);
-    take_answer(state, peer, workspace, request, answer)
-}
-
-fn log_loan(
-    state: &GatewayState,
-    peer: &PeerRecord,
-    workspace: &WorkspaceName,
-    request: LoanRequest,
-    reply: LoanReply,
-) {
-    let fields = [
-        ("workspace", workspace.to_string()),
-        ("peer", peer.host.to_string()),
-        ("least", request.least.to_string()),
-        ("need", request.need.to_string()),
-        ("ahead", request.ahead.to_string()),
-        ("outcome", reply.as_str().to_owned()),
-        ("tokens", reply.tokens().to_string()),
-    ];
-    state.report.log(LogLevel::Info, "tokens_borrowed", fields);
-}
-
-fn take_answer(
-    state: &GatewayState,
-    peer: &PeerRecord,
-    workspace: &WorkspaceName,
-    request: LoanRequest,
-    answer: LenderAnswer,
-) -> Result<(), LoanFailure> {
-    let mut escrow = state.escrow.borrow_mut();
-    if let Some(taken) = answer.taken {
-        escrow.note_taken(workspace, taken);
-    }
-    let taken = match answer.reply {
-        LoanReply::Lent(tokens) => {
-            escrow.receive(workspace, request, tokens);
-            state.metrics.tokens_borrowed.inc_by(tokens);
-            state.lending.pauses.borrow_mut().note_lent(workspace);
-            Ok(())
-        }
-        // A keeper of another domain does not know what the others have left.
-        LoanReply::Exhausted if peer.domain != state.settings().domain => Err(LoanFailure::Short),
-        LoanReply::Exhausted => {
-            escrow.note_exhausted(state.now(), workspace, request.least);
-            Ok(())
-        }
-        LoanReply::Short => Err(LoanFailure::Short),
-        LoanReply::LedgerAway => Err(LoanFailure::LedgerAway),
-    };
-    if answer.reply != LoanReply::LedgerAway {
-        let mut ring = state.lending.ring.borrow_mut();
-        ring.note_in_reach(&peer.host);
-    }
-    drop(escrow);
-    state.escrow_changed.notify_waiters();
-    taken
-}
-
 /// Passes over a router that did not answer.
 pub(super) fn note_down(state: &GatewayState, peer: &PeerRecord, error: &str) -> LoanFailure {
     state.lending.links.forget(&peer.host);
