--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::demand_peak::DemandPeak;
 use super::{
     BudgetLedger, DemandRate, EscrowFacts, EscrowOptions, EscrowRole, LedgerChange, TokenTransfer,
 };
@@ -65,13 +66,6 @@
     noted_at: ClockTime,
 }
 
-/// The largest recent request.
-#[derive(Clone, Copy, Debug, Default)]
-struct DemandPeak {
-    tokens: u64,
-    noted_at: ClockTime,
-}
-
 impl EscrowAccount {
     /// An account of a router that does not know yet whether it keeps the workspace.
     pub(super) fn new(now: ClockTime) -> Self {
@@ -94,7 +88,7 @@
             uncovered_since: None,
             ledger_at: now,
             exhausted: None,
-            largest: DemandPeak::default(),
+            largest: DemandPeak::new(DEMAND_HALF_LIFE_MS),
             demand: DemandRate::new(DEMAND_HALF_LIFE_MS, now),
         }
     }
@@ -331,20 +325,11 @@
 
     /// The largest recent request, in tokens.
     pub(super) fn largest_at(&self, now: ClockTime) -> u64 {
-        match now.since(self.largest.noted_at) > 4 * DEMAND_HALF_LIFE_MS {
-            true => 0,
-            false => self.largest.tokens,
-        }
+        self.largest.tokens_at(now)
     }
 
     pub(super) fn note_peak(&mut self, now: ClockTime, tokens: u64) {
-        let is_old = now.since(self.largest.noted_at) > 2 * DEMAND_HALF_LIFE_MS;
-        if is_old || tokens > self.largest.tokens {
-            self.largest = DemandPeak {
-                tokens,
-                noted_at: now,
-            };
-        }
+        self.largest.note(now, tokens);
     }
 
     fn note_scarcity(&mut self, options: &EscrowOptions) {
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod budget_ledger;
 mod caller_limits;
+mod demand_peak;
 mod demand_rate;
 mod escrow_account;
 mod escrow_facts;
--- a/crates/beechsaddle-core/tests/gateway_losses.rs
+++ b/crates/beechsaddle-core/tests/gateway_losses.rs
@@ -138,13 +138,13 @@
         let escrow = &mut self.keepers[index].escrow;
         escrow.begin_wait(now, &acme(), CALL_TOKENS);
         self.write(index);
-        self.borrow_rests(index);
+        self.borrow_remainders(index);
         self.keepers[index].escrow.end_wait(&acme(), CALL_TOKENS);
         self.reserve(index)
     }
 
     /// Where the ledger has too little the other keepers are asked for what they have left.
-    fn borrow_rests(&mut self, index: usize) {
+    fn borrow_remainders(&mut self, index: usize) {
         let now = self.now;
         for lender in 0..self.keepers.len() {
             let borrower = &self.keepers[index].escrow;
--- a/crates/beechsaddle/src/gateway/token_borrow.rs
+++ b/crates/beechsaddle/src/gateway/token_borrow.rs
@@ -97,12 +97,12 @@
             note_refused(state, workspace);
         }
     } else if state.escrow.borrow().outgrows_ledger(workspace) {
-        ask_for_rests(state, workspace).await;
+        ask_for_remainders(state, workspace).await;
     }
 }
 
 /// Asks the keepers of other domains for what they have left, unless none had any a moment ago.
-async fn ask_for_rests(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+async fn ask_for_remainders(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
     let pauses = &state.lending.foreign_pauses;
     if pauses.borrow().is_paused(state.now(), workspace) {
         return;
--- a/crates/beechsaddle/tests/gateway_lending.rs
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -111,7 +111,7 @@
 /// come back, call after call, until the other keeper had noticed and given its rest back by a write. The rest is
 /// borrowed from it at once.
 #[tokio::test]
-async fn rest_in_another_domain_is_borrowed() {
+async fn remainder_in_another_domain_is_borrowed() {
     let prepaid = 12_000;
     let bench = GatewayBench::start(&draft(1, prepaid)).await;
     let south = southern_router(&bench, GatewayProcess::start).await;
