Read each ledger shard now and then for grants of routers that nobody knows

Cause: every way to a fold began with somebody who had heard of the router. The fix needs no memory: the grant is in the ledger, and the platform's lists say which hosts there are. A wrong fence is the one that docs/BUDGETS.md proves harmless.

Ruled out: listing all journals each minute (folded ones stay, and would be folded again by each new router); judging by the own member table (routers know few of other domains).

--- a/crates/beechsaddle-core/src/members/host_watch.rs
+++ b/crates/beechsaddle-core/src/members/host_watch.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Whether the lists of all domains were read.
+    pub fn has_all(&self) -> bool {
+        self.watched > 0
+    }
+
     fn watch(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
         self.backoff.reset();
         let call = PlatformCall::Watch {
--- a/crates/beechsaddle-core/src/members/member_desk.rs
+++ b/crates/beechsaddle-core/src/members/member_desk.rs
@@ -103,6 +103,11 @@
         for update in self.watch.on_platform(now, ticket, reply, outbox) {
             self.on_hosts(now, update, outbox);
         }
+        if self.watch.has_all() {
+            let hosts = &self.hosts.joined().hosts;
+            let names = hosts.iter().map(|record| record.host.clone());
+            self.table.set_listed(names);
+        }
     }
 
     /// Takes a heartbeat.
--- a/crates/beechsaddle-core/src/members/member_table.rs
+++ b/crates/beechsaddle-core/src/members/member_table.rs
@@ -1,6 +1,6 @@
 //! The `member_table` module provides the routers that this one knows and how alive they are.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::ClockTime;
 use crate::hash::rendezvous_weight;
@@ -46,6 +46,8 @@
     members: BTreeMap<RouterIncarnation, MemberEntry>,
     /// The latest epoch that each host was heard with.
     latest: BTreeMap<HostName, u64>,
+    /// The hosts that the platform lists, once the lists of all domains were read.
+    listed: Option<BTreeSet<HostName>>,
 }
 
 impl MemberTable {
@@ -57,6 +59,7 @@
             draining: false,
             members: BTreeMap::new(),
             latest: BTreeMap::new(),
+            listed: None,
         }
     }
 
@@ -108,6 +111,22 @@
         left || self.is_outdated(router)
     }
 
+    /// Whether the platform lists a host in no domain, as far as its lists were read; `false` while one was not.
+    pub fn is_unlisted(&self, host: &HostName) -> bool {
+        let listed = self.listed.as_ref();
+        listed.is_some_and(|listed| !listed.contains(host))
+    }
+
+    /// Whether the platform's lists of all domains were read.
+    pub fn knows_hosts(&self) -> bool {
+        self.listed.is_some()
+    }
+
+    /// Sets the hosts that the platform lists in all domains.
+    pub(super) fn set_listed(&mut self, hosts: impl IntoIterator<Item = HostName>) {
+        self.listed = Some(hosts.into_iter().collect());
+    }
+
     /// The live router on a host.
     pub fn live_on(&self, host: &HostName) -> Option<&RouterIncarnation> {
         self.members
--- a/crates/beechsaddle-core/src/money/desk_ledger.rs
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -10,8 +10,9 @@
 use super::budget_ledger::BudgetLedger;
 use super::desk_turn::DeskTurn;
 use super::fold_scan::FoldScan;
-use super::journal_name::journal_router;
+use super::grant_audit::granted_journals;
 use super::money_desk::{MoneyDesk, MoneyWait};
+use super::money_options::MoneyOptions;
 use super::shard_writer::{ShardStep, ShardWriter};
 use crate::platform::PlatformReply;
 use crate::prelude::*;
@@ -41,6 +42,14 @@
             .iter()
             .filter(|(_, writer)| writer.is_unresolved());
         wanted.extend(unresolved.map(|(shard, _)| *shard));
+        if !self.is_draining() {
+            let MoneyOptions {
+                shard_count,
+                audit_period_ms,
+                ..
+            } = self.options;
+            wanted.extend(self.audit.due(turn, shard_count, audit_period_ms));
+        }
         for shard in wanted {
             let writer = self
                 .shards
@@ -119,7 +128,8 @@
         if self.is_fenced_in(shard, &ledger) {
             self.start_new_life(turn);
         }
-        self.fence_replaced(turn, shard, &ledger);
+        self.audit.finish(shard);
+        self.fence_unclaimed(turn, &ledger);
         self.adopt_budgets(turn.now, shard, &ledger, is_unresolved);
         // Otherwise a grant would be taken for requests that may not use it.
         for budget in self.budgets_of(shard) {
@@ -212,24 +222,22 @@
         })
     }
 
-    /// Fences journals of earlier processes on hosts that run a later one. When all routers of a
-    /// domain died together, nobody is left who saw them alive and could call them gone, and their
-    /// grants would stay open for ever.
-    fn fence_replaced(&mut self, turn: &DeskTurn<'_>, shard: u32, ledger: &BudgetLedger) {
-        for budget in self.budgets_of(shard) {
-            let Some(account) = ledger.budgets.get(&budget) else {
+    /// Fences journals whose routers nobody calls gone: those of earlier processes on hosts that run a later one,
+    /// as when all routers of a domain died together, and those that the audit finds abandoned. Their grants would
+    /// stay open for ever.
+    fn fence_unclaimed(&mut self, turn: &DeskTurn<'_>, ledger: &BudgetLedger) {
+        self.audit.forget_closed(ledger);
+        let list_lag_ms = self.options.list_lag_ms;
+        for (journal, owner) in granted_journals(ledger) {
+            let is_ended = turn.is_replaced(&owner)
+                || self.audit.is_abandoned(turn, &journal, &owner, list_lag_ms);
+            if !is_ended {
                 continue;
-            };
-            for journal in account.grants.keys() {
-                let owner = journal_router(journal);
-                let Some(owner) = owner.filter(|owner| turn.is_replaced(owner)) else {
-                    continue;
-                };
-                self.scans
-                    .entry(owner.clone())
-                    .or_insert_with(|| FoldScan::new(&owner));
-                self.want_job(turn.now, journal);
             }
+            self.scans
+                .entry(owner.clone())
+                .or_insert_with(|| FoldScan::new(&owner));
+            self.want_job(turn.now, &journal);
         }
     }
 
--- /dev/null
+++ b/crates/beechsaddle-core/src/money/grant_audit.rs
@@ -0,0 +1,96 @@
+//! The `grant_audit` module provides the search for grants of routers that nobody is left to call gone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::budget_ledger::BudgetLedger;
+use super::desk_turn::DeskTurn;
+use super::journal_name::journal_router;
+use crate::clock::ClockTime;
+use crate::names::{KeyText, RouterIncarnation};
+
+/// Reads the shards that this router is picked for now and then, also those that no call needs.
+///
+/// A dead router's journal is folded by whoever saw it alive, or by the next process on its host. Where all
+/// of them die too and the host never returns, its last bills would stay out of the ledger and its grant
+/// would be missing from the budget for good.
+#[derive(Debug, Default)]
+pub(super) struct GrantAudit {
+    audited_at: Option<ClockTime>,
+    due: BTreeSet<u32>,
+    /// Journals of unknown routers, and since when these were found unlisted each time.
+    suspects: BTreeMap<KeyText, ClockTime>,
+}
+
+impl GrantAudit {
+    /// The shards that are to be read now; none before hosts are known, as nothing can be told then. The first
+    /// audit waits for a period: a router that has just started knows few others.
+    pub(super) fn due(
+        &mut self,
+        turn: &DeskTurn<'_>,
+        shard_count: u32,
+        period_ms: u64,
+    ) -> impl Iterator<Item = u32> {
+        if !turn.members.knows_hosts() {
+            return self.due.iter().copied();
+        }
+        let audited_at = *self.audited_at.get_or_insert(turn.now);
+        if turn.now.since(audited_at) >= period_ms {
+            self.audited_at = Some(turn.now);
+            self.due = picked_shards(turn, shard_count);
+        }
+        self.due.iter().copied()
+    }
+
+    /// A shard was read.
+    pub(super) fn finish(&mut self, shard: u32) {
+        self.due.remove(&shard);
+    }
+
+    /// Whether a journal's router has ended although nobody tells: unknown here, and its host in no list of the
+    /// platform for `list_lag_ms`, as a new host's may be shorter.
+    ///
+    /// A router that runs all the same is fenced, which costs it tokens and no call: what it may have spent
+    /// counts as spent, and it goes on with the next journal.
+    pub(super) fn is_abandoned(
+        &mut self,
+        turn: &DeskTurn<'_>,
+        journal: &KeyText,
+        owner: &RouterIncarnation,
+        list_lag_ms: u64,
+    ) -> bool {
+        let is_known = *owner == *turn.members.me() || turn.members.get(owner).is_some();
+        if is_known || !turn.members.is_unlisted(&owner.host) {
+            self.suspects.remove(journal);
+            return false;
+        }
+        let since = *self.suspects.entry(journal.clone()).or_insert(turn.now);
+        turn.now.since(since) >= list_lag_ms
+    }
+
+    /// Forgets suspects of a shard whose grants are gone.
+    pub(super) fn forget_closed(&mut self, ledger: &BudgetLedger) {
+        let accounts = ledger.budgets.values();
+        let closed = accounts.flat_map(|account| account.closed.keys());
+        for journal in closed {
+            self.suspects.remove(journal);
+        }
+    }
+}
+
+fn picked_shards(turn: &DeskTurn<'_>, shard_count: u32) -> BTreeSet<u32> {
+    let me = turn.members.me();
+    let shards = 0..shard_count;
+    let picked = shards.filter(|shard| {
+        let key = BudgetLedger::object_key(*shard);
+        turn.members.picked_for(key.as_str()) == *me
+    });
+    picked.collect()
+}
+
+/// The open grants of a shard whose routers can be told, by journal.
+pub(super) fn granted_journals(ledger: &BudgetLedger) -> BTreeMap<KeyText, RouterIncarnation> {
+    let accounts = ledger.budgets.values();
+    let journals = accounts.flat_map(|account| account.grants.keys());
+    let owned = journals.filter_map(|journal| Some((journal.clone(), journal_router(journal)?)));
+    owned.collect()
+}
--- a/crates/beechsaddle-core/src/money/mod.rs
+++ b/crates/beechsaddle-core/src/money/mod.rs
@@ -16,6 +16,7 @@
 mod entry_call;
 mod fold_job;
 mod fold_scan;
+mod grant_audit;
 mod grant_sizing;
 mod holder_call;
 mod journal_name;
--- a/crates/beechsaddle-core/src/money/money_desk.rs
+++ b/crates/beechsaddle-core/src/money/money_desk.rs
@@ -7,6 +7,7 @@
 use super::entry_call::EntryCall;
 use super::fold_job::FoldJob;
 use super::fold_scan::FoldScan;
+use super::grant_audit::GrantAudit;
 use super::holder_call::{BilledCall, HolderCall};
 use super::journal_name::journal_name;
 use super::journal_segment::BillRecord;
@@ -65,6 +66,7 @@
     pub(super) scans: BTreeMap<RouterIncarnation, FoldScan>,
     /// The search for journals of earlier routers on the own host; begins with the layout.
     pub(super) earlier: Option<FoldScan>,
+    pub(super) audit: GrantAudit,
     pub(super) sweeper: SegmentSweeper,
     pub(super) tickets: BTreeMap<u64, MoneyWait>,
     pub(super) ticket_count: u64,
@@ -128,6 +130,7 @@
             jobs: BTreeMap::new(),
             scans: BTreeMap::new(),
             earlier: None,
+            audit: GrantAudit::default(),
             sweeper: SegmentSweeper::default(),
             tickets: BTreeMap::new(),
             ticket_count: 0,
--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_checks.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_checks.rs
@@ -39,9 +39,19 @@
 
     /// Ends every fault and checks what must hold once all has come to rest.
     pub fn heal(&mut self) {
+        self.heal_without(&[]);
+    }
+
+    /// The same, where some hosts never return.
+    pub fn heal_without(&mut self, lost: &[usize]) {
         self.network = FaultNetwork::default();
         self.scripts.clear();
         for node in 0..NODES {
+            if lost.contains(&node) {
+                self.kill(node);
+                self.nodes[node].is_listed = false;
+                continue;
+            }
             self.thaw(node);
             let domain = self.nodes[node].domain.clone();
             let mut others = self.nodes.iter().filter(|other| other.domain == domain);
--- a/crates/beechsaddle-core/tests/fault_fleet/fleet_node.rs
+++ b/crates/beechsaddle-core/tests/fault_fleet/fleet_node.rs
@@ -51,6 +51,8 @@
         // Shorter than by default, so that a session heals in a minute of model time.
         options.money.idle_return_ms = 5_000;
         options.members.list_lag_ms = 3_000;
+        options.money.list_lag_ms = 3_000;
+        options.money.audit_period_ms = 5_000;
         self.core = Some(RouterCore::new(options));
         self.is_frozen = false;
         self.held.clear();
--- a/crates/beechsaddle-core/tests/router_fences.rs
+++ b/crates/beechsaddle-core/tests/router_fences.rs
@@ -62,3 +62,19 @@
     fleet.heal();
     assert_eq!(fleet.faults, Vec::<String>::new());
 }
+
+/// Guards against a journal that stays open, with its bills and its grant, as all who knew of its router's death
+/// died too and the host never returns.
+#[test]
+fn fence_finds_grants_that_nobody_is_left_to_claim() {
+    for seed in 300..310 {
+        let mut fleet = FaultFleet::new(seed);
+        fleet.step(&step(call(0, 147, 73), 700));
+        fleet.step(&step(call(2, 76, 141), 700));
+        for node in 0..5 {
+            fleet.step(&step(StepKind::Kill { node }, 0));
+        }
+        fleet.heal_without(&[0, 2]);
+        assert_eq!(fleet.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
