Bill no call of which no use is known when its router is taken for gone

A statement showed a bill of zero tokens for a call that was refused as not run.

A bill is never taken back.

Now such a call keeps its reservation and gets no bill. So a draining holder bills it before it closes.

--- a/crates/beechsaddle-core/src/money/desk_holder.rs
+++ b/crates/beechsaddle-core/src/money/desk_holder.rs
@@ -187,6 +187,7 @@
             journal: journal.clone(),
             tokens: 0,
             heard: turn.now,
+            is_orphaned: false,
             provisional: None,
         };
         self.open.insert(call.clone(), open);
@@ -290,7 +291,7 @@
         let mut silent = Vec::new();
         for (call, open) in &mut self.open {
             let is_silent = turn.now.since(open.heard) >= self.options.silence_ms;
-            if is_silent && open.provisional.is_none() && call.router != self.me {
+            if is_silent && !open.is_orphaned && call.router != self.me {
                 open.heard = turn.now;
                 silent.push((call.clone(), open.journal.clone()));
             }
--- a/crates/beechsaddle-core/src/money/desk_journal.rs
+++ b/crates/beechsaddle-core/src/money/desk_journal.rs
@@ -282,7 +282,7 @@
     /// with marks that equal what was spent, so that nothing is written off.
     pub(super) fn pump_drain(&mut self) {
         if self.drain == DrainState::Ending {
-            let is_open = self.open.values().any(|open| open.provisional.is_none());
+            let is_open = self.open.values().any(|open| !open.is_orphaned);
             let is_late = !self.late.is_empty() || !self.ready_finals().is_empty();
             if is_open || is_late || self.has_unbilled_calls() || !self.writer.is_idle() {
                 return;
--- a/crates/beechsaddle-core/src/money/desk_pump.rs
+++ b/crates/beechsaddle-core/src/money/desk_pump.rs
@@ -4,7 +4,7 @@
 use super::fold_job::FoldJob;
 use super::fold_scan::FoldScan;
 use super::journal_name::journal_router;
-use super::money_desk::{MoneyDesk, MoneyWait};
+use super::money_desk::{DrainState, MoneyDesk, MoneyWait};
 use crate::platform::{PlatformCall, PlatformDuty, PlatformReply, PlatformTicket};
 use crate::prelude::*;
 use crate::report::{CounterName, LogLevel};
@@ -13,6 +13,9 @@
     /// Starts everything that is due. Each part has at most one platform call in flight.
     pub(super) fn pump(&mut self, turn: &mut DeskTurn<'_>) {
         self.pump_late(turn);
+        if self.drain == DrainState::Ending {
+            self.bill_silent_orphans(turn);
+        }
         self.pump_drain();
         self.pump_journal(turn);
         self.pump_scans(turn);
--- a/crates/beechsaddle-core/src/money/desk_settle.rs
+++ b/crates/beechsaddle-core/src/money/desk_settle.rs
@@ -128,7 +128,7 @@
         let is_meant = self
             .open
             .get(call)
-            .is_some_and(|open| open.journal == *journal && open.provisional.is_none());
+            .is_some_and(|open| open.journal == *journal && !open.is_orphaned);
         if !is_meant {
             return;
         }
@@ -163,13 +163,13 @@
         turn.send(to, PeerMessage::BillsDurable { calls });
     }
 
-    /// Bills what is known of the calls of an entry router that is gone. What is left of their
-    /// bounds stays reserved: the targets may have served it.
+    /// Bills what is known of the calls of an entry router that is gone. The rest of their bounds stays reserved:
+    /// the targets may have served it.
     pub(super) fn bill_orphans(&mut self, turn: &mut DeskTurn<'_>, gone: &RouterIncarnation) {
         let orphans: Vec<CallId> = self
             .open
             .iter()
-            .filter(|(call, open)| call.router == *gone && open.provisional.is_none())
+            .filter(|(call, open)| call.router == *gone && !open.is_orphaned)
             .map(|(call, _)| call.clone())
             .collect();
         for call in orphans {
@@ -178,6 +178,31 @@
     }
 
     fn bill_orphan(&mut self, turn: &mut DeskTurn<'_>, call: &CallId) {
+        let Some(open) = self.open.get_mut(call) else {
+            return;
+        };
+        open.is_orphaned = true;
+        let key = open.request.key.clone();
+        let is_reported = open.tokens > 0;
+        self.keys.finish(turn.now, &key, call, false);
+        // A call without a sign of use may never have run, and its entry router may live and say so.
+        if is_reported {
+            self.bill_provisionally(turn, call);
+        }
+    }
+
+    /// Bills orphans of which no use is known, before the journal is closed: a successor can raise a bill that is
+    /// in the journal, and cannot add one that is not.
+    pub(super) fn bill_silent_orphans(&mut self, turn: &mut DeskTurn<'_>) {
+        let open = self.open.iter();
+        let silent = open.filter(|(_, open)| open.is_orphaned && open.provisional.is_none());
+        let silent: Vec<CallId> = silent.map(|(call, _)| call.clone()).collect();
+        for call in silent {
+            self.bill_provisionally(turn, &call);
+        }
+    }
+
+    fn bill_provisionally(&mut self, turn: &mut DeskTurn<'_>, call: &CallId) {
         let Some(open) = self.open.get_mut(call) else {
             return;
         };
@@ -194,7 +219,6 @@
             contested: false,
             against: None,
         };
-        self.keys.finish(turn.now, &bill.key, call, false);
         turn.count(CounterName::OrphansBilled);
         if journal != *self.writer.journal() {
             return self.add_late(turn, journal, bill);
--- a/crates/beechsaddle-core/src/money/holder_call.rs
+++ b/crates/beechsaddle-core/src/money/holder_call.rs
@@ -14,7 +14,9 @@
     pub(super) tokens: u64,
     /// When the entry router last gave a sign of the call.
     pub(super) heard: ClockTime,
-    /// What was billed provisionally, because the entry router is gone.
+    /// Whether its entry router is gone.
+    pub(super) is_orphaned: bool,
+    /// What was billed provisionally of an orphan.
     pub(super) provisional: Option<u64>,
 }
 
--- a/crates/beechsaddle-core/tests/router_interleavings.rs
+++ b/crates/beechsaddle-core/tests/router_interleavings.rs
@@ -118,3 +118,9 @@
         "failed seeds: {failed:?}; replay one by BEECHSADDLE_SEED"
     );
 }
+
+/// Guards against a bill for a call that never ran, as its router was taken for gone while it waited.
+#[test]
+fn interleavings_router_taken_for_gone_bills_nothing_unrun() {
+    assert_eq!(run_session(1_185, &draw_steps(1_185)), Vec::<String>::new());
+}
