Take loans that answer after their borrower's timeout

A borrower behind its full link dropped the request after 400 ms, when the lender had given the tokens up. Loans now end in a task of their own, within 10 s. Each is received once: the answer goes either to who waits or, if that one is gone, to the task.

The test stops and resumes the lender; before, what was lent never became what was borrowed.

--- a/crates/beechsaddle/src/gateway/token_borrow.rs
+++ b/crates/beechsaddle/src/gateway/token_borrow.rs
@@ -7,6 +7,8 @@
 use beechsaddle_core::gateway::{EscrowRole, LoanReply, LoanRequest, PeerRecord};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
@@ -20,6 +22,9 @@
 /// How long to wait before a keeper that had too little is asked again: several writes of the ledger.
 const SHORT_PAUSE: Duration = Duration::from_millis(150);
 
+/// How long a loan is taken that came too late for the calls that waited: longer than answers queue at a full link.
+const LATE_LOAN_SPAN: Duration = Duration::from_secs(10);
+
 /// How often a keeper that has too little is asked: for as long as calls wait for tokens.
 const SHORT_ROUNDS: usize = 3;
 
@@ -144,30 +149,72 @@
     let Some(request) = wanted else {
         return Ok(());
     };
-    let secret = state.lending.secret();
-    let links = &state.lending.links;
-    let domain = state.settings().domain.clone();
-    let loan = links.borrow_tokens(peer, &secret, &domain, workspace, request);
-    let loan = timeout(LOAN_SPAN, loan).await;
-    let answer = match loan {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return Err(note_down(state, peer, &error)),
+    let loan = begin_loan(state, peer, workspace, request);
+    let answer = match timeout(LOAN_SPAN, loan).await {
+        Ok(Ok(Ok(answer))) => answer,
+        Ok(Ok(Err(error))) => return Err(note_down(state, peer, &error)),
+        Ok(Err(_)) => return Err(note_down(state, peer, "the request was dropped")),
         Err(_) => return Err(note_down(state, peer, "no answer in time")),
     };
     if state.lending.ring.borrow_mut().note_up(&peer.host) {
         let fields = [("peer", peer.host.to_string())];
         state.report.log(LogLevel::Info, "peer_regained", fields);
     }
-    log_loan(state, peer, workspace, request, answer.reply);
+    log_loan(state, peer, workspace, request, answer.reply, false);
     take_answer(state, peer, workspace, request, answer)
 }
 
+/// Asks for a loan in a task of its own, which goes on when the answer is no longer waited for: the lender may have
+/// given the tokens up, and they would be lost to the workspace.
+fn begin_loan(
+    state: &Rc<GatewayState>,
+    peer: &PeerRecord,
+    workspace: &WorkspaceName,
+    request: LoanRequest,
+) -> oneshot::Receiver<Result<LenderAnswer, String>> {
+    let (sender, receiver) = oneshot::channel();
+    let (state, peer, workspace) = (Rc::clone(state), peer.clone(), workspace.clone());
+    spawn_local(async move {
+        let secret = state.lending.secret();
+        let domain = state.settings().domain.clone();
+        let links = &state.lending.links;
+        let loan = links.borrow_tokens(&peer, &secret, &domain, &workspace, request);
+        let loan = match timeout(LATE_LOAN_SPAN, loan).await {
+            Ok(loan) => loan,
+            Err(_) => Err("no answer at all".to_owned()),
+        };
+        if let Err(Ok(answer)) = sender.send(loan) {
+            take_late(&state, &peer, &workspace, request, answer.reply);
+        }
+    });
+    receiver
+}
+
+/// Takes over a loan that came when it was no longer waited for.
+fn take_late(
+    state: &GatewayState,
+    peer: &PeerRecord,
+    workspace: &WorkspaceName,
+    request: LoanRequest,
+    reply: LoanReply,
+) {
+    log_loan(state, peer, workspace, request, reply, true);
+    if let LoanReply::Lent(tokens) = reply {
+        let mut escrow = state.escrow.borrow_mut();
+        escrow.receive(workspace, request, tokens);
+        drop(escrow);
+        state.metrics.tokens_borrowed.inc_by(tokens);
+        state.escrow_changed.notify_waiters();
+    }
+}
+
 fn log_loan(
     state: &GatewayState,
     peer: &PeerRecord,
     workspace: &WorkspaceName,
     request: LoanRequest,
     reply: LoanReply,
+    is_late: bool,
 ) {
     let fields = [
         ("workspace", workspace.to_string()),
@@ -177,6 +224,7 @@
         ("ahead", request.ahead.to_string()),
         ("outcome", reply.as_str().to_owned()),
         ("tokens", reply.tokens().to_string()),
+        ("late", is_late.to_string()),
     ];
     state.report.log(LogLevel::Info, "tokens_borrowed", fields);
 }
--- a/crates/beechsaddle/tests/gateway_lending.rs
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -340,3 +340,42 @@
     let reply = bench.router.call(&stream_request("call-1")).await;
     assert_eq!(reply.status, 200);
 }
+
+/// Guards against tokens that are lost because the lender's answer comes after the borrower's timeout.
+#[tokio::test]
+async fn late_loan_is_taken() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    let second = second_router(&bench, "host-2").await;
+    let is_first = !bench
+        .router
+        .log_lines(&["ledger_written", "transfer=take"])
+        .is_empty();
+    let (keeper, borrower) = match is_first {
+        true => (&bench.router, &second),
+        false => (&second, &bench.router),
+    };
+    let reply = borrower.call(&stream_request("before")).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    let lent = keeper.log_lines(&["tokens_lent", "outcome=lent"]).len();
+    keeper.signal(Signal::SIGSTOP);
+    borrower.call(&stream_request("paused")).await;
+    borrower.wait_log(&["peer_lost", "no answer in time"]).await;
+    keeper.signal(Signal::SIGCONT);
+    wait_for("another loan", async || {
+        keeper.log_lines(&["tokens_lent", "outcome=lent"]).len() > lent
+    })
+    .await;
+    wait_for("all that was lent", async || {
+        sum_tokens(&borrower.log_lines(&["tokens_borrowed", "outcome=lent"]))
+            == sum_tokens(&keeper.log_lines(&["tokens_lent", "outcome=lent"]))
+    })
+    .await;
+}
+
+fn sum_tokens(lines: &[String]) -> u64 {
+    let fields = lines.iter().flat_map(|line| line.split_whitespace());
+    let tokens = fields.filter_map(|field| field.strip_prefix("tokens="));
+    tokens
+        .map(|tokens| tokens.parse::<u64>().expect("a number"))
+        .sum()
+}
