--- a/crates/beechsaddle-core/src/gateway/loan_pauses.rs
+++ b/crates/beechsaddle-core/src/gateway/loan_pauses.rs
@@ -15,8 +15,8 @@
 
 /// The workspaces whose tokens nobody can give just now.
 ///
-/// Through an outage the answer stays the same for seconds. Asked every 0.4 s by each of 195 routers, keepers
-/// answered up to 7,800 questions a second to no avail; with pauses that double it is a fifth of that.
+/// Through an outage the answer stays the same for seconds: asking all the time would load the keepers that the
+/// other workspaces' callers wait for.
 #[derive(Clone, Debug, Default)]
 pub struct LoanPauses {
     pauses: BTreeMap<WorkspaceName, LoanPause>,
--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -18,8 +18,7 @@
 
 /// What a target of another domain costs a stream that runs once, in tokens: as much as twenty running
 /// streams. Such a stream cannot go on elsewhere, and where domains lose each other all that cross the
-/// cut are lost: of 2,990 a day 279 failed, and with this 248, in the mean of 18 days of seven routers
-/// in three domains. At 8,000 tokens 26 calls a day fewer failed, and 81 more were late.
+/// cut are lost; above this their callers wait for busy engines of their own domain instead.
 const SINGLE_RUN_FOREIGN_TOKENS: f64 = 3_000.0;
 
 /// The least number of shared tokens that one engine gets from another. Below it the setup of a transfer
@@ -92,8 +91,7 @@
     /// How many targets were compared.
     pub candidates: usize,
     /// The engine that the target gets shared parts of the prompt from, where it is not their place.
-    /// Moving 6,300 tokens takes some 20 ms, reading them 200 ms of an engine's time, in which its other
-    /// streams pause: with this a quarter less is read again, in the mean of 18 days.
+    /// Moving tokens takes a tenth of the time of reading them, in which the engine's other streams pause.
     pub fetch_from: Option<SocketAddr>,
 }
 
--- a/crates/beechsaddle-core/src/gateway/transfer_plan.rs
+++ b/crates/beechsaddle-core/src/gateway/transfer_plan.rs
@@ -38,9 +38,8 @@
 
     /// How many free tokens are kept before any are given back.
     ///
-    /// Amounts that are small for the whole fleet stay: what calls leave of their reservations was written
-    /// back in parts of some hundred tokens, which was a third of all writes of 86 routers. A borrower gives
-    /// back sooner, as it hands tokens to the keeper of its domain and nothing is written for that.
+    /// Amounts that are small for the whole fleet stay: what calls leave of their reservations is not worth a
+    /// write. A borrower gives back sooner, as it hands tokens to the keeper of its domain without one.
     fn most_kept(&self, now: ClockTime, wanted: u64, options: &EscrowOptions) -> u64 {
         let usual = (wanted as f64 * options.give_back_at) as u64;
         if self.is_closing {
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -48,7 +48,7 @@
 const LEDGER_AGE_MS: u64 = 2_000;
 
 /// How old a ledger may be that a write is made from, in milliseconds. A look at it costs a tenth of a write
-/// that meets another domain's; with a keeper in each of five domains nearly half of all writes did.
+/// that meets another domain's.
 const WRITE_AGE_MS: u64 = 150;
 
 /// Ledgers that are read or written at the same time.
--- a/crates/beechsaddle/src/gateway/news/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/news/router_registry.rs
@@ -54,8 +54,8 @@
 /// Whether this host was listed before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnEntry {
-    /// A process before listed it, and the fleet with it: nobody has to be waited for. After a loss of all
-    /// routers callers were refused for 1.5 s more, until each had been listed a second time.
+    /// A process before listed it, and the fleet with it: nobody has to be waited for, and after a loss of all
+    /// routers callers are served at once.
     Found,
     /// It is new, as it is for all of a fleet that starts for the first time.
     Made,
--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -24,8 +24,7 @@
 const LONGEST_PAUSE_MS: u64 = 500;
 
 /// How far apart two answers of a watch are, in milliseconds. Targets that start change their entries
-/// with every heartbeat, and each change would end the watch of each router: with 143 targets that
-/// started together 86 routers made 10,300 of a day's 19,000 store calls in these four seconds. Changes
+/// with every heartbeat, and each change would end the watch of each router and cost a call. Changes
 /// that come in the pause are in the next answer. The first change after a calm span is told at once;
 /// one that follows it is told this much later at most, a fifth of the time that a leaving target
 /// still serves.
