--- a/crates/beechsaddle-core/src/money/desk_ledger.rs
+++ b/crates/beechsaddle-core/src/money/desk_ledger.rs
@@ -48,7 +48,7 @@
                 audit_period_ms,
                 ..
             } = self.options;
-            wanted.extend(self.audit.due(turn, shard_count, audit_period_ms));
+            wanted.extend(self.audit.next_due(turn, shard_count, audit_period_ms));
         }
         for shard in wanted {
             let writer = self
--- a/crates/beechsaddle-core/src/money/grant_audit.rs
+++ b/crates/beechsaddle-core/src/money/grant_audit.rs
@@ -22,23 +22,24 @@
 }
 
 impl GrantAudit {
-    /// The shards that are to be read now; none before hosts are known, as nothing can be told then. The first
-    /// audit waits for a period: a router that has just started knows few others.
-    pub(super) fn due(
+    /// The shard that is to be read now; none before hosts are known, as nothing can be told then. The first
+    /// audit waits for a period: a router that has just started knows few others. Shards are read one after
+    /// the other, so that an outage does not have all of them tried again and again.
+    pub(super) fn next_due(
         &mut self,
         turn: &DeskTurn<'_>,
         shard_count: u32,
         period_ms: u64,
-    ) -> impl Iterator<Item = u32> {
+    ) -> Option<u32> {
         if !turn.members.knows_hosts() {
-            return self.due.iter().copied();
+            return None;
         }
         let audited_at = *self.audited_at.get_or_insert(turn.now);
         if turn.now.since(audited_at) >= period_ms {
             self.audited_at = Some(turn.now);
             self.due = picked_shards(turn, shard_count);
         }
-        self.due.iter().copied()
+        self.due.first().copied()
     }
 
     /// A shard was read.
