Audit ledger shards at a pace of each router

With the planned 8,192 shards and 19 domains a read of each shard a minute would be 2,600 reads a second, more than the platform takes: worked out in review. A router now reads one of its shards each ten seconds, 45 reads a second at that size.

--- a/crates/beechsaddle-core/src/money/grant_audit.rs
+++ b/crates/beechsaddle-core/src/money/grant_audit.rs
@@ -1,6 +1,6 @@
 //! The `grant_audit` module provides the search for grants of routers that nobody is left to call gone.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::budget_ledger::BudgetLedger;
 use super::desk_turn::DeskTurn;
@@ -8,7 +8,7 @@
 use crate::clock::ClockTime;
 use crate::names::{KeyText, RouterIncarnation};
 
-/// Reads the shards that this router is picked for now and then, also those that no call needs.
+/// Reads the shards that this router is picked for in turn, also those that no call needs.
 ///
 /// A dead router's journal is folded by whoever saw it alive, or by the next process on its host. Where all
 /// of them die too and the host never returns, its last bills would stay out of the ledger and its grant
@@ -16,15 +16,17 @@
 #[derive(Debug, Default)]
 pub(super) struct GrantAudit {
     audited_at: Option<ClockTime>,
-    due: BTreeSet<u32>,
+    /// The shard that is read now.
+    due: Option<u32>,
+    /// The shard that was read last.
+    last: u32,
     /// Journals of unknown routers, and since when these were found unlisted each time.
     suspects: BTreeMap<KeyText, ClockTime>,
 }
 
 impl GrantAudit {
     /// The shard that is to be read now; none before hosts are known, as nothing can be told then. The first
-    /// audit waits for a period: a router that has just started knows few others. Shards are read one after
-    /// the other, so that an outage does not have all of them tried again and again.
+    /// read waits for a period: a router that has just started knows few others.
     pub(super) fn next_due(
         &mut self,
         turn: &DeskTurn<'_>,
@@ -35,16 +37,19 @@
             return None;
         }
         let audited_at = *self.audited_at.get_or_insert(turn.now);
-        if turn.now.since(audited_at) >= period_ms {
+        if self.due.is_none() && turn.now.since(audited_at) >= period_ms {
             self.audited_at = Some(turn.now);
-            self.due = picked_shards(turn, shard_count);
+            self.due = next_picked(turn, self.last, shard_count);
         }
-        self.due.first().copied()
+        self.due
     }
 
     /// A shard was read.
     pub(super) fn finish(&mut self, shard: u32) {
-        self.due.remove(&shard);
+        if self.due == Some(shard) {
+            self.due = None;
+            self.last = shard;
+        }
     }
 
     /// Whether a journal's router has ended although nobody tells: unknown here, and its host in no list of the
@@ -78,14 +83,14 @@
     }
 }
 
-fn picked_shards(turn: &DeskTurn<'_>, shard_count: u32) -> BTreeSet<u32> {
+/// The next shard in turn that this router is picked for.
+fn next_picked(turn: &DeskTurn<'_>, last: u32, shard_count: u32) -> Option<u32> {
     let me = turn.members.me();
-    let shards = 0..shard_count;
-    let picked = shards.filter(|shard| {
+    let mut shards = (1..=shard_count).map(|step| last.wrapping_add(step) % shard_count);
+    shards.find(|shard| {
         let key = BudgetLedger::object_key(*shard);
         turn.members.picked_for(key.as_str()) == *me
-    });
-    picked.collect()
+    })
 }
 
 /// The open grants of a shard whose routers can be told, by journal.
--- a/crates/beechsaddle-core/src/money/money_options.rs
+++ b/crates/beechsaddle-core/src/money/money_options.rs
@@ -40,8 +40,8 @@
     pub dedup_window_ms: u64,
     /// How often an answered key may be run again.
     pub max_reruns: u32,
-    /// The time between two searches of the ledger for grants of routers that nobody knows any more; a read of
-    /// each shard in each domain.
+    /// The time between two reads of ledger shards for grants of routers that nobody knows any more. Each router
+    /// reads the shards that it is picked for in turn, so that the cost grows with routers alone.
     pub audit_period_ms: u64,
     /// How long a host must be in no list before a router there that nobody knows is taken for gone: longer than
     /// the platform's lists lag.
@@ -75,7 +75,7 @@
             resend_ms: 500,
             dedup_window_ms: 600_000,
             max_reruns: 3,
-            audit_period_ms: 60_000,
+            audit_period_ms: 10_000,
             list_lag_ms: 60_000,
             closed_retention_ms: 7 * 86_400_000,
             max_waiting: 1_000,
