--- a/crates/beechsaddle-core/tests/router_fences.rs
+++ b/crates/beechsaddle-core/tests/router_fences.rs
@@ -63,8 +63,7 @@
     assert_eq!(fleet.faults, Vec::<String>::new());
 }
 
-/// Guards against a journal that stays open, with its bills and its grant, as all who knew of its router's death
-/// died too and the host never returns.
+/// Guards against a journal that stays open because all who knew of its router's death died too.
 #[test]
 fn fence_finds_grants_that_nobody_is_left_to_claim() {
     for seed in 300..310 {
