--- a/crates/beechsaddle-core/src/hash.rs
+++ b/crates/beechsaddle-core/src/hash.rs
@@ -1,12 +1,31 @@
 //! The `hash` module provides the one hash that placement and sharding use.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// Hashes text the same way on every router and in every version.
 pub fn stable_hash(text: impl AsRef<[u8]>) -> u64 {
     xxh3_64(text.as_ref())
 }
 
+/// A hash of 128 bits over several parts, the same on every router and in every version.
+#[derive(Default)]
+pub struct WideHash {
+    state: Xxh3,
+}
+
+impl WideHash {
+    /// Adds a part. Its length counts too, so that parts do not run into each other.
+    pub fn add(&mut self, part: &[u8]) {
+        self.state.update(&(part.len() as u64).to_le_bytes());
+        self.state.update(part);
+    }
+
+    /// The hash of all parts.
+    pub fn finish(&self) -> u128 {
+        self.state.digest128()
+    }
+}
+
 /// The shard of `shard_count` that `name` belongs to; zero shards count as one.
 pub fn shard_of(name: impl AsRef<str>, shard_count: u32) -> u32 {
     let count = u64::from(shard_count.max(1));
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptEnd, AttemptHistory, RouteRule, ServiceRule, TargetRecord, TokenBound, WorkspaceRule,
+    AttemptEnd, AttemptHistory, RequestFingerprint, RouteRule, ServiceRule, TargetRecord,
+    TokenBound, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -32,6 +33,8 @@
     pub(super) headers: HeaderMap,
     /// The whole body.
     pub(super) body: Bytes,
+    /// Which request it is, whatever the id of this attempt.
+    pub(super) fingerprint: RequestFingerprint,
     /// Its route.
     pub(super) route: Arc<RouteRule>,
     /// Its service.
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptHistory, GatewayConfig, LinkWay, RouteMatch, RouteRule, ServiceRule, WorkspaceRule,
+    AttemptHistory, GatewayConfig, LinkWay, RequestFingerprint, RouteMatch, RouteRule, ServiceRule,
+    WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -244,6 +245,10 @@
         return Err((record, refused));
     };
     record.note("service", &service);
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let workspace = place.workspace.as_ref();
+    let caller = workspace.map_or("", |rule| rule.name.as_str());
+    let fingerprint = RequestFingerprint::new(path, caller, &body);
     record.decide(
         "call_admitted",
         [
@@ -251,6 +256,7 @@
             ("route", place.route.name.to_string()),
             ("service", service.to_string()),
             ("body_bytes", body.len().to_string()),
+            ("fingerprint", fingerprint.to_string()),
             ("span_ms", span_ms.to_string()),
         ],
     );
@@ -266,6 +272,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        fingerprint,
         route: place.route,
         service,
         rule: rule.unwrap_or(plain),
