Refuse requests that crash the targets which run them, fleet-wide

Cause: nothing outlived an attempt. The class: knowledge of the fleet kept by nobody.

Mend: crashes are pairs of request and target incarnation, a set that merges in any order. A break is a crash where the address then refuses; pairs go to one router of each domain, from the second on to all and to the store's object crashes/main. Three pairs, one of them after a known crash, and the request is refused before it reserves tokens. Completed requests are cleared, crashes that one request explains do not count against others, targets lost at once convict nobody, one router of a domain tries what is in doubt.

Ruled out: counting at each router (eight routers forgive eight times three); a 4xx (a lie to an innocent); writing each break to the store (a priced call each).

Not covered: the product's own dialect; a caller who sends many different crashing bodies.

--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -6,6 +6,9 @@
 
 mod budget_ledger;
 mod caller_limits;
+mod crash_book;
+mod crash_sighting;
+mod crash_suspect;
 mod demand_peak;
 mod demand_rate;
 mod escrow_account;
@@ -37,6 +40,8 @@
 
 pub use budget_ledger::{BudgetLedger, LedgerChange, TokenTransfer};
 pub use caller_limits::CallerLimits;
+pub use crash_book::{CrashBook, CrashVerdict};
+pub use crash_sighting::{CrashFacts, CrashSighting, TargetIncarnation};
 pub use demand_rate::DemandRate;
 pub use escrow_facts::{EscrowFacts, EscrowRole};
 pub use escrow_options::EscrowOptions;
--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -104,18 +104,18 @@
 
     /// The router of the own domain that keeps a workspace; `None` when it is this one.
     pub fn keeper(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<&PeerRecord> {
-        let own = rendezvous_weight(workspace.as_str(), self.me.as_str());
+        self.keeper_of(now, workspace.as_str())
+    }
+
+    /// The router of the own domain that looks after what has this name; `None` when it is this one.
+    pub fn keeper_of(&self, now: ClockTime, name: &str) -> Option<&PeerRecord> {
+        let own = rendezvous_weight(name, self.me.as_str());
         let others = self.peers.values().filter(|peer| {
             let is_other = peer.domain == self.domain && peer.host != self.me;
             is_other && self.is_usable(now, peer) && !is_passed_over(&self.cut_off, now, peer)
         });
         others
-            .map(|peer| {
-                (
-                    rendezvous_weight(workspace.as_str(), peer.host.as_str()),
-                    peer,
-                )
-            })
+            .map(|peer| (rendezvous_weight(name, peer.host.as_str()), peer))
             .filter(|(weight, _)| *weight > own)
             .max_by_key(|(weight, _)| *weight)
             .map(|(_, peer)| peer)
@@ -123,12 +123,17 @@
 
     /// The routers that probably keep a workspace in other domains, one in each.
     pub fn foreign_keepers(&self, now: ClockTime, workspace: &WorkspaceName) -> Vec<&PeerRecord> {
+        self.foreign_keepers_of(now, workspace.as_str())
+    }
+
+    /// The routers that probably look after what has this name in other domains, one in each.
+    pub fn foreign_keepers_of(&self, now: ClockTime, name: &str) -> Vec<&PeerRecord> {
         let mut keepers = BTreeMap::<&DomainName, (u64, &PeerRecord)>::new();
         for peer in self.peers.values() {
             if peer.domain == self.domain || !self.is_usable(now, peer) {
                 continue;
             }
-            let weight = rendezvous_weight(workspace.as_str(), peer.host.as_str());
+            let weight = rendezvous_weight(name, peer.host.as_str());
             let keeper = keepers.entry(&peer.domain).or_insert((weight, peer));
             if weight > keeper.0 {
                 *keeper = (weight, peer);
@@ -198,6 +203,20 @@
         })
     }
 
+    /// Whether this router comes first of the whole fleet for what has this name, among those that answer.
+    pub fn leads(&self, now: ClockTime, name: &str) -> bool {
+        let own = rendezvous_weight(name, self.me.as_str());
+        let others = self.others(now).filter(|(_, passed_ms)| *passed_ms == 0);
+        let mut weights = others.map(|(peer, _)| rendezvous_weight(name, peer.host.as_str()));
+        weights.all(|weight| weight < own)
+    }
+
+    /// The other routers of the own domain that answer, as far as is known.
+    pub fn neighbours(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
+        let others = self.peers.values().filter(|peer| peer.host != self.me);
+        others.filter(move |peer| peer.domain == self.domain && self.is_usable(now, peer))
+    }
+
     fn is_usable(&self, now: ClockTime, peer: &PeerRecord) -> bool {
         peer.address.is_some() && !is_passed_over(&self.down, now, peer)
     }
--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -56,6 +56,13 @@
 /// How strongly failures beyond that count against a target.
 const FAILURE_WEIGHT: f64 = 12.0;
 
+/// What it costs to share an engine with a request that may crash it, in tokens: reading the longest prompts
+/// once more, as what runs there has to be run again.
+const SUSPECT_TOKENS: f64 = 20_000.0;
+
+/// The same of a plain target, in milliseconds of waiting.
+const SUSPECT_MS: f64 = 400.0;
+
 /// What is asked of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceInput<'a> {
@@ -73,6 +80,8 @@
     pub tried: &'a [TargetName],
     /// Whether the request may run once only.
     pub runs_once: bool,
+    /// The name of a request that may crash its target, by which such requests are spread.
+    pub suspect: Option<&'a str>,
     /// Switches.
     pub policy: PolicyOptions,
 }
@@ -165,9 +174,14 @@
         }
         false => plain_cost(entry, now, is_foreign),
     };
-    let cost = waiting * (1.0 + FAILURE_WEIGHT * failures)
+    let usual = waiting * (1.0 + FAILURE_WEIGHT * failures)
         + order_cost(entry, input)
-        + entry.record.cold_ms as f64 * 0.1;
+        + entry.record.cold_ms as f64 * 0.1
+        + suspects_cost(entry, input);
+    let cost = match input.suspect {
+        Some(name) => lone_cost(entry, name),
+        None => usual,
+    };
     TargetChoice {
         target: entry.record.name.clone(),
         cost,
@@ -180,6 +194,21 @@
     }
 }
 
+/// What it costs to share a target with requests that may crash it.
+fn suspects_cost(entry: &RosterEntry, input: &ChoiceInput<'_>) -> f64 {
+    let each = match input.is_engine {
+        true => SUSPECT_TOKENS,
+        false => SUSPECT_MS,
+    };
+    entry.gauge.suspects as f64 * each
+}
+
+/// The cost of a target for a request that may crash it: what would end with it. Requests that are suspected
+/// together go to different targets, so that the next crash tells which of them it was.
+fn lone_cost(entry: &RosterEntry, suspect: &str) -> f64 {
+    entry.gauge.active as f64 + unit_weight(suspect, entry.record.name.as_str())
+}
+
 /// The cost of an engine, in tokens to be read before the first event.
 fn engine_cost(entry: &RosterEntry, now: ClockTime, foreign: f64, fastest: f64) -> f64 {
     let gauge = &entry.gauge;
--- a/crates/beechsaddle-core/src/gateway/target_gauge.rs
+++ b/crates/beechsaddle-core/src/gateway/target_gauge.rs
@@ -29,6 +29,8 @@
 pub struct TargetGauge {
     /// Attempts in flight.
     pub active: u64,
+    /// Attempts in flight of requests that may crash it.
+    pub suspects: u64,
     /// Prompt tokens of attempts that have no first event yet.
     pub pending_tokens: u64,
     /// When anything last came from it.
@@ -45,6 +47,7 @@
     pub fn new(now: ClockTime) -> Self {
         TargetGauge {
             active: 0,
+            suspects: 0,
             pending_tokens: 0,
             progress_at: now,
             outliers: OutlierScore::new(now),
--- a/crates/beechsaddle-core/src/gateway/target_record.rs
+++ b/crates/beechsaddle-core/src/gateway/target_record.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::TargetIncarnation;
 use crate::names::{DomainName, ServiceName, TargetName};
 
 /// Whether a target takes new work.
@@ -36,3 +37,13 @@
     /// How much longer it is slow after its start, in milliseconds.
     pub cold_ms: u64,
 }
+
+impl TargetRecord {
+    /// Which start of the target this is.
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            name: self.name.clone(),
+            started: self.started,
+        }
+    }
+}
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -65,6 +65,7 @@
         request_id: "id",
         tried,
         runs_once: false,
+        suspect: None,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, now, input)
@@ -344,6 +345,7 @@
         request_id: "id",
         tried: &[],
         runs_once,
+        suspect: None,
         policy,
     };
     choose_target(roster, now, input).expect("a target")
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -59,5 +59,27 @@
   # how long ago the store last answered the router.
 }
 
-interface RouterPeer extends(TokenLender, NewsRelay) {}
+struct CrashNote {
+  fingerprint @0 :Data;
+  # Which request ran on the target: 16 bytes.
+  target @1 :Text;
+  # The target's id.
+  started @2 :UInt64;
+  # When this start of it was, in Unix milliseconds; 0 where its entry does not say.
+  knownBefore @3 :UInt32;
+  # Crashes under the request that were known when it was sent to the target.
+  runMs @4 :UInt32;
+  # How long the target had the request.
+  isCleared @5 :Bool;
+  # Whether the request has run to its end since.
+  ageMs @6 :UInt64;
+  # How long ago the crash was seen.
+}
+
+interface CrashListener {
+  noteCrashes @0 (secret :Text, notes :List(CrashNote), isSpread :Bool) -> ();
+  # Tells of crashes. Where `isSpread` the caller tells all routers of the listener's domain by itself.
+}
+
+interface RouterPeer extends(TokenLender, NewsRelay, CrashListener) {}
 # What a router serves to others: the first capability of its peer address.
--- a/crates/beechsaddle/src/explain/call_story.rs
+++ b/crates/beechsaddle/src/explain/call_story.rs
@@ -28,6 +28,7 @@
     routers: BTreeSet<&'a str>,
     targets: BTreeSet<&'a str>,
     workspaces: BTreeSet<&'a str>,
+    fingerprints: BTreeSet<&'a str>,
     first_ms: u64,
     last_ms: u64,
 }
@@ -52,6 +53,7 @@
             routers: own.iter().map(|entry| entry.router.as_str()).collect(),
             targets: values("target").collect(),
             workspaces: values("workspace").collect(),
+            fingerprints: values("fingerprint").collect(),
             first_ms: own.first()?.at_ms,
             last_ms: own.last()?.at_ms,
         })
@@ -61,6 +63,10 @@
         if entry.field("id").is_some() {
             return entry.field("id") == Some(self.id);
         }
+        // Crashes under a request decide over its later attempts, whoever saw them and however long ago.
+        if let Some(fingerprint) = entry.field("fingerprint") {
+            return entry.at_ms <= self.last_ms && self.fingerprints.contains(fingerprint);
+        }
         let is_near = entry.at_ms + BEFORE_MS >= self.first_ms && entry.at_ms <= self.last_ms;
         let names = |key, known: &BTreeSet<&str>| {
             entry.field(key).is_some_and(|value| known.contains(value))
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
-use beechsaddle_core::gateway::{AttemptEnd, AttemptLoad, TargetGauge, TargetRecord};
+use beechsaddle_core::gateway::{
+    AttemptEnd, AttemptLoad, RequestFingerprint, TargetGauge, TargetRecord,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 
+use super::crashes::{SuspectRun, look_for_crash};
 use super::gateway_metrics::WordLabel;
 use super::gateway_state::GatewayState;
 
@@ -22,21 +25,35 @@
     state: Rc<GatewayState>,
     target: TargetRecord,
     load: AttemptLoad,
+    fingerprint: RequestFingerprint,
+    /// Crashes that the request may have caused before.
+    known_before: usize,
     started_at: ClockTime,
     has_first: bool,
 }
 
 impl AttemptGuard {
     /// Puts an attempt on a target.
-    pub(super) fn start(state: &Rc<GatewayState>, target: TargetRecord, load: AttemptLoad) -> Self {
+    pub(super) fn start(
+        state: &Rc<GatewayState>,
+        target: TargetRecord,
+        load: AttemptLoad,
+        fingerprint: RequestFingerprint,
+    ) -> Self {
         let guard = AttemptGuard {
             state: Rc::clone(state),
+            fingerprint,
+            known_before: state.crashes.crash_count(fingerprint),
             started_at: state.now(),
             target,
             load,
             has_first: false,
         };
-        guard.change(|gauge, _| gauge.start(load));
+        let is_suspect = guard.known_before > 0;
+        guard.change(|gauge, _| {
+            gauge.start(load);
+            gauge.suspects += u64::from(is_suspect);
+        });
         guard
     }
 
@@ -107,6 +124,23 @@
         }
     }
 
+    /// What may have crashed the target, where its connection breaks.
+    pub(super) fn suspect_run(&self) -> SuspectRun {
+        SuspectRun {
+            fingerprint: self.fingerprint,
+            target: self.target.clone(),
+            known_before: self.known_before,
+            started_at: self.started_at,
+        }
+    }
+
+    /// Finds out whether the target has crashed, where its connection broke.
+    pub(super) async fn look_for_crash(&self, end: AttemptEnd) {
+        if end == AttemptEnd::Broken {
+            look_for_crash(&self.state, self.suspect_run()).await;
+        }
+    }
+
     /// Takes a target out of use whose address another one has.
     pub(super) fn note_misdirected(&self) {
         self.change(|gauge, now| gauge.eject(now));
@@ -143,7 +177,9 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let (load, has_first) = (self.load, self.has_first);
+        let is_suspect = self.known_before > 0;
         self.change(|gauge, _| {
+            gauge.suspects = gauge.suspects.saturating_sub(u64::from(is_suspect));
             if !has_first {
                 gauge.forget_pending(load);
             }
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -15,10 +15,14 @@
 use http::{HeaderMap, Method, Uri};
 
 use super::call_record::CallRecord;
+use super::crashes::TrialGuard;
 use super::gateway_metrics::WordLabel;
 use super::gateway_state::GatewayState;
 use super::refusal::RefusalCause;
 
+/// Crashes of targets under a request after which it is sent again by its caller only.
+const CRASHES_BEFORE_CALLER: usize = 2;
+
 /// A call that was checked against the configuration.
 pub(super) struct CallContext {
     /// What all parts share.
@@ -49,6 +53,8 @@
     pub(super) history: RefCell<AttemptHistory>,
     /// Targets that were tried.
     pub(super) tried: RefCell<Vec<TargetName>>,
+    /// Held while the call is the one try of a request that may crash targets.
+    pub(super) trial: RefCell<Option<TrialGuard>>,
     /// Its log lines.
     pub(super) record: CallRecord,
 }
@@ -99,6 +105,11 @@
         if !allows || self.left_ms() == 0 {
             return false;
         }
+        if self.is_kept_back(end) {
+            let fields = [("after", end.as_str().to_owned())];
+            self.record.decide("repeat_withheld", fields);
+            return false;
+        }
         // An attempt that reached nobody is no arrival, and the next one is the first.
         let state = &self.state;
         let is_first = self.history.borrow().sent() == 0;
@@ -125,6 +136,17 @@
         true
     }
 
+    /// Whether another attempt may crash one more target, as one too many has crashed already.
+    ///
+    /// After one crash most requests that ran on the target had no part in it, and are sent on. A request under
+    /// which two have crashed comes again as a caller's new attempt or not at all.
+    fn is_kept_back(&self, end: AttemptEnd) -> bool {
+        let crashes = &self.state.crashes;
+        let has_crashed_again =
+            end.may_have_run() && crashes.crash_count(self.fingerprint) >= CRASHES_BEFORE_CALLER;
+        has_crashed_again || crashes.is_blocked(self.state.now(), self.fingerprint)
+    }
+
     /// Why the call ends without a target's answer.
     pub(super) fn final_cause(&self, last: AttemptEnd) -> RefusalCause {
         if self.history.borrow().may_have_run() {
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -22,6 +22,7 @@
 use super::answer_body::AnswerBody;
 use super::call_context::CallContext;
 use super::call_record::CallRecord;
+use super::crashes::{CrashAdmission, admit_request};
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::plain_exchange::serve_plain;
 use super::refusal::RefusalCause;
@@ -88,6 +89,9 @@
 
 async fn serve_read(call: Rc<CallContext>) -> Response<AnswerBody> {
     let state = &call.state;
+    if let Some(refusal) = refuse_crashing(&call) {
+        return refusal;
+    }
     state
         .retries
         .borrow_mut()
@@ -122,6 +126,27 @@
     }
 }
 
+/// Refuses a request that crashes targets, before any token is set aside for it.
+fn refuse_crashing(call: &CallContext) -> Option<Response<AnswerBody>> {
+    match admit_request(&call.state, call.fingerprint) {
+        CrashAdmission::Admitted(trial) => {
+            *call.trial.borrow_mut() = trial;
+            None
+        }
+        CrashAdmission::Refused { retry_ms, targets } => {
+            let fields = [
+                ("fingerprint", call.fingerprint.to_string()),
+                ("targets", targets),
+                ("retry_ms", retry_ms.to_string()),
+            ];
+            call.record.decide("call_blocked", fields);
+            let cause = RefusalCause::CrashesTargets;
+            call.record.refuse(cause);
+            Some(cause.response_after(retry_ms, "targets crash when they run this request"))
+        }
+    }
+}
+
 async fn reserve(call: &CallContext) -> Result<Option<TokenReservation>, RefusalCause> {
     let Some((workspace, bound)) = call.reservation_bound() else {
         return Ok(None);
@@ -280,6 +305,7 @@
         ends_at: arrived_at.plus_ms(span_ms),
         history: RefCell::new(AttemptHistory::default()),
         tried: RefCell::new(Vec::new()),
+        trial: RefCell::default(),
         record,
     })
 }
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/crashes/crash_document.rs
@@ -0,0 +1,89 @@
+//! The `crash_document` module provides crashes as they lie in the store.
+
+use beechsaddle_core::gateway::{CrashFacts, CrashSighting, RequestFingerprint, TargetIncarnation};
+use beechsaddle_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// The one object of crashes that all routers share.
+pub(super) const CRASHES_NAME: &str = "main";
+
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct CrashDocument {
+    #[serde(default)]
+    crashes: Vec<Value>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct CrashEntry {
+    request: String,
+    target: String,
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    started: Option<u64>,
+    known_before: u32,
+    run_ms: u32,
+    is_cleared: bool,
+    seen_at: ClockTime,
+}
+
+impl CrashEntry {
+    fn new(sighting: &CrashSighting) -> Self {
+        let CrashSighting {
+            fingerprint,
+            target,
+            facts,
+        } = sighting;
+        CrashEntry {
+            request: fingerprint.to_string(),
+            target: target.name.to_string(),
+            started: target.started,
+            known_before: facts.known_before,
+            run_ms: facts.run_ms,
+            is_cleared: facts.is_cleared,
+            seen_at: facts.seen_at,
+        }
+    }
+
+    fn read(self) -> Option<CrashSighting> {
+        Some(CrashSighting {
+            fingerprint: RequestFingerprint::try_parse(&self.request)?,
+            target: TargetIncarnation {
+                name: TargetName::new(&self.target),
+                started: self.started,
+            },
+            facts: CrashFacts {
+                known_before: self.known_before,
+                run_ms: self.run_ms,
+                is_cleared: self.is_cleared,
+                seen_at: self.seen_at,
+            },
+        })
+    }
+}
+
+/// The crashes of an object. An entry that cannot be read, as another version may write one, hides no other.
+///
+/// # Errors
+///
+/// When the object as a whole is none of crashes.
+pub(super) fn read_crashes(spec: &Value) -> Result<Vec<CrashSighting>, serde_json::Error> {
+    let document = CrashDocument::deserialize(spec)?;
+    let entries = document.crashes.into_iter();
+    let entries = entries.filter_map(|value| CrashEntry::deserialize(value).ok());
+    Ok(entries.filter_map(CrashEntry::read).collect())
+}
+
+/// The object that holds some crashes.
+///
+/// # Errors
+///
+/// When one cannot be written as JSON.
+pub(super) fn write_crashes<'a>(
+    sightings: impl IntoIterator<Item = &'a CrashSighting>,
+) -> Result<Value, serde_json::Error> {
+    let entries = sightings.into_iter();
+    let entries = entries.map(|sighting| serde_json::to_value(CrashEntry::new(sighting)));
+    serde_json::to_value(CrashDocument {
+        crashes: entries.collect::<Result<_, _>>()?,
+    })
+}
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
@@ -0,0 +1,89 @@
+//! The `crash_follow` module provides the following of crashes that routers wrote to the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_platform::{ObjectKind, StoreFailure, StoreListing, StoreNews};
+use tokio::time::sleep;
+
+use super::crash_store::take_object;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::store_call::StoreCall;
+
+/// How long a watch waits. Routers tell each other as well, and a store that was lost is listed anew, so that a
+/// watch which was forgotten unnoticed may stay so for a while.
+const WATCH_SPAN: Duration = Duration::from_secs(20);
+
+/// How often a router that others tell looks for itself, in case nobody reached it.
+const LOOK_SPAN: Duration = Duration::from_secs(20);
+
+/// How often such a router finds out whether it has to follow the store by itself now.
+const ROLE_SPAN: Duration = Duration::from_millis(500);
+
+/// How long to wait after a failure at least, in milliseconds.
+const LEAST_PAUSE_MS: u64 = 60;
+
+/// Follows crashes for ever. Those that follow the store for their domain watch them; others look now and then.
+pub(in crate::gateway) async fn run_crash_follow(state: Rc<GatewayState>) {
+    loop {
+        let listing = list_crashes(&state).await;
+        for object in &listing.objects {
+            take_object(&state, object);
+        }
+        let mut revision = listing.revision;
+        if !is_follower(&state) {
+            wait_for_role(&state).await;
+            continue;
+        }
+        while let Some(news) = watch_crashes(&state, revision).await {
+            revision = news.revision.max(revision);
+            for event in news.events.iter().filter(|event| !event.is_removed) {
+                take_object(&state, &event.object);
+            }
+        }
+    }
+}
+
+fn is_follower(state: &GatewayState) -> bool {
+    let choice = state.relay.choice.borrow();
+    choice.is_follower(state.now(), &state.lending.ring.borrow())
+}
+
+/// Waits until it is time to look again.
+async fn wait_for_role(state: &GatewayState) {
+    let started = state.now();
+    while !is_follower(state) && state.now().since(started) < LOOK_SPAN.as_millis() as u64 {
+        sleep(ROLE_SPAN).await;
+    }
+}
+
+/// Asks for all crashes until there is an answer.
+async fn list_crashes(state: &GatewayState) -> StoreListing {
+    let mut backoff = state.backoff("crashes");
+    loop {
+        let started = state.now();
+        let kind = ObjectKind::Crashes;
+        let listed = state.store.list(kind).await;
+        state.note_store_call(StoreCall::List(kind), started, &listed);
+        if let Ok(listing) = listed {
+            return listing;
+        }
+        // A wait that was cut short by the store's return is as good as a whole one.
+        let _ = state.store_health.answering().await;
+        sleep(Duration::from_millis(backoff.next_ms(LEAST_PAUSE_MS))).await;
+    }
+}
+
+/// Waits for changes; `None` where some may have been missed.
+async fn watch_crashes(state: &GatewayState, revision: u64) -> Option<StoreNews> {
+    let started = state.now();
+    let kind = ObjectKind::Crashes;
+    let watched = tokio::select! {
+        watched = state.store.watch(kind, revision, WATCH_SPAN) => watched,
+        () = state.store_health.lost() => {
+            Err(StoreFailure::Unknown("a probe failed".to_owned()))
+        }
+    };
+    state.note_store_call(StoreCall::Watch(kind), started, &watched);
+    watched.ok()
+}
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -69,6 +69,10 @@
     pub(super) resumes: Counter,
     /// Targets taken out of use.
     pub(super) ejections: Counter,
+    /// Attempts under which a target crashed.
+    pub(super) crashes_seen: Counter,
+    /// Requests that are refused as targets crash under them.
+    pub(super) requests_blocked: Gauge,
     /// Calls to the store, by what was asked and by outcome.
     pub(super) store_calls: Family<StoreLabel, Counter>,
     /// Steps of following another router, by what came of them.
@@ -115,6 +119,8 @@
             repeats_denied: Counter::default(),
             resumes: Counter::default(),
             ejections: Counter::default(),
+            crashes_seen: Counter::default(),
+            requests_blocked: Gauge::default(),
             store_calls: Family::default(),
             news_steps: counted_from_zero(NEWS_WORDS),
             follows_store: Gauge::default(),
@@ -161,6 +167,14 @@
         registry.register("repeats_denied", "Kept back by the retry budget", denied);
         registry.register("resumes", "Streams resumed", self.resumes.clone());
         registry.register("ejections", "Targets ejected", self.ejections.clone());
+        let crashes = self.crashes_seen.clone();
+        registry.register(
+            "crashes_seen",
+            "Attempts under which a target crashed",
+            crashes,
+        );
+        let blocked = self.requests_blocked.clone();
+        registry.register("requests_blocked", "Requests that crash targets", blocked);
         registry.register("store_calls", "Store calls", self.store_calls.clone());
         let steps = self.news_steps.clone();
         registry.register("news_steps", "Steps of following another router", steps);
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::caller_listener::run_listener;
+use super::crashes::{run_crash_follow, run_crash_writer};
 use super::escrow_keeper::EscrowKeeper;
 use super::gateway_settings::GatewaySettings;
 use super::gateway_state::{GatewayPhase, GatewayState};
@@ -109,6 +110,8 @@
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Targets));
     spawn_local(run_registration(Rc::clone(&state)));
     spawn_local(run_expiry(Rc::clone(&state)));
+    spawn_local(run_crash_follow(Rc::clone(&state)));
+    spawn_local(run_crash_writer(Rc::clone(&state)));
     spawn_local(EscrowKeeper::new(Rc::clone(&state)).run());
     spawn_local(run_store_tally(Rc::clone(&state)));
     spawn_local(run_settings_watch(path.to_owned(), Rc::clone(&state)));
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
+use super::crashes::CrashDesk;
 use super::gateway_metrics::{GatewayMetrics, StoreLabel};
 use super::gateway_settings::GatewaySettings;
 use super::ledger_notes::LedgerNotes;
@@ -55,6 +56,8 @@
     pub(super) escrow: RefCell<TokenEscrow>,
     /// Tokens borrowed from other routers, and what is known of these.
     pub(super) lending: TokenLending,
+    /// Requests that crash targets.
+    pub(super) crashes: CrashDesk,
     /// What other keepers told of ledgers.
     pub(super) ledger_notes: LedgerNotes,
     /// What the store told, for those that follow this router, and whom this one follows.
@@ -109,6 +112,7 @@
             roster: RefCell::new(TargetRoster::default()),
             escrow: RefCell::new(TokenEscrow::new(settings.budgets, me.to_string())),
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
+            crashes: CrashDesk::default(),
             ledger_notes: LedgerNotes::default(),
             relay: NewsRelay::default(),
             link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
@@ -197,6 +201,12 @@
         policy.leaves_full_link && self.rotation.borrow().is_out(self.now())
     }
 
+    /// Shows how many requests are refused as they crash targets.
+    pub(super) fn note_blocked_count(&self) {
+        let blocked = self.crashes.blocked_count();
+        self.metrics.requests_blocked.set(blocked as i64);
+    }
+
     /// Waiting times of a duty.
     pub(super) fn backoff(&self, duty: &str) -> RetryBackoff {
         RetryBackoff::new(&self.me, duty)
--- a/crates/beechsaddle/src/gateway/news/news_intake.rs
+++ b/crates/beechsaddle/src/gateway/news/news_intake.rs
@@ -42,7 +42,7 @@
             let changes = state.roster.borrow_mut().take_listing(state.now(), records);
             state.log_roster(changes);
         }
-        ObjectKind::Routers | ObjectKind::Budgets => {}
+        ObjectKind::Routers | ObjectKind::Budgets | ObjectKind::Crashes => {}
     }
 }
 
@@ -61,7 +61,8 @@
             }
         }
         // A configuration that was removed stays in force: there is nothing newer.
-        (ObjectKind::Config, true) | (ObjectKind::Routers | ObjectKind::Budgets, _) => {}
+        (ObjectKind::Config, true)
+        | (ObjectKind::Routers | ObjectKind::Budgets | ObjectKind::Crashes, _) => {}
     }
 }
 
@@ -81,7 +82,10 @@
     for object in objects {
         match kind {
             ObjectKind::Targets => withdraw_target(state, &object.name, object.error.clone()),
-            ObjectKind::Config | ObjectKind::Routers | ObjectKind::Budgets => {
+            ObjectKind::Config
+            | ObjectKind::Routers
+            | ObjectKind::Budgets
+            | ObjectKind::Crashes => {
                 let fields = [
                     ("duty", duty_name(kind).to_owned()),
                     ("name", object.name.clone()),
@@ -153,5 +157,7 @@
         let changes = state.roster.borrow_mut().expire(now);
         state.log_roster(changes);
         state.pool.prune(now);
+        state.crashes.expire(now);
+        state.note_blocked_count();
     }
 }
--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -262,5 +262,6 @@
         ObjectKind::Targets => "targets",
         ObjectKind::Routers => "routers",
         ObjectKind::Budgets => "budgets",
+        ObjectKind::Crashes => "crashes",
     }
 }
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -5,11 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{LoanReply, LoanRequest, LoanReturn, NewsBatch, PeerRecord};
+use beechsaddle_core::gateway::{
+    CrashSighting, LoanReply, LoanRequest, LoanReturn, NewsBatch, PeerRecord,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, news_relay, router_peer, token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, crash_listener, crash_note, news_relay, router_peer,
+    token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -72,6 +75,11 @@
         let client = self.client.client.clone();
         news_relay::Client { client }
     }
+
+    fn crash_listener(&self) -> crash_listener::Client {
+        let client = self.client.client.clone();
+        crash_listener::Client { client }
+    }
 }
 
 /// Connections to routers, one each.
@@ -204,6 +212,32 @@
         })
     }
 
+    /// Tells a router of crashes; `is_spread` tells it that all of its domain are told.
+    pub(super) async fn note_crashes(
+        &self,
+        peer: &PeerRecord,
+        secret: &str,
+        now: ClockTime,
+        sightings: &[CrashSighting],
+        is_spread: bool,
+    ) -> Result<(), String> {
+        let link = self.open(peer).await?;
+        let mut call = link.crash_listener().note_crashes_request();
+        let mut parameters = call.get();
+        parameters.set_secret(secret);
+        parameters.set_is_spread(is_spread);
+        let mut notes = parameters.init_notes(sightings.len() as u32);
+        for (index, sighting) in sightings.iter().enumerate() {
+            write_note(notes.reborrow().get(index as u32), now, sighting);
+        }
+        match call.send().promise.await {
+            Ok(_) => Ok(()),
+            // A router of an older version does not know the call, and refuses no request.
+            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => Ok(()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
     /// Closes the connection to a router, if there is one.
     pub(super) fn forget(&self, host: &HostName) {
         self.links.borrow_mut().remove(host);
@@ -242,6 +276,17 @@
     }
 }
 
+fn write_note(mut note: crash_note::Builder<'_>, now: ClockTime, sighting: &CrashSighting) {
+    let facts = sighting.facts;
+    note.set_fingerprint(&sighting.fingerprint.to_bytes());
+    note.set_target(sighting.target.name.as_str());
+    note.set_started(sighting.target.started.unwrap_or(0));
+    note.set_known_before(facts.known_before);
+    note.set_run_ms(facts.run_ms);
+    note.set_is_cleared(facts.is_cleared);
+    note.set_age_ms(now.since(facts.seen_at));
+}
+
 /// What a router says that all took of a total; 0 means that it does not know.
 fn known_taken(taken: u64) -> Option<u64> {
     (taken > 0).then_some(taken)
@@ -251,7 +296,7 @@
     match kind {
         ObjectKind::Config => Some(FollowedKind::Configuration),
         ObjectKind::Targets => Some(FollowedKind::Targets),
-        ObjectKind::Routers | ObjectKind::Budgets => None,
+        ObjectKind::Routers | ObjectKind::Budgets | ObjectKind::Crashes => None,
     }
 }
 
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -4,12 +4,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{LoanReply, LoanRequest, LoanReturn};
+use beechsaddle_core::gateway::{
+    CrashFacts, CrashSighting, LoanReply, LoanRequest, LoanReturn, RequestFingerprint,
+    TargetIncarnation,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, news_relay, router_peer, token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, crash_listener, crash_note, news_relay, router_peer,
+    token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -19,6 +23,7 @@
 use tokio::task::spawn_local;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
+use super::crashes::take_notes;
 use super::gateway_state::GatewayState;
 use super::ledger_notes::note_ledger;
 use super::news::{FollowReply, serve_follow};
@@ -216,4 +221,42 @@
     }
 }
 
+impl crash_listener::Server for PeerServer {
+    async fn note_crashes(
+        self: Rc<Self>,
+        parameters: crash_listener::NoteCrashesParams,
+        _: crash_listener::NoteCrashesResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        self.check_secret(parameters.get_secret()?)?;
+        let now = self.state.now();
+        let mut sightings = Vec::new();
+        for note in parameters.get_notes()?.iter() {
+            sightings.push(read_note(note, now)?);
+        }
+        take_notes(&self.state, sightings, parameters.get_is_spread());
+        Ok(())
+    }
+}
+
+fn read_note(note: crash_note::Reader<'_>, now: ClockTime) -> Result<CrashSighting, capnp::Error> {
+    let fingerprint = RequestFingerprint::try_from_bytes(note.get_fingerprint()?)
+        .ok_or_else(|| capnp::Error::failed("a fingerprint has 16 bytes".to_owned()))?;
+    let started = note.get_started();
+    let seen_ms = now.as_millis().saturating_sub(note.get_age_ms());
+    Ok(CrashSighting {
+        fingerprint,
+        target: TargetIncarnation {
+            name: TargetName::new(note.get_target()?.to_str()?),
+            started: (started > 0).then_some(started),
+        },
+        facts: CrashFacts {
+            known_before: note.get_known_before(),
+            run_ms: note.get_run_ms(),
+            is_cleared: note.get_is_cleared(),
+            seen_at: ClockTime::from_millis(seen_ms),
+        },
+    })
+}
+
 impl router_peer::Server for PeerServer {}
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -15,6 +15,7 @@
 use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
+use super::crashes::note_completed;
 use super::refusal::RefusalCause;
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 
@@ -81,6 +82,8 @@
     let settings = state.settings();
     let tried = call.tried.borrow();
     let roster = state.roster.borrow();
+    let crash_count = state.crashes.crash_count(call.fingerprint);
+    let suspect = (crash_count > 0).then(|| call.fingerprint.to_string());
     let input = ChoiceInput {
         service: &call.service,
         is_engine: call.rule.is_engine,
@@ -89,6 +92,7 @@
         request_id: &call.head.request_id,
         tried: &tried,
         runs_once: !call.route.kind.may_repeat(),
+        suspect: suspect.as_deref(),
         policy: settings.policy,
     };
     let again = ChoiceInput {
@@ -136,7 +140,7 @@
     choice: &TargetChoice,
     target: &TargetRecord,
 ) -> Result<WholeAnswer, SendFailure> {
-    let mut guard = AttemptGuard::start(&call.state, target.clone(), choice.load);
+    let mut guard = AttemptGuard::start(&call.state, target.clone(), choice.load, call.fingerprint);
     let outcome = exchange(call, target, patience(call, target)).await;
     match &outcome {
         Ok(answer) => match answer.end {
@@ -145,13 +149,18 @@
                     guard.note_misdirected();
                 }
                 guard.note_end(end);
+                guard.look_for_crash(end).await;
             }
             None => {
                 guard.note_first();
                 guard.note_success();
+                note_completed(&call.state, call.fingerprint);
             }
         },
-        Err(failure) => guard.note_end(failure.end),
+        Err(failure) => {
+            guard.note_end(failure.end);
+            guard.look_for_crash(failure.end).await;
+        }
     }
     outcome
 }
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -24,6 +24,8 @@
     BudgetExhausted,
     /// The router holds too few tokens, and the ledger did not give more in time.
     BudgetUnreachable,
+    /// Targets crash under the request.
+    CrashesTargets,
     /// No configuration is known yet.
     NoConfig,
     /// The service has no target.
@@ -60,6 +62,7 @@
             RefusalCause::BudgetUnreachable
             | RefusalCause::NoConfig
             | RefusalCause::NoTarget
+            | RefusalCause::CrashesTargets
             | RefusalCause::TargetsUnreachable
             | RefusalCause::TooLate => (RefusalKind::NotRun, Some(AWAY_RETRY_MS)),
             RefusalCause::OutcomeUnknown => (RefusalKind::OutcomeUnknown, None),
@@ -81,6 +84,7 @@
             RefusalCause::BodyTimeout => "body_timeout",
             RefusalCause::BudgetExhausted => "budget_exhausted",
             RefusalCause::BudgetUnreachable => "budget_unreachable",
+            RefusalCause::CrashesTargets => "crashes_targets",
             RefusalCause::NoConfig => "no_config",
             RefusalCause::NoTarget => "no_target",
             RefusalCause::TargetsUnreachable => "targets_unreachable",
@@ -93,8 +97,21 @@
 
     /// The whole answer.
     pub(super) fn response(self, message: &str) -> Response<AnswerBody> {
+        self.response_with(self.head(), message)
+    }
+
+    /// The whole answer, where it is known when to come back.
+    pub(super) fn response_after(self, retry_ms: u64, message: &str) -> Response<AnswerBody> {
+        let head = RefusalHead {
+            retry_after_ms: Some(retry_ms),
+            ..self.head()
+        };
+        self.response_with(head, message)
+    }
+
+    fn response_with(self, head: RefusalHead, message: &str) -> Response<AnswerBody> {
         let body = serde_json::json!({"error": {"reason": self.as_str(), "message": message}});
-        let mut response = self.head().response(AnswerBody::whole(body.to_string()));
+        let mut response = head.response(AnswerBody::whole(body.to_string()));
         let json = HeaderValue::from_static("application/json");
         response.headers_mut().insert(CONTENT_TYPE, json);
         response
--- a/crates/beechsaddle/src/gateway/store_call.rs
+++ b/crates/beechsaddle/src/gateway/store_call.rs
@@ -19,6 +19,10 @@
     Register,
     /// The same as it was some seconds ago.
     ReadStaleEntry,
+    /// Crashes as they lie there.
+    ReadCrashes,
+    /// A change of them.
+    WriteCrashes,
     /// Whether the store answers.
     Probe,
 }
@@ -31,15 +35,19 @@
             StoreCall::List(ObjectKind::Targets) => "list_targets",
             StoreCall::List(ObjectKind::Routers) => "list_routers",
             StoreCall::List(ObjectKind::Budgets) => "list_ledgers",
+            StoreCall::List(ObjectKind::Crashes) => "list_crashes",
             StoreCall::Watch(ObjectKind::Config) => "watch_config",
             StoreCall::Watch(ObjectKind::Targets) => "watch_targets",
             StoreCall::Watch(ObjectKind::Routers) => "watch_routers",
             StoreCall::Watch(ObjectKind::Budgets) => "watch_ledgers",
+            StoreCall::Watch(ObjectKind::Crashes) => "watch_crashes",
             StoreCall::ReadLedger => "read_ledger",
             StoreCall::ReadStaleLedger => "read_stale_ledger",
             StoreCall::WriteLedger => "write_ledger",
             StoreCall::Register => "register",
             StoreCall::ReadStaleEntry => "read_stale_entry",
+            StoreCall::ReadCrashes => "read_crashes",
+            StoreCall::WriteCrashes => "write_crashes",
             StoreCall::Probe => "probe",
         }
     }
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -127,12 +127,13 @@
     target: &TargetRecord,
     last_event: Option<u64>,
 ) -> Result<AttemptAnswer, SendFailure> {
-    let guard = AttemptGuard::start(&call.state, target.clone(), choice.load);
+    let guard = AttemptGuard::start(&call.state, target.clone(), choice.load, call.fingerprint);
     let outcome = exchange(call, &guard, last_event, &choice).await;
     match outcome {
         Ok(answer) => sort_answer(call, guard, answer).await,
         Err(failure) => {
             guard.note_end(failure.end);
+            guard.look_for_crash(failure.end).await;
             Err(failure)
         }
     }
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -18,6 +18,7 @@
 use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
+use super::crashes::{look_for_crash, note_completed};
 use super::event_splitter::EventSplitter;
 use super::stream_exchange::{StreamOpening, open_stream};
 use super::token_reservation::TokenReservation;
@@ -246,6 +247,7 @@
         self.is_over = true;
         if let Some(attempt) = self.attempt.take() {
             attempt.finish(&self.call);
+            note_completed(&self.call.state, self.call.fingerprint);
         }
         self.call.record.note_lateness(&self.call.route);
         self.call.record.end(ANSWERED);
@@ -258,9 +260,12 @@
         // The connection is closed first: two targets at work on one stream waste one of them.
         if let Some(attempt) = self.attempt.take() {
             attempt.guard.note_end(end);
-            let target = attempt.guard.target().clone();
+            let run = attempt.guard.suspect_run();
             drop(attempt);
-            self.call.note_end(&target, end, detail);
+            if end == AttemptEnd::Broken {
+                look_for_crash(&self.call.state, run.clone()).await;
+            }
+            self.call.note_end(&run.target, end, detail);
         }
         self.splitter.drop_partial();
         let is_resumable = self.call.route.kind == RouteKind::Stream { is_resumable: true };
--- a/crates/beechsaddle/tests/crash_support/mod.rs
+++ b/crates/beechsaddle/tests/crash_support/mod.rs
@@ -125,6 +125,17 @@
         fleet
     }
 
+    /// Has all routers list addresses at which no other router answers.
+    pub async fn part_routers(&self) {
+        for host in ["host-1", "host-2", "host-3"] {
+            let mut entry = self.store.spec("routers", host).expect("its entry");
+            entry["address"] = "127.0.0.1:9".into();
+            self.store.put("routers", host, &entry);
+        }
+        // Routers list each other every four seconds.
+        sleep(Duration::from_millis(4_500)).await;
+    }
+
     /// Makes a call at one of the routers; `None` where its connection ends without an answer.
     pub async fn call(&self, router: usize, request: &CallRequest) -> Option<CallReply> {
         call(self.routers[router].address, request).await.ok()
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -39,6 +39,37 @@
     assert!(tell_call(&book, "x").is_none());
 }
 
+/// Guards against a refusal that does not tell which crashes it goes back to.
+#[test]
+fn tell_call_refused_for_crashes_names_them() {
+    let mut book = LogBook::default();
+    for line in [
+        "ts=90000 level=info router=a@1 event=call_admitted id=one fingerprint=f1",
+        "ts=90000 level=info router=a@1 event=call_blocked id=one fingerprint=f1 targets=\"t1,t2,t3\"",
+        "ts=20000 level=warning router=b@1 event=target_crashed target=t1 fingerprint=f1 run_ms=30",
+        "ts=20001 level=warning router=b@1 event=target_crashed target=t1 fingerprint=f2 run_ms=800",
+        "ts=20002 level=warning router=a@1 event=request_blocked fingerprint=f1 targets=\"t1,t2,t3\"",
+        "ts=95000 level=warning router=a@1 event=request_cleared fingerprint=f1",
+    ] {
+        book.add_line(line);
+    }
+    book.sort();
+    let told = tell_call(&book, "one").expect("a story");
+    let events: Vec<_> = told
+        .iter()
+        .filter_map(|line| line.split("  ").last()?.trim().split(' ').next())
+        .collect();
+    assert_eq!(
+        events,
+        [
+            "target_crashed",
+            "request_blocked",
+            "call_admitted",
+            "call_blocked"
+        ]
+    );
+}
+
 /// Two routers' logs in no order: a call that was sent to a target which its router ejected a moment
 /// before. The story has the ejection and the call's own lines in the order of time, and no line of the
 /// other router or of other calls.
--- a/crates/beechsaddle/tests/gateway_crashes.rs
+++ b/crates/beechsaddle/tests/gateway_crashes.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use beechsaddle_platform_stand_in::{EntryState, TargetFault};
 use crash_support::{CrashFleet, body_request};
 use tokio::time::sleep;
 
@@ -40,3 +41,176 @@
     let late = fleet.engines.arrivals(CRASHING) - before;
     assert!(late <= LATE_MAX, "it reached engines {late} times more");
 }
+
+/// Has a body crash three targets, by way of all routers.
+async fn crash_three(fleet: &CrashFleet) {
+    for number in 0..9 {
+        let id = format!("first-{number}");
+        let router = number % fleet.routers.len();
+        fleet.call(router, &body_request(&id, CRASHING)).await;
+        sleep(Duration::from_millis(60)).await;
+    }
+    for router in &fleet.routers {
+        router.wait_log(&["request_blocked"]).await;
+    }
+}
+
+/// Guards against a caller who is not told that the request did not run, and who pays for it.
+#[tokio::test]
+async fn crashing_request_is_refused_before_it_costs_tokens() {
+    let fleet = CrashFleet::start(8).await;
+    crash_three(&fleet).await;
+    let reply = fleet.call(0, &body_request("again", CRASHING)).await;
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.status, 503);
+    assert!(reply.body.contains("crashes_targets"), "{}", reply.body);
+    let retry_s: f64 = reply.headers["retry-after"].parse().expect("seconds");
+    assert!(retry_s > 60.0, "it comes back after {retry_s} s");
+    let router = &fleet.routers[0];
+    assert!(
+        router
+            .log_lines(&["tokens_reserved", "id=again"])
+            .is_empty()
+    );
+    router
+        .wait_log(&["call_blocked", "id=again", "engine-"])
+        .await;
+    assert_eq!(router.metric("requests_blocked").await, Some(1.0));
+    let other = fleet.call(0, &body_request("other", b"harmless")).await;
+    assert_eq!(other.expect("an answer").status, 200);
+}
+
+/// Guards against a router that starts after the crashes and begins to count anew.
+#[tokio::test]
+async fn crashing_request_is_refused_by_a_router_that_starts_later() {
+    let mut fleet = CrashFleet::start(8).await;
+    crash_three(&fleet).await;
+    // The others have written what they know by now.
+    sleep(Duration::from_millis(800)).await;
+    fleet.routers[2].restart();
+    fleet.routers[2].wait_ready().await;
+    fleet.routers[2].wait_log(&["request_blocked"]).await;
+    let before = fleet.engines.arrivals(CRASHING);
+    let reply = fleet.call(2, &body_request("later", CRASHING)).await;
+    assert_eq!(reply.expect("an answer").status, 503);
+    assert_eq!(fleet.engines.arrivals(CRASHING), before);
+}
+
+/// Guards against a domain that reaches the store, and no other router, and goes on sending the request.
+#[tokio::test]
+async fn crashing_request_is_known_where_no_router_is_reached() {
+    let fleet = CrashFleet::start(8).await;
+    fleet.part_routers().await;
+    for number in 0..12 {
+        let id = format!("apart-{number}");
+        let router = number % 2;
+        fleet.call(router, &body_request(&id, CRASHING)).await;
+        sleep(Duration::from_millis(60)).await;
+    }
+    for router in &fleet.routers {
+        router.wait_log(&["request_blocked"]).await;
+    }
+    let before = fleet.engines.arrivals(CRASHING);
+    let reply = fleet.call(2, &body_request("south", CRASHING)).await;
+    assert_eq!(reply.expect("an answer").status, 503);
+    assert_eq!(fleet.engines.arrivals(CRASHING), before);
+}
+
+/// Guards against other callers who are refused, or fail for good, beside a request that crashes targets.
+#[tokio::test]
+async fn crashing_request_has_no_other_refused() {
+    let fleet = CrashFleet::start(8).await;
+    let (mut answered, mut refused) = (0, Vec::new());
+    for number in 0..90 {
+        let router = number % fleet.routers.len();
+        let crashing = body_request(&format!("crash-{number}"), CRASHING);
+        let popular = body_request(&format!("popular-{number}"), b"popular");
+        let (_, reply) = tokio::join!(fleet.call(router, &crashing), fleet.call(router, &popular));
+        match reply {
+            Some(reply) if reply.status == 200 && reply.is_whole => answered += 1,
+            Some(reply) if reply.body.contains("crashes_targets") => refused.push(number),
+            Some(_) | None => {}
+        }
+    }
+    assert!(refused.is_empty(), "refused at {refused:?}");
+    assert!(answered >= 86, "{answered} of 90 answered");
+}
+
+/// Guards against a popular request that is refused after many of the targets that ran it were killed.
+#[tokio::test]
+async fn targets_killed_at_once_have_nothing_refused() {
+    let fleet = CrashFleet::start(6).await;
+    for engine in fleet.engines.up() {
+        engine.set_work(Duration::from_millis(400));
+    }
+    let calls = (0..18).map(|number| {
+        let popular = body_request(&format!("popular-{number}"), b"popular");
+        let router = number % fleet.routers.len();
+        let address = fleet.routers[router].address;
+        tokio::spawn(async move { beechsaddle_platform_stand_in::call(address, &popular).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    sleep(Duration::from_millis(250)).await;
+    fleet.engines.up().iter().for_each(|engine| engine.crash());
+    for call in calls {
+        // What becomes of those that were cut does not matter here.
+        let _ = call.await;
+    }
+    // The engines are back by then.
+    sleep(Duration::from_millis(900)).await;
+    let mut answered = 0;
+    for number in 0..18 {
+        let router = number % fleet.routers.len();
+        let popular = body_request(&format!("after-{number}"), b"popular");
+        let reply = fleet.call(router, &popular).await;
+        answered += usize::from(reply.is_some_and(|reply| reply.status == 200));
+        sleep(Duration::from_millis(50)).await;
+    }
+    for router in &fleet.routers {
+        assert!(router.log_lines(&["request_blocked"]).is_empty());
+    }
+    assert!(answered >= 14, "{answered} of 18 answered");
+}
+
+/// Guards against a request that is refused since targets reset its calls, or leave while it runs.
+#[tokio::test]
+async fn broken_connections_of_living_targets_are_no_crashes() {
+    let fleet = CrashFleet::start(3).await;
+    let engines = fleet.engines.up();
+    engines
+        .iter()
+        .for_each(|engine| engine.set_fault(TargetFault::Cutting));
+    for number in 0..9 {
+        let cut = body_request(&format!("cut-{number}"), b"harmless");
+        fleet.call(number % 3, &cut).await;
+    }
+    engines
+        .iter()
+        .for_each(|engine| engine.set_fault(TargetFault::None));
+    for router in &fleet.routers {
+        assert!(router.log_lines(&["target_crashed"]).is_empty());
+    }
+    let reply = fleet.call(0, &body_request("then", b"harmless")).await;
+    assert_eq!(reply.expect("an answer").status, 200);
+}
+
+/// Guards against a target that ends as planned and is held against what ran there.
+#[tokio::test]
+async fn leaving_target_that_ends_is_no_crash() {
+    let fleet = CrashFleet::start(1).await;
+    let engine = fleet.engines.up().remove(0);
+    engine.set_work(Duration::from_millis(600));
+    let running = body_request("running", b"harmless");
+    let address = fleet.routers[0].address;
+    let call =
+        tokio::spawn(async move { beechsaddle_platform_stand_in::call(address, &running).await });
+    sleep(Duration::from_millis(100)).await;
+    fleet
+        .store
+        .put_target(&engine, "engine", "north", EntryState::Draining);
+    fleet.routers[0].wait_log(&["target_draining"]).await;
+    engine.crash();
+    // How the call ends does not matter here.
+    let _ = call.await;
+    assert!(fleet.routers[0].log_lines(&["target_crashed"]).is_empty());
+}
