--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -56,8 +56,9 @@
 /// How strongly failures beyond that count against a target.
 const FAILURE_WEIGHT: f64 = 12.0;
 
-/// What it costs to share an engine with a request that may crash it, in tokens: reading the longest prompts
-/// once more, as what runs there has to be run again.
+/// What it costs to share an engine with a request that may crash it, in tokens: what runs there may have to be
+/// run again. Requests that would have more than a few thousand shared tokens read elsewhere stay, as most suspects
+/// are none.
 const SUSPECT_TOKENS: f64 = 20_000.0;
 
 /// The same of a plain target, in milliseconds of waiting.
--- /dev/null
+++ b/crates/beechsaddle-core/tests/gateway_suspect_choice.rs
@@ -0,0 +1,42 @@
+//! Tests of the choice of a target for requests that may crash it.
+
+mod choice_support;
+
+use beechsaddle_core::gateway::AttemptLoad;
+use choice_support::{NAMES, chosen, gauge, roster};
+
+/// Guards against a request that may crash its target and takes the most loaded one with it.
+#[test]
+fn suspect_goes_where_least_runs() {
+    let mut roster = roster();
+    for name in ["e1", "e2", "e4"] {
+        gauge(&mut roster, name).start(AttemptLoad::default());
+    }
+    for shared in ["a", "b", "c", "d"] {
+        assert_eq!(chosen(&roster, Some(shared), Some("print")), "e3");
+    }
+}
+
+/// Guards against suspects of one crash that meet at the next target, so that it tells nothing either.
+#[test]
+fn suspects_of_one_crash_go_to_different_targets() {
+    let roster = roster();
+    let prints = (0..40).map(|number| format!("print-{number}"));
+    let mut targets: Vec<_> = prints
+        .map(|print| chosen(&roster, Some("a"), Some(&print)))
+        .collect();
+    targets.sort();
+    targets.dedup();
+    assert_eq!(targets, NAMES);
+}
+
+/// Guards against other requests that are sent to a target which may be crashed at any moment.
+#[test]
+fn others_leave_a_target_with_a_suspect() {
+    for shared in ["a", "b", "c", "d"] {
+        let mut roster = roster();
+        let home = chosen(&roster, Some(shared), None);
+        gauge(&mut roster, &home).suspects += 1;
+        assert_ne!(chosen(&roster, Some(shared), None), home);
+    }
+}
