Keep limits that targets name for all routers together

What callers saw: a target in need got 13 requests in 4 s where it takes 1 a second (11 allowed), from routers that each had heard of its limit.

Cause: the header Server-Limit was not read. Read by each router for itself it would have broken the rule all the same: the class is a bound on a sum that no single router sees.

Mend: one router of the fleet gives out a target's places, by rendezvous hashing, one at a time from a bucket that begins empty; who takes its place begins with 0.3 of the limit and gives out half at most. Routers without a place send elsewhere at once, pausing longer each time; limited targets are the place of no shared part; where all are out of places the call is refused with Retry-After. What was heard last counts, by its age.

Evidence: gateway_limits::limited_target_gets_no_more_from_all_routers failed before (40 in 4 s, 11 allowed) and holds; the model of 1 to 195 routers and limits of 0.3 to 50 holds, with routers that join, stand in and disagree (gateway_limit_share).

Ruled out: equal parts (8 + 4 in 4 s for eight routers at 1 a second).

--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -203,12 +203,24 @@
         })
     }
 
-    /// Whether this router comes first of the whole fleet for what has this name, among those that answer.
-    pub fn leads(&self, now: ClockTime, name: &str) -> bool {
+    /// The first router of the whole fleet for what has this name, among those that answer; `None` when it is this one.
+    pub fn leader_of(&self, now: ClockTime, name: &str) -> Option<&PeerRecord> {
         let own = rendezvous_weight(name, self.me.as_str());
-        let others = self.others(now).filter(|(_, passed_ms)| *passed_ms == 0);
-        let mut weights = others.map(|(peer, _)| rendezvous_weight(name, peer.host.as_str()));
-        weights.all(|weight| weight < own)
+        let others = self.peers.values().filter(|peer| peer.host != self.me);
+        others
+            .filter(|peer| self.is_usable(now, peer))
+            .map(|peer| (rendezvous_weight(name, peer.host.as_str()), peer))
+            .filter(|(weight, _)| *weight > own)
+            .max_by_key(|(weight, _)| *weight)
+            .map(|(_, peer)| peer)
+    }
+
+    /// Whether this router comes first of all that are listed for what has this name, whether they answer or not.
+    pub fn is_first(&self, name: &str) -> bool {
+        let own = rendezvous_weight(name, self.me.as_str());
+        let others = self.peers.values().filter(|peer| peer.host != self.me);
+        let mut reachable = others.filter(|peer| peer.address.is_some());
+        reachable.all(|peer| rendezvous_weight(name, peer.host.as_str()) < own)
     }
 
     /// The other routers of the own domain that answer, as far as is known.
--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -56,6 +56,13 @@
 /// How strongly failures beyond that count against a target.
 const FAILURE_WEIGHT: f64 = 12.0;
 
+/// What an engine costs that has named a limit, in tokens: as much as reading a long prompt. It is in need, and
+/// gets what others cannot take as well.
+const LIMITED_TOKENS: f64 = 5_000.0;
+
+/// The same of a plain target, in milliseconds of waiting.
+const LIMITED_MS: f64 = 100.0;
+
 /// What it costs to share an engine with a request that may crash it, in tokens: what runs there may have to be
 /// run again. Requests that would have more than a few thousand shared tokens read elsewhere stay, as most suspects
 /// are none.
@@ -120,6 +127,7 @@
     let untried: Vec<_> = roster
         .ready(input.service)
         .filter(|entry| !input.tried.contains(&entry.record.name))
+        .filter(|entry| entry.gauge.limit.paused_for_ms(now) == 0)
         .collect();
     let mut candidates: Vec<_> = untried
         .iter()
@@ -178,7 +186,8 @@
     let usual = waiting * (1.0 + FAILURE_WEIGHT * failures)
         + order_cost(entry, input)
         + entry.record.cold_ms as f64 * 0.1
-        + suspects_cost(entry, input);
+        + suspects_cost(entry, input)
+        + limit_cost(entry, input);
     let cost = match input.suspect {
         Some(name) => lone_cost(entry, name),
         None => usual,
@@ -195,6 +204,15 @@
     }
 }
 
+/// What it costs to use a target that has named a limit.
+fn limit_cost(entry: &RosterEntry, input: &ChoiceInput<'_>) -> f64 {
+    match entry.gauge.limit.in_force() {
+        Some(_) if input.is_engine => LIMITED_TOKENS,
+        Some(_) => LIMITED_MS,
+        None => 0.0,
+    }
+}
+
 /// What it costs to share a target with requests that may crash it.
 fn suspects_cost(entry: &RosterEntry, input: &ChoiceInput<'_>) -> f64 {
     let each = match input.is_engine {
@@ -293,7 +311,13 @@
             return places;
         };
         let (mut most, mut more) = (0, 0);
+        // An engine that takes few requests cannot be the place of what many share.
+        let is_limited = |entry: &RosterEntry| entry.gauge.limit.in_force().is_some();
+        let all_limited = candidates.iter().all(|entry| is_limited(entry));
         for &entry in candidates {
+            if is_limited(entry) && !all_limited {
+                continue;
+            }
             let weight = rendezvous_weight(shared, entry.record.name.as_str());
             if places.first.is_none() || weight > most {
                 (places.second, more) = (places.first, most);
--- a/crates/beechsaddle-core/src/gateway/target_gauge.rs
+++ b/crates/beechsaddle-core/src/gateway/target_gauge.rs
@@ -1,6 +1,6 @@
 //! The `target_gauge` module provides what this router sees of one target: work, speed, failures.
 
-use super::OutlierScore;
+use super::{LimitGauge, OutlierScore};
 use crate::clock::ClockTime;
 
 /// How long a target gets no work after a connection to it failed, in milliseconds. A try costs
@@ -33,6 +33,8 @@
     pub suspects: u64,
     /// Prompt tokens of attempts that have no first event yet.
     pub pending_tokens: u64,
+    /// The limit that it names.
+    pub limit: LimitGauge,
     /// When anything last came from it.
     pub progress_at: ClockTime,
     outliers: OutlierScore,
@@ -49,6 +51,7 @@
             active: 0,
             suspects: 0,
             pending_tokens: 0,
+            limit: LimitGauge::default(),
             progress_at: now,
             outliers: OutlierScore::new(now),
             speed_ms: 0.0,
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -81,5 +81,21 @@
   # Tells of crashes. Where `isSpread` the caller tells all routers of the listener's domain by itself.
 }
 
-interface RouterPeer extends(TokenLender, NewsRelay, CrashListener) {}
+enum PlaceOutcome {
+  granted @0;
+  # One request may be sent to the target.
+  wait @1;
+  # There is no place before `waitMs`.
+  free @2;
+  # The target names no limit any more; that was heard `ageMs` ago.
+}
+
+interface LimitShare {
+  takePlace @0 (secret :Text, target :Text, started :UInt64, perS :Float64, ageMs :UInt64)
+      -> (outcome :PlaceOutcome, waitMs :UInt64, ageMs :UInt64);
+  # Asks for a place at a target that takes `perS` requests a second from all routers together, as the caller heard
+  # `ageMs` ago. `started` is as in `CrashNote`.
+}
+
+interface RouterPeer extends(TokenLender, NewsRelay, CrashListener, LimitShare) {}
 # What a router serves to others: the first capability of its peer address.
--- a/crates/beechsaddle/src/gateway/crashes/crash_store.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_store.rs
@@ -113,7 +113,7 @@
     let ring = state.lending.ring.borrow();
     let pending = pending(state);
     let mut names = pending.iter().map(ToString::to_string);
-    names.any(|name| ring.leads(state.now(), &name))
+    names.any(|name| ring.leader_of(state.now(), &name).is_none())
 }
 
 /// Makes one write. A conflict is taken over, so that the next write is made from what is there.
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -73,6 +73,8 @@
     pub(super) crashes_seen: Counter,
     /// Requests that are refused as targets crash under them.
     pub(super) requests_blocked: Gauge,
+    /// Questions for a place at a target with a limit that had none.
+    pub(super) places_refused: Counter,
     /// Calls to the store, by what was asked and by outcome.
     pub(super) store_calls: Family<StoreLabel, Counter>,
     /// Steps of following another router, by what came of them.
@@ -121,6 +123,7 @@
             ejections: Counter::default(),
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
+            places_refused: Counter::default(),
             store_calls: Family::default(),
             news_steps: counted_from_zero(NEWS_WORDS),
             follows_store: Gauge::default(),
@@ -175,6 +178,12 @@
         );
         let blocked = self.requests_blocked.clone();
         registry.register("requests_blocked", "Requests that crash targets", blocked);
+        let places = self.places_refused.clone();
+        registry.register(
+            "places_refused",
+            "Places refused by limits of targets",
+            places,
+        );
         registry.register("store_calls", "Store calls", self.store_calls.clone());
         let steps = self.news_steps.clone();
         registry.register("news_steps", "Steps of following another router", steps);
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -18,6 +18,7 @@
 use super::gateway_metrics::{GatewayMetrics, StoreLabel};
 use super::gateway_settings::GatewaySettings;
 use super::ledger_notes::LedgerNotes;
+use super::limits::LimitDesk;
 use super::line_budget::LineBudget;
 use super::news::{NewsRelay, StoreHealth};
 use super::store_call::StoreCall;
@@ -58,6 +59,8 @@
     pub(super) lending: TokenLending,
     /// Requests that crash targets.
     pub(super) crashes: CrashDesk,
+    /// Places at targets that name limits.
+    pub(super) limits: LimitDesk,
     /// What other keepers told of ledgers.
     pub(super) ledger_notes: LedgerNotes,
     /// What the store told, for those that follow this router, and whom this one follows.
@@ -113,6 +116,7 @@
             escrow: RefCell::new(TokenEscrow::new(settings.budgets, me.to_string())),
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
             crashes: CrashDesk::default(),
+            limits: LimitDesk::default(),
             ledger_notes: LedgerNotes::default(),
             relay: NewsRelay::default(),
             link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    CrashSighting, LoanReply, LoanRequest, LoanReturn, NewsBatch, PeerRecord,
+    CrashSighting, LoanReply, LoanRequest, LoanReturn, NewsBatch, PeerRecord, ShareReply,
+    TargetLimit,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, crash_listener, crash_note, news_relay, router_peer,
-    token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, crash_listener, limit_share,
+    news_relay, router_peer, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -23,7 +24,9 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use tokio_util::task::AbortOnDropHandle;
 
+use super::limits::PlaceQuestion;
 use super::news::{FollowAnswer, FollowReply};
+use super::peer_codec::{time_before, write_note};
 
 /// How long connecting to a router may take: some hundred round trips of a region.
 const CONNECT_SPAN: Duration = Duration::from_millis(150);
@@ -76,6 +79,11 @@
         news_relay::Client { client }
     }
 
+    fn limit_share(&self) -> limit_share::Client {
+        let client = self.client.client.clone();
+        limit_share::Client { client }
+    }
+
     fn crash_listener(&self) -> crash_listener::Client {
         let client = self.client.client.clone();
         crash_listener::Client { client }
@@ -238,6 +246,38 @@
         }
     }
 
+    /// Asks a router for a place at a target.
+    pub(super) async fn ask_place(
+        &self,
+        peer: &PeerRecord,
+        secret: &str,
+        now: ClockTime,
+        question: &PlaceQuestion,
+    ) -> Result<ShareReply, String> {
+        let link = self.open(peer).await?;
+        let mut call = link.limit_share().take_place_request();
+        let mut parameters = call.get();
+        parameters.set_secret(secret);
+        parameters.set_target(question.target.name.as_str());
+        parameters.set_started(question.target.started.unwrap_or(0));
+        parameters.set_per_s(question.limit.per_s.unwrap_or(0.0));
+        parameters.set_age_ms(now.since(question.limit.heard_at));
+        let reply = call.send().promise.await;
+        let reply = reply.map_err(|error| error.to_string())?;
+        let answer = reply.get().map_err(|error| error.to_string())?;
+        match answer.get_outcome() {
+            Ok(PlaceOutcome::Granted) => Ok(ShareReply::Granted),
+            Ok(PlaceOutcome::Wait) => Ok(ShareReply::Wait {
+                wait_ms: answer.get_wait_ms(),
+            }),
+            Ok(PlaceOutcome::Free) => Ok(ShareReply::Free(TargetLimit {
+                per_s: None,
+                heard_at: time_before(now, answer.get_age_ms()),
+            })),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
     /// Closes the connection to a router, if there is one.
     pub(super) fn forget(&self, host: &HostName) {
         self.links.borrow_mut().remove(host);
@@ -276,17 +316,6 @@
     }
 }
 
-fn write_note(mut note: crash_note::Builder<'_>, now: ClockTime, sighting: &CrashSighting) {
-    let facts = sighting.facts;
-    note.set_fingerprint(&sighting.fingerprint.to_bytes());
-    note.set_target(sighting.target.name.as_str());
-    note.set_started(sighting.target.started.unwrap_or(0));
-    note.set_known_before(facts.known_before);
-    note.set_run_ms(facts.run_ms);
-    note.set_is_cleared(facts.is_cleared);
-    note.set_age_ms(now.since(facts.seen_at));
-}
-
 /// What a router says that all took of a total; 0 means that it does not know.
 fn known_taken(taken: u64) -> Option<u64> {
     (taken > 0).then_some(taken)
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -4,16 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{
-    CrashFacts, CrashSighting, LoanReply, LoanRequest, LoanReturn, RequestFingerprint,
-    TargetIncarnation,
-};
+use beechsaddle_core::gateway::{LoanReply, LoanRequest, LoanReturn, ShareReply, TargetLimit};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, crash_listener, crash_note, news_relay, router_peer,
-    token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, crash_listener, limit_share,
+    news_relay, router_peer, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -26,7 +23,9 @@
 use super::crashes::take_notes;
 use super::gateway_state::GatewayState;
 use super::ledger_notes::note_ledger;
+use super::limits::{PlaceQuestion, answer_place};
 use super::news::{FollowReply, serve_follow};
+use super::peer_codec::{read_incarnation, read_note, time_before};
 use super::token_lender::lend_tokens;
 
 /// How long to wait after a failed accept.
@@ -239,24 +238,36 @@
     }
 }
 
-fn read_note(note: crash_note::Reader<'_>, now: ClockTime) -> Result<CrashSighting, capnp::Error> {
-    let fingerprint = RequestFingerprint::try_from_bytes(note.get_fingerprint()?)
-        .ok_or_else(|| capnp::Error::failed("a fingerprint has 16 bytes".to_owned()))?;
-    let started = note.get_started();
-    let seen_ms = now.as_millis().saturating_sub(note.get_age_ms());
-    Ok(CrashSighting {
-        fingerprint,
-        target: TargetIncarnation {
-            name: TargetName::new(note.get_target()?.to_str()?),
-            started: (started > 0).then_some(started),
-        },
-        facts: CrashFacts {
-            known_before: note.get_known_before(),
-            run_ms: note.get_run_ms(),
-            is_cleared: note.get_is_cleared(),
-            seen_at: ClockTime::from_millis(seen_ms),
-        },
-    })
+impl limit_share::Server for PeerServer {
+    async fn take_place(
+        self: Rc<Self>,
+        parameters: limit_share::TakePlaceParams,
+        mut results: limit_share::TakePlaceResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        self.check_secret(parameters.get_secret()?)?;
+        let now = self.state.now();
+        let question = PlaceQuestion {
+            target: read_incarnation(parameters.get_target()?, parameters.get_started())?,
+            limit: TargetLimit {
+                per_s: Some(parameters.get_per_s()),
+                heard_at: time_before(now, parameters.get_age_ms()),
+            },
+        };
+        let mut answer = results.get();
+        match answer_place(&self.state, &question) {
+            ShareReply::Granted => answer.set_outcome(PlaceOutcome::Granted),
+            ShareReply::Wait { wait_ms } => {
+                answer.set_outcome(PlaceOutcome::Wait);
+                answer.set_wait_ms(wait_ms);
+            }
+            ShareReply::Free(limit) => {
+                answer.set_outcome(PlaceOutcome::Free);
+                answer.set_age_ms(now.since(limit.heard_at));
+            }
+        }
+        Ok(())
+    }
 }
 
 impl router_peer::Server for PeerServer {}
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{
-    AttemptEnd, ChoiceInput, LinkWay, TargetChoice, TargetRecord, choose_target,
-};
+use beechsaddle_core::gateway::{AttemptEnd, LinkWay, TargetChoice, TargetRecord};
 use beechsaddle_platform::answer_headers;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
@@ -16,7 +14,7 @@
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
 use super::crashes::note_completed;
-use super::refusal::RefusalCause;
+use super::target_choice::{choose_place, no_target_cause, note_choice, refuse_call};
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 
 /// The largest plain answer, in bytes. It is read as a whole before anything of it goes out, so
@@ -47,7 +45,7 @@
 pub(super) async fn serve_plain(call: &CallContext) -> Response<AnswerBody> {
     let mut last_answer = None;
     let cause = loop {
-        let Some((choice, target)) = choose(call) else {
+        let Some((choice, target)) = choose_place(call).await else {
             break no_target_cause(call);
         };
         note_choice(call, &choice);
@@ -69,72 +67,10 @@
     // A target's own failure is its answer to the caller, where nothing better came.
     match last_answer {
         Some(answer) if answer.end == Some(AttemptEnd::Failed) => pass_on(call, answer),
-        Some(_) | None => {
-            call.record.refuse(cause);
-            cause.response("no target gave a usable answer")
-        }
+        Some(_) | None => refuse_call(call, cause, "no target gave a usable answer"),
     }
 }
 
-/// Chooses a target among those that were not tried; when all were, among all.
-pub(super) fn choose(call: &CallContext) -> Option<(TargetChoice, TargetRecord)> {
-    let state = &call.state;
-    let settings = state.settings();
-    let tried = call.tried.borrow();
-    let roster = state.roster.borrow();
-    let crash_count = state.crashes.crash_count(call.fingerprint);
-    let suspect = (crash_count > 0).then(|| call.fingerprint.to_string());
-    let input = ChoiceInput {
-        service: &call.service,
-        is_engine: call.rule.is_engine,
-        domain: &settings.domain,
-        prompt: &call.head.prompt,
-        request_id: &call.head.request_id,
-        tried: &tried,
-        runs_once: !call.route.kind.may_repeat(),
-        suspect: suspect.as_deref(),
-        policy: settings.policy,
-    };
-    let again = ChoiceInput {
-        tried: &[],
-        ..input
-    };
-    let now = state.now();
-    let choice =
-        choose_target(&roster, now, input).or_else(|| choose_target(&roster, now, again))?;
-    let record = roster.get(&choice.target)?.record.clone();
-    Some((choice, record))
-}
-
-/// Why there is no target to send to.
-pub(super) fn no_target_cause(call: &CallContext) -> RefusalCause {
-    match call.history.borrow().may_have_run() {
-        true => RefusalCause::OutcomeUnknown,
-        false => RefusalCause::NoTarget,
-    }
-}
-
-/// Notes where a call goes and why.
-pub(super) fn note_choice(call: &CallContext, choice: &TargetChoice) {
-    call.record.note("target", &choice.target);
-    call.record.note("cost", choice.cost as u64);
-    call.record.note("home", choice.is_home);
-    call.record.note("of", choice.candidates);
-    let target = &choice.target;
-    let roster = call.state.roster.borrow();
-    let active = roster.get(target).map(|entry| entry.gauge.active);
-    let fields = [
-        ("target", target.to_string()),
-        ("cost", (choice.cost as u64).to_string()),
-        ("home", choice.is_home.to_string()),
-        ("of", choice.candidates.to_string()),
-        ("active", active.unwrap_or(0).to_string()),
-        ("store_age_ms", call.state.store_age_ms().to_string()),
-    ];
-    call.record.decide("call_placed", fields);
-    call.record.note_sent();
-}
-
 async fn run_attempt(
     call: &CallContext,
     choice: &TargetChoice,
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -34,6 +34,8 @@
     TargetsUnreachable,
     /// Targets said that they did not run the request.
     TargetsFull,
+    /// All targets of the service have got what they take for now.
+    TargetsLimited,
     /// The caller's time is over before anything was sent.
     TooLate,
     /// A target may have run the request, and gave no usable answer.
@@ -63,6 +65,7 @@
             | RefusalCause::NoConfig
             | RefusalCause::NoTarget
             | RefusalCause::CrashesTargets
+            | RefusalCause::TargetsLimited
             | RefusalCause::TargetsUnreachable
             | RefusalCause::TooLate => (RefusalKind::NotRun, Some(AWAY_RETRY_MS)),
             RefusalCause::OutcomeUnknown => (RefusalKind::OutcomeUnknown, None),
@@ -89,6 +92,7 @@
             RefusalCause::NoTarget => "no_target",
             RefusalCause::TargetsUnreachable => "targets_unreachable",
             RefusalCause::TargetsFull => "targets_full",
+            RefusalCause::TargetsLimited => "targets_limited",
             RefusalCause::TooLate => "too_late",
             RefusalCause::OutcomeUnknown => "outcome_unknown",
             RefusalCause::TimedOut => "timed_out",
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -13,9 +13,9 @@
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
-use super::plain_exchange::{choose, no_target_cause, note_choice};
 use super::refusal::RefusalCause;
 use super::stream_relay::{StallWatch, StreamAttempt, StreamRelay};
+use super::target_choice::{choose_place, no_target_cause, note_choice, refuse_call};
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 use super::token_reservation::TokenReservation;
 
@@ -68,8 +68,7 @@
             response
         }
         StreamOpening::Refused(cause) => {
-            call.record.refuse(cause);
-            cause.response("no target gave a usable stream")
+            refuse_call(&call, cause, "no target gave a usable stream")
         }
     }
 }
@@ -82,7 +81,7 @@
 ) -> StreamOpening {
     let mut failure = None;
     loop {
-        let Some((choice, target)) = choose(call) else {
+        let Some((choice, target)) = choose_place(call).await else {
             return failure.map_or_else(
                 || StreamOpening::Refused(no_target_cause(call)),
                 StreamOpening::Failed,
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::call_context::CallContext;
+use super::limits::note_limit;
 
 /// The head of a target's answer, and the connection that it came on.
 pub(super) struct TargetAnswer {
@@ -56,7 +57,7 @@
     if let Some(link) = pooled {
         let request = build_request(call, target, last_event, fetch_from);
         call.state.note_message(LinkWay::Out, &call.body);
-        match send_on(call, link, request, patience, false).await {
+        match send_on(call, target, link, request, patience, false).await {
             // The target closed the idle connection before anything was written; that says nothing
             // of a new one.
             Err((failure, true)) if failure.end == AttemptEnd::Unsent => {}
@@ -66,7 +67,7 @@
     let link = connect(target.address).await?;
     let request = build_request(call, target, last_event, fetch_from);
     call.state.note_message(LinkWay::Out, &call.body);
-    let sent = send_on(call, link, request, patience, true).await;
+    let sent = send_on(call, target, link, request, patience, true).await;
     sent.map_err(|(failure, _)| failure)
 }
 
@@ -78,11 +79,13 @@
 /// Sends on a connection; the flag of a failure tells that the connection was closed before.
 async fn send_on(
     call: &CallContext,
+    target: &TargetRecord,
     mut link: HttpLink,
     request: Request<Full<Bytes>>,
     patience: Duration,
     is_fresh: bool,
 ) -> Result<TargetAnswer, (SendFailure, bool)> {
+    let sent_at = call.state.now();
     let response = match timeout(patience, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(failure)) => return Err(read_failure(&failure)),
@@ -102,6 +105,9 @@
         let failure = SendFailure::new(AttemptEnd::Broken, "an answer to another request");
         return Err((failure, false));
     }
+    if facts.is_sealed || (facts.is_not_run && !facts.is_misdirected) {
+        note_limit(&call.state, target, facts.limit_per_s, sent_at);
+    }
     Ok(TargetAnswer {
         response,
         facts,
