--- a/crates/beechsaddle-lab/src/soak/call_load.rs
+++ b/crates/beechsaddle-lab/src/soak/call_load.rs
@@ -11,11 +11,17 @@
 use tokio::time::{sleep, timeout};
 
 use super::call_book::{BookedCall, CallBook, SoakKind};
-use super::soak_fleet::WORKSPACES;
+use super::soak_fleet::{CRASH_MARK, WORKSPACES};
 
 /// How long a caller waits for an answer, in milliseconds.
 const DEADLINE_MS: u64 = 2_500;
 
+/// The part of streams whose bodies crash their targets, where some do.
+const CRASHING_PART: f64 = 0.01;
+
+/// Tells the random numbers of bodies from those of calls, which stay the same for a seed.
+const BODY_STREAM: u64 = 0xb0d1;
+
 /// Callers that call one after the other, on connections that they keep while these work.
 #[derive(Clone)]
 pub struct CallLoad {
@@ -24,28 +30,35 @@
     /// Has them stop after their calls.
     pub is_over: Arc<AtomicBool>,
     routers: Vec<SocketAddr>,
+    /// Whether some calls crash their targets.
+    has_crashing: bool,
 }
 
 impl CallLoad {
     /// Callers of some routers that have not called yet.
-    pub fn new(routers: Vec<SocketAddr>) -> Self {
+    pub fn new(routers: Vec<SocketAddr>, has_crashing: bool) -> Self {
         CallLoad {
             book: CallBook::default(),
             is_over: Arc::default(),
             routers,
+            has_crashing,
         }
     }
 
     /// Calls until it is over.
     pub async fn run(self, seed: u64, caller: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ (caller << 32));
+        let mut bodies = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ BODY_STREAM);
         let mut link = None;
         let mut number = 0;
         while !self.is_over.load(Ordering::Relaxed) {
             number += 1;
             let id = format!("{seed}-{caller}-{number}");
             let router = self.routers[random.random_range(0..self.routers.len())];
-            let (call, request) = draw_call(&mut random, &id);
+            let (call, mut request) = draw_call(&mut random, &id);
+            if self.has_crashing && call.kind.is_stream() {
+                request.body = draw_body(&mut bodies);
+            }
             let is_new = link.is_none() || random.random_bool(0.1);
             link = match link.take() {
                 Some(kept) if !is_new => Some(kept),
@@ -88,6 +101,15 @@
     }
 }
 
+/// A body that many share, or now and then one of a few that crash their targets.
+fn draw_body(random: &mut ChaCha8Rng) -> Vec<u8> {
+    let number = random.random_range(0..3);
+    match random.random_bool(CRASHING_PART) {
+        true => [CRASH_MARK, &[number]].concat(),
+        false => vec![number],
+    }
+}
+
 /// A call with its kind drawn at random.
 pub fn draw_call(random: &mut ChaCha8Rng, id: &str) -> (BookedCall, CallRequest) {
     let kind = match random.random_range(0..4) {
--- a/crates/beechsaddle-lab/src/soak/calm_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/calm_checks.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::call_book::{EXTRA_CALL, SoakKind};
-use super::soak_fleet::{EVENTS, GRACE, SoakFleet, WORKSPACES};
+use super::soak_fleet::{CRASH_MARK, EVENTS, GRACE, PLACES, SoakFleet, WORKSPACES};
 use super::version_watch::ask_version;
 
 /// How long after the last fault the bounds hold again.
@@ -25,11 +25,36 @@
 /// Streams that are open at a shutdown.
 const OPEN_STREAMS: usize = 6;
 
+/// Within this all routers have heard of a limit, or of a third crash.
+const HEARD_SPAN: Duration = Duration::from_millis(3_000);
+
+/// The span over which a limit is held.
+const LIMIT_WINDOW: Duration = Duration::from_millis(4_000);
+
+/// Calls that a target may get in it that names a limit of one a second.
+const LIMIT_ALLOWED: usize = 11;
+
+/// How often a body may reach targets after the third crash under it.
+const CRASHES_ALLOWED: usize = 3;
+
+/// Calls of a round with a body that crashes targets, and the pause between two.
+const CRASHING_CALLS: usize = 12;
+/// See [`CRASHING_CALLS`].
+const CRASHING_GAP: Duration = Duration::from_millis(150);
+
 /// Checks a fleet whose faults are over; gives the promises that were broken.
-pub async fn check_calm(fleet: &mut SoakFleet) -> eyre::Result<Vec<String>> {
+pub async fn check_calm(
+    fleet: &mut SoakFleet,
+    has_target_faults: bool,
+) -> eyre::Result<Vec<String>> {
     sleep(CONTACT).await;
+    fleet.revive().await?;
     let mut broken = check_config(fleet).await;
     broken.extend(check_service(fleet).await);
+    if has_target_faults {
+        broken.extend(check_limit(fleet).await);
+        broken.extend(check_crashes(fleet).await?);
+    }
     broken.extend(check_drain(fleet).await?);
     broken.extend(check_shutdown(fleet).await?);
     Ok(broken)
@@ -58,6 +83,58 @@
     (answered < 18).then(|| format!("{answered} of 20 calls were answered after all faults"))
 }
 
+/// A target that names a limit gets no more than the platform allows from the load.
+async fn check_limit(fleet: &SoakFleet) -> Option<String> {
+    let engines = fleet.targets[..PLACES]
+        .iter()
+        .map(|target| &target.stand_in);
+    let limited = engines.rev().find(|target| !target.has_crashed())?.clone();
+    limited.set_limit(Some("1"));
+    sleep(HEARD_SPAN).await;
+    let before = limited.arrivals().len();
+    sleep(LIMIT_WINDOW).await;
+    let count = limited.arrivals().len() - before;
+    limited.set_limit(None);
+    (count > LIMIT_ALLOWED).then(|| {
+        let name = limited.name();
+        format!("{name} named a limit of 1 a second and got {count} calls in {LIMIT_WINDOW:?}")
+    })
+}
+
+/// A body that crashes its targets reaches few of them after the third.
+async fn check_crashes(fleet: &mut SoakFleet) -> eyre::Result<Option<String>> {
+    let body = [CRASH_MARK, b"-calm"].concat();
+    call_crashing(fleet, &body, 0).await?;
+    if fleet.arrivals(&body) < 3 {
+        return Ok(Some(
+            "a body that crashes targets reached fewer than three".to_owned(),
+        ));
+    }
+    sleep(HEARD_SPAN).await;
+    let before = fleet.arrivals(&body);
+    call_crashing(fleet, &body, 1).await?;
+    let late = fleet.arrivals(&body) - before;
+    let crashed = format!("a body that crashed {before} targets was sent to {late} more");
+    Ok((late > CRASHES_ALLOWED).then_some(crashed))
+}
+
+/// Has each router called some times with a body, while targets that crash come back.
+async fn call_crashing(fleet: &mut SoakFleet, body: &[u8], round: usize) -> eyre::Result<()> {
+    for number in 0..CRASHING_CALLS {
+        let router = fleet.routers[number % fleet.routers.len()].calls;
+        let number = round * CRASHING_CALLS + number;
+        let mut request = extra_call(SoakKind::Resumable, number);
+        request.id = format!("{}-crash", request.id);
+        request.tokens = Some((50, 18));
+        request.body = body.to_owned();
+        // What a caller of such a body gets does not matter.
+        let _ = call(router, &request).await;
+        sleep(CRASHING_GAP).await;
+        fleet.revive().await?;
+    }
+    Ok(())
+}
+
 async fn check_drain(fleet: &mut SoakFleet) -> eyre::Result<Option<String>> {
     let leaving = fleet.targets[0].stand_in.clone();
     fleet.replace_target(0).await?;
--- a/crates/beechsaddle-lab/src/soak/fault_plan.rs
+++ b/crates/beechsaddle-lab/src/soak/fault_plan.rs
@@ -35,6 +35,10 @@
     Compact,
     /// A target.
     Target(usize, TargetFault),
+    /// A target crashes; another one comes.
+    Crash(usize),
+    /// A target names a limit on requests a second.
+    Limit(usize, u32),
     /// A target's entry says that it leaves; another target comes.
     Replace(usize),
     /// A target's entry lapses and comes back.
@@ -77,6 +81,38 @@
         faults.sort_by_key(|planned| planned.at);
         FaultPlan { faults }
     }
+
+    /// The same with crashes of targets, and limits that they name.
+    #[must_use]
+    pub fn with_target_faults(mut self, seed: u64, span: Duration, targets: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ TARGET_STREAM);
+        let count = (span.as_secs_f64() * TARGET_FAULTS_PER_S) as usize;
+        let span_ms = span.as_millis() as u64;
+        self.faults.extend((0..count).map(|_| PlannedFault {
+            at: Duration::from_millis(random.random_range(0..span_ms)),
+            span: Duration::from_millis(random.random_range(500..4_000)),
+            fault: draw_target_fault(&mut random, targets),
+        }));
+        self.faults.sort_by_key(|planned| planned.at);
+        self
+    }
+}
+
+/// How many crashes and limits of targets there are in a second, on average.
+const TARGET_FAULTS_PER_S: f64 = 0.6;
+
+/// Tells the random numbers of these faults from those of all others, which stay the same for a seed.
+const TARGET_STREAM: u64 = 0x7a5e;
+
+/// The largest limit that a target names, in requests a second.
+const LIMIT_MAX: u32 = 20;
+
+fn draw_target_fault(random: &mut ChaCha8Rng, targets: usize) -> SoakFault {
+    let target = random.random_range(0..targets);
+    match random.random_bool(0.5) {
+        true => SoakFault::Crash(target),
+        false => SoakFault::Limit(target, random.random_range(1..=LIMIT_MAX)),
+    }
 }
 
 fn draw_fault(random: &mut ChaCha8Rng, routers: usize, targets: usize) -> SoakFault {
--- a/crates/beechsaddle-lab/src/soak/fault_proxy.rs
+++ b/crates/beechsaddle-lab/src/soak/fault_proxy.rs
@@ -26,6 +26,8 @@
     SilentBack,
     /// Connections are reset, old and new ones.
     Reset,
+    /// Old connections end and new ones are refused, as where a process has ended. It stays so.
+    Refused,
 }
 
 /// The two directions of a path.
@@ -69,7 +71,15 @@
     }
 
     async fn run(self, listener: TcpListener, behind: SocketAddr) {
-        while let Ok((stream, _)) = listener.accept().await {
+        let mut ended = self.fault.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = ended.wait_for(|fault| *fault == PathFault::Refused) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                return;
+            };
             let fault = self.fault.subscribe();
             if *fault.borrow() == PathFault::Reset {
                 reset(&stream);
@@ -99,7 +109,7 @@
     let mut back = tokio::spawn(pump(other_read, write, fault.clone(), Direction::Back));
     tokio::select! {
         _ = async { let _ = (&mut forth).await; let _ = (&mut back).await; } => {}
-        _ = fault.wait_for(|fault| *fault == PathFault::Reset) => {
+        _ = fault.wait_for(|fault| matches!(fault, PathFault::Reset | PathFault::Refused)) => {
             forth.abort();
             back.abort();
         }
@@ -139,7 +149,10 @@
                     return;
                 }
             }
-            (PathFault::None | PathFault::Reset | PathFault::SilentBack, _) => return,
+            (
+                PathFault::None | PathFault::Reset | PathFault::Refused | PathFault::SilentBack,
+                _,
+            ) => return,
         }
     }
 }
--- a/crates/beechsaddle-lab/src/soak/soak_command.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_command.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::{WrapErr, bail};
 use futures::stream::{self, StreamExt};
 use tokio::runtime::Builder;
@@ -24,6 +24,12 @@
         .arg(number("routers", "3", "Routers of a fleet"))
         .arg(number("callers", "12", "Callers of a fleet"))
         .arg(number("jobs", "4", "Fleets at the same time"))
+        .arg(
+            Arg::new("target-faults")
+                .long("target-faults")
+                .action(ArgAction::SetTrue)
+                .help("Has targets crash and name limits, and some calls crash their targets"),
+        )
         .arg(
             Arg::new("logs")
                 .long("logs")
@@ -59,6 +65,7 @@
         span: Duration::from_secs(read("seconds")),
         routers: read("routers") as usize,
         callers: read("callers"),
+        has_target_faults: matches.get_flag("target-faults"),
     };
     let seeds = read("seed")..read("seed") + read("seeds");
     let runtime = Builder::new_multi_thread().enable_all().build()?;
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -32,6 +32,15 @@
 pub const EVENTS: u64 = 6;
 const EVENT_GAP: Duration = Duration::from_millis(15);
 
+/// What the body of a call holds that crashes each target which runs it.
+pub const CRASH_MARK: &[u8] = b"crash";
+
+/// How long a target is away after a crash.
+const RESTART_SPAN: Duration = Duration::from_millis(400);
+
+/// Targets that are there at a time; a fault names one of these places.
+pub const PLACES: usize = 4;
+
 /// One router, and the ways from it and to it.
 pub struct SoakRouter {
     /// Where callers reach it.
@@ -60,6 +69,8 @@
     pub path: FaultProxy,
     service: &'static str,
     zone: &'static str,
+    /// When it was found crashed.
+    crashed_at: Option<Instant>,
 }
 
 /// Everything of a soak.
@@ -139,12 +150,15 @@
         let stand_in = TargetStandIn::try_start(&name).await?;
         stand_in.set_work(Duration::from_millis(5));
         stand_in.set_events(EVENTS, EVENT_GAP);
+        stand_in.crash_on(CRASH_MARK);
         let path = FaultProxy::try_start(stand_in.address()).await?;
+        tokio::spawn(end_path(stand_in.clone(), path.clone()));
         self.targets.push(SoakTarget {
             stand_in,
             path,
             service,
             zone,
+            crashed_at: None,
         });
         self.list_target(self.targets.len() - 1, EntryState::Ready);
         Ok(())
@@ -171,6 +185,35 @@
         Ok(())
     }
 
+    /// Has other targets come for those that crashed a moment ago.
+    pub async fn revive(&mut self) -> eyre::Result<()> {
+        for number in 0..self.targets.len().min(PLACES) {
+            let target = &mut self.targets[number];
+            if !target.stand_in.has_crashed() {
+                continue;
+            }
+            let crashed_at = *target.crashed_at.get_or_insert_with(Instant::now);
+            if crashed_at.elapsed() < RESTART_SPAN {
+                continue;
+            }
+            let (service, zone) = (target.service, target.zone);
+            self.store.remove_target(target.stand_in.name());
+            self.add_target(service, zone).await?;
+            let last = self.targets.len() - 1;
+            self.targets.swap(number, last);
+        }
+        Ok(())
+    }
+
+    /// How often a body has reached targets.
+    pub fn arrivals(&self, body: &[u8]) -> usize {
+        let runs = self
+            .targets
+            .iter()
+            .flat_map(|target| target.stand_in.runs());
+        runs.filter(|run| run.body == body).count()
+    }
+
     /// Writes a configuration with one more route.
     pub fn put_config(&mut self) {
         self.config.version += 1;
@@ -202,8 +245,11 @@
             router.peer_path.set(PathFault::None);
         }
         for target in &self.targets {
-            target.path.set(PathFault::None);
+            if !target.stand_in.has_crashed() {
+                target.path.set(PathFault::None);
+            }
             target.stand_in.set_fault(Default::default());
+            target.stand_in.set_limit(None);
         }
     }
 
@@ -247,6 +293,12 @@
     }
 }
 
+/// Ends the path to a target as soon as it has crashed.
+async fn end_path(stand_in: TargetStandIn, path: FaultProxy) {
+    stand_in.crashed().await;
+    path.set(PathFault::Refused);
+}
+
 /// The path prefix of the route that a version adds.
 pub fn version_prefix(version: u64) -> String {
     format!("/v{version}/")
--- a/crates/beechsaddle-lab/src/soak/soak_run.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -14,7 +14,7 @@
 use super::calm_checks::check_calm;
 use super::fault_plan::{FaultPlan, PlannedFault, SoakFault};
 use super::fault_proxy::PathFault;
-use super::soak_fleet::SoakFleet;
+use super::soak_fleet::{PLACES, SoakFleet};
 use super::version_watch::VersionWatch;
 
 /// How often it is seen to that routers reach each other by way of their proxies.
@@ -23,9 +23,6 @@
 /// How long a router that was told to end is waited for before it is looked at again.
 const END_SPAN: Duration = Duration::from_millis(250);
 
-/// Targets of a fleet; a fault names one of these places.
-const TARGETS: usize = 4;
-
 /// How a soak is run.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -39,6 +36,8 @@
     pub routers: usize,
     /// Callers.
     pub callers: u64,
+    /// Whether targets crash and name limits, and some calls crash their targets.
+    pub has_target_faults: bool,
 }
 
 /// What came of a seed.
@@ -72,16 +71,20 @@
     let folder = options.folder.join(seed.to_string());
     std::fs::create_dir_all(&folder)?;
     let fleet = SoakFleet::try_start(&options.program, &folder, options.routers).await?;
-    let load = CallLoad::new(fleet.routers.iter().map(|router| router.calls).collect());
+    let routers = fleet.routers.iter().map(|router| router.calls).collect();
+    let load = CallLoad::new(routers, options.has_target_faults);
     let mut callers = JoinSet::new();
     for caller in 0..options.callers {
         callers.spawn(load.clone().run(seed, caller));
     }
-    let plan = FaultPlan::new(seed, options.span, options.routers, TARGETS);
+    let mut plan = FaultPlan::new(seed, options.span, options.routers, PLACES);
+    if options.has_target_faults {
+        plan = plan.with_target_faults(seed, options.span, PLACES);
+    }
     let faults = plan.faults.len();
     let mut run = SeedRun::new(fleet, &load);
     run.bring_about(plan).await?;
-    let mut broken = check_calm(&mut run.fleet).await?;
+    let mut broken = check_calm(&mut run.fleet, options.has_target_faults).await?;
     load.is_over.store(true, Ordering::Relaxed);
     callers.join_all().await;
     broken.extend(load.book.check(&run.fleet.evidence()));
@@ -152,6 +155,7 @@
         while let Some(((at, _), step)) = steps.pop_first() {
             while Instant::now() < start + at {
                 self.fleet.lead_peers();
+                self.fleet.revive().await?;
                 sleep_until((start + at).min(Instant::now() + PEER_SPAN)).await;
             }
             number += 1;
@@ -199,6 +203,11 @@
             SoakFault::Store(fault) => fleet.store.set_fault(fault),
             SoakFault::Compact => fleet.store.compact(),
             SoakFault::Target(target, fault) => fleet.targets[target].stand_in.set_fault(fault),
+            SoakFault::Crash(target) => fleet.targets[target].stand_in.crash(),
+            SoakFault::Limit(target, per_s) => {
+                let limit = per_s.to_string();
+                fleet.targets[target].stand_in.set_limit(Some(&limit));
+            }
             SoakFault::Replace(target) => fleet.replace_target(target).await?,
             SoakFault::Lapse(target) => {
                 fleet
@@ -228,7 +237,13 @@
                 fleet.routers[router].store_path.set(PathFault::None)
             }
             SoakFault::PeerPath(router, _) => fleet.routers[router].peer_path.set(PathFault::None),
-            SoakFault::TargetPath(target, _) => fleet.targets[target].path.set(PathFault::None),
+            SoakFault::TargetPath(target, _) => {
+                let target = &fleet.targets[target];
+                if !target.stand_in.has_crashed() {
+                    target.path.set(PathFault::None);
+                }
+            }
+            SoakFault::Limit(target, _) => fleet.targets[target].stand_in.set_limit(None),
             SoakFault::Store(_) => fleet.store.set_fault(Default::default()),
             SoakFault::Target(target, _) => {
                 fleet.targets[target].stand_in.set_fault(Default::default());
@@ -237,6 +252,7 @@
                 fleet.list_target(target, beechsaddle_platform_stand_in::EntryState::Ready);
             }
             SoakFault::Reload(_)
+            | SoakFault::Crash(_)
             | SoakFault::Compact
             | SoakFault::Replace(_)
             | SoakFault::Config => {}
--- a/crates/beechsaddle-lab/tests/soak_seeds.rs
+++ b/crates/beechsaddle-lab/tests/soak_seeds.rs
@@ -6,12 +6,17 @@
 use beechsaddle_lab::soak::{SoakOptions, run_seed};
 
 async fn check_seed(seed: u64, span_s: u64) {
+    check_faults(seed, span_s, false).await;
+}
+
+async fn check_faults(seed: u64, span_s: u64, has_target_faults: bool) {
     let options = SoakOptions {
         program: PathBuf::from(env!("CARGO_BIN_EXE_beechsaddle-lab")),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         span: Duration::from_secs(span_s),
         routers: 3,
         callers: 8,
+        has_target_faults,
     };
     let outcome = run_seed(&options, seed).await.expect("a run");
     assert!(outcome.broken.is_empty(), "{outcome:#?}");
@@ -36,3 +41,9 @@
 async fn soak_watches_forgotten_between_probes_are_noticed() {
     check_seed(1_796_252_320, 8).await;
 }
+
+/// Guards against targets that crash, requests that crash them and limits, all beside the faults of a fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_crashes_and_limits_keep_the_promises() {
+    check_faults(2, 6, true).await;
+}
