Say that nothing changed only where it is watched

Cause: a router that is followed told how long ago the store had answered it, by any call. One that has just joined follows nothing for 1.5 to 2.5 s, one whose watch failed until it has listed anew; both answered "nothing new, just now" as their probes went well.

--- a/crates/beechsaddle/src/gateway/news/news_relay.rs
+++ b/crates/beechsaddle/src/gateway/news/news_relay.rs
@@ -2,7 +2,7 @@
 //! follow it.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use beechsaddle_core::gateway::{NewsChoice, NewsLog, NewsReply};
 use beechsaddle_platform::{ObjectKind, StoreListing, StoreNews};
@@ -24,6 +24,8 @@
     /// Wakes those that follow this router.
     pub(in crate::gateway) changed: Notify,
     kinds: RefCell<BTreeMap<ObjectKind, KindNews>>,
+    /// Kinds that this router watches in the store now.
+    watched: RefCell<BTreeSet<ObjectKind>>,
 }
 
 impl NewsRelay {
@@ -93,6 +95,23 @@
         Ok(())
     }
 
+    /// Notes whether this router watches a kind in the store from now on.
+    ///
+    /// That the store answers does not tell whether something has changed: only a router that watches a kind may say
+    /// that nothing has.
+    pub(in crate::gateway) fn note_watched(&self, kind: ObjectKind, is_watched: bool) {
+        let mut watched = self.watched.borrow_mut();
+        match is_watched {
+            true => watched.insert(kind),
+            false => watched.remove(&kind),
+        };
+    }
+
+    /// Whether this router watches a kind in the store.
+    pub(in crate::gateway) fn is_watched(&self, kind: ObjectKind) -> bool {
+        self.watched.borrow().contains(&kind)
+    }
+
     /// What is known of a kind after a revision.
     pub(in crate::gateway) fn since(&self, kind: ObjectKind, revision: u64) -> NewsReply {
         let kinds = self.kinds.borrow();
--- a/crates/beechsaddle/src/gateway/news/relay_server.rs
+++ b/crates/beechsaddle/src/gateway/news/relay_server.rs
@@ -60,10 +60,14 @@
         choice.note_asked(now);
         return Some(FollowReply::Beginning);
     }
-    drop(choice);
     if is_old(state) || !state.store_health.answers() {
         return Some(FollowReply::Away);
     }
+    if !state.relay.is_watched(kind) {
+        choice.note_asked(now);
+        return Some(FollowReply::Beginning);
+    }
+    drop(choice);
     match state.relay.since(kind, revision) {
         NewsReply::News(batches) if size_of(&batches) > RELAYED_MAX => Some(FollowReply::Gone),
         NewsReply::News(batches) => Some(FollowReply::News(batches)),
--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -85,6 +85,7 @@
 /// Follows the store for one step; gives the revision to go on from.
 async fn follow_store(state: &GatewayState, kind: ObjectKind, revision: u64) -> u64 {
     let started = state.now();
+    state.relay.note_watched(kind, true);
     let step = next_step(state, kind, revision).await;
     let revision = take_step(state, kind, revision, step);
     let took_ms = state.now().since(started);
@@ -94,6 +95,7 @@
 
 /// Follows a router that follows the store for one step; gives the revision to go on from.
 async fn follow_fleet(state: &GatewayState, kind: ObjectKind, revision: u64) -> u64 {
+    state.relay.note_watched(kind, false);
     let source = {
         let choice = state.relay.choice.borrow();
         choice.source(state.now(), &state.lending.ring.borrow())
@@ -189,7 +191,10 @@
     match watched {
         Ok(news) => StoreStep::News(news),
         // Its history being gone is no fault of the store: the listing is asked for at once.
-        Err(StoreFailure::HistoryGone) => StoreStep::Listing(list_again(state, kind).await),
+        Err(StoreFailure::HistoryGone) => {
+            state.relay.note_watched(kind, false);
+            StoreStep::Listing(list_again(state, kind).await)
+        }
         Err(failure) => regain(state, kind, &failure, pending()).await,
     }
 }
@@ -202,6 +207,7 @@
     watching: impl Future<Output = Result<StoreNews, StoreFailure>>,
 ) -> StoreStep {
     log_dependency(state, "store_lost", kind, failure.to_string());
+    state.relay.note_watched(kind, false);
     let mut listing = pin!(list_later(state, kind));
     let step = tokio::select! {
         watched = watching => match watched {
--- a/crates/beechsaddle/tests/gateway_crashes.rs
+++ b/crates/beechsaddle/tests/gateway_crashes.rs
@@ -214,3 +214,32 @@
     let _ = call.await;
     assert!(fleet.routers[0].log_lines(&["target_crashed"]).is_empty());
 }
+
+/// Guards against routers that each try such a request once, as they all get it at the same moment, again and again.
+#[tokio::test]
+async fn crashing_request_in_bursts_reaches_few_targets() {
+    let fleet = CrashFleet::start(8).await;
+    send_burst(&fleet, 0).await;
+    sleep(CONTACT_SPAN).await;
+    let before = fleet.engines.arrivals(CRASHING);
+    for burst in 1..4 {
+        send_burst(&fleet, burst).await;
+        sleep(Duration::from_millis(1_500)).await;
+    }
+    let late = fleet.engines.arrivals(CRASHING) - before;
+    assert!(before >= 3);
+    assert!(late <= LATE_MAX, "it reached engines {late} times more");
+}
+
+/// Has each router called three times at the same moment.
+async fn send_burst(fleet: &CrashFleet, burst: usize) {
+    let calls = (0..9).map(|number| {
+        let request = body_request(&format!("burst-{burst}-{number}"), CRASHING);
+        let address = fleet.routers[number % fleet.routers.len()].address;
+        tokio::spawn(async move { beechsaddle_platform_stand_in::call(address, &request).await })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        // What a caller of such a body gets does not matter here.
+        let _ = call.await;
+    }
+}
