Crashes: look at the store for a tenth of the price, bound tries to tell a silent router

It takes an old answer now. A watch that failed is listed anew after 0.5 s, with the newest, as the history may be gone. Behind a full link of its own a router asked the same silent one as often as its domain has routers, since nobody is passed over there; it stops after the second time, and the store tells the others.

--- a/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
@@ -25,14 +25,16 @@
 
 /// Follows crashes for ever. Those that follow the store for their domain watch them; others look now and then.
 pub(in crate::gateway) async fn run_crash_follow(state: Rc<GatewayState>) {
+    let mut is_newest = true;
     loop {
-        let listing = list_crashes(&state).await;
+        let listing = list_crashes(&state, is_newest).await;
         for object in &listing.objects {
             take_object(&state, object);
         }
         let mut revision = listing.revision;
         if !is_follower(&state) {
             wait_for_role(&state).await;
+            is_newest = false;
             continue;
         }
         while let Some(news) = watch_crashes(&state, revision).await {
@@ -41,6 +43,9 @@
                 take_object(&state, &event.object);
             }
         }
+        // Some changes may have been missed, and the history that they are in may be gone.
+        is_newest = true;
+        sleep(ROLE_SPAN).await;
     }
 }
 
@@ -57,13 +62,17 @@
     }
 }
 
-/// Asks for all crashes until there is an answer.
-async fn list_crashes(state: &GatewayState) -> StoreListing {
+/// Asks for all crashes until there is an answer. A router that others tell looks in case nobody reached it, and an
+/// answer that is some seconds old will do, for a tenth of the price.
+async fn list_crashes(state: &GatewayState, is_newest: bool) -> StoreListing {
     let mut backoff = state.backoff("crashes");
     loop {
         let started = state.now();
         let kind = ObjectKind::Crashes;
-        let listed = state.store.list(kind).await;
+        let listed = match is_newest {
+            true => state.store.list(kind).await,
+            false => state.store.list_stale(kind).await,
+        };
         state.note_store_call(StoreCall::List(kind), started, &listed);
         if let Ok(listing) = listed {
             return listing;
--- a/crates/beechsaddle/src/gateway/crashes/crash_spread.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_spread.rs
@@ -92,11 +92,13 @@
     fingerprint: RequestFingerprint,
     sightings: &[CrashSighting],
 ) {
-    let routers = state.lending.ring.borrow().own_count();
-    for _ in 0..routers {
+    let mut silent = None;
+    loop {
         match keeper(state, fingerprint) {
+            // Behind a full link of its own a router passes over nobody; the store tells the others.
+            Some(peer) if silent.as_ref() == Some(&peer.host) => return,
             Some(peer) if tell_peer(state, &peer, sightings, false).await => return,
-            Some(_) => {}
+            Some(peer) => silent = Some(peer.host),
             None => {
                 if state.crashes.book.borrow().is_shared(fingerprint) {
                     tell_neighbours(state, sightings);
