--- a/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_platform::{ObjectKind, StoreFailure, StoreListing, StoreNews};
-use tokio::time::sleep;
+use beechsaddle_platform::{ObjectKind, StoreFailure, StoreNews};
+use tokio::time::{sleep, timeout};
 
 use super::crash_store::take_object;
 use crate::gateway::gateway_state::GatewayState;
@@ -17,6 +17,10 @@
 /// How often a router that others tell looks for itself, in case nobody reached it.
 const LOOK_SPAN: Duration = Duration::from_secs(20);
 
+/// How long a router that starts waits until it knows the others: as long as it may take until it has to be as up
+/// to date as they are.
+const SETTLE_WAIT: Duration = Duration::from_millis(2_500);
+
 /// How often such a router finds out whether it has to follow the store by itself now.
 const ROLE_SPAN: Duration = Duration::from_millis(500);
 
@@ -25,27 +29,23 @@
 
 /// Follows crashes for ever. Those that follow the store for their domain watch them; others look now and then.
 pub(in crate::gateway) async fn run_crash_follow(state: Rc<GatewayState>) {
-    let mut is_newest = true;
+    let mut revision = look_at_crashes(&state).await;
+    // Who follows the store is known once the routers that started with this one are listed. Where that takes long
+    // this router follows it by itself.
+    let _ = timeout(SETTLE_WAIT, state.lending.settled()).await;
     loop {
-        let listing = list_crashes(&state, is_newest).await;
-        for object in &listing.objects {
-            take_object(&state, object);
-        }
-        let mut revision = listing.revision;
-        if !is_follower(&state) {
-            wait_for_role(&state).await;
-            is_newest = false;
-            continue;
-        }
-        while let Some(news) = watch_crashes(&state, revision).await {
+        while is_follower(&state)
+            && let Some(news) = watch_crashes(&state, revision).await
+        {
             revision = news.revision.max(revision);
             for event in news.events.iter().filter(|event| !event.is_removed) {
                 take_object(&state, &event.object);
             }
         }
-        // Some changes may have been missed, and the history that they are in may be gone.
-        is_newest = true;
+        // After a failed watch some changes may have been missed.
         sleep(ROLE_SPAN).await;
+        revision = look_at_crashes(&state).await;
+        wait_for_role(&state).await;
     }
 }
 
@@ -62,20 +62,20 @@
     }
 }
 
-/// Asks for all crashes until there is an answer. A router that others tell looks in case nobody reached it, and an
-/// answer that is some seconds old will do, for a tenth of the price.
-async fn list_crashes(state: &GatewayState, is_newest: bool) -> StoreListing {
+/// Takes over all crashes, as they were some seconds ago, for a tenth of the price; gives the revision to watch from.
+/// A watch from there brings what is newer, and those that do not watch are told by others, or look again.
+async fn look_at_crashes(state: &Rc<GatewayState>) -> u64 {
     let mut backoff = state.backoff("crashes");
     loop {
         let started = state.now();
         let kind = ObjectKind::Crashes;
-        let listed = match is_newest {
-            true => state.store.list(kind).await,
-            false => state.store.list_stale(kind).await,
-        };
+        let listed = state.store.list_stale(kind).await;
         state.note_store_call(StoreCall::List(kind), started, &listed);
         if let Ok(listing) = listed {
-            return listing;
+            for object in &listing.objects {
+                take_object(state, object);
+            }
+            return listing.revision;
         }
         // A wait that was cut short by the store's return is as good as a whole one.
         let _ = state.store_health.answering().await;
--- a/crates/beechsaddle/src/gateway/news/news_relay.rs
+++ b/crates/beechsaddle/src/gateway/news/news_relay.rs
@@ -105,6 +105,7 @@
             true => watched.insert(kind),
             false => watched.remove(&kind),
         };
+        self.changed.notify_waiters();
     }
 
     /// Whether this router watches a kind in the store.
--- a/crates/beechsaddle/src/gateway/news/relay_server.rs
+++ b/crates/beechsaddle/src/gateway/news/relay_server.rs
@@ -38,7 +38,8 @@
             () = state.store_health.lost() => {}
             () = sleep_until(until) => {
                 let reply = reply_now(state, kind, revision);
-                return answer(state, kind, reply.unwrap_or(FollowReply::News(Vec::new())));
+                let reply = reply.unwrap_or_else(|| reply_unchanged(state, kind));
+                return answer(state, kind, reply);
             }
         }
     }
@@ -63,11 +64,10 @@
     if is_old(state) || !state.store_health.answers() {
         return Some(FollowReply::Away);
     }
+    drop(choice);
     if !state.relay.is_watched(kind) {
-        choice.note_asked(now);
-        return Some(FollowReply::Beginning);
+        return None;
     }
-    drop(choice);
     match state.relay.since(kind, revision) {
         NewsReply::News(batches) if size_of(&batches) > RELAYED_MAX => Some(FollowReply::Gone),
         NewsReply::News(batches) => Some(FollowReply::News(batches)),
@@ -76,6 +76,16 @@
     }
 }
 
+/// What to answer where nothing is newer as far as this router knows: it may not watch the kind yet.
+fn reply_unchanged(state: &GatewayState, kind: ObjectKind) -> FollowReply {
+    if state.relay.is_watched(kind) {
+        return FollowReply::News(Vec::new());
+    }
+    let mut choice = state.relay.choice.borrow_mut();
+    choice.note_asked(state.now());
+    FollowReply::Beginning
+}
+
 /// Whether what is known may be old without a sign of it, as the store has not answered for a while.
 fn is_old(state: &GatewayState) -> bool {
     state.store_age_ms() > state.settings().relay_age.as_millis() as u64
