--- a/crates/beechsaddle-lab/src/soak/call_load.rs
+++ b/crates/beechsaddle-lab/src/soak/call_load.rs
@@ -11,7 +11,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::call_book::{BookedCall, CallBook, SoakKind};
-use super::soak_fleet::{CRASH_MARK, WORKSPACES};
+use super::soak_fleet::WORKSPACES;
+use super::soak_target::CRASH_MARK;
 
 /// How long a caller waits for an answer, in milliseconds.
 const DEADLINE_MS: u64 = 2_500;
--- a/crates/beechsaddle-lab/src/soak/calm_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/calm_checks.rs
@@ -7,7 +7,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::call_book::{EXTRA_CALL, SoakKind};
-use super::soak_fleet::{CRASH_MARK, EVENTS, GRACE, PLACES, SoakFleet, WORKSPACES};
+use super::soak_fleet::{GRACE, PLACES, SoakFleet, WORKSPACES};
+use super::soak_target::{CRASH_MARK, EVENTS};
 use super::version_watch::ask_version;
 
 /// How long after the last fault the bounds hold again.
--- a/crates/beechsaddle-lab/src/soak/mod.rs
+++ b/crates/beechsaddle-lab/src/soak/mod.rs
@@ -14,6 +14,7 @@
 mod soak_command;
 mod soak_fleet;
 mod soak_run;
+mod soak_target;
 mod version_watch;
 
 pub use fault_plan::{FaultPlan, SoakFault};
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use beechsaddle_platform_stand_in::{
-    CallRequest, ConfigDraft, DraftKind, EntryState, READY_LINE, RouteDraft, StoreStandIn,
-    TargetStandIn, call,
+    CallRequest, ConfigDraft, DraftKind, EntryState, READY_LINE, RouteDraft, StoreStandIn, call,
 };
 use eyre::{WrapErr, bail};
 use serde_json::Value;
@@ -14,6 +13,7 @@
 
 use super::call_book::{SoakEvidence, WorkspaceTotals};
 use super::fault_proxy::{FaultProxy, PathFault};
+use super::soak_target::{EVENTS, SoakTarget};
 use crate::fleet::{LabProcess, free_address};
 
 /// The workspaces: one that is never used up, and one that is.
@@ -28,16 +28,6 @@
 /// The seconds between SIGTERM and the kill that routers are told.
 pub const GRACE: Duration = Duration::from_secs(4);
 
-/// Events of a stream, and the pause between two.
-pub const EVENTS: u64 = 6;
-const EVENT_GAP: Duration = Duration::from_millis(15);
-
-/// What the body of a call holds that crashes each target which runs it.
-pub const CRASH_MARK: &[u8] = b"crash";
-
-/// How long a target is away after a crash.
-const RESTART_SPAN: Duration = Duration::from_millis(400);
-
 /// Targets that are there at a time; a fault names one of these places.
 pub const PLACES: usize = 4;
 
@@ -60,19 +50,6 @@
     log: PathBuf,
 }
 
-/// One target, and the way to it.
-#[derive(Clone)]
-pub struct SoakTarget {
-    /// The target.
-    pub stand_in: TargetStandIn,
-    /// The way to it.
-    pub path: FaultProxy,
-    service: &'static str,
-    zone: &'static str,
-    /// When it was found crashed.
-    crashed_at: Option<Instant>,
-}
-
 /// Everything of a soak.
 pub struct SoakFleet {
     /// The store.
@@ -147,19 +124,8 @@
         zone: &'static str,
     ) -> eyre::Result<()> {
         let name = format!("{service}-{}", self.targets.len());
-        let stand_in = TargetStandIn::try_start(&name).await?;
-        stand_in.set_work(Duration::from_millis(5));
-        stand_in.set_events(EVENTS, EVENT_GAP);
-        stand_in.crash_on(CRASH_MARK);
-        let path = FaultProxy::try_start(stand_in.address()).await?;
-        tokio::spawn(end_path(stand_in.clone(), path.clone()));
-        self.targets.push(SoakTarget {
-            stand_in,
-            path,
-            service,
-            zone,
-            crashed_at: None,
-        });
+        let target = SoakTarget::try_start(&name, service, zone).await?;
+        self.targets.push(target);
         self.list_target(self.targets.len() - 1, EntryState::Ready);
         Ok(())
     }
@@ -189,11 +155,7 @@
     pub async fn revive(&mut self) -> eyre::Result<()> {
         for number in 0..self.targets.len().min(PLACES) {
             let target = &mut self.targets[number];
-            if !target.stand_in.has_crashed() {
-                continue;
-            }
-            let crashed_at = *target.crashed_at.get_or_insert_with(Instant::now);
-            if crashed_at.elapsed() < RESTART_SPAN {
+            if !target.is_gone() {
                 continue;
             }
             let (service, zone) = (target.service, target.zone);
@@ -293,12 +255,6 @@
     }
 }
 
-/// Ends the path to a target as soon as it has crashed.
-async fn end_path(stand_in: TargetStandIn, path: FaultProxy) {
-    stand_in.crashed().await;
-    path.set(PathFault::Refused);
-}
-
 /// The path prefix of the route that a version adds.
 pub fn version_prefix(version: u64) -> String {
     format!("/v{version}/")
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -136,9 +136,7 @@
 
     /// Finds out whether the target has crashed, where its connection broke.
     pub(super) async fn look_for_crash(&self, end: AttemptEnd) {
-        if end == AttemptEnd::Broken {
-            look_for_crash(&self.state, self.suspect_run()).await;
-        }
+        look_for_crash(&self.state, self.suspect_run(), end).await;
     }
 
     /// Takes a target out of use whose address another one has.
--- a/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
@@ -8,6 +8,7 @@
 
 use super::crash_store::take_object;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::news::SETTLE_WAIT;
 use crate::gateway::store_call::StoreCall;
 
 /// How long a watch waits. Routers tell each other as well, and a store that was lost is listed anew, so that a
@@ -17,10 +18,6 @@
 /// How often a router that others tell looks for itself, in case nobody reached it.
 const LOOK_SPAN: Duration = Duration::from_secs(20);
 
-/// How long a router that starts waits until it knows the others: as long as it may take until it has to be as up
-/// to date as they are.
-const SETTLE_WAIT: Duration = Duration::from_millis(2_500);
-
 /// How often such a router finds out whether it has to follow the store by itself now.
 const ROLE_SPAN: Duration = Duration::from_millis(500);
 
--- a/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    CrashFacts, CrashSighting, RequestFingerprint, TargetPhase, TargetRecord,
+    AttemptEnd, CrashFacts, CrashSighting, RequestFingerprint, TargetPhase, TargetRecord,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -36,12 +36,16 @@
     pub(in crate::gateway) started_at: ClockTime,
 }
 
-/// Finds out whether a target crashed under a run whose connection broke, and has it noted if so.
+/// Finds out whether a target crashed under a run, where its connection broke, and has it noted if so.
 ///
 /// A connection that breaks says little: targets reset single calls, and links lose connections. A process that
 /// has ended refuses new ones. Where neither is certain, as behind a cut link, nothing is held against the request.
-pub(in crate::gateway) async fn look_for_crash(state: &Rc<GatewayState>, run: SuspectRun) {
-    if !is_expected_up(state, &run.target) {
+pub(in crate::gateway) async fn look_for_crash(
+    state: &Rc<GatewayState>,
+    run: SuspectRun,
+    end: AttemptEnd,
+) {
+    if end != AttemptEnd::Broken || !is_expected_up(state, &run.target) {
         return;
     }
     let run_ms = state.now().since(run.started_at);
--- a/crates/beechsaddle/src/gateway/news/mod.rs
+++ b/crates/beechsaddle/src/gateway/news/mod.rs
@@ -16,5 +16,5 @@
 pub(super) use news_relay::NewsRelay;
 pub(super) use relay_server::serve_follow;
 pub(super) use router_registry::run_registration;
-pub(super) use store_follow::follow_kind;
+pub(super) use store_follow::{SETTLE_WAIT, follow_kind};
 pub(super) use store_probe::{StoreHealth, run_probes};
--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -38,7 +38,7 @@
 
 /// How long a router that starts waits until it knows the others: well within the time in which it has to be as
 /// up to date as they are.
-const SETTLE_WAIT: Duration = Duration::from_millis(2_500);
+pub(in crate::gateway) const SETTLE_WAIT: Duration = Duration::from_millis(2_500);
 
 /// What was told of a kind next.
 enum StoreStep {
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -262,9 +262,7 @@
             attempt.guard.note_end(end);
             let run = attempt.guard.suspect_run();
             drop(attempt);
-            if end == AttemptEnd::Broken {
-                look_for_crash(&self.call.state, run.clone()).await;
-            }
+            look_for_crash(&self.call.state, run.clone(), end).await;
             self.call.note_end(&run.target, end, detail);
         }
         self.splitter.drop_partial();
