Give out places by what the gauge took, not by an overtaken answer

The router that gives out a target's places took an answer without a limit for the limit's end even where its request had been sent before the limit was heard of, and told the others so; for itself it knew better. The share takes what the gauge keeps now; gauge_overtaken_answer_ends_no_limit holds what that is.

--- a/crates/beechsaddle-core/src/gateway/target_limit.rs
+++ b/crates/beechsaddle-core/src/gateway/target_limit.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// What was heard last, also where that is the end of a limit; `None` where no limit was ever heard of.
+    pub fn heard(&self) -> Option<TargetLimit> {
+        self.limit
+    }
+
     /// The limit that is in force.
     pub fn in_force(&self) -> Option<TargetLimit> {
         self.limit.filter(|limit| limit.per_s.is_some())
--- a/crates/beechsaddle-core/tests/gateway_limit_share.rs
+++ b/crates/beechsaddle-core/tests/gateway_limit_share.rs
@@ -244,6 +244,7 @@
     assert!(gauge.note(START.plus_ms(100), Some(3.0), START));
     assert!(!gauge.note(START.plus_ms(200), None, START.plus_ms(50)));
     assert!(gauge.in_force().is_some());
+    assert_eq!(gauge.heard(), gauge.in_force(), "what others are told");
     gauge.note_refused(START.plus_ms(200), 900);
     assert!(gauge.paused_for_ms(START.plus_ms(200)) > 0);
     assert!(gauge.note(START.plus_ms(300), None, START.plus_ms(150)));
--- a/crates/beechsaddle/src/gateway/limits/limit_ask.rs
+++ b/crates/beechsaddle/src/gateway/limits/limit_ask.rs
@@ -27,19 +27,17 @@
     sent_at: ClockTime,
 ) {
     let now = state.now();
-    let mut is_changed = false;
+    let (mut is_changed, mut heard) = (false, None);
     change_gauge(state, target, |gauge| {
         is_changed = gauge.limit.note(now, per_s, sent_at);
+        heard = gauge.limit.heard();
     });
-    let heard = TargetLimit {
-        per_s,
-        heard_at: now,
+    let Some(heard) = heard else {
+        return;
     };
-    state
-        .limits
-        .share
-        .borrow_mut()
-        .note(&target.incarnation(), heard);
+    let mut share = state.limits.share.borrow_mut();
+    share.note(&target.incarnation(), heard);
+    drop(share);
     if is_changed {
         let limit = per_s.map_or("none".to_owned(), |per_s| per_s.to_string());
         let fields = [("target", target.name.to_string()), ("per_s", limit)];
