Count a crash as known before only a tenth of a second after it was seen

What callers would see: a popular request refused for 80 minutes (six crashes) after many of its targets were killed at once.

Cause: targets that are killed together are found dead one after the other. A router that had found the first sent the call on over a kept connection to the next, dead as well, and counted its break as a repeat after a known crash, which convicts.

--- a/crates/beechsaddle-core/src/gateway/crash_book.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_book.rs
@@ -90,6 +90,12 @@
         }
     }
 
+    /// How many of these crashes were not seen just now, so that one more under the request is a repeat.
+    pub fn settled_count(&self, now: ClockTime, fingerprint: RequestFingerprint) -> usize {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or(0, |suspect| suspect.settled_beside(now, &self.explained))
+    }
+
     /// What becomes of a request that arrives now.
     pub fn verdict(&self, now: ClockTime, fingerprint: RequestFingerprint) -> CrashVerdict {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
--- a/crates/beechsaddle-core/src/gateway/crash_sighting.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_sighting.rs
@@ -30,7 +30,8 @@
 /// value that decides, so that all routers which heard the same come to the same verdict.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashFacts {
-    /// How many crashes under the request were known to the router when it sent the request to this target.
+    /// How many crashes under the request were known to the router, and not just seen, when it sent the request to this
+    /// target.
     pub known_before: u32,
     /// How long the target had the request, in milliseconds.
     pub run_ms: u32,
--- a/crates/beechsaddle-core/src/gateway/crash_suspect.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_suspect.rs
@@ -8,6 +8,10 @@
 /// Crashes under one request after which it is refused: as many as the platform forgives.
 pub(super) const CRASHES_MAX: usize = 3;
 
+/// How long ago a crash was seen when what follows it counts as a repeat, in milliseconds. Targets that are killed
+/// together are found dead one after the other, and a request that is sent on from the first meets the next.
+const SETTLED_MS: u64 = 100;
+
 /// Crashes that are kept of one request.
 const KEPT_MAX: usize = 16;
 
@@ -62,6 +66,18 @@
         targets.filter(|target| !explained.contains(target)).count()
     }
 
+    /// How many of them nothing else explains and were seen some time before `now`.
+    pub(super) fn settled_beside(
+        &self,
+        now: ClockTime,
+        explained: &BTreeSet<TargetIncarnation>,
+    ) -> usize {
+        let settled = self.open().filter(|(target, facts)| {
+            now.since(facts.seen_at) >= SETTLED_MS && !explained.contains(target)
+        });
+        settled.count()
+    }
+
     /// Whether the request crashed a target after a router knew that it had crashed another one.
     ///
     /// Where many targets end at once by a fault of their own, a request that runs on several of them looks like the
--- a/crates/beechsaddle-core/tests/gateway_crash_book.rs
+++ b/crates/beechsaddle-core/tests/gateway_crash_book.rs
@@ -80,6 +80,15 @@
     assert_eq!(book.verdict(NOW, request(1)), CrashVerdict::OnTrial);
 }
 
+/// Guards against a request that was sent on from one of many killed targets to the next, and counts as a repeat.
+#[test]
+fn settled_count_leaves_out_what_was_just_seen() {
+    let book = book([sighting(1, 1, 0), sighting(1, 2, 0)]);
+    assert_eq!(book.settled_count(NOW.plus_ms(20), request(1)), 0);
+    assert_eq!(book.settled_count(NOW.plus_ms(1_000), request(1)), 2);
+    assert_eq!(book.crash_count(request(1)), 2);
+}
+
 /// Guards against a request that is refused for crashes which another one beside it caused.
 #[test]
 fn verdict_companion_of_the_cause_is_clear() {
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -26,8 +26,10 @@
     target: TargetRecord,
     load: AttemptLoad,
     fingerprint: RequestFingerprint,
-    /// Crashes that the request may have caused before.
+    /// Crashes that the request may have caused some time before.
     known_before: usize,
+    /// Whether the request may have caused any.
+    is_suspect: bool,
     started_at: ClockTime,
     has_first: bool,
 }
@@ -43,16 +45,16 @@
         let guard = AttemptGuard {
             state: Rc::clone(state),
             fingerprint,
-            known_before: state.crashes.crash_count(fingerprint),
+            known_before: state.crashes.settled_count(state.now(), fingerprint),
+            is_suspect: state.crashes.crash_count(fingerprint) > 0,
             started_at: state.now(),
             target,
             load,
             has_first: false,
         };
-        let is_suspect = guard.known_before > 0;
         guard.change(|gauge, _| {
             gauge.start(load);
-            gauge.suspects += u64::from(is_suspect);
+            gauge.suspects += u64::from(guard.is_suspect);
         });
         guard
     }
@@ -175,7 +177,7 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let (load, has_first) = (self.load, self.has_first);
-        let is_suspect = self.known_before > 0;
+        let is_suspect = self.is_suspect;
         self.change(|gauge, _| {
             gauge.suspects = gauge.suspects.saturating_sub(u64::from(is_suspect));
             if !has_first {
--- a/crates/beechsaddle/src/gateway/crashes/crash_desk.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_desk.rs
@@ -34,6 +34,15 @@
         self.book.borrow().crash_count(fingerprint)
     }
 
+    /// How many of these were not seen just now.
+    pub(in crate::gateway) fn settled_count(
+        &self,
+        now: ClockTime,
+        fingerprint: RequestFingerprint,
+    ) -> usize {
+        self.book.borrow().settled_count(now, fingerprint)
+    }
+
     /// Whether a request is refused everywhere.
     pub(in crate::gateway) fn is_blocked(
         &self,
