Give back what a dead router had deferred, proved by the clocks of the fleet

Cause: what keepers hold for outages, some 10 s of demand, dies with them as a whole; the first loss of all is the largest, as nothing is known of losses then. It was nearly all unused: no outage had come before it.

Change: a keeper uses 7 s of its cover at any time and the rest only 4.5 s after it made its last change of the ledger. The change's mark names those tokens and that time, by the earliest clock of more than half of the fleet. The next process on the host gives them back if by the latest clock of more than half it started before that. Routers tell each other their clocks (readClock).

One literal of LedgerChange in the file has the two new fields, both unset.

--- a/crates/beechsaddle-core/src/gateway/budget_ledger.rs
+++ b/crates/beechsaddle-core/src/gateway/budget_ledger.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::fleet_clock::{CLOCK_SKEW_MS, StartBound};
+use crate::clock::ClockTime;
+
 /// How many writers a ledger remembers, the latest first. A router asks after its own write within
 /// seconds; a workspace has one keeper in each domain, and this many writes of others take longer.
 const WRITERS_MAX: usize = 24;
@@ -9,8 +12,8 @@
 /// Tokens that routers took from a workspace's prepaid total, less what they gave back.
 ///
 /// A router spends only what it took here by a conditional write, so the sum of all spending stays
-/// within the prepaid total whatever routers are cut off, paused or killed, and without any clock.
-/// What a killed router held is lost to the workspace. Each workspace has an object of its own, so that
+/// within the prepaid total whatever routers are cut off, paused or killed.
+/// What a killed router held is lost to the workspace, but for what it had deferred ([`DeferredCover`]). Each workspace has an object of its own, so that
 /// only its few keepers meet at it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetLedger {
@@ -35,6 +38,41 @@
     /// Tokens that it held ahead of calls after that.
     #[serde(default)]
     pub idle: u64,
+    /// What of these it did not use for a while.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deferred: Option<DeferredCover>,
+}
+
+/// Tokens that a router holds for outages and uses only some seconds after its last write.
+///
+/// A process that follows it on its host gives them back if it surely started before that. A promise not to use
+/// tokens before a time is kept by a process that is paused as well: it uses them later. Only the time itself has to
+/// be known to the other process, by the clocks of more than half of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeferredCover {
+    /// The tokens.
+    pub tokens: u64,
+    /// No later than the first use of them, by the earliest clock of the fleet.
+    pub until: ClockTime,
+}
+
+impl WriterMark {
+    /// Whether it is that of a process before `router` on its host.
+    fn has_ended(&self, router: &str) -> bool {
+        self.router != router && host_of(&self.router) == host_of(router)
+    }
+
+    /// What a process that ended had surely not used when the next one on its host started.
+    fn unused(&self, started: StartBound) -> u64 {
+        let StartBound::By(started_by) = started else {
+            return 0;
+        };
+        let deferred = self.deferred.filter(|cover| {
+            let known_by = started_by.plus_ms(CLOCK_SKEW_MS);
+            known_by < cover.until
+        });
+        deferred.map_or(0, |cover| cover.tokens.min(self.idle))
+    }
 }
 
 /// A change of a ledger by one router.
@@ -46,6 +84,10 @@
     pub transfer: TokenTransfer,
     /// Tokens that the router holds ahead of calls once it is done.
     pub idle: u64,
+    /// What of these it does not use for a while.
+    pub deferred: Option<DeferredCover>,
+    /// When its process started, by the clocks of the fleet.
+    pub started: StartBound,
 }
 
 /// Tokens moved between a ledger and a router.
@@ -61,31 +103,60 @@
     /// The ledger after a change of `router`.
     ///
     /// Marks of other incarnations on its host are those of processes that ended, as a host runs one at a
-    /// time. What they told to hold is lost: none of it was given back, or they would have told less.
+    /// time. What they told to hold is lost: none of it was given back, or they would have told less. What they
+    /// had surely not used comes back. While that may still turn out, their marks stay.
     pub fn with_change(&self, router: &str, change: LedgerChange) -> Self {
-        let taken = match change.transfer {
-            TokenTransfer::Take(tokens) => self.taken.saturating_add(tokens),
-            TokenTransfer::GiveBack(tokens) => self.taken.saturating_sub(tokens),
-        };
+        let taken = self.taken_after(change.transfer);
         let own = WriterMark {
             router: router.to_owned(),
             number: change.number,
             idle: change.idle,
+            deferred: change.deferred,
         };
-        let host = host_of(router);
-        let ended = self.writers.iter().filter(|mark| mark.router != router);
-        let ended = ended.filter(|mark| host_of(&mark.router) == host);
-        let lost = ended.fold(self.lost, |lost, mark| lost.saturating_add(mark.idle));
+        let is_settled = |mark: &&WriterMark| {
+            let is_kept = change.started == StartBound::Awaited && mark.deferred.is_some();
+            mark.has_ended(router) && !is_kept
+        };
+        let ended = || self.writers.iter().filter(is_settled);
+        let unused = ended().map(|mark| mark.unused(change.started));
+        let returned = unused.fold(0_u64, u64::saturating_add);
+        let idle = ended().map(|mark| mark.idle);
+        let died = idle.fold(0_u64, u64::saturating_add);
         let others = self.writers.iter();
-        let others = others.filter(|mark| host_of(&mark.router) != host);
+        let others = others.filter(|mark| mark.router != router && !is_settled(mark));
         let writers = std::iter::once(own).chain(others.cloned());
         BudgetLedger {
-            taken,
-            lost,
+            taken: taken.saturating_sub(returned),
+            lost: self.lost.saturating_add(died - returned),
             writers: writers.take(WRITERS_MAX).collect(),
         }
     }
 
+    /// Tokens that came back from processes that ended as this ledger became `next` by a change.
+    pub fn recovered_in(&self, next: &BudgetLedger, change: LedgerChange) -> u64 {
+        self.taken_after(change.transfer).saturating_sub(next.taken)
+    }
+
+    fn taken_after(&self, transfer: TokenTransfer) -> u64 {
+        match transfer {
+            TokenTransfer::Take(tokens) => self.taken.saturating_add(tokens),
+            TokenTransfer::GiveBack(tokens) => self.taken.saturating_sub(tokens),
+        }
+    }
+
+    /// Tokens that died with processes on the host of `router` and are not counted as lost yet.
+    pub fn died_before(&self, router: &str) -> u64 {
+        let ended = self.writers.iter().filter(|mark| mark.has_ended(router));
+        let idle = ended.map(|mark| mark.idle);
+        idle.fold(0_u64, u64::saturating_add)
+    }
+
+    /// Whether a process that ended on the host of `router` had deferred tokens.
+    pub fn has_deferred_before(&self, router: &str) -> bool {
+        let mut ended = self.writers.iter().filter(|mark| mark.has_ended(router));
+        ended.any(|mark| mark.deferred.is_some())
+    }
+
     /// Tokens that were used, as far as writers told: taken, neither lost nor held ahead of calls.
     pub fn used(&self) -> u64 {
         let idle = self.writers.iter().map(|mark| mark.idle);
--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use super::deferred_change::PendingChange;
 use super::demand_peak::DemandPeak;
-use super::{
-    BudgetLedger, DemandRate, EscrowFacts, EscrowOptions, EscrowRole, LedgerChange, TokenTransfer,
-};
+use super::{BudgetLedger, DemandRate, EscrowFacts, EscrowOptions, EscrowRole, TokenTransfer};
 use crate::clock::ClockTime;
 
 /// How fast demand is forgotten, in milliseconds.
@@ -26,8 +25,14 @@
     pub(super) prepaid: Option<u64>,
     /// Where its tokens come from.
     pub(super) role: EscrowRole,
-    /// Tokens that are not promised.
+    /// Tokens that are not promised and may be used now.
     pub(super) free: u64,
+    /// Tokens that are not promised and not used yet.
+    pub(super) deferred: u64,
+    /// When the last change was made that is known to be in the ledger.
+    pub(super) marked_at: ClockTime,
+    /// What died with processes before this one on its host and is not counted as lost yet.
+    pub(super) died_before: u64,
     /// Tokens on their way back to the keeper.
     pub(super) returning: u64,
     /// What the ledger was last told to be held here.
@@ -35,7 +40,7 @@
     /// The ledger as it was last seen.
     pub(super) ledger: Option<BudgetLedger>,
     /// The change whose outcome is not known yet.
-    pub(super) pending: Option<LedgerChange>,
+    pub(super) pending: Option<PendingChange>,
     /// How many routers keep the workspace.
     pub(super) keepers: u64,
     /// How many routers there are.
@@ -73,6 +78,9 @@
             prepaid: None,
             role: EscrowRole::Borrower,
             free: 0,
+            deferred: 0,
+            marked_at: now,
+            died_before: 0,
             returning: 0,
             told: 0,
             ledger: None,
@@ -218,7 +226,7 @@
     pub(super) fn outgrows_ledger(&self) -> bool {
         let least = self.least_awaited().unwrap_or(0);
         let left = self.left();
-        left.is_some_and(|left| left.saturating_add(self.free) < least)
+        left.is_some_and(|left| left.saturating_add(self.held()) < least)
     }
 
     /// Whether the ledger should be asked at once.
@@ -229,7 +237,7 @@
 
     /// Whether tokens are held and not promised, or on their way, or the ledger was told so.
     pub(super) fn has_tokens(&self) -> bool {
-        self.free > 0 || self.returning > 0 || self.told > 0
+        self.held() > 0 || self.returning > 0 || self.told > 0
     }
 
     /// Whether others may need what is given back here.
@@ -261,7 +269,7 @@
             .is_some_and(|word| now.since(word.noted_at) < EXHAUSTED_MS && tokens >= word.tokens);
         let fits = self
             .left()
-            .is_none_or(|left| left.saturating_add(self.free) >= tokens);
+            .is_none_or(|left| left.saturating_add(self.held()) >= tokens);
         if is_told || fits || self.role == EscrowRole::Borrower {
             return is_told;
         }
@@ -289,7 +297,7 @@
         let has_ledger = self.ledger.is_some();
         EscrowFacts {
             role: self.role,
-            free: self.free,
+            free: self.held(),
             reserved: self.reserved,
             left: self.left(),
             ledger_age_ms: has_ledger.then(|| now.since(self.ledger_at)),
@@ -319,7 +327,7 @@
     /// Whether the ledger has to be read.
     pub(super) fn needs_ledger(&self) -> bool {
         let is_counted = self.prepaid.is_some() && self.ledger.is_none();
-        let has_use = !self.is_closing || self.free > 0;
+        let has_use = !self.is_closing || self.held() > 0;
         is_counted && has_use && self.role == EscrowRole::Keeper
     }
 
--- a/crates/beechsaddle-core/src/gateway/escrow_loans.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_loans.rs
@@ -53,6 +53,7 @@
         let Some(account) = self.accounts.get_mut(workspace) else {
             return LoanReply::Short;
         };
+        account.open_deferred(now, &self.options);
         if account.free < request.least {
             return match account.is_exhausted(now, request.least, &self.options) {
                 true => LoanReply::Exhausted,
--- a/crates/beechsaddle-core/src/gateway/escrow_options.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -6,6 +6,13 @@
     /// Seconds of its domain's demand that a router holds of the workspaces that it keeps: an outage
     /// of this length refuses nobody, and a kill loses as much.
     pub hold_s: f64,
+    /// Seconds of its domain's demand that a keeper may use at any time; what it holds beyond that is deferred. At
+    /// least `defer_ms` and the time between two writes, or calls are refused in an outage before what is deferred
+    /// may be used.
+    pub open_s: f64,
+    /// How long after its last write a keeper uses what it deferred, in milliseconds; 0 defers nothing. A process that
+    /// follows it sooner gives those tokens back, in place of their loss.
+    pub defer_ms: u64,
     /// Seconds of its own demand that a router borrows ahead from the one that keeps a workspace. What
     /// borrowers hold is split among dozens of routers and covers few whole calls in an outage.
     pub borrow_s: f64,
@@ -54,6 +61,8 @@
     fn default() -> Self {
         EscrowOptions {
             hold_s: 10.5,
+            open_s: 7.0,
+            defer_ms: 4_500,
             borrow_s: 0.1,
             refill_part: 0.85,
             most_part: 2.5,
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -9,12 +9,14 @@
 mod crash_book;
 mod crash_sighting;
 mod crash_suspect;
+mod deferred_change;
 mod demand_peak;
 mod demand_rate;
 mod escrow_account;
 mod escrow_facts;
 mod escrow_loans;
 mod escrow_options;
+mod fleet_clock;
 mod gateway_config;
 mod gateway_status;
 mod limit_share;
@@ -40,13 +42,14 @@
 mod token_loan;
 mod transfer_plan;
 
-pub use budget_ledger::{BudgetLedger, LedgerChange, TokenTransfer};
+pub use budget_ledger::{BudgetLedger, DeferredCover, LedgerChange, TokenTransfer};
 pub use caller_limits::CallerLimits;
 pub use crash_book::{CrashBook, CrashVerdict};
 pub use crash_sighting::{CrashFacts, CrashSighting, TargetIncarnation};
 pub use demand_rate::DemandRate;
 pub use escrow_facts::{EscrowFacts, EscrowRole};
 pub use escrow_options::EscrowOptions;
+pub use fleet_clock::{CLOCK_SKEW_MS, ClockBounds, ClockReading, FleetClock, StartBound};
 pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
 pub use gateway_status::{
     ConfigStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -4,7 +4,9 @@
 
 use super::EscrowFacts;
 use super::escrow_account::EscrowAccount;
-use super::{BudgetLedger, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, TokenTransfer};
+use super::{
+    BudgetLedger, ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, StartBound,
+};
 use crate::clock::ClockTime;
 use crate::names::WorkspaceName;
 
@@ -32,6 +34,7 @@
     routers: u64,
     pub(super) accounts: BTreeMap<WorkspaceName, EscrowAccount>,
     changes: u64,
+    clock: ClockBounds,
     is_closing: bool,
 }
 
@@ -45,6 +48,7 @@
             routers: KEEPERS_ASSUMED,
             accounts: BTreeMap::new(),
             changes: 0,
+            clock: ClockBounds::default(),
             is_closing: false,
         }
     }
@@ -77,6 +81,11 @@
         }
     }
 
+    /// Takes over what the clocks of the fleet say now.
+    pub fn set_clock(&mut self, clock: ClockBounds) {
+        self.clock = clock;
+    }
+
     /// Takes over where the tokens of a workspace come from; tells whether that is a change.
     pub fn set_role(&mut self, workspace: &WorkspaceName, role: EscrowRole) -> bool {
         let account = self.accounts.get_mut(workspace);
@@ -117,7 +126,7 @@
     /// The workspaces that this router keeps and holds tokens of while little is left: others may need them.
     pub fn scarce(&self) -> Vec<WorkspaceName> {
         self.select(|account| {
-            account.role == EscrowRole::Keeper && account.is_scarce() && account.free > 0
+            account.role == EscrowRole::Keeper && account.is_scarce() && account.held() > 0
         })
     }
 
@@ -153,6 +162,7 @@
         if account.prepaid.is_none() {
             return ReserveOutcome::Reserved;
         }
+        account.open_deferred(now, &self.options);
         if account.free >= tokens {
             account.reserve(now, tokens);
             return ReserveOutcome::Reserved;
@@ -193,7 +203,7 @@
     /// The number of a workspace's change whose outcome is not known yet.
     pub fn pending_number(&self, workspace: &WorkspaceName) -> Option<u64> {
         let pending = self.accounts.get(workspace)?.pending?;
-        Some(pending.number)
+        Some(pending.change.number)
     }
 
     /// Takes over the ledger of a workspace as it was read; `is_newer` tells whether its revision is
@@ -221,42 +231,39 @@
 
     fn set_ledger(&mut self, now: ClockTime, workspace: &WorkspaceName, ledger: BudgetLedger) {
         if let Some(account) = self.accounts.get_mut(workspace) {
+            account.died_before = ledger.died_before(&self.router);
             account.set_ledger(now, ledger, &self.options);
         }
     }
 
+    /// Whether it may still turn out that tokens of a process that ended on this host come back. Until then a
+    /// write that no call waits for is worth waiting with.
+    pub fn awaits_deferred(&self, workspace: &WorkspaceName) -> bool {
+        let ledger = self.ledger(workspace);
+        let is_deferred = ledger.is_some_and(|ledger| ledger.has_deferred_before(&self.router));
+        is_deferred && self.clock.started == StartBound::Awaited
+    }
+
     /// What a workspace's ledger should be asked for; the same change until its outcome is known.
     pub fn plan(&mut self, now: ClockTime, workspace: &WorkspaceName) -> Option<LedgerChange> {
         let account = self.accounts.get_mut(workspace)?;
-        if account.pending.is_some() {
-            return account.pending;
+        if let Some(pending) = account.pending {
+            return Some(pending.change);
         }
         if !account.uses_ledger() {
             return None;
         }
+        account.open_deferred(now, &self.options);
         let transfer = account.next_transfer(now, &self.options)?;
-        if let TokenTransfer::GiveBack(tokens) = transfer {
-            // Given up now, so that it cannot be spent while the write is on its way.
-            account.free = account.free.saturating_sub(tokens);
-        }
         self.changes += 1;
-        account.pending = Some(LedgerChange {
-            number: self.changes,
-            transfer,
-            idle: account.idle_after(transfer),
-        });
-        account.pending
+        let (number, clock) = (self.changes, self.clock);
+        Some(account.begin_change(now, number, transfer, clock, &self.options))
     }
 
     /// The pending change of a workspace is in its ledger.
     pub fn commit(&mut self, now: ClockTime, workspace: &WorkspaceName, ledger: BudgetLedger) {
-        if let Some(account) = self.accounts.get_mut(workspace)
-            && let Some(change) = account.pending.take()
-        {
-            account.told = change.idle;
-            if let TokenTransfer::Take(tokens) = change.transfer {
-                account.free += tokens;
-            }
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.commit_change();
         }
         self.set_ledger(now, workspace, ledger);
     }
@@ -264,10 +271,7 @@
     /// The pending change of a workspace is not in its ledger and never will be.
     pub fn revert(&mut self, now: ClockTime, workspace: &WorkspaceName, ledger: BudgetLedger) {
         if let Some(account) = self.accounts.get_mut(workspace) {
-            let change = account.pending.take();
-            if let Some(TokenTransfer::GiveBack(tokens)) = change.map(|change| change.transfer) {
-                account.free += tokens;
-            }
+            account.revert_change();
         }
         self.set_ledger(now, workspace, ledger);
     }
@@ -279,11 +283,16 @@
         accounts.any(|account| account.has_tokens() || account.pending.is_some())
     }
 
-    /// Tokens held and not promised, of all workspaces.
+    /// Tokens that calls may use now, of all workspaces.
     pub fn free_tokens(&self) -> u64 {
         self.accounts.values().map(|account| account.free).sum()
     }
 
+    /// Tokens held and not promised, of all workspaces: the free and the deferred ones.
+    pub fn held_tokens(&self) -> u64 {
+        self.accounts.values().map(EscrowAccount::held).sum()
+    }
+
     /// Tokens that nobody has taken of a workspace's total; `None` while that is not known.
     pub fn left_of(&self, workspace: &WorkspaceName) -> Option<u64> {
         self.accounts.get(workspace)?.left()
--- a/crates/beechsaddle-core/src/gateway/transfer_plan.rs
+++ b/crates/beechsaddle-core/src/gateway/transfer_plan.rs
@@ -18,22 +18,25 @@
             false => self.wanted(now, options)?,
         };
         let may_take = self.role == EscrowRole::Keeper && !self.is_closing;
-        let has_waiting = self.awaited_within(left.saturating_add(self.free)) > self.free;
-        let is_low = (self.free as f64) < wanted as f64 * options.refill_part;
+        let held = self.held();
+        let has_waiting = self.awaited_within(left.saturating_add(held)) > self.free;
+        let is_low = (held as f64) < wanted as f64 * options.refill_part;
         if may_take && (is_low || has_waiting) {
-            let tokens = wanted.saturating_sub(self.free).min(left);
-            return (tokens > 0).then_some(TokenTransfer::Take(tokens));
+            let tokens = wanted.saturating_sub(held).min(left);
+            // With nothing to take, a change still lets waiting calls use what is deferred.
+            let opens = has_waiting && self.deferred > 0;
+            return (tokens > 0 || opens).then_some(TokenTransfer::Take(tokens));
         }
         // What the ledger was told of a router that ends, or keeps the workspace no more, would count as lost
         // with the next process on its host.
         if self.told > 0 && self.is_closing {
-            return Some(TokenTransfer::GiveBack(self.free.saturating_sub(wanted)));
+            return Some(TokenTransfer::GiveBack(held.saturating_sub(wanted)));
         }
         if self.told > 0 && self.role == EscrowRole::Borrower {
-            return Some(TokenTransfer::GiveBack(self.free));
+            return Some(TokenTransfer::GiveBack(held));
         }
-        let is_high = self.free > self.most_kept(now, wanted, options);
-        is_high.then_some(TokenTransfer::GiveBack(self.free.saturating_sub(wanted)))
+        let is_high = held > self.most_kept(now, wanted, options);
+        is_high.then_some(TokenTransfer::GiveBack(held.saturating_sub(wanted)))
     }
 
     /// How many free tokens are kept before any are given back.
@@ -71,7 +74,7 @@
         if self.taken()? > prepaid {
             return Some(0);
         }
-        let within_reach = left.saturating_add(self.free);
+        let within_reach = left.saturating_add(self.held());
         let awaited = self.awaited_within(within_reach);
         let unspent = (within_reach - awaited) as f64;
         let scarce = prepaid as f64 * options.scarce_part;
@@ -107,17 +110,10 @@
     /// costs as many seconds of demand as they hold, until callers whose prompts are paid for are refused for
     /// good. The square leaves nearly all of the cover after a few routers died, and nothing near the bound.
     pub(super) fn hold_factor(&self, options: &EscrowOptions) -> f64 {
-        let lost = self.ledger.as_ref().map_or(0, |ledger| ledger.lost) as f64;
+        let counted = self.ledger.as_ref().map_or(0, |ledger| ledger.lost);
+        let lost = counted.saturating_add(self.died_before) as f64;
         let bearable = self.prepaid.unwrap_or(0) as f64 * options.lost_part;
         let borne = lost / bearable.max(1.0);
         (1.0 - borne * borne).max(0.0)
     }
-
-    /// What is held ahead of calls once a transfer is done; what is given back is given up already.
-    pub(super) fn idle_after(&self, transfer: TokenTransfer) -> u64 {
-        match transfer {
-            TokenTransfer::Take(tokens) => self.free.saturating_add(tokens),
-            TokenTransfer::GiveBack(_) => self.free,
-        }
-    }
 }
--- a/crates/beechsaddle-core/tests/gateway_losses.rs
+++ b/crates/beechsaddle-core/tests/gateway_losses.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use beechsaddle_core::gateway::{
-    BudgetLedger, CallerLimits, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, LoanReply,
-    LoanRequest, ReserveOutcome, TokenEscrow, TokenTransfer, WorkspaceRule,
+    BudgetLedger, CallerLimits, ClockBounds, EscrowOptions, EscrowRole, GatewayConfig,
+    LedgerChange, LoanReply, LoanRequest, ReserveOutcome, StartBound, TokenEscrow, TokenTransfer,
+    WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 
@@ -38,6 +39,7 @@
 struct DomainKeeper {
     escrow: TokenEscrow,
     written_at: ClockTime,
+    started_at: ClockTime,
 }
 
 /// Calls that arrived within a second.
@@ -89,13 +91,14 @@
         DomainKeeper {
             escrow,
             written_at: ClockTime::ZERO,
+            started_at: self.now,
         }
     }
 
     /// The keepers at `dying` lose power and start again with nothing.
     fn lose(&mut self, dying: impl IntoIterator<Item = usize>) {
         for index in dying {
-            self.lost += self.keepers[index].escrow.free_tokens();
+            self.lost += self.keepers[index].escrow.held_tokens();
             self.keepers[index] = self.start(index);
         }
     }
@@ -176,11 +179,21 @@
         }
         let (now, ledger) = (self.now, self.ledger.clone());
         let keeper = &mut self.keepers[index];
+        keeper.escrow.set_clock(ClockBounds {
+            earliest: Some(now),
+            started: StartBound::By(keeper.started_at),
+        });
         keeper.escrow.take_ledger(now, &acme(), ledger, true);
         let Some(change) = keeper.escrow.plan(now, &acme()) else {
             return;
         };
+        let before = self.ledger.taken;
         self.ledger = self.ledger.with_change(keeper.escrow.router(), change);
+        let unsettled = match change.transfer {
+            TokenTransfer::Take(tokens) => before + tokens,
+            TokenTransfer::GiveBack(tokens) => before - tokens,
+        };
+        self.lost -= unsettled - self.ledger.taken;
         keeper.escrow.commit(now, &acme(), self.ledger.clone());
         keeper.written_at = now;
     }
@@ -313,6 +326,8 @@
         number,
         transfer: TokenTransfer::Take(tokens),
         idle,
+        deferred: None,
+        started: StartBound::Unknown,
     };
     let ledger = BudgetLedger::default();
     let ledger = ledger.with_change("host-1@10", change(1, 500, 500));
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -97,5 +97,11 @@
   # `ageMs` ago. `started` is as in `CrashNote`. With `isFree` it tells that the target names no limit any more.
 }
 
-interface RouterPeer extends(TokenLender, NewsRelay, CrashListener, LimitShare) {}
+interface ClockTeller {
+  readClock @0 (secret :Text) -> (earliest :UInt64, latest :UInt64);
+  # The router's wall clock, and the time by the wall clock that its process started with and its steady clock since
+  # then: the earlier and the later of both, in Unix milliseconds.
+}
+
+interface RouterPeer extends(TokenLender, NewsRelay, CrashListener, LimitShare, ClockTeller) {}
 # What a router serves to others: the first capability of its peer address.
--- a/crates/beechsaddle/src/explain/token_account.rs
+++ b/crates/beechsaddle/src/explain/token_account.rs
@@ -22,6 +22,8 @@
     pub given_back: u64,
     /// Spent by calls.
     pub spent: u64,
+    /// Came back to ledgers from processes that had ended; part of what these held.
+    pub recovered: u64,
     /// What routers held when their processes ended, by the time of the first start after that.
     pub losses: Vec<TokenLoss>,
 }
@@ -93,6 +95,7 @@
 
     fn add_transfer(&mut self, entry: &LogEntry) {
         let tokens = tokens_of(entry);
+        self.account.recovered += number_of(entry, "recovered").unsigned_abs();
         match entry.field("transfer") {
             Some("take") => {
                 self.account.taken += tokens.unsigned_abs();
@@ -168,6 +171,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(formatter, "tokens taken      {:>14}", self.taken)?;
         writeln!(formatter, "tokens given back {:>14}", self.given_back)?;
+        writeln!(formatter, "tokens recovered  {:>14}", self.recovered)?;
         writeln!(formatter, "tokens spent      {:>14}", self.spent)?;
         writeln!(
             formatter,
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -132,17 +132,25 @@
     /// Ledgers to write now. What no call waits for is written now and then.
     fn due(&self) -> Vec<WorkspaceName> {
         let now = self.state.now();
+        self.take_clock();
         let escrow = self.state.escrow.borrow();
         let stored = self.stored.borrow();
         let due = escrow.due(now).into_iter();
         let due = due.filter(|workspace| {
             let kept = stored.get(workspace);
             let is_calm = kept.is_some_and(|kept| kept.is_calm(now));
+            let is_calm = is_calm && !escrow.awaits_deferred(workspace);
             kept.is_some() && (is_calm || escrow.is_urgent(now, workspace))
         });
         due.collect()
     }
 
+    /// Takes over what the clocks of the fleet say.
+    fn take_clock(&self) {
+        let bounds = self.state.clocks.bounds(&self.state);
+        self.state.escrow.borrow_mut().set_clock(bounds);
+    }
+
     /// Ledgers that others may have changed for too long.
     fn old(&self) -> Vec<WorkspaceName> {
         let now = self.state.now();
@@ -183,6 +191,7 @@
         for conflicts in 0..TRIES_MAX {
             self.take_note(&workspace);
             let now = self.state.now();
+            self.take_clock();
             let change = self.state.escrow.borrow_mut().plan(now, &workspace);
             let known = self.known(&workspace);
             let (Some(change), Some(known)) = (change, known) else {
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -85,6 +85,8 @@
     pub(super) tokens_borrowed: Counter,
     /// Tokens lent to other routers.
     pub(super) tokens_lent: Counter,
+    /// Tokens that came back from processes that ended on this host.
+    pub(super) tokens_recovered: Counter,
     /// Lines that were left out of the log under load.
     pub(super) lines_sampled_out: Counter,
     /// Open calls.
@@ -129,6 +131,7 @@
             follows_store: Gauge::default(),
             tokens_borrowed: Counter::default(),
             tokens_lent: Counter::default(),
+            tokens_recovered: Counter::default(),
             lines_sampled_out: Counter::default(),
             open_calls: Gauge::default(),
             config_version: Gauge::default(),
@@ -192,6 +195,8 @@
         let borrowed = self.tokens_borrowed.clone();
         registry.register("tokens_borrowed", "Tokens borrowed", borrowed);
         registry.register("tokens_lent", "Tokens lent", self.tokens_lent.clone());
+        let recovered = self.tokens_recovered.clone();
+        registry.register("tokens_recovered", "Tokens recovered", recovered);
         let sampled_out = self.lines_sampled_out.clone();
         registry.register("lines_sampled_out", "Log lines left out", sampled_out);
         registry.register("open_calls", "Open calls", self.open_calls.clone());
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::caller_listener::run_listener;
+use super::clock_desk::run_clock_reading;
 use super::crashes::{run_crash_follow, run_crash_writer};
 use super::escrow_keeper::EscrowKeeper;
 use super::gateway_settings::GatewaySettings;
@@ -112,6 +113,7 @@
     spawn_local(run_expiry(Rc::clone(&state)));
     spawn_local(run_crash_follow(Rc::clone(&state)));
     spawn_local(run_crash_writer(Rc::clone(&state)));
+    spawn_local(run_clock_reading(Rc::clone(&state)));
     spawn_local(EscrowKeeper::new(Rc::clone(&state)).run());
     spawn_local(run_store_tally(Rc::clone(&state)));
     spawn_local(run_settings_watch(path.to_owned(), Rc::clone(&state)));
@@ -142,8 +144,8 @@
         let changed = state.escrow_changed.notified();
         state.escrow_wake.notify_one();
         if timeout_at(until, changed).await.is_err() {
-            let free = state.escrow.borrow().free_tokens();
-            let fields = [("free", free.to_string())];
+            let held = state.escrow.borrow().held_tokens();
+            let fields = [("free", held.to_string())];
             state.report.log(LogLevel::Warning, "tokens_kept", fields);
             return;
         }
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
+use super::clock_desk::ClockDesk;
 use super::crashes::CrashDesk;
 use super::gateway_metrics::{GatewayMetrics, StoreLabel};
 use super::gateway_settings::GatewaySettings;
@@ -47,6 +48,8 @@
     pub(super) me: RouterIncarnation,
     /// The time.
     pub(super) clock: ClockSource,
+    /// What the clocks of other routers say.
+    pub(super) clocks: ClockDesk,
     /// The configuration in force; `None` before the first.
     pub(super) config: RefCell<Option<Rc<GatewayConfig>>>,
     /// Since when it is in force.
@@ -108,8 +111,10 @@
         me: RouterIncarnation,
         report: ReportHandle,
     ) -> Self {
+        let clock = ClockSource::of_process();
         GatewayState {
-            clock: ClockSource::of_process(),
+            clock,
+            clocks: ClockDesk::new(clock.now()),
             config: RefCell::new(None),
             config_at: Cell::new(ClockTime::ZERO),
             roster: RefCell::new(TargetRoster::default()),
--- a/crates/beechsaddle/src/gateway/ledger_store.rs
+++ b/crates/beechsaddle/src/gateway/ledger_store.rs
@@ -132,7 +132,7 @@
             .note_store_call(StoreCall::WriteLedger, started, &written);
         match written {
             Ok(object) => {
-                self.log_change(workspace, change, &ledger, object.revision());
+                self.log_change(workspace, change, known, &ledger, object.revision());
                 WriteOutcome::Done(StoredLedger {
                     revision: object.revision(),
                     ledger,
@@ -172,6 +172,7 @@
         &self,
         workspace: &WorkspaceName,
         change: LedgerChange,
+        known: &StoredLedger,
         ledger: &BudgetLedger,
         revision: u64,
     ) {
@@ -179,6 +180,8 @@
             TokenTransfer::Take(tokens) => ("take", tokens),
             TokenTransfer::GiveBack(tokens) => ("give_back", tokens),
         };
+        let recovered = known.ledger.recovered_in(ledger, change);
+        self.state.metrics.tokens_recovered.inc_by(recovered);
         let fields = [
             ("workspace", workspace.to_string()),
             ("number", change.number.to_string()),
@@ -187,6 +190,11 @@
             ("taken", ledger.taken.to_string()),
             ("idle", change.idle.to_string()),
             ("lost", ledger.lost.to_string()),
+            (
+                "deferred",
+                change.deferred.map_or(0, |cover| cover.tokens).to_string(),
+            ),
+            ("recovered", recovered.to_string()),
             ("revision", revision.to_string()),
         ];
         let report = &self.state.report;
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod call_exchange;
 mod call_record;
 mod caller_listener;
+mod clock_desk;
 mod crashes;
 mod escrow_keeper;
 mod event_splitter;
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    CrashSighting, LoanReply, LoanRequest, LoanReturn, NewsBatch, PeerRecord, ShareReply,
-    TargetLimit,
+    ClockReading, CrashSighting, LoanReply, LoanRequest, LoanReturn, NewsBatch, PeerRecord,
+    ShareReply, TargetLimit,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, crash_listener, limit_share,
-    news_relay, router_peer, token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, crash_listener,
+    limit_share, news_relay, router_peer, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -84,6 +84,11 @@
         limit_share::Client { client }
     }
 
+    fn clock_teller(&self) -> clock_teller::Client {
+        let client = self.client.client.clone();
+        clock_teller::Client { client }
+    }
+
     fn crash_listener(&self) -> crash_listener::Client {
         let client = self.client.client.clone();
         crash_listener::Client { client }
@@ -279,6 +284,27 @@
         }
     }
 
+    /// Asks a router for its clocks; `None` from one of an older version, which does not know the call.
+    pub(super) async fn read_clock(
+        &self,
+        peer: &PeerRecord,
+        secret: &str,
+    ) -> Result<Option<ClockReading>, String> {
+        let link = self.open(peer).await?;
+        let mut call = link.clock_teller().read_clock_request();
+        call.get().set_secret(secret);
+        let reply = match call.send().promise.await {
+            Ok(reply) => reply,
+            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => return Ok(None),
+            Err(error) => return Err(error.to_string()),
+        };
+        let answer = reply.get().map_err(|error| error.to_string())?;
+        Ok(Some(ClockReading {
+            earliest: ClockTime::from_millis(answer.get_earliest()),
+            latest: ClockTime::from_millis(answer.get_latest()),
+        }))
+    }
+
     /// Closes the connection to a router, if there is one.
     pub(super) fn forget(&self, host: &HostName) {
         self.links.borrow_mut().remove(host);
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -9,8 +9,8 @@
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, crash_listener, limit_share,
-    news_relay, router_peer, token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, crash_listener,
+    limit_share, news_relay, router_peer, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -270,4 +270,19 @@
     }
 }
 
+impl clock_teller::Server for PeerServer {
+    async fn read_clock(
+        self: Rc<Self>,
+        parameters: clock_teller::ReadClockParams,
+        mut results: clock_teller::ReadClockResults,
+    ) -> Result<(), capnp::Error> {
+        self.check_secret(parameters.get()?.get_secret()?)?;
+        let reading = self.state.clock.reading();
+        let mut answer = results.get();
+        answer.set_earliest(reading.earliest.as_millis());
+        answer.set_latest(reading.latest.as_millis());
+        Ok(())
+    }
+}
+
 impl router_peer::Server for PeerServer {}
--- a/crates/beechsaddle/src/router/clock_source.rs
+++ b/crates/beechsaddle/src/router/clock_source.rs
@@ -3,6 +3,7 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use beechsaddle_core::gateway::ClockReading;
 use beechsaddle_core::prelude::*;
 
 /// Tells the time in milliseconds since the Unix epoch, never backwards.
@@ -25,19 +26,27 @@
 
     /// Reads the wall clock once.
     fn start() -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or(Duration::ZERO);
-        let started_millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
         ClockSource {
             started: Instant::now(),
-            started_millis,
+            started_millis: wall_clock().as_millis(),
         }
     }
 
+    /// What this host's clocks say, for other routers.
+    pub fn reading(&self) -> ClockReading {
+        ClockReading::of(self.now(), wall_clock())
+    }
+
     /// The time now.
     pub fn now(&self) -> ClockTime {
         let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
         ClockTime::from_millis(self.started_millis).plus_ms(elapsed)
     }
 }
+
+fn wall_clock() -> ClockTime {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or(Duration::ZERO);
+    ClockTime::from_millis(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -117,6 +117,7 @@
         "ts=1400 level=info router=a@1 event=tokens_reserved id=2 workspace=w tokens=200 outcome=reserved",
         "ts=1450 level=info router=a@1 event=tokens_reserved id=3 workspace=w tokens=800 outcome=budget_exhausted",
         "ts=3000 level=info router=a@2 event=started",
+        "ts=3100 level=info router=a@2 event=ledger_written workspace=w transfer=take tokens=0 recovered=150",
     ] {
         book.add_line(line);
     }
@@ -131,7 +132,7 @@
         (account.taken, account.given_back, account.spent),
         (1_000, 100, 250)
     );
-    assert_eq!(account.losses, [loss]);
+    assert_eq!((account.losses, account.recovered), (vec![loss], 150));
 }
 
 #[test]
