Turn calls away behind a full link without news of targets

Cause: one router, out of rotation for its own full link, whose followers were silent and whose store answers came seconds late over that link, went on placing calls of open connections by a list up to 3.3 s old.

Ruled out: a lost change (the router logged it in the end); followers that answer without watching (mended before).

Change: what is known of targets is dated by when it was asked for, from the watch, a probe beside a watch, or a follower of targets alone. A router that is out of rotation for its link and knows nothing newer than a probe's span and a follower's age turns calls away with 503 link_full, before tokens are set aside and at each choice.

--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -61,7 +61,9 @@
 ) -> Response<AnswerBody> {
     let record = CallRecord::start(&state);
     let (parts, body) = request.into_parts();
-    let mut response = match check_head(&state, &parts, &record) {
+    let checked = check_head(&state, &parts, &record);
+    let admitted = checked.and_then(|found| refuse_behind_link(&state).map(|()| found));
+    let mut response = match admitted {
         Ok((head, place)) => serve_checked(&state, parts, body, head, place, record).await,
         Err(refused) => refuse(&record, &refused),
     };
@@ -196,6 +198,17 @@
     call.record.decide("tokens_reserved", fields);
 }
 
+/// Turns a call away that this router would serve late, at a target that may have left: others serve it at once.
+fn refuse_behind_link(state: &GatewayState) -> Result<(), CallRefused> {
+    match state.is_behind_full_link() {
+        true => Err(CallRefused::new(
+            RefusalCause::LinkFull,
+            "this router's link is full",
+        )),
+        false => Ok(()),
+    }
+}
+
 fn check_head(
     state: &GatewayState,
     parts: &Parts,
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -82,6 +82,8 @@
     pub(super) store_health: StoreHealth,
     /// When the store last answered.
     pub(super) store_answered_at: Cell<ClockTime>,
+    /// Up to when changes of targets are known.
+    pub(super) targets_known_at: Cell<ClockTime>,
     /// Calls to the store since they were last logged.
     pub(super) store_tally: StoreTally,
     /// Logs.
@@ -131,6 +133,7 @@
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
             store_answered_at: Cell::new(ClockTime::ZERO),
+            targets_known_at: Cell::new(ClockTime::ZERO),
             store_tally: StoreTally::default(),
             report,
             metrics: GatewayMetrics::new(),
@@ -210,6 +213,24 @@
         policy.leaves_full_link && self.rotation.borrow().is_out(self.now())
     }
 
+    /// Notes that all changes of targets up to a time are known.
+    pub(super) fn note_targets_known(&self, at: ClockTime) {
+        let known_at = self.targets_known_at.get();
+        self.targets_known_at.set(known_at.max(at));
+    }
+
+    /// Whether calls are turned away as the router's own link was full and changes of targets come late over it. A
+    /// target that leaves would get new work from here for seconds, and its answers would be late. While the link is
+    /// full now does not tell: what waits in its queues is not counted.
+    pub(super) fn is_behind_full_link(&self) -> bool {
+        let settings = self.settings();
+        let known_ms = self.now().since(self.targets_known_at.get());
+        // Without a full link a router hears something of the store in this time.
+        let heard_span = settings.probe_span + settings.relay_age;
+        let is_late = u128::from(known_ms) > heard_span.as_millis();
+        is_late && self.has_left_rotation()
+    }
+
     /// Shows how many requests are refused as they crash targets.
     pub(super) fn note_blocked_count(&self) {
         let blocked = self.crashes.blocked_count();
--- a/crates/beechsaddle/src/gateway/news/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/news/store_follow.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::NewsSource;
+use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{ObjectKind, StoreFailure, StoreListing, StoreNews};
 use tokio::time::{sleep, timeout};
@@ -57,7 +58,9 @@
 /// late but comes, while new connections time out: giving the old one up left routers of a large fleet
 /// without new configurations for three to eight seconds.
 pub(in crate::gateway) async fn follow_kind(state: Rc<GatewayState>, kind: ObjectKind) {
+    let started = state.now();
     let listing = list_again(&state, kind).await;
+    note_known(&state, kind, started);
     state.relay.begin(kind, &listing);
     take_listing(&state, kind, &listing);
     // Whom to follow is known once the others that started with this router are listed. Each of them would begin
@@ -88,6 +91,7 @@
     state.relay.note_watched(kind, true);
     let step = next_step(state, kind, revision).await;
     let revision = take_step(state, kind, revision, step);
+    note_known(state, kind, started);
     let took_ms = state.now().since(started);
     sleep(Duration::from_millis(NEWS_SPAN_MS.saturating_sub(took_ms))).await;
     revision
@@ -95,6 +99,7 @@
 
 /// Follows a router that follows the store for one step; gives the revision to go on from.
 async fn follow_fleet(state: &GatewayState, kind: ObjectKind, revision: u64) -> u64 {
+    let started = state.now();
     state.relay.note_watched(kind, false);
     let source = {
         let choice = state.relay.choice.borrow();
@@ -109,6 +114,7 @@
             for news in batches {
                 take_step(state, kind, revision, StoreStep::News(news));
             }
+            note_known(state, kind, started);
             known.max(revision)
         }
         FollowStep::Gone => follow_briefly(state, kind, revision).await,
@@ -143,9 +149,18 @@
             return revision;
         }
     };
+    note_known(state, kind, started);
     take_step(state, kind, revision, step)
 }
 
+/// Notes that what the store told after `started` is known. An answer may have been on its way for long behind a full
+/// link, so that nothing later is certain.
+fn note_known(state: &GatewayState, kind: ObjectKind, started: ClockTime) {
+    if kind == ObjectKind::Targets {
+        state.note_targets_known(started);
+    }
+}
+
 /// Takes over a step and keeps it for those that follow this router; gives the revision to go on from.
 fn take_step(state: &GatewayState, kind: ObjectKind, revision: u64, step: StoreStep) -> u64 {
     let (noted, known) = match &step {
--- a/crates/beechsaddle/src/gateway/news/store_probe.rs
+++ b/crates/beechsaddle/src/gateway/news/store_probe.rs
@@ -154,5 +154,9 @@
     let started = state.now();
     let read = state.store.probe(ObjectKind::Budgets, SECRET_NAME).await;
     state.note_store_call(StoreCall::Probe, started, &read);
+    // A change would have ended the watch before the store answered this call.
+    if read.is_ok() && state.relay.is_watched(ObjectKind::Targets) {
+        state.note_targets_known(started);
+    }
     !read.as_ref().is_err_and(StoreFailure::is_away)
 }
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -28,6 +28,8 @@
     CrashesTargets,
     /// No configuration is known yet.
     NoConfig,
+    /// The router's own link is full, and changes of targets come late over it.
+    LinkFull,
     /// The service has no target.
     NoTarget,
     /// No target could be reached; nothing was sent.
@@ -63,6 +65,7 @@
             RefusalCause::TargetsFull => (RefusalKind::NotRun, Some(FULL_RETRY_MS)),
             RefusalCause::BudgetUnreachable
             | RefusalCause::NoConfig
+            | RefusalCause::LinkFull
             | RefusalCause::NoTarget
             | RefusalCause::CrashesTargets
             | RefusalCause::TargetsLimited
@@ -89,6 +92,7 @@
             RefusalCause::BudgetUnreachable => "budget_unreachable",
             RefusalCause::CrashesTargets => "crashes_targets",
             RefusalCause::NoConfig => "no_config",
+            RefusalCause::LinkFull => "link_full",
             RefusalCause::NoTarget => "no_target",
             RefusalCause::TargetsUnreachable => "targets_unreachable",
             RefusalCause::TargetsFull => "targets_full",
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -27,6 +27,10 @@
 /// Chooses a target among those that were not tried; when all were, among all.
 fn choose(call: &CallContext) -> Option<(TargetChoice, TargetRecord)> {
     let state = &call.state;
+    // Its link may have filled up while the call waited or was tried.
+    if state.is_behind_full_link() {
+        return None;
+    }
     let settings = state.settings();
     let tried = call.tried.borrow();
     let roster = state.roster.borrow();
@@ -58,6 +62,7 @@
 pub(super) fn no_target_cause(call: &CallContext) -> RefusalCause {
     match call.history.borrow().may_have_run() {
         true => RefusalCause::OutcomeUnknown,
+        false if call.state.is_behind_full_link() => RefusalCause::LinkFull,
         false if least_pause_ms(call).is_some() => RefusalCause::TargetsLimited,
         false => RefusalCause::NoTarget,
     }
--- a/crates/beechsaddle/tests/gateway_shutdown.rs
+++ b/crates/beechsaddle/tests/gateway_shutdown.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use beechsaddle_platform_stand_in::StoreFault;
 use gateway_support::{GatewayBench, draft, request, wait_for};
 use nix::sys::signal::Signal;
 use tokio::time::sleep;
@@ -86,3 +87,24 @@
     sleep(Duration::from_millis(8_100)).await;
     assert!(bench.router.is_ready().await);
 }
+
+/// Guards against calls that reach a leaving target as its leaving is told late over the router's own full link.
+#[tokio::test]
+async fn full_link_without_news_of_targets_takes_no_calls() {
+    let bench = GatewayBench::start_narrow(&draft(1, AMPLE)).await;
+    let mut call = request("GET /get/1", "call-1");
+    call.body = vec![b'x'; 20_000];
+    bench.store.set_fault(StoreFault::Silent);
+    wait_for("a refusal", || async {
+        // The balancer asks whether the router is ready.
+        bench.router.is_ready().await;
+        let reply = bench.router.call(&call).await;
+        reply.status == 503 && reply.body.contains("link_full")
+    })
+    .await;
+    bench.store.set_fault(StoreFault::None);
+    wait_for("an answer", || async {
+        bench.router.call(&call).await.status == 200
+    })
+    .await;
+}
