Defer half of the cover: make no change of a ledger while the store is away

Cause: a keeper counts from its last change, and made one when the store was already away, as it was due: the open part had to last a write's span and defer_s.

Change: where the look before a write is not answered no change is made, and one that was turned away at its only try (nothing was done) is withdrawn. So 5 s open bridge the 4.5 s, and the rest of the cover is deferred.

gateway_deferred holds with changes that are turned away and withdrawn.

--- a/crates/beechsaddle-core/src/gateway/escrow_options.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -6,9 +6,8 @@
     /// Seconds of its domain's demand that a router holds of the workspaces that it keeps: an outage
     /// of this length refuses nobody, and a kill loses as much.
     pub hold_s: f64,
-    /// Seconds of its domain's demand that a keeper may use at any time; what it holds beyond that is deferred. At
-    /// least `defer_ms` and the time between two writes, or calls are refused in an outage before what is deferred
-    /// may be used.
+    /// Seconds of its domain's demand that a keeper may use at any time; what it holds beyond that is deferred. More
+    /// than `defer_ms`, or calls are refused in an outage before what is deferred may be used.
     pub open_s: f64,
     /// How long after its last write a keeper uses what it deferred, in milliseconds; 0 defers nothing. A process that
     /// follows it sooner gives those tokens back, in place of their loss.
@@ -61,7 +60,7 @@
     fn default() -> Self {
         EscrowOptions {
             hold_s: 10.5,
-            open_s: 7.0,
+            open_s: 5.0,
             defer_ms: 4_500,
             borrow_s: 0.1,
             refill_part: 0.85,
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -276,6 +276,13 @@
         self.set_ledger(now, workspace, ledger);
     }
 
+    /// The pending change was turned away at its only try: it never will be done.
+    pub fn withdraw(&mut self, workspace: &WorkspaceName) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.revert_change();
+        }
+    }
+
     /// Whether tokens are held and not promised, or on their way to a ledger, or a ledger has yet to be told
     /// that none are.
     pub fn has_tokens(&self) -> bool {
--- a/crates/beechsaddle-core/tests/gateway_deferred.rs
+++ b/crates/beechsaddle-core/tests/gateway_deferred.rs
@@ -337,6 +337,7 @@
         let (now_ms, revision, stored) = (self.now_ms, self.revision, self.ledger.clone());
         let process = self.process(index);
         let now = process.now(now_ms);
+        let is_first_try = process.escrow.pending_number(&acme()).is_none();
         let Some(change) = process.escrow.plan(now, &acme()) else {
             process
                 .escrow
@@ -370,6 +371,11 @@
                 });
             }
             2 => {}
+            3 if is_first_try => {
+                let process = self.process(index);
+                process.escrow.withdraw(&acme());
+                process.has_pending = None;
+            }
             _ => {
                 self.put(change, next.clone());
                 let process = self.process(index);
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -187,11 +187,20 @@
     /// Writes what is due of a workspace until nothing is, or the store does not tell.
     async fn write(&self, workspace: WorkspaceName) {
         self.take_note(&workspace);
-        self.look_before_write(&workspace).await;
+        // A change that is made while the store is away would only put off the use of deferred tokens.
+        if !self.look_before_write(&workspace).await {
+            return;
+        }
         for conflicts in 0..TRIES_MAX {
             self.take_note(&workspace);
             let now = self.state.now();
             self.take_clock();
+            let is_first_try = self
+                .state
+                .escrow
+                .borrow()
+                .pending_number(&workspace)
+                .is_none();
             let change = self.state.escrow.borrow_mut().plan(now, &workspace);
             let known = self.known(&workspace);
             let (Some(change), Some(known)) = (change, known) else {
@@ -211,6 +220,9 @@
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
                 WriteOutcome::Failed(failure) => {
+                    if is_first_try && matches!(failure, StoreFailure::Refused(_)) {
+                        self.state.escrow.borrow_mut().withdraw(&workspace);
+                    }
                     self.note_failure(&failure);
                     return;
                 }
@@ -240,20 +252,26 @@
         self.state.escrow_changed.notify_waiters();
     }
 
-    /// Brings a ledger up to date that others may have changed since it was seen.
+    /// Brings a ledger up to date that others may have changed since it was seen; tells whether a write is worth a try.
     ///
     /// A write without an answer is looked for in the ledger as it is now: made again it might be as silent, and
     /// calls would wait for its timeout although it was done.
-    async fn look_before_write(&self, workspace: &WorkspaceName) {
+    async fn look_before_write(&self, workspace: &WorkspaceName) -> bool {
         let pending = self.state.escrow.borrow().pending_number(workspace);
         if pending.is_some() {
             let read = self.store.read(workspace).await;
-            return self.take_read(workspace, read);
+            self.take_read(workspace, read);
+            return true;
         }
         let seen_at = self.stored.borrow().get(workspace).map(|kept| kept.seen_at);
-        if seen_at.is_some_and(|at| self.state.now().since(at) >= WRITE_AGE_MS) {
-            self.refresh(workspace.clone()).await;
+        let is_old = seen_at.is_some_and(|at| self.state.now().since(at) >= WRITE_AGE_MS);
+        if !is_old {
+            return true;
         }
+        let read = self.store.read_stale(workspace).await;
+        let is_answered = read.is_ok();
+        self.take_read(workspace, read);
+        is_answered
     }
 
     /// The ledger that a change is made from.
