Withdraw a change in the core, and only if it was written once

A change that was turned away is withdrawn, so that deferred tokens are used by the last change that is in the ledger. One that was also written without an answer may still be done: withdrawn then, tokens would be used while a mark that names them can appear. The core counts it now, and withdraw_after_an_unanswered_write_changes_nothing fails without. Sessions also write seldom in some runs.

--- a/crates/beechsaddle-core/src/gateway/deferred_change.rs
+++ b/crates/beechsaddle-core/src/gateway/deferred_change.rs
@@ -19,6 +19,8 @@
     from_deferred: u64,
     /// What it defers of tokens that were usable before.
     locked: u64,
+    /// Whether it was asked for more than once, so that the outcome of an earlier write of it may be unknown.
+    is_repeated: bool,
 }
 
 impl EscrowAccount {
@@ -76,6 +78,7 @@
             planned_at: now,
             from_deferred,
             locked,
+            is_repeated: false,
         });
         change
     }
@@ -99,6 +102,20 @@
         self.free += opened;
     }
 
+    /// The pending change, once more.
+    pub(super) fn repeat_change(&mut self) -> Option<LedgerChange> {
+        let pending = self.pending.as_mut()?;
+        pending.is_repeated = true;
+        Some(pending.change)
+    }
+
+    /// The last write of the pending change was turned away. If it was the only one, the change never will be done.
+    pub(super) fn withdraw_change(&mut self) {
+        if self.pending.is_some_and(|pending| !pending.is_repeated) {
+            self.revert_change();
+        }
+    }
+
     /// The pending change is not in the ledger and never will be.
     pub(super) fn revert_change(&mut self) {
         let Some(pending) = self.pending.take() else {
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -247,8 +247,8 @@
     /// What a workspace's ledger should be asked for; the same change until its outcome is known.
     pub fn plan(&mut self, now: ClockTime, workspace: &WorkspaceName) -> Option<LedgerChange> {
         let account = self.accounts.get_mut(workspace)?;
-        if let Some(pending) = account.pending {
-            return Some(pending.change);
+        if account.pending.is_some() {
+            return account.repeat_change();
         }
         if !account.uses_ledger() {
             return None;
@@ -276,10 +276,10 @@
         self.set_ledger(now, workspace, ledger);
     }
 
-    /// The pending change was turned away at its only try: it never will be done.
+    /// The store turned a write of the pending change away. One that was tried before may still be done, and stays.
     pub fn withdraw(&mut self, workspace: &WorkspaceName) {
         if let Some(account) = self.accounts.get_mut(workspace) {
-            account.revert_change();
+            account.withdraw_change();
         }
     }
 
--- a/crates/beechsaddle-core/tests/gateway_deferred.rs
+++ b/crates/beechsaddle-core/tests/gateway_deferred.rs
@@ -87,6 +87,8 @@
 struct DeferredSession {
     random: StdRng,
     wrong_clocks: WrongClocks,
+    /// One step in so many writes.
+    write_odds: u64,
     now_ms: u64,
     lives: u64,
     version: u64,
@@ -113,6 +115,7 @@
             hosts.push(host);
         }
         DeferredSession {
+            write_odds: random.random_range(3..60),
             random,
             wrong_clocks,
             now_ms: START_MS,
@@ -237,7 +240,9 @@
         self.hear_clocks(index);
         self.use_tokens(index);
         self.lend(index);
-        if self.hosts[index].cut_until_ms <= now_ms && self.random.random_range(0..6) == 0 {
+        if self.hosts[index].cut_until_ms <= now_ms
+            && self.random.random_range(0..self.write_odds) == 0
+        {
             self.write(index);
         }
     }
@@ -337,7 +342,6 @@
         let (now_ms, revision, stored) = (self.now_ms, self.revision, self.ledger.clone());
         let process = self.process(index);
         let now = process.now(now_ms);
-        let is_first_try = process.escrow.pending_number(&acme()).is_none();
         let Some(change) = process.escrow.plan(now, &acme()) else {
             process
                 .escrow
@@ -371,10 +375,12 @@
                 });
             }
             2 => {}
-            3 if is_first_try => {
+            3 => {
                 let process = self.process(index);
                 process.escrow.withdraw(&acme());
-                process.has_pending = None;
+                process.has_pending = process
+                    .has_pending
+                    .filter(|_| process.escrow.pending_number(&acme()).is_some());
             }
             _ => {
                 self.put(change, next.clone());
@@ -490,3 +496,18 @@
     let totals = run_sessions(0..seed_count(), WrongClocks::All);
     assert!(totals.overspent > 0, "{totals:?}");
 }
+
+/// Guards against deferred tokens that are used while a write that names them may still be done.
+#[test]
+fn withdraw_after_an_unanswered_write_changes_nothing() {
+    let now = ClockTime::from_millis(START_MS);
+    let mut escrow = TokenEscrow::new(EscrowOptions::default(), "host-1@1");
+    escrow.set_config(now, &config(1, FIRST_TOTAL));
+    escrow.set_fleet(3, 3);
+    escrow.set_role(&acme(), EscrowRole::Keeper);
+    escrow.take_ledger(now, &acme(), BudgetLedger::default(), true);
+    let change = escrow.plan(now, &acme());
+    assert_eq!(escrow.plan(now, &acme()), change);
+    escrow.withdraw(&acme());
+    assert_eq!(escrow.pending_number(&acme()), Some(1));
+}
--- a/crates/beechsaddle/src/gateway/escrow_keeper.rs
+++ b/crates/beechsaddle/src/gateway/escrow_keeper.rs
@@ -195,12 +195,6 @@
             self.take_note(&workspace);
             let now = self.state.now();
             self.take_clock();
-            let is_first_try = self
-                .state
-                .escrow
-                .borrow()
-                .pending_number(&workspace)
-                .is_none();
             let change = self.state.escrow.borrow_mut().plan(now, &workspace);
             let known = self.known(&workspace);
             let (Some(change), Some(known)) = (change, known) else {
@@ -220,7 +214,7 @@
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
                 WriteOutcome::Failed(failure) => {
-                    if is_first_try && matches!(failure, StoreFailure::Refused(_)) {
+                    if matches!(failure, StoreFailure::Refused(_)) {
                         self.state.escrow.borrow_mut().withdraw(&workspace);
                     }
                     self.note_failure(&failure);
