Recover deferred tokens although no other change is due

What callers saw: after a loss of all routers a part of what dead allocators had deferred never came back, and calls were refused for good as if it had been spent.

Cause: only a change of the ledger returns what the process before it on the host had deferred, and a successor without callers, which has nothing to take or give back, plans none. Most of these are allocators of domains where a workspace has no callers: they hold a first part of the total, all of it deferred.

A forced order in the core (successor without callers, 1.83 s of demand deferred): nothing returned 19.5 s after the death.

Ruled out: clocks that do not answer (entries of other workspaces on the same hosts were settled), changed roles after the loss (the same hosts allocate before and after).

Change: where the ledger has deferred tokens of an earlier process of the host and the clocks of the fleet have answered, or too few of them in time, a change that moves no tokens is due. It is written once: its successor finds no such entry any more.

gateway_recovered: successor_without_callers_returns_deferred_tokens and successor_without_clocks_counts_deferred_tokens_as_lost failed before (no change due, "left: [], right: [acme]") and hold; successor_awaiting_clocks_writes_nothing held and holds. gateway_losses, gateway_deferred and gateway_escrow hold unchanged.

Left: a successor that is no allocator does not read the ledger and settles nothing.

--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -5,7 +5,7 @@
 use super::EscrowFacts;
 use super::escrow_account::EscrowAccount;
 use super::{
-    ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, StartBound,
+    ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, StartBound, TokenTransfer,
     WorkspaceLedger,
 };
 use crate::clock::ClockTime;
@@ -119,10 +119,27 @@
 
     /// Returns the workspaces whose ledgers should be written, or read for the outcome of a write.
     pub fn due(&self, now: ClockTime) -> Vec<WorkspaceName> {
-        self.select(|account| {
-            let has_transfer = || account.next_transfer(now, &self.options).is_some();
-            account.pending.is_some() || (account.uses_ledger() && has_transfer())
-        })
+        self.select(|account| account.pending.is_some() || self.transfer(now, account).is_some())
+    }
+
+    /// Returns the transfer to write to an account's ledger.
+    ///
+    /// Only a change recovers the tokens that an earlier process on this host deferred. If no other
+    /// change is due, one that moves no tokens is written for that.
+    fn transfer(&self, now: ClockTime, account: &EscrowAccount) -> Option<TokenTransfer> {
+        if !account.uses_ledger() {
+            return None;
+        }
+        let transfer = account.next_transfer(now, &self.options);
+        transfer.or_else(|| self.may_recover(account).then_some(TokenTransfer::Take(0)))
+    }
+
+    /// Whether the ledger has deferred tokens of an earlier process on this host, and it is known
+    /// how many of them were unused.
+    fn may_recover(&self, account: &EscrowAccount) -> bool {
+        let ledger = account.ledger.as_ref();
+        let has_deferred = ledger.is_some_and(|ledger| ledger.has_deferred_before(&self.router));
+        has_deferred && !account.is_closing && self.clock.started != StartBound::Awaited
     }
 
     /// Returns the workspaces that this router allocates and holds tokens of while little is left,
@@ -255,13 +272,11 @@
         if account.pending.is_some() {
             return account.repeat_change();
         }
-        if !account.uses_ledger() {
-            return None;
-        }
         account.release_deferred(now, &self.options);
-        let transfer = account.next_transfer(now, &self.options)?;
+        let transfer = self.transfer(now, self.accounts.get(workspace)?)?;
         self.changes += 1;
         let (number, clock) = (self.changes, self.clock);
+        let account = self.accounts.get_mut(workspace)?;
         Some(account.begin_change(now, number, transfer, clock, &self.options))
     }
 
--- /dev/null
+++ b/crates/beechsaddle-core/tests/gateway_recovered.rs
@@ -0,0 +1,103 @@
+//! Tests of what the next process on a host returns of its predecessor's deferred tokens.
+
+use beechsaddle_core::gateway::{
+    CallerLimits, ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, StartBound, TokenEscrow,
+    TokenTransfer, WorkspaceLedger, WorkspaceRule,
+};
+use beechsaddle_core::prelude::*;
+use serde_json::{Value, json};
+
+const NOW: ClockTime = ClockTime::from_millis(1_000_000);
+const PREPAID: u64 = 1_000_000;
+/// Most of the total is used, so that an allocator without callers takes nothing.
+const TAKEN: u64 = 600_000;
+const IDLE: u64 = 50_000;
+const DEFERRED: u64 = 40_000;
+/// When the first deferred tokens become usable.
+const UNTIL: ClockTime = ClockTime::from_millis(1_010_000);
+const SUCCESSOR: &str = "host-0@2";
+
+fn acme() -> WorkspaceName {
+    WorkspaceName::new("acme")
+}
+
+fn config() -> GatewayConfig {
+    let mut config = GatewayConfig::new(1, CallerLimits::default());
+    let rule = WorkspaceRule {
+        name: acme(),
+        priority: None,
+        prepaid: Some(PREPAID),
+    };
+    config.add_workspace(rule, ["key".to_owned()]);
+    config
+}
+
+/// Returns a ledger with the predecessor's entry, as stored.
+fn ledger(deferred: Value) -> WorkspaceLedger {
+    let writer = json!({
+        "router": "host-0@1",
+        "number": 3,
+        "idle": IDLE,
+        "deferred": deferred,
+    });
+    let stored = json!({ "taken": TAKEN, "lost": 0, "writers": [writer] });
+    serde_json::from_value(stored).expect("a stored ledger is valid")
+}
+
+/// Returns a ledger whose entry was written by a version that makes all tokens usable at once.
+fn ledger_without_rate() -> WorkspaceLedger {
+    ledger(json!({ "tokens": DEFERRED, "until": UNTIL }))
+}
+
+/// Returns the successor's escrow, which has read the ledger.
+fn successor(started: StartBound) -> TokenEscrow {
+    let mut escrow = TokenEscrow::new(EscrowOptions::default(), SUCCESSOR);
+    escrow.set_config(NOW, &config());
+    escrow.set_fleet(3, 3);
+    escrow.set_role(&acme(), EscrowRole::Allocator);
+    escrow.set_clock(ClockBounds {
+        earliest: Some(NOW),
+        started,
+    });
+    escrow.take_ledger(NOW, &acme(), ledger_without_rate(), true);
+    escrow
+}
+
+/// Returns the ledger after the successor's change, which must be due.
+fn write(escrow: &mut TokenEscrow) -> WorkspaceLedger {
+    assert_eq!(escrow.due(NOW), [acme()]);
+    let change = escrow.plan(NOW, &acme()).expect("a change is due");
+    assert_eq!(change.transfer, TokenTransfer::Take(0));
+    let next = ledger_without_rate().with_change(SUCCESSOR, change);
+    escrow.commit(NOW, &acme(), next.clone());
+    next
+}
+
+/// Without callers, a successor takes and gives back nothing: its predecessor's deferred tokens
+/// must not wait for a change that never comes.
+#[test]
+fn successor_without_callers_returns_deferred_tokens() {
+    let mut escrow = successor(StartBound::By(NOW));
+    let next = write(&mut escrow);
+    assert_eq!(next.taken, TAKEN - DEFERRED);
+    assert_eq!(next.lost, IDLE - DEFERRED);
+    assert_eq!(escrow.due(NOW), []);
+}
+
+/// Without clocks nothing proves that tokens are unused: the entry is settled as lost, once.
+#[test]
+fn successor_without_clocks_counts_deferred_tokens_as_lost() {
+    let mut escrow = successor(StartBound::Unknown);
+    let next = write(&mut escrow);
+    assert_eq!(next.taken, TAKEN);
+    assert_eq!(next.lost, IDLE);
+    assert_eq!(escrow.due(NOW), []);
+}
+
+/// A change before the clocks answered would settle nothing, and be followed by one after another.
+#[test]
+fn successor_awaiting_clocks_writes_nothing() {
+    let escrow = successor(StartBound::Awaited);
+    assert!(escrow.awaits_deferred(&acme()));
+    assert_eq!(escrow.due(NOW), []);
+}
