Return no deferred tokens of a pending change to another allocator

What callers could see: a prepaid total overspent by the tokens that a change without an outcome defers.

Cause: a change locks tokens as soon as it is planned. A router that loses the role of the allocator while its first change has no outcome is a borrower without an idle count in the ledger, and returns its surplus to the new allocator. It counted the surplus by all it held, deferred tokens among them, but took them from the free ones only: the deferred part was given away and kept. If the change was applied, the next process on its host would have returned it once more.

Change: a return is bounded by the tokens that may be used. The rest is returned once the change has an outcome.

--- a/crates/beechsaddle-core/src/gateway/escrow_loans.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_loans.rs
@@ -97,7 +97,9 @@
         let account = self.accounts.get_mut(workspace)?;
         match account.next_transfer(now, &self.options) {
             Some(TokenTransfer::GiveBack(tokens)) if !account.uses_ledger() => {
-                account.free = account.free.saturating_sub(tokens);
+                // A change without an outcome may defer tokens here, which stay unused.
+                let tokens = tokens.min(account.free);
+                account.free -= tokens;
                 account.returning += tokens;
                 let used = account.unreported_use;
                 Some(LoanReturn { tokens, used })
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use beechsaddle_core::gateway::{
-    CallerLimits, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, LoanReply, LoanRequest,
-    LoanReturn, ReserveOutcome, TokenEscrow, TokenTransfer, WorkspaceLedger, WorkspaceRule,
+    CallerLimits, ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, LoanReply,
+    LoanRequest, LoanReturn, ReserveOutcome, StartBound, TokenEscrow, TokenTransfer,
+    WorkspaceLedger, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -290,6 +291,34 @@
     assert!(escrow.begin_return(now, &acme()).is_some());
 }
 
+/// While a change has no outcome, the ledger may have tokens as deferred that a former allocator
+/// still holds: had it returned them, the next process on its host would return them once more.
+#[test]
+fn former_allocator_keeps_deferred_tokens_of_a_pending_change() {
+    let mut escrow = allocator(300_000);
+    escrow.set_clock(ClockBounds {
+        earliest: Some(START),
+        started: StartBound::By(START),
+    });
+    let loan_return = LoanReturn {
+        tokens: 8_000,
+        used: 0,
+    };
+    assert!(escrow.take_back(START, &acme(), loan_return));
+    let change = escrow.plan(START, &acme()).expect("a change");
+    let TokenTransfer::Take(taken) = change.transfer else {
+        panic!("{change:?}");
+    };
+    let reserve = change.deferred.expect("deferred tokens");
+    let deferred_here = reserve.tokens - taken;
+    assert!(deferred_here > 0);
+    escrow.set_role(&acme(), EscrowRole::Borrower);
+    let returned = escrow.begin_return(START, &acme());
+    let returned = returned.map_or(0, |loan_return| loan_return.tokens);
+    assert!(returned <= 8_000 - deferred_here, "{returned} returned");
+    assert_eq!(escrow.held_tokens(), 8_000 - returned);
+}
+
 /// A call of a borrower used less than was reserved for it. If 195 routers each return such
 /// remainders to the ledger, this causes two of three writes of a day. They go to the allocator
 /// instead, together with the tokens used, so that its demand is what callers use and not what it
