Defer tokens again that have become usable while nothing was written

What callers saw: after a loss of all routers, tokens that no call had used for many seconds did not come back, and calls were refused for good.

Cause: an allocator renewed its mark only when tokens moved. Where callers pause, or are few, nothing moves for 5 to 20 s; all that it had deferred becomes usable meanwhile and dies with it.

Ruled out: a sign of life apart from the ledgers. It would renew schedules, but not what is open beyond the present demand.

It is bound to the 2.5 s between writes that no call waits for, and is not planned while the store does not answer.

allocator_without_calls_defers_tokens_again failed before (1,241,472 of 1,241,472 lost) and holds. gateway_loss_spans forces pending changes that move nothing as well. gateway_losses, gateway_escrow and gateway_recovered hold.

--- a/crates/beechsaddle-core/src/gateway/deferred_change.rs
+++ b/crates/beechsaddle-core/src/gateway/deferred_change.rs
@@ -145,6 +145,16 @@
         self.deferred = self.deferred.saturating_sub(from_deferred);
     }
 
+    /// Whether so many tokens have become usable beyond what calls need until the next write that
+    /// they are worth one.
+    pub(super) fn has_excess(&self, now: ClockTime, options: &EscrowOptions) -> bool {
+        let held = self.held();
+        let deferred = self.required_deferred(now).min(held);
+        let wanted = self.schedule_for(now, held, options).tokens;
+        let excess = wanted.saturating_sub(deferred) as f64;
+        excess > self.prepaid.unwrap_or(0) as f64 * options.renew_part
+    }
+
     /// Returns the schedule for `idle` tokens: calls can use what they need at any time, and what
     /// they need beyond that as time passes.
     fn schedule_for(&self, now: ClockTime, idle: u64, options: &EscrowOptions) -> ReserveSchedule {
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -124,14 +124,16 @@
 
     /// Returns the transfer to write to an account's ledger.
     ///
-    /// Only a change recovers the tokens that an earlier process on this host deferred. If no other
-    /// change is due, one that moves no tokens is written for that.
+    /// Only a change recovers the tokens that an earlier process on this host deferred, or defers
+    /// tokens again that have become usable. If no other change is due, one that moves no tokens is
+    /// written for that.
     fn transfer(&self, now: ClockTime, account: &EscrowAccount) -> Option<TokenTransfer> {
         if !account.uses_ledger() {
             return None;
         }
         let transfer = account.next_transfer(now, &self.options);
-        transfer.or_else(|| self.may_recover(account).then_some(TokenTransfer::Take(0)))
+        let is_useful = || self.may_recover(account) || self.may_defer_again(now, account);
+        transfer.or_else(|| is_useful().then_some(TokenTransfer::Take(0)))
     }
 
     /// Whether the ledger has deferred tokens of an earlier process on this host, and it is known
@@ -142,6 +144,12 @@
         has_deferred && !account.is_closing && self.clock.started != StartBound::Awaited
     }
 
+    /// Whether many deferred tokens have become usable since the last write, and enough clocks of
+    /// the fleet are known to defer them again.
+    fn may_defer_again(&self, now: ClockTime, account: &EscrowAccount) -> bool {
+        self.clock.earliest.is_some() && account.has_excess(now, &self.options)
+    }
+
     /// Returns the workspaces that this router allocates and holds tokens of while little is left,
     /// as other routers may need them.
     pub fn scarce(&self) -> Vec<WorkspaceName> {
--- /dev/null
+++ b/crates/beechsaddle-core/tests/gateway_renewal.rs
@@ -0,0 +1,126 @@
+//! Tests of when an allocator defers tokens again that have become usable.
+
+use beechsaddle_core::gateway::{
+    CallerLimits, ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange,
+    ReserveOutcome, StartBound, TokenEscrow, TokenTransfer, WorkspaceLedger, WorkspaceRule,
+};
+use beechsaddle_core::prelude::*;
+
+const START: ClockTime = ClockTime::from_millis(1_000_000);
+/// The time between two calls, in milliseconds.
+const CALL_SPAN_MS: u64 = 10;
+const CALL_TOKENS: u64 = 1_000;
+/// The demand of callers, in tokens per second.
+const DEMAND: u64 = CALL_TOKENS * 1_000 / CALL_SPAN_MS;
+/// The shortest time between two writes while no call waits for a write, in milliseconds.
+const WRITE_SPAN_MS: u64 = 2_500;
+/// Large enough that no surplus of a few seconds of demand is given back.
+const PREPAID: u64 = DEMAND * 400;
+
+fn acme() -> WorkspaceName {
+    WorkspaceName::new("acme")
+}
+
+fn config() -> GatewayConfig {
+    let mut config = GatewayConfig::new(1, CallerLimits::default());
+    let rule = WorkspaceRule {
+        name: acme(),
+        priority: None,
+        prepaid: Some(PREPAID),
+    };
+    config.add_workspace(rule, ["key".to_owned()]);
+    config
+}
+
+/// An allocator that writes the ledger as often as it may.
+struct SteadyAllocator {
+    now: ClockTime,
+    escrow: TokenEscrow,
+    ledger: WorkspaceLedger,
+    written_at: ClockTime,
+}
+
+impl SteadyAllocator {
+    fn new() -> Self {
+        let mut escrow = TokenEscrow::new(EscrowOptions::default(), "host-0@1");
+        escrow.set_config(START, &config());
+        escrow.set_fleet(3, 1);
+        escrow.set_role(&acme(), EscrowRole::Allocator);
+        escrow.take_ledger(START, &acme(), WorkspaceLedger::default(), true);
+        SteadyAllocator {
+            now: START,
+            escrow,
+            ledger: WorkspaceLedger::default(),
+            written_at: ClockTime::ZERO,
+        }
+    }
+
+    /// Runs for `span_ms`, with calls or without.
+    fn run(&mut self, span_ms: u64, has_calls: bool) {
+        let end = self.now.plus_ms(span_ms);
+        while self.now < end {
+            if has_calls {
+                self.call();
+            }
+            if self.now.since(self.written_at) >= WRITE_SPAN_MS {
+                self.write();
+            }
+            self.now = self.now.plus_ms(CALL_SPAN_MS);
+        }
+    }
+
+    fn call(&mut self) {
+        let outcome = self.escrow.try_reserve(self.now, &acme(), CALL_TOKENS);
+        if outcome == ReserveOutcome::Reserved {
+            self.escrow
+                .settle(self.now, &acme(), CALL_TOKENS, CALL_TOKENS);
+            return;
+        }
+        self.escrow.begin_wait(self.now, &acme(), CALL_TOKENS);
+        self.write();
+        self.escrow.end_wait(&acme(), CALL_TOKENS);
+    }
+
+    fn write(&mut self) {
+        self.escrow.set_clock(ClockBounds {
+            earliest: Some(self.now),
+            started: StartBound::By(START),
+        });
+        let Some(change) = self.escrow.plan(self.now, &acme()) else {
+            return;
+        };
+        self.ledger = self.ledger.with_change(self.escrow.router(), change);
+        self.escrow.commit(self.now, &acme(), self.ledger.clone());
+        self.written_at = self.now;
+    }
+
+    /// Returns the tokens that are lost if the process ends now and its successor starts at once.
+    fn lost(&self) -> u64 {
+        let change = LedgerChange {
+            number: 1,
+            transfer: TokenTransfer::Take(0),
+            idle: 0,
+            deferred: None,
+            started: StartBound::By(self.now),
+        };
+        let next = self.ledger.with_change("host-0@2", change);
+        let returned = self.ledger.taken - next.taken;
+        self.escrow.held_tokens() - returned
+    }
+}
+
+/// An allocator whose callers pause holds what it deferred until they return. If it became usable
+/// for good meanwhile, all of it would be lost with the process.
+#[test]
+fn allocator_without_calls_defers_tokens_again() {
+    let mut allocator = SteadyAllocator::new();
+    allocator.run(10_000, true);
+    let before = allocator.escrow.held_tokens();
+    allocator.run(12_000, false);
+    let (held, lost) = (allocator.escrow.held_tokens(), allocator.lost());
+    assert!(
+        held >= before,
+        "{held} held, {before} before the calls ended"
+    );
+    assert!(lost < DEMAND * 4, "{lost} of {held} lost");
+}
--- a/crates/beechsaddle-core/tests/loss_support/host_session.rs
+++ b/crates/beechsaddle-core/tests/loss_support/host_session.rs
@@ -22,6 +22,7 @@
     GiveBack,
     /// Gives back tokens that are still deferred, as a large call needs the usable ones.
     GiveBackDeferred,
+    Nothing,
 }
 
 impl PendingMove {
@@ -31,14 +32,16 @@
             PendingMove::GiveBack | PendingMove::GiveBackDeferred => {
                 matches!(transfer, Some(TokenTransfer::GiveBack(1..)))
             }
+            PendingMove::Nothing => transfer == Some(TokenTransfer::Take(0)),
         }
     }
 }
 
-pub const MOVES: [PendingMove; 3] = [
+pub const MOVES: [PendingMove; 4] = [
     PendingMove::Take,
     PendingMove::GiveBack,
     PendingMove::GiveBackDeferred,
+    PendingMove::Nothing,
 ];
 
 /// A fleet of which the first host is disturbed, while its calls use all that they may.
@@ -67,6 +70,7 @@
                 session.freeze_to(PENDING_MS);
                 session.wait_in_vain();
             }
+            PendingMove::Nothing => {}
         }
         session.return_until(pending_move);
         session.fleet.is_store_away = false;
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -257,6 +257,7 @@
         open_s: table.read_f64_or("open_s", defaults.open_s, 0.0..=600.0, findings),
         defer_ms: table.read_seconds_ms("defer_s", defaults.defer_ms as f64 / 1_000.0, findings),
         open_rate: table.read_f64_or("open_rate", defaults.open_rate, 0.0..=100.0, findings),
+        renew_part: table.read_f64_or("renew_part", defaults.renew_part, 0.0..=1.0, findings),
         least_s: table.read_f64_or("least_s", defaults.least_s, 0.0..=60.0, findings),
         lost_part: table.read_f64_or("lost_part", defaults.lost_part, 0.0..=1.0, findings),
         first_part: table.read_f64_or("first_part", defaults.first_part, 0.0..=1.0, findings),
