Read the steady clock after the clocks of the fleet before a change

What callers could see: a prepaid total overspent after a router was paused for over half a second at one place in its code and then died.

Cause: a change was planned with a time that was read before the bounds on the fleet's time. A process paused in between defers by the earlier time, but names the later one in the ledger: the tokens become usable here before the entry says so, and come back used. The router's own reading of its wall clock had the same order, by which it could seem ahead or its process started earlier.

A pause between the two lines cannot be forced from outside: no test fails before, and no run shows it. The order is now the safe one: a pause puts off the use, and the own reading counts as taken at any time between the two it lies between.

--- a/crates/beechsaddle/src/gateway/clock_manager.rs
+++ b/crates/beechsaddle/src/gateway/clock_manager.rs
@@ -49,9 +49,11 @@
 
     /// Returns the current bounds, with this router's own clock included.
     pub(super) fn bounds(&self, state: &GatewayState) -> ClockBounds {
+        let requested_at = state.now();
+        let reading = state.clock.reading();
         let now = state.now();
         let mut clock = self.clock.borrow_mut();
-        clock.record(state.me.host.clone(), now, now, state.clock.reading());
+        clock.record(state.me.host.clone(), requested_at, now, reading);
         clock.bounds(now)
     }
 
--- a/crates/beechsaddle/src/gateway/ledger_sync.rs
+++ b/crates/beechsaddle/src/gateway/ledger_sync.rs
@@ -203,8 +203,10 @@
         }
         for conflicts in 0..WRITE_ATTEMPTS_MAX {
             self.apply_update(&workspace);
-            let now = self.state.now();
             self.update_clock();
+            // Read after the clocks of the fleet: if the process is paused in between, deferred tokens
+            // become usable later than their entry says, and not earlier.
+            let now = self.state.now();
             let change = self.state.escrow.borrow_mut().plan(now, &workspace);
             let base_ledger = self.base_ledger(&workspace);
             let (Some(change), Some(base_ledger)) = (change, base_ledger) else {
