Write no empty changes for unused workspaces or without clocks

- A successor wrote one as soon as 4 s had passed without enough clocks, and so counted as lost what a clock that answers later proves unused.

That such an entry is counted as lost by the next change that is due is unchanged.

--- a/crates/beechsaddle-core/src/gateway/deferred_change.rs
+++ b/crates/beechsaddle-core/src/gateway/deferred_change.rs
@@ -3,16 +3,25 @@
 //! An allocator's entry in the ledger has a schedule by which deferred tokens become usable. Until
 //! the outcome of a change is known, either the entry before it or the entry with it may be in the
 //! ledger. The account therefore follows both schedules, and defers as many tokens as either of
-//! them requires. Whichever entry is in the ledger when the process ends, its successor on the same
-//! host returns no token that was used.
+//! them requires.
+//!
+//! No used token is returned by the successor on the same host, whichever entry it finds:
+//!
+//! - The number of deferred tokens of a schedule only falls with time.
+//! - Until the process ended, at least that many of the entry's tokens were unused. Its schedule
+//!   begins when the change is planned, and the entry names a time no later than that by the
+//!   clocks of the fleet ([`FleetClock`](super::FleetClock)).
+//! - The process ended before its successor started, and the successor counts by a time no earlier
+//!   than its start.
 
 use super::escrow_account::EscrowAccount;
 use super::reserve_schedule::ReserveSchedule;
 use super::{ClockBounds, DeferredReserve, EscrowOptions, EscrowRole, LedgerChange, TokenTransfer};
 use crate::clock::ClockTime;
 
-/// The longest time in which all deferred tokens become usable, in seconds. Where a domain has no
-/// callers yet, its first ones are served in a long outage, while little is lost with a router.
+/// The time after a write in which all deferred tokens become usable at the latest, in seconds.
+/// Where a domain has no callers yet, its first ones are served in a long outage, while little is
+/// lost with a router.
 const OPEN_SPAN_S: f64 = 30.0;
 
 /// A change whose outcome is unknown.
@@ -42,8 +51,10 @@
 
     /// Returns how many tokens have to be deferred here.
     ///
-    /// Tokens of a pending change are not held here: those that it takes are unused if it was
-    /// applied, and those that it returns if it was not.
+    /// Tokens that a pending change takes are not held here yet. If it was applied, they are unused
+    /// and part of the new schedule, so the held tokens have to make up for the others only.
+    /// Likewise, tokens that it returns are not held here any more. If it was not applied, they are
+    /// unused and part of the current schedule.
     fn required_deferred(&self, now: ClockTime) -> u64 {
         let current = self.schedule.deferred_at(now);
         let Some(pending) = self.pending else {
@@ -128,7 +139,7 @@
     }
 
     /// Reverts the pending change, which is not in the ledger and never will be. Tokens that it
-    /// returned are held again, and deferred until the next update.
+    /// returned are held again. They count as deferred until the next update, before any use.
     pub(super) fn revert_change(&mut self) {
         let Some(pending) = self.pending.take() else {
             return;
@@ -146,8 +157,11 @@
     }
 
     /// Whether so many tokens have become usable beyond what calls need until the next write that
-    /// they are worth one.
+    /// they are worth one. Workspaces without recent calls cost no writes.
     pub(super) fn has_excess(&self, now: ClockTime, options: &EscrowOptions) -> bool {
+        if self.largest_at(now) == 0 {
+            return false;
+        }
         let held = self.held();
         let deferred = self.required_deferred(now).min(held);
         let wanted = self.schedule_for(now, held, options).tokens;
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -137,11 +137,12 @@
     }
 
     /// Whether the ledger has deferred tokens of an earlier process on this host, and it is known
-    /// how many of them were unused.
+    /// how many of them were unused. While too few clocks have answered, a change would count them
+    /// as lost; more may answer later.
     fn may_recover(&self, account: &EscrowAccount) -> bool {
         let ledger = account.ledger.as_ref();
         let has_deferred = ledger.is_some_and(|ledger| ledger.has_deferred_before(&self.router));
-        has_deferred && !account.is_closing && self.clock.started != StartBound::Awaited
+        has_deferred && !account.is_closing && matches!(self.clock.started, StartBound::By(_))
     }
 
     /// Whether many deferred tokens have become usable since the last write, and enough clocks of
--- a/crates/beechsaddle-core/src/gateway/workspace_ledger.rs
+++ b/crates/beechsaddle-core/src/gateway/workspace_ledger.rs
@@ -46,18 +46,18 @@
     /// Idle tokens of the router after the change: held, but not reserved for calls.
     #[serde(default)]
     pub idle: u64,
-    /// The part of the idle tokens that the router does not use for some time.
+    /// The part of the idle tokens that is not usable yet.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deferred: Option<DeferredReserve>,
 }
 
-/// Tokens that an allocator holds for outages and does not use until some seconds after its last
-/// write.
+/// Tokens that an allocator holds for outages and that become usable little by little after a write.
 ///
-/// The next process on the same host returns them if it certainly started before that time. A
-/// process that is paused does not break the rule, as it only uses the tokens later. Other
-/// processes need to know nothing but the time itself, by the clocks of a majority of the fleet: if
-/// half of the hosts or more have wrong clocks, used tokens may be returned and spent again.
+/// The next process on the same host returns those that had certainly not become usable when it
+/// started. A process that is paused does not break the rule, as its tokens become usable later,
+/// and a host runs one process at a time. Other processes need to know nothing but the time, by the
+/// clocks of a majority of the fleet: if half of the hosts or more have wrong clocks, used tokens
+/// may be returned and spent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeferredReserve {
     pub tokens: u64,
@@ -105,7 +105,7 @@
     pub transfer: TokenTransfer,
     /// Idle tokens of the router after the change.
     pub idle: u64,
-    /// The part of the idle tokens that the router does not use for some time.
+    /// The part of the idle tokens that is not usable yet.
     pub deferred: Option<DeferredReserve>,
     /// When the process of the router started, by the clocks of the fleet.
     pub started: StartBound,
@@ -126,8 +126,8 @@
     /// A host runs one process at a time, so entries of other incarnations on the same host belong
     /// to processes that have ended. The idle tokens in their entries count as lost: had a process
     /// returned any, its last entry would show fewer. Tokens that it had certainly not used are
-    /// recovered instead. An entry with deferred tokens stays until it is known whether they were
-    /// used.
+    /// recovered instead. An entry with deferred tokens stays while the clocks of the fleet are
+    /// awaited; without them all of its tokens count as lost.
     pub fn with_change(&self, router: &str, change: LedgerChange) -> Self {
         let taken = self.taken_after(change.transfer);
         let own = WriterMark {
--- a/crates/beechsaddle-core/tests/gateway_renewal.rs
+++ b/crates/beechsaddle-core/tests/gateway_renewal.rs
@@ -124,3 +124,15 @@
     );
     assert!(lost < DEMAND * 4, "{lost} of {held} lost");
 }
+
+/// A workspace that nobody calls costs no writes, however many there are: its first part would be
+/// deferred again every few seconds for ever.
+#[test]
+fn allocator_of_unused_workspace_writes_once() {
+    let mut allocator = SteadyAllocator::new();
+    allocator.run(100, false);
+    let ledger = allocator.ledger.clone();
+    assert!(ledger.taken > 0);
+    allocator.run(60_000, false);
+    assert_eq!(allocator.ledger, ledger);
+}
