Return tokens to a slow store in the rest of the grace period

Cause: a terminated router gave up the return of its tokens after a fixed 450 ms, also when its calls had ended early and seconds of the grace period were left. What it kept is lost to the workspace.

Before: shutdown_gives_tokens_back_to_a_slow_store fails, 10,118 where 109 were used. After: it passes, as the other tests of the file and of gateway_shutdown do. While the store does not answer the wait is 450 ms as before, so that a restart is not delayed.

--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -43,9 +43,13 @@
 /// tokens, and a margin before the kill.
 const EXIT_RESERVE_MS: u64 = 700;
 
-/// Timeout of the return of tokens.
+/// Timeout of the return of tokens if the store does not answer or the grace period is nearly over.
 const TOKEN_RETURN_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Timeout of the return of tokens while the store answers: several slow writes. What is not returned
+/// is lost to the workspace's callers; a longer wait would delay the restart on this host.
+const SLOW_RETURN_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Timeout of writing the last log lines.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -135,16 +139,17 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    let leaving_at = Instant::now();
     shut_down(&state).await;
-    return_tokens(&state).await;
+    return_tokens(&state, leaving_at).await;
     Ok(())
 }
 
 /// Gives all unused tokens back. This is left to `LedgerSync`, since only it knows which of its writes may
 /// still be committed.
-async fn return_tokens(state: &GatewayState) {
+async fn return_tokens(state: &GatewayState, leaving_at: Instant) {
     state.escrow.borrow_mut().close();
-    let until = Instant::now() + TOKEN_RETURN_TIMEOUT;
+    let until = return_deadline(state, leaving_at);
     while state.escrow.borrow().has_tokens() {
         let changed = state.escrow_changed.notified();
         state.escrow_wake.notify_one();
@@ -157,6 +162,19 @@
     }
 }
 
+/// Returns until when the return of tokens may take: the rest of the grace period, within limits.
+fn return_deadline(state: &GatewayState, leaving_at: Instant) -> Instant {
+    let now = Instant::now();
+    let shortest = now + TOKEN_RETURN_TIMEOUT;
+    if !state.store_health.answers() {
+        return shortest;
+    }
+    let exit_margin = Duration::from_millis(EXIT_RESERVE_MS) - TOKEN_RETURN_TIMEOUT;
+    let grace = Duration::from_millis(state.settings().grace_ms);
+    let latest = leaving_at + grace.saturating_sub(exit_margin);
+    latest.min(now + SLOW_RETURN_TIMEOUT).max(shortest)
+}
+
 /// Ends all calls within the grace period.
 ///
 /// The router reports not ready from the start, so that the balancer moves new connections to other
--- a/crates/beechsaddle/tests/gateway_budgets.rs
+++ b/crates/beechsaddle/tests/gateway_budgets.rs
@@ -130,6 +130,22 @@
     assert_eq!(taken(&ledger), 10 * USED);
 }
 
+/// The store answers slowly while a router with time left is terminated. Its tokens are still given back:
+/// what it kept would be lost to the workspace.
+#[tokio::test]
+async fn shutdown_gives_tokens_back_to_a_slow_store() {
+    let mut bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    bench.router.call(&stream_request("call-1")).await;
+    bench.store.set_fault(StoreFault::SlowWrites(700));
+    bench.router.signal(Signal::SIGTERM);
+    assert_eq!(bench.router.wait_end().await, Some(0));
+    let ledger = bench
+        .store
+        .spec("budgets", "ledger-acme")
+        .expect("a ledger");
+    assert_eq!(taken(&ledger), USED);
+}
+
 /// The ledger is unreachable and the router holds no tokens of the workspace. The call is refused at once
 /// as not executed, with a time to retry, and not as exhausted.
 #[tokio::test]
