--- a/crates/beechsaddle-core/src/gateway/gateway_config.rs
+++ b/crates/beechsaddle-core/src/gateway/gateway_config.rs
@@ -3,16 +3,18 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{CallerLimits, RouteRule};
+use super::{CallerLimits, RouteRule, WarmUpRule};
 use crate::names::{ServiceName, WorkspaceName};
 
 /// The declaration of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
     /// Whether its targets are model engines that cache prompts.
     pub is_engine: bool,
     /// The largest number of output tokens in one event of a stream; 1 for plain services.
     pub event_tokens: u64,
+    /// The slow start of its targets; `None` if they take all requests from their start on.
+    pub warm_up: Option<WarmUpRule>,
 }
 
 /// The declaration of a workspace.
--- a/crates/beechsaddle-core/src/gateway/gateway_status.rs
+++ b/crates/beechsaddle-core/src/gateway/gateway_status.rs
@@ -27,6 +27,9 @@
     pub peers: Vec<GatewayPeerStatus>,
     /// Workspaces with a prepaid total.
     pub workspaces: Vec<WorkspaceStatus>,
+    /// The evacuations in force; `None` until they are known.
+    #[serde(default)]
+    pub evacuations: Option<Vec<EvacuationStatus>>,
     pub targets: Vec<GatewayTargetStatus>,
 }
 
@@ -40,6 +43,19 @@
     pub routes: u64,
 }
 
+/// An evacuation in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// The failure domain whose targets get no new requests.
+    pub domain: DomainName,
+    /// How long this router has known of it.
+    pub age_ms: u64,
+    /// The revision of the operator's request in the store.
+    pub revision: u64,
+    /// Attempts of this router that still run on targets of the domain.
+    pub active: u64,
+}
+
 /// Another router.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GatewayPeerStatus {
@@ -71,8 +87,12 @@
 pub struct GatewayTargetStatus {
     pub target: TargetName,
     pub service: ServiceName,
-    /// `ready`, `draining`, or `unlisted` if its entry has been missing since an outage.
+    /// `ready`, `draining`, `evacuated`, or `unlisted` if its entry has been missing since an
+    /// outage.
     pub phase: String,
+    /// For how long the target is still cold and gets few requests; 0 if it is warm.
+    #[serde(default)]
+    pub cold_for_ms: u64,
     /// Attempts of this router that run on it.
     pub active: u64,
     /// The remaining time of its ejection; 0 if it is in use.
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod escrow_facts;
 mod escrow_loans;
 mod escrow_options;
+mod evacuation_registry;
 mod fleet_clock;
 mod gateway_config;
 mod gateway_status;
@@ -41,6 +42,7 @@
 mod token_escrow;
 mod token_loan;
 mod transfer_plan;
+mod warm_up;
 mod workspace_ledger;
 
 pub use caller_limits::CallerLimits;
@@ -51,10 +53,14 @@
 pub use demand_rate::DemandRate;
 pub use escrow_facts::{EscrowFacts, EscrowRole};
 pub use escrow_options::EscrowOptions;
+pub use evacuation_registry::{
+    EvacuationChange, EvacuationRecord, EvacuationRegistry, EvacuationState,
+};
 pub use fleet_clock::{CLOCK_SKEW_MS, ClockBounds, ClockReading, FleetClock, StartBound};
 pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
 pub use gateway_status::{
-    ConfigStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
+    ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
+    WorkspaceStatus,
 };
 pub use link_meter::{LinkDirection, LinkMeter};
 pub use loan_backoff::LoanBackoff;
@@ -75,4 +81,5 @@
 pub use target_stats::{AttemptLoad, TargetStats};
 pub use token_escrow::{ReserveOutcome, TokenEscrow};
 pub use token_loan::{LoanReply, LoanRequest, LoanReturn};
+pub use warm_up::{WarmUpPlan, WarmUpRule, WarmUpShare, WarmUpWindow};
 pub use workspace_ledger::{DeferredReserve, LedgerChange, TokenTransfer, WorkspaceLedger};
--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -239,6 +239,15 @@
         reachable.all(|peer| rendezvous_weight(name, peer.host.as_str()) < own)
     }
 
+    /// Whether this router is among the `count` that come first for a name among all listed routers,
+    /// whether they answer or not.
+    pub fn is_among_first(&self, name: &str, count: usize) -> bool {
+        let own = rendezvous_weight(name, self.me.as_str());
+        let others = self.peers.values().filter(|peer| peer.host != self.me);
+        let before = others.filter(|peer| rendezvous_weight(name, peer.host.as_str()) > own);
+        before.take(count).count() < count
+    }
+
     /// Returns the other routers of the own domain that answer, as far as known.
     pub fn neighbours(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
         let others = self.peers.values().filter(|peer| peer.host != self.me);
--- a/crates/beechsaddle-core/src/gateway/repeat_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/repeat_rule.rs
@@ -8,6 +8,12 @@
 pub enum AttemptEnd {
     /// No connection was made; nothing of the request was sent.
     Unsent,
+    /// The target's host refused the connection: no process serves the address.
+    Refused,
+    /// The target was withdrawn before anything was sent to it.
+    Withdrawn,
+    /// Another process has the target's address, and did not run the request.
+    Misdirected,
     /// The target reported that it did not run the request, and never will.
     NotRun,
     /// The target reported a failure.
@@ -22,20 +28,34 @@
     /// Whether the request may have run, or may still run.
     pub fn may_have_run(self) -> bool {
         match self {
-            AttemptEnd::Unsent | AttemptEnd::NotRun => false,
+            AttemptEnd::Unsent
+            | AttemptEnd::Refused
+            | AttemptEnd::Withdrawn
+            | AttemptEnd::Misdirected
+            | AttemptEnd::NotRun => false,
             AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Silent => true,
         }
     }
 
     /// Whether a target saw the request, so that another attempt is one more arrival.
     pub fn is_arrival(self) -> bool {
-        self != AttemptEnd::Unsent
+        match self {
+            AttemptEnd::Unsent | AttemptEnd::Refused | AttemptEnd::Withdrawn => false,
+            AttemptEnd::Misdirected
+            | AttemptEnd::NotRun
+            | AttemptEnd::Failed
+            | AttemptEnd::Broken
+            | AttemptEnd::Silent => true,
+        }
     }
 
     /// Returns the name of the end in logs and counters.
     pub fn as_str(self) -> &'static str {
         match self {
             AttemptEnd::Unsent => "unsent",
+            AttemptEnd::Refused => "refused",
+            AttemptEnd::Withdrawn => "withdrawn",
+            AttemptEnd::Misdirected => "misdirected",
             AttemptEnd::NotRun => "not_run",
             AttemptEnd::Failed => "failed",
             AttemptEnd::Broken => "broken",
@@ -49,18 +69,31 @@
 pub struct AttemptHistory {
     sent: u32,
     unsent: u32,
+    refused: u32,
+    misdirected: u32,
     may_have_run: bool,
 }
 
 /// Number of failed connections that are allowed for one request. Each may take a connect timeout.
 const UNSENT_MAX: u32 = 4;
 
+/// Number of misdirected attempts that are allowed for one request. The target that was chosen has
+/// not seen the request, so they use up none of the route's attempts; each is charged to the retry
+/// budget.
+const MISDIRECTED_MAX: u32 = 3;
+
+/// Number of refused connections that are allowed for one request. Each takes one round trip, so
+/// that a request reaches a running target although most of a service's targets have just crashed.
+const REFUSED_MAX: u32 = 16;
+
 impl AttemptHistory {
     /// Records the end of an attempt.
     pub fn record(&mut self, end: AttemptEnd) {
-        match end.is_arrival() {
-            true => self.sent += 1,
-            false => self.unsent += 1,
+        match end {
+            AttemptEnd::Refused => self.refused += 1,
+            AttemptEnd::Misdirected => self.misdirected += 1,
+            _ if end.is_arrival() => self.sent += 1,
+            _ => self.unsent += 1,
         }
         self.may_have_run |= end.may_have_run();
     }
@@ -70,6 +103,11 @@
         self.sent
     }
 
+    /// Returns the number of attempts that reached any process.
+    pub fn arrivals(&self) -> u32 {
+        self.sent + self.misdirected
+    }
+
     /// Whether any attempt may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -82,6 +120,8 @@
     /// one request on one connection of one router.
     pub fn allows_another(&self, kind: RouteKind, attempts_max: u32) -> bool {
         let is_safe = kind.may_repeat() || !self.may_have_run;
-        is_safe && self.sent < attempts_max && self.unsent < UNSENT_MAX
+        let may_connect = self.unsent < UNSENT_MAX && self.refused < REFUSED_MAX;
+        let may_send = self.sent < attempts_max && self.misdirected < MISDIRECTED_MAX;
+        is_safe && may_send && may_connect
     }
 }
--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use super::target_roster::RosterEntry;
-use super::{AttemptLoad, PolicyOptions, PromptShape, TargetRoster};
+use super::{
+    AttemptLoad, EvacuationRegistry, PolicyOptions, PromptShape, TargetRoster, WarmUpPlan,
+};
 use crate::clock::ClockTime;
 use crate::hash::rendezvous_weight;
 use crate::names::{DomainName, ServiceName, TargetName};
@@ -47,6 +49,10 @@
 /// the order of magnitude matters.
 const TOKENS_PER_MS: f64 = 50.0;
 
+/// Cost of a cold target for each millisecond that it stays cold, in tokens or in milliseconds of
+/// waiting: a target with a slow start of some seconds is as costly as one with a few requests.
+const COLD_TOKENS_PER_MS: f64 = 0.1;
+
 /// Cost of a plain target of another domain, in milliseconds of waiting.
 const FOREIGN_MS: f64 = 6.0;
 
@@ -93,9 +99,48 @@
     /// The name of a request that may crash its target, for distributing such requests over
     /// targets.
     pub suspect: Option<&'a str>,
+    /// The failure domains whose targets get no new requests.
+    pub evacuations: &'a EvacuationRegistry,
+    /// The slow start of the service's targets.
+    pub warm_up: Option<WarmUpPlan<'a>>,
     pub policy: PolicyOptions,
 }
 
+impl ChoiceInput<'_> {
+    /// Returns for how long a target counts as cold, in milliseconds. The targets of a domain that
+    /// was taken back may have become cold, although their entries do not say so yet.
+    fn cold_for_ms(&self, entry: &RosterEntry, now: ClockTime) -> u64 {
+        let announced_ms = entry.cold_for_ms(now);
+        let returned_ms = self.warm_up.and_then(|plan| {
+            let returned_ms = self
+                .evacuations
+                .returned_for_ms(now, &entry.record.domain)?;
+            Some(plan.rule.span_ms.saturating_sub(returned_ms))
+        });
+        announced_ms.max(returned_ms.unwrap_or(0))
+    }
+
+    /// Returns how long this router has to wait before it may send a target a request, in
+    /// milliseconds; 0 if it may now.
+    ///
+    /// A cold target crashes under more requests than it announces, so this holds even if all
+    /// targets are cold.
+    pub fn warm_up_wait_ms(&self, entry: &RosterEntry, now: ClockTime) -> u64 {
+        let Some(plan) = self.warm_up else {
+            return 0;
+        };
+        let cold_ms = self.cold_for_ms(entry, now);
+        if cold_ms == 0 {
+            return 0;
+        }
+        let wait_ms = match plan.is_sharer(&entry.record.name) {
+            true => entry.stats.warm_up.wait_ms(now, plan.rule.share()),
+            false => cold_ms,
+        };
+        wait_ms.min(cold_ms)
+    }
+}
+
 /// A chosen target and the reasons for the choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetChoice {
@@ -131,6 +176,8 @@
         .ready(input.service)
         .filter(|entry| !input.tried.contains(&entry.record.name))
         .filter(|entry| entry.stats.limit.paused_for_ms(now) == 0)
+        .filter(|entry| input.evacuations.allows(&entry.record.domain))
+        .filter(|entry| input.warm_up_wait_ms(entry, now) == 0)
         .collect();
     let mut candidates: Vec<_> = untried
         .iter()
@@ -188,7 +235,7 @@
     };
     let regular_cost = waiting * (1.0 + FAILURE_WEIGHT * failures)
         + order_cost(entry, input)
-        + entry.record.cold_ms as f64 * 0.1
+        + input.cold_for_ms(entry, now) as f64 * COLD_TOKENS_PER_MS
         + suspects_cost(entry, input)
         + limit_cost(entry, input);
     let cost = match input.suspect {
@@ -293,13 +340,22 @@
         return None;
     }
     let source = match affinity.is_first(entry) {
-        true if entry.is_new(now, NEW_ENGINE_MS) => affinity.second,
+        true if entry.is_new(now, NEW_ENGINE_MS) || has_returned(entry, now, input) => {
+            affinity.second
+        }
         true => None,
         false => affinity.first,
     };
     source.map(|source| source.record.address)
 }
 
+/// Whether a target's domain was taken back a while ago, so that it lacks the parts that other
+/// engines have processed since.
+fn has_returned(entry: &RosterEntry, now: ClockTime, input: &ChoiceInput<'_>) -> bool {
+    let returned_ms = input.evacuations.returned_for_ms(now, &entry.record.domain);
+    returned_ms.is_some_and(|returned_ms| returned_ms < NEW_ENGINE_MS)
+}
+
 /// The two engines that come first in the order of a prompt's shared part: its affinity target, and
 /// the engine that replaces it if it is missing.
 struct PartAffinity<'a> {
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -21,6 +21,8 @@
     Restarted(TargetName, SocketAddr),
     /// The target accepts no new requests.
     Draining(TargetName),
+    /// A newer target was listed at the address of this one, which therefore has ended.
+    Replaced(TargetName, SocketAddr),
     /// The target at this address is gone.
     Gone(TargetName, SocketAddr),
     /// The entry is missing, but the store was unavailable a moment ago.
@@ -35,6 +37,8 @@
     /// This router's statistics of the target.
     pub stats: TargetStats,
     listed_at: ClockTime,
+    cold_until: ClockTime,
+    is_replaced: bool,
     missing_since: Option<ClockTime>,
     earlier_start_revision: Option<u64>,
 }
@@ -66,8 +70,10 @@
     fn new(now: ClockTime, record: TargetRecord) -> Self {
         RosterEntry {
             stats: TargetStats::new(now),
+            cold_until: now.plus_ms(record.cold_ms),
             record,
             listed_at: now,
+            is_replaced: false,
             missing_since: None,
             earlier_start_revision: None,
         }
@@ -100,8 +106,13 @@
     }
 
     /// Updates the record with a newer entry of the same incarnation.
-    fn update(&mut self, record: TargetRecord) -> Option<RosterChange> {
+    fn update(&mut self, now: ClockTime, record: TargetRecord) -> Option<RosterChange> {
         let was = self.record.phase;
+        // An entry that is read once more is as old as before, and says nothing new.
+        if record.revision > self.record.revision {
+            self.cold_until = now.plus_ms(record.cold_ms);
+            self.is_replaced = false;
+        }
         self.record = record;
         self.missing_since = None;
         let is_draining = self.record.phase == TargetPhase::Draining;
@@ -114,9 +125,27 @@
         now.since(self.listed_at) < span_ms
     }
 
+    /// Returns for how long the target is still cold, in milliseconds, as far as it has announced.
+    pub fn cold_for_ms(&self, now: ClockTime) -> u64 {
+        self.cold_until.since(now)
+    }
+
+    /// Records that a response of the target announces how long it is still cold. Responses may
+    /// overtake each other, so that none of them ends what another one has announced.
+    pub fn record_cold(&mut self, now: ClockTime, cold_ms: u64) {
+        self.cold_until = self.cold_until.max(now.plus_ms(cold_ms));
+    }
+
+    /// Records that another process answers at the target's address, so that the target has ended.
+    /// Only a newer entry of the target brings it back.
+    pub fn mark_replaced(&mut self) {
+        self.is_replaced = true;
+    }
+
     /// Returns the name of the target's phase, for operators.
     pub fn phase_name(&self) -> &'static str {
         match (self.missing_since, self.record.phase) {
+            _ if self.is_replaced => "replaced",
             (Some(_), _) => "unlisted",
             (None, TargetPhase::Ready) => "ready",
             (None, TargetPhase::Draining) => "draining",
@@ -151,7 +180,31 @@
             changes.extend(self.remove(now, &name));
         }
         for record in listed.into_values() {
-            changes.extend(self.put(now, record));
+            changes.extend(self.take_entry(now, record));
+        }
+        changes
+    }
+
+    /// Applies one entry, and marks the targets that it replaces.
+    pub fn take_entry(&mut self, now: ClockTime, record: TargetRecord) -> Vec<RosterChange> {
+        let mut changes = self.replace_at(&record);
+        changes.extend(self.put(now, record));
+        changes
+    }
+
+    /// Marks older targets at the address of an entry as replaced.
+    ///
+    /// An address belongs to one process at a time, so a newer entry proves that the process of an
+    /// older one has ended, seconds before that entry expires. Each request sent to it would be
+    /// rejected by the new process.
+    fn replace_at(&mut self, record: &TargetRecord) -> Vec<RosterChange> {
+        let mut changes = Vec::new();
+        for (name, entry) in &mut self.entries {
+            let is_older = entry.record.revision < record.revision && *name != record.name;
+            if is_older && !entry.is_replaced && entry.record.address == record.address {
+                entry.mark_replaced();
+                changes.push(RosterChange::Replaced(name.clone(), record.address));
+            }
         }
         changes
     }
@@ -166,7 +219,7 @@
         };
         match entry.compare(&record) {
             EntryAge::Stale => None,
-            EntryAge::Current => entry.update(record),
+            EntryAge::Current => entry.update(now, record),
             EntryAge::Restarted => {
                 let before = entry.record.address;
                 *entry = RosterEntry::new(now, record);
@@ -215,6 +268,10 @@
         self.entries.get(name)
     }
 
+    pub fn get_mut(&mut self, name: &TargetName) -> Option<&mut RosterEntry> {
+        self.entries.get_mut(name)
+    }
+
     pub fn stats_mut(&mut self, name: &TargetName) -> Option<&mut TargetStats> {
         self.entries.get_mut(name).map(|entry| &mut entry.stats)
     }
@@ -223,7 +280,9 @@
     pub fn ready<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a RosterEntry> {
         let service = service.clone();
         self.entries.values().filter(move |entry| {
-            entry.record.service == service && entry.record.phase == TargetPhase::Ready
+            entry.record.service == service
+                && entry.record.phase == TargetPhase::Ready
+                && !entry.is_replaced
         })
     }
 
--- a/crates/beechsaddle-core/src/gateway/target_stats.rs
+++ b/crates/beechsaddle-core/src/gateway/target_stats.rs
@@ -1,6 +1,6 @@
 //! The `target_stats` module provides one router's statistics of a target: load, speed, failures.
 
-use super::{LimitState, OutlierScore};
+use super::{LimitState, OutlierScore, WarmUpWindow};
 use crate::clock::ClockTime;
 
 /// How long a target is ejected after a connection to it failed, in milliseconds. An attempt costs
@@ -35,6 +35,8 @@
     pub pending_tokens: u64,
     /// The limit that the target announces.
     pub limit: LimitState,
+    /// Recent requests, for the slow start.
+    pub warm_up: WarmUpWindow,
     /// When the last response of the target was received.
     pub progress_at: ClockTime,
     outliers: OutlierScore,
@@ -52,6 +54,7 @@
             suspects: 0,
             pending_tokens: 0,
             limit: LimitState::default(),
+            warm_up: WarmUpWindow::default(),
             progress_at: now,
             outliers: OutlierScore::new(now),
             speed_ms: 0.0,
--- a/crates/beechsaddle-core/tests/choice_support/mod.rs
+++ b/crates/beechsaddle-core/tests/choice_support/mod.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 use beechsaddle_core::gateway::{
-    ChoiceInput, PolicyOptions, PromptPart, PromptShape, TargetChoice, TargetPhase, TargetRecord,
-    TargetRoster, TargetStats, choose_target,
+    ChoiceInput, EvacuationRegistry, PolicyOptions, PromptPart, PromptShape, TargetChoice,
+    TargetPhase, TargetRecord, TargetRoster, TargetStats, choose_target,
 };
 use beechsaddle_core::prelude::*;
 
@@ -61,6 +61,8 @@
         tried: &[],
         runs_once: false,
         suspect,
+        evacuations: &EvacuationRegistry::disabled(),
+        warm_up: None,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, START, input)
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use beechsaddle_core::gateway::{
-    AttemptLoad, ChoiceInput, PolicyOptions, PromptPart, PromptShape, RosterChange, TargetChoice,
-    TargetPhase, TargetRecord, TargetRoster, choose_target,
+    AttemptLoad, ChoiceInput, EvacuationRegistry, PolicyOptions, PromptPart, PromptShape,
+    RosterChange, TargetChoice, TargetPhase, TargetRecord, TargetRoster, choose_target,
 };
 use beechsaddle_core::prelude::*;
 
@@ -66,6 +66,8 @@
         tried,
         runs_once: false,
         suspect: None,
+        evacuations: &EvacuationRegistry::disabled(),
+        warm_up: None,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, now, input)
@@ -347,6 +349,8 @@
         tried: &[],
         runs_once,
         suspect: None,
+        evacuations: &EvacuationRegistry::disabled(),
+        warm_up: None,
         policy,
     };
     choose_target(roster, now, input).expect("a target")
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -39,6 +39,7 @@
 enum FollowedKind {
   configuration @0;
   targets @1;
+  evacuations @2;
 }
 
 enum FollowOutcome {
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -1872,6 +1872,7 @@
 pub enum FollowedKind {
     Configuration = 0,
     Targets = 1,
+    Evacuations = 2,
 }
 
 impl ::capnp::introspect::Introspect for FollowedKind {
@@ -1886,6 +1887,7 @@
         match value {
             0 => ::core::result::Result::Ok(Self::Configuration),
             1 => ::core::result::Result::Ok(Self::Targets),
+            2 => ::core::result::Result::Ok(Self::Evacuations),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -1898,7 +1900,7 @@
     const TYPE_ID: u64 = 0xb733_1191_46a2_bd37u64;
 }
 mod followed_kind {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 27] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(55, 189, 162, 70, 145, 17, 51, 183),
     ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
@@ -1908,7 +1910,7 @@
     ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
     ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 55, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
@@ -1916,16 +1918,21 @@
     ::capnp::word(108, 108, 111, 119, 101, 100, 75, 105),
     ::capnp::word(110, 100, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(17, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
     ::capnp::word(97, 116, 105, 111, 110, 0, 0, 0),
     ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
+    ::capnp::word(101, 118, 97, 99, 117, 97, 116, 105),
+    ::capnp::word(111, 110, 115, 0, 0, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/crates/beechsaddle/src/command/gateway_text.rs
+++ b/crates/beechsaddle/src/command/gateway_text.rs
@@ -1,7 +1,7 @@
 //! The `gateway_text` module provides the text form of a gateway's status.
 
 use beechsaddle_core::gateway::{
-    GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
+    EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
 };
 
 /// Formats one line for the gateway, and one for each peer, workspace and target in its status.
@@ -24,6 +24,10 @@
     });
     lines.extend(status.peers.iter().map(peer_line));
     lines.extend(status.workspaces.iter().map(workspace_line));
+    match &status.evacuations {
+        Some(evacuations) => lines.extend(evacuations.iter().map(evacuation_line)),
+        None => lines.push("evacuations unknown".to_owned()),
+    }
     lines.extend(status.targets.iter().map(target_line));
     lines.join("\n")
 }
@@ -47,13 +51,22 @@
     )
 }
 
+fn evacuation_line(evacuation: &EvacuationStatus) -> String {
+    format!(
+        "evacuation {} age_ms={} revision={} active={}",
+        evacuation.domain, evacuation.age_ms, evacuation.revision, evacuation.active
+    )
+}
+
 fn target_line(target: &GatewayTargetStatus) -> String {
     format!(
-        "target {} service={} phase={} active={} ejected_for_ms={} failures={:.2} heard_age_ms={}",
+        "target {} service={} phase={} active={} cold_for_ms={} ejected_for_ms={} failures={:.2} \
+         heard_age_ms={}",
         target.target,
         target.service,
         target.phase,
         target.active,
+        target.cold_for_ms,
         target.ejected_for_ms,
         target.failure_share,
         target.heard_age_ms
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -109,13 +109,13 @@
         self.update_stats(|stats, now| {
             match end {
                 // A target that declines work is not faulty.
-                AttemptEnd::NotRun => {}
+                AttemptEnd::NotRun | AttemptEnd::Misdirected | AttemptEnd::Withdrawn => {}
                 AttemptEnd::Failed | AttemptEnd::Broken => stats.record_outcome(now, true),
                 AttemptEnd::Silent if !is_target_silent => stats.record_outcome(now, true),
                 // When this router's own link is saturated, connections fail everywhere. That says
                 // nothing about the target, and ejecting all targets would leave only bad choices.
                 AttemptEnd::Unsent if is_link_full => {}
-                AttemptEnd::Unsent | AttemptEnd::Silent => {
+                AttemptEnd::Unsent | AttemptEnd::Refused | AttemptEnd::Silent => {
                     stats.record_outcome(now, true);
                     stats.eject(now);
                     is_ejected = true;
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -111,7 +111,7 @@
         }
         // An attempt that reached no target is not an arrival, so the next one counts as the first.
         let state = &self.state;
-        let is_first = self.history.borrow().sent() == 0;
+        let is_first = self.history.borrow().arrivals() == 0;
         let fits = is_first
             || state
                 .retries
@@ -156,9 +156,13 @@
         }
         match last {
             AttemptEnd::NotRun => RefusalCause::TargetsFull,
-            AttemptEnd::Unsent | AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Silent => {
-                RefusalCause::TargetsUnreachable
-            }
+            AttemptEnd::Withdrawn => RefusalCause::NoTarget,
+            AttemptEnd::Unsent
+            | AttemptEnd::Refused
+            | AttemptEnd::Misdirected
+            | AttemptEnd::Failed
+            | AttemptEnd::Broken
+            | AttemptEnd::Silent => RefusalCause::TargetsUnreachable,
         }
     }
 }
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -304,6 +304,7 @@
     let plain = ServiceRule {
         is_engine: false,
         event_tokens: 1,
+        warm_up: None,
     };
     let rule = rules.config.services.get(&service).cloned();
     Ok(CallContext {
--- a/crates/beechsaddle/src/gateway/changes/change_apply.rs
+++ b/crates/beechsaddle/src/gateway/changes/change_apply.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::TargetRecord;
+use beechsaddle_core::gateway::{EvacuationChange, TargetRecord};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{
     CONFIG_NAME, ObjectKind, StoreChanges, StoreEvent, StoreListing, StoreObject, UnreadableObject,
-    read_config, read_target,
+    read_config, read_evacuation, read_target,
 };
 use tokio::time::sleep;
 
@@ -23,6 +23,10 @@
     for event in &changes.events {
         apply_event(state, kind, event);
     }
+    if kind == ObjectKind::Evacuations {
+        let mut evacuations = state.evacuations.borrow_mut();
+        evacuations.record_revision(changes.revision);
+    }
     drop_unreadable(state, kind, &changes.unreadable);
 }
 
@@ -42,6 +46,7 @@
             let changes = state.roster.borrow_mut().take_listing(state.now(), records);
             state.log_roster_changes(changes);
         }
+        ObjectKind::Evacuations => apply_evacuations(state, listing),
         ObjectKind::Routers | ObjectKind::Budgets | ObjectKind::Crashes => {}
     }
 }
@@ -56,10 +61,21 @@
         }
         (ObjectKind::Targets, false) => {
             if let Some(record) = read_entry(state, &event.object) {
-                let change = state.roster.borrow_mut().put(state.now(), record);
+                let change = state.roster.borrow_mut().take_entry(state.now(), record);
                 state.log_roster_changes(change);
             }
         }
+        (ObjectKind::Evacuations, is_removed) => {
+            let record = read_evacuation(&event.object);
+            let now = state.now();
+            let mut evacuations = state.evacuations.borrow_mut();
+            let change = match is_removed {
+                true => evacuations.withdraw(now, &record.domain),
+                false => evacuations.start(now, record),
+            };
+            drop(evacuations);
+            log_evacuations(state, change);
+        }
         // A removed configuration stays in effect, as there is nothing newer.
         (ObjectKind::Config, true)
         | (ObjectKind::Routers | ObjectKind::Budgets | ObjectKind::Crashes, _) => {}
@@ -85,7 +101,8 @@
             ObjectKind::Config
             | ObjectKind::Routers
             | ObjectKind::Budgets
-            | ObjectKind::Crashes => {
+            | ObjectKind::Crashes
+            | ObjectKind::Evacuations => {
                 let fields = [
                     ("duty", kind_name(kind).to_owned()),
                     ("name", object.name.clone()),
@@ -98,6 +115,34 @@
     }
 }
 
+fn apply_evacuations(state: &GatewayState, listing: &StoreListing) {
+    let records = listing.objects.iter().map(read_evacuation);
+    let mut evacuations = state.evacuations.borrow_mut();
+    let changes = evacuations.take_listing(state.now(), listing.revision, records);
+    drop(evacuations);
+    log_evacuations(state, changes);
+}
+
+/// Logs and counts changes of evacuations.
+fn log_evacuations(state: &GatewayState, changes: impl IntoIterator<Item = EvacuationChange>) {
+    for change in changes {
+        let (event, domain, revision) = match change {
+            EvacuationChange::Started(record) => (
+                "evacuation_in_force",
+                record.domain,
+                Some(record.revision.to_string()),
+            ),
+            EvacuationChange::Withdrawn(domain) => ("evacuation_withdrawn", domain, None),
+        };
+        state.metrics.evacuation_changes.inc();
+        let revision = revision.map(|revision| ("revision", revision));
+        let fields = [("domain", domain.to_string())].into_iter().chain(revision);
+        state.report.log(LogLevel::Warning, event, fields);
+    }
+    let count = state.evacuations.borrow().in_force().count();
+    state.metrics.evacuations.set(count as i64);
+}
+
 fn withdraw_target(state: &GatewayState, name: &str, error: String) {
     let change = state.roster.borrow_mut().withdraw(&TargetName::new(name));
     let fields = [("target", name.to_owned()), ("error", error)];
--- a/crates/beechsaddle/src/gateway/changes/follow_call.rs
+++ b/crates/beechsaddle/src/gateway/changes/follow_call.rs
@@ -15,6 +15,11 @@
 /// within a domain, and short against the limit for new configurations to take effect.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long a request for evacuations waits for changes: less than a call per router and second.
+/// Evacuations have to be in force within seconds, so that two followers in turn may fail to answer
+/// before the store is asked.
+const EVACUATION_WAIT: Duration = Duration::from_millis(1_200);
+
 /// A follower's reply to a request for changes after a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(in crate::gateway) enum FollowReply {
@@ -56,12 +61,14 @@
     kind: ObjectKind,
     revision: u64,
 ) -> FollowStep {
-    let wait = state.settings().max_relay_age / 2;
+    let wait = relay_wait(state, kind);
     let secret = state.lending.secret();
     let links = &state.lending.links;
     let reply = links.follow_changes(peer, &secret, kind, revision, wait);
     let answer = match timeout(wait + ANSWER_TIMEOUT, reply).await {
         Ok(Ok(answer)) => answer,
+        // A router of an earlier version does not know this kind, and is not down.
+        Ok(Err(_)) if kind == ObjectKind::Evacuations => return FollowStep::Gone,
         Ok(Err(error)) => return record_silence(state, peer, &error),
         Err(_) => return record_silence(state, peer, "no answer to the follow request in time"),
     };
@@ -84,6 +91,14 @@
     }
 }
 
+/// Returns how long a follower waits for changes before it answers that there are none.
+fn relay_wait(state: &GatewayState, kind: ObjectKind) -> Duration {
+    match kind {
+        ObjectKind::Evacuations => EVACUATION_WAIT,
+        _ => state.settings().max_relay_age / 2,
+    }
+}
+
 /// Decodes relayed changes. If a batch cannot be decoded, the changes are read from the store.
 fn read_batches(
     state: &GatewayState,
--- a/crates/beechsaddle/src/gateway/changes/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/changes/store_follow.rs
@@ -288,5 +288,6 @@
         ObjectKind::Routers => "routers",
         ObjectKind::Budgets => "budgets",
         ObjectKind::Crashes => "crashes",
+        ObjectKind::Evacuations => "evacuations",
     }
 }
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -71,6 +71,12 @@
     pub(super) requests_blocked: Gauge,
     /// Refused requests for permits of rate-limited targets.
     pub(super) permits_refused: Counter,
+    /// Calls for which a cold target was passed over, as it gets few requests.
+    pub(super) warm_up_passes: Counter,
+    /// Evacuations in force.
+    pub(super) evacuations: Gauge,
+    /// Evacuations that came into force or were withdrawn.
+    pub(super) evacuation_changes: Counter,
     /// Store calls, by name and outcome.
     pub(super) store_calls: Family<StoreLabel, Counter>,
     /// Steps of following another router, by outcome.
@@ -121,6 +127,9 @@
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
             permits_refused: Counter::default(),
+            warm_up_passes: Counter::default(),
+            evacuations: Gauge::default(),
+            evacuation_changes: Counter::default(),
             store_calls: Family::default(),
             follow_steps: zeroed_counters(FOLLOW_OUTCOMES),
             follows_store: Gauge::default(),
@@ -182,6 +191,12 @@
             "Places refused by limits of targets",
             permits,
         );
+        let passes = self.warm_up_passes.clone();
+        registry.register("warm_up_passes", "Cold targets passed over", passes);
+        let evacuations = self.evacuations.clone();
+        registry.register("evacuations", "Evacuations in force", evacuations);
+        let changes = self.evacuation_changes.clone();
+        registry.register("evacuation_changes", "Changes of evacuations", changes);
         registry.register("store_calls", "Store calls", self.store_calls.clone());
         let steps = self.follow_steps.clone();
         registry.register("news_steps", "Steps of following another router", steps);
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -116,6 +116,9 @@
     spawn_local(run_probes(Rc::clone(&state)));
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Config));
     spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Targets));
+    if settings.follows_evacuations() {
+        spawn_local(follow_kind(Rc::clone(&state), ObjectKind::Evacuations));
+    }
     spawn_local(run_registration(Rc::clone(&state)));
     spawn_local(run_expiry(Rc::clone(&state)));
     spawn_local(run_crash_follow(Rc::clone(&state)));
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -39,6 +39,14 @@
 /// slow store.
 const RELAY_AGE_MIN_MS: u64 = 400;
 
+/// The shortest time within which an evacuation can be in force, in milliseconds: two followers that
+/// do not answer, and a call to the store.
+const EVACUATE_MIN_MS: u64 = 4_000;
+
+/// Part of the time within which an evacuation has to be in force that is reserved for requests on
+/// their way, in milliseconds: a connection that was being opened, and a body in a congested link.
+const EVACUATION_MARGIN_MS: u64 = 700;
+
 /// Minimum link rate that can be configured, in megabits per second: one prompt per second.
 const LINK_MIN_MBPS: f64 = 0.1;
 
@@ -65,6 +73,9 @@
     pub probe_interval: Duration,
     /// The maximum age of data relayed from the store to other routers.
     pub max_relay_age: Duration,
+    /// The time within which an evacuation has to be in force, in milliseconds; `None` if the
+    /// deployment has none.
+    pub evacuate_ms: Option<u64>,
     /// The capacity of the host's link, in megabits per second; `None` if unknown.
     pub link_mbps: Option<f64>,
     /// The time between the termination signal and the kill, in milliseconds.
@@ -85,9 +96,15 @@
     watch_wait: Duration,
     probe_interval: Duration,
     max_relay_age: Duration,
+    evacuate_ms: Option<u64>,
 }
 
 impl GatewaySettings {
+    /// Whether the store holds evacuations that the router has to follow.
+    pub fn follows_evacuations(&self) -> bool {
+        self.evacuate_ms.is_some()
+    }
+
     /// Reads a settings file, or returns all findings about it.
     pub fn try_load(path: impl AsRef<Path>) -> Result<Self, SettingsFindings> {
         load_settings(path, read_settings)
@@ -142,6 +159,7 @@
         watch_wait: store.watch_wait,
         probe_interval: store.probe_interval,
         max_relay_age: store.max_relay_age,
+        evacuate_ms: store.evacuate_ms,
         link_mbps,
         grace_ms,
         retries,
@@ -165,7 +183,8 @@
         50..=60_000,
         findings,
     );
-    let bounds = read_bounds(reader, findings);
+    let evacuate_ms = reader.read_u64("evacuate_ms", EVACUATE_MIN_MS..=60_000, findings);
+    let bounds = read_bounds(reader, evacuate_ms, findings);
     let default_ms = default_watch_ms(bounds, call_ms);
     let age_ms = default_relay_age_ms(bounds);
     let watch_ms = reader.read_u64_or("watch_ms", default_ms, 100..=30_000, findings);
@@ -182,6 +201,7 @@
         watch_wait: Duration::from_millis(watch_ms),
         probe_interval: Duration::from_millis(probe_ms),
         max_relay_age: Duration::from_millis(age_ms),
+        evacuate_ms,
     })
 }
 
@@ -194,13 +214,20 @@
     propagation_ms: f64,
 }
 
-fn read_bounds(reader: &TableReader<'_>, findings: &mut FindingList) -> Option<StoreBounds> {
+fn read_bounds(
+    reader: &TableReader<'_>,
+    evacuate_ms: Option<u64>,
+    findings: &mut FindingList,
+) -> Option<StoreBounds> {
     let settle_ms = reader.read_f64("settle_ms", 0.0..=60_000.0, findings);
     let in_force_ms = reader.read_f64("in_force_ms", 0.0..=60_000.0, findings);
     let leave_ms = reader.read_f64("leave_ms", 0.0..=60_000.0, findings);
+    let evacuate_ms = evacuate_ms.map_or(f64::INFINITY, |evacuate_ms| {
+        evacuate_ms.saturating_sub(EVACUATION_MARGIN_MS) as f64
+    });
     Some(StoreBounds {
         settle_ms: settle_ms?,
-        propagation_ms: in_force_ms?.min(leave_ms?),
+        propagation_ms: in_force_ms?.min(leave_ms?).min(evacuate_ms),
     })
 }
 
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -5,8 +5,8 @@
 
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
-    GatewayConfig, LinkDirection, LinkMeter, RetryShare, RosterChange, RotationGate, TargetRoster,
-    TokenEscrow,
+    EvacuationRegistry, GatewayConfig, LinkDirection, LinkMeter, RetryShare, RosterChange,
+    RotationGate, TargetPhase, TargetRecord, TargetRoster, TokenEscrow,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -53,6 +53,8 @@
     /// Since when the configuration is in effect.
     pub(super) config_at: Cell<ClockTime>,
     pub(super) roster: RefCell<TargetRoster>,
+    /// The failure domains whose targets get no new requests.
+    pub(super) evacuations: RefCell<EvacuationRegistry>,
     pub(super) escrow: RefCell<TokenEscrow>,
     /// The state of loans from and to other routers.
     pub(super) lending: TokenLending,
@@ -113,6 +115,10 @@
             config: RefCell::new(None),
             config_at: Cell::new(ClockTime::ZERO),
             roster: RefCell::new(TargetRoster::default()),
+            evacuations: RefCell::new(match settings.follows_evacuations() {
+                true => EvacuationRegistry::default(),
+                false => EvacuationRegistry::disabled(),
+            }),
             escrow: RefCell::new(TokenEscrow::new(settings.budgets, me.to_string())),
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
             crashes: CrashManager::default(),
@@ -195,7 +201,8 @@
             self.report.log(LogLevel::Warning, "link_full", fields);
         }
         drop(rotation);
-        let serves = self.phase() == GatewayPhase::Serving && self.config.borrow().is_some();
+        let knows_rules = self.config.borrow().is_some() && self.evacuations.borrow().is_known();
+        let serves = self.phase() == GatewayPhase::Serving && knows_rules;
         serves && !self.has_left_rotation()
     }
 
@@ -205,6 +212,15 @@
         policy.leaves_full_link && self.rotation.borrow().is_out_of_rotation(self.now())
     }
 
+    /// Whether a target that was chosen earlier may still get a new request: its failure domain is
+    /// not evacuated, and it has not announced that it leaves.
+    pub(super) fn accepts_requests(&self, target: &TargetRecord) -> bool {
+        let roster = self.roster.borrow();
+        let phase = roster.get(&target.name).map(|entry| entry.record.phase);
+        let is_ready = phase == Some(TargetPhase::Ready);
+        is_ready && self.evacuations.borrow().allows(&target.domain)
+    }
+
     /// Records that all changes of targets up to a time are known.
     pub(super) fn record_targets_known(&self, at: ClockTime) {
         let known_at = self.targets_known_at.get();
@@ -305,13 +321,17 @@
     /// Logs changes of targets, and closes connections to incarnations that are gone.
     pub(super) fn log_roster_changes(&self, changes: impl IntoIterator<Item = RosterChange>) {
         for change in changes {
-            if let RosterChange::Gone(_, address) | RosterChange::Restarted(_, address) = change {
+            if let RosterChange::Gone(_, address)
+            | RosterChange::Restarted(_, address)
+            | RosterChange::Replaced(_, address) = change
+            {
                 self.pool.forget(address);
             }
             let (event, target) = match change {
                 RosterChange::Joined(target) => ("target_joined", target),
                 RosterChange::Restarted(target, _) => ("target_restarted", target),
                 RosterChange::Draining(target) => ("target_draining", target),
+                RosterChange::Replaced(target, _) => ("target_replaced", target),
                 RosterChange::Gone(target, _) => ("target_gone", target),
                 RosterChange::Unconfirmed(target) => ("target_unconfirmed", target),
             };
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -354,6 +354,7 @@
     match kind {
         ObjectKind::Config => Some(FollowedKind::Configuration),
         ObjectKind::Targets => Some(FollowedKind::Targets),
+        ObjectKind::Evacuations => Some(FollowedKind::Evacuations),
         ObjectKind::Routers | ObjectKind::Budgets | ObjectKind::Crashes => None,
     }
 }
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -198,6 +198,7 @@
         let kind = match parameters.get_kind()? {
             FollowedKind::Configuration => ObjectKind::Config,
             FollowedKind::Targets => ObjectKind::Targets,
+            FollowedKind::Evacuations => ObjectKind::Evacuations,
         };
         let wait = Duration::from_millis(parameters.get_wait_ms().into());
         let revision = parameters.get_revision();
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -30,6 +30,10 @@
     /// The router's own link is saturated, and changes of targets arrive late over it.
     LinkFull,
     NoTarget,
+    /// All targets of the service are in failure domains that are being evacuated.
+    TargetsEvacuated,
+    /// All targets of the service are cold and get few requests.
+    TargetsCold,
     /// No target could be reached; nothing was sent.
     TargetsUnreachable,
     /// Targets reported that they did not run the request.
@@ -50,6 +54,9 @@
 /// Retry delay when something is missing that usually recovers within about a second, in
 /// milliseconds.
 const OUTAGE_RETRY_MS: u64 = 400;
+/// Retry delay while all targets are evacuated, in milliseconds: only an operator ends that, and
+/// earlier retries would be refused as well.
+const EVACUATED_RETRY_MS: u64 = 2_000;
 
 impl RefusalCause {
     /// Returns the status and retry delay to send to the caller.
@@ -66,10 +73,12 @@
             | RefusalCause::NoConfig
             | RefusalCause::LinkFull
             | RefusalCause::NoTarget
+            | RefusalCause::TargetsCold
             | RefusalCause::CrashesTargets
             | RefusalCause::TargetsLimited
             | RefusalCause::TargetsUnreachable
             | RefusalCause::TooLate => (RefusalKind::NotRun, Some(OUTAGE_RETRY_MS)),
+            RefusalCause::TargetsEvacuated => (RefusalKind::NotRun, Some(EVACUATED_RETRY_MS)),
             RefusalCause::OutcomeUnknown => (RefusalKind::OutcomeUnknown, None),
             RefusalCause::TimedOut => (RefusalKind::TimedOut, None),
         };
@@ -93,6 +102,8 @@
             RefusalCause::NoConfig => "no_config",
             RefusalCause::LinkFull => "link_full",
             RefusalCause::NoTarget => "no_target",
+            RefusalCause::TargetsEvacuated => "targets_evacuated",
+            RefusalCause::TargetsCold => "targets_cold",
             RefusalCause::TargetsUnreachable => "targets_unreachable",
             RefusalCause::TargetsFull => "targets_full",
             RefusalCause::TargetsLimited => "targets_limited",
--- a/crates/beechsaddle/src/gateway/settings_watch.rs
+++ b/crates/beechsaddle/src/gateway/settings_watch.rs
@@ -49,7 +49,8 @@
             state.retries.borrow_mut().set_options(settings.retries);
             let needs_restart = settings.call_address != before.call_address
                 || settings.ready_address != before.ready_address
-                || settings.store != before.store;
+                || settings.store != before.store
+                || settings.follows_evacuations() != before.follows_evacuations();
             let fields = [
                 ("changed", (settings != *before).to_string()),
                 ("needs_restart", needs_restart.to_string()),
--- a/crates/beechsaddle/src/gateway/status_view.rs
+++ b/crates/beechsaddle/src/gateway/status_view.rs
@@ -1,10 +1,9 @@
 //! The `status_view` module provides a router's status for operators.
 
 use beechsaddle_core::gateway::{
-    ConfigStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, RosterEntry,
-    WorkspaceStatus,
+    ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
+    RosterEntry, TargetPhase, WorkspaceStatus,
 };
-use beechsaddle_core::prelude::*;
 
 use super::gateway_state::{GatewayPhase, GatewayState};
 
@@ -30,9 +29,10 @@
             })
             .collect(),
         workspaces: view_workspaces(state),
+        evacuations: view_evacuations(state),
         targets: roster
             .entries()
-            .map(|entry| view_target(now, entry))
+            .map(|entry| view_target(state, entry))
             .collect(),
     }
 }
@@ -64,12 +64,37 @@
     viewed.collect()
 }
 
-fn view_target(now: ClockTime, entry: &RosterEntry) -> GatewayTargetStatus {
+fn view_evacuations(state: &GatewayState) -> Option<Vec<EvacuationStatus>> {
+    let now = state.now();
+    let evacuations = state.evacuations.borrow();
+    let roster = state.roster.borrow();
+    let viewed = evacuations.in_force().map(|(domain, evacuation)| {
+        let targets = roster.entries();
+        let evacuated = targets.filter(|entry| entry.record.domain == *domain);
+        EvacuationStatus {
+            domain: domain.clone(),
+            age_ms: now.since(evacuation.since),
+            revision: evacuation.revision,
+            active: evacuated.map(|entry| entry.stats.active).sum(),
+        }
+    });
+    evacuations.is_known().then(|| viewed.collect())
+}
+
+fn view_target(state: &GatewayState, entry: &RosterEntry) -> GatewayTargetStatus {
+    let now = state.now();
     let stats = &entry.stats;
+    let is_ready = entry.record.phase == TargetPhase::Ready;
+    let is_evacuated = !state.evacuations.borrow().allows(&entry.record.domain);
+    let phase = match is_ready && is_evacuated {
+        true => "evacuated",
+        false => entry.phase_name(),
+    };
     GatewayTargetStatus {
         target: entry.record.name.clone(),
         service: entry.record.service.clone(),
-        phase: entry.phase_name().to_owned(),
+        phase: phase.to_owned(),
+        cold_for_ms: entry.cold_for_ms(now),
         active: stats.active,
         ejected_for_ms: stats.ejected_for_ms(now),
         failure_share: stats.failure_share(now),
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -1,7 +1,10 @@
 //! The `target_choice` module provides the choice of a target for a call, and the refusal if there
 //! is none.
 
-use beechsaddle_core::gateway::{ChoiceInput, TargetChoice, TargetRecord, choose_target};
+use beechsaddle_core::gateway::{
+    ChoiceInput, TargetChoice, TargetRecord, TargetRoster, WarmUpPlan, choose_target,
+};
+use beechsaddle_core::names::TargetName;
 use http::Response;
 
 use super::answer_body::AnswerBody;
@@ -34,40 +37,75 @@
     if state.is_behind_full_link() {
         return None;
     }
-    let settings = state.settings();
     let tried = call.tried.borrow();
+    let now = state.now();
+    let choice = with_input(call, &tried, |roster, input| {
+        choose_target(roster, now, input).or_else(|| {
+            choose_target(
+                roster,
+                now,
+                ChoiceInput {
+                    tried: &[],
+                    ..input
+                },
+            )
+        })
+    })?;
+    let mut roster = state.roster.borrow_mut();
+    let entry = roster.get_mut(&choice.target)?;
+    if let Some(rule) = call.rule.warm_up {
+        entry.stats.warm_up.record(now, rule.share());
+    }
+    Some((choice, entry.record.clone()))
+}
+
+/// Calls `decide` with the known targets and the inputs of a choice for a call.
+fn with_input<T>(
+    call: &CallContext,
+    tried: &[TargetName],
+    decide: impl FnOnce(&TargetRoster, ChoiceInput<'_>) -> T,
+) -> T {
+    let state = &call.state;
+    let settings = state.settings();
     let roster = state.roster.borrow();
+    let evacuations = state.evacuations.borrow();
+    let ring = state.lending.ring.borrow();
     let crash_count = state.crashes.crash_count(call.fingerprint);
     let suspect = (crash_count > 0).then(|| call.fingerprint.to_string());
+    let warm_up = call.rule.warm_up.map(|rule| WarmUpPlan {
+        rule,
+        ring: &ring,
+        knows_routers: state.lending.are_roles_enabled(),
+    });
     let input = ChoiceInput {
         service: &call.service,
         is_engine: call.rule.is_engine,
         domain: &settings.domain,
         prompt: &call.head.prompt,
         request_id: &call.head.request_id,
-        tried: &tried,
+        tried,
         runs_once: !call.route.kind.may_repeat(),
         suspect: suspect.as_deref(),
+        evacuations: &evacuations,
+        warm_up,
         policy: settings.policy,
     };
-    let retry_input = ChoiceInput {
-        tried: &[],
-        ..input
-    };
-    let now = state.now();
-    let choice =
-        choose_target(&roster, now, input).or_else(|| choose_target(&roster, now, retry_input))?;
-    let record = roster.get(&choice.target)?.record.clone();
-    Some((choice, record))
+    decide(&roster, input)
 }
 
 /// Returns why there is no target to send to.
 pub(super) fn no_target_cause(call: &CallContext) -> RefusalCause {
-    match call.history.borrow().may_have_run() {
-        true => RefusalCause::OutcomeUnknown,
-        false if call.state.is_behind_full_link() => RefusalCause::LinkFull,
-        false if shortest_pause_ms(call).is_some() => RefusalCause::TargetsLimited,
-        false => RefusalCause::NoTarget,
+    if call.history.borrow().may_have_run() {
+        return RefusalCause::OutcomeUnknown;
+    }
+    if call.state.is_behind_full_link() {
+        return RefusalCause::LinkFull;
+    }
+    match shortest_pause(call) {
+        Some(TargetPause::Limited { .. }) => RefusalCause::TargetsLimited,
+        Some(TargetPause::Cold { .. }) => RefusalCause::TargetsCold,
+        None if is_evacuated(call) => RefusalCause::TargetsEvacuated,
+        None => RefusalCause::NoTarget,
     }
 }
 
@@ -78,11 +116,12 @@
     message: &str,
 ) -> Response<AnswerBody> {
     call.record.record_refusal(cause);
-    match shortest_pause_ms(call) {
-        Some(pause_ms) if cause == RefusalCause::TargetsLimited => {
+    match (cause, shortest_pause(call)) {
+        (RefusalCause::TargetsLimited, Some(TargetPause::Limited { pause_ms }))
+        | (RefusalCause::TargetsCold, Some(TargetPause::Cold { pause_ms })) => {
             cause.response_after(pause_ms, message)
         }
-        Some(_) | None => cause.response(message),
+        _ => cause.response(message),
     }
 }
 
@@ -107,13 +146,50 @@
     call.record.record_attempt_start();
 }
 
-/// Returns the time until the first rate-limited target of the service accepts a request again, in
-/// milliseconds; `None` if no target is excluded for its limit.
-fn shortest_pause_ms(call: &CallContext) -> Option<u64> {
+/// Why a ready target gets no request at present, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TargetPause {
+    /// It has reached its rate limit.
+    Limited { pause_ms: u64 },
+    /// It is cold, and has received this router's part of its requests.
+    Cold { pause_ms: u64 },
+}
+
+impl TargetPause {
+    fn pause_ms(self) -> u64 {
+        match self {
+            TargetPause::Limited { pause_ms } | TargetPause::Cold { pause_ms } => pause_ms,
+        }
+    }
+}
+
+/// Returns the pause that ends first among the targets of the service; `None` if there is none.
+fn shortest_pause(call: &CallContext) -> Option<TargetPause> {
     let now = call.state.now();
-    let roster = call.state.roster.borrow();
-    let paused = roster
-        .ready(&call.service)
-        .map(|entry| entry.stats.limit.paused_for_ms(now));
-    paused.filter(|paused_ms| *paused_ms > 0).min()
+    with_input(call, &[], |roster, input| {
+        let allowed = roster
+            .ready(input.service)
+            .filter(|entry| input.evacuations.allows(&entry.record.domain));
+        let pauses = allowed.filter_map(|entry| {
+            let limited_ms = entry.stats.limit.paused_for_ms(now);
+            let cold_ms = input.warm_up_wait_ms(entry, now);
+            match (limited_ms, cold_ms) {
+                (0, 0) => None,
+                (pause_ms, cold_ms) if pause_ms >= cold_ms => {
+                    Some(TargetPause::Limited { pause_ms })
+                }
+                (_, pause_ms) => Some(TargetPause::Cold { pause_ms }),
+            }
+        });
+        pauses.min_by_key(|pause| pause.pause_ms())
+    })
+}
+
+/// Whether the service has ready targets, all of them in domains that are evacuated.
+fn is_evacuated(call: &CallContext) -> bool {
+    with_input(call, &[], |roster, input| {
+        let mut ready = roster.ready(input.service).peekable();
+        let has_targets = ready.peek().is_some();
+        has_targets && ready.all(|entry| !input.evacuations.allows(&entry.record.domain))
+    })
 }
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::call_context::CallContext;
+use super::gateway_state::GatewayState;
 use super::limits::record_limit;
 
 /// The head of a target's response and its connection.
@@ -64,6 +65,10 @@
         }
     }
     let link = connect(target.address).await?;
+    if !call.state.accepts_requests(target) {
+        let failure = SendFailure::new(AttemptEnd::Withdrawn, "target was withdrawn meanwhile");
+        return Err(failure);
+    }
     let request = build_request(call, target, last_event, fetch_from);
     call.state.record_message(LinkDirection::Out, &call.body);
     let sent = send_on(call, target, link, request, wait_limit, true).await;
@@ -110,6 +115,7 @@
     }
     if facts.is_sealed || (facts.is_not_run && !facts.is_misdirected) {
         record_limit(&call.state, target, facts.limit_per_s, sent_at);
+        record_cold(&call.state, target, facts.cold_ms);
     }
     Ok(TargetAnswer {
         response,
@@ -118,6 +124,18 @@
     })
 }
 
+/// Records that a response announces how long its target stays cold.
+fn record_cold(state: &GatewayState, target: &TargetRecord, cold_ms: Option<u64>) {
+    let Some(cold_ms) = cold_ms else {
+        return;
+    };
+    let mut roster = state.roster.borrow_mut();
+    let entry = roster.get_mut(&target.name);
+    if let Some(entry) = entry.filter(|entry| entry.record.started == target.started) {
+        entry.record_cold(state.now(), cold_ms);
+    }
+}
+
 fn convert_failure(failure: &LinkFailure) -> (SendFailure, bool) {
     let end = match failure.is_unsent() {
         true => AttemptEnd::Unsent,
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -79,6 +79,11 @@
         self.roles_enabled.notify_waiters();
     }
 
+    /// Whether roles are assigned: the list of routers is complete.
+    pub(super) fn are_roles_enabled(&self) -> bool {
+        self.are_roles_enabled.get()
+    }
+
     /// Whether any router is listed.
     pub(super) fn knows_routers(&self) -> bool {
         self.ring.borrow().router_count() > 0
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -51,6 +51,15 @@
         GatewayProcess::start_with(store, host, domain, true, &ExtraSettings::default())
     }
 
+    /// Starts a router that follows evacuations.
+    pub fn start_with_evacuations(store: SocketAddr, host: &str, domain: &str) -> Self {
+        let extra = ExtraSettings {
+            store: "evacuate_ms = 5000\n",
+            ..ExtraSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &extra)
+    }
+
     /// Starts a router that probes the store only every 30 s, unless an event triggers a probe.
     pub fn start_with_rare_probes(store: SocketAddr, host: &str, domain: &str) -> Self {
         let extra = ExtraSettings {
@@ -280,6 +289,13 @@
         bench
     }
 
+    /// Starts a bench like [`start`](Self::start) with a router that follows evacuations.
+    pub async fn start_with_evacuations(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_evacuations).await;
+        bench.router.wait_log(&["target_joined", "engine-2"]).await;
+        bench
+    }
+
     /// Starts a bench like [`start`](Self::start) with a router on a host with a slow link.
     pub async fn start_with_narrow_link(draft: &ConfigDraft) -> Self {
         let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_narrow_link).await;
