Serve calls past crashed targets and past a cut of all routers

Changed, each in a module of the core with a test that names the load: - a refused connection costs one round trip; up to 16 are tried, apart from those that take their whole timeout (4, as before); - a 421 withdraws the target until it writes a newer entry, uses up none of the route's attempts and is charged to the retry budget; - late changes are not blamed on the own link while another router answers within 100 ms (UpdateAge).

Ruled out: more attempts after a rejection by a full target (the platform counts the targets to which a call is sent).

The soak evacuates domains and makes targets cold.

--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod token_escrow;
 mod token_loan;
 mod transfer_plan;
+mod update_age;
 mod warm_up;
 mod workspace_ledger;
 
@@ -81,5 +82,6 @@
 pub use target_stats::{AttemptLoad, TargetStats};
 pub use token_escrow::{ReserveOutcome, TokenEscrow};
 pub use token_loan::{LoanReply, LoanRequest, LoanReturn};
+pub use update_age::UpdateAge;
 pub use warm_up::{WarmUpPlan, WarmUpRule, WarmUpShare, WarmUpWindow};
 pub use workspace_ledger::{DeferredReserve, LedgerChange, TokenTransfer, WorkspaceLedger};
--- a/crates/beechsaddle-core/tests/gateway_link.rs
+++ b/crates/beechsaddle-core/tests/gateway_link.rs
@@ -1,6 +1,6 @@
 //! Tests of how a router on a narrow link leaves the rotation, with links of a fixed rate.
 
-use beechsaddle_core::gateway::{LinkDirection, LinkMeter, RotationGate};
+use beechsaddle_core::gateway::{LinkDirection, LinkMeter, RotationGate, UpdateAge};
 use beechsaddle_core::prelude::*;
 
 /// The narrow links of a fleet of 86 routers: 10 Mbit/s.
@@ -131,3 +131,36 @@
     }
     assert_eq!(now.since(left_at), spans[0]);
 }
+
+/// Time between two updates on a link that is free, in milliseconds.
+const UPDATE_INTERVAL_MS: u64 = 1_750;
+
+/// All routers are cut off from the store, and their neighbours say so within a round trip. A router whose
+/// link was full a moment ago goes on serving its callers, who would find no other one that knows more.
+#[test]
+fn cut_of_all_routers_is_not_blamed_on_the_link() {
+    let cut_at = ClockTime::from_millis(1_000_000);
+    let mut age = UpdateAge::default();
+    age.record_known(cut_at);
+    for ms in (0..8_000).step_by(250) {
+        let now = cut_at.plus_ms(ms);
+        age.record_answer(now.plus_ms(2), now);
+        assert!(!age.is_late_by_own_link(now.plus_ms(3), UPDATE_INTERVAL_MS));
+    }
+}
+
+/// A congested link delays what neighbours say as well: late changes are blamed on it, until an answer
+/// comes at once or the changes are known.
+#[test]
+fn late_answers_blame_the_link() {
+    let full_at = ClockTime::from_millis(1_000_000);
+    let mut age = UpdateAge::default();
+    age.record_known(full_at);
+    age.record_answer(full_at.plus_ms(5), full_at);
+    let late = full_at.plus_ms(UPDATE_INTERVAL_MS + 1);
+    assert!(age.is_late_by_own_link(late, UPDATE_INTERVAL_MS));
+    age.record_answer(late, full_at.plus_ms(900));
+    assert!(age.is_late_by_own_link(late, UPDATE_INTERVAL_MS));
+    age.record_known(late);
+    assert!(!age.is_late_by_own_link(late, UPDATE_INTERVAL_MS));
+}
--- a/crates/beechsaddle-core/tests/gateway_repeats.rs
+++ b/crates/beechsaddle-core/tests/gateway_repeats.rs
@@ -50,6 +50,30 @@
     assert!(!four.allows_another(RouteKind::NotRepeatable, 1));
 }
 
+/// Most targets of a service have just crashed, and their hosts refuse connections: a request still reaches
+/// one that runs.
+#[test]
+fn allows_another_refused_is_bounded_by_round_trips() {
+    let many = history(&[AttemptEnd::Refused; 15]);
+    assert!(many.allows_another(RouteKind::NotRepeatable, 1));
+    assert_eq!(many.arrivals(), 0);
+    let all = history(&[AttemptEnd::Refused; 16]);
+    assert!(!all.allows_another(RouteKind::NotRepeatable, 1));
+}
+
+/// Other processes have the addresses of targets that crashed: the request has reached no target, but
+/// each attempt is an arrival.
+#[test]
+fn allows_another_misdirected_uses_up_no_attempt() {
+    let two = history(&[AttemptEnd::Misdirected; 2]);
+    assert!(two.allows_another(STREAM, 1));
+    assert_eq!((two.sent(), two.arrivals()), (0, 2));
+    assert!(!two.may_have_run());
+    assert!(!history(&[AttemptEnd::Misdirected; 3]).allows_another(STREAM, 1));
+    let run = history(&[AttemptEnd::Misdirected, AttemptEnd::Broken]);
+    assert!(!run.allows_another(STREAM, 3));
+}
+
 const OPTIONS: RetryShareOptions = RetryShareOptions {
     ratio: 0.2,
     allowance: 54.0,
--- a/crates/beechsaddle-lab/src/soak/fault_plan.rs
+++ b/crates/beechsaddle-lab/src/soak/fault_plan.rs
@@ -42,6 +42,10 @@
     Replace(usize),
     /// A target's entry expires and is written again at the end of the fault.
     Lapse(usize),
+    /// A failure domain is evacuated, and taken back at the end of the fault.
+    Evacuate(&'static str),
+    /// A target becomes cold.
+    Cold(usize),
     /// A new configuration is written, with a route that older ones lack.
     Config,
 }
@@ -96,6 +100,35 @@
     }
 }
 
+impl FaultPlan {
+    /// Adds evacuations of failure domains and targets that become cold.
+    #[must_use]
+    pub fn with_domain_faults(mut self, seed: u64, span: Duration, targets: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ DOMAIN_FAULT_SEED);
+        let count = (span.as_secs_f64() * DOMAIN_FAULTS_PER_S) as usize;
+        let span_ms = span.as_millis() as u64;
+        self.faults.extend((0..count).map(|_| PlannedFault {
+            at: Duration::from_millis(random.random_range(0..span_ms)),
+            span: Duration::from_millis(random.random_range(500..4_000)),
+            fault: match random.random_bool(0.5) {
+                true => SoakFault::Evacuate(DOMAINS[random.random_range(0..DOMAINS.len())]),
+                false => SoakFault::Cold(random.random_range(0..targets)),
+            },
+        }));
+        self.faults.sort_by_key(|planned| planned.at);
+        self
+    }
+}
+
+/// The failure domains of a soak.
+pub const DOMAINS: [&str; 2] = ["north", "south"];
+
+/// Mean number of evacuations and cold targets per second.
+const DOMAIN_FAULTS_PER_S: f64 = 0.4;
+
+/// Separates the random numbers of these faults from those of all others.
+const DOMAIN_FAULT_SEED: u64 = 0xe4ac;
+
 /// Mean number of crashes and rate limits of targets per second.
 const TARGET_FAULTS_PER_S: f64 = 0.6;
 
--- a/crates/beechsaddle-lab/src/soak/recovery_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/recovery_checks.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::call_log::{EXTRA_CALL, SoakKind};
+use super::fault_plan::DOMAINS;
 use super::soak_fleet::{GRACE, SoakFleet, TARGET_SLOTS, WORKSPACES};
 use super::soak_target::{CRASH_MARK, EVENTS};
 use super::version_watch::probe_version;
@@ -38,6 +39,12 @@
 /// How often a request body may still reach targets after it has crashed three.
 const MAX_LATE_ARRIVALS: usize = 3;
 
+/// Time within which an evacuation has to be in force, as set in the routers' settings.
+const EVACUATION_BOUND: Duration = Duration::from_millis(5_000);
+
+/// How long no call may reach the targets of an evacuated domain.
+const EVACUATION_SPAN: Duration = Duration::from_millis(1_500);
+
 /// Calls with a crashing body in one round.
 const CRASHING_CALLS: usize = 12;
 /// The pause after each of the [`CRASHING_CALLS`].
@@ -53,6 +60,7 @@
     let mut violations = check_config(fleet).await;
     violations.extend(check_service(fleet).await);
     if has_target_faults {
+        violations.extend(check_evacuation(fleet).await);
         violations.extend(check_limit(fleet).await);
         violations.extend(check_crashes(fleet).await?);
     }
@@ -84,6 +92,26 @@
     (answered < 18).then(|| format!("{answered} of 20 calls were answered after all faults"))
 }
 
+/// Checks that the targets of an evacuated domain get no more calls of the load.
+async fn check_evacuation(fleet: &SoakFleet) -> Option<String> {
+    let domain = DOMAINS[0];
+    fleet.store.evacuate(domain);
+    sleep(EVACUATION_BOUND).await;
+    let arrivals = || -> usize {
+        let targets = fleet.targets.iter();
+        let evacuated = targets.filter(|target| target.zone == domain);
+        evacuated
+            .map(|target| target.stand_in.arrivals().len())
+            .sum()
+    };
+    let before = arrivals();
+    sleep(EVACUATION_SPAN).await;
+    let late = arrivals() - before;
+    fleet.store.withdraw_evacuation(domain);
+    sleep(PROPAGATION_BOUND).await;
+    (late > 0).then(|| format!("{late} calls reached targets of the evacuated domain {domain}"))
+}
+
 /// Checks that a target which sets a rate limit receives no more calls of the load than allowed.
 async fn check_limit(fleet: &SoakFleet) -> Option<String> {
     let engines = fleet.targets[..TARGET_SLOTS]
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::call_log::{SoakEvidence, WorkspaceTotals};
+use super::fault_plan::DOMAINS;
 use super::fault_proxy::{FaultProxy, PathFault};
 use super::soak_target::{EVENTS, SoakTarget};
 use crate::fleet::{LabProcess, free_address};
@@ -138,6 +139,16 @@
         self.store.put("servers", target.stand_in.name(), &entry);
     }
 
+    /// Announces by its entry how long a target is still cold.
+    pub fn announce_cold(&self, number: usize, span: Duration) {
+        let target = &self.targets[number];
+        if target.stand_in.has_crashed() {
+            return;
+        }
+        target.stand_in.set_cold(span.as_millis() as u64);
+        self.list_target(number, EntryState::Ready);
+    }
+
     /// Sets a target to draining and adds a replacement.
     pub async fn replace_target(&mut self, number: usize) -> eyre::Result<()> {
         let (service, zone) = (self.targets[number].service, self.targets[number].zone);
@@ -200,6 +211,9 @@
     /// Ends all faults of connections, store and targets.
     pub fn clear_faults(&self) {
         self.store.set_fault(Default::default());
+        for domain in DOMAINS {
+            self.store.withdraw_evacuation(domain);
+        }
         for router in &self.routers {
             router.store_path.set(PathFault::None);
             router.peer_path.set(PathFault::None);
@@ -289,7 +303,8 @@
     let text = format!(
         "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{calls}\"\n\
          ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = {}\n\n\
-         [store]\naddress = \"{}\"\nwatch_ms = 2000\n\n\
+         [store]\naddress = \"{}\"\nwatch_ms = 2000\n\
+         evacuate_ms = 5000\n\n\
          [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n",
         GRACE.as_secs(),
         store_path.address()
--- a/crates/beechsaddle-lab/src/soak/soak_run.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -17,6 +17,9 @@
 use super::soak_fleet::{SoakFleet, TARGET_SLOTS};
 use super::version_watch::VersionWatch;
 
+/// How long a target that becomes cold stays so by its entry, as the configuration declares.
+const COLD_SPAN: Duration = Duration::from_millis(3_000);
+
 /// How often peer addresses are rewritten so that routers reach each other through proxies.
 const PEER_REDIRECT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -78,7 +81,9 @@
     }
     let mut plan = FaultPlan::new(seed, options.span, options.routers, TARGET_SLOTS);
     if options.has_target_faults {
-        plan = plan.with_target_faults(seed, options.span, TARGET_SLOTS);
+        plan = plan
+            .with_target_faults(seed, options.span, TARGET_SLOTS)
+            .with_domain_faults(seed, options.span, TARGET_SLOTS);
     }
     let faults = plan.faults.len();
     let mut run = SeedRun::new(fleet, &load);
@@ -208,6 +213,8 @@
                 let limit = per_s.to_string();
                 fleet.targets[target].stand_in.set_limit(Some(&limit));
             }
+            SoakFault::Evacuate(domain) => fleet.store.evacuate(domain),
+            SoakFault::Cold(target) => fleet.announce_cold(target, COLD_SPAN),
             SoakFault::Replace(target) => fleet.replace_target(target).await?,
             SoakFault::Lapse(target) => {
                 fleet
@@ -251,6 +258,8 @@
             SoakFault::Lapse(target) => {
                 fleet.list_target(target, beechsaddle_platform_stand_in::EntryState::Ready);
             }
+            SoakFault::Evacuate(domain) => fleet.store.withdraw_evacuation(domain),
+            SoakFault::Cold(target) => fleet.announce_cold(target, Duration::ZERO),
             SoakFault::Reload(_)
             | SoakFault::Crash(_)
             | SoakFault::Compact
--- a/crates/beechsaddle-link/src/link_failure.rs
+++ b/crates/beechsaddle-link/src/link_failure.rs
@@ -1,6 +1,7 @@
 //! The `link_failure` module provides the failures of links.
 
 use std::fmt;
+use std::io::ErrorKind;
 
 /// Why a connection or request failed, by what it implies for the request.
 #[derive(Debug)]
@@ -24,6 +25,16 @@
         }
     }
 
+    /// Whether the host refused the connection, as no process listens at the address.
+    pub fn is_refused(&self) -> bool {
+        match self {
+            LinkFailure::Connect(error) => error.kind() == ErrorKind::ConnectionRefused,
+            LinkFailure::ConnectTimeout | LinkFailure::NotSent(_) | LinkFailure::Unanswered(_) => {
+                false
+            }
+        }
+    }
+
     /// Returns the name in logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -142,9 +142,16 @@
         detect_crash(&self.state, self.suspect_run(), end).await;
     }
 
-    /// Ejects a target whose address now belongs to another target.
+    /// Withdraws a target whose address now belongs to another process.
     pub(super) fn record_misdirected(&self) {
-        self.update_stats(|stats, now| stats.eject(now));
+        let mut roster = self.state.roster.borrow_mut();
+        let entry = roster.get_mut(&self.target.name);
+        // An entry that is newer than the attempt may be of the process that answers.
+        let entry = entry.filter(|entry| entry.record.revision == self.target.revision);
+        if let Some(entry) = entry {
+            entry.mark_replaced();
+        }
+        drop(roster);
         self.state.pool.forget(self.target.address);
     }
 
--- a/crates/beechsaddle/src/gateway/changes/follow_call.rs
+++ b/crates/beechsaddle/src/gateway/changes/follow_call.rs
@@ -62,6 +62,7 @@
     revision: u64,
 ) -> FollowStep {
     let wait = relay_wait(state, kind);
+    let started = state.now();
     let secret = state.lending.secret();
     let links = &state.lending.links;
     let reply = links.follow_changes(peer, &secret, kind, revision, wait);
@@ -72,6 +73,8 @@
         Ok(Err(error)) => return record_silence(state, peer, &error),
         Err(_) => return record_silence(state, peer, "no answer to the follow request in time"),
     };
+    let now = state.now();
+    state.update_age.borrow_mut().record_answer(now, started);
     match answer.reply {
         FollowReply::Changes(batches) => {
             state.record_relayed_answer(answer.age_ms);
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -71,8 +71,6 @@
     pub(super) requests_blocked: Gauge,
     /// Refused requests for permits of rate-limited targets.
     pub(super) permits_refused: Counter,
-    /// Calls for which a cold target was passed over, as it gets few requests.
-    pub(super) warm_up_passes: Counter,
     /// Evacuations in force.
     pub(super) evacuations: Gauge,
     /// Evacuations that came into force or were withdrawn.
@@ -127,7 +125,6 @@
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
             permits_refused: Counter::default(),
-            warm_up_passes: Counter::default(),
             evacuations: Gauge::default(),
             evacuation_changes: Counter::default(),
             store_calls: Family::default(),
@@ -191,8 +188,6 @@
             "Places refused by limits of targets",
             permits,
         );
-        let passes = self.warm_up_passes.clone();
-        registry.register("warm_up_passes", "Cold targets passed over", passes);
         let evacuations = self.evacuations.clone();
         registry.register("evacuations", "Evacuations in force", evacuations);
         let changes = self.evacuation_changes.clone();
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -6,7 +6,7 @@
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
     EvacuationRegistry, GatewayConfig, LinkDirection, LinkMeter, RetryShare, RosterChange,
-    RotationGate, TargetPhase, TargetRecord, TargetRoster, TokenEscrow,
+    RotationGate, TargetPhase, TargetRecord, TargetRoster, TokenEscrow, UpdateAge,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -79,8 +79,8 @@
     pub(super) store_health: StoreHealth,
     /// When the store last answered.
     pub(super) store_answered_at: Cell<ClockTime>,
-    /// The time up to which changes of targets are known.
-    pub(super) targets_known_at: Cell<ClockTime>,
+    /// The age of what is known of targets.
+    pub(super) update_age: RefCell<UpdateAge>,
     /// Counts of store calls since they were last logged.
     pub(super) store_tally: StoreTally,
     pub(super) report: ReportHandle,
@@ -132,7 +132,7 @@
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
             store_answered_at: Cell::new(ClockTime::ZERO),
-            targets_known_at: Cell::new(ClockTime::ZERO),
+            update_age: RefCell::default(),
             store_tally: StoreTally::default(),
             report,
             metrics: GatewayMetrics::new(),
@@ -223,8 +223,7 @@
 
     /// Records that all changes of targets up to a time are known.
     pub(super) fn record_targets_known(&self, at: ClockTime) {
-        let known_at = self.targets_known_at.get();
-        self.targets_known_at.set(known_at.max(at));
+        self.update_age.borrow_mut().record_known(at);
     }
 
     /// Whether to refuse calls because the router's own link was congested and changes of targets arrive
@@ -233,12 +232,12 @@
     /// the link.
     pub(super) fn is_behind_full_link(&self) -> bool {
         let settings = self.settings();
-        let age_ms = self.now().since(self.targets_known_at.get());
         // On a link that is not congested, the router receives an answer or update of the store within this
         // time.
         let update_interval = settings.probe_interval + settings.max_relay_age;
-        let is_late = u128::from(age_ms) > update_interval.as_millis();
-        is_late && self.has_left_rotation()
+        let update_age = self.update_age.borrow();
+        let interval_ms = update_interval.as_millis() as u64;
+        self.has_left_rotation() && update_age.is_late_by_own_link(self.now(), interval_ms)
     }
 
     /// Updates the metric of blocked requests.
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -128,6 +128,7 @@
     }
     let is_usable = facts.is_sealed && !facts.is_encoded;
     let end = match facts.status {
+        _ if facts.is_misdirected => Some(AttemptEnd::Misdirected),
         _ if facts.is_not_run => Some(AttemptEnd::NotRun),
         _ if !is_usable => Some(AttemptEnd::Broken),
         status if status.is_server_error() => Some(AttemptEnd::Failed),
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -171,12 +171,16 @@
 ) -> Result<AttemptAnswer, SendFailure> {
     let facts = &answer.facts;
     if facts.is_not_run {
-        if facts.is_misdirected {
+        let end = match facts.is_misdirected {
+            true => AttemptEnd::Misdirected,
+            false => AttemptEnd::NotRun,
+        };
+        if end == AttemptEnd::Misdirected {
             guard.record_misdirected();
         }
-        guard.record_failure(AttemptEnd::NotRun);
+        guard.record_failure(end);
         let detail = format!("status {}", facts.status);
-        return Err(SendFailure::new(AttemptEnd::NotRun, detail));
+        return Err(SendFailure::new(end, detail));
     }
     if !facts.is_sealed || facts.is_encoded {
         guard.record_failure(AttemptEnd::Broken);
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -77,7 +77,13 @@
 
 async fn connect(address: SocketAddr) -> Result<HttpLink, SendFailure> {
     let connected = HttpLink::try_connect(address, LinkOptions::default()).await;
-    connected.map_err(|failure| SendFailure::new(AttemptEnd::Unsent, failure.to_string()))
+    connected.map_err(|failure| {
+        let end = match failure.is_refused() {
+            true => AttemptEnd::Refused,
+            false => AttemptEnd::Unsent,
+        };
+        SendFailure::new(end, failure.to_string())
+    })
 }
 
 /// Sends on a connection. The flag of a failure is set if the connection was closed before anything
