Read any time for evacuations, and keep the status line's order

Cause: gateway_settings::deployed_template_parses fills the template's bounds with 0.5, and a platform may set a bound below 4 s: a router refused to start for it. gateway_logs::status_shows_state_with_ages holds the order of a target's fields, into which cold_for_ms had been put. Both were found by the tests before landing.

Any time from 0 on is read; a request for evacuations waits a quarter of it, 0.2 to 1.2 s, which is 1.2 s as before where the bound is 5 s. cold_for_ms stands last. Both tests pass, as do gateway_evacuation, relay, limits, store and streams.

--- a/crates/beechsaddle/src/command/gateway_text.rs
+++ b/crates/beechsaddle/src/command/gateway_text.rs
@@ -60,16 +60,16 @@
 
 fn target_line(target: &GatewayTargetStatus) -> String {
     format!(
-        "target {} service={} phase={} active={} cold_for_ms={} ejected_for_ms={} failures={:.2} \
-         heard_age_ms={}",
+        "target {} service={} phase={} active={} ejected_for_ms={} failures={:.2} heard_age_ms={} \
+         cold_for_ms={}",
         target.target,
         target.service,
         target.phase,
         target.active,
-        target.cold_for_ms,
         target.ejected_for_ms,
         target.failure_share,
-        target.heard_age_ms
+        target.heard_age_ms,
+        target.cold_for_ms
     )
 }
 
--- a/crates/beechsaddle/src/gateway/changes/follow_call.rs
+++ b/crates/beechsaddle/src/gateway/changes/follow_call.rs
@@ -15,10 +15,12 @@
 /// within a domain, and short against the limit for new configurations to take effect.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long a request for evacuations waits for changes: less than a call per router and second.
-/// Evacuations have to be in force within seconds, so that two followers in turn may fail to answer
-/// before the store is asked.
-const EVACUATION_WAIT: Duration = Duration::from_millis(1_200);
+/// The longest wait of a request for evacuations, in milliseconds: less than a call per router and
+/// second.
+const EVACUATION_WAIT_MAX_MS: u64 = 1_200;
+
+/// The shortest wait of such a request, in milliseconds.
+const EVACUATION_WAIT_MIN_MS: u64 = 200;
 
 /// A follower's reply to a request for changes after a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,11 +99,22 @@
 /// Returns how long a follower waits for changes before it answers that there are none.
 fn relay_wait(state: &GatewayState, kind: ObjectKind) -> Duration {
     match kind {
-        ObjectKind::Evacuations => EVACUATION_WAIT,
-        _ => state.settings().max_relay_age / 2,
+        ObjectKind::Evacuations => evacuation_wait(state.settings().evacuate_ms),
+        ObjectKind::Config
+        | ObjectKind::Targets
+        | ObjectKind::Routers
+        | ObjectKind::Budgets
+        | ObjectKind::Crashes => state.settings().max_relay_age / 2,
     }
 }
 
+/// Returns how long a request for evacuations waits: a quarter of the time within which they have to
+/// be in force, so that two followers in turn may fail to answer before the store is asked.
+fn evacuation_wait(evacuate_ms: Option<u64>) -> Duration {
+    let wait_ms = evacuate_ms.unwrap_or(0) / 4;
+    Duration::from_millis(wait_ms.clamp(EVACUATION_WAIT_MIN_MS, EVACUATION_WAIT_MAX_MS))
+}
+
 /// Decodes relayed changes. If a batch cannot be decoded, the changes are read from the store.
 fn read_batches(
     state: &GatewayState,
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -39,10 +39,6 @@
 /// slow store.
 const RELAY_AGE_MIN_MS: u64 = 400;
 
-/// The shortest time within which an evacuation can be in force, in milliseconds: two followers that
-/// do not answer, and a call to the store.
-const EVACUATE_MIN_MS: u64 = 4_000;
-
 /// Part of the time within which an evacuation has to be in force that is reserved for requests on
 /// their way, in milliseconds: a connection that was being opened, and a body in a congested link.
 const EVACUATION_MARGIN_MS: u64 = 700;
@@ -183,7 +179,9 @@
         50..=60_000,
         findings,
     );
-    let evacuate_ms = reader.read_u64("evacuate_ms", EVACUATE_MIN_MS..=60_000, findings);
+    let evacuate_ms = reader
+        .read_f64("evacuate_ms", 0.0..=60_000.0, findings)
+        .map(|evacuate_ms| evacuate_ms as u64);
     let bounds = read_bounds(reader, evacuate_ms, findings);
     let default_ms = default_watch_ms(bounds, call_ms);
     let age_ms = default_relay_age_ms(bounds);
