Refuse calls at once until evacuations are known, and name evacuated domains

Cause: a router that starts during an evacuation and does not reach the store reserved tokens for calls that it could not place, and the log of a call refused for an evacuation did not tell which. Such calls are refused as no_config before anything else; the call line has the domains.

--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -223,6 +223,12 @@
             "no configuration is known yet",
         ));
     };
+    if !state.evacuations.borrow().is_known() {
+        return Err(CallRefusal::new(
+            RefusalCause::NoConfig,
+            "no evacuations are known yet",
+        ));
+    }
     let head = CallHead::try_read(parts)
         .map_err(|fault| CallRefusal::new(RefusalCause::BadHead, fault.to_string()))?;
     record.set_id(&head.request_id);
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -104,7 +104,15 @@
     match shortest_pause(call) {
         Some(TargetPause::Limited { .. }) => RefusalCause::TargetsLimited,
         Some(TargetPause::Cold { .. }) => RefusalCause::TargetsCold,
-        None if is_evacuated(call) => RefusalCause::TargetsEvacuated,
+        None if is_evacuated(call) => {
+            let evacuations = call.state.evacuations.borrow();
+            let domains: Vec<_> = evacuations
+                .in_force()
+                .map(|(domain, _)| domain.as_str())
+                .collect();
+            call.record.add_field("evacuated", domains.join(","));
+            RefusalCause::TargetsEvacuated
+        }
         None => RefusalCause::NoTarget,
     }
 }
