--- a/crates/beechsaddle/tests/calls_limits.rs
+++ b/crates/beechsaddle/tests/calls_limits.rs
@@ -62,7 +62,11 @@
     };
     let core = FakeCore::start_with(options, 64);
     let mut caller = RawCaller::send(core.address(), "G");
-    std::thread::sleep(Duration::from_millis(50));
+    let sent_at = Instant::now();
+    while core.handle.open_connections() == 0 {
+        assert!(sent_at.elapsed() < WAIT_LIMIT, "no connection is accepted");
+        std::thread::sleep(Duration::from_millis(1));
+    }
     assert_eq!(core.handle.open_connections(), 1);
     let span = drip_until_closed(&core, &mut caller);
     assert!(span >= Duration::from_millis(100));
