Ask a router of the soak once more after the time for its readiness

Its fault injection stood still from 911.9 to 934.7 s in three fleets at once, while their routers logged calls all the while; set and withdrawn evacuations reached all routers within 6 ms of each other at its end. Beside it a copy of several GB was written to the same disk, and the soak writes settings files from the task that drives all fleets. So it measured its own standstill.

After: it asks once more when the time is over.

--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -105,15 +105,19 @@
     /// Waits until a router reports that it is ready.
     pub async fn wait_ready(&self, number: usize) -> eyre::Result<()> {
         let until = Instant::now() + READY_TIMEOUT;
-        while Instant::now() < until {
+        // Asked once more after the time is over: this program itself may have been blocked meanwhile.
+        loop {
+            let is_last = Instant::now() >= until;
             let request = CallRequest::new(READY_LINE, "ready", "");
             let reply = call(self.routers[number].ready, &request).await;
             if reply.is_ok_and(|reply| reply.status == 200) {
                 return Ok(());
             }
+            if is_last {
+                bail!("router {number} was not ready within {READY_TIMEOUT:?}");
+            }
             sleep(Duration::from_millis(50)).await;
         }
-        bail!("router {number} was not ready within {READY_TIMEOUT:?}")
     }
 
     /// Starts a target and writes its entry to the store.
