Let calls wait for deferred tokens that become usable in time

Callers saw: in an outage of the store, a call for which too few tokens were usable was refused at once, although the router knew by its own schedule that they become usable some tenths of a second later. A schedule that opens later than now, which losses of power call for, would refuse all calls of its first part.

Cause: waiting calls are woken by transfers only; nothing tells when deferred tokens become usable.

Now the escrow tells in how many milliseconds its held tokens cover all waiting calls. A call waits if that is within its usual wait of 700 ms, and is refused at once otherwise, as before. An allocator answers its borrowers "too little at the moment" in that case, so that they ask again.

--- a/crates/beechsaddle-core/src/gateway/deferred_change.rs
+++ b/crates/beechsaddle-core/src/gateway/deferred_change.rs
@@ -29,7 +29,7 @@
 pub(super) struct PendingChange {
     pub(super) change: LedgerChange,
     /// The schedule in the ledger if the change is applied.
-    schedule: ReserveSchedule,
+    pub(super) schedule: ReserveSchedule,
     /// Whether the change was requested more than once, so that the outcome of an earlier write of
     /// it may be unknown.
     is_repeated: bool,
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod target_stats;
 mod token_escrow;
 mod token_loan;
+mod token_opening;
 mod transfer_plan;
 mod update_age;
 mod warm_up;
--- a/crates/beechsaddle-core/src/gateway/reserve_schedule.rs
+++ b/crates/beechsaddle-core/src/gateway/reserve_schedule.rs
@@ -30,4 +30,19 @@
         self.tokens
             .saturating_sub(per_s.saturating_mul(open_ms) / 1_000)
     }
+
+    /// Returns the earliest time from which at most `most` tokens are deferred; `None` if more of
+    /// them always are.
+    pub(super) fn deferred_within(&self, most: u64) -> Option<ClockTime> {
+        let excess = self.tokens.saturating_sub(most);
+        match self.per_s {
+            _ if excess == 0 => Some(ClockTime::ZERO),
+            None => Some(self.opens_at),
+            Some(0) => None,
+            Some(per_s) => {
+                let open_ms = excess.saturating_mul(1_000).div_ceil(per_s);
+                Some(self.opens_at.plus_ms(open_ms))
+            }
+        }
+    }
 }
--- /dev/null
+++ b/crates/beechsaddle-core/src/gateway/token_opening.rs
@@ -0,0 +1,42 @@
+//! The `token_opening` module provides when deferred tokens become usable for waiting calls.
+//!
+//! In an outage of the store, a router knows from its schedule when tokens become usable. A call
+//! that they cover soon enough waits for them; any other is refused at once.
+
+use super::TokenTransfer;
+use super::escrow_account::EscrowAccount;
+use super::token_escrow::TokenEscrow;
+use crate::clock::ClockTime;
+use crate::names::WorkspaceName;
+
+impl TokenEscrow {
+    /// Returns the time until the tokens held here cover all calls that wait for tokens of a
+    /// workspace, in milliseconds; `None` if they never do without a transfer.
+    pub fn opens_in_ms(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<u64> {
+        let opens_at = self.accounts.get(workspace)?.opens_at()?;
+        Some(opens_at.since(now))
+    }
+}
+
+impl EscrowAccount {
+    /// Returns the time from which the usable tokens cover all waiting calls.
+    fn opens_at(&self) -> Option<ClockTime> {
+        let spare = self.held().checked_sub(self.awaited())?;
+        self.deferred_within(spare)
+    }
+
+    /// Returns the time from which at most `most` tokens have to be deferred, by the same rules as
+    /// [`EscrowAccount::required_deferred`].
+    fn deferred_within(&self, most: u64) -> Option<ClockTime> {
+        let Some(pending) = self.pending else {
+            return self.schedule.deferred_within(most);
+        };
+        let (most_current, most_next) = match pending.change.transfer {
+            TokenTransfer::Take(tokens) => (most, most.saturating_add(tokens)),
+            TokenTransfer::GiveBack(tokens) => (most.saturating_add(tokens), most),
+        };
+        let current_at = self.schedule.deferred_within(most_current)?;
+        let next_at = pending.schedule.deferred_within(most_next)?;
+        Some(current_at.max(next_at))
+    }
+}
--- a/crates/beechsaddle/src/gateway/token_lender.rs
+++ b/crates/beechsaddle/src/gateway/token_lender.rs
@@ -10,6 +10,7 @@
 use super::gateway_state::GatewayState;
 use super::ledger_wait::LedgerWait;
 use super::token_lending::start_request;
+use super::token_reservation::{LEDGER_WAIT_MS as CALL_WAIT_MS, OPENING_CHECK_INTERVAL};
 
 /// How long a borrower waits while this router requests tokens from the ledger, in milliseconds: a few
 /// attempts of a conflicting write. The borrower's own timeout is longer.
@@ -20,6 +21,9 @@
 /// While the ledger is unreachable or has too little, an allocator requests tokens from those of other
 /// domains, on behalf of its own domain. A request from another domain is then answered from the tokens
 /// held here, since the requesting router tries all other domains itself.
+///
+/// If deferred tokens become usable in time for the calls that wait, the borrower is told that this router
+/// has too little at the moment, and asks again.
 pub(super) async fn lend_tokens(
     state: &Rc<GatewayState>,
     workspace: &WorkspaceName,
@@ -37,7 +41,9 @@
             return reply;
         }
         let is_unreachable = state.is_ledger_unreachable.get();
-        if (is_unreachable && is_foreign) || state.lending.was_refused(now, workspace) {
+        let is_opening = !is_foreign && opens_soon(state, workspace);
+        let is_refused = state.lending.was_refused(now, workspace) && !is_opening;
+        if (is_unreachable && is_foreign) || is_refused {
             return LoanReply::LedgerUnreachable;
         }
         if is_foreign && !is_covered(state, workspace, request.least) {
@@ -49,8 +55,12 @@
         if is_unreachable || exceeds_ledger || has_allocator(state, workspace) {
             start_request(state, workspace);
         }
-        if timeout_at(until, changed).await.is_err() {
-            return match state.is_ledger_unreachable.get() {
+        let wake_at = match is_opening {
+            true => until.min(Instant::now() + OPENING_CHECK_INTERVAL),
+            false => until,
+        };
+        if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
+            return match state.is_ledger_unreachable.get() && !opens_soon(state, workspace) {
                 true => LoanReply::LedgerUnreachable,
                 false => LoanReply::Short,
             };
@@ -64,6 +74,12 @@
     escrow.record_request(state.now(), workspace, request);
 }
 
+/// Whether the tokens held here cover all waiting calls before these give up.
+fn opens_soon(state: &GatewayState, workspace: &WorkspaceName) -> bool {
+    let opens_in_ms = state.escrow.borrow().opens_in_ms(state.now(), workspace);
+    opens_in_ms.is_some_and(|opens_in_ms| opens_in_ms <= CALL_WAIT_MS)
+}
+
 /// Whether the untaken part of the total covers a request, as far as this router knows.
 fn is_covered(state: &GatewayState, workspace: &WorkspaceName, tokens: u64) -> bool {
     let left = state.escrow.borrow().left_of(workspace);
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -13,9 +13,13 @@
 use super::refusal::RefusalCause;
 use super::token_lending::start_request;
 
-/// How long a call waits for the ledger, in milliseconds: a few attempts of a conflicting write, and short
-/// compared to what callers wait for a first event.
-const LEDGER_WAIT_MS: u64 = 700;
+/// How long a call waits for the ledger or for deferred tokens, in milliseconds: a few attempts of a
+/// conflicting write, and short compared to what callers wait for a first event.
+pub(super) const LEDGER_WAIT_MS: u64 = 700;
+
+/// Interval at which waiting calls look for deferred tokens that have become usable: short compared to the
+/// wait, so that calls are served soon after.
+pub(super) const OPENING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Tokens reserved for a call. Dropping the reservation, however the call ends, spends the used tokens and
 /// releases the others.
@@ -49,16 +53,24 @@
                 ReserveOutcome::Exhausted => return Err(RefusalCause::BudgetExhausted),
                 ReserveOutcome::Short => waiting.begin(),
             }
-            // While no tokens can arrive, waiting would only delay the refusal.
+            // While no tokens can arrive or become usable, waiting would only delay the refusal.
+            let left_ms = until.saturating_duration_since(Instant::now()).as_millis();
+            let opens_in_ms = state.escrow.borrow().opens_in_ms(now, workspace);
+            let is_opening =
+                opens_in_ms.is_some_and(|opens_in_ms| u128::from(opens_in_ms) <= left_ms);
             let is_pending = state.lending.is_request_pending(now, workspace);
             let is_unreachable =
                 state.is_ledger_unreachable.get() || state.lending.was_refused(now, workspace);
-            if has_requested && !is_pending && is_unreachable {
+            if has_requested && !is_pending && is_unreachable && !is_opening {
                 return Err(RefusalCause::BudgetUnreachable);
             }
             has_requested = true;
             start_request(state, workspace);
-            if timeout_at(until, changed).await.is_err() {
+            let wake_at = match is_opening {
+                true => until.min(Instant::now() + OPENING_CHECK_INTERVAL),
+                false => until,
+            };
+            if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
                 return Err(RefusalCause::BudgetUnreachable);
             }
         }
