Serve calls that wait for deferred tokens in turn

While the ledger is unreachable, a request now takes tokens from the moment at which they cover it and all that waited before it. With a reachable ledger nothing changes: a write serves all.

--- a/crates/beechsaddle-core/src/gateway/token_opening.rs
+++ b/crates/beechsaddle-core/src/gateway/token_opening.rs
@@ -10,6 +10,13 @@
 use crate::names::WorkspaceName;
 
 impl TokenEscrow {
+    /// Whether calls wait for deferred tokens of a workspace. A new call has to wait behind them:
+    /// tokens become usable about as fast as calls arrive, and earlier calls would get none.
+    pub fn has_opening_queue(&self, workspace: &WorkspaceName) -> bool {
+        let account = self.accounts.get(workspace);
+        account.is_some_and(|account| account.deferred > 0 && account.awaited() > 0)
+    }
+
     /// Returns the time until the tokens held here cover all calls that wait for tokens of a
     /// workspace, in milliseconds; `None` if they never do without a transfer.
     pub fn opens_in_ms(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<u64> {
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod ledger_wait;
 mod limits;
 mod log_sampler;
+mod opening_turn;
 mod peer_codec;
 mod peer_link;
 mod peer_server;
--- a/crates/beechsaddle/src/gateway/token_lender.rs
+++ b/crates/beechsaddle/src/gateway/token_lender.rs
@@ -9,8 +9,9 @@
 
 use super::gateway_state::GatewayState;
 use super::ledger_wait::LedgerWait;
+use super::opening_turn::OpeningTurn;
 use super::token_lending::start_request;
-use super::token_reservation::{LEDGER_WAIT_MS as CALL_WAIT_MS, OPENING_CHECK_INTERVAL};
+use super::token_reservation::LEDGER_WAIT_MS as CALL_WAIT_MS;
 
 /// How long a borrower waits while this router requests tokens from the ledger, in milliseconds: a few
 /// attempts of a conflicting write. The borrower's own timeout is longer.
@@ -33,34 +34,37 @@
     record_request(state, workspace, request);
     let waiting = LedgerWait::start(state, workspace, request.least);
     let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
+    let mut turn = OpeningTurn::default();
     loop {
         let changed = state.escrow_changed.notified();
         let now = state.now();
-        let reply = state.escrow.borrow_mut().lend(now, workspace, request);
+        let reply = match turn.is_awaited(state, workspace) {
+            true => LoanReply::Short,
+            false => state.escrow.borrow_mut().lend(now, workspace, request),
+        };
         if reply != LoanReply::Short {
             return reply;
         }
         let is_unreachable = state.is_ledger_unreachable.get();
-        let is_opening = !is_foreign && opens_soon(state, workspace);
-        let is_refused = state.lending.was_refused(now, workspace) && !is_opening;
-        if (is_unreachable && is_foreign) || is_refused {
+        if is_foreign && (is_unreachable || state.lending.was_refused(now, workspace)) {
             return LoanReply::LedgerUnreachable;
         }
         if is_foreign && !is_covered(state, workspace, request.least) {
             return LoanReply::Short;
         }
         waiting.begin();
+        let next_look = turn.next_look(state, workspace, CALL_WAIT_MS);
+        if state.lending.was_refused(now, workspace) && next_look.is_none() {
+            return LoanReply::LedgerUnreachable;
+        }
         state.escrow_wake.notify_one();
         let exceeds_ledger = state.escrow.borrow().is_uncovered(workspace);
         if is_unreachable || exceeds_ledger || has_allocator(state, workspace) {
             start_request(state, workspace);
         }
-        let wake_at = match is_opening {
-            true => until.min(Instant::now() + OPENING_CHECK_INTERVAL),
-            false => until,
-        };
+        let wake_at = next_look.map_or(until, |next_look| until.min(Instant::now() + next_look));
         if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
-            return match state.is_ledger_unreachable.get() && !opens_soon(state, workspace) {
+            return match state.is_ledger_unreachable.get() && next_look.is_none() {
                 true => LoanReply::LedgerUnreachable,
                 false => LoanReply::Short,
             };
@@ -74,12 +78,6 @@
     escrow.record_request(state.now(), workspace, request);
 }
 
-/// Whether the tokens held here cover all waiting calls before these give up.
-fn opens_soon(state: &GatewayState, workspace: &WorkspaceName) -> bool {
-    let opens_in_ms = state.escrow.borrow().opens_in_ms(state.now(), workspace);
-    opens_in_ms.is_some_and(|opens_in_ms| opens_in_ms <= CALL_WAIT_MS)
-}
-
 /// Whether the untaken part of the total covers a request, as far as this router knows.
 fn is_covered(state: &GatewayState, workspace: &WorkspaceName, tokens: u64) -> bool {
     let left = state.escrow.borrow().left_of(workspace);
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -10,6 +10,7 @@
 
 use super::gateway_state::GatewayState;
 use super::ledger_wait::LedgerWait;
+use super::opening_turn::OpeningTurn;
 use super::refusal::RefusalCause;
 use super::token_lending::start_request;
 
@@ -17,10 +18,6 @@
 /// conflicting write, and short compared to what callers wait for a first event.
 pub(super) const LEDGER_WAIT_MS: u64 = 700;
 
-/// Interval at which waiting calls look for deferred tokens that have become usable: short compared to the
-/// wait, so that calls are served soon after.
-pub(super) const OPENING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Tokens reserved for a call. Dropping the reservation, however the call ends, spends the used tokens and
 /// releases the others.
 pub(super) struct TokenReservation {
@@ -40,36 +37,37 @@
         let tokens = bound.total();
         let waiting = LedgerWait::start(state, workspace, tokens);
         let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
+        let until_ms = state.now().plus_ms(LEDGER_WAIT_MS);
+        let mut turn = OpeningTurn::default();
         let mut has_requested = false;
         loop {
             let changed = state.escrow_changed.notified();
             let now = state.now();
-            let outcome = state
-                .escrow
-                .borrow_mut()
-                .try_reserve(now, workspace, tokens);
+            let outcome = match turn.is_awaited(state, workspace) {
+                true => ReserveOutcome::Short,
+                false => state
+                    .escrow
+                    .borrow_mut()
+                    .try_reserve(now, workspace, tokens),
+            };
             match outcome {
                 ReserveOutcome::Reserved => break,
                 ReserveOutcome::Exhausted => return Err(RefusalCause::BudgetExhausted),
                 ReserveOutcome::Short => waiting.begin(),
             }
             // While no tokens can arrive or become usable, waiting would only delay the refusal.
-            let left_ms = until.saturating_duration_since(Instant::now()).as_millis();
-            let opens_in_ms = state.escrow.borrow().opens_in_ms(now, workspace);
-            let is_opening =
-                opens_in_ms.is_some_and(|opens_in_ms| u128::from(opens_in_ms) <= left_ms);
+            let left_ms = until_ms.since(now);
+            let next_look = turn.next_look(state, workspace, left_ms);
             let is_pending = state.lending.is_request_pending(now, workspace);
             let is_unreachable =
                 state.is_ledger_unreachable.get() || state.lending.was_refused(now, workspace);
-            if has_requested && !is_pending && is_unreachable && !is_opening {
+            if has_requested && !is_pending && is_unreachable && next_look.is_none() {
                 return Err(RefusalCause::BudgetUnreachable);
             }
             has_requested = true;
             start_request(state, workspace);
-            let wake_at = match is_opening {
-                true => until.min(Instant::now() + OPENING_CHECK_INTERVAL),
-                false => until,
-            };
+            let wake_at =
+                next_look.map_or(until, |next_look| until.min(Instant::now() + next_look));
             if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
                 return Err(RefusalCause::BudgetUnreachable);
             }
