Defer tokens for as long as a usual loss of power lasts

Of the largest workspace, 5.0 % of its total: 2.55 at the first loss, 1.40, 0.51 and 0.50 at the others; 3 % may be lost before a refusal is owed. Deferred tokens began to become usable 1 s after a write, and a loss of 1.5 s with 0.5 s for clocks outlasts that, so that each loss took what had become usable meanwhile, beside 1.5 s of demand that were usable at any time. After the first loss as much was usable at any time as before it, and near the end of a total nothing was deferred at all.

Ruled out by the same logs: borrowers (0.3 million), missing clocks (every mark was settled, 2 to 4.7 s after the loss), marks without a successor (none).

Now deferred tokens become usable 1.9 s after a write, at 1.2 times the demand, so that calls which waited catch up. The more was lost, the less is usable at any time (0.5 s at least) and the later the rest (up to 3 s), also near the end of a total.

--- a/crates/beechsaddle-core/src/gateway/deferred_change.rs
+++ b/crates/beechsaddle-core/src/gateway/deferred_change.rs
@@ -24,6 +24,10 @@
 /// lost with a router.
 const OPEN_SPAN_S: f64 = 30.0;
 
+/// The part of the tolerated losses from which tokens stay deferred when little is left of a total.
+/// Other routers cannot borrow deferred tokens, but what a loss takes is missing to all.
+const SCARCE_LOSS_RATIO: f64 = 0.1;
+
 /// A change whose outcome is unknown.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PendingChange {
@@ -88,7 +92,7 @@
         let deferred = clock.earliest.filter(|_| schedule.tokens > 0);
         let deferred = deferred.map(|earliest| DeferredReserve {
             tokens: schedule.tokens,
-            until: earliest.plus_ms(options.defer_ms),
+            until: earliest.plus_ms(schedule.opens_at.since(now)),
             per_s: schedule.per_s,
         });
         let change = LedgerChange {
@@ -170,18 +174,24 @@
     }
 
     /// Returns the schedule for `idle` tokens: calls can use what they need at any time, and what
-    /// they need beyond that as time passes.
+    /// they need beyond that as time passes. The more tokens were lost, the fewer are usable at any
+    /// time, and the later the others become usable.
     fn schedule_for(&self, now: ClockTime, idle: u64, options: &EscrowOptions) -> ReserveSchedule {
-        let opens_at = now.plus_ms(options.defer_ms);
+        let loss_ratio = self.loss_ratio(options);
+        let lends_all = self.is_scarce() && loss_ratio < SCARCE_LOSS_RATIO;
         if self.role != EscrowRole::Allocator
             || self.is_closing
-            || self.is_scarce()
+            || lends_all
             || options.defer_ms == 0
         {
             return ReserveSchedule::default();
         }
+        let lost_ms = options.defer_lost_ms as f64 * loss_ratio;
+        let opens_at = now.plus_ms(options.defer_ms + lost_ms as u64);
         let demand = self.demand.per_second(now).max(0.0);
-        let open = ((demand * options.open_s) as u64).max(self.largest_at(now));
+        let open_s = (options.open_s * (1.0 - loss_ratio)).max(options.open_least_s);
+        let largest = self.largest_at(now) as f64 * self.hold_factor(options);
+        let open = (demand * open_s).max(largest) as u64;
         let tokens = idle.saturating_sub(self.awaited()).saturating_sub(open);
         let least = tokens as f64 / OPEN_SPAN_S;
         let per_s = (demand * options.open_rate).max(least).ceil() as u64;
--- a/crates/beechsaddle-core/src/gateway/escrow_options.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -11,9 +11,15 @@
     /// deferred. It must exceed `defer_ms`, or calls are refused in an outage before the first
     /// deferred tokens become usable.
     pub open_s: f64,
+    /// The least seconds of demand that an allocator may use at any time, however much was lost:
+    /// nearly every call would wait for a ledger write otherwise.
+    pub open_least_s: f64,
     /// How long after a write the first deferred tokens become usable, in milliseconds; 0 defers
     /// none.
     pub defer_ms: u64,
+    /// How much longer tokens stay deferred once `lost_part` is lost, in milliseconds. Little is
+    /// held for outages by then, and a further loss would take what callers are owed.
+    pub defer_lost_ms: u64,
     /// Seconds of demand that become usable per second from then on. Below 1, calls are refused in
     /// an outage although tokens are held; what is above 1 is lost for each second that all routers
     /// are without power.
@@ -73,8 +79,10 @@
         EscrowOptions {
             hold_s: 10.5,
             open_s: 1.5,
-            defer_ms: 1_000,
-            open_rate: 1.0,
+            open_least_s: 0.5,
+            defer_ms: 1_900,
+            defer_lost_ms: 1_000,
+            open_rate: 1.2,
             renew_part: 0.005,
             borrow_s: 0.1,
             refill_part: 0.85,
--- a/crates/beechsaddle-core/src/gateway/transfer_plan.rs
+++ b/crates/beechsaddle-core/src/gateway/transfer_plan.rs
@@ -117,10 +117,16 @@
     /// paid for are refused for good. The square leaves nearly all of the reserve after a few
     /// losses, and nothing near the bound.
     pub(super) fn hold_factor(&self, options: &EscrowOptions) -> f64 {
+        let loss_ratio = self.loss_ratio(options);
+        1.0 - loss_ratio * loss_ratio
+    }
+
+    /// Returns the tokens lost with terminated routers so far, as a part of those that may be lost:
+    /// at most 1.
+    pub(super) fn loss_ratio(&self, options: &EscrowOptions) -> f64 {
         let counted = self.ledger.as_ref().map_or(0, |ledger| ledger.lost);
         let lost = counted.saturating_add(self.uncounted_losses) as f64;
         let tolerated = self.prepaid.unwrap_or(0) as f64 * options.lost_part;
-        let loss_ratio = lost / tolerated.max(1.0);
-        (1.0 - loss_ratio * loss_ratio).max(0.0)
+        (lost / tolerated.max(1.0)).min(1.0)
     }
 }
