Defer tokens again by what a loss of power would take

Little had become usable unused when power went, so that no write was due; but by the time that the successor proves, 0.5 s after its start, another 2 s of the schedule had passed.

An allocator now writes once a loss of power would take 0.4 % of the total more than one right after a write, in place of once 0.5 % has become usable unused. The shortest time between two such writes is as before.

--- a/crates/beechsaddle-core/src/gateway/deferred_change.rs
+++ b/crates/beechsaddle-core/src/gateway/deferred_change.rs
@@ -160,14 +160,16 @@
         self.deferred = self.deferred.saturating_sub(from_deferred);
     }
 
-    /// Whether so many tokens have become usable beyond what calls need until the next write that
-    /// they are worth one. Workspaces without recent calls cost no writes.
+    /// Whether a loss of power now would take so many more tokens than one right after a write that
+    /// they are worth a write: those that have become usable unused, and those that become usable
+    /// while power is away. Workspaces without recent calls cost no writes.
     pub(super) fn has_excess(&self, now: ClockTime, options: &EscrowOptions) -> bool {
         if self.largest_at(now) == 0 {
             return false;
         }
         let held = self.held();
-        let deferred = self.required_deferred(now).min(held);
+        let loss_end = now.plus_ms(options.defer_ms);
+        let deferred = self.required_deferred(loss_end).min(held);
         let wanted = self.schedule_for(now, held, options).tokens;
         let excess = wanted.saturating_sub(deferred) as f64;
         excess > self.prepaid.unwrap_or(0) as f64 * options.renew_part
--- a/crates/beechsaddle-core/src/gateway/escrow_options.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -24,8 +24,9 @@
     /// an outage although tokens are held; what is above 1 is lost for each second that all routers
     /// are without power.
     pub open_rate: f64,
-    /// The part of the prepaid total that may become usable beyond what an allocator keeps open
-    /// before it writes the ledger to defer it again. Less is not worth a write.
+    /// The part of the prepaid total that a loss of power may take beyond what it takes right after
+    /// a write, before an allocator writes the ledger to defer tokens again. Less is not worth a
+    /// write.
     pub renew_part: f64,
     /// Seconds of its own demand that a router borrows in advance from the allocator. The stock of
     /// borrowers is split among dozens of routers and covers few complete calls in an outage.
@@ -83,7 +84,7 @@
             defer_ms: 1_900,
             defer_lost_ms: 1_000,
             open_rate: 1.2,
-            renew_part: 0.005,
+            renew_part: 0.004,
             borrow_s: 0.1,
             refill_part: 0.85,
             max_part: 2.5,
--- a/crates/beechsaddle-core/tests/gateway_renewal.rs
+++ b/crates/beechsaddle-core/tests/gateway_renewal.rs
@@ -9,6 +9,10 @@
 const START: ClockTime = ClockTime::from_millis(1_000_000);
 /// The time between two calls, in milliseconds.
 const CALL_SPAN_MS: u64 = 10;
+/// The time between two calls once there are fewer, in milliseconds.
+const FEWER_CALLS_SPAN_MS: u64 = 10 * CALL_SPAN_MS;
+/// How long power is away in the losses that come several times in a day.
+const SHORT_LOSS_MS: u64 = 1_500;
 const CALL_TOKENS: u64 = 1_000;
 /// The demand of callers, in tokens per second.
 const DEMAND: u64 = CALL_TOKENS * 1_000 / CALL_SPAN_MS;
@@ -55,6 +59,19 @@
         }
     }
 
+    /// Runs for `span_ms` with a part of the calls, and returns the most tokens that a loss of power
+    /// would have taken meanwhile.
+    fn run_with_fewer_calls(&mut self, span_ms: u64) -> u64 {
+        let end = self.now.plus_ms(span_ms);
+        let mut most = 0;
+        while self.now < end {
+            self.run(FEWER_CALLS_SPAN_MS - CALL_SPAN_MS, false);
+            most = most.max(self.lost_after(SHORT_LOSS_MS));
+            self.run(CALL_SPAN_MS, true);
+        }
+        most
+    }
+
     /// Runs for `span_ms`, with calls or without.
     fn run(&mut self, span_ms: u64, has_calls: bool) {
         let end = self.now.plus_ms(span_ms);
@@ -96,12 +113,18 @@
 
     /// Returns the tokens that are lost if the process ends now and its successor starts at once.
     fn lost(&self) -> u64 {
+        self.lost_after(0)
+    }
+
+    /// Returns the tokens that are lost if the process ends now and its successor starts `span_ms`
+    /// later.
+    fn lost_after(&self, span_ms: u64) -> u64 {
         let change = LedgerChange {
             number: 1,
             transfer: TokenTransfer::Take(0),
             idle: 0,
             deferred: None,
-            started: StartBound::By(self.now),
+            started: StartBound::By(self.now.plus_ms(span_ms)),
         };
         let next = self.ledger.with_change("host-0@2", change);
         let returned = self.ledger.taken - next.taken;
@@ -136,3 +159,18 @@
     allocator.run(60_000, false);
     assert_eq!(allocator.ledger, ledger);
 }
+
+/// Callers become fewer after a write: deferred tokens that become usable on time and are not used
+/// are lost with the process. A loss may then take what is usable at any time and a part of the total
+/// that is not worth a write.
+#[test]
+fn allocator_with_fewer_calls_defers_tokens_again() {
+    let options = EscrowOptions::default();
+    let mut allocator = SteadyAllocator::new();
+    allocator.run(10_000, true);
+    let most = allocator.run_with_fewer_calls(10_000);
+    let usable = DEMAND as f64 * options.open_s;
+    let small = PREPAID as f64 * options.renew_part;
+    let bound = usable + small;
+    assert!((most as f64) < bound, "{most} of {bound} lost");
+}
