--- a/crates/beechsaddle-core/src/gateway/escrow_options.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -8,14 +8,15 @@
     /// length refuses no call, and a killed router loses this much.
     pub hold_s: f64,
     /// Seconds of its domain's demand that an allocator may use at any time; tokens beyond that are
-    /// deferred. It must exceed `defer_ms`, or calls are refused in an outage before the first
-    /// deferred tokens become usable.
+    /// deferred. What it is below `defer_ms`, calls wait for at the start of an outage: more than
+    /// they wait at most is refused.
     pub open_s: f64,
     /// The least seconds of demand that an allocator may use at any time, however much was lost:
     /// nearly every call would wait for a ledger write otherwise.
     pub open_least_s: f64,
     /// How long after a write the first deferred tokens become usable, in milliseconds; 0 defers
-    /// none.
+    /// none. About as long as power is away in a loss of it and the clocks of hosts may differ:
+    /// what becomes usable before the successor's start is lost.
     pub defer_ms: u64,
     /// How much longer tokens stay deferred once `lost_part` is lost, in milliseconds. Little is
     /// held for outages by then, and a further loss would take what callers are owed.
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -37,7 +37,7 @@
         let tokens = bound.total();
         let waiting = LedgerWait::start(state, workspace, tokens);
         let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
-        let until_ms = state.now().plus_ms(LEDGER_WAIT_MS);
+        let gives_up_at = state.now().plus_ms(LEDGER_WAIT_MS);
         let mut turn = OpeningTurn::default();
         let mut has_requested = false;
         loop {
@@ -56,7 +56,7 @@
                 ReserveOutcome::Short => waiting.begin(),
             }
             // While no tokens can arrive or become usable, waiting would only delay the refusal.
-            let left_ms = until_ms.since(now);
+            let left_ms = gives_up_at.since(now);
             let next_look = turn.next_look(state, workspace, left_ms);
             let is_pending = state.lending.is_request_pending(now, workspace);
             let is_unreachable =
