Log and count how a target's stream ended: framing, whole or inside an event

Callers got truncated streams as complete ones. Neither the log line of a call nor a metric told whether the response had a length, chunks or neither, nor whether bytes of an incomplete event were left at its end, so that a close taken for an end, a lost reset and a response that the engine itself framed wrongly looked the same. The call line has framing= and partial_bytes= now, and beechsaddle_stream_ends counts both. No logic changes.

--- a/crates/beechsaddle/src/gateway/event_splitter.rs
+++ b/crates/beechsaddle/src/gateway/event_splitter.rs
@@ -48,6 +48,11 @@
         self.buffer.clear();
     }
 
+    /// Returns the size of the incomplete event, in bytes.
+    pub(super) fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Takes the bytes after the last complete event.
     pub(super) fn take_partial(&mut self) -> Bytes {
         self.buffer.split().freeze()
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use beechsaddle_platform::BodyFraming;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -23,6 +24,15 @@
     pub(super) what: &'static str,
 }
 
+/// How a target's part of a stream ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct StreamEndLabel {
+    /// The framing of the response.
+    pub(super) framing: &'static str,
+    /// Where the body ended.
+    pub(super) what: &'static str,
+}
+
 /// The name and the outcome of a store call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct StoreLabel {
@@ -35,6 +45,9 @@
 /// Why an answer counts as late: the time to its first event, or a pause between two events.
 const LATE_CAUSES: [&str; 2] = ["first", "pause"];
 
+/// A stream's body ended after a whole event, or inside an event.
+pub(super) const STREAM_ENDS: [&str; 2] = ["whole", "inside_event"];
+
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
 
@@ -64,6 +77,9 @@
     pub(super) repeats_denied: Counter,
     /// Streams continued at another target.
     pub(super) resumes: Counter,
+    /// Targets' parts of streams whose body ended without an error, by framing and by where it
+    /// ended: after a `whole` event or inside one.
+    pub(super) stream_ends: Family<StreamEndLabel, Counter>,
     pub(super) ejections: Counter,
     /// Attempts during which a target crashed.
     pub(super) crashes_seen: Counter,
@@ -121,6 +137,7 @@
             repeats: Family::default(),
             repeats_denied: Counter::default(),
             resumes: Counter::default(),
+            stream_ends: Family::default(),
             ejections: Counter::default(),
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
@@ -144,6 +161,14 @@
             reserve_s: latency_histogram(),
             store_s: latency_histogram(),
         };
+        // So that a rate includes the first truncated stream.
+        for framing in BodyFraming::ALL {
+            for what in STREAM_ENDS {
+                let framing = framing.as_str();
+                let label = StreamEndLabel { framing, what };
+                drop(metrics.stream_ends.get_or_create(&label));
+            }
+        }
         // Both causes are exported at zero, so that a rate includes the first late answer.
         for what in LATE_CAUSES {
             drop(metrics.late.get_or_create(&OutcomeLabel { what }));
@@ -173,6 +198,8 @@
         let denied = self.repeats_denied.clone();
         registry.register("repeats_denied", "Kept back by the retry budget", denied);
         registry.register("resumes", "Streams resumed", self.resumes.clone());
+        let stream_ends = self.stream_ends.clone();
+        registry.register("stream_ends", "Regular ends of streams", stream_ends);
         registry.register("ejections", "Targets ejected", self.ejections.clone());
         let crashes = self.crashes_seen.clone();
         registry.register(
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -20,6 +20,7 @@
 use super::call_record::ANSWERED;
 use super::crashes::{detect_crash, record_completion};
 use super::event_splitter::EventSplitter;
+use super::gateway_metrics::{STREAM_ENDS, StreamEndLabel};
 use super::stream_exchange::{StreamOpening, open_stream};
 use super::token_reservation::TokenReservation;
 
@@ -253,6 +254,7 @@
 
     fn handle_end(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         self.is_finished = true;
+        self.record_end();
         if let Some(attempt) = self.attempt.take() {
             attempt.finish(&self.call);
             record_completion(&self.call.state, self.call.fingerprint);
@@ -263,6 +265,31 @@
         (!remainder.is_empty()).then_some(Ok(remainder))
     }
 
+    /// Records where the body of the current target's response ended.
+    fn record_end(&self) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let framing = attempt.facts.framing.as_str();
+        let partial_bytes = self.splitter.partial_bytes();
+        let [whole, inside_event] = STREAM_ENDS;
+        let what = match partial_bytes {
+            0 => whole,
+            _ => inside_event,
+        };
+        let label = StreamEndLabel { framing, what };
+        self.call
+            .state
+            .metrics
+            .stream_ends
+            .get_or_create(&label)
+            .inc();
+        self.call.record.add_field("framing", framing);
+        if partial_bytes > 0 {
+            self.call.record.add_field("partial_bytes", partial_bytes);
+        }
+    }
+
     /// Resumes the stream at another target, after the last event that the caller has.
     async fn try_resume(&mut self, end: AttemptEnd, detail: &str) -> Result<(), StreamBroken> {
         // The old connection is closed first: two targets at work on one stream waste one of them.
