Failing tests: a stream without a length or chunks that is cut looks complete

The stand-in for a target can end its streams with the connection, and reset them. Three tests fail on this code and are listed: a stream cut inside an event, one cut before its first event, and a resumable one cut inside an event, which is not resumed.

--- a/crates/beechsaddle/tests/gateway_streams.rs
+++ b/crates/beechsaddle/tests/gateway_streams.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use beechsaddle_platform_stand_in::{CallRequest, TargetFault, TargetStandIn};
+use beechsaddle_platform_stand_in::{CallRequest, StreamFraming, TargetFault, TargetStandIn};
 use gateway_support::{GatewayBench, draft, request, wait_for};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -79,6 +79,88 @@
     }
 }
 
+fn end_with_connection(targets: &[TargetStandIn]) {
+    for target in targets {
+        target.set_framing(StreamFraming::Connection);
+    }
+}
+
+#[tokio::test]
+async fn unframed_stream_passes_whole() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    end_with_connection(&bench.engines);
+    let call = stream_request("/stream/once/1", "call-1");
+    let reply = bench.router.call(&call).await;
+    assert_eq!(reply.status, 200);
+    assert!(reply.is_complete);
+    assert_eq!(event_ids(&reply.body), [1, 2, 3]);
+}
+
+/// A stream without a length or chunks that ends inside an event must not look complete.
+#[tokio::test]
+async fn unframed_stream_cut_inside_an_event_is_not_complete() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    end_with_connection(&bench.engines);
+    for target in &bench.engines {
+        target.set_fault(TargetFault::TruncatedStream(1));
+    }
+    let call = stream_request("/stream/once/1", "call-1");
+    let reply = bench.router.call(&call).await;
+    assert!(!reply.is_complete);
+    assert_eq!(event_ids(&reply.body), [1]);
+    assert!(!reply.body.contains("id: 2"), "{}", reply.body);
+    assert_eq!(GatewayBench::run_count(&bench.engines), 1);
+    let ends = "stream_ends_total{framing=\"connection\",what=\"inside_event\"}";
+    assert_eq!(bench.router.metric(ends).await, Some(1.0));
+}
+
+/// A stream without a length or chunks whose connection is reset after an event must not look complete.
+#[tokio::test]
+async fn unframed_stream_reset_after_an_event_is_not_complete() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    set_events(&bench.engines, 3, 50);
+    end_with_connection(&bench.engines);
+    for target in &bench.engines {
+        target.set_fault(TargetFault::ResetStream(1));
+    }
+    let call = stream_request("/stream/once/1", "call-1");
+    let reply = bench.router.call(&call).await;
+    assert!(!reply.is_complete);
+    assert_eq!(event_ids(&reply.body), [1]);
+}
+
+/// A crash before the first event of a stream without a length or chunks must not look like a complete
+/// stream.
+#[tokio::test]
+async fn unframed_stream_cut_before_its_first_event_is_not_complete() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    end_with_connection(&bench.engines);
+    for target in &bench.engines {
+        target.crash_on(b"crash");
+    }
+    let mut call = stream_request("/stream/once/1", "call-1");
+    call.body = b"crash".to_vec();
+    let reply = bench.router.call(&call).await;
+    assert!(!reply.is_complete);
+    assert_eq!(reply.body, "");
+}
+
+/// A resumable stream without a length or chunks that ends inside an event continues at another target, and
+/// no event is lost or sent twice.
+#[tokio::test]
+async fn unframed_resumable_cut_continues_in_the_same_response() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    set_events(&bench.engines, 5, 5);
+    end_with_connection(&bench.engines);
+    bench.engines[0].set_fault(TargetFault::TruncatedStream(2));
+    for number in 0..6 {
+        let call = stream_request("/stream/on/1", &format!("call-{number}"));
+        let reply = bench.router.call(&call).await;
+        assert!(reply.is_complete);
+        assert_eq!(event_ids(&reply.body), [1, 2, 3, 4, 5]);
+    }
+}
+
 /// A caller that resumes a stream gets only the events it does not have.
 #[tokio::test]
 async fn resume_by_the_caller_is_passed_on() {
