Treat a stream that ends inside an event, or unframed before its first, as cut

What callers saw: a stream whose engine crashed reached them with a regular end, with the bytes of an incomplete event before it.

Cause: a response with neither a length nor chunks ends with its connection, and the HTTP library reports any close as the regular end of such a body. The relay took that for the end of the stream, forwarded what was left of an incomplete event, and ended its own response with a last chunk. It also counted the attempt as a success: the target kept its good statistics, and a request that crashes targets was cleared of suspicion.

Fix: the end of the body is the end of the stream only between two events; where nothing but the close marks the end, at least one event is needed as well. Everything else goes the way of a broken connection: resumed at another target where the route allows it, otherwise the caller's connection ends without the last chunk.

--- a/crates/beechsaddle/src/gateway/event_splitter.rs
+++ b/crates/beechsaddle/src/gateway/event_splitter.rs
@@ -12,6 +12,8 @@
     pub(super) bytes: Bytes,
     /// Number of events in `bytes`.
     pub(super) events: u64,
+    /// Number of events that became complete, also those that the caller already has.
+    pub(super) complete: u64,
 }
 
 /// An event that exceeds `MAX_EVENT_BYTES`.
@@ -53,11 +55,6 @@
         self.buffer.len()
     }
 
-    /// Takes the bytes after the last complete event.
-    pub(super) fn take_partial(&mut self) -> Bytes {
-        self.buffer.split().freeze()
-    }
-
     /// Adds bytes read from the target and returns the events that are complete and new to the
     /// caller.
     ///
@@ -68,8 +65,10 @@
         self.buffer.extend_from_slice(part);
         let mut passed = BytesMut::new();
         let mut events = 0;
+        let mut complete = 0;
         while let Some(end) = event_end(&self.buffer) {
             let event = self.buffer.split_to(end);
+            complete += 1;
             if self.accept_event(&event) {
                 passed.extend_from_slice(&event);
                 events += 1;
@@ -81,6 +80,7 @@
         Ok(CompleteEvents {
             bytes: passed.freeze(),
             events,
+            complete,
         })
     }
 
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -45,8 +45,8 @@
 /// Why an answer counts as late: the time to its first event, or a pause between two events.
 const LATE_CAUSES: [&str; 2] = ["first", "pause"];
 
-/// A stream's body ended after a whole event, or inside an event.
-pub(super) const STREAM_ENDS: [&str; 2] = ["whole", "inside_event"];
+/// Where a stream's body ended: after a whole event, inside an event, or before its first event.
+pub(super) const STREAM_ENDS: [&str; 3] = ["whole", "inside_event", "no_event"];
 
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
@@ -78,7 +78,7 @@
     /// Streams continued at another target.
     pub(super) resumes: Counter,
     /// Targets' parts of streams whose body ended without an error, by framing and by where it
-    /// ended: after a `whole` event or inside one.
+    /// ended.
     pub(super) stream_ends: Family<StreamEndLabel, Counter>,
     pub(super) ejections: Counter,
     /// Attempts during which a target crashed.
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -7,7 +7,7 @@
 use beechsaddle_core::gateway::{AttemptEnd, RouteKind};
 use beechsaddle_core::prelude::*;
 use beechsaddle_link::HttpLink;
-use beechsaddle_platform::ResponseHead;
+use beechsaddle_platform::{BodyFraming, ResponseHead};
 use bytes::Bytes;
 use futures::stream::unfold;
 use http_body_util::BodyExt;
@@ -108,6 +108,8 @@
     link: HttpLink,
     body: Incoming,
     facts: ResponseHead,
+    /// Whether the target has sent a complete event.
+    has_event: bool,
 }
 
 impl StreamAttempt {
@@ -123,6 +125,7 @@
             link,
             body,
             facts,
+            has_event: false,
         }
     }
 
@@ -189,11 +192,8 @@
         while !self.is_finished {
             let part = match self.next_part().await {
                 UpstreamPart::Data(data) => self.handle_data(&data),
-                UpstreamPart::End => self.handle_end(),
-                UpstreamPart::Lost(end, detail) => match self.try_resume(end, &detail).await {
-                    Ok(()) => None,
-                    Err(broken) => Some(Err(broken)),
-                },
+                UpstreamPart::End => self.handle_end().await,
+                UpstreamPart::Lost(end, detail) => self.handle_loss(end, &detail).await,
             };
             if part.is_some() {
                 return part;
@@ -239,6 +239,9 @@
             return Some(Err(self.abort("event exceeds the size limit")));
         };
         self.events += part.events;
+        if let Some(attempt) = &mut self.attempt {
+            attempt.has_event |= part.complete > 0;
+        }
         if let Some(reservation) = &self.reservation {
             // The target does not report tokens per event; each event is charged the most it can
             // hold.
@@ -252,17 +255,41 @@
         Some(Ok(part.bytes))
     }
 
-    fn handle_end(&mut self) -> Option<Result<Bytes, StreamBroken>> {
-        self.is_finished = true;
+    async fn handle_end(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         self.record_end();
+        if self.is_truncated() {
+            let detail = "the stream ended inside or before an event";
+            return self.handle_loss(AttemptEnd::Broken, detail).await;
+        }
+        self.is_finished = true;
         if let Some(attempt) = self.attempt.take() {
             attempt.finish(&self.call);
             record_completion(&self.call.state, self.call.fingerprint);
         }
         self.call.record.record_lateness(&self.call.route);
         self.call.record.set_outcome(ANSWERED);
-        let remainder = self.splitter.take_partial();
-        (!remainder.is_empty()).then_some(Ok(remainder))
+        None
+    }
+
+    /// Returns whether the current target's stream was cut although its body ended without an error. If
+    /// the body ends with its connection, a crash of the target shows in no other way.
+    fn is_truncated(&self) -> bool {
+        let Some(attempt) = &self.attempt else {
+            return true;
+        };
+        let is_unframed = attempt.facts.framing == BodyFraming::Connection;
+        self.splitter.partial_bytes() > 0 || (is_unframed && !attempt.has_event)
+    }
+
+    async fn handle_loss(
+        &mut self,
+        end: AttemptEnd,
+        detail: &str,
+    ) -> Option<Result<Bytes, StreamBroken>> {
+        match self.try_resume(end, detail).await {
+            Ok(()) => None,
+            Err(broken) => Some(Err(broken)),
+        }
     }
 
     /// Records where the body of the current target's response ended.
@@ -272,10 +299,11 @@
         };
         let framing = attempt.facts.framing.as_str();
         let partial_bytes = self.splitter.partial_bytes();
-        let [whole, inside_event] = STREAM_ENDS;
-        let what = match partial_bytes {
-            0 => whole,
-            _ => inside_event,
+        let [whole, inside_event, no_event] = STREAM_ENDS;
+        let what = match (partial_bytes, attempt.has_event) {
+            (1.., _) => inside_event,
+            (0, true) => whole,
+            (0, false) => no_event,
         };
         let label = StreamEndLabel { framing, what };
         self.call
