Log and count whether a router reaches the targets by itself

During a partition from all targets the logs showed ejections of single targets, which look the same if targets crash one after the other. beechsaddle_connects counts new connections by result, targets_unreachable and targets_reachable mark when a router last reached any target. Nothing is decided by it yet.

--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod link_meter;
 mod loan_backoff;
 mod outlier_score;
+mod path_monitor;
 mod peer_ring;
 mod permit_issuer;
 mod policy_options;
@@ -69,6 +70,7 @@
 pub use link_meter::{LinkDirection, LinkMeter};
 pub use loan_backoff::LoanBackoff;
 pub use outlier_score::OutlierScore;
+pub use path_monitor::{PathChange, PathMonitor};
 pub use peer_ring::{PeerRecord, PeerRing};
 pub use permit_issuer::{IssuerRank, PermitIssuer, PermitReply};
 pub use policy_options::PolicyOptions;
--- /dev/null
+++ b/crates/beechsaddle-core/tests/gateway_path.rs
@@ -0,0 +1,43 @@
+//! Tests of whether a router reaches the targets by itself.
+
+use beechsaddle_core::gateway::{PathChange, PathMonitor};
+use beechsaddle_core::names::TargetName;
+
+fn fail(monitor: &mut PathMonitor, target: &str, ready_targets: usize) -> Option<PathChange> {
+    monitor.record_unreached(&TargetName::new(target), ready_targets)
+}
+
+#[test]
+fn path_is_lost_after_three_targets_in_a_row() {
+    let mut monitor = PathMonitor::default();
+    assert_eq!(fail(&mut monitor, "a", 12), None);
+    assert_eq!(fail(&mut monitor, "b", 12), None);
+    assert_eq!(fail(&mut monitor, "c", 12), Some(PathChange::Lost));
+    assert_eq!(fail(&mut monitor, "d", 12), None);
+    assert!(monitor.is_lost());
+    assert_eq!(monitor.record_reached(), Some(PathChange::Regained));
+    assert!(!monitor.is_lost());
+}
+
+/// A single dead target does not count as a partition, however often it is tried.
+#[test]
+fn path_stays_with_one_dead_target() {
+    let mut monitor = PathMonitor::default();
+    for _ in 0..10 {
+        assert_eq!(fail(&mut monitor, "a", 12), None);
+        assert_eq!(fail(&mut monitor, "b", 12), None);
+    }
+    assert_eq!(monitor.record_reached(), None);
+    assert_eq!(fail(&mut monitor, "c", 12), None);
+    assert!(!monitor.is_lost());
+}
+
+/// With fewer than three targets, a partition is noticed once all of them are unreachable.
+#[test]
+fn path_is_lost_with_few_targets() {
+    let mut monitor = PathMonitor::default();
+    assert_eq!(fail(&mut monitor, "a", 2), None);
+    assert_eq!(fail(&mut monitor, "b", 2), Some(PathChange::Lost));
+    let mut monitor = PathMonitor::default();
+    assert_eq!(fail(&mut monitor, "a", 1), Some(PathChange::Lost));
+}
--- a/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
@@ -9,13 +9,14 @@
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions};
+use beechsaddle_link::{LinkFailure, LinkOptions};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
 use super::crash_manager::apply_reports;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::target_path::connect_directly;
 
 /// Timeout of the probe's connection attempt. It is long because connecting is slow over a
 /// saturated link.
@@ -69,7 +70,7 @@
         ..LinkOptions::default()
     };
     let address = run.target.address;
-    match HttpLink::try_connect(address, options).await {
+    match connect_directly(&state, &run.target, options).await {
         Ok(link) => state.pool.put(state.now(), address, link, None),
         Err(LinkFailure::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             record_crash(&state, &run, run_ms);
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -51,9 +51,12 @@
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
 
+/// The results of connecting to a target.
+pub(super) const CONNECT_RESULTS: [&str; 3] = ["connected", "refused", "failed"];
+
 /// Creates counters that are exported at zero for each value, so that they also show on a router that never
 /// follows another one.
-fn zeroed_counters(values: [&'static str; 5]) -> Family<OutcomeLabel, Counter> {
+fn zeroed_counters<const N: usize>(values: [&'static str; N]) -> Family<OutcomeLabel, Counter> {
     let counters = Family::<OutcomeLabel, Counter>::default();
     for what in values {
         drop(counters.get_or_create(&OutcomeLabel { what }));
@@ -80,6 +83,10 @@
     /// Targets' parts of streams whose body ended without an error, by framing and by where it
     /// ended.
     pub(super) stream_ends: Family<StreamEndLabel, Counter>,
+    /// New connections to targets, by result.
+    pub(super) connects: Family<OutcomeLabel, Counter>,
+    /// 1 while the router is partitioned from the targets.
+    pub(super) path_lost: Gauge,
     pub(super) ejections: Counter,
     /// Attempts during which a target crashed.
     pub(super) crashes_seen: Counter,
@@ -138,6 +145,8 @@
             repeats_denied: Counter::default(),
             resumes: Counter::default(),
             stream_ends: Family::default(),
+            connects: zeroed_counters(CONNECT_RESULTS),
+            path_lost: Gauge::default(),
             ejections: Counter::default(),
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
@@ -200,6 +209,10 @@
         registry.register("resumes", "Streams resumed", self.resumes.clone());
         let stream_ends = self.stream_ends.clone();
         registry.register("stream_ends", "Regular ends of streams", stream_ends);
+        let connects = self.connects.clone();
+        registry.register("connects", "New connections to targets", connects);
+        let path_lost = self.path_lost.clone();
+        registry.register("path_lost", "Partitioned from the targets", path_lost);
         registry.register("ejections", "Targets ejected", self.ejections.clone());
         let crashes = self.crashes_seen.clone();
         registry.register(
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -5,8 +5,8 @@
 
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
-    EvacuationRegistry, GatewayConfig, LinkDirection, LinkMeter, RetryShare, RosterChange,
-    RotationGate, TargetPhase, TargetRecord, TargetRoster, TokenEscrow, UpdateAge,
+    EvacuationRegistry, GatewayConfig, LinkDirection, LinkMeter, PathMonitor, RetryShare,
+    RosterChange, RotationGate, TargetPhase, TargetRecord, TargetRoster, TokenEscrow, UpdateAge,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -72,6 +72,8 @@
     pub(super) rotation: RefCell<RotationGate>,
     /// The retry budget.
     pub(super) retries: RefCell<RetryShare>,
+    /// Whether the router reaches the targets by itself.
+    pub(super) path: RefCell<PathMonitor>,
     /// Idle connections to targets.
     pub(super) pool: TargetPool,
     pub(super) store: StoreClient,
@@ -128,6 +130,7 @@
             link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
             rotation: RefCell::default(),
             retries: RefCell::new(RetryShare::new(settings.retries)),
+            path: RefCell::default(),
             pool: TargetPool::default(),
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod stream_exchange;
 mod stream_relay;
 mod target_choice;
+mod target_path;
 mod target_pool;
 mod target_send;
 mod token_borrow;
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -15,6 +15,7 @@
 use super::call_context::CallContext;
 use super::gateway_state::GatewayState;
 use super::limits::record_limit;
+use super::target_path::connect_directly;
 
 /// The head of a target's response and its connection.
 pub(super) struct TargetAnswer {
@@ -64,7 +65,7 @@
             other => return other.map_err(|(failure, _)| failure),
         }
     }
-    let link = connect(target.address).await?;
+    let link = connect(&call.state, target).await?;
     if !call.state.accepts_requests(target) {
         let failure = SendFailure::new(AttemptEnd::Withdrawn, "target was withdrawn meanwhile");
         return Err(failure);
@@ -75,8 +76,8 @@
     sent.map_err(|(failure, _)| failure)
 }
 
-async fn connect(address: SocketAddr) -> Result<HttpLink, SendFailure> {
-    let connected = HttpLink::try_connect(address, LinkOptions::default()).await;
+async fn connect(state: &GatewayState, target: &TargetRecord) -> Result<HttpLink, SendFailure> {
+    let connected = connect_directly(state, target, LinkOptions::default()).await;
     connected.map_err(|failure| {
         let end = match failure.is_refused() {
             true => AttemptEnd::Refused,
