--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::ClockTime;
 use crate::hash::rendezvous_weight;
-use crate::names::{DomainName, HostName, WorkspaceName};
+use crate::names::{DomainName, HostName, TargetName, WorkspaceName};
 
 /// How long a router that did not answer is skipped at first, in milliseconds. A request to one
 /// that is still down costs a waiting call one timeout.
@@ -248,6 +248,24 @@
         before.take(count).count() < count
     }
 
+    /// Returns the routers that may open tunnels to a target, in the order in which this router asks
+    /// them: those of the own domain first, in an order of their own for each router and target.
+    pub fn tunnel_routers(&self, now: ClockTime, target: &TargetName) -> Vec<&PeerRecord> {
+        let key = format!("{}/{target}", self.me);
+        let others = self.peers.values().filter(|peer| peer.host != self.me);
+        let usable = others.filter(|peer| self.is_usable(now, peer));
+        let ranked = usable.map(|peer| {
+            let is_foreign = peer.domain != self.domain;
+            (
+                (is_foreign, rendezvous_weight(&key, peer.host.as_str())),
+                peer,
+            )
+        });
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, peer)| peer).collect()
+    }
+
     /// Returns the other routers of the own domain that answer, as far as known.
     pub fn neighbours(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
         let others = self.peers.values().filter(|peer| peer.host != self.me);
--- a/crates/beechsaddle-core/src/gateway/repeat_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/repeat_rule.rs
@@ -10,6 +10,8 @@
     Unsent,
     /// The target's host refused the connection: no process serves the address.
     Refused,
+    /// The router reaches no target, neither by itself nor through another router.
+    NoPath,
     /// The target was withdrawn before anything was sent to it.
     Withdrawn,
     /// Another process has the target's address, and did not run the request.
@@ -30,6 +32,7 @@
         match self {
             AttemptEnd::Unsent
             | AttemptEnd::Refused
+            | AttemptEnd::NoPath
             | AttemptEnd::Withdrawn
             | AttemptEnd::Misdirected
             | AttemptEnd::NotRun => false,
@@ -40,7 +43,10 @@
     /// Whether a target saw the request, so that another attempt is one more arrival.
     pub fn is_arrival(self) -> bool {
         match self {
-            AttemptEnd::Unsent | AttemptEnd::Refused | AttemptEnd::Withdrawn => false,
+            AttemptEnd::Unsent
+            | AttemptEnd::Refused
+            | AttemptEnd::NoPath
+            | AttemptEnd::Withdrawn => false,
             AttemptEnd::Misdirected
             | AttemptEnd::NotRun
             | AttemptEnd::Failed
@@ -54,6 +60,7 @@
         match self {
             AttemptEnd::Unsent => "unsent",
             AttemptEnd::Refused => "refused",
+            AttemptEnd::NoPath => "no_path",
             AttemptEnd::Withdrawn => "withdrawn",
             AttemptEnd::Misdirected => "misdirected",
             AttemptEnd::NotRun => "not_run",
@@ -91,6 +98,8 @@
     pub fn record(&mut self, end: AttemptEnd) {
         match end {
             AttemptEnd::Refused => self.refused += 1,
+            // Another target cannot be reached either.
+            AttemptEnd::NoPath => self.unsent = UNSENT_MAX,
             AttemptEnd::Misdirected => self.misdirected += 1,
             _ if end.is_arrival() => self.sent += 1,
             _ => self.unsent += 1,
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -272,6 +272,13 @@
         self.entries.get_mut(name)
     }
 
+    /// Ends all ejections, since the router itself was the reason of recent failures.
+    pub fn clear_ejections(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.stats.clear_ejection();
+        }
+    }
+
     pub fn stats_mut(&mut self, name: &TargetName) -> Option<&mut TargetStats> {
         self.entries.get_mut(name).map(|entry| &mut entry.stats)
     }
--- a/crates/beechsaddle-core/src/gateway/target_stats.rs
+++ b/crates/beechsaddle-core/src/gateway/target_stats.rs
@@ -97,8 +97,7 @@
     pub fn record_outcome(&mut self, now: ClockTime, is_failure: bool) {
         self.outliers.record(now, is_failure);
         if !is_failure {
-            self.ejections = 0;
-            self.ejected_until = ClockTime::ZERO;
+            self.clear_ejection();
             self.progress_at = now;
         }
     }
@@ -113,6 +112,12 @@
         self.ejections += 1;
     }
 
+    /// Ends the ejection, if its reason was not the target.
+    pub fn clear_ejection(&mut self) {
+        self.ejections = 0;
+        self.ejected_until = ClockTime::ZERO;
+    }
+
     pub fn is_ejected(&self, now: ClockTime) -> bool {
         now < self.ejected_until
     }
--- a/crates/beechsaddle-core/tests/gateway_path.rs
+++ b/crates/beechsaddle-core/tests/gateway_path.rs
@@ -7,6 +7,10 @@
     monitor.record_unreached(&TargetName::new(target), ready_targets)
 }
 
+fn reach(monitor: &mut PathMonitor, target: &str) -> Option<PathChange> {
+    monitor.record_reached(&TargetName::new(target))
+}
+
 #[test]
 fn path_is_lost_after_three_targets_in_a_row() {
     let mut monitor = PathMonitor::default();
@@ -15,10 +19,37 @@
     assert_eq!(fail(&mut monitor, "c", 12), Some(PathChange::Lost));
     assert_eq!(fail(&mut monitor, "d", 12), None);
     assert!(monitor.is_lost());
-    assert_eq!(monitor.record_reached(), Some(PathChange::Regained));
+    assert_eq!(reach(&mut monitor, "d"), Some(PathChange::Regained));
     assert!(!monitor.is_lost());
 }
 
+/// A router that reaches a part of the targets needs tunnels to the others only.
+#[test]
+fn tunnels_are_needed_for_unreached_targets_only() {
+    let mut monitor = PathMonitor::default();
+    fail(&mut monitor, "a", 12);
+    assert!(!monitor.needs_tunnel(&TargetName::new("a")));
+    reach(&mut monitor, "c");
+    fail(&mut monitor, "b", 12);
+    assert!(!monitor.is_lost());
+    let needing = ["a", "b", "c"].map(|name| monitor.needs_tunnel(&TargetName::new(name)));
+    assert_eq!(needing, [true, true, false]);
+    reach(&mut monitor, "a");
+    assert!(!monitor.needs_tunnel(&TargetName::new("b")));
+}
+
+/// Targets that are not reached because they are gone count for nothing.
+#[test]
+fn gone_targets_are_forgotten() {
+    let mut monitor = PathMonitor::default();
+    fail(&mut monitor, "a", 12);
+    fail(&mut monitor, "b", 12);
+    assert!(monitor.is_suspected());
+    monitor.forget(&TargetName::new("a"));
+    assert!(!monitor.is_suspected());
+    assert!(!monitor.needs_tunnel(&TargetName::new("b")));
+}
+
 /// A single dead target does not count as a partition, however often it is tried.
 #[test]
 fn path_stays_with_one_dead_target() {
@@ -27,7 +58,7 @@
         assert_eq!(fail(&mut monitor, "a", 12), None);
         assert_eq!(fail(&mut monitor, "b", 12), None);
     }
-    assert_eq!(monitor.record_reached(), None);
+    assert_eq!(reach(&mut monitor, "d"), None);
     assert_eq!(fail(&mut monitor, "c", 12), None);
     assert!(!monitor.is_lost());
 }
--- a/crates/beechsaddle-link/src/http_link.rs
+++ b/crates/beechsaddle-link/src/http_link.rs
@@ -75,10 +75,19 @@
         address: SocketAddr,
         options: LinkOptions,
     ) -> Result<HttpLink, LinkFailure> {
-        let stream = connect(address, &options).await?;
-        // Requests are written in one piece; Nagle's algorithm would only delay them.
-        stream.set_nodelay(true).map_err(LinkFailure::Connect)?;
-        set_timeouts(&stream, &options).map_err(LinkFailure::Connect)?;
+        let stream = open_stream(address, &options).await?;
+        HttpLink::try_start(stream, &options).await
+    }
+
+    /// Starts HTTP on an established connection.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkFailure::NotSent`] if the HTTP handshake fails.
+    pub async fn try_start(
+        stream: TcpStream,
+        options: &LinkOptions,
+    ) -> Result<HttpLink, LinkFailure> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(options.head_bytes.max(8_192));
         let (sender, connection) = builder
@@ -121,6 +130,22 @@
     }
 }
 
+/// Opens a connection without HTTP.
+///
+/// # Errors
+///
+/// [`LinkFailure::Connect`] or [`LinkFailure::ConnectTimeout`].
+pub async fn open_stream(
+    address: SocketAddr,
+    options: &LinkOptions,
+) -> Result<TcpStream, LinkFailure> {
+    let stream = connect(address, options).await?;
+    // Messages are written in one piece; Nagle's algorithm would only delay them.
+    stream.set_nodelay(true).map_err(LinkFailure::Connect)?;
+    set_timeouts(&stream, options).map_err(LinkFailure::Connect)?;
+    Ok(stream)
+}
+
 /// Connects with the first attempt that succeeds. An error, such as a refused connection, ends all
 /// attempts, since the peer has responded.
 async fn connect(address: SocketAddr, options: &LinkOptions) -> Result<TcpStream, LinkFailure> {
--- a/crates/beechsaddle-link/src/lib.rs
+++ b/crates/beechsaddle-link/src/lib.rs
@@ -9,5 +9,5 @@
 mod http_link;
 mod link_failure;
 
-pub use http_link::{HttpLink, LinkOptions};
+pub use http_link::{HttpLink, LinkOptions, open_stream};
 pub use link_failure::LinkFailure;
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -106,3 +106,31 @@
 
 interface RouterPeer extends(TokenLender, NewsRelay, CrashListener, LimitShare, ClockTeller) {}
 # What a router serves to others: the first capability of its peer address.
+
+enum TunnelOutcome {
+  opened @0;
+  # The connection carries the target's bytes from now on.
+  refused @1;
+  # The target's host refused the connection: no process serves the address.
+  unreachable @2;
+  # The target's host did not answer the router.
+  withdrawn @3;
+  # The target takes no new requests, as far as the router knows, or is not listed.
+  declined @4;
+  # The router does not reach the targets itself, is leaving, or has too many tunnels.
+}
+
+struct TunnelRequest {
+  secret @0 :Text;
+  target @1 :Text;
+  # The name of the target.
+  started @2 :UInt64;
+  # As in `CrashNote`.
+}
+
+struct TunnelReply {
+  outcome @0 :TunnelOutcome;
+}
+# A connection to a router's peer address that starts with the bytes "TUNL" carries one `TunnelRequest`, then a
+# `TunnelReply`, and where that says `opened` the bytes of a connection to the target. It serves one request of a
+# caller. A target's reset is passed on as a reset, so that a truncated answer does not look complete.
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -5058,3 +5058,561 @@
         pub(crate) const TYPE_ID: u64 = 0xab86_4e0a_c309_14cb;
     }
 }
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TunnelOutcome {
+    Opened = 0,
+    Refused = 1,
+    Unreachable = 2,
+    Withdrawn = 3,
+    Declined = 4,
+}
+
+impl ::capnp::introspect::Introspect for TunnelOutcome {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&tunnel_outcome::ARENA, tunnel_outcome::get_annotation_types)).into() }
+}
+impl ::core::convert::From<TunnelOutcome> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: TunnelOutcome) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&tunnel_outcome::ARENA, tunnel_outcome::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for TunnelOutcome {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <TunnelOutcome as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Opened),
+            1 => ::core::result::Result::Ok(Self::Refused),
+            2 => ::core::result::Result::Ok(Self::Unreachable),
+            3 => ::core::result::Result::Ok(Self::Withdrawn),
+            4 => ::core::result::Result::Ok(Self::Declined),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<TunnelOutcome> for u16 {
+    #[inline]
+    fn from(x: TunnelOutcome) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for TunnelOutcome {
+    const TYPE_ID: u64 = 0x9aa9_4739_5419_7ae7u64;
+}
+mod tunnel_outcome {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 41] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(231, 122, 25, 84, 57, 71, 169, 154),
+    ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(131, 166, 244, 231, 2, 156, 181, 209),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 127, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+    ::capnp::word(99, 97, 112, 110, 112, 58, 84, 117),
+    ::capnp::word(110, 110, 101, 108, 79, 117, 116, 99),
+    ::capnp::word(111, 109, 101, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(37, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(111, 112, 101, 110, 101, 100, 0, 0),
+    ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+    ::capnp::word(117, 110, 114, 101, 97, 99, 104, 97),
+    ::capnp::word(98, 108, 101, 0, 0, 0, 0, 0),
+    ::capnp::word(119, 105, 116, 104, 100, 114, 97, 119),
+    ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(100, 101, 99, 108, 105, 110, 101, 100),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+pub mod tunnel_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_secret(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_started(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_secret(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_secret(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_secret(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_target(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_started(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_started(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(217, 69, 236, 52, 209, 224, 192, 186),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(131, 166, 244, 231, 2, 156, 181, 209),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 84, 117),
+            ::capnp::word(110, 110, 101, 108, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 99, 114, 101, 116, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xbac0_e0d1_34ec_45d9;
+    }
+}
+
+pub mod tunnel_reply {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_outcome(self) -> ::core::result::Result<crate::lending_capnp::TunnelOutcome,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_outcome(self) -> ::core::result::Result<crate::lending_capnp::TunnelOutcome,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+        }
+        #[inline]
+        pub fn set_outcome(&mut self, value: crate::lending_capnp::TunnelOutcome)  {
+            self.builder.set_data_field::<u16>(0, value as u16);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(141, 231, 2, 183, 202, 251, 232, 222),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(131, 166, 244, 231, 2, 156, 181, 209),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 84, 117),
+            ::capnp::word(110, 110, 101, 108, 82, 101, 112, 108),
+            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(231, 122, 25, 84, 57, 71, 169, 154),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::lending_capnp::TunnelOutcome as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+        pub(crate) const TYPE_ID: u64 = 0xdee8_fbca_b702_e78d;
+    }
+}
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -108,8 +108,11 @@
         let mut is_ejected = false;
         self.update_stats(|stats, now| {
             match end {
-                // A target that declines work is not faulty.
-                AttemptEnd::NotRun | AttemptEnd::Misdirected | AttemptEnd::Withdrawn => {}
+                // A target that declines work or was not tried is not faulty.
+                AttemptEnd::NotRun
+                | AttemptEnd::Misdirected
+                | AttemptEnd::Withdrawn
+                | AttemptEnd::NoPath => {}
                 AttemptEnd::Failed | AttemptEnd::Broken => stats.record_outcome(now, true),
                 AttemptEnd::Silent if !is_target_silent => stats.record_outcome(now, true),
                 // When this router's own link is saturated, connections fail everywhere. That says
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -159,6 +159,7 @@
             AttemptEnd::Withdrawn => RefusalCause::NoTarget,
             AttemptEnd::Unsent
             | AttemptEnd::Refused
+            | AttemptEnd::NoPath
             | AttemptEnd::Misdirected
             | AttemptEnd::Failed
             | AttemptEnd::Broken
--- a/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
@@ -1,6 +1,5 @@
 //! The `crash_probe` module provides the check whether a target whose connection broke has crashed.
 
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,14 +8,14 @@
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_link::{LinkFailure, LinkOptions};
+use beechsaddle_link::LinkOptions;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
 use super::crash_manager::apply_reports;
 use crate::gateway::gateway_state::GatewayState;
-use crate::gateway::target_path::connect_directly;
+use crate::gateway::target_path::open_link;
 
 /// Timeout of the probe's connection attempt. It is long because connecting is slow over a
 /// saturated link.
@@ -70,9 +69,12 @@
         ..LinkOptions::default()
     };
     let address = run.target.address;
-    match connect_directly(&state, &run.target, options).await {
-        Ok(link) => state.pool.put(state.now(), address, link, None),
-        Err(LinkFailure::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+    // Behind a partition that refuses connections, only another router can tell whether the target
+    // refuses them.
+    match open_link(&state, &run.target, options).await {
+        Ok(link) if link.router.is_none() => state.pool.put(state.now(), address, link.http, None),
+        Ok(_) => {}
+        Err(failure) if failure.end == AttemptEnd::Refused => {
             record_crash(&state, &run, run_ms);
         }
         // Inconclusive; the next attempt at this target will show.
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -54,6 +54,16 @@
 /// The results of connecting to a target.
 pub(super) const CONNECT_RESULTS: [&str; 3] = ["connected", "refused", "failed"];
 
+/// The outcomes of requests for tunnels.
+const TUNNEL_OUTCOMES: [&str; 6] = [
+    "opened",
+    "refused",
+    "unreachable",
+    "withdrawn",
+    "declined",
+    "failed",
+];
+
 /// Creates counters that are exported at zero for each value, so that they also show on a router that never
 /// follows another one.
 fn zeroed_counters<const N: usize>(values: [&'static str; N]) -> Family<OutcomeLabel, Counter> {
@@ -87,6 +97,10 @@
     pub(super) connects: Family<OutcomeLabel, Counter>,
     /// 1 while the router is partitioned from the targets.
     pub(super) path_lost: Gauge,
+    /// Requests for tunnels through other routers, by outcome.
+    pub(super) tunnels_requested: Family<OutcomeLabel, Counter>,
+    /// Tunnels that this router carries for others.
+    pub(super) tunnels_carried: Gauge,
     pub(super) ejections: Counter,
     /// Attempts during which a target crashed.
     pub(super) crashes_seen: Counter,
@@ -147,6 +161,8 @@
             stream_ends: Family::default(),
             connects: zeroed_counters(CONNECT_RESULTS),
             path_lost: Gauge::default(),
+            tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
+            tunnels_carried: Gauge::default(),
             ejections: Counter::default(),
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
@@ -213,6 +229,10 @@
         registry.register("connects", "New connections to targets", connects);
         let path_lost = self.path_lost.clone();
         registry.register("path_lost", "Partitioned from the targets", path_lost);
+        let requested = self.tunnels_requested.clone();
+        registry.register("tunnels_requested", "Requests for tunnels", requested);
+        let carried = self.tunnels_carried.clone();
+        registry.register("tunnels_carried", "Tunnels carried for others", carried);
         registry.register("ejections", "Targets ejected", self.ejections.clone());
         let crashes = self.crashes_seen.clone();
         registry.register(
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -28,6 +28,7 @@
 use super::peer_server::run_peer_listener;
 use super::settings_watch::run_settings_watch;
 use super::store_tally::run_store_tally;
+use super::target_path::run_path_probe;
 use crate::report::{ReportEdge, ReportOptions};
 use crate::router::ClockSource;
 
@@ -124,6 +125,7 @@
     spawn_local(run_crash_follow(Rc::clone(&state)));
     spawn_local(run_crash_writer(Rc::clone(&state)));
     spawn_local(run_clock_reading(Rc::clone(&state)));
+    spawn_local(run_path_probe(Rc::clone(&state)));
     spawn_local(LedgerSync::new(Rc::clone(&state)).run());
     spawn_local(run_store_tally(Rc::clone(&state)));
     spawn_local(run_settings_watch(path.to_owned(), Rc::clone(&state)));
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -26,6 +26,7 @@
 use super::store_tally::StoreTally;
 use super::target_pool::TargetPool;
 use super::token_lending::TokenLending;
+use super::tunnels::TunnelDirectory;
 use crate::report::ReportHandle;
 use crate::router::ClockSource;
 
@@ -72,8 +73,12 @@
     pub(super) rotation: RefCell<RotationGate>,
     /// The retry budget.
     pub(super) retries: RefCell<RetryShare>,
-    /// Whether the router reaches the targets by itself.
+    /// Which targets the router reaches by itself.
     pub(super) path: RefCell<PathMonitor>,
+    /// Wakes the checks whether targets can be reached again.
+    pub(super) target_unreached: Notify,
+    /// Connections to targets by way of other routers.
+    pub(super) tunnels: TunnelDirectory,
     /// Idle connections to targets.
     pub(super) pool: TargetPool,
     pub(super) store: StoreClient,
@@ -131,6 +136,8 @@
             rotation: RefCell::default(),
             retries: RefCell::new(RetryShare::new(settings.retries)),
             path: RefCell::default(),
+            target_unreached: Notify::new(),
+            tunnels: TunnelDirectory::default(),
             pool: TargetPool::default(),
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
@@ -179,10 +186,15 @@
 
     /// Records a part of a stream, which enters and leaves over the router's link.
     pub(super) fn record_part(&self, part: &Bytes) {
+        self.record_bytes(part.len() as u64);
+    }
+
+    /// Records bytes that enter and leave over the router's link.
+    pub(super) fn record_bytes(&self, count: u64) {
         let now = self.now();
         let mut link = self.link.borrow_mut();
         for way in [LinkDirection::In, LinkDirection::Out] {
-            link.record_part(now, way, part.len() as u64);
+            link.record_part(now, way, count);
         }
     }
 
@@ -194,7 +206,8 @@
     /// Whether the router reports ready for new callers.
     ///
     /// A router with a configuration stays in rotation while the store is unreachable: otherwise its
-    /// callers would move to routers that are cut off as well.
+    /// callers would move to routers that are cut off as well. One that reaches the targets neither by
+    /// itself nor through another router can serve nobody, and leaves it.
     pub(super) fn is_in_rotation(&self) -> bool {
         let now = self.now();
         let load = self.link.borrow().load(now);
@@ -206,7 +219,7 @@
         drop(rotation);
         let knows_rules = self.config.borrow().is_some() && self.evacuations.borrow().is_known();
         let serves = self.phase() == GatewayPhase::Serving && knows_rules;
-        serves && !self.has_left_rotation()
+        serves && !self.has_left_rotation() && !self.tunnels.is_isolated()
     }
 
     /// Whether the router has left the rotation because its own link was congested.
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod token_lending;
 mod token_reservation;
 mod token_return;
+mod tunnels;
 
 pub use gateway_process::run;
 pub use gateway_settings::{GatewaySettings, is_gateway_file};
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -1,6 +1,7 @@
 //! The `peer_server` module provides the answers to other routers, for loans, returns and changes in the
 //! store.
 
+use std::io::Cursor;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
-use subtle::ConstantTimeEq;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -28,6 +29,7 @@
 use super::limits::{PermitRequest, answer_permit_request};
 use super::peer_codec::{read_crash, read_incarnation, time_before};
 use super::token_lender::lend_tokens;
+use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -48,12 +50,21 @@
     }
 }
 
-async fn serve_peer(stream: TcpStream, peer: SocketAddr, state: Rc<GatewayState>) {
+async fn serve_peer(mut stream: TcpStream, peer: SocketAddr, state: Rc<GatewayState>) {
     // Nagle's algorithm would delay the small messages that calls wait for.
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let mut start = [0; TUNNEL_PREFACE.len()];
+    // A peer that closes its connection before it sends anything needs no handling here.
+    if stream.read_exact(&mut start).await.is_err() {
+        return;
+    }
+    if start == TUNNEL_PREFACE {
+        return serve_tunnel(stream, peer, state).await;
+    }
     let (reader, writer) = stream.into_split();
+    let reader = Cursor::new(start).chain(reader);
     let options = capnp::message::ReaderOptions::new();
     let network = VatNetwork::new(
         reader.compat(),
@@ -76,9 +87,7 @@
 impl PeerServer {
     /// Rejects peers that do not know the fleet's secret.
     fn check_secret(&self, secret: capnp::text::Reader<'_>) -> Result<(), capnp::Error> {
-        let own = self.state.lending.secret();
-        let is_known = !own.is_empty() && bool::from(own.as_bytes().ct_eq(secret.as_bytes()));
-        if is_known {
+        if self.state.lending.is_secret(secret.as_bytes()) {
             return Ok(());
         }
         let fields = [("peer", self.peer.to_string())];
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -119,12 +119,8 @@
         Method::HEAD => Bytes::new(),
         _ => read_body(body, left).await?,
     };
-    if !facts.closes && facts.status.is_success() {
-        let state = &call.state;
-        let now = state.now();
-        state
-            .pool
-            .put(now, target.address, link, facts.keep_alive_ms);
+    if facts.status.is_success() {
+        link.release(&call.state, target.address, &facts);
     }
     let is_usable = facts.is_sealed && !facts.is_encoded;
     let end = match facts.status {
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -6,7 +6,6 @@
 
 use beechsaddle_core::gateway::{AttemptEnd, RouteKind};
 use beechsaddle_core::prelude::*;
-use beechsaddle_link::HttpLink;
 use beechsaddle_platform::{BodyFraming, ResponseHead};
 use bytes::Bytes;
 use futures::stream::unfold;
@@ -22,6 +21,7 @@
 use super::event_splitter::EventSplitter;
 use super::gateway_metrics::{STREAM_ENDS, StreamEndLabel};
 use super::stream_exchange::{StreamOpening, open_stream};
+use super::target_path::TargetLink;
 use super::token_reservation::TokenReservation;
 
 /// The response ended prematurely; the caller's connection is closed without its final chunk.
@@ -105,7 +105,7 @@
 /// One target's part of a stream.
 pub(super) struct StreamAttempt {
     guard: AttemptGuard,
-    link: HttpLink,
+    link: TargetLink,
     body: Incoming,
     facts: ResponseHead,
     /// Whether the target has sent a complete event.
@@ -116,7 +116,7 @@
     /// Creates the attempt of a stream whose head was read.
     pub(super) fn new(
         guard: AttemptGuard,
-        link: HttpLink,
+        link: TargetLink,
         body: Incoming,
         facts: ResponseHead,
     ) -> Self {
@@ -132,14 +132,8 @@
     /// Records success and returns the connection to the pool.
     fn finish(self, call: &CallContext) {
         self.guard.record_success();
-        if !self.facts.closes {
-            let address = self.guard.target().address;
-            let state = &call.state;
-            let now = state.now();
-            state
-                .pool
-                .put(now, address, self.link, self.facts.keep_alive_ms);
-        }
+        let address = self.guard.target().address;
+        self.link.release(&call.state, address, &self.facts);
     }
 }
 
--- a/crates/beechsaddle/src/gateway/target_path.rs
+++ b/crates/beechsaddle/src/gateway/target_path.rs
@@ -1,53 +1,191 @@
-//! The `target_path` module provides new connections to targets, and records whether this router
-//! reaches them.
+//! The `target_path` module provides new connections to targets: direct ones, or by way of other
+//! routers to targets from which this one is partitioned.
 
-use beechsaddle_core::gateway::{PathChange, TargetPhase, TargetRecord};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::{AttemptEnd, PathChange, TargetPhase, TargetRecord};
+use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions};
+use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions, open_stream};
+use beechsaddle_platform::ResponseHead;
+use futures::future::join_all;
+use rand::seq::{IteratorRandom, SliceRandom};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use super::gateway_metrics::{CONNECT_RESULTS, OutcomeLabel};
 use super::gateway_state::GatewayState;
+use super::target_send::SendFailure;
+use super::tunnels::{OpenTunnel, TunnelFailure, open_tunnel};
+
+/// Interval between checks whether a partition from targets is over. Until it is noticed, calls
+/// take the longer way.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Maximum number of targets that are checked at once.
+const PROBES_MAX: usize = 8;
+
+/// A connection to a target.
+pub(super) struct TargetLink {
+    pub(super) http: HttpLink,
+    /// The router that copies the bytes; `None` for a direct connection.
+    pub(super) router: Option<HostName>,
+}
 
-/// Connects to a target directly.
+impl TargetLink {
+    pub(super) fn direct(http: HttpLink) -> Self {
+        TargetLink { http, router: None }
+    }
+
+    fn through(tunnel: OpenTunnel) -> Self {
+        TargetLink {
+            http: tunnel.link,
+            router: Some(tunnel.router),
+        }
+    }
+
+    /// Returns the connection to the pool after a complete response, if it can carry another request.
+    /// A tunnel carries one only, so that the router behind it can shut down between two requests.
+    pub(super) fn release(self, state: &GatewayState, address: SocketAddr, facts: &ResponseHead) {
+        if facts.closes || self.router.is_some() {
+            return;
+        }
+        let now = state.now();
+        state.pool.put(now, address, self.http, facts.keep_alive_ms);
+    }
+}
+
+/// Opens a new connection to a target.
 ///
 /// # Errors
 ///
-/// As [`HttpLink::try_connect`].
-pub(super) async fn connect_directly(
+/// A [`SendFailure`] of a connection that was not made; nothing was sent.
+pub(super) async fn open_link(
+    state: &GatewayState,
+    target: &TargetRecord,
+    options: LinkOptions,
+) -> Result<TargetLink, SendFailure> {
+    let name = &target.name;
+    if state.path.borrow().needs_tunnel(name) {
+        let opened = open_tunnel(state, target).await;
+        // Without another router to ask, a single target may be tried directly again.
+        if !is_without_router(&opened) || state.path.borrow().is_lost() {
+            return opened.map(TargetLink::through).map_err(tunnel_failure);
+        }
+    }
+    let failure = match connect_directly(state, target, options).await {
+        Ok(http) => return Ok(TargetLink::direct(http)),
+        Err(failure) => failure,
+    };
+    confirm_partition(state).await;
+    if state.path.borrow().needs_tunnel(name) {
+        let opened = open_tunnel(state, target).await;
+        if !is_without_router(&opened) {
+            return opened.map(TargetLink::through).map_err(tunnel_failure);
+        }
+    }
+    let end = match failure.is_refused() {
+        true => AttemptEnd::Refused,
+        false => AttemptEnd::Unsent,
+    };
+    Err(SendFailure::new(end, failure.to_string()))
+}
+
+fn is_without_router(opened: &Result<OpenTunnel, TunnelFailure>) -> bool {
+    matches!(opened, Err(TunnelFailure::NoRouter))
+}
+
+fn tunnel_failure(failure: TunnelFailure) -> SendFailure {
+    match failure {
+        TunnelFailure::Refused => SendFailure::new(AttemptEnd::Refused, "refused another router"),
+        TunnelFailure::Unreachable => {
+            SendFailure::new(AttemptEnd::Unsent, "unreachable for another router")
+        }
+        TunnelFailure::Withdrawn => {
+            SendFailure::new(AttemptEnd::Withdrawn, "another router knows that it leaves")
+        }
+        TunnelFailure::NoRouter => {
+            SendFailure::new(AttemptEnd::NoPath, "no router reaches the targets")
+        }
+    }
+}
+
+/// Tries one more target if some could not be reached, so that a partition is noticed by the call
+/// that is affected first.
+async fn confirm_partition(state: &GatewayState) {
+    if !state.path.borrow().is_suspected() {
+        return;
+    }
+    let other = any_ready_target(state, |target| {
+        !state.path.borrow().is_unreached(&target.name)
+    });
+    if let Some(target) = other {
+        connect_for_pool(state, &target).await;
+    }
+}
+
+/// Connects to a target only to find out whether it is reached; a call may use the connection.
+async fn connect_for_pool(state: &GatewayState, target: &TargetRecord) {
+    let connected = connect_directly(state, target, LinkOptions::default()).await;
+    if let Ok(http) = connected {
+        state.pool.put(state.now(), target.address, http, None);
+    }
+}
+
+async fn connect_directly(
     state: &GatewayState,
     target: &TargetRecord,
     options: LinkOptions,
 ) -> Result<HttpLink, LinkFailure> {
-    let connected = HttpLink::try_connect(target.address, options).await;
-    record_connect(state, target, &connected);
-    connected
+    let stream = open_direct_stream(state, target, options).await?;
+    HttpLink::try_start(stream, &options).await
+}
+
+/// Opens a connection to a target and records whether the target was reached.
+///
+/// # Errors
+///
+/// [`LinkFailure::Connect`] or [`LinkFailure::ConnectTimeout`].
+pub(super) async fn open_direct_stream(
+    state: &GatewayState,
+    target: &TargetRecord,
+    options: LinkOptions,
+) -> Result<TcpStream, LinkFailure> {
+    let opened = open_stream(target.address, &options).await;
+    record_connect(state, target, &opened);
+    opened
 }
 
 fn record_connect(
     state: &GatewayState,
     target: &TargetRecord,
-    connected: &Result<HttpLink, LinkFailure>,
+    opened: &Result<TcpStream, LinkFailure>,
 ) {
-    let [done, refused, failed] = CONNECT_RESULTS;
-    let what = match connected {
-        Ok(_) => done,
+    let [connected, refused, failed] = CONNECT_RESULTS;
+    let what = match opened {
+        Ok(_) => connected,
         Err(failure) if failure.is_refused() => refused,
         Err(_) => failed,
     };
     let label = OutcomeLabel { what };
     state.metrics.connects.get_or_create(&label).inc();
-    let change = match connected {
-        Ok(_) => state.path.borrow_mut().record_reached(),
+    let change = match opened {
+        Ok(_) => state.path.borrow_mut().record_reached(&target.name),
         // Behind a full link of its own, a router reaches nobody, and other routers cannot help.
         Err(_) if state.is_link_full() => None,
         Err(_) => {
             let targets = ready_count(state);
+            // Idle connections may hang.
+            state.pool.forget(target.address);
+            state.target_unreached.notify_one();
             let mut path = state.path.borrow_mut();
             path.record_unreached(&target.name, targets)
         }
     };
     if let Some(change) = change {
-        log_change(state, change);
+        apply_change(state, change);
     }
 }
 
@@ -59,12 +197,18 @@
     ready.count()
 }
 
-fn log_change(state: &GatewayState, change: PathChange) {
+fn apply_change(state: &GatewayState, change: PathChange) {
     let (event, is_lost) = match change {
         PathChange::Lost => ("targets_unreachable", 1),
         PathChange::Regained => ("targets_reachable", 0),
     };
     state.metrics.path_lost.set(is_lost);
+    state.tunnels.set_isolated(false);
+    if change == PathChange::Lost {
+        // Idle connections may hang, and the targets were not the reason of recent failures.
+        state.pool.clear();
+        state.roster.borrow_mut().clear_ejections();
+    }
     let count = |what| {
         let label = OutcomeLabel { what };
         let counter = state.metrics.connects.get_or_create(&label).get();
@@ -73,3 +217,60 @@
     let fields = CONNECT_RESULTS.map(count);
     state.report.log(LogLevel::Warning, event, fields);
 }
+
+/// Checks whether targets that could not be reached can be reached again.
+pub(super) async fn run_path_probe(state: Rc<GatewayState>) {
+    loop {
+        state.target_unreached.notified().await;
+        loop {
+            sleep(PROBE_INTERVAL).await;
+            let targets = unreached_targets(&state);
+            if targets.is_empty() {
+                break;
+            }
+            probe_targets(&state, &targets).await;
+        }
+    }
+}
+
+/// Returns some of the targets that could not be reached, and forgets those that are gone.
+fn unreached_targets(state: &GatewayState) -> Vec<TargetRecord> {
+    let roster = state.roster.borrow();
+    let mut path = state.path.borrow_mut();
+    let names: Vec<_> = path.unreached().cloned().collect();
+    let mut targets = Vec::new();
+    for name in names {
+        match roster.get(&name) {
+            Some(entry) if entry.record.phase == TargetPhase::Ready => {
+                targets.push(entry.record.clone());
+            }
+            Some(_) | None => path.forget(&name),
+        }
+    }
+    targets.shuffle(&mut rand::rng());
+    targets.truncate(PROBES_MAX);
+    targets
+}
+
+async fn probe_targets(state: &GatewayState, targets: &[TargetRecord]) {
+    let probes = targets.iter().map(|target| connect_for_pool(state, target));
+    join_all(probes).await;
+    if state.tunnels.is_isolated()
+        && let Some(target) = targets.first()
+    {
+        // No call shows whether another router opens tunnels again, as callers go elsewhere.
+        drop(open_tunnel(state, target).await);
+    }
+}
+
+fn any_ready_target(
+    state: &GatewayState,
+    is_wanted: impl Fn(&TargetRecord) -> bool,
+) -> Option<TargetRecord> {
+    let roster = state.roster.borrow();
+    let ready = roster
+        .entries()
+        .filter(|entry| entry.record.phase == TargetPhase::Ready && is_wanted(&entry.record));
+    let chosen = ready.choose(&mut rand::rng())?;
+    Some(chosen.record.clone())
+}
--- a/crates/beechsaddle/src/gateway/target_pool.rs
+++ b/crates/beechsaddle/src/gateway/target_pool.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Drops all connections.
+    pub(super) fn clear(&self) {
+        self.links.borrow_mut().clear();
+    }
+
     /// Drops all connections to an address.
     pub(super) fn forget(&self, address: SocketAddr) {
         self.links.borrow_mut().remove(&address);
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{AttemptEnd, LinkDirection, TargetRecord};
-use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions};
+use beechsaddle_link::{LinkFailure, LinkOptions};
 use beechsaddle_platform::{ForwardFields, ResponseHead, forward_headers};
 use bytes::Bytes;
 use http::{Request, Response, Uri};
@@ -15,7 +15,7 @@
 use super::call_context::CallContext;
 use super::gateway_state::GatewayState;
 use super::limits::record_limit;
-use super::target_path::connect_directly;
+use super::target_path::{TargetLink, open_link};
 
 /// The head of a target's response and its connection.
 pub(super) struct TargetAnswer {
@@ -23,7 +23,7 @@
     /// The parsed response head.
     pub(super) facts: ResponseHead,
     /// The connection, which can be reused only after the response body was read.
-    pub(super) link: HttpLink,
+    pub(super) link: TargetLink,
 }
 
 /// An attempt without a response to this call.
@@ -58,6 +58,7 @@
     if let Some(link) = pooled {
         let request = build_request(call, target, last_event, fetch_from);
         call.state.record_message(LinkDirection::Out, &call.body);
+        let link = TargetLink::direct(link);
         match send_on(call, target, link, request, wait_limit, false).await {
             // The target closed the idle connection before anything was written; a new connection
             // may still work.
@@ -65,7 +66,10 @@
             other => return other.map_err(|(failure, _)| failure),
         }
     }
-    let link = connect(&call.state, target).await?;
+    let link = open_link(&call.state, target, LinkOptions::default()).await?;
+    if let Some(router) = &link.router {
+        call.record.add_field("through", router);
+    }
     if !call.state.accepts_requests(target) {
         let failure = SendFailure::new(AttemptEnd::Withdrawn, "target was withdrawn meanwhile");
         return Err(failure);
@@ -76,29 +80,18 @@
     sent.map_err(|(failure, _)| failure)
 }
 
-async fn connect(state: &GatewayState, target: &TargetRecord) -> Result<HttpLink, SendFailure> {
-    let connected = connect_directly(state, target, LinkOptions::default()).await;
-    connected.map_err(|failure| {
-        let end = match failure.is_refused() {
-            true => AttemptEnd::Refused,
-            false => AttemptEnd::Unsent,
-        };
-        SendFailure::new(end, failure.to_string())
-    })
-}
-
 /// Sends on a connection. The flag of a failure is set if the connection was closed before anything
 /// was written.
 async fn send_on(
     call: &CallContext,
     target: &TargetRecord,
-    mut link: HttpLink,
+    mut link: TargetLink,
     request: Request<Full<Bytes>>,
     wait_limit: Duration,
     is_fresh: bool,
 ) -> Result<TargetAnswer, (SendFailure, bool)> {
     let sent_at = call.state.now();
-    let response = match timeout(wait_limit, link.send(request)).await {
+    let response = match timeout(wait_limit, link.http.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(failure)) => return Err(convert_failure(&failure)),
         Err(_) => {
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -8,6 +8,7 @@
 use beechsaddle_core::gateway::{EscrowRole, LoanBackoff, PeerRecord, PeerRing};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
+use subtle::ConstantTimeEq;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -65,6 +66,12 @@
         self.secret.borrow().clone()
     }
 
+    /// Whether a router sent the fleet's secret.
+    pub(super) fn is_secret(&self, sent: &[u8]) -> bool {
+        let own = self.secret.borrow();
+        !own.is_empty() && bool::from(own.as_bytes().ct_eq(sent))
+    }
+
     pub(super) fn set_secret(&self, secret: impl Into<String>) {
         *self.secret.borrow_mut() = secret.into();
     }
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/tunnels/mod.rs
@@ -0,0 +1,16 @@
+//! The `tunnels` module provides connections to targets by way of other routers, for routers that are
+//! partitioned from the targets.
+//!
+//! A router that does not reach the targets keeps all decisions: rules, tokens, choice of target and
+//! retries. Another router only connects to the target and copies bytes.
+
+mod tunnel_client;
+mod tunnel_codec;
+mod tunnel_copy;
+mod tunnel_directory;
+mod tunnel_server;
+
+pub(super) use tunnel_client::{OpenTunnel, TunnelFailure, open_tunnel};
+pub(super) use tunnel_codec::TUNNEL_PREFACE;
+pub(super) use tunnel_directory::TunnelDirectory;
+pub(super) use tunnel_server::serve_tunnel;
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
@@ -0,0 +1,90 @@
+//! The `tunnel_copy` module provides the copying of bytes between a router and a target.
+
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::gateway::gateway_state::GatewayState;
+
+/// Size of a copied part, in bytes: several events of a stream.
+const PART_BYTES: usize = 8 * 1_024;
+
+/// How long the rest of a request is read and dropped after the target has closed its connection. A
+/// close with unread bytes would reset the connection, and the response on its way be lost.
+const LINGER_SPAN: Duration = Duration::from_millis(1_000);
+
+/// Why copying in one direction ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyEnd {
+    /// The reader's peer closed its connection.
+    Closed,
+    /// The reader's connection broke.
+    ReadFailed,
+    /// The writer's connection broke.
+    WriteFailed,
+}
+
+/// Copies bytes in both directions until one end closes.
+///
+/// The router closes when the call is over, and the target's work ends with its connection. If the
+/// target's connection breaks, the router's is reset: closed regularly, a truncated response
+/// without a length would look complete.
+pub(super) async fn copy_both_ways(
+    state: &GatewayState,
+    mut router: TcpStream,
+    mut target: TcpStream,
+) {
+    let end = {
+        let (mut router_reader, mut router_writer) = router.split();
+        let (mut target_reader, mut target_writer) = target.split();
+        let mut responses = std::pin::pin!(copy(state, &mut target_reader, &mut router_writer));
+        tokio::select! {
+            end = &mut responses => end,
+            end = copy(state, &mut router_reader, &mut target_writer) => match end {
+                CopyEnd::Closed | CopyEnd::ReadFailed => return,
+                // The target may have responded before it stopped reading.
+                CopyEnd::WriteFailed => responses.await,
+            },
+        }
+    };
+    match end {
+        CopyEnd::Closed => finish(router).await,
+        CopyEnd::ReadFailed => {
+            // A connection that is already gone needs no reset.
+            let _ = router.set_zero_linger();
+        }
+        CopyEnd::WriteFailed => {}
+    }
+}
+
+async fn copy(
+    state: &GatewayState,
+    reader: &mut (impl AsyncRead + Unpin),
+    writer: &mut (impl AsyncWrite + Unpin),
+) -> CopyEnd {
+    let mut part = vec![0; PART_BYTES];
+    loop {
+        match reader.read(&mut part).await {
+            Ok(0) => return CopyEnd::Closed,
+            Ok(count) => {
+                state.record_bytes(count as u64);
+                if writer.write_all(&part[..count]).await.is_err() {
+                    return CopyEnd::WriteFailed;
+                }
+            }
+            Err(_) => return CopyEnd::ReadFailed,
+        }
+    }
+}
+
+/// Closes the connection to the router without a reset.
+async fn finish(mut router: TcpStream) {
+    if router.shutdown().await.is_err() {
+        return;
+    }
+    let mut rest = tokio::io::sink();
+    // Either the router closes as well, or its request has no reader any more.
+    let _ = timeout(LINGER_SPAN, tokio::io::copy(&mut router, &mut rest)).await;
+}
--- a/crates/beechsaddle/tests/gateway_partition.rs
+++ b/crates/beechsaddle/tests/gateway_partition.rs
@@ -5,10 +5,19 @@
 
 use std::time::{Duration, Instant};
 
-use beechsaddle_platform_stand_in::{CallReply, CallRequest};
-use gateway_support::{GatewayBench, GatewayProcess, SETTLE_SPAN, draft, request};
+use beechsaddle_platform_stand_in::{
+    CallReply, CallRequest, EntryState, StreamFraming, TargetFault, TargetStandIn,
+    call as call_router,
+};
+use beechsaddle_wire::lending_capnp::{TunnelOutcome, tunnel_reply, tunnel_request};
+use gateway_support::{GatewayBench, GatewayProcess, SETTLE_SPAN, draft, request, wait_for};
+use nix::sys::signal::Signal;
 use path_support::{PathMode, StoreView};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
+use tokio_util::compat::TokioAsyncReadCompatExt;
 
 const AMPLE: u64 = 1_000_000;
 
@@ -21,7 +30,7 @@
 /// A router whose paths to all targets can be cut, and one that always reaches them.
 struct PartitionBench {
     /// The store, the targets and the router that reaches them.
-    _bench: GatewayBench,
+    bench: GatewayBench,
     view: StoreView,
     router: GatewayProcess,
 }
@@ -37,7 +46,7 @@
         router.wait_log(&["routers_listed", "routers=2"]).await;
         sleep(SETTLE_SPAN).await;
         PartitionBench {
-            _bench: bench,
+            bench,
             view,
             router,
         }
@@ -81,6 +90,60 @@
         }
         failed
     }
+
+    /// Cuts the router from all targets and waits until it has noticed.
+    async fn cut(&self, mode: PathMode) {
+        self.view.set_mode(mode);
+        wait_for("a noticed partition", || async {
+            let _ = self.call_each("cut").await;
+            self.router.metric("path_lost").await == Some(1.0)
+        })
+        .await;
+    }
+
+    /// Sends a stream's call to the partitioned router and returns its reply, once a target runs it.
+    async fn start_stream(&self) -> JoinHandle<CallReply> {
+        let before = GatewayBench::arrival_count(&self.bench.engines);
+        let address = self.router.address;
+        let stream = tokio::spawn(async move {
+            let call = token_request("POST /stream/once/1", "relayed");
+            call_router(address, &call).await.expect("an answer")
+        });
+        wait_for("an arrival", || async {
+            GatewayBench::arrival_count(&self.bench.engines) > before
+        })
+        .await;
+        stream
+    }
+
+    /// Asks the other router for a tunnel, as a router would.
+    async fn ask_for_tunnel(&self, secret: &str, target: &str) -> Option<TunnelOutcome> {
+        let entry = self
+            .bench
+            .store
+            .spec("routers", "host-1")
+            .expect("an entry");
+        let address = entry["address"].as_str().expect("an address");
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let mut message = capnp::message::Builder::new_default();
+        let mut request = message.init_root::<tunnel_request::Builder<'_>>();
+        request.set_secret(secret);
+        request.set_target(target);
+        let mut bytes = b"TUNL".to_vec();
+        capnp::serialize::write_message(&mut bytes, &message).expect("a message");
+        stream.write_all(&bytes).await.expect("a request");
+        let options = capnp::message::ReaderOptions::new();
+        let reply = capnp_futures::serialize::read_message(stream.compat(), options).await;
+        let reply = reply.ok()?;
+        let reply = reply.get_root::<tunnel_reply::Reader<'_>>().ok()?;
+        reply.get_outcome().ok()
+    }
+
+    fn secret(&self) -> String {
+        let entry = self.bench.store.spec("budgets", "peer-secret");
+        let entry = entry.expect("a secret");
+        entry["secret"].as_str().expect("a text").to_owned()
+    }
 }
 
 fn token_request(line: &str, id: &str) -> CallRequest {
@@ -120,3 +183,118 @@
     let failed = bench.failures_after_cut(PathMode::RefusingNew).await;
     assert_eq!(failed, []);
 }
+
+/// A router went on sending calls by way of others after the partition had ended.
+#[tokio::test]
+async fn end_of_partition_is_noticed() {
+    let bench = PartitionBench::start().await;
+    bench.cut(PathMode::Hanging).await;
+    bench.view.set_mode(PathMode::Open);
+    wait_for("the end of the partition", || async {
+        bench.router.metric("path_lost").await == Some(0.0)
+    })
+    .await;
+    sleep(IDLE_SPAN).await;
+    let opened = "tunnels_requested_total{what=\"opened\"}";
+    let before = bench.router.metric(opened).await;
+    assert_eq!(bench.call_each("after").await, []);
+    assert_eq!(bench.router.metric(opened).await, before);
+}
+
+/// Calls waited for connect timeouts although no router reached any target.
+#[tokio::test]
+async fn isolated_router_refuses_at_once() {
+    let mut bench = PartitionBench::start().await;
+    bench.bench.router.signal(Signal::SIGKILL);
+    bench.bench.router.wait_end().await;
+    bench.cut(PathMode::Hanging).await;
+    let started = Instant::now();
+    let reply = bench
+        .router
+        .call(&request("POST /order/1", "refused"))
+        .await;
+    assert!(started.elapsed() < Duration::from_millis(300));
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert!(!bench.router.is_ready().await);
+    bench.view.set_mode(PathMode::Open);
+    bench.router.wait_ready().await;
+    assert_eq!(bench.call_each("after").await, []);
+}
+
+/// A truncated stream through another router looked complete: a target's reset must not become a regular
+/// close on the way.
+#[tokio::test]
+async fn relayed_stream_that_is_reset_is_not_complete() {
+    let bench = PartitionBench::start().await;
+    for target in &bench.bench.engines {
+        target.set_framing(StreamFraming::Connection);
+        target.set_events(3, Duration::from_millis(50));
+        target.set_fault(TargetFault::ResetStream(1));
+    }
+    bench.cut(PathMode::Refusing).await;
+    let reply = bench.start_stream().await.await.expect("no panic");
+    assert!(!reply.is_complete);
+    assert!(reply.body.contains("piece 1") && !reply.body.contains("piece 2"));
+}
+
+/// A router that shuts down cut the streams that it carries for others.
+#[tokio::test]
+async fn terminated_router_finishes_its_tunnels() {
+    let mut bench = PartitionBench::start().await;
+    for target in &bench.bench.engines {
+        target.set_events(30, Duration::from_millis(100));
+    }
+    bench.cut(PathMode::Refusing).await;
+    let stream = bench.start_stream().await;
+    bench.bench.router.signal(Signal::SIGTERM);
+    let reply = stream.await.expect("no panic");
+    assert!(reply.is_complete, "{reply:?}");
+    assert!(reply.body.contains("piece 30"));
+    assert_eq!(bench.bench.router.wait_end().await, Some(0));
+}
+
+/// Targets went on working for callers that had left, behind the router that carries the tunnel.
+#[tokio::test]
+async fn caller_gone_ends_relayed_work() {
+    let bench = PartitionBench::start().await;
+    for target in &bench.bench.engines {
+        target.set_events(1_000, Duration::from_millis(20));
+    }
+    bench.view.set_mode(PathMode::Refusing);
+    wait_for("a noticed partition", || async {
+        // The router notices by the first calls; their answers do not matter.
+        let _ = bench.router.call(&request("GET /get/1", "cut")).await;
+        bench.router.metric("path_lost").await == Some(1.0)
+    })
+    .await;
+    let stream = bench.start_stream().await;
+    stream.abort();
+    let left_at = Instant::now();
+    wait_for("an end of the work", || async {
+        let mut runs = bench.bench.engines.iter().flat_map(TargetStandIn::runs);
+        runs.any(|run| run.is_cancelled)
+    })
+    .await;
+    assert!(left_at.elapsed() < Duration::from_millis(500));
+}
+
+/// A router opened connections for strangers, or to targets that take no new requests.
+#[tokio::test]
+async fn tunnel_is_opened_only_for_routers_and_ready_targets() {
+    let bench = PartitionBench::start().await;
+    let secret = bench.secret();
+    let opened = bench.ask_for_tunnel(&secret, "engine-1").await;
+    assert_eq!(opened, Some(TunnelOutcome::Opened));
+    assert_eq!(bench.ask_for_tunnel("guess", "engine-1").await, None);
+    assert_eq!(bench.ask_for_tunnel("", "engine-1").await, None);
+    let unknown = bench.ask_for_tunnel(&secret, "engine-9").await;
+    assert_eq!(unknown, Some(TunnelOutcome::Withdrawn));
+    let leaving = &bench.bench.engines[0];
+    let store = &bench.bench.store;
+    store.put_target(leaving, "engine", "north", EntryState::Draining);
+    let router = &bench.bench.router;
+    router.wait_log(&["target_draining", "engine-1"]).await;
+    let withdrawn = bench.ask_for_tunnel(&secret, "engine-1").await;
+    assert_eq!(withdrawn, Some(TunnelOutcome::Withdrawn));
+}
