Tell crashes of many targets from a partition

Cause: three crashed targets in a row counted as a partition; only these were tried again, and once they had been replaced nothing was, so that each router waited for another one to open tunnels. And a refused connection, which is what tells a crash, was taken to another router that answered it as unreachable.

Only silent targets need tunnels unless all are lost.

--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -70,7 +70,7 @@
 pub use link_meter::{LinkDirection, LinkMeter};
 pub use loan_backoff::LoanBackoff;
 pub use outlier_score::OutlierScore;
-pub use path_monitor::{PathChange, PathMonitor};
+pub use path_monitor::{ConnectFault, PathChange, PathMonitor};
 pub use peer_ring::{PeerRecord, PeerRing};
 pub use permit_issuer::{IssuerRank, PermitIssuer, PermitReply};
 pub use policy_options::PolicyOptions;
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -75,6 +75,8 @@
     pub(super) retries: RefCell<RetryShare>,
     /// Which targets the router reaches by itself.
     pub(super) path: RefCell<PathMonitor>,
+    /// Whether a call tries targets to find out if the router is partitioned from all.
+    pub(super) is_confirming_path: Cell<bool>,
     /// Wakes the checks whether targets can be reached again.
     pub(super) target_unreached: Notify,
     /// Connections to targets by way of other routers.
@@ -136,6 +138,7 @@
             rotation: RefCell::default(),
             retries: RefCell::new(RetryShare::new(settings.retries)),
             path: RefCell::default(),
+            is_confirming_path: Cell::new(false),
             target_unreached: Notify::new(),
             tunnels: TunnelDirectory::default(),
             pool: TargetPool::default(),
--- a/crates/beechsaddle/src/gateway/target_path.rs
+++ b/crates/beechsaddle/src/gateway/target_path.rs
@@ -1,17 +1,18 @@
 //! The `target_path` module provides new connections to targets: direct ones, or by way of other
 //! routers to targets from which this one is partitioned.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{AttemptEnd, PathChange, TargetPhase, TargetRecord};
+use beechsaddle_core::gateway::{AttemptEnd, ConnectFault, PathChange, TargetPhase, TargetRecord};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions, open_stream};
 use beechsaddle_platform::ResponseHead;
 use futures::future::join_all;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::SliceRandom;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -27,6 +28,10 @@
 /// Maximum number of targets that are checked at once.
 const PROBES_MAX: usize = 8;
 
+/// Number of targets that are tried at once if a partition is suspected. With those that raised the
+/// suspicion, they are enough to tell.
+const CONFIRM_TARGETS: usize = 5;
+
 /// A connection to a target.
 pub(super) struct TargetLink {
     pub(super) http: HttpLink,
@@ -112,17 +117,36 @@
     }
 }
 
-/// Tries one more target if some could not be reached, so that a partition is noticed by the call
-/// that is affected first.
+/// Tries other targets if some could not be reached, so that a partition is noticed by the call that
+/// is affected first, and not mistaken for a crash of many targets.
 async fn confirm_partition(state: &GatewayState) {
     if !state.path.borrow().is_suspected() {
         return;
     }
-    let other = any_ready_target(state, |target| {
-        !state.path.borrow().is_unreached(&target.name)
-    });
-    if let Some(target) = other {
-        connect_for_pool(state, &target).await;
+    let Some(_guard) = ConfirmGuard::try_start(state) else {
+        return;
+    };
+    let is_untried = |target: &TargetRecord| !state.path.borrow().was_tried(&target.name);
+    let others = sample_targets(state, CONFIRM_TARGETS, is_untried);
+    probe_targets(state, &others).await;
+}
+
+/// Lets one call at a time look for a partition. The call may be dropped when its caller leaves.
+struct ConfirmGuard<'a> {
+    is_confirming: &'a Cell<bool>,
+}
+
+impl<'a> ConfirmGuard<'a> {
+    fn try_start(state: &'a GatewayState) -> Option<Self> {
+        let is_confirming = &state.is_confirming_path;
+        let is_free = !is_confirming.replace(true);
+        is_free.then_some(ConfirmGuard { is_confirming })
+    }
+}
+
+impl Drop for ConfirmGuard<'_> {
+    fn drop(&mut self) {
+        self.is_confirming.set(false);
     }
 }
 
@@ -164,31 +188,40 @@
     opened: &Result<TcpStream, LinkFailure>,
 ) {
     let [connected, refused, failed] = CONNECT_RESULTS;
-    let what = match opened {
-        Ok(_) => connected,
-        Err(failure) if failure.is_refused() => refused,
-        Err(_) => failed,
+    let (what, fault) = match opened {
+        Ok(_) => (connected, None),
+        Err(failure) if failure.is_refused() => (refused, Some(ConnectFault::Refused)),
+        Err(_) => (failed, Some(ConnectFault::Silent)),
     };
     let label = OutcomeLabel { what };
     state.metrics.connects.get_or_create(&label).inc();
-    let change = match opened {
-        Ok(_) => state.path.borrow_mut().record_reached(&target.name),
+    let change = match fault {
+        None => state.path.borrow_mut().record_reached(&target.name),
         // Behind a full link of its own, a router reaches nobody, and other routers cannot help.
-        Err(_) if state.is_link_full() => None,
-        Err(_) => {
-            let targets = ready_count(state);
-            // Idle connections may hang.
-            state.pool.forget(target.address);
-            state.target_unreached.notify_one();
-            let mut path = state.path.borrow_mut();
-            path.record_unreached(&target.name, targets)
-        }
+        Some(_) if state.is_link_full() => None,
+        Some(fault) => record_unreached(state, target, fault),
     };
     if let Some(change) = change {
         apply_change(state, change);
     }
 }
 
+fn record_unreached(
+    state: &GatewayState,
+    target: &TargetRecord,
+    fault: ConnectFault,
+) -> Option<PathChange> {
+    let targets = ready_count(state);
+    // Idle connections may hang.
+    state.pool.forget(target.address);
+    let mut path = state.path.borrow_mut();
+    let change = path.record_unreached(&target.name, fault, targets);
+    if path.needs_probes() {
+        state.target_unreached.notify_one();
+    }
+    change
+}
+
 fn ready_count(state: &GatewayState) -> usize {
     let roster = state.roster.borrow();
     let ready = roster
@@ -222,55 +255,63 @@
 pub(super) async fn run_path_probe(state: Rc<GatewayState>) {
     loop {
         state.target_unreached.notified().await;
-        loop {
+        while state.path.borrow().needs_probes() {
             sleep(PROBE_INTERVAL).await;
-            let targets = unreached_targets(&state);
-            if targets.is_empty() {
-                break;
-            }
-            probe_targets(&state, &targets).await;
+            probe_suspects(&state).await;
         }
     }
 }
 
-/// Returns some of the targets that could not be reached, and forgets those that are gone.
-fn unreached_targets(state: &GatewayState) -> Vec<TargetRecord> {
+async fn probe_suspects(state: &GatewayState) {
+    forget_gone_targets(state);
+    let is_lost = state.path.borrow().is_lost();
+    let is_wanted = |target: &TargetRecord| {
+        // Targets that replaced others were not tried yet.
+        is_lost || state.path.borrow().is_silent(&target.name)
+    };
+    let targets = sample_targets(state, PROBES_MAX, is_wanted);
+    probe_targets(state, &targets).await;
+    if state.tunnels.is_isolated()
+        && let Some(target) = targets.first()
+    {
+        // No call shows whether another router opens tunnels again, as callers go elsewhere.
+        drop(open_tunnel(state, target).await);
+    }
+}
+
+fn forget_gone_targets(state: &GatewayState) {
     let roster = state.roster.borrow();
+    let is_ready = |name: &TargetName| {
+        let phase = roster.get(name).map(|entry| entry.record.phase);
+        phase == Some(TargetPhase::Ready)
+    };
     let mut path = state.path.borrow_mut();
-    let names: Vec<_> = path.unreached().cloned().collect();
-    let mut targets = Vec::new();
-    for name in names {
-        match roster.get(&name) {
-            Some(entry) if entry.record.phase == TargetPhase::Ready => {
-                targets.push(entry.record.clone());
-            }
-            Some(_) | None => path.forget(&name),
-        }
+    let gone = path.suspects().filter(|name| !is_ready(name));
+    let gone: Vec<_> = gone.cloned().collect();
+    let changes = gone.iter().filter_map(|name| path.forget(name));
+    let change = changes.last();
+    drop((roster, path));
+    if let Some(change) = change {
+        apply_change(state, change);
     }
-    targets.shuffle(&mut rand::rng());
-    targets.truncate(PROBES_MAX);
-    targets
 }
 
 async fn probe_targets(state: &GatewayState, targets: &[TargetRecord]) {
     let probes = targets.iter().map(|target| connect_for_pool(state, target));
     join_all(probes).await;
-    if state.tunnels.is_isolated()
-        && let Some(target) = targets.first()
-    {
-        // No call shows whether another router opens tunnels again, as callers go elsewhere.
-        drop(open_tunnel(state, target).await);
-    }
 }
 
-fn any_ready_target(
+/// Returns up to `count` ready targets, drawn at random.
+fn sample_targets(
     state: &GatewayState,
+    count: usize,
     is_wanted: impl Fn(&TargetRecord) -> bool,
-) -> Option<TargetRecord> {
+) -> Vec<TargetRecord> {
     let roster = state.roster.borrow();
-    let ready = roster
-        .entries()
-        .filter(|entry| entry.record.phase == TargetPhase::Ready && is_wanted(&entry.record));
-    let chosen = ready.choose(&mut rand::rng())?;
-    Some(chosen.record.clone())
+    let records = roster.entries().map(|entry| &entry.record);
+    let wanted = records.filter(|record| record.phase == TargetPhase::Ready && is_wanted(record));
+    let mut targets: Vec<_> = wanted.cloned().collect();
+    targets.shuffle(&mut rand::rng());
+    targets.truncate(count);
+    targets
 }
--- a/crates/beechsaddle/tests/gateway_partition.rs
+++ b/crates/beechsaddle/tests/gateway_partition.rs
@@ -298,3 +298,37 @@
     let withdrawn = bench.ask_for_tunnel(&secret, "engine-1").await;
     assert_eq!(withdrawn, Some(TunnelOutcome::Withdrawn));
 }
+
+/// A router refused its callers for good: all targets crashed and were replaced, which looked like a
+/// partition that never ended.
+#[tokio::test]
+async fn replaced_targets_end_a_presumed_partition() {
+    let mut bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    for target in bench.plain.iter().chain(&bench.engines) {
+        target.crash();
+    }
+    wait_for("a presumed partition", || async {
+        for line in ["GET /get/1", "POST /stream/on/1"] {
+            // The targets are gone, so that these are refused.
+            let _ = bench.router.call(&token_request(line, "crashed")).await;
+        }
+        bench.router.metric("path_lost").await == Some(1.0)
+    })
+    .await;
+    for service in ["plain", "engine"] {
+        for number in 1..=2 {
+            bench.store.remove_target(&format!("{service}-{number}"));
+        }
+        let name = format!("{service}-3");
+        let target = TargetStandIn::try_start(&name).await.expect("a target");
+        let store = &bench.store;
+        store.put_target(&target, service, "north", EntryState::Ready);
+        bench.plain.push(target);
+        bench.router.wait_log(&["target_joined", &name]).await;
+    }
+    bench.router.wait_ready().await;
+    for line in ["GET /get/1", "POST /stream/on/1"] {
+        let reply = bench.router.call(&token_request(line, "after")).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+}
