Ask routers of other domains for tunnels, and end the search with the call's deadline

Found by reading the change, not by a run: an attempt asked three routers, those of its own domain first. Where a domain of dozens of routers is cut off as a whole, all three decline and the call is refused, though other domains reach the targets. Looking for a partition and for a router also went on past the call's deadline; it ends with it. Test: tunnel_routers_of_other_domains_are_asked (two domains of 30 routers).

--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -18,6 +18,13 @@
 /// The rendezvous key by which the followers of the store are chosen among the routers of a domain.
 const FOLLOWER_KEY: &str = "news";
 
+/// Number of routers of the own domain that one attempt of a call asks for a tunnel.
+const OWN_TUNNEL_ROUTERS: usize = 2;
+
+/// Number of routers of other domains that one attempt of a call asks for a tunnel after that. Most
+/// routers that open none say so within a round trip.
+const FOREIGN_TUNNEL_ROUTERS: usize = 6;
+
 /// A router as listed in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerRecord {
@@ -248,22 +255,25 @@
         before.take(count).count() < count
     }
 
-    /// Returns the routers that may open tunnels to a target, in the order in which this router asks
-    /// them: those of the own domain first, in an order of their own for each router and target.
-    pub fn tunnel_routers(&self, now: ClockTime, target: &TargetName) -> Vec<&PeerRecord> {
+    /// Returns the routers to ask for a tunnel to a target, in order, out of those that `may_ask`
+    /// allows: a few of the own domain, then more of others, since a partition often affects most of a
+    /// domain. Each router and target has an order of its own.
+    pub fn tunnel_routers(
+        &self,
+        now: ClockTime,
+        target: &TargetName,
+        may_ask: impl Fn(&PeerRecord) -> bool,
+    ) -> Vec<&PeerRecord> {
         let key = format!("{}/{target}", self.me);
         let others = self.peers.values().filter(|peer| peer.host != self.me);
-        let usable = others.filter(|peer| self.is_usable(now, peer));
-        let ranked = usable.map(|peer| {
-            let is_foreign = peer.domain != self.domain;
-            (
-                (is_foreign, rendezvous_weight(&key, peer.host.as_str())),
-                peer,
-            )
-        });
-        let mut ranked: Vec<_> = ranked.collect();
-        ranked.sort_by_key(|(rank, _)| *rank);
-        ranked.into_iter().map(|(_, peer)| peer).collect()
+        let usable = others.filter(|peer| self.is_usable(now, peer) && may_ask(peer));
+        let mut usable: Vec<_> = usable.collect();
+        usable.sort_by_key(|peer| rendezvous_weight(&key, peer.host.as_str()));
+        let is_own = |peer: &&&PeerRecord| peer.domain == self.domain;
+        let own = usable.iter().filter(is_own).take(OWN_TUNNEL_ROUTERS);
+        let foreign = usable.iter().filter(|peer| !is_own(peer));
+        let foreign = foreign.take(FOREIGN_TUNNEL_ROUTERS);
+        own.chain(foreign).copied().collect()
     }
 
     /// Returns the other routers of the own domain that answer, as far as known.
--- a/crates/beechsaddle-core/src/gateway/repeat_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/repeat_rule.rs
@@ -98,8 +98,6 @@
     pub fn record(&mut self, end: AttemptEnd) {
         match end {
             AttemptEnd::Refused => self.refused += 1,
-            // Another target cannot be reached either.
-            AttemptEnd::NoPath => self.unsent = UNSENT_MAX,
             AttemptEnd::Misdirected => self.misdirected += 1,
             _ if end.is_arrival() => self.sent += 1,
             _ => self.unsent += 1,
--- a/crates/beechsaddle-core/tests/gateway_path.rs
+++ b/crates/beechsaddle-core/tests/gateway_path.rs
@@ -1,7 +1,8 @@
 //! Tests of whether a router reaches the targets by itself.
 
-use beechsaddle_core::gateway::{ConnectFault, PathChange, PathMonitor};
-use beechsaddle_core::names::TargetName;
+use beechsaddle_core::clock::ClockTime;
+use beechsaddle_core::gateway::{ConnectFault, PathChange, PathMonitor, PeerRecord, PeerRing};
+use beechsaddle_core::names::{DomainName, HostName, TargetName};
 
 fn fail(monitor: &mut PathMonitor, target: &str, ready_targets: usize) -> Option<PathChange> {
     monitor.record_unreached(
@@ -116,3 +117,28 @@
     let mut monitor = PathMonitor::default();
     assert_eq!(fail(&mut monitor, "a", 1), Some(PathChange::Lost));
 }
+
+/// A router of a large domain that is cut off as a whole asked only routers of that domain.
+#[test]
+fn tunnel_routers_of_other_domains_are_asked() {
+    let mut ring = PeerRing::new(HostName::new("north-0"), DomainName::new("north"));
+    let hosts = ["north", "south"].map(|domain| (0..30).map(move |number| (domain, number)));
+    ring.take_listing(
+        hosts
+            .into_iter()
+            .flatten()
+            .map(|(domain, number)| PeerRecord {
+                host: HostName::new(format!("{domain}-{number}")),
+                domain: DomainName::new(domain),
+                address: Some(([127, 0, 0, 1], 7_000 + number).into()),
+            }),
+    );
+    let (now, target) = (ClockTime::ZERO, TargetName::new("engine-1"));
+    let asked = ring.tunnel_routers(now, &target, |_| true);
+    let domains: Vec<_> = asked.iter().map(|peer| peer.domain.as_str()).collect();
+    assert_eq!(domains[..2], ["north", "north"]);
+    assert!(domains.len() > 2 && domains[2..].iter().all(|domain| *domain == "south"));
+    assert!(asked.iter().all(|peer| peer.host.as_str() != "north-0"));
+    let foreign = ring.tunnel_routers(now, &target, |peer| peer.domain.as_str() == "south");
+    assert!(foreign.iter().all(|peer| peer.domain.as_str() == "south"));
+}
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -66,7 +66,12 @@
             other => return other.map_err(|(failure, _)| failure),
         }
     }
-    let link = open_link(&call.state, target, LinkOptions::default()).await?;
+    let opening = open_link(&call.state, target, LinkOptions::default());
+    let Ok(opened) = timeout(call.remaining(), opening).await else {
+        let failure = SendFailure::new(AttemptEnd::Unsent, "the deadline is over");
+        return Err(failure);
+    };
+    let link = opened?;
     if let Some(router) = &link.router {
         call.record.add_field("through", router);
     }
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_client.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_client.rs
@@ -14,8 +14,8 @@
 use crate::gateway::gateway_metrics::OutcomeLabel;
 use crate::gateway::gateway_state::GatewayState;
 
-/// Number of routers that one attempt of a call asks at most. Each may take a timeout.
-const ROUTERS_MAX: usize = 3;
+/// Time for which one attempt of a call looks for a router, in milliseconds: about a connect timeout.
+const SEARCH_LIMIT_MS: u64 = 400;
 
 /// Time for which further routers are asked if one does not reach the target, in milliseconds. Those
 /// that know it already answer at once.
@@ -59,6 +59,9 @@
     let started = state.now();
     let mut is_unreachable = false;
     for router in candidates(state, target) {
+        if state.now().since(started) >= SEARCH_LIMIT_MS {
+            break;
+        }
         let (outcome, stream) = match ask_router(state, &router, target).await {
             Ok(answer) => answer,
             Err(error) => {
@@ -90,7 +93,7 @@
     if is_unreachable {
         return Err(TunnelFailure::Unreachable);
     }
-    let is_isolated = state.path.borrow().is_lost();
+    let is_isolated = state.path.borrow().is_lost() && !has_candidates(state);
     state.tunnels.set_isolated(is_isolated);
     Err(TunnelFailure::NoRouter)
 }
@@ -99,9 +102,17 @@
 fn candidates(state: &GatewayState, target: &TargetRecord) -> Vec<PeerRecord> {
     let now = state.now();
     let ring = state.lending.ring.borrow();
-    let routers = ring.tunnel_routers(now, &target.name).into_iter();
-    let routers = routers.filter(|router| state.tunnels.may_ask(now, router));
-    routers.take(ROUTERS_MAX).cloned().collect()
+    let may_ask = |router: &PeerRecord| state.tunnels.may_ask(now, router);
+    let routers = ring.tunnel_routers(now, &target.name, may_ask);
+    routers.into_iter().cloned().collect()
+}
+
+/// Whether any router is left that has not declined lately.
+fn has_candidates(state: &GatewayState) -> bool {
+    let now = state.now();
+    let ring = state.lending.ring.borrow();
+    let mut others = ring.others(now);
+    others.any(|(router, down_ms)| down_ms == 0 && state.tunnels.may_ask(now, router))
 }
 
 async fn ask_router(
