Log and count the software versions at which streams are resumed

The logs named each attempt's target, but not its software version, nor which attempt a caller resumes; whether resumed streams cross versions, and whether a caller's or the router's own resume does, could not be told. The target's record keeps the version of its entry now, the head of a call the attempt that it resumes; call_admitted, call_placed and stream_resumed name them, and beechsaddle_resume_versions counts resumed streams by who resumed them and the relation of both versions. What began a caller's stream is unknown to every router, and counted so. Nothing is decided by it yet.

--- a/crates/beechsaddle-core/src/gateway/target_record.rs
+++ b/crates/beechsaddle-core/src/gateway/target_record.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::TargetIncarnation;
-use crate::names::{DomainName, ServiceName, TargetName};
+use crate::names::{DomainName, ServiceName, SoftwareVersion, TargetName};
 
 /// Whether a target accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +23,8 @@
     /// The revision of the entry in the store, which orders entries of one target.
     pub revision: u64,
     pub service: ServiceName,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// Its address, which another target may get later.
     pub address: SocketAddr,
     /// Its failure domain.
--- a/crates/beechsaddle-core/src/names.rs
+++ b/crates/beechsaddle-core/src/names.rs
@@ -84,6 +84,10 @@
     /// The name of a target, one replica of a service.
     TargetName
 }
+shared_name! {
+    /// The software version of a target. Two names that differ are two versions; they have no order.
+    SoftwareVersion
+}
 shared_name! {
     RouteName
 }
--- a/crates/beechsaddle-core/tests/choice_support/mod.rs
+++ b/crates/beechsaddle-core/tests/choice_support/mod.rs
@@ -23,6 +23,7 @@
         started: None,
         revision: 1,
         service: ServiceName::new("engine"),
+        version: SoftwareVersion::new("v1"),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         domain: DomainName::new("north"),
         slots: 6,
--- a/crates/beechsaddle-core/tests/gateway_evacuations.rs
+++ b/crates/beechsaddle-core/tests/gateway_evacuations.rs
@@ -34,6 +34,7 @@
             started: None,
             revision: 1,
             service: ServiceName::new("engine"),
+            version: SoftwareVersion::new("v1"),
             address: SocketAddr::from(([127, 0, 0, 1], 8_000 + index as u16)),
             domain,
             slots: 6,
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -16,6 +16,7 @@
         started: None,
         revision: 1,
         service: ServiceName::new("engine"),
+        version: SoftwareVersion::new("v1"),
         address: address(),
         domain: DomainName::new(domain),
         slots: 6,
--- a/crates/beechsaddle-core/tests/gateway_warm_up.rs
+++ b/crates/beechsaddle-core/tests/gateway_warm_up.rs
@@ -47,6 +47,7 @@
         started: None,
         revision,
         service: ServiceName::new("engine"),
+        version: SoftwareVersion::new("v1"),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         domain: DomainName::new("north"),
         slots: 6,
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -296,17 +296,18 @@
     let workspace = rules.workspace.as_ref();
     let caller = workspace.map_or("", |rule| rule.name.as_str());
     let fingerprint = RequestFingerprint::new(path, caller, &body);
-    record.log_decision(
-        "call_admitted",
-        [
-            ("config", rules.config.version.to_string()),
-            ("route", rules.route.name.to_string()),
-            ("service", service.to_string()),
-            ("body_bytes", body.len().to_string()),
-            ("fingerprint", fingerprint.to_string()),
-            ("span_ms", timeout_ms.to_string()),
-        ],
-    );
+    let mut fields = vec![
+        ("config", rules.config.version.to_string()),
+        ("route", rules.route.name.to_string()),
+        ("service", service.to_string()),
+        ("body_bytes", body.len().to_string()),
+        ("fingerprint", fingerprint.to_string()),
+        ("span_ms", timeout_ms.to_string()),
+    ];
+    let last_event = head.last_event.map(|event| event.to_string());
+    fields.extend(last_event.map(|event| ("last_event", event)));
+    fields.extend(head.resumes.clone().map(|id| ("resumes", id)));
+    record.log_decision("call_admitted", fields);
     let plain = ServiceRule {
         is_engine: false,
         event_tokens: 1,
--- a/crates/beechsaddle/src/gateway/call_record.rs
+++ b/crates/beechsaddle/src/gateway/call_record.rs
@@ -7,7 +7,7 @@
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::{LogLevel, LogLine};
 
-use super::gateway_metrics::{CauseLabel, OutcomeLabel};
+use super::gateway_metrics::{CauseLabel, OutcomeLabel, ResumeLabel};
 use super::gateway_state::GatewayState;
 use super::refusal::RefusalCause;
 
@@ -142,6 +142,14 @@
         }
     }
 
+    /// Records that a stream was resumed, who resumed it, and at which version in relation to the one
+    /// that began it.
+    pub(super) fn record_resume(&self, by: &'static str, what: &'static str) {
+        let versions = &self.state.metrics.resume_versions;
+        versions.get_or_create(&ResumeLabel { by, what }).inc();
+        self.add_field("resumed_version", what);
+    }
+
     /// Records whether the response missed the route's objectives, and which one.
     pub(super) fn record_lateness(&self, route: &RouteRule) {
         let is_late_first = self
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -33,6 +33,15 @@
     pub(super) what: &'static str,
 }
 
+/// The software version at which a stream was resumed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ResumeLabel {
+    /// Who resumed the stream.
+    pub(super) by: &'static str,
+    /// The relation to the version that began the stream.
+    pub(super) what: &'static str,
+}
+
 /// The name and the outcome of a store call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct StoreLabel {
@@ -48,6 +57,12 @@
 /// Where a stream's body ended: after a whole event, inside an event, or before its first event.
 pub(super) const STREAM_ENDS: [&str; 3] = ["whole", "inside_event", "no_event"];
 
+/// Who resumed a stream: the router, within one response, or the caller.
+pub(super) const RESUMERS: [&str; 2] = ["router", "caller"];
+
+/// The version at which a stream was resumed: the one that began it, another one, or an unknown relation.
+pub(super) const RESUME_VERSIONS: [&str; 3] = ["same", "other", "unknown"];
+
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
 
@@ -90,6 +105,8 @@
     pub(super) repeats_denied: Counter,
     /// Streams continued at another target.
     pub(super) resumes: Counter,
+    /// Resumed streams, by who resumed them and at which version.
+    pub(super) resume_versions: Family<ResumeLabel, Counter>,
     /// Targets' parts of streams whose body ended without an error, by framing and by where it
     /// ended.
     pub(super) stream_ends: Family<StreamEndLabel, Counter>,
@@ -158,6 +175,7 @@
             repeats: Family::default(),
             repeats_denied: Counter::default(),
             resumes: Counter::default(),
+            resume_versions: Family::default(),
             stream_ends: Family::default(),
             connects: zeroed_counters(CONNECT_RESULTS),
             path_lost: Gauge::default(),
@@ -194,6 +212,13 @@
                 drop(metrics.stream_ends.get_or_create(&label));
             }
         }
+        // So that a rate includes the first stream of two versions.
+        for by in RESUMERS {
+            for what in RESUME_VERSIONS {
+                let label = ResumeLabel { by, what };
+                drop(metrics.resume_versions.get_or_create(&label));
+            }
+        }
         // Both causes are exported at zero, so that a rate includes the first late answer.
         for what in LATE_CAUSES {
             drop(metrics.late.get_or_create(&OutcomeLabel { what }));
@@ -223,6 +248,8 @@
         let denied = self.repeats_denied.clone();
         registry.register("repeats_denied", "Kept back by the retry budget", denied);
         registry.register("resumes", "Streams resumed", self.resumes.clone());
+        let versions = self.resume_versions.clone();
+        registry.register("resume_versions", "Streams resumed, by version", versions);
         let stream_ends = self.stream_ends.clone();
         registry.register("stream_ends", "Regular ends of streams", stream_ends);
         let connects = self.connects.clone();
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -48,7 +48,7 @@
         let Some((choice, target)) = choose_permitted_target(call).await else {
             break no_target_cause(call);
         };
-        record_choice(call, &choice);
+        record_choice(call, &choice, &target);
         let (end, detail) = match run_attempt(call, &choice, &target).await {
             Ok(answer) if answer.end.is_none() => return forward_answer(call, answer),
             Ok(answer) => {
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -13,6 +13,7 @@
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
+use super::gateway_metrics::{RESUME_VERSIONS, RESUMERS};
 use super::refusal::RefusalCause;
 use super::stream_relay::{StallWatch, StreamAttempt, StreamRelay};
 use super::target_choice::{choose_permitted_target, no_target_cause, record_choice, refuse_call};
@@ -51,6 +52,10 @@
                 attempt,
             } = *open;
             call.record.add_field("status", status.as_u16());
+            if call.head.last_event.is_some() {
+                let ([_, by_caller], [.., unknown]) = (RESUMERS, RESUME_VERSIONS);
+                call.record.record_resume(by_caller, unknown);
+            }
             let relay = StreamRelay::new(Rc::clone(&call), reservation, attempt);
             let mut response = Response::new(AnswerBody::Streamed(relay.into_stream()));
             *response.status_mut() = status;
@@ -83,7 +88,7 @@
                 StreamOpening::Failed,
             );
         };
-        record_choice(call, &choice);
+        record_choice(call, &choice, &target);
         if let Some(reservation) = reservation {
             reservation.begin_attempt();
         }
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -19,7 +19,7 @@
 use super::call_record::ANSWERED;
 use super::crashes::{detect_crash, record_completion};
 use super::event_splitter::EventSplitter;
-use super::gateway_metrics::{STREAM_ENDS, StreamEndLabel};
+use super::gateway_metrics::{RESUME_VERSIONS, RESUMERS, STREAM_ENDS, StreamEndLabel};
 use super::stream_exchange::{StreamOpening, open_stream};
 use super::target_path::TargetLink;
 use super::token_reservation::TokenReservation;
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Returns the software version of the target.
+    pub(super) fn version(&self) -> SoftwareVersion {
+        self.guard.target().version.clone()
+    }
+
     /// Records success and returns the connection to the pool.
     fn finish(self, call: &CallContext) {
         self.guard.record_success();
@@ -314,6 +319,7 @@
 
     /// Resumes the stream at another target, after the last event that the caller has.
     async fn try_resume(&mut self, end: AttemptEnd, detail: &str) -> Result<(), StreamBroken> {
+        let began_at = self.attempt.as_ref().map(StreamAttempt::version);
         // The old connection is closed first: two targets at work on one stream waste one of them.
         if let Some(attempt) = self.attempt.take() {
             attempt.guard.record_failure(end);
@@ -332,7 +338,7 @@
         let StreamOpening::Open(open) = opening else {
             return Err(self.abort("no target resumed the stream"));
         };
-        self.log_resume(last_event);
+        self.log_resume(last_event, began_at, open.attempt.version());
         self.stall = StallWatch::for_first_event(
             &self.call,
             self.call.head.bound.map_or(0, |bound| bound.input),
@@ -341,10 +347,25 @@
         Ok(())
     }
 
-    fn log_resume(&self, last_event: Option<u64>) {
+    fn log_resume(
+        &self,
+        last_event: Option<u64>,
+        before: Option<SoftwareVersion>,
+        version: SoftwareVersion,
+    ) {
         self.call.state.metrics.resumes.inc();
+        let [by_router, _] = RESUMERS;
+        let [same, other, unknown] = RESUME_VERSIONS;
+        let what = match &before {
+            Some(before) if *before == version => same,
+            Some(_) => other,
+            None => unknown,
+        };
+        self.call.record.record_resume(by_router, what);
         let last = last_event.map_or("none".to_owned(), |last| last.to_string());
-        let fields = [("last_event", last), ("events", self.events.to_string())];
+        let mut fields = vec![("last_event", last), ("events", self.events.to_string())];
+        fields.extend(before.map(|before| ("version_before", before.to_string())));
+        fields.push(("version", version.to_string()));
         self.call.record.log_decision("stream_resumed", fields);
     }
 
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -134,16 +134,18 @@
 }
 
 /// Records the chosen target and the reasons.
-pub(super) fn record_choice(call: &CallContext, choice: &TargetChoice) {
+pub(super) fn record_choice(call: &CallContext, choice: &TargetChoice, target: &TargetRecord) {
     call.record.add_field("target", &choice.target);
     call.record.add_field("cost", choice.cost as u64);
     call.record.add_field("home", choice.is_affinity_target);
     call.record.add_field("of", choice.candidates);
-    let target = &choice.target;
+    call.record.add_field("version", &target.version);
+    let name = &choice.target;
     let roster = call.state.roster.borrow();
-    let active = roster.get(target).map(|entry| entry.stats.active);
+    let active = roster.get(name).map(|entry| entry.stats.active);
     let fields = [
-        ("target", target.to_string()),
+        ("target", name.to_string()),
+        ("version", target.version.to_string()),
         ("cost", (choice.cost as u64).to_string()),
         ("home", choice.is_affinity_target.to_string()),
         ("of", choice.candidates.to_string()),
--- a/crates/beechsaddle/tests/gateway_logs.rs
+++ b/crates/beechsaddle/tests/gateway_logs.rs
@@ -57,6 +57,11 @@
     assert_eq!(ends.len(), 2, "{ends:?}");
     let resumed = bench.router.log_lines(&["stream_resumed", "complaint"]);
     assert_eq!(resumed.len(), 1, "{resumed:?}");
+    for field in ["version_before=v1", "version=v1"] {
+        assert!(resumed[0].contains(field), "no {field} in {}", resumed[0]);
+    }
+    let same = "resume_versions_total{by=\"router\",what=\"same\"}";
+    assert_eq!(bench.router.metric(same).await, Some(1.0));
 }
 
 /// An unknown outcome can be traced: the lines of a non-repeatable call name the one target that
