--- a/crates/beechsaddle-core/src/gateway/choice_input.rs
+++ b/crates/beechsaddle-core/src/gateway/choice_input.rs
@@ -2,14 +2,16 @@
 //! cold targets.
 
 use super::target_roster::RosterEntry;
-use super::{EvacuationRegistry, PolicyOptions, PromptShape, WarmUpPlan};
+use super::{EvacuationRegistry, PolicyOptions, PromptShape, TargetRoster, WarmUpPlan};
 use crate::clock::ClockTime;
-use crate::names::{DomainName, ServiceName, TargetName};
+use crate::names::{DomainName, ServiceName, SoftwareVersion, TargetName};
 
 /// The inputs of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceInput<'a> {
     pub service: &'a ServiceName,
+    /// The software version of a stream that has begun; `None` if any may serve the request.
+    pub version: Option<&'a SoftwareVersion>,
     /// Whether the targets of the service are engines.
     pub is_engine: bool,
     /// The router's own domain.
@@ -32,7 +34,14 @@
     pub policy: PolicyOptions,
 }
 
-impl ChoiceInput<'_> {
+impl<'a> ChoiceInput<'a> {
+    /// Returns the targets that accept new requests and may serve this one.
+    pub fn eligible(&self, roster: &'a TargetRoster) -> impl Iterator<Item = &'a RosterEntry> {
+        let version = self.version;
+        let ready = roster.ready(self.service);
+        ready.filter(move |entry| version.is_none_or(|version| entry.record.version == *version))
+    }
+
     /// Returns for how long a target counts as cold, in milliseconds. The targets of a domain that
     /// was taken back may have become cold, although their entries do not say so yet.
     pub(super) fn cold_for_ms(&self, entry: &RosterEntry, now: ClockTime) -> u64 {
--- a/crates/beechsaddle-core/src/gateway/route_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/route_rule.rs
@@ -74,6 +74,12 @@
 }
 
 impl RouteRule {
+    /// Whether the route sends requests to a service.
+    pub fn has_service(&self, service: &ServiceName) -> bool {
+        let mut services = self.services.iter();
+        services.any(|entry| entry.service == *service && entry.weight > 0)
+    }
+
     /// Returns the service for a request. The same request id always gives the same service, so
     /// that retries do not switch between services.
     pub fn service_for(&self, request_id: &str) -> Option<&ServiceName> {
--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -109,8 +109,8 @@
     now: ClockTime,
     input: ChoiceInput<'_>,
 ) -> Option<TargetChoice> {
-    let untried: Vec<_> = roster
-        .ready(input.service)
+    let untried: Vec<_> = input
+        .eligible(roster)
         .filter(|entry| !input.tried.contains(&entry.record.name))
         .filter(|entry| entry.stats.limit.paused_for_ms(now) == 0)
         .filter(|entry| input.evacuations.allows(&entry.record.domain))
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use super::{TargetPhase, TargetRecord, TargetStats};
+use super::{ORIGIN_RETENTION_MS, TargetPhase, TargetRecord, TargetStats};
 use crate::clock::ClockTime;
-use crate::names::{ServiceName, TargetName};
+use crate::names::{ServiceName, SoftwareVersion, TargetName};
 
 /// How long an entry may be missing after a store outage before its target counts as gone, in
 /// milliseconds. Running targets write their entries again within two seconds.
@@ -52,6 +52,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetRoster {
     entries: BTreeMap<TargetName, RosterEntry>,
+    /// When a target of a service and version last left.
+    left: BTreeMap<(ServiceName, SoftwareVersion), ClockTime>,
     outage_until: Option<ClockTime>,
 }
 
@@ -222,7 +224,8 @@
             EntryAge::Current => entry.update(now, record),
             EntryAge::Restarted => {
                 let before = entry.record.address;
-                *entry = RosterEntry::new(now, record);
+                let earlier = std::mem::replace(entry, RosterEntry::new(now, record));
+                self.record_left(now, &earlier.record);
                 Some(RosterChange::Restarted(name, before))
             }
         }
@@ -230,8 +233,9 @@
 
     /// Removes a target whose entry cannot be read, as it no longer names a target. Unlike an entry
     /// that expired in an outage it is present, so no grace period applies.
-    pub fn withdraw(&mut self, name: &TargetName) -> Option<RosterChange> {
+    pub fn withdraw(&mut self, now: ClockTime, name: &TargetName) -> Option<RosterChange> {
         let entry = self.entries.remove(name)?;
+        self.record_left(now, &entry.record);
         Some(RosterChange::Gone(name.clone(), entry.record.address))
     }
 
@@ -246,7 +250,14 @@
             entry.missing_since = Some(now);
             return Some(RosterChange::Unconfirmed(name.clone()));
         }
-        self.withdraw(name)
+        self.withdraw(now, name)
+    }
+
+    fn record_left(&mut self, now: ClockTime, record: &TargetRecord) {
+        self.left
+            .retain(|_, left_at| now.since(*left_at) < ORIGIN_RETENTION_MS);
+        let key = (record.service.clone(), record.version.clone());
+        self.left.insert(key, now);
     }
 
     /// Removes entries that stayed missing after the store's return.
@@ -260,7 +271,7 @@
             .filter(|(_, entry)| entry.missing_since.is_some())
             .map(|(name, _)| name.clone())
             .collect();
-        let gone = late.iter().filter_map(|name| self.withdraw(name));
+        let gone = late.iter().filter_map(|name| self.withdraw(now, name));
         gone.collect()
     }
 
@@ -293,6 +304,23 @@
         })
     }
 
+    /// Returns the software version of a service's targets if all that are listed, or have left while
+    /// a stream that they began may still be resumed, are of one version.
+    pub fn sole_version(&self, now: ClockTime, service: &ServiceName) -> Option<SoftwareVersion> {
+        let listed = self.entries.values().map(|entry| &entry.record);
+        let listed = listed.filter(|record| record.service == *service);
+        let left = self.left.iter().filter(|((other, _), left_at)| {
+            other == service && now.since(**left_at) < ORIGIN_RETENTION_MS
+        });
+        let mut versions = listed
+            .map(|record| &record.version)
+            .chain(left.map(|((_, version), _)| version));
+        let first = versions.next()?;
+        versions
+            .all(|version| version == first)
+            .then(|| first.clone())
+    }
+
     /// Returns all targets.
     pub fn entries(&self) -> impl Iterator<Item = &RosterEntry> {
         self.entries.values()
--- a/crates/beechsaddle-core/src/names.rs
+++ b/crates/beechsaddle-core/src/names.rs
@@ -88,6 +88,10 @@
     /// The software version of a target. Two names that differ are two versions; they have no order.
     SoftwareVersion
 }
+shared_name! {
+    /// The id of a stream: that of the caller's attempt that received its first event.
+    StreamId
+}
 shared_name! {
     RouteName
 }
--- a/crates/beechsaddle-core/src/prelude.rs
+++ b/crates/beechsaddle-core/src/prelude.rs
@@ -5,8 +5,8 @@
 pub use crate::event::CoreEvent;
 pub use crate::names::{
     AttemptId, BudgetName, CallId, DomainName, HostName, KeyOrigin, KeyText, ModelName, ObjectKey,
-    OwnerName, RequestKey, RouteName, RouterIncarnation, ServiceName, SoftwareVersion, TargetName,
-    TopUpId, WorkspaceName,
+    OwnerName, RequestKey, RouteName, RouterIncarnation, ServiceName, SoftwareVersion, StreamId,
+    TargetName, TopUpId, WorkspaceName,
 };
 pub use crate::outbox::CoreOutbox;
 pub use crate::refusal::{CallRefusal, RanState, RefusalReason};
--- a/crates/beechsaddle-core/tests/choice_support/mod.rs
+++ b/crates/beechsaddle-core/tests/choice_support/mod.rs
@@ -53,6 +53,7 @@
     let parts = shared.map(|shared| vec![part(shared, 350), part("own", 1_100)]);
     let input = ChoiceInput {
         service: &ServiceName::new("engine"),
+        version: None,
         is_engine: true,
         domain: &DomainName::new("north"),
         prompt: &PromptShape {
--- a/crates/beechsaddle-core/tests/gateway_evacuations.rs
+++ b/crates/beechsaddle-core/tests/gateway_evacuations.rs
@@ -57,6 +57,7 @@
     };
     let input = ChoiceInput {
         service: &ServiceName::new("engine"),
+        version: None,
         is_engine: true,
         domain: &DomainName::new("north"),
         prompt: &PromptShape {
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -60,6 +60,7 @@
 ) -> Option<TargetChoice> {
     let input = ChoiceInput {
         service: &ServiceName::new("engine"),
+        version: None,
         is_engine: !prompt.parts.is_empty(),
         domain: &DomainName::new("north"),
         prompt,
@@ -314,7 +315,7 @@
 fn unreadable_entry_is_withdrawn() {
     let mut roster = roster(&["a", "b"]);
     roster.record_outage(START);
-    let change = roster.withdraw(&TargetName::new("a"));
+    let change = roster.withdraw(START, &TargetName::new("a"));
     assert_eq!(
         change,
         Some(RosterChange::Gone(TargetName::new("a"), address()))
@@ -343,6 +344,7 @@
 ) -> TargetChoice {
     let input = ChoiceInput {
         service: &ServiceName::new("engine"),
+        version: None,
         is_engine: true,
         domain: &DomainName::new("north"),
         prompt,
--- a/crates/beechsaddle-core/tests/gateway_warm_up.rs
+++ b/crates/beechsaddle-core/tests/gateway_warm_up.rs
@@ -61,6 +61,7 @@
     let ring = ring(0, 1);
     let input = ChoiceInput {
         service: &ServiceName::new("engine"),
+        version: None,
         is_engine: true,
         domain: &DomainName::new("north"),
         prompt: &PromptShape::default(),
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -104,7 +104,16 @@
   # then: the earlier and the later of both, in Unix milliseconds.
 }
 
-interface RouterPeer extends(TokenLender, NewsRelay, CrashListener, LimitShare, ClockTeller) {}
+interface StreamRegistry {
+  noteStream @0 (secret :Text, stream :Text, service :Text, version :Text) -> ();
+  # Tells where a stream began: `stream` is the id of the caller's attempt that received its first event, `service` and
+  # `version` those of the target that sent it. The origin of a stream never changes.
+
+  findStream @1 (secret :Text, stream :Text) -> (isKnown :Bool, service :Text, version :Text);
+  # Where a stream began, as far as the router knows.
+}
+
+interface RouterPeer extends(TokenLender, NewsRelay, CrashListener, LimitShare, ClockTeller, StreamRegistry) {}
 # What a router serves to others: the first capability of its peer address.
 
 enum TunnelOutcome {
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -4963,6 +4963,1133 @@
 }
 
 
+pub mod stream_registry {
+    #![allow(unused_variables)]
+    pub type NoteStreamParams<> = ::capnp::capability::Params<crate::lending_capnp::stream_registry::note_stream_params::Owned>;
+    pub type NoteStreamResults<> = ::capnp::capability::Results<crate::lending_capnp::stream_registry::note_stream_results::Owned>;
+    pub type FindStreamParams<> = ::capnp::capability::Params<crate::lending_capnp::stream_registry::find_stream_params::Owned>;
+    pub type FindStreamResults<> = ::capnp::capability::Results<crate::lending_capnp::stream_registry::find_stream_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn note_stream_request(&self) -> ::capnp::capability::Request<crate::lending_capnp::stream_registry::note_stream_params::Owned,crate::lending_capnp::stream_registry::note_stream_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn find_stream_request(&self) -> ::capnp::capability::Request<crate::lending_capnp::stream_registry::find_stream_params::Owned,crate::lending_capnp::stream_registry::find_stream_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn note_stream(self: ::capnp::capability::Rc<Self>, _: NoteStreamParams<>, _: NoteStreamResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method stream_registry::Server::note_stream not implemented".to_string()))) }
+        fn find_stream(self: ::capnp::capability::Rc<Self>, _: FindStreamParams<>, _: FindStreamResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method stream_registry::Server::find_stream not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::note_stream(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::find_stream(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xcbc1_5834_dcf7_529a;
+    }
+
+    pub mod note_stream_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_secret(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stream(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 4 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_secret(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_secret(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_secret(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_stream(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_stream(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(2).init_text(size)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(3).init_text(size)
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(58, 217, 234, 189, 63, 204, 136, 130),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 122, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 83, 116),
+                ::capnp::word(114, 101, 97, 109, 82, 101, 103, 105),
+                ::capnp::word(115, 116, 114, 121, 46, 110, 111, 116),
+                ::capnp::word(101, 83, 116, 114, 101, 97, 109, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 99, 114, 101, 116, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
+            pub(crate) const TYPE_ID: u64 = 0x8288_cc3f_bdea_d93a;
+        }
+    }
+
+    pub mod note_stream_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(47, 140, 152, 150, 143, 209, 105, 151),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 130, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 83, 116),
+                ::capnp::word(114, 101, 97, 109, 82, 101, 103, 105),
+                ::capnp::word(115, 116, 114, 121, 46, 110, 111, 116),
+                ::capnp::word(101, 83, 116, 114, 101, 97, 109, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x9769_d18f_9698_8c2f;
+        }
+    }
+
+    pub mod find_stream_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_secret(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stream(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_secret(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_secret(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_secret(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_stream(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_stream(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(247, 206, 66, 66, 50, 218, 17, 236),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 122, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 83, 116),
+                ::capnp::word(114, 101, 97, 109, 82, 101, 103, 105),
+                ::capnp::word(115, 116, 114, 121, 46, 102, 105, 110),
+                ::capnp::word(100, 83, 116, 114, 101, 97, 109, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 99, 114, 101, 116, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xec11_da32_4242_cef7;
+        }
+    }
+
+    pub mod find_stream_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_is_known(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_is_known(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_is_known(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(18, 58, 252, 245, 115, 190, 71, 240),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 130, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 83, 116),
+                ::capnp::word(114, 101, 97, 109, 82, 101, 103, 105),
+                ::capnp::word(115, 116, 114, 121, 46, 102, 105, 110),
+                ::capnp::word(100, 83, 116, 114, 101, 97, 109, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 115, 75, 110, 111, 119, 110, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0xf047_be73_f5fc_3a12;
+        }
+    }
+}
+
+
 pub mod router_peer {
     #![allow(unused_variables)]
 
@@ -5015,7 +6142,7 @@
     }
     impl  Client {
     }
-    pub trait Server<> : crate::lending_capnp::token_lender::Server + crate::lending_capnp::news_relay::Server + crate::lending_capnp::crash_listener::Server + crate::lending_capnp::limit_share::Server + crate::lending_capnp::clock_teller::Server + 'static  {
+    pub trait Server<> : crate::lending_capnp::token_lender::Server + crate::lending_capnp::news_relay::Server + crate::lending_capnp::crash_listener::Server + crate::lending_capnp::limit_share::Server + crate::lending_capnp::clock_teller::Server + crate::lending_capnp::stream_registry::Server + 'static  {
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -5042,6 +6169,7 @@
                 0xb5ba6303d8b703a0 => crate::lending_capnp::crash_listener::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
                 0xa57a02094ce2589c => crate::lending_capnp::limit_share::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
                 0xeefbffda86b80f3f => crate::lending_capnp::clock_teller::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
+                0xcbc15834dcf7529a => crate::lending_capnp::stream_registry::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -40,6 +40,9 @@
     pub(super) fingerprint: RequestFingerprint,
     pub(super) route: Arc<RouteRule>,
     pub(super) service: ServiceName,
+    /// The software version that began the call's stream. Only its targets may continue it; `None`
+    /// while the caller has no event.
+    pub(super) version: RefCell<Option<SoftwareVersion>>,
     /// The service's declaration in the configuration.
     pub(super) rule: ServiceRule,
     /// The workspace that the caller's key belongs to; `None` on open routes and without
@@ -67,6 +70,12 @@
         Duration::from_millis(self.remaining_ms())
     }
 
+    /// Returns the id of the call's stream: that of the caller's attempt that received, or receives,
+    /// its first event.
+    pub(super) fn stream(&self) -> StreamId {
+        StreamId::new(self.head.resumes.as_ref().unwrap_or(&self.head.request_id))
+    }
+
     /// Returns the call's priority at an engine: the workspace's if it sets one, else the route's.
     pub(super) fn priority(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|rule| rule.priority);
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -25,6 +25,7 @@
 use super::call_record::CallRecord;
 use super::crashes::{CrashAdmission, admit_request};
 use super::gateway_state::{GatewayPhase, GatewayState};
+use super::origins::check_resume;
 use super::plain_exchange::serve_plain;
 use super::refusal::RefusalCause;
 use super::stream_exchange::serve_stream;
@@ -291,6 +292,18 @@
         let refusal = CallRefusal::new(RefusalCause::NoTarget, "the route has no service");
         return Err((record, refusal));
     };
+    let resumed = check_resume(state, &record, &rules.route, &head, &service).await;
+    let origin = match resumed {
+        Ok(origin) => origin,
+        Err(cause) => {
+            let refusal = CallRefusal::new(cause, "the stream cannot be resumed here now");
+            return Err((record, refusal));
+        }
+    };
+    let (service, version) = match origin {
+        Some(origin) => (origin.service, Some(origin.version)),
+        None => (service, None),
+    };
     record.add_field("service", &service);
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let workspace = rules.workspace.as_ref();
@@ -324,6 +337,7 @@
         fingerprint,
         route: rules.route,
         service,
+        version: RefCell::new(version),
         rule: rule.unwrap_or(plain),
         workspace: rules.workspace,
         ends_at: arrived_at.plus_ms(timeout_ms),
--- a/crates/beechsaddle/src/gateway/changes/change_apply.rs
+++ b/crates/beechsaddle/src/gateway/changes/change_apply.rs
@@ -144,7 +144,9 @@
 }
 
 fn withdraw_target(state: &GatewayState, name: &str, error: String) {
-    let change = state.roster.borrow_mut().withdraw(&TargetName::new(name));
+    let mut roster = state.roster.borrow_mut();
+    let change = roster.withdraw(state.now(), &TargetName::new(name));
+    drop(roster);
     let fields = [("target", name.to_owned()), ("error", error)];
     let report = &state.report;
     report.log(LogLevel::Error, "target_unreadable", fields);
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -63,6 +63,13 @@
 /// The version at which a stream was resumed: the one that began it, another one, or an unknown relation.
 pub(super) const RESUME_VERSIONS: [&str; 3] = ["same", "other", "unknown"];
 
+/// Where the origin of a resumed stream was found: at this router or another one; or that no router
+/// knows it, or that none that answered does.
+const ORIGIN_OUTCOMES: [&str; 4] = ["own", "peer", "unknown", "unanswered"];
+
+/// The outcomes of telling a router the origin of a stream.
+const NOTE_OUTCOMES: [&str; 2] = ["taken", "failed"];
+
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
 
@@ -107,6 +114,10 @@
     pub(super) resumes: Counter,
     /// Resumed streams, by who resumed them and at which version.
     pub(super) resume_versions: Family<ResumeLabel, Counter>,
+    /// Searches for the origin of a stream, by outcome.
+    pub(super) origins_sought: Family<OutcomeLabel, Counter>,
+    /// Messages to routers that keep the origin of a stream, by outcome.
+    pub(super) origins_noted: Family<OutcomeLabel, Counter>,
     /// Targets' parts of streams whose body ended without an error, by framing and by where it
     /// ended.
     pub(super) stream_ends: Family<StreamEndLabel, Counter>,
@@ -176,6 +187,8 @@
             repeats_denied: Counter::default(),
             resumes: Counter::default(),
             resume_versions: Family::default(),
+            origins_sought: zeroed_counters(ORIGIN_OUTCOMES),
+            origins_noted: zeroed_counters(NOTE_OUTCOMES),
             stream_ends: Family::default(),
             connects: zeroed_counters(CONNECT_RESULTS),
             path_lost: Gauge::default(),
@@ -250,6 +263,10 @@
         registry.register("resumes", "Streams resumed", self.resumes.clone());
         let versions = self.resume_versions.clone();
         registry.register("resume_versions", "Streams resumed, by version", versions);
+        let sought = self.origins_sought.clone();
+        registry.register("origins_sought", "Searches for origins of streams", sought);
+        let noted = self.origins_noted.clone();
+        registry.register("origins_noted", "Origins of streams sent to routers", noted);
         let stream_ends = self.stream_ends.clone();
         registry.register("stream_ends", "Regular ends of streams", stream_ends);
         let connects = self.connects.clone();
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -22,6 +22,7 @@
 use super::ledger_updates::LedgerUpdates;
 use super::limits::LimitManager;
 use super::log_sampler::LogSampler;
+use super::origins::OriginManager;
 use super::store_call::StoreCall;
 use super::store_tally::StoreTally;
 use super::target_pool::TargetPool;
@@ -63,6 +64,8 @@
     pub(super) crashes: CrashManager,
     /// Permits for rate-limited targets.
     pub(super) limits: LimitManager,
+    /// Where streams began.
+    pub(super) origins: OriginManager,
     /// Ledger updates from allocators of other domains.
     pub(super) ledger_updates: LedgerUpdates,
     /// Changes of the store for the routers that follow this one, and the router that this one follows.
@@ -132,6 +135,7 @@
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
             crashes: CrashManager::default(),
             limits: LimitManager::default(),
+            origins: OriginManager::default(),
             ledger_updates: LedgerUpdates::default(),
             relay: ChangeRelay::default(),
             link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod limits;
 mod log_sampler;
 mod opening_turn;
+mod origins;
 mod peer_codec;
 mod peer_link;
 mod peer_server;
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -312,6 +312,15 @@
         self.links.borrow_mut().remove(host);
     }
 
+    /// Returns the client of a router for calls that other modules define.
+    pub(super) async fn open_client(
+        &self,
+        peer: &PeerRecord,
+    ) -> Result<capnp::capability::Client, String> {
+        let link = self.open(peer).await?;
+        Ok(link.client.client.clone())
+    }
+
     async fn open(&self, peer: &PeerRecord) -> Result<Rc<PeerLink>, String> {
         let existing = self.links.borrow().get(&peer.host).cloned();
         if let Some(link) = existing
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -12,7 +12,7 @@
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
     FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, crash_listener,
-    limit_share, news_relay, router_peer, token_lender,
+    limit_share, news_relay, router_peer, stream_registry, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -27,6 +27,7 @@
 use super::gateway_state::GatewayState;
 use super::ledger_updates::receive_ledger;
 use super::limits::{PermitRequest, answer_permit_request};
+use super::origins::read_origin;
 use super::peer_codec::{read_crash, read_incarnation, time_before};
 use super::token_lender::lend_tokens;
 use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
@@ -296,4 +297,37 @@
     }
 }
 
+impl stream_registry::Server for PeerServer {
+    async fn note_stream(
+        self: Rc<Self>,
+        parameters: stream_registry::NoteStreamParams,
+        _: stream_registry::NoteStreamResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        self.check_secret(parameters.get_secret()?)?;
+        let stream = StreamId::new(parameters.get_stream()?.to_str()?);
+        let origin = read_origin(parameters.get_service(), parameters.get_version())?;
+        self.state.origins.record(self.state.now(), stream, origin);
+        Ok(())
+    }
+
+    async fn find_stream(
+        self: Rc<Self>,
+        parameters: stream_registry::FindStreamParams,
+        mut results: stream_registry::FindStreamResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        self.check_secret(parameters.get_secret()?)?;
+        let stream = StreamId::new(parameters.get_stream()?.to_str()?);
+        let origin = self.state.origins.find(self.state.now(), &stream);
+        let mut answer = results.get();
+        answer.set_is_known(origin.is_some());
+        if let Some(origin) = origin {
+            answer.set_service(origin.service.as_str());
+            answer.set_version(origin.version.as_str());
+        }
+        Ok(())
+    }
+}
+
 impl router_peer::Server for PeerServer {}
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -30,6 +30,10 @@
     /// The router's own link is saturated, and changes of targets arrive late over it.
     LinkFull,
     NoTarget,
+    /// The call resumes a stream, and no reachable router knows at which software version it began.
+    StreamUnknown,
+    /// The call resumes a stream, and no target of the software version that began it accepts requests.
+    VersionGone,
     /// All targets of the service are in failure domains that are being evacuated.
     TargetsEvacuated,
     /// All targets of the service are cold and get few requests.
@@ -73,6 +77,8 @@
             | RefusalCause::NoConfig
             | RefusalCause::LinkFull
             | RefusalCause::NoTarget
+            | RefusalCause::StreamUnknown
+            | RefusalCause::VersionGone
             | RefusalCause::TargetsCold
             | RefusalCause::CrashesTargets
             | RefusalCause::TargetsLimited
@@ -102,6 +108,8 @@
             RefusalCause::NoConfig => "no_config",
             RefusalCause::LinkFull => "link_full",
             RefusalCause::NoTarget => "no_target",
+            RefusalCause::StreamUnknown => "stream_unknown",
+            RefusalCause::VersionGone => "version_gone",
             RefusalCause::TargetsEvacuated => "targets_evacuated",
             RefusalCause::TargetsCold => "targets_cold",
             RefusalCause::TargetsUnreachable => "targets_unreachable",
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -52,10 +52,7 @@
                 attempt,
             } = *open;
             call.record.add_field("status", status.as_u16());
-            if call.head.last_event.is_some() {
-                let ([_, by_caller], [.., unknown]) = (RESUMERS, RESUME_VERSIONS);
-                call.record.record_resume(by_caller, unknown);
-            }
+            record_resume(&call, &attempt);
             let relay = StreamRelay::new(Rc::clone(&call), reservation, attempt);
             let mut response = Response::new(AnswerBody::Streamed(relay.into_stream()));
             *response.status_mut() = status;
@@ -74,6 +71,20 @@
     }
 }
 
+/// Records at which software version a caller's stream is resumed.
+fn record_resume(call: &CallContext, attempt: &StreamAttempt) {
+    let [_, by_caller] = RESUMERS;
+    let [same, other, unknown] = RESUME_VERSIONS;
+    let what = match &*call.version.borrow() {
+        // The caller began the stream with this call.
+        None => return,
+        Some(_) if call.head.resumes.is_none() => unknown,
+        Some(version) if *version == attempt.version() => same,
+        Some(_) => other,
+    };
+    call.record.record_resume(by_caller, what);
+}
+
 /// Opens a stream at some target, starting after `last_event`.
 pub(super) async fn open_stream(
     call: &CallContext,
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{AttemptEnd, RouteKind};
+use beechsaddle_core::gateway::{AttemptEnd, RouteKind, StreamOrigin};
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::{BodyFraming, ResponseHead};
 use bytes::Bytes;
@@ -20,6 +20,7 @@
 use super::crashes::{detect_crash, record_completion};
 use super::event_splitter::EventSplitter;
 use super::gateway_metrics::{RESUME_VERSIONS, RESUMERS, STREAM_ENDS, StreamEndLabel};
+use super::origins::publish_origin;
 use super::stream_exchange::{StreamOpening, open_stream};
 use super::target_path::TargetLink;
 use super::token_reservation::TokenReservation;
@@ -157,6 +158,7 @@
     splitter: EventSplitter,
     stall: StallWatch,
     events: u64,
+    is_origin_published: bool,
     is_finished: bool,
 }
 
@@ -175,6 +177,7 @@
             reservation,
             attempt: Some(attempt),
             events: 0,
+            is_origin_published: false,
             is_finished: false,
         }
     }
@@ -249,11 +252,29 @@
         if part.bytes.is_empty() {
             return None;
         }
+        self.publish_origin();
         self.call.record.record_event();
         self.call.state.record_part(&part.bytes);
         Some(Ok(part.bytes))
     }
 
+    /// Binds the stream to the software version of its first event, and tells other routers, to which
+    /// the caller may come to resume it.
+    fn publish_origin(&mut self) {
+        let Some(attempt) = self.attempt.as_ref().filter(|_| !self.is_origin_published) else {
+            return;
+        };
+        self.is_origin_published = true;
+        let origin = StreamOrigin {
+            service: self.call.service.clone(),
+            version: attempt.version(),
+        };
+        self.call.version.replace(Some(origin.version.clone()));
+        if self.call.route.kind == (RouteKind::Stream { is_resumable: true }) {
+            publish_origin(&self.call.state, &self.call.stream(), &origin);
+        }
+    }
+
     async fn handle_end(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         self.record_end();
         if self.is_truncated() {
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -77,8 +77,10 @@
         ring: &ring,
         knows_routers: state.lending.are_roles_enabled(),
     });
+    let version = call.version.borrow();
     let input = ChoiceInput {
         service: &call.service,
+        version: version.as_ref(),
         is_engine: call.rule.is_engine,
         domain: &settings.domain,
         prompt: &call.head.prompt,
@@ -101,6 +103,9 @@
     if call.state.is_behind_full_link() {
         return RefusalCause::LinkFull;
     }
+    if is_version_gone(call) {
+        return RefusalCause::VersionGone;
+    }
     match shortest_pause(call) {
         Some(TargetPause::Limited { .. }) => RefusalCause::TargetsLimited,
         Some(TargetPause::Cold { .. }) => RefusalCause::TargetsCold,
@@ -177,8 +182,8 @@
 fn shortest_pause(call: &CallContext) -> Option<TargetPause> {
     let now = call.state.now();
     with_input(call, &[], |roster, input| {
-        let allowed = roster
-            .ready(input.service)
+        let allowed = input
+            .eligible(roster)
             .filter(|entry| input.evacuations.allows(&entry.record.domain));
         let pauses = allowed.filter_map(|entry| {
             let limited_ms = entry.stats.limit.paused_for_ms(now);
@@ -195,10 +200,17 @@
     })
 }
 
+/// Whether the call continues a stream, and no target of the version that began it accepts requests.
+fn is_version_gone(call: &CallContext) -> bool {
+    with_input(call, &[], |roster, input| {
+        input.version.is_some() && input.eligible(roster).next().is_none()
+    })
+}
+
 /// Whether the service has ready targets, all of them in domains that are evacuated.
 fn is_evacuated(call: &CallContext) -> bool {
     with_input(call, &[], |roster, input| {
-        let mut ready = roster.ready(input.service).peekable();
+        let mut ready = input.eligible(roster).peekable();
         let has_targets = ready.peek().is_some();
         has_targets && ready.all(|entry| !input.evacuations.allows(&entry.record.domain))
     })
