--- a/crates/beechsaddle-lab/src/soak/call_load.rs
+++ b/crates/beechsaddle-lab/src/soak/call_load.rs
@@ -10,9 +10,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, timeout};
 
-use super::call_log::{CallLog, RecordedCall, SoakKind};
+use super::call_log::{CallLog, RecordedCall, ResumedCall, SoakKind};
 use super::soak_fleet::WORKSPACES;
-use super::soak_target::CRASH_MARK;
+use super::soak_target::{CRASH_MARK, EVENTS};
 
 /// Deadline of a call in milliseconds.
 const DEADLINE_MS: u64 = 2_500;
@@ -24,6 +24,15 @@
 /// change with the bodies.
 const BODY_SEED: u64 = 0xb0d1;
 
+/// Separates the random numbers of resumed streams from those of other calls.
+const RESUME_SEED: u64 = 0x5e50;
+
+/// Share of streams whose caller leaves in the middle, if callers resume streams.
+const LEAVING_SHARE: f64 = 0.2;
+
+/// How often a caller tries to resume a stream.
+const RESUME_ATTEMPTS: u32 = 3;
+
 /// Callers, each of which sends one call at a time and reuses its connection while it is open.
 #[derive(Clone)]
 pub struct CallLoad {
@@ -33,19 +42,22 @@
     pub is_stopped: Arc<AtomicBool>,
     routers: Vec<SocketAddr>,
     has_bodies: bool,
+    /// Whether callers resume streams that were interrupted.
+    has_resumes: bool,
     /// Whether some calls crash their targets.
     pub has_crashing: Arc<AtomicBool>,
 }
 
 impl CallLoad {
     /// Creates the callers of these routers.
-    pub fn new(routers: Vec<SocketAddr>, has_crashing: bool) -> Self {
+    pub fn new(routers: Vec<SocketAddr>, has_crashing: bool, has_resumes: bool) -> Self {
         CallLoad {
             log: CallLog::default(),
             is_stopped: Arc::default(),
             routers,
             has_crashing: Arc::new(AtomicBool::new(has_crashing)),
             has_bodies: has_crashing,
+            has_resumes,
         }
     }
 
@@ -53,6 +65,7 @@
     pub async fn run(self, seed: u64, caller: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ (caller << 32));
         let mut bodies = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ BODY_SEED);
+        let mut resumes = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ RESUME_SEED);
         let mut link = None;
         let mut number = 0;
         while !self.is_stopped.load(Ordering::Relaxed) {
@@ -69,25 +82,67 @@
                 Some(reused) if !is_new => Some(reused),
                 _ => CallerLink::try_connect(router).await.ok(),
             };
-            if let Some(open) = &mut link
-                && !self.call_on(open, id, call, &request).await
-            {
-                link = None;
+            if let Some(open) = &mut link {
+                let events = match self.has_resumes && call.kind == SoakKind::Resumable {
+                    true => draw_patience(&mut resumes),
+                    false => usize::MAX,
+                };
+                let (call, is_reusable) = self.call_on(open, &id, call, &request, events).await;
+                if !is_reusable {
+                    link = None;
+                }
+                if self.has_resumes {
+                    self.resume(&mut resumes, &id, call, &request).await;
+                }
             }
             sleep(Duration::from_millis(random.random_range(5..50))).await;
         }
     }
 
-    /// Sends and records a call. Returns whether the connection can be reused.
+    /// Resumes an interrupted stream through other routers, a few times.
+    async fn resume(
+        &self,
+        random: &mut ChaCha8Rng,
+        began_as: &str,
+        mut call: RecordedCall,
+        request: &CallRequest,
+    ) {
+        for attempt in 1..=RESUME_ATTEMPTS {
+            let Some(last_event) = call.resumable_after() else {
+                return;
+            };
+            sleep(Duration::from_millis(random.random_range(5..200))).await;
+            let router = self.routers[random.random_range(0..self.routers.len())];
+            let Ok(mut link) = CallerLink::try_connect(router).await else {
+                continue;
+            };
+            let id = format!("{began_as}-{attempt}");
+            let mut request = CallRequest {
+                id: id.clone(),
+                ..request.clone()
+            };
+            request.resume(began_as, last_event);
+            call.resumed = Some(ResumedCall {
+                began_as: began_as.to_owned(),
+                last_event,
+            });
+            call.reply = None;
+            let events = draw_patience(random);
+            (call, _) = self.call_on(&mut link, &id, call, &request, events).await;
+        }
+    }
+
+    /// Sends and records a call, and leaves after so many events of a stream. Returns it with its response, and whether the connection can be reused.
     async fn call_on(
         &self,
         link: &mut CallerLink,
-        id: String,
+        id: &str,
         mut call: RecordedCall,
         request: &CallRequest,
-    ) -> bool {
+        events: usize,
+    ) -> (RecordedCall, bool) {
         let wait_limit = Duration::from_millis(request.deadline_ms + 500);
-        let answer = timeout(wait_limit, link.call(request)).await;
+        let answer = timeout(wait_limit, link.call_up_to(request, events)).await;
         let mut is_reusable = false;
         match answer {
             Ok(Ok(reply)) => {
@@ -101,8 +156,16 @@
             // The router closed the connection, or the caller timed out: the outcome is unknown.
             Ok(Err(_)) | Err(_) => {}
         }
-        self.log.record(id, call);
-        is_reusable
+        self.log.record(id.to_owned(), call.clone());
+        (call, is_reusable)
+    }
+}
+
+/// Draws after how many events a caller leaves a stream, which it then resumes. Most stay to its end.
+fn draw_patience(random: &mut ChaCha8Rng) -> usize {
+    match random.random_bool(LEAVING_SHARE) {
+        true => random.random_range(1..EVENTS as usize),
+        false => usize::MAX,
     }
 }
 
@@ -135,6 +198,7 @@
         kind,
         workspace,
         input,
+        resumed: None,
         reply: None,
     };
     (call, request)
--- a/crates/beechsaddle-lab/src/soak/call_log.rs
+++ b/crates/beechsaddle-lab/src/soak/call_log.rs
@@ -1,6 +1,6 @@
 //! The `call_log` module provides the record of all calls and the check of the invariants on it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use beechsaddle_platform_stand_in::{CallReply, RunRecord};
@@ -45,6 +45,15 @@
     }
 }
 
+/// The stream that a caller resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedCall {
+    /// The id of the call that received the first event.
+    pub began_as: String,
+    /// The id of the last event that the caller has.
+    pub last_event: u64,
+}
+
 /// A call and its response.
 #[derive(Clone, Debug)]
 pub struct RecordedCall {
@@ -52,6 +61,8 @@
     pub workspace: &'static str,
     /// Prompt tokens that the request states; 0 if it states none.
     pub input: u64,
+    /// The stream that the call resumes.
+    pub resumed: Option<ResumedCall>,
     /// The response; `None` if the connection ended before its head.
     pub reply: Option<CallReply>,
 }
@@ -64,13 +75,33 @@
         input + self.events().len() as u64 * EVENT_TOKENS
     }
 
-    /// Returns the ids of the events that the caller received.
-    fn events(&self) -> Vec<u64> {
+    /// Returns the id of the last event that the caller has if it may resume the stream now.
+    pub fn resumable_after(&self) -> Option<u64> {
+        let is_complete = self.reply.as_ref().is_some_and(|reply| reply.is_complete);
+        let is_refused = status(self) != 200;
+        if self.kind != SoakKind::Resumable || (is_complete && !is_refused) {
+            return None;
+        }
+        let before = self.resumed.as_ref().map(|resumed| resumed.last_event);
+        self.events().last().copied().or(before)
+    }
+
+    /// Returns the software versions of the targets that sent the events.
+    fn versions(&self) -> BTreeSet<&str> {
+        let events = self.whole_events();
+        events.filter_map(|event| event.lines().nth(1)).collect()
+    }
+
+    /// Returns the received events; a truncated one does not count.
+    fn whole_events(&self) -> impl Iterator<Item = &str> {
         let body = self.reply.as_ref().map_or("", |reply| reply.body.as_str());
-        // A truncated event does not count.
         let events = body.split_inclusive("\n\n");
-        let events = events.filter(|event| event.ends_with("\n\n"));
-        events
+        events.filter(|event| event.ends_with("\n\n"))
+    }
+
+    /// Returns the ids of the events that the caller received.
+    fn events(&self) -> Vec<u64> {
+        self.whole_events()
             .filter_map(|event| event.strip_prefix("id: "))
             .filter_map(|event| event.split('\n').next()?.parse().ok())
             .collect()
@@ -107,6 +138,14 @@
         (calls.len(), answered.count())
     }
 
+    /// Returns the number of calls that resumed a stream, and of those that continued it.
+    pub fn resume_counts(&self) -> (usize, usize) {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let resumed = calls.values().filter(|call| call.resumed.is_some());
+        let continued = resumed.clone().filter(|call| status(call) == 200);
+        (resumed.count(), continued.count())
+    }
+
     /// Returns all violations of invariants, each with the call that shows it.
     pub fn check(&self, evidence: &SoakEvidence) -> Vec<String> {
         let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
@@ -122,6 +161,7 @@
             let targets = ran.get(id.as_str()).map_or(&[][..], Vec::as_slice);
             violations.extend(check_call(id, call, targets, evidence.events));
         }
+        violations.extend(check_versions(&calls));
         violations.extend(ran.keys().filter_map(|id| {
             let is_known = calls.contains_key(*id) || id.starts_with(EXTRA_CALL);
             (!is_known).then(|| format!("{id} ran but no caller sent it"))
@@ -224,8 +264,11 @@
         return (!is_right).then(|| format!("{id} got an unexpected body: {reply:?}"));
     }
     let seen = call.events();
-    let is_in_order = seen.iter().copied().eq(1..=seen.len() as u64);
-    let has_all_events = seen.len() as u64 == events;
+    let resumed = call.resumed.as_ref();
+    let before = resumed.map_or(0, |resumed| resumed.last_event);
+    let last = before + seen.len() as u64;
+    let is_in_order = seen.iter().copied().eq(before + 1..=last);
+    let has_all_events = last == events;
     (!is_in_order || (reply.is_complete && !has_all_events)).then(|| {
         format!(
             "{id} got the events {seen:?} of {events}, complete: {}",
@@ -233,3 +276,19 @@
         )
     })
 }
+
+/// Returns the streams that hold events of several software versions, in one response or over a
+/// caller's attempts.
+fn check_versions(calls: &BTreeMap<String, RecordedCall>) -> Vec<String> {
+    let mut streams = BTreeMap::<&str, BTreeSet<&str>>::new();
+    for (id, call) in calls.iter().filter(|(_, call)| call.kind.is_stream()) {
+        let resumed = call.resumed.as_ref();
+        let began_as = resumed.map_or(id.as_str(), |resumed| resumed.began_as.as_str());
+        let versions = streams.entry(began_as).or_default();
+        versions.extend(call.versions());
+    }
+    let mixed = streams.iter().filter(|(_, versions)| versions.len() > 1);
+    mixed
+        .map(|(id, versions)| format!("{id} has events of the versions {versions:?}"))
+        .collect()
+}
--- a/crates/beechsaddle-lab/src/soak/soak_command.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_command.rs
@@ -30,6 +30,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Has targets crash and name limits, and some calls crash their targets"),
         )
+        .arg(
+            Arg::new("versions")
+                .long("versions")
+                .action(ArgAction::SetTrue)
+                .help("Has engines of two software versions, and callers that resume streams"),
+        )
         .arg(
             Arg::new("logs")
                 .long("logs")
@@ -66,6 +72,7 @@
         routers: read("routers") as usize,
         callers: read("callers"),
         has_target_faults: matches.get_flag("target-faults"),
+        has_versions: matches.get_flag("versions"),
     };
     let seeds = read("seed")..read("seed") + read("seeds");
     let runtime = Builder::new_multi_thread().enable_all().build()?;
@@ -90,11 +97,13 @@
 
 fn print_outcome(outcome: &SoakOutcome) {
     println!(
-        "seed={} faults={} calls={} answered={} broken={}",
+        "seed={} faults={} calls={} answered={} resumed={} continued={} broken={}",
         outcome.seed,
         outcome.faults,
         outcome.calls,
         outcome.answered,
+        outcome.resumed,
+        outcome.continued,
         outcome.violations.len()
     );
     for violation in &outcome.violations {
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -59,18 +59,27 @@
     pub targets: Vec<SoakTarget>,
     /// The latest configuration.
     pub config: ConfigDraft,
+    /// Whether targets of two software versions serve side by side.
+    has_versions: bool,
     program: PathBuf,
 }
 
 impl SoakFleet {
     /// Starts a store, two targets of each service and routers in two domains, and waits until the
-    /// routers are ready. Settings and logs are written to `folder`.
-    pub async fn try_start(program: &Path, folder: &Path, routers: usize) -> eyre::Result<Self> {
+    /// routers are ready. With `has_versions`, two engines of another software version join them.
+    /// Settings and logs are written to `folder`.
+    pub async fn try_start(
+        program: &Path,
+        folder: &Path,
+        routers: usize,
+        has_versions: bool,
+    ) -> eyre::Result<Self> {
         let mut fleet = SoakFleet {
             store: StoreStandIn::try_start().await?,
             routers: Vec::new(),
             targets: Vec::new(),
             config: first_config(),
+            has_versions,
             program: program.to_owned(),
         };
         fleet.store.put_config(&fleet.config);
@@ -82,6 +91,10 @@
         ] {
             fleet.add_target(service, zone).await?;
         }
+        if has_versions {
+            fleet.add_target("engine", "north").await?;
+            fleet.add_target("engine", "south").await?;
+        }
         for number in 0..routers {
             let router = make_router(&fleet.store, folder, number).await?;
             fleet.routers.push(router);
@@ -127,12 +140,23 @@
         zone: &'static str,
     ) -> eyre::Result<()> {
         let name = format!("{service}-{}", self.targets.len());
-        let target = SoakTarget::try_start(&name, service, zone).await?;
+        let version = self.next_version();
+        let target = SoakTarget::try_start(&name, service, zone, version).await?;
         self.targets.push(target);
         self.list_target(self.targets.len() - 1, EntryState::Ready);
         Ok(())
     }
 
+    /// Returns the software version of the next target. With two versions, each gets two targets in
+    /// turn, so that the first engines are of one version and those that join them of the other.
+    fn next_version(&self) -> &'static str {
+        let is_second = (self.targets.len() / 2).is_multiple_of(2);
+        match self.has_versions && is_second {
+            true => "v2",
+            false => "v1",
+        }
+    }
+
     /// Writes the entry of a target to the store.
     pub fn list_target(&self, number: usize, state: EntryState) {
         let target = &self.targets[number];
--- a/crates/beechsaddle-lab/src/soak/soak_run.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -41,6 +41,8 @@
     pub callers: u64,
     /// Whether targets crash and set rate limits, and some calls crash their targets.
     pub has_target_faults: bool,
+    /// Whether targets of two software versions serve side by side, and callers resume streams.
+    pub has_versions: bool,
 }
 
 /// The outcome of a seed.
@@ -51,6 +53,10 @@
     pub calls: usize,
     /// Number of calls that a target answered with success.
     pub answered: usize,
+    /// Number of calls that resumed a stream.
+    pub resumed: usize,
+    /// Number of calls that continued the stream that they resumed.
+    pub continued: usize,
     /// Number of faults injected.
     pub faults: usize,
     /// Violations of invariants, each with the call that shows it.
@@ -72,9 +78,15 @@
 pub async fn run_seed(options: &SoakOptions, seed: u64) -> eyre::Result<SoakOutcome> {
     let folder = options.folder.join(seed.to_string());
     std::fs::create_dir_all(&folder)?;
-    let fleet = SoakFleet::try_start(&options.program, &folder, options.routers).await?;
+    let fleet = SoakFleet::try_start(
+        &options.program,
+        &folder,
+        options.routers,
+        options.has_versions,
+    )
+    .await?;
     let routers = fleet.routers.iter().map(|router| router.calls).collect();
-    let load = CallLoad::new(routers, options.has_target_faults);
+    let load = CallLoad::new(routers, options.has_target_faults, options.has_versions);
     let mut callers = JoinSet::new();
     for caller in 0..options.callers {
         callers.spawn(load.clone().run(seed, caller));
@@ -94,6 +106,7 @@
     callers.join_all().await;
     violations.extend(load.log.check(&run.fleet.evidence()));
     let (calls, answered) = load.log.counts();
+    let (resumed, continued) = load.log.resume_counts();
     drop(run);
     if violations.is_empty() {
         remove_folder(&folder);
@@ -102,6 +115,8 @@
         seed,
         calls,
         answered,
+        resumed,
+        continued,
         faults,
         violations,
     })
--- a/crates/beechsaddle-lab/src/soak/soak_target.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_target.rs
@@ -36,8 +36,10 @@
         name: &str,
         service: &'static str,
         zone: &'static str,
+        version: &str,
     ) -> eyre::Result<Self> {
         let stand_in = TargetStandIn::try_start(name).await?;
+        stand_in.set_version(version);
         stand_in.set_response_delay(Duration::from_millis(5));
         stand_in.set_events(EVENTS, EVENT_GAP);
         stand_in.crash_on(CRASH_MARK);
--- a/crates/beechsaddle-lab/tests/soak_seeds.rs
+++ b/crates/beechsaddle-lab/tests/soak_seeds.rs
@@ -6,10 +6,10 @@
 use beechsaddle_lab::soak::{SoakOptions, run_seed};
 
 async fn check_seed(seed: u64, span_s: u64) {
-    check_faults(seed, span_s, false).await;
+    check_faults(seed, span_s, false, false).await;
 }
 
-async fn check_faults(seed: u64, span_s: u64, has_target_faults: bool) {
+async fn check_faults(seed: u64, span_s: u64, has_target_faults: bool, has_versions: bool) {
     let options = SoakOptions {
         program: PathBuf::from(env!("CARGO_BIN_EXE_beechsaddle-lab")),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
@@ -17,6 +17,7 @@
         routers: 3,
         callers: 8,
         has_target_faults,
+        has_versions,
     };
     let outcome = run_seed(&options, seed).await.expect("a run");
     assert!(outcome.violations.is_empty(), "{outcome:#?}");
@@ -47,5 +48,11 @@
 /// limits of targets.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_crashes_and_limits_keep_all_invariants() {
-    check_faults(2, 6, true).await;
+    check_faults(2, 6, true, false).await;
+}
+
+/// Streams that are resumed amid the fleet's faults never hold events of two software versions.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_resumed_streams_keep_their_version() {
+    check_faults(3, 8, false, true).await;
 }
