--- a/crates/beechsaddle/tests/gateway_versions.rs
+++ b/crates/beechsaddle/tests/gateway_versions.rs
@@ -3,7 +3,7 @@
 mod gateway_support;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use beechsaddle_platform_stand_in::{CallReply, CallRequest, EntryState, TargetStandIn};
 use gateway_support::{GatewayBench, GatewayProcess, SETTLE_SPAN, draft, request, wait_for};
@@ -20,6 +20,9 @@
 /// Time between two events.
 const EVENT_GAP: Duration = Duration::from_millis(25);
 
+/// The longest time that the last event of a stream may take if a router does not answer.
+const RESUME_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// A router with engines of the version `v1` in another failure domain and of `v2` in its own. A choice
 /// that ignores versions prefers those of the own domain.
 struct VersionBench {
@@ -133,7 +136,8 @@
 }
 
 fn assert_whole_from(reply: &CallReply, first: u64) {
-    assert_eq!((reply.status, reply.is_complete), (200, true));
+    let is_whole = reply.status == 200 && reply.is_complete;
+    assert!(is_whole, "{reply:?}");
     let ids = reply
         .body
         .lines()
@@ -196,6 +200,35 @@
     }
 }
 
+/// A caller waited for, or was refused because of, a frozen router that was told of its stream.
+#[tokio::test]
+async fn frozen_router_delays_no_resume() {
+    let mut bench = VersionBench::start().await;
+    let frozen = bench.start_router("host-2", "north", 2).await;
+    let first = bench.start_router("host-3", "south", 3).await;
+    let second = bench.start_router("host-4", "south", 4).await;
+    for router in [&frozen, &first] {
+        router.wait_log(&["routers_listed", "routers=4"]).await;
+    }
+    sleep(SETTLE_SPAN).await;
+    bench.release(&[&first, &second]).await;
+    frozen.signal(Signal::SIGSTOP);
+    let mut caller = OpenCaller::begin(bench.bench.router.address, "call-1").await;
+    caller.read_to_event(5).await;
+    let began_at = bench.versions_of("call-1").remove(0);
+    bench.bench.router.signal(Signal::SIGKILL);
+    drop(caller);
+    for (name, router) in [("first", &first), ("second", &second)] {
+        let started = Instant::now();
+        let reply = router
+            .call(&resume_request(name, "call-1", EVENTS - 1))
+            .await;
+        assert_whole_from(&reply, EVENTS);
+        bench.assert_version(name, &began_at);
+        assert!(started.elapsed() < RESUME_LIMIT, "{:?}", started.elapsed());
+    }
+}
+
 /// A router resumed a stream of which it knew nothing, at whatever software version it chose.
 #[tokio::test]
 async fn unknown_stream_is_refused() {
