--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -274,7 +274,6 @@
 
     /// Resumes the stream at another target, after the last event that the caller has.
     async fn try_resume(&mut self, end: AttemptEnd, detail: &str) -> Result<(), StreamBroken> {
-        let began_at = self.attempt.as_ref().map(StreamAttempt::version);
         // The old connection is closed first: two targets at work on one stream waste one of them.
         if let Some(attempt) = self.attempt.take() {
             attempt.guard.record_failure(end);
@@ -293,7 +292,7 @@
         let StreamOpening::Open(open) = opening else {
             return Err(self.abort("no target resumed the stream"));
         };
-        self.log_resume(last_event, began_at, open.attempt.version());
+        self.log_resume(last_event, &open.attempt.version());
         self.stall = StallWatch::for_first_event(
             &self.call,
             self.call.head.bound.map_or(0, |bound| bound.input),
@@ -302,17 +301,17 @@
         Ok(())
     }
 
-    fn log_resume(
-        &self,
-        last_event: Option<u64>,
-        before: Option<SoftwareVersion>,
-        version: SoftwareVersion,
-    ) {
+    fn log_resume(&self, last_event: Option<u64>, version: &SoftwareVersion) {
         self.call.state.metrics.resumes.inc();
-        let what = ResumeVersion::compare(before.as_ref(), &version);
-        self.call.record.record_resume(ResumeActor::Router, what);
+        let began_at = self.call.version.borrow();
+        // A stream without an event may begin at any version.
+        if began_at.is_some() {
+            let what = ResumeVersion::compare(began_at.as_ref(), version);
+            self.call.record.record_resume(ResumeActor::Router, what);
+        }
         let last = last_event.map_or("none".to_owned(), |last| last.to_string());
         let mut fields = vec![("last_event", last), ("events", self.events.to_string())];
+        let before = began_at.as_ref();
         fields.extend(before.map(|before| ("version_before", before.to_string())));
         fields.push(("version", version.to_string()));
         self.call.record.log_decision("stream_resumed", fields);
