Log the shared parts of each request's prompt

call_admitted names them by their hashes, so that crashes of requests of which no two are alike can be told apart by what the requests have in common. The key of a request and that of a part are one type; requests keep the fingerprints they had.

--- a/crates/beechsaddle-core/src/gateway/crash_registry.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_registry.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::crash_suspect::{CRASHES_MAX, CrashSuspect};
-use super::{CrashReport, RequestFingerprint, TargetIncarnation};
+use super::{CrashReport, SuspectKey, TargetIncarnation};
 use crate::clock::ClockTime;
 
 /// The largest number of suspected requests. A flood of different requests costs a router a few
@@ -38,8 +38,8 @@
 /// wrong one is blocked, the next crash of the other corrects the verdict.
 #[derive(Clone, Debug, Default)]
 pub struct CrashRegistry {
-    suspects: BTreeMap<RequestFingerprint, CrashSuspect>,
-    blocked: BTreeSet<RequestFingerprint>,
+    suspects: BTreeMap<SuspectKey, CrashSuspect>,
+    blocked: BTreeSet<SuspectKey>,
     explained: BTreeSet<TargetIncarnation>,
 }
 
@@ -66,7 +66,7 @@
     }
 
     /// Records that a request ran to completion; returns the changed reports, for other routers.
-    pub fn clear(&mut self, fingerprint: RequestFingerprint) -> Vec<CrashReport> {
+    pub fn clear(&mut self, fingerprint: SuspectKey) -> Vec<CrashReport> {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return Vec::new();
         };
@@ -86,7 +86,7 @@
 
     /// Returns the number of crashes that a request may have caused and that no other request
     /// explains.
-    pub fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
+    pub fn crash_count(&self, fingerprint: SuspectKey) -> usize {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
             return 0;
         };
@@ -98,13 +98,13 @@
 
     /// Returns how many of these crashes are old enough that another one under the request counts
     /// as a repeat.
-    pub fn settled_count(&self, now: ClockTime, fingerprint: RequestFingerprint) -> usize {
+    pub fn settled_count(&self, now: ClockTime, fingerprint: SuspectKey) -> usize {
         let suspect = self.suspects.get(&fingerprint);
         suspect.map_or(0, |suspect| suspect.settled_count(now, &self.explained))
     }
 
     /// Returns the decision on a request that arrives now.
-    pub fn verdict(&self, now: ClockTime, fingerprint: RequestFingerprint) -> CrashVerdict {
+    pub fn verdict(&self, now: ClockTime, fingerprint: SuspectKey) -> CrashVerdict {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
             return CrashVerdict::Clear;
         };
@@ -120,7 +120,7 @@
     }
 
     /// Returns the targets that a request may have crashed, for logs.
-    pub fn targets(&self, fingerprint: RequestFingerprint) -> Vec<&TargetIncarnation> {
+    pub fn targets(&self, fingerprint: SuspectKey) -> Vec<&TargetIncarnation> {
         let suspect = self.suspects.get(&fingerprint);
         suspect
             .into_iter()
@@ -129,13 +129,13 @@
     }
 
     /// Whether all routers need the crash reports of a request.
-    pub fn is_shared(&self, fingerprint: RequestFingerprint) -> bool {
+    pub fn is_shared(&self, fingerprint: SuspectKey) -> bool {
         let suspect = self.suspects.get(&fingerprint);
         suspect.is_some_and(CrashSuspect::is_shared)
     }
 
     /// Returns all crash reports of a request.
-    pub fn reports(&self, fingerprint: RequestFingerprint) -> Vec<CrashReport> {
+    pub fn reports(&self, fingerprint: SuspectKey) -> Vec<CrashReport> {
         let suspect = self.suspects.get(&fingerprint);
         let reports = suspect.map(|suspect| suspect.reports(fingerprint));
         reports.into_iter().flatten().collect()
@@ -170,7 +170,7 @@
 
     /// Evicts the request with the fewest crashes if there are too many, but not the one that was
     /// just recorded.
-    fn bound_size(&mut self, newest: RequestFingerprint) {
+    fn bound_size(&mut self, newest: SuspectKey) {
         if self.suspects.len() <= SUSPECTS_MAX {
             return;
         }
--- a/crates/beechsaddle-core/src/gateway/crash_report.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_report.rs
@@ -1,6 +1,6 @@
 //! The `crash_report` module provides the report of a target that crashed while it ran a request.
 
-use super::RequestFingerprint;
+use super::SuspectKey;
 use crate::clock::ClockTime;
 use crate::names::TargetName;
 
@@ -16,7 +16,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
     /// The request that ran on the target when it crashed.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: SuspectKey,
     /// The target that crashed.
     pub target: TargetIncarnation,
     pub facts: CrashFacts,
--- a/crates/beechsaddle-core/src/gateway/crash_suspect.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_suspect.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{CrashFacts, CrashReport, RequestFingerprint, TargetIncarnation};
+use super::{CrashFacts, CrashReport, SuspectKey, TargetIncarnation};
 use crate::clock::ClockTime;
 
 /// Number of crashes under one request after which it is refused: as many as the platform
@@ -114,10 +114,7 @@
     }
 
     /// Returns all crashes as reports for other routers.
-    pub(super) fn reports(
-        &self,
-        fingerprint: RequestFingerprint,
-    ) -> impl Iterator<Item = CrashReport> {
+    pub(super) fn reports(&self, fingerprint: SuspectKey) -> impl Iterator<Item = CrashReport> {
         let crashes = self.crashes.iter();
         crashes.map(move |(target, facts)| CrashReport {
             fingerprint,
--- a/crates/beechsaddle-core/tests/gateway_crash_registry.rs
+++ b/crates/beechsaddle-core/tests/gateway_crash_registry.rs
@@ -1,7 +1,7 @@
 //! Tests of the verdict on requests that run on targets which crash.
 
 use beechsaddle_core::gateway::{
-    CrashFacts, CrashRegistry, CrashReport, CrashVerdict, RequestFingerprint, TargetIncarnation,
+    CrashFacts, CrashRegistry, CrashReport, CrashVerdict, SuspectKey, TargetIncarnation,
 };
 use beechsaddle_core::prelude::*;
 use rand::seq::SliceRandom;
@@ -10,8 +10,8 @@
 
 const NOW: ClockTime = ClockTime::from_millis(1_000_000);
 
-fn request(number: u64) -> RequestFingerprint {
-    RequestFingerprint::new("/stream/1", "acme", &number.to_be_bytes())
+fn request(number: u64) -> SuspectKey {
+    SuspectKey::for_request("/stream/1", "acme", &number.to_be_bytes())
 }
 
 fn target(number: u64) -> TargetIncarnation {
@@ -215,20 +215,14 @@
         ("/a", "acmex", ""),
     ];
     let prints = parts.map(|(path, caller, body)| {
-        let print = RequestFingerprint::new(path, caller, body.as_bytes());
-        assert_eq!(
-            RequestFingerprint::try_parse(&print.to_string()),
-            Some(print)
-        );
-        assert_eq!(
-            RequestFingerprint::try_from_bytes(&print.to_bytes()),
-            Some(print)
-        );
+        let print = SuspectKey::for_request(path, caller, body.as_bytes());
+        assert_eq!(SuspectKey::try_parse(&print.to_string()), Some(print));
+        assert_eq!(SuspectKey::try_from_bytes(&print.to_bytes()), Some(print));
         print
     });
     for (number, print) in prints.iter().enumerate() {
         assert!(!prints[number + 1..].contains(print));
     }
-    assert_eq!(RequestFingerprint::try_parse("+1"), None);
-    assert_eq!(RequestFingerprint::try_from_bytes(&[1; 15]), None);
+    assert_eq!(SuspectKey::try_parse("+1"), None);
+    assert_eq!(SuspectKey::try_from_bytes(&[1; 15]), None);
 }
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -2,9 +2,7 @@
 
 use std::rc::Rc;
 
-use beechsaddle_core::gateway::{
-    AttemptEnd, AttemptLoad, RequestFingerprint, TargetRecord, TargetStats,
-};
+use beechsaddle_core::gateway::{AttemptEnd, AttemptLoad, SuspectKey, TargetRecord, TargetStats};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 
@@ -26,7 +24,7 @@
     state: Rc<GatewayState>,
     target: TargetRecord,
     load: AttemptLoad,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
     /// Crashes already attributed to the request, excluding those seen just before this attempt.
     known_before: usize,
     /// Whether the request is suspected of any crash.
@@ -41,7 +39,7 @@
         state: &Rc<GatewayState>,
         target: TargetRecord,
         load: AttemptLoad,
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectKey,
     ) -> Self {
         let guard = AttemptGuard {
             state: Rc::clone(state),
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptEnd, AttemptHistory, RequestFingerprint, RouteRule, ServiceRule, TargetRecord,
-    TokenBound, WorkspaceRule,
+    AttemptEnd, AttemptHistory, RouteRule, ServiceRule, SuspectKey, TargetRecord, TokenBound,
+    WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -37,7 +37,7 @@
     /// The complete request body.
     pub(super) body: Bytes,
     /// Identifies the request independently of the id of this attempt.
-    pub(super) fingerprint: RequestFingerprint,
+    pub(super) fingerprint: SuspectKey,
     pub(super) route: Arc<RouteRule>,
     pub(super) service: ServiceName,
     /// The software version that began the call's stream. Only its targets may continue it; `None`
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptHistory, GatewayConfig, LinkDirection, RequestFingerprint, RouteMatch, RouteRule,
-    ServiceRule, WorkspaceRule,
+    AttemptHistory, GatewayConfig, LinkDirection, RouteMatch, RouteRule, ServiceRule, SuspectKey,
+    WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -296,7 +296,7 @@
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let workspace = rules.workspace.as_ref();
     let caller = workspace.map_or("", |rule| rule.name.as_str());
-    let fingerprint = RequestFingerprint::new(path, caller, &body);
+    let fingerprint = SuspectKey::for_request(path, caller, &body);
     let mut fields = vec![
         ("config", rules.config.version.to_string()),
         ("route", rules.route.name.to_string()),
@@ -305,6 +305,10 @@
         ("fingerprint", fingerprint.to_string()),
         ("span_ms", timeout_ms.to_string()),
     ];
+    let parts_shared = SuspectKey::for_shared_parts(&head.prompt);
+    if !parts_shared.is_empty() {
+        fields.push(("parts", join_keys(&parts_shared)));
+    }
     let last_event = head.last_event.map(|event| event.to_string());
     fields.extend(last_event.map(|event| ("last_event", event)));
     fields.extend(head.resumes.clone().map(|id| ("resumes", id)));
@@ -336,6 +340,11 @@
     })
 }
 
+fn join_keys(keys: &[SuspectKey]) -> String {
+    let keys: Vec<_> = keys.iter().map(ToString::to_string).collect();
+    keys.join(",")
+}
+
 /// Returns the service of a call and, if the call resumes a stream, the software version that began
 /// the stream.
 async fn find_service(
--- a/crates/beechsaddle/src/gateway/crashes/crash_broadcast.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_broadcast.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use beechsaddle_core::gateway::{CrashReport, PeerRecord, RequestFingerprint};
+use beechsaddle_core::gateway::{CrashReport, PeerRecord, SuspectKey};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -41,7 +41,7 @@
 /// Sends the reports of changed requests to the routers that need them.
 pub(super) fn distribute_reports(
     state: &Rc<GatewayState>,
-    changed: impl IntoIterator<Item = RequestFingerprint>,
+    changed: impl IntoIterator<Item = SuspectKey>,
     origin: ReportOrigin,
 ) {
     for fingerprint in changed {
@@ -73,7 +73,7 @@
 /// Reports the crashes of a request to its coordinators in all domains.
 fn report_to_coordinators(
     state: &Rc<GatewayState>,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
     reports: &[CrashReport],
 ) {
     let name = fingerprint.to_string();
@@ -94,7 +94,7 @@
 /// answer.
 async fn report_to_own_coordinator(
     state: &Rc<GatewayState>,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
     reports: &[CrashReport],
 ) {
     let mut unresponsive = None;
@@ -115,7 +115,7 @@
     }
 }
 
-fn coordinator(state: &GatewayState, fingerprint: RequestFingerprint) -> Option<PeerRecord> {
+fn coordinator(state: &GatewayState, fingerprint: SuspectKey) -> Option<PeerRecord> {
     let ring = state.lending.ring.borrow();
     let coordinator = ring.coordinator_of(state.now(), &fingerprint.to_string());
     coordinator.cloned()
--- a/crates/beechsaddle/src/gateway/crashes/crash_document.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_document.rs
@@ -1,6 +1,6 @@
 //! The `crash_document` module provides the encoding of crash reports in the store.
 
-use beechsaddle_core::gateway::{CrashFacts, CrashReport, RequestFingerprint, TargetIncarnation};
+use beechsaddle_core::gateway::{CrashFacts, CrashReport, SuspectKey, TargetIncarnation};
 use beechsaddle_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -46,7 +46,7 @@
 
     fn read(self) -> Option<CrashReport> {
         Some(CrashReport {
-            fingerprint: RequestFingerprint::try_parse(&self.request)?,
+            fingerprint: SuspectKey::try_parse(&self.request)?,
             target: TargetIncarnation {
                 name: TargetName::new(&self.target),
                 started: self.started,
--- a/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use beechsaddle_core::gateway::{CrashRegistry, CrashReport, CrashVerdict, RequestFingerprint};
+use beechsaddle_core::gateway::{CrashRegistry, CrashReport, CrashVerdict, SuspectKey};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use tokio::sync::Notify;
@@ -23,7 +23,7 @@
 pub(in crate::gateway) struct CrashManager {
     pub(super) registry: RefCell<CrashRegistry>,
     /// Requests on trial at this router.
-    trials: RefCell<BTreeSet<RequestFingerprint>>,
+    trials: RefCell<BTreeSet<SuspectKey>>,
     /// The reports that the store has.
     pub(super) stored: RefCell<StoredCrashes>,
     /// Wakes the writer of the store's object.
@@ -32,7 +32,7 @@
 
 impl CrashManager {
     /// Returns how many crashes are attributed to a request.
-    pub(in crate::gateway) fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
+    pub(in crate::gateway) fn crash_count(&self, fingerprint: SuspectKey) -> usize {
         self.registry.borrow().crash_count(fingerprint)
     }
 
@@ -40,17 +40,13 @@
     pub(in crate::gateway) fn settled_count(
         &self,
         now: ClockTime,
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectKey,
     ) -> usize {
         self.registry.borrow().settled_count(now, fingerprint)
     }
 
     /// Returns whether every router refuses the request.
-    pub(in crate::gateway) fn is_blocked(
-        &self,
-        now: ClockTime,
-        fingerprint: RequestFingerprint,
-    ) -> bool {
+    pub(in crate::gateway) fn is_blocked(&self, now: ClockTime, fingerprint: SuspectKey) -> bool {
         let verdict = self.registry.borrow().verdict(now, fingerprint);
         matches!(verdict, CrashVerdict::Blocked { .. })
     }
@@ -82,7 +78,7 @@
 /// The trial of a request that may crash targets. Dropping it lets the next trial begin.
 pub(in crate::gateway) struct TrialGuard {
     state: Rc<GatewayState>,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
 }
 
 impl Drop for TrialGuard {
@@ -95,7 +91,7 @@
 /// Decides whether to admit a request that has just arrived.
 pub(in crate::gateway) fn admit_request(
     state: &Rc<GatewayState>,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
 ) -> CrashAdmission {
     let now = state.now();
     let verdict = state.crashes.registry.borrow().verdict(now, fingerprint);
@@ -117,7 +113,7 @@
 fn try_trial(
     state: &Rc<GatewayState>,
     now: ClockTime,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
 ) -> Option<TrialGuard> {
     let ring = state.lending.ring.borrow();
     let is_own = ring.coordinator_of(now, &fingerprint.to_string()).is_none();
@@ -129,10 +125,7 @@
 }
 
 /// Records that a request completed, which clears it of crashes.
-pub(in crate::gateway) fn record_completion(
-    state: &Rc<GatewayState>,
-    fingerprint: RequestFingerprint,
-) {
+pub(in crate::gateway) fn record_completion(state: &Rc<GatewayState>, fingerprint: SuspectKey) {
     if state.crashes.registry.borrow().is_empty() {
         return;
     }
@@ -151,7 +144,7 @@
 pub(super) fn apply_reports(
     state: &GatewayState,
     reports: impl IntoIterator<Item = CrashReport>,
-) -> BTreeSet<RequestFingerprint> {
+) -> BTreeSet<SuspectKey> {
     let now = state.now();
     let mut changed = BTreeSet::new();
     for report in reports {
@@ -168,7 +161,7 @@
     changed
 }
 
-fn log_blocked(state: &GatewayState, now: ClockTime, fingerprint: RequestFingerprint) {
+fn log_blocked(state: &GatewayState, now: ClockTime, fingerprint: SuspectKey) {
     let registry = state.crashes.registry.borrow();
     let CrashVerdict::Blocked { left_ms } = registry.verdict(now, fingerprint) else {
         return;
@@ -183,7 +176,7 @@
         .log(LogLevel::Warning, "request_blocked", fields);
 }
 
-fn target_names(registry: &CrashRegistry, fingerprint: RequestFingerprint) -> String {
+fn target_names(registry: &CrashRegistry, fingerprint: SuspectKey) -> String {
     let targets = registry.targets(fingerprint);
     let names: Vec<_> = targets.iter().map(|target| target.name.as_str()).collect();
     names.join(",")
--- a/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptEnd, CrashFacts, CrashReport, RequestFingerprint, TargetPhase, TargetRecord,
+    AttemptEnd, CrashFacts, CrashReport, SuspectKey, TargetPhase, TargetRecord,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -27,7 +27,7 @@
 /// A request that ran on a target whose connection broke.
 #[derive(Clone, Debug)]
 pub(in crate::gateway) struct SuspectRun {
-    pub(in crate::gateway) fingerprint: RequestFingerprint,
+    pub(in crate::gateway) fingerprint: SuspectKey,
     pub(in crate::gateway) target: TargetRecord,
     /// Number of crashes attributed to the request when it was sent.
     pub(in crate::gateway) known_before: usize,
--- a/crates/beechsaddle/src/gateway/crashes/crash_store.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_store.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{CrashFacts, CrashReport, RequestFingerprint, TargetIncarnation};
+use beechsaddle_core::gateway::{CrashFacts, CrashReport, SuspectKey, TargetIncarnation};
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject};
 use tokio::time::sleep;
@@ -27,7 +27,7 @@
 #[derive(Debug, Default)]
 pub(super) struct StoredCrashes {
     revision: Option<u64>,
-    crashes: BTreeMap<(RequestFingerprint, TargetIncarnation), CrashFacts>,
+    crashes: BTreeMap<(SuspectKey, TargetIncarnation), CrashFacts>,
 }
 
 impl StoredCrashes {
@@ -102,7 +102,7 @@
 }
 
 /// Returns the requests with reports that the store lacks.
-fn pending(state: &GatewayState) -> Vec<RequestFingerprint> {
+fn pending(state: &GatewayState) -> Vec<SuspectKey> {
     let registry = state.crashes.registry.borrow();
     let stored = state.crashes.stored.borrow();
     let missing = registry.shared().filter(|report| stored.lacks(report));
--- a/crates/beechsaddle/src/gateway/peer_codec.rs
+++ b/crates/beechsaddle/src/gateway/peer_codec.rs
@@ -1,6 +1,6 @@
 //! The `peer_codec` module provides the encoding of crash reports and times in messages between routers.
 
-use beechsaddle_core::gateway::{CrashFacts, CrashReport, RequestFingerprint, TargetIncarnation};
+use beechsaddle_core::gateway::{CrashFacts, CrashReport, SuspectKey, TargetIncarnation};
 use beechsaddle_core::prelude::*;
 use beechsaddle_wire::lending_capnp::crash_note;
 
@@ -34,7 +34,7 @@
     message: crash_note::Reader<'_>,
     now: ClockTime,
 ) -> Result<CrashReport, capnp::Error> {
-    let fingerprint = RequestFingerprint::try_from_bytes(message.get_fingerprint()?)
+    let fingerprint = SuspectKey::try_from_bytes(message.get_fingerprint()?)
         .ok_or_else(|| capnp::Error::failed("a fingerprint has 16 bytes".to_owned()))?;
     Ok(CrashReport {
         fingerprint,
