Refuse prompt parts that crash targets

Callers saw: requests of which no two are alike, with one part in their prompts, ended one engine after the other for as long as they came; each crash broke off what else ran there.

Cause: crashes were counted for whole requests only (path, caller, body). Each of these requests was a first one, was admitted everywhere, and was sent on by its router after its first crash. The class: a bound on the fleet that is counted under an identity which the offender can change.

Now each part of a prompt but the last is a suspect beside the request, in the same registry, reports and store object. A part is cleared wherever a request with it completes, and is not suspected at all by a router that saw one complete lately. After four crashes, two of them sent when earlier ones were known, requests with the part are refused. Parts that have always crashed together are refused together and tried one by one. What is not certain is tried one request at a time in the whole fleet: any router may send it, one router grants it, domains that do not reach each other take turns. This replaces the trials of one in each domain. A crash at a moment at which other targets ended as well is no repeat.

Ruled out: late or lost news (one fleet without restarts broke the bound before); refusing by caller or by first part, which sound requests share; the latest part of a prompt as the likelier cause, which is wrong where the part comes first.

--- a/crates/beechsaddle-core/src/gateway/crash_report.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_report.rs
@@ -15,8 +15,8 @@
 /// A crash, as exchanged between routers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
-    /// The request that ran on the target when it crashed.
-    pub fingerprint: SuspectKey,
+    /// What ran on the target when it crashed: a request, or a part of one's prompt.
+    pub key: SuspectKey,
     /// The target that crashed.
     pub target: TargetIncarnation,
     pub facts: CrashFacts,
@@ -24,16 +24,16 @@
 
 /// The observations about a crash.
 ///
-/// Reports on the same request and target merge in any order and may be duplicated: each field
+/// Reports on the same suspect and target merge in any order and may be duplicated: each field
 /// keeps the value that decides, so that routers with the same reports reach the same verdict.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashFacts {
-    /// The number of settled crashes under the request that the router knew of when it sent the
-    /// request to this target.
+    /// The number of settled crashes under the suspect that the router knew of when it sent the
+    /// request to this target; 0 if other targets, which did not run it, ended at the same time.
     pub known_before: u32,
     /// How long the target had the request, in milliseconds.
     pub run_ms: u32,
-    /// Whether the request has since run to completion, so that it was not the cause.
+    /// Whether such a request has since run to completion, so that it was not the cause.
     pub is_cleared: bool,
     /// When the crash was observed, by the clock of the observing router.
     pub seen_at: ClockTime,
--- a/crates/beechsaddle-core/src/gateway/crash_suspect.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_suspect.rs
@@ -1,20 +1,34 @@
-//! The `crash_suspect` module provides the crashes recorded for one request.
+//! The `crash_suspect` module provides the crashes recorded for one request or prompt part.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{CrashFacts, CrashReport, SuspectKey, TargetIncarnation};
+use super::{CrashFacts, CrashReport, SuspectKey, SuspectKind, TargetIncarnation};
 use crate::clock::ClockTime;
 
 /// Number of crashes under one request after which it is refused: as many as the platform
 /// tolerates.
-pub(super) const CRASHES_MAX: usize = 3;
+const REQUEST_CRASHES_MAX: usize = 3;
+
+/// Number of crashes under one prompt part after which requests with it are refused: one less than
+/// the platform tolerates, as a router that is killed reports none.
+const PART_CRASHES_MAX: usize = 4;
+
+/// Number of these that a request must have repeated, see [`CrashSuspect::has_repeated`].
+const REQUEST_REPEATS_MIN: usize = 1;
+
+/// The same for a prompt part. Many requests with a part may run on targets that end one after the
+/// other for a reason of their own.
+const PART_REPEATS_MIN: usize = 2;
+
+/// Number of crashes from which all routers need to know them: the next ones may decide.
+const SHARED_MIN: usize = 2;
 
 /// The age from which a crash counts for detecting a repeat, in milliseconds. Targets that are
 /// killed together are found dead one after the other, and a request retried after the first may
 /// reach the next.
-const SETTLED_MS: u64 = 100;
+pub(super) const SETTLED_MS: u64 = 100;
 
-/// Number of crashes retained for one request.
+/// Number of crashes retained for one suspect.
 const RETAINED_MAX: usize = 16;
 
 /// The first time for which a request is refused after its last crash, in milliseconds: long enough
@@ -26,13 +40,30 @@
 /// hours.
 const DOUBLINGS_MAX: usize = 6;
 
-/// A request under which targets have crashed.
-#[derive(Clone, Debug, Default)]
+/// A request or prompt part under which targets have crashed.
+#[derive(Clone, Debug)]
 pub(super) struct CrashSuspect {
+    kind: SuspectKind,
     crashes: BTreeMap<TargetIncarnation, CrashFacts>,
 }
 
 impl CrashSuspect {
+    /// Creates a suspect without crashes.
+    pub(super) fn new(kind: SuspectKind) -> Self {
+        CrashSuspect {
+            kind,
+            crashes: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of crashes after which requests are refused.
+    pub(super) fn crashes_max(&self) -> usize {
+        match self.kind {
+            SuspectKind::Request => REQUEST_CRASHES_MAX,
+            SuspectKind::Part => PART_CRASHES_MAX,
+        }
+    }
+
     /// Merges a crash; returns whether it changed anything.
     pub(super) fn record(&mut self, target: TargetIncarnation, facts: CrashFacts) -> bool {
         let known = self.crashes.get(&target).copied();
@@ -47,7 +78,7 @@
         true
     }
 
-    /// Records that the request ran to completion; returns the crashes that it is no longer
+    /// Records that a request ran to completion; returns the crashes that it is no longer
     /// suspected of.
     pub(super) fn clear(&mut self) -> Vec<(TargetIncarnation, CrashFacts)> {
         let mut cleared = Vec::new();
@@ -60,7 +91,7 @@
         cleared
     }
 
-    /// Returns the targets that the request may have crashed.
+    /// Returns the targets that the suspect may have crashed.
     pub(super) fn targets(&self) -> impl Iterator<Item = &TargetIncarnation> {
         self.open().map(|(target, _)| target)
     }
@@ -83,21 +114,33 @@
         settled.count()
     }
 
-    /// Whether the request crashed a target after a router knew that it had crashed another one.
+    /// Whether targets crashed under the suspect after a router knew that others had, often enough to
+    /// take it for the cause.
     ///
-    /// If many targets end at once by a fault of their own, a request that runs on several of them
-    /// looks like the cause. Such a request does not crash another target when it is retried.
+    /// If many targets end at once by a fault of their own, what runs on several of them looks like
+    /// the cause. It does not crash another target when it is retried.
     pub(super) fn has_repeated(&self) -> bool {
-        self.open().any(|(_, facts)| facts.known_before > 0)
+        let repeats = self.open().filter(|(_, facts)| facts.known_before > 0);
+        let repeats_min = match self.kind {
+            SuspectKind::Request => REQUEST_REPEATS_MIN,
+            SuspectKind::Part => PART_REPEATS_MIN,
+        };
+        repeats.count() >= repeats_min
+    }
+
+    /// Whether the suspect may have crashed a target.
+    pub(super) fn has_crash(&self, target: &TargetIncarnation) -> bool {
+        let facts = self.crashes.get(target);
+        facts.is_some_and(|facts| !facts.is_cleared)
     }
 
-    /// Returns the sum of the times that targets had the request before they crashed, in
+    /// Returns the sum of the times that targets had a request before they crashed, in
     /// milliseconds.
     pub(super) fn run_ms(&self) -> u64 {
         self.open().map(|(_, facts)| u64::from(facts.run_ms)).sum()
     }
 
-    /// Returns the end of the refusal, should the request be refused.
+    /// Returns the end of the refusal, should requests be refused.
     pub(super) fn blocked_until(&self) -> ClockTime {
         self.last_at().plus_ms(self.block_ms())
     }
@@ -108,16 +151,16 @@
         self.blocked_until().plus_ms(self.block_ms())
     }
 
-    /// Whether other routers need the crashes: with two, the next one decides.
+    /// Whether other routers need the crashes.
     pub(super) fn is_shared(&self) -> bool {
-        self.crashes.len() + 1 >= CRASHES_MAX
+        self.crashes.len() >= SHARED_MIN
     }
 
     /// Returns all crashes as reports for other routers.
-    pub(super) fn reports(&self, fingerprint: SuspectKey) -> impl Iterator<Item = CrashReport> {
+    pub(super) fn reports(&self, key: SuspectKey) -> impl Iterator<Item = CrashReport> {
         let crashes = self.crashes.iter();
         crashes.map(move |(target, facts)| CrashReport {
-            fingerprint,
+            key,
             target: target.clone(),
             facts: *facts,
         })
@@ -127,13 +170,14 @@
         self.crashes.iter().filter(|(_, facts)| !facts.is_cleared)
     }
 
-    fn last_at(&self) -> ClockTime {
+    /// Returns when the last crash was seen.
+    pub(super) fn last_at(&self) -> ClockTime {
         let seen = self.crashes.values().map(|facts| facts.seen_at);
         seen.max().unwrap_or(ClockTime::ZERO)
     }
 
     fn block_ms(&self) -> u64 {
-        let beyond = self.open().count().saturating_sub(CRASHES_MAX);
+        let beyond = self.open().count().saturating_sub(self.crashes_max());
         FIRST_BLOCK_MS << beyond.min(DOUBLINGS_MAX)
     }
 
--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -251,6 +251,20 @@
         reachable.all(|peer| rendezvous_weight(name, peer.host.as_str()) < own)
     }
 
+    /// Returns the number of domains that have a listed router before all of the own domain for a
+    /// name, whether they answer or not.
+    pub fn domains_before(&self, name: &str) -> usize {
+        let weight = |host: &HostName| rendezvous_weight(name, host.as_str());
+        let own = self.peers.values();
+        let own = own.filter(|peer| peer.domain == self.domain);
+        let own = own.map(|peer| weight(&peer.host)).max();
+        let own = own.unwrap_or(0).max(weight(&self.me));
+        let others = self.peers.values();
+        let before = others.filter(|peer| peer.address.is_some() && weight(&peer.host) > own);
+        let domains: BTreeSet<_> = before.map(|peer| &peer.domain).collect();
+        domains.len()
+    }
+
     /// Whether this router is among the `count` that come first for a name among all listed routers,
     /// whether they answer or not.
     pub fn is_among_first(&self, name: &str, count: usize) -> bool {
--- a/crates/beechsaddle-core/tests/gateway_crash_registry.rs
+++ b/crates/beechsaddle-core/tests/gateway_crash_registry.rs
@@ -23,7 +23,7 @@
 
 fn report(request_number: u64, target_number: u64, known_before: u32) -> CrashReport {
     CrashReport {
-        fingerprint: request(request_number),
+        key: request(request_number),
         target: target(target_number),
         facts: CrashFacts {
             known_before,
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -80,6 +80,10 @@
 interface CrashListener {
   noteCrashes @0 (secret :Text, notes :List(CrashNote), isSpread :Bool) -> ();
   # Tells of crashes. Where `isSpread` the caller tells all routers of the listener's domain by itself.
+
+  beginTrial @1 (secret :Text, fingerprint :Data) -> (isGranted :Bool, waitMs :UInt64);
+  # Asks whether one request may be sent to a target that is suspected by `fingerprint`: 16 bytes, as in `CrashNote`.
+  # Not before `waitMs` otherwise.
 }
 
 enum PlaceOutcome {
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 
-use beechsaddle_core::gateway::{AttemptEnd, AttemptLoad, SuspectKey, TargetRecord, TargetStats};
+use beechsaddle_core::gateway::{AttemptEnd, AttemptLoad, TargetRecord, TargetStats};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 
-use super::crashes::{SuspectRun, detect_crash};
+use super::call_context::CallContext;
+use super::crashes::{RunSuspect, SuspectRun, detect_crash, run_suspects};
 use super::gateway_metrics::OutcomeLabel;
 use super::gateway_state::GatewayState;
 
@@ -24,28 +25,22 @@
     state: Rc<GatewayState>,
     target: TargetRecord,
     load: AttemptLoad,
-    fingerprint: SuspectKey,
-    /// Crashes already attributed to the request, excluding those seen just before this attempt.
-    known_before: usize,
-    /// Whether the request is suspected of any crash.
+    /// What may be suspected if the target crashes, as known when the attempt began.
+    suspects: Vec<RunSuspect>,
+    /// Whether the request is suspected of any crash, or the trial of a part of its prompt.
     is_suspect: bool,
     started_at: ClockTime,
     has_first_event: bool,
 }
 
 impl AttemptGuard {
-    /// Counts a new attempt on `target`.
-    pub(super) fn start(
-        state: &Rc<GatewayState>,
-        target: TargetRecord,
-        load: AttemptLoad,
-        fingerprint: SuspectKey,
-    ) -> Self {
+    /// Counts a new attempt of a call on `target`.
+    pub(super) fn start(call: &CallContext, target: TargetRecord, load: AttemptLoad) -> Self {
+        let state = &call.state;
         let guard = AttemptGuard {
             state: Rc::clone(state),
-            fingerprint,
-            known_before: state.crashes.settled_count(state.now(), fingerprint),
-            is_suspect: state.crashes.crash_count(fingerprint) > 0,
+            suspects: run_suspects(state, &call.suspects),
+            is_suspect: call.isolation_key().is_some(),
             started_at: state.now(),
             target,
             load,
@@ -131,9 +126,8 @@
     /// Returns the data needed to attribute a crash of the target to this request.
     pub(super) fn suspect_run(&self) -> SuspectRun {
         SuspectRun {
-            fingerprint: self.fingerprint,
+            suspects: self.suspects.clone(),
             target: self.target.clone(),
-            known_before: self.known_before,
             started_at: self.started_at,
         }
     }
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -1,7 +1,7 @@
 //! The `call_context` module provides the state of one call: the request, the rules that apply to
 //! it and its attempts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,13 +16,12 @@
 use http::{HeaderMap, Method, Uri};
 
 use super::call_record::CallRecord;
-use super::crashes::TrialGuard;
 use super::gateway_metrics::OutcomeLabel;
 use super::gateway_state::GatewayState;
 use super::refusal::RefusalCause;
 
-/// Number of target crashes attributed to a request after which the router no longer repeats it;
-/// only the caller may send it again.
+/// Number of target crashes attributed to a request or a part of its prompt after which the router
+/// no longer repeats it; only the caller may send it again.
 const CRASHES_BEFORE_WITHHOLDING: usize = 2;
 
 /// A call that passed the checks against the configuration.
@@ -38,6 +37,9 @@
     pub(super) body: Bytes,
     /// Identifies the request independently of the id of this attempt.
     pub(super) fingerprint: SuspectKey,
+    /// All that may be suspected if a target crashes: the fingerprint and the shared parts of the
+    /// prompt.
+    pub(super) suspects: Vec<SuspectKey>,
     pub(super) route: Arc<RouteRule>,
     pub(super) service: ServiceName,
     /// The software version that began the call's stream. Only its targets may continue it; `None`
@@ -53,8 +55,8 @@
     pub(super) ends_at: ClockTime,
     pub(super) history: RefCell<AttemptHistory>,
     pub(super) tried: RefCell<Vec<TargetName>>,
-    /// Held while this call is the only trial of a request suspected of crashing targets.
-    pub(super) trial: RefCell<Option<TrialGuard>>,
+    /// The suspect whose trial this call is.
+    pub(super) trial: Cell<Option<SuspectKey>>,
     /// The call's log lines and metrics.
     pub(super) record: CallRecord,
 }
@@ -150,9 +152,20 @@
     /// request with two or more crashes is sent again only by its caller.
     fn is_withheld(&self, end: AttemptEnd) -> bool {
         let crashes = &self.state.crashes;
-        let has_crashed_again = end.may_have_run()
-            && crashes.crash_count(self.fingerprint) >= CRASHES_BEFORE_WITHHOLDING;
-        has_crashed_again || crashes.is_blocked(self.state.now(), self.fingerprint)
+        let has_crashed_again =
+            end.may_have_run() && crashes.crash_count(&self.suspects) >= CRASHES_BEFORE_WITHHOLDING;
+        has_crashed_again || crashes.is_blocked(self.state.now(), &self.suspects)
+    }
+
+    /// Returns the key by which the call is kept apart from other suspects: the request's if it may
+    /// have crashed a target, or that of the part whose trial it is. Other requests with suspected
+    /// parts may be many, and go anywhere.
+    pub(super) fn isolation_key(&self) -> Option<SuspectKey> {
+        let crashes = &self.state.crashes;
+        match crashes.crash_count(&[self.fingerprint]) {
+            0 => self.trial.get(),
+            _ => Some(self.fingerprint),
+        }
     }
 
     /// Returns the cause to report when no target answered; `last` is the end of the last attempt.
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -1,7 +1,7 @@
 //! The `call_exchange` module provides the handling of one call, from its head to its final
 //! response.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,7 +92,7 @@
 
 async fn serve_read(call: Rc<CallContext>) -> Response<AnswerBody> {
     let state = &call.state;
-    if let Some(refusal) = refuse_crashing(&call) {
+    if let Some(refusal) = refuse_crashing(&call).await {
         return refusal;
     }
     state
@@ -131,15 +131,20 @@
 }
 
 /// Refuses a request that crashes targets, before any tokens are reserved for it.
-fn refuse_crashing(call: &CallContext) -> Option<Response<AnswerBody>> {
-    match admit_request(&call.state, call.fingerprint) {
-        CrashAdmission::Admitted(trial) => {
-            *call.trial.borrow_mut() = trial;
+async fn refuse_crashing(call: &CallContext) -> Option<Response<AnswerBody>> {
+    match admit_request(&call.state, &call.suspects).await {
+        CrashAdmission::Admitted { trial } => {
+            call.trial.set(trial);
             None
         }
-        CrashAdmission::Refused { retry_ms, targets } => {
+        CrashAdmission::Refused {
+            key,
+            retry_ms,
+            targets,
+        } => {
             let fields = [
-                ("fingerprint", call.fingerprint.to_string()),
+                ("fingerprint", key.to_string()),
+                ("kind", key.kind().as_str().to_owned()),
                 ("targets", targets),
                 ("retry_ms", retry_ms.to_string()),
             ];
@@ -305,10 +310,12 @@
         ("fingerprint", fingerprint.to_string()),
         ("span_ms", timeout_ms.to_string()),
     ];
-    let parts_shared = SuspectKey::for_shared_parts(&head.prompt);
-    if !parts_shared.is_empty() {
-        fields.push(("parts", join_keys(&parts_shared)));
+    let shared = SuspectKey::for_shared_parts(&head.prompt);
+    if !shared.is_empty() {
+        fields.push(("parts", join_keys(&shared)));
     }
+    let mut suspects = vec![fingerprint];
+    suspects.extend(shared);
     let last_event = head.last_event.map(|event| event.to_string());
     fields.extend(last_event.map(|event| ("last_event", event)));
     fields.extend(head.resumes.clone().map(|id| ("resumes", id)));
@@ -327,6 +334,7 @@
         headers: parts.headers,
         body,
         fingerprint,
+        suspects,
         route: rules.route,
         service,
         version: RefCell::new(version),
@@ -335,7 +343,7 @@
         ends_at: arrived_at.plus_ms(timeout_ms),
         history: RefCell::new(AttemptHistory::default()),
         tried: RefCell::new(Vec::new()),
-        trial: RefCell::default(),
+        trial: Cell::default(),
         record,
     })
 }
--- a/crates/beechsaddle/src/gateway/crashes/crash_broadcast.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_broadcast.rs
@@ -44,21 +44,18 @@
     changed: impl IntoIterator<Item = SuspectKey>,
     origin: ReportOrigin,
 ) {
-    for fingerprint in changed {
+    for key in changed {
         let (reports, is_shared) = {
             let registry = state.crashes.registry.borrow();
-            (
-                registry.reports(fingerprint),
-                registry.is_shared(fingerprint),
-            )
+            (registry.reports(key), registry.is_shared(key))
         };
         if is_shared {
             state.crashes.writer_wake.notify_one();
         }
         if origin == ReportOrigin::Local {
-            report_to_coordinators(state, fingerprint, &reports);
+            report_to_coordinators(state, key, &reports);
         }
-        let is_coordinator = coordinator(state, fingerprint).is_none();
+        let is_coordinator = coordinator(state, key).is_none();
         let is_rebroadcast = match origin {
             ReportOrigin::Local => is_coordinator,
             ReportOrigin::Peer | ReportOrigin::Store => true,
@@ -71,12 +68,8 @@
 }
 
 /// Reports the crashes of a request to its coordinators in all domains.
-fn report_to_coordinators(
-    state: &Rc<GatewayState>,
-    fingerprint: SuspectKey,
-    reports: &[CrashReport],
-) {
-    let name = fingerprint.to_string();
+fn report_to_coordinators(state: &Rc<GatewayState>, key: SuspectKey, reports: &[CrashReport]) {
+    let name = key.to_string();
     let foreign: Vec<_> = {
         let ring = state.lending.ring.borrow();
         let coordinators = ring.foreign_coordinators_of(state.now(), &name);
@@ -87,26 +80,26 @@
         spawn_local(async move { send_reports(&state, &peer, &reports, false).await });
     }
     let (state, reports) = (Rc::clone(state), reports.to_vec());
-    spawn_local(async move { report_to_own_coordinator(&state, fingerprint, &reports).await });
+    spawn_local(async move { report_to_own_coordinator(&state, key, &reports).await });
 }
 
 /// Reports to the coordinator of the own domain, or to the next in line if that one does not
 /// answer.
 async fn report_to_own_coordinator(
     state: &Rc<GatewayState>,
-    fingerprint: SuspectKey,
+    key: SuspectKey,
     reports: &[CrashReport],
 ) {
     let mut unresponsive = None;
     loop {
-        match coordinator(state, fingerprint) {
+        match coordinator(state, key) {
             // The peer did not answer and is still the coordinator: this router's own link is
             // saturated, so it marks no peer as down. Other routers get the report from the store.
             Some(peer) if unresponsive.as_ref() == Some(&peer.host) => return,
             Some(peer) if send_reports(state, &peer, reports, false).await => return,
             Some(peer) => unresponsive = Some(peer.host),
             None => {
-                if state.crashes.registry.borrow().is_shared(fingerprint) {
+                if state.crashes.registry.borrow().is_shared(key) {
                     broadcast_to_domain(state, reports);
                 }
                 return;
@@ -115,9 +108,9 @@
     }
 }
 
-fn coordinator(state: &GatewayState, fingerprint: SuspectKey) -> Option<PeerRecord> {
+fn coordinator(state: &GatewayState, key: SuspectKey) -> Option<PeerRecord> {
     let ring = state.lending.ring.borrow();
-    let coordinator = ring.coordinator_of(state.now(), &fingerprint.to_string());
+    let coordinator = ring.coordinator_of(state.now(), &key.to_string());
     coordinator.cloned()
 }
 
--- a/crates/beechsaddle/src/gateway/crashes/crash_document.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_document.rs
@@ -28,13 +28,9 @@
 
 impl CrashEntry {
     fn new(report: &CrashReport) -> Self {
-        let CrashReport {
-            fingerprint,
-            target,
-            facts,
-        } = report;
+        let CrashReport { key, target, facts } = report;
         CrashEntry {
-            request: fingerprint.to_string(),
+            request: key.to_string(),
             target: target.name.to_string(),
             started: target.started,
             known_before: facts.known_before,
@@ -46,7 +42,7 @@
 
     fn read(self) -> Option<CrashReport> {
         Some(CrashReport {
-            fingerprint: SuspectKey::try_parse(&self.request)?,
+            key: SuspectKey::try_parse(&self.request)?,
             target: TargetIncarnation {
                 name: TargetName::new(&self.target),
                 started: self.started,
--- a/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
@@ -5,25 +5,26 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use beechsaddle_core::gateway::{CrashRegistry, CrashReport, CrashVerdict, SuspectKey};
+use beechsaddle_core::gateway::{
+    CompletionLog, CrashDecision, CrashRegistry, CrashReport, CrashVerdict, SuspectKey,
+    SuspectKind, TargetIncarnation, TrialSchedule,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use tokio::sync::Notify;
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
 use super::crash_store::StoredCrashes;
+use super::crash_trial::request_trials;
 use crate::gateway::gateway_state::GatewayState;
 
-/// Retry delay for a request whose trial is in progress, in milliseconds: most runs finish within
-/// it.
-const TRIAL_RETRY_MS: u64 = 1_000;
-
-/// The crash reports of this router and the trials in progress.
+/// The crash reports of this router and the trials that it granted.
 #[derive(Default)]
 pub(in crate::gateway) struct CrashManager {
     pub(super) registry: RefCell<CrashRegistry>,
-    /// Requests on trial at this router.
-    trials: RefCell<BTreeSet<SuspectKey>>,
+    /// The prompt parts that completed here lately.
+    pub(super) completions: RefCell<CompletionLog>,
+    pub(super) trials: RefCell<TrialSchedule>,
     /// The reports that the store has.
     pub(super) stored: RefCell<StoredCrashes>,
     /// Wakes the writer of the store's object.
@@ -31,29 +32,28 @@
 }
 
 impl CrashManager {
-    /// Returns how many crashes are attributed to a request.
-    pub(in crate::gateway) fn crash_count(&self, fingerprint: SuspectKey) -> usize {
-        self.registry.borrow().crash_count(fingerprint)
+    /// Returns the largest number of crashes that are attributed to one of these suspects.
+    pub(in crate::gateway) fn crash_count(&self, keys: &[SuspectKey]) -> usize {
+        let registry = self.registry.borrow();
+        let counts = keys.iter().map(|key| registry.crash_count(*key));
+        counts.max().unwrap_or(0)
     }
 
-    /// Returns how many of these crashes were not seen just before `now`.
-    pub(in crate::gateway) fn settled_count(
-        &self,
-        now: ClockTime,
-        fingerprint: SuspectKey,
-    ) -> usize {
-        self.registry.borrow().settled_count(now, fingerprint)
+    /// Returns whether every router refuses a request with all of these suspects.
+    pub(in crate::gateway) fn is_blocked(&self, now: ClockTime, keys: &[SuspectKey]) -> bool {
+        let decision = self.registry.borrow().decide(now, keys);
+        matches!(decision, CrashDecision::Refused { .. })
     }
 
-    /// Returns whether every router refuses the request.
-    pub(in crate::gateway) fn is_blocked(&self, now: ClockTime, fingerprint: SuspectKey) -> bool {
-        let verdict = self.registry.borrow().verdict(now, fingerprint);
-        matches!(verdict, CrashVerdict::Blocked { .. })
+    /// Returns the number of refused suspects of a kind.
+    pub(in crate::gateway) fn blocked_count(&self, kind: SuspectKind) -> usize {
+        self.registry.borrow().blocked_count(kind)
     }
 
-    /// Returns the number of refused requests.
-    pub(in crate::gateway) fn blocked_count(&self) -> usize {
-        self.registry.borrow().blocked_count()
+    /// Returns whether a target is known to have crashed under one of these suspects.
+    pub(super) fn has_crash(&self, keys: &[SuspectKey], target: &TargetIncarnation) -> bool {
+        let registry = self.registry.borrow();
+        keys.iter().any(|key| registry.has_crash(*key, target))
     }
 
     /// Removes expired reports.
@@ -64,83 +64,76 @@
 
 /// Whether a request is admitted.
 pub(in crate::gateway) enum CrashAdmission {
-    /// The request is admitted; the guard is held during a trial.
-    Admitted(Option<TrialGuard>),
-    /// The request crashes targets.
+    /// The request is admitted, perhaps as the trial of a suspect.
+    Admitted { trial: Option<SuspectKey> },
+    /// The request may crash targets.
     Refused {
+        /// What is suspected.
+        key: SuspectKey,
         /// Retry delay in milliseconds.
         retry_ms: u64,
-        /// Names of the targets that crashed while they ran it.
+        /// Names of the targets that crashed under it.
         targets: String,
     },
 }
 
-/// The trial of a request that may crash targets. Dropping it lets the next trial begin.
-pub(in crate::gateway) struct TrialGuard {
-    state: Rc<GatewayState>,
-    fingerprint: SuspectKey,
-}
-
-impl Drop for TrialGuard {
-    fn drop(&mut self) {
-        let mut trials = self.state.crashes.trials.borrow_mut();
-        trials.remove(&self.fingerprint);
-    }
-}
-
-/// Decides whether to admit a request that has just arrived.
-pub(in crate::gateway) fn admit_request(
+/// Decides whether to admit a request that has just arrived and has all of these suspects.
+pub(in crate::gateway) async fn admit_request(
     state: &Rc<GatewayState>,
-    fingerprint: SuspectKey,
+    keys: &[SuspectKey],
 ) -> CrashAdmission {
-    let now = state.now();
-    let verdict = state.crashes.registry.borrow().verdict(now, fingerprint);
-    let retry_ms = match verdict {
-        CrashVerdict::Clear | CrashVerdict::Suspected => return CrashAdmission::Admitted(None),
-        CrashVerdict::Blocked { left_ms } => left_ms,
-        CrashVerdict::OnTrial => match try_trial(state, now, fingerprint) {
-            Some(guard) => return CrashAdmission::Admitted(Some(guard)),
-            None => TRIAL_RETRY_MS,
+    let decision = state.crashes.registry.borrow().decide(state.now(), keys);
+    match decision {
+        CrashDecision::Admitted => CrashAdmission::Admitted { trial: None },
+        CrashDecision::Refused { key, left_ms } => refuse(state, key, left_ms),
+        CrashDecision::OnTrial(trials) => match request_trials(state, &trials).await {
+            Ok(()) => CrashAdmission::Admitted {
+                trial: trials.first().copied(),
+            },
+            Err(refusal) => refuse(state, refusal.key, refusal.wait_ms),
         },
-    };
-    CrashAdmission::Refused {
-        retry_ms,
-        targets: target_names(&state.crashes.registry.borrow(), fingerprint),
     }
 }
 
-/// Begins a trial if this router is the request's coordinator and no trial of it is in progress.
-fn try_trial(
-    state: &Rc<GatewayState>,
-    now: ClockTime,
-    fingerprint: SuspectKey,
-) -> Option<TrialGuard> {
-    let ring = state.lending.ring.borrow();
-    let is_own = ring.coordinator_of(now, &fingerprint.to_string()).is_none();
-    let is_new = is_own && state.crashes.trials.borrow_mut().insert(fingerprint);
-    is_new.then(|| TrialGuard {
-        state: Rc::clone(state),
-        fingerprint,
-    })
+fn refuse(state: &GatewayState, key: SuspectKey, retry_ms: u64) -> CrashAdmission {
+    CrashAdmission::Refused {
+        key,
+        retry_ms,
+        targets: target_names(&state.crashes.registry.borrow(), key),
+    }
 }
 
-/// Records that a request completed, which clears it of crashes.
-pub(in crate::gateway) fn record_completion(state: &Rc<GatewayState>, fingerprint: SuspectKey) {
+/// Records that a request completed, which clears it and the parts of its prompt of crashes.
+pub(in crate::gateway) fn record_completion(state: &Rc<GatewayState>, keys: &[SuspectKey]) {
+    let now = state.now();
+    let mut completions = state.crashes.completions.borrow_mut();
+    let parts = keys.iter().filter(|key| key.kind() == SuspectKind::Part);
+    parts.for_each(|part| completions.record(now, *part));
+    drop(completions);
     if state.crashes.registry.borrow().is_empty() {
         return;
     }
-    let cleared = state.crashes.registry.borrow_mut().clear(fingerprint);
+    for key in keys {
+        clear_suspect(state, *key);
+    }
+}
+
+fn clear_suspect(state: &Rc<GatewayState>, key: SuspectKey) {
+    let cleared = state.crashes.registry.borrow_mut().clear(key);
     if cleared.is_empty() {
         return;
     }
-    let fields = [("fingerprint", fingerprint.to_string())];
-    let report = &state.report;
-    report.log(LogLevel::Info, "request_cleared", fields);
+    let event = match key.kind() {
+        SuspectKind::Request => "request_cleared",
+        SuspectKind::Part => "part_cleared",
+    };
+    let fields = [("fingerprint", key.to_string())];
+    state.report.log(LogLevel::Info, event, fields);
     state.update_blocked_count();
-    distribute_reports(state, [fingerprint], ReportOrigin::Local);
+    distribute_reports(state, [key], ReportOrigin::Local);
 }
 
-/// Applies crash reports and returns the requests for which they changed anything.
+/// Applies crash reports and returns the suspects for which they changed anything.
 pub(super) fn apply_reports(
     state: &GatewayState,
     reports: impl IntoIterator<Item = CrashReport>,
@@ -148,36 +141,38 @@
     let now = state.now();
     let mut changed = BTreeSet::new();
     for report in reports {
-        let fingerprint = report.fingerprint;
+        let key = report.key;
         let mut registry = state.crashes.registry.borrow_mut();
         if registry.record(now, report) {
-            changed.insert(fingerprint);
+            changed.insert(key);
         }
     }
-    for fingerprint in &changed {
-        log_blocked(state, now, *fingerprint);
+    for key in &changed {
+        log_blocked(state, now, *key);
     }
     state.update_blocked_count();
     changed
 }
 
-fn log_blocked(state: &GatewayState, now: ClockTime, fingerprint: SuspectKey) {
+fn log_blocked(state: &GatewayState, now: ClockTime, key: SuspectKey) {
     let registry = state.crashes.registry.borrow();
-    let CrashVerdict::Blocked { left_ms } = registry.verdict(now, fingerprint) else {
+    let CrashVerdict::Blocked { left_ms } = registry.verdict(now, key) else {
         return;
     };
     let fields = [
-        ("fingerprint", fingerprint.to_string()),
-        ("targets", target_names(&registry, fingerprint)),
+        ("fingerprint", key.to_string()),
+        ("targets", target_names(&registry, key)),
         ("span_ms", left_ms.to_string()),
     ];
-    state
-        .report
-        .log(LogLevel::Warning, "request_blocked", fields);
+    let event = match key.kind() {
+        SuspectKind::Request => "request_blocked",
+        SuspectKind::Part => "part_blocked",
+    };
+    state.report.log(LogLevel::Warning, event, fields);
 }
 
-fn target_names(registry: &CrashRegistry, fingerprint: SuspectKey) -> String {
-    let targets = registry.targets(fingerprint);
+fn target_names(registry: &CrashRegistry, key: SuspectKey) -> String {
+    let targets = registry.targets(key);
     let names: Vec<_> = targets.iter().map(|target| target.name.as_str()).collect();
     names.join(",")
 }
--- a/crates/beechsaddle/src/gateway/crashes/crash_store.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_store.rs
@@ -33,12 +33,13 @@
 impl StoredCrashes {
     /// Returns whether the store lacks something that changes a verdict.
     fn lacks(&self, report: &CrashReport) -> bool {
-        let key = (report.fingerprint, report.target.clone());
+        let key = (report.key, report.target.clone());
         let facts = report.facts;
-        self.crashes.get(&key).is_none_or(|known| {
-            let is_repeat = facts.known_before > 0 && known.known_before == 0;
-            is_repeat || (facts.is_cleared && !known.is_cleared)
-        })
+        let Some(known) = self.crashes.get(&key) else {
+            return !facts.is_cleared;
+        };
+        let is_repeat = facts.known_before > 0 && known.known_before == 0;
+        is_repeat || (facts.is_cleared && !known.is_cleared)
     }
 
     /// Replaces the known content; ignores a revision that is not newer.
@@ -48,7 +49,7 @@
         }
         self.revision = Some(revision);
         let crashes = reports.iter().map(|report| {
-            let key = (report.fingerprint, report.target.clone());
+            let key = (report.key, report.target.clone());
             (key, report.facts)
         });
         self.crashes = crashes.collect();
@@ -106,7 +107,7 @@
     let registry = state.crashes.registry.borrow();
     let stored = state.crashes.stored.borrow();
     let missing = registry.shared().filter(|report| stored.lacks(report));
-    missing.map(|report| report.fingerprint).collect()
+    missing.map(|report| report.key).collect()
 }
 
 /// Returns whether this router is the designated writer of any pending report.
--- a/crates/beechsaddle/src/gateway/crashes/mod.rs
+++ b/crates/beechsaddle/src/gateway/crashes/mod.rs
@@ -1,5 +1,5 @@
-//! The `crashes` module provides the protection against requests that crash the targets that run
-//! them.
+//! The `crashes` module provides the protection against requests, and parts of their prompts, that
+//! crash the targets that run them.
 //!
 //! Each router detects crashes in its own attempts and reports them to a coordinator in each
 //! domain, which is chosen by rendezvous hashing over the list of routers. Reports that affect
@@ -12,11 +12,11 @@
 mod crash_manager;
 mod crash_probe;
 mod crash_store;
+mod crash_trial;
 
 pub(super) use crash_broadcast::receive_crash_reports;
 pub(super) use crash_follow::run_crash_follow;
-pub(super) use crash_manager::{
-    CrashAdmission, CrashManager, TrialGuard, admit_request, record_completion,
-};
-pub(super) use crash_probe::{SuspectRun, detect_crash};
+pub(super) use crash_manager::{CrashAdmission, CrashManager, admit_request, record_completion};
+pub(super) use crash_probe::{RunSuspect, SuspectRun, detect_crash, run_suspects};
 pub(super) use crash_store::run_crash_writer;
+pub(super) use crash_trial::begin_trial;
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -138,6 +138,10 @@
     pub(super) crashes_seen: Counter,
     /// Requests that are blocked because targets crash while executing them.
     pub(super) requests_blocked: Gauge,
+    /// Prompt parts that are blocked because targets crash while executing requests with them.
+    pub(super) parts_blocked: Gauge,
+    /// Requests for trials of what may crash targets, by outcome.
+    pub(super) crash_trials: Family<OutcomeLabel, Counter>,
     /// Refused requests for permits of rate-limited targets.
     pub(super) permits_refused: Counter,
     /// Evacuations in force.
@@ -201,6 +205,8 @@
             ejections: Counter::default(),
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
+            parts_blocked: Gauge::default(),
+            crash_trials: Family::default(),
             permits_refused: Counter::default(),
             evacuations: Gauge::default(),
             evacuation_changes: Counter::default(),
@@ -290,6 +296,10 @@
         );
         let blocked = self.requests_blocked.clone();
         registry.register("requests_blocked", "Requests that crash targets", blocked);
+        let blocked = self.parts_blocked.clone();
+        registry.register("parts_blocked", "Prompt parts that crash targets", blocked);
+        let trials = self.crash_trials.clone();
+        registry.register("crash_trials", "Trials of what may crash targets", trials);
         let permits = self.permits_refused.clone();
         registry.register(
             "places_refused",
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -6,7 +6,8 @@
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
     EvacuationRegistry, GatewayConfig, LinkDirection, LinkMeter, PathMonitor, RetryShare,
-    RosterChange, RotationGate, TargetPhase, TargetRecord, TargetRoster, TokenEscrow, UpdateAge,
+    RosterChange, RotationGate, SuspectKind, TargetPhase, TargetRecord, TargetRoster, TokenEscrow,
+    UpdateAge,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -263,10 +264,12 @@
         self.has_left_rotation() && update_age.is_late_by_own_link(self.now(), interval_ms)
     }
 
-    /// Updates the metric of blocked requests.
+    /// Updates the metrics of blocked requests and prompt parts.
     pub(super) fn update_blocked_count(&self) {
-        let blocked = self.crashes.blocked_count();
-        self.metrics.requests_blocked.set(blocked as i64);
+        let requests = self.crashes.blocked_count(SuspectKind::Request);
+        self.metrics.requests_blocked.set(requests as i64);
+        let parts = self.crashes.blocked_count(SuspectKind::Part);
+        self.metrics.parts_blocked.set(parts as i64);
     }
 
     /// Creates the backoff of a periodic task, which `duty` names.
--- a/crates/beechsaddle/src/gateway/peer_codec.rs
+++ b/crates/beechsaddle/src/gateway/peer_codec.rs
@@ -16,7 +16,7 @@
     report: &CrashReport,
 ) {
     let facts = report.facts;
-    message.set_fingerprint(&report.fingerprint.to_bytes());
+    message.set_fingerprint(&report.key.to_bytes());
     message.set_target(report.target.name.as_str());
     message.set_started(report.target.started.unwrap_or(0));
     message.set_known_before(facts.known_before);
@@ -34,10 +34,9 @@
     message: crash_note::Reader<'_>,
     now: ClockTime,
 ) -> Result<CrashReport, capnp::Error> {
-    let fingerprint = SuspectKey::try_from_bytes(message.get_fingerprint()?)
-        .ok_or_else(|| capnp::Error::failed("a fingerprint has 16 bytes".to_owned()))?;
+    let key = read_key(message.get_fingerprint()?)?;
     Ok(CrashReport {
-        fingerprint,
+        key,
         target: read_incarnation(message.get_target()?, message.get_started())?,
         facts: CrashFacts {
             known_before: message.get_known_before(),
@@ -48,6 +47,16 @@
     })
 }
 
+/// Decodes the key of a suspect.
+///
+/// # Errors
+///
+/// If the message is malformed.
+pub(super) fn read_key(bytes: &[u8]) -> Result<SuspectKey, capnp::Error> {
+    let key = SuspectKey::try_from_bytes(bytes);
+    key.ok_or_else(|| capnp::Error::failed("a fingerprint has 16 bytes".to_owned()))
+}
+
 /// Decodes the incarnation of a target.
 ///
 /// # Errors
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -8,7 +8,7 @@
 
 use beechsaddle_core::gateway::{
     ChangeBatch, ClockReading, CrashReport, LoanReply, LoanRequest, LoanReturn, PeerRecord,
-    PermitReply, TargetLimit,
+    PermitReply, SuspectKey, TargetLimit, TrialReply,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::ObjectKind;
@@ -252,6 +252,35 @@
         }
     }
 
+    /// Asks a router whether a request may be the trial of a suspect.
+    pub(super) async fn request_trial(
+        &self,
+        peer: &PeerRecord,
+        secret: &str,
+        key: SuspectKey,
+    ) -> Result<TrialReply, String> {
+        let link = self.open(peer).await?;
+        let mut call = link.crash_listener().begin_trial_request();
+        let mut parameters = call.get();
+        parameters.set_secret(secret);
+        parameters.set_fingerprint(&key.to_bytes());
+        let reply = match call.send().promise.await {
+            Ok(reply) => reply,
+            // Routers of older versions do not support the call, and try such requests themselves.
+            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => {
+                return Ok(TrialReply::Granted);
+            }
+            Err(error) => return Err(error.to_string()),
+        };
+        let answer = reply.get().map_err(|error| error.to_string())?;
+        match answer.get_is_granted() {
+            true => Ok(TrialReply::Granted),
+            false => Ok(TrialReply::Wait {
+                wait_ms: answer.get_wait_ms(),
+            }),
+        }
+    }
+
     /// Requests a permit for one request to a target.
     pub(super) async fn request_permit(
         &self,
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{LoanReply, LoanRequest, LoanReturn, PermitReply, TargetLimit};
+use beechsaddle_core::gateway::{
+    LoanReply, LoanRequest, LoanReturn, PermitReply, TargetLimit, TrialReply,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::ObjectKind;
@@ -23,12 +25,12 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::changes::{FollowReply, serve_follow};
-use super::crashes::receive_crash_reports;
+use super::crashes::{begin_trial, receive_crash_reports};
 use super::gateway_state::GatewayState;
 use super::ledger_updates::receive_ledger;
 use super::limits::{PermitRequest, answer_permit_request};
 use super::origins::read_origin;
-use super::peer_codec::{read_crash, read_incarnation, time_before};
+use super::peer_codec::{read_crash, read_incarnation, read_key, time_before};
 use super::token_lender::lend_tokens;
 use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
 
@@ -248,6 +250,22 @@
         receive_crash_reports(&self.state, reports, parameters.get_is_spread());
         Ok(())
     }
+
+    async fn begin_trial(
+        self: Rc<Self>,
+        parameters: crash_listener::BeginTrialParams,
+        mut results: crash_listener::BeginTrialResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        self.check_secret(parameters.get_secret()?)?;
+        let key = read_key(parameters.get_fingerprint()?)?;
+        let mut answer = results.get();
+        match begin_trial(&self.state, key) {
+            TrialReply::Granted => answer.set_is_granted(true),
+            TrialReply::Wait { wait_ms } => answer.set_wait_ms(wait_ms),
+        }
+        Ok(())
+    }
 }
 
 impl limit_share::Server for PeerServer {
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -76,7 +76,7 @@
     choice: &TargetChoice,
     target: &TargetRecord,
 ) -> Result<BufferedAnswer, SendFailure> {
-    let mut guard = AttemptGuard::start(&call.state, target.clone(), choice.load, call.fingerprint);
+    let mut guard = AttemptGuard::start(call, target.clone(), choice.load);
     let outcome = exchange(call, target, wait_limit(call, target)).await;
     match &outcome {
         Ok(answer) => match answer.end {
@@ -90,7 +90,12 @@
             None => {
                 guard.record_first_event();
                 guard.record_success();
-                record_completion(&call.state, call.fingerprint);
+                // A target that rejects a request has not begun to write an answer to it.
+                let completed = match answer.status.is_success() {
+                    true => &call.suspects[..],
+                    false => &[call.fingerprint],
+                };
+                record_completion(&call.state, completed);
             }
         },
         Err(failure) => {
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -137,7 +137,7 @@
     target: &TargetRecord,
     last_event: Option<u64>,
 ) -> Result<AttemptAnswer, SendFailure> {
-    let guard = AttemptGuard::start(&call.state, target.clone(), choice.load, call.fingerprint);
+    let guard = AttemptGuard::start(call, target.clone(), choice.load);
     let outcome = exchange(call, &guard, last_event, &choice).await;
     match outcome {
         Ok(answer) => classify_answer(call, guard, answer).await,
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -217,8 +217,8 @@
         }
         self.is_finished = true;
         if let Some(attempt) = self.attempt.take() {
+            record_completion(&self.call.state, &self.call.suspects);
             attempt.finish(&self.call);
-            record_completion(&self.call.state, self.call.fingerprint);
         }
         self.call.record.record_lateness(&self.call.route);
         self.call.record.set_outcome(ANSWERED);
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -70,8 +70,7 @@
     let roster = state.roster.borrow();
     let evacuations = state.evacuations.borrow();
     let ring = state.lending.ring.borrow();
-    let crash_count = state.crashes.crash_count(call.fingerprint);
-    let suspect = (crash_count > 0).then(|| call.fingerprint.to_string());
+    let suspect = call.isolation_key().map(|key| key.to_string());
     let warm_up = call.rule.warm_up.map(|rule| WarmUpPlan {
         rule,
         ring: &ring,
--- a/crates/beechsaddle/src/gateway/target_path.rs
+++ b/crates/beechsaddle/src/gateway/target_path.rs
@@ -302,7 +302,7 @@
 }
 
 /// Returns up to `count` ready targets, drawn at random.
-fn sample_targets(
+pub(super) fn sample_targets(
     state: &GatewayState,
     count: usize,
     is_wanted: impl Fn(&TargetRecord) -> bool,
