Ask a target whether it crashed if its stream ends with the connection

An answer without length or chunks ends with its connection. If the target crashes between two events, the stream looks complete, and the completion cleared the request and the parts of its prompt of all crashes.

Before: unframed_stream_cut_between_events_is_a_crash finds no crash. After: it passes.

--- a/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
-use super::crash_manager::apply_reports;
+use super::crash_manager::{apply_reports, record_completion};
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::target_path::{open_link, sample_targets};
 
@@ -86,6 +86,21 @@
     let _ = timeout(CALL_WAIT_LIMIT, spawn_local(checking)).await;
 }
 
+/// Records that a request completed, unless its target has ended: if a body ends with its
+/// connection, only that tells a crash between two events from the end.
+pub(in crate::gateway) fn confirm_completion(state: &Rc<GatewayState>, run: SuspectRun) {
+    let state = Rc::clone(state);
+    let run_ms = state.now().since(run.started_at);
+    spawn_local(async move {
+        let is_expected = is_expected_up(&state, &run.target);
+        match probe_target(&state, &run.target).await {
+            ProbeResult::Running => record_completion(&state, &run.keys()),
+            ProbeResult::Ended if is_expected => record_crash(&state, &run, run_ms).await,
+            ProbeResult::Ended | ProbeResult::Unknown => {}
+        }
+    });
+}
+
 /// Returns whether a target is expected to run; a draining one may exit at any time.
 fn is_expected_up(state: &GatewayState, target: &TargetRecord) -> bool {
     let roster = state.roster.borrow();
--- a/crates/beechsaddle/src/gateway/crashes/mod.rs
+++ b/crates/beechsaddle/src/gateway/crashes/mod.rs
@@ -17,6 +17,8 @@
 pub(super) use crash_broadcast::receive_crash_reports;
 pub(super) use crash_follow::run_crash_follow;
 pub(super) use crash_manager::{CrashAdmission, CrashManager, admit_request, record_completion};
-pub(super) use crash_probe::{RunSuspect, SuspectRun, detect_crash, run_suspects};
+pub(super) use crash_probe::{
+    RunSuspect, SuspectRun, confirm_completion, detect_crash, run_suspects,
+};
 pub(super) use crash_store::run_crash_writer;
 pub(super) use crash_trial::begin_trial;
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -16,7 +16,7 @@
 use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
-use super::crashes::{detect_crash, record_completion};
+use super::crashes::{confirm_completion, detect_crash, record_completion};
 use super::event_splitter::EventSplitter;
 use super::gateway_metrics::{STREAM_ENDS, StreamEndLabel};
 use super::origins::{ResumeActor, ResumeVersion, publish_origin};
@@ -217,7 +217,7 @@
         }
         self.is_finished = true;
         if let Some(attempt) = self.attempt.take() {
-            record_completion(&self.call.state, &self.call.suspects);
+            self.record_completion(&attempt);
             attempt.finish(&self.call);
         }
         self.call.record.record_lateness(&self.call.route);
@@ -225,6 +225,16 @@
         None
     }
 
+    /// Records that the stream is complete. If its body ended with the connection, it looks the same as
+    /// one that a crash cut between two events, so that the target is asked first.
+    fn record_completion(&self, attempt: &StreamAttempt) {
+        let state = &self.call.state;
+        match attempt.facts.framing {
+            BodyFraming::Connection => confirm_completion(state, attempt.guard.suspect_run()),
+            _ => record_completion(state, &self.call.suspects),
+        }
+    }
+
     /// Returns whether the current target's stream was cut although its body ended without an error. If
     /// the body ends with its connection, a crash of the target shows in no other way.
     fn is_truncated(&self) -> bool {
--- a/crates/beechsaddle/tests/gateway_crash_parts.rs
+++ b/crates/beechsaddle/tests/gateway_crash_parts.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use beechsaddle_platform_stand_in::{CallReply, CallRequest, call};
+use beechsaddle_platform_stand_in::{CallReply, CallRequest, StreamFraming, call};
 use crash_support::{CrashFleet, body_request};
 use tokio::time::sleep;
 
@@ -220,6 +220,21 @@
     );
 }
 
+/// A stream that ends with its connection between two events looks complete. If its target has
+/// crashed, that counts against the part, instead of clearing it.
+#[tokio::test]
+async fn unframed_stream_cut_between_events_is_a_crash() {
+    let fleet = CrashFleet::start(2).await;
+    for engine in fleet.engines.running() {
+        engine.set_framing(StreamFraming::Connection);
+        engine.set_crash_events(2);
+    }
+    let request = crashing_request("cut", PartPlace::Alone);
+    fleet.call(0, &request).await;
+    let router = &fleet.routers[0];
+    router.wait_log(&["target_crashed", "kind=part"]).await;
+}
+
 /// All targets are killed together several times while requests with a popular part run on them, and
 /// none of these completes. The part must not be refused.
 #[tokio::test]
