Let the next trial begin when a trial has ended without an outcome

A router tells the end of a trial now; its crash has 300 ms to arrive. A trial that was granted for one part and refused for another one of the same prompt no longer holds the first one up either.

Parts are refused after five crashes, as many as the platform tolerates, and tried one request at a time from four on: one crash may go unseen, and a burst may follow.

--- a/crates/beechsaddle-core/src/gateway/crash_registry.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_registry.rs
@@ -32,8 +32,8 @@
     Clear,
     /// The suspect may have crashed targets, but fewer than would have it refused.
     Suspected,
-    /// The suspect may have crashed enough targets, but all at once, long ago, or always together
-    /// with another suspect: one request at a time is tried in the whole fleet.
+    /// The suspect may have crashed nearly enough targets, or enough but all at once, long ago, or
+    /// always together with another suspect: one request at a time is tried in the whole fleet.
     OnTrial,
     /// Requests are refused.
     Blocked {
@@ -169,7 +169,7 @@
         }
         match self.crash_count(key) {
             0 => CrashVerdict::Clear,
-            count if count < suspect.crashes_max() => CrashVerdict::Suspected,
+            count if count < suspect.trial_min() => CrashVerdict::Suspected,
             _ => CrashVerdict::OnTrial,
         }
     }
--- a/crates/beechsaddle-core/src/gateway/crash_suspect.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_suspect.rs
@@ -9,9 +9,13 @@
 /// tolerates.
 const REQUEST_CRASHES_MAX: usize = 3;
 
-/// Number of crashes under one prompt part after which requests with it are refused: one less than
-/// the platform tolerates, as a router that is killed reports none.
-const PART_CRASHES_MAX: usize = 4;
+/// Number of crashes under one prompt part after which requests with it are refused: as many as the
+/// platform tolerates.
+const PART_CRASHES_MAX: usize = 5;
+
+/// Number of crashes under one prompt part from which requests with it are tried one at a time. One
+/// more may have happened that no router saw, and many such requests may arrive at once.
+const PART_TRIAL_MIN: usize = 4;
 
 /// Number of these that a request must have repeated, see [`CrashSuspect::has_repeated`].
 const REQUEST_REPEATS_MIN: usize = 1;
@@ -78,6 +82,14 @@
         true
     }
 
+    /// Returns the number of crashes from which requests are tried one at a time.
+    pub(super) fn trial_min(&self) -> usize {
+        match self.kind {
+            SuspectKind::Request => REQUEST_CRASHES_MAX,
+            SuspectKind::Part => PART_TRIAL_MIN,
+        }
+    }
+
     /// Records that a request ran to completion; returns the crashes that it is no longer
     /// suspected of.
     pub(super) fn clear(&mut self) -> Vec<(TargetIncarnation, CrashFacts)> {
--- a/crates/beechsaddle-core/src/gateway/trial_schedule.rs
+++ b/crates/beechsaddle-core/src/gateway/trial_schedule.rs
@@ -6,10 +6,14 @@
 use super::SuspectKey;
 use crate::clock::ClockTime;
 
-/// How long the outcome of a trial is waited for, in milliseconds: most requests complete within it,
-/// and all routers know of a crash by then.
+/// How long the outcome of a trial is waited for at most, in milliseconds: most requests complete
+/// within it, and all routers know of a crash by then.
 const TRIAL_SPAN_MS: u64 = 3_000;
 
+/// How long after its end the outcome of a trial may still arrive, in milliseconds: some round trips
+/// to find out whether the target has crashed, and to report it.
+const REPORT_SPAN_MS: u64 = 300;
+
 /// How long a router waits for each domain that comes before its own, in milliseconds. In that time
 /// the outcome of a trial there arrives by way of the store, if in no other way.
 const DOMAIN_TURN_MS: u64 = 3_000;
@@ -76,4 +80,11 @@
         self.trials.insert(key, trial);
         TrialReply::Granted
     }
+
+    /// Records that the request that is the trial of a suspect has ended.
+    pub fn end(&mut self, now: ClockTime, key: SuspectKey) {
+        if let Some(trial) = self.trials.get_mut(&key) {
+            trial.ends_at = trial.ends_at.min(now.plus_ms(REPORT_SPAN_MS));
+        }
+    }
 }
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -84,6 +84,9 @@
   beginTrial @1 (secret :Text, fingerprint :Data) -> (isGranted :Bool, waitMs :UInt64);
   # Asks whether one request may be sent to a target that is suspected by `fingerprint`: 16 bytes, as in `CrashNote`.
   # Not before `waitMs` otherwise.
+
+  endTrial @2 (secret :Text, fingerprint :Data) -> ();
+  # Tells that the request of a granted trial has ended; its outcome is told by `noteCrashes`.
 }
 
 enum PlaceOutcome {
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -3104,6 +3104,8 @@
     pub type NoteCrashesResults<> = ::capnp::capability::Results<crate::lending_capnp::crash_listener::note_crashes_results::Owned>;
     pub type BeginTrialParams<> = ::capnp::capability::Params<crate::lending_capnp::crash_listener::begin_trial_params::Owned>;
     pub type BeginTrialResults<> = ::capnp::capability::Results<crate::lending_capnp::crash_listener::begin_trial_results::Owned>;
+    pub type EndTrialParams<> = ::capnp::capability::Params<crate::lending_capnp::crash_listener::end_trial_params::Owned>;
+    pub type EndTrialResults<> = ::capnp::capability::Results<crate::lending_capnp::crash_listener::end_trial_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3159,10 +3161,14 @@
         pub fn begin_trial_request(&self) -> ::capnp::capability::Request<crate::lending_capnp::crash_listener::begin_trial_params::Owned,crate::lending_capnp::crash_listener::begin_trial_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
+        pub fn end_trial_request(&self) -> ::capnp::capability::Request<crate::lending_capnp::crash_listener::end_trial_params::Owned,crate::lending_capnp::crash_listener::end_trial_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn note_crashes(self: ::capnp::capability::Rc<Self>, _: NoteCrashesParams<>, _: NoteCrashesResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method crash_listener::Server::note_crashes not implemented".to_string()))) }
         fn begin_trial(self: ::capnp::capability::Rc<Self>, _: BeginTrialParams<>, _: BeginTrialResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method crash_listener::Server::begin_trial not implemented".to_string()))) }
+        fn end_trial(self: ::capnp::capability::Rc<Self>, _: EndTrialParams<>, _: EndTrialResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method crash_listener::Server::end_trial not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3194,6 +3200,7 @@
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::note_crashes(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::begin_trial(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::end_trial(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -4125,6 +4132,422 @@
             pub(crate) const TYPE_ID: u64 = 0xe95a_fc21_bdeb_a61f;
         }
     }
+
+    pub mod end_trial_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_secret(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_fingerprint(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_secret(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_secret(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_secret(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_secret(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_fingerprint(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(1).set_data(value);
+            }
+            #[inline]
+            pub fn init_fingerprint(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(1).init_data(size)
+            }
+            #[inline]
+            pub fn has_fingerprint(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(162, 245, 202, 111, 77, 159, 81, 188),
+                ::capnp::word(28, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 114),
+                ::capnp::word(97, 115, 104, 76, 105, 115, 116, 101),
+                ::capnp::word(110, 101, 114, 46, 101, 110, 100, 84),
+                ::capnp::word(114, 105, 97, 108, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 99, 114, 101, 116, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+                ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xbc51_9f4d_6fca_f5a2;
+        }
+    }
+
+    pub mod end_trial_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(103, 199, 207, 123, 253, 50, 59, 184),
+                ::capnp::word(28, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 106, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 114),
+                ::capnp::word(97, 115, 104, 76, 105, 115, 116, 101),
+                ::capnp::word(110, 101, 114, 46, 101, 110, 100, 84),
+                ::capnp::word(114, 105, 97, 108, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xb83b_32fd_7bcf_c767;
+        }
+    }
 }
 
 #[repr(u16)]
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -1,7 +1,7 @@
 //! The `call_context` module provides the state of one call: the request, the rules that apply to
 //! it and its attempts.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use http::{HeaderMap, Method, Uri};
 
 use super::call_record::CallRecord;
+use super::crashes::TrialGuard;
 use super::gateway_metrics::OutcomeLabel;
 use super::gateway_state::GatewayState;
 use super::refusal::RefusalCause;
@@ -55,8 +56,8 @@
     pub(super) ends_at: ClockTime,
     pub(super) history: RefCell<AttemptHistory>,
     pub(super) tried: RefCell<Vec<TargetName>>,
-    /// The suspect whose trial this call is.
-    pub(super) trial: Cell<Option<SuspectKey>>,
+    /// The trials of suspects that this call is.
+    pub(super) trials: RefCell<Vec<TrialGuard>>,
     /// The call's log lines and metrics.
     pub(super) record: CallRecord,
 }
@@ -163,7 +164,7 @@
     pub(super) fn isolation_key(&self) -> Option<SuspectKey> {
         let crashes = &self.state.crashes;
         match crashes.crash_count(&[self.fingerprint]) {
-            0 => self.trial.get(),
+            0 => self.trials.borrow().first().map(TrialGuard::key),
             _ => Some(self.fingerprint),
         }
     }
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -1,7 +1,7 @@
 //! The `call_exchange` module provides the handling of one call, from its head to its final
 //! response.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,8 +133,8 @@
 /// Refuses a request that crashes targets, before any tokens are reserved for it.
 async fn refuse_crashing(call: &CallContext) -> Option<Response<AnswerBody>> {
     match admit_request(&call.state, &call.suspects).await {
-        CrashAdmission::Admitted { trial } => {
-            call.trial.set(trial);
+        CrashAdmission::Admitted { trials } => {
+            *call.trials.borrow_mut() = trials;
             None
         }
         CrashAdmission::Refused {
@@ -343,7 +343,7 @@
         ends_at: arrived_at.plus_ms(timeout_ms),
         history: RefCell::new(AttemptHistory::default()),
         tried: RefCell::new(Vec::new()),
-        trial: Cell::default(),
+        trials: RefCell::default(),
         record,
     })
 }
--- a/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
@@ -15,7 +15,7 @@
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
 use super::crash_store::StoredCrashes;
-use super::crash_trial::request_trials;
+use super::crash_trial::{TrialGuard, request_trials};
 use crate::gateway::gateway_state::GatewayState;
 
 /// The crash reports of this router and the trials that it granted.
@@ -64,8 +64,8 @@
 
 /// Whether a request is admitted.
 pub(in crate::gateway) enum CrashAdmission {
-    /// The request is admitted, perhaps as the trial of a suspect.
-    Admitted { trial: Option<SuspectKey> },
+    /// The request is admitted, perhaps as the trial of suspects.
+    Admitted { trials: Vec<TrialGuard> },
     /// The request may crash targets.
     Refused {
         /// What is suspected.
@@ -84,12 +84,10 @@
 ) -> CrashAdmission {
     let decision = state.crashes.registry.borrow().decide(state.now(), keys);
     match decision {
-        CrashDecision::Admitted => CrashAdmission::Admitted { trial: None },
+        CrashDecision::Admitted => CrashAdmission::Admitted { trials: Vec::new() },
         CrashDecision::Refused { key, left_ms } => refuse(state, key, left_ms),
-        CrashDecision::OnTrial(trials) => match request_trials(state, &trials).await {
-            Ok(()) => CrashAdmission::Admitted {
-                trial: trials.first().copied(),
-            },
+        CrashDecision::OnTrial(keys) => match request_trials(state, &keys).await {
+            Ok(trials) => CrashAdmission::Admitted { trials },
             Err(refusal) => refuse(state, refusal.key, refusal.wait_ms),
         },
     }
--- a/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
@@ -29,6 +29,34 @@
     pub(super) wait_ms: u64,
 }
 
+/// The trial of a suspect by one request. Dropping it tells the router that granted the trial that
+/// the request has ended.
+pub(in crate::gateway) struct TrialGuard {
+    state: Rc<GatewayState>,
+    key: SuspectKey,
+    /// The router that granted the trial; `None` if it is this one.
+    granter: Option<PeerRecord>,
+}
+
+impl TrialGuard {
+    /// Returns the suspect that is tried.
+    pub(in crate::gateway) fn key(&self) -> SuspectKey {
+        self.key
+    }
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        let (state, key) = (Rc::clone(&self.state), self.key);
+        match self.granter.take() {
+            None => end_trial(&state, key),
+            Some(peer) => {
+                spawn_local(async move { send_end(&state, &peer, key).await });
+            }
+        }
+    }
+}
+
 /// Requests the trial of each of these suspects for one request.
 ///
 /// # Errors
@@ -37,15 +65,28 @@
 pub(super) async fn request_trials(
     state: &Rc<GatewayState>,
     keys: &[SuspectKey],
-) -> Result<(), TrialRefusal> {
+) -> Result<Vec<TrialGuard>, TrialRefusal> {
+    let mut guards = Vec::new();
     for key in keys {
-        let reply = request_trial(state, *key).await;
+        let granter = find_granter(state, *key);
+        let reply = request_trial(state, granter.clone(), *key).await;
         record_reply(state, *key, reply);
         if let TrialReply::Wait { wait_ms } = reply {
             return Err(TrialRefusal { key: *key, wait_ms });
         }
+        guards.push(TrialGuard {
+            state: Rc::clone(state),
+            key: *key,
+            granter,
+        });
     }
-    Ok(())
+    Ok(guards)
+}
+
+/// Returns the router of the fleet that grants the trials of a suspect; `None` if it is this one.
+fn find_granter(state: &GatewayState, key: SuspectKey) -> Option<PeerRecord> {
+    let ring = state.lending.ring.borrow();
+    ring.leader_of(state.now(), &key.to_string()).cloned()
 }
 
 /// Decides on the trial of a suspect that this router grants.
@@ -64,12 +105,17 @@
     trials.try_begin(now, key, facts)
 }
 
-/// Asks the router of the fleet that grants the trials of a suspect.
-async fn request_trial(state: &Rc<GatewayState>, key: SuspectKey) -> TrialReply {
-    let granter = {
-        let ring = state.lending.ring.borrow();
-        ring.leader_of(state.now(), &key.to_string()).cloned()
-    };
+/// Records that the request of a trial that this router granted has ended.
+pub(in crate::gateway) fn end_trial(state: &GatewayState, key: SuspectKey) {
+    let mut trials = state.crashes.trials.borrow_mut();
+    trials.end(state.now(), key);
+}
+
+async fn request_trial(
+    state: &Rc<GatewayState>,
+    granter: Option<PeerRecord>,
+    key: SuspectKey,
+) -> TrialReply {
     let Some(peer) = granter else {
         return begin_trial(state, key);
     };
@@ -100,6 +146,21 @@
     None
 }
 
+/// Tells a router that the request of a trial has ended. If it does not hear of that, it waits for the
+/// outcome for as long as it may take.
+async fn send_end(state: &GatewayState, peer: &PeerRecord, key: SuspectKey) {
+    let secret = state.lending.secret();
+    let told = state.lending.links.end_trial(peer, &secret, key);
+    let failure = match timeout(LOAN_TIMEOUT, told).await {
+        Ok(Ok(())) => return,
+        Ok(Err(error)) => error,
+        Err(_) => "no answer in time".to_owned(),
+    };
+    let fields = [("peer", peer.host.to_string()), ("error", failure)];
+    let report = &state.report;
+    report.log(LogLevel::Debug, "trial_end_lost", fields);
+}
+
 fn record_reply(state: &GatewayState, key: SuspectKey, reply: TrialReply) {
     let what = match reply {
         TrialReply::Granted => "granted",
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -281,6 +281,22 @@
         }
     }
 
+    /// Tells the router that granted a trial that the request has ended.
+    pub(super) async fn end_trial(
+        &self,
+        peer: &PeerRecord,
+        secret: &str,
+        key: SuspectKey,
+    ) -> Result<(), String> {
+        let link = self.open(peer).await?;
+        let mut call = link.crash_listener().end_trial_request();
+        let mut parameters = call.get();
+        parameters.set_secret(secret);
+        parameters.set_fingerprint(&key.to_bytes());
+        let ended = call.send().promise.await;
+        ended.map(|_| ()).map_err(|error| error.to_string())
+    }
+
     /// Requests a permit for one request to a target.
     pub(super) async fn request_permit(
         &self,
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -25,7 +25,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::changes::{FollowReply, serve_follow};
-use super::crashes::{begin_trial, receive_crash_reports};
+use super::crashes::{begin_trial, end_trial, receive_crash_reports};
 use super::gateway_state::GatewayState;
 use super::ledger_updates::receive_ledger;
 use super::limits::{PermitRequest, answer_permit_request};
@@ -266,6 +266,17 @@
         }
         Ok(())
     }
+
+    async fn end_trial(
+        self: Rc<Self>,
+        parameters: crash_listener::EndTrialParams,
+        _: crash_listener::EndTrialResults,
+    ) -> Result<(), capnp::Error> {
+        let parameters = parameters.get()?;
+        self.check_secret(parameters.get_secret()?)?;
+        end_trial(&self.state, read_key(parameters.get_fingerprint()?)?);
+        Ok(())
+    }
 }
 
 impl limit_share::Server for PeerServer {
