--- a/crates/beechsaddle-lab/src/soak/call_load.rs
+++ b/crates/beechsaddle-lab/src/soak/call_load.rs
@@ -75,7 +75,8 @@
             let (call, mut request) = draw_call(&mut random, &id);
             if self.has_bodies && call.kind.is_stream() {
                 let has_crashing = self.has_crashing.load(Ordering::Relaxed);
-                request.body = draw_body(&mut bodies, has_crashing);
+                let body = draw_body(&mut bodies, has_crashing);
+                add_prompt(&mut request, body);
             }
             let is_new = link.is_none() || random.random_bool(0.1);
             link = match link.take() {
@@ -178,6 +179,23 @@
     }
 }
 
+/// Gives a call its body, and a prompt with a part that the calls with this body share. Most
+/// crashing calls have bodies of their own, so that only a part of their prompts is known to crash targets.
+fn add_prompt(request: &mut CallRequest, mut body: Vec<u8>) {
+    let number = body.last().copied().unwrap_or(0);
+    let is_crashing = body.starts_with(CRASH_MARK);
+    let parts = match is_crashing && number > 0 {
+        true => {
+            body.extend_from_slice(request.id.as_bytes());
+            format!("popular-{number}:40,crashing:40")
+        }
+        false => format!("popular-{number}:40"),
+    };
+    let header = format!("X-Beechsaddle-Prompt-Prefix: {parts},{}:10", request.id);
+    request.extra_headers.push(header);
+    request.body = body;
+}
+
 /// Draws a call of a random kind.
 pub fn draw_call(random: &mut ChaCha8Rng, id: &str) -> (RecordedCall, CallRequest) {
     let kind = match random.random_range(0..4) {
--- a/crates/beechsaddle-lab/src/soak/recovery_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/recovery_checks.rs
@@ -36,7 +36,11 @@
 /// Calls that a target with a limit of one per second may receive within [`LIMIT_WINDOW`].
 const MAX_LIMITED_CALLS: usize = 11;
 
-/// How often a request body may still reach targets after it has crashed three.
+/// Calls with a sound part that must be answered while calls with a crashing one come.
+const MIN_SOUND_CALLS: usize = CRASHING_CALLS / 2;
+
+/// How often a request body may still reach targets after it has crashed three, or requests with a
+/// prompt part after it has crashed five.
 const MAX_LATE_ARRIVALS: usize = 3;
 
 /// Time within which an evacuation has to be in force, as set in the routers' settings.
@@ -63,6 +67,7 @@
         violations.extend(check_evacuation(fleet).await);
         violations.extend(check_limit(fleet).await);
         violations.extend(check_crashes(fleet).await?);
+        violations.extend(check_crashing_part(fleet).await?);
     }
     violations.extend(check_drain(fleet).await?);
     violations.extend(check_shutdown(fleet).await?);
@@ -169,6 +174,57 @@
     Ok(())
 }
 
+/// Checks that a prompt part which crashes its targets reaches few more after the fifth, and that calls
+/// with another part of the same prompts are answered meanwhile.
+async fn check_crashing_part(fleet: &mut SoakFleet) -> eyre::Result<Option<String>> {
+    let mark = [CRASH_MARK, b"-part"].concat();
+    call_parts(fleet, &mark, 0).await?;
+    sleep(PROPAGATION_BOUND).await;
+    let before = fleet.arrivals_with(&mark);
+    let answered = call_parts(fleet, &mark, 1).await?;
+    let late = fleet.arrivals_with(&mark) - before;
+    for _ in 0..2 {
+        sleep(RECOVERY_BOUND / 4).await;
+        fleet.replace_crashed_targets().await?;
+    }
+    if late > MAX_LATE_ARRIVALS {
+        let crashed = format!("a part that crashed {before} targets was sent to {late} more");
+        return Ok(Some(crashed));
+    }
+    let starved = format!("{answered} of {CRASHING_CALLS} calls beside a crashing part answered");
+    Ok((answered < MIN_SOUND_CALLS).then_some(starved))
+}
+
+/// Sends calls with a crashing part through all routers in turn, a sound call after each. Returns how
+/// many sound calls were answered.
+async fn call_parts(fleet: &mut SoakFleet, mark: &[u8], round: usize) -> eyre::Result<usize> {
+    let mut answered = 0;
+    for number in 0..CRASHING_CALLS {
+        let number = round * CRASHING_CALLS + number;
+        let crashing = part_call(number, "shared:40,crashing:40", mark);
+        let router = fleet.routers[number % fleet.routers.len()].calls;
+        // The response to a crashing call is not checked.
+        let _ = call(router, &crashing).await;
+        let router = fleet.routers[(number + 1) % fleet.routers.len()].calls;
+        let sound = call(router, &part_call(number, "shared:40", b"sound")).await;
+        answered += usize::from(sound.is_ok_and(|reply| reply.status == 200 && reply.is_complete));
+        sleep(CRASHING_GAP).await;
+        fleet.replace_crashed_targets().await?;
+    }
+    Ok(answered)
+}
+
+/// Returns a call with parts of a prompt, whose last part and body occur in no other one.
+fn part_call(number: usize, parts: &str, mark: &[u8]) -> CallRequest {
+    let mut request = extra_call(SoakKind::Resumable, number);
+    request.id = format!("{}-{}", request.id, String::from_utf8_lossy(mark));
+    request.tokens = Some((50, 18));
+    let header = format!("X-Beechsaddle-Prompt-Prefix: {parts},{}:10", request.id);
+    request.extra_headers.push(header);
+    request.body = [mark, request.id.as_bytes()].concat();
+    request
+}
+
 async fn check_drain(fleet: &mut SoakFleet) -> eyre::Result<Option<String>> {
     let leaving = fleet.targets[0].stand_in.clone();
     fleet.replace_target(0).await?;
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -213,6 +213,15 @@
         runs.filter(|run| run.body == body).count()
     }
 
+    /// Returns the number of runs with bodies that begin with `mark` at all targets.
+    pub fn arrivals_with(&self, mark: &[u8]) -> usize {
+        let runs = self
+            .targets
+            .iter()
+            .flat_map(|target| target.stand_in.runs());
+        runs.filter(|run| run.body.starts_with(mark)).count()
+    }
+
     /// Writes a new configuration version with one more route.
     pub fn put_config(&mut self) {
         self.config.version += 1;
