--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -70,6 +70,37 @@
     );
 }
 
+/// The explanation of a call that was refused for a part of its prompt names the crashes of other
+/// requests with that part.
+#[test]
+fn explain_call_refused_for_its_part_includes_crashes_of_others() {
+    let mut index = LogIndex::default();
+    for line in [
+        "ts=90000 level=info router=a@1 event=call_admitted id=one fingerprint=f1 parts=p1,p2",
+        "ts=90000 level=info router=a@1 event=call_blocked id=one fingerprint=p2 kind=part",
+        "ts=20000 level=warning router=b@1 event=target_crashed target=t1 fingerprint=p2 kind=part",
+        "ts=20001 level=warning router=b@1 event=target_crashed target=t1 fingerprint=p1 kind=part",
+        "ts=20002 level=warning router=a@1 event=part_blocked fingerprint=p2 targets=\"t1,t2\"",
+    ] {
+        index.add_line(line);
+    }
+    index.sort();
+    let output = explain_call(&index, "one").expect("an explanation");
+    let events: Vec<_> = output
+        .iter()
+        .filter_map(|line| line.split("  ").last()?.trim().split(' ').next())
+        .collect();
+    assert_eq!(
+        events,
+        [
+            "target_crashed",
+            "part_blocked",
+            "call_admitted",
+            "call_blocked"
+        ]
+    );
+}
+
 /// The unsorted logs of two routers contain a call placed on a target that its router ejected
 /// shortly before. The explanation has the ejection and the call's own lines, ordered by time, and
 /// no lines of the other router or of other calls.
