Tell the end of a trial from a duty of its own

A dropped trial started a task, which is not possible everywhere a call may be dropped. It is put on a list now, and a duty tells the routers.

--- a/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
@@ -15,7 +15,7 @@
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
 use super::crash_store::StoredCrashes;
-use super::crash_trial::{TrialGuard, request_trials};
+use super::crash_trial::{EndedTrials, TrialGuard, request_trials};
 use crate::gateway::gateway_state::GatewayState;
 
 /// The crash reports of this router and the trials that it granted.
@@ -25,6 +25,7 @@
     /// The prompt parts that completed here lately.
     pub(super) completions: RefCell<CompletionLog>,
     pub(super) trials: RefCell<TrialSchedule>,
+    pub(super) ended: EndedTrials,
     /// The reports that the store has.
     pub(super) stored: RefCell<StoredCrashes>,
     /// Wakes the writer of the store's object.
--- a/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
@@ -1,11 +1,14 @@
 //! The `crash_trial` module provides the requests for trials of what may crash targets, and their
 //! answers.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{CrashVerdict, PeerRecord, SuspectKey, TrialFacts, TrialReply};
 use beechsaddle_core::report::LogLevel;
+use futures::future::join_all;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -29,7 +32,7 @@
     pub(super) wait_ms: u64,
 }
 
-/// The trial of a suspect by one request. Dropping it tells the router that granted the trial that
+/// The trial of a suspect by one request. Dropping it has the router that granted the trial told that
 /// the request has ended.
 pub(in crate::gateway) struct TrialGuard {
     state: Rc<GatewayState>,
@@ -38,6 +41,26 @@
     granter: Option<PeerRecord>,
 }
 
+/// The end of a trial that another router granted.
+pub(super) struct TrialEnd {
+    granter: PeerRecord,
+    key: SuspectKey,
+}
+
+/// Trials that have ended, until the routers that granted them are told.
+#[derive(Default)]
+pub(super) struct EndedTrials {
+    ends: RefCell<Vec<TrialEnd>>,
+    wake: Notify,
+}
+
+impl EndedTrials {
+    fn push(&self, end: TrialEnd) {
+        self.ends.borrow_mut().push(end);
+        self.wake.notify_one();
+    }
+}
+
 impl TrialGuard {
     /// Returns the suspect that is tried.
     pub(in crate::gateway) fn key(&self) -> SuspectKey {
@@ -47,16 +70,24 @@
 
 impl Drop for TrialGuard {
     fn drop(&mut self) {
-        let (state, key) = (Rc::clone(&self.state), self.key);
+        let key = self.key;
         match self.granter.take() {
-            None => end_trial(&state, key),
-            Some(peer) => {
-                spawn_local(async move { send_end(&state, &peer, key).await });
-            }
+            None => end_trial(&self.state, key),
+            Some(granter) => self.state.crashes.ended.push(TrialEnd { granter, key }),
         }
     }
 }
 
+/// Tells other routers of the ends of the trials that they granted, indefinitely.
+pub(in crate::gateway) async fn run_trial_ends(state: Rc<GatewayState>) {
+    loop {
+        state.crashes.ended.wake.notified().await;
+        let ends = state.crashes.ended.ends.take();
+        let sent = ends.iter().map(|end| send_end(&state, end));
+        join_all(sent).await;
+    }
+}
+
 /// Requests the trial of each of these suspects for one request.
 ///
 /// # Errors
@@ -119,7 +150,8 @@
     let Some(peer) = granter else {
         return begin_trial(state, key);
     };
-    // An answer that arrives too late still tells whether the router is up.
+    // An answer that arrives too late still tells whether the router is up, and a trial that it
+    // grants has to be ended.
     let pending = spawn_local(ask_granter(Rc::clone(state), peer, key));
     match timeout(TRIAL_TIMEOUT, pending).await {
         Ok(Ok(Some(reply))) => reply,
@@ -135,10 +167,18 @@
     peer: PeerRecord,
     key: SuspectKey,
 ) -> Option<TrialReply> {
+    let asked_at = state.now();
     let secret = state.lending.secret();
     let asked = state.lending.links.request_trial(&peer, &secret, key);
     let failure = match timeout(LOAN_TIMEOUT, asked).await {
-        Ok(Ok(reply)) => return Some(reply),
+        Ok(Ok(reply)) => {
+            let is_late = state.now().since(asked_at) >= TRIAL_TIMEOUT.as_millis() as u64;
+            if is_late && reply == TrialReply::Granted {
+                state.crashes.ended.push(TrialEnd { granter: peer, key });
+                return None;
+            }
+            return Some(reply);
+        }
         Ok(Err(error)) => error,
         Err(_) => "no answer in time".to_owned(),
     };
@@ -148,15 +188,16 @@
 
 /// Tells a router that the request of a trial has ended. If it does not hear of that, it waits for the
 /// outcome for as long as it may take.
-async fn send_end(state: &GatewayState, peer: &PeerRecord, key: SuspectKey) {
+async fn send_end(state: &GatewayState, end: &TrialEnd) {
     let secret = state.lending.secret();
-    let told = state.lending.links.end_trial(peer, &secret, key);
+    let links = &state.lending.links;
+    let told = links.end_trial(&end.granter, &secret, end.key);
     let failure = match timeout(LOAN_TIMEOUT, told).await {
         Ok(Ok(())) => return,
         Ok(Err(error)) => error,
         Err(_) => "no answer in time".to_owned(),
     };
-    let fields = [("peer", peer.host.to_string()), ("error", failure)];
+    let fields = [("peer", end.granter.host.to_string()), ("error", failure)];
     let report = &state.report;
     report.log(LogLevel::Debug, "trial_end_lost", fields);
 }
--- a/crates/beechsaddle/src/gateway/crashes/mod.rs
+++ b/crates/beechsaddle/src/gateway/crashes/mod.rs
@@ -21,4 +21,4 @@
     RunSuspect, SuspectRun, confirm_completion, detect_crash, run_suspects,
 };
 pub(super) use crash_store::run_crash_writer;
-pub(super) use crash_trial::{TrialGuard, begin_trial, end_trial};
+pub(super) use crash_trial::{TrialGuard, begin_trial, end_trial, run_trial_ends};
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -20,7 +20,7 @@
 use super::caller_listener::run_listener;
 use super::changes::{follow_kind, run_expiry, run_probes, run_registration};
 use super::clock_manager::run_clock_reading;
-use super::crashes::{run_crash_follow, run_crash_writer};
+use super::crashes::{run_crash_follow, run_crash_writer, run_trial_ends};
 use super::gateway_settings::GatewaySettings;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::host_listener::run_host_listener;
@@ -124,6 +124,7 @@
     spawn_local(run_expiry(Rc::clone(&state)));
     spawn_local(run_crash_follow(Rc::clone(&state)));
     spawn_local(run_crash_writer(Rc::clone(&state)));
+    spawn_local(run_trial_ends(Rc::clone(&state)));
     spawn_local(run_clock_reading(Rc::clone(&state)));
     spawn_local(run_path_probe(Rc::clone(&state)));
     spawn_local(LedgerSync::new(Rc::clone(&state)).run());
