Let a trial begin right after the crash of the one before

That wait is there so that a crash of the trial counts as a repeat; it does as soon as the first of the crashes is that old.

--- a/crates/beechsaddle-core/src/gateway/crash_registry.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_registry.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::crash_suspect::{CrashSuspect, SETTLED_MS};
+use super::crash_suspect::CrashSuspect;
 use super::{CrashReport, SuspectKey, SuspectKind, TargetIncarnation};
 use crate::clock::ClockTime;
 
@@ -174,12 +174,16 @@
         }
     }
 
-    /// Returns when the last crash under a suspect counts for detecting a repeat.
+    /// Returns when another crash under a suspect counts as a repeat.
     pub fn settled_at(&self, key: SuspectKey) -> ClockTime {
         let suspect = self.suspects.get(&key);
-        suspect.map_or(ClockTime::ZERO, |suspect| {
-            suspect.last_at().plus_ms(SETTLED_MS)
-        })
+        suspect.map_or(ClockTime::ZERO, CrashSuspect::settled_at)
+    }
+
+    /// Returns when the last crash under a suspect was seen.
+    pub fn last_at(&self, key: SuspectKey) -> ClockTime {
+        let suspect = self.suspects.get(&key);
+        suspect.map_or(ClockTime::ZERO, CrashSuspect::last_at)
     }
 
     /// Whether a target is known to have crashed under a suspect.
--- a/crates/beechsaddle-core/src/gateway/crash_suspect.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_suspect.rs
@@ -30,7 +30,7 @@
 /// The age from which a crash counts for detecting a repeat, in milliseconds. Targets that are
 /// killed together are found dead one after the other, and a request retried after the first may
 /// reach the next.
-pub(super) const SETTLED_MS: u64 = 100;
+const SETTLED_MS: u64 = 100;
 
 /// Number of crashes retained for one suspect.
 const RETAINED_MAX: usize = 16;
@@ -182,6 +182,13 @@
         self.crashes.iter().filter(|(_, facts)| !facts.is_cleared)
     }
 
+    /// Returns when another crash counts as a repeat: once the first of the open ones is settled.
+    pub(super) fn settled_at(&self) -> ClockTime {
+        let seen = self.open().map(|(_, facts)| facts.seen_at);
+        let first_at = seen.min();
+        first_at.map_or(ClockTime::ZERO, |first_at| first_at.plus_ms(SETTLED_MS))
+    }
+
     /// Returns when the last crash was seen.
     pub(super) fn last_at(&self) -> ClockTime {
         let seen = self.crashes.values().map(|facts| facts.seen_at);
--- a/crates/beechsaddle-core/src/gateway/trial_schedule.rs
+++ b/crates/beechsaddle-core/src/gateway/trial_schedule.rs
@@ -36,8 +36,10 @@
 pub struct TrialFacts {
     /// The number of crashes.
     pub crashes: usize,
-    /// When the last crash counts for detecting a repeat.
+    /// When another crash counts as a repeat.
     pub settled_at: ClockTime,
+    /// When the last crash was seen.
+    pub last_at: ClockTime,
     /// The number of domains whose routers come before those of the own domain.
     pub domains_before: usize,
 }
@@ -63,7 +65,8 @@
     pub fn try_begin(&mut self, now: ClockTime, key: SuspectKey, facts: TrialFacts) -> TrialReply {
         self.trials.retain(|_, trial| now < trial.ends_at);
         let turn_ms = DOMAIN_TURN_MS.saturating_mul(facts.domains_before as u64);
-        let mut wait_ms = facts.settled_at.plus_ms(turn_ms).since(now);
+        let begins_at = facts.settled_at.max(facts.last_at.plus_ms(turn_ms));
+        let mut wait_ms = begins_at.since(now);
         // One more crash is the outcome of the trial; one that completes ends all trials.
         if let Some(trial) = self.trials.get(&key)
             && trial.crashes == facts.crashes
--- a/crates/beechsaddle-core/tests/gateway_crash_fleet.rs
+++ b/crates/beechsaddle-core/tests/gateway_crash_fleet.rs
@@ -207,6 +207,7 @@
         let facts = TrialFacts {
             crashes: granter.registry.crash_count(key),
             settled_at: granter.registry.settled_at(key),
+            last_at: granter.registry.last_at(key),
             domains_before: granter.ring.domains_before(&name),
         };
         granter.trials.try_begin(now, key, facts)
--- a/crates/beechsaddle-core/tests/gateway_crash_parts.rs
+++ b/crates/beechsaddle-core/tests/gateway_crash_parts.rs
@@ -226,6 +226,7 @@
     TrialFacts {
         crashes,
         settled_at: NOW,
+        last_at: NOW,
         domains_before,
     }
 }
@@ -275,6 +276,20 @@
     );
 }
 
+/// A trial may begin right after the crash of the one before, which may have been that of another part:
+/// a sound request must not be refused for it.
+#[test]
+fn settled_at_is_that_of_the_first_crash() {
+    let mut registry = CrashRegistry::default();
+    for number in 0..4 {
+        let mut crash = report(part("first"), number, 1);
+        crash.facts.seen_at = NOW.plus_ms(1_000 * number);
+        registry.record(NOW, crash);
+    }
+    assert_eq!(registry.settled_at(part("first")), NOW.plus_ms(100));
+    assert_eq!(registry.last_at(part("first")), NOW.plus_ms(3_000));
+}
+
 /// Domains that cannot reach each other do not all try at once: each waits until the outcome in the
 /// domains before it must have arrived by way of the store.
 #[test]
--- a/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
@@ -130,6 +130,7 @@
     let facts = TrialFacts {
         crashes: registry.crash_count(key),
         settled_at: registry.settled_at(key),
+        last_at: registry.last_at(key),
         domains_before: state.lending.ring.borrow().domains_before(&key.to_string()),
     };
     let mut trials = state.crashes.trials.borrow_mut();
