--- a/crates/beechsaddle-core/src/gateway/suspect_key.rs
+++ b/crates/beechsaddle-core/src/gateway/suspect_key.rs
@@ -8,7 +8,8 @@
 use crate::hash::WideHash;
 
 /// The first four bytes of the keys of prompt parts. Reports of crashes need no field for the kind,
-/// so that routers of earlier versions pass those of parts on.
+/// so that routers of earlier versions pass those of parts on. One request in four billion has a hash
+/// that begins so, and is counted as a part.
 const PART_TAG: u32 = u32::from_be_bytes(*b"part");
 
 /// Number of bits that follow the tag in the key of a prompt part.
--- a/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_trial.rs
@@ -12,7 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::gateway::gateway_metrics::OutcomeLabel;
+use crate::gateway::gateway_metrics::{OutcomeLabel, TRIAL_OUTCOMES};
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::token_lending::{LOAN_TIMEOUT, mark_down};
 
@@ -204,9 +204,10 @@
 }
 
 fn record_reply(state: &GatewayState, key: SuspectKey, reply: TrialReply) {
+    let [granted, refused] = TRIAL_OUTCOMES;
     let what = match reply {
-        TrialReply::Granted => "granted",
-        TrialReply::Wait { .. } => "refused",
+        TrialReply::Granted => granted,
+        TrialReply::Wait { .. } => refused,
     };
     let label = OutcomeLabel { what };
     state.metrics.crash_trials.get_or_create(&label).inc();
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -80,6 +80,9 @@
 /// The results of connecting to a target.
 pub(super) const CONNECT_RESULTS: [&str; 3] = ["connected", "refused", "failed"];
 
+/// The outcomes of requests for trials of what may crash targets.
+pub(super) const TRIAL_OUTCOMES: [&str; 2] = ["granted", "refused"];
+
 /// The outcomes of requests for tunnels.
 const TUNNEL_OUTCOMES: [&str; 6] = [
     "opened",
@@ -206,7 +209,7 @@
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
             parts_blocked: Gauge::default(),
-            crash_trials: Family::default(),
+            crash_trials: zeroed_counters(TRIAL_OUTCOMES),
             permits_refused: Counter::default(),
             evacuations: Gauge::default(),
             evacuation_changes: Counter::default(),
