Write crashes to the store by their coordinators alone, and none of parts that completed

Now the coordinator of a suspect in each domain writes; it has what the others have. Crashes of a part that has completed are not stored. A suspect with more crashes than are retained settles on the newest, in place of taking up again what others keep. The two new tests guard the last two; they were not run on the code before, which has no such function.

--- a/crates/beechsaddle-core/src/gateway/crash_registry.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_registry.rs
@@ -16,7 +16,7 @@
 const PARTS_MAX: usize = 2_048;
 
 /// The largest number of reports that the store keeps: some 400 KB, of 1 MB that an object may have.
-const SHARED_REPORTS_MAX: usize = 2_048;
+const STORED_REPORTS_MAX: usize = 2_048;
 
 /// Number of crashes below which a suspect plays no part in finding the cause.
 const RELEVANT_MIN: usize = 3;
@@ -214,16 +214,16 @@
         reports.into_iter().flatten().collect()
     }
 
-    /// Returns the crash reports that all routers need, those of suspects with most crashes first, as
-    /// many as the store keeps.
-    pub fn shared(&self) -> impl Iterator<Item = CrashReport> {
+    /// Returns the crash reports that the store needs, those of suspects with most crashes first, as
+    /// many as it keeps.
+    pub fn stored(&self) -> impl Iterator<Item = CrashReport> {
         let suspects = self.suspects.iter();
-        let shared = suspects.filter(|(_, suspect)| suspect.is_shared());
-        let mut shared: Vec<_> = shared.collect();
-        shared.sort_by_key(|(_, suspect)| Reverse(suspect.targets().count()));
-        let reports = shared.into_iter();
+        let stored = suspects.filter(|(_, suspect)| suspect.is_stored());
+        let mut stored: Vec<_> = stored.collect();
+        stored.sort_by_key(|(_, suspect)| Reverse(suspect.targets().count()));
+        let reports = stored.into_iter();
         let reports = reports.flat_map(|(key, suspect)| suspect.reports(*key));
-        reports.take(SHARED_REPORTS_MAX)
+        reports.take(STORED_REPORTS_MAX)
     }
 
     pub fn is_empty(&self) -> bool {
--- a/crates/beechsaddle-core/src/gateway/crash_suspect.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_suspect.rs
@@ -76,6 +76,13 @@
             return false;
         }
         if known.is_none() && self.crashes.len() >= RETAINED_MAX {
+            // Routers that dropped a crash must not take it up again from those that did not yet.
+            let is_older = self
+                .oldest_at()
+                .is_some_and(|oldest| facts.seen_at <= oldest);
+            if is_older {
+                return false;
+            }
             self.drop_oldest();
         }
         self.crashes.insert(target, merged);
@@ -168,6 +175,15 @@
         self.crashes.len() >= SHARED_MIN
     }
 
+    /// Whether the store needs the crashes. Those of a part that completes are many, and a router that
+    /// missed the completion of one sees the next.
+    pub(super) fn is_stored(&self) -> bool {
+        match self.kind {
+            SuspectKind::Request => self.is_shared(),
+            SuspectKind::Part => self.open().count() >= SHARED_MIN,
+        }
+    }
+
     /// Returns all crashes as reports for other routers.
     pub(super) fn reports(&self, key: SuspectKey) -> impl Iterator<Item = CrashReport> {
         let crashes = self.crashes.iter();
@@ -200,6 +216,10 @@
         FIRST_BLOCK_MS << beyond.min(DOUBLINGS_MAX)
     }
 
+    fn oldest_at(&self) -> Option<ClockTime> {
+        self.crashes.values().map(|facts| facts.seen_at).min()
+    }
+
     fn drop_oldest(&mut self) {
         let oldest = self.crashes.iter().min_by_key(|(_, facts)| facts.seen_at);
         if let Some(target) = oldest.map(|(target, _)| target.clone()) {
--- a/crates/beechsaddle-core/tests/gateway_crash_parts.rs
+++ b/crates/beechsaddle-core/tests/gateway_crash_parts.rs
@@ -195,8 +195,45 @@
         }
     }
     assert!(is_blocked(&registry, "bad"));
-    assert!(registry.shared().any(|report| report.key == part("bad")));
-    assert!(registry.shared().count() <= 2_048);
+    assert!(registry.stored().any(|report| report.key == part("bad")));
+    assert!(registry.stored().count() <= 2_048);
+}
+
+/// Routers that retain different crashes of a popular part settle on the newest ones, in place of
+/// taking up from each other and the store what the other has dropped, for as long as they run.
+#[test]
+fn record_more_crashes_than_retained_settles() {
+    let crash = |number: u64| {
+        let mut crash = report(part("popular"), number, 0);
+        crash.facts.seen_at = NOW.plus_ms(number);
+        crash
+    };
+    let mut first = CrashRegistry::default();
+    let mut second = CrashRegistry::default();
+    for number in 0..30 {
+        first.record(NOW, crash(number));
+        second.record(NOW, crash(29 - number));
+    }
+    for _ in 0..2 {
+        for crash in first.reports(part("popular")) {
+            assert!(!second.record(NOW, crash));
+        }
+        for crash in second.reports(part("popular")) {
+            assert!(!first.record(NOW, crash));
+        }
+    }
+    assert!(!first.record(NOW, crash(3)));
+}
+
+/// The store keeps no crashes of a part that has completed since.
+#[test]
+fn stored_excludes_completed_parts() {
+    let mut registry = CrashRegistry::default();
+    crash_in_turn(&mut registry, 0..3, &["popular"]);
+    assert_eq!(registry.stored().count(), 3);
+    registry.clear(part("popular"));
+    assert_eq!(registry.stored().count(), 0);
+    assert!(registry.is_shared(part("popular")));
 }
 
 /// The last part of a prompt belongs to the request alone, so only the others are suspected.
--- a/crates/beechsaddle/src/gateway/crashes/crash_store.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_store.rs
@@ -1,7 +1,7 @@
 //! The `crash_store` module provides the writing of crash reports to the store, for routers that no
 //! other router can reach.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -102,12 +102,17 @@
     }
 }
 
-/// Returns the suspects with reports that the store lacks.
+/// Returns the suspects with reports that the store lacks and this router writes: those that it
+/// coordinates in its domain. The others know no more, and do not see what was written.
 fn pending(state: &GatewayState) -> Vec<SuspectKey> {
     let registry = state.crashes.registry.borrow();
     let stored = state.crashes.stored.borrow();
-    let missing = registry.shared().filter(|report| stored.lacks(report));
-    missing.map(|report| report.key).collect()
+    let missing = registry.stored().filter(|report| stored.lacks(report));
+    let missing: BTreeSet<_> = missing.map(|report| report.key).collect();
+    let ring = state.lending.ring.borrow();
+    let now = state.now();
+    let is_own = |key: &SuspectKey| ring.coordinator_of(now, &key.to_string()).is_none();
+    missing.into_iter().filter(is_own).collect()
 }
 
 /// Returns whether this router is the designated writer of any pending report.
@@ -121,7 +126,7 @@
 /// Makes one write. On a conflict the store's content is applied, so that the next write builds on
 /// it.
 async fn write_once(state: &Rc<GatewayState>) -> Result<(), StoreFailure> {
-    let reports: Vec<_> = state.crashes.registry.borrow().shared().collect();
+    let reports: Vec<_> = state.crashes.registry.borrow().stored().collect();
     let spec =
         write_crashes(&reports).map_err(|error| StoreFailure::Malformed(error.to_string()))?;
     let known = state.crashes.stored.borrow().revision;
