Store crashes of a part only once one was repeated

Whenever many targets end at once, parts that ran on several of them have crashes without a repeat, which decide nothing by themselves; a repeat is what other domains need.

--- a/crates/beechsaddle-core/src/gateway/crash_suspect.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_suspect.rs
@@ -175,12 +175,15 @@
         self.crashes.len() >= SHARED_MIN
     }
 
-    /// Whether the store needs the crashes. Those of a part that completes are many, and a router that
-    /// missed the completion of one sees the next.
+    /// Whether the store needs the crashes. Those of parts without a repeat are many whenever targets
+    /// end for a reason of their own, and each write has all that follow the store read it.
     pub(super) fn is_stored(&self) -> bool {
         match self.kind {
             SuspectKind::Request => self.is_shared(),
-            SuspectKind::Part => self.open().count() >= SHARED_MIN,
+            SuspectKind::Part => {
+                let has_repeat = self.open().any(|(_, facts)| facts.known_before > 0);
+                has_repeat && self.open().count() >= SHARED_MIN
+            }
         }
     }
 
