--- a/crates/beechsaddle-lab/src/soak/call_load.rs
+++ b/crates/beechsaddle-lab/src/soak/call_load.rs
@@ -184,15 +184,15 @@
 fn add_prompt(request: &mut CallRequest, mut body: Vec<u8>) {
     let number = body.last().copied().unwrap_or(0);
     let is_crashing = body.starts_with(CRASH_MARK);
-    let parts = match is_crashing && number > 0 {
+    let popular = format!("popular-{number}");
+    let own = request.id.clone();
+    match is_crashing && number > 0 {
         true => {
-            body.extend_from_slice(request.id.as_bytes());
-            format!("popular-{number}:40,crashing:40")
+            body.extend_from_slice(own.as_bytes());
+            request.set_prompt(&[&popular, "crashing", &own]);
         }
-        false => format!("popular-{number}:40"),
-    };
-    let header = format!("X-Beechsaddle-Prompt-Prefix: {parts},{}:10", request.id);
-    request.extra_headers.push(header);
+        false => request.set_prompt(&[&popular, &own]),
+    }
     request.body = body;
 }
 
--- a/crates/beechsaddle-lab/src/soak/recovery_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/recovery_checks.rs
@@ -201,12 +201,12 @@
     let mut answered = 0;
     for number in 0..CRASHING_CALLS {
         let number = round * CRASHING_CALLS + number;
-        let crashing = part_call(number, "shared:40,crashing:40", mark);
+        let crashing = part_call(number, &["shared", "crashing"], mark);
         let router = fleet.routers[number % fleet.routers.len()].calls;
         // The response to a crashing call is not checked.
         let _ = call(router, &crashing).await;
         let router = fleet.routers[(number + 1) % fleet.routers.len()].calls;
-        let sound = call(router, &part_call(number, "shared:40", b"sound")).await;
+        let sound = call(router, &part_call(number, &["shared"], b"sound")).await;
         answered += usize::from(sound.is_ok_and(|reply| reply.status == 200 && reply.is_complete));
         sleep(CRASHING_GAP).await;
         fleet.replace_crashed_targets().await?;
@@ -215,12 +215,13 @@
 }
 
 /// Returns a call with parts of a prompt, whose last part and body occur in no other one.
-fn part_call(number: usize, parts: &str, mark: &[u8]) -> CallRequest {
+fn part_call(number: usize, parts: &[&str], mark: &[u8]) -> CallRequest {
     let mut request = extra_call(SoakKind::Resumable, number);
     request.id = format!("{}-{}", request.id, String::from_utf8_lossy(mark));
     request.tokens = Some((50, 18));
-    let header = format!("X-Beechsaddle-Prompt-Prefix: {parts},{}:10", request.id);
-    request.extra_headers.push(header);
+    let own = request.id.clone();
+    let parts = parts.iter().copied().chain([own.as_str()]);
+    request.set_prompt(&parts.collect::<Vec<_>>());
     request.body = [mark, request.id.as_bytes()].concat();
     request
 }
--- a/crates/beechsaddle/tests/gateway_crash_parts.rs
+++ b/crates/beechsaddle/tests/gateway_crash_parts.rs
@@ -35,10 +35,8 @@
 fn part_request(id: &str, parts: &[&str], body: &str) -> CallRequest {
     let body = format!("{body} {id}");
     let mut request = body_request(id, body.as_bytes());
-    let parts = parts.iter().map(|part| format!("{part}:40,"));
-    let parts: String = parts.collect();
-    let header = format!("X-Beechsaddle-Prompt-Prefix: {parts}{id}:10");
-    request.extra_headers.push(header);
+    let parts = parts.iter().copied().chain([id]);
+    request.set_prompt(&parts.collect::<Vec<_>>());
     request
 }
 
