Move messages about crashes, verdicts, refusals and ended trials into modules of their own

No behaviour changes. The modules of links and of answers to other routers had grown past one job; crashes follow the way of origins.

--- a/crates/beechsaddle-core/src/gateway/crash_registry.rs
+++ b/crates/beechsaddle-core/src/gateway/crash_registry.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::crash_suspect::CrashSuspect;
-use super::{CrashReport, SuspectKey, SuspectKind, TargetIncarnation};
+use super::{CrashDecision, CrashReport, CrashVerdict, SuspectKey, SuspectKind, TargetIncarnation};
 use crate::clock::ClockTime;
 
 /// The largest number of suspected requests. A flood of different requests costs a router a few
@@ -25,34 +25,6 @@
 /// have had another cause, or be known to fewer routers.
 const SEPARATING_CRASHES: usize = 2;
 
-/// The decision on a suspect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashVerdict {
-    /// Requests are routed normally.
-    Clear,
-    /// The suspect may have crashed targets, but fewer than would have it refused.
-    Suspected,
-    /// The suspect may have crashed nearly enough targets, or enough but all at once, long ago, or
-    /// always together with another suspect: one request at a time is tried in the whole fleet.
-    OnTrial,
-    /// Requests are refused.
-    Blocked {
-        /// The remaining time of the refusal, in milliseconds.
-        left_ms: u64,
-    },
-}
-
-/// The decision on a request by all that it may be suspected for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CrashDecision {
-    /// The request is routed.
-    Admitted,
-    /// The request is routed if it may be the trial of each of these.
-    OnTrial(Vec<SuspectKey>),
-    /// The request is refused because of this suspect.
-    Refused { key: SuspectKey, left_ms: u64 },
-}
-
 /// The crashes that this router observed or received reports of, and the suspects that are refused
 /// because of them.
 ///
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -23,7 +23,7 @@
 use super::answer_body::AnswerBody;
 use super::call_context::CallContext;
 use super::call_record::CallRecord;
-use super::crashes::{CrashAdmission, admit_request};
+use super::crashes::refuse_crashing;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::origins::check_resume;
 use super::plain_exchange::serve_plain;
@@ -130,32 +130,6 @@
     }
 }
 
-/// Refuses a request that crashes targets, before any tokens are reserved for it.
-async fn refuse_crashing(call: &CallContext) -> Option<Response<AnswerBody>> {
-    match admit_request(&call.state, &call.suspects).await {
-        CrashAdmission::Admitted { trials } => {
-            *call.trials.borrow_mut() = trials;
-            None
-        }
-        CrashAdmission::Refused {
-            key,
-            retry_ms,
-            targets,
-        } => {
-            let fields = [
-                ("fingerprint", key.to_string()),
-                ("kind", key.kind().as_str().to_owned()),
-                ("targets", targets),
-                ("retry_ms", retry_ms.to_string()),
-            ];
-            call.record.log_decision("call_blocked", fields);
-            let cause = RefusalCause::CrashesTargets;
-            call.record.record_refusal(cause);
-            Some(cause.response_after(retry_ms, "targets crash when they run this request"))
-        }
-    }
-}
-
 async fn reserve(call: &CallContext) -> Result<Option<TokenReservation>, RefusalCause> {
     let Some((workspace, bound)) = call.reservation_bound() else {
         return Ok(None);
--- a/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_manager.rs
@@ -15,7 +15,8 @@
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
 use super::crash_store::StoredCrashes;
-use super::crash_trial::{EndedTrials, TrialGuard, request_trials};
+use super::crash_trial::request_trials;
+use super::trial_guard::{EndedTrials, TrialGuard};
 use crate::gateway::gateway_state::GatewayState;
 
 /// The crash reports of this router and the trials that it granted.
--- a/crates/beechsaddle/src/gateway/crashes/mod.rs
+++ b/crates/beechsaddle/src/gateway/crashes/mod.rs
@@ -9,16 +9,20 @@
 mod crash_broadcast;
 mod crash_document;
 mod crash_follow;
+mod crash_link;
 mod crash_manager;
 mod crash_probe;
+mod crash_refusal;
+mod crash_service;
 mod crash_store;
 mod crash_trial;
+mod trial_guard;
 
-pub(super) use crash_broadcast::receive_crash_reports;
 pub(super) use crash_follow::run_crash_follow;
-pub(super) use crash_manager::{CrashAdmission, CrashManager, admit_request, record_completion};
+pub(super) use crash_manager::{CrashManager, record_completion};
 pub(super) use crash_probe::{
     RunSuspect, SuspectRun, confirm_completion, detect_crash, run_suspects,
 };
+pub(super) use crash_refusal::refuse_crashing;
 pub(super) use crash_store::run_crash_writer;
-pub(super) use crash_trial::{TrialGuard, begin_trial, end_trial, run_trial_ends};
+pub(super) use trial_guard::{TrialGuard, run_trial_ends};
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    ChangeBatch, ClockReading, CrashReport, LoanReply, LoanRequest, LoanReturn, PeerRecord,
-    PermitReply, SuspectKey, TargetLimit, TrialReply,
+    ChangeBatch, ClockReading, LoanReply, LoanRequest, LoanReturn, PeerRecord, PermitReply,
+    TargetLimit,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, crash_listener,
-    limit_share, news_relay, router_peer, token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, limit_share, news_relay,
+    router_peer, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -27,7 +27,7 @@
 
 use super::changes::{FollowAnswer, FollowReply};
 use super::limits::PermitRequest;
-use super::peer_codec::{time_before, write_crash};
+use super::peer_codec::time_before;
 
 /// Timeout of connecting to a router: some hundred round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -88,11 +88,6 @@
         let client = self.client.client.clone();
         clock_teller::Client { client }
     }
-
-    fn crash_listener(&self) -> crash_listener::Client {
-        let client = self.client.client.clone();
-        crash_listener::Client { client }
-    }
 }
 
 /// Connections to routers, one for each.
@@ -225,78 +220,6 @@
         })
     }
 
-    /// Sends crash reports to a router; `is_broadcast` states that this router sends them to the receiver's
-    /// whole domain itself.
-    pub(super) async fn send_crashes(
-        &self,
-        peer: &PeerRecord,
-        secret: &str,
-        now: ClockTime,
-        reports: &[CrashReport],
-        is_broadcast: bool,
-    ) -> Result<(), String> {
-        let link = self.open(peer).await?;
-        let mut call = link.crash_listener().note_crashes_request();
-        let mut parameters = call.get();
-        parameters.set_secret(secret);
-        parameters.set_is_spread(is_broadcast);
-        let mut messages = parameters.init_notes(reports.len() as u32);
-        for (index, report) in reports.iter().enumerate() {
-            write_crash(messages.reborrow().get(index as u32), now, report);
-        }
-        match call.send().promise.await {
-            Ok(_) => Ok(()),
-            // Routers of older versions do not support the call, and block no requests.
-            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => Ok(()),
-            Err(error) => Err(error.to_string()),
-        }
-    }
-
-    /// Asks a router whether a request may be the trial of a suspect.
-    pub(super) async fn request_trial(
-        &self,
-        peer: &PeerRecord,
-        secret: &str,
-        key: SuspectKey,
-    ) -> Result<TrialReply, String> {
-        let link = self.open(peer).await?;
-        let mut call = link.crash_listener().begin_trial_request();
-        let mut parameters = call.get();
-        parameters.set_secret(secret);
-        parameters.set_fingerprint(&key.to_bytes());
-        let reply = match call.send().promise.await {
-            Ok(reply) => reply,
-            // Routers of older versions do not support the call, and try such requests themselves.
-            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => {
-                return Ok(TrialReply::Granted);
-            }
-            Err(error) => return Err(error.to_string()),
-        };
-        let answer = reply.get().map_err(|error| error.to_string())?;
-        match answer.get_is_granted() {
-            true => Ok(TrialReply::Granted),
-            false => Ok(TrialReply::Wait {
-                wait_ms: answer.get_wait_ms(),
-            }),
-        }
-    }
-
-    /// Tells the router that granted a trial that the request has ended.
-    pub(super) async fn end_trial(
-        &self,
-        peer: &PeerRecord,
-        secret: &str,
-        key: SuspectKey,
-    ) -> Result<(), String> {
-        let link = self.open(peer).await?;
-        let mut call = link.crash_listener().end_trial_request();
-        let mut parameters = call.get();
-        parameters.set_secret(secret);
-        parameters.set_fingerprint(&key.to_bytes());
-        let ended = call.send().promise.await;
-        ended.map(|_| ()).map_err(|error| error.to_string())
-    }
-
     /// Requests a permit for one request to a target.
     pub(super) async fn request_permit(
         &self,
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -6,15 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{
-    LoanReply, LoanRequest, LoanReturn, PermitReply, TargetLimit, TrialReply,
-};
+use beechsaddle_core::gateway::{LoanReply, LoanRequest, LoanReturn, PermitReply, TargetLimit};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
-    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, crash_listener,
-    limit_share, news_relay, router_peer, stream_registry, token_lender,
+    FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, limit_share, news_relay,
+    router_peer, stream_registry, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -25,12 +23,11 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::changes::{FollowReply, serve_follow};
-use super::crashes::{begin_trial, end_trial, receive_crash_reports};
 use super::gateway_state::GatewayState;
 use super::ledger_updates::receive_ledger;
 use super::limits::{PermitRequest, answer_permit_request};
 use super::origins::read_origin;
-use super::peer_codec::{read_crash, read_incarnation, read_key, time_before};
+use super::peer_codec::{read_incarnation, time_before};
 use super::token_lender::lend_tokens;
 use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
 
@@ -82,14 +79,14 @@
 }
 
 /// The server of one connection from a peer.
-struct PeerServer {
-    state: Rc<GatewayState>,
+pub(super) struct PeerServer {
+    pub(super) state: Rc<GatewayState>,
     peer: SocketAddr,
 }
 
 impl PeerServer {
     /// Rejects peers that do not know the fleet's secret.
-    fn check_secret(&self, secret: capnp::text::Reader<'_>) -> Result<(), capnp::Error> {
+    pub(super) fn check_secret(&self, secret: capnp::text::Reader<'_>) -> Result<(), capnp::Error> {
         if self.state.lending.is_secret(secret.as_bytes()) {
             return Ok(());
         }
@@ -234,51 +231,6 @@
     }
 }
 
-impl crash_listener::Server for PeerServer {
-    async fn note_crashes(
-        self: Rc<Self>,
-        parameters: crash_listener::NoteCrashesParams,
-        _: crash_listener::NoteCrashesResults,
-    ) -> Result<(), capnp::Error> {
-        let parameters = parameters.get()?;
-        self.check_secret(parameters.get_secret()?)?;
-        let now = self.state.now();
-        let mut reports = Vec::new();
-        for message in parameters.get_notes()?.iter() {
-            reports.push(read_crash(message, now)?);
-        }
-        receive_crash_reports(&self.state, reports, parameters.get_is_spread());
-        Ok(())
-    }
-
-    async fn begin_trial(
-        self: Rc<Self>,
-        parameters: crash_listener::BeginTrialParams,
-        mut results: crash_listener::BeginTrialResults,
-    ) -> Result<(), capnp::Error> {
-        let parameters = parameters.get()?;
-        self.check_secret(parameters.get_secret()?)?;
-        let key = read_key(parameters.get_fingerprint()?)?;
-        let mut answer = results.get();
-        match begin_trial(&self.state, key) {
-            TrialReply::Granted => answer.set_is_granted(true),
-            TrialReply::Wait { wait_ms } => answer.set_wait_ms(wait_ms),
-        }
-        Ok(())
-    }
-
-    async fn end_trial(
-        self: Rc<Self>,
-        parameters: crash_listener::EndTrialParams,
-        _: crash_listener::EndTrialResults,
-    ) -> Result<(), capnp::Error> {
-        let parameters = parameters.get()?;
-        self.check_secret(parameters.get_secret()?)?;
-        end_trial(&self.state, read_key(parameters.get_fingerprint()?)?);
-        Ok(())
-    }
-}
-
 impl limit_share::Server for PeerServer {
     async fn take_place(
         self: Rc<Self>,
