Test of invalid peer messages waits for the router's entry

The bench waits until the router is ready and knows its targets; the entry is written by another duty, and readiness does not wait for that. The test waits for it now, up to the usual 8 s, and checks the same as before. Not forced again: the order was read from the panic and the bench's code.

--- a/crates/beechsaddle/tests/gateway_lending.rs
+++ b/crates/beechsaddle/tests/gateway_lending.rs
@@ -335,6 +335,10 @@
 async fn invalid_peer_message_does_not_stop_service() {
     use tokio::io::AsyncWriteExt;
     let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    wait_for("its entry", || async {
+        bench.store.spec("routers", "host-1").is_some()
+    })
+    .await;
     let entry = bench.store.spec("routers", "host-1").expect("an entry");
     let address = entry["address"].as_str().expect("an address").to_owned();
     let mut stream = tokio::net::TcpStream::connect(&address)
