Log and count why streams are broken off and by which limit callers' connections are closed

Tells the hypotheses of docs/incidents/unanswered-requests.md apart: a silent target, a broken stream or a limit that is no longer in force, and how recent the last change of the configuration was.

--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::CallerLimits;
+use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,6 +16,7 @@
 
 use super::answer_body::TrackedBody;
 use super::call_exchange::serve_call;
+use super::gateway_metrics::{CALLER_CLOSES, OutcomeLabel};
 use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{ConnectionTracker, GuardedStream};
 
@@ -59,6 +61,7 @@
         .map_or(CallerLimits::default(), |config| config.limits);
     let head_timeout = Duration::from_millis(limits.head_timeout_ms);
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
+    let accepted_at = state.now();
     let mark = ConnectionTracker::default();
     let stream = GuardedStream::new(stream, mark.clone(), head_timeout, WRITE_STALL_TIMEOUT);
     let service = service_fn(|request| {
@@ -81,8 +84,13 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
-            // The error is reflected in the record of the running call, if any.
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => {
+                // Any other error is reflected in the record of the running call, if any.
+                if ended.is_err_and(|error| error.is_timeout()) {
+                    record_close(&state, accepted_at, limits);
+                }
+                return;
+            }
             _ = &mut closing, if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -90,3 +98,25 @@
         }
     }
 }
+
+/// Records that a caller's connection was closed by a time limit, and whether that limit was still in
+/// force.
+fn record_close(state: &GatewayState, accepted_at: ClockTime, limits: CallerLimits) {
+    let in_force = state.config().map(|config| config.limits);
+    let [current, superseded] = CALLER_CLOSES;
+    let (what, level) = match in_force {
+        Some(in_force) if in_force.idle_timeout_ms != limits.idle_timeout_ms => {
+            (superseded, LogLevel::Info)
+        }
+        Some(_) | None => (current, LogLevel::Debug),
+    };
+    let label = OutcomeLabel { what };
+    state.metrics.caller_closes.get_or_create(&label).inc();
+    let mut fields = vec![
+        ("open_ms", state.now().since(accepted_at).to_string()),
+        ("idle_ms", limits.idle_timeout_ms.to_string()),
+    ];
+    let in_force_ms = in_force.map(|in_force| in_force.idle_timeout_ms);
+    fields.extend(in_force_ms.map(|idle_ms| ("in_force_ms", idle_ms.to_string())));
+    state.report.log(level, "caller_closed", fields);
+}
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -67,6 +67,13 @@
 /// Where a stream's body ended: after a whole event, inside an event, or before its first event.
 pub(super) const STREAM_ENDS: [&str; 3] = ["whole", "inside_event", "no_event"];
 
+/// Why a stream was broken off towards its caller.
+pub(super) const STREAM_BREAKS: [&str; 4] = ["silent", "broken", "deadline", "oversized"];
+
+/// Why a caller's connection was closed by this router without a call in progress: the idle time or
+/// the time for a head was over.
+pub(super) const CALLER_CLOSES: [&str; 2] = ["in_force", "superseded"];
+
 /// Where the origin of a resumed stream was found: at this router or another one; or that no router
 /// knows it, or that none that answered does.
 const ORIGIN_OUTCOMES: [&str; 4] = ["own", "peer", "unknown", "unanswered"];
@@ -128,6 +135,10 @@
     /// Targets' parts of streams whose body ended without an error, by framing and by where it
     /// ended.
     pub(super) stream_ends: Family<StreamEndLabel, Counter>,
+    /// Streams that were broken off towards their callers, by reason.
+    pub(super) stream_breaks: Family<OutcomeLabel, Counter>,
+    /// Callers' connections whose time limit expired, by whether that limit was still in force.
+    pub(super) caller_closes: Family<OutcomeLabel, Counter>,
     /// New connections to targets, by result.
     pub(super) connects: Family<OutcomeLabel, Counter>,
     /// 1 while the router is partitioned from the targets.
@@ -201,6 +212,8 @@
             origins_sought: zeroed_counters(ORIGIN_OUTCOMES),
             origins_noted: zeroed_counters(NOTE_OUTCOMES),
             stream_ends: Family::default(),
+            stream_breaks: zeroed_counters(STREAM_BREAKS),
+            caller_closes: zeroed_counters(CALLER_CLOSES),
             connects: zeroed_counters(CONNECT_RESULTS),
             path_lost: Gauge::default(),
             tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
@@ -282,6 +295,14 @@
         registry.register("origins_noted", "Origins of streams sent to routers", noted);
         let stream_ends = self.stream_ends.clone();
         registry.register("stream_ends", "Regular ends of streams", stream_ends);
+        let breaks = self.stream_breaks.clone();
+        registry.register("stream_breaks", "Streams broken off", breaks);
+        let closes = self.caller_closes.clone();
+        registry.register(
+            "caller_closes",
+            "Callers' connections closed by a limit",
+            closes,
+        );
         let connects = self.connects.clone();
         registry.register("connects", "New connections to targets", connects);
         let path_lost = self.path_lost.clone();
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -18,7 +18,7 @@
 use super::call_record::ANSWERED;
 use super::crashes::{confirm_completion, detect_crash, record_completion};
 use super::event_splitter::EventSplitter;
-use super::gateway_metrics::{STREAM_ENDS, StreamEndLabel};
+use super::gateway_metrics::{OutcomeLabel, STREAM_BREAKS, STREAM_ENDS, StreamEndLabel};
 use super::origins::{ResumeActor, ResumeVersion, publish_origin};
 use super::stall_watch::StallWatch;
 use super::stream_exchange::{StreamOpening, open_stream};
@@ -37,6 +37,40 @@
 
 impl std::error::Error for StreamBroken {}
 
+/// Why a stream is broken off towards its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamBreak {
+    /// The target sent nothing for too long.
+    Silent,
+    /// The target's stream ended prematurely.
+    Broken,
+    /// The call's deadline passed.
+    Deadline,
+    /// An event exceeds the size limit.
+    Oversized,
+}
+
+impl StreamBreak {
+    /// Returns the reason for which a stream ends after an attempt that no other one follows.
+    fn of(end: AttemptEnd) -> Self {
+        match end {
+            AttemptEnd::Silent => StreamBreak::Silent,
+            _ => StreamBreak::Broken,
+        }
+    }
+
+    /// Returns the name of the reason in logs and counters.
+    fn as_str(self) -> &'static str {
+        let [silent, broken, deadline, oversized] = STREAM_BREAKS;
+        match self {
+            StreamBreak::Silent => silent,
+            StreamBreak::Broken => broken,
+            StreamBreak::Deadline => deadline,
+            StreamBreak::Oversized => oversized,
+        }
+    }
+}
+
 /// One target's part of a stream.
 pub(super) struct StreamAttempt {
     guard: AttemptGuard,
@@ -172,7 +206,9 @@
 
     fn handle_data(&mut self, data: &[u8]) -> Option<Result<Bytes, StreamBroken>> {
         let Ok(part) = self.splitter.push(data) else {
-            return Some(Err(self.abort("event exceeds the size limit")));
+            return Some(Err(
+                self.abort(StreamBreak::Oversized, "event exceeds the size limit")
+            ));
         };
         self.events += part.events;
         if let Some(attempt) = &mut self.attempt {
@@ -295,12 +331,12 @@
         self.splitter.drop_partial();
         let is_resumable = self.call.route.kind == RouteKind::Stream { is_resumable: true };
         if !is_resumable || !self.call.try_repeat(end) {
-            return Err(self.abort(detail));
+            return Err(self.abort(StreamBreak::of(end), detail));
         }
         let last_event = self.splitter.last_event();
         let opening = open_stream(&self.call, last_event, self.reservation.as_ref()).await;
         let StreamOpening::Open(open) = opening else {
-            return Err(self.abort("no target resumed the stream"));
+            return Err(self.abort(StreamBreak::of(end), "no target resumed the stream"));
         };
         self.log_resume(last_event, &open.attempt.version());
         self.stall = StallWatch::for_first_event(
@@ -327,18 +363,30 @@
         self.call.record.log_decision("stream_resumed", fields);
     }
 
-    fn abort(&mut self, reason: &str) -> StreamBroken {
+    fn abort(&mut self, cause: StreamBreak, reason: &str) -> StreamBroken {
         self.is_finished = true;
         self.attempt = None;
+        let (cause, outcome) = match self.call.remaining_ms() {
+            0 => (StreamBreak::Deadline, "timed_out"),
+            _ => (cause, "broken_off"),
+        };
         self.call.record.add_field("why", reason);
-        self.call
-            .record
-            .set_outcome(match self.call.remaining_ms() {
-                0 => "timed_out",
-                _ => "broken_off",
-            });
+        self.call.record.set_outcome(outcome);
+        self.record_break(cause);
         StreamBroken
     }
+
+    /// Records why the stream was broken off, and how recently the configuration had changed.
+    fn record_break(&self, cause: StreamBreak) {
+        let state = &self.call.state;
+        let label = OutcomeLabel {
+            what: cause.as_str(),
+        };
+        state.metrics.stream_breaks.get_or_create(&label).inc();
+        let config_age_ms = state.now().since(state.config_at.get());
+        self.call.record.add_field("end", cause.as_str());
+        self.call.record.add_field("config_age_ms", config_age_ms);
+    }
 }
 
 impl Drop for StreamRelay {
