--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -84,6 +84,10 @@
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
 
+/// What targets announce in their responses: that they leave, or that they want no requests for a
+/// while.
+pub(super) const TARGET_NOTICES: [&str; 2] = ["leaving", "rest"];
+
 /// The results of connecting to a target.
 pub(super) const CONNECT_RESULTS: [&str; 3] = ["connected", "refused", "failed"];
 
@@ -141,6 +145,8 @@
     pub(super) caller_closes: Family<OutcomeLabel, Counter>,
     /// New connections to targets, by result.
     pub(super) connects: Family<OutcomeLabel, Counter>,
+    /// Responses in which targets announce that they leave or want rest.
+    pub(super) target_notices: Family<OutcomeLabel, Counter>,
     /// 1 while the router is partitioned from the targets.
     pub(super) path_lost: Gauge,
     /// Requests for tunnels through other routers, by outcome.
@@ -215,6 +221,7 @@
             stream_breaks: zeroed_counters(STREAM_BREAKS),
             caller_closes: zeroed_counters(CALLER_CLOSES),
             connects: zeroed_counters(CONNECT_RESULTS),
+            target_notices: zeroed_counters(TARGET_NOTICES),
             path_lost: Gauge::default(),
             tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
             tunnels_carried: Gauge::default(),
@@ -305,6 +312,8 @@
         );
         let connects = self.connects.clone();
         registry.register("connects", "New connections to targets", connects);
+        let notices = self.target_notices.clone();
+        registry.register("target_notices", "Responses with a notice", notices);
         let path_lost = self.path_lost.clone();
         registry.register("path_lost", "Partitioned from the targets", path_lost);
         let requested = self.tunnels_requested.clone();
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod stream_exchange;
 mod stream_relay;
 mod target_choice;
+mod target_notice;
 mod target_path;
 mod target_pool;
 mod target_send;
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -15,6 +15,7 @@
 use super::call_context::CallContext;
 use super::gateway_state::GatewayState;
 use super::limits::record_limit;
+use super::target_notice::record_notice;
 use super::target_path::{TargetLink, open_link};
 
 /// The head of a target's response and its connection.
@@ -121,6 +122,7 @@
     if facts.is_sealed || (facts.is_not_run && !facts.is_misdirected) {
         record_limit(&call.state, target, facts.limit_per_s, sent_at);
         record_cold(&call.state, target, facts.cold_ms);
+        record_notice(call, target, &facts);
     }
     Ok(TargetAnswer {
         response,
