A silent target's stream stays open until another target has answered

Callers saw streams broken off, or refused as outcome_unknown, though no connection to a target had broken: the target had sent nothing for 1.2 s, and would have gone on. With one engine alone the stream was sent there twice.

Cause: the relay dropped the silent attempt first and then looked for another target, so that a second target that rejects, is limited, cold or of another version, a route without attempts left, or an empty retry budget ended the answer. The time before the head had the same order.

Now the attempt stays open while another target is tried beside it. Whichever speaks first goes on, and the other one's connection is closed in the same step. The bytes of an incomplete event are kept until the other target takes over. The search itself costs nothing: the retry budget, a permit and one of the route's attempts are spent only if there is a candidate that has not been tried, once for each silence; otherwise the stream waits until its deadline. An open attempt counts in the history as one that may have run, so that nothing is given back or called "not run" for it. A silent attempt that goes on is no failure; one that is closed because of that ends as `superseded`. A target is ejected for silence only once another one has answered. A request that may have crashed a target has one attempt at a time, as before. No stream is broken off for silence any more, so the counter loses that reason.

Why it works: silence does not tell a sound target from a dead one, but waiting for both costs nothing that is owed. A crash shows by the connection and is left at once, also while another target is being tried.

--- a/crates/beechsaddle-core/src/gateway/repeat_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/repeat_rule.rs
@@ -24,6 +24,8 @@
     Broken,
     /// Nothing was received for too long.
     Silent,
+    /// Another attempt of the request answered first, and this one was cancelled.
+    Superseded,
 }
 
 impl AttemptEnd {
@@ -36,7 +38,10 @@
             | AttemptEnd::Withdrawn
             | AttemptEnd::Misdirected
             | AttemptEnd::NotRun => false,
-            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Silent => true,
+            AttemptEnd::Failed
+            | AttemptEnd::Broken
+            | AttemptEnd::Silent
+            | AttemptEnd::Superseded => true,
         }
     }
 
@@ -51,7 +56,8 @@
             | AttemptEnd::NotRun
             | AttemptEnd::Failed
             | AttemptEnd::Broken
-            | AttemptEnd::Silent => true,
+            | AttemptEnd::Silent
+            | AttemptEnd::Superseded => true,
         }
     }
 
@@ -67,6 +73,7 @@
             AttemptEnd::Failed => "failed",
             AttemptEnd::Broken => "broken",
             AttemptEnd::Silent => "silent",
+            AttemptEnd::Superseded => "superseded",
         }
     }
 }
--- a/crates/beechsaddle-core/tests/gateway_repeats.rs
+++ b/crates/beechsaddle-core/tests/gateway_repeats.rs
@@ -19,7 +19,12 @@
 #[test]
 fn allows_another_not_repeatable_only_if_never_run() {
     for kind in [RouteKind::NotRepeatable, STREAM] {
-        for end in [AttemptEnd::Failed, AttemptEnd::Broken, AttemptEnd::Silent] {
+        for end in [
+            AttemptEnd::Failed,
+            AttemptEnd::Broken,
+            AttemptEnd::Silent,
+            AttemptEnd::Superseded,
+        ] {
             assert!(!history(&[end]).allows_another(kind, 3), "{kind:?} {end:?}");
             // A later refusal does not change that an earlier attempt may have run.
             let both = history(&[end, AttemptEnd::NotRun]);
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -1,5 +1,6 @@
 //! The `attempt_guard` module provides the accounting of one attempt in its target's statistics.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use beechsaddle_core::gateway::{AttemptEnd, AttemptLoad, TargetRecord, TargetStats};
@@ -10,6 +11,7 @@
 use super::crashes::{RunSuspect, SuspectRun, detect_crash, run_suspects};
 use super::gateway_metrics::OutcomeLabel;
 use super::gateway_state::GatewayState;
+use super::open_attempts::OpenAttempts;
 
 /// Prompt tokens that an engine processes per millisecond; separates prefill time from queueing.
 const PREFILL_TOKENS_PER_MS: u64 = 50;
@@ -20,9 +22,11 @@
 /// second.
 const EJECT_SILENCE_MS: u64 = 400;
 
-/// One attempt as counted in its target's statistics. Dropping it removes the attempt from them.
+/// One attempt as counted in its target's statistics and among the call's open attempts. Dropping
+/// it removes the attempt from both.
 pub(super) struct AttemptGuard {
     state: Rc<GatewayState>,
+    open: Rc<OpenAttempts>,
     target: TargetRecord,
     load: AttemptLoad,
     /// What may be suspected if the target crashes, as known when the attempt began.
@@ -30,7 +34,7 @@
     /// Whether the request is suspected of any crash, or the trial of a part of its prompt.
     is_suspect: bool,
     started_at: ClockTime,
-    has_first_event: bool,
+    has_first_event: Cell<bool>,
 }
 
 impl AttemptGuard {
@@ -39,13 +43,15 @@
         let state = &call.state;
         let guard = AttemptGuard {
             state: Rc::clone(state),
+            open: Rc::clone(&call.open),
             suspects: run_suspects(state, &call.suspects),
             is_suspect: call.isolation_key().is_some(),
             started_at: state.now(),
             target,
             load,
-            has_first_event: false,
+            has_first_event: Cell::new(false),
         };
+        guard.open.add(&guard.target.name);
         guard.update_stats(|stats, _| {
             stats.start(load);
             stats.suspects += u64::from(guard.is_suspect);
@@ -57,12 +63,15 @@
         &self.target
     }
 
+    pub(super) fn started_at(&self) -> ClockTime {
+        self.started_at
+    }
+
     /// Records that the first event or the complete response arrived.
-    pub(super) fn record_first_event(&mut self) {
-        if self.has_first_event {
+    pub(super) fn record_first_event(&self) {
+        if self.has_first_event.replace(true) {
             return;
         }
-        self.has_first_event = true;
         let (load, started_at) = (self.load, self.started_at);
         let prefill_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS;
         self.update_stats(|stats, now| {
@@ -77,7 +86,7 @@
     }
 
     /// Returns the time since the target last sent anything for any attempt, in milliseconds.
-    pub(super) fn silence_ms(&self) -> u64 {
+    fn silence_ms(&self) -> u64 {
         let now = self.state.now();
         let roster = self.state.roster.borrow();
         let progress_at = roster
@@ -101,8 +110,9 @@
         let mut is_ejected = false;
         self.update_stats(|stats, now| {
             match end {
-                // A target that declines work or was not tried is not faulty.
-                AttemptEnd::NotRun
+                // A target that declines work, was not tried or was not waited for is not faulty.
+                AttemptEnd::Superseded
+                | AttemptEnd::NotRun
                 | AttemptEnd::Misdirected
                 | AttemptEnd::Withdrawn
                 | AttemptEnd::NoPath => {}
@@ -179,7 +189,8 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        let (load, has_first_event) = (self.load, self.has_first_event);
+        self.open.remove(&self.target.name);
+        let (load, has_first_event) = (self.load, self.has_first_event.get());
         let is_suspect = self.is_suspect;
         self.update_stats(|stats, _| {
             stats.suspects = stats.suspects.saturating_sub(u64::from(is_suspect));
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptEnd, AttemptHistory, RouteRule, ServiceRule, SuspectKey, TargetRecord, TokenBound,
-    WorkspaceRule,
+    AttemptEnd, AttemptHistory, RouteRule, ServiceRule, SuspectKey, TokenBound, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -19,6 +18,7 @@
 use super::crashes::TrialGuard;
 use super::gateway_metrics::OutcomeLabel;
 use super::gateway_state::GatewayState;
+use super::open_attempts::OpenAttempts;
 use super::refusal::RefusalCause;
 
 /// Number of target crashes attributed to a request or a part of its prompt after which the router
@@ -54,7 +54,10 @@
     /// When the final response is due: the caller's deadline or the route's timeout, whichever is
     /// earlier.
     pub(super) ends_at: ClockTime,
+    /// The attempts that have ended.
     pub(super) history: RefCell<AttemptHistory>,
+    /// The attempts that have not ended.
+    pub(super) open: Rc<OpenAttempts>,
     pub(super) tried: RefCell<Vec<TargetName>>,
     /// The trials of suspects that this call is.
     pub(super) trials: RefCell<Vec<TrialGuard>>,
@@ -93,12 +96,28 @@
         workspace.prepaid.map(|_| (&workspace.name, bound))
     }
 
+    /// Returns the attempts so far; those that have not ended count as if they ended without a
+    /// response.
+    pub(super) fn all_attempts(&self) -> AttemptHistory {
+        self.open.count_in(&self.history.borrow())
+    }
+
+    /// Whether the call may be sent to another target beside its open attempts, before the retry
+    /// budget is checked. A request that may crash its target has one attempt at a time.
+    pub(super) fn may_race(&self) -> bool {
+        let attempts = self.all_attempts();
+        attempts.allows_another(self.route.kind, self.route.attempts_max)
+            && self.remaining_ms() > 0
+            && self.isolation_key().is_none()
+            && !self.is_withheld(AttemptEnd::Silent)
+    }
+
     /// Records an attempt that ended without a usable response.
-    pub(super) fn record_attempt_end(&self, target: &TargetRecord, end: AttemptEnd, detail: &str) {
+    pub(super) fn record_attempt_end(&self, target: &TargetName, end: AttemptEnd, detail: &str) {
         self.history.borrow_mut().record(end);
-        self.tried.borrow_mut().push(target.name.clone());
+        self.tried.borrow_mut().push(target.clone());
         let fields = [
-            ("target", target.name.to_string()),
+            ("target", target.to_string()),
             ("end", end.as_str().to_owned()),
             ("detail", detail.to_owned()),
         ];
@@ -109,10 +128,8 @@
     /// the retry budget if so.
     pub(super) fn try_repeat(&self, end: AttemptEnd) -> bool {
         let attempts_max = self.route.attempts_max;
-        let allows = self
-            .history
-            .borrow()
-            .allows_another(self.route.kind, attempts_max);
+        let attempts = self.all_attempts();
+        let allows = attempts.allows_another(self.route.kind, attempts_max);
         if !allows || self.remaining_ms() == 0 {
             return false;
         }
@@ -123,7 +140,7 @@
         }
         // An attempt that reached no target is not an arrival, so the next one counts as the first.
         let state = &self.state;
-        let is_first = self.history.borrow().arrivals() == 0;
+        let is_first = attempts.arrivals() == 0;
         let fits = is_first
             || state
                 .retries
@@ -140,7 +157,7 @@
         state.metrics.repeats.get_or_create(&label).inc();
         let fields = [
             ("after", end.as_str().to_owned()),
-            ("sent", self.history.borrow().sent().to_string()),
+            ("sent", attempts.sent().to_string()),
             ("left_ms", self.remaining_ms().to_string()),
         ];
         self.record.log_decision("call_repeated", fields);
@@ -186,7 +203,8 @@
             | AttemptEnd::Misdirected
             | AttemptEnd::Failed
             | AttemptEnd::Broken
-            | AttemptEnd::Silent => RefusalCause::TargetsUnreachable,
+            | AttemptEnd::Silent
+            | AttemptEnd::Superseded => RefusalCause::TargetsUnreachable,
         }
     }
 }
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -316,6 +316,7 @@
         workspace: rules.workspace,
         ends_at: arrived_at.plus_ms(timeout_ms),
         history: RefCell::new(AttemptHistory::default()),
+        open: Rc::default(),
         tried: RefCell::new(Vec::new()),
         trials: RefCell::default(),
         record,
--- a/crates/beechsaddle/src/gateway/call_record.rs
+++ b/crates/beechsaddle/src/gateway/call_record.rs
@@ -96,9 +96,9 @@
         });
     }
 
-    /// Records the start of an attempt.
-    pub(super) fn record_attempt_start(&self) {
-        self.attempt_started_at.set(self.state.now());
+    /// Records when the attempt started that answers, as far as is known.
+    pub(super) fn record_attempt_start(&self, started_at: ClockTime) {
+        self.attempt_started_at.set(started_at);
     }
 
     /// Records that the first event or the complete response is being sent.
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -68,7 +68,7 @@
 pub(super) const STREAM_ENDS: [&str; 3] = ["whole", "inside_event", "no_event"];
 
 /// Why a stream was broken off towards its caller.
-pub(super) const STREAM_BREAKS: [&str; 4] = ["silent", "broken", "deadline", "oversized"];
+pub(super) const STREAM_BREAKS: [&str; 3] = ["broken", "deadline", "oversized"];
 
 /// Why a caller's connection was closed by this router without a call in progress: the idle time or
 /// the time for a head was over.
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer_body;
 mod attempt_guard;
+mod attempt_race;
 mod cached_ledger;
 mod call_context;
 mod call_exchange;
@@ -26,6 +27,7 @@
 mod ledger_wait;
 mod limits;
 mod log_sampler;
+mod open_attempts;
 mod opening_turn;
 mod origins;
 mod peer_codec;
@@ -38,8 +40,10 @@
 mod status_view;
 mod store_call;
 mod store_tally;
+mod stream_attempt;
 mod stream_exchange;
 mod stream_relay;
+mod stream_takeover;
 mod target_choice;
 mod target_notice;
 mod target_path;
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -59,7 +59,7 @@
             }
             Err(failure) => (failure.end, failure.detail),
         };
-        call.record_attempt_end(&target, end, &detail);
+        call.record_attempt_end(&target.name, end, &detail);
         if !call.try_repeat(end) {
             break call.final_cause(end);
         }
@@ -76,7 +76,7 @@
     choice: &TargetChoice,
     target: &TargetRecord,
 ) -> Result<BufferedAnswer, SendFailure> {
-    let mut guard = AttemptGuard::start(call, target.clone(), choice.load);
+    let guard = AttemptGuard::start(call, target.clone(), choice.load);
     let outcome = exchange(call, target, wait_limit(call, target)).await;
     match &outcome {
         Ok(answer) => match answer.end {
--- a/crates/beechsaddle/src/gateway/stall_watch.rs
+++ b/crates/beechsaddle/src/gateway/stall_watch.rs
@@ -1,76 +1,118 @@
-//! The `stall_watch` module provides the detection of dead targets by their silence.
+//! The `stall_watch` module provides the detection of targets that have fallen silent.
 
+use std::future::pending;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::AttemptEnd;
+use beechsaddle_core::gateway::TargetRecord;
 use beechsaddle_core::prelude::*;
+use tokio::time::sleep;
 
-use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
+use super::target_choice::has_candidate;
 
-/// Silence in the middle of a stream after which a target is considered dead, in milliseconds, if
-/// no other call receives data from it either. It is several times the gap between two events at a
-/// full engine.
+/// Silence in the middle of a stream after which another target is sought, in milliseconds, if no
+/// other call receives data from the target either. It is several times the gap between two events
+/// at a full engine, and short compared to the gap after which callers leave.
 const STALL_TIMEOUT_MS: u64 = 1_200;
 
 /// Minimum prefill rate of a busy engine, in tokens per millisecond. A long prompt delays the first
 /// event, and other streams of the target, accordingly.
 const MIN_PREFILL_TOKENS_PER_MS: u64 = 20;
 
-/// Interval between checks of a silent target, in milliseconds.
-const STALL_CHECK_MS: u64 = 250;
+/// Interval between searches for another target while there is none, in milliseconds. A search
+/// costs no message.
+const SEARCH_INTERVAL_MS: u64 = 250;
 
-/// Distinguishes a dead target from a slow one: a dead one sends no data for any call.
+/// Time until the retry budget is asked again after it was empty, in milliseconds: it fills over
+/// seconds.
+const DENIED_PAUSE_MS: u64 = 1_000;
+
+/// Whether another target may be sought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SearchPhase {
+    /// Once the target is silent, and not before a time.
+    From(ClockTime),
+    /// Not before the target has sent data.
+    Over,
+}
+
+/// Tells when a call should be sent to another target beside a silent one, which may go on. It is
+/// sent to another one once for each silence: each attempt reaches a target, and draws on the
+/// fleet's retry budget.
 pub(super) struct StallWatch {
-    limit_ms: Option<u64>,
+    target: TargetName,
+    limit_ms: u64,
     last_data_at: ClockTime,
+    phase: SearchPhase,
 }
 
 impl StallWatch {
-    /// Creates a watch for the time until the first event.
-    pub(super) fn for_first_event(call: &CallContext, prefill_tokens: u64) -> Self {
-        StallWatch::start(
-            call,
-            STALL_TIMEOUT_MS + prefill_tokens / MIN_PREFILL_TOKENS_PER_MS,
-        )
-    }
-
-    fn start(call: &CallContext, limit_ms: u64) -> Self {
-        // A call that may not be retried gains nothing from abandoning a silent target.
-        let may_repeat = call.route.kind.may_repeat();
+    /// Creates a watch for the time until the first event of a stream.
+    pub(super) fn for_first_event(
+        call: &CallContext,
+        target: &TargetRecord,
+        prefill_tokens: u64,
+    ) -> Self {
+        let limit_ms = STALL_TIMEOUT_MS + prefill_tokens / MIN_PREFILL_TOKENS_PER_MS;
+        let now = call.state.now();
+        // A call that may run only once has to wait.
+        let phase = match call.route.kind.may_repeat() {
+            true => SearchPhase::From(now),
+            false => SearchPhase::Over,
+        };
         StallWatch {
-            limit_ms: may_repeat.then_some(limit_ms),
-            last_data_at: call.state.now(),
+            target: target.name.clone(),
+            limit_ms,
+            last_data_at: now,
+            phase,
         }
     }
 
-    /// Records that the target has sent data.
+    /// Records that a stream's target has sent data.
     pub(super) fn record_data(&mut self, call: &CallContext) {
         self.last_data_at = call.state.now();
-        self.limit_ms = self.limit_ms.map(|_| STALL_TIMEOUT_MS);
+        self.limit_ms = STALL_TIMEOUT_MS;
+        if call.route.kind.may_repeat() {
+            self.phase = SearchPhase::From(self.last_data_at);
+        }
     }
 
-    /// Returns the time until the target is checked again.
-    pub(super) fn poll_interval(&self, call: &CallContext) -> Duration {
-        match self.limit_ms {
-            Some(_) => call.remaining().min(Duration::from_millis(STALL_CHECK_MS)),
-            None => call.remaining(),
-        }
+    /// Records that the call was sent to another target, or would have been.
+    pub(super) fn record_search(&mut self) {
+        self.phase = SearchPhase::Over;
     }
 
-    /// Returns whether to stop waiting: the call's deadline has passed, or the target is dead and
-    /// the call may be retried elsewhere.
-    pub(super) fn is_expired(&self, call: &CallContext, guard: &AttemptGuard) -> bool {
-        if call.remaining_ms() == 0 {
-            return true;
-        }
-        let Some(limit_ms) = self.limit_ms else {
-            return false;
+    /// Records that the retry budget allows no other attempt for now.
+    pub(super) fn record_denied(&mut self, call: &CallContext) {
+        self.phase = SearchPhase::From(call.state.now().plus_ms(DENIED_PAUSE_MS));
+    }
+
+    /// Waits until the target is silent and the call may be sent to another one.
+    pub(super) async fn replaceable(&self, call: &CallContext) {
+        let SearchPhase::From(from) = self.phase else {
+            return pending().await;
         };
-        let mut after = call.history.borrow().clone();
-        after.record(AttemptEnd::Silent);
-        let may_retry = after.allows_another(call.route.kind, call.route.attempts_max);
-        let silent_ms = call.state.now().since(self.last_data_at);
-        may_retry && silent_ms >= limit_ms && guard.silence_ms() >= limit_ms
+        loop {
+            let now = call.state.now();
+            let silent_ms = now.since(self.last_progress_at(call));
+            let left_ms = self.limit_ms.saturating_sub(silent_ms).max(from.since(now));
+            if left_ms == 0 && call.may_race() && has_candidate(call) {
+                return;
+            }
+            let wait_ms = match left_ms {
+                0 => SEARCH_INTERVAL_MS,
+                left_ms => left_ms,
+            };
+            sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+
+    /// Returns when the target last sent data for any call: one that still sends some is slow, not silent.
+    fn last_progress_at(&self, call: &CallContext) -> ClockTime {
+        let roster = call.state.roster.borrow();
+        let entry = roster.get(&self.target);
+        entry.map_or(self.last_data_at, |entry| {
+            entry.stats.progress_at.max(self.last_data_at)
+        })
     }
 }
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -1,5 +1,6 @@
 //! The `stream_exchange` module provides calls that are answered by event streams.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use beechsaddle_core::gateway::{AttemptEnd, TargetChoice, TargetRecord};
@@ -12,12 +13,14 @@
 
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
+use super::attempt_race::{AttemptRace, AttemptResult, RaceEntry, RaceResult};
 use super::call_context::CallContext;
 use super::origins::{ResumeActor, ResumeVersion};
 use super::refusal::RefusalCause;
 use super::stall_watch::StallWatch;
-use super::stream_relay::{StreamAttempt, StreamRelay};
-use super::target_choice::{choose_permitted_target, no_target_cause, record_choice, refuse_call};
+use super::stream_attempt::StreamAttempt;
+use super::stream_relay::StreamRelay;
+use super::target_choice::refuse_call;
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 use super::token_reservation::TokenReservation;
 
@@ -90,39 +93,19 @@
     last_event: Option<u64>,
     reservation: Option<&TokenReservation>,
 ) -> StreamOpening {
-    let mut failure = None;
-    loop {
-        let Some((choice, target)) = choose_permitted_target(call).await else {
-            return failure.map_or_else(
-                || StreamOpening::Refused(no_target_cause(call)),
-                StreamOpening::Failed,
-            );
-        };
-        record_choice(call, &choice, &target);
-        if let Some(reservation) = reservation {
-            reservation.begin_attempt();
-        }
-        let (end, detail) = match run_attempt(call, choice, &target, last_event).await {
-            Ok(AttemptAnswer::Stream(open)) => return StreamOpening::Open(open),
-            Ok(AttemptAnswer::Failure(response)) => {
-                let detail = format!("status {}", response.status());
-                failure = Some(response);
-                (AttemptEnd::Failed, detail)
-            }
-            Err(failure) => (failure.end, failure.detail),
-        };
-        call.record_attempt_end(&target, end, &detail);
-        if let Some(reservation) = reservation
-            && !call.history.borrow().may_have_run()
-        {
-            reservation.undo_attempts();
-        }
-        if !call.try_repeat(end) {
-            return match failure {
-                Some(response) if end == AttemptEnd::Failed => StreamOpening::Failed(response),
-                Some(_) | None => StreamOpening::Refused(call.final_cause(end)),
-            };
-        }
+    let race = AttemptRace::new(call, reservation);
+    let result = race
+        .run(|choice, target| begin_attempt(call, choice, target, last_event))
+        .await;
+    match result {
+        RaceResult::Won(AttemptAnswer::Stream(open)) => StreamOpening::Open(open),
+        RaceResult::Won(AttemptAnswer::Failure(response)) => StreamOpening::Failed(response),
+        RaceResult::Lost {
+            answer: Some((AttemptAnswer::Failure(response), _)),
+            end: None | Some(AttemptEnd::Failed),
+            ..
+        } => StreamOpening::Failed(response),
+        RaceResult::Lost { cause, .. } => StreamOpening::Refused(cause),
     }
 }
 
@@ -131,57 +114,52 @@
     Failure(Response<AnswerBody>),
 }
 
-async fn run_attempt(
+fn begin_attempt(
     call: &CallContext,
     choice: TargetChoice,
-    target: &TargetRecord,
+    target: TargetRecord,
     last_event: Option<u64>,
-) -> Result<AttemptAnswer, SendFailure> {
-    let guard = AttemptGuard::start(call, target.clone(), choice.load);
-    let outcome = exchange(call, &guard, last_event, &choice).await;
-    match outcome {
-        Ok(answer) => classify_answer(call, guard, answer).await,
-        Err(failure) => {
-            guard.record_failure(failure.end);
-            guard.detect_crash(failure.end).await;
-            Err(failure)
-        }
+) -> RaceEntry<'_, AttemptAnswer> {
+    let watch = StallWatch::for_first_event(call, &target, choice.load.prefill_tokens);
+    let guard = Rc::new(AttemptGuard::start(call, target, choice.load));
+    let running = run_attempt(call, Rc::clone(&guard), last_event, choice.fetch_from);
+    RaceEntry {
+        guard,
+        watch,
+        running: Box::pin(running),
     }
 }
 
-/// Sends the call and waits for the response head. A target that still sends data to other calls
-/// counts as slow, not dead.
-async fn exchange(
+async fn run_attempt(
     call: &CallContext,
-    guard: &AttemptGuard,
+    guard: Rc<AttemptGuard>,
     last_event: Option<u64>,
-    choice: &TargetChoice,
-) -> Result<TargetAnswer, SendFailure> {
-    let mut sending = std::pin::pin!(send_attempt(
-        call,
-        guard.target(),
-        last_event,
-        choice.fetch_from,
-        call.remaining()
-    ));
-    let stall = StallWatch::for_first_event(call, choice.load.prefill_tokens);
-    loop {
-        match timeout(stall.poll_interval(call), &mut sending).await {
-            Ok(answer) => return answer,
-            Err(_) if stall.is_expired(call, guard) => {
-                return Err(SendFailure::new(
-                    AttemptEnd::Silent,
-                    "target sent no response head in time",
-                ));
-            }
-            Err(_) => {}
+    fetch_from: Option<SocketAddr>,
+) -> AttemptResult<AttemptAnswer> {
+    let target = guard.target();
+    let sending = send_attempt(call, target, last_event, fetch_from, call.remaining());
+    let result = match sending.await {
+        Ok(answer) => classify_answer(call, guard, answer).await,
+        Err(failure) => {
+            guard.record_failure(failure.end);
+            guard.detect_crash(failure.end).await;
+            Err(failure)
         }
+    };
+    match result {
+        Ok(AttemptAnswer::Failure(response)) => AttemptResult::Unusable {
+            detail: format!("status {}", response.status()),
+            answer: AttemptAnswer::Failure(response),
+            end: AttemptEnd::Failed,
+        },
+        Ok(answer) => AttemptResult::Usable(answer),
+        Err(failure) => AttemptResult::Failure(failure),
     }
 }
 
 async fn classify_answer(
     call: &CallContext,
-    guard: AttemptGuard,
+    guard: Rc<AttemptGuard>,
     answer: TargetAnswer,
 ) -> Result<AttemptAnswer, SendFailure> {
     let facts = &answer.facts;
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -5,24 +5,20 @@
 
 use beechsaddle_core::gateway::{AttemptEnd, RouteKind, StreamOrigin};
 use beechsaddle_core::prelude::*;
-use beechsaddle_platform::{BodyFraming, ResponseHead};
 use bytes::Bytes;
 use futures::stream::unfold;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use super::answer_body::BodyStream;
-use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
-use super::crashes::{confirm_completion, detect_crash, record_completion};
 use super::event_splitter::EventSplitter;
-use super::gateway_metrics::{OutcomeLabel, STREAM_BREAKS, STREAM_ENDS, StreamEndLabel};
+use super::gateway_metrics::{OutcomeLabel, STREAM_BREAKS};
 use super::origins::{ResumeActor, ResumeVersion, publish_origin};
 use super::stall_watch::StallWatch;
+use super::stream_attempt::{StreamAttempt, UpstreamPart};
 use super::stream_exchange::{StreamOpening, open_stream};
-use super::target_path::TargetLink;
+use super::stream_takeover::{CUT_STREAM, StreamProgress, Takeover, race_takeover};
 use super::token_reservation::TokenReservation;
 
 /// The response ended prematurely; the caller's connection is closed without its final chunk.
@@ -40,8 +36,6 @@
 /// Why a stream is broken off towards its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamBreak {
-    /// The target sent nothing for too long.
-    Silent,
     /// The target's stream ended prematurely.
     Broken,
     /// The call's deadline passed.
@@ -51,19 +45,10 @@
 }
 
 impl StreamBreak {
-    /// Returns the reason for which a stream ends after an attempt that no other one follows.
-    fn of(end: AttemptEnd) -> Self {
-        match end {
-            AttemptEnd::Silent => StreamBreak::Silent,
-            _ => StreamBreak::Broken,
-        }
-    }
-
     /// Returns the name of the reason in logs and counters.
     fn as_str(self) -> &'static str {
-        let [silent, broken, deadline, oversized] = STREAM_BREAKS;
+        let [broken, deadline, oversized] = STREAM_BREAKS;
         match self {
-            StreamBreak::Silent => silent,
             StreamBreak::Broken => broken,
             StreamBreak::Deadline => deadline,
             StreamBreak::Oversized => oversized,
@@ -71,51 +56,11 @@
     }
 }
 
-/// One target's part of a stream.
-pub(super) struct StreamAttempt {
-    guard: AttemptGuard,
-    link: TargetLink,
-    body: Incoming,
-    facts: ResponseHead,
-    /// Whether the target has sent a complete event.
-    has_event: bool,
-}
-
-impl StreamAttempt {
-    /// Creates the attempt of a stream whose head was read.
-    pub(super) fn new(
-        guard: AttemptGuard,
-        link: TargetLink,
-        body: Incoming,
-        facts: ResponseHead,
-    ) -> Self {
-        StreamAttempt {
-            guard,
-            link,
-            body,
-            facts,
-            has_event: false,
-        }
-    }
-
-    /// Returns the software version of the target.
-    pub(super) fn version(&self) -> SoftwareVersion {
-        self.guard.target().version.clone()
-    }
-
-    /// Records success and returns the connection to the pool.
-    fn finish(self, call: &CallContext) {
-        self.guard.record_success();
-        let address = self.guard.target().address;
-        self.link.release(&call.state, address, &self.facts);
-    }
-}
-
-/// The next item of a target's stream.
-enum UpstreamPart {
-    Data(Bytes),
-    End,
-    Lost(AttemptEnd, String),
+/// What happens next to a stream.
+enum RelayStep {
+    Part(UpstreamPart),
+    /// The target is silent, and another one may be tried.
+    Replaceable,
 }
 
 /// A stream that is being forwarded. Dropping it closes the connection to its target.
@@ -137,10 +82,9 @@
         reservation: Option<TokenReservation>,
         attempt: StreamAttempt,
     ) -> Self {
-        let prefill_tokens = call.head.bound.map_or(0, |bound| bound.input);
         StreamRelay {
             splitter: EventSplitter::new(call.head.last_event),
-            stall: StallWatch::for_first_event(&call, prefill_tokens),
+            stall: watch_first_event(&call, &attempt),
             call,
             reservation,
             attempt: Some(attempt),
@@ -160,10 +104,9 @@
 
     async fn next_chunk(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         while !self.is_finished {
-            let part = match self.next_part().await {
-                UpstreamPart::Data(data) => self.handle_data(&data),
-                UpstreamPart::End => self.handle_end().await,
-                UpstreamPart::Lost(end, detail) => self.handle_loss(end, &detail).await,
+            let part = match self.next_step().await {
+                RelayStep::Part(part) => self.handle_part(part).await,
+                RelayStep::Replaceable => self.handle_silence().await,
             };
             if part.is_some() {
                 return part;
@@ -172,47 +115,70 @@
         None
     }
 
-    async fn next_part(&mut self) -> UpstreamPart {
+    async fn next_step(&mut self) -> RelayStep {
         let Some(attempt) = &mut self.attempt else {
-            return UpstreamPart::Lost(AttemptEnd::Broken, "no attempt is open".to_owned());
+            let detail = "no attempt is open".to_owned();
+            return RelayStep::Part(UpstreamPart::Lost(AttemptEnd::Broken, detail));
         };
-        loop {
-            let interval = self.stall.poll_interval(&self.call);
-            match timeout(interval, attempt.body.frame()).await {
-                Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) if !data.is_empty() => {
-                        attempt.guard.record_first_event();
-                        attempt.guard.record_progress();
-                        self.stall.record_data(&self.call);
-                        return UpstreamPart::Data(data);
-                    }
-                    // Trailers and empty frames carry nothing for the caller.
-                    Ok(_) | Err(_) => {}
-                },
-                Ok(Some(Err(error))) => {
-                    return UpstreamPart::Lost(AttemptEnd::Broken, error.to_string());
-                }
-                Ok(None) => return UpstreamPart::End,
-                Err(_) if self.stall.is_expired(&self.call, &attempt.guard) => {
-                    return UpstreamPart::Lost(
-                        AttemptEnd::Silent,
-                        "target sent no event in time".to_owned(),
-                    );
-                }
-                Err(_) => {}
+        tokio::select! {
+            biased;
+            part = attempt.next_part() => RelayStep::Part(part),
+            () = self.stall.replaceable(&self.call) => RelayStep::Replaceable,
+            () = sleep(self.call.remaining()) => {
+                let detail = "the deadline is over".to_owned();
+                RelayStep::Part(UpstreamPart::Lost(AttemptEnd::Silent, detail))
             }
         }
     }
 
+    async fn handle_part(&mut self, part: UpstreamPart) -> Option<Result<Bytes, StreamBroken>> {
+        match part {
+            UpstreamPart::Data(data) => self.handle_data(&data),
+            UpstreamPart::End => self.handle_end().await,
+            UpstreamPart::Lost(end, detail) => self.handle_loss(end, &detail).await,
+        }
+    }
+
+    /// Tries another target while the silent one may still go on.
+    async fn handle_silence(&mut self) -> Option<Result<Bytes, StreamBroken>> {
+        if !self.call.try_repeat(AttemptEnd::Silent) {
+            self.stall.record_denied(&self.call);
+            return None;
+        }
+        self.stall.record_search();
+        let attempt = self.attempt.take()?;
+        let progress = StreamProgress {
+            reservation: self.reservation.as_ref(),
+            last_event: self.splitter.last_event(),
+            partial_bytes: self.splitter.partial_bytes(),
+        };
+        match race_takeover(&self.call, attempt, progress).await {
+            Takeover::Continued(attempt, part) => {
+                self.attempt = Some(attempt);
+                self.handle_part(part).await
+            }
+            Takeover::Replaced(open) => {
+                self.resume_at(open.attempt);
+                None
+            }
+            Takeover::Unreplaced(attempt) => {
+                self.attempt = Some(attempt);
+                None
+            }
+            Takeover::Lost(detail) => Some(Err(self.abort(StreamBreak::Broken, &detail))),
+        }
+    }
+
     fn handle_data(&mut self, data: &[u8]) -> Option<Result<Bytes, StreamBroken>> {
         let Ok(part) = self.splitter.push(data) else {
             return Some(Err(
                 self.abort(StreamBreak::Oversized, "event exceeds the size limit")
             ));
         };
+        self.stall.record_data(&self.call);
         self.events += part.events;
-        if let Some(attempt) = &mut self.attempt {
-            attempt.has_event |= part.complete > 0;
+        if let Some(attempt) = self.attempt.as_mut().filter(|_| part.complete > 0) {
+            attempt.record_complete_event();
         }
         if let Some(reservation) = &self.reservation {
             // The target does not report tokens per event; each event is charged the most it can
@@ -246,41 +212,20 @@
     }
 
     async fn handle_end(&mut self) -> Option<Result<Bytes, StreamBroken>> {
-        self.record_end();
-        if self.is_truncated() {
-            let detail = "the stream ended inside or before an event";
-            return self.handle_loss(AttemptEnd::Broken, detail).await;
+        let attempt = self.attempt.take()?;
+        let partial_bytes = self.splitter.partial_bytes();
+        attempt.record_body_end(&self.call, partial_bytes);
+        if attempt.is_truncated(partial_bytes) {
+            self.attempt = Some(attempt);
+            return self.handle_loss(AttemptEnd::Broken, CUT_STREAM).await;
         }
         self.is_finished = true;
-        if let Some(attempt) = self.attempt.take() {
-            self.record_completion(&attempt);
-            attempt.finish(&self.call);
-        }
+        attempt.finish(&self.call);
         self.call.record.record_lateness(&self.call.route);
         self.call.record.set_outcome(ANSWERED);
         None
     }
 
-    /// Records that the stream is complete. If its body ended with the connection, it looks the same as
-    /// one that a crash cut between two events, so that the target is asked first.
-    fn record_completion(&self, attempt: &StreamAttempt) {
-        let state = &self.call.state;
-        match attempt.facts.framing {
-            BodyFraming::Connection => confirm_completion(state, attempt.guard.suspect_run()),
-            _ => record_completion(state, &self.call.suspects),
-        }
-    }
-
-    /// Returns whether the current target's stream was cut although its body ended without an error. If
-    /// the body ends with its connection, a crash of the target shows in no other way.
-    fn is_truncated(&self) -> bool {
-        let Some(attempt) = &self.attempt else {
-            return true;
-        };
-        let is_unframed = attempt.facts.framing == BodyFraming::Connection;
-        self.splitter.partial_bytes() > 0 || (is_unframed && !attempt.has_event)
-    }
-
     async fn handle_loss(
         &mut self,
         end: AttemptEnd,
@@ -292,61 +237,33 @@
         }
     }
 
-    /// Records where the body of the current target's response ended.
-    fn record_end(&self) {
-        let Some(attempt) = &self.attempt else {
-            return;
-        };
-        let framing = attempt.facts.framing.as_str();
-        let partial_bytes = self.splitter.partial_bytes();
-        let [whole, inside_event, no_event] = STREAM_ENDS;
-        let what = match (partial_bytes, attempt.has_event) {
-            (1.., _) => inside_event,
-            (0, true) => whole,
-            (0, false) => no_event,
-        };
-        let label = StreamEndLabel { framing, what };
-        self.call
-            .state
-            .metrics
-            .stream_ends
-            .get_or_create(&label)
-            .inc();
-        self.call.record.add_field("framing", framing);
-        if partial_bytes > 0 {
-            self.call.record.add_field("partial_bytes", partial_bytes);
-        }
-    }
-
     /// Resumes the stream at another target, after the last event that the caller has.
     async fn try_resume(&mut self, end: AttemptEnd, detail: &str) -> Result<(), StreamBroken> {
-        // The old connection is closed first: two targets at work on one stream waste one of them.
         if let Some(attempt) = self.attempt.take() {
-            attempt.guard.record_failure(end);
-            let run = attempt.guard.suspect_run();
-            drop(attempt);
-            detect_crash(&self.call.state, run.clone(), end).await;
-            self.call.record_attempt_end(&run.target, end, detail);
+            attempt.fail(&self.call, end, detail).await;
         }
         self.splitter.drop_partial();
         let is_resumable = self.call.route.kind == RouteKind::Stream { is_resumable: true };
         if !is_resumable || !self.call.try_repeat(end) {
-            return Err(self.abort(StreamBreak::of(end), detail));
+            return Err(self.abort(StreamBreak::Broken, detail));
         }
         let last_event = self.splitter.last_event();
         let opening = open_stream(&self.call, last_event, self.reservation.as_ref()).await;
         let StreamOpening::Open(open) = opening else {
-            return Err(self.abort(StreamBreak::of(end), "no target resumed the stream"));
+            return Err(self.abort(StreamBreak::Broken, "no target resumed the stream"));
         };
-        self.log_resume(last_event, &open.attempt.version());
-        self.stall = StallWatch::for_first_event(
-            &self.call,
-            self.call.head.bound.map_or(0, |bound| bound.input),
-        );
-        self.attempt = Some(open.attempt);
+        self.resume_at(open.attempt);
         Ok(())
     }
 
+    /// Goes on with another target's part of the stream.
+    fn resume_at(&mut self, attempt: StreamAttempt) {
+        self.splitter.drop_partial();
+        self.log_resume(self.splitter.last_event(), &attempt.version());
+        self.stall = watch_first_event(&self.call, &attempt);
+        self.attempt = Some(attempt);
+    }
+
     fn log_resume(&self, last_event: Option<u64>, version: &SoftwareVersion) {
         self.call.state.metrics.resumes.inc();
         let began_at = self.call.version.borrow();
@@ -389,6 +306,12 @@
     }
 }
 
+/// Watches a target that has to process the prompt before the first event.
+fn watch_first_event(call: &CallContext, attempt: &StreamAttempt) -> StallWatch {
+    let prefill_tokens = call.head.bound.map_or(0, |bound| bound.input);
+    StallWatch::for_first_event(call, attempt.target(), prefill_tokens)
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         let spent = self.reservation.as_ref().map(TokenReservation::used);
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -30,27 +30,15 @@
     }
 }
 
-/// Chooses a target among those that were not tried yet, or among all once every one was tried.
+/// Whether there is a target for one more attempt of a call.
+pub(super) fn has_candidate(call: &CallContext) -> bool {
+    find_choice(call).is_some()
+}
+
+/// Chooses a target and counts the request in its slow start.
 fn choose(call: &CallContext) -> Option<(TargetChoice, TargetRecord)> {
-    let state = &call.state;
-    // The router's link may have become saturated while the call waited or was tried.
-    if state.is_behind_full_link() {
-        return None;
-    }
-    let tried = call.tried.borrow();
-    let now = state.now();
-    let choice = with_input(call, &tried, |roster, input| {
-        choose_target(roster, now, input).or_else(|| {
-            choose_target(
-                roster,
-                now,
-                ChoiceInput {
-                    tried: &[],
-                    ..input
-                },
-            )
-        })
-    })?;
+    let choice = find_choice(call)?;
+    let (state, now) = (&call.state, call.state.now());
     let mut roster = state.roster.borrow_mut();
     let entry = roster.get_mut(&choice.target)?;
     if let Some(rule) = call.rule.warm_up {
@@ -59,6 +47,31 @@
     Some((choice, entry.record.clone()))
 }
 
+/// Finds a target among those that were not tried yet, or among all once every one was tried. While
+/// an attempt of the call is open, its target may still answer, and none is tried again.
+fn find_choice(call: &CallContext) -> Option<TargetChoice> {
+    let state = &call.state;
+    // The router's link may have become saturated while the call waited or was tried.
+    if state.is_behind_full_link() {
+        return None;
+    }
+    let open = call.open.targets();
+    let mut tried = call.tried.borrow().clone();
+    tried.extend_from_slice(&open);
+    let now = state.now();
+    with_input(call, &tried, |roster, input| {
+        let untried = choose_target(roster, now, input);
+        if untried.is_some() || !open.is_empty() {
+            return untried;
+        }
+        let input = ChoiceInput {
+            tried: &[],
+            ..input
+        };
+        choose_target(roster, now, input)
+    })
+}
+
 /// Calls `decide` with the known targets and the inputs of a choice for a call.
 fn with_input<T>(
     call: &CallContext,
@@ -157,7 +170,7 @@
         ("store_age_ms", call.state.store_age_ms().to_string()),
     ];
     call.record.log_decision("call_placed", fields);
-    call.record.record_attempt_start();
+    call.record.record_attempt_start(call.state.now());
 }
 
 /// Why a ready target gets no request at present, and for how long.
--- a/crates/beechsaddle/tests/gateway_silence.rs
+++ b/crates/beechsaddle/tests/gateway_silence.rs
@@ -9,6 +9,7 @@
 };
 use futures::future::join_all;
 use gateway_support::{GatewayBench, draft, request, wait_for};
+use nix::sys::signal::Signal;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -23,6 +24,9 @@
 /// A silence that lasts longer than any test.
 const ENDLESS: Duration = Duration::from_secs(30);
 
+/// Prompt tokens of each stream.
+const PROMPT_TOKENS: u64 = 100;
+
 /// Events of each stream.
 const EVENTS: [u64; 6] = [1, 2, 3, 4, 5, 6];
 
@@ -65,7 +69,7 @@
 
 fn stream_request(id: &str) -> CallRequest {
     let mut call = request("POST /stream/on/1", id);
-    call.tokens = Some((100, 60));
+    call.tokens = Some((PROMPT_TOKENS, 60));
     call
 }
 
@@ -201,6 +205,43 @@
     assert_eq!(resumed.headers["last-event-id"], "3");
 }
 
+/// Guards against waiting for a second target that is silent as well.
+#[tokio::test]
+async fn silent_streams_of_two_third_takes_over() {
+    let bench = start_with_one_engine().await;
+    let mut config = draft(2, AMPLE);
+    for route in &mut config.routes {
+        route.attempts = 3;
+    }
+    bench.store.put_config(&config);
+    bench
+        .router
+        .wait_log(&["config_in_force", "version=2"])
+        .await;
+    bench.engines[0].set_pause(pause_after(3, ENDLESS));
+    bench.engines[1].set_response_delay(ENDLESS);
+    let replies = start_streams(&bench, 1).await;
+    join_second_engine(&bench).await;
+    wait_for("a second attempt", || async {
+        bench.engines[1].runs().len() == 1
+    })
+    .await;
+    let third = TargetStandIn::try_start("engine-3")
+        .await
+        .expect("a target");
+    third.set_events(EVENTS.len() as u64, Duration::from_millis(30));
+    bench
+        .store
+        .put_target(&third, "engine", "north", EntryState::Ready);
+    let replies = finish(replies).await;
+    assert_whole(&replies);
+    assert_eq!(third.runs()[0].headers["last-event-id"], "3");
+    wait_for("an end of both runs", || async {
+        bench.engines.iter().all(is_cancelled)
+    })
+    .await;
+}
+
 /// Guards against giving up a target that goes on before the other one has answered.
 #[tokio::test]
 async fn silent_stream_speaks_before_second() {
@@ -287,6 +328,36 @@
     .await;
 }
 
+/// Guards against giving a prompt's tokens back because the second target rejects the stream: the
+/// silent one may process the prompt.
+#[tokio::test]
+async fn silent_before_head_prompt_is_spent() {
+    let mut bench = start_with_one_engine().await;
+    bench.engines[0].set_response_delay(ENDLESS);
+    bench.engines[1].set_fault(TargetFault::Full);
+    let bytes = stream_request("call-1").bytes();
+    let mut caller = TcpStream::connect(bench.router.address)
+        .await
+        .expect("a connection");
+    caller.write_all(&bytes).await.expect("a call");
+    wait_for("a run", || async { bench.engines[0].runs().len() == 1 }).await;
+    join_second_engine(&bench).await;
+    bench
+        .router
+        .wait_log(&["attempt_ended", "end=not_run"])
+        .await;
+    drop(caller);
+    wait_for("an end of the run", || async {
+        is_cancelled(&bench.engines[0])
+    })
+    .await;
+    bench.router.signal(Signal::SIGTERM);
+    assert_eq!(bench.router.wait_end().await, Some(0));
+    let ledger = bench.store.spec("budgets", "ledger-acme");
+    let ledger = ledger.expect("a ledger");
+    assert_eq!(ledger["taken"].as_u64(), Some(PROMPT_TOKENS));
+}
+
 /// Guards against targets that work on after the call's deadline.
 #[tokio::test]
 async fn silent_stream_deadline_ends_both() {
@@ -395,8 +466,8 @@
             "call {number}"
         );
     }
-    let silent = bench.plain[0].runs().iter().any(|run| run.is_cancelled);
-    assert!(!silent, "the first target was given up");
+    let is_given_up = bench.plain[0].runs().iter().any(|run| run.is_cancelled);
+    assert!(!is_given_up, "the first target was given up");
 }
 
 /// Guards against refusing a call that its first target answers late, as the second one rejects it.
