--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use beechsaddle_platform_stand_in::{
-    CallRequest, ConfigDraft, DraftKind, EntryState, READY_LINE, RouteDraft, StoreStandIn, call,
+    CallRequest, ConfigDraft, DraftKind, EntryState, LimitsDraft, READY_LINE, RouteDraft,
+    StoreStandIn, call,
 };
 use eyre::{WrapErr, bail};
 use serde_json::Value;
@@ -321,6 +322,7 @@
             resumable,
         ],
         workspaces: WORKSPACES.to_vec(),
+        limits: LimitsDraft::default(),
     }
 }
 
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -10,8 +10,8 @@
 
 use beechsaddle_lab::fleet::free_address;
 use beechsaddle_platform_stand_in::{
-    CallReply, CallRequest, ConfigDraft, DraftKind, EntryState, READY_LINE, RouteDraft,
-    StoreStandIn, TargetStandIn, call,
+    CallReply, CallRequest, ConfigDraft, DraftKind, EntryState, LimitsDraft, READY_LINE,
+    RouteDraft, StoreStandIn, TargetStandIn, call,
 };
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -374,6 +374,7 @@
             single,
         ],
         workspaces: vec![("acme", KEY, prepaid)],
+        limits: LimitsDraft::default(),
     }
 }
 
