Limits on callers apply to open connections, by every version that a caller may go by

Callers saw whole requests on kept connections end without an answer after a version had made the idle time longer: they keep a connection for up to four fifths of the idle time in force, and the router closed it by the one that was in force at its accept. Slow heads, large heads and large bodies met the same fault: a longer or larger limit came late or never, a shorter one never, and callers by the former body limit were refused at once.

The cause: `serve_connection` read the limits once, at the accept, and gave the HTTP connection a fixed time and size.

`LimitHistory` now tells which limits apply at a time: the most generous of the newest version and of those that were superseded less than `in_force_ms` before; times are longer by `in_force_ms`, as callers may know a version before the router does. While the store does not tell whether there is a newer one, idle connections are kept for a minute, unless more than half of the descriptors are in use. The timers of a connection read the limit when they fire and go on for the rest of a longer one, so that a change wakes no connection. What has arrived in the socket is read before a connection is closed, and an idle close is a normal one. The size of a head is judged once it was read, with 431; the HTTP connection only has a bound on memory.

`beechsaddle_caller_closes` counts `idle`, `unconfirmed` and `head` in place of `in_force` and `superseded`: no connection is closed by a superseded limit any more, and what an operator needs to know is whether the router knew the newest one. Slow heads are counted as well. The other edge keeps its fixed limits and reads what has arrived before it cuts a slow head.

--- a/crates/beechsaddle-core/src/gateway/caller_limits.rs
+++ b/crates/beechsaddle-core/src/gateway/caller_limits.rs
@@ -13,6 +13,19 @@
     pub idle_timeout_ms: u64,
 }
 
+impl CallerLimits {
+    /// Returns the larger one of each limit.
+    #[must_use]
+    pub fn widened_by(self, other: CallerLimits) -> Self {
+        CallerLimits {
+            head_bytes: self.head_bytes.max(other.head_bytes),
+            body_bytes: self.body_bytes.max(other.body_bytes),
+            head_timeout_ms: self.head_timeout_ms.max(other.head_timeout_ms),
+            idle_timeout_ms: self.idle_timeout_ms.max(other.idle_timeout_ms),
+        }
+    }
+}
+
 impl Default for CallerLimits {
     /// The limits before the operator's are known: common defaults of HTTP servers.
     fn default() -> Self {
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod fleet_clock;
 mod gateway_config;
 mod gateway_status;
+mod limit_history;
 mod link_meter;
 mod loan_backoff;
 mod origin_placement;
@@ -75,6 +76,7 @@
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
     WorkspaceStatus,
 };
+pub use limit_history::{ChangeBounds, IdleLimit, LimitHistory};
 pub use link_meter::{LinkDirection, LinkMeter};
 pub use loan_backoff::LoanBackoff;
 pub use outlier_score::OutlierScore;
--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -30,6 +30,7 @@
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::guarded_stream::GuardedStream;
+use super::stream_limits::{FixedLimits, StreamLimits};
 use super::tracked_body::TrackedBody;
 
 /// The library panics below this limit.
@@ -58,7 +59,8 @@
     let head_timeout = Duration::from_millis(state.options.head_timeout_ms);
     let idle_timeout = Duration::from_millis(state.options.idle_timeout_ms);
     let write_stall = Duration::from_millis(state.options.write_stall_ms);
-    let stream = GuardedStream::new(stream, tracker.clone(), head_timeout, write_stall);
+    let limits = FixedLimits::new(head_timeout);
+    let stream = GuardedStream::new(stream, tracker.clone(), limits, write_stall);
     let hyper_service = service_fn(|request: Request<Incoming>| {
         let service = service.clone();
         let tracker = tracker.clone();
@@ -125,7 +127,7 @@
 /// answer that the peer has not read yet: a caller whose body is too large would see a broken
 /// connection instead of its 413. The remaining bytes are therefore read, within limits, until the
 /// peer closes.
-async fn linger(mut stream: GuardedStream) {
+async fn linger(mut stream: GuardedStream<impl StreamLimits + Unpin>) {
     if stream.shutdown().await.is_err() {
         return;
     }
--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -1,6 +1,8 @@
-//! The `guarded_stream` module provides caller connections with time limits on heads and writes.
+//! The `guarded_stream` module provides caller connections with time limits on heads, writes and
+//! the wait for a request.
 
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -11,35 +13,41 @@
 
 use super::connection_tracker::ConnectionTracker;
 use super::head_timer::HeadTimer;
+use super::idle_timer::IdleTimer;
+use super::stream_limits::{StreamCut, StreamLimits};
 
 /// A TCP stream that fails if the peer exceeds the time limit for a request head, or accepts no
-/// bytes of its answer for too long.
+/// bytes of its answer for too long, and that ends if the peer sends no request for too long.
 ///
 /// If a caller stops reading, its target is not read either. Without a limit, one caller could
 /// occupy an engine's slot and a reservation for any length of time. The limit counts only time
 /// without progress, so slow readers are still served.
-pub(crate) struct GuardedStream {
+pub(crate) struct GuardedStream<L> {
     stream: TcpStream,
     tracker: ConnectionTracker,
+    limits: L,
     head_timer: HeadTimer,
+    idle_timer: IdleTimer,
     write_stall: Duration,
     stall: Option<Pin<Box<Sleep>>>,
     is_stalled: bool,
 }
 
-impl GuardedStream {
-    /// Wraps `stream`; a request head may take `head_timeout`, and writes may make no progress for
-    /// `write_stall`.
+impl<L: StreamLimits + Unpin> GuardedStream<L> {
+    /// Wraps `stream`; heads and waits may take what `limits` allow, and writes may make no progress
+    /// for `write_stall`.
     pub(crate) fn new(
         stream: TcpStream,
         tracker: ConnectionTracker,
-        head_timeout: Duration,
+        limits: L,
         write_stall: Duration,
     ) -> Self {
         GuardedStream {
             stream,
             tracker,
-            head_timer: HeadTimer::new(head_timeout),
+            limits,
+            head_timer: HeadTimer::default(),
+            idle_timer: IdleTimer::default(),
             write_stall,
             stall: None,
             is_stalled: false,
@@ -75,30 +83,72 @@
             Poll::Pending => self.check_stall(context),
         }
     }
+
+    /// Ends the connection if the awaited request, of which no further bytes are there, took too
+    /// long.
+    fn check_limits(&mut self, request: u64, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(cut) = self.exceeded_limit(request, context) else {
+            return Poll::Pending;
+        };
+        if has_unread_bytes(&self.stream) {
+            return Poll::Pending;
+        }
+        self.limits.record_cut(cut);
+        match cut {
+            StreamCut::Head => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            // The HTTP connection takes this for a close by the caller, and closes as well.
+            StreamCut::Idle => Poll::Ready(Ok(())),
+        }
+    }
+
+    fn exceeded_limit(&mut self, request: u64, context: &mut Context<'_>) -> Option<StreamCut> {
+        let limits = &self.limits;
+        if self.head_timer.is_started(request) {
+            let head_timeout = || limits.head_timeout();
+            let is_over = self.head_timer.is_over(head_timeout, context);
+            return is_over.then_some(StreamCut::Head);
+        }
+        let known = limits.idle_timeout()?;
+        let idle_timeout = || limits.idle_timeout().unwrap_or(known);
+        let is_over = self.idle_timer.is_over(request, idle_timeout, context);
+        is_over.then_some(StreamCut::Idle)
+    }
+}
+
+/// Whether bytes have arrived that the runtime has not noticed yet. It will, and closing now would
+/// reset a connection with a request on it.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    // Without a free descriptor it cannot be told, and the connection has to yield its own.
+    let Ok(descriptor) = stream.as_fd().try_clone_to_owned() else {
+        return false;
+    };
+    let socket = std::net::TcpStream::from(descriptor);
+    socket.peek(&mut [0]).is_ok_and(|count| count > 0)
 }
 
-impl AsyncRead for GuardedStream {
+impl<L: StreamLimits + Unpin> AsyncRead for GuardedStream<L> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let awaited = self.tracker.awaited_request();
-        if let Some(request) = awaited {
-            self.head_timer.check(request, context)?;
-        }
         let filled = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if let Some(request) = awaited
-            && buffer.filled().len() > filled
-        {
-            self.head_timer.start(request);
+        let Some(request) = self.tracker.awaited_request() else {
+            return read;
+        };
+        if read.is_pending() {
+            return self.check_limits(request, context);
+        }
+        if buffer.filled().len() > filled {
+            let head_timeout = self.limits.head_timeout();
+            self.head_timer.start(request, head_timeout);
         }
         read
     }
 }
 
-impl AsyncWrite for GuardedStream {
+impl<L: StreamLimits + Unpin> AsyncWrite for GuardedStream<L> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -130,7 +180,7 @@
     }
 }
 
-impl Drop for GuardedStream {
+impl<L> Drop for GuardedStream<L> {
     fn drop(&mut self) {
         if self.tracker.is_broken() {
             // A normal close would look like the end of the answer to callers that do not check for
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -209,6 +209,7 @@
             "no evacuations are known yet",
         ));
     }
+    check_head_size(state, parts)?;
     let head = CallHead::try_read(parts)
         .map_err(|fault| CallRefusal::new(RefusalCause::BadHead, fault.to_string()))?;
     record.set_id(&head.request_id);
@@ -232,6 +233,30 @@
     Ok((head, rules))
 }
 
+/// Refuses heads that are larger than any version allows that callers may go by. The HTTP connection
+/// has a limit of its own, which has to allow what later versions may.
+fn check_head_size(state: &GatewayState, parts: &Parts) -> Result<(), CallRefusal> {
+    let head_max = state.caller_limits().head_bytes;
+    match head_bytes(parts) > head_max {
+        true => Err(CallRefusal::new(
+            RefusalCause::HeadTooLarge,
+            format!("at most {head_max} bytes are taken"),
+        )),
+        false => Ok(()),
+    }
+}
+
+/// Returns the size of a head without optional white space, in bytes.
+fn head_bytes(parts: &Parts) -> usize {
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let first_line = parts.method.as_str().len() + path.len() + "  HTTP/1.1\r\n".len();
+    let lines = parts.headers.iter().map(|(name, value)| {
+        let separators = ":\r\n".len();
+        name.as_str().len() + value.len() + separators
+    });
+    first_line + lines.sum::<usize>() + "\r\n".len()
+}
+
 fn find_workspace(
     config: &GatewayConfig,
     route: &RouteRule,
@@ -259,7 +284,7 @@
     record: CallRecord,
 ) -> Result<CallContext, (CallRecord, CallRefusal)> {
     let arrived_at = record.arrived_at();
-    let body_max = rules.config.limits.body_bytes;
+    let body_max = state.caller_limits().body_bytes;
     let timeout_ms = head.deadline_ms.unwrap_or(u64::MAX);
     let timeout_ms = timeout_ms.min(rules.route.timeout_ms);
     let body = match read_body(body, body_max, timeout_ms.min(BODY_TIMEOUT_MS)).await {
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/caller_connection.rs
@@ -0,0 +1,85 @@
+//! The `caller_connection` module provides the limits in force on a caller's connection.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::IdleLimit;
+use beechsaddle_core::prelude::*;
+use beechsaddle_core::report::LogLevel;
+
+use super::gateway_metrics::{CALLER_CLOSES, OutcomeLabel};
+use super::gateway_state::GatewayState;
+use crate::calls::{StreamCut, StreamLimits};
+
+/// An open connection of a caller. It counts as open until it is dropped.
+pub(super) struct CallerConnection {
+    state: Rc<GatewayState>,
+    accepted_at: ClockTime,
+}
+
+impl CallerConnection {
+    /// Counts a connection that was accepted now.
+    pub(super) fn new(state: Rc<GatewayState>) -> Self {
+        let open_connections = state.open_connections.get() + 1;
+        state.open_connections.set(open_connections);
+        let accepted_at = state.now();
+        CallerConnection { state, accepted_at }
+    }
+
+    fn idle_limit(&self) -> IdleLimit {
+        let state = &self.state;
+        let bounds = state.settings().change_bounds;
+        let open_connections = state.open_connections.get();
+        let limits = state.limit_history.borrow();
+        limits.idle_limit(state.now(), bounds, open_connections)
+    }
+
+    fn head_timeout_ms(&self) -> u64 {
+        let state = &self.state;
+        let bounds = state.settings().change_bounds;
+        let limits = state.limit_history.borrow();
+        limits.head_timeout_ms(state.now(), bounds)
+    }
+}
+
+impl StreamLimits for CallerConnection {
+    fn head_timeout(&self) -> Duration {
+        Duration::from_millis(self.head_timeout_ms())
+    }
+
+    fn idle_timeout(&self) -> Option<Duration> {
+        Some(Duration::from_millis(self.idle_limit().as_millis()))
+    }
+
+    fn record_cut(&self, cut: StreamCut) {
+        let state = &self.state;
+        let [idle, unconfirmed, head] = CALLER_CLOSES;
+        let (what, limit_ms, level) = match (cut, self.idle_limit()) {
+            (StreamCut::Idle, IdleLimit::Known(limit_ms)) => (idle, limit_ms, LogLevel::Debug),
+            (StreamCut::Idle, IdleLimit::Unconfirmed(limit_ms)) => {
+                (unconfirmed, limit_ms, LogLevel::Info)
+            }
+            (StreamCut::Head, _) => (head, self.head_timeout_ms(), LogLevel::Debug),
+        };
+        let label = OutcomeLabel { what };
+        state.metrics.caller_closes.get_or_create(&label).inc();
+        let config = state.config();
+        let mut fields = vec![
+            ("what", what.to_owned()),
+            ("open_ms", state.now().since(self.accepted_at).to_string()),
+            ("limit_ms", limit_ms.to_string()),
+            ("store_age_ms", state.store_age_ms().to_string()),
+        ];
+        fields.extend(config.map(|config| ("config", config.version.to_string())));
+        state.report.log(level, "caller_closed", fields);
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        let open_connections = self.state.open_connections.get();
+        self.state
+            .open_connections
+            .set(open_connections.saturating_sub(1));
+    }
+}
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -5,26 +5,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::CallerLimits;
-use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 use super::answer_body::TrackedBody;
 use super::call_exchange::serve_call;
-use super::gateway_metrics::{CALLER_CLOSES, OutcomeLabel};
+use super::caller_connection::CallerConnection;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{ConnectionTracker, GuardedStream};
 
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// hyper panics if its buffer limit for a head is below this size, in bytes.
-const MIN_HEAD_BYTES: usize = 8_192;
+/// Size of a head up to which a connection serves all later versions of the limits, in bytes: some
+/// times what servers commonly allow, and no more than callers may send as a body.
+const HEAD_BYTES_MAX: usize = 262_144;
 
 /// Maximum time a caller may go without reading any byte of its response.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(20);
@@ -56,14 +55,10 @@
         // The caller has already disconnected.
         return;
     }
-    let limits = state
-        .config()
-        .map_or(CallerLimits::default(), |config| config.limits);
-    let head_timeout = Duration::from_millis(limits.head_timeout_ms);
-    let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
-    let accepted_at = state.now();
+    let connection = CallerConnection::new(Rc::clone(&state));
+    let head_bytes = state.caller_limits().head_bytes;
     let mark = ConnectionTracker::default();
-    let stream = GuardedStream::new(stream, mark.clone(), head_timeout, WRITE_STALL_TIMEOUT);
+    let stream = GuardedStream::new(stream, mark.clone(), connection, WRITE_STALL_TIMEOUT);
     let service = service_fn(|request| {
         mark.start_request();
         let mark = mark.clone();
@@ -74,9 +69,8 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout + head_timeout)
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
+        .header_read_timeout(None::<Duration>)
+        .max_buf_size(head_bytes.max(HEAD_BYTES_MAX))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut phase = state.phase.subscribe();
@@ -84,13 +78,8 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
-            ended = connection.as_mut() => {
-                // Any other error is reflected in the record of the running call, if any.
-                if ended.is_err_and(|error| error.is_timeout()) {
-                    record_close(&state, accepted_at, limits);
-                }
-                return;
-            }
+            // An error is reflected in the record of the running call, if any.
+            _ = connection.as_mut() => return,
             _ = &mut closing, if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -98,25 +87,3 @@
         }
     }
 }
-
-/// Records that a caller's connection was closed by a time limit, and whether that limit was still in
-/// force.
-fn record_close(state: &GatewayState, accepted_at: ClockTime, limits: CallerLimits) {
-    let in_force = state.config().map(|config| config.limits);
-    let [current, superseded] = CALLER_CLOSES;
-    let (what, level) = match in_force {
-        Some(in_force) if in_force.idle_timeout_ms != limits.idle_timeout_ms => {
-            (superseded, LogLevel::Info)
-        }
-        Some(_) | None => (current, LogLevel::Debug),
-    };
-    let label = OutcomeLabel { what };
-    state.metrics.caller_closes.get_or_create(&label).inc();
-    let mut fields = vec![
-        ("open_ms", state.now().since(accepted_at).to_string()),
-        ("idle_ms", limits.idle_timeout_ms.to_string()),
-    ];
-    let in_force_ms = in_force.map(|in_force| in_force.idle_timeout_ms);
-    fields.extend(in_force_ms.map(|idle_ms| ("in_force_ms", idle_ms.to_string())));
-    state.report.log(level, "caller_closed", fields);
-}
--- a/crates/beechsaddle/src/gateway/changes/change_apply.rs
+++ b/crates/beechsaddle/src/gateway/changes/change_apply.rs
@@ -189,6 +189,10 @@
     state.report.log(LogLevel::Info, "config_in_force", fields);
     state.metrics.config_version.set(config.version as i64);
     state.escrow.borrow_mut().set_config(now, &config);
+    let bounds = state.settings().change_bounds;
+    let mut limits = state.limit_history.borrow_mut();
+    limits.record_version(now, config.limits, bounds);
+    drop(limits);
     *state.config.borrow_mut() = Some(Rc::new(config));
     state.config_at.set(now);
     update_roles(state);
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -70,9 +70,9 @@
 /// Why a stream was broken off towards its caller.
 pub(super) const STREAM_BREAKS: [&str; 3] = ["broken", "deadline", "oversized"];
 
-/// Why a caller's connection was closed by this router without a call in progress: the idle time or
-/// the time for a head was over.
-pub(super) const CALLER_CLOSES: [&str; 2] = ["in_force", "superseded"];
+/// Why a caller's connection was closed by this router without a call in progress: the idle time in
+/// force was over, that of a router which cannot know it, or the time for a head.
+pub(super) const CALLER_CLOSES: [&str; 3] = ["idle", "unconfirmed", "head"];
 
 /// Where the origin of a resumed stream was found: at this router or another one; or that no router
 /// knows it, or that none that answered does.
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{EscrowOptions, PolicyOptions, RetryShareOptions};
+use beechsaddle_core::gateway::{ChangeBounds, EscrowOptions, PolicyOptions, RetryShareOptions};
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::StoreOptions;
 
@@ -20,6 +20,14 @@
 /// Default timeout of connecting to the store, in milliseconds.
 const STORE_CONNECT_TIMEOUT_MS: u64 = 400;
 
+/// Default time within which a new version of the configuration is in force, in milliseconds: some
+/// probes of the store.
+const DEFAULT_IN_FORCE_MS: f64 = 2_000.0;
+
+/// Default time after a disturbance of the store for which no bound holds, in milliseconds: a lost
+/// connection is noticed and made again.
+const DEFAULT_SETTLE_MS: f64 = 3_000.0;
+
 /// How long a watch waits for changes if the platform's bounds are not set, in milliseconds.
 const DEFAULT_WATCH_MS: u64 = 2_000;
 
@@ -69,6 +77,8 @@
     pub probe_interval: Duration,
     /// The maximum age of data relayed from the store to other routers.
     pub max_relay_age: Duration,
+    /// The bounds within which a version of the configuration comes into force.
+    pub change_bounds: ChangeBounds,
     /// The time within which an evacuation has to be in force, in milliseconds; `None` if the
     /// deployment has none.
     pub evacuate_ms: Option<u64>,
@@ -92,6 +102,7 @@
     watch_wait: Duration,
     probe_interval: Duration,
     max_relay_age: Duration,
+    change_bounds: ChangeBounds,
     evacuate_ms: Option<u64>,
 }
 
@@ -155,6 +166,7 @@
         watch_wait: store.watch_wait,
         probe_interval: store.probe_interval,
         max_relay_age: store.max_relay_age,
+        change_bounds: store.change_bounds,
         evacuate_ms: store.evacuate_ms,
         link_mbps,
         grace_ms,
@@ -182,7 +194,10 @@
     let evacuate_ms = reader
         .read_f64("evacuate_ms", 0.0..=60_000.0, findings)
         .map(|evacuate_ms| evacuate_ms as u64);
-    let bounds = read_bounds(reader, evacuate_ms, findings);
+    let settle_ms = reader.read_f64("settle_ms", 0.0..=60_000.0, findings);
+    let in_force_ms = reader.read_f64("in_force_ms", 0.0..=60_000.0, findings);
+    let leave_ms = reader.read_f64("leave_ms", 0.0..=60_000.0, findings);
+    let bounds = store_bounds(settle_ms, in_force_ms, leave_ms, evacuate_ms);
     let default_ms = default_watch_ms(bounds, call_ms);
     let age_ms = default_relay_age_ms(bounds);
     let watch_ms = reader.read_u64_or("watch_ms", default_ms, 100..=30_000, findings);
@@ -199,6 +214,10 @@
         watch_wait: Duration::from_millis(watch_ms),
         probe_interval: Duration::from_millis(probe_ms),
         max_relay_age: Duration::from_millis(age_ms),
+        change_bounds: ChangeBounds {
+            in_force_ms: in_force_ms.unwrap_or(DEFAULT_IN_FORCE_MS) as u64,
+            settle_ms: settle_ms.unwrap_or(DEFAULT_SETTLE_MS) as u64,
+        },
         evacuate_ms,
     })
 }
@@ -212,14 +231,12 @@
     propagation_ms: f64,
 }
 
-fn read_bounds(
-    reader: &TableReader<'_>,
+fn store_bounds(
+    settle_ms: Option<f64>,
+    in_force_ms: Option<f64>,
+    leave_ms: Option<f64>,
     evacuate_ms: Option<u64>,
-    findings: &mut FindingList,
 ) -> Option<StoreBounds> {
-    let settle_ms = reader.read_f64("settle_ms", 0.0..=60_000.0, findings);
-    let in_force_ms = reader.read_f64("in_force_ms", 0.0..=60_000.0, findings);
-    let leave_ms = reader.read_f64("leave_ms", 0.0..=60_000.0, findings);
     let evacuate_ms = evacuate_ms.map_or(f64::INFINITY, |evacuate_ms| {
         evacuate_ms.saturating_sub(EVACUATION_MARGIN_MS) as f64
     });
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -5,9 +5,9 @@
 
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
-    EvacuationRegistry, GatewayConfig, LinkDirection, LinkMeter, PathMonitor, RetryShare,
-    RosterChange, RotationGate, SuspectKind, TargetPhase, TargetRecord, TargetRoster, TokenEscrow,
-    UpdateAge,
+    CallerLimits, EvacuationRegistry, GatewayConfig, LimitHistory, LinkDirection, LinkMeter,
+    PathMonitor, RetryShare, RosterChange, RotationGate, SuspectKind, TargetPhase, TargetRecord,
+    TargetRoster, TokenEscrow, UpdateAge,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -55,6 +55,10 @@
     pub(super) config: RefCell<Option<Rc<GatewayConfig>>>,
     /// Since when the configuration is in effect.
     pub(super) config_at: Cell<ClockTime>,
+    /// The limits that callers may go by.
+    pub(super) limit_history: RefCell<LimitHistory>,
+    /// The number of open connections of callers.
+    pub(super) open_connections: Cell<usize>,
     pub(super) roster: RefCell<TargetRoster>,
     /// The failure domains whose targets get no new requests.
     pub(super) evacuations: RefCell<EvacuationRegistry>,
@@ -127,6 +131,8 @@
             clocks: ClockManager::new(clock.now()),
             config: RefCell::new(None),
             config_at: Cell::new(ClockTime::ZERO),
+            limit_history: RefCell::default(),
+            open_connections: Cell::new(0),
             roster: RefCell::new(TargetRoster::default()),
             evacuations: RefCell::new(match settings.follows_evacuations() {
                 true => EvacuationRegistry::default(),
@@ -180,6 +186,11 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the most generous limits that callers may go by now.
+    pub(super) fn caller_limits(&self) -> CallerLimits {
+        self.limit_history.borrow().widest(self.now())
+    }
+
     /// Returns the phase of the shutdown.
     pub(super) fn phase(&self) -> GatewayPhase {
         *self.phase.borrow()
@@ -322,7 +333,9 @@
 
     /// Records that the store answered.
     pub(super) fn record_store_answer(&self) {
-        self.store_answered_at.set(self.now());
+        let now = self.now();
+        self.store_answered_at.set(now);
+        self.record_known_versions(now);
         if self.store_health.record(true) {
             // Allocators can get tokens again, so calls need not be refused until the pause ends.
             self.lending.pauses.borrow_mut().clear();
@@ -335,6 +348,13 @@
         let at = ClockTime::from_millis(now_ms.saturating_sub(age_ms));
         self.store_answered_at
             .set(self.store_answered_at.get().max(at));
+        self.record_known_versions(at);
+    }
+
+    /// Records that the store has told of the versions of the configuration up to a time.
+    fn record_known_versions(&self, at: ClockTime) {
+        let bounds = self.settings().change_bounds;
+        self.limit_history.borrow_mut().record_answer(at, bounds);
     }
 
     /// Returns the time since the store last answered, in milliseconds: the age of the known configuration
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod call_context;
 mod call_exchange;
 mod call_record;
+mod caller_connection;
 mod caller_listener;
 mod changes;
 mod clock_manager;
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -16,6 +16,7 @@
     UnknownRoute,
     /// No workspace has the caller's key.
     UnknownKey,
+    HeadTooLarge,
     BodyTooLarge,
     /// The body did not arrive in time.
     BodyTimeout,
@@ -69,6 +70,7 @@
             RefusalCause::BadHead => (RefusalKind::BadRequest, None),
             RefusalCause::UnknownRoute => (RefusalKind::UnknownRoute, None),
             RefusalCause::UnknownKey => (RefusalKind::UnknownKey, None),
+            RefusalCause::HeadTooLarge => (RefusalKind::HeadTooLarge, None),
             RefusalCause::BodyTooLarge => (RefusalKind::BodyTooLarge, None),
             RefusalCause::BodyTimeout => (RefusalKind::BodyTimeout, None),
             RefusalCause::BudgetExhausted => (RefusalKind::BudgetExhausted, None),
@@ -100,6 +102,7 @@
             RefusalCause::BadHead => "bad_head",
             RefusalCause::UnknownRoute => "unknown_route",
             RefusalCause::UnknownKey => "unknown_key",
+            RefusalCause::HeadTooLarge => "head_too_large",
             RefusalCause::BodyTooLarge => "body_too_large",
             RefusalCause::BodyTimeout => "body_timeout",
             RefusalCause::BudgetExhausted => "budget_exhausted",
--- a/crates/beechsaddle/tests/gateway_caller_limits.rs
+++ b/crates/beechsaddle/tests/gateway_caller_limits.rs
@@ -92,6 +92,12 @@
     }
 }
 
+/// Returns how many connections the router has closed for a reason.
+async fn closes(bench: &GatewayBench, what: &str) -> f64 {
+    let name = format!("caller_closes_total{{what=\"{what}\"}}");
+    bench.router.metric(&name).await.expect("a metric")
+}
+
 /// Sends the first half of a head.
 async fn begin_head(stream: &mut TcpStream, id: &str) -> Vec<u8> {
     let mut first = request("GET /get/1", id).bytes();
@@ -127,6 +133,7 @@
     assert_eq!(count_served(&mut links, "second").await, LINKS);
     sleep(Duration::from_secs(5)).await;
     assert_eq!(count_served(&mut links, "third").await, LINKS);
+    assert_eq!(closes(&bench, "idle").await, 0.0);
 }
 
 // A longer idle time reaches connections only with their next request, so that those which are idle
@@ -251,6 +258,7 @@
         .expect("a link");
     let took = closed_after(&mut stream).await.expect("a close");
     assert!(took >= Duration::from_millis(450), "{took:?}");
+    assert_eq!(closes(&bench, "idle").await, 1.0);
 }
 
 // A request that waits in the socket when the idle time is over, as the router's process stood
@@ -297,6 +305,7 @@
         sleep(Duration::from_millis(200)).await;
     }
     assert!(started.elapsed() < CUT_LIMIT, "{:?}", started.elapsed());
+    assert_eq!(closes(&bench, "head").await, 1.0);
 }
 
 // A longer time for heads does not reach connections that were accepted before, and slow callers
