Send nothing to targets whose responses announce that they leave

Callers were sent to targets that had said that they leave, for as long as the entry in the store said `ready`: seconds beside a slow store, without end while it was away. Only the entry made a target leave; what its responses say was logged and counted.

A response of the target itself (it answers the request, and is sealed or says that it did not run it) now marks its incarnation in the roster. All ways to a target read the roster: the choice, repeats, resumed streams and takes-up, trials, probes, the check after connecting, and now also one before a kept connection is used, for calls that waited for a permit. Nothing undoes the mark for the incarnation: an entry that says `ready` may have crossed the response, one that expired may be written again by the same process, and a process that leaves does not come back. Another start or name is another incarnation. Marks outlive the entry, 1,024 at most.

`target_leaving` is logged once for an incarnation. The end of a leaving target is no crash of a request, and no sign of a partition. A call whose target restarted or was replaced since the choice is sent elsewhere.

No test forces a notice between a permit and a kept connection.

--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use super::{ORIGIN_RETENTION_MS, TargetPhase, TargetRecord, TargetStats};
+use super::{ORIGIN_RETENTION_MS, TargetIncarnation, TargetPhase, TargetRecord, TargetStats};
 use crate::clock::ClockTime;
 use crate::names::{ServiceName, SoftwareVersion, TargetName};
 
@@ -11,6 +11,10 @@
 /// milliseconds. Running targets write their entries again within two seconds.
 const RELIST_GRACE_MS: u64 = 2_200;
 
+/// Maximum number of leave notices of targets that are not listed. A target may run on for a while
+/// after its entry is gone; in the largest fleet, fewer than this do at any time.
+const UNLISTED_NOTICES_MAX: usize = 1_024;
+
 /// A change of the roster by a listing or an event, for logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RosterChange {
@@ -39,6 +43,7 @@
     listed_at: ClockTime,
     cold_until: ClockTime,
     is_replaced: bool,
+    has_announced_leave: bool,
     missing_since: Option<ClockTime>,
     earlier_start_revision: Option<u64>,
 }
@@ -54,6 +59,9 @@
     entries: BTreeMap<TargetName, RosterEntry>,
     /// When a target of a service and version last left.
     left: BTreeMap<(ServiceName, SoftwareVersion), ClockTime>,
+    /// The incarnations without an entry that have announced that they leave, and when the entry was
+    /// removed or, if it was removed before, when the notice came.
+    unlisted_notices: BTreeMap<TargetIncarnation, ClockTime>,
     outage_until: Option<ClockTime>,
 }
 
@@ -69,13 +77,14 @@
 }
 
 impl RosterEntry {
-    fn new(now: ClockTime, record: TargetRecord) -> Self {
+    fn new(now: ClockTime, record: TargetRecord, has_announced_leave: bool) -> Self {
         RosterEntry {
             stats: TargetStats::new(now),
             cold_until: now.plus_ms(record.cold_ms),
             record,
             listed_at: now,
             is_replaced: false,
+            has_announced_leave,
             missing_since: None,
             earlier_start_revision: None,
         }
@@ -144,10 +153,21 @@
         self.is_replaced = true;
     }
 
+    /// Whether the target leaves, by its entry or by one of its responses.
+    pub fn is_leaving(&self) -> bool {
+        self.has_announced_leave || self.record.phase == TargetPhase::Draining
+    }
+
+    /// Whether the target accepts new requests, as far as this router knows.
+    pub fn accepts_requests(&self) -> bool {
+        !self.is_leaving() && !self.is_replaced
+    }
+
     /// Returns the name of the target's phase, for operators.
     pub fn phase_name(&self) -> &'static str {
         match (self.missing_since, self.record.phase) {
             _ if self.is_replaced => "replaced",
+            (_, TargetPhase::Ready) if self.has_announced_leave => "leaving",
             (Some(_), _) => "unlisted",
             (None, TargetPhase::Ready) => "ready",
             (None, TargetPhase::Draining) => "draining",
@@ -215,27 +235,63 @@
     pub fn put(&mut self, now: ClockTime, record: TargetRecord) -> Option<RosterChange> {
         let name = record.name.clone();
         let Some(entry) = self.entries.get_mut(&name) else {
-            self.entries
-                .insert(name.clone(), RosterEntry::new(now, record));
+            self.list(now, record);
             return Some(RosterChange::Joined(name));
         };
         match entry.compare(&record) {
             EntryAge::Stale => None,
             EntryAge::Current => entry.update(now, record),
             EntryAge::Restarted => {
-                let before = entry.record.address;
-                let earlier = std::mem::replace(entry, RosterEntry::new(now, record));
-                self.record_left(now, &earlier.record);
-                Some(RosterChange::Restarted(name, before))
+                let earlier = self.list(now, record)?;
+                self.record_left(now, &earlier);
+                Some(RosterChange::Restarted(name, earlier.record.address))
             }
         }
     }
 
+    /// Lists an incarnation, and returns the entry of the one before.
+    fn list(&mut self, now: ClockTime, record: TargetRecord) -> Option<RosterEntry> {
+        let notice = self.unlisted_notices.remove(&record.incarnation());
+        let name = record.name.clone();
+        let entry = RosterEntry::new(now, record, notice.is_some());
+        self.entries.insert(name, entry)
+    }
+
+    /// Records that a response of a target announces that it leaves; returns whether that is news.
+    ///
+    /// Nothing undoes this for the incarnation: an entry that says `ready` may have been written
+    /// before the response, or have crossed it, and an entry that expired may be written again by the
+    /// same process. A target does not return from leaving; only another incarnation, with another
+    /// start or another name, accepts requests.
+    pub fn mark_leaving(&mut self, now: ClockTime, target: &TargetIncarnation) -> bool {
+        let entry = self.entries.get_mut(&target.name);
+        if let Some(entry) = entry.filter(|entry| entry.record.started == target.started) {
+            return !std::mem::replace(&mut entry.has_announced_leave, true);
+        }
+        let is_news = !self.unlisted_notices.contains_key(target);
+        self.keep_notice(now, target.clone());
+        is_news
+    }
+
+    /// Keeps the notice of an incarnation that is not listed, which may come back.
+    fn keep_notice(&mut self, now: ClockTime, target: TargetIncarnation) {
+        let notices = &mut self.unlisted_notices;
+        notices.entry(target).or_insert(now);
+        if notices.len() <= UNLISTED_NOTICES_MAX {
+            return;
+        }
+        let oldest = notices.iter().min_by_key(|(_, noted_at)| **noted_at);
+        let oldest = oldest.map(|(target, _)| target.clone());
+        if let Some(target) = oldest {
+            notices.remove(&target);
+        }
+    }
+
     /// Removes a target whose entry cannot be read, as it no longer names a target. Unlike an entry
     /// that expired in an outage it is present, so no grace period applies.
     pub fn withdraw(&mut self, now: ClockTime, name: &TargetName) -> Option<RosterChange> {
         let entry = self.entries.remove(name)?;
-        self.record_left(now, &entry.record);
+        self.record_left(now, &entry);
         Some(RosterChange::Gone(name.clone(), entry.record.address))
     }
 
@@ -243,7 +299,7 @@
     pub fn remove(&mut self, now: ClockTime, name: &TargetName) -> Option<RosterChange> {
         let entry = self.entries.get_mut(name)?;
         let in_outage = self.outage_until.is_some_and(|until| now < until);
-        if in_outage && entry.record.phase == TargetPhase::Ready {
+        if in_outage && !entry.is_leaving() {
             if entry.missing_since.is_some() {
                 return None;
             }
@@ -253,7 +309,11 @@
         self.withdraw(now, name)
     }
 
-    fn record_left(&mut self, now: ClockTime, record: &TargetRecord) {
+    fn record_left(&mut self, now: ClockTime, entry: &RosterEntry) {
+        let record = &entry.record;
+        if entry.has_announced_leave {
+            self.keep_notice(now, record.incarnation());
+        }
         self.left
             .retain(|_, left_at| now.since(*left_at) < ORIGIN_RETENTION_MS);
         let key = (record.service.clone(), record.version.clone());
@@ -297,11 +357,19 @@
     /// Returns the targets of a service that accept new requests.
     pub fn ready<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a RosterEntry> {
         let service = service.clone();
-        self.entries.values().filter(move |entry| {
-            entry.record.service == service
-                && entry.record.phase == TargetPhase::Ready
-                && !entry.is_replaced
-        })
+        self.entries
+            .values()
+            .filter(move |entry| entry.record.service == service && entry.accepts_requests())
+    }
+
+    /// Returns the targets of a service that leave, by their entries or by their responses.
+    pub fn leaving<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a RosterEntry> {
+        self.entries
+            .values()
+            .filter(move |entry| entry.record.service == *service && entry.is_leaving())
     }
 
     /// Returns the software version of a service's targets if all that are listed, or have left while
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -488,3 +488,89 @@
     let small = choose_at(&roster, later, &short_prompt(1), false, policy);
     assert_eq!(small.fetch_from, None);
 }
+
+/// A heartbeat that crossed a target's response, or the return of its entry, undid what the response
+/// had announced, and the target got requests as it ended.
+#[test]
+fn mark_leaving_lasts_for_the_incarnation() {
+    let mut roster = TargetRoster::default();
+    roster.put(START, record_of_start(100, 1));
+    let name = TargetName::new("a");
+    let target = record_of_start(100, 1).incarnation();
+    assert!(roster.mark_leaving(START, &target));
+    assert!(!roster.mark_leaving(START, &target));
+    assert!(ready(&roster).is_empty());
+    roster.put(START, record_of_start(100, 2));
+    let listed = [record_of_start(100, 3)];
+    roster.take_listing(START, listed);
+    assert!(ready(&roster).is_empty());
+    let entry = roster.get(&name).expect("an entry");
+    assert_eq!(entry.phase_name(), "leaving");
+    roster.remove(START, &name);
+    roster.put(START.plus_ms(600_000), record_of_start(100, 4));
+    assert!(ready(&roster).is_empty());
+    roster.take_listing(START, []);
+    roster.take_listing(START, [record_of_start(100, 5)]);
+    assert!(ready(&roster).is_empty());
+}
+
+/// A target that restarted under its name, or one that was started at its address, was left alone for
+/// what the process before it had announced.
+#[test]
+fn mark_leaving_ends_with_the_incarnation() {
+    let mut roster = TargetRoster::default();
+    roster.put(START, record_of_start(100, 1));
+    let before = record_of_start(100, 1).incarnation();
+    roster.mark_leaving(START, &before);
+    let other = TargetRecord {
+        revision: 2,
+        ..record("b", "north")
+    };
+    roster.take_entry(START, other);
+    assert_eq!(ready(&roster), ["b"]);
+    roster.put(START, record_of_start(400, 3));
+    assert_eq!(ready(&roster), ["a", "b"]);
+    // A response of the process before may come late.
+    assert!(!roster.mark_leaving(START, &before));
+    assert_eq!(ready(&roster), ["a", "b"]);
+    roster.remove(START, &TargetName::new("a"));
+    roster.put(START, record_of_start(400, 4));
+    assert_eq!(ready(&roster), ["a", "b"]);
+}
+
+/// A response that came after the entry had expired was forgotten when the entry returned.
+#[test]
+fn mark_leaving_without_entry_is_kept() {
+    let mut roster = TargetRoster::default();
+    let target = record_of_start(100, 1).incarnation();
+    assert!(roster.mark_leaving(START, &target));
+    assert!(!roster.mark_leaving(START, &target));
+    roster.put(START, record_of_start(100, 1));
+    assert!(ready(&roster).is_empty());
+}
+
+/// The entry of a target that leaves is not retained after an outage: its absence is expected.
+#[test]
+fn remove_of_leaving_target_in_an_outage_is_at_once() {
+    let mut roster = roster(&["a"]);
+    roster.mark_leaving(START, &record("a", "north").incarnation());
+    roster.record_outage(START);
+    let name = TargetName::new("a");
+    let change = roster.remove(START, &name);
+    assert_eq!(change, Some(RosterChange::Gone(name, address())));
+}
+
+/// Notices of targets that are gone took ever more memory, and dropping old ones must not affect those
+/// that are listed.
+#[test]
+fn mark_leaving_of_many_targets_keeps_the_latest() {
+    let mut roster = roster(&["listed"]);
+    roster.mark_leaving(START, &record("listed", "north").incarnation());
+    for number in 0..3_000 {
+        let target = record(&format!("n{number}"), "north").incarnation();
+        roster.mark_leaving(START.plus_ms(number), &target);
+    }
+    roster.put(START, record("n0", "north"));
+    roster.put(START, record("n2999", "north"));
+    assert_eq!(ready(&roster), ["n0"]);
+}
--- a/crates/beechsaddle/src/explain/call_trace.rs
+++ b/crates/beechsaddle/src/explain/call_trace.rs
@@ -51,10 +51,11 @@
     fn find(index: &'a LogIndex, id: &'a str) -> Option<Self> {
         let own: Vec<_> = own_entries(index, id).collect();
         let values = |key| own.iter().filter_map(move |entry| entry.field(key));
+        let leaving = values("leaving").flat_map(|names| names.split(','));
         Some(CallTrace {
             id,
             routers: own.iter().map(|entry| entry.router.as_str()).collect(),
-            targets: values("target").collect(),
+            targets: values("target").chain(leaving).collect(),
             workspaces: values("workspace").collect(),
             fingerprints: values("fingerprint").collect(),
             first_ms: own.first()?.at_ms,
@@ -71,6 +72,8 @@
         if let Some(fingerprint) = entry.field("fingerprint") {
             return entry.at_ms <= self.last_ms && self.fingerprints.contains(fingerprint);
         }
+        // A target that has announced that it leaves stays out of use.
+        let is_lasting = entry.event == "target_leaving" && entry.at_ms <= self.last_ms;
         let is_near = entry.at_ms + LEAD_MS >= self.first_ms && entry.at_ms <= self.last_ms;
         let names = |key, known: &BTreeSet<&str>| {
             entry.field(key).is_some_and(|value| known.contains(value))
@@ -78,7 +81,7 @@
         let is_related = names("target", &self.targets)
             || names("workspace", &self.workspaces)
             || ROUTER_EVENTS.contains(&entry.event.as_str());
-        is_near && is_related && self.routers.contains(entry.router.as_str())
+        (is_near || is_lasting) && is_related && self.routers.contains(entry.router.as_str())
     }
 
     fn line(&self, entry: &LogEntry) -> String {
--- a/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_probe.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptEnd, CrashFacts, CrashReport, SuspectKey, SuspectKind, TargetPhase, TargetRecord,
+    AttemptEnd, CrashFacts, CrashReport, SuspectKey, SuspectKind, TargetRecord,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -101,12 +101,12 @@
     });
 }
 
-/// Returns whether a target is expected to run; a draining one may exit at any time.
+/// Returns whether a target is expected to run; one that leaves may exit at any time.
 fn is_expected_up(state: &GatewayState, target: &TargetRecord) -> bool {
     let roster = state.roster.borrow();
-    roster.get(&target.name).is_some_and(|entry| {
-        entry.record.started == target.started && entry.record.phase == TargetPhase::Ready
-    })
+    roster
+        .get(&target.name)
+        .is_some_and(|entry| entry.record.started == target.started && !entry.is_leaving())
 }
 
 async fn check_run(state: Rc<GatewayState>, run: SuspectRun, run_ms: u64) {
@@ -133,7 +133,7 @@
     // refuses them.
     match open_link(state, target, options).await {
         Ok(link) => {
-            if link.router.is_none() {
+            if link.router.is_none() && state.accepts_requests(target) {
                 let (now, address) = (state.now(), target.address);
                 state.pool.put(now, address, link.http, None);
             }
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -6,8 +6,8 @@
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
     CallerLimits, EvacuationRegistry, GatewayConfig, LimitHistory, LinkDirection, LinkMeter,
-    PathMonitor, RetryShare, RosterChange, RotationGate, SuspectKind, TargetPhase, TargetRecord,
-    TargetRoster, TokenEscrow, UpdateAge,
+    PathMonitor, RetryShare, RosterChange, RotationGate, SuspectKind, TargetRecord, TargetRoster,
+    TokenEscrow, UpdateAge,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -247,13 +247,15 @@
         policy.leaves_full_link && self.rotation.borrow().is_out_of_rotation(self.now())
     }
 
-    /// Whether a target that was chosen earlier may still get a new request: its failure domain is
-    /// not evacuated, and it has not announced that it leaves.
+    /// Whether a target that was chosen earlier may still get a new request: it has not restarted or
+    /// been replaced since, its failure domain is not evacuated, and neither its entry nor one of its
+    /// responses announces that it leaves.
     pub(super) fn accepts_requests(&self, target: &TargetRecord) -> bool {
         let roster = self.roster.borrow();
-        let phase = roster.get(&target.name).map(|entry| entry.record.phase);
-        let is_ready = phase == Some(TargetPhase::Ready);
-        is_ready && self.evacuations.borrow().allows(&target.domain)
+        let accepts = roster.get(&target.name).is_some_and(|entry| {
+            entry.record.started == target.started && entry.accepts_requests()
+        });
+        accepts && self.evacuations.borrow().allows(&target.domain)
     }
 
     /// Records that all changes of targets up to a time are known.
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -37,6 +37,8 @@
     VersionGone,
     /// All targets of the service are in failure domains that are being evacuated.
     TargetsEvacuated,
+    /// Targets of the service have announced that they leave, and no other one accepts requests.
+    TargetsLeaving,
     /// All targets of the service are cold and get few requests.
     TargetsCold,
     /// No target could be reached; nothing was sent.
@@ -81,6 +83,7 @@
             | RefusalCause::NoTarget
             | RefusalCause::StreamUnknown
             | RefusalCause::VersionGone
+            | RefusalCause::TargetsLeaving
             | RefusalCause::TargetsCold
             | RefusalCause::CrashesTargets
             | RefusalCause::TargetsLimited
@@ -114,6 +117,7 @@
             RefusalCause::StreamUnknown => "stream_unknown",
             RefusalCause::VersionGone => "version_gone",
             RefusalCause::TargetsEvacuated => "targets_evacuated",
+            RefusalCause::TargetsLeaving => "targets_leaving",
             RefusalCause::TargetsCold => "targets_cold",
             RefusalCause::TargetsUnreachable => "targets_unreachable",
             RefusalCause::TargetsFull => "targets_full",
--- a/crates/beechsaddle/src/gateway/status_view.rs
+++ b/crates/beechsaddle/src/gateway/status_view.rs
@@ -2,7 +2,7 @@
 
 use beechsaddle_core::gateway::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
-    RosterEntry, TargetPhase, WorkspaceStatus,
+    RosterEntry, WorkspaceStatus,
 };
 
 use super::gateway_state::{GatewayPhase, GatewayState};
@@ -84,9 +84,8 @@
 fn view_target(state: &GatewayState, entry: &RosterEntry) -> GatewayTargetStatus {
     let now = state.now();
     let stats = &entry.stats;
-    let is_ready = entry.record.phase == TargetPhase::Ready;
     let is_evacuated = !state.evacuations.borrow().allows(&entry.record.domain);
-    let phase = match is_ready && is_evacuated {
+    let phase = match !entry.is_leaving() && is_evacuated {
         true => "evacuated",
         false => entry.phase_name(),
     };
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -12,6 +12,9 @@
 use super::limits::request_permit;
 use super::refusal::RefusalCause;
 
+/// Maximum number of targets that the record of a refusal names: enough to find their own lines.
+const LEAVING_NAMED_MAX: usize = 8;
+
 /// Chooses a target and, if it has a rate limit, obtains a permit for it. A target without a permit
 /// is excluded for a while, so that the next choice differs. Returns `None` if no target is left.
 pub(super) async fn choose_permitted_target(
@@ -130,8 +133,28 @@
             call.record.add_field("evacuated", domains.join(","));
             RefusalCause::TargetsEvacuated
         }
-        None => RefusalCause::NoTarget,
+        None => match record_leaving_targets(call) {
+            true => RefusalCause::TargetsLeaving,
+            false => RefusalCause::NoTarget,
+        },
+    }
+}
+
+/// Records the targets of the service that leave if no other one accepts requests; returns whether
+/// there are any.
+fn record_leaving_targets(call: &CallContext) -> bool {
+    let roster = call.state.roster.borrow();
+    if roster.ready(&call.service).next().is_some() {
+        return false;
+    }
+    let names = roster.leaving(&call.service);
+    let names = names.map(|entry| entry.record.name.as_str());
+    let names: Vec<_> = names.take(LEAVING_NAMED_MAX).collect();
+    if names.is_empty() {
+        return false;
     }
+    call.record.add_field("leaving", names.join(","));
+    true
 }
 
 /// Refuses a call that no target answered.
--- a/crates/beechsaddle/src/gateway/target_path.rs
+++ b/crates/beechsaddle/src/gateway/target_path.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{AttemptEnd, ConnectFault, PathChange, TargetPhase, TargetRecord};
+use beechsaddle_core::gateway::{AttemptEnd, ConnectFault, PathChange, TargetRecord, TargetRoster};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions, open_stream};
@@ -54,7 +54,7 @@
     /// Returns the connection to the pool after a complete response, if it can carry another request.
     /// A tunnel carries one only, so that the router behind it can shut down between two requests.
     pub(super) fn release(self, state: &GatewayState, address: SocketAddr, facts: &ResponseHead) {
-        if facts.closes || self.router.is_some() {
+        if facts.closes || facts.is_leaving || self.router.is_some() {
             return;
         }
         let now = state.now();
@@ -153,7 +153,9 @@
 /// Connects to a target only to find out whether it is reached; a call may use the connection.
 async fn connect_for_pool(state: &GatewayState, target: &TargetRecord) {
     let connected = connect_directly(state, target, LinkOptions::default()).await;
-    if let Ok(http) = connected {
+    if let Ok(http) = connected
+        && state.accepts_requests(target)
+    {
         state.pool.put(state.now(), target.address, http, None);
     }
 }
@@ -211,9 +213,13 @@
     target: &TargetRecord,
     fault: ConnectFault,
 ) -> Option<PathChange> {
-    let targets = ready_count(state);
     // Idle connections may hang.
     state.pool.forget(target.address);
+    // A target that leaves may end at any time, which tells nothing about the path to the others.
+    if !is_ready(&state.roster.borrow(), &target.name) {
+        return None;
+    }
+    let targets = ready_count(state);
     let mut path = state.path.borrow_mut();
     let change = path.record_unreached(&target.name, fault, targets);
     if path.needs_probes() {
@@ -222,11 +228,13 @@
     change
 }
 
+fn is_ready(roster: &TargetRoster, name: &TargetName) -> bool {
+    roster.get(name).is_some_and(|entry| !entry.is_leaving())
+}
+
 fn ready_count(state: &GatewayState) -> usize {
     let roster = state.roster.borrow();
-    let ready = roster
-        .entries()
-        .filter(|entry| entry.record.phase == TargetPhase::Ready);
+    let ready = roster.entries().filter(|entry| !entry.is_leaving());
     ready.count()
 }
 
@@ -281,12 +289,8 @@
 
 fn forget_gone_targets(state: &GatewayState) {
     let roster = state.roster.borrow();
-    let is_ready = |name: &TargetName| {
-        let phase = roster.get(name).map(|entry| entry.record.phase);
-        phase == Some(TargetPhase::Ready)
-    };
     let mut path = state.path.borrow_mut();
-    let gone = path.suspects().filter(|name| !is_ready(name));
+    let gone = path.suspects().filter(|name| !is_ready(&roster, name));
     let gone: Vec<_> = gone.cloned().collect();
     let changes = gone.iter().filter_map(|name| path.forget(name));
     let change = changes.last();
@@ -308,8 +312,9 @@
     is_wanted: impl Fn(&TargetRecord) -> bool,
 ) -> Vec<TargetRecord> {
     let roster = state.roster.borrow();
-    let records = roster.entries().map(|entry| &entry.record);
-    let wanted = records.filter(|record| record.phase == TargetPhase::Ready && is_wanted(record));
+    let ready = roster.entries().filter(|entry| !entry.is_leaving());
+    let records = ready.map(|entry| &entry.record);
+    let wanted = records.filter(|record| is_wanted(record));
     let mut targets: Vec<_> = wanted.cloned().collect();
     targets.shuffle(&mut rand::rng());
     targets.truncate(count);
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -15,7 +15,7 @@
 use super::call_context::CallContext;
 use super::gateway_state::GatewayState;
 use super::limits::record_limit;
-use super::target_notice::record_notice;
+use super::target_notice::{NoticeSource, is_answer_to, is_own, log_notice, record_notice};
 use super::target_path::{TargetLink, open_link};
 
 /// The head of a target's response and its connection.
@@ -55,6 +55,7 @@
     fetch_from: Option<SocketAddr>,
     wait_limit: Duration,
 ) -> Result<TargetAnswer, SendFailure> {
+    check_accepts(call, target)?;
     let pooled = call.state.pool.take(call.state.now(), target.address);
     if let Some(link) = pooled {
         let request = build_request(call, target, last_event, fetch_from);
@@ -76,16 +77,25 @@
     if let Some(router) = &link.router {
         call.record.add_field("through", router);
     }
-    if !call.state.accepts_requests(target) {
-        let failure = SendFailure::new(AttemptEnd::Withdrawn, "target was withdrawn meanwhile");
-        return Err(failure);
-    }
+    check_accepts(call, target)?;
     let request = build_request(call, target, last_event, fetch_from);
     call.state.record_message(LinkDirection::Out, &call.body);
     let sent = send_on(call, target, link, request, wait_limit, true).await;
     sent.map_err(|(failure, _)| failure)
 }
 
+/// Checks that a target was not withdrawn after it was chosen, while the call waited for a permit or a
+/// connection.
+fn check_accepts(call: &CallContext, target: &TargetRecord) -> Result<(), SendFailure> {
+    match call.state.accepts_requests(target) {
+        true => Ok(()),
+        false => Err(SendFailure::new(
+            AttemptEnd::Withdrawn,
+            "target was withdrawn meanwhile",
+        )),
+    }
+}
+
 /// Sends on a connection. The flag of a failure is set if the connection was closed before anything
 /// was written.
 async fn send_on(
@@ -109,20 +119,16 @@
         }
     };
     let facts = ResponseHead::read(&response);
-    // A reused connection can hold a stale response to an earlier call; forwarding it would give
-    // one caller another's response. On a new connection there can be none.
-    let is_matching = match &facts.request_id {
-        Some(id) => *id == call.head.request_id,
-        None => is_fresh && !facts.status.is_success(),
-    };
-    if !is_matching {
+    // Forwarding another response would give one caller that of another one.
+    if !is_answer_to(&facts, &call.head.request_id, is_fresh) {
         let failure = SendFailure::new(AttemptEnd::Broken, "response lacks the id of this request");
         return Err((failure, false));
     }
-    if facts.is_sealed || (facts.is_not_run && !facts.is_misdirected) {
+    if is_own(&facts) {
         record_limit(&call.state, target, facts.limit_per_s, sent_at);
         record_cold(&call.state, target, facts.cold_ms);
-        record_notice(call, target, &facts);
+        record_notice(&call.state, target, &facts, NoticeSource::Answer);
+        log_notice(call, target, &facts);
     }
     Ok(TargetAnswer {
         response,
--- a/crates/beechsaddle/src/gateway/tunnels/mod.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/mod.rs
@@ -9,6 +9,7 @@
 mod tunnel_copy;
 mod tunnel_directory;
 mod tunnel_server;
+mod tunnel_watch;
 
 pub(super) use tunnel_client::{OpenTunnel, TunnelFailure, open_tunnel};
 pub(super) use tunnel_codec::TUNNEL_PREFACE;
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::tunnel_watch::TunnelWatch;
 use crate::gateway::gateway_state::GatewayState;
 
 /// Size of a copied part, in bytes: several events of a stream.
@@ -33,16 +34,25 @@
 /// without a length would look complete.
 pub(super) async fn copy_both_ways(
     state: &GatewayState,
+    watch: &TunnelWatch<'_>,
     mut router: TcpStream,
     mut target: TcpStream,
 ) {
     let end = {
         let (mut router_reader, mut router_writer) = router.split();
         let (mut target_reader, mut target_writer) = target.split();
-        let mut responses = std::pin::pin!(copy(state, &mut target_reader, &mut router_writer));
+        let mut responses = std::pin::pin!(copy(
+            state,
+            &mut target_reader,
+            &mut router_writer,
+            |part| watch.record_response(part),
+        ));
+        let requests = copy(state, &mut router_reader, &mut target_writer, |part| {
+            watch.record_request(part);
+        });
         tokio::select! {
             end = &mut responses => end,
-            end = copy(state, &mut router_reader, &mut target_writer) => match end {
+            end = requests => match end {
                 CopyEnd::Closed | CopyEnd::ReadFailed => return,
                 // The target may have responded before it stopped reading.
                 CopyEnd::WriteFailed => responses.await,
@@ -63,6 +73,7 @@
     state: &GatewayState,
     reader: &mut (impl AsyncRead + Unpin),
     writer: &mut (impl AsyncWrite + Unpin),
+    record_part: impl Fn(&[u8]),
 ) -> CopyEnd {
     let mut part = vec![0; PART_BYTES];
     loop {
@@ -70,6 +81,7 @@
             Ok(0) => return CopyEnd::Closed,
             Ok(count) => {
                 state.record_bytes(count as u64);
+                record_part(&part[..count]);
                 if writer.write_all(&part[..count]).await.is_err() {
                     return CopyEnd::WriteFailed;
                 }
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
@@ -13,6 +13,7 @@
 
 use super::tunnel_codec::{TunnelOrder, write_reply};
 use super::tunnel_copy::copy_both_ways;
+use super::tunnel_watch::TunnelWatch;
 use crate::gateway::gateway_state::{GatewayPhase, GatewayState};
 use crate::gateway::target_path::open_direct_stream;
 
@@ -64,13 +65,14 @@
         return log_refused(&state, peer, "wrong secret");
     }
     let guard = TunnelGuard::start(&state);
-    let (outcome, target) = match connect_target(&state, &order).await {
-        Ok(target) => (TunnelOutcome::Opened, Some(target)),
+    let (outcome, opened) = match connect_target(&state, &order).await {
+        Ok(opened) => (TunnelOutcome::Opened, Some(opened)),
         Err(outcome) => (outcome, None),
     };
     let replied = write_reply(&mut stream, outcome).await;
-    if let (Ok(()), Some(target)) = (replied, target) {
-        copy_both_ways(&state, stream, target).await;
+    if let (Ok(()), Some((target, target_stream))) = (replied, opened) {
+        let watch = TunnelWatch::new(&state, &target);
+        copy_both_ways(&state, &watch, stream, target_stream).await;
     }
     drop(guard);
 }
@@ -79,7 +81,7 @@
 async fn connect_target(
     state: &GatewayState,
     order: &TunnelOrder,
-) -> Result<TcpStream, TunnelOutcome> {
+) -> Result<(TargetRecord, TcpStream), TunnelOutcome> {
     let is_leaving = state.phase() >= GatewayPhase::Leaving;
     let is_full = state.tunnels.carried() > TUNNELS_MAX || state.is_link_full();
     if is_leaving || is_full || state.path.borrow().is_lost() {
@@ -100,7 +102,7 @@
         Ok(_) if !state.accepts_requests(&target) => Err(TunnelOutcome::Withdrawn),
         // This attempt may have shown that the router itself is partitioned from the targets.
         Err(_) if state.path.borrow().is_lost() => Err(TunnelOutcome::Declined),
-        stream => stream,
+        stream => stream.map(|stream| (target, stream)),
     }
 }
 
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -286,3 +286,36 @@
     let free: Vec<_> = account.losses.iter().map(|loss| loss.free).collect();
     assert_eq!(free, [700]);
 }
+
+/// The explanation of a call that was refused since all targets leave tells when each announced it, however
+/// long ago, and nothing about other targets.
+#[test]
+fn explain_call_refused_as_targets_leave_includes_their_notices() {
+    let mut index = LogIndex::default();
+    for line in [
+        "ts=90000 level=info router=a@1 event=call_admitted id=one",
+        "ts=90000 level=info router=a@1 event=call id=one leaving=t1,t2 outcome=targets_leaving",
+        "ts=20000 level=info router=a@1 event=target_leaving target=t1 source=answer",
+        "ts=20001 level=info router=a@1 event=target_leaving target=t2 source=tunnel",
+        "ts=20002 level=info router=a@1 event=target_leaving target=t3 source=answer",
+        "ts=20003 level=info router=b@1 event=target_leaving target=t1 source=answer",
+        "ts=95000 level=info router=a@1 event=target_leaving target=t1 source=answer",
+    ] {
+        index.add_line(line);
+    }
+    index.sort();
+    let output = explain_call(&index, "one").expect("an explanation");
+    let events: Vec<_> = output
+        .iter()
+        .filter_map(|line| line.split("  ").last()?.trim().split(" source").next())
+        .collect();
+    assert_eq!(
+        events,
+        [
+            "target_leaving target=t1",
+            "target_leaving target=t2",
+            "call_admitted id=one",
+            "call id=one leaving=t1,t2 outcome=targets_leaving"
+        ]
+    );
+}
--- a/crates/beechsaddle/tests/gateway_leaving.rs
+++ b/crates/beechsaddle/tests/gateway_leaving.rs
@@ -9,7 +9,9 @@
     CallReply, CallRequest, EntryState, StoreFault, TargetFault, TargetStandIn, call as call_router,
 };
 use gateway_support::{GatewayBench, GatewayProcess, SETTLE_SPAN, draft, request, wait_for};
+use nix::sys::signal::Signal;
 use path_support::{PathMode, StoreView};
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 const AMPLE: u64 = 1_000_000;
@@ -21,6 +23,8 @@
 const REFUSAL_LIMIT: Duration = Duration::from_millis(300);
 
 const PLAIN_LINE: &str = "GET /get/1";
+/// Such a call waits for a silent target until its deadline.
+const ORDER_LINE: &str = "POST /order/1";
 const STREAM_LINE: &str = "POST /stream/on/1";
 
 fn call_of(line: &str, id: &str) -> CallRequest {
@@ -35,6 +39,11 @@
     target.runs().len()
 }
 
+/// Whether a call has reached a target.
+fn ran(target: &TargetStandIn, id: &str) -> bool {
+    target.runs().iter().any(|run| run.request_id() == id)
+}
+
 /// Lets a target announce that it leaves to a call, which the other one turns away.
 async fn let_announce(
     router: &GatewayProcess,
@@ -264,12 +273,7 @@
     }
     let all = [&bench.plain[..], &bench.engines[..]].concat();
     let before = GatewayBench::arrival_count(&all);
-    for line in [
-        PLAIN_LINE,
-        "POST /order/1",
-        STREAM_LINE,
-        "POST /stream/once/1",
-    ] {
+    for line in [PLAIN_LINE, ORDER_LINE, STREAM_LINE, "POST /stream/once/1"] {
         let started = Instant::now();
         let id = format!("refused{}", line.replace([' ', '/'], "-"));
         let reply = bench.router.call(&call_of(line, &id)).await;
@@ -296,7 +300,7 @@
     leaving.set_leaving(true);
     let address = bench.router.address;
     let calls = (0..10).map(|number| {
-        let call = call_of("POST /order/1", &format!("at-once-{number}"));
+        let call = call_of(ORDER_LINE, &format!("at-once-{number}"));
         tokio::spawn(async move { call_router(address, &call).await.expect("an answer") })
     });
     for call in calls.collect::<Vec<_>>() {
@@ -359,6 +363,12 @@
 
 impl TunnelBench {
     async fn start() -> Self {
+        let bench = TunnelBench::start_uncut().await;
+        bench.cut().await;
+        bench
+    }
+
+    async fn start_uncut() -> Self {
         let bench = GatewayBench::start(&draft(1, AMPLE)).await;
         let targets = bench.plain.iter().chain(&bench.engines);
         let view = StoreView::start(bench.store.address(), targets).await;
@@ -367,20 +377,24 @@
         router.wait_log(&["target_joined", "engine-2"]).await;
         router.wait_log(&["routers_listed", "routers=2"]).await;
         sleep(SETTLE_SPAN).await;
-        let bench = TunnelBench {
+        TunnelBench {
             bench,
             view,
             router,
-        };
-        bench.cut().await;
-        bench
+        }
+    }
+
+    /// Sends a call to the router that may be cut off.
+    fn start_call(&self, id: &str) -> JoinHandle<CallReply> {
+        let (address, call) = (self.router.address, call_of(ORDER_LINE, id));
+        tokio::spawn(async move { call_router(address, &call).await.expect("an answer") })
     }
 
     /// Cuts the router from all targets and waits until it has noticed.
     async fn cut(&self) {
         self.view.set_mode(PathMode::Refusing);
         wait_for("a noticed partition", || async {
-            for line in [PLAIN_LINE, "POST /order/1", STREAM_LINE] {
+            for line in [PLAIN_LINE, ORDER_LINE, STREAM_LINE] {
                 // Calls before the router notices may fail.
                 let _ = self.router.call(&call_of(line, "cut")).await;
             }
@@ -431,6 +445,38 @@
     assert!(bench.router.metric(withdrawn).await > Some(0.0));
 }
 
+/// A call was sent to a target that announced that it leaves while the call waited for its connection.
+#[tokio::test]
+async fn notice_is_heeded_by_call_that_waits_for_its_connection() {
+    let bench = TunnelBench::start_uncut().await;
+    bench.bench.store.remove_target("plain-2");
+    let gone = ["target_gone", "plain-2"];
+    bench.router.wait_log(&gone).await;
+    let leaving = &bench.bench.plain[0];
+    leaving.set_leaving(true);
+    leaving.set_response_delay(Duration::from_millis(3_000));
+    let first = bench.start_call("first");
+    wait_for("an arrival", || async { ran(leaving, "first") }).await;
+    let arrived_at = Instant::now();
+    // The first call keeps its connection.
+    bench.view.set_mode(PathMode::RefusingNew);
+    wait_for("a noticed partition", || async {
+        // Calls before the router notices may fail.
+        let _ = bench.router.call(&call_of(STREAM_LINE, "cut")).await;
+        bench.router.metric("path_lost").await == Some(1.0)
+    })
+    .await;
+    // The response to the first call comes while the second one waits for its tunnel.
+    sleep(Duration::from_millis(2_800).saturating_sub(arrived_at.elapsed())).await;
+    bench.bench.router.signal(Signal::SIGSTOP);
+    let second = bench.start_call("second");
+    assert_eq!(first.await.expect("no panic").status, 200);
+    bench.bench.router.signal(Signal::SIGCONT);
+    let reply = second.await.expect("no panic");
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert!(!ran(leaving, "second"));
+}
+
 /// A response that is not the target's own, and passed through a tunnel, took the target out of use.
 #[tokio::test]
 async fn unsealed_notice_through_tunnel_is_not_believed() {
