Send nothing to targets that have asked for rest

What callers saw: a target that answers 503 with `Retry-After` was chosen again for the next call. The repeats used up the retry budget, so that calls were refused although other targets were free, and where all targets rested the refusals named 0.150 s.

Cause: the answer was logged and counted, and nothing else read it. A target that turns calls away at once looks faster than those that serve them, so it was also the first choice.

Fix: `RestRegistry` keeps the latest end of all rests by incarnation, apart from the entries of the store, and the choice leaves out a target until then. A call that has chosen a target is checked again after its permit, before it is sent on an idle connection and after a new one is open. A router opens no tunnel to a target that rests for it and replies `resting`, whereupon the other one asks further routers. Where all targets rest, a call is refused before tokens, trials or permits as `targets_resting`, with the time left of the first rest and a spread of half a second by request id. For a second after a rest the target gets this router's part of its slots. A repeat is charged to the retry budget only if there is a target for it, whatever the reason that there is none.

--- a/crates/beechsaddle-core/src/gateway/choice_input.rs
+++ b/crates/beechsaddle-core/src/gateway/choice_input.rs
@@ -31,6 +31,8 @@
     pub evacuations: &'a EvacuationRegistry,
     /// The slow start of the service's targets.
     pub warm_up: Option<WarmUpPlan<'a>>,
+    /// The number of routers that send requests to the targets.
+    pub routers: u64,
     pub policy: PolicyOptions,
 }
 
@@ -42,6 +44,15 @@
         ready.filter(move |entry| version.is_none_or(|version| entry.record.version == *version))
     }
 
+    /// Returns how long this router sends a target nothing as it rests or has just rested, in
+    /// milliseconds.
+    pub fn rest_wait_ms(&self, roster: &TargetRoster, entry: &RosterEntry, now: ClockTime) -> u64 {
+        let active = entry.stats.active;
+        roster
+            .rests
+            .wait_ms(now, &entry.record, active, self.routers)
+    }
+
     /// Returns for how long a target counts as cold, in milliseconds. The targets of a domain that
     /// was taken back may have become cold, although their entries do not say so yet.
     pub(super) fn cold_for_ms(&self, entry: &RosterEntry, now: ClockTime) -> u64 {
--- a/crates/beechsaddle-core/src/gateway/gateway_status.rs
+++ b/crates/beechsaddle-core/src/gateway/gateway_status.rs
@@ -93,6 +93,10 @@
     /// For how long the target is still cold and gets few requests; 0 if it is warm.
     #[serde(default)]
     pub cold_for_ms: u64,
+    /// For how long the target still rests and gets no requests, as it has asked for; 0 if it does
+    /// not.
+    #[serde(default)]
+    pub resting_for_ms: u64,
     /// Attempts of this router that run on it.
     pub active: u64,
     /// The remaining time of its ejection; 0 if it is in use.
--- a/crates/beechsaddle-core/src/gateway/repeat_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/repeat_rule.rs
@@ -14,6 +14,8 @@
     NoPath,
     /// The target was withdrawn before anything was sent to it.
     Withdrawn,
+    /// The target asked for rest before anything was sent to it.
+    Resting,
     /// Another process has the target's address, and did not run the request.
     Misdirected,
     /// The target reported that it did not run the request, and never will.
@@ -36,6 +38,7 @@
             | AttemptEnd::Refused
             | AttemptEnd::NoPath
             | AttemptEnd::Withdrawn
+            | AttemptEnd::Resting
             | AttemptEnd::Misdirected
             | AttemptEnd::NotRun => false,
             AttemptEnd::Failed
@@ -51,7 +54,8 @@
             AttemptEnd::Unsent
             | AttemptEnd::Refused
             | AttemptEnd::NoPath
-            | AttemptEnd::Withdrawn => false,
+            | AttemptEnd::Withdrawn
+            | AttemptEnd::Resting => false,
             AttemptEnd::Misdirected
             | AttemptEnd::NotRun
             | AttemptEnd::Failed
@@ -68,6 +72,7 @@
             AttemptEnd::Refused => "refused",
             AttemptEnd::NoPath => "no_path",
             AttemptEnd::Withdrawn => "withdrawn",
+            AttemptEnd::Resting => "resting",
             AttemptEnd::Misdirected => "misdirected",
             AttemptEnd::NotRun => "not_run",
             AttemptEnd::Failed => "failed",
--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -113,6 +113,7 @@
         .eligible(roster)
         .filter(|entry| !input.tried.contains(&entry.record.name))
         .filter(|entry| entry.stats.limit.paused_for_ms(now) == 0)
+        .filter(|entry| input.rest_wait_ms(roster, entry, now) == 0)
         .filter(|entry| input.evacuations.allows(&entry.record.domain))
         .filter(|entry| input.warm_up_wait_ms(entry, now) == 0)
         .collect();
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use super::{ORIGIN_RETENTION_MS, TargetIncarnation, TargetPhase, TargetRecord, TargetStats};
+use super::{
+    ORIGIN_RETENTION_MS, RestRegistry, TargetIncarnation, TargetPhase, TargetRecord, TargetStats,
+};
 use crate::clock::ClockTime;
 use crate::names::{ServiceName, SoftwareVersion, TargetName};
 
@@ -63,6 +65,8 @@
     /// removed or, if it was removed before, when the notice came.
     unlisted_notices: BTreeMap<TargetIncarnation, ClockTime>,
     outage_until: Option<ClockTime>,
+    /// The rests that targets have asked for.
+    pub rests: RestRegistry,
 }
 
 /// The relation of an entry to the known one.
--- a/crates/beechsaddle-core/tests/choice_support/mod.rs
+++ b/crates/beechsaddle-core/tests/choice_support/mod.rs
@@ -65,6 +65,7 @@
         suspect,
         evacuations: &EvacuationRegistry::disabled(),
         warm_up: None,
+        routers: 1,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, START, input)
--- a/crates/beechsaddle-core/tests/gateway_evacuations.rs
+++ b/crates/beechsaddle-core/tests/gateway_evacuations.rs
@@ -69,6 +69,7 @@
         suspect: None,
         evacuations,
         warm_up: None,
+        routers: 1,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, now, input)
--- a/crates/beechsaddle-core/tests/gateway_stream_origins.rs
+++ b/crates/beechsaddle-core/tests/gateway_stream_origins.rs
@@ -128,6 +128,7 @@
         suspect: None,
         evacuations: &EvacuationRegistry::disabled(),
         warm_up: None,
+        routers: 1,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, START, input).map(|choice| choice.target)
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -70,6 +70,7 @@
         suspect: None,
         evacuations: &EvacuationRegistry::disabled(),
         warm_up: None,
+        routers: 1,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, now, input)
@@ -354,6 +355,7 @@
         suspect: None,
         evacuations: &EvacuationRegistry::disabled(),
         warm_up: None,
+        routers: 1,
         policy,
     };
     choose_target(roster, now, input).expect("a target")
--- a/crates/beechsaddle-core/tests/gateway_warm_up.rs
+++ b/crates/beechsaddle-core/tests/gateway_warm_up.rs
@@ -75,6 +75,7 @@
             ring: &ring,
             knows_routers: true,
         }),
+        routers: 1,
         policy: PolicyOptions::default(),
     };
     choose_target(roster, now, input).is_some()
--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -134,6 +134,8 @@
   # The target takes no new requests, as far as the router knows, or is not listed.
   declined @4;
   # The router does not reach the targets itself, is leaving, or has too many tunnels.
+  resting @5;
+  # The target has asked the router for rest. Another router may carry the tunnel.
 }
 
 struct TunnelRequest {
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -7101,6 +7101,7 @@
     Unreachable = 2,
     Withdrawn = 3,
     Declined = 4,
+    Resting = 5,
 }
 
 impl ::capnp::introspect::Introspect for TunnelOutcome {
@@ -7118,6 +7119,7 @@
             2 => ::core::result::Result::Ok(Self::Unreachable),
             3 => ::core::result::Result::Ok(Self::Withdrawn),
             4 => ::core::result::Result::Ok(Self::Declined),
+            5 => ::core::result::Result::Ok(Self::Resting),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -7130,7 +7132,7 @@
     const TYPE_ID: u64 = 0x9aa9_4739_5419_7ae7u64;
 }
 mod tunnel_outcome {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 41] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 45] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(231, 122, 25, 84, 57, 71, 169, 154),
     ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
@@ -7140,7 +7142,7 @@
     ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
     ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 127, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 151, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
@@ -7148,21 +7150,24 @@
     ::capnp::word(110, 110, 101, 108, 79, 117, 116, 99),
     ::capnp::word(111, 109, 101, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(53, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(65, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(57, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(37, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(49, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(33, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(37, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(111, 112, 101, 110, 101, 100, 0, 0),
     ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
@@ -7172,6 +7177,7 @@
     ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(100, 101, 99, 108, 105, 110, 101, 100),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 115, 116, 105, 110, 103, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/crates/beechsaddle/src/command/gateway_text.rs
+++ b/crates/beechsaddle/src/command/gateway_text.rs
@@ -61,7 +61,7 @@
 fn target_line(target: &GatewayTargetStatus) -> String {
     format!(
         "target {} service={} phase={} active={} ejected_for_ms={} failures={:.2} heard_age_ms={} \
-         cold_for_ms={}",
+         cold_for_ms={} resting_for_ms={}",
         target.target,
         target.service,
         target.phase,
@@ -69,7 +69,8 @@
         target.ejected_for_ms,
         target.failure_share,
         target.heard_age_ms,
-        target.cold_for_ms
+        target.cold_for_ms,
+        target.resting_for_ms
     )
 }
 
--- a/crates/beechsaddle/src/explain/call_trace.rs
+++ b/crates/beechsaddle/src/explain/call_trace.rs
@@ -51,11 +51,12 @@
     fn find(index: &'a LogIndex, id: &'a str) -> Option<Self> {
         let own: Vec<_> = own_entries(index, id).collect();
         let values = |key| own.iter().filter_map(move |entry| entry.field(key));
-        let leaving = values("leaving").flat_map(|names| names.split(','));
+        let named = values("leaving").chain(values("resting"));
+        let named = named.flat_map(|names| names.split(','));
         Some(CallTrace {
             id,
             routers: own.iter().map(|entry| entry.router.as_str()).collect(),
-            targets: values("target").chain(leaving).collect(),
+            targets: values("target").chain(named).collect(),
             workspaces: values("workspace").collect(),
             fingerprints: values("fingerprint").collect(),
             first_ms: own.first()?.at_ms,
@@ -72,6 +73,9 @@
         if let Some(fingerprint) = entry.field("fingerprint") {
             return entry.at_ms <= self.last_ms && self.fingerprints.contains(fingerprint);
         }
+        if entry.event == "target_resting" {
+            return self.is_resting(entry);
+        }
         // A target that has announced that it leaves stays out of use.
         let is_lasting = entry.event == "target_leaving" && entry.at_ms <= self.last_ms;
         let is_near = entry.at_ms + LEAD_MS >= self.first_ms && entry.at_ms <= self.last_ms;
@@ -84,6 +88,19 @@
         (is_near || is_lasting) && is_related && self.routers.contains(entry.router.as_str())
     }
 
+    /// Whether one of the call's targets rests by this entry at any time of the call.
+    fn is_resting(&self, entry: &LogEntry) -> bool {
+        let rest_ms = entry.field("rest_ms").and_then(|text| text.parse().ok());
+        let ends_ms = entry.at_ms.saturating_add(rest_ms.unwrap_or(LEAD_MS));
+        let is_known = entry
+            .field("target")
+            .is_some_and(|target| self.targets.contains(target));
+        is_known
+            && entry.at_ms <= self.last_ms
+            && ends_ms >= self.first_ms
+            && self.routers.contains(entry.router.as_str())
+    }
+
     fn line(&self, entry: &LogEntry) -> String {
         let after_ms = entry.at_ms as i64 - self.first_ms as i64;
         let mark = match entry.field("id") {
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -115,6 +115,7 @@
                 | AttemptEnd::NotRun
                 | AttemptEnd::Misdirected
                 | AttemptEnd::Withdrawn
+                | AttemptEnd::Resting
                 | AttemptEnd::NoPath => {}
                 AttemptEnd::Failed | AttemptEnd::Broken => stats.record_outcome(now, true),
                 AttemptEnd::Silent if !is_target_silent => stats.record_outcome(now, true),
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -20,6 +20,7 @@
 use super::gateway_state::GatewayState;
 use super::open_attempts::OpenAttempts;
 use super::refusal::RefusalCause;
+use super::target_choice::{has_candidate, no_target_cause};
 
 /// Number of target crashes attributed to a request or a part of its prompt after which the router
 /// no longer repeats it; only the caller may send it again.
@@ -130,7 +131,8 @@
         let attempts_max = self.route.attempts_max;
         let attempts = self.all_attempts();
         let allows = attempts.allows_another(self.route.kind, attempts_max);
-        if !allows || self.remaining_ms() == 0 {
+        // Without a target, the retry budget is left for other calls.
+        if !allows || self.remaining_ms() == 0 || !has_candidate(self) {
             return false;
         }
         if self.is_withheld(end) {
@@ -194,8 +196,12 @@
                 _ => RefusalCause::OutcomeUnknown,
             };
         }
+        if !has_candidate(self) {
+            return no_target_cause(self);
+        }
         match last {
             AttemptEnd::NotRun => RefusalCause::TargetsFull,
+            AttemptEnd::Resting => RefusalCause::TargetsResting,
             AttemptEnd::Withdrawn => RefusalCause::NoTarget,
             AttemptEnd::Unsent
             | AttemptEnd::Refused
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -29,6 +29,7 @@
 use super::plain_exchange::serve_plain;
 use super::refusal::RefusalCause;
 use super::stream_exchange::serve_stream;
+use super::target_choice::refuse_resting;
 use super::token_reservation::TokenReservation;
 
 /// Maximum time to read a request body, in milliseconds, if the caller's deadline allows more.
@@ -92,6 +93,9 @@
 
 async fn serve_read(call: Rc<CallContext>) -> Response<AnswerBody> {
     let state = &call.state;
+    if let Some(refusal) = refuse_resting(&call) {
+        return refusal;
+    }
     if let Some(refusal) = refuse_crashing(&call).await {
         return refusal;
     }
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -95,11 +95,12 @@
 pub(super) const TRIAL_OUTCOMES: [&str; 2] = ["granted", "refused"];
 
 /// The outcomes of requests for tunnels.
-const TUNNEL_OUTCOMES: [&str; 6] = [
+const TUNNEL_OUTCOMES: [&str; 7] = [
     "opened",
     "refused",
     "unreachable",
     "withdrawn",
+    "resting",
     "declined",
     "failed",
 ];
@@ -147,6 +148,8 @@
     pub(super) connects: Family<OutcomeLabel, Counter>,
     /// Responses in which targets announce that they leave or want rest.
     pub(super) target_notices: Family<OutcomeLabel, Counter>,
+    /// Rests of targets that began or grew.
+    pub(super) target_rests: Counter,
     /// 1 while the router is partitioned from the targets.
     pub(super) path_lost: Gauge,
     /// Requests for tunnels through other routers, by outcome.
@@ -222,6 +225,7 @@
             caller_closes: zeroed_counters(CALLER_CLOSES),
             connects: zeroed_counters(CONNECT_RESULTS),
             target_notices: zeroed_counters(TARGET_NOTICES),
+            target_rests: Counter::default(),
             path_lost: Gauge::default(),
             tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
             tunnels_carried: Gauge::default(),
@@ -314,6 +318,8 @@
         registry.register("connects", "New connections to targets", connects);
         let notices = self.target_notices.clone();
         registry.register("target_notices", "Responses with a notice", notices);
+        let rests = self.target_rests.clone();
+        registry.register("target_rests", "Rests that began or grew", rests);
         let path_lost = self.path_lost.clone();
         registry.register("path_lost", "Partitioned from the targets", path_lost);
         let requested = self.tunnels_requested.clone();
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -258,6 +258,12 @@
         accepts && self.evacuations.borrow().allows(&target.domain)
     }
 
+    /// Whether a target has asked this router for rest.
+    pub(super) fn is_resting(&self, target: &TargetRecord) -> bool {
+        let roster = self.roster.borrow();
+        roster.rests.left_ms(self.now(), target) > 0
+    }
+
     /// Records that all changes of targets up to a time are known.
     pub(super) fn record_targets_known(&self, at: ClockTime) {
         self.update_age.borrow_mut().record_known(at);
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -43,6 +43,8 @@
     TargetsCold,
     /// No target could be reached; nothing was sent.
     TargetsUnreachable,
+    /// All targets of the service rest, as they have asked for.
+    TargetsResting,
     /// Targets reported that they did not run the request.
     TargetsFull,
     /// All targets of the service have reached their rate limits.
@@ -87,6 +89,7 @@
             | RefusalCause::TargetsCold
             | RefusalCause::CrashesTargets
             | RefusalCause::TargetsLimited
+            | RefusalCause::TargetsResting
             | RefusalCause::TargetsUnreachable
             | RefusalCause::TooLate => (RefusalKind::NotRun, Some(OUTAGE_RETRY_MS)),
             RefusalCause::TargetsEvacuated => (RefusalKind::NotRun, Some(EVACUATED_RETRY_MS)),
@@ -122,6 +125,7 @@
             RefusalCause::TargetsUnreachable => "targets_unreachable",
             RefusalCause::TargetsFull => "targets_full",
             RefusalCause::TargetsLimited => "targets_limited",
+            RefusalCause::TargetsResting => "targets_resting",
             RefusalCause::TooLate => "too_late",
             RefusalCause::OutcomeUnknown => "outcome_unknown",
             RefusalCause::TimedOut => "timed_out",
--- a/crates/beechsaddle/src/gateway/status_view.rs
+++ b/crates/beechsaddle/src/gateway/status_view.rs
@@ -94,6 +94,7 @@
         service: entry.record.service.clone(),
         phase: phase.to_owned(),
         cold_for_ms: entry.cold_for_ms(now),
+        resting_for_ms: state.roster.borrow().rests.left_ms(now, &entry.record),
         active: stats.active,
         ejected_for_ms: stats.ejected_for_ms(now),
         failure_share: stats.failure_share(now),
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -4,6 +4,7 @@
 use beechsaddle_core::gateway::{
     ChoiceInput, TargetChoice, TargetRecord, TargetRoster, WarmUpPlan, choose_target,
 };
+use beechsaddle_core::hash::rendezvous_weight;
 use beechsaddle_core::names::TargetName;
 use http::Response;
 
@@ -14,6 +15,9 @@
 
 /// Maximum number of targets that the record of a refusal names: enough to find their own lines.
 const LEAVING_NAMED_MAX: usize = 8;
+/// The time over which callers return after the end of a rest, in milliseconds: a router with some
+/// dozens of calls a second hands on a few of them at once.
+const RETURN_SPAN_MS: u64 = 500;
 
 /// Chooses a target and, if it has a rate limit, obtains a permit for it. A target without a permit
 /// is excluded for a while, so that the next choice differs. Returns `None` if no target is left.
@@ -23,6 +27,10 @@
     loop {
         let (choice, target) = choose(call)?;
         if request_permit(&call.state, &target).await {
+            // It may have asked for rest while the call waited for the permit.
+            if call.state.is_resting(&target) {
+                continue;
+            }
             return Some((choice, target));
         }
         let fields = [("target", target.name.to_string())];
@@ -105,6 +113,7 @@
         suspect: suspect.as_deref(),
         evacuations: &evacuations,
         warm_up,
+        routers: ring.router_count(),
         policy: settings.policy,
     };
     decide(&roster, input)
@@ -124,6 +133,10 @@
     match shortest_pause(call) {
         Some(TargetPause::Limited { .. }) => RefusalCause::TargetsLimited,
         Some(TargetPause::Cold { .. }) => RefusalCause::TargetsCold,
+        Some(TargetPause::Resting { .. }) => {
+            call.record.add_field("resting", resting_targets(call));
+            RefusalCause::TargetsResting
+        }
         None if is_evacuated(call) => {
             let evacuations = call.state.evacuations.borrow();
             let domains: Vec<_> = evacuations
@@ -157,6 +170,20 @@
     true
 }
 
+/// Refuses a call whose targets all rest, before anything is reserved for it.
+pub(super) fn refuse_resting(call: &CallContext) -> Option<Response<AnswerBody>> {
+    let state = &call.state;
+    if !state.roster.borrow().rests.has_any(state.now()) {
+        return None;
+    }
+    let is_resting = matches!(shortest_pause(call), Some(TargetPause::Resting { .. }));
+    if !is_resting || has_candidate(call) {
+        return None;
+    }
+    let cause = no_target_cause(call);
+    Some(refuse_call(call, cause, "all targets rest"))
+}
+
 /// Refuses a call that no target answered.
 pub(super) fn refuse_call(
     call: &CallContext,
@@ -169,10 +196,31 @@
         | (RefusalCause::TargetsCold, Some(TargetPause::Cold { pause_ms })) => {
             cause.response_after(pause_ms, message)
         }
+        (RefusalCause::TargetsResting, Some(TargetPause::Resting { pause_ms })) => {
+            let retry_ms = pause_ms.saturating_add(return_delay_ms(call));
+            cause.response_after(retry_ms, message)
+        }
         _ => cause.response(message),
     }
 }
 
+/// Returns how long after the end of a rest a caller returns, so that those that wait for it do not
+/// return in the same instant.
+fn return_delay_ms(call: &CallContext) -> u64 {
+    rendezvous_weight(&call.head.request_id, "rest") % RETURN_SPAN_MS
+}
+
+fn resting_targets(call: &CallContext) -> String {
+    let now = call.state.now();
+    let names = with_input(call, &[], |roster, input| {
+        let eligible = input.eligible(roster);
+        let resting = eligible.filter(|entry| input.rest_wait_ms(roster, entry, now) > 0);
+        let names = resting.map(|entry| entry.record.name.to_string());
+        names.collect::<Vec<_>>()
+    });
+    names.join(",")
+}
+
 /// Records the chosen target and the reasons.
 pub(super) fn record_choice(call: &CallContext, choice: &TargetChoice, target: &TargetRecord) {
     call.record.add_field("target", &choice.target);
@@ -203,12 +251,16 @@
     Limited { pause_ms: u64 },
     /// It is cold, and has received this router's part of its requests.
     Cold { pause_ms: u64 },
+    /// It has asked for rest, or has just rested and its slots are taken.
+    Resting { pause_ms: u64 },
 }
 
 impl TargetPause {
     fn pause_ms(self) -> u64 {
         match self {
-            TargetPause::Limited { pause_ms } | TargetPause::Cold { pause_ms } => pause_ms,
+            TargetPause::Limited { pause_ms }
+            | TargetPause::Cold { pause_ms }
+            | TargetPause::Resting { pause_ms } => pause_ms,
         }
     }
 }
@@ -221,15 +273,20 @@
             .eligible(roster)
             .filter(|entry| input.evacuations.allows(&entry.record.domain));
         let pauses = allowed.filter_map(|entry| {
-            let limited_ms = entry.stats.limit.paused_for_ms(now);
-            let cold_ms = input.warm_up_wait_ms(entry, now);
-            match (limited_ms, cold_ms) {
-                (0, 0) => None,
-                (pause_ms, cold_ms) if pause_ms >= cold_ms => {
-                    Some(TargetPause::Limited { pause_ms })
-                }
-                (_, pause_ms) => Some(TargetPause::Cold { pause_ms }),
-            }
+            let pauses = [
+                TargetPause::Resting {
+                    pause_ms: input.rest_wait_ms(roster, entry, now),
+                },
+                TargetPause::Cold {
+                    pause_ms: input.warm_up_wait_ms(entry, now),
+                },
+                TargetPause::Limited {
+                    pause_ms: entry.stats.limit.paused_for_ms(now),
+                },
+            ];
+            // The last of several that are equally long counts.
+            let longest = pauses.into_iter().max_by_key(|pause| pause.pause_ms());
+            longest.filter(|pause| pause.pause_ms() > 0)
         });
         pauses.min_by_key(|pause| pause.pause_ms())
     })
--- a/crates/beechsaddle/src/gateway/target_notice.rs
+++ b/crates/beechsaddle/src/gateway/target_notice.rs
@@ -53,8 +53,9 @@
         count(state, leaving);
         record_leaving(state, target, source);
     }
-    if facts.rest_ms.is_some() {
+    if let Some(rest_ms) = facts.rest_ms {
         count(state, rest);
+        record_rest(state, target, rest_ms);
     }
 }
 
@@ -85,6 +86,23 @@
     state.report.log(LogLevel::Info, "target_leaving", fields);
 }
 
+/// Records that a target wants no requests from this router for a while.
+fn record_rest(state: &GatewayState, target: &TargetRecord, rest_ms: u64) {
+    let mut roster = state.roster.borrow_mut();
+    let rests = &mut roster.rests;
+    let is_longer = rests.record(state.now(), target.incarnation(), rest_ms);
+    drop(roster);
+    if !is_longer {
+        return;
+    }
+    state.metrics.target_rests.inc();
+    let fields = [
+        ("target", target.name.to_string()),
+        ("rest_ms", rest_ms.to_string()),
+    ];
+    state.report.log(LogLevel::Info, "target_resting", fields);
+}
+
 fn count(state: &GatewayState, what: &'static str) {
     let notices = &state.metrics.target_notices;
     notices.get_or_create(&OutcomeLabel { what }).inc();
--- a/crates/beechsaddle/src/gateway/target_path.rs
+++ b/crates/beechsaddle/src/gateway/target_path.rs
@@ -111,6 +111,7 @@
         TunnelFailure::Withdrawn => {
             SendFailure::new(AttemptEnd::Withdrawn, "another router knows that it leaves")
         }
+        TunnelFailure::Resting => SendFailure::new(AttemptEnd::Resting, "rests for other routers"),
         TunnelFailure::NoRouter => {
             SendFailure::new(AttemptEnd::NoPath, "no router reaches the targets")
         }
@@ -305,7 +306,7 @@
     join_all(probes).await;
 }
 
-/// Returns up to `count` ready targets, drawn at random.
+/// Returns up to `count` ready targets that do not rest, drawn at random.
 pub(super) fn sample_targets(
     state: &GatewayState,
     count: usize,
@@ -314,7 +315,7 @@
     let roster = state.roster.borrow();
     let ready = roster.entries().filter(|entry| !entry.is_leaving());
     let records = ready.map(|entry| &entry.record);
-    let wanted = records.filter(|record| is_wanted(record));
+    let wanted = records.filter(|record| !state.is_resting(record) && is_wanted(record));
     let mut targets: Vec<_> = wanted.cloned().collect();
     targets.shuffle(&mut rand::rng());
     targets.truncate(count);
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -55,7 +55,7 @@
     fetch_from: Option<SocketAddr>,
     wait_limit: Duration,
 ) -> Result<TargetAnswer, SendFailure> {
-    check_accepts(call, target)?;
+    check_target(&call.state, target)?;
     let pooled = call.state.pool.take(call.state.now(), target.address);
     if let Some(link) = pooled {
         let request = build_request(call, target, last_event, fetch_from);
@@ -77,23 +77,24 @@
     if let Some(router) = &link.router {
         call.record.add_field("through", router);
     }
-    check_accepts(call, target)?;
+    check_target(&call.state, target)?;
     let request = build_request(call, target, last_event, fetch_from);
     call.state.record_message(LinkDirection::Out, &call.body);
     let sent = send_on(call, target, link, request, wait_limit, true).await;
     sent.map_err(|(failure, _)| failure)
 }
 
-/// Checks that a target was not withdrawn after it was chosen, while the call waited for a permit or a
-/// connection.
-fn check_accepts(call: &CallContext, target: &TargetRecord) -> Result<(), SendFailure> {
-    match call.state.accepts_requests(target) {
-        true => Ok(()),
-        false => Err(SendFailure::new(
-            AttemptEnd::Withdrawn,
-            "target was withdrawn meanwhile",
-        )),
+/// Checks that a target that was chosen earlier may still get a request.
+fn check_target(state: &GatewayState, target: &TargetRecord) -> Result<(), SendFailure> {
+    if !state.accepts_requests(target) {
+        let detail = "target was withdrawn meanwhile";
+        return Err(SendFailure::new(AttemptEnd::Withdrawn, detail));
     }
+    if state.is_resting(target) {
+        let detail = "target asked for rest meanwhile";
+        return Err(SendFailure::new(AttemptEnd::Resting, detail));
+    }
+    Ok(())
 }
 
 /// Sends on a connection. The flag of a failure is set if the connection was closed before anything
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_client.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_client.rs
@@ -43,6 +43,8 @@
     Unreachable,
     /// Another router knows that the target takes no new requests.
     Withdrawn,
+    /// The target has asked other routers for rest.
+    Resting,
     /// No other router opens tunnels.
     NoRouter,
 }
@@ -57,7 +59,7 @@
     target: &TargetRecord,
 ) -> Result<OpenTunnel, TunnelFailure> {
     let started = state.now();
-    let mut is_unreachable = false;
+    let mut failure = None;
     for router in candidates(state, target) {
         if state.now().since(started) >= SEARCH_LIMIT_MS {
             break;
@@ -85,13 +87,17 @@
             TunnelOutcome::Unreachable if state.now().since(started) >= SEARCH_SPAN_MS => {
                 return Err(TunnelFailure::Unreachable);
             }
-            TunnelOutcome::Unreachable => is_unreachable = true,
+            TunnelOutcome::Unreachable => {
+                failure.get_or_insert(TunnelFailure::Unreachable);
+            }
             TunnelOutcome::Withdrawn => return Err(TunnelFailure::Withdrawn),
+            // A rest binds the router that it was asked of. It also shows that the target runs.
+            TunnelOutcome::Resting => failure = Some(TunnelFailure::Resting),
             TunnelOutcome::Declined => record_declined(state, &router, "declined"),
         }
     }
-    if is_unreachable {
-        return Err(TunnelFailure::Unreachable);
+    if let Some(failure) = failure {
+        return Err(failure);
     }
     let is_isolated = state.path.borrow().is_lost() && !has_candidates(state);
     state.tunnels.set_isolated(is_isolated);
@@ -160,5 +166,6 @@
         TunnelOutcome::Unreachable => "unreachable",
         TunnelOutcome::Withdrawn => "withdrawn",
         TunnelOutcome::Declined => "declined",
+        TunnelOutcome::Resting => "resting",
     }
 }
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
@@ -88,6 +88,9 @@
         return Err(TunnelOutcome::Declined);
     }
     let target = find_target(state, order).ok_or(TunnelOutcome::Withdrawn)?;
+    if state.is_resting(&target) {
+        return Err(TunnelOutcome::Resting);
+    }
     // Checked again regularly; the other router need not wait for one more timeout.
     if state.path.borrow().needs_tunnel(&target.name) {
         return Err(TunnelOutcome::Unreachable);
@@ -97,9 +100,10 @@
         true => TunnelOutcome::Refused,
         false => TunnelOutcome::Unreachable,
     });
-    // The target may have been withdrawn while the connection was made.
+    // The target may have been withdrawn or asked for rest while the connection was made.
     match stream {
         Ok(_) if !state.accepts_requests(&target) => Err(TunnelOutcome::Withdrawn),
+        Ok(_) if state.is_resting(&target) => Err(TunnelOutcome::Resting),
         // This attempt may have shown that the router itself is partitioned from the targets.
         Err(_) if state.path.borrow().is_lost() => Err(TunnelOutcome::Declined),
         stream => stream.map(|stream| (target, stream)),
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -39,6 +39,32 @@
     assert!(explain_call(&index, "x").is_none());
 }
 
+/// The explanation of a call that was refused since all targets rest names the rests, however long
+/// before they began, and none that had ended or that another router was asked for.
+#[test]
+fn explain_call_refused_for_rest_includes_rests() {
+    let mut index = LogIndex::default();
+    for line in [
+        "ts=20000 level=info router=a@1 event=target_resting target=t1 rest_ms=80000",
+        "ts=89000 level=info router=a@1 event=target_resting target=t2 rest_ms=3000",
+        "ts=80000 level=info router=a@1 event=target_resting target=t2 rest_ms=3000",
+        "ts=89500 level=info router=b@1 event=target_resting target=t2 rest_ms=3000",
+        "ts=89500 level=info router=a@1 event=target_resting target=t3 rest_ms=3000",
+        "ts=90000 level=info router=a@1 event=call_admitted id=one",
+        "ts=90001 level=info router=a@1 event=call id=one resting=t1,t2 outcome=targets_resting",
+    ] {
+        index.add_line(line);
+    }
+    index.sort();
+    let output = explain_call(&index, "one").expect("an explanation");
+    let rests: Vec<_> = output
+        .iter()
+        .filter(|line| line.contains("target_resting"))
+        .collect();
+    assert_eq!(rests.len(), 2, "{output:?}");
+    assert!(rests[0].contains("target=t1") && rests[1].contains("target=t2"));
+}
+
 /// The explanation of a call that was refused for crashes names those crashes.
 #[test]
 fn explain_call_refused_for_crashes_includes_them() {
