An idempotent call's first target stays until the second has answered

Callers of idempotent routes got 502 outcome_unknown, or the second target's 500, though the first target was sound and answered a little late.

Cause: after 0.55 of the objective the first attempt was closed, and only then was another target tried. If that one rejected, failed or disconnected, nothing was left.

Now plain calls use the same race as streams before their head: the second attempt begins beside the first one, the first usable response is forwarded, and the other connection is closed. Each attempt may last until the call's deadline, so that sending needs no time limit of its own. If there is no other target, or no attempt left, the call waits.

idempotent_late_answer_ejects_no_target made both targets equally late, and expected the call to be retried although its first target answers before the second one can. It now lets the second one answer at once, with the same two checks; idempotent_late_answer_is_forwarded holds the old order of events, with a check of which attempt was closed.

Why it works: a late response costs nothing if another one comes first, and is the answer otherwise. What two attempts at a time cost a service under load was not measured.

--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -1,6 +1,7 @@
 //! The `plain_exchange` module provides calls whose responses are short and buffered before they
 //! are forwarded.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{AttemptEnd, LinkDirection, TargetChoice, TargetRecord};
@@ -12,18 +13,20 @@
 
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
+use super::attempt_race::{AttemptRace, AttemptResult, RaceEntry, RaceResult};
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
 use super::crashes::record_completion;
-use super::target_choice::{choose_permitted_target, no_target_cause, record_choice, refuse_call};
+use super::stall_watch::StallWatch;
+use super::target_choice::refuse_call;
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 
 /// Maximum size of a plain response, in bytes. It is read completely before any of it is forwarded,
 /// so that a truncated response can be retried.
 const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
 
-/// Share of the route's objective after which an idempotent call abandons a silent target while
-/// another target can still answer in time.
+/// Share of the route's objective after which an idempotent call is sent to another target as well,
+/// which can still answer in time.
 const WAIT_LIMIT_SHARE: f64 = 0.55;
 
 /// Multiple of a target's usual response time that it is allowed at least, so that a loaded service
@@ -43,77 +46,75 @@
 }
 
 pub(super) async fn serve_plain(call: &CallContext) -> Response<AnswerBody> {
-    let mut last_answer = None;
-    let cause = loop {
-        let Some((choice, target)) = choose_permitted_target(call).await else {
-            break no_target_cause(call);
-        };
-        record_choice(call, &choice, &target);
-        let (end, detail) = match run_attempt(call, &choice, &target).await {
-            Ok(answer) if answer.end.is_none() => return forward_answer(call, answer),
-            Ok(answer) => {
-                let end = answer.end.unwrap_or(AttemptEnd::Failed);
-                let detail = format!("status {}", answer.status);
-                last_answer = Some(answer);
-                (end, detail)
-            }
-            Err(failure) => (failure.end, failure.detail),
-        };
-        call.record_attempt_end(&target.name, end, &detail);
-        if !call.try_repeat(end) {
-            break call.final_cause(end);
+    let race = AttemptRace::new(call, None);
+    let result = race
+        .run(|choice, target| begin_attempt(call, &choice, target))
+        .await;
+    match result {
+        RaceResult::Won(answer) => forward_answer(call, answer),
+        // If no attempt did better, the caller gets the target's own error response.
+        RaceResult::Lost {
+            answer: Some((answer, AttemptEnd::Failed)),
+            ..
+        } => forward_answer(call, answer),
+        RaceResult::Lost { cause, .. } => {
+            refuse_call(call, cause, "no target gave a usable answer")
         }
-    };
-    // If no attempt did better, the caller gets the target's own error response.
-    match last_answer {
-        Some(answer) if answer.end == Some(AttemptEnd::Failed) => forward_answer(call, answer),
-        Some(_) | None => refuse_call(call, cause, "no target gave a usable answer"),
     }
 }
 
-async fn run_attempt(
-    call: &CallContext,
+fn begin_attempt<'a>(
+    call: &'a CallContext,
     choice: &TargetChoice,
-    target: &TargetRecord,
-) -> Result<BufferedAnswer, SendFailure> {
-    let guard = AttemptGuard::start(call, target.clone(), choice.load);
-    let outcome = exchange(call, target, wait_limit(call, target)).await;
-    match &outcome {
-        Ok(answer) => match answer.end {
-            Some(end) => {
-                if answer.is_misdirected {
-                    guard.record_misdirected();
-                }
-                guard.record_failure(end);
-                guard.detect_crash(end).await;
-            }
-            None => {
-                guard.record_first_event();
-                guard.record_success();
-                // A target that rejects a request has not begun to write an answer to it.
-                let completed = match answer.status.is_success() {
-                    true => &call.suspects[..],
-                    false => &[call.fingerprint],
-                };
-                record_completion(&call.state, completed);
-            }
-        },
+    target: TargetRecord,
+) -> RaceEntry<'a, BufferedAnswer> {
+    let watch = StallWatch::for_answer(call, &target, wait_limit_ms(call, &target));
+    let guard = Rc::new(AttemptGuard::start(call, target, choice.load));
+    let running = run_attempt(call, Rc::clone(&guard));
+    RaceEntry {
+        guard,
+        watch,
+        running: Box::pin(running),
+    }
+}
+
+async fn run_attempt(call: &CallContext, guard: Rc<AttemptGuard>) -> AttemptResult<BufferedAnswer> {
+    let answer = match exchange(call, guard.target()).await {
+        Ok(answer) => answer,
         Err(failure) => {
             guard.record_failure(failure.end);
             guard.detect_crash(failure.end).await;
+            return AttemptResult::Failure(failure);
+        }
+    };
+    if let Some(end) = answer.end {
+        if answer.is_misdirected {
+            guard.record_misdirected();
         }
+        guard.record_failure(end);
+        guard.detect_crash(end).await;
+        return AttemptResult::Unusable {
+            detail: format!("status {}", answer.status),
+            answer,
+            end,
+        };
     }
-    outcome
+    guard.record_first_event();
+    guard.record_success();
+    // A target that rejects a request has not begun to write an answer to it.
+    let completed = match answer.status.is_success() {
+        true => &call.suspects[..],
+        false => &[call.fingerprint],
+    };
+    record_completion(&call.state, completed);
+    AttemptResult::Usable(answer)
 }
 
 async fn exchange(
     call: &CallContext,
     target: &TargetRecord,
-    wait_limit: Duration,
 ) -> Result<BufferedAnswer, SendFailure> {
-    let started = tokio::time::Instant::now();
-    let answer = send_attempt(call, target, None, None, wait_limit).await?;
-    let left = wait_limit.saturating_sub(started.elapsed());
+    let answer = send_attempt(call, target, None, None).await?;
     let TargetAnswer {
         response,
         facts,
@@ -122,7 +123,7 @@
     let (parts, body) = response.into_parts();
     let body = match call.method {
         Method::HEAD => Bytes::new(),
-        _ => read_body(body, left).await?,
+        _ => read_body(body, call.remaining()).await?,
     };
     if facts.status.is_success() {
         link.release(&call.state, target.address, &facts);
@@ -156,15 +157,8 @@
     }
 }
 
-/// Returns how long to wait for a target: all the remaining time, unless another target could still
-/// answer in time.
-fn wait_limit(call: &CallContext, target: &TargetRecord) -> Duration {
-    let left = call.remaining();
-    let mut after = call.history.borrow().clone();
-    after.record(AttemptEnd::Silent);
-    if !after.allows_another(call.route.kind, call.route.attempts_max) {
-        return left;
-    }
+/// Returns how long to wait for a target before another one is tried beside it, in milliseconds.
+fn wait_limit_ms(call: &CallContext, target: &TargetRecord) -> u64 {
     let roster = call.state.roster.borrow();
     let usual_ms = roster
         .get(&target.name)
@@ -174,7 +168,7 @@
     let wait_limit_ms = (objective_ms * WAIT_LIMIT_SHARE)
         .max(usual_ms * WAIT_LIMIT_FACTOR)
         .max(MIN_WAIT_LIMIT_MS);
-    left.min(Duration::from_millis(wait_limit_ms as u64))
+    wait_limit_ms as u64
 }
 
 fn forward_answer(call: &CallContext, answer: BufferedAnswer) -> Response<AnswerBody> {
--- a/crates/beechsaddle/src/gateway/stall_watch.rs
+++ b/crates/beechsaddle/src/gateway/stall_watch.rs
@@ -27,6 +27,15 @@
 /// seconds.
 const DENIED_PAUSE_MS: u64 = 1_000;
 
+/// Whose data ends a silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SilenceScope {
+    /// Only the data of this attempt.
+    Attempt,
+    /// The data of any call: a target that still sends some is slow, not silent.
+    Target,
+}
+
 /// Whether another target may be sought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SearchPhase {
@@ -41,6 +50,7 @@
 /// fleet's retry budget.
 pub(super) struct StallWatch {
     target: TargetName,
+    scope: SilenceScope,
     limit_ms: u64,
     last_data_at: ClockTime,
     phase: SearchPhase,
@@ -54,6 +64,20 @@
         prefill_tokens: u64,
     ) -> Self {
         let limit_ms = STALL_TIMEOUT_MS + prefill_tokens / MIN_PREFILL_TOKENS_PER_MS;
+        StallWatch::start(call, target, SilenceScope::Target, limit_ms)
+    }
+
+    /// Creates a watch for the time until a complete response.
+    pub(super) fn for_answer(call: &CallContext, target: &TargetRecord, limit_ms: u64) -> Self {
+        StallWatch::start(call, target, SilenceScope::Attempt, limit_ms)
+    }
+
+    fn start(
+        call: &CallContext,
+        target: &TargetRecord,
+        scope: SilenceScope,
+        limit_ms: u64,
+    ) -> Self {
         let now = call.state.now();
         // A call that may run only once has to wait.
         let phase = match call.route.kind.may_repeat() {
@@ -62,6 +86,7 @@
         };
         StallWatch {
             target: target.name.clone(),
+            scope,
             limit_ms,
             last_data_at: now,
             phase,
@@ -107,8 +132,11 @@
         }
     }
 
-    /// Returns when the target last sent data for any call: one that still sends some is slow, not silent.
+    /// Returns when the data was received that counts.
     fn last_progress_at(&self, call: &CallContext) -> ClockTime {
+        if self.scope == SilenceScope::Attempt {
+            return self.last_data_at;
+        }
         let roster = call.state.roster.borrow();
         let entry = roster.get(&self.target);
         entry.map_or(self.last_data_at, |entry| {
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -137,7 +137,7 @@
     fetch_from: Option<SocketAddr>,
 ) -> AttemptResult<AttemptAnswer> {
     let target = guard.target();
-    let sending = send_attempt(call, target, last_event, fetch_from, call.remaining());
+    let sending = send_attempt(call, target, last_event, fetch_from);
     let result = match sending.await {
         Ok(answer) => classify_answer(call, guard, answer).await,
         Err(failure) => {
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -1,7 +1,6 @@
 //! The `target_send` module provides the sending of one attempt to its target.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use beechsaddle_core::gateway::{AttemptEnd, LinkDirection, TargetRecord};
 use beechsaddle_link::{LinkFailure, LinkOptions};
@@ -45,7 +44,7 @@
     }
 }
 
-/// Sends a call to a target and waits up to `wait_limit` for the response head.
+/// Sends a call to a target and waits for the response head, up to the call's deadline.
 ///
 /// `last_event` replaces the caller's own `Last-Event-Id`.
 pub(super) async fn send_attempt(
@@ -53,7 +52,6 @@
     target: &TargetRecord,
     last_event: Option<u64>,
     fetch_from: Option<SocketAddr>,
-    wait_limit: Duration,
 ) -> Result<TargetAnswer, SendFailure> {
     check_target(&call.state, target)?;
     let pooled = call.state.pool.take(call.state.now(), target.address);
@@ -61,7 +59,7 @@
         let request = build_request(call, target, last_event, fetch_from);
         call.state.record_message(LinkDirection::Out, &call.body);
         let link = TargetLink::direct(link);
-        match send_on(call, target, link, request, wait_limit, false).await {
+        match send_on(call, target, link, request, false).await {
             // The target closed the idle connection before anything was written; a new connection
             // may still work.
             Err((failure, true)) if failure.end == AttemptEnd::Unsent => {}
@@ -80,7 +78,7 @@
     check_target(&call.state, target)?;
     let request = build_request(call, target, last_event, fetch_from);
     call.state.record_message(LinkDirection::Out, &call.body);
-    let sent = send_on(call, target, link, request, wait_limit, true).await;
+    let sent = send_on(call, target, link, request, true).await;
     sent.map_err(|(failure, _)| failure)
 }
 
@@ -104,11 +102,10 @@
     target: &TargetRecord,
     mut link: TargetLink,
     request: Request<Full<Bytes>>,
-    wait_limit: Duration,
     is_fresh: bool,
 ) -> Result<TargetAnswer, (SendFailure, bool)> {
     let sent_at = call.state.now();
-    let response = match timeout(wait_limit, link.http.send(request)).await {
+    let response = match timeout(call.remaining(), link.http.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(failure)) => return Err(convert_failure(&failure)),
         Err(_) => {
--- a/crates/beechsaddle/tests/gateway_calls.rs
+++ b/crates/beechsaddle/tests/gateway_calls.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use beechsaddle_platform_stand_in::{CallRequest, StoreStandIn, TargetFault, TargetStandIn};
+use beechsaddle_platform_stand_in::{CallRequest, StoreStandIn, TargetFault, TargetStandIn, call};
 use gateway_support::{GatewayBench, GatewayProcess, KEY, draft, request, wait_for};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -247,15 +247,25 @@
     }
 }
 
-/// One late response does not eject a target: the call is retried at the other target, and the late
-/// target keeps receiving calls.
+/// One late response does not eject a target: the call is sent to the other target as well, which
+/// answers first, and the late target keeps receiving calls.
 #[tokio::test]
 async fn idempotent_late_answer_ejects_no_target() {
     let bench = GatewayBench::start(&draft(1, AMPLE)).await;
     for target in &bench.plain {
         target.set_response_delay(Duration::from_millis(250));
     }
-    let reply = bench.router.call(&request("GET /get/1", "late")).await;
+    let address = bench.router.address;
+    let reply = tokio::spawn(async move { call(address, &request("GET /get/1", "late")).await });
+    wait_for("an arrival", || async {
+        GatewayBench::arrival_count(&bench.plain) == 1
+    })
+    .await;
+    // Only the response to the call that has arrived is late.
+    for target in &bench.plain {
+        target.set_response_delay(Duration::ZERO);
+    }
+    let reply = reply.await.expect("a reply").expect("an answer");
     assert_eq!(reply.status, 200);
     bench
         .router
@@ -264,6 +274,22 @@
     assert!(bench.router.log_lines(&["target_ejected"]).is_empty());
 }
 
+/// A late response is forwarded if it comes before that of the target that was tried beside it, and
+/// ejects neither of them.
+#[tokio::test]
+async fn idempotent_late_answer_is_forwarded() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    for target in &bench.plain {
+        target.set_response_delay(Duration::from_millis(250));
+    }
+    let reply = bench.router.call(&request("GET /get/1", "late")).await;
+    assert_eq!(reply.status, 200);
+    let ended = ["attempt_ended", "late", "end=superseded"];
+    let line = bench.router.wait_log(&ended).await;
+    assert!(!line.contains(&reply.body), "{line}");
+    assert!(bench.router.log_lines(&["target_ejected"]).is_empty());
+}
+
 /// Another target has the address of a target that left, and the store does not show it yet. The
 /// first call is rejected there and retried elsewhere; later calls do not use the address again at
 /// once.
