Test of how an attempt is counted that a silent target's stream outlived

The accounting of the dropped attempt had no test: without its record every test of gateway_silence passed.

--- a/crates/beechsaddle/tests/gateway_silence.rs
+++ b/crates/beechsaddle/tests/gateway_silence.rs
@@ -260,6 +260,11 @@
     .await;
     assert!(!bench.engines[0].runs()[0].is_cancelled);
     assert!(bench.router.log_lines(&["target_ejected"]).is_empty());
+    let superseded = "attempt_ends_total{what=\"superseded\"}";
+    assert_eq!(bench.router.metric(superseded).await, Some(1.0));
+    let silent = "attempt_ends_total{what=\"silent\"}";
+    assert_eq!(bench.router.metric(silent).await, None);
+    assert_eq!(bench.router.metric("resumes_total").await, Some(0.0));
 }
 
 /// Guards against refusing a stream whose target has not sent its head yet.
