--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -14,7 +14,7 @@
 use super::refusal::RefusalCause;
 
 /// Maximum number of targets that the record of a refusal names: enough to find their own lines.
-const LEAVING_NAMED_MAX: usize = 8;
+const NAMED_TARGETS_MAX: usize = 8;
 /// The time over which callers return after the end of a rest, in milliseconds: a router with some
 /// dozens of calls a second hands on a few of them at once.
 const RETURN_SPAN_MS: u64 = 500;
@@ -162,7 +162,7 @@
     }
     let names = roster.leaving(&call.service);
     let names = names.map(|entry| entry.record.name.as_str());
-    let names: Vec<_> = names.take(LEAVING_NAMED_MAX).collect();
+    let names: Vec<_> = names.take(NAMED_TARGETS_MAX).collect();
     if names.is_empty() {
         return false;
     }
@@ -216,7 +216,7 @@
         let eligible = input.eligible(roster);
         let resting = eligible.filter(|entry| input.rest_wait_ms(roster, entry, now) > 0);
         let names = resting.map(|entry| entry.record.name.to_string());
-        names.collect::<Vec<_>>()
+        names.take(NAMED_TARGETS_MAX).collect::<Vec<_>>()
     });
     names.join(",")
 }
