Soak: changes of the idle time, and targets that fall silent, leave or ask for rest

Checked: no call without an answer once the other faults are over, no call at a target that a router knows to leave, and two calls at most while a target rests.

The logs show why: callers' connections are closed by a superseded limit (idle_ms=1488 in_force_ms=6766), and streams are broken off with end=silent as no target resumed them.

The switch is off by default.

--- a/crates/beechsaddle-lab/src/soak/call_load.rs
+++ b/crates/beechsaddle-lab/src/soak/call_load.rs
@@ -3,19 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use beechsaddle_platform_stand_in::{CallRequest, CallerLink};
+use beechsaddle_platform_stand_in::{CallReply, CallRequest, CallerLink};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, timeout};
 
-use super::call_log::{CallLog, RecordedCall, ResumedCall, SoakKind};
+use super::call_log::{CallEnd, CallExchange, CallLog, RecordedCall, ResumedCall, SoakKind};
+use super::idle_times::IdleTimes;
 use super::soak_fleet::WORKSPACES;
 use super::soak_target::{CRASH_MARK, EVENTS};
 
 /// Deadline of a call in milliseconds.
-const DEADLINE_MS: u64 = 2_500;
+pub const DEADLINE_MS: u64 = 2_500;
 
 /// Share of streams whose bodies crash their targets, if this is enabled.
 const CRASHING_SHARE: f64 = 0.01;
@@ -33,6 +34,32 @@
 /// How often a caller tries to resume a stream.
 const RESUME_ATTEMPTS: u32 = 3;
 
+/// Separates the random numbers of callers that rest between their calls.
+const RESTING_SEED: u64 = 0x1d1e;
+
+/// The shortest rest of such a caller, as a part of the longest one.
+const REST_PART_MIN: f64 = 0.6;
+
+/// The time between two checks whether a caller that rests has to stop.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A caller's connection to a router.
+struct KeptLink {
+    router: SocketAddr,
+    link: CallerLink,
+    idle_since: Instant,
+}
+
+impl KeptLink {
+    async fn try_connect(router: SocketAddr) -> std::io::Result<Self> {
+        Ok(KeptLink {
+            router,
+            link: CallerLink::try_connect(router).await?,
+            idle_since: Instant::now(),
+        })
+    }
+}
+
 /// Callers, each of which sends one call at a time and reuses its connection while it is open.
 #[derive(Clone)]
 pub struct CallLoad {
@@ -46,6 +73,8 @@
     has_resumes: bool,
     /// Whether some calls crash their targets.
     pub has_crashing: Arc<AtomicBool>,
+    /// How long connections may stay idle, as callers know it.
+    pub idle_times: IdleTimes,
 }
 
 impl CallLoad {
@@ -56,6 +85,7 @@
             is_stopped: Arc::default(),
             routers,
             has_crashing: Arc::new(AtomicBool::new(has_crashing)),
+            idle_times: IdleTimes::default(),
             has_bodies: has_crashing,
             has_resumes,
         }
@@ -66,7 +96,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ (caller << 32));
         let mut bodies = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ BODY_SEED);
         let mut resumes = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ RESUME_SEED);
-        let mut link = None;
+        let mut link: Option<KeptLink> = None;
         let mut number = 0;
         while !self.is_stopped.load(Ordering::Relaxed) {
             number += 1;
@@ -80,8 +110,8 @@
             }
             let is_new = link.is_none() || random.random_bool(0.1);
             link = match link.take() {
-                Some(reused) if !is_new => Some(reused),
-                _ => CallerLink::try_connect(router).await.ok(),
+                Some(reused) if !is_new && self.may_reuse(&reused) => Some(reused),
+                _ => KeptLink::try_connect(router).await.ok(),
             };
             if let Some(open) = &mut link {
                 let events = match self.has_resumes && call.kind == SoakKind::Resumable {
@@ -100,6 +130,48 @@
         }
     }
 
+    /// Sends calls through one router until `is_stopped` is set, and rests before each one for up to as
+    /// long as its connection may stay idle.
+    pub async fn run_resting(self, seed: u64, caller: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ RESTING_SEED);
+        let router = self.routers[caller as usize % self.routers.len()];
+        let mut link: Option<KeptLink> = None;
+        let mut number = 0;
+        while !self.is_stopped.load(Ordering::Relaxed) {
+            number += 1;
+            let id = format!("{seed}-resting-{caller}-{number}");
+            let (call, request) = draw_call(&mut random, &id);
+            let part = random.random_range(REST_PART_MIN..1.0);
+            self.rest(self.idle_times.reuse_limit().mul_f64(part)).await;
+            link = match link.take() {
+                Some(reused) if self.may_reuse(&reused) => Some(reused),
+                _ => KeptLink::try_connect(router).await.ok(),
+            };
+            if let Some(open) = &mut link {
+                let (_, is_reusable) = self.call_on(open, &id, call, &request, usize::MAX).await;
+                if !is_reusable {
+                    link = None;
+                }
+            }
+        }
+    }
+
+    fn may_reuse(&self, link: &KeptLink) -> bool {
+        link.idle_since.elapsed() <= self.idle_times.reuse_limit()
+    }
+
+    /// Waits for `span`, or until `is_stopped` is set.
+    async fn rest(&self, span: Duration) {
+        let until = Instant::now() + span;
+        while !self.is_stopped.load(Ordering::Relaxed) {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            sleep(left.min(STOP_POLL_INTERVAL)).await;
+        }
+    }
+
     /// Resumes an interrupted stream through other routers, a few times.
     async fn resume(
         &self,
@@ -114,7 +186,7 @@
             };
             sleep(Duration::from_millis(random.random_range(5..200))).await;
             let router = self.routers[random.random_range(0..self.routers.len())];
-            let Ok(mut link) = CallerLink::try_connect(router).await else {
+            let Ok(mut link) = KeptLink::try_connect(router).await else {
                 continue;
             };
             let id = format!("{began_as}-{attempt}");
@@ -136,32 +208,56 @@
     /// Sends and records a call, and leaves after so many events of a stream. Returns it with its response, and whether the connection can be reused.
     async fn call_on(
         &self,
-        link: &mut CallerLink,
+        link: &mut KeptLink,
         id: &str,
         mut call: RecordedCall,
         request: &CallRequest,
         events: usize,
     ) -> (RecordedCall, bool) {
         let wait_limit = Duration::from_millis(request.deadline_ms + 500);
-        let answer = timeout(wait_limit, link.call_up_to(request, events)).await;
+        let sent_at = Instant::now();
+        let idle_since = link.idle_since;
+        let answer = timeout(wait_limit, link.link.call_up_to(request, events)).await;
+        let ended_at = Instant::now();
+        link.idle_since = ended_at;
+        let mut end = CallEnd::Closed;
         let mut is_reusable = false;
         match answer {
             Ok(Ok(reply)) => {
                 is_reusable = reply.is_complete && !reply.headers.contains_key("connection");
+                end = reply_end(&reply, events);
                 call.reply = Some(reply);
             }
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::InvalidData => {
                 self.log
                     .record_violation(format!("{id}: bytes before its response"));
             }
-            // The router closed the connection, or the caller timed out: the outcome is unknown.
-            Ok(Err(_)) | Err(_) => {}
+            // The router closed the connection: the outcome is unknown.
+            Ok(Err(_)) => {}
+            Err(_) => end = CallEnd::TimedOut,
         }
+        call.exchange = Some(CallExchange {
+            router: link.router,
+            idle_since,
+            sent_at,
+            ended_at,
+            end,
+        });
         self.log.record(id.to_owned(), call.clone());
         (call, is_reusable)
     }
 }
 
+/// Returns how a call ended whose caller stays for so many events.
+fn reply_end(reply: &CallReply, events: usize) -> CallEnd {
+    let received = reply.body.matches("\n\n").count();
+    match reply.is_complete {
+        true => CallEnd::Whole,
+        false if received >= events => CallEnd::Left,
+        false => CallEnd::BrokenOff,
+    }
+}
+
 /// Draws after how many events a caller leaves a stream, which it then resumes. Most stay to its end.
 fn draw_patience(random: &mut ChaCha8Rng) -> usize {
     match random.random_bool(LEAVING_SHARE) {
@@ -218,6 +314,7 @@
         input,
         resumed: None,
         reply: None,
+        exchange: None,
     };
     (call, request)
 }
--- a/crates/beechsaddle-lab/src/soak/call_log.rs
+++ b/crates/beechsaddle-lab/src/soak/call_log.rs
@@ -1,7 +1,9 @@
 //! The `call_log` module provides the record of all calls and the check of the invariants on it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 
 use beechsaddle_platform_stand_in::{CallReply, RunRecord};
 
@@ -54,6 +56,32 @@
     pub last_event: u64,
 }
 
+/// How a call ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The whole response was received.
+    Whole,
+    /// The connection ended in the middle of the response.
+    BrokenOff,
+    /// The connection ended before a response.
+    Closed,
+    /// The caller left in the middle of the response.
+    Left,
+    /// The caller's deadline passed.
+    TimedOut,
+}
+
+/// The way of a call between its caller and a router.
+#[derive(Clone, Copy, Debug)]
+pub struct CallExchange {
+    pub router: SocketAddr,
+    /// The end of the previous call on the connection, or the time of its opening.
+    pub idle_since: Instant,
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    pub end: CallEnd,
+}
+
 /// A call and its response.
 #[derive(Clone, Debug)]
 pub struct RecordedCall {
@@ -65,6 +93,8 @@
     pub resumed: Option<ResumedCall>,
     /// The response; `None` if the connection ended before its head.
     pub reply: Option<CallReply>,
+    /// The way of the call; `None` before it was sent.
+    pub exchange: Option<CallExchange>,
 }
 
 impl RecordedCall {
@@ -131,6 +161,12 @@
         violations.push(what);
     }
 
+    /// Returns all calls by id.
+    pub fn calls(&self) -> BTreeMap<String, RecordedCall> {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.clone()
+    }
+
     /// Returns the number of calls, and of those that a target answered with success.
     pub fn counts(&self) -> (usize, usize) {
         let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
@@ -189,6 +225,8 @@
     pub events: u64,
     /// The requests that reached each target, by target name.
     pub runs: BTreeMap<String, Vec<RunRecord>>,
+    /// When these requests arrived, in the same order.
+    pub arrivals: BTreeMap<String, Vec<Instant>>,
     pub totals: Vec<WorkspaceTotals>,
 }
 
--- a/crates/beechsaddle-lab/src/soak/fault_plan.rs
+++ b/crates/beechsaddle-lab/src/soak/fault_plan.rs
@@ -48,6 +48,23 @@
     Cold(usize),
     /// A new configuration is written, with a route that older ones lack.
     Config,
+    /// A new configuration sets how long callers' connections may stay idle, in milliseconds.
+    Idle(u64),
+    /// A sound target sends nothing for a while and then goes on.
+    Silence(usize, Duration),
+    /// A target turns calls away and asks for rest, in milliseconds.
+    Rest(usize, u64),
+    /// A target says in its responses that it leaves, and is replaced at the end of the fault.
+    Leave(usize, LeaveNotice),
+}
+
+/// Whether the entry of a target that leaves changes as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaveNotice {
+    /// Its entry is set to draining at the end of the fault.
+    Entry,
+    /// Only its responses say so.
+    ResponsesOnly,
 }
 
 /// A fault with its start time and duration.
@@ -139,6 +156,115 @@
 /// The highest limit that a target sets, in requests per second.
 const LIMIT_MAX: u32 = 20;
 
+/// The time between two rounds of changes of the idle time. It covers one use of a connection that
+/// was kept by the longer time.
+const IDLE_ROUND: Duration = Duration::from_millis(12_000);
+
+/// The time from a change to a short idle time until one to a long time.
+const SHORT_IDLE_SPAN: Duration = Duration::from_millis(3_000);
+
+/// Mean number of silences, rests and leaves of targets per second.
+const ANNOUNCEMENTS_PER_S: f64 = 1.25;
+
+/// Share of silences during which the other target of the service asks for rest.
+const RESTING_PARTNER_SHARE: f64 = 0.7;
+
+/// The longest rest that a target asks for, in milliseconds.
+pub const REST_MAX_MS: u64 = 3_000;
+
+/// Separates the random numbers of announcements from those of all other faults.
+const ANNOUNCEMENT_SEED: u64 = 0xa440;
+
+impl FaultPlan {
+    /// Creates a plan of announcements only: changes of the idle time, and targets that fall silent,
+    /// ask for rest or leave.
+    pub fn announcements(seed: u64, span: Duration, targets: usize) -> Self {
+        FaultPlan { faults: Vec::new() }.with_announcements(seed, span, targets)
+    }
+
+    /// Adds changes of the idle time, and targets that fall silent, ask for rest or leave.
+    #[must_use]
+    pub fn with_announcements(mut self, seed: u64, span: Duration, targets: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ ANNOUNCEMENT_SEED);
+        let span_ms = span.as_millis() as u64;
+        let mut round = Duration::ZERO;
+        while round < span {
+            self.faults.extend(draw_idle_round(&mut random, round));
+            round += IDLE_ROUND;
+        }
+        for number in 0..(span.as_secs_f64() * ANNOUNCEMENTS_PER_S) as usize {
+            let at = Duration::from_millis(random.random_range(0..span_ms));
+            let target = random.random_range(0..targets);
+            self.faults
+                .extend(draw_announcement(&mut random, number, at, target));
+        }
+        self.faults.sort_by_key(|planned| planned.at);
+        self
+    }
+}
+
+/// Draws a change to a short idle time and one to a long time after it.
+fn draw_idle_round(random: &mut ChaCha8Rng, round: Duration) -> [PlannedFault; 2] {
+    let mut draw = |at: Duration, idle_ms: std::ops::Range<u64>| PlannedFault {
+        at: at + Duration::from_millis(random.random_range(0..500)),
+        span: Duration::ZERO,
+        fault: SoakFault::Idle(random.random_range(idle_ms)),
+    };
+    [
+        draw(round, 800..1_500),
+        draw(round + SHORT_IDLE_SPAN, 5_500..7_000),
+    ]
+}
+
+/// Draws an announcement of a target, with the rest of its partner beside some silences. The number
+/// decides its kind, so that each plan has all kinds.
+fn draw_announcement(
+    random: &mut ChaCha8Rng,
+    number: usize,
+    at: Duration,
+    target: usize,
+) -> Vec<PlannedFault> {
+    match number % 5 {
+        0..=2 => {
+            let silence = Duration::from_millis(random.random_range(1_000..1_800));
+            let mut drawn = vec![PlannedFault {
+                at,
+                span: Duration::ZERO,
+                fault: SoakFault::Silence(target, silence),
+            }];
+            if random.random_bool(RESTING_PARTNER_SHARE) {
+                // Targets of a service have neighbouring slots.
+                drawn.push(PlannedFault {
+                    span: silence,
+                    ..draw_rest(random, at, target ^ 1)
+                });
+            }
+            drawn
+        }
+        3 => vec![draw_rest(random, at, target)],
+        _ => vec![PlannedFault {
+            at,
+            span: Duration::from_millis(random.random_range(500..4_000)),
+            fault: SoakFault::Leave(target, draw_notice(random)),
+        }],
+    }
+}
+
+fn draw_rest(random: &mut ChaCha8Rng, at: Duration, target: usize) -> PlannedFault {
+    PlannedFault {
+        at,
+        span: Duration::from_millis(random.random_range(300..2_000)),
+        fault: SoakFault::Rest(target, random.random_range(1_000..=REST_MAX_MS)),
+    }
+}
+
+fn draw_notice(random: &mut ChaCha8Rng) -> LeaveNotice {
+    match random.random_bool(0.5) {
+        true => LeaveNotice::Entry,
+        false => LeaveNotice::ResponsesOnly,
+    }
+}
+
 fn draw_target_fault(random: &mut ChaCha8Rng, targets: usize) -> SoakFault {
     let target = random.random_range(0..targets);
     match random.random_bool(0.5) {
--- a/crates/beechsaddle-lab/src/soak/mod.rs
+++ b/crates/beechsaddle-lab/src/soak/mod.rs
@@ -7,10 +7,13 @@
 //! router. Faults of clocks and storage are not injected: a gateway has no storage, and it uses
 //! the time of day only in its log lines.
 
+mod announcement_checks;
 mod call_load;
 mod call_log;
+mod excuse_log;
 mod fault_plan;
 mod fault_proxy;
+mod idle_times;
 mod recovery_checks;
 mod soak_command;
 mod soak_fleet;
--- a/crates/beechsaddle-lab/src/soak/recovery_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/recovery_checks.rs
@@ -13,7 +13,7 @@
 use super::version_watch::probe_version;
 
 /// Time after the last fault from which all bounds must hold again.
-const RECOVERY_BOUND: Duration = Duration::from_millis(4_000);
+pub const RECOVERY_BOUND: Duration = Duration::from_millis(4_000);
 
 /// Time within which a new configuration must take effect.
 const CONFIG_BOUND: Duration = Duration::from_millis(2_000);
--- a/crates/beechsaddle-lab/src/soak/soak_command.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_command.rs
@@ -36,6 +36,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Has engines of two software versions, and callers that resume streams"),
         )
+        .arg(
+            Arg::new("announcements")
+                .long("announcements")
+                .action(ArgAction::SetTrue)
+                .help("Changes callers' idle time, and has targets fall silent, leave and ask for rest"),
+        )
         .arg(
             Arg::new("logs")
                 .long("logs")
@@ -73,6 +79,7 @@
         callers: read("callers"),
         has_target_faults: matches.get_flag("target-faults"),
         has_versions: matches.get_flag("versions"),
+        has_announcements: matches.get_flag("announcements"),
     };
     let seeds = read("seed")..read("seed") + read("seeds");
     let runtime = Builder::new_multi_thread().enable_all().build()?;
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::call_log::{SoakEvidence, WorkspaceTotals};
-use super::fault_plan::DOMAINS;
+use super::fault_plan::{DOMAINS, LeaveNotice};
 use super::fault_proxy::{FaultProxy, PathFault};
 use super::soak_target::{EVENTS, SoakTarget};
 use crate::fleet::{LabProcess, free_address};
@@ -62,6 +62,8 @@
     pub config: ConfigDraft,
     /// Whether targets of two software versions serve side by side.
     has_versions: bool,
+    /// The time between two events of a stream.
+    event_gap: Duration,
     program: PathBuf,
 }
 
@@ -74,6 +76,7 @@
         folder: &Path,
         routers: usize,
         has_versions: bool,
+        event_gap: Duration,
     ) -> eyre::Result<Self> {
         let mut fleet = SoakFleet {
             store: StoreStandIn::try_start().await?,
@@ -81,6 +84,7 @@
             targets: Vec::new(),
             config: first_config(),
             has_versions,
+            event_gap,
             program: program.to_owned(),
         };
         fleet.store.put_config(&fleet.config);
@@ -142,7 +146,7 @@
     ) -> eyre::Result<()> {
         let name = format!("{service}-{}", self.targets.len());
         let version = self.next_version();
-        let target = SoakTarget::try_start(&name, service, zone, version).await?;
+        let target = SoakTarget::try_start(&name, service, zone, version, self.event_gap).await?;
         self.targets.push(target);
         self.list_target(self.targets.len() - 1, EntryState::Ready);
         Ok(())
@@ -180,15 +184,50 @@
 
     /// Sets a target to draining and adds a replacement.
     pub async fn replace_target(&mut self, number: usize) -> eyre::Result<()> {
+        self.refill_slot(number).await?;
+        self.list_target(self.targets.len() - 1, EntryState::Draining);
+        Ok(())
+    }
+
+    /// Adds a target of the same service and domain, which takes the slot, so that faults of the
+    /// slot now hit it.
+    async fn refill_slot(&mut self, number: usize) -> eyre::Result<()> {
         let (service, zone) = (self.targets[number].service, self.targets[number].zone);
         self.add_target(service, zone).await?;
-        self.list_target(number, EntryState::Draining);
-        // The replacement takes the slot, so that faults of the slot now hit it.
         let last = self.targets.len() - 1;
         self.targets.swap(number, last);
         Ok(())
     }
 
+    /// Replaces a target whose responses say that it leaves, unless another one has its slot by now.
+    pub async fn replace_leaving(
+        &mut self,
+        number: usize,
+        notice: LeaveNotice,
+    ) -> eyre::Result<()> {
+        if !self.targets[number].is_leaving {
+            return Ok(());
+        }
+        match notice {
+            LeaveNotice::Entry => self.replace_target(number).await,
+            LeaveNotice::ResponsesOnly => self.refill_slot(number).await,
+        }
+    }
+
+    /// Removes the entries of the targets that left after they had been replaced.
+    pub fn remove_left(&self) {
+        let replaced = self.targets[TARGET_SLOTS..].iter();
+        for target in replaced.filter(|target| target.is_leaving) {
+            self.store.remove_target(target.stand_in.name());
+        }
+    }
+
+    /// Writes a new configuration version with another idle time of callers' connections.
+    pub fn put_idle_time(&mut self, idle_ms: u64) {
+        self.config.limits.idle_timeout_ms = idle_ms;
+        self.put_config();
+    }
+
     /// Replaces the targets whose restart delay after a crash has passed.
     pub async fn replace_crashed_targets(&mut self) -> eyre::Result<()> {
         for number in 0..self.targets.len().min(TARGET_SLOTS) {
@@ -262,6 +301,7 @@
             }
             target.stand_in.set_fault(Default::default());
             target.stand_in.set_limit(None);
+            target.stand_in.set_rest(None);
         }
     }
 
@@ -281,8 +321,12 @@
         SoakEvidence {
             events: EVENTS,
             runs: targets
+                .clone()
                 .map(|target| (target.name().to_owned(), target.runs()))
                 .collect(),
+            arrivals: targets
+                .map(|target| (target.name().to_owned(), target.arrivals()))
+                .collect(),
             totals: totals.collect(),
         }
     }
--- a/crates/beechsaddle-lab/src/soak/soak_run.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -6,15 +6,20 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use beechsaddle_platform_stand_in::TargetFault;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
+use super::announcement_checks::{CalmSpan, check_announcements};
 use super::call_load::CallLoad;
-use super::fault_plan::{FaultPlan, PlannedFault, SoakFault};
+use super::excuse_log::{ExcuseLog, ExcuseSubject};
+use super::fault_plan::{FaultPlan, PlannedFault, REST_MAX_MS, SoakFault};
 use super::fault_proxy::PathFault;
-use super::recovery_checks::check_recovery;
+use super::idle_times::IdleTimes;
+use super::recovery_checks::{RECOVERY_BOUND, check_recovery};
 use super::soak_fleet::{SoakFleet, TARGET_SLOTS};
+use super::soak_target::{EVENT_GAP, LONG_EVENT_GAP};
 use super::version_watch::VersionWatch;
 
 /// How long a target that becomes cold stays so by its entry, as the configuration declares.
@@ -26,6 +31,15 @@
 /// The time between two checks whether a terminated router has exited.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The time of announcements without other faults.
+const CALM_SPAN: Duration = Duration::from_millis(12_000);
+
+/// Callers of each router that rest between their calls.
+const RESTING_CALLERS: u64 = 2;
+
+/// Separates the announcements of the calm span from those beside other faults.
+const CALM_SEED: u64 = 0xca13;
+
 /// The options of a soak.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -43,6 +57,9 @@
     pub has_target_faults: bool,
     /// Whether targets of two software versions serve side by side, and callers resume streams.
     pub has_versions: bool,
+    /// Whether configurations change callers' idle time, and targets fall silent, leave and ask for
+    /// rest.
+    pub has_announcements: bool,
 }
 
 /// The outcome of a seed.
@@ -78,11 +95,16 @@
 pub async fn run_seed(options: &SoakOptions, seed: u64) -> eyre::Result<SoakOutcome> {
     let folder = options.folder.join(seed.to_string());
     std::fs::create_dir_all(&folder)?;
+    let event_gap = match options.has_announcements {
+        true => LONG_EVENT_GAP,
+        false => EVENT_GAP,
+    };
     let fleet = SoakFleet::try_start(
         &options.program,
         &folder,
         options.routers,
         options.has_versions,
+        event_gap,
     )
     .await?;
     let routers = fleet.routers.iter().map(|router| router.calls).collect();
@@ -97,14 +119,29 @@
             .with_target_faults(seed, options.span, TARGET_SLOTS)
             .with_domain_faults(seed, options.span, TARGET_SLOTS);
     }
+    if options.has_announcements {
+        plan = plan.with_announcements(seed, options.span, TARGET_SLOTS);
+        for caller in 0..RESTING_CALLERS * options.routers as u64 {
+            callers.spawn(load.clone().run_resting(seed, caller));
+        }
+    }
     let faults = plan.faults.len();
     let mut run = SeedRun::new(fleet, &load);
     run.inject_faults(plan).await?;
     load.has_crashing.store(false, Ordering::Relaxed);
+    let calm = match options.has_announcements {
+        true => Some(run.announce_in_calm(seed).await?),
+        false => None,
+    };
     let mut violations = check_recovery(&mut run.fleet, options.has_target_faults).await?;
     load.is_stopped.store(true, Ordering::Relaxed);
     callers.join_all().await;
-    violations.extend(load.log.check(&run.fleet.evidence()));
+    let evidence = run.fleet.evidence();
+    violations.extend(load.log.check(&evidence));
+    if let Some(calm) = calm {
+        let calls = load.log.calls();
+        violations.extend(check_announcements(&calls, &evidence, &run.excuses, calm));
+    }
     let (calls, answered) = load.log.counts();
     let (resumed, continued) = load.log.resume_counts();
     drop(run);
@@ -134,6 +171,8 @@
     starts: Vec<Arc<AtomicU64>>,
     terminated: Vec<u64>,
     newest: watch::Sender<u64>,
+    idle_times: IdleTimes,
+    excuses: ExcuseLog,
     _watches: JoinSet<()>,
 }
 
@@ -160,6 +199,8 @@
             fleet,
             starts,
             newest,
+            idle_times: load.idle_times.clone(),
+            excuses: ExcuseLog::default(),
             _watches: watches,
         }
     }
@@ -185,8 +226,11 @@
                     let end = SoakStep::End(planned.fault);
                     steps.insert((at + planned.span, number), end);
                 }
-                SoakStep::End(fault) if self.end(fault)? => {}
-                SoakStep::End(_) => drop(steps.insert((at + EXIT_POLL_INTERVAL, number), step)),
+                SoakStep::End(fault) => {
+                    if !self.end(fault).await? {
+                        steps.insert((at + EXIT_POLL_INTERVAL, number), step);
+                    }
+                }
             }
         }
         self.fleet.clear_faults();
@@ -197,7 +241,24 @@
         Ok(())
     }
 
+    /// Injects announcements without other faults, once the others are over.
+    async fn announce_in_calm(&mut self, seed: u64) -> eyre::Result<CalmSpan> {
+        sleep(RECOVERY_BOUND).await;
+        self.fleet.replace_crashed_targets().await?;
+        self.fleet.remove_left();
+        let from = Instant::now().into_std();
+        let plan = FaultPlan::announcements(seed ^ CALM_SEED, CALM_SPAN, TARGET_SLOTS);
+        self.inject_faults(plan).await?;
+        // Until the last rest is over.
+        sleep(Duration::from_millis(REST_MAX_MS)).await;
+        let until = Instant::now().into_std();
+        Ok(CalmSpan { from, until })
+    }
+
     async fn begin(&mut self, fault: SoakFault, number: u64) -> eyre::Result<()> {
+        if let Some(subject) = self.excused(fault) {
+            self.excuses.open(subject);
+        }
         let fleet = &mut self.fleet;
         match fault {
             SoakFault::Kill(router) => {
@@ -240,12 +301,49 @@
                 fleet.put_config();
                 self.newest.send_replace(fleet.config.version);
             }
+            SoakFault::Idle(idle_ms) => {
+                fleet.put_idle_time(idle_ms);
+                self.idle_times.record(idle_ms);
+                self.newest.send_replace(fleet.config.version);
+            }
+            SoakFault::Silence(target, silence) => {
+                fleet.targets[target].stand_in.set_silence(silence);
+            }
+            SoakFault::Rest(target, rest_ms) => {
+                let rest = Duration::from_millis(rest_ms).as_secs_f64().to_string();
+                let resting = &fleet.targets[target].stand_in;
+                resting.set_rest(Some(&rest));
+                resting.set_fault(TargetFault::Full);
+            }
+            SoakFault::Leave(target, _) => fleet.targets[target].leave(),
         }
         Ok(())
     }
 
+    /// Returns what a fault hits that excuses a router from promises about announcements.
+    fn excused(&self, fault: SoakFault) -> Option<ExcuseSubject> {
+        match fault {
+            SoakFault::Kill(router) | SoakFault::Terminate(router) | SoakFault::Pause(router) => {
+                Some(ExcuseSubject::Router(self.fleet.routers[router].calls))
+            }
+            SoakFault::TargetPath(target, _) => {
+                let name = self.fleet.targets[target].stand_in.name();
+                Some(ExcuseSubject::Path(name.to_owned()))
+            }
+            _ => None,
+        }
+    }
+
     /// Ends a fault. Returns `false` if a terminated router has not exited yet.
-    fn end(&mut self, fault: SoakFault) -> eyre::Result<bool> {
+    async fn end(&mut self, fault: SoakFault) -> eyre::Result<bool> {
+        let is_over = self.end_effect(fault).await?;
+        if is_over && let Some(subject) = self.excused(fault) {
+            self.excuses.close(&subject);
+        }
+        Ok(is_over)
+    }
+
+    async fn end_effect(&mut self, fault: SoakFault) -> eyre::Result<bool> {
         let fleet = &mut self.fleet;
         match fault {
             SoakFault::Kill(router) => self.restart_router(router)?,
@@ -275,6 +373,12 @@
             }
             SoakFault::Evacuate(domain) => fleet.store.withdraw_evacuation(domain),
             SoakFault::Cold(target) => fleet.announce_cold(target, Duration::ZERO),
+            SoakFault::Rest(target, _) => {
+                fleet.targets[target].stand_in.set_rest(None);
+                fleet.targets[target].stand_in.set_fault(Default::default());
+            }
+            SoakFault::Leave(target, notice) => fleet.replace_leaving(target, notice).await?,
+            SoakFault::Idle(_) | SoakFault::Silence(..) => {}
             SoakFault::Reload(_)
             | SoakFault::Crash(_)
             | SoakFault::Compact
--- a/crates/beechsaddle-lab/src/soak/soak_target.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_target.rs
@@ -9,7 +9,11 @@
 
 /// Number of events of a stream; `EVENT_GAP` is the time between two.
 pub const EVENTS: u64 = 6;
-const EVENT_GAP: Duration = Duration::from_millis(15);
+pub const EVENT_GAP: Duration = Duration::from_millis(15);
+
+/// The time between two events if targets fall silent, long enough that silences often hit streams
+/// in the middle.
+pub const LONG_EVENT_GAP: Duration = Duration::from_millis(60);
 
 /// Bytes in the body of a call that crash every target which runs it.
 pub const CRASH_MARK: &[u8] = b"crash";
@@ -26,6 +30,8 @@
     pub path: FaultProxy,
     pub(super) service: &'static str,
     pub(super) zone: &'static str,
+    /// Whether its responses say that it leaves.
+    pub(super) is_leaving: bool,
     /// The time at which the crash was first detected.
     crashed_at: Option<Instant>,
 }
@@ -37,11 +43,12 @@
         service: &'static str,
         zone: &'static str,
         version: &str,
+        event_gap: Duration,
     ) -> eyre::Result<Self> {
         let stand_in = TargetStandIn::try_start(name).await?;
         stand_in.set_version(version);
         stand_in.set_response_delay(Duration::from_millis(5));
-        stand_in.set_events(EVENTS, EVENT_GAP);
+        stand_in.set_events(EVENTS, event_gap);
         stand_in.crash_on(CRASH_MARK);
         let path = FaultProxy::try_start(stand_in.address()).await?;
         tokio::spawn(refuse_after_crash(stand_in.clone(), path.clone()));
@@ -50,10 +57,17 @@
             path,
             service,
             zone,
+            is_leaving: false,
             crashed_at: None,
         })
     }
 
+    /// Makes all responses say that the target leaves.
+    pub(super) fn leave(&mut self) {
+        self.stand_in.set_leaving(true);
+        self.is_leaving = true;
+    }
+
     /// Whether [`RESTART_DELAY`] has passed since the crash. The delay starts with the first call
     /// of this function after the crash.
     pub(super) fn is_replaceable(&mut self) -> bool {
--- a/crates/beechsaddle-lab/tests/soak_seeds.rs
+++ b/crates/beechsaddle-lab/tests/soak_seeds.rs
@@ -11,15 +11,28 @@
 
 async fn check_faults(seed: u64, span_s: u64, has_target_faults: bool, has_versions: bool) {
     let options = SoakOptions {
+        has_target_faults,
+        has_versions,
+        ..soak_options(span_s)
+    };
+    check_run(&options, seed).await;
+}
+
+fn soak_options(span_s: u64) -> SoakOptions {
+    SoakOptions {
         program: PathBuf::from(env!("CARGO_BIN_EXE_beechsaddle-lab")),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         span: Duration::from_secs(span_s),
         routers: 3,
         callers: 8,
-        has_target_faults,
-        has_versions,
-    };
-    let outcome = run_seed(&options, seed).await.expect("a run");
+        has_target_faults: false,
+        has_versions: false,
+        has_announcements: false,
+    }
+}
+
+async fn check_run(options: &SoakOptions, seed: u64) {
+    let outcome = run_seed(options, seed).await.expect("a run");
     assert!(outcome.violations.is_empty(), "{outcome:#?}");
     assert!(outcome.answered * 2 > outcome.calls, "{outcome:?}");
 }
@@ -56,3 +69,14 @@
 async fn soak_resumed_streams_keep_their_version() {
     check_faults(3, 8, false, true).await;
 }
+
+/// Routers heed what configurations and targets announce amid the fleet's faults: idle times, silences,
+/// leaves and rests.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_announcements_are_heeded() {
+    let options = SoakOptions {
+        has_announcements: true,
+        ..soak_options(6)
+    };
+    check_run(&options, 4).await;
+}
