Look for another target again after a silent one's replacement rejected the call

After one rejected attempt beside a silent target, a stream in its middle never looked for another target again: where the silent target is dead, callers waited for the route's time-out although a third target was free. Before the head, the watch of the target that had rejected stayed in force, and what that target sent for other calls counted as a sign of the silent one. A retry was charged and the search ended if no permit came. An attempt that had failed while its response was read, or while a crash was looked for, was counted a second time when another one answered, and its target could be ejected as silent.

The watch of the newest open attempt counts, a search without success is repeated after a second for targets not tried yet, and the first end of an attempt is the one that is recorded.

--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -35,6 +35,8 @@
     is_suspect: bool,
     started_at: ClockTime,
     has_first_event: Cell<bool>,
+    /// How the attempt ended without a usable response.
+    failed_by: Cell<Option<AttemptEnd>>,
 }
 
 impl AttemptGuard {
@@ -50,6 +52,7 @@
             target,
             load,
             has_first_event: Cell::new(false),
+            failed_by: Cell::new(None),
         };
         guard.open.add(&guard.target.name);
         guard.update_stats(|stats, _| {
@@ -100,9 +103,22 @@
         self.update_stats(|stats, now| stats.record_outcome(now, false));
     }
 
-    /// Records that the attempt ended without a usable response; ejects the target if it could not
-    /// be reached or sends nothing at all.
-    pub(super) fn record_failure(&self, end: AttemptEnd) {
+    /// Records that the attempt ended without a usable response, and returns its end, which is the
+    /// first one that was recorded; ejects the target if it could not be reached or sends nothing at
+    /// all.
+    ///
+    /// An attempt that has failed stays open until its response is read or a crash is looked for, and
+    /// another one may answer meanwhile.
+    pub(super) fn record_failure(&self, end: AttemptEnd) -> AttemptEnd {
+        if let Some(end) = self.failed_by.get() {
+            return end;
+        }
+        self.failed_by.set(Some(end));
+        self.count_failure(end);
+        end
+    }
+
+    fn count_failure(&self, end: AttemptEnd) {
         let label = OutcomeLabel { what: end.as_str() };
         self.state.metrics.attempt_ends.get_or_create(&label).inc();
         let is_target_silent = self.silence_ms() >= EJECT_SILENCE_MS;
--- a/crates/beechsaddle/src/gateway/attempt_race.rs
+++ b/crates/beechsaddle/src/gateway/attempt_race.rs
@@ -59,6 +59,12 @@
     Replaceable,
 }
 
+/// An attempt that has not ended.
+struct OpenEntry {
+    guard: Rc<AttemptGuard>,
+    watch: StallWatch,
+}
+
 /// The attempts of a call, one after another, or beside each other while a target is silent.
 ///
 /// A silent target may go on, so its attempt stays open until another one has a usable response.
@@ -66,10 +72,8 @@
     call: &'a CallContext,
     reservation: Option<&'a TokenReservation>,
     running: FuturesUnordered<LocalBoxFuture<'a, (Rc<AttemptGuard>, AttemptResult<T>)>>,
-    /// The open attempts in the order of their start.
-    guards: Vec<Rc<AttemptGuard>>,
-    /// The watch of the newest attempt.
-    watch: Option<StallWatch>,
+    /// The open attempts in the order of their start. The watch of the newest one counts.
+    open: Vec<OpenEntry>,
 }
 
 impl<'a, T: 'a> AttemptRace<'a, T> {
@@ -79,8 +83,7 @@
             call,
             reservation,
             running: FuturesUnordered::new(),
-            guards: Vec::new(),
-            watch: None,
+            open: Vec::new(),
         }
     }
 
@@ -131,17 +134,17 @@
     }
 
     async fn next_step(&mut self) -> RaceStep<T> {
-        let (call, watch) = (self.call, self.watch.as_ref());
+        let (call, newest) = (self.call, self.open.last());
         let replaceable = async {
-            match watch {
-                Some(watch) => watch.replaceable(call).await,
+            match newest {
+                Some(entry) => entry.watch.replaceable(call).await,
                 None => std::future::pending().await,
             }
         };
         tokio::select! {
             biased;
             Some((guard, result)) = self.running.next() => {
-                self.guards.retain(|open| !Rc::ptr_eq(open, &guard));
+                self.open.retain(|entry| !Rc::ptr_eq(&entry.guard, &guard));
                 RaceStep::Ended(guard, result)
             }
             () = replaceable => RaceStep::Replaceable,
@@ -165,8 +168,10 @@
             watch,
             running,
         } = begin(choice, target);
-        self.guards.push(Rc::clone(&guard));
-        self.watch = Some(watch);
+        self.open.push(OpenEntry {
+            guard: Rc::clone(&guard),
+            watch,
+        });
         self.running
             .push(Box::pin(async move { (guard, running.await) }));
         true
@@ -177,16 +182,13 @@
         &mut self,
         begin: &impl Fn(TargetChoice, TargetRecord) -> RaceEntry<'a, T>,
     ) {
-        let call = self.call;
-        let Some(watch) = &mut self.watch else {
-            return;
-        };
-        if !call.try_repeat(AttemptEnd::Silent) {
-            watch.record_denied(call);
-            return;
+        if let Some(entry) = self.open.last_mut() {
+            entry.watch.record_search();
+        }
+        let may_start = self.call.try_repeat(AttemptEnd::Silent);
+        if !may_start || !self.start_attempt(begin).await {
+            self.postpone_search();
         }
-        watch.record_search();
-        self.start_attempt(begin).await;
     }
 
     /// Starts an attempt in place of one that ended while others are open.
@@ -196,8 +198,16 @@
         begin: &impl Fn(TargetChoice, TargetRecord) -> RaceEntry<'a, T>,
     ) {
         let call = self.call;
-        if call.may_race() && has_candidate(call) && call.try_repeat(end) {
-            self.start_attempt(begin).await;
+        let may_start = call.may_race() && has_candidate(call) && call.try_repeat(end);
+        if !may_start || !self.start_attempt(begin).await {
+            self.postpone_search();
+        }
+    }
+
+    /// Goes on without another attempt beside the newest open one.
+    fn postpone_search(&mut self) {
+        if let Some(entry) = self.open.last_mut() {
+            entry.watch.postpone_search(self.call);
         }
     }
 
@@ -218,12 +228,12 @@
     fn settle_others(&mut self, winner: &AttemptGuard) {
         self.call.record.record_attempt_start(winner.started_at());
         self.running.clear();
-        for guard in self.guards.drain(..) {
+        for OpenEntry { guard, .. } in self.open.drain(..) {
             let end = match guard.started_at() <= winner.started_at() {
                 true => AttemptEnd::Silent,
                 false => AttemptEnd::Superseded,
             };
-            guard.record_failure(end);
+            let end = guard.record_failure(end);
             let target = guard.target().name.clone();
             drop(guard);
             self.call
--- a/crates/beechsaddle/src/gateway/stall_watch.rs
+++ b/crates/beechsaddle/src/gateway/stall_watch.rs
@@ -23,9 +23,9 @@
 /// costs no message.
 const SEARCH_INTERVAL_MS: u64 = 250;
 
-/// Time until the retry budget is asked again after it was empty, in milliseconds: it fills over
-/// seconds.
-const DENIED_PAUSE_MS: u64 = 1_000;
+/// Time until another target is sought again after a search without success, in milliseconds: the
+/// retry budget fills, and other targets get free, over seconds.
+const SEARCH_PAUSE_MS: u64 = 1_000;
 
 /// Whose data ends a silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,9 +45,9 @@
     Over,
 }
 
-/// Tells when a call should be sent to another target beside a silent one, which may go on. It is
-/// sent to another one once for each silence: each attempt reaches a target, and draws on the
-/// fleet's retry budget.
+/// Tells when a call should be sent to another target beside a silent one, which may go on. Each
+/// attempt reaches a target, and draws on the fleet's retry budget: no target is tried twice, and
+/// there is a pause after a search without success.
 pub(super) struct StallWatch {
     target: TargetName,
     scope: SilenceScope,
@@ -107,9 +107,12 @@
         self.phase = SearchPhase::Over;
     }
 
-    /// Records that the retry budget allows no other attempt for now.
-    pub(super) fn record_denied(&mut self, call: &CallContext) {
-        self.phase = SearchPhase::From(call.state.now().plus_ms(DENIED_PAUSE_MS));
+    /// Records that no other attempt is open: none could begin, or none was of use. Targets that were
+    /// not tried yet are sought again after a pause.
+    pub(super) fn postpone_search(&mut self, call: &CallContext) {
+        if call.route.kind.may_repeat() {
+            self.phase = SearchPhase::From(call.state.now().plus_ms(SEARCH_PAUSE_MS));
+        }
     }
 
     /// Waits until the target is silent and the call may be sent to another one.
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -142,7 +142,7 @@
     /// Tries another target while the silent one may still go on.
     async fn handle_silence(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         if !self.call.try_repeat(AttemptEnd::Silent) {
-            self.stall.record_denied(&self.call);
+            self.stall.postpone_search(&self.call);
             return None;
         }
         self.stall.record_search();
@@ -163,6 +163,7 @@
             }
             Takeover::Unreplaced(attempt) => {
                 self.attempt = Some(attempt);
+                self.stall.postpone_search(&self.call);
                 None
             }
             Takeover::Lost(detail) => Some(Err(self.abort(StreamBreak::Broken, &detail))),
--- a/crates/beechsaddle/tests/gateway_silence.rs
+++ b/crates/beechsaddle/tests/gateway_silence.rs
@@ -180,6 +180,90 @@
     assert_eq!(GatewayBench::run_count(&bench.engines), 2);
 }
 
+/// Starts a bench like [`start_with_one_engine`] whose route allows four attempts.
+async fn start_with_four_attempts() -> GatewayBench {
+    let bench = start_with_one_engine().await;
+    let mut newer = draft(2, AMPLE);
+    for route in &mut newer.routes {
+        route.attempts = 4;
+    }
+    bench.store.put_config(&newer);
+    let in_force = ["config_in_force", "version=2 "];
+    bench.router.wait_log(&in_force).await;
+    bench
+}
+
+/// Lists a third engine once the second one has rejected a stream.
+async fn join_third_engine_after_rejection(bench: &GatewayBench) -> TargetStandIn {
+    let rejected = ["attempt_ended", "end=not_run"];
+    bench.router.wait_log(&rejected).await;
+    let third = TargetStandIn::try_start("engine-3")
+        .await
+        .expect("a target");
+    third.set_events(EVENTS.len() as u64, Duration::from_millis(30));
+    bench
+        .store
+        .put_target(&third, "engine", "north", EntryState::Ready);
+    third
+}
+
+/// Guards against waiting for a dead target until the deadline, because the only other one rejected
+/// the stream when it was first tried.
+#[tokio::test]
+async fn silent_stream_third_takes_over_after_rejection() {
+    let bench = start_with_four_attempts().await;
+    bench.engines[0].set_pause(pause_after(3, ENDLESS));
+    bench.engines[1].set_fault(TargetFault::Full);
+    let replies = start_streams(&bench, 1).await;
+    join_second_engine(&bench).await;
+    let third = join_third_engine_after_rejection(&bench).await;
+    let replies = finish(replies).await;
+    assert_whole(&replies);
+    assert_eq!(third.runs().len(), 1);
+    assert_eq!(bench.engines[1].runs().len(), 1);
+}
+
+/// Guards against taking the data that a target sends for other calls for a sign of the one that is
+/// silent, after it rejected the call.
+#[tokio::test]
+async fn silent_before_head_third_answers_while_second_streams() {
+    let bench = start_with_four_attempts().await;
+    let (first, second) = (&bench.engines[0], &bench.engines[1]);
+    join_second_engine(&bench).await;
+    bench.store.remove_target(first.name());
+    bench.router.wait_log(&["target_gone", first.name()]).await;
+    second.set_events(400, Duration::from_millis(30));
+    let _other = send(&bench, stream_request("other"));
+    wait_for("a run at the second engine", || async {
+        second.runs().len() == 1
+    })
+    .await;
+    second.set_fault(TargetFault::Full);
+    bench.store.remove_target(second.name());
+    bench.router.wait_log(&["target_gone", second.name()]).await;
+    first.set_response_delay(ENDLESS);
+    let joined = ["target_joined", first.name()];
+    let before = bench.router.log_lines(&joined).len();
+    bench
+        .store
+        .put_target(first, "engine", "north", EntryState::Ready);
+    wait_for("first engine", || async {
+        bench.router.log_lines(&joined).len() > before
+    })
+    .await;
+    let reply = send(&bench, stream_request("call-1"));
+    wait_for("a run at the first engine", || async {
+        first.runs().len() == 1
+    })
+    .await;
+    join_second_engine(&bench).await;
+    let third = join_third_engine_after_rejection(&bench).await;
+    let (reply, waited) = reply.await.expect("a reply");
+    assert_eq!(reply.status, 200, "after {waited:?}");
+    assert!(waited < Duration::from_secs(4), "{waited:?}");
+    assert_eq!(third.runs().len(), 1);
+}
+
 /// Guards against two targets at work on one stream, and against events of both.
 #[tokio::test]
 async fn silent_stream_second_takes_over() {
