Read on after a refusal whose body was not read, so that its caller receives it

The router answered and dropped the socket with bytes unread or still arriving. The kernel then resets the connection and discards what the caller has not taken.

The other edge reads on after its last answer for this reason. Its `linger` is a module of its own now and serves both, with the same bounds: 2 s and 16 MiB. Callers' connections of the gateway end by it after a normal end of the HTTP connection and after a head that cannot be read. Connections that exceeded a limit (idle, head, write stall) and streams that broke off close at once, as before. While lingering, limits on requests do not apply and are not counted, and the connection counts as open. hyper shuts the write side down itself, after its buffer is flushed. The shutdown of the router does not wait for it.

A refusal after which the connection ends says `Connection: close`. hyper does not say so by itself, as it learns only later that the rest of the body is not at hand. A refused body of at most 64 kB that arrives within 20 ms is read, and its connection stays, as before; such a refusal may come 20 ms later. A body that waits for `100 Continue` is never asked for.

--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -18,7 +18,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use motore::service::Service;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use volo::net::Address;
 use volo_http::body::Body;
@@ -30,18 +29,12 @@
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::guarded_stream::GuardedStream;
-use super::stream_limits::{FixedLimits, StreamLimits};
+use super::linger::linger;
+use super::stream_limits::FixedLimits;
 use super::tracked_body::TrackedBody;
 
 /// The library panics below this limit.
 const MIN_HEAD_BYTES: usize = 8_192;
-/// Time limit for a peer to read the last answer and close.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum number of bytes read from a peer that keeps sending after the last answer: a few times
-/// the largest accepted body, so that a caller just above that limit still receives the refusal.
-const MAX_LINGER_BYTES: usize = 16 * 1_024 * 1_024;
-/// Read size while lingering, in bytes.
-const LINGER_BUFFER_BYTES: usize = 16 * 1_024;
 
 /// Serves one connection to its end.
 pub(crate) async fn serve_connection<S>(
@@ -120,27 +113,3 @@
         ));
     }
 }
-
-/// Closes a connection so that the peer can read the last answer.
-///
-/// If unread bytes of the peer remain, closing makes the host send a reset, which can destroy an
-/// answer that the peer has not read yet: a caller whose body is too large would see a broken
-/// connection instead of its 413. The remaining bytes are therefore read, within limits, until the
-/// peer closes.
-async fn linger(mut stream: GuardedStream<impl StreamLimits + Unpin>) {
-    if stream.shutdown().await.is_err() {
-        return;
-    }
-    // On the heap: in the future it would be part of every connection's task from its start.
-    let mut buffer = vec![0_u8; LINGER_BUFFER_BYTES];
-    let mut left = MAX_LINGER_BYTES;
-    let reading = async {
-        while left > 0 {
-            match stream.read(&mut buffer).await {
-                Ok(0) | Err(_) => return,
-                Ok(count) => left = left.saturating_sub(count),
-            }
-        }
-    };
-    let _ = tokio::time::timeout(LINGER_TIMEOUT, reading).await;
-}
--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -32,6 +32,7 @@
     write_stall: Duration,
     stall: Option<Pin<Box<Sleep>>>,
     is_stalled: bool,
+    is_cut: bool,
 }
 
 impl<L: StreamLimits + Unpin> GuardedStream<L> {
@@ -52,9 +53,20 @@
             write_stall,
             stall: None,
             is_stalled: false,
+            is_cut: false,
         }
     }
 
+    /// Whether the peer has exceeded a limit.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.is_cut
+    }
+
+    /// Returns the stream without its limits.
+    pub(crate) fn unlimited(&mut self) -> &mut TcpStream {
+        &mut self.stream
+    }
+
     fn check_stall<T>(&mut self, context: &mut Context<'_>) -> Poll<io::Result<T>> {
         let deadline = Instant::now() + self.write_stall;
         let stall = match self.stall.as_mut() {
@@ -68,6 +80,7 @@
             self.is_stalled = true;
         }
         ready!(stall.as_mut().poll(context));
+        self.is_cut = true;
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
@@ -94,6 +107,7 @@
         if has_unread_bytes(&self.stream) {
             return Poll::Pending;
         }
+        self.is_cut = true;
         self.limits.record_cut(cut);
         match cut {
             StreamCut::Head => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -13,11 +13,11 @@
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderValue};
+use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
 use super::answer_body::AnswerBody;
@@ -35,6 +35,13 @@
 /// Maximum time to read a request body, in milliseconds, if the caller's deadline allows more.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
+/// Maximum size of a refused body that is read to keep its connection, in bytes: most requests have
+/// smaller ones, and a new connection costs more than reading them.
+const DISCARD_BYTES_MAX: usize = 65_536;
+
+/// Maximum time to read a refused body: it has mostly arrived with its head.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// A refusal that the router itself answers with.
 struct CallRefusal {
     cause: RefusalCause,
@@ -67,16 +74,21 @@
     let admitted = checked.and_then(|found| refuse_behind_full_link(&state).map(|()| found));
     let mut response = match admitted {
         Ok((head, rules)) => serve_checked(&state, parts, body, head, rules, record).await,
-        Err(refusal) => refuse(&record, &refusal),
+        Err(refusal) => refuse_unread(&record, &refusal, &parts, body).await,
     };
     // Makes callers send their next request elsewhere before this connection is closed.
     if state.phase() >= GatewayPhase::Leaving || state.has_left_rotation() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        announce_close(&mut response);
     }
     response
 }
 
+/// Announces that the connection ends with the response.
+fn announce_close(response: &mut Response<AnswerBody>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 async fn serve_checked(
     state: &Rc<GatewayState>,
     parts: Parts,
@@ -87,7 +99,13 @@
 ) -> Response<AnswerBody> {
     match read_call(state, parts, body, head, rules, record).await {
         Ok(call) => serve_read(Rc::new(call)).await,
-        Err((record, refusal)) => refuse(&record, &refusal),
+        Err((record, refusal)) => {
+            let mut response = refuse(&record, &refusal);
+            if refusal.cause.leaves_body_unread() {
+                announce_close(&mut response);
+            }
+            response
+        }
     }
 }
 
@@ -395,6 +413,39 @@
     }
 }
 
+/// Refuses a call whose body is still to be read.
+async fn refuse_unread(
+    record: &CallRecord,
+    refusal: &CallRefusal,
+    parts: &Parts,
+    body: Incoming,
+) -> Response<AnswerBody> {
+    let mut response = refuse(record, refusal);
+    // Reading would ask a caller that waits for a `100 Continue` to send its body.
+    let is_awaited = parts.headers.contains_key(EXPECT);
+    if !body.is_end_stream() && (is_awaited || !discard_body(body).await) {
+        announce_close(&mut response);
+    }
+    response
+}
+
+/// Reads the rest of a refused request if it is small and at hand; returns whether it is.
+async fn discard_body(body: Incoming) -> bool {
+    if body.size_hint().lower() > DISCARD_BYTES_MAX as u64 {
+        return false;
+    }
+    let mut body = Limited::new(body, DISCARD_BYTES_MAX);
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    timeout(DISCARD_TIMEOUT, reading).await.unwrap_or(false)
+}
+
 fn refuse(record: &CallRecord, refusal: &CallRefusal) -> Response<AnswerBody> {
     record.add_field("why", &refusal.message);
     record.record_refusal(refusal.cause);
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -16,7 +16,7 @@
 use super::call_exchange::serve_call;
 use super::caller_connection::CallerConnection;
 use super::gateway_state::{GatewayPhase, GatewayState};
-use crate::calls::{ConnectionTracker, GuardedStream};
+use crate::calls::{ConnectionTracker, GuardedStream, linger};
 
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -68,22 +68,26 @@
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark)))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .header_read_timeout(None::<Duration>)
         .max_buf_size(head_bytes.max(HEAD_BYTES_MAX))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     let mut phase = state.phase.subscribe();
     let mut closing = pin!(phase.wait_for(|phase| *phase >= GatewayPhase::Closing));
     let mut is_closing = false;
-    loop {
+    let ended = loop {
         tokio::select! {
-            // An error is reflected in the record of the running call, if any.
-            _ = connection.as_mut() => return,
+            ended = &mut connection => break ended,
             _ = &mut closing, if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
         }
+    };
+    // Other errors are reflected in the record of the running call, if any; its caller must see the
+    // close at once.
+    if ended.map_or_else(|error| error.is_parse(), |()| true) {
+        let stream = connection.into_parts().io.into_inner();
+        linger(stream).await;
     }
 }
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Whether the cause, if it is found after the head was taken, leaves a rest of the body unread.
+    pub(super) fn leaves_body_unread(self) -> bool {
+        matches!(
+            self,
+            RefusalCause::BodyTooLarge | RefusalCause::BodyTimeout | RefusalCause::BadHead
+        )
+    }
+
     /// Builds the response.
     pub(super) fn response(self, message: &str) -> Response<AnswerBody> {
         self.response_with(self.head(), message)
--- a/crates/beechsaddle/tests/gateway_early_refusals.rs
+++ b/crates/beechsaddle/tests/gateway_early_refusals.rs
@@ -4,10 +4,11 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use beechsaddle_platform_stand_in::{CallRequest, CallerLink, ConfigDraft, LimitsDraft};
 use gateway_support::{GatewayBench, KEY, draft, request};
+use nix::sys::signal::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -23,6 +24,8 @@
 const SMALL_BUFFER_BYTES: u32 = 2_048;
 /// Number of calls whose responses overfill the small buffer.
 const UNREAD_CALLS: usize = 40;
+/// The grace period of the routers in all tests, in milliseconds.
+const GRACE_MS: u64 = 6_000;
 /// Time after which a connection that is still open counts as kept.
 const CLOSE_LIMIT: Duration = Duration::from_secs(6);
 
@@ -77,7 +80,29 @@
     assert!(rest.ends_with("}}"), "{rest}");
 }
 
-// Callers on a route that was just removed get a reset in place of the refusal while they send.
+/// Sends bytes until the router cuts the connection, and returns how long that took.
+async fn send_endlessly(stream: &mut TcpStream) -> Duration {
+    let started = Instant::now();
+    while stream.write_all(&[b'a'; 1_000]).await.is_ok() {
+        assert!(started.elapsed() < CLOSE_LIMIT, "the connection is kept");
+        sleep(PART_PAUSE).await;
+    }
+    started.elapsed()
+}
+
+/// Sends the head of a call with a body that takes longer than any close, on a route that does not
+/// exist.
+async fn begin_endless_call(address: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.expect("a link");
+    let call = request("POST /none/1", "endless").bytes();
+    let head = String::from_utf8(call).expect("a head");
+    let head = head.replace("Content-Length: 0", "Content-Length: 100000000");
+    let written = stream.write_all(head.as_bytes()).await;
+    written.expect("a write");
+    stream
+}
+
+// Writes of callers on a route that was just removed fail before they read the refusal.
 #[tokio::test]
 async fn unknown_route_with_body_under_way() {
     let bench = GatewayBench::start(&draft(1, AMPLE)).await;
@@ -85,7 +110,7 @@
     check_refusal(&bench, &call, "HTTP/1.1 404 ", "unknown_route").await;
 }
 
-// Callers whose key was just removed get a reset in place of the refusal while they send.
+// Writes of callers whose key was just removed fail before they read the refusal.
 #[tokio::test]
 async fn unknown_key_with_body_under_way() {
     let bench = GatewayBench::start(&draft(1, AMPLE)).await;
@@ -93,7 +118,7 @@
     check_refusal(&bench, &call, "HTTP/1.1 401 ", "unknown_key").await;
 }
 
-// Callers whose body is larger than the limit get a reset in place of the refusal while they send.
+// Writes of callers whose body is larger than the limit fail before they read the refusal.
 #[tokio::test]
 async fn too_large_body_under_way() {
     let limits = LimitsDraft {
@@ -148,3 +173,45 @@
     let reply = link.call(&request("GET /get/1", "last")).await;
     assert_eq!(reply.expect("an answer").status, 200);
 }
+
+// A caller that sends on after its refusal holds its connection for ever, or the wait for it to close
+// is taken for the wait for a request or a head.
+#[tokio::test]
+async fn unknown_route_with_endless_body() {
+    let limits = LimitsDraft {
+        idle_timeout_ms: 500,
+        head_timeout_ms: 300,
+        ..LimitsDraft::default()
+    };
+    let config = ConfigDraft {
+        limits,
+        ..draft(1, AMPLE)
+    };
+    let bench = GatewayBench::start(&config).await;
+    let mut stream = begin_endless_call(bench.router.address).await;
+    let took = send_endlessly(&mut stream).await;
+    assert!(took > Duration::from_secs(1), "{took:?}");
+    let closes = bench.router.log_lines(&["caller_closed"]);
+    assert!(closes.is_empty(), "{closes:?}");
+    for what in ["idle", "head"] {
+        let name = format!("caller_closes_total{{what=\"{what}\"}}");
+        assert_eq!(bench.router.metric(&name).await, Some(0.0));
+    }
+}
+
+// A caller that sends on after its refusal delays the exit of the router.
+#[tokio::test]
+async fn unknown_route_with_endless_body_at_exit() {
+    let mut bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    bench.router.signal(Signal::SIGTERM);
+    bench.router.wait_log(&["leaving"]).await;
+    let left_at = Instant::now();
+    // So that the router exits while it waits for the caller to close.
+    sleep(Duration::from_millis(1_500)).await;
+    let mut stream = begin_endless_call(bench.router.address).await;
+    let sending = tokio::spawn(async move { send_endlessly(&mut stream).await });
+    assert_eq!(bench.router.wait_end().await, Some(0));
+    let took = left_at.elapsed();
+    assert!(took < Duration::from_millis(GRACE_MS), "{took:?}");
+    assert!(sending.await.is_ok());
+}
