--- a/crates/beechsaddle-lab/tests/soak_seeds.rs
+++ b/crates/beechsaddle-lab/tests/soak_seeds.rs
@@ -80,3 +80,17 @@
     };
     check_run(&options, 4).await;
 }
+
+/// A body that crashes its targets reaches few of them although nearly all engines have ended, and
+/// those that start in their place end one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_crashing_body_reaches_few_engines_that_end_in_turn() {
+    let options = SoakOptions {
+        callers: 12,
+        has_target_faults: true,
+        has_versions: true,
+        has_announcements: true,
+        ..soak_options(8)
+    };
+    check_run(&options, 9530).await;
+}
