--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -154,6 +154,9 @@
             return self.check_limits(request, context);
         }
         if buffer.filled().len() > filled {
+            if !self.head_timer.is_started(request) {
+                self.limits.record_head_start();
+            }
             let head_timeout = self.limits.head_timeout();
             self.head_timer.start(request, head_timeout);
         }
--- a/crates/beechsaddle/src/calls/stream_limits.rs
+++ b/crates/beechsaddle/src/calls/stream_limits.rs
@@ -21,6 +21,9 @@
     /// connection.
     fn idle_timeout(&self) -> Option<Duration>;
 
+    /// Records that the first bytes of a request head have arrived.
+    fn record_head_start(&self);
+
     /// Records that the connection ends by a limit.
     fn record_cut(&self, cut: StreamCut);
 }
@@ -47,5 +50,7 @@
         None
     }
 
+    fn record_head_start(&self) {}
+
     fn record_cut(&self, _: StreamCut) {}
 }
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -23,6 +23,7 @@
 use super::answer_body::AnswerBody;
 use super::call_context::CallContext;
 use super::call_record::CallRecord;
+use super::caller_connection::RequestArrival;
 use super::crashes::refuse_crashing;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::origins::check_resume;
@@ -67,8 +68,9 @@
 pub(super) async fn serve_call(
     state: Rc<GatewayState>,
     request: Request<Incoming>,
+    arrival: RequestArrival,
 ) -> Response<AnswerBody> {
-    let record = CallRecord::start(&state);
+    let record = CallRecord::start(&state, arrival);
     let (parts, body) = request.into_parts();
     let checked = check_head(&state, &parts, &record);
     let admitted = checked.and_then(|found| refuse_behind_full_link(&state).map(|()| found));
@@ -340,6 +342,9 @@
     let last_event = head.last_event.map(|event| event.to_string());
     fields.extend(last_event.map(|event| ("last_event", event)));
     fields.extend(head.resumes.clone().map(|id| ("resumes", id)));
+    if state.phase() >= GatewayPhase::Leaving {
+        fields.extend(shutdown_fields(state, record.arrival()));
+    }
     record.log_decision("call_admitted", fields);
     let plain = ServiceRule {
         is_engine: false,
@@ -370,6 +375,16 @@
     })
 }
 
+/// Tells how a call that is admitted in a shutdown arrived: late or held up, on which connection.
+fn shutdown_fields(state: &GatewayState, arrival: RequestArrival) -> [(&'static str, String); 4] {
+    [
+        ("phase", state.phase().as_str().to_owned()),
+        ("connection_ms", arrival.connection_ms.to_string()),
+        ("earlier_requests", arrival.earlier_requests.to_string()),
+        ("head_ms", arrival.head_ms.to_string()),
+    ]
+}
+
 fn join_keys(keys: &[SuspectKey]) -> String {
     let keys: Vec<_> = keys.iter().map(ToString::to_string).collect();
     keys.join(",")
--- a/crates/beechsaddle/src/gateway/call_record.rs
+++ b/crates/beechsaddle/src/gateway/call_record.rs
@@ -7,6 +7,7 @@
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::{LogLevel, LogLine};
 
+use super::caller_connection::RequestArrival;
 use super::gateway_metrics::{CauseLabel, OutcomeLabel, ResumeLabel};
 use super::gateway_state::GatewayState;
 use super::origins::{ResumeActor, ResumeVersion};
@@ -28,6 +29,7 @@
 pub(super) struct CallRecord {
     state: Rc<GatewayState>,
     arrived_at: ClockTime,
+    arrival: RequestArrival,
     attempt_started_at: Cell<ClockTime>,
     id: RefCell<String>,
     fields: RefCell<Vec<(&'static str, String)>>,
@@ -41,7 +43,7 @@
 
 impl CallRecord {
     /// Starts the record of a call that has just arrived.
-    pub(super) fn start(state: &Rc<GatewayState>) -> Self {
+    pub(super) fn start(state: &Rc<GatewayState>, arrival: RequestArrival) -> Self {
         state.open_calls.set(state.open_calls.get() + 1);
         state.metrics.open_calls.inc();
         state.metrics.calls.inc();
@@ -49,6 +51,7 @@
         CallRecord {
             state: Rc::clone(state),
             arrived_at: now,
+            arrival,
             attempt_started_at: Cell::new(now),
             id: RefCell::default(),
             fields: RefCell::new(Vec::with_capacity(12)),
@@ -65,6 +68,11 @@
         self.arrived_at
     }
 
+    /// Returns how the request arrived.
+    pub(super) fn arrival(&self) -> RequestArrival {
+        self.arrival
+    }
+
     /// Sets the caller's request id, which every later line carries.
     pub(super) fn set_id(&self, id: &str) {
         id.clone_into(&mut self.id.borrow_mut());
--- a/crates/beechsaddle/src/gateway/caller_connection.rs
+++ b/crates/beechsaddle/src/gateway/caller_connection.rs
@@ -1,5 +1,6 @@
 //! The `caller_connection` module provides the limits in force on a caller's connection.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,19 +12,57 @@
 use super::gateway_state::GatewayState;
 use crate::calls::{StreamCut, StreamLimits};
 
+/// How the requests of a caller's connection arrive.
+#[derive(Clone, Debug)]
+pub(super) struct ConnectionHistory {
+    accepted_at: ClockTime,
+    requests: Cell<u64>,
+    head_began_at: Cell<ClockTime>,
+}
+
+/// How one request arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct RequestArrival {
+    /// The age of its connection, in milliseconds.
+    pub(super) connection_ms: u64,
+    /// The number of requests before it on its connection.
+    pub(super) earlier_requests: u64,
+    /// The time from the first bytes of its head to the last ones, in milliseconds.
+    pub(super) head_ms: u64,
+}
+
+impl ConnectionHistory {
+    /// Creates the history of a connection that was accepted at a time.
+    pub(super) fn new(accepted_at: ClockTime) -> Self {
+        ConnectionHistory {
+            accepted_at,
+            requests: Cell::new(0),
+            head_began_at: Cell::new(accepted_at),
+        }
+    }
+
+    /// Records that the whole head of a request was read.
+    pub(super) fn record_request(&self, now: ClockTime) -> RequestArrival {
+        RequestArrival {
+            connection_ms: now.since(self.accepted_at),
+            earlier_requests: self.requests.replace(self.requests.get() + 1),
+            head_ms: now.since(self.head_began_at.get()),
+        }
+    }
+}
+
 /// An open connection of a caller. It counts as open until it is dropped.
 pub(super) struct CallerConnection {
     state: Rc<GatewayState>,
-    accepted_at: ClockTime,
+    history: Rc<ConnectionHistory>,
 }
 
 impl CallerConnection {
     /// Counts a connection that was accepted now.
-    pub(super) fn new(state: Rc<GatewayState>) -> Self {
+    pub(super) fn new(state: Rc<GatewayState>, history: Rc<ConnectionHistory>) -> Self {
         let open_connections = state.open_connections.get() + 1;
         state.open_connections.set(open_connections);
-        let accepted_at = state.now();
-        CallerConnection { state, accepted_at }
+        CallerConnection { state, history }
     }
 
     fn idle_limit(&self) -> IdleLimit {
@@ -51,6 +90,10 @@
         Some(Duration::from_millis(self.idle_limit().as_millis()))
     }
 
+    fn record_head_start(&self) {
+        self.history.head_began_at.set(self.state.now());
+    }
+
     fn record_cut(&self, cut: StreamCut) {
         let state = &self.state;
         let [idle, unconfirmed, head] = CALLER_CLOSES;
@@ -66,7 +109,10 @@
         let config = state.config();
         let mut fields = vec![
             ("what", what.to_owned()),
-            ("open_ms", state.now().since(self.accepted_at).to_string()),
+            (
+                "open_ms",
+                state.now().since(self.history.accepted_at).to_string(),
+            ),
             ("limit_ms", limit_ms.to_string()),
             ("store_age_ms", state.store_age_ms().to_string()),
         ];
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -14,7 +14,7 @@
 
 use super::answer_body::TrackedBody;
 use super::call_exchange::serve_call;
-use super::caller_connection::CallerConnection;
+use super::caller_connection::{CallerConnection, ConnectionHistory};
 use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{ConnectionTracker, GuardedStream, linger};
 
@@ -55,16 +55,18 @@
         // The caller has already disconnected.
         return;
     }
-    let connection = CallerConnection::new(Rc::clone(&state));
+    let history = Rc::new(ConnectionHistory::new(state.now()));
+    let connection = CallerConnection::new(Rc::clone(&state), Rc::clone(&history));
     let head_bytes = state.caller_limits().head_bytes;
     let mark = ConnectionTracker::default();
     let stream = GuardedStream::new(stream, mark.clone(), connection, WRITE_STALL_TIMEOUT);
     let service = service_fn(|request| {
         mark.start_request();
+        let arrival = history.record_request(state.now());
         let mark = mark.clone();
         let state = Rc::clone(&state);
         async move {
-            let response = serve_call(state, request).await;
+            let response = serve_call(state, request, arrival).await;
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark)))
         }
     });
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -148,9 +148,20 @@
     let leaving_at = Instant::now();
     shut_down(&state).await;
     return_tokens(&state, leaving_at).await;
+    log_exit(&state, leaving_at);
     Ok(())
 }
 
+/// Logs what the end of the process cuts.
+fn log_exit(state: &GatewayState, leaving_at: Instant) {
+    let fields = [
+        ("open_calls", state.open_calls.get().to_string()),
+        ("open_connections", state.open_connections.get().to_string()),
+        ("leaving_ms", leaving_at.elapsed().as_millis().to_string()),
+    ];
+    state.report.log(LogLevel::Info, "exiting", fields);
+}
+
 /// Gives all unused tokens back. This is left to `LedgerSync`, since only it knows which of its writes may
 /// still be committed.
 async fn return_tokens(state: &GatewayState, leaving_at: Instant) {
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -43,6 +43,17 @@
     Closing,
 }
 
+impl GatewayPhase {
+    /// Returns the phase's name in logs and the status.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            GatewayPhase::Serving => "serving",
+            GatewayPhase::Leaving => "leaving",
+            GatewayPhase::Closing => "closing",
+        }
+    }
+}
+
 /// The shared state of a gateway. All users run on one thread and never hold a borrow across an await.
 pub(super) struct GatewayState {
     /// The settings as last read.
--- a/crates/beechsaddle/src/gateway/status_view.rs
+++ b/crates/beechsaddle/src/gateway/status_view.rs
@@ -5,7 +5,7 @@
     RosterEntry, WorkspaceStatus,
 };
 
-use super::gateway_state::{GatewayPhase, GatewayState};
+use super::gateway_state::GatewayState;
 
 /// Returns the current status, with the age of each item.
 pub(super) fn view_status(state: &GatewayState) -> GatewayStatus {
@@ -15,7 +15,7 @@
     GatewayStatus {
         gateway: state.me.clone(),
         domain: state.settings().domain.clone(),
-        phase: phase_name(state.phase()).to_owned(),
+        phase: state.phase().as_str().to_owned(),
         open_calls: state.open_calls.get(),
         store_age_ms: state.store_age_ms(),
         config: view_config(state),
@@ -101,11 +101,3 @@
         heard_age_ms: now.since(stats.progress_at),
     }
 }
-
-fn phase_name(phase: GatewayPhase) -> &'static str {
-    match phase {
-        GatewayPhase::Serving => "serving",
-        GatewayPhase::Leaving => "leaving",
-        GatewayPhase::Closing => "closing",
-    }
-}
