The exit of a router waits for connections, not for calls

Callers saw a connection closed without an answer after their call had been sent on, under planned restarts only. Cause: at the end of the drain the exit was decided once, as soon as no call was open; 20 ms and the return of tokens (some 10 ms to 2.5 s) followed, in which connections still read. A call whose head was completed then reached its target and was cut by the exit. Ruled out: a close of idle connections that takes a call (the call was admitted), and a call open before (age_ms=0). Now the exit waits until no connection is left on which a call can be read, from the accept on; nothing can begin between that and the exit. Connections that wait in the listener's queue are accepted before it is closed; one without an unread byte is closed at once, a new one after 0.3 s; a part of a head has its own limit.

--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -91,7 +91,11 @@
     ) -> Poll<io::Result<T>> {
         match written {
             Poll::Ready(result) => {
-                self.is_stalled = false;
+                if self.is_stalled {
+                    self.is_stalled = false;
+                    // The limits of an idle connection are checked once its answer is sent.
+                    context.waker().wake_by_ref();
+                }
                 Poll::Ready(result)
             }
             Poll::Pending => self.check_stall(context),
@@ -99,12 +103,12 @@
     }
 
     /// Ends the connection if the awaited request, of which no further bytes are there, took too
-    /// long.
+    /// long, and the answer before it is sent.
     fn check_limits(&mut self, request: u64, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let Some(cut) = self.exceeded_limit(request, context) else {
             return Poll::Pending;
         };
-        if has_unread_bytes(&self.stream) {
+        if self.is_stalled || has_unread_bytes(&self.stream) {
             return Poll::Pending;
         }
         self.is_cut = true;
--- a/crates/beechsaddle/src/calls/idle_timer.rs
+++ b/crates/beechsaddle/src/calls/idle_timer.rs
@@ -12,8 +12,9 @@
 
 /// Time limit that runs from the end of one answer to the first byte of the next request.
 ///
-/// The limit is read again when the timer fires, and the timer goes on for the rest of a longer
-/// one. A change of the limit therefore costs nothing at the time of the change.
+/// The limit is read again when the connection is polled or the timer fires, and the timer goes on
+/// for the rest of a longer one. A change of the limit therefore costs nothing at the time of the
+/// change.
 #[derive(Default)]
 pub(crate) struct IdleTimer {
     wait: Option<IdleWait>,
@@ -34,6 +35,11 @@
         context: &mut Context<'_>,
     ) -> bool {
         let wait = self.start(request, &limit);
+        // A limit that is shorter than when the timer was set holds from now on.
+        let deadline = next_check(wait.since, limit());
+        if deadline < wait.sleep.deadline() {
+            wait.sleep.as_mut().reset(deadline);
+        }
         while wait.sleep.as_mut().poll(context).is_ready() {
             let limit = limit();
             if wait.since.elapsed() >= limit {
--- a/crates/beechsaddle/src/gateway/call_record.rs
+++ b/crates/beechsaddle/src/gateway/call_record.rs
@@ -203,7 +203,7 @@
         state.metrics.open_calls.dec();
         let open = state.open_calls.get().saturating_sub(1);
         state.open_calls.set(open);
-        state.call_ended.notify_one();
+        state.work_ended.notify_one();
     }
 
     fn log_end(&self, elapsed_ms: u64) {
--- a/crates/beechsaddle/src/gateway/caller_connection.rs
+++ b/crates/beechsaddle/src/gateway/caller_connection.rs
@@ -9,9 +9,13 @@
 use beechsaddle_core::report::LogLevel;
 
 use super::gateway_metrics::{CALLER_CLOSES, OutcomeLabel};
-use super::gateway_state::GatewayState;
+use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{StreamCut, StreamLimits};
 
+/// How long a new connection is kept for its first request after the drain of a shutdown: a round trip
+/// and one retransmission.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How the requests of a caller's connection arrive.
 #[derive(Clone, Debug)]
 pub(super) struct ConnectionHistory {
@@ -51,6 +55,30 @@
     }
 }
 
+/// Counts a connection for which a shutdown waits, until it is dropped.
+pub(super) struct ActiveConnection {
+    state: Rc<GatewayState>,
+}
+
+impl ActiveConnection {
+    /// Counts a connection that was accepted now.
+    pub(super) fn start(state: &Rc<GatewayState>) -> Self {
+        let active = state.active_connections.get() + 1;
+        state.active_connections.set(active);
+        ActiveConnection {
+            state: Rc::clone(state),
+        }
+    }
+}
+
+impl Drop for ActiveConnection {
+    fn drop(&mut self) {
+        let active = self.state.active_connections.get().saturating_sub(1);
+        self.state.active_connections.set(active);
+        self.state.work_ended.notify_one();
+    }
+}
+
 /// An open connection of a caller. It counts as open until it is dropped.
 pub(super) struct CallerConnection {
     state: Rc<GatewayState>,
@@ -73,6 +101,16 @@
         limits.idle_limit(state.now(), bounds, open_connections)
     }
 
+    /// Returns how long the connection is kept for a request in a shutdown; `None` if it is kept as
+    /// usual.
+    fn shutdown_timeout(&self) -> Option<Duration> {
+        let is_closing = self.state.phase() >= GatewayPhase::Closing;
+        is_closing.then(|| match self.history.requests.get() {
+            0 => FIRST_REQUEST_TIMEOUT,
+            _ => Duration::ZERO,
+        })
+    }
+
     fn head_timeout_ms(&self) -> u64 {
         let state = &self.state;
         let bounds = state.settings().change_bounds;
@@ -87,7 +125,9 @@
     }
 
     fn idle_timeout(&self) -> Option<Duration> {
-        Some(Duration::from_millis(self.idle_limit().as_millis()))
+        let idle_timeout = Duration::from_millis(self.idle_limit().as_millis());
+        let shutdown_timeout = self.shutdown_timeout().unwrap_or(idle_timeout);
+        Some(idle_timeout.min(shutdown_timeout))
     }
 
     fn record_head_start(&self) {
@@ -96,7 +136,12 @@
 
     fn record_cut(&self, cut: StreamCut) {
         let state = &self.state;
-        let [idle, unconfirmed, head] = CALLER_CLOSES;
+        let [idle, unconfirmed, head, shutdown] = CALLER_CLOSES;
+        if cut == StreamCut::Idle && self.shutdown_timeout().is_some() {
+            let label = OutcomeLabel { what: shutdown };
+            state.metrics.caller_closes.get_or_create(&label).inc();
+            return;
+        }
         let (what, limit_ms, level) = match (cut, self.idle_limit()) {
             (StreamCut::Idle, IdleLimit::Known(limit_ms)) => (idle, limit_ms, LogLevel::Debug),
             (StreamCut::Idle, IdleLimit::Unconfirmed(limit_ms)) => {
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -1,6 +1,7 @@
 //! The `caller_listener` module provides the listener for callers' connections.
 
 use std::convert::Infallible;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 
 use super::answer_body::TrackedBody;
 use super::call_exchange::serve_call;
-use super::caller_connection::{CallerConnection, ConnectionHistory};
+use super::caller_connection::{ActiveConnection, CallerConnection, ConnectionHistory};
 use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{ConnectionTracker, GuardedStream, linger};
 
@@ -28,28 +29,65 @@
 /// Maximum time a caller may go without reading any byte of its response.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Accepts connections until the gateway is closing.
+/// Accepts connections until the gateway is closing, and then those that already wait to be accepted.
 pub(super) async fn run_listener(listener: TcpListener, state: Rc<GatewayState>) {
     let mut phase = state.phase.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase >= GatewayPhase::Closing) => return,
+            _ = phase.wait_for(|phase| *phase >= GatewayPhase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(stream, Rc::clone(&state)));
-            }
+            Ok((stream, _)) => start_connection(stream, &state),
             Err(error) => {
-                let fields = [("error", error.to_string())];
-                state.report.log(LogLevel::Warning, "accept_failed", fields);
+                log_failed_accept(&state, &error);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    if let Err(error) = accept_waiting(listener, &state) {
+        log_failed_accept(&state, &error);
+    }
 }
 
-async fn serve_connection(stream: TcpStream, state: Rc<GatewayState>) {
+/// Accepts the connections that wait in the listener's queue. Closing the listener would reset them
+/// together with the requests that their callers have sent.
+fn accept_waiting(listener: TcpListener, state: &Rc<GatewayState>) -> io::Result<()> {
+    // The runtime may not have noticed all of them yet.
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                start_connection(TcpStream::from_std(stream)?, state);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if is_of_one_connection(&error) => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Whether a failed accept says nothing about the connections that wait behind it.
+fn is_of_one_connection(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
+    )
+}
+
+fn log_failed_accept(state: &GatewayState, error: &io::Error) {
+    let fields = [("error", error.to_string())];
+    state.report.log(LogLevel::Warning, "accept_failed", fields);
+}
+
+/// Serves a connection in a task of its own, for which a shutdown waits from now on.
+fn start_connection(stream: TcpStream, state: &Rc<GatewayState>) {
+    let active = ActiveConnection::start(state);
+    spawn_local(serve_connection(stream, Rc::clone(state), active));
+}
+
+async fn serve_connection(stream: TcpStream, state: Rc<GatewayState>, active: ActiveConnection) {
     // Events are small; Nagle's algorithm would delay every token.
     if stream.set_nodelay(true).is_err() {
         // The caller has already disconnected.
@@ -80,12 +118,13 @@
     let ended = loop {
         tokio::select! {
             ended = &mut connection => break ended,
-            _ = &mut closing, if !is_closing => {
-                is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
+            // Polls the connection, which closes if it is idle. The library's own shutdown would drop a
+            // part of a head, and a request that has arrived but is not read yet.
+            _ = &mut closing, if !is_closing => is_closing = true,
         }
     };
+    // All that was read is answered, and the answers are sent.
+    drop(active);
     // Other errors are reflected in the record of the running call, if any; its caller must see the
     // close at once.
     if ended.map_or_else(|error| error.is_parse(), |()| true) {
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -71,8 +71,9 @@
 pub(super) const STREAM_BREAKS: [&str; 3] = ["broken", "deadline", "oversized"];
 
 /// Why a caller's connection was closed by this router without a call in progress: the idle time in
-/// force was over, that of a router which cannot know it, or the time for a head.
-pub(super) const CALLER_CLOSES: [&str; 3] = ["idle", "unconfirmed", "head"];
+/// force was over, that of a router which cannot know it, the time for a head, or the drain of a
+/// shutdown.
+pub(super) const CALLER_CLOSES: [&str; 4] = ["idle", "unconfirmed", "head", "shutdown"];
 
 /// Where the origin of a resumed stream was found: at this router or another one; or that no router
 /// knows it, or that none that answered does.
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -1,4 +1,4 @@
-//! The `gateway_process` module provides the start and the shutdown of a gateway's process.
+//! The `gateway_process` module provides the start and the end of a gateway's process.
 
 use std::io;
 use std::net::SocketAddr;
@@ -15,14 +15,14 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout_at};
 
 use super::caller_listener::run_listener;
 use super::changes::{follow_kind, run_expiry, run_probes, run_registration};
 use super::clock_manager::run_clock_reading;
 use super::crashes::{run_crash_follow, run_crash_writer, run_trial_ends};
 use super::gateway_settings::GatewaySettings;
-use super::gateway_state::{GatewayPhase, GatewayState};
+use super::gateway_shutdown::shut_down;
+use super::gateway_state::GatewayState;
 use super::host_listener::run_host_listener;
 use super::ledger_sync::LedgerSync;
 use super::peer_server::run_peer_listener;
@@ -35,22 +35,6 @@
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
 
-/// How long new connections are accepted after the termination signal, in milliseconds. The balancer probes
-/// every second and takes a router out after two failures; another half second covers connections in
-/// transit.
-const DRAIN_MS: u64 = 2_500;
-
-/// Part of the grace period that is reserved for the end of the process, in milliseconds: the return of
-/// tokens, and a margin before the kill.
-const EXIT_RESERVE_MS: u64 = 700;
-
-/// Timeout of the return of tokens if the store does not answer or the grace period is nearly over.
-const TOKEN_RETURN_TIMEOUT: Duration = Duration::from_millis(450);
-
-/// Timeout of the return of tokens while the store answers: several slow writes. What is not returned
-/// is lost to the workspace's callers; a longer wait would delay the restart on this host.
-const SLOW_RETURN_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Timeout of writing the last log lines.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -103,7 +87,7 @@
     let settings = state.settings();
     let calls = try_bind(settings.call_address)?;
     let ready = try_bind(settings.ready_address)?;
-    spawn_local(run_listener(calls, Rc::clone(&state)));
+    let listener = spawn_local(run_listener(calls, Rc::clone(&state)));
     spawn_local(run_host_listener(ready, Rc::clone(&state)));
     if let Some(address) = settings.metrics_address {
         spawn_local(run_host_listener(try_bind(address)?, Rc::clone(&state)));
@@ -145,79 +129,10 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let leaving_at = Instant::now();
-    shut_down(&state).await;
-    return_tokens(&state, leaving_at).await;
-    log_exit(&state, leaving_at);
+    shut_down(&state, listener).await;
     Ok(())
 }
 
-/// Logs what the end of the process cuts.
-fn log_exit(state: &GatewayState, leaving_at: Instant) {
-    let fields = [
-        ("open_calls", state.open_calls.get().to_string()),
-        ("open_connections", state.open_connections.get().to_string()),
-        ("leaving_ms", leaving_at.elapsed().as_millis().to_string()),
-    ];
-    state.report.log(LogLevel::Info, "exiting", fields);
-}
-
-/// Gives all unused tokens back. This is left to `LedgerSync`, since only it knows which of its writes may
-/// still be committed.
-async fn return_tokens(state: &GatewayState, leaving_at: Instant) {
-    state.escrow.borrow_mut().close();
-    let until = return_deadline(state, leaving_at);
-    while state.escrow.borrow().has_tokens() {
-        let changed = state.escrow_changed.notified();
-        state.escrow_wake.notify_one();
-        if timeout_at(until, changed).await.is_err() {
-            let held = state.escrow.borrow().held_tokens();
-            let fields = [("free", held.to_string())];
-            state.report.log(LogLevel::Warning, "tokens_kept", fields);
-            return;
-        }
-    }
-}
-
-/// Returns until when the return of tokens may take: the rest of the grace period, within limits.
-fn return_deadline(state: &GatewayState, leaving_at: Instant) -> Instant {
-    let now = Instant::now();
-    let shortest = now + TOKEN_RETURN_TIMEOUT;
-    if !state.store_health.answers() {
-        return shortest;
-    }
-    let exit_margin = Duration::from_millis(EXIT_RESERVE_MS) - TOKEN_RETURN_TIMEOUT;
-    let grace = Duration::from_millis(state.settings().grace_ms);
-    let latest = leaving_at + grace.saturating_sub(exit_margin);
-    latest.min(now + SLOW_RETURN_TIMEOUT).max(shortest)
-}
-
-/// Ends all calls within the grace period.
-///
-/// The router reports not ready from the start, so that the balancer moves new connections to other
-/// routers. Until then it serves new calls as before, since callers would find refused connections
-/// otherwise.
-async fn shut_down(state: &GatewayState) {
-    let grace_ms = state.settings().grace_ms;
-    let ends_at = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(EXIT_RESERVE_MS));
-    let open = state.open_calls.get();
-    let fields = [("open_calls", open.to_string())];
-    state.report.log(LogLevel::Info, "leaving", fields);
-    state.phase.send_replace(GatewayPhase::Leaving);
-    sleep(Duration::from_millis(DRAIN_MS.min(grace_ms / 3))).await;
-    state.phase.send_replace(GatewayPhase::Closing);
-    while state.open_calls.get() > 0 {
-        let ended = state.call_ended.notified();
-        if timeout_at(ends_at, ended).await.is_err() {
-            break;
-        }
-    }
-    // Answers already passed to their connections are still being sent.
-    sleep(Duration::from_millis(20)).await;
-    let fields = [("open_calls", state.open_calls.get().to_string())];
-    state.report.log(LogLevel::Info, "closing", fields);
-}
-
 fn try_bind(address: SocketAddr) -> Result<TcpListener> {
     open_listener(address).wrap_err_with(|| format!("cannot bind {address}"))
 }
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -39,7 +39,7 @@
     Serving,
     /// The router is no longer ready, but still accepts connections; each closes after its answer.
     Leaving,
-    /// It accepts no new connections and closes idle ones.
+    /// It accepts no new connections, closes idle ones, and answers what was sent on others.
     Closing,
 }
 
@@ -125,8 +125,11 @@
     pub(super) log_sampler: LogSampler,
     /// The number of calls in progress.
     pub(super) open_calls: Cell<u64>,
-    /// Wakes the shutdown when a call ends.
-    pub(super) call_ended: Notify,
+    /// The number of callers' connections on which a request may still be read, runs, or has an answer
+    /// that is not sent yet.
+    pub(super) active_connections: Cell<u64>,
+    /// Wakes the shutdown when a call or an active connection ends.
+    pub(super) work_ended: Notify,
 }
 
 impl GatewayState {
@@ -177,7 +180,8 @@
             phase: watch::Sender::new(GatewayPhase::Serving),
             log_sampler: LogSampler::default(),
             open_calls: Cell::new(0),
-            call_ended: Notify::new(),
+            active_connections: Cell::new(0),
+            work_ended: Notify::new(),
             settings: RefCell::new(Rc::new(settings)),
             me,
         }
@@ -207,6 +211,11 @@
         *self.phase.borrow()
     }
 
+    /// Whether a shutdown has nothing left to wait for: no call runs, and none can be read any more.
+    pub(super) fn is_idle(&self) -> bool {
+        self.open_calls.get() == 0 && self.active_connections.get() == 0
+    }
+
     /// Records a request or a whole answer as traffic of the router's link.
     pub(super) fn record_message(&self, way: LinkDirection, body: &Bytes) {
         let now = self.now();
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod gateway_metrics;
 mod gateway_process;
 mod gateway_settings;
+mod gateway_shutdown;
 mod gateway_state;
 mod host_listener;
 mod ledger_store;
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
@@ -46,7 +46,7 @@
         let open = state.open_calls.get().saturating_sub(1);
         state.open_calls.set(open);
         state.metrics.tunnels_carried.dec();
-        state.call_ended.notify_one();
+        state.work_ended.notify_one();
     }
 }
 
