Answer calls that the end of a shutdown's grace period would cut

Callers of a silent or slow target saw their connection closed at the end of the grace period, with no word on whether their call may have run. A call without a response now gets one 0.7 s before the kill: 502 outcome_unknown if an attempt is open or may have run, else 503 shutting_down as not run.

--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -73,7 +73,11 @@
     let record = CallRecord::start(&state, arrival);
     let (parts, body) = request.into_parts();
     let checked = check_head(&state, &parts, &record);
-    let admitted = checked.and_then(|found| refuse_behind_full_link(&state).map(|()| found));
+    let admitted = checked.and_then(|found| {
+        refuse_behind_full_link(&state)?;
+        refuse_in_shutdown(&state)?;
+        Ok(found)
+    });
     let mut response = match admitted {
         Ok((head, rules)) => serve_checked(&state, parts, body, head, rules, record).await,
         Err(refusal) => refuse_unread(&record, &refusal, &parts, body).await,
@@ -111,7 +115,34 @@
     }
 }
 
+/// Serves a call to its final response, which comes at the end of a shutdown's grace period at the
+/// latest.
 async fn serve_read(call: Rc<CallContext>) -> Response<AnswerBody> {
+    let ending = async {
+        call.state.calls_ending().await;
+        // Read here, as the attempts end with the call.
+        call.all_attempts().may_have_run()
+    };
+    tokio::select! {
+        biased;
+        response = serve_admitted(Rc::clone(&call)) => response,
+        may_have_run = ending => refuse_ending(&call, may_have_run),
+    }
+}
+
+/// Refuses a call that has no response at the end of a shutdown's grace period.
+fn refuse_ending(call: &CallContext, may_have_run: bool) -> Response<AnswerBody> {
+    let cause = match may_have_run {
+        true => RefusalCause::OutcomeUnknown,
+        false => RefusalCause::ShuttingDown,
+    };
+    let message = "this router shuts down";
+    call.record.add_field("why", message);
+    call.record.record_refusal(cause);
+    cause.response(message)
+}
+
+async fn serve_admitted(call: Rc<CallContext>) -> Response<AnswerBody> {
     let state = &call.state;
     if let Some(refusal) = refuse_resting(&call) {
         return refusal;
@@ -216,6 +247,21 @@
     }
 }
 
+/// Refuses calls that are read at the end of a shutdown's grace period. Another router can serve them.
+fn refuse_in_shutdown(state: &GatewayState) -> Result<(), CallRefusal> {
+    let is_refused = match state.phase() {
+        GatewayPhase::Serving | GatewayPhase::Leaving | GatewayPhase::Closing => false,
+        GatewayPhase::Ending => true,
+    };
+    match is_refused {
+        true => Err(CallRefusal::new(
+            RefusalCause::ShuttingDown,
+            "this router shuts down",
+        )),
+        false => Ok(()),
+    }
+}
+
 fn check_head(
     state: &GatewayState,
     parts: &Parts,
--- a/crates/beechsaddle/src/gateway/gateway_shutdown.rs
+++ b/crates/beechsaddle/src/gateway/gateway_shutdown.rs
@@ -29,6 +29,10 @@
 /// Margin before the kill, in milliseconds.
 const KILL_MARGIN_MS: u64 = 250;
 
+/// How long the last responses may take to be sent at the end of the grace period: they are short and
+/// written at once.
+const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Timeout of the return of tokens if the store does not answer or the grace period is nearly over.
 const TOKEN_RETURN_TIMEOUT: Duration = Duration::from_millis(450);
 
@@ -41,7 +45,7 @@
 struct ShutdownPlan {
     signalled_at: Instant,
     drained_at: Instant,
-    /// Until when open calls are waited for.
+    /// When calls that are still open get their final response.
     calls_end_at: Instant,
     /// When the process has to have ended.
     exit_at: Instant,
@@ -65,6 +69,9 @@
     let plan = ShutdownPlan::new(Instant::now(), state.settings().grace_ms);
     drain(state, &plan).await;
     close(state, &plan, listener).await;
+    if !state.is_idle() {
+        end_calls(state).await;
+    }
     let fields = [("open_calls", state.open_calls.get().to_string())];
     state.report.log(LogLevel::Info, "closing", fields);
     return_tokens(state, &plan).await;
@@ -94,6 +101,18 @@
     }
 }
 
+/// Gives open calls their final response.
+async fn end_calls(state: &GatewayState) {
+    state.phase.send_replace(GatewayPhase::Ending);
+    let until = Instant::now() + LAST_RESPONSES_TIMEOUT;
+    while !state.is_idle() {
+        let ended = state.work_ended.notified();
+        if timeout_at(until, ended).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Gives all unused tokens back. This is left to `LedgerSync`, since only it knows which of its writes may
 /// still be committed.
 async fn return_tokens(state: &GatewayState, plan: &ShutdownPlan) {
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -41,6 +41,8 @@
     Leaving,
     /// It accepts no new connections, closes idle ones, and answers what was sent on others.
     Closing,
+    /// The grace period is nearly over: calls get their final response at once.
+    Ending,
 }
 
 impl GatewayPhase {
@@ -50,6 +52,7 @@
             GatewayPhase::Serving => "serving",
             GatewayPhase::Leaving => "leaving",
             GatewayPhase::Closing => "closing",
+            GatewayPhase::Ending => "ending",
         }
     }
 }
@@ -216,6 +219,13 @@
         self.open_calls.get() == 0 && self.active_connections.get() == 0
     }
 
+    /// Completes when open calls have to get their final response.
+    pub(super) async fn calls_ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the state.
+        let _ = phase.wait_for(|phase| *phase >= GatewayPhase::Ending).await;
+    }
+
     /// Records a request or a whole answer as traffic of the router's link.
     pub(super) fn record_message(&self, way: LinkDirection, body: &Bytes) {
         let now = self.now();
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -30,6 +30,8 @@
     NoConfig,
     /// The router's own link is saturated, and changes of targets arrive late over it.
     LinkFull,
+    /// The router shuts down, and the call may take longer than is left.
+    ShuttingDown,
     NoTarget,
     /// The call resumes a stream, and no reachable router knows at which software version it began.
     StreamUnknown,
@@ -63,6 +65,9 @@
 /// Retry delay when something is missing that usually recovers within about a second, in
 /// milliseconds.
 const OUTAGE_RETRY_MS: u64 = 400;
+/// Retry delay when this router shuts down, in milliseconds: the balancer sends the retry to another
+/// one.
+const SHUTDOWN_RETRY_MS: u64 = 10;
 /// Retry delay while all targets are evacuated, in milliseconds: only an operator ends that, and
 /// earlier retries would be refused as well.
 const EVACUATED_RETRY_MS: u64 = 2_000;
@@ -92,6 +97,7 @@
             | RefusalCause::TargetsResting
             | RefusalCause::TargetsUnreachable
             | RefusalCause::TooLate => (RefusalKind::NotRun, Some(OUTAGE_RETRY_MS)),
+            RefusalCause::ShuttingDown => (RefusalKind::NotRun, Some(SHUTDOWN_RETRY_MS)),
             RefusalCause::TargetsEvacuated => (RefusalKind::NotRun, Some(EVACUATED_RETRY_MS)),
             RefusalCause::OutcomeUnknown => (RefusalKind::OutcomeUnknown, None),
             RefusalCause::TimedOut => (RefusalKind::TimedOut, None),
@@ -116,6 +122,7 @@
             RefusalCause::CrashesTargets => "crashes_targets",
             RefusalCause::NoConfig => "no_config",
             RefusalCause::LinkFull => "link_full",
+            RefusalCause::ShuttingDown => "shutting_down",
             RefusalCause::NoTarget => "no_target",
             RefusalCause::StreamUnknown => "stream_unknown",
             RefusalCause::VersionGone => "version_gone",
