Refuse streams that are read after the drain of a shutdown and may outlast it

A stream that began after the drain was cut by the end of the grace period, in the middle of its answer, although other routers could have served it whole.

--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -75,7 +75,7 @@
     let checked = check_head(&state, &parts, &record);
     let admitted = checked.and_then(|found| {
         refuse_behind_full_link(&state)?;
-        refuse_in_shutdown(&state)?;
+        refuse_in_shutdown(&state, &found)?;
         Ok(found)
     });
     let mut response = match admitted {
@@ -247,10 +247,16 @@
     }
 }
 
-/// Refuses calls that are read at the end of a shutdown's grace period. Another router can serve them.
-fn refuse_in_shutdown(state: &GatewayState) -> Result<(), CallRefusal> {
+/// Refuses calls that are read after the drain of a shutdown and that its end may cut. Another router
+/// can serve them whole.
+fn refuse_in_shutdown(
+    state: &GatewayState,
+    (head, rules): &(CallHead, CallRules),
+) -> Result<(), CallRefusal> {
     let is_refused = match state.phase() {
-        GatewayPhase::Serving | GatewayPhase::Leaving | GatewayPhase::Closing => false,
+        GatewayPhase::Serving | GatewayPhase::Leaving => false,
+        // Plain calls get a response even if they do not end in time; a stream that has begun cannot.
+        GatewayPhase::Closing => rules.route.kind.is_stream() && !has_time(state, head, rules),
         GatewayPhase::Ending => true,
     };
     match is_refused {
@@ -262,6 +268,14 @@
     }
 }
 
+/// Whether a call ends before the shutdown does, at the latest by its deadline or its route's timeout.
+fn has_time(state: &GatewayState, head: &CallHead, rules: &CallRules) -> bool {
+    let timeout_ms = head.deadline_ms.unwrap_or(u64::MAX);
+    let timeout_ms = timeout_ms.min(rules.route.timeout_ms);
+    let end_at = state.calls_end_at.get();
+    end_at.is_none_or(|end_at| timeout_ms < end_at.since(state.now()))
+}
+
 fn check_head(
     state: &GatewayState,
     parts: &Parts,
--- a/crates/beechsaddle/src/gateway/gateway_shutdown.rs
+++ b/crates/beechsaddle/src/gateway/gateway_shutdown.rs
@@ -81,6 +81,10 @@
 /// Serves calls until the balancer sends no more connections. Callers would find refused connections
 /// otherwise.
 async fn drain(state: &GatewayState, plan: &ShutdownPlan) {
+    let now = Instant::now();
+    let calls_end_in = plan.calls_end_at.saturating_duration_since(now);
+    let calls_end_at = state.now().plus_ms(calls_end_in.as_millis() as u64);
+    state.calls_end_at.set(Some(calls_end_at));
     let fields = [("open_calls", state.open_calls.get().to_string())];
     state.report.log(LogLevel::Info, "leaving", fields);
     state.phase.send_replace(GatewayPhase::Leaving);
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -133,6 +133,8 @@
     pub(super) active_connections: Cell<u64>,
     /// Wakes the shutdown when a call or an active connection ends.
     pub(super) work_ended: Notify,
+    /// When the calls that are still open in a shutdown get their final response; `None` before it.
+    pub(super) calls_end_at: Cell<Option<ClockTime>>,
 }
 
 impl GatewayState {
@@ -185,6 +187,7 @@
             open_calls: Cell::new(0),
             active_connections: Cell::new(0),
             work_ended: Notify::new(),
+            calls_end_at: Cell::new(None),
             settings: RefCell::new(Rc::new(settings)),
             me,
         }
