The exit waits for refused callers that still send their request

A caller whose request was refused before its body had arrived lost the refusal if the router exited meanwhile: the exit closed its connection with unread bytes, which resets it. Such connections now count as active until they are read on, for 2 s or 16 MiB as outside of a shutdown. refused_caller_with_body_under_way_is_answered failed before (broken pipe).

--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -89,6 +89,16 @@
     response
 }
 
+/// Marks a response to a request that is not read to its end. Its connection has to be read on after
+/// the response, or a reset takes the response from its caller.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnreadRequest;
+
+fn leave_unread(response: &mut Response<AnswerBody>) {
+    announce_close(response);
+    response.extensions_mut().insert(UnreadRequest);
+}
+
 /// Announces that the connection ends with the response.
 fn announce_close(response: &mut Response<AnswerBody>) {
     let close = HeaderValue::from_static("close");
@@ -108,7 +118,7 @@
         Err((record, refusal)) => {
             let mut response = refuse(&record, &refusal);
             if refusal.cause.leaves_body_unread() {
-                announce_close(&mut response);
+                leave_unread(&mut response);
             }
             response
         }
@@ -499,7 +509,7 @@
     // Reading would ask a caller that waits for a `100 Continue` to send its body.
     let is_awaited = parts.headers.contains_key(EXPECT);
     if !body.is_end_stream() && (is_awaited || !discard_body(body).await) {
-        announce_close(&mut response);
+        leave_unread(&mut response);
     }
     response
 }
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -1,5 +1,6 @@
 //! The `caller_listener` module provides the listener for callers' connections.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::pin::pin;
@@ -14,7 +15,7 @@
 use tokio::task::spawn_local;
 
 use super::answer_body::TrackedBody;
-use super::call_exchange::serve_call;
+use super::call_exchange::{UnreadRequest, serve_call};
 use super::caller_connection::{ActiveConnection, CallerConnection, ConnectionHistory};
 use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{ConnectionTracker, GuardedStream, linger};
@@ -98,13 +99,17 @@
     let head_bytes = state.caller_limits().head_bytes;
     let mark = ConnectionTracker::default();
     let stream = GuardedStream::new(stream, mark.clone(), connection, WRITE_STALL_TIMEOUT);
+    let leaves_unread = Cell::new(false);
     let service = service_fn(|request| {
         mark.start_request();
         let arrival = history.record_request(state.now());
         let mark = mark.clone();
         let state = Rc::clone(&state);
+        let leaves_unread = &leaves_unread;
         async move {
             let response = serve_call(state, request, arrival).await;
+            let is_unread = response.extensions().get::<UnreadRequest>().is_some();
+            leaves_unread.set(is_unread);
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark)))
         }
     });
@@ -123,11 +128,14 @@
             _ = &mut closing, if !is_closing => is_closing = true,
         }
     };
-    // All that was read is answered, and the answers are sent.
-    drop(active);
+    let is_unreadable = ended.as_ref().is_err_and(hyper::Error::is_parse);
+    if !is_unreadable && !leaves_unread.get() {
+        // All that was read is answered, and the answers are sent.
+        drop(active);
+    }
     // Other errors are reflected in the record of the running call, if any; its caller must see the
     // close at once.
-    if ended.map_or_else(|error| error.is_parse(), |()| true) {
+    if is_unreadable || ended.is_ok() {
         let stream = connection.into_parts().io.into_inner();
         linger(stream).await;
     }
