Install signal handlers before the first connection can be accepted

Between the bind of the callers' address and the handlers, SIGTERM ended the process by its default action and reset what waited in the queue. No test forces that moment; terminated_right_after_its_start_exits_regularly passes on both codes.

--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -85,6 +85,11 @@
 
 async fn serve(state: Rc<GatewayState>, path: &Path) -> Result<()> {
     let settings = state.settings();
+    // Installed before connections are accepted, which the default action of the signals would reset.
+    let mut terminate =
+        signal(SignalKind::terminate()).wrap_err("cannot install a signal handler")?;
+    let mut interrupt =
+        signal(SignalKind::interrupt()).wrap_err("cannot install a signal handler")?;
     let calls = try_bind(settings.call_address)?;
     let ready = try_bind(settings.ready_address)?;
     let listener = spawn_local(run_listener(calls, Rc::clone(&state)));
@@ -121,10 +126,6 @@
         ("store", settings.store.address.to_string()),
     ];
     state.report.log(LogLevel::Info, "started", fields);
-    let mut terminate =
-        signal(SignalKind::terminate()).wrap_err("cannot install a signal handler")?;
-    let mut interrupt =
-        signal(SignalKind::interrupt()).wrap_err("cannot install a signal handler")?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
