Check the limits of a connection once a longer response has ended

The limits of an idle connection are checked when it is read, and the HTTP connection does not read again after a response during which a read was pending: a stream's. The end of a request now wakes its connection's task. connection_kept_after_a_stream_does_not_delay_the_exit (2.3 s, bound 0.6 s) and idle_time_counts_after_streams (kept for 7 s) failed before and pass.

--- a/crates/beechsaddle/src/calls/connection_tracker.rs
+++ b/crates/beechsaddle/src/calls/connection_tracker.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::Waker;
+
+use futures::task::AtomicWaker;
 
 /// State shared by a connection and the requests on it.
 #[derive(Clone, Debug, Default)]
@@ -14,6 +17,7 @@
     is_broken: AtomicBool,
     started: AtomicU64,
     ended: AtomicU64,
+    reader: AtomicWaker,
 }
 
 impl ConnectionTracker {
@@ -33,9 +37,16 @@
         self.inner.started.fetch_add(1, Ordering::AcqRel);
     }
 
-    /// Records that the answer to the running request was sent.
+    /// Records that the answer to the running request was sent. Wakes the reader of the connection, as
+    /// the wait for the next request begins.
     pub(crate) fn end_request(&self) {
         self.inner.ended.fetch_add(1, Ordering::AcqRel);
+        self.inner.reader.wake();
+    }
+
+    /// Sets the task to wake when the running request ends.
+    pub(crate) fn set_reader(&self, reader: &Waker) {
+        self.inner.reader.register(reader);
     }
 
     /// Number of requests before the awaited one; `None` while one is running.
--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -152,6 +152,10 @@
         let filled = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         let Some(request) = self.tracker.awaited_request() else {
+            if read.is_pending() {
+                // Nothing else may cause a read after the request, and limits are checked in reads.
+                self.tracker.set_reader(context.waker());
+            }
             return read;
         };
         if read.is_pending() {
--- a/crates/beechsaddle/tests/gateway_caller_limits.rs
+++ b/crates/beechsaddle/tests/gateway_caller_limits.rs
@@ -136,6 +136,29 @@
     assert_eq!(closes(&bench, "idle").await, 0.0);
 }
 
+// Connections on which a stream has ended are kept for ever, and use up the descriptors.
+#[tokio::test]
+async fn idle_time_counts_after_streams() {
+    let bench = GatewayBench::start(&idle_draft(1, 500)).await;
+    for target in &bench.engines {
+        target.set_events(5, Duration::from_millis(50));
+    }
+    let mut stream = TcpStream::connect(bench.router.address)
+        .await
+        .expect("a link");
+    let mut call = request("POST /stream/once/1", "call-1");
+    call.tokens = Some((10, 15));
+    stream.write_all(&call.bytes()).await.expect("a write");
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"0\r\n\r\n") {
+        let count = stream.read_buf(&mut bytes).await.expect("an answer");
+        assert!(count > 0, "the connection ended");
+    }
+    let took = closed_after(&mut stream).await;
+    assert!(took.is_some(), "the connection is kept");
+    assert_eq!(closes(&bench, "idle").await, 1.0);
+}
+
 // A longer idle time reaches connections only with their next request, so that those which are idle
 // at the change are closed while callers still use them.
 #[tokio::test]
--- a/crates/beechsaddle/tests/gateway_exit.rs
+++ b/crates/beechsaddle/tests/gateway_exit.rs
@@ -376,6 +376,34 @@
     leaving.check_exit().await;
 }
 
+// The connection of a stream that began before the signal and ends after the drain is kept by its
+// caller, and the exit waits for it until the kill.
+#[tokio::test]
+async fn connection_kept_after_a_stream_does_not_delay_the_exit() {
+    let bench = LeavingBench::start().await;
+    for target in &bench.engines {
+        target.set_events(30, Duration::from_millis(100));
+    }
+    let mut link = TcpStream::connect(bench.router.address)
+        .await
+        .expect("a link");
+    let mut call = request("POST /stream/once/1", "call-1");
+    call.tokens = Some((10, 90));
+    link.write_all(&call.bytes()).await.expect("a write");
+    wait_for("an arrival", || async {
+        GatewayBench::arrival_count(&bench.engines) == 2
+    })
+    .await;
+    let mut leaving = LeavingBench::leave(bench);
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"0\r\n\r\n") {
+        let count = link.read_buf(&mut bytes).await.expect("an answer");
+        assert!(count > 0, "the connection ended");
+    }
+    assert!(leaving.signalled_at.elapsed() > DRAIN);
+    leaving.check_exit().await;
+}
+
 // A second signal or a reload of the settings while the router leaves ends calls that are read after
 // the drain.
 #[tokio::test]
