--- a/crates/beechsaddle-lab/src/soak/announcement_checks.rs
+++ b/crates/beechsaddle-lab/src/soak/announcement_checks.rs
@@ -59,7 +59,6 @@
 
 /// Checks that no call of the calm span ends without an answer.
 fn check_lost(calls: &BTreeMap<String, RecordedCall>, calm: CalmSpan) -> Vec<String> {
-    let deadline = Duration::from_millis(DEADLINE_MS) - DEADLINE_MARGIN;
     let mut lost = Vec::new();
     for (id, call) in calls {
         let Some(exchange) = call.exchange else {
@@ -67,9 +66,8 @@
         };
         // Earlier faults may have ended a connection that was idle at the time.
         let is_calm = exchange.idle_since >= calm.from && exchange.sent_at <= calm.until;
-        let is_cut = matches!(exchange.end, CallEnd::BrokenOff | CallEnd::Closed);
         let lasted = exchange.ended_at.duration_since(exchange.sent_at);
-        if is_calm && is_cut && lasted < deadline {
+        if is_calm && is_cut_early(&exchange) {
             let router = exchange.router;
             let idle = exchange.sent_at.duration_since(exchange.idle_since);
             lost.push(format!(
@@ -81,6 +79,13 @@
     lost
 }
 
+/// Whether a call ended without an answer before its deadline.
+pub fn is_cut_early(exchange: &CallExchange) -> bool {
+    let deadline = Duration::from_millis(DEADLINE_MS) - DEADLINE_MARGIN;
+    let is_cut = matches!(exchange.end, CallEnd::BrokenOff | CallEnd::Closed);
+    is_cut && exchange.ended_at.duration_since(exchange.sent_at) < deadline
+}
+
 /// Returns the calls of the load that reached a target, by the router that callers sent them to.
 fn arrivals_by_router<'a>(
     calls: &'a BTreeMap<String, RecordedCall>,
--- a/crates/beechsaddle-lab/src/soak/call_load.rs
+++ b/crates/beechsaddle-lab/src/soak/call_load.rs
@@ -34,6 +34,16 @@
 /// How often a caller tries to resume a stream.
 const RESUME_ATTEMPTS: u32 = 3;
 
+/// Separates the random numbers of pauses in requests from those of calls.
+const PAUSE_SEED: u64 = 0x9a05;
+
+/// Share of calls that are sent in parts, and share of those that are sent some time after their
+/// caller connected.
+const PAUSE_SHARE: f64 = 0.2;
+
+/// The longest of these pauses, in milliseconds.
+const PAUSE_MAX_MS: u64 = 200;
+
 /// Separates the random numbers of callers that rest between their calls.
 const RESTING_SEED: u64 = 0x1d1e;
 
@@ -47,6 +57,7 @@
 struct KeptLink {
     router: SocketAddr,
     link: CallerLink,
+    is_new: bool,
     idle_since: Instant,
 }
 
@@ -55,6 +66,7 @@
         Ok(KeptLink {
             router,
             link: CallerLink::try_connect(router).await?,
+            is_new: true,
             idle_since: Instant::now(),
         })
     }
@@ -75,6 +87,8 @@
     pub has_crashing: Arc<AtomicBool>,
     /// How long connections may stay idle, as callers know it.
     pub idle_times: IdleTimes,
+    /// Whether some calls are sent in parts, or some time after their caller connected.
+    pub has_pauses: bool,
 }
 
 impl CallLoad {
@@ -86,6 +100,7 @@
             routers,
             has_crashing: Arc::new(AtomicBool::new(has_crashing)),
             idle_times: IdleTimes::default(),
+            has_pauses: false,
             has_bodies: has_crashing,
             has_resumes,
         }
@@ -96,6 +111,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ (caller << 32));
         let mut bodies = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ BODY_SEED);
         let mut resumes = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ RESUME_SEED);
+        let mut pauses = ChaCha8Rng::seed_from_u64(seed ^ (caller << 24) ^ PAUSE_SEED);
         let mut link: Option<KeptLink> = None;
         let mut number = 0;
         while !self.is_stopped.load(Ordering::Relaxed) {
@@ -113,6 +129,10 @@
                 Some(reused) if !is_new && self.may_reuse(&reused) => Some(reused),
                 _ => KeptLink::try_connect(router).await.ok(),
             };
+            if self.has_pauses {
+                request.pause = draw_pause(&mut pauses);
+                sleep(draw_pause(&mut pauses).unwrap_or_default()).await;
+            }
             if let Some(open) = &mut link {
                 let events = match self.has_resumes && call.kind == SoakKind::Resumable {
                     true => draw_patience(&mut resumes),
@@ -238,6 +258,7 @@
         }
         call.exchange = Some(CallExchange {
             router: link.router,
+            is_first: std::mem::take(&mut link.is_new),
             idle_since,
             sent_at,
             ended_at,
@@ -266,6 +287,12 @@
     }
 }
 
+/// Draws a pause of some calls.
+fn draw_pause(random: &mut ChaCha8Rng) -> Option<Duration> {
+    let pause = Duration::from_millis(random.random_range(0..PAUSE_MAX_MS));
+    random.random_bool(PAUSE_SHARE).then_some(pause)
+}
+
 /// Draws one of a few bodies that many calls share, sometimes one that crashes its targets.
 fn draw_body(random: &mut ChaCha8Rng, has_crashing: bool) -> Vec<u8> {
     let number = random.random_range(0..3);
--- a/crates/beechsaddle-lab/src/soak/call_log.rs
+++ b/crates/beechsaddle-lab/src/soak/call_log.rs
@@ -75,6 +75,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct CallExchange {
     pub router: SocketAddr,
+    /// Whether it is the first call on its connection.
+    pub is_first: bool,
     /// The end of the previous call on the connection, or the time of its opening.
     pub idle_since: Instant,
     pub sent_at: Instant,
--- a/crates/beechsaddle-lab/src/soak/fault_plan.rs
+++ b/crates/beechsaddle-lab/src/soak/fault_plan.rs
@@ -324,3 +324,62 @@
         _ => TargetFault::TruncatedStream(random.random_range(0..5)),
     }
 }
+
+/// Mean number of shutdowns of routers per second: each takes some seconds, so that some overlap.
+const SHUTDOWNS_PER_S: f64 = 0.8;
+
+/// Separates the random numbers of shutdowns from those of all other faults.
+const SHUTDOWN_SEED: u64 = 0x5d07;
+
+impl FaultPlan {
+    /// Creates a plan of shutdowns only, with further signals while routers leave, and pauses across
+    /// the ends of drains.
+    pub fn shutdowns(seed: u64, span: Duration, routers: usize, drain: Duration) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ SHUTDOWN_SEED);
+        let count = (span.as_secs_f64() * SHUTDOWNS_PER_S) as usize;
+        let span_ms = span.as_millis() as u64;
+        let mut faults: Vec<_> = (0..count)
+            .flat_map(|_| {
+                let at = Duration::from_millis(random.random_range(0..span_ms));
+                let router = random.random_range(0..routers);
+                draw_shutdown(&mut random, at, router, drain)
+            })
+            .collect();
+        faults.sort_by_key(|planned| planned.at);
+        FaultPlan { faults }
+    }
+}
+
+fn draw_shutdown(
+    random: &mut ChaCha8Rng,
+    at: Duration,
+    router: usize,
+    drain: Duration,
+) -> Vec<PlannedFault> {
+    let mut drawn = vec![PlannedFault {
+        at,
+        span: drain,
+        fault: SoakFault::Terminate(router),
+    }];
+    if random.random_bool(0.3) {
+        let later = Duration::from_millis(random.random_range(0..2_500));
+        let signal = match random.random_bool(0.5) {
+            true => SoakFault::Terminate(router),
+            false => SoakFault::Reload(router),
+        };
+        drawn.push(PlannedFault {
+            at: at + later,
+            span: Duration::ZERO,
+            fault: signal,
+        });
+    }
+    if random.random_bool(0.6) {
+        let before = Duration::from_millis(random.random_range(0..120));
+        drawn.push(PlannedFault {
+            at: at + drain - before,
+            span: Duration::from_millis(random.random_range(40..200)),
+            fault: SoakFault::Pause(router),
+        });
+    }
+    drawn
+}
--- a/crates/beechsaddle-lab/src/soak/mod.rs
+++ b/crates/beechsaddle-lab/src/soak/mod.rs
@@ -15,6 +15,7 @@
 mod fault_proxy;
 mod idle_times;
 mod recovery_checks;
+mod shutdown_checks;
 mod soak_command;
 mod soak_fleet;
 mod soak_run;
--- a/crates/beechsaddle-lab/src/soak/soak_command.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_command.rs
@@ -42,6 +42,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Changes callers' idle time, and has targets fall silent, leave and ask for rest"),
         )
+        .arg(
+            Arg::new("shutdowns")
+                .long("shutdowns")
+                .action(ArgAction::SetTrue)
+                .help("Shuts routers down in series, with callers that send their calls in parts"),
+        )
         .arg(
             Arg::new("logs")
                 .long("logs")
@@ -80,6 +86,7 @@
         has_target_faults: matches.get_flag("target-faults"),
         has_versions: matches.get_flag("versions"),
         has_announcements: matches.get_flag("announcements"),
+        has_shutdowns: matches.get_flag("shutdowns"),
     };
     let seeds = read("seed")..read("seed") + read("seeds");
     let runtime = Builder::new_multi_thread().enable_all().build()?;
--- a/crates/beechsaddle-lab/src/soak/soak_run.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -18,7 +18,8 @@
 use super::fault_proxy::PathFault;
 use super::idle_times::IdleTimes;
 use super::recovery_checks::{RECOVERY_BOUND, check_recovery};
-use super::soak_fleet::{SoakFleet, TARGET_SLOTS};
+use super::shutdown_checks::check_shutdowns;
+use super::soak_fleet::{GRACE, SoakFleet, TARGET_SLOTS};
 use super::soak_target::{EVENT_GAP, LONG_EVENT_GAP};
 use super::version_watch::VersionWatch;
 
@@ -34,6 +35,9 @@
 /// The time of announcements without other faults.
 const CALM_SPAN: Duration = Duration::from_millis(12_000);
 
+/// The time of shutdowns without other faults.
+const SHUTDOWN_SPAN: Duration = Duration::from_millis(12_000);
+
 /// Callers of each router that rest between their calls.
 const RESTING_CALLERS: u64 = 2;
 
@@ -60,6 +64,9 @@
     /// Whether configurations change callers' idle time, and targets fall silent, leave and ask for
     /// rest.
     pub has_announcements: bool,
+    /// Whether routers are shut down in series once the other faults are over, with callers that send
+    /// their calls in parts.
+    pub has_shutdowns: bool,
 }
 
 /// The outcome of a seed.
@@ -108,7 +115,8 @@
     )
     .await?;
     let routers = fleet.routers.iter().map(|router| router.calls).collect();
-    let load = CallLoad::new(routers, options.has_target_faults, options.has_versions);
+    let mut load = CallLoad::new(routers, options.has_target_faults, options.has_versions);
+    load.has_pauses = options.has_shutdowns;
     let mut callers = JoinSet::new();
     for caller in 0..options.callers {
         callers.spawn(load.clone().run(seed, caller));
@@ -133,6 +141,10 @@
         true => Some(run.announce_in_calm(seed).await?),
         false => None,
     };
+    let shutdowns = match options.has_shutdowns {
+        true => Some(run.shut_down_in_calm(seed).await?),
+        false => None,
+    };
     let mut violations = check_recovery(&mut run.fleet, options.has_target_faults).await?;
     load.is_stopped.store(true, Ordering::Relaxed);
     callers.join_all().await;
@@ -142,6 +154,10 @@
         let calls = load.log.calls();
         violations.extend(check_announcements(&calls, &evidence, &run.excuses, calm));
     }
+    if let Some(calm) = shutdowns {
+        let calls = load.log.calls();
+        violations.extend(check_shutdowns(&calls, &evidence, calm));
+    }
     let (calls, answered) = load.log.counts();
     let (resumed, continued) = load.log.resume_counts();
     drop(run);
@@ -255,6 +271,18 @@
         Ok(CalmSpan { from, until })
     }
 
+    /// Shuts routers down in series without other faults, once the others are over.
+    async fn shut_down_in_calm(&mut self, seed: u64) -> eyre::Result<CalmSpan> {
+        sleep(RECOVERY_BOUND).await;
+        self.fleet.replace_crashed_targets().await?;
+        let from = Instant::now().into_std();
+        let routers = self.fleet.routers.len();
+        let plan = FaultPlan::shutdowns(seed, SHUTDOWN_SPAN, routers, GRACE / 3);
+        self.inject_faults(plan).await?;
+        let until = Instant::now().into_std();
+        Ok(CalmSpan { from, until })
+    }
+
     async fn begin(&mut self, fault: SoakFault, number: u64) -> eyre::Result<()> {
         if let Some(subject) = self.excused(fault) {
             self.excuses.open(subject);
--- a/crates/beechsaddle-lab/tests/soak_seeds.rs
+++ b/crates/beechsaddle-lab/tests/soak_seeds.rs
@@ -28,6 +28,7 @@
         has_target_faults: false,
         has_versions: false,
         has_announcements: false,
+        has_shutdowns: false,
     }
 }
 
@@ -81,6 +82,17 @@
     check_run(&options, 4).await;
 }
 
+/// Shutdowns in series cut no call that reached a target, also one whose head arrives in parts or that
+/// is read after the drain.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_shutdowns_cut_no_call() {
+    let options = SoakOptions {
+        has_shutdowns: true,
+        ..soak_options(3)
+    };
+    check_run(&options, 5).await;
+}
+
 /// A body that crashes its targets reaches few of them although nearly all engines have ended, and
 /// those that start in their place end one after the other.
 #[tokio::test(flavor = "multi_thread")]
