A router that was held up reads its queue before the exit, and admits no call after its last look

A router that was stopped until calls had to have their final response did not wait for its listener: the deadline was over at the first look. With nothing open yet it went on to the return of tokens in the phase in which calls are admitted; those from its queue were passed on and cut by the exit (call-0 arrived, closed without a byte), or reset unread if it held no tokens.

--- a/crates/beechsaddle/src/gateway/gateway_shutdown.rs
+++ b/crates/beechsaddle/src/gateway/gateway_shutdown.rs
@@ -33,6 +33,10 @@
 /// written at once.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Minimum time for accepting the connections that wait in the listener's queue: it takes no other
+/// process, but a failed accept pauses the listener.
+const LISTENER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Timeout of the return of tokens if the store does not answer or the grace period is nearly over.
 const TOKEN_RETURN_TIMEOUT: Duration = Duration::from_millis(450);
 
@@ -69,9 +73,7 @@
     let plan = ShutdownPlan::new(Instant::now(), state.settings().grace_ms);
     drain(state, &plan).await;
     close(state, &plan, listener).await;
-    if !state.is_idle() {
-        end_calls(state).await;
-    }
+    end_calls(state).await;
     let fields = [("open_calls", state.open_calls.get().to_string())];
     state.report.log(LogLevel::Info, "closing", fields);
     return_tokens(state, &plan).await;
@@ -93,8 +95,15 @@
 
 /// Closes connections as soon as nothing more can come of them, and waits for the others.
 async fn close(state: &GatewayState, plan: &ShutdownPlan, listener: JoinHandle<()>) {
-    state.phase.send_replace(GatewayPhase::Closing);
-    if timeout_at(plan.calls_end_at, listener).await.is_err() {
+    // A process that was held up may get here only when calls have to end.
+    let now = Instant::now();
+    let phase = match now < plan.calls_end_at {
+        true => GatewayPhase::Closing,
+        false => GatewayPhase::Ending,
+    };
+    state.phase.send_replace(phase);
+    let until = plan.calls_end_at.max(now + LISTENER_TIMEOUT);
+    if timeout_at(until, listener).await.is_err() {
         state.report.log(LogLevel::Warning, "listener_stuck", []);
     }
     while !state.is_idle() {
@@ -105,7 +114,7 @@
     }
 }
 
-/// Gives open calls their final response.
+/// Gives open calls their final response. Calls that are read from now on are refused.
 async fn end_calls(state: &GatewayState) {
     state.phase.send_replace(GatewayPhase::Ending);
     let until = Instant::now() + LAST_RESPONSES_TIMEOUT;
