--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -65,6 +65,14 @@
     workspace: Option<Arc<WorkspaceRule>>,
 }
 
+impl CallRules {
+    /// Returns the time that a call may take: up to its deadline or its route's timeout.
+    fn timeout_ms(&self, head: &CallHead) -> u64 {
+        let deadline_ms = head.deadline_ms.unwrap_or(u64::MAX);
+        deadline_ms.min(self.route.timeout_ms)
+    }
+}
+
 pub(super) async fn serve_call(
     state: Rc<GatewayState>,
     request: Request<Incoming>,
@@ -73,10 +81,11 @@
     let record = CallRecord::start(&state, arrival);
     let (parts, body) = request.into_parts();
     let checked = check_head(&state, &parts, &record);
-    let admitted = checked.and_then(|found| {
+    let admitted = checked.and_then(|(head, rules)| {
         refuse_behind_full_link(&state)?;
-        refuse_in_shutdown(&state, &found)?;
-        Ok(found)
+        let ends_at = record.arrived_at().plus_ms(rules.timeout_ms(&head));
+        refuse_in_shutdown(&state, &rules, ends_at)?;
+        Ok((head, rules))
     });
     let mut response = match admitted {
         Ok((head, rules)) => serve_checked(&state, parts, body, head, rules, record).await,
@@ -258,15 +267,18 @@
 }
 
 /// Refuses calls that are read after the drain of a shutdown and that its end may cut. Another router
-/// can serve them whole.
+/// can serve them whole. `ends_at` is when a call ends at the latest.
 fn refuse_in_shutdown(
     state: &GatewayState,
-    (head, rules): &(CallHead, CallRules),
+    rules: &CallRules,
+    ends_at: ClockTime,
 ) -> Result<(), CallRefusal> {
+    let calls_end_at = state.calls_end_at.get();
+    let has_time = calls_end_at.is_none_or(|calls_end_at| ends_at < calls_end_at);
     let is_refused = match state.phase() {
         GatewayPhase::Serving | GatewayPhase::Leaving => false,
         // Plain calls get a response even if they do not end in time; a stream that has begun cannot.
-        GatewayPhase::Closing => rules.route.kind.is_stream() && !has_time(state, head, rules),
+        GatewayPhase::Closing => rules.route.kind.is_stream() && !has_time,
         GatewayPhase::Ending => true,
     };
     match is_refused {
@@ -278,14 +290,6 @@
     }
 }
 
-/// Whether a call ends before the shutdown does, at the latest by its deadline or its route's timeout.
-fn has_time(state: &GatewayState, head: &CallHead, rules: &CallRules) -> bool {
-    let timeout_ms = head.deadline_ms.unwrap_or(u64::MAX);
-    let timeout_ms = timeout_ms.min(rules.route.timeout_ms);
-    let end_at = state.calls_end_at.get();
-    end_at.is_none_or(|end_at| timeout_ms < end_at.since(state.now()))
-}
-
 fn check_head(
     state: &GatewayState,
     parts: &Parts,
@@ -379,12 +383,16 @@
 ) -> Result<CallContext, (CallRecord, CallRefusal)> {
     let arrived_at = record.arrived_at();
     let body_max = state.caller_limits().body_bytes;
-    let timeout_ms = head.deadline_ms.unwrap_or(u64::MAX);
-    let timeout_ms = timeout_ms.min(rules.route.timeout_ms);
+    let timeout_ms = rules.timeout_ms(&head);
+    let ends_at = arrived_at.plus_ms(timeout_ms);
     let body = match read_body(body, body_max, timeout_ms.min(BODY_TIMEOUT_MS)).await {
         Ok(body) => body,
         Err(refusal) => return Err((record, refusal)),
     };
+    // The body may have come in a later phase than the head.
+    if let Err(refusal) = refuse_in_shutdown(state, &rules, ends_at) {
+        return Err((record, refusal));
+    }
     state.record_message(LinkDirection::In, &body);
     let (service, version) = match find_service(state, &record, &rules.route, &head).await {
         Ok(found) => found,
@@ -436,7 +444,7 @@
         version: RefCell::new(version),
         rule: rule.unwrap_or(plain),
         workspace: rules.workspace,
-        ends_at: arrived_at.plus_ms(timeout_ms),
+        ends_at,
         history: RefCell::new(AttemptHistory::default()),
         open: Rc::default(),
         tried: RefCell::new(Vec::new()),
