Reset the connection of an HTTP/1.0 caller whose stream is cut

Such a caller takes the end of its connection for that of its stream. Where a target broke a stream off, or the end of a shutdown cut it, the connection was closed regularly and the part looked complete.

--- a/crates/beechsaddle/src/calls/connection_tracker.rs
+++ b/crates/beechsaddle/src/calls/connection_tracker.rs
@@ -23,6 +23,11 @@
         self.inner.is_broken.store(true, Ordering::Release);
     }
 
+    /// Makes the connection end regularly again: its answer is whole.
+    pub(crate) fn mark_whole(&self) {
+        self.inner.is_broken.store(false, Ordering::Release);
+    }
+
     /// Whether the connection has to end in a reset.
     pub(crate) fn is_broken(&self) -> bool {
         self.inner.is_broken.load(Ordering::Acquire)
--- a/crates/beechsaddle/src/gateway/answer_body.rs
+++ b/crates/beechsaddle/src/gateway/answer_body.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures::Stream;
+use http::Version;
 use http_body::{Body, Frame, SizeHint};
 
 use super::stream_relay::StreamBroken;
@@ -66,7 +67,14 @@
 }
 
 impl TrackedBody {
-    pub(super) fn new(body: AnswerBody, mark: ConnectionTracker) -> Self {
+    /// Creates a body for a caller that speaks a version of HTTP.
+    ///
+    /// Before HTTP/1.1, a stream ends with its connection: until it is whole, the connection has to
+    /// end in a reset.
+    pub(super) fn new(body: AnswerBody, mark: ConnectionTracker, version: Version) -> Self {
+        if version < Version::HTTP_11 && matches!(body, AnswerBody::Streamed(_)) {
+            mark.mark_broken();
+        }
         TrackedBody { body, mark }
     }
 }
@@ -79,7 +87,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) {
+            self.mark.mark_whole();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -102,6 +102,7 @@
     let leaves_unread = Cell::new(false);
     let service = service_fn(|request| {
         mark.start_request();
+        let version = request.version();
         let arrival = history.record_request(state.now());
         let mark = mark.clone();
         let state = Rc::clone(&state);
@@ -110,7 +111,7 @@
             let response = serve_call(state, request, arrival).await;
             let is_unread = response.extensions().get::<UnreadRequest>().is_some();
             leaves_unread.set(is_unread);
-            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark)))
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark, version)))
         }
     });
     let mut connection = http1::Builder::new()
--- a/crates/beechsaddle/tests/gateway_exit_review.rs
+++ b/crates/beechsaddle/tests/gateway_exit_review.rs
@@ -325,6 +325,20 @@
     check_short_grace(3).await;
 }
 
+/// Calls for a stream as a caller that speaks HTTP/1.0, and returns what it reads up to the end of its
+/// connection.
+async fn read_old_stream(address: SocketAddr) -> (String, std::io::Result<usize>) {
+    let mut call = request("POST /stream/once/1", "call-1");
+    call.tokens = Some((10, 400));
+    let text = String::from_utf8(call.bytes()).expect("text");
+    let text = text.replace("HTTP/1.1", "HTTP/1.0");
+    let mut link = connect(address).await;
+    link.write_all(text.as_bytes()).await.expect("a write");
+    let mut bytes = Vec::new();
+    let ended = link.read_to_end(&mut bytes).await;
+    (String::from_utf8_lossy(&bytes).into_owned(), ended)
+}
+
 // A caller that speaks HTTP/1.0 takes the end of its connection for that of its stream, which the end of
 // the grace period has cut.
 #[tokio::test]
@@ -333,24 +347,34 @@
     for target in &bench.engines {
         target.set_events(200, Duration::from_millis(50));
     }
-    let mut call = request("POST /stream/once/1", "call-1");
-    call.tokens = Some((10, 400));
-    call.deadline_ms = 20_000;
-    let bytes = call.bytes();
-    let text = String::from_utf8(bytes).expect("text");
-    let text = text.replace("HTTP/1.1", "HTTP/1.0");
     let mut leaving = LeavingBench::leave(bench);
     leaving.wait_until(DRAIN_MS - 400).await;
-    let mut link = leaving.connect().await;
-    link.write_all(text.as_bytes()).await.expect("a write");
-    let mut bytes = Vec::new();
-    let ended = link.read_to_end(&mut bytes).await;
-    let text = String::from_utf8_lossy(&bytes);
-    println!("{ended:?} {}", &text[..text.len().min(400)]);
+    let (text, ended) = read_old_stream(leaving.bench.router.address).await;
+    assert!(text.starts_with("HTTP/1.0 200 "), "{text}");
     assert!(ended.is_err(), "looks complete");
     leaving.check_exit_within(GRACE).await;
 }
 
+// As above if the target breaks the stream off.
+#[tokio::test]
+async fn stream_by_connection_end_is_reset_after_a_truncated_one() {
+    let bench = LeavingBench::start().await;
+    for target in &bench.engines {
+        target.set_fault(TargetFault::TruncatedStream(2));
+    }
+    let (text, ended) = read_old_stream(bench.router.address).await;
+    assert!(ended.is_err(), "looks complete: {text}");
+}
+
+// A whole stream must not end in a reset, which could take its last events.
+#[tokio::test]
+async fn stream_by_connection_end_is_whole() {
+    let bench = LeavingBench::start().await;
+    let (text, ended) = read_old_stream(bench.router.address).await;
+    assert!(ended.is_ok(), "{ended:?} {text}");
+    assert!(text.contains("id: 3\n"), "{text}");
+}
+
 // Many calls get their final response at once: the process must not end before all are sent.
 #[tokio::test]
 async fn many_calls_at_the_end_of_the_grace_are_told() {
