--- a/crates/beechsaddle/src/gateway/gateway_shutdown.rs
+++ b/crates/beechsaddle/src/gateway/gateway_shutdown.rs
@@ -29,10 +29,14 @@
 /// Margin before the kill, in milliseconds.
 const KILL_MARGIN_MS: u64 = 250;
 
-/// How long the last responses may take to be sent at the end of the grace period: they are short and
+/// How long the next of the last responses may take at the end of the grace period: they are short and
 /// written at once.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Minimum time for accepting the connections that wait in the listener's queue: it takes no other
+/// process, but a failed accept pauses the listener.
+const LISTENER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Timeout of the return of tokens if the store does not answer or the grace period is nearly over.
 const TOKEN_RETURN_TIMEOUT: Duration = Duration::from_millis(450);
 
@@ -69,12 +73,11 @@
     let plan = ShutdownPlan::new(Instant::now(), state.settings().grace_ms);
     drain(state, &plan).await;
     close(state, &plan, listener).await;
-    if !state.is_idle() {
-        end_calls(state).await;
-    }
+    end_calls(state).await;
     let fields = [("open_calls", state.open_calls.get().to_string())];
     state.report.log(LogLevel::Info, "closing", fields);
     return_tokens(state, &plan).await;
+    await_responses(state, plan.exit_at).await;
     log_exit(state, &plan);
 }
 
@@ -93,8 +96,15 @@
 
 /// Closes connections as soon as nothing more can come of them, and waits for the others.
 async fn close(state: &GatewayState, plan: &ShutdownPlan, listener: JoinHandle<()>) {
-    state.phase.send_replace(GatewayPhase::Closing);
-    if timeout_at(plan.calls_end_at, listener).await.is_err() {
+    // A process that was held up may get here only when calls have to end.
+    let now = Instant::now();
+    let phase = match now < plan.calls_end_at {
+        true => GatewayPhase::Closing,
+        false => GatewayPhase::Ending,
+    };
+    state.phase.send_replace(phase);
+    let until = plan.calls_end_at.max(now + LISTENER_TIMEOUT);
+    if timeout_at(until, listener).await.is_err() {
         state.report.log(LogLevel::Warning, "listener_stuck", []);
     }
     while !state.is_idle() {
@@ -105,13 +115,19 @@
     }
 }
 
-/// Gives open calls their final response.
+/// Gives open calls their final response. Calls that are read from now on are refused.
 async fn end_calls(state: &GatewayState) {
     state.phase.send_replace(GatewayPhase::Ending);
-    let until = Instant::now() + LAST_RESPONSES_TIMEOUT;
+    await_responses(state, Instant::now() + LAST_RESPONSES_TIMEOUT).await;
+}
+
+/// Waits for the last responses while they are being sent, until a time at most. Streams that have begun
+/// may go on for any time.
+async fn await_responses(state: &GatewayState, until: Instant) {
     while !state.is_idle() {
         let ended = state.work_ended.notified();
-        if timeout_at(until, ended).await.is_err() {
+        let next_by = Instant::now() + LAST_RESPONSES_TIMEOUT;
+        if timeout_at(next_by.min(until), ended).await.is_err() {
             return;
         }
     }
