--- a/crates/beechsaddle-core/src/accounting/accounting_manager.rs
+++ b/crates/beechsaddle-core/src/accounting/accounting_manager.rs
@@ -33,6 +33,10 @@
 #[derive(Debug)]
 pub struct AccountingManager {
     pub(super) options: AccountingOptions,
+    /// Whether the fleet's number of ledger shards is still unknown. Journals are neither searched,
+    /// written nor folded before: looked up in other shards, a journal would seem to be folded, and
+    /// its late bills would reach the ledger before it and be dropped.
+    pub(super) awaits_layout: bool,
     pub(super) me: RouterIncarnation,
     /// Calls for which this router is the entry router.
     pub(super) entries: BTreeMap<CallId, EntryCall>,
@@ -103,11 +107,12 @@
 }
 
 impl AccountingManager {
-    /// Returns a manager without state.
+    /// Returns a manager without state for a fleet with the number of ledger shards in `options`.
     pub fn new(options: AccountingOptions, me: RouterIncarnation) -> Self {
         let writer = JournalWriter::new(journal_name(&me, FIRST_JOURNAL));
         AccountingManager {
             options,
+            awaits_layout: false,
             me,
             entries: BTreeMap::new(),
             progress_at: ClockTime::ZERO,
@@ -143,10 +148,20 @@
         }
     }
 
+    /// Returns a manager without state that keeps what other routers send, and calls the platform
+    /// only after [`AccountingManager::set_layout`].
+    pub fn awaiting_layout(options: AccountingOptions, me: RouterIncarnation) -> Self {
+        AccountingManager {
+            awaits_layout: true,
+            ..AccountingManager::new(options, me)
+        }
+    }
+
     /// Sets the number of ledger shards. Must be called once the fleet's layout is known and before
     /// the first reservation.
     pub fn set_layout(&mut self, layout: &FleetLayout) {
         self.options.shard_count = layout.ledger_shards;
+        self.awaits_layout = false;
         if self.host_scan.is_none() {
             self.host_scan = Some(FoldScan::of_host(&self.me.host));
         }
--- a/crates/beechsaddle-core/src/accounting/manager_dispatch.rs
+++ b/crates/beechsaddle-core/src/accounting/manager_dispatch.rs
@@ -17,6 +17,9 @@
             self.bill_silent_orphans(context);
         }
         self.advance_drain();
+        if self.awaits_layout {
+            return;
+        }
         self.dispatch_journal(context);
         self.dispatch_scans(context);
         self.dispatch_host_scan(context);
@@ -167,7 +170,12 @@
 
     /// Ensures that a journal is folded once it is closed. It is closed only if its router is known
     /// to be gone: fencing a router that is merely partitioned would make it refuse calls.
+    ///
+    /// Before the layout is known there are only late bills, which ask again.
     pub(super) fn ensure_job(&mut self, _now: ClockTime, journal: &KeyText) {
+        if self.awaits_layout {
+            return;
+        }
         let router = journal_router(journal);
         let may_close = router.is_some_and(|router| self.scans.contains_key(&router));
         if let Some(job) = self.jobs.get_mut(journal) {
--- a/crates/beechsaddle-core/src/router/router_core.rs
+++ b/crates/beechsaddle-core/src/router/router_core.rs
@@ -59,7 +59,7 @@
             phase: DrainPhase::Serving,
             layout: LayoutManager::new(options.layout),
             calls: CallManager::new(options.calls),
-            accounting: AccountingManager::new(options.accounting, me.clone()),
+            accounting: AccountingManager::awaiting_layout(options.accounting, me.clone()),
             dedup: DedupManager::new(options.dedup, me.clone()),
             members: MemberManager::new(
                 options.members,
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -1,6 +1,8 @@
 //! The `router_support` module provides complete router cores with a fake platform and network.
 
-use std::collections::{BTreeMap, VecDeque};
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use beechsaddle_core::accounting::{BudgetAccount, BudgetLedger};
 use beechsaddle_core::call::{
@@ -13,7 +15,9 @@
 use beechsaddle_core::router::RouterCore;
 use beechsaddle_core::target::{TargetAction, TargetEvent};
 
-use crate::fleet_setup::{first_change, host_list, new_router, probe_outcome};
+use crate::fleet_setup::{
+    DOMAIN, first_change, host_list, new_router, probe_outcome, router_options, seed_peer,
+};
 
 /// The usage of each engine's answer.
 pub const ANSWER_USAGE: TokenUsage = TokenUsage {
@@ -59,6 +63,11 @@
     pub aborted: Vec<CallId>,
     pub exited: Vec<usize>,
     pub stopped_accepting: Vec<usize>,
+    /// Whether replies of the platform arrive one tick late, after those of peers.
+    pub is_platform_slow: bool,
+    /// The routers that cannot reach the platform.
+    pub cut_off: BTreeSet<usize>,
+    late_replies: Vec<(usize, CoreEvent)>,
     store: BTreeMap<ObjectKey, (u64, PlatformObject)>,
     revision: u64,
     watches: Vec<WaitingWatch>,
@@ -85,6 +94,9 @@
             aborted: Vec::new(),
             exited: Vec::new(),
             stopped_accepting: Vec::new(),
+            is_platform_slow: false,
+            cut_off: BTreeSet::new(),
+            late_replies: Vec::new(),
             store: BTreeMap::new(),
             revision: 0,
             watches: Vec::new(),
@@ -121,6 +133,7 @@
         self.process_events();
         while self.now < end {
             self.now = self.now.plus_ms(TICK_MS);
+            self.queue.extend(self.late_replies.drain(..));
             for router in 0..self.routers.len() {
                 self.queue.push_back((router, CoreEvent::Tick));
             }
@@ -185,6 +198,26 @@
     /// Replaces a router by a later incarnation on the same host, as after a crash: its memory is
     /// lost.
     pub fn restart(&mut self, router: usize) {
+        let name = self.end(router);
+        self.routers[router] = new_router(&name, &self.names);
+        self.send(router, CoreEvent::Started);
+    }
+
+    /// Does the same with settings that propose another number of ledger shards than the fleet has.
+    pub fn restart_proposing(&mut self, router: usize, ledger_shards: u32) {
+        let name = self.end(router);
+        let domain = DOMAIN.into();
+        let others = self.names.iter().filter(|other| **other != name);
+        let seeds = others.map(|other| seed_peer(other, &domain)).collect();
+        let mut options = router_options(&name, &domain, seeds);
+        options.layout.ledger_shards = ledger_shards;
+        options.accounting.shard_count = ledger_shards;
+        self.routers[router] = RouterCore::new(options);
+        self.send(router, CoreEvent::Started);
+    }
+
+    /// Ends a router and returns the name of the next one on its host.
+    fn end(&mut self, router: usize) -> RouterIncarnation {
         let earlier = &self.names[router];
         let name = RouterIncarnation {
             host: earlier.host.clone(),
@@ -193,8 +226,9 @@
         self.names[router] = name.clone();
         self.watches.retain(|watch| watch.router != router);
         self.queue.retain(|(receiver, _)| *receiver != router);
-        self.routers[router] = new_router(&name, &self.names);
-        self.send(router, CoreEvent::Started);
+        self.late_replies
+            .retain(|(receiver, _)| *receiver != router);
+        name
     }
 
     /// Returns the budget's account on the platform.
@@ -327,12 +361,16 @@
         } else {
             let is_lost = self.lost_ledger_writes > 0 && is_ledger_write(&call);
             self.lost_ledger_writes -= u32::from(is_lost);
-            let reply = match self.is_platform_down || is_lost {
+            let is_unreachable = self.is_platform_down || self.cut_off.contains(&router);
+            let reply = match is_unreachable || is_lost {
                 true => PlatformReply::Unreachable,
                 false => self.serve(call),
             };
-            self.queue
-                .push_back((router, CoreEvent::Platform { ticket, reply }));
+            let event = CoreEvent::Platform { ticket, reply };
+            match self.is_platform_slow {
+                true => self.late_replies.push((router, event)),
+                false => self.queue.push_back((router, event)),
+            }
         }
         self.answer_watches();
     }
