The end of the drain's grace closes only connections without an unread byte

Callers of a router that shuts down saw their kept connection closed with neither an answer nor a refusal, though a part of their request's head, or all of the request, had arrived before. Cause: two seconds after the router has stopped accepting, each connection got the HTTP library's own shutdown, which on a connection that was used before drops the part of a head that it has read and looks at no byte that it has not. Now such a connection ends by its limits, as with gateways: only when it waits for a request, no byte of one was read and none waits to be read. What has arrived is read to its end within the limit for heads and gets its refusal (`draining`), which closes the connection. Idle connections whose callers do not close theirs no longer hold the exit up for 2 s.

--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::prelude::*;
-use http::Request;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,12 +26,12 @@
 use volo_http::response::Response;
 
 use super::call_fault::CallFault;
+use super::connection_limits::ConnectionLimits;
 use super::connection_tracker::ConnectionTracker;
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::guarded_stream::GuardedStream;
 use super::linger::linger;
-use super::stream_limits::FixedLimits;
 use super::tracked_body::TrackedBody;
 
 /// The library panics below this limit.
@@ -52,18 +53,23 @@
     let head_timeout = Duration::from_millis(state.options.head_timeout_ms);
     let idle_timeout = Duration::from_millis(state.options.idle_timeout_ms);
     let write_stall = Duration::from_millis(state.options.write_stall_ms);
-    let limits = FixedLimits::new(head_timeout);
-    let stream = GuardedStream::new(stream, tracker.clone(), limits, write_stall);
+    let limits = ConnectionLimits::new(head_timeout);
+    let stream = GuardedStream::new(stream, tracker.clone(), limits.clone(), write_stall);
     let hyper_service = service_fn(|request: Request<Incoming>| {
         let service = service.clone();
         let tracker = tracker.clone();
+        let limits = limits.clone();
         Box::pin(async move {
             tracker.start_request();
             let mut request = request.map(Body::from_incoming);
             request.extensions_mut().insert(tracker.clone());
             let mut context = ServerContext::new(Address::Ip(peer));
-            let response = service.call(&mut context, request).await;
-            response.map(|response| response.map(|body| TrackedBody::new(body, tracker)))
+            let mut response = service.call(&mut context, request).await?;
+            if limits.is_closing() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, tracker)))
         })
     });
     let mut connection = http1::Builder::new()
@@ -73,16 +79,14 @@
         .max_headers(state.options.max_headers)
         .serve_connection(TokioIo::new(stream), hyper_service);
     let mut closing = pin!(wait_for_closing(&state));
-    let mut is_closing = false;
     let ended = loop {
         tokio::select! {
             ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context)) => {
                 break ended;
             }
-            () = &mut closing, if !is_closing => {
-                is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
+            // Polls the connection, which ends if it waits for a request. The library's own shutdown
+            // would drop a part of a head, and a request that has arrived but is not read yet.
+            () = &mut closing, if !limits.is_closing() => limits.close(),
         }
     };
     if let Err(error) = ended {
--- a/crates/beechsaddle/src/calls/mod.rs
+++ b/crates/beechsaddle/src/calls/mod.rs
@@ -23,6 +23,7 @@
 mod chat_message;
 mod chat_request;
 mod connection;
+mod connection_limits;
 mod connection_tracker;
 mod echo_table;
 mod edge_phase;
--- a/crates/beechsaddle/src/calls/stream_limits.rs
+++ b/crates/beechsaddle/src/calls/stream_limits.rs
@@ -27,30 +27,3 @@
     /// Records that the connection ends by a limit.
     fn record_cut(&self, cut: StreamCut);
 }
-
-/// Limits that stay the same for the life of a process.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct FixedLimits {
-    head_timeout: Duration,
-}
-
-impl FixedLimits {
-    /// Creates limits with a time for one request head.
-    pub(crate) fn new(head_timeout: Duration) -> Self {
-        FixedLimits { head_timeout }
-    }
-}
-
-impl StreamLimits for FixedLimits {
-    fn head_timeout(&self) -> Duration {
-        self.head_timeout
-    }
-
-    fn idle_timeout(&self) -> Option<Duration> {
-        None
-    }
-
-    fn record_head_start(&self) {}
-
-    fn record_cut(&self, _: StreamCut) {}
-}
--- /dev/null
+++ b/crates/beechsaddle/tests/calls_exit.rs
@@ -0,0 +1,122 @@
+//! Tests of callers whose requests arrive around the steps of the edge's shutdown.
+
+mod calls_support;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use beechsaddle::calls::CallsOptions;
+use beechsaddle_core::call::CallAction;
+use calls_support::*;
+
+/// Time for which idle connections stay open after the edge has stopped accepting.
+const GRACE: Duration = Duration::from_millis(300);
+/// Time after which what was sent has been read.
+const READ_DELAY: Duration = Duration::from_millis(50);
+/// Number of callers whose requests arrive while the edge is held up.
+const CALLERS: usize = 12;
+/// Number of messages of a chat that takes the edge's only thread some hundred milliseconds to read.
+const LONG_CHAT_MESSAGES: usize = 120_000;
+const HEALTH_REQUEST: &str = "GET /healthz HTTP/1.1\r\nhost: router\r\n\r\n";
+
+fn start() -> FakeCore {
+    let options = CallsOptions {
+        drain_grace_ms: GRACE.as_millis() as u64,
+        ..CallsOptions::default()
+    };
+    FakeCore::start_with(options, 64)
+}
+
+/// Connects and has one request answered.
+fn connect_used(address: SocketAddr) -> RawCaller {
+    let mut caller = RawCaller::send(address, HEALTH_REQUEST);
+    caller.read_answer();
+    caller
+}
+
+/// Checks that a caller is told that the router is shutting down, and that its connection closes.
+fn expect_draining(caller: &mut RawCaller) {
+    let answer = caller.read_answer();
+    assert_eq!(answer.status, 503);
+    let refusal = "\"reason\":\"draining\",\"ran\":\"no\"";
+    assert!(answer.body.contains(refusal), "{answer:?}");
+    assert_eq!(header(&answer.head, "connection"), Some("close"));
+    assert_eq!(caller.read_end(), (String::new(), RawEnd::Closed));
+}
+
+/// A chat that occupies the edge's only thread while it is read.
+struct LongChat {
+    caller: RawCaller,
+}
+
+impl LongChat {
+    /// Sends all but the last byte.
+    fn prepare(core: &FakeCore) -> Self {
+        let message = "{\"role\":\"user\",\"content\":\"\"}";
+        let messages = vec![message; LONG_CHAT_MESSAGES].join(",");
+        let body = format!("{{\"model\":\"m1\",\"max_tokens\":9,\"messages\":[{messages}]");
+        let head = chat_head("", body.len() + 1);
+        let caller = RawCaller::send(core.address(), head + &body);
+        thread::sleep(READ_DELAY);
+        LongChat { caller }
+    }
+
+    /// Runs `events` while the edge is held up.
+    fn hold_up(&mut self, core: &FakeCore, events: impl FnOnce()) {
+        self.caller.write("}");
+        thread::sleep(Duration::from_millis(20));
+        events();
+        let is_held = core.events.is_empty();
+        core.next_arrival();
+        assert!(is_held, "the edge was not held up");
+    }
+}
+
+// The end of the grace closes a kept connection on which a part of a head has arrived, and its caller
+// gets neither an answer nor a refusal.
+#[test]
+fn grace_end_part_of_head_on_kept_connection() {
+    let core = start();
+    let mut caller = connect_used(core.address());
+    let call = chat_call("", false);
+    let (first, rest) = call.split_at(20);
+    core.act(CallAction::StopAccepting);
+    thread::sleep(GRACE - READ_DELAY);
+    caller.write(first);
+    thread::sleep(READ_DELAY * 3);
+    caller.write(rest);
+    expect_draining(&mut caller);
+    assert_eq!(core.handle.stop(WAIT_LIMIT), 0);
+}
+
+// The end of the grace closes kept connections whose requests have arrived but are not read yet.
+#[test]
+fn grace_end_unread_calls_on_kept_connections() {
+    let core = start();
+    let mut chat = LongChat::prepare(&core);
+    let mut callers: Vec<_> = (0..CALLERS).map(|_| connect_used(core.address())).collect();
+    core.act(CallAction::StopAccepting);
+    thread::sleep(GRACE - READ_DELAY);
+    chat.hold_up(&core, || {
+        for caller in &mut callers {
+            caller.write(chat_call("", false));
+        }
+        thread::sleep(READ_DELAY * 2);
+    });
+    for caller in &mut callers {
+        expect_draining(caller);
+    }
+}
+
+// Idle connections whose callers do not close theirs hold the exit up.
+#[test]
+fn stop_idle_connections() {
+    let core = start();
+    let callers: Vec<_> = (0..CALLERS).map(|_| connect_used(core.address())).collect();
+    core.act(CallAction::StopAccepting);
+    let start = Instant::now();
+    assert_eq!(core.handle.stop(WAIT_LIMIT), 0);
+    assert!(start.elapsed() < GRACE * 3, "{:?}", start.elapsed());
+    drop(callers);
+}
