The exit of a router does not end the grace for calls on kept connections

Callers of a router that shuts down without open calls saw their kept connections closed at once; a call that was under way got neither an answer nor a refusal. Cause: the grace of two seconds, in which calls on kept connections are refused, ended early with the exit, and the exit is decided as soon as no call is open and no bill is unwritten. With an idle router that was at the signal.

--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -78,7 +78,7 @@
         .max_buf_size(state.options.head_bytes.max(MIN_HEAD_BYTES))
         .max_headers(state.options.max_headers)
         .serve_connection(TokioIo::new(stream), hyper_service);
-    let mut closing = pin!(wait_for_closing(&state));
+    let mut closing = pin!(wait_for_grace_end(&state));
     let ended = loop {
         tokio::select! {
             ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context)) => {
@@ -98,14 +98,13 @@
 }
 
 /// Waits until a connection without a running call has to close.
-async fn wait_for_closing(state: &EdgeState) {
+async fn wait_for_grace_end(state: &EdgeState) {
     let mut phase = state.phase.subscribe();
     let _ = phase.wait_for(|phase| *phase >= EdgePhase::Refusing).await;
     // A call may be in flight on an idle connection. Closing now would leave its caller without an
-    // answer; during the grace period it receives a refusal.
-    let grace = Duration::from_millis(state.options.drain_grace_ms);
-    let closing = phase.wait_for(|phase| *phase >= EdgePhase::Closing);
-    let _ = tokio::time::timeout(grace, closing).await;
+    // answer; during the grace period it receives a refusal, even if the router has no open call and
+    // could exit.
+    tokio::time::sleep(Duration::from_millis(state.options.drain_grace_ms)).await;
 }
 
 /// Counts a request head that the library rejected with a bare 4xx.
--- a/crates/beechsaddle/src/calls/edge_phase.rs
+++ b/crates/beechsaddle/src/calls/edge_phase.rs
@@ -5,8 +5,9 @@
 pub(crate) enum EdgePhase {
     /// Connections and calls are accepted.
     Accepting,
-    /// The listener is closed; calls on open connections are refused.
+    /// The callers' listener is closed. Calls on open connections are refused; after a grace period,
+    /// each connection closes as soon as it has no running call.
     Refusing,
-    /// Each connection closes as soon as it has no running call.
+    /// The operators' listener is closed too; the edge ends with its last connection.
     Closing,
 }
--- a/crates/beechsaddle/tests/calls_exit.rs
+++ b/crates/beechsaddle/tests/calls_exit.rs
@@ -3,7 +3,7 @@
 mod calls_support;
 
 use std::net::SocketAddr;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use beechsaddle::calls::CallsOptions;
@@ -45,6 +45,11 @@
     assert_eq!(caller.read_end(), (String::new(), RawEnd::Closed));
 }
 
+/// Stops the edge in a thread that returns the number of connections that were cut.
+fn stop(core: FakeCore) -> JoinHandle<usize> {
+    thread::spawn(move || core.handle.stop(WAIT_LIMIT))
+}
+
 /// A chat that occupies the edge's only thread while it is read.
 struct LongChat {
     caller: RawCaller,
@@ -109,6 +114,20 @@
     }
 }
 
+// The exit ends the grace: a router without open calls closes kept connections at once, and a call that
+// is under way gets neither an answer nor a refusal.
+#[test]
+fn stop_call_within_the_grace() {
+    let core = start();
+    let mut caller = connect_used(core.address());
+    core.act(CallAction::StopAccepting);
+    let stopping = stop(core);
+    thread::sleep(READ_DELAY);
+    caller.write(chat_call("", false));
+    expect_draining(&mut caller);
+    assert_eq!(stopping.join().expect("a thread"), 0);
+}
+
 // Idle connections whose callers do not close theirs hold the exit up.
 #[test]
 fn stop_idle_connections() {
