A router that shuts down accepts the connections that wait in its listener's queue

Callers whose connections were established, but not accepted yet, saw them reset together with the calls they had sent: closing the listener resets what waits in its queue. Second, a router without open calls looked at its open connections before the listener had run once more, found none and ended, which cut what was accepted at that moment.

--- a/crates/beechsaddle/src/calls/calls_edge.rs
+++ b/crates/beechsaddle/src/calls/calls_edge.rs
@@ -69,7 +69,7 @@
             connections: AtomicUsize::new(0),
             options,
         });
-        runtime.spawn(run_listener(
+        let call_task = runtime.spawn(run_listener(
             call_listener,
             CallService::new(Arc::clone(&state)),
             Arc::clone(&state),
@@ -77,7 +77,7 @@
             EdgePhase::Refusing,
         ));
         // Stays open through the drain, so that operators can watch it.
-        runtime.spawn(run_listener(
+        let admin_task = runtime.spawn(run_listener(
             admin_listener,
             AdminService::new(Arc::clone(&state)),
             Arc::clone(&state),
@@ -88,6 +88,7 @@
         Ok(CallsHandle::new(
             state,
             runtime,
+            [call_task, admin_task],
             call_address,
             admin_address,
         ))
--- a/crates/beechsaddle/src/calls/calls_handle.rs
+++ b/crates/beechsaddle/src/calls/calls_handle.rs
@@ -9,12 +9,13 @@
 use beechsaddle_core::call::CallAction;
 use beechsaddle_core::prelude::*;
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
 
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::probe::ProbeRunner;
 
-/// Interval at which the number of open connections is polled.
+/// Interval at which the edge is polled for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Time limit for tasks to end once their connections are closed.
 const RUNTIME_SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -24,6 +25,8 @@
     state: Arc<EdgeState>,
     probes: ProbeRunner,
     runtime: Mutex<Option<Runtime>>,
+    /// Tasks that accept connections of callers and operators.
+    listeners: [JoinHandle<()>; 2],
     call_address: SocketAddr,
     admin_address: SocketAddr,
 }
@@ -32,6 +35,7 @@
     pub(crate) fn new(
         state: Arc<EdgeState>,
         runtime: Runtime,
+        listeners: [JoinHandle<()>; 2],
         call_address: SocketAddr,
         admin_address: SocketAddr,
     ) -> Self {
@@ -39,6 +43,7 @@
             probes: ProbeRunner::new(Arc::clone(&state), runtime.handle().clone()),
             state,
             runtime: Mutex::new(Some(runtime)),
+            listeners,
             call_address,
             admin_address,
         }
@@ -94,6 +99,12 @@
         self.state.connections.load(Ordering::Relaxed)
     }
 
+    /// Whether no connection is open, and none can be accepted any more.
+    fn is_closed(&self) -> bool {
+        // The listeners count the last connections before they end.
+        self.listeners.iter().all(JoinHandle::is_finished) && self.open_connections() == 0
+    }
+
     /// How many events found the core's ring full.
     pub fn ring_full_count(&self) -> u64 {
         self.state.ring.full_count()
@@ -104,7 +115,7 @@
     pub fn stop(&self, wait_limit: Duration) -> usize {
         self.state.enter_phase(EdgePhase::Closing);
         let deadline = Instant::now() + wait_limit;
-        while self.open_connections() > 0 && Instant::now() < deadline {
+        while !self.is_closed() && Instant::now() < deadline {
             thread::sleep(STOP_POLL_INTERVAL);
         }
         let cut = self.open_connections();
--- a/crates/beechsaddle/tests/calls_exit.rs
+++ b/crates/beechsaddle/tests/calls_exit.rs
@@ -16,6 +16,8 @@
 const READ_DELAY: Duration = Duration::from_millis(50);
 /// Number of callers whose requests arrive while the edge is held up.
 const CALLERS: usize = 12;
+/// Number of edges that stop right after a caller has connected.
+const ROUNDS: usize = 40;
 /// Number of messages of a chat that takes the edge's only thread some hundred milliseconds to read.
 const LONG_CHAT_MESSAGES: usize = 120_000;
 const HEALTH_REQUEST: &str = "GET /healthz HTTP/1.1\r\nhost: router\r\n\r\n";
@@ -128,6 +130,38 @@
     assert_eq!(stopping.join().expect("a thread"), 0);
 }
 
+// The close of the listener resets connections that wait to be accepted, with the calls that their
+// callers have sent.
+#[test]
+fn stop_accepting_waiting_connections() {
+    let core = start();
+    let mut chat = LongChat::prepare(&core);
+    let mut callers = Vec::new();
+    chat.hold_up(&core, || {
+        for _ in 0..CALLERS {
+            callers.push(RawCaller::send(core.address(), chat_call("", false)));
+        }
+        core.act(CallAction::StopAccepting);
+    });
+    for caller in &mut callers {
+        expect_draining(caller);
+    }
+}
+
+// The edge stops before its listener has run once more, and resets connections that wait to be accepted.
+#[test]
+fn stop_right_after_connect() {
+    for _ in 0..ROUNDS {
+        let core = start();
+        let mut caller = RawCaller::send(core.address(), HEALTH_REQUEST);
+        core.act(CallAction::StopAccepting);
+        let stopping = stop(core);
+        caller.read_answer();
+        drop(caller);
+        assert_eq!(stopping.join().expect("a thread"), 0);
+    }
+}
+
 // Idle connections whose callers do not close theirs hold the exit up.
 #[test]
 fn stop_idle_connections() {
