Tests of what the exit of the edge waits for

The incident's cause does not act in four places, which no test held: a head of which a part came on a new connection before the shutdown, a body that arrives after the exit was decided, a refused caller that still sends its body, and an answer that is read after its call has ended.

--- a/crates/beechsaddle/tests/calls_exit.rs
+++ b/crates/beechsaddle/tests/calls_exit.rs
@@ -8,6 +8,7 @@
 
 use beechsaddle::calls::CallsOptions;
 use beechsaddle_core::call::CallAction;
+use beechsaddle_core::prelude::*;
 use calls_support::*;
 
 /// Time for which idle connections stay open after the edge has stopped accepting.
@@ -162,6 +163,90 @@
     }
 }
 
+// The rest of a head comes after every phase of the shutdown has begun: its connection closes without an
+// answer, or its call is sent on and cut by the exit.
+#[test]
+fn stop_part_of_head_on_new_connection() {
+    let core = start();
+    let call = chat_call("", false);
+    let (first, rest) = call.split_at(20);
+    let mut caller = RawCaller::send(core.address(), first);
+    thread::sleep(READ_DELAY);
+    core.act(CallAction::StopAccepting);
+    let stopping = stop(core);
+    thread::sleep(GRACE + READ_DELAY);
+    caller.write(rest);
+    expect_draining(&mut caller);
+    assert_eq!(stopping.join().expect("a thread"), 0);
+}
+
+// A call whose body arrives after the exit was decided is not open, and the exit cuts it.
+#[test]
+fn stop_body_that_arrives_late() {
+    let core = start();
+    let call = chat_call("", false);
+    let (first, rest) = call.split_at(call.len() - 5);
+    let mut caller = RawCaller::send(core.address(), first);
+    thread::sleep(READ_DELAY);
+    core.act(CallAction::StopAccepting);
+    assert_eq!(core.handle.open_calls(), 0);
+    thread::scope(|scope| {
+        let stopping = scope.spawn(|| core.handle.stop(WAIT_LIMIT));
+        thread::sleep(GRACE + READ_DELAY);
+        caller.write(rest);
+        let call = core.next_arrival().call;
+        let refusal = CallRefusal::not_run(RefusalReason::Draining, Some(1_000));
+        core.act(CallAction::Refuse { call, refusal });
+        expect_draining(&mut caller);
+        assert_eq!(stopping.join().expect("a thread"), 0);
+    });
+}
+
+// The exit closes the connection of a refused caller that still sends its body, and the reset takes the
+// refusal.
+#[test]
+fn stop_refused_caller_with_body_under_way() {
+    let core = start();
+    let mut caller = connect_used(core.address());
+    core.act(CallAction::StopAccepting);
+    caller.write(chat_head("", 100_000) + &"a".repeat(50_000));
+    assert_eq!(core.next_rejection(), RefusalReason::Draining);
+    let stopping = stop(core);
+    thread::sleep(GRACE + READ_DELAY);
+    caller.write("a".repeat(50_000));
+    expect_draining(&mut caller);
+    drop(caller);
+    assert_eq!(stopping.join().expect("a thread"), 0);
+}
+
+// The exit cuts an answer that its caller has not read to the end, though no call is open any more.
+#[test]
+fn stop_answer_that_is_read_late() {
+    const ANSWER_BYTES: usize = 3 * 1_024 * 1_024;
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        let text = "a".repeat(ANSWER_BYTES);
+        let answer = chat_answer(5, 9).replace("hi", &text);
+        connection.answer("200 OK", "content-type: application/json\r\n", &answer);
+        connection.await_close();
+    });
+    let core = start();
+    let mut caller = RawCaller::send(core.address(), chat_call("", false));
+    let call = core.dispatch_next(target.address);
+    core.next_start();
+    core.next_end();
+    core.act(CallAction::Finish { call });
+    core.await_no_calls();
+    core.act(CallAction::StopAccepting);
+    let stopping = stop(core);
+    thread::sleep(GRACE + READ_DELAY);
+    let answer = caller.read_answer();
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.len() > ANSWER_BYTES);
+    assert_eq!(caller.read_end().1, RawEnd::Closed);
+    assert_eq!(stopping.join().expect("a thread"), 0);
+}
+
 // Idle connections whose callers do not close theirs hold the exit up.
 #[test]
 fn stop_idle_connections() {
