--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::prelude::*;
-use http::Request;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,12 +26,12 @@
 use volo_http::response::Response;
 
 use super::call_fault::CallFault;
+use super::connection_limits::ConnectionLimits;
 use super::connection_tracker::ConnectionTracker;
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::guarded_stream::GuardedStream;
 use super::linger::linger;
-use super::stream_limits::FixedLimits;
 use super::tracked_body::TrackedBody;
 
 /// The library panics below this limit.
@@ -52,18 +53,23 @@
     let head_timeout = Duration::from_millis(state.options.head_timeout_ms);
     let idle_timeout = Duration::from_millis(state.options.idle_timeout_ms);
     let write_stall = Duration::from_millis(state.options.write_stall_ms);
-    let limits = FixedLimits::new(head_timeout);
-    let stream = GuardedStream::new(stream, tracker.clone(), limits, write_stall);
+    let limits = ConnectionLimits::new(head_timeout);
+    let stream = GuardedStream::new(stream, tracker.clone(), limits.clone(), write_stall);
     let hyper_service = service_fn(|request: Request<Incoming>| {
         let service = service.clone();
         let tracker = tracker.clone();
+        let limits = limits.clone();
         Box::pin(async move {
             tracker.start_request();
             let mut request = request.map(Body::from_incoming);
             request.extensions_mut().insert(tracker.clone());
             let mut context = ServerContext::new(Address::Ip(peer));
-            let response = service.call(&mut context, request).await;
-            response.map(|response| response.map(|body| TrackedBody::new(body, tracker)))
+            let mut response = service.call(&mut context, request).await?;
+            if limits.is_closing() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, tracker)))
         })
     });
     let mut connection = http1::Builder::new()
@@ -72,17 +78,15 @@
         .max_buf_size(state.options.head_bytes.max(MIN_HEAD_BYTES))
         .max_headers(state.options.max_headers)
         .serve_connection(TokioIo::new(stream), hyper_service);
-    let mut closing = pin!(wait_for_closing(&state));
-    let mut is_closing = false;
+    let mut closing = pin!(wait_for_grace_end(&state));
     let ended = loop {
         tokio::select! {
             ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context)) => {
                 break ended;
             }
-            () = &mut closing, if !is_closing => {
-                is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
+            // Polls the connection, which ends if it waits for a request. The library's own shutdown
+            // would drop a part of a head, and a request that has arrived but is not read yet.
+            () = &mut closing, if !limits.is_closing() => limits.close(),
         }
     };
     if let Err(error) = ended {
@@ -94,14 +98,13 @@
 }
 
 /// Waits until a connection without a running call has to close.
-async fn wait_for_closing(state: &EdgeState) {
+async fn wait_for_grace_end(state: &EdgeState) {
     let mut phase = state.phase.subscribe();
     let _ = phase.wait_for(|phase| *phase >= EdgePhase::Refusing).await;
     // A call may be in flight on an idle connection. Closing now would leave its caller without an
-    // answer; during the grace period it receives a refusal.
-    let grace = Duration::from_millis(state.options.drain_grace_ms);
-    let closing = phase.wait_for(|phase| *phase >= EdgePhase::Closing);
-    let _ = tokio::time::timeout(grace, closing).await;
+    // answer; during the grace period it receives a refusal, even if the router has no open call and
+    // could exit.
+    tokio::time::sleep(Duration::from_millis(state.options.drain_grace_ms)).await;
 }
 
 /// Counts a request head that the library rejected with a bare 4xx.
