Bound the heads of a target's response over all its interim responses

A target that sent interim responses (1xx) without end held its call until the deadline, and the router's processor meanwhile: a call of 3 s took 3.0 s of processor time (debug build), and other calls ended late. HTTP allows any number of interim responses, and hyper skips them in a loop within one turn of the connection's task, for as long as bytes are at hand. A connection to a server now counts the bytes and interim responses since the request began, until the head of the response is complete.

--- /dev/null
+++ b/crates/beechsaddle-link/src/bounded_stream.rs
@@ -0,0 +1,132 @@
+//! The `bounded_stream` module provides a bound on what a server sends before the head of its response
+//! is complete.
+//!
+//! HTTP allows any number of interim responses (1xx) before the final one, and the HTTP library skips
+//! them for as long as they come, many in one turn of the task.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Maximum number of interim responses to one request: a server that reports progress every second does
+/// so for longer than most calls may last.
+const INTERIMS_MAX: usize = 64;
+
+/// What has come since a request began, until the head of its response is complete.
+#[derive(Debug)]
+pub(crate) struct HeadBound {
+    bytes_max: usize,
+    bytes: AtomicUsize,
+    interims: AtomicUsize,
+    is_awaited: AtomicBool,
+}
+
+impl HeadBound {
+    /// Creates a bound of `bytes_max` bytes on all heads of one response.
+    pub(crate) fn new(bytes_max: usize) -> Self {
+        HeadBound {
+            bytes_max,
+            bytes: AtomicUsize::new(0),
+            interims: AtomicUsize::new(0),
+            is_awaited: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that a request begins.
+    pub(crate) fn begin(&self) {
+        self.bytes.store(0, Ordering::Relaxed);
+        self.interims.store(0, Ordering::Relaxed);
+        self.is_awaited.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the head of the response is complete.
+    pub(crate) fn end(&self) {
+        self.is_awaited.store(false, Ordering::Relaxed);
+    }
+
+    /// Records an interim response.
+    pub(crate) fn record_interim(&self) {
+        self.interims.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Whether the server has sent more than the head of a response may take.
+    pub(crate) fn is_exceeded(&self) -> bool {
+        self.is_awaited.load(Ordering::Relaxed)
+            && (self.bytes.load(Ordering::Relaxed) >= self.bytes_max
+                || self.interims.load(Ordering::Relaxed) > INTERIMS_MAX)
+    }
+
+    fn record_read(&self, bytes: usize) {
+        if self.is_awaited.load(Ordering::Relaxed) {
+            self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A stream from which reading fails once the bound is exceeded.
+#[derive(Debug)]
+pub(crate) struct BoundedStream {
+    stream: TcpStream,
+    bound: Arc<HeadBound>,
+}
+
+impl BoundedStream {
+    pub(crate) fn new(stream: TcpStream, bound: Arc<HeadBound>) -> Self {
+        BoundedStream { stream, bound }
+    }
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // The last read may have brought the rest of the head and the begin of the body, so that only
+        // the next one fails.
+        if self.bound.is_exceeded() {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "response head without end");
+            return Poll::Ready(Err(error));
+        }
+        let filled_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.bound
+            .record_read(buffer.filled().len() - filled_before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/beechsaddle-link/src/http_link.rs
+++ b/crates/beechsaddle-link/src/http_link.rs
@@ -1,6 +1,7 @@
 //! The `http_link` module provides a single connection to an HTTP server.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -16,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::LinkFailure;
+use crate::bounded_stream::{BoundedStream, HeadBound};
 
 /// How many TCP keepalive probes may stay unanswered before the connection is closed. A shorter
 /// `unacknowledged_timeout` closes it earlier.
@@ -38,7 +41,8 @@
     /// system requires; `None` disables it. Needed where a response may legitimately take long,
     /// since a connection whose packets are dropped looks the same.
     pub keepalive: Option<Duration>,
-    /// The maximum size of a response head, in bytes; at least 8,192.
+    /// The maximum size of a response head together with the interim responses before it, in bytes; at
+    /// least 8,192.
     pub head_bytes: usize,
 }
 
@@ -61,6 +65,7 @@
 #[derive(Debug)]
 pub struct HttpLink {
     sender: SendRequest<Full<Bytes>>,
+    bound: Arc<HeadBound>,
     task: JoinHandle<()>,
 }
 
@@ -88,8 +93,11 @@
         stream: TcpStream,
         options: &LinkOptions,
     ) -> Result<HttpLink, LinkFailure> {
+        let head_bytes = options.head_bytes.max(8_192);
+        let bound = Arc::new(HeadBound::new(head_bytes));
+        let stream = BoundedStream::new(stream, Arc::clone(&bound));
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(options.head_bytes.max(8_192));
+        builder.max_buf_size(head_bytes);
         let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
@@ -99,26 +107,39 @@
             // closed connection before the next use.
             let _ = connection.await;
         });
-        Ok(HttpLink { sender, task })
+        Ok(HttpLink {
+            sender,
+            bound,
+            task,
+        })
     }
 
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
     ///
-    /// [`LinkFailure::NotSent`] or [`LinkFailure::Unanswered`]; the link cannot be used afterwards.
+    /// [`LinkFailure::NotSent`], [`LinkFailure::HeadTooLarge`] or [`LinkFailure::Unanswered`]; the link
+    /// cannot be used afterwards.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, LinkFailure> {
+        self.bound.begin();
+        let bound = Arc::clone(&self.bound);
+        on_informational(&mut request, move |_| bound.record_interim());
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.bound.end();
+                Ok(response)
+            }
             Err(mut failure) => {
                 let is_unsent = failure.take_message().is_some();
                 let error = failure.into_error();
-                match is_unsent {
-                    true => Err(LinkFailure::NotSent(error)),
-                    false => Err(LinkFailure::Unanswered(error)),
+                let is_too_large = self.bound.is_exceeded() || error.is_parse_too_large();
+                match (is_unsent, is_too_large) {
+                    (true, _) => Err(LinkFailure::NotSent(error)),
+                    (false, true) => Err(LinkFailure::HeadTooLarge(error)),
+                    (false, false) => Err(LinkFailure::Unanswered(error)),
                 }
             }
         }
--- a/crates/beechsaddle-link/src/lib.rs
+++ b/crates/beechsaddle-link/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+mod bounded_stream;
 mod http_link;
 mod link_failure;
 
--- a/crates/beechsaddle-link/src/link_failure.rs
+++ b/crates/beechsaddle-link/src/link_failure.rs
@@ -14,6 +14,8 @@
     NotSent(hyper::Error),
     /// The connection was lost after the request may have been written. The server may run it.
     Unanswered(hyper::Error),
+    /// The server sent more than the head of a response may take. It may run the request.
+    HeadTooLarge(hyper::Error),
 }
 
 impl LinkFailure {
@@ -21,7 +23,7 @@
     pub fn is_unsent(&self) -> bool {
         match self {
             LinkFailure::Connect(_) | LinkFailure::ConnectTimeout | LinkFailure::NotSent(_) => true,
-            LinkFailure::Unanswered(_) => false,
+            LinkFailure::Unanswered(_) | LinkFailure::HeadTooLarge(_) => false,
         }
     }
 
@@ -29,9 +31,10 @@
     pub fn is_refused(&self) -> bool {
         match self {
             LinkFailure::Connect(error) => error.kind() == ErrorKind::ConnectionRefused,
-            LinkFailure::ConnectTimeout | LinkFailure::NotSent(_) | LinkFailure::Unanswered(_) => {
-                false
-            }
+            LinkFailure::ConnectTimeout
+            | LinkFailure::NotSent(_)
+            | LinkFailure::Unanswered(_)
+            | LinkFailure::HeadTooLarge(_) => false,
         }
     }
 
@@ -42,6 +45,7 @@
             LinkFailure::ConnectTimeout => "connect_timeout",
             LinkFailure::NotSent(_) => "closed_before_send",
             LinkFailure::Unanswered(_) => "unanswered",
+            LinkFailure::HeadTooLarge(_) => "head_too_large",
         }
     }
 }
@@ -56,6 +60,9 @@
                 "connection closed before the request was sent: {error}"
             ),
             LinkFailure::Unanswered(error) => write!(formatter, "no complete response: {error}"),
+            LinkFailure::HeadTooLarge(error) => {
+                write!(formatter, "response head without end: {error}")
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/beechsaddle/tests/gateway_endless.rs
@@ -0,0 +1,129 @@
+//! Tests of targets that send bytes without end that are no answer, through a gateway.
+
+mod gateway_support;
+
+use std::time::{Duration, Instant};
+
+use beechsaddle_platform_stand_in::{
+    CallReply, CallRequest, EndlessPart, TargetFault, TargetStandIn, call,
+};
+use futures::future::join_all;
+use gateway_support::{GatewayBench, draft, request, wait_for};
+
+const AMPLE: u64 = 1_000_000;
+
+/// The time within which a call ends once its target has shown that no answer comes.
+const PROMPT: Duration = Duration::from_millis(1_000);
+
+/// Processor time that a call at such a target may take on a loaded test machine, in milliseconds.
+const CALL_PROCESSOR_MS: u64 = 400;
+
+/// The deadline of calls, in milliseconds.
+const DEADLINE_MS: u64 = 3_000;
+
+/// Sends as fast as the router reads.
+const fn flood(part: EndlessPart) -> TargetFault {
+    TargetFault::Endless(part, Duration::ZERO)
+}
+
+fn order(id: &str) -> CallRequest {
+    let mut order = request("POST /order/1", id);
+    order.deadline_ms = DEADLINE_MS;
+    order
+}
+
+fn set_faults(targets: &[TargetStandIn], fault: TargetFault) {
+    for target in targets {
+        target.set_fault(fault);
+    }
+}
+
+/// Returns the reply to a call, the time that it took and the router's processor time meanwhile.
+async fn timed_call(bench: &GatewayBench, request: &CallRequest) -> (CallReply, Duration, u64) {
+    let (begun, before) = (Instant::now(), bench.router.processor_ms());
+    let reply = bench.router.call(request).await;
+    let spent_ms = bench.router.processor_ms() - before;
+    (reply, begun.elapsed(), spent_ms)
+}
+
+/// Waits until the router has closed all connections on which targets send without end.
+async fn wait_closed(targets: &[TargetStandIn]) {
+    wait_for("closed connections", || async {
+        let mut runs = targets.iter().flat_map(TargetStandIn::runs);
+        runs.all(|run| run.is_cancelled)
+    })
+    .await;
+}
+
+// Fails if a target that sends a part of a head without end holds its call until the deadline, or the
+// router's processor meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_heads_end_calls_soon() {
+    for part in [
+        EndlessPart::Interim,
+        EndlessPart::HeadLines,
+        EndlessPart::HeadLine,
+    ] {
+        let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+        set_faults(&bench.plain, flood(part));
+        let (reply, elapsed, spent_ms) = timed_call(&bench, &order("endless")).await;
+        assert_eq!(
+            reply.status, 502,
+            "{part:?} after {elapsed:?}, {spent_ms} ms"
+        );
+        assert!(elapsed < PROMPT, "{part:?} took {elapsed:?}");
+        assert!(
+            spent_ms < CALL_PROCESSOR_MS,
+            "{part:?} used {spent_ms} ms of processor time"
+        );
+        assert_eq!(GatewayBench::run_count(&bench.plain), 1);
+        wait_closed(&bench.plain).await;
+    }
+}
+
+// Fails if a target that sends interim responses without end makes calls late that other targets can
+// serve, or takes the processor from them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_interims_leave_other_calls_in_time() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    set_faults(&bench.plain[..1], flood(EndlessPart::Interim));
+    set_faults(&bench.engines[..1], flood(EndlessPart::Interim));
+    let before = bench.router.processor_ms();
+    let address = bench.router.address;
+    let calls = (0..40).map(|number| async move {
+        let (line, tokens) = match number % 2 {
+            0 => ("GET /get/1", None),
+            _ => ("POST /stream/on/1", Some((20, 20))),
+        };
+        let mut request = request(line, &format!("call-{number}"));
+        request.tokens = tokens;
+        let begun = Instant::now();
+        let reply = call(address, &request).await.expect("an answer");
+        (reply, begun.elapsed())
+    });
+    for (reply, elapsed) in join_all(calls).await {
+        assert!(reply.status == 200 && reply.is_complete, "{reply:?}");
+        assert!(elapsed < 2 * PROMPT, "took {elapsed:?}");
+    }
+    let spent_ms = bench.router.processor_ms() - before;
+    assert!(spent_ms < 1_500, "{spent_ms} ms of processor time");
+    wait_closed(&bench.plain[..1]).await;
+    wait_closed(&bench.engines[..1]).await;
+}
+
+// Fails if chunk extensions or trailers without end hold a call until its deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_framing_ends_calls_soon() {
+    for part in [EndlessPart::ChunkExtension, EndlessPart::Trailers] {
+        let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+        set_faults(&bench.plain, flood(part));
+        let (reply, elapsed, spent_ms) = timed_call(&bench, &order("endless")).await;
+        assert_eq!(reply.status, 502, "{part:?} after {elapsed:?}");
+        assert!(elapsed < PROMPT, "{part:?} took {elapsed:?}");
+        assert!(
+            spent_ms < CALL_PROCESSOR_MS,
+            "{part:?} used {spent_ms} ms of processor time"
+        );
+        wait_closed(&bench.plain).await;
+    }
+}
