A rejecting head counts without its body

A target that said that it had not run a call and then sent a body without end held the call until its deadline (504), or, if it sent 8 MiB sooner, ended it as outcome_unknown (502), although another target could have had it at once. The same held for responses without the target's signature. The plain exchange read every body before it looked at the head; now the head decides first, and only a body that may be forwarded is read.

--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{AttemptEnd, LinkDirection, TargetChoice, TargetRecord};
-use beechsaddle_platform::response_headers;
+use beechsaddle_platform::{ResponseHead, response_headers};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -120,22 +120,17 @@
         facts,
         link,
     } = answer;
+    let end = judge_head(&facts);
     let (parts, body) = response.into_parts();
-    let body = match call.method {
-        Method::HEAD => Bytes::new(),
+    let body = match end {
+        // The connection is closed with the link.
+        Some(end) if end != AttemptEnd::Failed => Bytes::new(),
+        _ if call.method == Method::HEAD => Bytes::new(),
         _ => read_body(body, call.remaining()).await?,
     };
-    if facts.status.is_success() {
+    if end.is_none() && facts.status.is_success() {
         link.release(&call.state, target.address, &facts);
     }
-    let is_usable = facts.is_sealed && !facts.is_encoded;
-    let end = match facts.status {
-        _ if facts.is_misdirected => Some(AttemptEnd::Misdirected),
-        _ if facts.is_not_run => Some(AttemptEnd::NotRun),
-        _ if !is_usable => Some(AttemptEnd::Broken),
-        status if status.is_server_error() => Some(AttemptEnd::Failed),
-        _ => None,
-    };
     Ok(BufferedAnswer {
         status: parts.status,
         headers: parts.headers,
@@ -145,6 +140,21 @@
     })
 }
 
+/// Returns how the attempt ends by the head of its response; `None` if the response is for the caller.
+///
+/// Only a response that may be forwarded needs its body, and what a target sends after another head may
+/// have no end.
+fn judge_head(facts: &ResponseHead) -> Option<AttemptEnd> {
+    let is_usable = facts.is_sealed && !facts.is_encoded;
+    match facts.status {
+        _ if facts.is_misdirected => Some(AttemptEnd::Misdirected),
+        _ if facts.is_not_run => Some(AttemptEnd::NotRun),
+        _ if !is_usable => Some(AttemptEnd::Broken),
+        status if status.is_server_error() => Some(AttemptEnd::Failed),
+        _ => None,
+    }
+}
+
 async fn read_body(body: hyper::body::Incoming, left: Duration) -> Result<Bytes, SendFailure> {
     let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
     match timeout(left, reading).await {
--- a/crates/beechsaddle/tests/gateway_endless.rs
+++ b/crates/beechsaddle/tests/gateway_endless.rs
@@ -26,6 +26,11 @@
     TargetFault::Endless(part, Duration::ZERO)
 }
 
+/// Sends 64 KiB in each twentieth of a second.
+const fn trickle(part: EndlessPart) -> TargetFault {
+    TargetFault::Endless(part, Duration::from_millis(50))
+}
+
 fn order(id: &str) -> CallRequest {
     let mut order = request("POST /order/1", id);
     order.deadline_ms = DEADLINE_MS;
@@ -38,6 +43,13 @@
     }
 }
 
+/// Returns the target that the router prefers, as its connection is open.
+async fn preferred_target(bench: &GatewayBench) -> &TargetStandIn {
+    assert_eq!(bench.router.call(&order("first")).await.status, 200);
+    let served = |target: &&TargetStandIn| !target.runs().is_empty();
+    bench.plain.iter().find(served).expect("a target")
+}
+
 /// Returns the reply to a call, the time that it took and the router's processor time meanwhile.
 async fn timed_call(bench: &GatewayBench, request: &CallRequest) -> (CallReply, Duration, u64) {
     let (begun, before) = (Instant::now(), bench.router.processor_ms());
@@ -127,3 +139,61 @@
         wait_closed(&bench.plain).await;
     }
 }
+
+// Fails if a call waits for the body of a response whose head says that it did not run, although another
+// target may have it at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_rejections_send_calls_elsewhere_at_once() {
+    for fault in [
+        flood(EndlessPart::Rejection),
+        trickle(EndlessPart::Rejection),
+    ] {
+        let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+        let preferred = preferred_target(&bench).await;
+        preferred.set_fault(fault);
+        let (reply, elapsed, _) = timed_call(&bench, &order("rejected-once")).await;
+        assert_eq!(reply.status, 200, "{fault:?} after {elapsed:?}: {reply:?}");
+        assert!(elapsed < PROMPT, "{fault:?} took {elapsed:?}");
+        let rejected = preferred.runs().last().is_some_and(|run| !run.is_run);
+        assert!(rejected, "{fault:?} was not met");
+        wait_for("a closed connection", || async {
+            preferred.runs().last().is_some_and(|run| run.is_cancelled)
+        })
+        .await;
+    }
+}
+
+// Fails if a call that no target runs is refused only at its deadline, or as one that may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_rejections_of_all_targets_are_not_run() {
+    for fault in [
+        flood(EndlessPart::Rejection),
+        trickle(EndlessPart::Rejection),
+    ] {
+        let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+        set_faults(&bench.plain, fault);
+        let (reply, elapsed, spent_ms) = timed_call(&bench, &order("rejected")).await;
+        assert_eq!(reply.status, 503, "{fault:?} after {elapsed:?}: {reply:?}");
+        assert!(elapsed < PROMPT, "{fault:?} took {elapsed:?}");
+        assert!(spent_ms < CALL_PROCESSOR_MS, "{fault:?} used {spent_ms} ms");
+        wait_closed(&bench.plain).await;
+    }
+}
+
+// Fails if a call waits for the body of a response that it cannot forward, as its head lacks the target's
+// signature.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_unsealed_bodies_end_calls_at_once() {
+    for fault in [
+        flood(EndlessPart::UnsealedBody),
+        trickle(EndlessPart::UnsealedBody),
+    ] {
+        let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+        set_faults(&bench.plain, fault);
+        let (reply, elapsed, spent_ms) = timed_call(&bench, &order("unsealed")).await;
+        assert_eq!(reply.status, 502, "{fault:?} after {elapsed:?}: {reply:?}");
+        assert!(elapsed < PROMPT, "{fault:?} took {elapsed:?}");
+        assert!(spent_ms < CALL_PROCESSOR_MS, "{fault:?} used {spent_ms} ms");
+        wait_closed(&bench.plain).await;
+    }
+}
