Cut tunnels whose targets send heads without end

Callers of a router that carries a tunnel shared one processor with it: a target that sent interim responses without end through the tunnel took all of it for as long as the asking router read, and a host has a quarter of one.

Cause: the carrying router parsed and copied each interim response; nothing counted them.

All heads of a response together may have as many bytes as routers accept in one head. Beyond that no answer comes: both ends are closed at once, the router's with a reset, so that it goes on elsewhere.

--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
@@ -1,5 +1,6 @@
 //! The `tunnel_copy` module provides the copying of bytes between a router and a target.
 
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -23,6 +24,8 @@
     Closed,
     /// The reader's connection broke.
     ReadFailed,
+    /// What was read is no answer.
+    NoAnswer,
     /// The writer's connection broke.
     WriteFailed,
 }
@@ -30,8 +33,8 @@
 /// Copies bytes in both directions until one end closes.
 ///
 /// The router closes when the call is over, and the target's work ends with its connection. If the
-/// target's connection breaks, the router's is reset: closed regularly, a truncated response
-/// without a length would look complete.
+/// target's connection breaks, or it sends no answer, the router's is reset: closed regularly, a
+/// truncated response without a length would look complete.
 pub(super) async fn copy_both_ways(
     state: &GatewayState,
     watch: &TunnelWatch<'_>,
@@ -49,11 +52,12 @@
         ));
         let requests = copy(state, &mut router_reader, &mut target_writer, |part| {
             watch.record_request(part);
+            ControlFlow::Continue(())
         });
         tokio::select! {
             end = &mut responses => end,
             end = requests => match end {
-                CopyEnd::Closed | CopyEnd::ReadFailed => return,
+                CopyEnd::Closed | CopyEnd::ReadFailed | CopyEnd::NoAnswer => return,
                 // The target may have responded before it stopped reading.
                 CopyEnd::WriteFailed => responses.await,
             },
@@ -61,7 +65,7 @@
     };
     match end {
         CopyEnd::Closed => finish(router).await,
-        CopyEnd::ReadFailed => {
+        CopyEnd::ReadFailed | CopyEnd::NoAnswer => {
             // A connection that is already gone needs no reset.
             let _ = router.set_zero_linger();
         }
@@ -73,7 +77,7 @@
     state: &GatewayState,
     reader: &mut (impl AsyncRead + Unpin),
     writer: &mut (impl AsyncWrite + Unpin),
-    record_part: impl Fn(&[u8]),
+    record_part: impl Fn(&[u8]) -> ControlFlow<()>,
 ) -> CopyEnd {
     let mut part = vec![0; PART_BYTES];
     loop {
@@ -81,7 +85,9 @@
             Ok(0) => return CopyEnd::Closed,
             Ok(count) => {
                 state.record_bytes(count as u64);
-                record_part(&part[..count]);
+                if record_part(&part[..count]).is_break() {
+                    return CopyEnd::NoAnswer;
+                }
                 if writer.write_all(&part[..count]).await.is_err() {
                     return CopyEnd::WriteFailed;
                 }
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_watch.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_watch.rs
@@ -4,16 +4,21 @@
 //! For the target, the router that carries a tunnel is the one that sent the request, and passes on the
 //! response.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::ops::ControlFlow;
 
 use beechsaddle_core::gateway::TargetRecord;
+use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{RawHead, parse_request_id, parse_response_head};
 
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::target_notice::{NoticeSource, is_answer_to, is_own, record_notice};
 
 /// Maximum size of a head that is evaluated, in bytes: several times that of a request with a long
-/// prompt. A larger one is only passed on.
+/// prompt. A larger one of a request is only passed on.
+///
+/// It is also the maximum size of all heads of a response. Routers accept no larger head, and an answer
+/// has few interim responses before it.
 const HEAD_BYTES_MAX: usize = 64 * 1_024;
 
 /// The heads of the one request and its response in a tunnel.
@@ -23,6 +28,8 @@
     request: RefCell<HeadBuffer>,
     request_id: RefCell<Option<String>>,
     response: RefCell<HeadBuffer>,
+    /// Size of the response up to the end of its final head, in bytes.
+    response_bytes: Cell<usize>,
 }
 
 impl<'a> TunnelWatch<'a> {
@@ -33,6 +40,7 @@
             request: RefCell::default(),
             request_id: RefCell::default(),
             response: RefCell::default(),
+            response_bytes: Cell::default(),
         }
     }
 
@@ -45,9 +53,14 @@
         }
     }
 
-    /// Reads a part of the response.
-    pub(super) fn record_response(&self, part: &[u8]) {
+    /// Reads a part of the response; returns `Break` if it is known that it is no answer.
+    pub(super) fn record_response(&self, part: &[u8]) -> ControlFlow<()> {
         let mut buffer = self.response.borrow_mut();
+        if buffer.is_finished {
+            return ControlFlow::Continue(());
+        }
+        self.response_bytes
+            .set(self.response_bytes.get() + part.len());
         let mut next = buffer.push(part, parse_response_head);
         // Interim responses come before the final one.
         while next
@@ -57,7 +70,7 @@
             next = buffer.push(&[], parse_response_head);
         }
         let Some(facts) = next else {
-            return;
+            return self.check_heads();
         };
         buffer.finish();
         let request_id = self.request_id.borrow();
@@ -67,6 +80,24 @@
         if is_answer && is_own(&facts) {
             record_notice(self.state, self.target, &facts, NoticeSource::Tunnel);
         }
+        ControlFlow::Continue(())
+    }
+
+    /// Checks the size of heads that came without the final one.
+    fn check_heads(&self) -> ControlFlow<()> {
+        if self.response_bytes.get() <= HEAD_BYTES_MAX {
+            return ControlFlow::Continue(());
+        }
+        let fields = [
+            ("target", self.target.name.to_string()),
+            (
+                "why",
+                "no answer within the maximum size of heads".to_owned(),
+            ),
+        ];
+        let report = &self.state.report;
+        report.log(LogLevel::Warning, "tunnel_cut", fields);
+        ControlFlow::Break(())
     }
 }
 
--- /dev/null
+++ b/crates/beechsaddle/tests/gateway_endless_readers.rs
@@ -0,0 +1,136 @@
+//! Tests of routers to which others than targets of their calls send without end.
+
+mod gateway_support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use beechsaddle_platform_stand_in::EntryState;
+use beechsaddle_wire::lending_capnp::{TunnelOutcome, tunnel_reply, tunnel_request};
+use gateway_support::{GatewayBench, SETTLE_SPAN, draft, request, wait_for};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+/// How long a peer sends without end.
+const SEND_SPAN: Duration = Duration::from_millis(3_000);
+
+/// Maximum processor time that a router may spend meanwhile, beyond its calls, in milliseconds.
+const PROCESSOR_MS_MAX: u64 = 900;
+
+/// A router that carries tunnels, and a target of a service of its own.
+struct TunnelBench {
+    bench: GatewayBench,
+}
+
+impl TunnelBench {
+    /// Starts a bench with a target that answers any request with the head, and the part without end.
+    async fn start(head: &'static str, part: &'static [u8]) -> Self {
+        let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+        let address = start_endless(head, part).await;
+        let entry = bench.plain[0].entry_at(address, "endless", "north", EntryState::Ready);
+        bench.store.put("servers", "endless-1", &entry);
+        bench.router.wait_log(&["target_joined", "endless-1"]).await;
+        wait_for("a secret", || async {
+            bench.store.spec("budgets", "peer-secret").is_some()
+        })
+        .await;
+        sleep(SETTLE_SPAN).await;
+        TunnelBench { bench }
+    }
+
+    /// Opens a tunnel to the target, as another router would.
+    async fn open_tunnel(&self) -> TcpStream {
+        let store = &self.bench.store;
+        let secret = store.spec("budgets", "peer-secret").expect("a secret");
+        let mut stream = connect_peer(&self.bench).await;
+        let mut message = capnp::message::Builder::new_default();
+        let mut request = message.init_root::<tunnel_request::Builder<'_>>();
+        request.set_secret(secret["secret"].as_str().expect("a text"));
+        request.set_target("endless-1");
+        let mut bytes = b"TUNL".to_vec();
+        capnp::serialize::write_message(&mut bytes, &message).expect("a message");
+        stream.write_all(&bytes).await.expect("a request");
+        let options = capnp::message::ReaderOptions::new();
+        let reply = capnp_futures::serialize::read_message((&mut stream).compat(), options).await;
+        let reply = reply.expect("a reply");
+        let reply = reply
+            .get_root::<tunnel_reply::Reader<'_>>()
+            .expect("a reply");
+        assert_eq!(reply.get_outcome(), Ok(TunnelOutcome::Opened));
+        let head = "POST /order/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("a request");
+        stream
+    }
+}
+
+async fn connect_peer(bench: &GatewayBench) -> TcpStream {
+    let entry = bench.store.spec("routers", "host-1").expect("an entry");
+    let address = entry["address"].as_str().expect("an address");
+    TcpStream::connect(address).await.expect("a connection")
+}
+
+async fn start_endless(head: &'static str, part: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                let parts = part.repeat(64 * 1_024 / part.len());
+                // The router closes connections at any moment.
+                if stream.read(&mut request).await.is_ok_and(|count| count > 0)
+                    && stream.write_all(head.as_bytes()).await.is_ok()
+                {
+                    while stream.write_all(&parts).await.is_ok() {}
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Reads until the connection ends, for `SEND_SPAN` at most; returns the number of bytes, and whether it
+/// ended.
+async fn read_on(mut stream: TcpStream) -> (u64, bool) {
+    let mut buffer = vec![0; 64 * 1_024];
+    let mut read = 0;
+    let reading = async {
+        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+            read += count as u64;
+        }
+    };
+    let is_ended = timeout(SEND_SPAN, reading).await.is_ok();
+    (read, is_ended)
+}
+
+/// Sends calls one after another for `SEND_SPAN`; returns the time that the slowest took.
+async fn slowest_call(bench: &GatewayBench) -> Duration {
+    let started = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut number = 0;
+    while started.elapsed() < SEND_SPAN {
+        let sent = Instant::now();
+        let call = request("GET /get/1", &format!("beside-{number}"));
+        assert_eq!(bench.router.call(&call).await.status, 200);
+        slowest = slowest.max(sent.elapsed());
+        number += 1;
+        sleep(Duration::from_millis(20)).await;
+    }
+    slowest
+}
+
+/// A target that sends interim responses without end through a tunnel took the processor of the router
+/// that carries it.
+#[tokio::test]
+async fn interim_heads_without_end_close_the_tunnel() {
+    let bench = TunnelBench::start("", b"HTTP/1.1 102 Processing\r\n\r\n").await;
+    let stream = bench.open_tunnel().await;
+    let before = bench.bench.router.processor_ms();
+    let ((read, is_ended), slowest) = tokio::join!(read_on(stream), slowest_call(&bench.bench));
+    let used = bench.bench.router.processor_ms() - before;
+    println!("read {read} bytes, ended {is_ended}, {used} ms, slowest call {slowest:?}");
+    assert!(is_ended, "the tunnel copied {read} bytes and goes on");
+    assert!(used < PROCESSOR_MS_MAX, "{used} ms");
+}
