Bound messages from other routers by what a router sends

Anyone who connects to the address for other routers could take 64 MB of memory for each connection, before a secret is checked. Two such connections are more than a small host has, and the end of the router ends all its callers' calls.

Cause: the connections were read with the library's default limit of 64 MB.

--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -27,7 +27,7 @@
 
 use super::changes::{FollowAnswer, FollowReply};
 use super::limits::PermitRequest;
-use super::peer_codec::time_before;
+use super::peer_codec::{reader_options, time_before};
 
 /// Timeout of connecting to a router: some hundred round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -306,12 +306,11 @@
             .set_nodelay(true)
             .map_err(|error| error.to_string())?;
         let (reader, writer) = stream.into_split();
-        let options = capnp::message::ReaderOptions::new();
         let network = VatNetwork::new(
             reader.compat(),
             writer.compat_write(),
             Side::Client,
-            options,
+            reader_options(),
         );
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: router_peer::Client = system.bootstrap(Side::Server);
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -27,7 +27,7 @@
 use super::ledger_updates::receive_ledger;
 use super::limits::{PermitRequest, answer_permit_request};
 use super::origins::read_origin;
-use super::peer_codec::{read_incarnation, time_before};
+use super::peer_codec::{read_incarnation, reader_options, time_before};
 use super::token_lender::lend_tokens;
 use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
 
@@ -65,12 +65,11 @@
     }
     let (reader, writer) = stream.into_split();
     let reader = Cursor::new(start).chain(reader);
-    let options = capnp::message::ReaderOptions::new();
     let network = VatNetwork::new(
         reader.compat(),
         writer.compat_write(),
         Side::Server,
-        options,
+        reader_options(),
     );
     let server = PeerServer { state, peer };
     let client: router_peer::Client = capnp_rpc::new_client(server);
--- a/crates/beechsaddle/tests/gateway_endless_readers.rs
+++ b/crates/beechsaddle/tests/gateway_endless_readers.rs
@@ -65,6 +65,13 @@
     }
 }
 
+async fn wait_entry(bench: &GatewayBench) {
+    wait_for("an entry of the router", || async {
+        bench.store.spec("routers", "host-1").is_some()
+    })
+    .await;
+}
+
 async fn connect_peer(bench: &GatewayBench) -> TcpStream {
     let entry = bench.store.spec("routers", "host-1").expect("an entry");
     let address = entry["address"].as_str().expect("an address");
@@ -134,3 +141,28 @@
     assert!(is_ended, "the tunnel copied {read} bytes and goes on");
     assert!(used < PROCESSOR_MS_MAX, "{used} ms");
 }
+
+/// A message of 60 MB from anyone who connects took as much memory.
+#[tokio::test]
+async fn large_peer_message_takes_no_memory() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    wait_entry(&bench).await;
+    let before = bench.router.peak_memory_kb();
+    let send = async {
+        let mut stream = connect_peer(&bench).await;
+        let words: u32 = 7_500_000;
+        let mut head = vec![0; 4];
+        head.extend_from_slice(&words.to_le_bytes());
+        stream.write_all(&head).await.expect("a head");
+        for _ in 0..59 {
+            if stream.write_all(&vec![1; 1_000_000]).await.is_err() {
+                return;
+            }
+        }
+        sleep(Duration::from_millis(1_000)).await;
+    };
+    tokio::join!(send, slowest_call(&bench));
+    let used = bench.router.peak_memory_kb().saturating_sub(before);
+    println!("{used} kB");
+    assert!(used < 20_000, "{used} kB");
+}
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -184,6 +184,15 @@
         (ticks(11) + ticks(12)) * 10
     }
 
+    /// Returns the most memory that the process used at once, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let fields: Vec<_> = line.expect("a size").split_whitespace().collect();
+        fields[1].parse().expect("a number")
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub async fn wait_end(&mut self) -> Option<i32> {
         let until = Instant::now() + Duration::from_secs(15);
