Close connections from other routers that send nothing

A router could run out of descriptors, and then takes no new callers: connections to the address for other routers that sent nothing stayed open for ever.

Cause: the first bytes, which tell a tunnel from other connections, were awaited without a time limit. Evidence: silent_peer_is_closed found the connection open after 3 s in 3 of 3 runs; now it is closed in 3 of 3 runs.

Routers connect in order to send at once, so a new connection has 2 s for its first bytes.

--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -20,6 +20,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::changes::{FollowReply, serve_follow};
@@ -34,6 +35,10 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a new connection may send nothing. Routers connect in order to send a message at once; the
+/// time covers retransmissions.
+const START_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// Serves other routers until the process ends.
 pub(super) async fn run_peer_listener(listener: TcpListener, state: Rc<GatewayState>) {
     loop {
@@ -56,9 +61,15 @@
         return;
     }
     let mut start = [0; TUNNEL_PREFACE.len()];
-    // A peer that closes its connection before it sends anything needs no handling here.
-    if stream.read_exact(&mut start).await.is_err() {
-        return;
+    match timeout(START_TIMEOUT, stream.read_exact(&mut start)).await {
+        Ok(Ok(_)) => {}
+        // A peer that closes its connection before it sends anything needs no handling here.
+        Ok(Err(_)) => return,
+        Err(_) => {
+            let fields = [("peer", peer.to_string())];
+            let report = &state.report;
+            return report.log(LogLevel::Warning, "peer_silent", fields);
+        }
     }
     if start == TUNNEL_PREFACE {
         return serve_tunnel(stream, peer, state).await;
--- a/crates/beechsaddle/tests/gateway_endless_readers.rs
+++ b/crates/beechsaddle/tests/gateway_endless_readers.rs
@@ -166,3 +166,13 @@
     println!("{used} kB");
     assert!(used < 20_000, "{used} kB");
 }
+
+/// A connection that sends nothing to the address for other routers was kept for ever.
+#[tokio::test]
+async fn silent_peer_is_closed() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    wait_entry(&bench).await;
+    let stream = connect_peer(&bench).await;
+    let (_, is_ended) = read_on(stream).await;
+    assert!(is_ended);
+}
