Write the bill before the answer ends where no peer is known to be live

Cause: a router that holds the budget itself gives a copy of the usage to a second router before it releases an answer's last part. If it knew none it released the part at once, also just after its start, when it serves calls but has not heard of its peers yet. The bill was then only in its memory. Why it works: where the settings, the platform or other routers name further routers of the domain, the last part now waits until the bill is durable, which is written at once, at most every 50 ms. While the platform is known to be unreachable, and in domains of one router, answers end as before; otherwise they wait for settle_timeout_ms at most, as they did for a copy.

--- a/crates/beechsaddle-core/src/accounting/accounting_manager.rs
+++ b/crates/beechsaddle-core/src/accounting/accounting_manager.rs
@@ -61,6 +61,8 @@
     pub(super) checkpoint: u64,
     /// Bills that no segment holds yet.
     pub(super) unwritten_bills: Vec<BillRecord>,
+    /// Whether the last part of a response waits for one of these bills.
+    pub(super) has_uncopied: bool,
     /// Bills of the segment that is being written.
     pub(super) sent_bills: Vec<BillRecord>,
     /// Durable bills that another router may still hand to a successor.
@@ -130,6 +132,7 @@
             written_at: ClockTime::ZERO,
             checkpoint: 0,
             unwritten_bills: Vec::new(),
+            has_uncopied: false,
             sent_bills: Vec::new(),
             unconfirmed: BTreeMap::new(),
             late: BTreeMap::new(),
--- a/crates/beechsaddle-core/src/accounting/manager_hand_over.rs
+++ b/crates/beechsaddle-core/src/accounting/manager_hand_over.rs
@@ -47,7 +47,8 @@
     }
 
     /// Sends a copy of a call to a router other than its holder, so that the usage survives the
-    /// death of this router. If there is no such router, the call goes on without a copy.
+    /// death of this router. While none of its domain is live, the last part waits for the journal
+    /// instead; a domain without other routers goes on without a copy.
     pub(super) fn send_copy(&mut self, context: &mut EventContext<'_>, call: &CallId) {
         let Some(entry) = self.entries.get_mut(call) else {
             return;
@@ -62,7 +63,7 @@
         let is_ended = copy.ended;
         let Some(backup) = backup else {
             if is_ended && entry.holder == self.me {
-                self.release_call(context, call);
+                self.release_uncopied(context, call);
             }
             return;
         };
@@ -70,6 +71,16 @@
         context.send(&backup, PeerMessage::WitnessNote(copy));
     }
 
+    /// Releases the last part of a call that no other router can take a copy of, unless its bill can
+    /// be written to the journal first.
+    fn release_uncopied(&mut self, context: &mut EventContext<'_>, call: &CallId) {
+        let is_alone = !context.members.expects_others();
+        if is_alone || self.is_platform_unreachable(context.now) {
+            return self.release_call(context, call);
+        }
+        self.has_uncopied = true;
+    }
+
     pub(super) fn report_progress(&mut self, context: &mut EventContext<'_>) {
         let mut reports: BTreeMap<RouterIncarnation, Vec<CallProgress>> = BTreeMap::new();
         for (call, entry) in &mut self.entries {
--- a/crates/beechsaddle-core/src/accounting/manager_holder.rs
+++ b/crates/beechsaddle-core/src/accounting/manager_holder.rs
@@ -125,7 +125,7 @@
         self.lookups.prune(now, recheck_ms, retains_open);
     }
 
-    fn is_platform_unreachable(&self, now: ClockTime) -> bool {
+    pub(super) fn is_platform_unreachable(&self, now: ClockTime) -> bool {
         self.unreachable_since
             .is_some_and(|since| now.since(since) >= self.options.grant_timeout_ms)
     }
--- a/crates/beechsaddle-core/src/accounting/manager_journal.rs
+++ b/crates/beechsaddle-core/src/accounting/manager_journal.rs
@@ -14,6 +14,10 @@
 use crate::prelude::*;
 use crate::report::{CounterName, LogLevel};
 
+/// Minimum time between two segments written only for bills without a copy at another router, in
+/// milliseconds, so that callers of a router without live peers cannot use up the platform's writes.
+const UNCOPIED_PERIOD_MS: u64 = 50;
+
 impl AccountingManager {
     pub(super) fn dispatch_journal(&mut self, context: &mut EventContext<'_>) {
         if self.writer.is_idle() && self.is_journal_due(context.now) {
@@ -57,7 +61,9 @@
             return self.drain == DrainState::Closing;
         }
         let is_period_over = now.since(self.written_at) >= self.options.journal_period_ms;
-        if is_period_over && !self.unwritten_bills.is_empty() && self.bill_room() > 0 {
+        let is_uncopied_due = self.has_uncopied && now.since(self.written_at) >= UNCOPIED_PERIOD_MS;
+        let are_bills_due = is_period_over || is_uncopied_due;
+        if are_bills_due && !self.unwritten_bills.is_empty() && self.bill_room() > 0 {
             return true;
         }
         self.holdings.values().any(|holding| {
@@ -104,6 +110,7 @@
             .unwritten_bills
             .split_off(count.min(self.unwritten_bills.len()));
         self.sent_bills = std::mem::replace(&mut self.unwritten_bills, remainder);
+        self.has_uncopied &= !self.unwritten_bills.is_empty();
         let mut marks = BTreeMap::new();
         for (budget, holding) in &mut self.holdings {
             let is_billed = self.sent_bills.iter().any(|bill| bill.budget == *budget);
--- a/crates/beechsaddle-core/src/members/member_manager.rs
+++ b/crates/beechsaddle-core/src/members/member_manager.rs
@@ -168,6 +168,9 @@
     pub fn tick(&mut self, now: ClockTime, outbox: &mut CoreOutbox) {
         self.watch.tick(now, outbox);
         self.contacts.expire(now);
+        let (domain, me) = (self.table.domain(), self.table.me());
+        let expects_others = self.contacts.has_other(domain, &me.host);
+        self.table.set_expects_others(expects_others);
         let check = LivenessCheck {
             options: &self.options,
             hosts: &self.hosts,
--- a/crates/beechsaddle-core/src/members/member_table.rs
+++ b/crates/beechsaddle-core/src/members/member_table.rs
@@ -46,6 +46,8 @@
     latest: BTreeMap<HostName, u64>,
     /// The hosts listed by the platform, once the lists of all domains have been read.
     listed: Option<BTreeSet<HostName>>,
+    /// Whether the own domain has other routers by the settings, the platform or other routers.
+    expects_others: bool,
 }
 
 impl MemberTable {
@@ -58,6 +60,7 @@
             members: BTreeMap::new(),
             latest: BTreeMap::new(),
             listed: None,
+            expects_others: false,
         }
     }
 
@@ -122,6 +125,15 @@
         self.listed = Some(hosts.into_iter().collect());
     }
 
+    /// Whether the own domain should have other routers, even if none of them is known to be live.
+    pub fn expects_others(&self) -> bool {
+        self.expects_others
+    }
+
+    pub(super) fn set_expects_others(&mut self, expects_others: bool) {
+        self.expects_others = expects_others;
+    }
+
     /// The live router on a host.
     pub fn live_on(&self, host: &HostName) -> Option<&RouterIncarnation> {
         self.members
--- a/crates/beechsaddle-core/src/members/peer_contacts.rs
+++ b/crates/beechsaddle-core/src/members/peer_contacts.rs
@@ -79,6 +79,13 @@
             .retain(|_, contact| contact.expires_at.is_none_or(|time| now < time));
     }
 
+    /// Whether any host of a domain but `me` has a contact.
+    pub fn has_other(&self, domain: &DomainName, me: &HostName) -> bool {
+        let sources = [&self.seeds, &self.listed, &self.indirect];
+        let mut contacts = sources.into_iter().flatten();
+        contacts.any(|(host, contact)| contact.domain == *domain && host != me)
+    }
+
     /// One contact per host; indirect reports take precedence over the delayed list, and the list
     /// over the settings.
     pub fn merged(&self) -> BTreeMap<&HostName, &PeerContact> {
--- a/crates/beechsaddle-core/tests/router_support/mod.rs
+++ b/crates/beechsaddle-core/tests/router_support/mod.rs
@@ -67,6 +67,8 @@
     pub is_platform_slow: bool,
     /// The routers that cannot reach the platform.
     pub cut_off: BTreeSet<usize>,
+    /// Whether messages between routers are lost.
+    pub are_peers_cut: bool,
     late_replies: Vec<(usize, CoreEvent)>,
     store: BTreeMap<ObjectKey, (u64, PlatformObject)>,
     revision: u64,
@@ -96,6 +98,7 @@
             stopped_accepting: Vec::new(),
             is_platform_slow: false,
             cut_off: BTreeSet::new(),
+            are_peers_cut: false,
             late_replies: Vec::new(),
             store: BTreeMap::new(),
             revision: 0,
@@ -302,6 +305,7 @@
         match action {
             CoreAction::Call(action) => self.on_call(router, action),
             CoreAction::Platform { ticket, call } => self.on_platform(router, ticket, call),
+            CoreAction::Peer { .. } if self.are_peers_cut => {}
             CoreAction::Peer { to, message, .. } => {
                 let from = self.names[router].clone();
                 if let Some(index) = self.names.iter().position(|name| is_receiver(name, &to)) {
