Notice an unreachable ledger before a router is registered

What callers saw: at a router that lost the store before its registration was done, the first call that needs prepaid tokens waited (0.7 s in the forced run) before it was refused as not run; no line store_lost of budgets was logged until then. Cause: a router without a registration has no role, and only allocators read ledgers, so nothing showed the outage. Evidence: with writes that get no answer at the router's start and the store refusing from then on, the log has no such line within 8 s while no call comes. unreachable_ledger_is_noticed_before_registration fails in this way on the unfixed code, three of three runs. Why it works: while the registration fails, the router reads the ledgers of all counted workspaces, as an allocator does, and takes nothing.

--- a/crates/beechsaddle/src/gateway/changes/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/changes/router_registry.rs
@@ -71,8 +71,10 @@
         if let Ok(entry) = register(&state).await {
             break entry;
         }
+        state.lending.set_registration_failing(true);
         sleep(Duration::from_millis(backoff.next_ms(MIN_BACKOFF_MS))).await;
     };
+    state.lending.set_registration_failing(false);
     list_routers(&state).await;
     let is_complete = entry == OwnEntry::Existing && state.lending.knows_routers();
     if !is_complete {
--- a/crates/beechsaddle/src/gateway/ledger_sync.rs
+++ b/crates/beechsaddle/src/gateway/ledger_sync.rs
@@ -107,7 +107,7 @@
     async fn synchronize(&self) {
         let before = self.failures.get();
         self.returns.begin();
-        let unread = self.state.escrow.borrow().unread();
+        let unread = self.unread();
         self.for_each_parallel(unread, |workspace| self.load(workspace))
             .await;
         let allocated = self.state.escrow.borrow().allocated_workspaces();
@@ -126,6 +126,18 @@
         }
     }
 
+    /// Returns the workspaces whose ledgers to read for the first time. While this router cannot register
+    /// it has no role, and would detect an outage only when a call waits; so it reads the ledgers of all.
+    fn unread(&self) -> Vec<WorkspaceName> {
+        let escrow = self.state.escrow.borrow();
+        if !self.state.lending.is_registration_failing() {
+            return escrow.unread();
+        }
+        let mut counted = escrow.counted();
+        counted.retain(|workspace| escrow.ledger(workspace).is_none());
+        counted
+    }
+
     async fn for_each_parallel<F: Future<Output = ()>>(
         &self,
         workspaces: Vec<WorkspaceName>,
@@ -165,7 +177,11 @@
     fn stale(&self) -> Vec<WorkspaceName> {
         let now = self.state.now();
         let escrow = self.state.escrow.borrow();
-        let (scarce, allocated) = (escrow.scarce(), escrow.allocated_workspaces());
+        let scarce = escrow.scarce();
+        let allocated = match self.state.lending.is_registration_failing() {
+            true => escrow.counted(),
+            false => escrow.allocated_workspaces(),
+        };
         let cached_ledgers = self.cached_ledgers.borrow();
         let stale = cached_ledgers.iter().filter(|(workspace, cached)| {
             let age_ms = now.since(cached.seen_at);
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -43,6 +43,8 @@
     pending_requests: RefCell<BTreeSet<WorkspaceName>>,
     secret: RefCell<String>,
     are_roles_enabled: Cell<bool>,
+    /// Whether the last attempt to register this router in the store failed.
+    is_registration_failing: Cell<bool>,
     roles_enabled: Notify,
 }
 
@@ -57,6 +59,7 @@
             pending_requests: RefCell::default(),
             secret: RefCell::default(),
             are_roles_enabled: Cell::new(false),
+            is_registration_failing: Cell::new(false),
             roles_enabled: Notify::new(),
         }
     }
@@ -91,6 +94,15 @@
         self.are_roles_enabled.get()
     }
 
+    pub(super) fn set_registration_failing(&self, is_failing: bool) {
+        self.is_registration_failing.set(is_failing);
+    }
+
+    /// Whether this router has no role because its registration fails.
+    pub(super) fn is_registration_failing(&self) -> bool {
+        self.is_registration_failing.get()
+    }
+
     /// Whether any router is listed.
     pub(super) fn knows_routers(&self) -> bool {
         self.ring.borrow().router_count() > 0
--- a/crates/beechsaddle/tests/gateway_budgets.rs
+++ b/crates/beechsaddle/tests/gateway_budgets.rs
@@ -163,6 +163,24 @@
     assert_eq!(GatewayBench::arrival_count(&bench.engines), 0);
 }
 
+/// A router starts while the store does not answer writes, and loses the store before it is registered. It
+/// has no role then, but a call must not have to wait to learn that the ledger is unreachable.
+#[tokio::test]
+async fn unreachable_ledger_is_noticed_before_registration() {
+    let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+    bench.store.set_fault(StoreFault::SlowWrites(20_000));
+    let second = GatewayProcess::start(bench.store.address(), "host-2", "south");
+    second.wait_log(&["target_joined", "engine-2"]).await;
+    bench.store.set_fault(StoreFault::Refusing);
+    second.wait_log(&["store_lost", "duty=budgets"]).await;
+    let started = std::time::Instant::now();
+    let reply = second.call(&stream_request("call-1")).await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert!(started.elapsed() < Duration::from_millis(300));
+    assert_eq!(GatewayBench::arrival_count(&bench.engines), 0);
+}
+
 /// Calls without tokens, and calls that no target executed, use no tokens.
 #[tokio::test]
 async fn calls_that_did_not_run_cost_nothing() {
