The core of a router answers calls until the last connection has ended

The core's thread ended with its decision to exit, while connections still read. Callers whose body arrived after that were refused as `ring_full` instead of `draining`, without a count in the metrics; one that was handed over between the core's last look at its ring and the end of its thread would have got no answer at all until `limits.drain_ms` (15 minutes) was over. That moment is too short for a test. Now the core's thread goes on with the calls edge's events until that edge has no connection and accepts none.

--- a/crates/beechsaddle/src/calls/calls_handle.rs
+++ b/crates/beechsaddle/src/calls/calls_handle.rs
@@ -99,8 +99,14 @@
         self.state.connections.load(Ordering::Relaxed)
     }
 
+    /// Ends the edge with its last connection: closes both listeners; connections of callers close
+    /// once all that has arrived on them is answered.
+    pub fn close(&self) {
+        self.state.enter_phase(EdgePhase::Closing);
+    }
+
     /// Whether no connection is open, and none can be accepted any more.
-    fn is_closed(&self) -> bool {
+    pub fn is_closed(&self) -> bool {
         // The listeners count the last connections before they end.
         self.listeners.iter().all(JoinHandle::is_finished) && self.open_connections() == 0
     }
@@ -113,7 +119,7 @@
     /// Stops the edge: waits up to `wait_limit` for connections to end, then closes the remaining
     /// ones and returns their number. Must not be called from within a runtime.
     pub fn stop(&self, wait_limit: Duration) -> usize {
-        self.state.enter_phase(EdgePhase::Closing);
+        self.close();
         let deadline = Instant::now() + wait_limit;
         while !self.is_closed() && Instant::now() < deadline {
             thread::sleep(STOP_POLL_INTERVAL);
--- a/crates/beechsaddle/src/router/core_loop.rs
+++ b/crates/beechsaddle/src/router/core_loop.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, select_biased};
+use crossbeam_channel::{Receiver, RecvTimeoutError, select_biased};
 use eyre::{Result, WrapErr};
 
 use beechsaddle_core::event::TICK_MS;
@@ -41,31 +41,42 @@
     pub control: Receiver<CoreEvent>,
 }
 
-/// Runs the core until it requests the exit.
+/// Interval at which the calls edge is polled for open connections during the exit.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Runs the core until it requests the exit and the calls edge has no connection.
 pub struct CoreLoop {
     core: RouterCore,
     clock: ClockSource,
     edges: EdgeHandles,
     outbox: CoreOutbox,
     next_tick: Instant,
+    /// Time limit for connections of callers to end after the core has requested the exit.
+    exit_timeout: Duration,
     /// Replies to platform calls that were refused because too many were in flight; processed before
     /// all other events.
     refused: VecDeque<CoreEvent>,
 }
 
 impl CoreLoop {
-    pub fn new(core: RouterCore, clock: ClockSource, edges: EdgeHandles) -> Self {
+    pub fn new(
+        core: RouterCore,
+        clock: ClockSource,
+        edges: EdgeHandles,
+        exit_timeout: Duration,
+    ) -> Self {
         CoreLoop {
             core,
             clock,
             edges,
             outbox: CoreOutbox::new(),
             next_tick: Instant::now(),
+            exit_timeout,
             refused: VecDeque::new(),
         }
     }
 
-    /// Processes events until the core requests the exit.
+    /// Processes events until the core requests the exit and the calls edge has no connection.
     ///
     /// # Errors
     ///
@@ -76,13 +87,27 @@
             let event = self.next_event(sources)?;
             exits = self.step(event);
         }
-        // Calls that arrived while the core decided to exit get their refusal now.
-        while let Ok(event) = sources.calls.try_recv() {
-            self.step(event);
-        }
+        self.refuse_late_calls(sources)?;
         Ok(self.edges)
     }
 
+    /// Answers calls that are read after the core has requested the exit: the rest of a body may
+    /// arrive as long as a connection is open.
+    fn refuse_late_calls(&mut self, sources: &EventSources) -> Result<()> {
+        self.edges.calls.close();
+        let deadline = Instant::now() + self.exit_timeout;
+        while !self.edges.calls.is_closed() && Instant::now() < deadline {
+            match sources.calls.recv_timeout(EXIT_POLL_INTERVAL) {
+                Err(RecvTimeoutError::Timeout) => {}
+                event => {
+                    let event = event.wrap_err("event ring of the `calls` edge was closed")?;
+                    self.step(event);
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the next event: a due tick first, so that a flood of events cannot delay timeouts,
     /// then control, the platform and peers, whose events end calls, and last the calls edge.
     fn next_event(&mut self, sources: &EventSources) -> Result<CoreEvent> {
--- a/crates/beechsaddle/src/router/process.rs
+++ b/crates/beechsaddle/src/router/process.rs
@@ -60,7 +60,9 @@
         peers: rings.peers.receiver,
         control: rings.control.receiver,
     };
-    let core_loop = CoreLoop::new(core, clock, edges);
+    // The core has released the last parts of all answers; slow callers may still be reading them.
+    let exit_timeout = Duration::from_millis(settings.limits.drain_ms);
+    let core_loop = CoreLoop::new(core, clock, edges, exit_timeout);
     let thread = std::thread::Builder::new()
         .name("core".to_owned())
         .spawn(move || core_loop.run(&sources))
@@ -75,8 +77,8 @@
         peers,
         report,
     } = edges;
-    // The core has released the last parts of all answers; slow callers may still be reading them.
-    calls.stop(Duration::from_millis(settings.limits.drain_ms));
+    let cut_connections = calls.stop(Duration::ZERO);
+    report.send(RouterSetup::exiting_line(cut_connections));
     peers.stop();
     drop(platform);
     // The report thread ends with its last handle, after it has written every line.
--- a/crates/beechsaddle/src/router/router_setup.rs
+++ b/crates/beechsaddle/src/router/router_setup.rs
@@ -128,6 +128,19 @@
         })
     }
 
+    /// Returns the line to log before the process ends.
+    pub fn exiting_line(cut_connections: usize) -> ReportAction {
+        let level = match cut_connections {
+            0 => LogLevel::Info,
+            _ => LogLevel::Warning,
+        };
+        ReportAction::Log(LogLine {
+            level,
+            event: "router_exiting",
+            fields: vec![("cut_connections", cut_connections.to_string())],
+        })
+    }
+
     fn accounting(&self) -> AccountingOptions {
         let budgets = &self.settings.budgets;
         AccountingOptions {
