Bound the memory of buffered bodies over the whole process

Each plain call could buffer 8 MiB of a response, and each caller the largest request body, so that one service whose responses had no end could take more memory than a host has and end the router, and with it the calls of all others: 60 calls took 268 to 271 MiB, and 40 callers with 4 MB each 255 to 294 MiB. Response bodies that are buffered, until their callers have them, now share a fifth of the process's memory (`memory_mb`, which the platform fills in), and request bodies another fifth. A body may grow while it and its group (service, or workspace) take no more than what is left free, so that the group that takes the most comes to the limit first and the others find room; 16 KiB always pass. An attempt whose response may not grow ends as broken, and a request whose body may not is refused as not run (503 memory_full). Bodies are kept in parts, so that none is copied as a whole when it ends.

--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! Nothing here performs I/O. Each type takes the time and the observations of an edge, and returns
 //! a decision with the facts behind it, so that tests can replay any order of events.
 
+mod buffer_budget;
 mod caller_limits;
 mod change_log;
 mod change_source;
@@ -57,6 +58,7 @@
 mod warm_up;
 mod workspace_ledger;
 
+pub use buffer_budget::BufferBudget;
 pub use caller_limits::CallerLimits;
 pub use change_log::{ChangeBatch, ChangeLog, ChangeReply};
 pub use change_source::{ChangeSource, FollowFailure, SourceSelector};
--- a/crates/beechsaddle/src/gateway/answer_body.rs
+++ b/crates/beechsaddle/src/gateway/answer_body.rs
@@ -7,6 +7,7 @@
 use futures::Stream;
 use http_body::{Body, Frame, SizeHint};
 
+use super::buffered_body::BufferedBody;
 use super::stream_relay::StreamBroken;
 use crate::calls::ConnectionTracker;
 
@@ -17,6 +18,8 @@
 pub(super) enum AnswerBody {
     /// The complete body, already in memory.
     Full(Option<Bytes>),
+    /// A target's whole body.
+    Buffered(BufferedBody),
     /// A body that is forwarded while the target sends it.
     Streamed(BodyStream),
 }
@@ -39,6 +42,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
         match &mut *self {
             AnswerBody::Full(bytes) => Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
+            AnswerBody::Buffered(body) => Poll::Ready(body.take_part().map(Frame::data).map(Ok)),
             AnswerBody::Streamed(chunks) => chunks
                 .as_mut()
                 .poll_next(context)
@@ -47,13 +51,18 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, AnswerBody::Full(None))
+        match self {
+            AnswerBody::Full(bytes) => bytes.is_none(),
+            AnswerBody::Buffered(body) => body.len() == 0,
+            AnswerBody::Streamed(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             AnswerBody::Full(Some(bytes)) => SizeHint::with_exact(bytes.len() as u64),
             AnswerBody::Full(None) => SizeHint::with_exact(0),
+            AnswerBody::Buffered(body) => SizeHint::with_exact(body.len() as u64),
             AnswerBody::Streamed(_) => SizeHint::default(),
         }
     }
--- /dev/null
+++ b/crates/beechsaddle/src/gateway/buffered_body.rs
@@ -0,0 +1,149 @@
+//! The `buffered_body` module provides bodies of responses that are read whole before they are
+//! forwarded.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use beechsaddle_core::gateway::AttemptEnd;
+use beechsaddle_core::prelude::*;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::buffer_memory::BufferShare;
+use super::target_send::SendFailure;
+
+/// Minimum size of the parts that a body is kept in, in bytes.
+const PART_BYTES_MIN: usize = 4_096;
+
+/// Maximum size of these parts, in bytes: a body that grows is never copied as a whole.
+const PART_BYTES_MAX: usize = 65_536;
+
+/// A body of a response and the memory that it takes.
+pub(super) struct BufferedBody {
+    parts: VecDeque<Bytes>,
+    share: BufferShare<ServiceName>,
+}
+
+impl BufferedBody {
+    /// Creates an empty body.
+    pub(super) fn empty(share: BufferShare<ServiceName>) -> Self {
+        BufferedBody {
+            parts: VecDeque::new(),
+            share,
+        }
+    }
+
+    /// Reads a body of at most `bytes_max` bytes, up to the time `left`.
+    ///
+    /// # Errors
+    ///
+    /// A [`SendFailure`] if it does not end, or takes more memory than is left for it.
+    pub(super) async fn read(
+        body: Incoming,
+        share: BufferShare<ServiceName>,
+        bytes_max: usize,
+        left: Duration,
+    ) -> Result<Self, SendFailure> {
+        match timeout(left, read_to_end(body, share, bytes_max)).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(detail)) => Err(SendFailure::new(AttemptEnd::Broken, detail)),
+            Err(_) => Err(SendFailure::new(
+                AttemptEnd::Silent,
+                "timed out reading the response body",
+            )),
+        }
+    }
+
+    /// Returns the size of what is left, in bytes.
+    pub(super) fn len(&self) -> usize {
+        self.share.bytes()
+    }
+
+    /// Takes the next part, whose memory counts as free from then on.
+    pub(super) fn take_part(&mut self) -> Option<Bytes> {
+        let part = self.parts.pop_front()?;
+        // A smaller size is always allowed.
+        self.share.try_resize(self.len() - part.len());
+        Some(part)
+    }
+}
+
+async fn read_to_end(
+    mut body: Incoming,
+    share: BufferShare<ServiceName>,
+    bytes_max: usize,
+) -> Result<BufferedBody, String> {
+    let mut collector = BodyCollector::new(share, bytes_max);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        // Trailers carry nothing for the caller.
+        if let Some(data) = frame.into_data().ok().filter(|data| !data.is_empty()) {
+            collector.push(data)?;
+        }
+    }
+    Ok(collector.finish())
+}
+
+/// A body that is being read.
+struct BodyCollector {
+    whole: BufferedBody,
+    /// The end of the body.
+    tail: BytesMut,
+    bytes_max: usize,
+}
+
+impl BodyCollector {
+    fn new(share: BufferShare<ServiceName>, bytes_max: usize) -> Self {
+        BodyCollector {
+            whole: BufferedBody::empty(share),
+            tail: BytesMut::new(),
+            bytes_max,
+        }
+    }
+
+    fn push(&mut self, data: Bytes) -> Result<(), String> {
+        let bytes = self.whole.len() + data.len();
+        if bytes > self.bytes_max {
+            return Err(format!("response body exceeds {} bytes", self.bytes_max));
+        }
+        if !self.whole.share.try_resize(bytes) {
+            return Err("response body exceeds the memory left for its service".to_owned());
+        }
+        match self.whole.parts.is_empty() {
+            // Most bodies come as one chunk.
+            true => self.whole.parts.push_back(data),
+            false => self.append(&data),
+        }
+        Ok(())
+    }
+
+    /// Copies a chunk, as it may hold a whole read buffer in memory.
+    fn append(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            let room = self.tail.capacity() - self.tail.len();
+            if room == 0 {
+                self.flush();
+                let part_bytes = self.whole.len().clamp(PART_BYTES_MIN, PART_BYTES_MAX);
+                self.tail = BytesMut::with_capacity(part_bytes);
+                continue;
+            }
+            let (fitting, rest) = data.split_at(room.min(data.len()));
+            self.tail.extend_from_slice(fitting);
+            data = rest;
+        }
+    }
+
+    fn flush(&mut self) {
+        let part = std::mem::take(&mut self.tail);
+        if !part.is_empty() {
+            self.whole.parts.push_back(part.freeze());
+        }
+    }
+
+    fn finish(mut self) -> BufferedBody {
+        self.flush();
+        self.whole
+    }
+}
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
+use super::buffer_memory::BufferShare;
 use super::call_record::CallRecord;
 use super::crashes::TrialGuard;
 use super::gateway_metrics::OutcomeLabel;
@@ -37,6 +38,8 @@
     pub(super) headers: HeaderMap,
     /// The complete request body.
     pub(super) body: Bytes,
+    /// Keeps the memory of the body reserved.
+    pub(super) _body_share: BufferShare<Option<WorkspaceName>>,
     /// Identifies the request independently of the id of this attempt.
     pub(super) fingerprint: SuspectKey,
     /// All that may be suspected if a target crashes: the fingerprint and the shared parts of the
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -12,11 +12,10 @@
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
-use bytes::Bytes;
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
@@ -29,6 +28,7 @@
 use super::origins::check_resume;
 use super::plain_exchange::serve_plain;
 use super::refusal::RefusalCause;
+use super::request_body::{BodyFault, read_request};
 use super::stream_exchange::serve_stream;
 use super::target_choice::refuse_resting;
 use super::token_reservation::TokenReservation;
@@ -381,11 +381,14 @@
     let body_max = state.caller_limits().body_bytes;
     let timeout_ms = head.deadline_ms.unwrap_or(u64::MAX);
     let timeout_ms = timeout_ms.min(rules.route.timeout_ms);
-    let body = match read_body(body, body_max, timeout_ms.min(BODY_TIMEOUT_MS)).await {
-        Ok(body) => body,
-        Err(refusal) => return Err((record, refusal)),
+    let workspace = rules.workspace.as_ref().map(|rule| rule.name.clone());
+    let share = state.request_memory.share(workspace);
+    let left = Duration::from_millis(timeout_ms.min(BODY_TIMEOUT_MS));
+    let (body, body_share) = match read_request(body, share, body_max, left).await {
+        Ok(read) => read,
+        Err(fault) => return Err((record, body_refusal(fault, body_max))),
     };
-    state.record_message(LinkDirection::In, &body);
+    state.record_message(LinkDirection::In, body.len());
     let (service, version) = match find_service(state, &record, &rules.route, &head).await {
         Ok(found) => found,
         Err(refusal) => return Err((record, refusal)),
@@ -429,6 +432,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        _body_share: body_share,
         fingerprint,
         suspects,
         route: rules.route,
@@ -479,22 +483,23 @@
     }
 }
 
-async fn read_body(body: Incoming, body_max: usize, timeout_ms: u64) -> Result<Bytes, CallRefusal> {
-    let reading = Limited::new(body, body_max).collect();
-    match timeout(Duration::from_millis(timeout_ms), reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallRefusal::new(
+fn body_refusal(fault: BodyFault, body_max: usize) -> CallRefusal {
+    match fault {
+        BodyFault::TooLarge => CallRefusal::new(
             RefusalCause::BodyTooLarge,
             format!("at most {body_max} bytes are taken"),
-        )),
-        Ok(Err(error)) => Err(CallRefusal::new(
+        ),
+        BodyFault::Unreadable(error) => CallRefusal::new(
             RefusalCause::BadHead,
             format!("the body cannot be read: {error}"),
-        )),
-        Err(_) => Err(CallRefusal::new(
-            RefusalCause::BodyTimeout,
-            "the body did not come in time",
-        )),
+        ),
+        BodyFault::TimedOut => {
+            CallRefusal::new(RefusalCause::BodyTimeout, "the body did not come in time")
+        }
+        BodyFault::MemoryFull => CallRefusal::new(
+            RefusalCause::MemoryFull,
+            "this router has no memory left for the body",
+        ),
     }
 }
 
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -54,6 +54,13 @@
 /// Minimum link rate that can be configured, in megabits per second: one prompt per second.
 const LINK_MIN_MBPS: f64 = 0.1;
 
+/// Default memory of a router's process, in mebibytes: that of a small host.
+const DEFAULT_MEMORY_MB: u64 = 128;
+
+/// Part of the memory for the buffered bodies of all requests, and as much for those of all responses.
+/// The rest is for connections, what is known of the fleet, and copies on their way.
+const BODY_MEMORY_PART: u64 = 5;
+
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -84,6 +91,8 @@
     pub evacuate_ms: Option<u64>,
     /// The capacity of the host's link, in megabits per second; `None` if unknown.
     pub link_mbps: Option<f64>,
+    /// The memory of the router's process, in mebibytes.
+    pub memory_mb: u64,
     /// The time between the termination signal and the kill, in milliseconds.
     pub grace_ms: u64,
     /// The fleet's retry budget.
@@ -107,6 +116,12 @@
 }
 
 impl GatewaySettings {
+    /// Returns the memory for the buffered bodies of requests, and of responses, in bytes.
+    pub(super) fn body_memory_bytes(&self) -> usize {
+        let bytes = self.memory_mb * 1_024 * 1_024 / BODY_MEMORY_PART;
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+
     /// Whether the store holds evacuations that the router has to follow.
     pub fn follows_evacuations(&self) -> bool {
         self.evacuate_ms.is_some()
@@ -153,6 +168,7 @@
     let metrics_address = gateway.read_address("metrics_address", findings);
     let grace_ms = gateway.read_seconds_ms("grace_s", 8.0, findings);
     let link_mbps = gateway.read_f64("link_mbps", LINK_MIN_MBPS..=1e6, findings);
+    let memory_mb = gateway.read_u64_or("memory_mb", DEFAULT_MEMORY_MB, 32..=1_048_576, findings);
     gateway.finish(findings);
     let store = store?;
     Some(GatewaySettings {
@@ -169,6 +185,7 @@
         change_bounds: store.change_bounds,
         evacuate_ms: store.evacuate_ms,
         link_mbps,
+        memory_mb,
         grace_ms,
         retries,
         budgets,
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
+use super::buffer_memory::BufferMemory;
 use super::changes::{ChangeRelay, StoreHealth};
 use super::clock_manager::ClockManager;
 use super::crashes::CrashManager;
@@ -103,6 +104,10 @@
     pub(super) target_unreached: Notify,
     /// Connections to targets by way of other routers.
     pub(super) tunnels: TunnelDirectory,
+    /// The memory of targets' responses that are buffered, by service.
+    pub(super) answer_memory: BufferMemory<ServiceName>,
+    /// The memory of callers' request bodies, by workspace.
+    pub(super) request_memory: BufferMemory<Option<WorkspaceName>>,
     /// Idle connections to targets.
     pub(super) pool: TargetPool,
     pub(super) store: StoreClient,
@@ -171,6 +176,8 @@
             is_confirming_path: Cell::new(false),
             target_unreached: Notify::new(),
             tunnels: TunnelDirectory::default(),
+            answer_memory: BufferMemory::new(settings.body_memory_bytes()),
+            request_memory: BufferMemory::new(settings.body_memory_bytes()),
             pool: TargetPool::default(),
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
@@ -230,10 +237,10 @@
     }
 
     /// Records a request or a whole answer as traffic of the router's link.
-    pub(super) fn record_message(&self, way: LinkDirection, body: &Bytes) {
+    pub(super) fn record_message(&self, way: LinkDirection, bytes: usize) {
         let now = self.now();
         let mut link = self.link.borrow_mut();
-        link.record_message(now, way, body.len() as u64);
+        link.record_message(now, way, bytes as u64);
     }
 
     /// Records a part of a stream, which enters and leaves over the router's link.
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -7,6 +7,8 @@
 mod answer_body;
 mod attempt_guard;
 mod attempt_race;
+mod buffer_memory;
+mod buffered_body;
 mod cached_ledger;
 mod call_context;
 mod call_exchange;
@@ -37,6 +39,7 @@
 mod peer_server;
 mod plain_exchange;
 mod refusal;
+mod request_body;
 mod settings_watch;
 mod stall_watch;
 mod status_view;
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -2,18 +2,15 @@
 //! are forwarded.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use beechsaddle_core::gateway::{AttemptEnd, LinkDirection, TargetChoice, TargetRecord};
 use beechsaddle_platform::{ResponseHead, response_headers};
-use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use tokio::time::timeout;
 
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
 use super::attempt_race::{AttemptRace, AttemptResult, RaceEntry, RaceResult};
+use super::buffered_body::BufferedBody;
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
 use super::crashes::record_completion;
@@ -40,7 +37,7 @@
 struct BufferedAnswer {
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: BufferedBody,
     end: Option<AttemptEnd>,
     is_misdirected: bool,
 }
@@ -122,11 +119,12 @@
     } = answer;
     let end = judge_head(&facts);
     let (parts, body) = response.into_parts();
+    let share = call.state.answer_memory.share(call.service.clone());
     let body = match end {
         // The connection is closed with the link.
-        Some(end) if end != AttemptEnd::Failed => Bytes::new(),
-        _ if call.method == Method::HEAD => Bytes::new(),
-        _ => read_body(body, call.remaining()).await?,
+        Some(end) if end != AttemptEnd::Failed => BufferedBody::empty(share),
+        _ if call.method == Method::HEAD => BufferedBody::empty(share),
+        _ => BufferedBody::read(body, share, MAX_ANSWER_BYTES, call.remaining()).await?,
     };
     if end.is_none() && facts.status.is_success() {
         link.release(&call.state, target.address, &facts);
@@ -155,18 +153,6 @@
     }
 }
 
-async fn read_body(body: hyper::body::Incoming, left: Duration) -> Result<Bytes, SendFailure> {
-    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    match timeout(left, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) => Err(SendFailure::new(AttemptEnd::Broken, error.to_string())),
-        Err(_) => Err(SendFailure::new(
-            AttemptEnd::Silent,
-            "timed out reading the response body",
-        )),
-    }
-}
-
 /// Returns how long to wait for a target before another one is tried beside it, in milliseconds.
 fn wait_limit_ms(call: &CallContext, target: &TargetRecord) -> u64 {
     let roster = call.state.roster.borrow();
@@ -193,9 +179,9 @@
             }
         });
     for way in [LinkDirection::In, LinkDirection::Out] {
-        call.state.record_message(way, &answer.body);
+        call.state.record_message(way, answer.body.len());
     }
-    let mut response = Response::new(AnswerBody::full(answer.body));
+    let mut response = Response::new(AnswerBody::Buffered(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = response_headers(&answer.headers);
     if call.method != Method::HEAD {
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -20,6 +20,8 @@
     BodyTooLarge,
     /// The body did not arrive in time.
     BodyTimeout,
+    /// The router has no memory left for the body.
+    MemoryFull,
     /// The workspace's remaining tokens do not cover the request.
     BudgetExhausted,
     /// The router holds too few tokens, and the ledger did not supply more in time.
@@ -87,6 +89,7 @@
             RefusalCause::BudgetUnreachable
             | RefusalCause::NoConfig
             | RefusalCause::LinkFull
+            | RefusalCause::MemoryFull
             | RefusalCause::NoTarget
             | RefusalCause::StreamUnknown
             | RefusalCause::VersionGone
@@ -117,6 +120,7 @@
             RefusalCause::HeadTooLarge => "head_too_large",
             RefusalCause::BodyTooLarge => "body_too_large",
             RefusalCause::BodyTimeout => "body_timeout",
+            RefusalCause::MemoryFull => "memory_full",
             RefusalCause::BudgetExhausted => "budget_exhausted",
             RefusalCause::BudgetUnreachable => "budget_unreachable",
             RefusalCause::CrashesTargets => "crashes_targets",
@@ -143,7 +147,10 @@
     pub(super) fn leaves_body_unread(self) -> bool {
         matches!(
             self,
-            RefusalCause::BodyTooLarge | RefusalCause::BodyTimeout | RefusalCause::BadHead
+            RefusalCause::BodyTooLarge
+                | RefusalCause::BodyTimeout
+                | RefusalCause::MemoryFull
+                | RefusalCause::BadHead
         )
     }
 
--- a/crates/beechsaddle/src/gateway/settings_watch.rs
+++ b/crates/beechsaddle/src/gateway/settings_watch.rs
@@ -47,6 +47,9 @@
         Ok(settings) => {
             let before = state.settings();
             state.retries.borrow_mut().set_options(settings.retries);
+            let body_bytes = settings.body_memory_bytes();
+            state.answer_memory.set_total(body_bytes);
+            state.request_memory.set_total(body_bytes);
             let needs_restart = settings.call_address != before.call_address
                 || settings.ready_address != before.ready_address
                 || settings.store != before.store
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -7,13 +7,12 @@
 use beechsaddle_platform::response_headers;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
 use super::attempt_race::{AttemptRace, AttemptResult, RaceEntry, RaceResult};
+use super::buffered_body::BufferedBody;
 use super::call_context::CallContext;
 use super::origins::{ResumeActor, ResumeVersion};
 use super::refusal::RefusalCause;
@@ -202,15 +201,9 @@
     response: Response<Incoming>,
 ) -> Result<Response<AnswerBody>, SendFailure> {
     let (parts, body) = response.into_parts();
-    let reading = Limited::new(body, MAX_FAILURE_BYTES).collect();
-    let body = match timeout(call.remaining(), reading).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) => {
-            return Err(SendFailure::new(AttemptEnd::Broken, error.to_string()));
-        }
-        Err(_) => return Err(SendFailure::new(AttemptEnd::Silent, "error body timed out")),
-    };
-    let mut response = Response::new(AnswerBody::full(body));
+    let share = call.state.answer_memory.share(call.service.clone());
+    let body = BufferedBody::read(body, share, MAX_FAILURE_BYTES, call.remaining()).await?;
+    let mut response = Response::new(AnswerBody::Buffered(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = response_headers(&parts.headers);
     response.headers_mut().remove(CONTENT_LENGTH);
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -57,7 +57,8 @@
     let pooled = call.state.pool.take(call.state.now(), target.address);
     if let Some(link) = pooled {
         let request = build_request(call, target, last_event, fetch_from);
-        call.state.record_message(LinkDirection::Out, &call.body);
+        call.state
+            .record_message(LinkDirection::Out, call.body.len());
         let link = TargetLink::direct(link);
         match send_on(call, target, link, request, false).await {
             // The target closed the idle connection before anything was written; a new connection
@@ -77,7 +78,8 @@
     }
     check_target(&call.state, target)?;
     let request = build_request(call, target, last_event, fetch_from);
-    call.state.record_message(LinkDirection::Out, &call.body);
+    call.state
+        .record_message(LinkDirection::Out, call.body.len());
     let sent = send_on(call, target, link, request, true).await;
     sent.map_err(|(failure, _)| failure)
 }
--- a/crates/beechsaddle/tests/gateway_endless.rs
+++ b/crates/beechsaddle/tests/gateway_endless.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use beechsaddle_platform_stand_in::{
-    CallReply, CallRequest, EndlessPart, TargetFault, TargetStandIn, call,
+    CallReply, CallRequest, ConfigDraft, DraftKind, EndlessPart, RouteDraft, TargetFault,
+    TargetStandIn, call,
 };
 use futures::future::join_all;
 use gateway_support::{GatewayBench, draft, request, wait_for};
+use tokio::time::sleep;
 
 const AMPLE: u64 = 1_000_000;
 
@@ -197,3 +199,105 @@
         wait_closed(&bench.plain).await;
     }
 }
+
+/// A deadline that a loaded test machine does not reach, in milliseconds.
+const LONG_MS: u64 = 20_000;
+
+/// Memory of a small host, in mebibytes.
+const HOST_MEMORY_MB: u64 = 110;
+
+/// Returns a configuration with an idempotent route to each service.
+fn two_services() -> ConfigDraft {
+    let mut draft = draft(1, AMPLE);
+    let other = RouteDraft::new("other", "/other/", DraftKind::Idempotent, "engine");
+    draft.routes.push(other);
+    draft
+}
+
+// Fails if a service whose responses have no end takes the memory of the host, or that which responses
+// of other services need.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_bodies_leave_memory_for_others() {
+    let bench = GatewayBench::start(&two_services()).await;
+    set_faults(&bench.plain, trickle(EndlessPart::Body));
+    let address = bench.router.address;
+    let orders = (0..60).map(|number| async move {
+        let order = order(&format!("order-{number}"));
+        call(address, &order).await.expect("an answer").status
+    });
+    let orders = tokio::spawn(join_all(orders));
+    sleep(Duration::from_millis(800)).await;
+    for engine in &bench.engines {
+        engine.set_body_bytes(2_000_000);
+    }
+    for number in 0..10 {
+        let large = request("GET /other/1", &format!("large-{number}"));
+        let reply = bench.router.call(&large).await;
+        assert_eq!((reply.status, reply.body.len()), (200, 2_000_000));
+        sleep(Duration::from_millis(100)).await;
+    }
+    for status in orders.await.expect("statuses") {
+        assert!(matches!(status, 502 | 504), "status {status}");
+    }
+    let peak_mb = bench.router.peak_memory_mb();
+    assert!(peak_mb < HOST_MEMORY_MB, "{peak_mb} MiB");
+    wait_closed(&bench.plain).await;
+}
+
+// Fails if the bound on memory takes responses that a router alone can hold, or cuts one while it is sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_bodies_pass_whole() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    for body_bytes in [0, 1, 5_000, 70_000, 8_000_000] {
+        set_body_bytes(&bench.plain, body_bytes);
+        for number in 0..4 {
+            let id = format!("whole-{body_bytes}-{number}");
+            let reply = bench.router.call(&request("GET /get/1", &id)).await;
+            assert!(reply.status == 200 && reply.is_complete, "{body_bytes}");
+            assert_eq!(reply.body, "b".repeat(body_bytes));
+        }
+    }
+}
+
+fn set_body_bytes(targets: &[TargetStandIn], body_bytes: usize) {
+    for target in targets {
+        target.set_body_bytes(body_bytes);
+    }
+}
+
+// Fails if callers that send large bodies at the same time take the memory of the host, or if one that is
+// refused for it may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_requests_of_many_callers_leave_memory() {
+    let mut draft = draft(1, AMPLE);
+    draft.limits.body_bytes = 8_000_000;
+    for route in &mut draft.routes {
+        route.timeout_ms = LONG_MS;
+    }
+    let bench = GatewayBench::start(&draft).await;
+    for target in &bench.plain {
+        target.set_response_delay(Duration::from_millis(1_500));
+    }
+    let address = bench.router.address;
+    let orders = (0..40).map(|number| async move {
+        let mut order = order(&format!("large-order-{number}"));
+        order.deadline_ms = LONG_MS;
+        order.body = vec![b'b'; 4_000_000];
+        call(address, &order).await.map(|reply| reply.status)
+    });
+    let statuses = join_all(orders).await;
+    let peak_mb = bench.router.peak_memory_mb();
+    assert!(peak_mb < HOST_MEMORY_MB, "{peak_mb} MiB, {statuses:?}");
+    let count = |wanted| {
+        statuses
+            .iter()
+            .flatten()
+            .filter(|status| **status == wanted)
+            .count()
+    };
+    assert_eq!(count(200) + count(503), 40, "{statuses:?}");
+    assert!(count(200) > 0 && count(503) > 0, "{statuses:?}");
+    assert_eq!(GatewayBench::run_count(&bench.plain), count(200));
+    let small = bench.router.call(&order("small")).await;
+    assert_eq!(small.status, 200, "{small:?}");
+}
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -184,6 +184,18 @@
         (ticks(11) + ticks(12)) * 10
     }
 
+    /// Returns the most memory that the process has used, in mebibytes.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("its status");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let peak_kb = line.and_then(|line| line.split_whitespace().nth(1));
+        let peak_kb: u64 = peak_kb
+            .and_then(|text| text.parse().ok())
+            .expect("a number");
+        peak_kb / 1_024
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub async fn wait_end(&mut self) -> Option<i32> {
         let until = Instant::now() + Duration::from_secs(15);
