End plain responses that come in chunks of a few bytes

A response in chunks of one byte without end took 1.9 to 2.9 s of processor time in a call of 3 s (debug build): each chunk passes from the connection's task to the call's, and 8 MiB of them last longer than the call. Of a response with more than 4,096 chunks these now have to hold 16 bytes on average, or the attempt ends as broken. endless_small_chunks_end_calls_soon failed before in 3 of 3 runs.

--- a/crates/beechsaddle/src/gateway/buffered_body.rs
+++ b/crates/beechsaddle/src/gateway/buffered_body.rs
@@ -20,6 +20,13 @@
 /// Maximum size of these parts, in bytes: a body that grows is never copied as a whole.
 const PART_BYTES_MAX: usize = 65_536;
 
+/// Number of chunks up to which their size does not matter.
+const SMALL_CHUNKS_MAX: usize = 4_096;
+
+/// Minimum mean size of the chunks of a body with more of them, in bytes: each costs about as much
+/// processor time as a small response.
+const CHUNK_BYTES_MIN: usize = 16;
+
 /// A body of a response and the memory that it takes.
 pub(super) struct BufferedBody {
     parts: VecDeque<Bytes>,
@@ -91,6 +98,7 @@
     whole: BufferedBody,
     /// The end of the body.
     tail: BytesMut,
+    chunks: usize,
     bytes_max: usize,
 }
 
@@ -99,15 +107,20 @@
         BodyCollector {
             whole: BufferedBody::empty(share),
             tail: BytesMut::new(),
+            chunks: 0,
             bytes_max,
         }
     }
 
     fn push(&mut self, data: Bytes) -> Result<(), String> {
+        self.chunks += 1;
         let bytes = self.whole.len() + data.len();
         if bytes > self.bytes_max {
             return Err(format!("response body exceeds {} bytes", self.bytes_max));
         }
+        if self.chunks > SMALL_CHUNKS_MAX && bytes / self.chunks < CHUNK_BYTES_MIN {
+            return Err("response body comes in chunks of a few bytes".to_owned());
+        }
         if !self.whole.share.try_resize(bytes) {
             return Err("response body exceeds the memory left for its service".to_owned());
         }
--- a/crates/beechsaddle/tests/gateway_endless.rs
+++ b/crates/beechsaddle/tests/gateway_endless.rs
@@ -265,6 +265,18 @@
     }
 }
 
+// Fails if a body without end in chunks of one byte takes the processor for as long as its call lasts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_small_chunks_end_calls_soon() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    set_faults(&bench.plain, flood(EndlessPart::SmallChunks));
+    let (reply, elapsed, spent_ms) = timed_call(&bench, &order("small-chunks")).await;
+    assert_eq!(reply.status, 502, "after {elapsed:?}, {spent_ms} ms");
+    assert!(elapsed < PROMPT, "took {elapsed:?}");
+    assert!(spent_ms < CALL_PROCESSOR_MS, "used {spent_ms} ms");
+    wait_closed(&bench.plain).await;
+}
+
 // Fails if callers that send large bodies at the same time take the memory of the host, or if one that is
 // refused for it may have run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
