Bound the memory of all answers to probes together

A router of the product's own dialect could take more memory than its host has: up to 512 probes run at once, and each may hold an answer of 1 MiB. Targets in trouble that send such answers would end the router, and with it all calls.

Answers beyond 64 KiB share 16 MiB; without room a probe fails. Usual answers are smaller and always find room, so that sound targets pass their probes.

--- a/crates/beechsaddle/src/calls/body_memory.rs
+++ b/crates/beechsaddle/src/calls/body_memory.rs
@@ -1,4 +1,5 @@
-//! The `body_memory` module provides a common limit on the memory of all request bodies.
+//! The `body_memory` module provides common limits on the memory of bodies: of all requests, and of
+//! all answers to probes.
 
 use std::sync::Arc;
 
@@ -7,7 +8,7 @@
 /// Unit of accounting in bytes, so that the counts fit the semaphore's number of permits.
 const MEMORY_UNIT_BYTES: usize = 1_024;
 
-/// Limit on the memory of all request bodies together.
+/// Limit on the memory of many bodies together.
 ///
 /// The limit of one body times the number of connections is more memory than a small host has.
 /// Callers that send large bodies at the same time would get the process killed, and with it every
--- a/crates/beechsaddle/src/calls/buffered_answer.rs
+++ b/crates/beechsaddle/src/calls/buffered_answer.rs
@@ -37,9 +37,22 @@
 /// `ConnectionLost` if it is truncated, `TimedOut` if nothing arrives for `idle`, and `BadAnswer`
 /// if it is too long.
 pub(crate) async fn read_buffered(
-    mut body: Body,
+    body: Body,
     limit: usize,
     idle: Duration,
+) -> Result<Bytes, AttemptFailure> {
+    read_while(body, idle, |size| size <= limit).await
+}
+
+/// Reads a whole answer as long as its size is accepted.
+///
+/// # Errors
+///
+/// As for [`read_buffered`]; `BadAnswer` if the size is not accepted.
+pub(crate) async fn read_while(
+    mut body: Body,
+    idle: Duration,
+    mut is_accepted: impl FnMut(usize) -> bool,
 ) -> Result<Bytes, AttemptFailure> {
     let mut first = Bytes::new();
     let mut joined = BytesMut::new();
@@ -50,7 +63,7 @@
             Ok(Some(Err(_))) => return Err(AttemptFailure::ConnectionLost),
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
-        if first.len() + joined.len() + part.len() > limit {
+        if !is_accepted(first.len() + joined.len() + part.len()) {
             return Err(AttemptFailure::BadAnswer);
         }
         if first.is_empty() && joined.is_empty() {
--- a/crates/beechsaddle/src/calls/calls_edge.rs
+++ b/crates/beechsaddle/src/calls/calls_edge.rs
@@ -23,6 +23,7 @@
 use super::edge_state::EdgeState;
 use super::event_ring::EventRing;
 use super::listener::run_listener;
+use super::probe::probe_memory;
 use super::query_table::QueryTable;
 use super::target_client::TargetClient;
 
@@ -64,6 +65,7 @@
             client: TargetClient::try_new(&options)?,
             echoes: EchoTable::default(),
             body_memory: BodyMemory::new(options.body_memory_bytes),
+            probe_memory: probe_memory(),
             phase: watch::Sender::new(EdgePhase::Accepting),
             serving: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
--- a/crates/beechsaddle/src/calls/edge_state.rs
+++ b/crates/beechsaddle/src/calls/edge_state.rs
@@ -30,6 +30,8 @@
     pub(crate) echoes: EchoTable,
     /// Limit on the memory of all request bodies.
     pub(crate) body_memory: BodyMemory,
+    /// Limit on the memory of all answers to probes.
+    pub(crate) probe_memory: BodyMemory,
     /// Phase of the shutdown.
     pub(crate) phase: watch::Sender<EdgePhase>,
     /// Whether the core's thread reports this router as accepting calls.
--- a/crates/beechsaddle/src/calls/probe.rs
+++ b/crates/beechsaddle/src/calls/probe.rs
@@ -15,7 +15,8 @@
 use tokio::sync::Semaphore;
 use volo_http::body::Body;
 
-use super::buffered_answer::read_buffered;
+use super::body_memory::BodyMemory;
+use super::buffered_answer::read_while;
 use super::edge_state::EdgeState;
 use super::probe_answer::{read_health, write_order};
 use super::target_client::ConnectionChoice;
@@ -24,6 +25,12 @@
 const PROBE_SLOTS: usize = 512;
 /// Maximum size of an answer to a probe in bytes.
 const MAX_PROBE_ANSWER_BYTES: usize = 1_024 * 1_024;
+/// Memory of all answers to probes together in bytes, beyond the small ones. A router's host has little
+/// memory.
+const PROBE_MEMORY_BYTES: usize = 16 * 1_024 * 1_024;
+/// Size of an answer up to which it always finds memory, in bytes: that of usual answers. Targets in
+/// trouble then cause no failed probes of others.
+const SMALL_ANSWER_BYTES: usize = 64 * 1_024;
 /// Retry delay of a throttled order without a `retry-after-ms` header, in milliseconds.
 const DEFAULT_THROTTLE_MS: u64 = 1_000;
 
@@ -40,6 +47,11 @@
     slots: Arc<Semaphore>,
 }
 
+/// Creates the limit on the memory of all answers to probes.
+pub(crate) fn probe_memory() -> BodyMemory {
+    BodyMemory::new(PROBE_MEMORY_BYTES)
+}
+
 /// A target's answer to a probe or an order.
 struct ProbeReply {
     status: StatusCode,
@@ -188,9 +200,12 @@
     let exchange = async {
         let answer = state.client.send(peer, request, choice).await.ok()?;
         let (parts, body) = answer.into_parts();
-        let body = read_buffered(body, MAX_PROBE_ANSWER_BYTES, span)
-            .await
-            .ok()?;
+        let mut share = state.probe_memory.share();
+        let has_room = |size: usize| {
+            size <= MAX_PROBE_ANSWER_BYTES
+                && share.try_grow(size.saturating_sub(SMALL_ANSWER_BYTES))
+        };
+        let body = read_while(body, span, has_room).await.ok()?;
         Some(ProbeReply {
             status: parts.status,
             headers: parts.headers,
--- a/crates/beechsaddle/tests/calls_probes.rs
+++ b/crates/beechsaddle/tests/calls_probes.rs
@@ -2,6 +2,8 @@
 
 mod calls_support;
 
+use std::time::Duration;
+
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::status::RouterStatus;
 use beechsaddle_core::target::{
@@ -193,3 +195,52 @@
     let request = request.replace("/admin/status", "/v1/models");
     assert_eq!(exchange(core.handle.admin_address(), request).status, 404);
 }
+
+/// Targets in trouble that send large answers to probes, all at once, took more memory than the router's
+/// host has.
+#[test]
+fn probe_answers_without_end_take_little_memory() {
+    const PROBES: usize = 400;
+    // Shared by all connections, so that the target itself takes no memory for each.
+    static BODY: [u8; 1_000_000] = [b' '; 1_000_000];
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        // The router closes the connection at any moment.
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 1048576\r\n\r\n");
+        connection.write(BODY.as_slice());
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let before = resident_kb();
+    for _ in 0..PROBES {
+        core.handle.send(CoreAction::Target(TargetAction::Probe {
+            target: "t".into(),
+            address: target.address.to_string(),
+            cache_after: None,
+        }));
+    }
+    let mut most = before;
+    let mut outcomes = 0;
+    while outcomes < PROBES {
+        most = most.max(resident_kb());
+        match core.events.recv_timeout(Duration::from_millis(10)) {
+            Ok(CoreEvent::Target(TargetEvent::Probed { outcome, .. })) => {
+                assert_eq!(outcome, ProbeOutcome::Failed);
+                outcomes += 1;
+            }
+            Ok(event) => panic!("unexpected {event:?}"),
+            Err(_) => {}
+        }
+    }
+    let used = most - before;
+    println!("{used} kB");
+    assert!(used < 200_000, "{used} kB");
+}
+
+/// Returns the memory that this process uses, in kilobytes.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("a status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let fields: Vec<_> = line.expect("a size").split_whitespace().collect();
+    fields[1].parse().expect("a number")
+}
