--- a/crates/beechsaddle/tests/gateway_endless_readers.rs
+++ b/crates/beechsaddle/tests/gateway_endless_readers.rs
@@ -7,9 +7,10 @@
 
 use beechsaddle_platform_stand_in::EntryState;
 use beechsaddle_wire::lending_capnp::{TunnelOutcome, tunnel_reply, tunnel_request};
-use gateway_support::{GatewayBench, SETTLE_SPAN, draft, request, wait_for};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use gateway_support::{GatewayBench, GatewayProcess, SETTLE_SPAN, draft, request, wait_for};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -85,22 +86,25 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
     tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut request = [0; 4_096];
-                let parts = part.repeat(64 * 1_024 / part.len());
-                // The router closes connections at any moment.
-                if stream.read(&mut request).await.is_ok_and(|count| count > 0)
-                    && stream.write_all(head.as_bytes()).await.is_ok()
-                {
-                    while stream.write_all(&parts).await.is_ok() {}
-                }
-            });
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(send_without_end(stream, head, part));
         }
     });
     address
 }
 
+/// Answers a request with the head, and the part without end.
+async fn send_without_end(mut stream: TcpStream, head: &'static str, part: &'static [u8]) {
+    let mut request = [0; 4_096];
+    let parts = part.repeat(64 * 1_024 / part.len());
+    // The router closes connections at any moment.
+    if stream.read(&mut request).await.is_ok_and(|count| count > 0)
+        && stream.write_all(head.as_bytes()).await.is_ok()
+    {
+        while stream.write_all(&parts).await.is_ok() {}
+    }
+}
+
 /// Reads until the connection ends, for `SEND_SPAN` at most; returns the number of bytes, and whether it
 /// ended.
 async fn read_on(mut stream: TcpStream) -> (u64, bool) {
@@ -204,3 +208,74 @@
     let (_, is_ended) = read_on(stream).await;
     assert!(is_ended);
 }
+
+/// An intermediary before the store that sends without end took the processor of the router, and delayed
+/// its calls.
+#[tokio::test]
+async fn store_without_end_takes_no_processor() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let sized = "HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n";
+    let rejection = "HTTP/1.1 503 Away\r\ncontent-length: 1000000000000\r\n\r\n";
+    for (head, part) in [
+        (chunked, "1\r\n \r\n"),
+        (sized, "                "),
+        (rejection, "                "),
+        ("HTTP/1.1 200 OK\r\n", "name-without-end"),
+    ] {
+        let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
+        let front = StoreFront::start(bench.store.address(), head, part).await;
+        let router = GatewayProcess::start(front.address, "host-2", "north");
+        router.wait_ready().await;
+        router.wait_log(&["target_joined", "plain-2"]).await;
+        let bench = GatewayBench { router, ..bench };
+        front.is_endless.send_replace(true);
+        let before = bench.router.processor_ms();
+        let times = time_calls(&bench).await;
+        let used = bench.router.processor_ms() - before;
+        let slowest = times.last();
+        println!("{head:?} {part:?}: {used} ms, slowest call {slowest:?}");
+        assert!(used < PROCESSOR_MS_MAX, "{head:?} {part:?}: {used} ms");
+    }
+}
+
+/// An intermediary between a router and the store, which answers by itself on request.
+struct StoreFront {
+    address: SocketAddr,
+    is_endless: watch::Sender<bool>,
+}
+
+impl StoreFront {
+    /// Starts an intermediary that forwards, and later answers with the head, and the part without end.
+    async fn start(store: SocketAddr, head: &'static str, part: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let is_endless = watch::Sender::new(false);
+        let sender = is_endless.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let is_endless = sender.subscribe();
+                tokio::spawn(async move {
+                    let answers = *is_endless.borrow();
+                    match answers {
+                        true => send_without_end(stream, head, part.as_bytes()).await,
+                        false => forward(stream, store, is_endless).await,
+                    }
+                });
+            }
+        });
+        StoreFront {
+            address,
+            is_endless,
+        }
+    }
+}
+
+/// Forwards to the store until the intermediary answers by itself.
+async fn forward(mut stream: TcpStream, store: SocketAddr, mut is_endless: watch::Receiver<bool>) {
+    let mut server = TcpStream::connect(store).await.expect("a connection");
+    tokio::select! {
+        // Either end may close at any moment; the other one notices.
+        _ = copy_bidirectional(&mut stream, &mut server) => {}
+        _ = is_endless.wait_for(|is_endless| *is_endless) => {}
+    }
+}
