Bound the memory of all whole answers together

Targets of one service in trouble could end a router of the product's own dialect, and with it the calls of all others: a whole answer may have 4 MiB, and nothing bounded them over all calls.

Answers beyond 64 KiB share 64 MiB; one that finds no room counts as an answer that is too large. Usual answers are smaller and always find room.

--- a/crates/beechsaddle/src/calls/body_memory.rs
+++ b/crates/beechsaddle/src/calls/body_memory.rs
@@ -1,5 +1,5 @@
-//! The `body_memory` module provides common limits on the memory of bodies: of all requests, and of
-//! all answers to probes.
+//! The `body_memory` module provides common limits on the memory of bodies: of all requests, of all
+//! whole answers, and of all answers to probes.
 
 use std::sync::Arc;
 
--- a/crates/beechsaddle/src/calls/buffered_answer.rs
+++ b/crates/beechsaddle/src/calls/buffered_answer.rs
@@ -30,25 +30,12 @@
     usage: ReportedUsage,
 }
 
-/// Reads a whole answer of at most `limit` bytes.
-///
-/// # Errors
-///
-/// `ConnectionLost` if it is truncated, `TimedOut` if nothing arrives for `idle`, and `BadAnswer`
-/// if it is too long.
-pub(crate) async fn read_buffered(
-    body: Body,
-    limit: usize,
-    idle: Duration,
-) -> Result<Bytes, AttemptFailure> {
-    read_while(body, idle, |size| size <= limit).await
-}
-
 /// Reads a whole answer as long as its size is accepted.
 ///
 /// # Errors
 ///
-/// As for [`read_buffered`]; `BadAnswer` if the size is not accepted.
+/// `ConnectionLost` if it is truncated, `TimedOut` if nothing arrives for `idle`, and `BadAnswer`
+/// if its size is not accepted.
 pub(crate) async fn read_while(
     mut body: Body,
     idle: Duration,
--- a/crates/beechsaddle/src/calls/call_run.rs
+++ b/crates/beechsaddle/src/calls/call_run.rs
@@ -6,7 +6,6 @@
     AnswerEnd, AttemptFailure, CallAction, CallArrival, CallEvent, TokenUsage,
 };
 use beechsaddle_core::prelude::*;
-use bytes::Bytes;
 use tokio::sync::mpsc;
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -17,7 +16,7 @@
 use super::call_fault::CallFault;
 use super::call_guard::CallGuard;
 use super::connection_tracker::ConnectionTracker;
-use super::ready_answer::{AnswerHead, ReadyAnswer};
+use super::ready_answer::{AnswerHead, BufferedBody, ReadyAnswer};
 use super::refusal_answer::{fault_answer, refusal_answer};
 
 /// Retry delay in milliseconds for callers refused because the core's ring is full.
@@ -109,7 +108,12 @@
     }
 
     /// Holds a complete answer back until the core has recorded its usage.
-    async fn hold_back(mut self, head: AnswerHead, body: Bytes, usage: TokenUsage) -> Response {
+    async fn hold_back(
+        mut self,
+        head: AnswerHead,
+        body: BufferedBody,
+        usage: TokenUsage,
+    ) -> Response {
         self.guard.record_usage(usage);
         self.guard.end_answer(AnswerEnd::Complete);
         // The request's body is not sent again from here on.
@@ -117,7 +121,7 @@
         loop {
             match self.actions.recv().await {
                 Some(CallAction::Finish { .. }) => {
-                    return head.with_body(body.into(), self.guard.call());
+                    return head.with_body(body.bytes.into(), self.guard.call());
                 }
                 Some(CallAction::Refuse { refusal, .. }) => {
                     return refusal_answer(&refusal, self.guard.call());
--- a/crates/beechsaddle/src/calls/calls_edge.rs
+++ b/crates/beechsaddle/src/calls/calls_edge.rs
@@ -25,6 +25,7 @@
 use super::listener::run_listener;
 use super::probe::probe_memory;
 use super::query_table::QueryTable;
+use super::ready_answer::answer_memory;
 use super::target_client::TargetClient;
 
 /// Maximum number of open connections of operators.
@@ -65,6 +66,7 @@
             client: TargetClient::try_new(&options)?,
             echoes: EchoTable::default(),
             body_memory: BodyMemory::new(options.body_memory_bytes),
+            answer_memory: answer_memory(),
             probe_memory: probe_memory(),
             phase: watch::Sender::new(EdgePhase::Accepting),
             serving: AtomicBool::new(false),
--- a/crates/beechsaddle/src/calls/edge_state.rs
+++ b/crates/beechsaddle/src/calls/edge_state.rs
@@ -30,6 +30,8 @@
     pub(crate) echoes: EchoTable,
     /// Limit on the memory of all request bodies.
     pub(crate) body_memory: BodyMemory,
+    /// Limit on the memory of all whole answers to calls.
+    pub(crate) answer_memory: BodyMemory,
     /// Limit on the memory of all answers to probes.
     pub(crate) probe_memory: BodyMemory,
     /// Phase of the shutdown.
--- a/crates/beechsaddle/src/calls/ready_answer.rs
+++ b/crates/beechsaddle/src/calls/ready_answer.rs
@@ -13,7 +13,8 @@
 
 use super::answer_tail::AnswerTail;
 use super::attempt::{AttemptDispatch, CallContent};
-use super::buffered_answer::{read_buffered, read_usage};
+use super::body_memory::{BodyMemory, MemoryShare};
+use super::buffered_answer::{read_usage, read_while};
 use super::chat_request::ChatRequest;
 use super::edge_state::EdgeState;
 use super::event_scanner::EventScanner;
@@ -22,18 +23,38 @@
 /// Media type of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
+/// Memory of all whole answers together in bytes, beyond the small ones. The limit of one answer times
+/// the number of calls is more than a host has.
+const ANSWER_MEMORY_BYTES: usize = 64 * 1_024 * 1_024;
+
+/// Size of an answer up to which it always finds memory, in bytes: that of usual answers. A target in
+/// trouble then takes none of them away.
+const SMALL_ANSWER_BYTES: usize = 64 * 1_024;
+
 /// Status and headers of an answer, as sent to the caller.
 pub(crate) struct AnswerHead {
     status: StatusCode,
     headers: HeaderMap,
 }
 
+/// A complete body, and the memory that it holds.
+pub(crate) struct BufferedBody {
+    pub(crate) bytes: Bytes,
+    // Released together with the body.
+    _share: MemoryShare,
+}
+
+/// Creates the limit on the memory of all whole answers.
+pub(crate) fn answer_memory() -> BodyMemory {
+    BodyMemory::new(ANSWER_MEMORY_BYTES)
+}
+
 /// A target's answer that may be relayed to the caller.
 pub(crate) enum ReadyAnswer {
     /// Completely received, so it cannot be truncated any more.
     Buffered {
         head: AnswerHead,
-        body: Bytes,
+        body: BufferedBody,
         usage: TokenUsage,
     },
     /// Relayed while it arrives.
@@ -111,7 +132,7 @@
     let head = AnswerHead::new(&answer);
     let body = read_answer(answer, state.options.answer_bytes, state).await?;
     let usage = match head.status.is_success() {
-        true => read_usage(&body)?,
+        true => read_usage(&body.bytes)?,
         false => TokenUsage::default(),
     };
     Ok(ReadyAnswer::Buffered { head, body, usage })
@@ -146,7 +167,14 @@
     answer: Response,
     limit: usize,
     state: &EdgeState,
-) -> Result<Bytes, AttemptFailure> {
+) -> Result<BufferedBody, AttemptFailure> {
     let idle = Duration::from_millis(state.options.answer_idle_ms);
-    read_buffered(answer.into_body(), limit, idle).await
+    let mut share = state.answer_memory.share();
+    let has_room =
+        |size: usize| size <= limit && share.try_grow(size.saturating_sub(SMALL_ANSWER_BYTES));
+    let bytes = read_while(answer.into_body(), idle, has_room).await?;
+    Ok(BufferedBody {
+        bytes,
+        _share: share,
+    })
 }
--- a/crates/beechsaddle/tests/calls_targets.rs
+++ b/crates/beechsaddle/tests/calls_targets.rs
@@ -3,10 +3,10 @@
 mod calls_support;
 
 use std::net::TcpListener;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use beechsaddle::calls::CallsOptions;
-use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallAction, TokenUsage};
+use beechsaddle_core::call::{AnswerEnd, AttemptFailure, CallAction, CallEvent, TokenUsage};
 use beechsaddle_core::prelude::*;
 use calls_support::*;
 
@@ -419,3 +419,52 @@
     assert!(answer.body.contains("\"ran\":\"unknown\""), "{answer:?}");
     core.await_no_calls();
 }
+
+/// Whole answers that many targets in trouble send at once, without their end, took more memory than the
+/// router's host has.
+#[test]
+fn answers_without_end_take_little_memory() {
+    const CALLS: usize = 60;
+    // Shared by all connections, so that the target itself takes no memory for each.
+    static BODY: [u8; 4_000_000] = [b' '; 4_000_000];
+    let target = RawTarget::start(|connection| {
+        connection.read_request();
+        // The router closes the connection at any moment.
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 4194304\r\n\r\n");
+        connection.write(BODY.as_slice());
+        connection.await_close();
+    });
+    let core = FakeCore::start();
+    let before = resident_kb();
+    let mut most = before;
+    let callers = (0..CALLS).map(|_| RawCaller::send(core.address(), chat_call("", false)));
+    let callers: Vec<_> = callers.collect();
+    let mut failed = 0;
+    let until = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < until {
+        most = most.max(resident_kb());
+        match core.events.recv_timeout(Duration::from_millis(10)) {
+            Ok(CoreEvent::Call(CallEvent::Arrived(arrival))) => {
+                core.act(dispatch(&arrival.call, 0, target.address));
+            }
+            Ok(CoreEvent::Call(CallEvent::AttemptFailed { failure, .. })) => {
+                assert_eq!(failure, AttemptFailure::BadAnswer);
+                failed += 1;
+            }
+            Ok(event) => panic!("unexpected {event:?}"),
+            Err(_) => {}
+        }
+    }
+    drop(callers);
+    let used = most - before;
+    println!("{used} kB, {failed} failed");
+    assert!(used < 160_000, "{used} kB");
+}
+
+/// Returns the memory that this process uses, in kilobytes.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("a status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let fields: Vec<_> = line.expect("a size").split_whitespace().collect();
+    fields[1].parse().expect("a number")
+}
