--- a/crates/beechsaddle/src/calls/buffered_answer.rs
+++ b/crates/beechsaddle/src/calls/buffered_answer.rs
@@ -30,16 +30,16 @@
     usage: ReportedUsage,
 }
 
-/// Reads a whole answer of at most `limit` bytes.
+/// Reads a whole answer as long as its size is accepted.
 ///
 /// # Errors
 ///
 /// `ConnectionLost` if it is truncated, `TimedOut` if nothing arrives for `idle`, and `BadAnswer`
-/// if it is too long.
-pub(crate) async fn read_buffered(
+/// if its size is not accepted.
+pub(crate) async fn read_while(
     mut body: Body,
-    limit: usize,
     idle: Duration,
+    mut is_accepted: impl FnMut(usize) -> bool,
 ) -> Result<Bytes, AttemptFailure> {
     let mut first = Bytes::new();
     let mut joined = BytesMut::new();
@@ -50,7 +50,7 @@
             Ok(Some(Err(_))) => return Err(AttemptFailure::ConnectionLost),
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
-        if first.len() + joined.len() + part.len() > limit {
+        if !is_accepted(first.len() + joined.len() + part.len()) {
             return Err(AttemptFailure::BadAnswer);
         }
         if first.is_empty() && joined.is_empty() {
