--- a/crates/beechsaddle/src/gateway/ledger_sync.rs
+++ b/crates/beechsaddle/src/gateway/ledger_sync.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::backoff::RetryBackoff;
+use beechsaddle_core::gateway::TokenEscrow;
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::StoreFailure;
@@ -127,15 +128,15 @@
     }
 
     /// Returns the workspaces whose ledgers to read for the first time. While this router cannot register
-    /// it has no role, and would detect an outage only when a call waits; so it reads the ledgers of all.
+    /// it has no role, and would detect an outage only when a call waits; so it reads one ledger.
     fn unread(&self) -> Vec<WorkspaceName> {
         let escrow = self.state.escrow.borrow();
         if !self.state.lending.is_registration_failing() {
             return escrow.unread();
         }
-        let mut counted = escrow.counted();
-        counted.retain(|workspace| escrow.ledger(workspace).is_none());
-        counted
+        let mut probed = probed_workspaces(&escrow);
+        probed.retain(|workspace| escrow.ledger(workspace).is_none());
+        probed
     }
 
     async fn for_each_parallel<F: Future<Output = ()>>(
@@ -179,7 +180,7 @@
         let escrow = self.state.escrow.borrow();
         let scarce = escrow.scarce();
         let allocated = match self.state.lending.is_registration_failing() {
-            true => escrow.counted(),
+            true => probed_workspaces(&escrow),
             false => escrow.allocated_workspaces(),
         };
         let cached_ledgers = self.cached_ledgers.borrow();
@@ -387,3 +388,11 @@
         }
     }
 }
+
+/// Returns the workspace whose ledger a router without a role reads. One shows whether ledgers can be
+/// reached; all of them, read by each router of a fleet, would take the store's whole rate.
+fn probed_workspaces(escrow: &TokenEscrow) -> Vec<WorkspaceName> {
+    let mut counted = escrow.counted();
+    counted.truncate(1);
+    counted
+}
