A stream whose event never ends is cut in time

A target that sent lines of one event without end, each in a chunk of its own, held a stream far beyond its deadline: a stream with 5 s was still open after 602 s. Each part searched the whole begun event again, and the relay takes what has come before it looks at its timer, which therefore never had its turn.

--- a/crates/beechsaddle/src/gateway/event_splitter.rs
+++ b/crates/beechsaddle/src/gateway/event_splitter.rs
@@ -5,6 +5,13 @@
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1_024;
 
+/// Number of parts of an event up to which their size does not matter.
+const SMALL_PARTS_MAX: usize = 4_096;
+
+/// Minimum mean size of the parts of an event that comes in more of them, in bytes: each takes a turn of
+/// two tasks.
+const PART_BYTES_MIN: usize = 16;
+
 /// Complete events that may be sent to the caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct CompleteEvents {
@@ -16,7 +23,7 @@
     pub(super) complete: u64,
 }
 
-/// An event that exceeds `MAX_EVENT_BYTES`.
+/// An event that exceeds `MAX_EVENT_BYTES`, or comes in too many parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct EventTooLong;
 
@@ -28,6 +35,10 @@
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buffer: BytesMut,
+    /// Where the last line of the buffer starts; what is before it is not searched again.
+    line_start: usize,
+    /// Number of parts in which the incomplete event has come.
+    parts: usize,
     last_event: Option<u64>,
 }
 
@@ -36,6 +47,8 @@
     pub(super) fn new(last_event: Option<u64>) -> Self {
         EventSplitter {
             buffer: BytesMut::new(),
+            line_start: 0,
+            parts: 0,
             last_event,
         }
     }
@@ -48,6 +61,8 @@
     /// Discards an incomplete event.
     pub(super) fn drop_partial(&mut self) {
         self.buffer.clear();
+        self.line_start = 0;
+        self.parts = 0;
     }
 
     /// Returns the size of the incomplete event, in bytes.
@@ -60,21 +75,25 @@
     ///
     /// # Errors
     ///
-    /// Returns [`EventTooLong`] if an incomplete event exceeds `MAX_EVENT_BYTES`.
+    /// Returns [`EventTooLong`] if an incomplete event exceeds `MAX_EVENT_BYTES`, or comes in a great many
+    /// parts of a few bytes.
     pub(super) fn push(&mut self, part: &[u8]) -> Result<CompleteEvents, EventTooLong> {
         self.buffer.extend_from_slice(part);
+        self.parts += 1;
         let mut passed = BytesMut::new();
         let mut events = 0;
         let mut complete = 0;
-        while let Some(end) = event_end(&self.buffer) {
-            let event = self.buffer.split_to(end);
+        while let Some(event) = self.take_event() {
             complete += 1;
+            self.parts = 1;
             if self.accept_event(&event) {
                 passed.extend_from_slice(&event);
                 events += 1;
             }
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
+        let is_scattered =
+            self.parts > SMALL_PARTS_MAX && self.buffer.len() / self.parts < PART_BYTES_MIN;
+        if self.buffer.len() > MAX_EVENT_BYTES || is_scattered {
             return Err(EventTooLong);
         }
         Ok(CompleteEvents {
@@ -84,6 +103,21 @@
         })
     }
 
+    /// Takes the first event, with its blank line, if it is complete.
+    fn take_event(&mut self) -> Option<BytesMut> {
+        let searched_from = self.line_start;
+        for newline in memchr::memchr_iter(b'\n', &self.buffer[searched_from..]) {
+            let newline = searched_from + newline;
+            let line = &self.buffer[self.line_start..newline];
+            if line.is_empty() || line == b"\r" {
+                self.line_start = 0;
+                return Some(self.buffer.split_to(newline + 1));
+            }
+            self.line_start = newline + 1;
+        }
+        None
+    }
+
     /// Returns whether the caller does not have an event yet, and remembers its id if so.
     fn accept_event(&mut self, event: &[u8]) -> bool {
         let Some(id) = event_id(event) else {
@@ -97,19 +131,6 @@
     }
 }
 
-/// Returns the end of the first event, after its blank line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for newline in memchr::memchr_iter(b'\n', bytes) {
-        let line = &bytes[line_start..newline];
-        if line.is_empty() || line == b"\r" {
-            return Some(newline + 1);
-        }
-        line_start = newline + 1;
-    }
-    None
-}
-
 /// Returns the number in an event's `id` field.
 fn event_id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -120,14 +120,15 @@
             let detail = "no attempt is open".to_owned();
             return RelayStep::Part(UpstreamPart::Lost(AttemptEnd::Broken, detail));
         };
+        // A target that sends all the time never lets the timer below have its turn.
+        if self.call.remaining_ms() == 0 {
+            return RelayStep::Part(deadline_over());
+        }
         tokio::select! {
             biased;
             part = attempt.next_part() => RelayStep::Part(part),
             () = self.stall.replaceable(&self.call) => RelayStep::Replaceable,
-            () = sleep(self.call.remaining()) => {
-                let detail = "the deadline is over".to_owned();
-                RelayStep::Part(UpstreamPart::Lost(AttemptEnd::Silent, detail))
-            }
+            () = sleep(self.call.remaining()) => RelayStep::Part(deadline_over()),
         }
     }
 
@@ -307,6 +308,10 @@
     }
 }
 
+fn deadline_over() -> UpstreamPart {
+    UpstreamPart::Lost(AttemptEnd::Silent, "the deadline is over".to_owned())
+}
+
 /// Watches a target that has to process the prompt before the first event.
 fn watch_first_event(call: &CallContext, attempt: &StreamAttempt) -> StallWatch {
     let prefill_tokens = call.head.bound.map_or(0, |bound| bound.input);
--- a/crates/beechsaddle/tests/gateway_endless.rs
+++ b/crates/beechsaddle/tests/gateway_endless.rs
@@ -10,7 +10,7 @@
 };
 use futures::future::join_all;
 use gateway_support::{GatewayBench, draft, request, wait_for};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const AMPLE: u64 = 1_000_000;
 
@@ -313,3 +313,34 @@
     let small = bench.router.call(&order("small")).await;
     assert_eq!(small.status, 200, "{small:?}");
 }
+
+fn stream(line: &str, id: &str) -> CallRequest {
+    let mut stream = request(line, id);
+    stream.tokens = Some((20, 20));
+    stream
+}
+
+async fn bounded_call(bench: &GatewayBench, request: &CallRequest) -> (CallReply, Duration, u64) {
+    let calling = timed_call(bench, request);
+    let called = timeout(Duration::from_secs(8), calling).await;
+    called.expect("an end after the deadline")
+}
+
+// Fails if bytes without end that never complete an event hold a stream beyond its deadline, or the
+// router's processor.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_event_bytes_end_streams_soon() {
+    for part in [EndlessPart::EventBytes, EndlessPart::EventLines] {
+        let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+        set_faults(&bench.engines, flood(part));
+        let single = stream("POST /stream/once/1", "single");
+        let (reply, elapsed, spent_ms) = bounded_call(&bench, &single).await;
+        assert!(
+            !reply.is_complete && reply.body.is_empty(),
+            "{part:?}: {reply:?}"
+        );
+        assert!(elapsed < PROMPT, "{part:?} took {elapsed:?}, {spent_ms} ms");
+        assert!(spent_ms < CALL_PROCESSOR_MS, "{part:?} used {spent_ms} ms");
+        wait_closed(&bench.engines).await;
+    }
+}
