--- a/crates/beechsaddle/tests/gateway_endless_readers.rs
+++ b/crates/beechsaddle/tests/gateway_endless_readers.rs
@@ -221,6 +221,7 @@
         (sized, "                "),
         (rejection, "                "),
         ("HTTP/1.1 200 OK\r\n", "name-without-end"),
+        ("", "HTTP/1.1 102 Processing\r\n\r\n"),
     ] {
         let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
         let front = StoreFront::start(bench.store.address(), head, part).await;
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -196,11 +196,6 @@
         peak_kb / 1_024
     }
 
-    /// Returns the most memory that the process has used, in mebibytes.
-    pub fn peak_memory_mb(&self) -> u64 {
-        self.peak_memory_kb() / 1_024
-    }
-
     /// Waits for the end of the process and returns its exit code.
     pub async fn wait_end(&mut self) -> Option<i32> {
         let until = Instant::now() + Duration::from_secs(15);
