--- a/crates/beechsaddle/src/gateway/gateway_shutdown.rs
+++ b/crates/beechsaddle/src/gateway/gateway_shutdown.rs
@@ -33,8 +33,8 @@
 /// written at once.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Minimum time for accepting the connections that wait in the listener's queue: it takes no other
-/// process, but a failed accept pauses the listener.
+/// Minimum time to accept the connections that wait in the listener's queue. Only a pause after a
+/// failed accept takes that long.
 const LISTENER_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Timeout of the return of tokens if the store does not answer or the grace period is nearly over.
