--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod buffer_memory;
 mod buffered_body;
 mod cached_ledger;
+mod call_checks;
 mod call_context;
 mod call_exchange;
 mod call_record;
