--- a/crates/beechsaddle-lab/tests/soak_seeds.rs
+++ b/crates/beechsaddle-lab/tests/soak_seeds.rs
@@ -106,3 +106,24 @@
     };
     check_run(&options, 9530).await;
 }
+
+fn crowded_options() -> SoakOptions {
+    SoakOptions {
+        callers: 12,
+        has_target_faults: true,
+        has_versions: true,
+        ..soak_options(8)
+    }
+}
+
+/// A prompt part that crashes its targets reaches few of them amid the fleet's faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_crashing_part_reaches_few_targets_amid_faults() {
+    check_run(&crowded_options(), 9702).await;
+}
+
+/// No call reaches an evacuated domain amid the fleet's faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_evacuated_domain_gets_no_calls_amid_faults() {
+    check_run(&crowded_options(), 9703).await;
+}
