--- a/crates/beechsaddle-lab/src/soak/call_log.rs
+++ b/crates/beechsaddle-lab/src/soak/call_log.rs
@@ -202,7 +202,10 @@
         violations.extend(check_versions(&calls));
         violations.extend(ran.keys().filter_map(|id| {
             let is_known = calls.contains_key(*id) || id.starts_with(EXTRA_CALL);
-            (!is_known).then(|| format!("{id} ran but no caller sent it"))
+            (!is_known).then(|| {
+                let lines = evidence.request_lines(id);
+                format!("{id:?} ran but no caller sent it: {lines:?}")
+            })
         }));
         for totals in &evidence.totals {
             let own = calls
@@ -243,6 +246,17 @@
         }
         ran
     }
+
+    /// Returns the request lines of all runs of a call, each after the name of its target.
+    fn request_lines(&self, id: &str) -> Vec<String> {
+        let runs = self
+            .runs
+            .iter()
+            .flat_map(|(target, records)| records.iter().map(move |record| (target, record)));
+        runs.filter(|(_, record)| record.is_run && record.request_id() == id)
+            .map(|(target, record)| format!("{target}: {}", record.first_line))
+            .collect()
+    }
 }
 
 /// A workspace's totals, in tokens.
