--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -397,6 +397,11 @@
             .then(|| first.clone())
     }
 
+    /// Returns all targets for changes of what is known of them.
+    pub fn entries_mut(&mut self) -> impl Iterator<Item = &mut RosterEntry> {
+        self.entries.values_mut()
+    }
+
     /// Returns all targets.
     pub fn entries(&self) -> impl Iterator<Item = &RosterEntry> {
         self.entries.values()
