Target exchange: routers tell each other how fast and how loaded engines are (edge)

gateway/board exchanges notes once a second with a relay of the domain, and relays of domains every other second; the sums go into RosterEntry.report, the status and metrics, with a notes_known line every ten exchanges. Off without [policy] share_target_speeds, and where no target is an engine or has sent a stream. Nothing decides by the reports yet.

gateway_board: two tests through three processes, seen to fail when reports are not written into the roster (both), and when a router without the exchange is asked every second (the second one: it counts notes_lost). The core's tests were seen to fail in turn with: sums over any start of a target; no fading; load without an end; load without a refresh; notes without limits; no bound of targets; the own part included; all notes told each time; no end told; no turns; no bound of a message; no reset after a loss; a plan blind to routers that are down; two first relays; repeated notes that add up.

--- a/crates/beechsaddle-core/src/gateway/gateway_status.rs
+++ b/crates/beechsaddle-core/src/gateway/gateway_status.rs
@@ -82,6 +82,23 @@
     pub ledger_age_ms: Option<u64>,
 }
 
+/// What other routers have measured of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportStatus {
+    /// The mean time between two events of a stream.
+    pub event_ms: Option<f64>,
+    /// Prompt tokens that it processes in a millisecond.
+    pub read_per_ms: Option<f64>,
+    /// Attempts of other routers that run on it.
+    pub active: u64,
+    /// Prompt tokens of other routers that it has not processed yet.
+    pub pending_tokens: u64,
+    /// The weight of the samples of its speed.
+    pub samples: f64,
+    /// The time since the newest of them.
+    pub age_ms: u64,
+}
+
 /// A target, as known to this router.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GatewayTargetStatus {
@@ -105,4 +122,13 @@
     pub failure_share: f64,
     /// The time since the last response from the target, or since it was listed.
     pub heard_age_ms: u64,
+    /// The mean time between two events of a stream, as this router measured it.
+    #[serde(default)]
+    pub event_ms: Option<f64>,
+    /// Prompt tokens that it processes in a millisecond, as this router measured it.
+    #[serde(default)]
+    pub read_per_ms: Option<f64>,
+    /// What other routers have measured; `None` if nothing is known.
+    #[serde(default)]
+    pub reported: Option<ReportStatus>,
 }
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -86,7 +86,7 @@
 pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
 pub use gateway_status::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
-    WorkspaceStatus,
+    ReportStatus, WorkspaceStatus,
 };
 pub use limit_history::{ChangeBounds, IdleLimit, LimitHistory};
 pub use link_meter::{LinkDirection, LinkMeter};
--- a/crates/beechsaddle/src/command/gateway_text.rs
+++ b/crates/beechsaddle/src/command/gateway_text.rs
@@ -1,7 +1,8 @@
 //! The `gateway_text` module provides the text form of a gateway's status.
 
 use beechsaddle_core::gateway::{
-    EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
+    EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, ReportStatus,
+    WorkspaceStatus,
 };
 
 /// Formats one line for the gateway, and one for each peer, workspace and target in its status.
@@ -59,9 +60,14 @@
 }
 
 fn target_line(target: &GatewayTargetStatus) -> String {
+    let own = speeds(target.event_ms, target.read_per_ms);
+    let reported = target
+        .reported
+        .as_ref()
+        .map_or("unknown".to_owned(), report_fields);
     format!(
         "target {} service={} phase={} active={} ejected_for_ms={} failures={:.2} heard_age_ms={} \
-         cold_for_ms={} resting_for_ms={}",
+         cold_for_ms={} resting_for_ms={} speed={own} reported={reported}",
         target.target,
         target.service,
         target.phase,
@@ -74,6 +80,23 @@
     )
 }
 
+/// Returns the time between events and the tokens read in a millisecond.
+fn speeds(event_ms: Option<f64>, read_per_ms: Option<f64>) -> String {
+    let text =
+        |number: Option<f64>| number.map_or("unknown".to_owned(), |number| format!("{number:.1}"));
+    format!("{}/{}", text(event_ms), text(read_per_ms))
+}
+
+fn report_fields(report: &ReportStatus) -> String {
+    format!(
+        "{} reported_active={} reported_pending={} reported_age_ms={}",
+        speeds(report.event_ms, report.read_per_ms),
+        report.active,
+        report.pending_tokens,
+        report.age_ms
+    )
+}
+
 fn or_unknown(number: Option<u64>) -> String {
     number.map_or("unknown".to_owned(), |number| number.to_string())
 }
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -82,6 +82,12 @@
 /// The outcomes of telling a router the origin of a stream.
 const NOTE_OUTCOMES: [&str; 2] = ["taken", "failed"];
 
+/// The possible outcomes of exchanged notes on targets; `failed` counts exchanges.
+const TARGET_NOTE_OUTCOMES: [&str; 4] = ["sent", "taken", "ignored", "failed"];
+
+/// The directions of exchanged notes.
+const NOTE_DIRECTIONS: [&str; 2] = ["sent", "received"];
+
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
 
@@ -149,6 +155,14 @@
     pub(super) connects: Family<OutcomeLabel, Counter>,
     /// Responses in which targets announce that they leave or want rest.
     pub(super) target_notices: Family<OutcomeLabel, Counter>,
+    /// Notes on targets exchanged with other routers, by outcome.
+    pub(super) target_notes: Family<OutcomeLabel, Counter>,
+    /// Bytes of these notes, by direction.
+    pub(super) target_note_bytes: Family<OutcomeLabel, Counter>,
+    /// Targets whose speed is known from other routers.
+    pub(super) targets_reported: Gauge,
+    /// The mean age of the newest sample of these, in milliseconds.
+    pub(super) report_age_ms: Gauge,
     /// Rests of targets that began or grew.
     pub(super) target_rests: Counter,
     /// 1 while the router is partitioned from the targets.
@@ -226,6 +240,10 @@
             caller_closes: zeroed_counters(CALLER_CLOSES),
             connects: zeroed_counters(CONNECT_RESULTS),
             target_notices: zeroed_counters(TARGET_NOTICES),
+            target_notes: zeroed_counters(TARGET_NOTE_OUTCOMES),
+            target_note_bytes: zeroed_counters(NOTE_DIRECTIONS),
+            targets_reported: Gauge::default(),
+            report_age_ms: Gauge::default(),
             target_rests: Counter::default(),
             path_lost: Gauge::default(),
             tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
@@ -319,6 +337,14 @@
         registry.register("connects", "New connections to targets", connects);
         let notices = self.target_notices.clone();
         registry.register("target_notices", "Responses with a notice", notices);
+        let notes = self.target_notes.clone();
+        registry.register("target_notes", "Notes on targets exchanged", notes);
+        let bytes = self.target_note_bytes.clone();
+        registry.register("target_note_bytes", "Bytes of notes on targets", bytes);
+        let reported = self.targets_reported.clone();
+        registry.register("targets_reported", "Targets known from others", reported);
+        let age = self.report_age_ms.clone();
+        registry.register("report_age_ms", "Mean age of what others told", age);
         let rests = self.target_rests.clone();
         registry.register("target_rests", "Rests that began or grew", rests);
         let path_lost = self.path_lost.clone();
--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -16,6 +16,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+use super::board::run_board_exchange;
 use super::caller_listener::run_listener;
 use super::changes::{follow_kind, run_expiry, run_probes, run_registration};
 use super::clock_manager::run_clock_reading;
@@ -115,6 +116,7 @@
     spawn_local(run_crash_writer(Rc::clone(&state)));
     spawn_local(run_trial_ends(Rc::clone(&state)));
     spawn_local(run_clock_reading(Rc::clone(&state)));
+    spawn_local(run_board_exchange(Rc::clone(&state)));
     spawn_local(run_path_probe(Rc::clone(&state)));
     spawn_local(LedgerSync::new(Rc::clone(&state)).run());
     spawn_local(run_store_tally(Rc::clone(&state)));
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
+use super::board::BoardManager;
 use super::buffer_memory::BufferMemory;
 use super::changes::{ChangeRelay, StoreHealth};
 use super::clock_manager::ClockManager;
@@ -82,6 +83,8 @@
     pub(super) lending: TokenLending,
     /// Requests that crash targets.
     pub(super) crashes: CrashManager,
+    /// What other routers measure of targets.
+    pub(super) board: BoardManager,
     /// Permits for rate-limited targets.
     pub(super) limits: LimitManager,
     /// Where streams began.
@@ -165,6 +168,7 @@
             escrow: RefCell::new(TokenEscrow::new(settings.budgets, me.to_string())),
             lending: TokenLending::new(settings.host.clone(), settings.domain.clone()),
             crashes: CrashManager::default(),
+            board: BoardManager::default(),
             limits: LimitManager::default(),
             origins: OriginManager::default(),
             ledger_updates: LedgerUpdates::default(),
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod answer_body;
 mod attempt_guard;
 mod attempt_race;
+mod board;
 mod buffer_memory;
 mod buffered_body;
 mod cached_ledger;
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -12,7 +12,7 @@
 use beechsaddle_platform::ObjectKind;
 use beechsaddle_wire::lending_capnp::{
     FollowOutcome, FollowedKind, LoanOutcome, PlaceOutcome, clock_teller, limit_share, news_relay,
-    router_peer, stream_registry, target_board, token_lender,
+    router_peer, stream_registry, token_lender,
 };
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -113,9 +113,6 @@
     }
 }
 
-/// Answers that the exchange is not implemented, as routers of older versions do.
-impl target_board::Server for PeerServer {}
-
 impl token_lender::Server for PeerServer {
     async fn borrow(
         self: Rc<Self>,
--- a/crates/beechsaddle/src/gateway/status_view.rs
+++ b/crates/beechsaddle/src/gateway/status_view.rs
@@ -2,7 +2,7 @@
 
 use beechsaddle_core::gateway::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
-    RosterEntry, WorkspaceStatus,
+    ReportStatus, RosterEntry, WorkspaceStatus,
 };
 
 use super::gateway_state::GatewayState;
@@ -99,5 +99,15 @@
         ejected_for_ms: stats.ejected_for_ms(now),
         failure_share: stats.failure_share(now),
         heard_age_ms: now.since(stats.progress_at),
+        event_ms: stats.event_ms(now),
+        read_per_ms: stats.read_per_ms(now),
+        reported: entry.report.map(|report| ReportStatus {
+            event_ms: report.event_ms,
+            read_per_ms: report.read_per_ms,
+            active: report.active,
+            pending_tokens: report.pending_tokens,
+            samples: report.samples,
+            age_ms: now.since(report.measured_at),
+        }),
     }
 }
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -32,6 +32,7 @@
     gateway: &'static str,
     store: &'static str,
     budgets: &'static str,
+    policy: &'static str,
 }
 
 /// The process of a router; dropping it kills the process.
@@ -87,6 +88,15 @@
         GatewayProcess::start_with(store, host, domain, true, &extra)
     }
 
+    /// Starts a router that shares what it measures of targets with others.
+    pub fn start_with_shared_speeds(store: SocketAddr, host: &str, domain: &str) -> Self {
+        let extra = ExtraSettings {
+            policy: "share_target_speeds = true\n",
+            ..ExtraSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &extra)
+    }
+
     /// Starts a router whose log is written to a pipe that is never read.
     pub fn start_with_unread_log(store: SocketAddr, host: &str, domain: &str) -> Self {
         GatewayProcess::start_with(store, host, domain, false, &ExtraSettings::default())
@@ -262,13 +272,14 @@
         gateway,
         store: store_lines,
         budgets,
+        policy,
     } = extra;
     format!(
         "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{address}\"\n\
          ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n{gateway}\n\
          [store]\naddress = \"{store}\"\n{store_lines}\n\
          [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n\n\
-         [budgets]\n{budgets}"
+         [budgets]\n{budgets}\n[policy]\n{policy}"
     )
 }
 
@@ -308,6 +319,13 @@
         bench
     }
 
+    /// Starts a bench like [`start`](Self::start) with a router that shares what it measures of targets.
+    pub async fn start_with_shared_speeds(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_shared_speeds).await;
+        bench.router.wait_log(&["target_joined", "engine-2"]).await;
+        bench
+    }
+
     /// Starts a bench like [`start`](Self::start) with a router on a host with a slow link.
     pub async fn start_with_narrow_link(draft: &ConfigDraft) -> Self {
         let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_narrow_link).await;
