--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -23,12 +23,14 @@
 mod escrow_loans;
 mod escrow_options;
 mod evacuation_registry;
+mod exchange_plan;
 mod fleet_clock;
 mod gateway_config;
 mod gateway_status;
 mod limit_history;
 mod link_meter;
 mod loan_backoff;
+mod note_outbox;
 mod origin_placement;
 mod outlier_score;
 mod path_monitor;
@@ -43,10 +45,13 @@
 mod retry_share;
 mod rotation_gate;
 mod route_rule;
+mod speed_average;
 mod stream_directory;
 mod suspect_key;
+mod target_board;
 mod target_chooser;
 mod target_limit;
+mod target_note;
 mod target_record;
 mod target_report;
 mod target_roster;
@@ -76,15 +81,17 @@
 pub use evacuation_registry::{
     EvacuationChange, EvacuationRecord, EvacuationRegistry, EvacuationState,
 };
+pub use exchange_plan::ExchangePlan;
 pub use fleet_clock::{CLOCK_SKEW_MS, ClockBounds, ClockReading, FleetClock, StartBound};
 pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
 pub use gateway_status::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
-    WorkspaceStatus,
+    ReportStatus, WorkspaceStatus,
 };
 pub use limit_history::{ChangeBounds, IdleLimit, LimitHistory};
 pub use link_meter::{LinkDirection, LinkMeter};
 pub use loan_backoff::LoanBackoff;
+pub use note_outbox::NoteOutbox;
 pub use outlier_score::OutlierScore;
 pub use path_monitor::{ConnectFault, PathChange, PathMonitor};
 pub use peer_ring::{PeerRecord, PeerRing};
@@ -97,10 +104,13 @@
 pub use retry_share::{RetryShare, RetryShareOptions};
 pub use rotation_gate::RotationGate;
 pub use route_rule::{RouteKind, RouteRule, WeightedService};
+pub use speed_average::SpeedAverage;
 pub use stream_directory::{ORIGIN_RETENTION_MS, StreamDirectory, StreamOrigin};
 pub use suspect_key::{SuspectKey, SuspectKind};
+pub use target_board::{BoardSource, BoardView, TargetBoard};
 pub use target_chooser::{TargetChoice, choose_target};
 pub use target_limit::{LimitState, TargetLimit};
+pub use target_note::{NoteScope, TargetNote};
 pub use target_record::{TargetPhase, TargetRecord};
 pub use target_report::TargetReport;
 pub use target_roster::{RosterChange, RosterEntry, TargetRoster};
