Samples of a target's speed: time between events and tokens read, known for a minute

A router forgot the one speed that it kept of a target after 6 s, while a fleet of 68 sends each of 140 targets a call in 17 s from one router. TargetStats::event_ms and read_per_ms keep two means whose samples lose half their weight in 15 s and are forgotten 60 s after the newest. Nothing decides by them yet; speed_ms is as before.

--- a/crates/beechsaddle-core/src/gateway/target_stats.rs
+++ b/crates/beechsaddle-core/src/gateway/target_stats.rs
@@ -1,6 +1,6 @@
 //! The `target_stats` module provides one router's statistics of a target: load, speed, failures.
 
-use super::{LimitState, OutlierScore, WarmUpWindow};
+use super::{LimitState, OutlierScore, SpeedAverage, WarmUpWindow};
 use crate::clock::ClockTime;
 
 /// How long a target is ejected after a connection to it failed, in milliseconds. An attempt costs
@@ -17,6 +17,13 @@
 /// slow receives no work, and would otherwise never be measured again.
 const SAMPLE_LIFE_MS: u64 = 6_000;
 
+/// The shortest prompt that gives a sample of how fast a target reads, in tokens: with fewer, the
+/// path and the first step of the answer take most of the time.
+const READ_SAMPLE_TOKENS: u64 = 1_000;
+
+/// Number of events whose intervals weigh as much as the reading of one prompt.
+const EVENTS_PER_SAMPLE: f64 = 32.0;
+
 /// The load of one attempt on a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AttemptLoad {
@@ -42,6 +49,8 @@
     outliers: OutlierScore,
     speed_ms: f64,
     speed_at: ClockTime,
+    event_ms: SpeedAverage,
+    read_ms_per_token: SpeedAverage,
     ejected_until: ClockTime,
     ejections: u32,
 }
@@ -59,6 +68,8 @@
             outliers: OutlierScore::new(now),
             speed_ms: 0.0,
             speed_at: now,
+            event_ms: SpeedAverage::default(),
+            read_ms_per_token: SpeedAverage::default(),
             ejected_until: ClockTime::ZERO,
             ejections: 0,
         }
@@ -83,6 +94,23 @@
         self.progress_at = now;
     }
 
+    /// Records that the target's first event came `took_ms` after its request, whose prompt it had
+    /// to process.
+    pub fn record_read(&mut self, now: ClockTime, load: AttemptLoad, took_ms: u64) {
+        if load.prefill_tokens < READ_SAMPLE_TOKENS {
+            return;
+        }
+        let ms_per_token = took_ms.max(1) as f64 / load.prefill_tokens as f64;
+        self.read_ms_per_token.record(now, ms_per_token, 1.0);
+    }
+
+    /// Records that `events` events of a stream came within `span_ms` after the one before them.
+    pub fn record_events(&mut self, now: ClockTime, span_ms: u64, events: u64) {
+        let interval_ms = span_ms as f64 / events as f64;
+        let weight = events as f64 / EVENTS_PER_SAMPLE;
+        self.event_ms.record(now, interval_ms, weight);
+    }
+
     /// Records that an attempt ended before its first event.
     pub fn forget_pending(&mut self, load: AttemptLoad) {
         self.pending_tokens = self.pending_tokens.saturating_sub(load.prefill_tokens);
@@ -137,4 +165,28 @@
         let is_known = self.speed_ms > 0.0 && now.since(self.speed_at) < SAMPLE_LIFE_MS;
         is_known.then_some(self.speed_ms)
     }
+
+    /// Returns the mean time between two events of a stream, in milliseconds; `None` without a sample
+    /// of the last minute.
+    pub fn event_ms(&self, now: ClockTime) -> Option<f64> {
+        self.event_ms.mean(now)
+    }
+
+    /// Returns how many prompt tokens the target processes in a millisecond, as calls wait for it;
+    /// `None` without a sample of the last minute.
+    pub fn read_per_ms(&self, now: ClockTime) -> Option<f64> {
+        self.read_ms_per_token.mean(now).map(f64::recip)
+    }
+
+    /// Returns the weight of the samples of both speeds: that of the one with more of them.
+    pub fn speed_samples(&self, now: ClockTime) -> f64 {
+        let events = self.event_ms.weight(now);
+        events.max(self.read_ms_per_token.weight(now))
+    }
+
+    /// Returns when the newest sample of either speed was taken.
+    pub fn speed_sampled_at(&self) -> ClockTime {
+        let events = self.event_ms.sampled_at();
+        events.max(self.read_ms_per_token.sampled_at())
+    }
 }
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -66,6 +66,11 @@
         &self.target
     }
 
+    /// Returns the current time.
+    pub(super) fn now(&self) -> ClockTime {
+        self.state.now()
+    }
+
     pub(super) fn started_at(&self) -> ClockTime {
         self.started_at
     }
@@ -78,11 +83,18 @@
         let (load, started_at) = (self.load, self.started_at);
         let prefill_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS;
         self.update_stats(|stats, now| {
-            let waited_ms = now.since(started_at).saturating_sub(prefill_ms);
+            let took_ms = now.since(started_at);
+            let waited_ms = took_ms.saturating_sub(prefill_ms);
             stats.record_first(now, load, waited_ms.max(1));
+            stats.record_read(now, load, took_ms);
         });
     }
 
+    /// Records that events of a stream came within a span after the one before them.
+    pub(super) fn record_events(&self, span_ms: u64, events: u64) {
+        self.update_stats(|stats, now| stats.record_events(now, span_ms, events));
+    }
+
     /// Records that the target sent data.
     pub(super) fn record_progress(&self) {
         self.update_stats(|stats, now| stats.progress_at = now);
--- a/crates/beechsaddle/src/gateway/stream_attempt.rs
+++ b/crates/beechsaddle/src/gateway/stream_attempt.rs
@@ -15,6 +15,9 @@
 use super::gateway_metrics::{STREAM_ENDS, StreamEndLabel};
 use super::target_path::TargetLink;
 
+/// Number of events whose intervals are recorded together.
+const PACE_EVENTS: u64 = 8;
+
 /// The next item of a target's stream.
 pub(super) enum UpstreamPart {
     Data(Bytes),
@@ -30,6 +33,15 @@
     facts: ResponseHead,
     /// Whether the target has sent a complete event.
     has_event: bool,
+    pace: EventPace,
+}
+
+/// Events whose intervals are not recorded yet.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventPace {
+    /// When the event before them came; `None` before the first.
+    since: Option<ClockTime>,
+    events: u64,
 }
 
 impl StreamAttempt {
@@ -46,6 +58,7 @@
             body,
             facts,
             has_event: false,
+            pace: EventPace::default(),
         }
     }
 
@@ -62,9 +75,31 @@
         self.target().version.clone()
     }
 
-    /// Records that the target has sent a complete event.
-    pub(super) fn record_complete_event(&mut self) {
+    /// Records that the target has sent complete events.
+    pub(super) fn record_complete_events(&mut self, events: u64) {
         self.has_event = true;
+        let now = self.guard.now();
+        let Some(since) = self.pace.since else {
+            // The events that come with the first one say nothing about intervals.
+            self.pace.since = Some(now);
+            return;
+        };
+        self.pace.events += events;
+        if self.pace.events >= PACE_EVENTS {
+            self.guard.record_events(now.since(since), self.pace.events);
+            self.pace = EventPace {
+                since: Some(now),
+                events: 0,
+            };
+        }
+    }
+
+    /// Records the intervals of the last events.
+    fn record_last_events(&self) {
+        let span_ms = self.pace.since.map(|since| self.guard.now().since(since));
+        if let Some(span_ms) = span_ms.filter(|_| self.pace.events > 0) {
+            self.guard.record_events(span_ms, self.pace.events);
+        }
     }
 
     /// Waits for the next item. Nothing is lost if the future is dropped.
@@ -122,6 +157,7 @@
             BodyFraming::Connection => confirm_completion(state, self.guard.suspect_run()),
             _ => record_completion(state, &call.suspects),
         }
+        self.record_last_events();
         self.guard.record_success();
         let address = self.target().address;
         self.link.release(state, address, &self.facts);
@@ -129,6 +165,7 @@
 
     /// Closes the connection and records how the attempt ended without completing the stream.
     pub(super) async fn fail(self, call: &CallContext, end: AttemptEnd, detail: &str) {
+        self.record_last_events();
         self.guard.record_failure(end);
         let run = self.guard.suspect_run();
         drop(self);
--- a/crates/beechsaddle/src/gateway/stream_relay.rs
+++ b/crates/beechsaddle/src/gateway/stream_relay.rs
@@ -180,7 +180,7 @@
         self.stall.record_data(&self.call);
         self.events += part.events;
         if let Some(attempt) = self.attempt.as_mut().filter(|_| part.complete > 0) {
-            attempt.record_complete_event();
+            attempt.record_complete_events(part.complete);
         }
         if let Some(reservation) = &self.reservation {
             // The target does not report tokens per event; each event is charged the most it can
