--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
+use super::speed_plan::{PlaceRank, SpeedPlan};
 use super::target_roster::RosterEntry;
-use super::{AttemptLoad, ChoiceInput, TargetRoster};
+use super::{AttemptLoad, ChoiceInput, SpeedStep, TargetRoster};
 use crate::clock::ClockTime;
 use crate::hash::rendezvous_weight;
 use crate::names::TargetName;
@@ -41,7 +42,7 @@
 const ORDER_TOKENS: f64 = 500.0;
 
 /// Cost of an attempt in flight, in tokens: each running request slows all others of a batch.
-const ACTIVE_TOKENS: f64 = 150.0;
+pub(super) const ACTIVE_TOKENS: f64 = 150.0;
 
 /// Tokens that an engine processes in a millisecond, for weighing waiting against processing. Only
 /// the order of magnitude matters.
@@ -90,6 +91,8 @@
     pub is_affinity_target: bool,
     /// The number of candidates.
     pub candidates: usize,
+    /// Its speed relative to the usual one; usual where speeds do not count.
+    pub speed_step: SpeedStep,
     /// The engine from which the target fetches shared parts of the prompt if it is not their
     /// affinity target. A transfer takes a tenth of the time of processing the tokens, which would
     /// pause the engine's other streams.
@@ -128,11 +131,12 @@
         candidates = untried;
     }
     let fastest = fastest_ms(&candidates, now);
-    let affinity = PartAffinity::find(&candidates, &input);
+    let speeds = SpeedPlan::new(&candidates, &input);
+    let affinity = PartAffinity::find(&candidates, &input, &speeds);
     let count = candidates.len();
     candidates
         .iter()
-        .map(|entry| weigh(entry, &affinity, count, now, &input, fastest))
+        .map(|entry| weigh(entry, &affinity, &speeds, count, now, &input, fastest))
         .min_by(|left, right| left.cost.total_cmp(&right.cost))
 }
 
@@ -147,6 +151,7 @@
 fn weigh(
     entry: &RosterEntry,
     affinity: &PartAffinity<'_>,
+    speeds: &SpeedPlan,
     candidates: usize,
     now: ClockTime,
     input: &ChoiceInput<'_>,
@@ -168,8 +173,9 @@
         true => {
             engine_cost(entry, now, foreign_tokens(entry, input), fastest)
                 + missed as f64 * MISS_WEIGHT
+                + speeds.cost_tokens(entry, now)
         }
-        false => plain_cost(entry, now, is_foreign),
+        false => plain_cost(entry, now, is_foreign, speeds.slowdown(entry)),
     };
     let regular_cost = waiting * (1.0 + FAILURE_WEIGHT * failures)
         + order_cost(entry, input)
@@ -188,6 +194,7 @@
         },
         is_affinity_target,
         candidates,
+        speed_step: speeds.step(entry),
         fetch_from: fetch_source(entry, affinity, now, input),
     }
 }
@@ -254,8 +261,9 @@
 }
 
 /// Returns the cost of a plain target, in milliseconds of waiting.
-fn plain_cost(entry: &RosterEntry, now: ClockTime, is_foreign: bool) -> f64 {
-    let speed = entry.stats.speed_ms(now).unwrap_or(UNKNOWN_SPEED_MS);
+fn plain_cost(entry: &RosterEntry, now: ClockTime, is_foreign: bool, slowdown: f64) -> f64 {
+    let unknown_ms = UNKNOWN_SPEED_MS * slowdown;
+    let speed = entry.stats.speed_ms(now).unwrap_or(unknown_ms);
     let foreign = if is_foreign { FOREIGN_MS } else { 0.0 };
     let slots = entry.record.slots.max(1) as f64;
     let busy = entry.stats.active as f64 * PENDING_WEIGHT;
@@ -302,7 +310,7 @@
 }
 
 impl<'a> PartAffinity<'a> {
-    fn find(candidates: &[&'a RosterEntry], input: &ChoiceInput<'_>) -> Self {
+    fn find(candidates: &[&'a RosterEntry], input: &ChoiceInput<'_>, speeds: &SpeedPlan) -> Self {
         let mut affinity = PartAffinity {
             first: None,
             second: None,
@@ -310,7 +318,7 @@
         let Some(shared) = input.prompt.shared_id() else {
             return affinity;
         };
-        let (mut first_weight, mut second_weight) = (0, 0);
+        let (mut first_rank, mut second_rank) = (PlaceRank::LEAST, PlaceRank::LEAST);
         // An engine that takes few requests cannot be the affinity target of parts that many
         // requests share.
         let is_limited = |entry: &RosterEntry| entry.stats.limit.in_force().is_some();
@@ -319,12 +327,12 @@
             if is_limited(entry) && !all_limited {
                 continue;
             }
-            let weight = rendezvous_weight(shared, entry.record.name.as_str());
-            if affinity.first.is_none() || weight > first_weight {
-                (affinity.second, second_weight) = (affinity.first, first_weight);
-                (affinity.first, first_weight) = (Some(entry), weight);
-            } else if affinity.second.is_none() || weight > second_weight {
-                (affinity.second, second_weight) = (Some(entry), weight);
+            let rank = speeds.rank(shared, entry);
+            if affinity.first.is_none() || rank > first_rank {
+                (affinity.second, second_rank) = (affinity.first, first_rank);
+                (affinity.first, first_rank) = (Some(entry), rank);
+            } else if affinity.second.is_none() || rank > second_rank {
+                (affinity.second, second_rank) = (Some(entry), rank);
             }
         }
         affinity
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use super::{
-    ORIGIN_RETENTION_MS, RestRegistry, TargetIncarnation, TargetPhase, TargetRecord, TargetReport,
-    TargetStats,
+    ORIGIN_RETENTION_MS, RestRegistry, SpeedSurvey, StepChange, TargetIncarnation, TargetPhase,
+    TargetRecord, TargetReport, TargetStats, TargetSteps,
 };
 use crate::clock::ClockTime;
 use crate::names::{ServiceName, SoftwareVersion, TargetName};
@@ -45,6 +45,8 @@
     pub stats: TargetStats,
     /// What other routers have measured of this incarnation; `None` if nothing is known.
     pub report: Option<TargetReport>,
+    /// Its speed relative to the usual one of its service.
+    pub steps: TargetSteps,
     listed_at: ClockTime,
     cold_until: ClockTime,
     is_replaced: bool,
@@ -70,6 +72,7 @@
     outage_until: Option<ClockTime>,
     /// The rests that targets have asked for.
     pub rests: RestRegistry,
+    speeds: SpeedSurvey,
 }
 
 /// The relation of an entry to the known one.
@@ -88,6 +91,7 @@
         RosterEntry {
             stats: TargetStats::new(now),
             report: None,
+            steps: TargetSteps::default(),
             cold_until: now.plus_ms(record.cold_ms),
             record,
             listed_at: now,
@@ -397,6 +401,11 @@
             .then(|| first.clone())
     }
 
+    /// Recomputes the steps of speed of all targets, once a second at most; returns their changes.
+    pub fn look_at_speeds(&mut self, now: ClockTime) -> Vec<StepChange> {
+        self.speeds.look(now, self.entries.values_mut())
+    }
+
     /// Returns all targets.
     pub fn entries(&self) -> impl Iterator<Item = &RosterEntry> {
         self.entries.values()
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -92,6 +92,9 @@
 /// The results of connecting to a target.
 pub(super) const CONNECT_RESULTS: [&str; 3] = ["connected", "refused", "failed"];
 
+/// The steps of speed that targets change to.
+const SPEED_STEPS: [&str; 3] = ["usual", "slow", "very_slow"];
+
 /// The outcomes of requests for trials of what may crash targets.
 pub(super) const TRIAL_OUTCOMES: [&str; 2] = ["granted", "refused"];
 
@@ -149,6 +152,8 @@
     pub(super) connects: Family<OutcomeLabel, Counter>,
     /// Responses in which targets announce that they leave or want rest.
     pub(super) target_notices: Family<OutcomeLabel, Counter>,
+    /// Changes of targets' steps of speed, by the new step.
+    pub(super) speed_steps: Family<OutcomeLabel, Counter>,
     /// Rests of targets that began or grew.
     pub(super) target_rests: Counter,
     /// 1 while the router is partitioned from the targets.
@@ -226,6 +231,7 @@
             caller_closes: zeroed_counters(CALLER_CLOSES),
             connects: zeroed_counters(CONNECT_RESULTS),
             target_notices: zeroed_counters(TARGET_NOTICES),
+            speed_steps: zeroed_counters(SPEED_STEPS),
             target_rests: Counter::default(),
             path_lost: Gauge::default(),
             tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
@@ -319,6 +325,8 @@
         registry.register("connects", "New connections to targets", connects);
         let notices = self.target_notices.clone();
         registry.register("target_notices", "Responses with a notice", notices);
+        let steps = self.speed_steps.clone();
+        registry.register("speed_steps", "Changes of targets' speed", steps);
         let rests = self.target_rests.clone();
         registry.register("target_rests", "Rests that began or grew", rests);
         let path_lost = self.path_lost.clone();
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod refusal;
 mod request_body;
 mod settings_watch;
+mod speed_steps;
 mod stall_watch;
 mod status_view;
 mod store_call;
--- a/crates/beechsaddle/src/gateway/target_choice.rs
+++ b/crates/beechsaddle/src/gateway/target_choice.rs
@@ -12,6 +12,7 @@
 use super::call_context::CallContext;
 use super::limits::request_permit;
 use super::refusal::RefusalCause;
+use super::speed_steps::refresh_steps;
 
 /// Maximum number of targets that the record of a refusal names: enough to find their own lines.
 const NAMED_TARGETS_MAX: usize = 8;
@@ -48,6 +49,7 @@
 
 /// Chooses a target and counts the request in its slow start.
 fn choose(call: &CallContext) -> Option<(TargetChoice, TargetRecord)> {
+    refresh_steps(&call.state);
     let choice = find_choice(call)?;
     let (state, now) = (&call.state, call.state.now());
     let mut roster = state.roster.borrow_mut();
@@ -227,6 +229,7 @@
     call.record.add_field("cost", choice.cost as u64);
     call.record.add_field("home", choice.is_affinity_target);
     call.record.add_field("of", choice.candidates);
+    call.record.add_field("speed", choice.speed_step.as_str());
     call.record.add_field("version", &target.version);
     let name = &choice.target;
     let roster = call.state.roster.borrow();
