--- a/crates/beechsaddle/tests/gateway_settings.rs
+++ b/crates/beechsaddle/tests/gateway_settings.rs
@@ -79,6 +79,10 @@
                 [policy]\nfetch_parts = false\n";
     let settings = GatewaySettings::try_parse("p.toml", text).expect("settings");
     assert!(!settings.policy.fetches_parts && settings.policy.keeps_single_runs_near);
+    assert!(!settings.policy.places_by_speed);
+    let text = format!("{text}place_by_speed = true\n");
+    let settings = GatewaySettings::try_parse("p.toml", text).expect("settings");
+    assert!(settings.policy.places_by_speed);
 }
 
 /// Invalid amounts are reported with their lines, and omitted ones keep their defaults.
