--- a/crates/beechsaddle-core/src/gateway/policy_options.rs
+++ b/crates/beechsaddle-core/src/gateway/policy_options.rs
@@ -13,6 +13,8 @@
     pub leaves_full_link: bool,
     /// Whether slow targets of a service get fewer requests than the others.
     pub places_by_speed: bool,
+    /// Whether targets that have started or recovered get a growing part of their requests.
+    pub paces_recovery: bool,
 }
 
 impl Default for PolicyOptions {
@@ -22,6 +24,7 @@
             fetches_parts: true,
             leaves_full_link: true,
             places_by_speed: false,
+            paces_recovery: false,
         }
     }
 }
--- a/crates/beechsaddle-core/src/gateway/target_chooser.rs
+++ b/crates/beechsaddle-core/src/gateway/target_chooser.rs
@@ -130,6 +130,7 @@
     if candidates.is_empty() {
         candidates = untried;
     }
+    let candidates = paced(candidates, now, &input);
     let fastest = fastest_ms(&candidates, now);
     let speeds = SpeedPlan::new(&candidates, &input);
     let affinity = PartAffinity::find(&candidates, &input, &speeds);
@@ -140,6 +141,25 @@
         .min_by(|left, right| left.cost.total_cmp(&right.cost))
 }
 
+/// Leaves out targets whose window does not admit the request. If more than half of the targets have
+/// narrow windows, the others could not take what is kept from them, and all stay.
+fn paced<'a>(
+    candidates: Vec<&'a RosterEntry>,
+    now: ClockTime,
+    input: &ChoiceInput<'_>,
+) -> Vec<&'a RosterEntry> {
+    let is_narrow = |entry: &&RosterEntry| entry.stats.pace.is_narrow(now);
+    let narrow = candidates.iter().copied().filter(is_narrow).count();
+    if !input.policy.paces_recovery || narrow == 0 || narrow * 2 > candidates.len() {
+        return candidates;
+    }
+    let admits = |entry: &&RosterEntry| {
+        let name = entry.record.name.as_str();
+        entry.stats.pace.admits(now, input.request_id, name)
+    };
+    candidates.into_iter().filter(admits).collect()
+}
+
 /// Returns the shortest recent wait among targets, in milliseconds.
 fn fastest_ms(candidates: &[&RosterEntry], now: ClockTime) -> f64 {
     candidates
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -70,6 +70,8 @@
     /// removed or, if it was removed before, when the notice came.
     unlisted_notices: BTreeMap<TargetIncarnation, ClockTime>,
     outage_until: Option<ClockTime>,
+    /// Whether a complete listing was taken. What is listed first says nothing about starts.
+    has_listing: bool,
     /// The rests that targets have asked for.
     pub rests: RestRegistry,
     speeds: SpeedSurvey,
@@ -216,6 +218,7 @@
         for record in listed.into_values() {
             changes.extend(self.take_entry(now, record));
         }
+        self.has_listing = true;
         changes
     }
 
@@ -265,7 +268,10 @@
     fn list(&mut self, now: ClockTime, record: TargetRecord) -> Option<RosterEntry> {
         let notice = self.unlisted_notices.remove(&record.incarnation());
         let name = record.name.clone();
-        let entry = RosterEntry::new(now, record, notice.is_some());
+        let mut entry = RosterEntry::new(now, record, notice.is_some());
+        if self.has_listing {
+            entry.stats.pace.begin(now);
+        }
         self.entries.insert(name, entry)
     }
 
@@ -359,6 +365,7 @@
     pub fn clear_ejections(&mut self) {
         for entry in self.entries.values_mut() {
             entry.stats.clear_ejection();
+            entry.stats.pace.open();
         }
     }
 
--- a/crates/beechsaddle-core/src/gateway/target_stats.rs
+++ b/crates/beechsaddle-core/src/gateway/target_stats.rs
@@ -1,6 +1,6 @@
 //! The `target_stats` module provides one router's statistics of a target: load, speed, failures.
 
-use super::{LimitState, OutlierScore, SpeedAverage, WarmUpWindow};
+use super::{LimitState, OutlierScore, PaceWindow, SpeedAverage, WarmUpWindow};
 use crate::clock::ClockTime;
 
 /// How long a target is ejected after a connection to it failed, in milliseconds. An attempt costs
@@ -44,6 +44,8 @@
     pub limit: LimitState,
     /// Recent requests, for the slow start.
     pub warm_up: WarmUpWindow,
+    /// The part of the requests that it gets after a start or a recovery.
+    pub pace: PaceWindow,
     /// When the last response of the target was received.
     pub progress_at: ClockTime,
     outliers: OutlierScore,
@@ -64,6 +66,7 @@
             pending_tokens: 0,
             limit: LimitState::default(),
             warm_up: WarmUpWindow::default(),
+            pace: PaceWindow::default(),
             progress_at: now,
             outliers: OutlierScore::new(now),
             speed_ms: 0.0,
@@ -85,6 +88,8 @@
     /// expected.
     pub fn record_first(&mut self, now: ClockTime, load: AttemptLoad, waited_ms: u64) {
         self.pending_tokens = self.pending_tokens.saturating_sub(load.prefill_tokens);
+        let before_ms = (self.speed_ms > 0.0).then_some(self.speed_ms);
+        self.pace.record_first(now, waited_ms, before_ms);
         let known = match now.since(self.speed_at) < SAMPLE_LIFE_MS && self.speed_ms > 0.0 {
             true => self.speed_ms,
             false => waited_ms as f64,
@@ -124,6 +129,9 @@
     /// Records whether an attempt failed.
     pub fn record_outcome(&mut self, now: ClockTime, is_failure: bool) {
         self.outliers.record(now, is_failure);
+        if is_failure {
+            self.pace.record_failure(now);
+        }
         if !is_failure {
             self.clear_ejection();
             self.progress_at = now;
@@ -137,6 +145,7 @@
         }
         let span = EJECTION_INITIAL_MS << self.ejections.min(4);
         self.ejected_until = now.plus_ms(span.min(EJECTION_MAX_MS));
+        self.pace.begin(self.ejected_until);
         self.ejections += 1;
     }
 
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -339,6 +339,7 @@
         fetches_parts: switch("fetch_parts", defaults.fetches_parts),
         leaves_full_link: switch("leave_full_link", defaults.leaves_full_link),
         places_by_speed: switch("place_by_speed", defaults.places_by_speed),
+        paces_recovery: switch("pace_recovery", defaults.paces_recovery),
     };
     table.finish(findings);
     options
