--- a/crates/beechsaddle-core/src/gateway/speed_survey.rs
+++ b/crates/beechsaddle-core/src/gateway/speed_survey.rs
@@ -21,6 +21,10 @@
 /// two, one of them would always be the slow one.
 const KNOWN_TARGETS_MIN: usize = 3;
 
+/// The weight of the samples from which a speed counts. A few samples tell more about the moment's load
+/// than about the target.
+const SAMPLES_MIN: f64 = 8.0;
+
 /// The steps of speed of one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TargetSteps {
@@ -64,11 +68,15 @@
 impl TargetTimes {
     fn of(entry: &RosterEntry, now: ClockTime) -> Self {
         let report = entry.report.as_ref();
-        let report = report.filter(|report| now.since(report.measured_at) < REPORT_SPEED_LIFE_MS);
+        let report = report.filter(|report| {
+            let is_fresh = now.since(report.measured_at) < REPORT_SPEED_LIFE_MS;
+            is_fresh && report.samples >= SAMPLES_MIN
+        });
+        let own = Some(&entry.stats).filter(|stats| stats.speed_samples(now) >= SAMPLES_MIN);
         let event_ms = report.and_then(|report| report.event_ms);
         let read_per_ms = report.and_then(|report| report.read_per_ms);
-        let event_ms = event_ms.or_else(|| entry.stats.event_ms(now));
-        let read_per_ms = read_per_ms.or_else(|| entry.stats.read_per_ms(now));
+        let event_ms = event_ms.or_else(|| own?.event_ms(now));
+        let read_per_ms = read_per_ms.or_else(|| own?.read_per_ms(now));
         TargetTimes {
             event_ms: event_ms.filter(|time| is_time(*time)),
             token_ms: read_per_ms
--- a/crates/beechsaddle-core/tests/gateway_places_by_speed.rs
+++ b/crates/beechsaddle-core/tests/gateway_places_by_speed.rs
@@ -312,6 +312,27 @@
     }
 }
 
+/// Guards against a few calls in a moment of load that make a target count as slow.
+#[test]
+fn look_at_speeds_few_samples_under_load_change_no_step() {
+    let mut roster = roster(9);
+    for second in 0..8 {
+        let now = START.plus_ms(second * 1_000);
+        for number in 0..9 {
+            let event_ms = if number < 3 { 10 } else { 1 } * USUAL_MS as u64;
+            let entry = roster.get_mut(&target(number)).expect("a target");
+            if second < 2 {
+                entry.stats.record_events(now, event_ms * 60, 60);
+            }
+            entry.report = Some(TargetReport {
+                samples: 3.0,
+                ..report(now, event_ms as f64, 0)
+            });
+        }
+        assert_eq!(roster.look_at_speeds(now), Vec::new());
+    }
+}
+
 /// Routers that hear of the targets' speeds late or not at all, while a third of them turns slow. Returns
 /// the shares of routers that agree on the place of a part, and of parts on slow targets.
 fn lagging_fleet(routers: u64) -> (f64, f64) {
