--- a/crates/beechsaddle-core/src/gateway/policy_options.rs
+++ b/crates/beechsaddle-core/src/gateway/policy_options.rs
@@ -13,6 +13,10 @@
     pub leaves_full_link: bool,
     /// Whether routers tell each other what they measure of targets.
     pub shares_target_speeds: bool,
+    /// Whether slow targets of a service get fewer requests than the others.
+    pub places_by_speed: bool,
+    /// Whether targets that have started or recovered get a growing part of their requests.
+    pub paces_recovery: bool,
 }
 
 impl Default for PolicyOptions {
@@ -22,6 +26,8 @@
             fetches_parts: true,
             leaves_full_link: true,
             shares_target_speeds: false,
+            places_by_speed: false,
+            paces_recovery: false,
         }
     }
 }
--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use super::{
-    ORIGIN_RETENTION_MS, RestRegistry, TargetIncarnation, TargetPhase, TargetRecord, TargetReport,
-    TargetStats,
+    ORIGIN_RETENTION_MS, RestRegistry, SpeedSurvey, StepChange, TargetIncarnation, TargetPhase,
+    TargetRecord, TargetReport, TargetStats, TargetSteps,
 };
 use crate::clock::ClockTime;
 use crate::names::{ServiceName, SoftwareVersion, TargetName};
@@ -45,6 +45,8 @@
     pub stats: TargetStats,
     /// What other routers have measured of this incarnation; `None` if nothing is known.
     pub report: Option<TargetReport>,
+    /// Its speed relative to the usual one of its service.
+    pub steps: TargetSteps,
     listed_at: ClockTime,
     cold_until: ClockTime,
     is_replaced: bool,
@@ -68,8 +70,11 @@
     /// removed or, if it was removed before, when the notice came.
     unlisted_notices: BTreeMap<TargetIncarnation, ClockTime>,
     outage_until: Option<ClockTime>,
+    /// Whether a complete listing was taken. What is listed first says nothing about starts.
+    has_listing: bool,
     /// The rests that targets have asked for.
     pub rests: RestRegistry,
+    speeds: SpeedSurvey,
 }
 
 /// The relation of an entry to the known one.
@@ -88,6 +93,7 @@
         RosterEntry {
             stats: TargetStats::new(now),
             report: None,
+            steps: TargetSteps::default(),
             cold_until: now.plus_ms(record.cold_ms),
             record,
             listed_at: now,
@@ -212,6 +218,7 @@
         for record in listed.into_values() {
             changes.extend(self.take_entry(now, record));
         }
+        self.has_listing = true;
         changes
     }
 
@@ -261,7 +268,10 @@
     fn list(&mut self, now: ClockTime, record: TargetRecord) -> Option<RosterEntry> {
         let notice = self.unlisted_notices.remove(&record.incarnation());
         let name = record.name.clone();
-        let entry = RosterEntry::new(now, record, notice.is_some());
+        let mut entry = RosterEntry::new(now, record, notice.is_some());
+        if self.has_listing {
+            entry.stats.pace.begin(now);
+        }
         self.entries.insert(name, entry)
     }
 
@@ -355,6 +365,7 @@
     pub fn clear_ejections(&mut self) {
         for entry in self.entries.values_mut() {
             entry.stats.clear_ejection();
+            entry.stats.pace.open();
         }
     }
 
@@ -402,6 +413,11 @@
         self.entries.values_mut()
     }
 
+    /// Recomputes the steps of speed of all targets, once a second at most; returns their changes.
+    pub fn look_at_speeds(&mut self, now: ClockTime) -> Vec<StepChange> {
+        self.speeds.look(now, self.entries.values_mut())
+    }
+
     /// Returns all targets.
     pub fn entries(&self) -> impl Iterator<Item = &RosterEntry> {
         self.entries.values()
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -98,6 +98,9 @@
 /// The results of connecting to a target.
 pub(super) const CONNECT_RESULTS: [&str; 3] = ["connected", "refused", "failed"];
 
+/// The steps of speed that targets change to.
+const SPEED_STEPS: [&str; 3] = ["usual", "slow", "very_slow"];
+
 /// The outcomes of requests for trials of what may crash targets.
 pub(super) const TRIAL_OUTCOMES: [&str; 2] = ["granted", "refused"];
 
@@ -163,6 +166,8 @@
     pub(super) targets_reported: Gauge,
     /// The mean age of the newest sample of these, in milliseconds.
     pub(super) report_age_ms: Gauge,
+    /// Changes of targets' steps of speed, by the new step.
+    pub(super) speed_steps: Family<OutcomeLabel, Counter>,
     /// Rests of targets that began or grew.
     pub(super) target_rests: Counter,
     /// 1 while the router is partitioned from the targets.
@@ -244,6 +249,7 @@
             target_note_bytes: zeroed_counters(NOTE_DIRECTIONS),
             targets_reported: Gauge::default(),
             report_age_ms: Gauge::default(),
+            speed_steps: zeroed_counters(SPEED_STEPS),
             target_rests: Counter::default(),
             path_lost: Gauge::default(),
             tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
@@ -345,6 +351,8 @@
         registry.register("targets_reported", "Targets known from others", reported);
         let age = self.report_age_ms.clone();
         registry.register("report_age_ms", "Mean age of what others told", age);
+        let steps = self.speed_steps.clone();
+        registry.register("speed_steps", "Changes of targets' speed", steps);
         let rests = self.target_rests.clone();
         registry.register("target_rests", "Rests that began or grew", rests);
         let path_lost = self.path_lost.clone();
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -339,6 +339,8 @@
         fetches_parts: switch("fetch_parts", defaults.fetches_parts),
         leaves_full_link: switch("leave_full_link", defaults.leaves_full_link),
         shares_target_speeds: switch("share_target_speeds", defaults.shares_target_speeds),
+        places_by_speed: switch("place_by_speed", defaults.places_by_speed),
+        paces_recovery: switch("pace_recovery", defaults.paces_recovery),
     };
     table.finish(findings);
     options
