Keep scarce tokens for urgent calls: levels and spare tokens by demand and by what has to last

An allocator knows the demand by urgency of its borrowers, withholds from less urgent loans what the others need, and tells its borrowers levels. A pause after refused drafts does not hold for questions.

--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -6,7 +6,10 @@
 use super::deferred_change::PendingChange;
 use super::demand_peak::DemandPeak;
 use super::reserve_schedule::ReserveSchedule;
-use super::{DemandRate, EscrowFacts, EscrowOptions, EscrowRole, TokenTransfer, WorkspaceLedger};
+use super::{
+    DemandRate, EscrowFacts, EscrowOptions, EscrowRole, TokenSupply, TokenTransfer, UrgencyReserve,
+    WorkspaceLedger,
+};
 use crate::clock::ClockTime;
 
 /// Half-life of the average demand, in milliseconds.
@@ -55,6 +58,8 @@
     /// Tokens used by a borrower's calls that were not reported to the allocator yet. An allocator
     /// records its own demand and reports none.
     pub(super) unreported_use: i64,
+    /// The demand by urgency, and what is kept for the more urgent calls.
+    pub(super) urgency: UrgencyReserve,
     /// Tokens taken by all routers, as last read from the ledger or sent by the allocator.
     known_taken: Option<u64>,
     reserved: u64,
@@ -93,6 +98,7 @@
             awaited: BTreeMap::new(),
             is_scarce: false,
             unreported_use: 0,
+            urgency: UrgencyReserve::default(),
             known_taken: None,
             uncovered_since: None,
             ledger_at: now,
@@ -309,6 +315,18 @@
         }
     }
 
+    /// Returns the tokens that can be spent. `outage_ms` is how long the ledger has been
+    /// unreachable.
+    pub(super) fn supply(&self, outage_ms: Option<u64>) -> TokenSupply {
+        TokenSupply {
+            free: self.free,
+            held: self.held(),
+            left: self.left(),
+            outage_ms,
+            domains: self.allocators,
+        }
+    }
+
     /// Returns the tokens taken by all routers; `None` until they are known. An allocator uses the
     /// ledger that it writes.
     pub(super) fn taken(&self) -> Option<u64> {
--- a/crates/beechsaddle-core/src/gateway/escrow_options.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_options.rs
@@ -74,6 +74,13 @@
     /// Time after which a request that the remaining tokens do not cover is refused for good, in
     /// milliseconds. Until then other routers may return enough.
     pub give_back_ms: u64,
+    /// Seconds for which the last tokens of a total have to last for the more urgent calls: the
+    /// time that an operator needs for a top-up. 0 serves calls in the order in which they come,
+    /// whatever their urgency.
+    pub reserve_s: f64,
+    /// The part of the calls of each urgency that is admitted while tokens are kept for more
+    /// urgent ones: callers of a less urgent route are slowed down, not turned away for good.
+    pub floor_part: f64,
 }
 
 impl Default for EscrowOptions {
@@ -100,6 +107,8 @@
             slack_scarce: 0.01,
             give_back_at: 1.3,
             give_back_ms: 1_300,
+            reserve_s: 0.0,
+            floor_part: 0.25,
         }
     }
 }
--- a/crates/beechsaddle-core/src/gateway/token_escrow.rs
+++ b/crates/beechsaddle-core/src/gateway/token_escrow.rs
@@ -6,9 +6,10 @@
 use super::escrow_account::EscrowAccount;
 use super::{
     ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, StartBound, TokenTransfer,
-    WorkspaceLedger,
+    UrgencyReserve, WorkspaceLedger,
 };
 use crate::clock::ClockTime;
+use crate::hash::rendezvous_weight;
 use crate::names::WorkspaceName;
 
 /// The assumed number of allocators of a workspace until they are counted: a few more than a small
@@ -64,7 +65,11 @@
         let (allocators, routers, is_closing) = (self.allocators, self.routers, self.is_closing);
         for rule in config.workspaces() {
             let account = self.accounts.entry(rule.name.clone());
-            let account = account.or_insert_with(|| EscrowAccount::new(now));
+            let account = account.or_insert_with(|| {
+                let mut account = EscrowAccount::new(now);
+                account.urgency = UrgencyReserve::new(initial_credit(&self.router, &rule.name));
+                account
+            });
             account.allocators = allocators;
             account.routers = routers;
             account.is_closing = is_closing;
@@ -354,3 +359,9 @@
         selected.map(|(workspace, _)| workspace.clone()).collect()
     }
 }
+
+/// Returns a number from 0 to 1 that differs between routers and workspaces.
+fn initial_credit(router: &str, workspace: &WorkspaceName) -> f64 {
+    let hash = rendezvous_weight(workspace.as_str(), router);
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/beechsaddle-core/src/gateway/token_opening.rs
+++ b/crates/beechsaddle-core/src/gateway/token_opening.rs
@@ -3,9 +3,9 @@
 //! In an outage of the store, a router knows from its schedule when tokens become usable. A call
 //! that they cover soon enough waits for them; any other is refused at once.
 
-use super::TokenTransfer;
 use super::escrow_account::EscrowAccount;
 use super::token_escrow::TokenEscrow;
+use super::{CallUrgency, TokenTransfer};
 use crate::clock::ClockTime;
 use crate::names::WorkspaceName;
 
@@ -20,15 +20,32 @@
     /// Returns the time until the tokens held here cover all calls that wait for tokens of a
     /// workspace, in milliseconds; `None` if they never do without a transfer.
     pub fn opens_in_ms(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<u64> {
-        let opens_at = self.accounts.get(workspace)?.opens_at()?;
+        let account = self.accounts.get(workspace)?;
+        let opens_at = account.opens_at(account.awaited())?;
+        Some(opens_at.since(now))
+    }
+
+    /// Returns the time as [`TokenEscrow::opens_in_ms`] does, for calls that are served before less
+    /// urgent ones.
+    pub fn urgent_opens_in_ms(
+        &self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        urgency: CallUrgency,
+    ) -> Option<u64> {
+        if !self.follows_urgency() {
+            return self.opens_in_ms(now, workspace);
+        }
+        let account = self.accounts.get(workspace)?;
+        let opens_at = account.opens_at(account.urgency.awaited_up_to(urgency))?;
         Some(opens_at.since(now))
     }
 }
 
 impl EscrowAccount {
-    /// Returns the time from which the usable tokens cover all waiting calls.
-    fn opens_at(&self) -> Option<ClockTime> {
-        let spare = self.held().checked_sub(self.awaited())?;
+    /// Returns the time from which the usable tokens cover those that calls wait for.
+    fn opens_at(&self, awaited: u64) -> Option<ClockTime> {
+        let spare = self.held().checked_sub(awaited)?;
         self.deferred_within(spare)
     }
 
--- a/crates/beechsaddle-core/tests/gateway_escrow.rs
+++ b/crates/beechsaddle-core/tests/gateway_escrow.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use beechsaddle_core::gateway::{
-    CallerLimits, ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange, LoanReply,
-    LoanRequest, LoanReturn, ReserveOutcome, StartBound, TokenEscrow, TokenTransfer,
-    WorkspaceLedger, WorkspaceRule,
+    CallUrgency, CallerLimits, ClockBounds, EscrowOptions, EscrowRole, GatewayConfig, LedgerChange,
+    LoanReply, LoanRequest, LoanReturn, ReserveOutcome, StartBound, TokenEscrow, TokenTransfer,
+    UrgencyNeed, WorkspaceLedger, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -591,6 +591,7 @@
 /// A store, three routers, and the tokens spent.
 #[derive(Debug)]
 struct EscrowSession {
+    options: EscrowOptions,
     now: ClockTime,
     prepaid: u64,
     version: u64,
@@ -605,8 +606,9 @@
 }
 
 impl EscrowSession {
-    fn new() -> Self {
+    fn new(options: EscrowOptions) -> Self {
         let mut session = EscrowSession {
+            options,
             now: START,
             prepaid: 8_000,
             version: 1,
@@ -625,7 +627,7 @@
     fn start(&mut self, number: u8) {
         self.incarnations += 1;
         let name = format!("host-{number}@{}", self.incarnations);
-        let mut escrow = TokenEscrow::new(EscrowOptions::default(), name);
+        let mut escrow = TokenEscrow::new(self.options, name);
         escrow.set_config(self.now, &config(self.version, self.prepaid));
         escrow.set_fleet(3, 3);
         escrow.set_role(&acme(), EscrowRole::Allocator);
@@ -684,12 +686,21 @@
 
     fn reserve(&mut self, number: u8, tokens: u64) {
         let now = self.now;
+        let outage_ms = self.outage_ms();
         let router = self.router(number);
-        if router.escrow.try_reserve(now, &acme(), tokens) == ReserveOutcome::Reserved {
+        let urgency = urgency_of(tokens);
+        let escrow = &mut router.escrow;
+        escrow.record_call(now, &acme(), urgency, tokens);
+        let outcome = escrow.try_reserve_urgent(now, &acme(), urgency, tokens, outage_ms);
+        if outcome == ReserveOutcome::Reserved {
             router.open.push(tokens);
         } else {
             router.escrow.begin_wait(now, &acme(), tokens);
+            router
+                .escrow
+                .begin_urgent_wait(now, &acme(), urgency, tokens);
             router.escrow.end_wait(&acme(), tokens);
+            router.escrow.end_urgent_wait(&acme(), urgency, tokens);
         }
     }
 
@@ -703,10 +714,20 @@
             ahead: tokens,
             used: 0,
         };
-        let now = self.now;
+        let (now, outage_ms) = (self.now, self.outage_ms());
+        let needs = [UrgencyNeed {
+            urgency: urgency_of(tokens),
+            least: tokens,
+            need: tokens,
+            used: tokens as i64,
+        }];
         let lender = &mut self.router(lender).escrow;
         lender.record_request(now, &acme(), request);
-        let reply = lender.lend(now, &acme(), request);
+        lender.record_needs(now, &acme(), &needs);
+        let reply = lender.lend_urgent(now, &acme(), request, &needs, outage_ms);
+        let levels = lender.levels(now, &acme(), outage_ms);
+        let borrower = &mut self.router(number).escrow;
+        borrower.record_levels(now, &acme(), &needs, &levels);
         if let LoanReply::Lent(lent) = reply
             && !is_lost
         {
@@ -843,6 +864,12 @@
         }
     }
 
+    /// The ledger counts as unreachable in every other second.
+    fn outage_ms(&self) -> Option<u64> {
+        let second = self.now.as_millis() / 1_000;
+        (!second.is_multiple_of(2)).then_some(500)
+    }
+
     /// Returns the most that can be spent from here on without another write.
     fn exposure(&self) -> u64 {
         let routers = self.routers.values();
@@ -859,18 +886,43 @@
 #[test]
 fn escrow_random_sessions_never_overspend() {
     fn holds(steps: Vec<SessionStep>) -> bool {
-        let mut session = EscrowSession::new();
-        for step in steps {
-            session.run(step);
-            let taken = session.ledger.taken;
-            if session.spent + session.exposure() > taken || taken > session.prepaid {
-                return false;
-            }
-        }
-        true
+        stays_within_total(EscrowOptions::default(), steps)
     }
     QuickCheck::new()
         .rng(Gen::new(400))
         .tests(4_000)
         .quickcheck(holds as fn(Vec<SessionStep>) -> bool);
 }
+
+/// The same while tokens are kept for more urgent calls: no level, need or floor lets routers spend
+/// more than they took.
+#[test]
+fn escrow_random_sessions_by_urgency_never_overspend() {
+    fn holds(steps: Vec<SessionStep>) -> bool {
+        let options = EscrowOptions {
+            reserve_s: 30.0,
+            ..EscrowOptions::default()
+        };
+        stays_within_total(options, steps)
+    }
+    QuickCheck::new()
+        .rng(Gen::new(400))
+        .tests(4_000)
+        .quickcheck(holds as fn(Vec<SessionStep>) -> bool);
+}
+
+fn urgency_of(tokens: u64) -> CallUrgency {
+    CallUrgency((tokens % 3) as u8)
+}
+
+fn stays_within_total(options: EscrowOptions, steps: Vec<SessionStep>) -> bool {
+    let mut session = EscrowSession::new(options);
+    for step in steps {
+        session.run(step);
+        let taken = session.ledger.taken;
+        if session.spent + session.exposure() > taken || taken > session.prepaid {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptHistory, LinkDirection, RouteRule, ServiceRule, SuspectKey,
+    AttemptHistory, CallUrgency, LinkDirection, RouteRule, ServiceRule, SuspectKey,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -180,7 +180,8 @@
         return Ok(None);
     };
     let started = call.state.now();
-    let reservation = TokenReservation::try_take(&call.state, workspace, bound).await;
+    let urgency = CallUrgency(call.priority());
+    let reservation = TokenReservation::try_take(&call.state, workspace, urgency, bound).await;
     let waited_ms = call.state.now().since(started);
     call.state
         .metrics
@@ -208,6 +209,7 @@
     let mut fields = vec![
         ("workspace", workspace.to_string()),
         ("tokens", tokens.to_string()),
+        ("urgency", call.priority().to_string()),
         (
             "outcome",
             refusal
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -1,6 +1,7 @@
 //! The `gateway_metrics` module provides counters and latency histograms for monitoring.
 
 use std::fmt;
+use std::sync::atomic::AtomicU64;
 
 use beechsaddle_platform::BodyFraming;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -19,6 +20,13 @@
     pub(super) cause: RefusalCause,
 }
 
+/// The urgency of calls.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct UrgencyLabel {
+    /// 0 is the most urgent.
+    pub(super) urgency: u8,
+}
+
 /// A value of a closed set, such as the end of an attempt or the outcome of a call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct OutcomeLabel {
@@ -182,6 +190,10 @@
     pub(super) tokens_borrowed: Counter,
     /// Tokens lent to other routers.
     pub(super) tokens_lent: Counter,
+    /// Calls that were refused because tokens are kept for more urgent ones.
+    pub(super) turned_away: Family<UrgencyLabel, Counter>,
+    /// The part of calls that is admitted, as last told to a borrower.
+    pub(super) urgency_level: Family<UrgencyLabel, Gauge<f64, AtomicU64>>,
     /// Tokens recovered from earlier processes on this host.
     pub(super) tokens_recovered: Counter,
     /// Log lines dropped by sampling under load.
@@ -243,6 +255,8 @@
             follows_store: Gauge::default(),
             tokens_borrowed: Counter::default(),
             tokens_lent: Counter::default(),
+            turned_away: Family::default(),
+            urgency_level: Family::default(),
             tokens_recovered: Counter::default(),
             lines_sampled_out: Counter::default(),
             open_calls: Gauge::default(),
@@ -358,6 +372,14 @@
         let borrowed = self.tokens_borrowed.clone();
         registry.register("tokens_borrowed", "Tokens borrowed", borrowed);
         registry.register("tokens_lent", "Tokens lent", self.tokens_lent.clone());
+        let turned_away = self.turned_away.clone();
+        registry.register(
+            "turned_away",
+            "Calls refused for more urgent ones",
+            turned_away,
+        );
+        let level = self.urgency_level.clone();
+        registry.register("urgency_level", "Part of calls admitted", level);
         let recovered = self.tokens_recovered.clone();
         registry.register("tokens_recovered", "Tokens recovered", recovered);
         let sampled_out = self.lines_sampled_out.clone();
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -322,6 +322,8 @@
         first_part: table.read_f64_or("first_part", defaults.first_part, 0.0..=1.0, findings),
         known_part: table.read_f64_or("known_part", defaults.known_part, 0.0..=1.0, findings),
         refill_part: table.read_f64_or("refill_part", defaults.refill_part, 0.0..=1.0, findings),
+        reserve_s: table.read_f64_or("reserve_s", defaults.reserve_s, 0.0..=3_600.0, findings),
+        floor_part: table.read_f64_or("floor_part", defaults.floor_part, 0.0..=1.0, findings),
         ..defaults
     };
     table.finish(findings);
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -127,6 +127,8 @@
     pub(super) escrow_changed: Notify,
     /// Whether the ledger could not be reached at the last attempts.
     pub(super) is_ledger_unreachable: Cell<bool>,
+    /// Since when it could not be reached.
+    pub(super) ledger_lost_at: Cell<ClockTime>,
     /// The phase of the shutdown.
     pub(super) phase: watch::Sender<GatewayPhase>,
     /// The rate limit for log lines of calls.
@@ -189,6 +191,7 @@
             escrow_wake: Notify::new(),
             escrow_changed: Notify::new(),
             is_ledger_unreachable: Cell::new(false),
+            ledger_lost_at: Cell::new(ClockTime::ZERO),
             phase: watch::Sender::new(GatewayPhase::Serving),
             log_sampler: LogSampler::default(),
             open_calls: Cell::new(0),
@@ -200,6 +203,12 @@
         }
     }
 
+    /// Returns for how long the ledger could not be reached, in milliseconds; `None` if it can.
+    pub(super) fn outage_ms(&self) -> Option<u64> {
+        let is_unreachable = self.is_ledger_unreachable.get();
+        is_unreachable.then(|| self.now().since(self.ledger_lost_at.get()))
+    }
+
     pub(super) fn now(&self) -> ClockTime {
         self.clock.now()
     }
--- a/crates/beechsaddle/src/gateway/ledger_sync.rs
+++ b/crates/beechsaddle/src/gateway/ledger_sync.rs
@@ -378,6 +378,7 @@
         self.failures.set(self.failures.get() + 1);
         if self.failures.get() == OUTAGE_FAILURES {
             self.state.is_ledger_unreachable.set(true);
+            self.state.ledger_lost_at.set(self.state.now());
             self.state.escrow_changed.notify_waiters();
             let fields = [
                 ("duty", "budgets".to_owned()),
--- a/crates/beechsaddle/src/gateway/ledger_wait.rs
+++ b/crates/beechsaddle/src/gateway/ledger_wait.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use beechsaddle_core::gateway::CallUrgency;
 use beechsaddle_core::prelude::*;
 
 use super::gateway_state::GatewayState;
@@ -10,6 +11,7 @@
 pub(super) struct LedgerWait<'a> {
     state: &'a GatewayState,
     workspace: &'a WorkspaceName,
+    urgency: CallUrgency,
     tokens: u64,
     is_waiting: Cell<bool>,
 }
@@ -19,11 +21,13 @@
     pub(super) fn start(
         state: &'a GatewayState,
         workspace: &'a WorkspaceName,
+        urgency: CallUrgency,
         tokens: u64,
     ) -> Self {
         LedgerWait {
             state,
             workspace,
+            urgency,
             tokens,
             is_waiting: Cell::new(false),
         }
@@ -35,6 +39,7 @@
             let now = self.state.now();
             let mut escrow = self.state.escrow.borrow_mut();
             escrow.begin_wait(now, self.workspace, self.tokens);
+            escrow.begin_urgent_wait(now, self.workspace, self.urgency, self.tokens);
         }
     }
 }
@@ -44,6 +49,7 @@
         if self.is_waiting.get() {
             let mut escrow = self.state.escrow.borrow_mut();
             escrow.end_wait(self.workspace, self.tokens);
+            escrow.end_urgent_wait(self.workspace, self.urgency, self.tokens);
         }
     }
 }
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -61,6 +61,7 @@
 mod token_reservation;
 mod token_return;
 mod tunnels;
+mod urgency_gate;
 
 pub use gateway_process::run;
 pub use gateway_settings::{GatewaySettings, is_gateway_file};
--- a/crates/beechsaddle/src/gateway/opening_turn.rs
+++ b/crates/beechsaddle/src/gateway/opening_turn.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use beechsaddle_core::gateway::CallUrgency;
 use beechsaddle_core::prelude::*;
 
 use super::gateway_state::GatewayState;
@@ -16,12 +17,21 @@
 const CHECK_INTERVAL_MS: u64 = 50;
 
 /// The turn of one request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct OpeningTurn {
+    urgency: CallUrgency,
     due_at: Option<ClockTime>,
 }
 
 impl OpeningTurn {
+    /// Creates the turn of a request, whose urgency decides which others come first.
+    pub(super) fn new(urgency: CallUrgency) -> Self {
+        OpeningTurn {
+            urgency,
+            due_at: None,
+        }
+    }
+
     /// Whether other requests take tokens first.
     pub(super) fn is_awaited(&self, state: &GatewayState, workspace: &WorkspaceName) -> bool {
         if !state.is_ledger_unreachable.get() {
@@ -29,7 +39,10 @@
         }
         match self.due_at {
             Some(due_at) => state.now() < due_at,
-            None => state.escrow.borrow().has_opening_queue(workspace),
+            None => {
+                let escrow = state.escrow.borrow();
+                escrow.has_urgent_queue(workspace, self.urgency)
+            }
         }
     }
 
@@ -42,7 +55,8 @@
         wait_ms: u64,
     ) -> Option<Duration> {
         let now = state.now();
-        let opens_in_ms = state.escrow.borrow().opens_in_ms(now, workspace);
+        let escrow = state.escrow.borrow();
+        let opens_in_ms = escrow.urgent_opens_in_ms(now, workspace, self.urgency);
         let opens_in_ms = opens_in_ms.filter(|opens_in_ms| *opens_in_ms <= wait_ms)?;
         let due_at = *self.due_at.get_or_insert(now.plus_ms(opens_in_ms));
         Some(Duration::from_millis(
--- a/crates/beechsaddle/src/gateway/peer_link.rs
+++ b/crates/beechsaddle/src/gateway/peer_link.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    ChangeBatch, ClockReading, LoanReply, LoanRequest, LoanReturn, PeerRecord, PermitReply,
-    TargetLimit,
+    CallUrgency, ChangeBatch, ClockReading, LoanReply, LoanRequest, LoanReturn, PeerRecord,
+    PermitReply, TargetLimit, UrgencyLevel, UrgencyNeed,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::ObjectKind;
@@ -33,12 +33,14 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The answer of a lender.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct LenderAnswer {
     /// The outcome of the request.
     pub(super) reply: LoanReply,
     /// The tokens that all routers together took of the total, as known to the lender; `None` if unknown.
     pub(super) taken: Option<u64>,
+    /// The part of calls that is admitted, by urgency; empty from a lender that keeps no tokens.
+    pub(super) levels: Vec<UrgencyLevel>,
 }
 
 /// Why a return of tokens failed.
@@ -106,6 +108,7 @@
         domain: &DomainName,
         workspace: &WorkspaceName,
         request: LoanRequest,
+        needs: &[UrgencyNeed],
     ) -> Result<LenderAnswer, String> {
         let link = self.open(peer).await?;
         let mut call = link.lender().borrow_request();
@@ -117,6 +120,15 @@
         parameters.set_ahead(request.ahead);
         parameters.set_used(request.used);
         parameters.set_domain(domain.as_str());
+        let count = u32::try_from(needs.len()).unwrap_or(u32::MAX);
+        let mut list = parameters.init_needs(count);
+        for (index, need) in (0..count).zip(needs) {
+            let mut entry = list.reborrow().get(index);
+            entry.set_urgency(need.urgency.0);
+            entry.set_least(need.least);
+            entry.set_need(need.need);
+            entry.set_used(need.used);
+        }
         let reply = call
             .send()
             .promise
@@ -131,7 +143,16 @@
             Err(error) => return Err(error.to_string()),
         };
         let taken = decode_taken(answer.get_taken());
-        Ok(LenderAnswer { reply, taken })
+        let levels = answer.get_levels().map_err(|error| error.to_string())?;
+        let levels = levels.iter().map(|level| UrgencyLevel {
+            urgency: CallUrgency(level.get_urgency()),
+            admitted: level.get_admitted(),
+        });
+        Ok(LenderAnswer {
+            reply,
+            taken,
+            levels: levels.collect(),
+        })
     }
 
     /// Returns tokens to the allocator of their workspace. The result is what all routers together took of
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{LoanReply, LoanRequest, LoanReturn, PermitReply, TargetLimit};
+use beechsaddle_core::gateway::{
+    CallUrgency, LoanReply, LoanRequest, LoanReturn, PermitReply, TargetLimit, UrgencyNeed,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::ObjectKind;
@@ -31,6 +33,7 @@
 use super::peer_codec::{read_incarnation, reader_options, time_before};
 use super::token_lender::lend_tokens;
 use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
+use super::urgency_gate::levels_to_tell;
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -134,7 +137,14 @@
         let domain = parameters.get_domain()?.to_str()?;
         let own = self.state.settings().domain.clone();
         let is_foreign = !domain.is_empty() && domain != own.as_str();
-        let reply = lend_tokens(&self.state, &workspace, request, is_foreign).await;
+        let needs = parameters.get_needs()?.iter().map(|need| UrgencyNeed {
+            urgency: CallUrgency(need.get_urgency()),
+            least: need.get_least(),
+            need: need.get_need(),
+            used: need.get_used(),
+        });
+        let needs: Vec<_> = needs.collect();
+        let reply = lend_tokens(&self.state, &workspace, request, &needs, is_foreign).await;
         let tokens = reply.tokens();
         let outcome = match reply {
             LoanReply::Lent(_) => LoanOutcome::Lent,
@@ -155,6 +165,14 @@
         answer.set_outcome(outcome);
         answer.set_tokens(tokens);
         answer.set_taken(self.taken_of(&workspace));
+        let levels = levels_to_tell(&self.state, &workspace);
+        let count = u32::try_from(levels.len()).unwrap_or(u32::MAX);
+        let mut list = answer.init_levels(count);
+        for (index, level) in (0..count).zip(&levels) {
+            let mut entry = list.reborrow().get(index);
+            entry.set_urgency(level.urgency.0);
+            entry.set_admitted(level.admitted);
+        }
         Ok(())
     }
 
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -26,6 +26,8 @@
     BudgetExhausted,
     /// The router holds too few tokens, and the ledger did not supply more in time.
     BudgetUnreachable,
+    /// The workspace's remaining tokens are kept for more urgent calls.
+    BudgetReserved,
     /// Targets crash when they run the request.
     CrashesTargets,
     /// The router has not received a configuration yet.
@@ -87,6 +89,7 @@
             RefusalCause::BudgetExhausted => (RefusalKind::BudgetExhausted, None),
             RefusalCause::TargetsFull => (RefusalKind::NotRun, Some(FULL_RETRY_MS)),
             RefusalCause::BudgetUnreachable
+            | RefusalCause::BudgetReserved
             | RefusalCause::NoConfig
             | RefusalCause::LinkFull
             | RefusalCause::MemoryFull
@@ -123,6 +126,7 @@
             RefusalCause::MemoryFull => "memory_full",
             RefusalCause::BudgetExhausted => "budget_exhausted",
             RefusalCause::BudgetUnreachable => "budget_unreachable",
+            RefusalCause::BudgetReserved => "budget_reserved",
             RefusalCause::CrashesTargets => "crashes_targets",
             RefusalCause::NoConfig => "no_config",
             RefusalCause::LinkFull => "link_full",
--- a/crates/beechsaddle/src/gateway/token_borrow.rs
+++ b/crates/beechsaddle/src/gateway/token_borrow.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{EscrowRole, LoanReply, LoanRequest, PeerRecord};
+use beechsaddle_core::gateway::{
+    CallUrgency, EscrowRole, LoanReply, LoanRequest, PeerRecord, UrgencyNeed,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use tokio::sync::oneshot;
@@ -124,9 +126,19 @@
     }
 }
 
+/// Records that no router lends tokens to the calls that wait, or to less urgent ones.
+///
+/// While tokens are kept for urgent calls, some become usable for them all the time, so that the pause
+/// between their requests does not grow.
 fn record_refusal(state: &GatewayState, workspace: &WorkspaceName) {
+    let urgency = state.escrow.borrow().most_urgent_waiting(workspace);
     let mut pauses = state.lending.pauses.borrow_mut();
+    if urgency == Some(CallUrgency::HIGHEST) {
+        pauses.record_lent(workspace);
+    }
     pauses.record_refused(state.now(), workspace);
+    let urgency = urgency.unwrap_or(CallUrgency::HIGHEST);
+    state.lending.set_refused_urgency(workspace, urgency);
 }
 
 /// Requests tokens from the allocators of other domains, which may hold more than they currently need.
@@ -158,7 +170,8 @@
     let Some(request) = wanted else {
         return Ok(());
     };
-    let loan = begin_loan(state, peer, workspace, request);
+    let needs = state.escrow.borrow().urgency_needs(workspace);
+    let loan = begin_loan(state, peer, workspace, request, needs.clone());
     let answer = match timeout(LOAN_TIMEOUT, loan).await {
         Ok(Ok(Ok(answer))) => answer,
         Ok(Ok(Err(error))) => return Err(mark_down(state, peer, &error)),
@@ -170,6 +183,10 @@
         state.report.log(LogLevel::Info, "peer_regained", fields);
     }
     log_loan(state, peer, workspace, request, answer.reply, false);
+    if peer.domain == state.settings().domain {
+        let mut escrow = state.escrow.borrow_mut();
+        escrow.record_levels(state.now(), workspace, &needs, &answer.levels);
+    }
     apply_answer(state, peer, workspace, request, answer)
 }
 
@@ -180,6 +197,7 @@
     peer: &PeerRecord,
     workspace: &WorkspaceName,
     request: LoanRequest,
+    needs: Vec<UrgencyNeed>,
 ) -> oneshot::Receiver<Result<LenderAnswer, String>> {
     let (sender, receiver) = oneshot::channel();
     let (state, peer, workspace) = (Rc::clone(state), peer.clone(), workspace.clone());
@@ -187,7 +205,7 @@
         let secret = state.lending.secret();
         let domain = state.settings().domain.clone();
         let links = &state.lending.links;
-        let loan = links.borrow_tokens(&peer, &secret, &domain, &workspace, request);
+        let loan = links.borrow_tokens(&peer, &secret, &domain, &workspace, request, &needs);
         let loan = match timeout(LATE_LOAN_TIMEOUT, loan).await {
             Ok(loan) => loan,
             Err(_) => Err("no answer within 10 s".to_owned()),
--- a/crates/beechsaddle/src/gateway/token_lender.rs
+++ b/crates/beechsaddle/src/gateway/token_lender.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{LoanReply, LoanRequest};
+use beechsaddle_core::gateway::{CallUrgency, LoanReply, LoanRequest, UrgencyNeed};
 use beechsaddle_core::prelude::*;
 use tokio::time::{Instant, timeout_at};
 
@@ -29,18 +29,28 @@
     state: &Rc<GatewayState>,
     workspace: &WorkspaceName,
     request: LoanRequest,
+    needs: &[UrgencyNeed],
     is_foreign: bool,
 ) -> LoanReply {
     record_request(state, workspace, request);
-    let waiting = LedgerWait::start(state, workspace, request.least);
+    if !is_foreign {
+        let mut escrow = state.escrow.borrow_mut();
+        escrow.record_needs(state.now(), workspace, needs);
+    }
+    let urgency = most_urgent(needs);
+    let waiting = LedgerWait::start(state, workspace, urgency, request.least);
     let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
-    let mut turn = OpeningTurn::default();
+    let mut turn = OpeningTurn::new(urgency);
     loop {
         let changed = state.escrow_changed.notified();
         let now = state.now();
         let reply = match turn.is_awaited(state, workspace) {
             true => LoanReply::Short,
-            false => state.escrow.borrow_mut().lend(now, workspace, request),
+            false => {
+                let outage_ms = state.outage_ms();
+                let mut escrow = state.escrow.borrow_mut();
+                escrow.lend_urgent(now, workspace, request, needs, outage_ms)
+            }
         };
         if reply != LoanReply::Short {
             return reply;
@@ -60,7 +70,7 @@
         state.escrow_wake.notify_one();
         let exceeds_ledger = state.escrow.borrow().is_uncovered(workspace);
         if is_unreachable || exceeds_ledger || has_allocator(state, workspace) {
-            start_request(state, workspace);
+            start_request(state, workspace, urgency);
         }
         let wake_at = next_look.map_or(until, |next_look| until.min(Instant::now() + next_look));
         if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
@@ -78,6 +88,14 @@
     escrow.record_request(state.now(), workspace, request);
 }
 
+/// Returns the urgency of the most urgent calls that wait at a borrower; that of a router which does not
+/// tell it comes after all others.
+fn most_urgent(needs: &[UrgencyNeed]) -> CallUrgency {
+    let waiting = needs.iter().filter(|need| need.need > 0);
+    let urgencies = waiting.map(|need| need.urgency);
+    urgencies.min().unwrap_or(CallUrgency(u8::MAX))
+}
+
 /// Whether the untaken part of the total covers a request, as far as this router knows.
 fn is_covered(state: &GatewayState, workspace: &WorkspaceName, tokens: u64) -> bool {
     let left = state.escrow.borrow().left_of(workspace);
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -1,11 +1,11 @@
 //! The `token_lending` module provides the state of loans between routers and of the requests for them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{EscrowRole, LoanBackoff, PeerRecord, PeerRing};
+use beechsaddle_core::gateway::{CallUrgency, EscrowRole, LoanBackoff, PeerRecord, PeerRing};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use subtle::ConstantTimeEq;
@@ -40,6 +40,10 @@
     /// Workspaces for which requests for remainders are paused: the ledger has too little, and the
     /// allocators of other domains had nothing left.
     pub(super) remainder_pauses: RefCell<LoanBackoff>,
+    /// The urgency of the calls for which requests are paused; those that are more urgent may request.
+    refused_urgencies: RefCell<BTreeMap<WorkspaceName, CallUrgency>>,
+    /// The urgencies of which this router, as an allocator, does not admit all calls.
+    limited: RefCell<BTreeSet<(WorkspaceName, CallUrgency)>>,
     pending_requests: RefCell<BTreeSet<WorkspaceName>>,
     secret: RefCell<String>,
     are_roles_enabled: Cell<bool>,
@@ -56,6 +60,8 @@
             links: PeerLinks::default(),
             pauses: RefCell::default(),
             remainder_pauses: RefCell::default(),
+            refused_urgencies: RefCell::default(),
+            limited: RefCell::default(),
             pending_requests: RefCell::default(),
             secret: RefCell::default(),
             are_roles_enabled: Cell::new(false),
@@ -116,9 +122,48 @@
         }
     }
 
+    /// Sets whether some calls of an urgency are not admitted; returns whether that changed.
+    pub(super) fn set_limited(
+        &self,
+        workspace: &WorkspaceName,
+        urgency: CallUrgency,
+        is_limited: bool,
+    ) -> bool {
+        let mut limited = self.limited.borrow_mut();
+        let key = (workspace.clone(), urgency);
+        match is_limited {
+            true => limited.insert(key),
+            false => limited.remove(&key),
+        }
+    }
+
     /// Whether tokens of a workspace may arrive: they have been requested, and not refused recently.
-    pub(super) fn is_request_pending(&self, now: ClockTime, workspace: &WorkspaceName) -> bool {
-        self.pending_requests.borrow().contains(workspace) && !self.was_refused(now, workspace)
+    pub(super) fn is_request_pending(
+        &self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        urgency: CallUrgency,
+    ) -> bool {
+        self.pending_requests.borrow().contains(workspace)
+            && !self.was_call_refused(now, workspace, urgency)
+    }
+
+    /// Whether every request for tokens of a workspace was refused recently, made for calls of this urgency
+    /// or more urgent ones.
+    pub(super) fn was_call_refused(
+        &self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        urgency: CallUrgency,
+    ) -> bool {
+        let refused = self.refused_urgencies.borrow().get(workspace).copied();
+        self.was_refused(now, workspace) && refused.is_none_or(|refused| urgency >= refused)
+    }
+
+    /// Sets the urgency of the calls for which requests were refused.
+    pub(super) fn set_refused_urgency(&self, workspace: &WorkspaceName, urgency: CallUrgency) {
+        let mut refused = self.refused_urgencies.borrow_mut();
+        refused.insert(workspace.clone(), urgency);
     }
 
     /// Whether every request for tokens of a workspace was refused recently.
@@ -130,8 +175,13 @@
 /// Starts a request for tokens that calls wait for, to other routers or the ledger.
 ///
 /// The request continues after the call that started it has ended: a loan in transit would be lost.
-pub(super) fn start_request(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
-    let is_refused = state.lending.was_refused(state.now(), workspace);
+pub(super) fn start_request(
+    state: &Rc<GatewayState>,
+    workspace: &WorkspaceName,
+    urgency: CallUrgency,
+) {
+    let lending = &state.lending;
+    let is_refused = lending.was_call_refused(state.now(), workspace, urgency);
     if is_refused
         || !state
             .lending
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{ReserveOutcome, TokenBound};
+use beechsaddle_core::gateway::{CallUrgency, ReserveOutcome, TokenBound};
 use beechsaddle_core::prelude::*;
 use tokio::time::{Instant, timeout_at};
 
@@ -13,6 +13,7 @@
 use super::opening_turn::OpeningTurn;
 use super::refusal::RefusalCause;
 use super::token_lending::start_request;
+use super::urgency_gate::UrgencyGate;
 
 /// How long a call waits for the ledger or for deferred tokens, in milliseconds: a few attempts of a
 /// conflicting write, and short compared to what callers wait for a first event.
@@ -23,6 +24,7 @@
 pub(super) struct TokenReservation {
     state: Rc<GatewayState>,
     workspace: WorkspaceName,
+    urgency: CallUrgency,
     bound: TokenBound,
     used: Cell<u64>,
 }
@@ -32,23 +34,31 @@
     pub(super) async fn try_take(
         state: &Rc<GatewayState>,
         workspace: &WorkspaceName,
+        urgency: CallUrgency,
         bound: TokenBound,
     ) -> Result<Self, RefusalCause> {
         let tokens = bound.total();
-        let waiting = LedgerWait::start(state, workspace, tokens);
+        let waiting = LedgerWait::start(state, workspace, urgency, tokens);
         let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
         let gives_up_at = state.now().plus_ms(LEDGER_WAIT_MS);
-        let mut turn = OpeningTurn::default();
+        let mut turn = OpeningTurn::new(urgency);
+        let mut gate = UrgencyGate::begin(state, workspace, urgency, tokens);
         let mut has_requested = false;
         loop {
             let changed = state.escrow_changed.notified();
             let now = state.now();
+            if !gate.admits(state, workspace) {
+                return Err(RefusalCause::BudgetReserved);
+            }
             let outcome = match turn.is_awaited(state, workspace) {
                 true => ReserveOutcome::Short,
-                false => state
-                    .escrow
-                    .borrow_mut()
-                    .try_reserve(now, workspace, tokens),
+                false => state.escrow.borrow_mut().try_reserve_urgent(
+                    now,
+                    workspace,
+                    urgency,
+                    tokens,
+                    state.outage_ms(),
+                ),
             };
             match outcome {
                 ReserveOutcome::Reserved => break,
@@ -58,14 +68,15 @@
             // While no tokens can arrive or become usable, waiting would only delay the refusal.
             let left_ms = gives_up_at.since(now);
             let next_look = turn.next_look(state, workspace, left_ms);
-            let is_pending = state.lending.is_request_pending(now, workspace);
-            let is_unreachable =
-                state.is_ledger_unreachable.get() || state.lending.was_refused(now, workspace);
+            let lending = &state.lending;
+            let is_pending = lending.is_request_pending(now, workspace, urgency);
+            let is_unreachable = state.is_ledger_unreachable.get()
+                || lending.was_call_refused(now, workspace, urgency);
             if has_requested && !is_pending && is_unreachable && next_look.is_none() {
                 return Err(RefusalCause::BudgetUnreachable);
             }
             has_requested = true;
-            start_request(state, workspace);
+            start_request(state, workspace, urgency);
             let wake_at =
                 next_look.map_or(until, |next_look| until.min(Instant::now() + next_look));
             if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
@@ -75,6 +86,7 @@
         Ok(TokenReservation {
             state: Rc::clone(state),
             workspace: workspace.clone(),
+            urgency,
             bound,
             used: Cell::new(0),
         })
@@ -110,5 +122,7 @@
         let now = self.state.now();
         let mut escrow = self.state.escrow.borrow_mut();
         escrow.settle(now, &self.workspace, self.bound.total(), self.used.get());
+        let unused = self.bound.total().saturating_sub(self.used.get());
+        escrow.record_unused(now, &self.workspace, self.urgency, unused);
     }
 }
