--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -180,7 +180,8 @@
         return Ok(None);
     };
     let started = call.state.now();
-    let urgency = CallUrgency(call.priority());
+    // The calls that compete for a workspace's tokens are its own, and differ by their routes only.
+    let urgency = CallUrgency(call.route.priority);
     let reservation = TokenReservation::try_take(&call.state, workspace, urgency, bound).await;
     let waited_ms = call.state.now().since(started);
     call.state
@@ -209,7 +210,7 @@
     let mut fields = vec![
         ("workspace", workspace.to_string()),
         ("tokens", tokens.to_string()),
-        ("urgency", call.priority().to_string()),
+        ("urgency", call.route.priority.to_string()),
         (
             "outcome",
             refusal
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -288,6 +288,9 @@
         for what in LATE_CAUSES {
             drop(metrics.late.get_or_create(&OutcomeLabel { what }));
         }
+        let most_urgent = UrgencyLabel { urgency: 0 };
+        drop(metrics.turned_away.get_or_create(&most_urgent));
+        metrics.urgency_level.get_or_create(&most_urgent).set(1.0);
         metrics.register();
         metrics
     }
