--- a/crates/beechsaddle-core/src/gateway/escrow_urgency.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_urgency.rs
@@ -17,6 +17,14 @@
         self.options.reserve_s > 0.0
     }
 
+    /// Returns the urgency that a call has here: the same for all if tokens are not kept by urgency.
+    pub fn urgency_in_force(&self, urgency: CallUrgency) -> CallUrgency {
+        match self.follows_urgency() {
+            true => urgency,
+            false => CallUrgency::HIGHEST,
+        }
+    }
+
     /// Records the tokens that a new call asks for.
     pub fn record_call(
         &mut self,
@@ -256,6 +264,13 @@
         self.lend(now, workspace, granted)
     }
 
+    /// Whether tokens that would cover a request are kept for more urgent calls, so that the borrower
+    /// need not wait for an answer.
+    pub fn keeps_from(&self, workspace: &WorkspaceName, request: LoanRequest) -> bool {
+        let account = self.accounts.get(workspace);
+        self.follows_urgency() && account.is_some_and(|account| account.free >= request.least)
+    }
+
     /// Returns the levels of a workspace by urgency, as its allocator tells them; empty if tokens
     /// are not kept by urgency.
     pub fn levels(
--- a/crates/beechsaddle-core/tests/gateway_urgency.rs
+++ b/crates/beechsaddle-core/tests/gateway_urgency.rs
@@ -14,6 +14,9 @@
 const QUESTION_TOKENS: u64 = 1_500;
 const DRAFT_TOKENS: u64 = 9_500;
 
+/// Twice what the largest drawn demand asks for, so that supplies above and below it are drawn.
+const FREE_MAX: u64 = 2 * 255 * (QUESTION_TOKENS + DRAFT_TOKENS);
+
 fn options() -> EscrowOptions {
     EscrowOptions {
         reserve_s: 30.0,
@@ -134,9 +137,10 @@
         let mut reserve = UrgencyReserve::new(0.5);
         let now = demand(&mut reserve, 20, 10);
         let needs = needs(questions.into(), drafts.into());
+        let free = u64::from(free) % FREE_MAX;
         let supply = TokenSupply {
-            free: free.into(),
-            held: free.into(),
+            free,
+            held: free,
             left: Some(0),
             outage_ms: Some(age.into()),
             domains: 4,
@@ -144,9 +148,9 @@
         let asked: u64 = needs.iter().map(|need| need.need).sum();
         let granted = reserve.grant_needs(now, &needs, &supply, &options());
         let urgent = u64::from(questions) * QUESTION_TOKENS;
-        let least = urgent.min(u64::from(free));
+        let least = urgent.min(free);
         let is_whole = least >= QUESTION_TOKENS || questions == 0;
-        let is_bounded = granted <= asked.min(free.into());
+        let is_bounded = granted <= asked.min(free);
         TestResult::from_bool(is_bounded && (!is_whole || granted >= least))
     }
     QuickCheck::new()
--- a/crates/beechsaddle/src/gateway/token_lender.rs
+++ b/crates/beechsaddle/src/gateway/token_lender.rs
@@ -37,7 +37,7 @@
         let mut escrow = state.escrow.borrow_mut();
         escrow.record_needs(state.now(), workspace, needs);
     }
-    let urgency = most_urgent(needs);
+    let urgency = state.escrow.borrow().urgency_in_force(most_urgent(needs));
     let waiting = LedgerWait::start(state, workspace, urgency, request.least);
     let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
     let mut turn = OpeningTurn::new(urgency);
@@ -52,7 +52,7 @@
                 escrow.lend_urgent(now, workspace, request, needs, outage_ms)
             }
         };
-        if reply != LoanReply::Short {
+        if reply != LoanReply::Short || keeps_from(state, workspace, request, needs) {
             return reply;
         }
         let is_unreachable = state.is_ledger_unreachable.get();
@@ -88,6 +88,16 @@
     escrow.record_request(state.now(), workspace, request);
 }
 
+/// Whether tokens are kept from a borrower that tells its needs by urgency.
+fn keeps_from(
+    state: &GatewayState,
+    workspace: &WorkspaceName,
+    request: LoanRequest,
+    needs: &[UrgencyNeed],
+) -> bool {
+    !needs.is_empty() && state.escrow.borrow().keeps_from(workspace, request)
+}
+
 /// Returns the urgency of the most urgent calls that wait at a borrower; that of a router which does not
 /// tell it comes after all others.
 fn most_urgent(needs: &[UrgencyNeed]) -> CallUrgency {
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -44,7 +44,9 @@
     refused_urgencies: RefCell<BTreeMap<WorkspaceName, CallUrgency>>,
     /// The urgencies of which this router, as an allocator, does not admit all calls.
     limited: RefCell<BTreeSet<(WorkspaceName, CallUrgency)>>,
-    pending_requests: RefCell<BTreeSet<WorkspaceName>>,
+    /// The workspaces of which tokens are being requested, for calls of an urgency: an urgent call does not
+    /// wait for the answer to a request for others.
+    pending_requests: RefCell<BTreeSet<(WorkspaceName, CallUrgency)>>,
     secret: RefCell<String>,
     are_roles_enabled: Cell<bool>,
     /// Whether the last attempt to register this router in the store failed.
@@ -144,7 +146,8 @@
         workspace: &WorkspaceName,
         urgency: CallUrgency,
     ) -> bool {
-        self.pending_requests.borrow().contains(workspace)
+        let key = (workspace.clone(), urgency);
+        self.pending_requests.borrow().contains(&key)
             && !self.was_call_refused(now, workspace, urgency)
     }
 
@@ -182,23 +185,20 @@
 ) {
     let lending = &state.lending;
     let is_refused = lending.was_call_refused(state.now(), workspace, urgency);
+    let key = (workspace.clone(), urgency);
     if is_refused
         || !state
             .lending
             .pending_requests
             .borrow_mut()
-            .insert(workspace.clone())
+            .insert(key.clone())
     {
         return;
     }
     let (state, workspace) = (Rc::clone(state), workspace.clone());
     spawn_local(async move {
         request_tokens(&state, &workspace).await;
-        state
-            .lending
-            .pending_requests
-            .borrow_mut()
-            .remove(&workspace);
+        state.lending.pending_requests.borrow_mut().remove(&key);
         // Loans and ledger writes wake the waiting calls, so they are woken here only after a refusal.
         // Waking them each time would make them request again at once, in a busy loop until they time out.
         if state.lending.was_refused(state.now(), &workspace) {
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -38,6 +38,7 @@
         bound: TokenBound,
     ) -> Result<Self, RefusalCause> {
         let tokens = bound.total();
+        let urgency = state.escrow.borrow().urgency_in_force(urgency);
         let waiting = LedgerWait::start(state, workspace, urgency, tokens);
         let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
         let gives_up_at = state.now().plus_ms(LEDGER_WAIT_MS);
