--- a/crates/beechsaddle/src/gateway/token_lender.rs
+++ b/crates/beechsaddle/src/gateway/token_lender.rs
@@ -38,7 +38,8 @@
         escrow.record_needs(state.now(), workspace, needs);
     }
     let urgency = state.escrow.borrow().urgency_in_force(most_urgent(needs));
-    let waiting = LedgerWait::start(state, workspace, urgency, request.least);
+    let awaited = awaited_tokens(state, workspace, request, needs);
+    let waiting = LedgerWait::start(state, workspace, urgency, awaited);
     let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
     let mut turn = OpeningTurn::new(urgency);
     loop {
@@ -88,6 +89,25 @@
     escrow.record_request(state.now(), workspace, request);
 }
 
+/// Returns the tokens to request from the ledger for a borrower: those that all of its most urgent calls
+/// wait for, if the total covers them. With the smallest loan that helps, one of them would be served at a
+/// time, as little is held in advance while other calls are turned away.
+fn awaited_tokens(
+    state: &GatewayState,
+    workspace: &WorkspaceName,
+    request: LoanRequest,
+    needs: &[UrgencyNeed],
+) -> u64 {
+    let urgency = most_urgent(needs);
+    let follows_urgency = state.escrow.borrow().follows_urgency();
+    let waiting = needs.iter().filter(|need| need.urgency == urgency);
+    let tokens: u64 = waiting.map(|need| need.need).sum();
+    match follows_urgency && is_covered(state, workspace, tokens) {
+        true => tokens.max(request.least),
+        false => request.least,
+    }
+}
+
 /// Whether tokens are kept from a borrower that tells its needs by urgency.
 fn keeps_from(
     state: &GatewayState,
