--- a/crates/beechsaddle-core/src/gateway/target_stats.rs
+++ b/crates/beechsaddle-core/src/gateway/target_stats.rs
@@ -1,6 +1,6 @@
 //! The `target_stats` module provides one router's statistics of a target: load, speed, failures.
 
-use super::{LimitState, OutlierScore, SpeedAverage, WarmUpWindow};
+use super::{LimitState, OutlierScore, PaceWindow, SpeedAverage, WarmUpWindow};
 use crate::clock::ClockTime;
 
 /// How long a target is ejected after a connection to it failed, in milliseconds. An attempt costs
