--- a/crates/beechsaddle-core/src/gateway/suspect_key.rs
+++ b/crates/beechsaddle-core/src/gateway/suspect_key.rs
@@ -57,6 +57,11 @@
         SuspectKey(hash.finish())
     }
 
+    /// Returns a number that spreads requests evenly, the same for each attempt.
+    pub fn spread(&self) -> u64 {
+        self.0 as u64
+    }
+
     /// Returns the key of a prompt part. Parts with equal ids have equal text, so the key is the same
     /// for all callers and services.
     pub fn for_part(id: &str) -> Self {
--- a/crates/beechsaddle-core/src/gateway/token_opening.rs
+++ b/crates/beechsaddle-core/src/gateway/token_opening.rs
@@ -17,6 +17,11 @@
         account.is_some_and(|account| account.deferred > 0 && account.awaited() > 0)
     }
 
+    /// Returns the smallest request that waits for tokens of a workspace.
+    pub fn least_awaited(&self, workspace: &WorkspaceName) -> Option<u64> {
+        self.accounts.get(workspace)?.least_awaited()
+    }
+
     /// Returns the time until the tokens held here cover all calls that wait for tokens of a
     /// workspace, in milliseconds; `None` if they never do without a transfer.
     pub fn opens_in_ms(&self, now: ClockTime, workspace: &WorkspaceName) -> Option<u64> {
--- a/crates/beechsaddle/src/explain/call_trace.rs
+++ b/crates/beechsaddle/src/explain/call_trace.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::refusal_cause::explain_refusal;
 use super::{LogEntry, LogIndex};
 
 /// How long before a call's first line other lines may have influenced it, in milliseconds: as long
@@ -35,16 +36,18 @@
 }
 
 /// Returns the lines of a call, together with those of its routers about its targets, its workspace
-/// or the routers themselves, each with the time since the call's first line. Returns `None` if no
-/// line has the id.
+/// or the routers themselves, each with the time since the call's first line. If the call was refused
+/// for want of tokens, the cause follows. Returns `None` if no line has the id.
 ///
 /// Times are by each router's own clock, so that lines of different routers are skewed by the
 /// difference of their clocks.
 pub fn explain_call(index: &LogIndex, id: &str) -> Option<Vec<String>> {
     let trace = CallTrace::find(index, id)?;
     let entries = index.entries().iter();
-    let lines = entries.filter(|entry| trace.is_relevant(entry));
-    Some(lines.map(|entry| trace.line(entry)).collect())
+    let entries = entries.filter(|entry| trace.is_relevant(entry));
+    let mut lines: Vec<_> = entries.map(|entry| trace.line(entry)).collect();
+    lines.extend(explain_refusal(index, id));
+    Some(lines)
 }
 
 impl<'a> CallTrace<'a> {
--- a/crates/beechsaddle/src/explain/loss_report.rs
+++ b/crates/beechsaddle/src/explain/loss_report.rs
@@ -23,9 +23,19 @@
     repeats: BTreeMap<String, u64>,
     /// Calls and losses by Unix second.
     seconds: BTreeMap<u64, SecondSum>,
+    /// Lost calls by second, cause and workspace.
+    refusals: BTreeMap<LossKey, BTreeMap<String, u64>>,
     unreadable: u64,
 }
 
+/// The second and the cause of losses.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct LossKey {
+    /// Unix seconds.
+    second: u64,
+    cause: String,
+}
+
 /// The numbers of calls that ended within one second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SecondSum {
@@ -74,7 +84,14 @@
             }
             (outcome, _) => {
                 second.lost += 1;
-                outcome.to_owned()
+                let cause = describe_loss(outcome, entry);
+                let key = LossKey {
+                    second: entry.at_ms / 1_000,
+                    cause: cause.clone(),
+                };
+                let workspaces = self.refusals.entry(key).or_default();
+                add_to(workspaces, entry.field("workspace"));
+                cause
             }
         };
         add_to(&mut self.causes, Some(&cause));
@@ -83,11 +100,41 @@
     }
 }
 
+/// Returns the cause of a loss: the outcome and, for want of tokens, what was short.
+fn describe_loss(outcome: &str, entry: &LogEntry) -> String {
+    match entry.field("shortage") {
+        Some(shortage) => format!("{outcome}/{shortage}"),
+        None => outcome.to_owned(),
+    }
+}
+
 fn add_to(sums: &mut BTreeMap<String, u64>, key: Option<&str>) {
     let key = key.unwrap_or("none");
     *sums.entry(key.to_owned()).or_default() += 1;
 }
 
+impl LossReport {
+    /// Writes the causes of each second, with the workspace that has most of their calls.
+    fn write_refusals(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.refusals.is_empty() {
+            return Ok(());
+        }
+        let title = "second       lost as";
+        writeln!(formatter, "\n{title:<49} calls  workspace with most")?;
+        for (key, workspaces) in &self.refusals {
+            let LossKey { second, cause } = key;
+            let calls: u64 = workspaces.values().sum();
+            let largest = workspaces.iter().max_by_key(|(_, count)| **count);
+            let (name, count) = largest.map_or(("none", 0), |(name, count)| (name, *count));
+            writeln!(
+                formatter,
+                "{second:<12} {cause:<36} {calls:>5}  {name} {count}"
+            )?;
+        }
+        Ok(())
+    }
+}
+
 impl fmt::Display for LossReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(formatter, "calls {}", self.calls)?;
@@ -101,7 +148,7 @@
             let SecondSum { calls, lost, late } = sum;
             writeln!(formatter, "{second:<12} {calls:>6} {lost:>6} {late:>6}")?;
         }
-        Ok(())
+        self.write_refusals(formatter)
     }
 }
 
--- a/crates/beechsaddle/src/explain/mod.rs
+++ b/crates/beechsaddle/src/explain/mod.rs
@@ -6,6 +6,7 @@
 mod log_index;
 mod loss_plot;
 mod loss_report;
+mod refusal_cause;
 mod store_sums;
 mod token_account;
 
--- a/crates/beechsaddle/src/gateway/call_checks.rs
+++ b/crates/beechsaddle/src/gateway/call_checks.rs
@@ -16,6 +16,8 @@
 pub(super) struct CallRefusal {
     pub(super) cause: RefusalCause,
     pub(super) message: String,
+    /// When the caller should come back, in milliseconds; `None` if the cause says so.
+    pub(super) retry_ms: Option<u64>,
 }
 
 impl CallRefusal {
@@ -23,6 +25,7 @@
         CallRefusal {
             cause,
             message: message.into(),
+            retry_ms: None,
         }
     }
 }
@@ -35,6 +38,12 @@
 }
 
 impl CallRules {
+    /// Returns the call's priority: the workspace's if it sets one, else the route's.
+    pub(super) fn priority(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|rule| rule.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Returns the time that a call may take: up to its deadline or its route's timeout.
     pub(super) fn timeout_ms(&self, head: &CallHead) -> u64 {
         let deadline_ms = head.deadline_ms.unwrap_or(u64::MAX);
--- a/crates/beechsaddle/src/gateway/call_context.rs
+++ b/crates/beechsaddle/src/gateway/call_context.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptEnd, AttemptHistory, RouteRule, ServiceRule, SuspectKey, TokenBound, WorkspaceRule,
+    AttemptEnd, AttemptHistory, CallUrgency, RefusedCaller, RouteRule, ServiceRule, SuspectKey,
+    TokenBound, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
@@ -92,6 +93,15 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Returns the caller for the time of its return after a refusal.
+    pub(super) fn refused_caller(&self) -> RefusedCaller {
+        RefusedCaller {
+            urgency: CallUrgency(self.priority()),
+            left_ms: Some(self.remaining_ms()),
+            spread: self.fingerprint.spread(),
+        }
+    }
+
     /// Returns the workspace and the tokens to reserve; `None` if the call's tokens are not
     /// counted.
     pub(super) fn reservation_bound(&self) -> Option<(&WorkspaceName, TokenBound)> {
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    AttemptHistory, LinkDirection, RouteRule, ServiceRule, SuspectKey,
+    AttemptHistory, CallUrgency, LinkDirection, RefusedCaller, ReturnCause, RouteRule, ServiceRule,
+    SuspectKey,
 };
+use beechsaddle_core::hash::stable_hash;
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
 use http::header::{CONNECTION, EXPECT, HeaderValue};
@@ -26,6 +28,7 @@
 use super::caller_connection::RequestArrival;
 use super::crashes::refuse_crashing;
 use super::gateway_state::{GatewayPhase, GatewayState};
+use super::known_refusals::{TokenRefusal, count_refusal, return_ms};
 use super::origins::check_resume;
 use super::plain_exchange::serve_plain;
 use super::refusal::RefusalCause;
@@ -53,7 +56,10 @@
     let (parts, body) = request.into_parts();
     let checked = check_head(&state, &parts, &record);
     let admitted = checked.and_then(|(head, rules)| {
-        refuse_behind_full_link(&state)?;
+        refuse_behind_full_link(&state).map_err(|refusal| CallRefusal {
+            retry_ms: full_link_return_ms(&state, &head, &rules),
+            ..refusal
+        })?;
         let ends_at = record.arrived_at().plus_ms(rules.timeout_ms(&head));
         refuse_in_shutdown(&state, &rules, ends_at)?;
         Ok((head, rules))
@@ -69,6 +75,17 @@
     response
 }
 
+/// Returns when the caller of a call that is refused behind a full link should come back. Its body was not
+/// read, so the id of this attempt spreads its return.
+fn full_link_return_ms(state: &GatewayState, head: &CallHead, rules: &CallRules) -> Option<u64> {
+    let caller = RefusedCaller {
+        urgency: CallUrgency(rules.priority()),
+        left_ms: Some(rules.timeout_ms(head)),
+        spread: stable_hash(&head.request_id),
+    };
+    return_ms(state, ReturnCause::LinkFull, caller)
+}
+
 /// Marks a response to a request that is not read to its end. Its connection has to be read on after
 /// the response, or a reset takes the response from its caller.
 #[derive(Clone, Copy, Debug)]
@@ -146,10 +163,7 @@
         .record_request(state.now(), &call.service);
     let reservation = match reserve(&call).await {
         Ok(reservation) => reservation,
-        Err(cause) => {
-            call.record.record_refusal(cause);
-            return cause.response("the workspace's tokens do not cover the request now");
-        }
+        Err(refusal) => return refuse_tokens(&call, refusal),
     };
     if call.remaining_ms() == 0 {
         call.record.record_refusal(RefusalCause::TooLate);
@@ -175,12 +189,28 @@
     }
 }
 
-async fn reserve(call: &CallContext) -> Result<Option<TokenReservation>, RefusalCause> {
+/// Refuses a call that gets no tokens.
+fn refuse_tokens(call: &CallContext, refusal: TokenRefusal) -> Response<AnswerBody> {
+    let cause = refusal.cause;
+    let message = "the workspace's tokens do not cover the request now";
+    call.record.record_refusal(cause);
+    let returning = refusal.return_cause;
+    match returning.and_then(|cause| return_ms(&call.state, cause, call.refused_caller())) {
+        Some(retry_ms) => {
+            call.record.add_field("retry_ms", retry_ms);
+            cause.response_after(retry_ms, message)
+        }
+        None => cause.response(message),
+    }
+}
+
+async fn reserve(call: &CallContext) -> Result<Option<TokenReservation>, TokenRefusal> {
     let Some((workspace, bound)) = call.reservation_bound() else {
         return Ok(None);
     };
     let started = call.state.now();
-    let reservation = TokenReservation::try_take(&call.state, workspace, bound).await;
+    let urgency = CallUrgency(call.priority());
+    let reservation = TokenReservation::try_take(&call.state, workspace, urgency, bound).await;
     let waited_ms = call.state.now().since(started);
     call.state
         .metrics
@@ -188,6 +218,11 @@
         .observe(waited_ms as f64 / 1_000.0);
     call.record.add_field("tokens", bound.total());
     call.record.add_field("reserve_ms", waited_ms);
+    if let Err(refusal) = &reservation {
+        count_refusal(&call.state, refusal);
+        call.record.add_field("shortage", refusal.shortage());
+        call.record.add_field("known", refusal.known.is_some());
+    }
     log_reservation(call, workspace, bound.total(), reservation.as_ref().err());
     reservation.map(Some)
 }
@@ -198,7 +233,7 @@
     call: &CallContext,
     workspace: &WorkspaceName,
     tokens: u64,
-    refusal: Option<&RefusalCause>,
+    refusal: Option<&TokenRefusal>,
 ) {
     let facts = call
         .state
@@ -211,10 +246,14 @@
         (
             "outcome",
             refusal
-                .map_or("reserved", |cause| cause.as_str())
+                .map_or("reserved", |refusal| refusal.cause.as_str())
                 .to_owned(),
         ),
     ];
+    if let Some(refusal) = refusal {
+        fields.push(("shortage", refusal.shortage().to_owned()));
+        fields.push(("known", refusal.known.is_some().to_string()));
+    }
     if let Some(facts) = facts {
         fields.push(("free", facts.free.to_string()));
         fields.push(("role", facts.role.as_str().to_owned()));
@@ -399,5 +438,8 @@
 fn refuse(record: &CallRecord, refusal: &CallRefusal) -> Response<AnswerBody> {
     record.add_field("why", &refusal.message);
     record.record_refusal(refusal.cause);
-    refusal.cause.response(&refusal.message)
+    match refusal.retry_ms {
+        Some(retry_ms) => refusal.cause.response_after(retry_ms, &refusal.message),
+        None => refusal.cause.response(&refusal.message),
+    }
 }
--- a/crates/beechsaddle/src/gateway/changes/change_apply.rs
+++ b/crates/beechsaddle/src/gateway/changes/change_apply.rs
@@ -196,6 +196,12 @@
     *state.config.borrow_mut() = Some(Rc::new(config));
     state.config_at.set(now);
     update_roles(state);
+    // A total may have been raised.
+    state
+        .lending
+        .refusals
+        .borrow_mut()
+        .forget_before(now.plus_ms(1));
     state.escrow_wake.notify_one();
     state.escrow_changed.notify_waiters();
 }
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -95,6 +95,10 @@
 /// The outcomes of requests for trials of what may crash targets.
 pub(super) const TRIAL_OUTCOMES: [&str; 2] = ["granted", "refused"];
 
+/// Whether a refusal for want of tokens was known when the call came, or found while it was looked for
+/// tokens.
+const TOKEN_REFUSALS: [&str; 2] = ["known", "sought"];
+
 /// The outcomes of requests for tunnels.
 const TUNNEL_OUTCOMES: [&str; 7] = [
     "opened",
@@ -123,6 +127,8 @@
     pub(super) calls: Counter,
     /// Final answers of the router itself, by cause.
     pub(super) refusals: Family<CauseLabel, Counter>,
+    /// Refusals for want of tokens, by whether they were known when the call came.
+    pub(super) token_refusals: Family<OutcomeLabel, Counter>,
     pub(super) outcomes: Family<OutcomeLabel, Counter>,
     /// Failed attempts, by their end.
     pub(super) attempt_ends: Family<OutcomeLabel, Counter>,
@@ -213,6 +219,7 @@
             registry: Registry::with_prefix("beechsaddle"),
             calls: Counter::default(),
             refusals: Family::default(),
+            token_refusals: zeroed_counters(TOKEN_REFUSALS),
             outcomes: Family::default(),
             attempt_ends: Family::default(),
             repeats: Family::default(),
@@ -292,6 +299,12 @@
         let registry = &mut self.registry;
         registry.register("calls", "Calls that arrived", self.calls.clone());
         registry.register("refusals", "Own final answers", self.refusals.clone());
+        let token_refusals = self.token_refusals.clone();
+        registry.register(
+            "token_refusals",
+            "Refused for want of tokens",
+            token_refusals,
+        );
         registry.register("outcomes", "Calls by outcome", self.outcomes.clone());
         let ends = self.attempt_ends.clone();
         registry.register("attempt_ends", "Attempts without a usable answer", ends);
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -388,6 +388,7 @@
             // Allocators can get tokens again, so calls need not be refused until the pause ends.
             self.lending.pauses.borrow_mut().clear();
         }
+        self.lending.refusals.borrow_mut().forget_before(now);
     }
 
     /// Records that the store answered the router that this one follows, `age_ms` milliseconds ago.
@@ -396,6 +397,7 @@
         let at = ClockTime::from_millis(now_ms.saturating_sub(age_ms));
         self.store_answered_at
             .set(self.store_answered_at.get().max(at));
+        self.lending.refusals.borrow_mut().forget_before(at);
         self.record_known_versions(at);
     }
 
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod gateway_shutdown;
 mod gateway_state;
 mod host_listener;
+mod known_refusals;
 mod ledger_store;
 mod ledger_sync;
 mod ledger_updates;
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -25,6 +25,7 @@
 
 use super::changes::{FollowReply, serve_follow};
 use super::gateway_state::GatewayState;
+use super::known_refusals::forget_refusals;
 use super::ledger_updates::receive_ledger;
 use super::limits::{PermitRequest, answer_permit_request};
 use super::origins::read_origin;
@@ -173,6 +174,7 @@
         let mut escrow = self.state.escrow.borrow_mut();
         let is_taken = escrow.take_back(self.state.now(), &workspace, loan_return);
         drop(escrow);
+        forget_refusals(&self.state, &workspace);
         self.state.escrow_changed.notify_waiters();
         let fields = [
             ("workspace", workspace.to_string()),
--- a/crates/beechsaddle/src/gateway/token_borrow.rs
+++ b/crates/beechsaddle/src/gateway/token_borrow.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{EscrowRole, LoanReply, LoanRequest, PeerRecord};
+use beechsaddle_core::gateway::{EscrowRole, LoanReply, LoanRequest, PeerRecord, TokenNeed};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use tokio::sync::oneshot;
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
+use super::known_refusals::{forget_refusals, record_refused_loans};
 use super::peer_link::LenderAnswer;
 use super::token_lending::{LOAN_TIMEOUT, LoanFailure, mark_down, update_roles};
 
@@ -48,11 +49,17 @@
 /// Requests tokens until no call waits or further requests are useless.
 pub(super) async fn request_tokens(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
     for _ in 0..SHORT_ATTEMPTS_MAX {
+        // Read before the request: calls that begin to wait meanwhile were not asked for.
+        let need = least_need(state, workspace);
         match request_from_domain(state, workspace).await {
             DomainOutcome::Resolved => return,
             DomainOutcome::Short => sleep(SHORT_RETRY_PAUSE).await,
-            DomainOutcome::LedgerUnreachable => return record_refusal(state, workspace),
-            DomainOutcome::NoOtherAllocator => return request_as_allocator(state, workspace).await,
+            DomainOutcome::LedgerUnreachable => {
+                return record_refused_loans(state, workspace, need);
+            }
+            DomainOutcome::NoOtherAllocator => {
+                return request_as_allocator(state, workspace, need).await;
+            }
         }
     }
 }
@@ -97,7 +104,11 @@
 /// The other allocators are also tried if the ledger has too little. The last part of a total is spread
 /// over the allocators as remainders. If each first gave its remainder back in a ledger write, calls would
 /// be refused meanwhile.
-async fn request_as_allocator(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+async fn request_as_allocator(
+    state: &Rc<GatewayState>,
+    workspace: &WorkspaceName,
+    need: TokenNeed,
+) {
     state
         .escrow
         .borrow_mut()
@@ -105,7 +116,7 @@
     state.escrow_wake.notify_one();
     if state.is_ledger_unreachable.get() {
         if !request_from_other_domains(state, workspace).await {
-            record_refusal(state, workspace);
+            record_refused_loans(state, workspace, need);
         }
     } else if state.escrow.borrow().is_uncovered(workspace) {
         request_remainders(state, workspace).await;
@@ -124,9 +135,11 @@
     }
 }
 
-fn record_refusal(state: &GatewayState, workspace: &WorkspaceName) {
-    let mut pauses = state.lending.pauses.borrow_mut();
-    pauses.record_refused(state.now(), workspace);
+/// Returns the need of the smallest call that waits. Lenders are asked for all calls together, and refuse
+/// whatever their urgency.
+fn least_need(state: &GatewayState, workspace: &WorkspaceName) -> TokenNeed {
+    let least = state.escrow.borrow().least_awaited(workspace);
+    TokenNeed::of_any_urgency(least.unwrap_or(0))
 }
 
 /// Requests tokens from the allocators of other domains, which may hold more than they currently need.
@@ -213,6 +226,7 @@
         escrow.receive(workspace, request, tokens);
         drop(escrow);
         state.metrics.tokens_borrowed.inc_by(tokens);
+        forget_refusals(state, workspace);
         state.escrow_changed.notify_waiters();
     }
 }
@@ -253,7 +267,7 @@
         LoanReply::Lent(tokens) => {
             escrow.receive(workspace, request, tokens);
             state.metrics.tokens_borrowed.inc_by(tokens);
-            state.lending.pauses.borrow_mut().record_lent(workspace);
+            forget_refusals(state, workspace);
             Ok(())
         }
         // An allocator of another domain does not know the remainders of the others.
--- a/crates/beechsaddle/src/gateway/token_lender.rs
+++ b/crates/beechsaddle/src/gateway/token_lender.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{LoanReply, LoanRequest};
+use beechsaddle_core::gateway::{LoanReply, LoanRequest, TokenNeed};
 use beechsaddle_core::prelude::*;
 use tokio::time::{Instant, timeout_at};
 
@@ -33,6 +33,7 @@
 ) -> LoanReply {
     record_request(state, workspace, request);
     let waiting = LedgerWait::start(state, workspace, request.least);
+    let need = TokenNeed::of_any_urgency(request.least);
     let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
     let mut turn = OpeningTurn::default();
     loop {
@@ -46,7 +47,7 @@
             return reply;
         }
         let is_unreachable = state.is_ledger_unreachable.get();
-        if is_foreign && (is_unreachable || state.lending.was_refused(now, workspace)) {
+        if is_foreign && (is_unreachable || state.lending.was_refused(now, workspace, need)) {
             return LoanReply::LedgerUnreachable;
         }
         if is_foreign && !is_covered(state, workspace, request.least) {
@@ -54,13 +55,13 @@
         }
         waiting.begin();
         let next_look = turn.next_look(state, workspace, CALL_WAIT_MS);
-        if state.lending.was_refused(now, workspace) && next_look.is_none() {
+        if state.lending.was_refused(now, workspace, need) && next_look.is_none() {
             return LoanReply::LedgerUnreachable;
         }
         state.escrow_wake.notify_one();
         let exceeds_ledger = state.escrow.borrow().is_uncovered(workspace);
         if is_unreachable || exceeds_ledger || has_allocator(state, workspace) {
-            start_request(state, workspace);
+            start_request(state, workspace, need);
         }
         let wake_at = next_look.map_or(until, |next_look| until.min(Instant::now() + next_look));
         if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{EscrowRole, LoanBackoff, PeerRecord, PeerRing};
+use beechsaddle_core::gateway::{
+    EscrowRole, LoanBackoff, PeerRecord, PeerRing, RefusalMemory, TokenNeed,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use subtle::ConstantTimeEq;
@@ -37,6 +39,8 @@
     pub(super) links: PeerLinks,
     /// Workspaces for which requests to any router are paused.
     pub(super) pauses: RefCell<LoanBackoff>,
+    /// Refusals that answer later calls; empty unless callers return by cause.
+    pub(super) refusals: RefCell<RefusalMemory>,
     /// Workspaces for which requests for remainders are paused: the ledger has too little, and the
     /// allocators of other domains had nothing left.
     pub(super) remainder_pauses: RefCell<LoanBackoff>,
@@ -55,6 +59,7 @@
             ring: RefCell::new(PeerRing::new(me, domain)),
             links: PeerLinks::default(),
             pauses: RefCell::default(),
+            refusals: RefCell::default(),
             remainder_pauses: RefCell::default(),
             pending_requests: RefCell::default(),
             secret: RefCell::default(),
@@ -117,21 +122,33 @@
     }
 
     /// Whether tokens of a workspace may arrive: they have been requested, and not refused recently.
-    pub(super) fn is_request_pending(&self, now: ClockTime, workspace: &WorkspaceName) -> bool {
-        self.pending_requests.borrow().contains(workspace) && !self.was_refused(now, workspace)
-    }
-
-    /// Whether every request for tokens of a workspace was refused recently.
-    pub(super) fn was_refused(&self, now: ClockTime, workspace: &WorkspaceName) -> bool {
-        self.pauses.borrow().is_paused(now, workspace)
+    pub(super) fn is_request_pending(
+        &self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        need: TokenNeed,
+    ) -> bool {
+        self.pending_requests.borrow().contains(workspace)
+            && !self.was_refused(now, workspace, need)
+    }
+
+    /// Whether every request for tokens of a workspace that `need` exceeds was refused recently.
+    pub(super) fn was_refused(
+        &self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        need: TokenNeed,
+    ) -> bool {
+        let known = self.refusals.borrow().find(now, workspace, need);
+        known.is_some() || self.pauses.borrow().is_paused(now, workspace)
     }
 }
 
 /// Starts a request for tokens that calls wait for, to other routers or the ledger.
 ///
 /// The request continues after the call that started it has ended: a loan in transit would be lost.
-pub(super) fn start_request(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
-    let is_refused = state.lending.was_refused(state.now(), workspace);
+pub(super) fn start_request(state: &Rc<GatewayState>, workspace: &WorkspaceName, need: TokenNeed) {
+    let is_refused = state.lending.was_refused(state.now(), workspace, need);
     if is_refused
         || !state
             .lending
@@ -151,7 +168,7 @@
             .remove(&workspace);
         // Loans and ledger writes wake the waiting calls, so they are woken here only after a refusal.
         // Waking them each time would make them request again at once, in a busy loop until they time out.
-        if state.lending.was_refused(state.now(), &workspace) {
+        if state.lending.was_refused(state.now(), &workspace, need) {
             state.escrow_changed.notify_waiters();
         }
     });
--- a/crates/beechsaddle/src/gateway/token_reservation.rs
+++ b/crates/beechsaddle/src/gateway/token_reservation.rs
@@ -4,14 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{ReserveOutcome, TokenBound};
+use beechsaddle_core::gateway::{CallUrgency, ReserveOutcome, TokenBound, TokenNeed};
 use beechsaddle_core::prelude::*;
 use tokio::time::{Instant, timeout_at};
 
 use super::gateway_state::GatewayState;
+use super::known_refusals::{TokenRefusal, find_refusal, record_silent_wait};
 use super::ledger_wait::LedgerWait;
 use super::opening_turn::OpeningTurn;
-use super::refusal::RefusalCause;
 use super::token_lending::start_request;
 
 /// How long a call waits for the ledger or for deferred tokens, in milliseconds: a few attempts of a
@@ -29,12 +29,17 @@
 
 impl TokenReservation {
     /// Reserves the maximum that a call may use, waiting for the ledger if necessary.
+    ///
+    /// A call that is known to get no tokens does not wait. Tokens held here are tried first, so that no
+    /// call is refused that they cover.
     pub(super) async fn try_take(
         state: &Rc<GatewayState>,
         workspace: &WorkspaceName,
+        urgency: CallUrgency,
         bound: TokenBound,
-    ) -> Result<Self, RefusalCause> {
+    ) -> Result<Self, TokenRefusal> {
         let tokens = bound.total();
+        let need = TokenNeed { tokens, urgency };
         let waiting = LedgerWait::start(state, workspace, tokens);
         let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
         let gives_up_at = state.now().plus_ms(LEDGER_WAIT_MS);
@@ -52,24 +57,29 @@
             };
             match outcome {
                 ReserveOutcome::Reserved => break,
-                ReserveOutcome::Exhausted => return Err(RefusalCause::BudgetExhausted),
+                ReserveOutcome::Exhausted => return Err(TokenRefusal::exhausted()),
                 ReserveOutcome::Short => waiting.begin(),
             }
             // While no tokens can arrive or become usable, waiting would only delay the refusal.
             let left_ms = gives_up_at.since(now);
             let next_look = turn.next_look(state, workspace, left_ms);
-            let is_pending = state.lending.is_request_pending(now, workspace);
-            let is_unreachable =
-                state.is_ledger_unreachable.get() || state.lending.was_refused(now, workspace);
+            let known = find_refusal(state, workspace, need);
+            if let (Some(known), None) = (known, next_look) {
+                return Err(TokenRefusal::known(state, workspace, known, has_requested));
+            }
+            let is_pending = state.lending.is_request_pending(now, workspace, need);
+            let is_unreachable = state.is_ledger_unreachable.get()
+                || state.lending.was_refused(now, workspace, need);
             if has_requested && !is_pending && is_unreachable && next_look.is_none() {
-                return Err(RefusalCause::BudgetUnreachable);
+                return Err(TokenRefusal::waited(state, workspace));
             }
             has_requested = true;
-            start_request(state, workspace);
+            start_request(state, workspace, need);
             let wake_at =
                 next_look.map_or(until, |next_look| until.min(Instant::now() + next_look));
             if timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
-                return Err(RefusalCause::BudgetUnreachable);
+                record_silent_wait(state, workspace, need);
+                return Err(TokenRefusal::waited(state, workspace));
             }
         }
         Ok(TokenReservation {
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -216,6 +216,37 @@
     }
 }
 
+/// Load: a cut of the store in which a borrower refuses. Guards against an explanation that does not tell
+/// what was short, what the router held and what its lender had said, and against one that is given for
+/// calls refused for other reasons.
+#[test]
+fn explain_call_refused_for_tokens_names_cause() {
+    let mut index = LogIndex::default();
+    for line in [
+        "ts=89000 level=info router=a@1 event=tokens_borrowed workspace=w peer=b least=9000 outcome=ledger_away",
+        "ts=89900 level=info router=a@1 event=tokens_borrowed workspace=v peer=c least=10 outcome=lent",
+        "ts=89901 level=info router=c@1 event=tokens_borrowed workspace=w peer=d least=10 outcome=lent",
+        "ts=90000 level=info router=a@1 event=tokens_reserved id=one workspace=w tokens=9500 outcome=budget_unreachable shortage=ledger_away known=true free=120 role=borrower left=70000 ledger_age_ms=4200",
+        "ts=90001 level=info router=a@1 event=call id=one workspace=w reserve_ms=0 shortage=ledger_away known=true retry_ms=4300 outcome=budget_unreachable",
+        "ts=90002 level=info router=a@1 event=call id=two workspace=w outcome=link_full",
+    ] {
+        index.add_line(line);
+    }
+    index.sort();
+    let output = explain_call(&index, "one").expect("an explanation");
+    let expected = [
+        "refused: budget_unreachable for ledger_away, known when it came, in 0 ms; to return in 4300 ms",
+        "tokens: needs 9500, 120 free here as borrower, 70000 left in a ledger of 4200 ms ago",
+        "lender: b answered ledger_away to a request for 9000 or more, 1001 ms before",
+    ];
+    assert!(output.ends_with(&expected.map(str::to_owned)), "{output:?}");
+    let output = explain_call(&index, "two").expect("an explanation");
+    assert!(!output.iter().any(|line| line.starts_with("refused")));
+    let report = LossReport::of(&index).to_string();
+    let row = "90           budget_unreachable/ledger_away           1  w 1";
+    assert!(report.contains(row), "{report}");
+}
+
 /// The command explains a failed call by its id and the router's log: all steps from arrival to
 /// end, the sums and a plot. A missing log gives a clear error.
 #[tokio::test]
