--- a/crates/beechsaddle-core/src/gateway/return_schedule.rs
+++ b/crates/beechsaddle-core/src/gateway/return_schedule.rs
@@ -21,10 +21,13 @@
 /// The least span over which callers return, in milliseconds.
 const SPREAD_LEAST_MS: u64 = 800;
 
-/// The part of the time to its deadline within which a caller returns, as a divisor and a
-/// numerator: the last quarter is left for the answer.
-const DEADLINE_PARTS: u64 = 4;
-const RETURN_PARTS: u64 = 3;
+/// The part of the time to its deadline within which a caller returns, in tenths: few callers wait
+/// longer before their retry, and the rest is for the answer.
+const PATIENCE_TENTHS: u64 = 3;
+
+/// The part of that time over which callers return that cannot wait for the end of a shortage, as a
+/// divisor: most have a chance as late as they can come.
+const LATEST_SPAN_PARTS: u64 = 4;
 
 /// Why a caller is refused, and what is known of the end of that.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,17 +108,17 @@
         }
     }
 
-    /// Returns the window moved forward, and shortened if need be, so that it ends while there is
-    /// time for an answer.
+    /// Returns the window moved forward, and shortened if need be, so that it ends while a caller
+    /// still waits and there is time for an answer.
     fn before_deadline(self, left_ms: Option<u64>) -> Self {
         let Some(left_ms) = left_ms else {
             return self;
         };
-        let latest_ms = left_ms / DEADLINE_PARTS * RETURN_PARTS;
+        let latest_ms = left_ms.saturating_mul(PATIENCE_TENTHS) / 10;
         if self.last_ms <= latest_ms {
             return self;
         }
-        let span_ms = (self.last_ms - self.first_ms).min(latest_ms / 2);
+        let span_ms = (self.last_ms - self.first_ms).min(latest_ms / LATEST_SPAN_PARTS);
         ReturnWindow {
             first_ms: latest_ms - span_ms,
             last_ms: latest_ms,
