--- a/crates/beechsaddle-core/src/gateway/escrow_account.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_account.rs
@@ -5,7 +5,6 @@
 
 use super::deferred_change::PendingChange;
 use super::demand_peak::DemandPeak;
-use super::escrow_loans::LoanPieces;
 use super::reserve_schedule::ReserveSchedule;
 use super::{DemandRate, EscrowFacts, EscrowOptions, EscrowRole, TokenTransfer, WorkspaceLedger};
 use crate::clock::ClockTime;
@@ -179,18 +178,6 @@
         self.record_peak(now, tokens);
     }
 
-    /// Registers what further calls of a borrower wait for.
-    pub(super) fn add_waits(&mut self, pieces: LoanPieces) {
-        if pieces.count > 0 {
-            *self.awaited.entry(pieces.tokens).or_default() += pieces.count;
-        }
-    }
-
-    /// Removes what further calls of a borrower wait for.
-    pub(super) fn remove_waits(&mut self, pieces: LoanPieces) {
-        (0..pieces.count).for_each(|_| self.end_wait(pieces.tokens));
-    }
-
     /// Removes a waiting call.
     pub(super) fn end_wait(&mut self, tokens: u64) {
         if let Some(count) = self.awaited.get_mut(&tokens) {
--- a/crates/beechsaddle-core/src/gateway/escrow_loans.rs
+++ b/crates/beechsaddle-core/src/gateway/escrow_loans.rs
@@ -43,22 +43,6 @@
         }
     }
 
-    /// Registers what calls of a borrower wait for beside the smallest one. Without it, a ledger
-    /// write near the end of a total brings tokens for one call of a long queue, and the others are
-    /// refused although the ledger covers them.
-    pub fn begin_loan_wait(&mut self, workspace: &WorkspaceName, least: u64, others: u64) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.add_waits(LoanPieces::of(least, others));
-        }
-    }
-
-    /// Removes what calls of a borrower wait for beside the smallest one.
-    pub fn end_loan_wait(&mut self, workspace: &WorkspaceName, least: u64, others: u64) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.remove_waits(LoanPieces::of(least, others));
-        }
-    }
-
     /// Lends tokens to another router: the amount that it needs, or the smallest part that helps;
     /// beyond that as much as leaves an equal amount here, and less the more tokens were lost with
     /// terminated routers. A borrower does not know the ledger, and its tokens are lost with it as
@@ -187,25 +171,3 @@
         }
     }
 }
-
-/// The largest number of pieces in which a lender waits for tokens of one borrower. A ledger that
-/// does not cover all of them is used up to less than a piece.
-const LOAN_PIECES_MAX: u64 = 16;
-
-/// What calls of a borrower wait for, in pieces of equal size: the lender does not know the calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct LoanPieces {
-    /// Tokens of a piece, no less than those of the smallest call.
-    pub(super) tokens: u64,
-    pub(super) count: u32,
-}
-
-impl LoanPieces {
-    fn of(least: u64, others: u64) -> Self {
-        let tokens = others.div_ceil(LOAN_PIECES_MAX).max(least).max(1);
-        LoanPieces {
-            tokens,
-            count: (others / tokens) as u32,
-        }
-    }
-}
--- a/crates/beechsaddle/src/gateway/token_lender.rs
+++ b/crates/beechsaddle/src/gateway/token_lender.rs
@@ -32,7 +32,7 @@
     is_foreign: bool,
 ) -> LoanReply {
     record_request(state, workspace, request);
-    let waiting = LedgerWait::start_loan(state, workspace, request);
+    let waiting = LedgerWait::start(state, workspace, request.least);
     let need = TokenNeed::of_any_urgency(request.least);
     let until = Instant::now() + Duration::from_millis(LEDGER_WAIT_MS);
     let mut turn = OpeningTurn::default();
