--- a/crates/beechsaddle-core/src/gateway/policy_options.rs
+++ b/crates/beechsaddle-core/src/gateway/policy_options.rs
@@ -1,7 +1,7 @@
 //! The `policy_options` module provides switches for routing policies.
 
-/// Switches for routing policies. Operators can switch one off to measure its benefit to their
-/// callers.
+/// Switches for routing policies. Those of long standing are on by default; operators can switch one off
+/// to measure its benefit to their callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PolicyOptions {
     /// Whether streams that run once stay in the caller's domain if possible.
@@ -17,6 +17,9 @@
     pub places_by_speed: bool,
     /// Whether targets that have started or recovered get a growing part of their requests.
     pub paces_recovery: bool,
+    /// Whether calls are refused at once if the answer is known, and return by the cause of their
+    /// refusal.
+    pub returns_by_cause: bool,
 }
 
 impl Default for PolicyOptions {
@@ -28,6 +31,7 @@
             shares_target_speeds: false,
             places_by_speed: false,
             paces_recovery: false,
+            returns_by_cause: false,
         }
     }
 }
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -343,6 +343,7 @@
         shares_target_speeds: switch("share_target_speeds", defaults.shares_target_speeds),
         places_by_speed: switch("place_by_speed", defaults.places_by_speed),
         paces_recovery: switch("pace_recovery", defaults.paces_recovery),
+        returns_by_cause: switch("return_by_cause", defaults.returns_by_cause),
     };
     table.finish(findings);
     options
--- a/crates/beechsaddle/src/gateway/token_borrow.rs
+++ b/crates/beechsaddle/src/gateway/token_borrow.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    CallUrgency, EscrowRole, LoanReply, LoanRequest, PeerRecord, UrgencyNeed,
+    CallUrgency, EscrowRole, LoanReply, LoanRequest, PeerRecord, TokenNeed, UrgencyNeed,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::gateway_state::GatewayState;
+use super::known_refusals::{forget_refusals, record_refused_loans};
 use super::peer_link::LenderAnswer;
 use super::token_lending::{LOAN_TIMEOUT, LoanFailure, mark_down, update_roles};
 
@@ -50,11 +51,17 @@
 /// Requests tokens until no call waits or further requests are useless.
 pub(super) async fn request_tokens(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
     for _ in 0..SHORT_ATTEMPTS_MAX {
+        // Read before the request: calls that begin to wait meanwhile were not asked for.
+        let need = least_need(state, workspace);
         match request_from_domain(state, workspace).await {
             DomainOutcome::Resolved => return,
             DomainOutcome::Short => sleep(SHORT_RETRY_PAUSE).await,
-            DomainOutcome::LedgerUnreachable => return record_refusal(state, workspace),
-            DomainOutcome::NoOtherAllocator => return request_as_allocator(state, workspace).await,
+            DomainOutcome::LedgerUnreachable => {
+                return record_refused_loans(state, workspace, need);
+            }
+            DomainOutcome::NoOtherAllocator => {
+                return request_as_allocator(state, workspace, need).await;
+            }
         }
     }
 }
@@ -99,7 +106,11 @@
 /// The other allocators are also tried if the ledger has too little. The last part of a total is spread
 /// over the allocators as remainders. If each first gave its remainder back in a ledger write, calls would
 /// be refused meanwhile.
-async fn request_as_allocator(state: &Rc<GatewayState>, workspace: &WorkspaceName) {
+async fn request_as_allocator(
+    state: &Rc<GatewayState>,
+    workspace: &WorkspaceName,
+    need: TokenNeed,
+) {
     state
         .escrow
         .borrow_mut()
@@ -107,7 +118,7 @@
     state.escrow_wake.notify_one();
     if state.is_ledger_unreachable.get() {
         if !request_from_other_domains(state, workspace).await {
-            record_refusal(state, workspace);
+            record_refused_loans(state, workspace, need);
         }
     } else if state.escrow.borrow().is_uncovered(workspace) {
         request_remainders(state, workspace).await;
@@ -126,19 +137,15 @@
     }
 }
 
-/// Records that no router lends tokens to the calls that wait, or to less urgent ones.
-///
-/// While tokens are kept for urgent calls, some become usable for them all the time, so that the pause
-/// between their requests does not grow.
-fn record_refusal(state: &GatewayState, workspace: &WorkspaceName) {
-    let urgency = state.escrow.borrow().most_urgent_waiting(workspace);
-    let mut pauses = state.lending.pauses.borrow_mut();
-    if urgency == Some(CallUrgency::HIGHEST) {
-        pauses.record_lent(workspace);
+/// Returns the need of the smallest of the most urgent calls that wait. Lenders are asked for all calls
+/// together, and refuse those and less urgent ones.
+fn least_need(state: &GatewayState, workspace: &WorkspaceName) -> TokenNeed {
+    let escrow = state.escrow.borrow();
+    let urgency = escrow.most_urgent_waiting(workspace);
+    TokenNeed {
+        tokens: escrow.least_awaited(workspace).unwrap_or(0),
+        urgency: urgency.unwrap_or(CallUrgency::HIGHEST),
     }
-    pauses.record_refused(state.now(), workspace);
-    let urgency = urgency.unwrap_or(CallUrgency::HIGHEST);
-    state.lending.set_refused_urgency(workspace, urgency);
 }
 
 /// Requests tokens from the allocators of other domains, which may hold more than they currently need.
@@ -231,6 +238,7 @@
         escrow.receive(workspace, request, tokens);
         drop(escrow);
         state.metrics.tokens_borrowed.inc_by(tokens);
+        forget_refusals(state, workspace);
         state.escrow_changed.notify_waiters();
     }
 }
@@ -271,7 +279,7 @@
         LoanReply::Lent(tokens) => {
             escrow.receive(workspace, request, tokens);
             state.metrics.tokens_borrowed.inc_by(tokens);
-            state.lending.pauses.borrow_mut().record_lent(workspace);
+            forget_refusals(state, workspace);
             Ok(())
         }
         // An allocator of another domain does not know the remainders of the others.
--- a/crates/beechsaddle/src/gateway/token_lending.rs
+++ b/crates/beechsaddle/src/gateway/token_lending.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{CallUrgency, EscrowRole, LoanBackoff, PeerRecord, PeerRing};
+use beechsaddle_core::gateway::{
+    CallUrgency, EscrowRole, LoanBackoff, PeerRecord, PeerRing, RefusalMemory, TokenNeed,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use subtle::ConstantTimeEq;
@@ -37,6 +39,8 @@
     pub(super) links: PeerLinks,
     /// Workspaces for which requests to any router are paused.
     pub(super) pauses: RefCell<LoanBackoff>,
+    /// Refusals that answer later calls; empty unless callers return by cause.
+    pub(super) refusals: RefCell<RefusalMemory>,
     /// Workspaces for which requests for remainders are paused: the ledger has too little, and the
     /// allocators of other domains had nothing left.
     pub(super) remainder_pauses: RefCell<LoanBackoff>,
@@ -61,6 +65,7 @@
             ring: RefCell::new(PeerRing::new(me, domain)),
             links: PeerLinks::default(),
             pauses: RefCell::default(),
+            refusals: RefCell::default(),
             remainder_pauses: RefCell::default(),
             refused_urgencies: RefCell::default(),
             limited: RefCell::default(),
@@ -144,23 +149,10 @@
         &self,
         now: ClockTime,
         workspace: &WorkspaceName,
-        urgency: CallUrgency,
+        need: TokenNeed,
     ) -> bool {
-        let key = (workspace.clone(), urgency);
-        self.pending_requests.borrow().contains(&key)
-            && !self.was_call_refused(now, workspace, urgency)
-    }
-
-    /// Whether every request for tokens of a workspace was refused recently, made for calls of this urgency
-    /// or more urgent ones.
-    pub(super) fn was_call_refused(
-        &self,
-        now: ClockTime,
-        workspace: &WorkspaceName,
-        urgency: CallUrgency,
-    ) -> bool {
-        let refused = self.refused_urgencies.borrow().get(workspace).copied();
-        self.was_refused(now, workspace) && refused.is_none_or(|refused| urgency >= refused)
+        let key = (workspace.clone(), need.urgency);
+        self.pending_requests.borrow().contains(&key) && !self.was_refused(now, workspace, need)
     }
 
     /// Sets the urgency of the calls for which requests were refused.
@@ -169,23 +161,32 @@
         refused.insert(workspace.clone(), urgency);
     }
 
-    /// Whether every request for tokens of a workspace was refused recently.
-    pub(super) fn was_refused(&self, now: ClockTime, workspace: &WorkspaceName) -> bool {
-        self.pauses.borrow().is_paused(now, workspace)
+    /// Whether every request for tokens of a workspace was refused recently, made for smaller calls than
+    /// this or for calls as urgent as it or more.
+    pub(super) fn was_refused(
+        &self,
+        now: ClockTime,
+        workspace: &WorkspaceName,
+        need: TokenNeed,
+    ) -> bool {
+        let known = self.refusals.borrow().find(now, workspace, need);
+        known.is_some() || self.is_paused(now, workspace, need.urgency)
+    }
+
+    /// Whether requests for calls of an urgency are paused.
+    fn is_paused(&self, now: ClockTime, workspace: &WorkspaceName, urgency: CallUrgency) -> bool {
+        let refused = self.refused_urgencies.borrow().get(workspace).copied();
+        let is_as_urgent = refused.is_none_or(|refused| urgency >= refused);
+        is_as_urgent && self.pauses.borrow().is_paused(now, workspace)
     }
 }
 
 /// Starts a request for tokens that calls wait for, to other routers or the ledger.
 ///
 /// The request continues after the call that started it has ended: a loan in transit would be lost.
-pub(super) fn start_request(
-    state: &Rc<GatewayState>,
-    workspace: &WorkspaceName,
-    urgency: CallUrgency,
-) {
-    let lending = &state.lending;
-    let is_refused = lending.was_call_refused(state.now(), workspace, urgency);
-    let key = (workspace.clone(), urgency);
+pub(super) fn start_request(state: &Rc<GatewayState>, workspace: &WorkspaceName, need: TokenNeed) {
+    let is_refused = state.lending.was_refused(state.now(), workspace, need);
+    let key = (workspace.clone(), need.urgency);
     if is_refused
         || !state
             .lending
@@ -201,7 +202,7 @@
         state.lending.pending_requests.borrow_mut().remove(&key);
         // Loans and ledger writes wake the waiting calls, so they are woken here only after a refusal.
         // Waking them each time would make them request again at once, in a busy loop until they time out.
-        if state.lending.was_refused(state.now(), &workspace) {
+        if state.lending.was_refused(state.now(), &workspace, need) {
             state.escrow_changed.notify_waiters();
         }
     });
