Shed by degrees on a short link: room gate, withdrawal, refusal link_short

Cause: the balancer picks a router by a hash of the caller, so a heavy caller fills a narrow link.

Off by default ([policy] shed_by_degrees). The gate orders calls by urgency and size, the withdrawal staggers by host and ends where callers do not move.

Tests: six without a network, one through two processes, which fails with the switch off (0 calls shed).

--- a/crates/beechsaddle-core/src/gateway/gateway_status.rs
+++ b/crates/beechsaddle-core/src/gateway/gateway_status.rs
@@ -30,6 +30,9 @@
     /// The evacuations in force; `None` until they are known.
     #[serde(default)]
     pub evacuations: Option<Vec<EvacuationStatus>>,
+    /// The router's own link; `None` if its capacity is unknown.
+    #[serde(default)]
+    pub link: Option<LinkStatus>,
     pub targets: Vec<GatewayTargetStatus>,
 }
 
@@ -56,6 +59,17 @@
     pub active: u64,
 }
 
+/// A router's own link. Loads are parts of its capacity.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LinkStatus {
+    /// What calls put on the link, in the busier direction.
+    pub load: f64,
+    /// What calls would put on it if none were shed; 0 where none may be.
+    pub offered: f64,
+    /// Whether the router has left the rotation because of its link.
+    pub is_out: bool,
+}
+
 /// Another router.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GatewayPeerStatus {
--- a/crates/beechsaddle-core/src/gateway/link_meter.rs
+++ b/crates/beechsaddle-core/src/gateway/link_meter.rs
@@ -1,6 +1,6 @@
 //! The `link_meter` module provides the utilization of a router's own link.
 
-use super::DemandRate;
+use super::{DemandRate, RoomLink};
 use crate::clock::ClockTime;
 
 /// Half-life of the byte rate, in milliseconds: a second of high load shows in the rate, a single
@@ -15,10 +15,6 @@
 /// headers.
 const HEAD_BYTES: u64 = 500;
 
-/// Overhead of an event of a stream beside its text, in bytes: its packet's headers and its
-/// framing.
-const PART_BYTES: u64 = 80;
-
 /// A direction of traffic on the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkDirection {
@@ -42,6 +38,10 @@
 }
 
 impl LinkMeter {
+    /// Overhead of an event of a stream beside its text, in bytes: its packet's headers and its
+    /// framing.
+    pub const PART_BYTES: u64 = 80;
+
     /// Creates the meter of a link of `link_mbps` megabits per second. If the capacity is not
     /// known, the link never counts as full.
     pub fn new(link_mbps: Option<f64>, now: ClockTime) -> Self {
@@ -59,7 +59,7 @@
 
     /// Records a part of a stream.
     pub fn record_part(&mut self, now: ClockTime, direction: LinkDirection, part_bytes: u64) {
-        self.record_bytes(now, direction, part_bytes + PART_BYTES);
+        self.record_bytes(now, direction, part_bytes + Self::PART_BYTES);
     }
 
     /// Returns the load of the busier direction, as a part of the link's capacity.
@@ -71,6 +71,14 @@
         inbound.max(self.outbound.per_second(now)) / link
     }
 
+    /// Returns the capacity and the load.
+    pub fn state(&self, now: ClockTime) -> RoomLink {
+        RoomLink {
+            capacity: self.bytes_per_s,
+            load: self.load(now),
+        }
+    }
+
     pub fn is_full(&self, now: ClockTime) -> bool {
         self.load(now) >= FULL_LOAD
     }
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -41,6 +41,8 @@
 mod rest_registry;
 mod resume_rule;
 mod retry_share;
+mod room_gate;
+mod room_withdrawal;
 mod rotation_gate;
 mod route_rule;
 mod stream_directory;
@@ -80,7 +82,7 @@
 pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
 pub use gateway_status::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
-    WorkspaceStatus,
+    LinkStatus, WorkspaceStatus,
 };
 pub use limit_history::{ChangeBounds, IdleLimit, LimitHistory};
 pub use link_meter::{LinkDirection, LinkMeter};
@@ -95,6 +97,8 @@
 pub use rest_registry::RestRegistry;
 pub use resume_rule::{ResumeRefusal, ResumedStream, resume_at};
 pub use retry_share::{RetryShare, RetryShareOptions};
+pub use room_gate::{RoomGate, RoomLink, RoomRequest};
+pub use room_withdrawal::RoomWithdrawal;
 pub use rotation_gate::RotationGate;
 pub use route_rule::{RouteKind, RouteRule, WeightedService};
 pub use stream_directory::{ORIGIN_RETENTION_MS, StreamDirectory, StreamOrigin};
--- a/crates/beechsaddle-core/src/gateway/policy_options.rs
+++ b/crates/beechsaddle-core/src/gateway/policy_options.rs
@@ -1,7 +1,7 @@
 //! The `policy_options` module provides switches for routing policies.
 
-/// Switches for routing policies. All are on by default; operators can switch one off to measure
-/// its benefit to their callers.
+/// Switches for routing policies. Operators can switch one off to measure its benefit to their
+/// callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PolicyOptions {
     /// Whether streams that run once stay in the caller's domain if possible.
@@ -11,6 +11,9 @@
     pub fetches_parts: bool,
     /// Whether a router whose own link is full leaves the load balancer's rotation for a time.
     pub leaves_full_link: bool,
+    /// Whether a router whose own link is short sheds what exceeds it, less urgent and large calls
+    /// first. Off by default.
+    pub sheds_by_degrees: bool,
 }
 
 impl Default for PolicyOptions {
@@ -19,6 +22,7 @@
             keeps_single_runs_near: true,
             fetches_parts: true,
             leaves_full_link: true,
+            sheds_by_degrees: false,
         }
     }
 }
--- a/crates/beechsaddle/src/command/gateway_text.rs
+++ b/crates/beechsaddle/src/command/gateway_text.rs
@@ -1,7 +1,8 @@
 //! The `gateway_text` module provides the text form of a gateway's status.
 
 use beechsaddle_core::gateway::{
-    EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, WorkspaceStatus,
+    EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus, LinkStatus,
+    WorkspaceStatus,
 };
 
 /// Formats one line for the gateway, and one for each peer, workspace and target in its status.
@@ -22,6 +23,7 @@
         ),
         None => "config none".to_owned(),
     });
+    lines.extend(status.link.iter().map(link_line));
     lines.extend(status.peers.iter().map(peer_line));
     lines.extend(status.workspaces.iter().map(workspace_line));
     match &status.evacuations {
@@ -32,6 +34,13 @@
     lines.join("\n")
 }
 
+fn link_line(link: &LinkStatus) -> String {
+    format!(
+        "link load={:.2} offered={:.2} is_out={}",
+        link.load, link.offered, link.is_out
+    )
+}
+
 fn peer_line(peer: &GatewayPeerStatus) -> String {
     format!(
         "peer {} domain={} down_for_ms={}",
--- a/crates/beechsaddle/src/gateway/call_checks.rs
+++ b/crates/beechsaddle/src/gateway/call_checks.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use beechsaddle_core::gateway::{GatewayConfig, RouteMatch, RouteRule, WorkspaceRule};
+use beechsaddle_core::gateway::{
+    CallUrgency, GatewayConfig, RoomRequest, RouteMatch, RouteRule, WorkspaceRule,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::CallHead;
 use http::request::Parts;
@@ -40,6 +42,12 @@
         let deadline_ms = head.deadline_ms.unwrap_or(u64::MAX);
         deadline_ms.min(self.route.timeout_ms)
     }
+
+    /// Returns the urgency of a call.
+    fn urgency(&self) -> CallUrgency {
+        let priority = self.workspace.as_ref().and_then(|rule| rule.priority);
+        CallUrgency(priority.unwrap_or(self.route.priority))
+    }
 }
 
 /// Refuses calls while changes of targets arrive late over this router's saturated link: the call
@@ -54,6 +62,27 @@
     }
 }
 
+/// Refuses calls that exceed this router's short link, the less urgent and large ones first: other
+/// routers can serve them at once. `body_bytes` is the size of the body as far as it is known.
+pub(super) fn refuse_without_room(
+    state: &GatewayState,
+    rules: &CallRules,
+    body_bytes: u64,
+) -> Result<(), CallRefusal> {
+    let request = RoomRequest {
+        urgency: rules.urgency(),
+        is_stream: rules.route.kind.is_stream(),
+        body_bytes,
+    };
+    match state.has_room(request) {
+        true => Ok(()),
+        false => Err(CallRefusal::new(
+            RefusalCause::LinkShort,
+            "this router's link is short",
+        )),
+    }
+}
+
 /// Refuses calls that are read after the drain of a shutdown and that its end may cut. Another router
 /// can serve them whole. `ends_at` is when a call ends at the latest.
 pub(super) fn refuse_in_shutdown(
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -20,6 +20,7 @@
 use super::answer_body::AnswerBody;
 use super::call_checks::{
     CallRefusal, CallRules, check_head, refuse_behind_full_link, refuse_in_shutdown,
+    refuse_without_room,
 };
 use super::call_context::CallContext;
 use super::call_record::CallRecord;
@@ -56,6 +57,7 @@
         refuse_behind_full_link(&state)?;
         let ends_at = record.arrived_at().plus_ms(rules.timeout_ms(&head));
         refuse_in_shutdown(&state, &rules, ends_at)?;
+        refuse_without_room(&state, &rules, body.size_hint().lower())?;
         Ok((head, rules))
     });
     let mut response = match admitted {
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -338,6 +338,7 @@
         keeps_single_runs_near: switch("keep_single_runs_near", defaults.keeps_single_runs_near),
         fetches_parts: switch("fetch_parts", defaults.fetches_parts),
         leaves_full_link: switch("leave_full_link", defaults.leaves_full_link),
+        sheds_by_degrees: switch("shed_by_degrees", defaults.sheds_by_degrees),
     };
     table.finish(findings);
     options
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -6,8 +6,8 @@
 use beechsaddle_core::backoff::RetryBackoff;
 use beechsaddle_core::gateway::{
     CallerLimits, EvacuationRegistry, GatewayConfig, LimitHistory, LinkDirection, LinkMeter,
-    PathMonitor, RetryShare, RosterChange, RotationGate, SuspectKind, TargetRecord, TargetRoster,
-    TokenEscrow, UpdateAge,
+    PathMonitor, RetryShare, RoomGate, RoomRequest, RoomWithdrawal, RosterChange, RotationGate,
+    SuspectKind, TargetRecord, TargetRoster, TokenEscrow, UpdateAge,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
@@ -94,6 +94,10 @@
     pub(super) link: RefCell<LinkMeter>,
     /// Whether the router accepts new callers.
     pub(super) rotation: RefCell<RotationGate>,
+    /// Which calls are shed while the router's own link is short.
+    pub(super) room: RefCell<RoomGate>,
+    /// Whether the router has left the rotation because it sheds calls.
+    pub(super) room_withdrawal: RefCell<RoomWithdrawal>,
     /// The retry budget.
     pub(super) retries: RefCell<RetryShare>,
     /// Which targets the router reaches by itself.
@@ -171,6 +175,8 @@
             relay: ChangeRelay::default(),
             link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
             rotation: RefCell::default(),
+            room: RefCell::new(RoomGate::new(ClockTime::ZERO)),
+            room_withdrawal: RefCell::default(),
             retries: RefCell::new(RetryShare::new(settings.retries)),
             path: RefCell::default(),
             is_confirming_path: Cell::new(false),
@@ -245,6 +251,8 @@
 
     /// Records a part of a stream, which enters and leaves over the router's link.
     pub(super) fn record_part(&self, part: &Bytes) {
+        let part_bytes = part.len() as u64 + LinkMeter::PART_BYTES;
+        self.room.borrow_mut().record_stream(self.now(), part_bytes);
         self.record_bytes(part.len() as u64);
     }
 
@@ -276,17 +284,61 @@
             self.report.log(LogLevel::Warning, "link_full", fields);
         }
         drop(rotation);
+        self.record_room();
         let knows_rules = self.config.borrow().is_some() && self.evacuations.borrow().is_known();
         let serves = self.phase() == GatewayPhase::Serving && knows_rules;
         serves && !self.has_left_rotation() && !self.tunnels.is_isolated()
     }
 
-    /// Whether the router has left the rotation because its own link was congested.
+    /// Whether the router has left the rotation because its own link was congested or short.
     pub(super) fn has_left_rotation(&self) -> bool {
+        let is_short = self.room_withdrawal.borrow().is_out(self.now());
+        is_short || self.has_left_full_link()
+    }
+
+    /// Whether the router has left the rotation because its own link was congested.
+    fn has_left_full_link(&self) -> bool {
         let policy = self.settings().policy;
         policy.leaves_full_link && self.rotation.borrow().is_out_of_rotation(self.now())
     }
 
+    /// Records a call that has arrived; returns whether the router's own link has room for it.
+    pub(super) fn has_room(&self, request: RoomRequest) -> bool {
+        if !self.settings().policy.sheds_by_degrees {
+            return true;
+        }
+        let now = self.now();
+        let link = self.link.borrow().state(now);
+        let is_admitted = self.room.borrow_mut().admits(now, link, request);
+        if !is_admitted {
+            // The body comes in all the same.
+            let mut link = self.link.borrow_mut();
+            link.record_message(now, LinkDirection::In, request.body_bytes);
+        }
+        self.record_room();
+        is_admitted
+    }
+
+    /// Leaves the rotation or returns to it, by whether calls are shed.
+    fn record_room(&self) {
+        let settings = self.settings();
+        if !settings.policy.sheds_by_degrees {
+            return;
+        }
+        let now = self.now();
+        let link = self.link.borrow().state(now);
+        let room = self.room.borrow();
+        let is_shedding = room.is_shedding(now, link);
+        let mut withdrawal = self.room_withdrawal.borrow_mut();
+        if withdrawal.record(now, &settings.host, is_shedding) {
+            let fields = [
+                ("link_load", format!("{:.2}", link.load)),
+                ("offered", format!("{:.2}", room.offered_part(now, link))),
+            ];
+            self.report.log(LogLevel::Warning, "link_short", fields);
+        }
+    }
+
     /// Whether a target that was chosen earlier may still get a new request: it has not restarted or
     /// been replaced since, its failure domain is not evacuated, and neither its entry nor one of its
     /// responses announces that it leaves.
@@ -320,7 +372,7 @@
         let update_interval = settings.probe_interval + settings.max_relay_age;
         let update_age = self.update_age.borrow();
         let interval_ms = update_interval.as_millis() as u64;
-        self.has_left_rotation() && update_age.is_late_by_own_link(self.now(), interval_ms)
+        self.has_left_full_link() && update_age.is_late_by_own_link(self.now(), interval_ms)
     }
 
     /// Updates the metrics of blocked requests and prompt parts.
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -32,6 +32,8 @@
     NoConfig,
     /// The router's own link is saturated, and changes of targets arrive late over it.
     LinkFull,
+    /// The calls that are offered exceed the router's own link.
+    LinkShort,
     /// The router shuts down, and the call may take longer than is left.
     ShuttingDown,
     NoTarget,
@@ -70,6 +72,9 @@
 /// Retry delay when this router shuts down, in milliseconds: the balancer sends the retry to another
 /// one.
 const SHUTDOWN_RETRY_MS: u64 = 10;
+/// Retry delay when this router's link is short, in milliseconds: the balancer sends the retry to
+/// another one, whose link is most likely free.
+const SHORT_RETRY_MS: u64 = 10;
 /// Retry delay while all targets are evacuated, in milliseconds: only an operator ends that, and
 /// earlier retries would be refused as well.
 const EVACUATED_RETRY_MS: u64 = 2_000;
@@ -101,6 +106,7 @@
             | RefusalCause::TargetsUnreachable
             | RefusalCause::TooLate => (RefusalKind::NotRun, Some(OUTAGE_RETRY_MS)),
             RefusalCause::ShuttingDown => (RefusalKind::NotRun, Some(SHUTDOWN_RETRY_MS)),
+            RefusalCause::LinkShort => (RefusalKind::NotRun, Some(SHORT_RETRY_MS)),
             RefusalCause::TargetsEvacuated => (RefusalKind::NotRun, Some(EVACUATED_RETRY_MS)),
             RefusalCause::OutcomeUnknown => (RefusalKind::OutcomeUnknown, None),
             RefusalCause::TimedOut => (RefusalKind::TimedOut, None),
@@ -126,6 +132,7 @@
             RefusalCause::CrashesTargets => "crashes_targets",
             RefusalCause::NoConfig => "no_config",
             RefusalCause::LinkFull => "link_full",
+            RefusalCause::LinkShort => "link_short",
             RefusalCause::ShuttingDown => "shutting_down",
             RefusalCause::NoTarget => "no_target",
             RefusalCause::StreamUnknown => "stream_unknown",
--- a/crates/beechsaddle/src/gateway/status_view.rs
+++ b/crates/beechsaddle/src/gateway/status_view.rs
@@ -2,7 +2,7 @@
 
 use beechsaddle_core::gateway::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
-    RosterEntry, WorkspaceStatus,
+    LinkStatus, RosterEntry, WorkspaceStatus,
 };
 
 use super::gateway_state::GatewayState;
@@ -30,6 +30,7 @@
             .collect(),
         workspaces: view_workspaces(state),
         evacuations: view_evacuations(state),
+        link: view_link(state),
         targets: roster
             .entries()
             .map(|entry| view_target(state, entry))
@@ -37,6 +38,17 @@
     }
 }
 
+fn view_link(state: &GatewayState) -> Option<LinkStatus> {
+    let now = state.now();
+    let link = state.link.borrow().state(now);
+    link.capacity?;
+    Some(LinkStatus {
+        load: link.load,
+        offered: state.room.borrow().offered_part(now, link),
+        is_out: state.has_left_rotation(),
+    })
+}
+
 fn view_config(state: &GatewayState) -> Option<ConfigStatus> {
     let config = state.config()?;
     Some(ConfigStatus {
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -32,6 +32,7 @@
     gateway: &'static str,
     store: &'static str,
     budgets: &'static str,
+    policy: &'static str,
 }
 
 /// The process of a router; dropping it kills the process.
@@ -78,6 +79,16 @@
         GatewayProcess::start_with(store, host, domain, true, &extra)
     }
 
+    /// Starts a router on a host with a link of 2 Mbit/s that sheds by degrees what exceeds it.
+    pub fn start_shedding(store: SocketAddr, host: &str, domain: &str) -> Self {
+        let extra = ExtraSettings {
+            gateway: "link_mbps = 2\n",
+            policy: "shed_by_degrees = true\n",
+            ..ExtraSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &extra)
+    }
+
     /// Starts a router that holds no tokens in advance, except for one call as large as the largest.
     pub fn start_with_low_holdings(store: SocketAddr, host: &str, domain: &str) -> Self {
         let extra = ExtraSettings {
@@ -262,13 +273,14 @@
         gateway,
         store: store_lines,
         budgets,
+        policy,
     } = extra;
     format!(
         "[gateway]\nhost = \"{host}\"\ndomain = \"{domain}\"\ncall_address = \"{address}\"\n\
          ready_address = \"{ready}\"\npeer_address = \"{peer}\"\ngrace_s = 6\n{gateway}\n\
          [store]\naddress = \"{store}\"\n{store_lines}\n\
          [retries]\nratio = 0.2\nallowance = 50\nwindow_s = 10\n\n\
-         [budgets]\n{budgets}"
+         [budgets]\n{budgets}\n[policy]\n{policy}"
     )
 }
 
@@ -315,6 +327,14 @@
         bench
     }
 
+    /// Starts a bench like [`start`](Self::start) with a router on a host with a slow link, which sheds
+    /// by degrees what exceeds it.
+    pub async fn start_shedding(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_shedding).await;
+        bench.router.wait_log(&["target_joined", "plain-1"]).await;
+        bench
+    }
+
     /// Starts a bench like [`start`](Self::start) with a router whose log is never read.
     pub async fn start_with_unread_log(draft: &ConfigDraft) -> Self {
         let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_unread_log).await;
