--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -47,6 +47,8 @@
 mod resume_rule;
 mod retry_share;
 mod return_schedule;
+mod room_gate;
+mod room_withdrawal;
 mod rotation_gate;
 mod route_rule;
 mod speed_average;
@@ -94,7 +96,7 @@
 pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
 pub use gateway_status::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
-    ReportStatus, WorkspaceStatus,
+    LinkStatus, ReportStatus, WorkspaceStatus,
 };
 pub use limit_history::{ChangeBounds, IdleLimit, LimitHistory};
 pub use link_meter::{LinkDirection, LinkMeter};
@@ -113,6 +115,8 @@
 pub use resume_rule::{ResumeRefusal, ResumedStream, resume_at};
 pub use retry_share::{RetryShare, RetryShareOptions};
 pub use return_schedule::{RefusedCaller, ReturnCause, ReturnSchedule};
+pub use room_gate::{RoomGate, RoomLink, RoomRequest};
+pub use room_withdrawal::RoomWithdrawal;
 pub use rotation_gate::RotationGate;
 pub use route_rule::{RouteKind, RouteRule, WeightedService};
 pub use speed_average::SpeedAverage;
--- a/crates/beechsaddle-core/src/gateway/policy_options.rs
+++ b/crates/beechsaddle-core/src/gateway/policy_options.rs
@@ -20,6 +20,9 @@
     /// Whether calls are refused at once if the answer is known, and return by the cause of their
     /// refusal.
     pub returns_by_cause: bool,
+    /// Whether a router whose own link is short sheds what exceeds it, less urgent and large calls
+    /// first. Off by default.
+    pub sheds_by_degrees: bool,
 }
 
 impl Default for PolicyOptions {
@@ -32,6 +35,7 @@
             places_by_speed: false,
             paces_recovery: false,
             returns_by_cause: false,
+            sheds_by_degrees: false,
         }
     }
 }
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -344,6 +344,7 @@
         places_by_speed: switch("place_by_speed", defaults.places_by_speed),
         paces_recovery: switch("pace_recovery", defaults.paces_recovery),
         returns_by_cause: switch("return_by_cause", defaults.returns_by_cause),
+        sheds_by_degrees: switch("shed_by_degrees", defaults.sheds_by_degrees),
     };
     table.finish(findings);
     options
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -79,6 +79,16 @@
         GatewayProcess::start_with(store, host, domain, true, &extra)
     }
 
+    /// Starts a router on a host with a link of 2 Mbit/s that sheds by degrees what exceeds it.
+    pub fn start_shedding(store: SocketAddr, host: &str, domain: &str) -> Self {
+        let extra = ExtraSettings {
+            gateway: "link_mbps = 2\n",
+            policy: "shed_by_degrees = true\n",
+            ..ExtraSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &extra)
+    }
+
     /// Starts a router that holds no tokens in advance, except for one call as large as the largest.
     pub fn start_with_low_holdings(store: SocketAddr, host: &str, domain: &str) -> Self {
         let extra = ExtraSettings {
@@ -333,6 +343,14 @@
         bench
     }
 
+    /// Starts a bench like [`start`](Self::start) with a router on a host with a slow link, which sheds
+    /// by degrees what exceeds it.
+    pub async fn start_shedding(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_shedding).await;
+        bench.router.wait_log(&["target_joined", "plain-1"]).await;
+        bench
+    }
+
     /// Starts a bench like [`start`](Self::start) with a router whose log is never read.
     pub async fn start_with_unread_log(draft: &ConfigDraft) -> Self {
         let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_unread_log).await;
