--- a/crates/beechsaddle/tests/gateway_refusals.rs
+++ b/crates/beechsaddle/tests/gateway_refusals.rs
@@ -22,8 +22,8 @@
 /// Starts a bench whose router borrows from the allocator `host-2`, and returns by cause.
 async fn borrowing_bench() -> (GatewayBench, GatewayProcess) {
     let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
-    let policy = "[policy]\nreturn_by_cause = true\n\n[budgets]";
-    bench.router.edit_settings("[budgets]", policy);
+    let policy = "[policy]\nreturn_by_cause = true\n";
+    bench.router.edit_settings("[policy]\n", policy);
     bench.router.wait_log(&["settings_reloaded"]).await;
     let allocator = GatewayProcess::start(bench.store.address(), "host-2", "north");
     allocator.wait_ready().await;
