--- a/crates/beechsaddle-core/tests/gateway_room.rs
+++ b/crates/beechsaddle-core/tests/gateway_room.rs
@@ -169,9 +169,7 @@
     urgent_admitted + per_s >= offered || drafts <= per_s * 2
 }
 
-/// Runs withdrawals of the hosts of a domain that all shed without end, where the balancer uses all
-/// hosts while fewer than half are in rotation; returns how many leave in the same 100 ms at most,
-/// and how many are out after ten seconds.
+/// Returns how many hosts of a domain leave in the same 100 ms at most, and are out after ten seconds.
 fn withdraw_all(hosts: u64) -> [usize; 2] {
     let names: Vec<_> = (0..hosts)
         .map(|host| HostName::new(format!("host-{host}")))
--- a/crates/beechsaddle/tests/explain.rs
+++ b/crates/beechsaddle/tests/explain.rs
@@ -216,9 +216,7 @@
     }
 }
 
-/// Load: a cut of the store in which a borrower refuses. Guards against an explanation that does not tell
-/// what was short, what the router held and what its lender had said, and against one that is given for
-/// calls refused for other reasons.
+/// Guards against a refusal in a cut of the store whose explanation lacks what was short.
 #[test]
 fn explain_call_refused_for_tokens_names_cause() {
     let mut index = LogIndex::default();
--- a/crates/beechsaddle/tests/gateway_refusals.rs
+++ b/crates/beechsaddle/tests/gateway_refusals.rs
@@ -35,9 +35,7 @@
     (bench, allocator)
 }
 
-/// Load: a cut of all routers from the store, with large calls at a borrower. Guards against a second call
-/// of the same size that waits for an answer that is known, against small calls that are refused for it,
-/// and against a caller that is told to come back sooner than it could.
+/// Guards against a large call in a cut of all routers that waits for a refusal which is known.
 #[tokio::test]
 async fn second_call_in_cut_is_refused_at_once() {
     let (bench, allocator) = borrowing_bench().await;
@@ -65,8 +63,7 @@
     assert_eq!(small.status, 200, "{}", small.body);
 }
 
-/// Load: the same cut, which ends. Guards against a memory that outlasts it: the borrower hears of the
-/// store before a pause of its requests would end.
+/// Guards against a known refusal that outlasts the cut of the store.
 #[tokio::test]
 async fn call_after_cut_is_served() {
     let (bench, allocator) = borrowing_bench().await;
--- a/crates/beechsaddle/tests/gateway_room.rs
+++ b/crates/beechsaddle/tests/gateway_room.rs
@@ -28,10 +28,7 @@
     reply.status == 503 && reply.body.contains(reason)
 }
 
-/// A caller that sticks to a router on a narrow link sends ten times what the link carries. The router
-/// sheds at once, what it refuses has not run and is served by the next router, small calls are not
-/// shed, and the router leaves the rotation and closes connections after their answers. Behind its
-/// full link it may refuse all calls while changes of targets are late.
+/// Guards against a heavy caller that stays on a narrow link while the next router has room.
 #[tokio::test]
 async fn narrow_link_sheds_a_heavy_caller_to_the_next_router() {
     let bench = GatewayBench::start_shedding(&draft(1, AMPLE)).await;
