--- a/review/cases/src/tunnel_kill.rs
+++ b/review/cases/src/tunnel_kill.rs
@@ -1,4 +1,4 @@
-//! A router that reaches two engines only by way of another router, which is killed.
+//! A router that is partitioned from all engines goes by way of another router, which is killed.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -18,26 +18,28 @@
 
 const ENGINES: usize = 12;
 
-/// Engines that one router loses the way to: within a share of 0.15 of the servers.
-const CUT_ENGINES: usize = 2;
+/// Engines some of whose answers have no length: the half of them that gets the first streams.
+const UNFRAMED_ENGINES: usize = 6;
 
-/// Framed answers of each of these engines before the others: those without a length are one in twenty
-/// of its answers at most.
+/// How many answers without a length each of these engines begins at most, or one or two more.
+const UNFRAMED_ANSWERS: usize = 4;
+
+/// Framed answers of each engine before the others: those without a length are one in twenty of an engine's
+/// answers at most.
 const FRAMED_ANSWERS: usize = 120;
 
-/// Streams that are open when the other router is killed: a second of the sheet's traffic, and so few
-/// that each engine runs some five of them.
-const STREAMS: usize = 60;
+/// Streams that begin before the other router is killed: less than a second of the sheet's traffic.
+const STREAMS: usize = 40;
 
 /// The events of a stream, as on the sheet, and the gap between them.
 const EVENTS: u64 = 40;
 const GAP: Duration = Duration::from_millis(50);
 
-/// How often the way is cut, until the router goes by way of the other one.
-const ROUNDS: usize = 6;
+/// When the other router is killed, after the first of these streams: they take two seconds.
+const KILL_AFTER: Duration = Duration::from_millis(1_300);
 
-/// The length of a cut.
-const CUT: Duration = Duration::from_millis(5_000);
+/// The length of the cut.
+const CUT: Duration = Duration::from_millis(5_500);
 
 pub async fn play(stage: &Stage) -> Result<bool> {
     let record = &stage.record;
@@ -58,7 +60,7 @@
         limits: LimitsDraft::default(),
     });
     let mut paths = Vec::new();
-    for engine in &engines[..CUT_ENGINES] {
+    for engine in &engines {
         paths.push(TargetPath::try_start(engine.address())?);
     }
     let renamed = paths.iter().zip(&engines);
@@ -91,42 +93,24 @@
         sleep(Duration::from_millis(5)).await;
     }
     sleep(Duration::from_millis(300)).await;
-    let mut cut_at = Instant::now();
-    for _ in 0..ROUNDS {
-        let ran = runs(&engines[..CUT_ENGINES]);
-        cut_at = Instant::now();
-        if stage.has_trouble {
-            paths.iter().for_each(TargetPath::cut);
-            record.add("front-2 loses the way to i-engine00 and i-engine01");
-        }
-        // Idle connections to the engines are closed after 0.4 s.
-        sleep(Duration::from_millis(600)).await;
-        while cut_at.elapsed() < Duration::from_millis(2_600) {
-            start_short(router.address, &mut number);
-            sleep(Duration::from_millis(5)).await;
-        }
-        if !stage.has_trouble || runs(&engines[..CUT_ENGINES]) > ran + 4 {
-            break;
-        }
-        sleep_until((cut_at + CUT).into()).await;
-        paths.iter().for_each(TargetPath::heal);
-        record.add("the way is open again; no stream had gone by way of front-1");
-        for _ in 0..600 {
-            start_short(router.address, &mut number);
-            sleep(Duration::from_millis(5)).await;
-        }
+    let cut_at = Instant::now();
+    if stage.has_trouble {
+        paths.iter().for_each(TargetPath::cut);
+        record.add("front-2 is partitioned from all engines");
     }
-    for engine in &engines[..CUT_ENGINES] {
-        let answers = engine.runs().len();
-        record.add(format!(
-            "{} has given {answers} framed answers",
-            engine.name()
-        ));
+    while cut_at.elapsed() < Duration::from_millis(2_500) {
+        start_short(router.address, &mut number);
+        sleep(Duration::from_millis(10)).await;
+    }
+    let answers: Vec<usize> = engines.iter().map(|engine| engine.runs().len()).collect();
+    record.add(format!("the engines have given {answers:?} framed answers"));
+    for engine in &engines {
         engine.set_framing(StreamFraming::Connection);
     }
     engines
         .iter()
         .for_each(|engine| engine.set_events(EVENTS, GAP));
+    let begun_at = Instant::now();
     let mut streams = tokio::task::JoinSet::new();
     for number in 0..STREAMS {
         let (address, id, record) = (router.address, format!("long-{number}"), record.clone());
@@ -137,8 +121,9 @@
             (id, reply)
         });
         sleep(Duration::from_millis(10)).await;
+        end_unframed(&engines, &answers);
     }
-    sleep(Duration::from_millis(400)).await;
+    sleep_until((begun_at + KILL_AFTER).into()).await;
     if stage.has_trouble {
         helper.kill()?;
         record.add("front-1 is killed");
@@ -175,13 +160,23 @@
     println!("{summary}");
     record.add(summary);
     if stage.has_trouble && tunnels == 0 {
-        return Err("no call went by way of the other router".into());
+        return Err("no call went by way of another router".into());
     }
     Ok(short > 0)
 }
 
-fn runs(engines: &[TargetStandIn]) -> usize {
-    engines.iter().map(|engine| engine.runs().len()).sum()
+/// Has engines mark the end of their further streams: those that have begun enough streams without a length,
+/// and all others once enough engines have begun one.
+fn end_unframed(engines: &[TargetStandIn], answers: &[usize]) {
+    let begun = engines.iter().zip(answers);
+    let begun = begun.map(|(engine, answers)| (engine, engine.runs().len() - answers));
+    let begun: Vec<_> = begun.collect();
+    let has_all = begun.iter().filter(|(_, begun)| *begun > 0).count() >= UNFRAMED_ENGINES;
+    for (engine, begun) in begun {
+        if begun >= UNFRAMED_ANSWERS || (has_all && begun == 0) {
+            engine.set_framing(StreamFraming::Chunked);
+        }
+    }
 }
 
 /// Sends a short stream whose answer does not matter.
