--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,5 @@
 cd "$(dirname "$0")/.."
 CARGO_TARGET_DIR=target/review cargo build --release --locked --offline \
     --manifest-path review/cases/Cargo.toml
+CARGO_TARGET_DIR=target/review cargo build --release --locked --offline \
+    --manifest-path review/probes/Cargo.toml
