--- a/review/probes/src/drain.rs
+++ b/review/probes/src/drain.rs
@@ -7,6 +7,7 @@
 use beechsaddle_platform_stand_in::{
     CallRequest, ConfigDraft, DraftKind, EntryState, LimitsDraft, RouteDraft, TargetStandIn, call,
 };
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::fleet::{Place, Router, all_ready};
@@ -31,21 +32,23 @@
     ForeignEntry,
 }
 
-pub async fn play(run: &Run, trouble: Trouble) -> Verdict {
-    let record = &run.record;
-    let store = Store::start(record.clone()).await;
+/// A small fleet with its store and replicas.
+struct Fleet {
+    store: Store,
+    replicas: Vec<TargetStandIn>,
+    routers: Vec<Router>,
+}
+
+/// Starts a fleet and waits until all machines are in touch; `None` if it does not start.
+async fn start(run: &Run) -> Option<Fleet> {
+    let store = Store::start(run.record.clone()).await;
     let mut replicas = Vec::new();
     for (index, zone) in ZONES.iter().enumerate() {
         let replica = TargetStandIn::try_start(&format!("i-7f3a91c{index}")).await;
-        let Ok(replica) = replica else {
-            return Verdict::CouldNotRun;
-        };
+        let replica = replica.ok()?;
         replica.set_response_delay(Duration::from_millis(30));
-        store.put(
-            "servers",
-            replica.name(),
-            &entry(&replica, zone, EntryState::Ready),
-        );
+        let entry = entry(&replica, zone, EntryState::Ready);
+        store.put("servers", replica.name(), &entry);
         replicas.push(replica);
     }
     store.put("config", "main", &config().spec().to_string());
@@ -55,25 +58,95 @@
         store: store.address,
         extra: "",
     };
-    let mut routers: Vec<_> = (0..7)
+    let routers: Vec<_> = (0..7)
         .map(|index| {
             let zone = ZONES[index % ZONES.len()];
             Router::start(&place, &format!("front-{zone}-{}", index / 3 + 1), zone)
         })
         .collect();
     if !all_ready(&routers).await {
-        return Verdict::CouldNotRun;
+        return None;
     }
     // All machines are in touch `contact-ms` after their start.
     sleep(Duration::from_millis(4_000)).await;
+    Some(Fleet {
+        store,
+        replicas,
+        routers,
+    })
+}
+
+fn start_callers(fleet: &Fleet, record: &Record) -> Vec<JoinHandle<()>> {
+    let routers = fleet.routers.iter().enumerate();
+    routers
+        .map(|(index, router)| tokio::spawn(call_on(index, router.address, record.clone())))
+        .collect()
+}
+
+/// Another writer lists the addresses of all replicas under names of its own, for a service that no
+/// configuration names. Some seconds later all routers are killed and started again.
+pub async fn play_addresses(run: &Run) -> Verdict {
+    let Some(mut fleet) = start(run).await else {
+        return Verdict::CouldNotRun;
+    };
+    let callers = start_callers(&fleet, &run.record);
+    sleep(Duration::from_millis(6_000)).await;
+    let before: usize = fleet
+        .replicas
+        .iter()
+        .map(|replica| replica.runs().len())
+        .sum();
     if run.has_trouble {
-        begin_trouble(&store, trouble);
+        for (index, replica) in fleet.replicas.iter().enumerate() {
+            let mut copy = replica.entry("plain-old", ZONES[index], EntryState::Ready);
+            copy["born"] = 1_790_000_000_000_u64.into();
+            fleet
+                .store
+                .put("servers", &format!("j-{index}"), &copy.to_string());
+        }
     }
-    let callers: Vec<_> = routers
+    sleep(Duration::from_millis(3_000)).await;
+    callers.iter().for_each(JoinHandle::abort);
+    let during: usize = fleet
+        .replicas
         .iter()
-        .enumerate()
-        .map(|(index, router)| tokio::spawn(call_on(index, router.address, record.clone())))
-        .collect();
+        .map(|replica| replica.runs().len())
+        .sum();
+    run.record.say(&format!(
+        "{before} requests ran in 6 s before the entries, {} in 3 s after them",
+        during - before
+    ));
+    let recovered = recover(run, &mut fleet.routers).await;
+    log_events(run, &fleet.routers);
+    match recovered {
+        _ if before < 100 => Verdict::CouldNotRun,
+        Some((served, asked)) if served * 4 < asked => Verdict::Broken,
+        _ => Verdict::Held,
+    }
+}
+
+/// Copies what the routers logged of replicas and of the store.
+fn log_events(run: &Run, routers: &[Router]) {
+    for router in routers {
+        for words in [["target_"], ["store_"]] {
+            for line in router.log_lines(&words) {
+                run.record.line(&format!("log of {}: {line}", router.host));
+            }
+        }
+    }
+}
+
+/// A replica leaves while the trouble lasts.
+pub async fn play(run: &Run, trouble: Trouble) -> Verdict {
+    let record = &run.record;
+    let Some(mut fleet) = start(run).await else {
+        return Verdict::CouldNotRun;
+    };
+    let (store, replicas) = (fleet.store.clone(), fleet.replicas.clone());
+    if run.has_trouble {
+        begin_trouble(&store, trouble);
+    }
+    let callers = start_callers(&fleet, record);
     sleep(Duration::from_millis(4_000)).await;
     let leaver = &replicas[1];
     match trouble {
@@ -95,9 +168,9 @@
         leaver.name()
     ));
     sleep(Duration::from_millis(1_500)).await;
-    callers.iter().for_each(tokio::task::JoinHandle::abort);
+    callers.iter().for_each(JoinHandle::abort);
     let recovered = match trouble {
-        Trouble::ForeignEntry => recover(run, &mut routers).await,
+        Trouble::ForeignEntry => recover(run, &mut fleet.routers).await,
         Trouble::WatchesCut => None,
     };
     let late: Vec<_> = leaver
@@ -116,15 +189,7 @@
         ));
     }
     let reached: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
-    for router in &routers {
-        for line in router
-            .log_lines(&["target_"])
-            .into_iter()
-            .chain(router.log_lines(&["store_"]))
-        {
-            record.line(&format!("log of {}: {line}", router.host));
-        }
-    }
+    log_events(run, &fleet.routers);
     record.say(&format!(
         "{reached} requests reached replicas; {} reached the one that left later than 2000 ms after \
          the acknowledgement; {} watches were cut off",
--- a/review/probes/src/main.rs
+++ b/review/probes/src/main.rs
@@ -44,6 +44,7 @@
     let verdict = match case.as_str() {
         "watch-cut" => drain::play(&run, drain::Trouble::WatchesCut).await,
         "foreign-entry" => drain::play(&run, drain::Trouble::ForeignEntry).await,
+        "foreign-addresses" => drain::play_addresses(&run).await,
         "silent" => silent::play(&run).await,
         _ => Verdict::CouldNotRun,
     };
