--- a/review/probes/src/main.rs
+++ b/review/probes/src/main.rs
@@ -2,9 +2,7 @@
 
 mod drain;
 mod fleet;
-mod proxy;
 mod record;
-mod silent;
 mod store;
 
 use std::path::PathBuf;
@@ -45,7 +43,6 @@
         "watch-cut" => drain::play(&run, drain::Trouble::WatchesCut).await,
         "foreign-entry" => drain::play(&run, drain::Trouble::ForeignEntry).await,
         "foreign-addresses" => drain::play_addresses(&run).await,
-        "silent" => silent::play(&run).await,
         _ => Verdict::CouldNotRun,
     };
     exit(match verdict {
