--- a/review/probes/src/drain.rs
+++ b/review/probes/src/drain.rs
@@ -15,10 +15,8 @@
 use crate::store::Store;
 use crate::{Run, Verdict};
 
-/// `drain-ms` of the sheet.
-const DRAIN: Duration = Duration::from_millis(2_000);
-/// `recovery-s` of the sheet, and a little.
-const RECOVERY: Duration = Duration::from_millis(12_500);
+/// `recovery-s` of the sheet that names entries of other writers, and a little; 12 s on the small sheets.
+const RECOVERY: Duration = Duration::from_millis(15_500);
 /// How long the replica goes on after the acknowledgement.
 const SERVES_ON: Duration = Duration::from_millis(7_000);
 const ZONES: [&str; 3] = ["split-hala", "rijeka-hala", "zadar-hala"];
@@ -32,6 +30,16 @@
     ForeignEntry,
 }
 
+impl Trouble {
+    /// Returns `drain-ms` of the sheet that names the trouble.
+    fn drain(self) -> Duration {
+        match self {
+            Trouble::WatchesCut => Duration::from_millis(2_000),
+            Trouble::ForeignEntry => Duration::from_millis(3_000),
+        }
+    }
+}
+
 /// A small fleet with its store and replicas.
 struct Fleet {
     store: Store,
@@ -177,7 +185,7 @@
         .arrivals()
         .into_iter()
         .zip(leaver.runs())
-        .filter(|(at, _)| at.saturating_duration_since(acknowledged) > DRAIN)
+        .filter(|(at, _)| at.saturating_duration_since(acknowledged) > trouble.drain())
         .collect();
     for (at, run) in &late {
         let after = at.saturating_duration_since(acknowledged).as_millis();
@@ -191,9 +199,10 @@
     let reached: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
     log_events(run, &fleet.routers);
     record.say(&format!(
-        "{reached} requests reached replicas; {} reached the one that left later than 2000 ms after \
-         the acknowledgement; {} watches were cut off",
+        "{reached} requests reached replicas; {} reached the one that left later than {} ms after the \
+         acknowledgement; {} watches were cut off",
         late.len(),
+        trouble.drain().as_millis(),
         store.cut_watches()
     ));
     if reached < 100 {
@@ -225,7 +234,7 @@
         sleep(Duration::from_millis(100)).await;
     }
     record.say(&format!(
-        "of {asked} requests sent later than 12 s after all routers were killed, {served} were served"
+        "of {asked} requests sent later than 15 s after all routers were killed, {served} were served"
     ));
     Some((served, asked))
 }
