Name framing, way and carrier where bodies and tunnels end

A stream that ends too early could not be told apart by its logs: stream_ends had the framing without the way to the target, plain responses had neither, and a router that carried a tunnel logged no end of it. A process that exits names the tunnels that it cuts.

--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -40,6 +40,17 @@
     pub(super) framing: &'static str,
     /// Where the body ended.
     pub(super) what: &'static str,
+    /// The way to the target.
+    pub(super) way: &'static str,
+}
+
+/// How a plain response that was read whole reached this router.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct AnswerEndLabel {
+    /// The framing of the response.
+    pub(super) framing: &'static str,
+    /// The way to the target.
+    pub(super) way: &'static str,
 }
 
 /// The software version at which a stream was resumed.
@@ -75,6 +86,19 @@
 /// Where a stream's body ended: after a whole event, inside an event, or before its first event.
 pub(super) const STREAM_ENDS: [&str; 3] = ["whole", "inside_event", "no_event"];
 
+/// The ways to a target: its own connection, or one through another router.
+pub(super) const TARGET_WAYS: [&str; 2] = ["direct", "router"];
+
+/// How tunnels that this router carries end: the target closed its connection or it broke, the target
+/// sent no answer, or the other router closed its connection or it broke.
+pub(super) const TUNNEL_ENDS: [&str; 5] = [
+    "target_closed",
+    "target_lost",
+    "no_answer",
+    "router_closed",
+    "router_lost",
+];
+
 /// Why a stream was broken off towards its caller.
 pub(super) const STREAM_BREAKS: [&str; 3] = ["broken", "deadline", "oversized"];
 
@@ -164,6 +188,8 @@
     /// Targets' parts of streams whose body ended without an error, by framing and by where it
     /// ended.
     pub(super) stream_ends: Family<StreamEndLabel, Counter>,
+    pub(super) answer_ends: Family<AnswerEndLabel, Counter>,
+    pub(super) tunnels_ended: Family<OutcomeLabel, Counter>,
     /// Streams that were broken off towards their callers, by reason.
     pub(super) stream_breaks: Family<OutcomeLabel, Counter>,
     /// Callers' connections whose time limit expired, by whether that limit was still in force.
@@ -260,6 +286,8 @@
             origins_sought: zeroed_counters(ORIGIN_OUTCOMES),
             origins_noted: zeroed_counters(NOTE_OUTCOMES),
             stream_ends: Family::default(),
+            answer_ends: Family::default(),
+            tunnels_ended: zeroed_counters(TUNNEL_ENDS),
             stream_breaks: zeroed_counters(STREAM_BREAKS),
             caller_closes: zeroed_counters(CALLER_CLOSES),
             connects: zeroed_counters(CONNECT_RESULTS),
@@ -303,9 +331,11 @@
         // So that a rate includes the first truncated stream.
         for framing in BodyFraming::ALL {
             for what in STREAM_ENDS {
-                let framing = framing.as_str();
-                let label = StreamEndLabel { framing, what };
-                drop(metrics.stream_ends.get_or_create(&label));
+                for way in TARGET_WAYS {
+                    let framing = framing.as_str();
+                    let label = StreamEndLabel { framing, what, way };
+                    drop(metrics.stream_ends.get_or_create(&label));
+                }
             }
         }
         // So that a rate includes the first stream of two versions.
@@ -361,6 +391,14 @@
         registry.register("origins_noted", "Origins of streams sent to routers", noted);
         let stream_ends = self.stream_ends.clone();
         registry.register("stream_ends", "Regular ends of streams", stream_ends);
+        let answer_ends = self.answer_ends.clone();
+        registry.register(
+            "answer_ends",
+            "Regular ends of plain responses",
+            answer_ends,
+        );
+        let tunnels_ended = self.tunnels_ended.clone();
+        registry.register("tunnels_ended", "Ends of carried tunnels", tunnels_ended);
         let breaks = self.stream_breaks.clone();
         registry.register("stream_breaks", "Streams broken off", breaks);
         let closes = self.caller_closes.clone();
--- a/crates/beechsaddle/src/gateway/gateway_shutdown.rs
+++ b/crates/beechsaddle/src/gateway/gateway_shutdown.rs
@@ -166,6 +166,7 @@
     let fields = [
         ("open_calls", state.open_calls.get().to_string()),
         ("open_connections", state.open_connections.get().to_string()),
+        ("tunnels", state.tunnels.carried().to_string()),
         ("leaving_ms", leaving_ms.to_string()),
     ];
     state.report.log(LogLevel::Info, "exiting", fields);
--- a/crates/beechsaddle/src/gateway/plain_exchange.rs
+++ b/crates/beechsaddle/src/gateway/plain_exchange.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use beechsaddle_core::gateway::{AttemptEnd, LinkDirection, TargetChoice, TargetRecord};
-use beechsaddle_platform::{ResponseHead, response_headers};
+use beechsaddle_platform::{BodyFraming, ResponseHead, response_headers};
 use http::{HeaderMap, Method, Response, StatusCode};
 
 use super::answer_body::AnswerBody;
@@ -14,8 +14,10 @@
 use super::call_context::CallContext;
 use super::call_record::ANSWERED;
 use super::crashes::record_completion;
+use super::gateway_metrics::AnswerEndLabel;
 use super::stall_watch::StallWatch;
 use super::target_choice::refuse_call;
+use super::target_path::TargetLink;
 use super::target_send::{SendFailure, TargetAnswer, send_attempt};
 
 /// Maximum size of a plain response, in bytes. It is read completely before any of it is forwarded,
@@ -126,6 +128,7 @@
         _ if call.method == Method::HEAD => BufferedBody::empty(share),
         _ => BufferedBody::read(body, share, MAX_ANSWER_BYTES, call.remaining()).await?,
     };
+    record_answer_end(call, &facts, &link);
     if end.is_none() && facts.status.is_success() {
         link.release(&call.state, target.address, &facts);
     }
@@ -138,6 +141,18 @@
     })
 }
 
+/// Records how a response was framed whose body ended without an error.
+fn record_answer_end(call: &CallContext, facts: &ResponseHead, link: &TargetLink) {
+    let framing = facts.framing.as_str();
+    let way = link.way();
+    let label = AnswerEndLabel { framing, way };
+    let ends = &call.state.metrics.answer_ends;
+    ends.get_or_create(&label).inc();
+    if facts.framing == BodyFraming::Connection {
+        call.record.add_field("framing", framing);
+    }
+}
+
 /// Returns how the attempt ends by the head of its response; `None` if the response is for the caller.
 ///
 /// Only a response that may be forwarded needs its body, and what a target sends after another head may
--- a/crates/beechsaddle/src/gateway/stream_attempt.rs
+++ b/crates/beechsaddle/src/gateway/stream_attempt.rs
@@ -139,7 +139,8 @@
             (0, true) => whole,
             (0, false) => no_event,
         };
-        let label = StreamEndLabel { framing, what };
+        let way = self.link.way();
+        let label = StreamEndLabel { framing, what, way };
         let ends = &call.state.metrics.stream_ends;
         ends.get_or_create(&label).inc();
         call.record.add_field("framing", framing);
--- a/crates/beechsaddle/src/gateway/target_path.rs
+++ b/crates/beechsaddle/src/gateway/target_path.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use super::gateway_metrics::{CONNECT_RESULTS, OutcomeLabel};
+use super::gateway_metrics::{CONNECT_RESULTS, OutcomeLabel, TARGET_WAYS};
 use super::gateway_state::GatewayState;
 use super::target_send::SendFailure;
 use super::tunnels::{OpenTunnel, TunnelFailure, open_tunnel};
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Returns the way to the target, as in metrics.
+    pub(super) fn way(&self) -> &'static str {
+        let [direct, router] = TARGET_WAYS;
+        match self.router {
+            None => direct,
+            Some(_) => router,
+        }
+    }
+
     /// Returns the connection to the pool after a complete response, if it can carry another request.
     /// A tunnel carries one only, so that the router behind it can shut down between two requests.
     pub(super) fn release(self, state: &GatewayState, address: SocketAddr, facts: &ResponseHead) {
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use super::tunnel_watch::TunnelWatch;
+use crate::gateway::gateway_metrics::TUNNEL_ENDS;
 use crate::gateway::gateway_state::GatewayState;
 
 /// Size of a copied part, in bytes: several events of a stream.
@@ -35,7 +36,42 @@
     WriteFailed,
 }
 
-/// Copies bytes in both directions until one end closes.
+/// How a tunnel ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TunnelEnd {
+    /// The target closed its connection.
+    TargetClosed,
+    /// The target's connection broke.
+    TargetLost,
+    /// The target sent no answer.
+    NoAnswer,
+    /// The other router closed its connection.
+    RouterClosed,
+    /// The other router's connection broke.
+    RouterLost,
+}
+
+impl TunnelEnd {
+    /// Returns the name in logs and metrics.
+    pub(super) fn as_str(self) -> &'static str {
+        let [
+            target_closed,
+            target_lost,
+            no_answer,
+            router_closed,
+            router_lost,
+        ] = TUNNEL_ENDS;
+        match self {
+            TunnelEnd::TargetClosed => target_closed,
+            TunnelEnd::TargetLost => target_lost,
+            TunnelEnd::NoAnswer => no_answer,
+            TunnelEnd::RouterClosed => router_closed,
+            TunnelEnd::RouterLost => router_lost,
+        }
+    }
+}
+
+/// Copies bytes in both directions until one end closes, and returns how the tunnel ended.
 ///
 /// The router closes when the call is over, and the target's work ends with its connection. If the
 /// target's connection breaks, or it sends no answer, the router's is reset: closed regularly, a
@@ -45,7 +81,7 @@
     watch: &TunnelWatch<'_>,
     mut router: TcpStream,
     mut target: TcpStream,
-) {
+) -> TunnelEnd {
     let end = {
         let (mut router_reader, mut router_writer) = router.split();
         let (mut target_reader, mut target_writer) = target.split();
@@ -62,19 +98,28 @@
         tokio::select! {
             end = &mut responses => end,
             end = requests => match end {
-                CopyEnd::Closed | CopyEnd::ReadFailed | CopyEnd::NoAnswer => return,
+                CopyEnd::Closed | CopyEnd::NoAnswer => return TunnelEnd::RouterClosed,
+                CopyEnd::ReadFailed => return TunnelEnd::RouterLost,
                 // The target may have responded before it stopped reading.
                 CopyEnd::WriteFailed => responses.await,
             },
         }
     };
     match end {
-        CopyEnd::Closed => finish(router).await,
-        CopyEnd::ReadFailed | CopyEnd::NoAnswer => {
+        CopyEnd::Closed => {
+            finish(router).await;
+            TunnelEnd::TargetClosed
+        }
+        CopyEnd::ReadFailed => {
             // A connection that is already gone needs no reset.
             let _ = router.set_zero_linger();
+            TunnelEnd::TargetLost
+        }
+        CopyEnd::NoAnswer => {
+            let _ = router.set_zero_linger();
+            TunnelEnd::NoAnswer
         }
-        CopyEnd::WriteFailed => {}
+        CopyEnd::WriteFailed => TunnelEnd::RouterLost,
     }
 }
 
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_directory.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_directory.rs
@@ -45,7 +45,7 @@
     }
 
     /// The number of tunnels that this router carries for others.
-    pub(super) fn carried(&self) -> usize {
+    pub(in crate::gateway) fn carried(&self) -> usize {
         self.carried.get()
     }
 
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
@@ -12,8 +12,9 @@
 use tokio::time::timeout;
 
 use super::tunnel_codec::{TunnelOrder, write_reply};
-use super::tunnel_copy::copy_both_ways;
+use super::tunnel_copy::{TunnelEnd, copy_both_ways};
 use super::tunnel_watch::TunnelWatch;
+use crate::gateway::gateway_metrics::OutcomeLabel;
 use crate::gateway::gateway_state::{GatewayPhase, GatewayState};
 use crate::gateway::target_path::open_direct_stream;
 
@@ -72,11 +73,29 @@
     let replied = write_reply(&mut stream, outcome).await;
     if let (Ok(()), Some((target, target_stream))) = (replied, opened) {
         let watch = TunnelWatch::new(&state, &target);
-        copy_both_ways(&state, &watch, stream, target_stream).await;
+        let end = copy_both_ways(&state, &watch, stream, target_stream).await;
+        record_end(&state, &target, &watch, end);
     }
     drop(guard);
 }
 
+/// Logs and counts the end of a tunnel.
+fn record_end(
+    state: &GatewayState,
+    target: &TargetRecord,
+    watch: &TunnelWatch<'_>,
+    end: TunnelEnd,
+) {
+    let label = OutcomeLabel { what: end.as_str() };
+    state.metrics.tunnels_ended.get_or_create(&label).inc();
+    let mut fields = vec![
+        ("target", target.name.to_string()),
+        ("end", end.as_str().to_owned()),
+    ];
+    fields.extend(watch.request_id().map(|id| ("id", id)));
+    state.report.log(LogLevel::Info, "tunnel_ended", fields);
+}
+
 /// Connects to the target of a request, unless this router should not.
 async fn connect_target(
     state: &GatewayState,
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_watch.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_watch.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns the id of the request, once its head was read.
+    pub(super) fn request_id(&self) -> Option<String> {
+        self.request_id.borrow().clone()
+    }
+
     /// Reads a part of the request.
     pub(super) fn record_request(&self, part: &[u8]) {
         let mut buffer = self.request.borrow_mut();
--- a/crates/beechsaddle/tests/gateway_streams.rs
+++ b/crates/beechsaddle/tests/gateway_streams.rs
@@ -110,7 +110,7 @@
     assert_eq!(event_ids(&reply.body), [1]);
     assert!(!reply.body.contains("id: 2"), "{}", reply.body);
     assert_eq!(GatewayBench::run_count(&bench.engines), 1);
-    let ends = "stream_ends_total{framing=\"connection\",what=\"inside_event\"}";
+    let ends = "stream_ends_total{framing=\"connection\",what=\"inside_event\",way=\"direct\"}";
     assert_eq!(bench.router.metric(ends).await, Some(1.0));
 }
 
