Tunnels carry the end of the target's connection as a frame

Cause: a tunnel copied bare bytes, and a response without a length ends with its connection. The system closes the connections of a process that ends, so the carrier's end was the end of the response. Class: the end of one hop is taken for the end of what it carries.

Now the target's bytes come in frames, and closed or broken is a frame of its own; only the first one is an end. A failed write to the target takes the error of its connection, so that a later regular end no longer counts (read from the code, not shown by a test). A router of an earlier version asks for bare bytes and gets them; one that answers with bare bytes is not believed any end.

Ruled out by tests that passed before: cut heads and second answers, directly and through a router.

--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -192,11 +192,20 @@
   # The name of the target.
   started @2 :UInt64;
   # As in `CrashNote`.
+  framed @3 :Bool;
+  # Whether the router reads frames. Earlier versions of the software do not.
 }
 
 struct TunnelReply {
   outcome @0 :TunnelOutcome;
+  framed @1 :Bool;
+  # Whether frames follow.
 }
 # A connection to a router's peer address that starts with the bytes "TUNL" carries one `TunnelRequest`, then a
 # `TunnelReply`, and where that says `opened` the bytes of a connection to the target. It serves one request of a
-# caller. A target's reset is passed on as a reset, so that a truncated answer does not look complete.
+# caller.
+#
+# What the target sends comes in frames. Each begins with a 32-bit number, the least significant byte first: the
+# number of bytes of the target that follow, at most 65,536; 0 if the target has closed its connection; or
+# 0xFFFFFFFF if that connection broke. The last two are the only ends: a connection that ends without one of them
+# says nothing about the end of the target's answer. What the router sends comes without frames.
--- a/crates/beechsaddle-wire/src/lending_capnp.rs
+++ b/crates/beechsaddle-wire/src/lending_capnp.rs
@@ -8997,11 +8997,15 @@
         pub fn get_started(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_framed(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9091,6 +9095,14 @@
         pub fn set_started(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
+        #[inline]
+        pub fn get_framed(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_framed(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9102,17 +9114,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(217, 69, 236, 52, 209, 224, 192, 186),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(131, 166, 244, 231, 2, 156, 181, 209),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
@@ -9120,28 +9132,35 @@
             ::capnp::word(110, 110, 101, 108, 82, 101, 113, 117),
             ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 99, 114, 101, 116, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9166,12 +9185,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 97, 109, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9185,9 +9213,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
         pub(crate) const TYPE_ID: u64 = 0xbac0_e0d1_34ec_45d9;
     }
 }
@@ -9257,6 +9285,10 @@
         pub fn get_outcome(self) -> ::core::result::Result<crate::lending_capnp::TunnelOutcome,::capnp::NotInSchema> {
             ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
         }
+        #[inline]
+        pub fn get_framed(self) -> bool {
+            self.reader.get_bool_field(16)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -9319,6 +9351,14 @@
         pub fn set_outcome(&mut self, value: crate::lending_capnp::TunnelOutcome)  {
             self.builder.set_data_field::<u16>(0, value as u16);
         }
+        #[inline]
+        pub fn get_framed(self) -> bool {
+            self.builder.get_bool_field(16)
+        }
+        #[inline]
+        pub fn set_framed(&mut self, value: bool)  {
+            self.builder.set_bool_field(16, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9330,7 +9370,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(141, 231, 2, 183, 202, 251, 232, 222),
             ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
@@ -9340,7 +9380,7 @@
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 101, 110, 100, 105, 110, 103, 46),
@@ -9348,14 +9388,21 @@
             ::capnp::word(110, 110, 101, 108, 82, 101, 112, 108),
             ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(231, 122, 25, 84, 57, 71, 169, 154),
@@ -9364,10 +9411,19 @@
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 97, 109, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::lending_capnp::TunnelOutcome as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9381,9 +9437,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
         pub(crate) const TYPE_ID: u64 = 0xdee8_fbca_b702_e78d;
     }
 }
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_client.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_client.rs
@@ -10,7 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::tunnel_codec::{TunnelOrder, read_reply};
+use super::tunnel_codec::{TunnelOrder, TunnelReply};
+use super::tunnel_stream::TunnelStream;
 use crate::gateway::gateway_metrics::OutcomeLabel;
 use crate::gateway::gateway_state::GatewayState;
 
@@ -64,16 +65,17 @@
         if state.now().since(started) >= SEARCH_LIMIT_MS {
             break;
         }
-        let (outcome, stream) = match ask_router(state, &router, target).await {
+        let (reply, stream) = match ask_router(state, &router, target).await {
             Ok(answer) => answer,
             Err(error) => {
                 record_declined(state, &router, &error);
                 continue;
             }
         };
-        count(state, outcome_name(outcome));
-        match outcome {
+        count(state, outcome_name(reply.outcome));
+        match reply.outcome {
             TunnelOutcome::Opened => {
+                let stream = TunnelStream::new(stream, reply.framing);
                 let opened = HttpLink::try_start(stream, &LinkOptions::default()).await;
                 let Ok(link) = opened else {
                     continue;
@@ -125,7 +127,7 @@
     state: &GatewayState,
     router: &PeerRecord,
     target: &TargetRecord,
-) -> Result<(TunnelOutcome, TcpStream), String> {
+) -> Result<(TunnelReply, TcpStream), String> {
     let address = router.address.ok_or("the router has no peer address")?;
     let options = LinkOptions {
         connect_timeout: CONNECT_TIMEOUT,
@@ -136,11 +138,11 @@
     let order = TunnelOrder::new(state.lending.secret(), target);
     let exchange = async {
         order.write(&mut stream).await?;
-        read_reply(&mut stream).await
+        TunnelReply::read(&mut stream).await
     };
     let answered = timeout(REPLY_TIMEOUT, exchange).await;
-    let outcome = answered.map_err(|_| "no reply in time".to_owned())??;
-    Ok((outcome, stream))
+    let reply = answered.map_err(|_| "no reply in time".to_owned())??;
+    Ok((reply, stream))
 }
 
 fn record_declined(state: &GatewayState, router: &PeerRecord, why: &str) {
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_codec.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_codec.rs
@@ -11,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
+use super::tunnel_stream::TunnelFraming;
+
 /// The first bytes of a tunnel, which no message of the other connections between routers starts with:
 /// there they would be an impossible number of segments.
 pub(in crate::gateway) const TUNNEL_PREFACE: [u8; 4] = *b"TUNL";
@@ -25,6 +27,8 @@
     pub(super) target: TargetName,
     /// The target's start; `None` if unknown.
     pub(super) started: Option<u64>,
+    /// How the router reads the target's response.
+    pub(super) framing: TunnelFraming,
 }
 
 impl TunnelOrder {
@@ -34,6 +38,7 @@
             secret,
             target: target.name.clone(),
             started: target.started,
+            framing: TunnelFraming::Frames,
         }
     }
 
@@ -48,6 +53,7 @@
         request.set_secret(&self.secret);
         request.set_target(self.target.as_str());
         request.set_started(self.started.unwrap_or(0));
+        request.set_framed(self.framing == TunnelFraming::Frames);
         write_whole(stream, &TUNNEL_PREFACE, &message)
             .await
             .map_err(|error| error.to_string())
@@ -66,33 +72,54 @@
             secret: request.get_secret()?.to_str()?.to_owned(),
             target: TargetName::new(request.get_target()?.to_str()?),
             started: (started > 0).then_some(started),
+            framing: read_framing(request.get_framed()),
         })
     }
 }
 
-/// Sends the reply to a request.
-///
-/// # Errors
-///
-/// If the connection is lost.
-pub(super) async fn write_reply(stream: &mut TcpStream, outcome: TunnelOutcome) -> io::Result<()> {
-    let mut message = Builder::new_default();
-    let mut reply = message.init_root::<tunnel_reply::Builder<'_>>();
-    reply.set_outcome(outcome);
-    write_whole(stream, &[], &message).await
+/// The reply to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TunnelReply {
+    pub(super) outcome: TunnelOutcome,
+    /// How the target's response follows, if the tunnel was opened.
+    pub(super) framing: TunnelFraming,
+}
+
+impl TunnelReply {
+    /// Sends the reply.
+    ///
+    /// # Errors
+    ///
+    /// If the connection is lost.
+    pub(super) async fn write(self, stream: &mut TcpStream) -> io::Result<()> {
+        let mut message = Builder::new_default();
+        let mut reply = message.init_root::<tunnel_reply::Builder<'_>>();
+        reply.set_outcome(self.outcome);
+        reply.set_framed(self.framing == TunnelFraming::Frames);
+        write_whole(stream, &[], &message).await
+    }
+
+    /// Reads a reply.
+    ///
+    /// # Errors
+    ///
+    /// If the connection is lost or the message is malformed.
+    pub(super) async fn read(stream: &mut TcpStream) -> Result<Self, String> {
+        let read = read_message(stream.compat(), reader_options()).await;
+        let message = read.map_err(|error| error.to_string())?;
+        let reply = message.get_root::<tunnel_reply::Reader<'_>>();
+        let reply = reply.map_err(|error| error.to_string())?;
+        let outcome = reply.get_outcome().map_err(|error| error.to_string())?;
+        let framing = read_framing(reply.get_framed());
+        Ok(TunnelReply { outcome, framing })
+    }
 }
 
-/// Reads the reply to a request.
-///
-/// # Errors
-///
-/// If the connection is lost or the message is malformed.
-pub(super) async fn read_reply(stream: &mut TcpStream) -> Result<TunnelOutcome, String> {
-    let read = read_message(stream.compat(), reader_options()).await;
-    let message = read.map_err(|error| error.to_string())?;
-    let reply = message.get_root::<tunnel_reply::Reader<'_>>();
-    let reply = reply.map_err(|error| error.to_string())?;
-    reply.get_outcome().map_err(|error| error.to_string())
+fn read_framing(is_framed: bool) -> TunnelFraming {
+    match is_framed {
+        true => TunnelFraming::Frames,
+        false => TunnelFraming::Bare,
+    }
 }
 
 /// Writes everything at once, so that it fits into one packet.
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
@@ -1,19 +1,21 @@
 //! The `tunnel_copy` module provides the copying of bytes between a router and a target.
 
-use std::ops::ControlFlow;
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
+use super::tunnel_frame::{FrameHead, HEAD_BYTES};
+use super::tunnel_stream::TunnelFraming;
 use super::tunnel_watch::TunnelWatch;
 use crate::gateway::gateway_metrics::TUNNEL_ENDS;
 use crate::gateway::gateway_state::GatewayState;
 
 /// Size of a copied part, in bytes: several events of a stream.
-const PART_BYTES: usize = 8 * 1_024;
+pub(super) const PART_BYTES: usize = 8 * 1_024;
 
 /// How much is copied in one direction of a tunnel before it is the turn of calls and other tunnels, in
 /// bytes.
@@ -73,88 +75,162 @@
 
 /// Copies bytes in both directions until one end closes, and returns how the tunnel ended.
 ///
-/// The router closes when the call is over, and the target's work ends with its connection. If the
-/// target's connection breaks, or it sends no answer, the router's is reset: closed regularly, a
-/// truncated response without a length would look complete.
+/// The router closes when the call is over, and the target's work ends with its connection.
 pub(super) async fn copy_both_ways(
     state: &GatewayState,
     watch: &TunnelWatch<'_>,
+    framing: TunnelFraming,
     mut router: TcpStream,
     mut target: TcpStream,
 ) -> TunnelEnd {
     let end = {
-        let (mut router_reader, mut router_writer) = router.split();
-        let (mut target_reader, mut target_writer) = target.split();
-        let mut responses = std::pin::pin!(copy(
+        let (router_reader, router_writer) = router.split();
+        let (target_reader, target_writer) = target.split();
+        let mut responses = std::pin::pin!(copy_responses(
             state,
-            &mut target_reader,
-            &mut router_writer,
-            |part| watch.record_response(part),
+            watch,
+            framing,
+            target_reader,
+            router_writer
         ));
-        let requests = copy(state, &mut router_reader, &mut target_writer, |part| {
-            watch.record_request(part);
-            ControlFlow::Continue(())
-        });
         tokio::select! {
             end = &mut responses => end,
-            end = requests => match end {
+            end = copy_requests(state, watch, router_reader, target_writer) => match end {
                 CopyEnd::Closed | CopyEnd::NoAnswer => return TunnelEnd::RouterClosed,
                 CopyEnd::ReadFailed => return TunnelEnd::RouterLost,
-                // The target may have responded before it stopped reading.
-                CopyEnd::WriteFailed => responses.await,
+                // The target may have responded before it stopped reading. The failed write has taken
+                // the error of the connection, so that it may now look closed.
+                CopyEnd::WriteFailed => match responses.await {
+                    CopyEnd::Closed => CopyEnd::ReadFailed,
+                    end => end,
+                },
             },
         }
     };
-    match end {
-        CopyEnd::Closed => {
-            finish(router).await;
-            TunnelEnd::TargetClosed
-        }
-        CopyEnd::ReadFailed => {
-            // A connection that is already gone needs no reset.
-            let _ = router.set_zero_linger();
-            TunnelEnd::TargetLost
-        }
-        CopyEnd::NoAnswer => {
-            let _ = router.set_zero_linger();
-            TunnelEnd::NoAnswer
-        }
-        CopyEnd::WriteFailed => TunnelEnd::RouterLost,
+    let end = match end {
+        CopyEnd::Closed => TunnelEnd::TargetClosed,
+        CopyEnd::ReadFailed => TunnelEnd::TargetLost,
+        CopyEnd::NoAnswer => TunnelEnd::NoAnswer,
+        CopyEnd::WriteFailed => return TunnelEnd::RouterLost,
+    };
+    match framing {
+        TunnelFraming::Frames => finish_frames(router, end).await,
+        TunnelFraming::Bare => finish_bare(router, end).await,
     }
+    end
 }
 
-async fn copy(
+async fn copy_requests(
     state: &GatewayState,
-    reader: &mut (impl AsyncRead + Unpin),
-    writer: &mut (impl AsyncWrite + Unpin),
-    record_part: impl Fn(&[u8]) -> ControlFlow<()>,
+    watch: &TunnelWatch<'_>,
+    mut router: ReadHalf<'_>,
+    mut target: WriteHalf<'_>,
 ) -> CopyEnd {
     let mut part = vec![0; PART_BYTES];
-    let mut turn_bytes = 0;
+    let mut turn = CopyTurn::default();
     loop {
-        match reader.read(&mut part).await {
-            Ok(0) => return CopyEnd::Closed,
-            Ok(count) => {
-                state.record_bytes(count as u64);
-                if record_part(&part[..count]).is_break() {
-                    return CopyEnd::NoAnswer;
-                }
-                if writer.write_all(&part[..count]).await.is_err() {
-                    return CopyEnd::WriteFailed;
-                }
-                turn_bytes += count;
-                if turn_bytes >= TURN_BYTES {
-                    turn_bytes = 0;
-                    yield_now().await;
-                }
+        let count = match read_part(state, &mut router, &mut part).await {
+            Ok(count) => count,
+            Err(end) => return end,
+        };
+        watch.record_request(&part[..count]);
+        if target.write_all(&part[..count]).await.is_err() {
+            return CopyEnd::WriteFailed;
+        }
+        turn.record(count).await;
+    }
+}
+
+async fn copy_responses(
+    state: &GatewayState,
+    watch: &TunnelWatch<'_>,
+    framing: TunnelFraming,
+    mut target: ReadHalf<'_>,
+    mut router: WriteHalf<'_>,
+) -> CopyEnd {
+    let mut frame = vec![0; HEAD_BYTES + PART_BYTES];
+    let mut turn = CopyTurn::default();
+    loop {
+        let count = match read_part(state, &mut target, &mut frame[HEAD_BYTES..]).await {
+            Ok(count) => count,
+            Err(end) => return end,
+        };
+        let frame = &mut frame[..HEAD_BYTES + count];
+        if watch.record_response(&frame[HEAD_BYTES..]).is_break() {
+            return CopyEnd::NoAnswer;
+        }
+        let sent = match framing {
+            TunnelFraming::Frames => {
+                let head = FrameHead::Data(count as u32);
+                frame[..HEAD_BYTES].copy_from_slice(&head.to_bytes());
+                &*frame
             }
-            Err(_) => return CopyEnd::ReadFailed,
+            TunnelFraming::Bare => &frame[HEAD_BYTES..],
+        };
+        if router.write_all(sent).await.is_err() {
+            return CopyEnd::WriteFailed;
+        }
+        turn.record(count).await;
+    }
+}
+
+/// Reads a part of at least one byte.
+async fn read_part(
+    state: &GatewayState,
+    reader: &mut (impl AsyncRead + Unpin),
+    part: &mut [u8],
+) -> Result<usize, CopyEnd> {
+    match reader.read(part).await {
+        Ok(0) => Err(CopyEnd::Closed),
+        Ok(count) => {
+            state.record_bytes(count as u64);
+            Ok(count)
         }
+        Err(_) => Err(CopyEnd::ReadFailed),
+    }
+}
+
+/// What was copied in one direction since others had their turn, in bytes.
+#[derive(Debug, Default)]
+struct CopyTurn {
+    bytes: usize,
+}
+
+impl CopyTurn {
+    /// Records a part, and lets others have their turn when it is time.
+    async fn record(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        if self.bytes >= TURN_BYTES {
+            self.bytes = 0;
+            yield_now().await;
+        }
+    }
+}
+
+/// Tells the router how the target's response ended, and closes the connection.
+async fn finish_frames(mut router: TcpStream, end: TunnelEnd) {
+    let head = match end {
+        TunnelEnd::TargetClosed => FrameHead::Ended,
+        _ => FrameHead::Lost,
+    };
+    // A router that is gone needs no end.
+    if router.write_all(&head.to_bytes()).await.is_ok() {
+        close(router).await;
+    }
+}
+
+/// Closes the connection to a router that reads bare bytes; resets it if the response was cut, which
+/// would look complete otherwise.
+async fn finish_bare(router: TcpStream, end: TunnelEnd) {
+    if end == TunnelEnd::TargetClosed {
+        return close(router).await;
     }
+    // A connection that is already gone needs no reset.
+    let _ = router.set_zero_linger();
 }
 
 /// Closes the connection to the router without a reset.
-async fn finish(mut router: TcpStream) {
+async fn close(mut router: TcpStream) {
     if router.shutdown().await.is_err() {
         return;
     }
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::tunnel_codec::{TunnelOrder, write_reply};
+use super::tunnel_codec::{TunnelOrder, TunnelReply};
 use super::tunnel_copy::{TunnelEnd, copy_both_ways};
 use super::tunnel_watch::TunnelWatch;
 use crate::gateway::gateway_metrics::OutcomeLabel;
@@ -70,10 +70,11 @@
         Ok(opened) => (TunnelOutcome::Opened, Some(opened)),
         Err(outcome) => (outcome, None),
     };
-    let replied = write_reply(&mut stream, outcome).await;
+    let framing = order.framing;
+    let replied = TunnelReply { outcome, framing }.write(&mut stream).await;
     if let (Ok(()), Some((target, target_stream))) = (replied, opened) {
         let watch = TunnelWatch::new(&state, &target);
-        let end = copy_both_ways(&state, &watch, stream, target_stream).await;
+        let end = copy_both_ways(&state, &watch, framing, stream, target_stream).await;
         record_end(&state, &target, &watch, end);
     }
     drop(guard);
