Tunnels without frames end in a reset unless the target closed; a distinct end

A carrier that serves a router of an earlier version sets its connection to reset from the start, so that a kill is no regular end there either. A failed write changes the end only for routers that read frames: a reset could discard a whole answer of the others. The frame of a regular end is no run of equal bytes.

--- a/crates/beechsaddle-wire/schema/lending.capnp
+++ b/crates/beechsaddle-wire/schema/lending.capnp
@@ -206,6 +206,6 @@
 # caller.
 #
 # What the target sends comes in frames. Each begins with a 32-bit number, the least significant byte first: the
-# number of bytes of the target that follow, at most 65,536; 0 if the target has closed its connection; or
+# number of bytes of the target that follow, 1 to 65,536; 0x454E4421 if the target has closed its connection; or
 # 0xFFFFFFFF if that connection broke. The last two are the only ends: a connection that ends without one of them
 # says nothing about the end of the target's answer. What the router sends comes without frames.
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -83,6 +84,9 @@
     mut router: TcpStream,
     mut target: TcpStream,
 ) -> TunnelEnd {
+    if framing == TunnelFraming::Bare {
+        reset_on_close(&router);
+    }
     let end = {
         let (router_reader, router_writer) = router.split();
         let (target_reader, target_writer) = target.split();
@@ -101,7 +105,7 @@
                 // The target may have responded before it stopped reading. The failed write has taken
                 // the error of the connection, so that it may now look closed.
                 CopyEnd::WriteFailed => match responses.await {
-                    CopyEnd::Closed => CopyEnd::ReadFailed,
+                    CopyEnd::Closed if framing == TunnelFraming::Frames => CopyEnd::ReadFailed,
                     end => end,
                 },
             },
@@ -219,16 +223,20 @@
     }
 }
 
-/// Closes the connection to a router that reads bare bytes; resets it if the response was cut, which
-/// would look complete otherwise.
-async fn finish_bare(router: TcpStream, end: TunnelEnd) {
-    if end == TunnelEnd::TargetClosed {
-        return close(router).await;
-    }
+/// Makes the connection to a router that reads bare bytes end in a reset, also if this process is
+/// killed: a truncated response without a length would look complete otherwise.
+fn reset_on_close(router: &TcpStream) {
     // A connection that is already gone needs no reset.
     let _ = router.set_zero_linger();
 }
 
+/// Closes the connection to a router that reads bare bytes.
+async fn finish_bare(router: TcpStream, end: TunnelEnd) {
+    if end == TunnelEnd::TargetClosed && SockRef::from(&router).set_linger(None).is_ok() {
+        close(router).await;
+    }
+}
+
 /// Closes the connection to the router without a reset.
 async fn close(mut router: TcpStream) {
     if router.shutdown().await.is_err() {
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_frame.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_frame.rs
@@ -14,7 +14,8 @@
 /// that are sent.
 const DATA_BYTES_MAX: u32 = 65_536;
 
-const ENDED: u32 = 0;
+// No run of equal bytes, which a fault could bring about, reads as a regular end.
+const ENDED: u32 = 0x454E_4421;
 const LOST: u32 = u32::MAX;
 
 const _: () = assert!(PART_BYTES <= DATA_BYTES_MAX as usize);
@@ -46,7 +47,7 @@
         match u32::from_le_bytes(bytes) {
             ENDED => Some(FrameHead::Ended),
             LOST => Some(FrameHead::Lost),
-            bytes @ ..=DATA_BYTES_MAX => Some(FrameHead::Data(bytes)),
+            bytes @ 1..=DATA_BYTES_MAX => Some(FrameHead::Data(bytes)),
             _ => None,
         }
     }
--- a/crates/beechsaddle/tests/gateway_tunnels.rs
+++ b/crates/beechsaddle/tests/gateway_tunnels.rs
@@ -4,15 +4,18 @@
 mod partition_support;
 mod path_support;
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use beechsaddle_platform_stand_in::{
     CallReply, StreamFraming, TargetFault, TargetStandIn, call as call_router,
 };
+use beechsaddle_wire::lending_capnp::TunnelOutcome;
 use gateway_support::{GatewayBench, GatewayProcess, wait_for};
 use nix::sys::signal::Signal;
 use partition_support::{PartitionBench, token_request};
 use path_support::PathMode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -132,6 +135,7 @@
     sleep(Duration::from_millis(2_500)).await;
     bench.carrier().signal(Signal::SIGKILL);
     let replies = streams.join_all().await;
+    assert!(replies.iter().all(|reply| event_count(reply) > 0));
     assert_eq!(short_ones(&replies, EVENTS), [""; 0]);
 }
 
@@ -148,10 +152,48 @@
     let streams = bench.start_streams("POST /stream/once/1").await;
     bench.carrier().signal(Signal::SIGTERM);
     let replies = streams.join_all().await;
+    assert!(replies.iter().all(|reply| event_count(reply) > 0));
     assert_eq!(short_ones(&replies, events), [""; 0]);
     assert_eq!(bench.partition.bench.router.wait_end().await, Some(0));
 }
 
+/// Streams through another router were taken for cut ones: it stood still and went on.
+#[tokio::test]
+async fn carrier_that_goes_on_after_a_pause_cuts_nothing() {
+    let bench = TunnelBench::start(StreamFraming::Connection).await;
+    bench.set_events(EVENTS, GAP);
+    let streams = bench.start_streams("POST /stream/once/1").await;
+    sleep(END_AFTER).await;
+    bench.carrier().signal(Signal::SIGSTOP);
+    sleep(Duration::from_millis(500)).await;
+    bench.carrier().signal(Signal::SIGCONT);
+    let replies = streams.join_all().await;
+    assert!(replies.iter().all(|reply| reply.is_complete));
+    assert!(replies.iter().all(|reply| event_count(reply) == EVENTS));
+}
+
+/// A router of an earlier version, which reads bare bytes, took the end of a killed carrier for that of the stream.
+#[tokio::test]
+async fn killed_carrier_resets_tunnels_without_frames() {
+    let bench = TunnelBench::start(StreamFraming::Connection).await;
+    bench.set_events(EVENTS, GAP);
+    let secret = bench.partition.secret();
+    let opened = bench.partition.open_bare_tunnel(&secret, "engine-1").await;
+    let (outcome, mut tunnel) = opened.expect("a reply");
+    assert_eq!(outcome, TunnelOutcome::Opened);
+    let call = token_request("POST /stream/once/1", "bare");
+    tunnel.write_all(&call.bytes()).await.expect("a request");
+    let mut received = vec![0; 4_096];
+    while !String::from_utf8_lossy(&received).contains("piece 3") {
+        let count = tunnel.read(&mut received).await.expect("a part");
+        assert!(count > 0, "the tunnel ended");
+    }
+    bench.carrier().signal(Signal::SIGKILL);
+    let end = tunnel.read_to_end(&mut received).await;
+    let end = end.expect_err("a regular end");
+    assert_eq!(end.kind(), ErrorKind::ConnectionReset);
+}
+
 /// A plain answer without a length reached its caller in part: the router that carried it was killed.
 #[tokio::test]
 async fn plain_answer_of_killed_carrier_is_not_cut() {
--- a/crates/beechsaddle/tests/partition_support/mod.rs
+++ b/crates/beechsaddle/tests/partition_support/mod.rs
@@ -114,6 +114,16 @@
 
     /// Asks the other router for a tunnel, as a router would.
     pub async fn ask_for_tunnel(&self, secret: &str, target: &str) -> Option<TunnelOutcome> {
+        let (outcome, _) = self.open_bare_tunnel(secret, target).await?;
+        Some(outcome)
+    }
+
+    /// Asks the other router for a tunnel, as a router of a version without frames would.
+    pub async fn open_bare_tunnel(
+        &self,
+        secret: &str,
+        target: &str,
+    ) -> Option<(TunnelOutcome, TcpStream)> {
         let entry = self
             .bench
             .store
@@ -129,10 +139,11 @@
         capnp::serialize::write_message(&mut bytes, &message).expect("a message");
         stream.write_all(&bytes).await.expect("a request");
         let options = capnp::message::ReaderOptions::new();
-        let reply = capnp_futures::serialize::read_message(stream.compat(), options).await;
+        let reply = capnp_futures::serialize::read_message((&mut stream).compat(), options).await;
         let reply = reply.ok()?;
         let reply = reply.get_root::<tunnel_reply::Reader<'_>>().ok()?;
-        reply.get_outcome().ok()
+        let outcome = reply.get_outcome().ok()?;
+        Some((outcome, stream))
     }
 
     pub fn secret(&self) -> String {
