Decode each object of the store by itself, its content apart

What callers saw: after a restart of all routers every request was refused with 503, and requests reached a target long after it had reported that it drains, as long as one entry of another writer could not be decoded.

Cause: a listing or watch was decoded as one JSON document before its objects were looked at one by one. A lone surrogate, a number out of range or a value nested too deep failed the page as a whole, and the listing was repeated for ever. Class: the contents of one entry fail its neighbours.

Each object is decoded by itself, and its content apart from its name and revision. Without valid content an object still has its place in the order of changes, is withdrawn as a target, can be removed, and can be replaced at its revision.

Ruled out: the store refusing or cutting off the call, as the failure was Malformed, with the position of the invalid content.

--- a/crates/beechsaddle/src/gateway/changes/change_apply.rs
+++ b/crates/beechsaddle/src/gateway/changes/change_apply.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use super::store_follow::kind_name;
+use super::unreadable_log::note_unreadable;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::token_lending::update_roles;
 
@@ -49,6 +50,7 @@
         ObjectKind::Evacuations => apply_evacuations(state, listing),
         ObjectKind::Routers | ObjectKind::Budgets | ObjectKind::Crashes => {}
     }
+    state.unreadable.retain_listed(kind, listing);
 }
 
 fn apply_event(state: &GatewayState, kind: ObjectKind, event: &StoreEvent) {
@@ -56,6 +58,7 @@
         (ObjectKind::Config, false) => apply_config(state, &event.object),
         (ObjectKind::Targets, true) => {
             let name = TargetName::new(event.object.name());
+            state.unreadable.forget(kind, name.as_str());
             let change = state.roster.borrow_mut().remove(state.now(), &name);
             state.log_roster_changes(change);
         }
@@ -85,7 +88,11 @@
 /// Reads a target entry; withdraws the target if its entry cannot be read.
 fn read_entry(state: &GatewayState, object: &StoreObject) -> Option<TargetRecord> {
     match read_target(object) {
-        Ok(record) => Some(record),
+        Ok(record) => {
+            let unreadable = &state.unreadable;
+            unreadable.forget(ObjectKind::Targets, object.name());
+            Some(record)
+        }
         Err(error) => {
             withdraw_target(state, object.name(), error);
             None
@@ -94,7 +101,11 @@
 }
 
 /// Logs malformed objects, and withdraws the targets of their names.
-fn drop_unreadable(state: &GatewayState, kind: ObjectKind, objects: &[UnreadableObject]) {
+pub(in crate::gateway) fn drop_unreadable(
+    state: &GatewayState,
+    kind: ObjectKind,
+    objects: &[UnreadableObject],
+) {
     for object in objects {
         match kind {
             ObjectKind::Targets => withdraw_target(state, &object.name, object.error.clone()),
@@ -103,6 +114,9 @@
             | ObjectKind::Budgets
             | ObjectKind::Crashes
             | ObjectKind::Evacuations => {
+                if !note_unreadable(state, kind, &object.name, &object.error) {
+                    continue;
+                }
                 let fields = [
                     ("duty", kind_name(kind).to_owned()),
                     ("name", object.name.clone()),
@@ -147,9 +161,11 @@
     let mut roster = state.roster.borrow_mut();
     let change = roster.withdraw(state.now(), &TargetName::new(name));
     drop(roster);
-    let fields = [("target", name.to_owned()), ("error", error)];
-    let report = &state.report;
-    report.log(LogLevel::Error, "target_unreadable", fields);
+    if note_unreadable(state, ObjectKind::Targets, name, &error) {
+        let fields = [("target", name.to_owned()), ("error", error)];
+        let report = &state.report;
+        report.log(LogLevel::Error, "target_unreadable", fields);
+    }
     state.log_roster_changes(change);
 }
 
@@ -162,9 +178,13 @@
     let config = match read_config(object) {
         Ok(config) => config,
         Err(fault) => {
+            let error = fault.to_string();
+            if !note_unreadable(state, ObjectKind::Config, CONFIG_NAME, &error) {
+                return;
+            }
             let fields = [
                 ("revision", object.revision().to_string()),
-                ("error", fault.to_string()),
+                ("error", error),
             ];
             state
                 .report
@@ -172,6 +192,7 @@
             return;
         }
     };
+    state.unreadable.forget(ObjectKind::Config, CONFIG_NAME);
     let known = state.config().map(|config| config.version);
     if known.is_some_and(|known| known >= config.version) {
         return;
--- a/crates/beechsaddle/src/gateway/changes/mod.rs
+++ b/crates/beechsaddle/src/gateway/changes/mod.rs
@@ -11,11 +11,13 @@
 mod router_registry;
 mod store_follow;
 mod store_probe;
+mod unreadable_log;
 
-pub(super) use change_apply::run_expiry;
+pub(super) use change_apply::{drop_unreadable, run_expiry};
 pub(super) use change_relay::ChangeRelay;
 pub(super) use follow_call::{FollowAnswer, FollowReply};
 pub(super) use relay_server::serve_follow;
 pub(super) use router_registry::run_registration;
 pub(super) use store_follow::{SETTLE_WAIT, follow_kind};
 pub(super) use store_probe::{StoreHealth, run_probes};
+pub(super) use unreadable_log::UnreadableLog;
--- a/crates/beechsaddle/src/gateway/changes/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/changes/router_registry.rs
@@ -7,13 +7,15 @@
 use beechsaddle_core::gateway::PeerRecord;
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject};
+use beechsaddle_platform::{ObjectKind, StoreFailure, StoreListing, StoreObject};
 use rand::RngCore;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::change_apply::drop_unreadable;
+use super::unreadable_log::note_unreadable;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::store_call::StoreCall;
 use crate::gateway::token_lending::update_roles;
@@ -105,15 +107,17 @@
     let listed = state.store.list_stale(ObjectKind::Routers).await;
     state.record_store_call(StoreCall::List(ObjectKind::Routers), started, &listed);
     if let Ok(listing) = listed {
-        apply_routers(state, &listing.objects);
+        apply_routers(state, &listing);
     }
 }
 
-fn apply_routers(state: &GatewayState, objects: &[StoreObject]) {
-    let records = objects
-        .iter()
-        .filter_map(|object| read_entry(state, object));
+fn apply_routers(state: &GatewayState, listing: &StoreListing) {
+    drop_unreadable(state, ObjectKind::Routers, &listing.unreadable);
+    let records = listing.objects.iter();
+    let records = records.filter_map(|object| read_entry(state, object));
     let records: Vec<_> = records.collect();
+    let unreadable = &state.unreadable;
+    unreadable.retain_listed(ObjectKind::Routers, listing);
     let mut ring = state.lending.ring.borrow_mut();
     let before = ring.router_count();
     ring.take_listing(records);
@@ -132,19 +136,24 @@
 
 fn read_entry(state: &GatewayState, object: &StoreObject) -> Option<PeerRecord> {
     match decode_entry(object) {
-        Ok(record) => Some(record),
+        Ok(record) => {
+            let unreadable = &state.unreadable;
+            unreadable.forget(ObjectKind::Routers, object.name());
+            Some(record)
+        }
         Err(error) => {
-            let fields = [("router", object.name().to_owned()), ("error", error)];
-            let report = &state.report;
-            report.log(LogLevel::Error, "router_unreadable", fields);
+            if note_unreadable(state, ObjectKind::Routers, object.name(), &error) {
+                let fields = [("router", object.name().to_owned()), ("error", error)];
+                let report = &state.report;
+                report.log(LogLevel::Error, "router_unreadable", fields);
+            }
             None
         }
     }
 }
 
 fn decode_entry(object: &StoreObject) -> Result<PeerRecord, String> {
-    let entry: RouterEntry =
-        serde_json::from_value(object.spec.clone()).map_err(|error| error.to_string())?;
+    let entry: RouterEntry = object.try_content().map_err(|error| error.to_string())?;
     let address = match entry.address {
         Some(text) => {
             let address = text.parse();
@@ -225,7 +234,8 @@
 }
 
 fn apply_secret(state: &GatewayState, object: StoreObject) -> Result<(), StoreFailure> {
-    let entry: SecretEntry = serde_json::from_value(object.spec)
+    let entry: SecretEntry = object
+        .try_content()
         .map_err(|error| StoreFailure::Malformed(error.to_string()))?;
     state.lending.set_secret(entry.secret);
     Ok(())
--- a/crates/beechsaddle/src/gateway/crashes/crash_document.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_document.rs
@@ -2,6 +2,7 @@
 
 use beechsaddle_core::gateway::{CrashFacts, CrashReport, SuspectKey, TargetIncarnation};
 use beechsaddle_core::prelude::*;
+use beechsaddle_platform::{JsonError, StoreObject};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -63,8 +64,8 @@
 /// # Errors
 ///
 /// Returns an error if the object as a whole is not a crash document.
-pub(super) fn read_crashes(spec: &Value) -> Result<Vec<CrashReport>, serde_json::Error> {
-    let document = CrashDocument::deserialize(spec)?;
+pub(super) fn read_crashes(object: &StoreObject) -> Result<Vec<CrashReport>, JsonError> {
+    let document: CrashDocument = object.try_content()?;
     let entries = document.crashes.into_iter();
     let entries = entries.filter_map(|value| CrashEntry::deserialize(value).ok());
     Ok(entries.filter_map(CrashEntry::read).collect())
--- a/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_follow.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::crash_store::apply_object;
-use crate::gateway::changes::SETTLE_WAIT;
+use crate::gateway::changes::{SETTLE_WAIT, drop_unreadable};
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::store_call::StoreCall;
 
@@ -38,6 +38,7 @@
             && let Some(batch) = watch_crashes(&state, revision).await
         {
             revision = batch.revision.max(revision);
+            drop_unreadable(&state, ObjectKind::Crashes, &batch.unreadable);
             for event in batch.events.iter().filter(|event| !event.is_removed) {
                 apply_object(&state, &event.object);
             }
@@ -73,9 +74,11 @@
         let listed = state.store.list_stale(kind).await;
         state.record_store_call(StoreCall::List(kind), started, &listed);
         if let Ok(listing) = listed {
+            drop_unreadable(state, kind, &listing.unreadable);
             for object in &listing.objects {
                 apply_object(state, object);
             }
+            state.unreadable.retain_listed(kind, &listing);
             return listing.revision;
         }
         // Whether the store recovered or the wait timed out makes no difference.
--- a/crates/beechsaddle/src/gateway/crashes/crash_store.rs
+++ b/crates/beechsaddle/src/gateway/crashes/crash_store.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{CrashFacts, CrashReport, SuspectKey, TargetIncarnation};
-use beechsaddle_core::report::LogLevel;
-use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject};
+use beechsaddle_platform::{ObjectKind, StoreFailure, StoreObject, UnreadableObject};
 use tokio::time::sleep;
 
 use super::crash_broadcast::{ReportOrigin, distribute_reports};
 use super::crash_document::{CRASHES_NAME, read_crashes, write_crashes};
 use super::crash_manager::apply_reports;
+use crate::gateway::changes::drop_unreadable;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::store_call::StoreCall;
 
@@ -61,16 +61,17 @@
     if object.name() != CRASHES_NAME {
         return;
     }
-    let reports = match read_crashes(&object.spec) {
-        Ok(reports) => reports,
+    let reports = match read_crashes(object) {
+        Ok(reports) => {
+            state.unreadable.forget(ObjectKind::Crashes, object.name());
+            reports
+        }
         Err(error) => {
-            let fields = [
-                ("duty", "crashes".to_owned()),
-                ("name", object.name().to_owned()),
-                ("error", error.to_string()),
-            ];
-            let report = &state.report;
-            report.log(LogLevel::Error, "object_unreadable", fields);
+            let object = UnreadableObject {
+                name: object.name().to_owned(),
+                error: error.to_string(),
+            };
+            drop_unreadable(state, ObjectKind::Crashes, &[object]);
             Vec::new()
         }
     };
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -120,6 +120,16 @@
 /// The directions of exchanged notes.
 const NOTE_DIRECTIONS: [&str; 2] = ["sent", "received"];
 
+/// The kinds of objects that routers read from the store.
+const OBJECT_KINDS: [&str; 6] = [
+    "config",
+    "targets",
+    "routers",
+    "budgets",
+    "crashes",
+    "evacuations",
+];
+
 /// The possible outcomes of a step of following another router.
 const FOLLOW_OUTCOMES: [&str; 5] = ["news", "gone", "away", "beginning", "silent"];
 
@@ -233,6 +243,8 @@
     pub(super) evacuation_changes: Counter,
     /// Store calls, by name and outcome.
     pub(super) store_calls: Family<StoreLabel, Counter>,
+    /// Objects of the store that cannot be decoded, each once, by kind.
+    pub(super) objects_unreadable: Family<OutcomeLabel, Counter>,
     /// Steps of following another router, by outcome.
     pub(super) follow_steps: Family<OutcomeLabel, Counter>,
     /// 1 if this router follows the store itself, 0 if it follows a router that does.
@@ -310,6 +322,7 @@
             evacuations: Gauge::default(),
             evacuation_changes: Counter::default(),
             store_calls: Family::default(),
+            objects_unreadable: zeroed_counters(OBJECT_KINDS),
             follow_steps: zeroed_counters(FOLLOW_OUTCOMES),
             follows_store: Gauge::default(),
             tokens_borrowed: Counter::default(),
@@ -453,6 +466,8 @@
         let changes = self.evacuation_changes.clone();
         registry.register("evacuation_changes", "Changes of evacuations", changes);
         registry.register("store_calls", "Store calls", self.store_calls.clone());
+        let unreadable = self.objects_unreadable.clone();
+        registry.register("objects_unreadable", "Unreadable objects", unreadable);
         let steps = self.follow_steps.clone();
         registry.register("news_steps", "Steps of following another router", steps);
         let follows = self.follows_store.clone();
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -17,7 +17,7 @@
 
 use super::board::BoardManager;
 use super::buffer_memory::BufferMemory;
-use super::changes::{ChangeRelay, StoreHealth};
+use super::changes::{ChangeRelay, StoreHealth, UnreadableLog};
 use super::clock_manager::ClockManager;
 use super::crashes::CrashManager;
 use super::gateway_metrics::{GatewayMetrics, StoreLabel};
@@ -93,6 +93,8 @@
     pub(super) ledger_updates: LedgerUpdates,
     /// Changes of the store for the routers that follow this one, and the router that this one follows.
     pub(super) relay: ChangeRelay,
+    /// The store's objects that cannot be decoded.
+    pub(super) unreadable: UnreadableLog,
     /// The load of the router's own link.
     pub(super) link: RefCell<LinkMeter>,
     /// Whether the router accepts new callers.
@@ -179,6 +181,7 @@
             origins: OriginManager::default(),
             ledger_updates: LedgerUpdates::default(),
             relay: ChangeRelay::default(),
+            unreadable: UnreadableLog::default(),
             link: RefCell::new(LinkMeter::new(settings.link_mbps, ClockTime::ZERO)),
             rotation: RefCell::default(),
             room: RefCell::new(RoomGate::new(ClockTime::ZERO)),
--- a/crates/beechsaddle/src/gateway/ledger_store.rs
+++ b/crates/beechsaddle/src/gateway/ledger_store.rs
@@ -149,7 +149,7 @@
     }
 
     fn decode(&self, object: &StoreObject) -> Result<StoredLedger, StoreFailure> {
-        match serde_json::from_value(object.spec.clone()) {
+        match object.try_content() {
             Ok(ledger) => Ok(StoredLedger {
                 revision: object.revision(),
                 ledger,
