--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -28,8 +28,13 @@
     Restarted(TargetName, SocketAddr),
     /// The target accepts no new requests.
     Draining(TargetName),
-    /// A newer target was listed at the address of this one, which therefore has ended.
-    Replaced(TargetName, SocketAddr),
+    /// A newer entry has the address of this target, which may have ended.
+    Contested {
+        target: TargetName,
+        address: SocketAddr,
+        /// The target of the newer entry.
+        newer: TargetName,
+    },
     /// The target at this address is gone.
     Gone(TargetName, SocketAddr),
     /// The entry is missing, but the store was unavailable a moment ago.
@@ -161,10 +166,10 @@
         self.cold_until = self.cold_until.max(now.plus_ms(cold_ms));
     }
 
-    /// Records that another process answers at the target's address, so that the target has ended.
-    /// Only a newer entry of the target brings it back.
-    pub fn mark_replaced(&mut self) {
-        self.is_replaced = true;
+    /// Records that another process answers at the target's address, so that the target has ended;
+    /// returns whether that is news. Only a newer entry of the target brings it back.
+    pub fn mark_replaced(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_replaced, true)
     }
 
     /// Whether the target leaves, by its entry or by one of its responses.
@@ -222,28 +227,46 @@
         changes
     }
 
-    /// Applies one entry, and marks the targets that it replaces.
+    /// Applies one entry, and narrows the windows of targets whose address is contested by it.
     pub fn take_entry(&mut self, now: ClockTime, record: TargetRecord) -> Vec<RosterChange> {
-        let mut changes = self.replace_at(&record);
-        changes.extend(self.put(now, record));
+        let address = record.address;
+        let change = self.put(now, record);
+        let is_start = matches!(
+            change,
+            Some(RosterChange::Joined(_) | RosterChange::Restarted(..))
+        );
+        let mut changes = Vec::from_iter(change);
+        if is_start {
+            changes.extend(self.contest(now, address));
+        }
         changes
     }
 
-    /// Marks older targets at the address of an entry as replaced.
+    /// Narrows the windows of all targets with an address but the one with the newest entry.
     ///
-    /// An address belongs to one process at a time, so a newer entry proves that the process of an
-    /// older one has ended, seconds before that entry expires. Each request sent to it would be
-    /// rejected by the new process.
-    fn replace_at(&mut self, record: &TargetRecord) -> Vec<RosterChange> {
-        let mut changes = Vec::new();
-        for (name, entry) in &mut self.entries {
-            let is_older = entry.record.revision < record.revision && *name != record.name;
-            if is_older && !entry.is_replaced && entry.record.address == record.address {
-                entry.mark_replaced();
-                changes.push(RosterChange::Replaced(name.clone(), record.address));
+    /// A newer entry does not prove that the process of an older one has ended: it may be of another
+    /// writer, and a running target need not write its own entry again. So the older target stays in
+    /// use. It gets few requests until it has answered some; if it has ended, the process at the
+    /// address rejects the first one without running it.
+    fn contest(&mut self, now: ClockTime, address: SocketAddr) -> Vec<RosterChange> {
+        let holders = self.entries.values().map(|entry| &entry.record);
+        let holders = holders.filter(|record| record.address == address);
+        let newest = holders.max_by_key(|record| record.revision).cloned();
+        let Some(newest) = newest else {
+            return Vec::new();
+        };
+        let older = self.entries.values_mut().filter(|entry| {
+            entry.record.address == address && entry.record.revision < newest.revision
+        });
+        let changes = older.map(|entry| {
+            entry.stats.pace.begin(now);
+            RosterChange::Contested {
+                target: entry.record.name.clone(),
+                address,
+                newer: newest.name.clone(),
             }
-        }
-        changes
+        });
+        changes.collect()
     }
 
     /// Applies one entry.
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -576,3 +576,63 @@
     roster.put(START, record("n2999", "north"));
     assert_eq!(ready(&roster), ["n0"]);
 }
+
+fn newer_entry(name: &str, revision: u64) -> TargetRecord {
+    TargetRecord {
+        revision,
+        service: ServiceName::new("plain-old"),
+        ..record(name, "north")
+    }
+}
+
+/// Another writer's entry at the address of a target whose own entry never changed again took the target
+/// out of use for good, in whichever order and however often the entries were read.
+#[test]
+fn take_entry_at_the_address_of_a_target_keeps_it_in_use() {
+    for name in ["0", "x"] {
+        let mut roster = roster(&["a"]);
+        roster.take_entry(START, newer_entry(name, 5));
+        assert_eq!(ready(&roster), ["a"]);
+        let records = || [record("a", "north"), newer_entry(name, 5)];
+        roster.take_listing(START, records());
+        assert_eq!(ready(&roster), ["a"]);
+        let mut restarted = TargetRoster::default();
+        restarted.take_listing(START, records());
+        assert_eq!(ready(&restarted), ["a"]);
+    }
+}
+
+/// A target stayed at a part of its requests for as long as another writer kept changing its entry.
+#[test]
+fn take_entry_of_a_contested_address_narrows_once() {
+    let mut roster = roster(&["a"]);
+    let name = TargetName::new("a");
+    let is_narrow = |roster: &TargetRoster, now| {
+        let entry = roster.get(&name).expect("an entry");
+        entry.stats.pace.is_narrow(now)
+    };
+    assert!(!is_narrow(&roster, START));
+    for second in 0..10 {
+        let now = START.plus_ms(second * 1_000);
+        roster.take_entry(now, newer_entry("x", 5 + second));
+        assert_eq!(is_narrow(&roster, now), second < 3, "{second} s");
+    }
+}
+
+/// A target whose address another process has was asked again, or stayed out of use although its entry
+/// was newer.
+#[test]
+fn mark_replaced_lasts_until_a_newer_entry() {
+    let mut roster = roster(&["a"]);
+    let entry = roster.get_mut(&TargetName::new("a")).expect("an entry");
+    assert!(entry.mark_replaced());
+    assert!(!entry.mark_replaced());
+    roster.take_entry(START, record("a", "north"));
+    assert!(ready(&roster).is_empty());
+    let newer = TargetRecord {
+        revision: 2,
+        ..record("a", "north")
+    };
+    roster.take_entry(START, newer);
+    assert_eq!(ready(&roster), ["a"]);
+}
--- a/crates/beechsaddle-core/tests/gateway_warm_up.rs
+++ b/crates/beechsaddle-core/tests/gateway_warm_up.rs
@@ -288,6 +288,9 @@
     let mut roster = TargetRoster::default();
     roster.take_entry(START, cold_record("a", 1, 0));
     roster.take_entry(START, cold_record("b", 2, 3_000));
+    // The process of "b" has rejected a request to "a".
+    let older = roster.get_mut(&TargetName::new("a")).expect("a target");
+    older.mark_replaced();
     use_share(&mut roster, START, "b");
     assert!(!may_send(&roster, START.plus_ms(100), &evacuations));
 }
--- a/crates/beechsaddle/src/gateway/attempt_guard.rs
+++ b/crates/beechsaddle/src/gateway/attempt_guard.rs
@@ -182,24 +182,28 @@
         let entry = roster.get_mut(&self.target.name);
         // An entry that is newer than the attempt may be of the process that answers.
         let entry = entry.filter(|entry| entry.record.revision == self.target.revision);
-        if let Some(entry) = entry {
-            entry.mark_replaced();
-        }
+        let is_news = entry.is_some_and(|entry| entry.mark_replaced());
         drop(roster);
         self.state.pool.forget(self.target.address);
+        if is_news {
+            self.log_target(LogLevel::Info, "target_replaced", None);
+        }
     }
 
     fn log_ejection(&self, end: AttemptEnd) {
         self.state.metrics.ejections.inc();
         self.state.pool.forget(self.target.address);
+        self.log_target(LogLevel::Warning, "target_ejected", Some(end));
+    }
+
+    fn log_target(&self, level: LogLevel, event: &'static str, end: Option<AttemptEnd>) {
+        let end = end.map(|end| ("end", end.as_str().to_owned()));
         let fields = [
             ("target", self.target.name.to_string()),
             ("address", self.target.address.to_string()),
-            ("end", end.as_str().to_owned()),
         ];
-        self.state
-            .report
-            .log(LogLevel::Warning, "target_ejected", fields);
+        let fields = fields.into_iter().chain(end);
+        self.state.report.log(level, event, fields);
     }
 
     fn update_stats(&self, update: impl FnOnce(&mut TargetStats, ClockTime)) {
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -217,6 +217,8 @@
     /// Tunnels that this router carries for others.
     pub(super) tunnels_carried: Gauge,
     pub(super) ejections: Counter,
+    /// Targets at whose address a newer entry was listed.
+    pub(super) address_conflicts: Counter,
     /// Attempts during which a target crashed.
     pub(super) crashes_seen: Counter,
     /// Requests that are blocked because targets crash while executing them.
@@ -302,6 +304,7 @@
             tunnels_requested: zeroed_counters(TUNNEL_OUTCOMES),
             tunnels_carried: Gauge::default(),
             ejections: Counter::default(),
+            address_conflicts: Counter::default(),
             crashes_seen: Counter::default(),
             requests_blocked: Gauge::default(),
             parts_blocked: Gauge::default(),
@@ -430,6 +433,12 @@
         let carried = self.tunnels_carried.clone();
         registry.register("tunnels_carried", "Tunnels carried for others", carried);
         registry.register("ejections", "Targets ejected", self.ejections.clone());
+        let conflicts = self.address_conflicts.clone();
+        registry.register(
+            "address_conflicts",
+            "Targets with the address of a newer entry",
+            conflicts,
+        );
         let crashes = self.crashes_seen.clone();
         registry.register(
             "crashes_seen",
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -483,7 +483,7 @@
         for change in changes {
             if let RosterChange::Gone(_, address)
             | RosterChange::Restarted(_, address)
-            | RosterChange::Replaced(_, address) = change
+            | RosterChange::Contested { address, .. } = change
             {
                 self.pool.forget(address);
             }
@@ -491,7 +491,10 @@
                 RosterChange::Joined(target) => ("target_joined", target),
                 RosterChange::Restarted(target, _) => ("target_restarted", target),
                 RosterChange::Draining(target) => ("target_draining", target),
-                RosterChange::Replaced(target, _) => ("target_replaced", target),
+                RosterChange::Contested { target, newer, .. } => {
+                    self.log_contested(&target, &newer);
+                    continue;
+                }
                 RosterChange::Gone(target, _) => ("target_gone", target),
                 RosterChange::Unconfirmed(target) => ("target_unconfirmed", target),
             };
@@ -499,4 +502,11 @@
             self.report.log(LogLevel::Info, event, fields);
         }
     }
+
+    fn log_contested(&self, target: &TargetName, newer: &TargetName) {
+        self.metrics.address_conflicts.inc();
+        let fields = [("target", target.to_string()), ("newer", newer.to_string())];
+        self.report
+            .log(LogLevel::Warning, "target_contested", fields);
+    }
 }
--- a/crates/beechsaddle/tests/gateway_store.rs
+++ b/crates/beechsaddle/tests/gateway_store.rs
@@ -252,3 +252,25 @@
     bench.store.put("servers", "plain-1", &entry);
     wait_status(&bench, "/get/1", 200).await;
 }
+
+/// Entries of another writer at the addresses of live targets, for other services, took all of them out
+/// of use, and again after a restart of the router.
+#[tokio::test]
+async fn entries_at_addresses_of_targets_take_none_out_of_use() {
+    let mut bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    for (target, service) in bench.plain.iter().zip(["plain-old", "engine"]) {
+        let name = format!("x-{}", target.name());
+        let entry = target.entry(service, "north", EntryState::Ready);
+        bench.store.put("servers", &name, &entry);
+        bench.router.wait_log(&["target_joined", &name]).await;
+    }
+    for round in 0..2 {
+        for number in 0..5 {
+            let call = request("GET /get/1", &format!("call-{round}-{number}"));
+            assert_eq!(bench.router.call(&call).await.status, 200, "{round}");
+        }
+        bench.router.restart();
+        bench.router.wait_ready().await;
+        bench.router.wait_log(&["target_joined", "x-plain-2"]).await;
+    }
+}
