link: Let links run over any stream that can reset its connection

HttpLink took a TcpStream only. It now takes any LinkStream, a stream that can be made to reset its connection as it closes, so that tunnels can frame the bytes between two routers. No change of behaviour.

--- a/crates/beechsaddle-link/src/bounded_stream.rs
+++ b/crates/beechsaddle-link/src/bounded_stream.rs
@@ -11,7 +11,8 @@
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::LinkStream;
 
 /// Maximum number of interim responses to one request: a server that reports progress every second does
 /// so for longer than most calls may last.
@@ -70,18 +71,18 @@
 
 /// A stream from which reading fails once the bound is exceeded.
 #[derive(Debug)]
-pub(crate) struct BoundedStream {
-    stream: TcpStream,
+pub(crate) struct BoundedStream<S> {
+    stream: S,
     bound: Arc<HeadBound>,
 }
 
-impl BoundedStream {
-    pub(crate) fn new(stream: TcpStream, bound: Arc<HeadBound>) -> Self {
+impl<S: LinkStream> BoundedStream<S> {
+    pub(crate) fn new(stream: S, bound: Arc<HeadBound>) -> Self {
         BoundedStream { stream, bound }
     }
 }
 
-impl AsyncRead for BoundedStream {
+impl<S: LinkStream> AsyncRead for BoundedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -101,7 +102,7 @@
     }
 }
 
-impl AsyncWrite for BoundedStream {
+impl<S: LinkStream> AsyncWrite for BoundedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/beechsaddle-link/src/http_link.rs
+++ b/crates/beechsaddle-link/src/http_link.rs
@@ -17,8 +17,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::LinkFailure;
 use crate::bounded_stream::{BoundedStream, HeadBound};
+use crate::{LinkFailure, LinkStream};
 
 /// How many TCP keepalive probes may stay unanswered before the connection is closed. A shorter
 /// `unacknowledged_timeout` closes it earlier.
@@ -90,7 +90,7 @@
     ///
     /// [`LinkFailure::NotSent`] if the HTTP handshake fails.
     pub async fn try_start(
-        stream: TcpStream,
+        stream: impl LinkStream,
         options: &LinkOptions,
     ) -> Result<HttpLink, LinkFailure> {
         let head_bytes = options.head_bytes.max(8_192);
--- a/crates/beechsaddle-link/src/lib.rs
+++ b/crates/beechsaddle-link/src/lib.rs
@@ -9,6 +9,8 @@
 mod bounded_stream;
 mod http_link;
 mod link_failure;
+mod link_stream;
 
 pub use http_link::{HttpLink, LinkOptions, open_stream};
 pub use link_failure::LinkFailure;
+pub use link_stream::LinkStream;
