Reset connections whose requests are given up

What callers saw: claims that were sent just as a partition cut off a target ran there up to six seconds later, when their callers had long left and the target had reported for more than two seconds that it leaves (DRAIN). Idempotent requests that another target had answered arrived in the same way.

Cause: an attempt that is given up drops its HttpLink, which closed the socket regularly. After a regular close the operating system goes on retransmitting what the peer has not acknowledged. Class: a connection is closed without regard to whether its request is still under way.

Ruled out: the unacknowledged timeout (1.5 s) as the cure; the close at the deadline (1 s), or as another target answers, comes before it.

Fix: each link keeps whether the answer to its last request was read whole. The reader of the answer begins with the request and ends with the response body (LinkBody). If it is dropped before, or the link is, the stream closes with a linger time of zero, which drops unacknowledged bytes. If HTTP is done with the stream while the answer is still being read, the reader decides as it ends. Idle connections and those with a whole answer close as before. This holds for every use of HttpLink: attempts, races, callers that leave, the router's end of a tunnel, and calls to the store.

--- a/crates/beechsaddle-link/src/bounded_stream.rs
+++ b/crates/beechsaddle-link/src/bounded_stream.rs
@@ -13,6 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::LinkStream;
+use crate::answer_state::AnswerState;
 
 /// Maximum number of interim responses to one request: a server that reports progress every second does
 /// so for longer than most calls may last.
@@ -69,16 +70,35 @@
     }
 }
 
-/// A stream from which reading fails once the bound is exceeded.
-#[derive(Debug)]
-pub(crate) struct BoundedStream<S> {
-    stream: S,
+/// A stream from which reading fails once the bound is exceeded, and which closes as the state of the
+/// answer requires.
+pub(crate) struct BoundedStream<S: LinkStream> {
+    /// `None` once it closes.
+    stream: Option<S>,
     bound: Arc<HeadBound>,
+    answer: Arc<AnswerState>,
 }
 
 impl<S: LinkStream> BoundedStream<S> {
-    pub(crate) fn new(stream: S, bound: Arc<HeadBound>) -> Self {
-        BoundedStream { stream, bound }
+    pub(crate) fn new(stream: S, bound: Arc<HeadBound>, answer: Arc<AnswerState>) -> Self {
+        BoundedStream {
+            stream: Some(stream),
+            bound,
+            answer,
+        }
+    }
+
+    fn stream(&mut self) -> io::Result<Pin<&mut S>> {
+        let stream = self.stream.as_mut().map(Pin::new);
+        stream.ok_or_else(|| io::ErrorKind::NotConnected.into())
+    }
+}
+
+impl<S: LinkStream> Drop for BoundedStream<S> {
+    fn drop(&mut self) {
+        if let Some(stream) = self.stream.take() {
+            self.answer.close(stream);
+        }
     }
 }
 
@@ -95,7 +115,7 @@
             return Poll::Ready(Err(error));
         }
         let filled_before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        ready!(self.stream()?.poll_read(context, buffer))?;
         self.bound
             .record_read(buffer.filled().len() - filled_before);
         Poll::Ready(Ok(()))
@@ -108,15 +128,19 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.stream()?.poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        self.stream()?.poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        // A reset follows, or the close once the answer was read whole.
+        if self.answer.is_unanswered() {
+            return Poll::Ready(Ok(()));
+        }
+        self.stream()?.poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -124,10 +148,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        self.stream()?.poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.as_ref().is_some_and(S::is_write_vectored)
     }
 }
--- a/crates/beechsaddle-link/src/http_link.rs
+++ b/crates/beechsaddle-link/src/http_link.rs
@@ -8,7 +8,6 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
@@ -17,8 +16,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::answer_state::AnswerState;
 use crate::bounded_stream::{BoundedStream, HeadBound};
-use crate::{LinkFailure, LinkStream};
+use crate::{LinkBody, LinkFailure, LinkStream};
 
 /// How many TCP keepalive probes may stay unanswered before the connection is closed. A shorter
 /// `unacknowledged_timeout` closes it earlier.
@@ -61,11 +61,13 @@
 }
 
 /// A connection. Dropping it closes the connection at once, even during a request, so that the
-/// server can cancel its work.
+/// server can cancel its work. During a request the connection is reset, which also drops what the
+/// server has not received.
 #[derive(Debug)]
 pub struct HttpLink {
     sender: SendRequest<Full<Bytes>>,
     bound: Arc<HeadBound>,
+    answer: Arc<AnswerState>,
     task: JoinHandle<()>,
 }
 
@@ -95,7 +97,8 @@
     ) -> Result<HttpLink, LinkFailure> {
         let head_bytes = options.head_bytes.max(8_192);
         let bound = Arc::new(HeadBound::new(head_bytes));
-        let stream = BoundedStream::new(stream, Arc::clone(&bound));
+        let answer = Arc::new(AnswerState::default());
+        let stream = BoundedStream::new(stream, Arc::clone(&bound), Arc::clone(&answer));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(head_bytes);
         let (sender, connection) = builder
@@ -110,6 +113,7 @@
         Ok(HttpLink {
             sender,
             bound,
+            answer,
             task,
         })
     }
@@ -123,14 +127,15 @@
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, LinkFailure> {
+    ) -> Result<Response<LinkBody>, LinkFailure> {
         self.bound.begin();
+        let reader = self.answer.begin();
         let bound = Arc::clone(&self.bound);
         on_informational(&mut request, move |_| bound.record_interim());
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.bound.end();
-                Ok(response)
+                Ok(response.map(|body| LinkBody::new(body, reader)))
             }
             Err(mut failure) => {
                 let is_unsent = failure.take_message().is_some();
@@ -198,6 +203,7 @@
 
 impl Drop for HttpLink {
     fn drop(&mut self) {
+        self.answer.give_up();
         self.task.abort();
     }
 }
--- a/crates/beechsaddle-link/tests/head_bounds.rs
+++ b/crates/beechsaddle-link/tests/head_bounds.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use beechsaddle_link::{HttpLink, LinkFailure, LinkOptions};
+use beechsaddle_link::{HttpLink, LinkBody, LinkFailure, LinkOptions};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -36,7 +35,7 @@
     }
 }
 
-async fn send(link: &mut HttpLink) -> Result<Response<Incoming>, LinkFailure> {
+async fn send(link: &mut HttpLink) -> Result<Response<LinkBody>, LinkFailure> {
     let sending = link.send(request());
     timeout(Duration::from_secs(5), sending)
         .await
--- a/crates/beechsaddle/src/gateway/buffered_body.rs
+++ b/crates/beechsaddle/src/gateway/buffered_body.rs
@@ -6,9 +6,9 @@
 
 use beechsaddle_core::gateway::AttemptEnd;
 use beechsaddle_core::prelude::*;
+use beechsaddle_link::LinkBody;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::buffer_memory::BufferShare;
@@ -48,7 +48,7 @@
     ///
     /// A [`SendFailure`] if it does not end, or takes more memory than is left for it.
     pub(super) async fn read(
-        body: Incoming,
+        body: LinkBody,
         share: BufferShare<ServiceName>,
         bytes_max: usize,
         left: Duration,
@@ -78,7 +78,7 @@
 }
 
 async fn read_to_end(
-    mut body: Incoming,
+    mut body: LinkBody,
     share: BufferShare<ServiceName>,
     bytes_max: usize,
 ) -> Result<BufferedBody, String> {
--- a/crates/beechsaddle/src/gateway/stream_attempt.rs
+++ b/crates/beechsaddle/src/gateway/stream_attempt.rs
@@ -4,10 +4,10 @@
 
 use beechsaddle_core::gateway::{AttemptEnd, TargetRecord};
 use beechsaddle_core::prelude::*;
+use beechsaddle_link::LinkBody;
 use beechsaddle_platform::{BodyFraming, ResponseHead};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::attempt_guard::AttemptGuard;
 use super::call_context::CallContext;
@@ -29,7 +29,7 @@
 pub(super) struct StreamAttempt {
     guard: Rc<AttemptGuard>,
     link: TargetLink,
-    body: Incoming,
+    body: LinkBody,
     facts: ResponseHead,
     /// Whether the target has sent a complete event.
     has_event: bool,
@@ -49,7 +49,7 @@
     pub(super) fn new(
         guard: Rc<AttemptGuard>,
         link: TargetLink,
-        body: Incoming,
+        body: LinkBody,
         facts: ResponseHead,
     ) -> Self {
         StreamAttempt {
--- a/crates/beechsaddle/src/gateway/stream_exchange.rs
+++ b/crates/beechsaddle/src/gateway/stream_exchange.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use beechsaddle_core::gateway::{AttemptEnd, TargetChoice, TargetRecord};
+use beechsaddle_link::LinkBody;
 use beechsaddle_platform::response_headers;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
-use hyper::body::Incoming;
 
 use super::answer_body::AnswerBody;
 use super::attempt_guard::AttemptGuard;
@@ -198,7 +198,7 @@
 /// Buffers a target's own error response.
 async fn read_failure(
     call: &CallContext,
-    response: Response<Incoming>,
+    response: Response<LinkBody>,
 ) -> Result<Response<AnswerBody>, SendFailure> {
     let (parts, body) = response.into_parts();
     let share = call.state.answer_memory.share(call.service.clone());
--- a/crates/beechsaddle/src/gateway/target_send.rs
+++ b/crates/beechsaddle/src/gateway/target_send.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 
 use beechsaddle_core::gateway::{AttemptEnd, LinkDirection, TargetRecord};
-use beechsaddle_link::{LinkFailure, LinkOptions};
+use beechsaddle_link::{LinkBody, LinkFailure, LinkOptions};
 use beechsaddle_platform::{ForwardFields, ResponseHead, forward_headers};
 use bytes::Bytes;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::call_context::CallContext;
@@ -19,7 +18,7 @@
 
 /// The head of a target's response and its connection.
 pub(super) struct TargetAnswer {
-    pub(super) response: Response<Incoming>,
+    pub(super) response: Response<LinkBody>,
     /// The parsed response head.
     pub(super) facts: ResponseHead,
     /// The connection, which can be reused only after the response body was read.
