--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_copy.rs
@@ -85,6 +85,7 @@
     mut target: TcpStream,
 ) -> TunnelEnd {
     if framing == TunnelFraming::Bare {
+        // Closed regularly, a truncated response without a length would look complete.
         reset_on_close(&router);
     }
     let end = {
@@ -98,19 +99,26 @@
             router_writer
         ));
         tokio::select! {
-            end = &mut responses => end,
+            end = &mut responses => Some(end),
             end = copy_requests(state, watch, router_reader, target_writer) => match end {
                 CopyEnd::Closed | CopyEnd::NoAnswer => return TunnelEnd::RouterClosed,
-                CopyEnd::ReadFailed => return TunnelEnd::RouterLost,
+                CopyEnd::ReadFailed => None,
                 // The target may have responded before it stopped reading. The failed write has taken
                 // the error of the connection, so that it may now look closed.
                 CopyEnd::WriteFailed => match responses.await {
-                    CopyEnd::Closed if framing == TunnelFraming::Frames => CopyEnd::ReadFailed,
-                    end => end,
+                    CopyEnd::Closed if framing == TunnelFraming::Frames => {
+                        Some(CopyEnd::ReadFailed)
+                    }
+                    end => Some(end),
                 },
             },
         }
     };
+    let Some(end) = end else {
+        // The router has given the request up: what the target has not acknowledged is dropped.
+        reset_on_close(&target);
+        return TunnelEnd::RouterLost;
+    };
     let end = match end {
         CopyEnd::Closed => TunnelEnd::TargetClosed,
         CopyEnd::ReadFailed => TunnelEnd::TargetLost,
@@ -223,11 +231,10 @@
     }
 }
 
-/// Makes the connection to a router that reads bare bytes end in a reset, also if this process is
-/// killed: a truncated response without a length would look complete otherwise.
-fn reset_on_close(router: &TcpStream) {
+/// Makes a connection end in a reset, also if this process is killed.
+fn reset_on_close(stream: &TcpStream) {
     // A connection that is already gone needs no reset.
-    let _ = router.set_zero_linger();
+    let _ = stream.set_zero_linger();
 }
 
 /// Closes the connection to a router that reads bare bytes.
