Resume unnamed streams only by a list that the store confirms

What callers saw: streams of a new software version went on at the old one, as whole answers, where the router that took them up had an old list of targets.

Cause: a stream without a name goes on while all listed targets are of one version. The list was taken for that of now because nothing newer had come; a watch whose connection is silent looks like one without changes.

Ruled out: named streams (their origin is told by routers, never inferred), and a router that was stopped: its watch was answered before the call was read.

Why it works: the store's answer to a new request includes every change that it accepted before the request, so that a version which could have begun the stream is listed before the rule looks at the list. Calls that wait share one request.

--- a/crates/beechsaddle-core/src/gateway/resume_rule.rs
+++ b/crates/beechsaddle-core/src/gateway/resume_rule.rs
@@ -28,7 +28,7 @@
 /// A stream whose origin is unknown is refused, even if all listed targets are of one version: the
 /// list may be old, and the version that began the stream may just have left it. An unnamed stream
 /// cannot be looked up, by this router or later; it is resumed while `service`, to which the route
-/// sends it, has had one version only, which `sole_version` returns.
+/// sends it, has had one version only as of now, which is `sole_version`.
 ///
 /// # Errors
 ///
@@ -37,14 +37,14 @@
     route: &RouteRule,
     service: &ServiceName,
     stream: ResumedStream,
-    sole_version: impl FnOnce(&ServiceName) -> Option<SoftwareVersion>,
+    sole_version: Option<SoftwareVersion>,
 ) -> Result<StreamOrigin, ResumeRefusal> {
     match stream {
         ResumedStream::Known(origin) if route.has_service(&origin.service) => Ok(origin),
         ResumedStream::Known(_) => Err(ResumeRefusal::ServiceRemoved),
         ResumedStream::Unknown => Err(ResumeRefusal::UnknownOrigin),
         ResumedStream::Unnamed => {
-            let version = sole_version(service).ok_or(ResumeRefusal::UnknownOrigin)?;
+            let version = sole_version.ok_or(ResumeRefusal::UnknownOrigin)?;
             Ok(StreamOrigin {
                 service: service.clone(),
                 version,
--- a/crates/beechsaddle-core/tests/gateway_stream_origins.rs
+++ b/crates/beechsaddle-core/tests/gateway_stream_origins.rs
@@ -62,9 +62,8 @@
     sole_version: Option<&str>,
 ) -> Result<StreamOrigin, ResumeRefusal> {
     let other = ServiceName::new("other");
-    resume_at(&route(services), &other, stream, |_| {
-        sole_version.map(SoftwareVersion::new)
-    })
+    let sole_version = sole_version.map(SoftwareVersion::new);
+    resume_at(&route(services), &other, stream, sole_version)
 }
 
 /// A resumed stream went to the service that its new attempt was drawn for, and a service that the
--- a/crates/beechsaddle/src/gateway/changes/mod.rs
+++ b/crates/beechsaddle/src/gateway/changes/mod.rs
@@ -11,6 +11,7 @@
 mod router_registry;
 mod store_follow;
 mod store_probe;
+mod target_refresh;
 mod unreadable_log;
 
 pub(super) use change_apply::{drop_unreadable, run_expiry};
@@ -20,4 +21,5 @@
 pub(super) use router_registry::run_registration;
 pub(super) use store_follow::{SETTLE_WAIT, follow_kind};
 pub(super) use store_probe::{StoreHealth, run_probes};
+pub(super) use target_refresh::{TargetRefresh, refresh_targets};
 pub(super) use unreadable_log::UnreadableLog;
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -111,6 +111,9 @@
 /// knows it, or that none that answered does.
 const ORIGIN_OUTCOMES: [&str; 4] = ["own", "peer", "unknown", "unanswered"];
 
+/// The outcomes of checking that the list of targets is current.
+pub(super) const REFRESH_OUTCOMES: [&str; 3] = ["confirmed", "shared", "unanswered"];
+
 /// The outcomes of telling a router the origin of a stream.
 const NOTE_OUTCOMES: [&str; 2] = ["taken", "failed"];
 
@@ -193,6 +196,8 @@
     pub(super) resume_versions: Family<ResumeLabel, Counter>,
     /// Searches for the origin of a stream, by outcome.
     pub(super) origins_sought: Family<OutcomeLabel, Counter>,
+    /// Checks that the list of targets is current, by outcome.
+    pub(super) target_refreshes: Family<OutcomeLabel, Counter>,
     /// Messages to routers that keep the origin of a stream, by outcome.
     pub(super) origins_noted: Family<OutcomeLabel, Counter>,
     /// Targets' parts of streams whose body ended without an error, by framing and by where it
@@ -298,6 +303,7 @@
             resumes: Counter::default(),
             resume_versions: Family::default(),
             origins_sought: zeroed_counters(ORIGIN_OUTCOMES),
+            target_refreshes: zeroed_counters(REFRESH_OUTCOMES),
             origins_noted: zeroed_counters(NOTE_OUTCOMES),
             stream_ends: Family::default(),
             answer_ends: Family::default(),
@@ -403,6 +409,12 @@
         registry.register("resume_versions", "Streams resumed, by version", versions);
         let sought = self.origins_sought.clone();
         registry.register("origins_sought", "Searches for origins of streams", sought);
+        let refreshes = self.target_refreshes.clone();
+        registry.register(
+            "target_refreshes",
+            "Checks of the list of targets",
+            refreshes,
+        );
         let noted = self.origins_noted.clone();
         registry.register("origins_noted", "Origins of streams sent to routers", noted);
         let stream_ends = self.stream_ends.clone();
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -17,7 +17,7 @@
 
 use super::board::BoardManager;
 use super::buffer_memory::BufferMemory;
-use super::changes::{ChangeRelay, StoreHealth, UnreadableLog};
+use super::changes::{ChangeRelay, StoreHealth, TargetRefresh, UnreadableLog};
 use super::clock_manager::ClockManager;
 use super::crashes::CrashManager;
 use super::gateway_metrics::{GatewayMetrics, StoreLabel};
@@ -124,6 +124,8 @@
     pub(super) store_health: StoreHealth,
     /// When the store last answered.
     pub(super) store_answered_at: Cell<ClockTime>,
+    /// Checks that the list of targets is current.
+    pub(super) target_refresh: TargetRefresh,
     /// The age of what is known of targets.
     pub(super) update_age: RefCell<UpdateAge>,
     /// Counts of store calls since they were last logged.
@@ -197,6 +199,7 @@
             store: StoreClient::new(settings.store),
             store_health: StoreHealth::new(),
             store_answered_at: Cell::new(ClockTime::ZERO),
+            target_refresh: TargetRefresh::default(),
             update_age: RefCell::default(),
             store_tally: StoreTally::default(),
             report,
--- a/crates/beechsaddle/src/gateway/origins/resume_check.rs
+++ b/crates/beechsaddle/src/gateway/origins/resume_check.rs
@@ -8,6 +8,7 @@
 
 use super::origin_exchange::search_origin;
 use crate::gateway::call_record::CallRecord;
+use crate::gateway::changes::refresh_targets;
 use crate::gateway::gateway_metrics::OutcomeLabel;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::refusal::RefusalCause;
@@ -29,12 +30,13 @@
     if !is_resumed || !route.kind.is_stream() {
         return Ok(None);
     }
-    let stream = match &head.resumes {
-        Some(id) => find_stream(state, record, StreamId::new(id)).await,
-        None => ResumedStream::Unnamed,
+    let (stream, sole_version) = match &head.resumes {
+        Some(id) => (find_stream(state, record, StreamId::new(id)).await, None),
+        None => {
+            let version = confirm_sole_version(state, record, service).await;
+            (ResumedStream::Unnamed, version)
+        }
     };
-    let roster = state.roster.borrow();
-    let sole_version = |service: &ServiceName| roster.sole_version(state.now(), service);
     match resume_at(route, service, stream, sole_version) {
         Ok(origin) => Ok(Some(origin)),
         Err(ResumeRefusal::UnknownOrigin) => Err(RefusalCause::StreamUnknown),
@@ -42,6 +44,28 @@
     }
 }
 
+/// Returns the software version of a service's targets if they are of one version as of now.
+///
+/// A router that has been cut off or has stood still lists the targets of an earlier time, and sees one
+/// version where two serve.
+async fn confirm_sole_version(
+    state: &GatewayState,
+    record: &CallRecord,
+    service: &ServiceName,
+) -> Option<SoftwareVersion> {
+    let known = sole_version(state, service)?;
+    if !refresh_targets(state).await {
+        let fields = [("known", known.to_string())];
+        record.log_decision("version_unconfirmed", fields);
+        return None;
+    }
+    sole_version(state, service)
+}
+
+fn sole_version(state: &GatewayState, service: &ServiceName) -> Option<SoftwareVersion> {
+    state.roster.borrow().sole_version(state.now(), service)
+}
+
 /// Looks up where a stream began, here and then at other routers.
 async fn find_stream(
     state: &Rc<GatewayState>,
--- a/crates/beechsaddle/src/gateway/store_call.rs
+++ b/crates/beechsaddle/src/gateway/store_call.rs
@@ -23,6 +23,8 @@
     ReadCrashes,
     /// Writes a change to the stored crash reports.
     WriteCrashes,
+    /// Reads the changes of targets up to now.
+    RefreshTargets,
     /// Checks whether the store answers.
     Probe,
 }
@@ -50,6 +52,7 @@
             StoreCall::ReadStaleEntry => "read_stale_entry",
             StoreCall::ReadCrashes => "read_crashes",
             StoreCall::WriteCrashes => "write_crashes",
+            StoreCall::RefreshTargets => "refresh_targets",
             StoreCall::Probe => "probe",
         }
     }
--- a/crates/beechsaddle/tests/path_support/mod.rs
+++ b/crates/beechsaddle/tests/path_support/mod.rs
@@ -47,6 +47,11 @@
     pub fn set_mode(&self, mode: PathMode) {
         self.mode.send_replace(mode);
     }
+
+    /// Returns the address at which the router reaches the path.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
 }
 
 fn listen(address: SocketAddr) -> TcpListener {
@@ -128,6 +133,11 @@
     }
 }
 
+/// Starts a router's path to the store, which can be cut while other routers reach the store.
+pub async fn store_path(store: SocketAddr) -> Rc<TargetPath> {
+    TargetPath::start(store).await
+}
+
 /// One router's view of the store: the addresses of targets are those of its own paths.
 pub struct StoreView {
     pub address: SocketAddr,
