Follow other routers while the store is lost

What callers saw: streams that name their begin were refused (version_gone) although their targets served: the router that took them up had lost the store, and its list had no target of the new version. Its configuration grew old too.

Cause: a router that follows the store itself knew no other source of changes. Routers of large domains follow each other, the others only waited for the store, although routers in their reach had all changes.

Before: named_streams_go_on_at_targets_that_other_routers_know and configuration_reaches_a_router_without_the_store failed, neither the targets nor the configuration arrived within 8 s. After: both pass.

Why it works: while a watch is recovered, changes after the known revision are asked from the other followers of the domain and the first router of each other domain, which follow the store anyway, so that no further router starts to. The store's own listing decides when it answers again.

--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -1,6 +1,7 @@
 //! The `peer_ring` module provides the routers of the fleet, and the allocator of each workspace
 //! among them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -18,6 +19,10 @@
 /// The rendezvous key by which the followers of the store are chosen among the routers of a domain.
 const FOLLOWER_KEY: &str = "news";
 
+/// Number of routers of the own domain that a follower asks for changes when it has lost the store:
+/// those that follow the store for the others.
+const OWN_OUTAGE_SOURCES: usize = 2;
+
 /// Number of routers of the own domain that one attempt of a call asks for a tunnel.
 const OWN_TUNNEL_ROUTERS: usize = 2;
 
@@ -181,7 +186,7 @@
         let mut weighted: Vec<_> = usable
             .map(|peer| (rendezvous_weight(FOLLOWER_KEY, peer.host.as_str()), peer))
             .collect();
-        weighted.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        weighted.sort_by_key(|(weight, _)| Reverse(*weight));
         weighted.truncate(count);
         let mut followers: Vec<_> = weighted.into_iter().map(|(_, peer)| peer).collect();
         if followers.iter().any(|peer| peer.host == self.me) {
@@ -194,6 +199,17 @@
         followers
     }
 
+    /// Returns the routers that a follower asks for changes when it has lost the store, in order: the
+    /// other followers of the own domain, and the first one of each other domain. No further router
+    /// needs to follow the store because it is asked.
+    pub fn outage_sources(&self, now: ClockTime) -> Vec<&PeerRecord> {
+        let mut own: Vec<_> = self.neighbours(now).collect();
+        own.sort_by_key(|peer| Reverse(rendezvous_weight(FOLLOWER_KEY, peer.host.as_str())));
+        own.truncate(OWN_OUTAGE_SOURCES);
+        own.extend(self.foreign_coordinators_of(now, FOLLOWER_KEY));
+        own
+    }
+
     /// Records that a router did not answer; it is skipped for a time that doubles with each
     /// failure.
     pub fn mark_down(&mut self, now: ClockTime, host: &HostName) {
--- a/crates/beechsaddle/src/gateway/changes/mod.rs
+++ b/crates/beechsaddle/src/gateway/changes/mod.rs
@@ -7,6 +7,7 @@
 mod change_apply;
 mod change_relay;
 mod follow_call;
+mod outage_follow;
 mod relay_server;
 mod router_registry;
 mod store_follow;
--- a/crates/beechsaddle/src/gateway/changes/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/changes/store_follow.rs
@@ -14,6 +14,7 @@
 
 use super::change_apply::{apply_changes, apply_listing};
 use super::follow_call::{FollowStep, follow_router};
+use super::outage_follow::follow_others;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::store_call::StoreCall;
 
@@ -204,7 +205,7 @@
     let Some(watched) = watched else {
         let late = StoreFailure::Unknown("no answer in time, or the store probe failed".to_owned());
         state.record_store_call::<()>(StoreCall::Watch(kind), started, &Err(late.clone()));
-        return recover_watch(state, kind, &late, watching.as_mut()).await;
+        return recover_watch(state, kind, revision, &late, watching.as_mut()).await;
     };
     state.record_store_call(StoreCall::Watch(kind), started, &watched);
     match watched {
@@ -214,14 +215,16 @@
             state.relay.set_watched(kind, false);
             StoreStep::Listing(list_until_success(state, kind).await)
         }
-        Err(failure) => recover_watch(state, kind, &failure, pending()).await,
+        Err(failure) => recover_watch(state, kind, revision, &failure, pending()).await,
     }
 }
 
-/// Waits for a listing or the late answer of a watch, whichever comes first.
+/// Waits for a listing or the late answer of a watch, whichever comes first. Meanwhile the changes
+/// that other routers know are applied.
 async fn recover_watch(
     state: &GatewayState,
     kind: ObjectKind,
+    revision: u64,
     failure: &StoreFailure,
     watching: impl Future<Output = Result<StoreChanges, StoreFailure>>,
 ) -> StoreStep {
@@ -235,6 +238,7 @@
             Err(_) => StoreStep::Listing(listing.await),
         },
         listing = &mut listing => StoreStep::Listing(listing),
+        never = follow_others(state, kind, revision) => match never {},
     };
     state.record_store_answer();
     let revision = match &step {
--- a/crates/beechsaddle/tests/gateway_old_lists.rs
+++ b/crates/beechsaddle/tests/gateway_old_lists.rs
@@ -173,3 +173,35 @@
     let asked = bench.bench.store.target_listings() - before;
     assert!(asked < count, "{asked} calls for {count} streams");
 }
+
+/// Streams that name their begin were refused: the router that took them up had lost the store, and asked no router for the targets.
+#[tokio::test]
+async fn named_streams_go_on_at_targets_that_other_routers_know() {
+    let mut bench = ReleaseBench::start().await;
+    bench.path.set_mode(PathMode::Hanging);
+    bench.release().await;
+    let ids = bench.interrupted().await;
+    bench.late.wait_log(&["target_joined", "engine-3"]).await;
+    for began_as in ids {
+        let id = format!("again-{began_as}");
+        let mut call = stream_request(&id);
+        call.resume(&began_as, EVENTS - 1);
+        let reply = bench.late.call(&call).await;
+        assert!(is_whole(&reply), "{reply:?}");
+        assert_eq!(runs(&bench.joined, &id), 1);
+    }
+}
+
+/// A configuration did not reach a router that had lost the store while other routers reached it.
+#[tokio::test]
+async fn configuration_reaches_a_router_without_the_store() {
+    let bench = ReleaseBench::start().await;
+    bench.path.set_mode(PathMode::Hanging);
+    bench.bench.store.put_config(&draft(7, AMPLE));
+    let words = ["config_in_force", "version=7 "];
+    bench.bench.router.wait_log(&words).await;
+    wait_for("the configuration", || async {
+        !bench.late.log_lines(&words).is_empty()
+    })
+    .await;
+}
