Take no cut watch for an outage of the store

Cause: each call without an answer counted as an outage of the store, also a watch that was cut off while all other calls were answered. An entry that is removed right after an outage is kept as unconfirmed, and each further cut kept it longer.

Ruled out: late delivery; the log had the removal within milliseconds, as target_unconfirmed.

Why it works: what shows an outage is decided in one place, by all calls but watches and checks that are given up early. A listing follows each cut watch and fails if the store is away; lapsed_target_stays_after_an_outage holds that side.

--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -433,10 +433,10 @@
             ("took_ms", took_ms.to_string()),
         ];
         self.report.log(LogLevel::Debug, "store_call", fields);
-        let is_outage = outcome.as_ref().is_err_and(StoreFailure::is_unavailable);
-        if !is_outage {
+        let is_answered = !outcome.as_ref().is_err_and(StoreFailure::is_unavailable);
+        if is_answered {
             self.record_store_answer();
-        } else {
+        } else if call.shows_outage() {
             self.record_store_outage();
         }
     }
--- a/crates/beechsaddle/src/gateway/store_call.rs
+++ b/crates/beechsaddle/src/gateway/store_call.rs
@@ -30,6 +30,26 @@
 }
 
 impl StoreCall {
+    /// Whether the store counts as away if it does not answer the call.
+    ///
+    /// The store may cut off a watch at any time while it answers all else, and a call that a caller
+    /// waits for is given up early. A listing follows the one, and shows whether the store is away; of
+    /// the other the probes do.
+    pub(super) fn shows_outage(self) -> bool {
+        match self {
+            StoreCall::Watch(_) | StoreCall::RefreshTargets => false,
+            StoreCall::List(_)
+            | StoreCall::ReadLedger
+            | StoreCall::ReadStaleLedger
+            | StoreCall::WriteLedger
+            | StoreCall::Register
+            | StoreCall::ReadStaleEntry
+            | StoreCall::ReadCrashes
+            | StoreCall::WriteCrashes
+            | StoreCall::Probe => true,
+        }
+    }
+
     /// Returns the name in logs and metrics.
     pub(super) fn as_str(self) -> &'static str {
         match self {
--- a/crates/beechsaddle/tests/gateway_store.rs
+++ b/crates/beechsaddle/tests/gateway_store.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use beechsaddle_platform_stand_in::{DraftKind, EntryState, RouteDraft, StoreFault};
 use gateway_support::{GatewayBench, draft, request, wait_for};
@@ -11,6 +11,9 @@
 
 const AMPLE: u64 = 1_000_000;
 
+/// The time within which a removed target must get no more calls.
+const LEAVE_LIMIT: Duration = Duration::from_millis(2_000);
+
 async fn status_of(bench: &GatewayBench, path: &str) -> u16 {
     let call = request(&format!("GET {path}"), "call-1");
     bench.router.call(&call).await.status
@@ -274,3 +277,39 @@
         bench.router.wait_log(&["target_joined", "x-plain-2"]).await;
     }
 }
+
+/// A removed target stayed in use without end: a watch that the store cut off counted as an outage of the store.
+#[tokio::test]
+async fn removed_target_is_gone_while_watches_are_cut() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    let targets = ["plain-1", "plain-2", "engine-1", "engine-2"];
+    for (target, cut_ms) in targets.into_iter().zip([150, 900, 1_500, 1_900]) {
+        bench.store.cut_watches_after(Duration::from_millis(cut_ms));
+        let cuts = bench.router.log_lines(&["store_lost"]).len();
+        wait_for("cut watches", || async {
+            bench.router.log_lines(&["store_lost"]).len() >= cuts + 3
+        })
+        .await;
+        let removed = Instant::now();
+        bench.store.remove_target(target);
+        bench.router.wait_log(&["target_gone", target]).await;
+        assert!(removed.elapsed() < LEAVE_LIMIT, "{:?}", removed.elapsed());
+    }
+}
+
+/// Targets whose entries lapsed while the store was away were dropped as it came back.
+#[tokio::test]
+async fn lapsed_target_stays_after_an_outage() {
+    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    for (fault, target) in [
+        (StoreFault::Refusing, "plain-1"),
+        (StoreFault::Silent, "plain-2"),
+    ] {
+        bench.store.set_fault(fault);
+        sleep(Duration::from_millis(2_500)).await;
+        bench.store.remove_target(target);
+        bench.store.set_fault(StoreFault::None);
+        bench.router.wait_log(&["target_unconfirmed", target]).await;
+        bench.router.wait_log(&["target_gone", target]).await;
+    }
+}
