--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -350,6 +350,21 @@
         self.withdraw(now, name)
     }
 
+    /// Records that an entry was removed, which was last written at `revision`. Answers of the store may
+    /// repeat changes: one that was written again since stays.
+    pub fn remove_at(
+        &mut self,
+        now: ClockTime,
+        name: &TargetName,
+        revision: u64,
+    ) -> Option<RosterChange> {
+        let known = self.entries.get(name)?.record.revision;
+        match known > revision {
+            true => None,
+            false => self.remove(now, name),
+        }
+    }
+
     fn record_left(&mut self, now: ClockTime, entry: &RosterEntry) {
         let record = &entry.record;
         if entry.has_announced_leave {
--- a/crates/beechsaddle-core/tests/gateway_targets.rs
+++ b/crates/beechsaddle-core/tests/gateway_targets.rs
@@ -114,6 +114,21 @@
     assert_eq!(ready(&roster), ["b"]);
 }
 
+/// A removal that was told once more took a target out that had registered again since.
+#[test]
+fn removal_before_the_entry_changes_nothing() {
+    let mut roster = roster(&["a"]);
+    let name = TargetName::new("a");
+    let mut again = record("a", "north");
+    again.revision += 5;
+    let revision = again.revision;
+    roster.put(START, again);
+    assert_eq!(roster.remove_at(START, &name, revision - 1), None);
+    assert_eq!(ready(&roster), ["a"]);
+    let gone = roster.remove_at(START, &name, revision);
+    assert_eq!(gone, Some(RosterChange::Gone(name, address())));
+}
+
 #[test]
 fn expired_and_rewritten_stays() {
     let mut roster = roster(&["a"]);
--- a/crates/beechsaddle/src/gateway/changes/change_apply.rs
+++ b/crates/beechsaddle/src/gateway/changes/change_apply.rs
@@ -59,7 +59,9 @@
         (ObjectKind::Targets, true) => {
             let name = TargetName::new(event.object.name());
             state.unreadable.forget(kind, name.as_str());
-            let change = state.roster.borrow_mut().remove(state.now(), &name);
+            let mut roster = state.roster.borrow_mut();
+            let change = roster.remove_at(state.now(), &name, event.object.revision());
+            drop(roster);
             state.log_roster_changes(change);
         }
         (ObjectKind::Targets, false) => {
