--- a/crates/beechsaddle/tests/gateway_tunnels.rs
+++ b/crates/beechsaddle/tests/gateway_tunnels.rs
@@ -16,6 +16,7 @@
 use partition_support::{PartitionBench, token_request};
 use path_support::PathMode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -28,6 +29,9 @@
 /// When the carrier ends, after the first of the streams.
 const END_AFTER: Duration = Duration::from_millis(900);
 
+/// The longest pause of a stream that goes on through another router, in milliseconds.
+const RESUME_LIMIT_MS: u64 = 1_000;
+
 /// The routers and targets of one test. The router in `partition.bench` carries the tunnels.
 struct TunnelBench {
     partition: PartitionBench,
@@ -157,6 +161,79 @@
     assert_eq!(bench.partition.bench.router.wait_end().await, Some(0));
 }
 
+/// Streams ended as complete in their middle: their own router stood still while the one that carried them was killed.
+#[tokio::test]
+async fn carrier_killed_while_its_user_stands_still_ends_no_stream_as_complete() {
+    let bench = TunnelBench::start(StreamFraming::Connection).await;
+    bench.set_events(EVENTS, GAP);
+    let streams = bench.start_streams("POST /stream/once/1").await;
+    sleep(END_AFTER).await;
+    bench.partition.router.signal(Signal::SIGSTOP);
+    sleep(Duration::from_millis(300)).await;
+    bench.carrier().signal(Signal::SIGKILL);
+    sleep(Duration::from_millis(300)).await;
+    bench.partition.router.signal(Signal::SIGCONT);
+    let replies = streams.join_all().await;
+    assert!(replies.iter().all(|reply| event_count(reply) > 0));
+    assert_eq!(short_ones(&replies, EVENTS), [""; 0]);
+}
+
+/// An answer ended as complete in its middle: its caller did not read, so that all buffers on the way were full as the carrier was killed.
+#[tokio::test]
+async fn carrier_killed_behind_full_buffers_ends_no_stream_as_complete() {
+    let bench = TunnelBench::start(StreamFraming::Connection).await;
+    let (events, event_bytes) = (200, 400_000);
+    bench.set_events(events, Duration::from_millis(1));
+    bench
+        .targets()
+        .for_each(|target| target.set_event_bytes(event_bytes));
+    let address = bench.partition.router.address;
+    let mut caller = TcpStream::connect(address).await.expect("a connection");
+    let call = token_request("POST /stream/once/1", "unread");
+    caller.write_all(&call.bytes()).await.expect("a request");
+    let carrier = bench.carrier();
+    wait_for("a tunnel", || async {
+        carrier.metric("tunnels_carried").await >= Some(1.0)
+    })
+    .await;
+    sleep(END_AFTER).await;
+    carrier.signal(Signal::SIGKILL);
+    sleep(Duration::from_millis(300)).await;
+    let mut answer = Vec::new();
+    // The caller may also see a reset.
+    let _ = caller.read_to_end(&mut answer).await;
+    assert!(answer.len() < events as usize * event_bytes);
+    assert!(!answer.ends_with(b"\r\n0\r\n\r\n"), "a last chunk");
+}
+
+/// Streams that may be resumed broke off with their carrier although a third router reached the targets, or waited for it.
+#[tokio::test]
+async fn streams_of_killed_carrier_go_on_through_a_third_router() {
+    let bench = TunnelBench::start(StreamFraming::Connection).await;
+    let store = bench.partition.bench.store.address();
+    let third = GatewayProcess::start(store, "host-3", "north");
+    third.wait_ready().await;
+    let router = &bench.partition.router;
+    for router in [router, &third] {
+        router.wait_log(&["routers_listed", "routers=3"]).await;
+    }
+    bench.set_events(EVENTS, GAP);
+    let streams = bench.start_streams("POST /stream/on/1").await;
+    sleep(END_AFTER).await;
+    bench.carrier().signal(Signal::SIGKILL);
+    let replies = streams.join_all().await;
+    assert!(replies.iter().all(|reply| reply.is_complete));
+    assert!(replies.iter().all(|reply| event_count(reply) == EVENTS));
+    let resumed = router.log_lines(&["event=stream_resumed"]).len();
+    assert!(resumed > 0, "no stream went by way of the killed router");
+    for line in router.log_lines(&["event=call ", "long-"]) {
+        let pause = line.split("pause_ms=").nth(1).expect("a pause");
+        let pause = pause.split(' ').next().expect("a number");
+        let pause_ms: u64 = pause.parse().expect("a number");
+        assert!(pause_ms < RESUME_LIMIT_MS, "{line}");
+    }
+}
+
 /// Streams through another router were taken for cut ones: it stood still and went on.
 #[tokio::test]
 async fn carrier_that_goes_on_after_a_pause_cuts_nothing() {
