--- a/crates/beechsaddle-lab/src/soak/fault_plan.rs
+++ b/crates/beechsaddle-lab/src/soak/fault_plan.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::discovery_fault::{DiscoveryFault, draw_discovery};
 use super::fault_proxy::PathFault;
 
 /// Mean number of faults per second. They last one to three seconds, so that two or three overlap.
@@ -56,6 +57,8 @@
     Rest(usize, u64),
     /// A target says in its responses that it leaves, and is replaced at the end of the fault.
     Leave(usize, LeaveNotice),
+    /// A fault of what routers read in the store.
+    Discovery(DiscoveryFault),
 }
 
 /// Whether the entry of a target that leaves changes as well.
@@ -137,6 +140,29 @@
     }
 }
 
+/// Mean number of faults per second of what routers read in the store.
+const DISCOVERY_FAULTS_PER_S: f64 = 1.0;
+
+/// Separates the random numbers of these faults from those of all others.
+const DISCOVERY_SEED: u64 = 0xd15c;
+
+impl FaultPlan {
+    /// Adds odd entries of other writers, and watches that the store cuts off.
+    #[must_use]
+    pub fn with_discovery_faults(mut self, seed: u64, span: Duration, targets: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ DISCOVERY_SEED);
+        let count = (span.as_secs_f64() * DISCOVERY_FAULTS_PER_S) as usize;
+        let span_ms = span.as_millis() as u64;
+        self.faults.extend((0..count).map(|_| PlannedFault {
+            at: Duration::from_millis(random.random_range(0..span_ms)),
+            span: Duration::from_millis(random.random_range(1_000..5_000)),
+            fault: SoakFault::Discovery(draw_discovery(&mut random, targets)),
+        }));
+        self.faults.sort_by_key(|planned| planned.at);
+        self
+    }
+}
+
 /// The failure domains of a soak.
 pub const DOMAINS: [&str; 2] = ["north", "south"];
 
--- a/crates/beechsaddle-lab/src/soak/mod.rs
+++ b/crates/beechsaddle-lab/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod announcement_checks;
 mod call_load;
 mod call_log;
+mod discovery_fault;
 mod excuse_log;
 mod fault_plan;
 mod fault_proxy;
@@ -22,6 +23,7 @@
 mod soak_target;
 mod version_watch;
 
+pub use discovery_fault::{DiscoveryFault, OddContent};
 pub use fault_plan::{FaultPlan, SoakFault};
 pub use soak_command::{command, run};
 pub use soak_run::{SoakOptions, SoakOutcome, run_seed};
--- a/crates/beechsaddle-lab/src/soak/soak_command.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_command.rs
@@ -42,6 +42,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Changes callers' idle time, and has targets fall silent, leave and ask for rest"),
         )
+        .arg(
+            Arg::new("discovery-faults")
+                .long("discovery-faults")
+                .action(ArgAction::SetTrue)
+                .help("Has another writer leave odd entries in the store, and the store cut watches off"),
+        )
         .arg(
             Arg::new("shutdowns")
                 .long("shutdowns")
@@ -86,6 +92,7 @@
         has_target_faults: matches.get_flag("target-faults"),
         has_versions: matches.get_flag("versions"),
         has_announcements: matches.get_flag("announcements"),
+        has_discovery_faults: matches.get_flag("discovery-faults"),
         has_shutdowns: matches.get_flag("shutdowns"),
     };
     let seeds = read("seed")..read("seed") + read("seeds");
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::call_log::{SoakEvidence, WorkspaceTotals};
+use super::discovery_fault::DiscoveryFault;
 use super::fault_plan::{DOMAINS, LeaveNotice};
 use super::fault_proxy::{FaultProxy, PathFault};
 use super::soak_target::{EVENTS, SoakTarget};
@@ -24,6 +25,9 @@
     ("scant", "key-of-scant", 150_000),
 ];
 
+/// A service that no configuration names, and the name of its entry.
+const FORMER_SERVICE: &str = "plain-old";
+
 /// How long a router may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -285,9 +289,41 @@
         }
     }
 
+    /// Begins a fault of what routers read in the store.
+    pub fn begin_discovery(&self, fault: DiscoveryFault) {
+        match fault {
+            DiscoveryFault::OddEntry(kind, content) => {
+                self.store
+                    .put_raw(kind, content.entry_name(), content.text());
+            }
+            DiscoveryFault::SharedAddress(target) => {
+                let target = &self.targets[target];
+                let address = target.path.address();
+                let state = EntryState::Ready;
+                let entry = target
+                    .stand_in
+                    .entry_at(address, FORMER_SERVICE, target.zone, state);
+                self.store.put("servers", FORMER_SERVICE, &entry);
+            }
+            DiscoveryFault::CutWatches(limit) => self.store.cut_watches_after(Some(limit)),
+        }
+    }
+
+    /// Ends such a fault.
+    pub fn end_discovery(&self, fault: DiscoveryFault) {
+        match fault {
+            DiscoveryFault::OddEntry(kind, content) => {
+                self.store.remove(kind, content.entry_name());
+            }
+            DiscoveryFault::SharedAddress(_) => self.store.remove("servers", FORMER_SERVICE),
+            DiscoveryFault::CutWatches(_) => self.store.cut_watches_after(None),
+        }
+    }
+
     /// Ends all faults of connections, store and targets.
     pub fn clear_faults(&self) {
         self.store.set_fault(Default::default());
+        self.store.cut_watches_after(None);
         for domain in DOMAINS {
             self.store.withdraw_evacuation(domain);
         }
--- a/crates/beechsaddle-lab/src/soak/soak_run.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_run.rs
@@ -64,6 +64,8 @@
     /// Whether configurations change callers' idle time, and targets fall silent, leave and ask for
     /// rest.
     pub has_announcements: bool,
+    /// Whether another writer leaves odd entries in the store, and the store cuts watches off.
+    pub has_discovery_faults: bool,
     /// Whether routers are shut down in series once the other faults are over, with callers that send
     /// their calls in parts.
     pub has_shutdowns: bool,
@@ -127,6 +129,9 @@
             .with_target_faults(seed, options.span, TARGET_SLOTS)
             .with_domain_faults(seed, options.span, TARGET_SLOTS);
     }
+    if options.has_discovery_faults {
+        plan = plan.with_discovery_faults(seed, options.span, TARGET_SLOTS);
+    }
     if options.has_announcements {
         plan = plan.with_announcements(seed, options.span, TARGET_SLOTS);
         for caller in 0..RESTING_CALLERS * options.routers as u64 {
@@ -344,6 +349,7 @@
                 resting.set_fault(TargetFault::Full);
             }
             SoakFault::Leave(target, _) => fleet.targets[target].leave(),
+            SoakFault::Discovery(fault) => fleet.begin_discovery(fault),
         }
         Ok(())
     }
@@ -406,6 +412,7 @@
                 fleet.targets[target].stand_in.set_fault(Default::default());
             }
             SoakFault::Leave(target, notice) => fleet.replace_leaving(target, notice).await?,
+            SoakFault::Discovery(fault) => fleet.end_discovery(fault),
             SoakFault::Idle(_) | SoakFault::Silence(..) => {}
             SoakFault::Reload(_)
             | SoakFault::Crash(_)
--- a/crates/beechsaddle-lab/tests/soak_seeds.rs
+++ b/crates/beechsaddle-lab/tests/soak_seeds.rs
@@ -28,6 +28,7 @@
         has_target_faults: false,
         has_versions: false,
         has_announcements: false,
+        has_discovery_faults: false,
         has_shutdowns: false,
     }
 }
@@ -93,6 +94,16 @@
     check_run(&options, 5).await;
 }
 
+/// Odd entries of other writers and cut watches break no promise amid the fleet's faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_odd_entries_and_cut_watches_change_nothing() {
+    let options = SoakOptions {
+        has_discovery_faults: true,
+        ..soak_options(8)
+    };
+    check_run(&options, 6).await;
+}
+
 /// A body that crashes its targets reaches few of them although nearly all engines have ended, and
 /// those that start in their place end one after the other.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/beechsaddle/tests/gateway_store.rs
+++ b/crates/beechsaddle/tests/gateway_store.rs
@@ -284,7 +284,9 @@
     let bench = GatewayBench::start(&draft(1, AMPLE)).await;
     let targets = ["plain-1", "plain-2", "engine-1", "engine-2"];
     for (target, cut_ms) in targets.into_iter().zip([150, 900, 1_500, 1_900]) {
-        bench.store.cut_watches_after(Duration::from_millis(cut_ms));
+        bench
+            .store
+            .cut_watches_after(Some(Duration::from_millis(cut_ms)));
         let cuts = bench.router.log_lines(&["store_lost"]).len();
         wait_for("cut watches", || async {
             bench.router.log_lines(&["store_lost"]).len() >= cuts + 3
