Resume unnamed streams only by a list as old as a stream can last

What callers saw: a stream went on at another software version at a router that had started after the targets of the version that began it had left.

Cause: versions that have left count for a minute, but a router only knows of those that it saw leave. Its first listing was taken for all that there had been.

Before: unnamed_stream_is_not_resumed_by_a_router_that_has_just_started failed, the first stream went on at v2. After: refused as not run; its caller may go to another router. 0 of 24 runs of the file's six tests failed, six side by side.

Why it works: an attempt lasts at most its route's timeout, so that a target which left before the list that is older than that, and two seconds for the return, runs none of the streams that come back.

The late router of the tests has a domain of its own now: as the allocator it had no tokens without the store, so that the streams of the test did not begin (8 of 32 runs, eight side by side).

--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -14,6 +14,10 @@
 /// milliseconds. Running targets write their entries again within two seconds.
 const RELIST_GRACE_MS: u64 = 2_200;
 
+/// How long a caller whose stream broke may take to come back with it, in milliseconds: its retry after a
+/// usual refusal.
+const RETURN_MS: u64 = 2_000;
+
 /// Maximum number of leave notices of targets that are not listed. A target may run on for a while
 /// after its entry is gone; in the largest fleet, fewer than this do at any time.
 const UNLISTED_NOTICES_MAX: usize = 1_024;
@@ -76,7 +80,7 @@
     unlisted_notices: BTreeMap<TargetIncarnation, ClockTime>,
     outage_until: Option<ClockTime>,
     /// Whether a complete listing was taken. What is listed first says nothing about starts.
-    has_listing: bool,
+    first_listed_at: Option<ClockTime>,
     /// The rests that targets have asked for.
     pub rests: RestRegistry,
     speeds: SpeedSurvey,
@@ -223,7 +227,7 @@
         for record in listed.into_values() {
             changes.extend(self.take_entry(now, record));
         }
-        self.has_listing = true;
+        self.first_listed_at.get_or_insert(now);
         changes
     }
 
@@ -292,7 +296,7 @@
         let notice = self.unlisted_notices.remove(&record.incarnation());
         let name = record.name.clone();
         let mut entry = RosterEntry::new(now, record, notice.is_some());
-        if self.has_listing {
+        if self.first_listed_at.is_some() {
             entry.stats.pace.begin(now);
         }
         self.entries.insert(name, entry)
@@ -431,7 +435,19 @@
 
     /// Returns the software version of a service's targets if all that are listed, or have left while
     /// a stream that they began may still be resumed, are of one version.
-    pub fn sole_version(&self, now: ClockTime, service: &ServiceName) -> Option<SoftwareVersion> {
+    ///
+    /// Which targets have left before the first listing is not known. So there is no such version until
+    /// streams of at most `span_ms` that such targets ran would have come back.
+    pub fn sole_version(
+        &self,
+        now: ClockTime,
+        service: &ServiceName,
+        span_ms: u64,
+    ) -> Option<SoftwareVersion> {
+        let since = self.first_listed_at?;
+        if now.since(since) < span_ms.saturating_add(RETURN_MS) {
+            return None;
+        }
         let listed = self.entries.values().map(|entry| &entry.record);
         let listed = listed.filter(|record| record.service == *service);
         let left = self.left.iter().filter(|((other, _), left_at)| {
--- a/crates/beechsaddle-core/tests/gateway_stream_origins.rs
+++ b/crates/beechsaddle-core/tests/gateway_stream_origins.rs
@@ -14,6 +14,9 @@
 
 const START: ClockTime = ClockTime::from_millis(1_000_000);
 
+/// The longest time of a stream, in milliseconds.
+const STREAM_SPAN_MS: u64 = 5_000;
+
 fn origin(version: &str) -> StreamOrigin {
     StreamOrigin {
         service: ServiceName::new("engine"),
@@ -101,19 +104,37 @@
 fn sole_version_counts_targets_that_left() {
     let mut roster = TargetRoster::default();
     let service = ServiceName::new("engine");
-    assert_eq!(roster.sole_version(START, &service), None);
+    let sole_version =
+        |roster: &TargetRoster, now| roster.sole_version(now, &service, STREAM_SPAN_MS);
+    roster.take_listing(ClockTime::ZERO, []);
+    assert_eq!(sole_version(&roster, START), None);
     roster.put(START, target("a", "v1", 1));
-    let first = roster.sole_version(START, &service);
+    let first = sole_version(&roster, START);
     assert_eq!(first, Some(SoftwareVersion::new("v1")));
     roster.put(START, target("b", "v2", 2));
-    assert_eq!(roster.sole_version(START, &service), None);
+    assert_eq!(sole_version(&roster, START), None);
     roster.remove(START, &TargetName::new("a"));
-    assert_eq!(roster.sole_version(START, &service), None);
+    assert_eq!(sole_version(&roster, START), None);
     let later = START.plus_ms(ORIGIN_RETENTION_MS);
-    let second = roster.sole_version(later, &service);
+    let second = sole_version(&roster, later);
     assert_eq!(second, Some(SoftwareVersion::new("v2")));
 }
 
+/// A router that had just started took the versions that it listed for all that there had been.
+#[test]
+fn sole_version_needs_a_list_as_old_as_streams() {
+    let mut roster = TargetRoster::default();
+    let service = ServiceName::new("engine");
+    roster.put(START, target("a", "v1", 1));
+    assert_eq!(roster.sole_version(START, &service, STREAM_SPAN_MS), None);
+    roster.take_listing(START, [target("a", "v1", 1)]);
+    let early = START.plus_ms(STREAM_SPAN_MS);
+    assert_eq!(roster.sole_version(early, &service, STREAM_SPAN_MS), None);
+    let late = early.plus_ms(STREAM_SPAN_MS);
+    let version = roster.sole_version(late, &service, STREAM_SPAN_MS);
+    assert_eq!(version, Some(SoftwareVersion::new("v1")));
+}
+
 fn choose(roster: &TargetRoster, version: &str, tried: &[TargetName]) -> Option<TargetName> {
     let input = ChoiceInput {
         service: &ServiceName::new("engine"),
--- a/crates/beechsaddle/src/gateway/origins/resume_check.rs
+++ b/crates/beechsaddle/src/gateway/origins/resume_check.rs
@@ -33,7 +33,7 @@
     let (stream, sole_version) = match &head.resumes {
         Some(id) => (find_stream(state, record, StreamId::new(id)).await, None),
         None => {
-            let version = confirm_sole_version(state, record, service).await;
+            let version = confirm_sole_version(state, record, route, service).await;
             (ResumedStream::Unnamed, version)
         }
     };
@@ -51,19 +51,25 @@
 async fn confirm_sole_version(
     state: &GatewayState,
     record: &CallRecord,
+    route: &RouteRule,
     service: &ServiceName,
 ) -> Option<SoftwareVersion> {
-    let known = sole_version(state, service)?;
+    let known = sole_version(state, route, service)?;
     if !refresh_targets(state).await {
         let fields = [("known", known.to_string())];
         record.log_decision("version_unconfirmed", fields);
         return None;
     }
-    sole_version(state, service)
+    sole_version(state, route, service)
 }
 
-fn sole_version(state: &GatewayState, service: &ServiceName) -> Option<SoftwareVersion> {
-    state.roster.borrow().sole_version(state.now(), service)
+fn sole_version(
+    state: &GatewayState,
+    route: &RouteRule,
+    service: &ServiceName,
+) -> Option<SoftwareVersion> {
+    let roster = state.roster.borrow();
+    roster.sole_version(state.now(), service, route.timeout_ms)
 }
 
 /// Looks up where a stream began, here and then at other routers.
--- a/crates/beechsaddle/tests/gateway_old_lists.rs
+++ b/crates/beechsaddle/tests/gateway_old_lists.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use beechsaddle_platform_stand_in::{
-    CallReply, CallRequest, EntryState, TargetStandIn, call as send_call,
+    CallReply, CallRequest, ConfigDraft, EntryState, TargetStandIn, call as send_call,
 };
 use gateway_support::{GatewayBench, GatewayProcess, SETTLE_SPAN, draft, request, wait_for};
 use nix::sys::signal::Signal;
@@ -21,9 +21,12 @@
 const STREAMS: usize = 6;
 
 /// Events of a whole stream, and the gap before each.
-const EVENTS: u64 = 60;
+const EVENTS: u64 = 50;
 const EVENT_GAP: Duration = Duration::from_millis(25);
 
+/// The timeout of streams, in milliseconds.
+const STREAM_TIMEOUT_MS: u64 = 1_800;
+
 /// How long a caller stays with its stream before it leaves.
 const LEAVE_AFTER: Duration = Duration::from_millis(200);
 
@@ -38,18 +41,25 @@
 
 impl ReleaseBench {
     async fn start() -> Self {
-        let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+        let bench = GatewayBench::start(&short_draft(1)).await;
         for engine in &bench.engines {
             engine.set_events(EVENTS, EVENT_GAP);
         }
         let path = store_path(bench.store.address()).await;
-        let late = GatewayProcess::start(path.address(), "host-2", "north");
+        // In a domain of its own, it allocates no tokens to the router in step.
+        let late = GatewayProcess::start(path.address(), "host-2", "south");
         late.wait_ready().await;
         late.wait_log(&["target_joined", "engine-2"]).await;
         for router in [&bench.router, &late] {
             router.wait_log(&["routers_listed", "routers=2"]).await;
         }
         sleep(SETTLE_SPAN).await;
+        wait_for("a list that is old enough", || async {
+            let mut call = stream_request("early");
+            call.resume_unnamed(EVENTS - 1);
+            is_whole(&late.call(&call).await)
+        })
+        .await;
         ReleaseBench {
             bench,
             late,
@@ -83,12 +93,17 @@
 
     /// Begins streams at `v2` through the router in step; their callers leave. Returns their ids.
     async fn interrupted(&self) -> Vec<String> {
+        self.interrupted_at(&self.joined).await
+    }
+
+    /// Begins streams at targets through the router in step; their callers leave. Returns their ids.
+    async fn interrupted_at(&self, targets: &[TargetStandIn]) -> Vec<String> {
         let ids = (0..STREAMS).map(|number| format!("begun-{number}"));
         let ids: Vec<String> = ids.collect();
         for id in &ids {
             let (address, call) = (self.bench.router.address, stream_request(id));
             let caller = tokio::spawn(async move { send_call(address, &call).await });
-            wait_for("a stream at v2", || async { runs(&self.joined, id) == 1 }).await;
+            wait_for("a running stream", || async { runs(targets, id) == 1 }).await;
             sleep(LEAVE_AFTER).await;
             assert!(!caller.is_finished(), "{id} ended");
             caller.abort();
@@ -97,6 +112,15 @@
     }
 }
 
+/// Returns a configuration whose streams end soon.
+fn short_draft(version: u64) -> ConfigDraft {
+    let mut draft = draft(version, AMPLE);
+    let routes = draft.routes.iter_mut();
+    let streams = routes.filter(|route| route.service == "engine");
+    streams.for_each(|route| route.timeout_ms = STREAM_TIMEOUT_MS);
+    draft
+}
+
 fn stream_request(id: &str) -> CallRequest {
     let mut call = request("POST /stream/on/1", id);
     call.tokens = Some((100, EVENTS));
@@ -153,6 +177,28 @@
     }
 }
 
+/// Streams of an old version went on at the new one: the router that took them up without their names had started after the old one left.
+#[tokio::test]
+async fn unnamed_stream_is_not_resumed_by_a_router_that_has_just_started() {
+    let mut bench = ReleaseBench::start().await;
+    let ids = bench.interrupted_at(&bench.bench.engines).await;
+    bench.release().await;
+    for engine in &bench.bench.engines {
+        bench.bench.store.remove_target(engine.name());
+    }
+    bench.late.restart();
+    bench.late.wait_ready().await;
+    bench.late.wait_log(&["target_joined", "engine-4"]).await;
+    for began_as in ids {
+        let id = format!("again-{began_as}");
+        let mut call = stream_request(&id);
+        call.resume_unnamed(2);
+        let reply = bench.late.call(&call).await;
+        assert_eq!(runs(&bench.joined, &id), 0, "{reply:?}");
+        assert_eq!(reply.status, 503, "{reply:?}");
+    }
+}
+
 /// Streams without names were refused although all targets are of one version, or each of them cost a call to the store.
 #[tokio::test]
 async fn unnamed_streams_go_on_at_the_sole_version() {
@@ -197,7 +243,7 @@
 async fn configuration_reaches_a_router_without_the_store() {
     let bench = ReleaseBench::start().await;
     bench.path.set_mode(PathMode::Hanging);
-    bench.bench.store.put_config(&draft(7, AMPLE));
+    bench.bench.store.put_config(&short_draft(7));
     let words = ["config_in_force", "version=7 "];
     bench.bench.router.wait_log(&words).await;
     wait_for("the configuration", || async {
