--- a/crates/beechsaddle-core/src/gateway/target_roster.rs
+++ b/crates/beechsaddle-core/src/gateway/target_roster.rs
@@ -79,7 +79,8 @@
     /// removed or, if it was removed before, when the notice came.
     unlisted_notices: BTreeMap<TargetIncarnation, ClockTime>,
     outage_until: Option<ClockTime>,
-    /// Whether a complete listing was taken. What is listed first says nothing about starts.
+    /// When the first complete listing was taken; `None` before. What is listed then says nothing about
+    /// starts.
     first_listed_at: Option<ClockTime>,
     /// The rests that targets have asked for.
     pub rests: RestRegistry,
