Take the soak's entry with an invalid port from a target's own

The fields of an entry are the platform folder's to name; the soak had written one by itself. Now only the address of a sound entry changes.

--- a/crates/beechsaddle-lab/src/soak/discovery_fault.rs
+++ b/crates/beechsaddle-lab/src/soak/discovery_fault.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
 
 /// The kinds of objects among which another writer leaves odd entries.
 const KINDS: [&str; 6] = [
@@ -51,16 +52,17 @@
         OddContent::InvalidPort,
     ];
 
-    /// Returns the content as JSON.
-    pub fn text(self) -> String {
+    /// Returns the content as JSON. `entry` is that of a target.
+    pub fn text(self, entry: &Value) -> String {
         match self {
             OddContent::LoneSurrogate => r#"{"zone":"\ud800"}"#.to_owned(),
             OddContent::LargeNumber => r#"{"slots":1e400}"#.to_owned(),
             OddContent::Nested => ["[".repeat(NESTED_DEPTH), "]".repeat(NESTED_DEPTH)].concat(),
-            OddContent::InvalidPort => r#"{"service":"plain","address":"127.0.0.1:70000",
-                "zone":"north","version":"v1","slots":4,"state":"ready","cold-remaining-ms":0,
-                "seq":1}"#
-                .to_owned(),
+            OddContent::InvalidPort => {
+                let mut entry = entry.clone();
+                entry["address"] = "127.0.0.1:70000".into();
+                entry.to_string()
+            }
         }
     }
 
--- a/crates/beechsaddle-lab/src/soak/soak_fleet.rs
+++ b/crates/beechsaddle-lab/src/soak/soak_fleet.rs
@@ -293,8 +293,11 @@
     pub fn begin_discovery(&self, fault: DiscoveryFault) {
         match fault {
             DiscoveryFault::OddEntry(kind, content) => {
-                self.store
-                    .put_raw(kind, content.entry_name(), content.text());
+                let target = &self.targets[0];
+                let state = EntryState::Ready;
+                let entry = target.stand_in.entry(target.service, target.zone, state);
+                let text = content.text(&entry);
+                self.store.put_raw(kind, content.entry_name(), text);
             }
             DiscoveryFault::SharedAddress(target) => {
                 let target = &self.targets[target];
