Start a target in place of a crashed one as soon as its address is free

Cause, from the message and the code: the test waited 50 ms for the crashed stand-in to close its listener, which a loaded machine may not do in that time. No router is involved.

--- a/crates/beechsaddle/tests/gateway_evacuation.rs
+++ b/crates/beechsaddle/tests/gateway_evacuation.rs
@@ -212,6 +212,18 @@
     assert!(most <= COLD_ALLOWED, "{most} requests in a second");
 }
 
+/// Starts a target at the address of one that has crashed, as soon as that has closed its listener.
+async fn start_in_place(crashed: &TargetStandIn) -> TargetStandIn {
+    let until = Instant::now() + Duration::from_secs(2);
+    loop {
+        match TargetStandIn::try_start_at("other-1", crashed.address()).await {
+            Ok(target) => return target,
+            Err(error) => assert!(Instant::now() < until, "{error}"),
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// A target crashes, and one of another service has its address before its entry expires: each call,
 /// of a kind that may run once, is answered by another target, and the address gets one of them.
 #[tokio::test]
@@ -219,9 +231,7 @@
     let bench = GatewayBench::start(&draft(1, AMPLE)).await;
     let old = &bench.plain[0];
     old.crash();
-    sleep(Duration::from_millis(50)).await;
-    let new = TargetStandIn::try_start_at("other-1", old.address()).await;
-    let new = new.expect("the address");
+    let new = start_in_place(old).await;
     new.set_fault(TargetFault::Misdirected);
     bench
         .store
