Test the resume of an unnamed stream by a list that is old enough

The test now asserts that each refusal is one of a call that did not run, and then, within 4 s at a route's timeout of 1 s, the same events as before. It holds what it held and the new rule besides.

--- a/crates/beechsaddle/tests/gateway_streams.rs
+++ b/crates/beechsaddle/tests/gateway_streams.rs
@@ -8,6 +8,7 @@
 use gateway_support::{GatewayBench, draft, request, wait_for};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 const AMPLE: u64 = 1_000_000;
 
@@ -161,13 +162,24 @@
     }
 }
 
-/// A caller that resumes a stream gets only the events it does not have.
+/// A caller that resumes a stream gets only the events it does not have. It names no stream, so that a
+/// router which has just started refuses it as not run.
 #[tokio::test]
 async fn resume_by_the_caller_is_passed_on() {
-    let bench = GatewayBench::start(&draft(1, AMPLE)).await;
+    let mut draft = draft(1, AMPLE);
+    let routes = draft.routes.iter_mut();
+    let streams = routes.filter(|route| route.is_resumable);
+    streams.for_each(|route| route.timeout_ms = 1_000);
+    let bench = GatewayBench::start(&draft).await;
     let mut call = stream_request("/stream/on/1", "call-1");
     call.extra_headers = vec!["Last-Event-Id: 1".to_owned()];
-    let reply = bench.router.call(&call).await;
+    let mut reply = bench.router.call(&call).await;
+    let until = Instant::now() + Duration::from_secs(4);
+    while reply.status == 503 && Instant::now() < until {
+        assert_eq!(GatewayBench::arrival_count(&bench.engines), 0);
+        sleep(Duration::from_millis(50)).await;
+        reply = bench.router.call(&call).await;
+    }
     assert_eq!(event_ids(&reply.body), [2, 3]);
 }
 
