--- a/crates/beechsaddle/src/gateway/changes/change_apply.rs
+++ b/crates/beechsaddle/src/gateway/changes/change_apply.rs
@@ -7,8 +7,8 @@
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use beechsaddle_platform::{
-    CONFIG_NAME, ObjectKind, StoreChanges, StoreEvent, StoreListing, StoreObject, UnreadableObject,
-    read_config, read_evacuation, read_target,
+    CONFIG_NAME, ObjectKind, StoreChanges, StoreEvent, StoreListing, StoreObject, TransferRecord,
+    UnreadableObject, read_config, read_evacuation, read_target,
 };
 use tokio::time::sleep;
 
@@ -20,9 +20,47 @@
 /// Interval between checks for targets that stayed unlisted.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
-pub(super) fn apply_changes(state: &GatewayState, kind: ObjectKind, changes: &StoreChanges) {
+/// Where a change came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChangeOrigin {
+    /// A watch of the store.
+    Watch,
+    /// A listing of the store.
+    Listing,
+    /// Another router.
+    Router,
+}
+
+impl ChangeOrigin {
+    /// Returns the name in logs and metrics.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            ChangeOrigin::Watch => "watch",
+            ChangeOrigin::Listing => "listing",
+            ChangeOrigin::Router => "router",
+        }
+    }
+}
+
+/// How a configuration was received.
+#[derive(Clone, Copy, Debug)]
+struct ConfigReceipt {
+    origin: ChangeOrigin,
+    transfer: TransferRecord,
+}
+
+pub(super) fn apply_changes(
+    state: &GatewayState,
+    kind: ObjectKind,
+    changes: &StoreChanges,
+    origin: ChangeOrigin,
+) {
+    let receipt = ConfigReceipt {
+        origin,
+        transfer: changes.transfer,
+    };
     for event in &changes.events {
-        apply_event(state, kind, event);
+        apply_event(state, kind, event, receipt);
     }
     if kind == ObjectKind::Evacuations {
         let mut evacuations = state.evacuations.borrow_mut();
@@ -33,11 +71,15 @@
 
 pub(super) fn apply_listing(state: &GatewayState, kind: ObjectKind, listing: &StoreListing) {
     drop_unreadable(state, kind, &listing.unreadable);
+    let receipt = ConfigReceipt {
+        origin: ChangeOrigin::Listing,
+        transfer: listing.transfer,
+    };
     match kind {
         ObjectKind::Config => listing
             .objects
             .iter()
-            .for_each(|object| apply_config(state, object)),
+            .for_each(|object| apply_config(state, object, receipt)),
         ObjectKind::Targets => {
             let records: Vec<_> = listing
                 .objects
@@ -53,9 +95,9 @@
     state.unreadable.retain_listed(kind, listing);
 }
 
-fn apply_event(state: &GatewayState, kind: ObjectKind, event: &StoreEvent) {
+fn apply_event(state: &GatewayState, kind: ObjectKind, event: &StoreEvent, receipt: ConfigReceipt) {
     match (kind, event.is_removed) {
-        (ObjectKind::Config, false) => apply_config(state, &event.object),
+        (ObjectKind::Config, false) => apply_config(state, &event.object, receipt),
         (ObjectKind::Targets, true) => {
             let name = TargetName::new(event.object.name());
             state.unreadable.forget(kind, name.as_str());
@@ -173,10 +215,11 @@
 
 /// Applies a configuration if it is newer than the current one. An older one, which a late answer
 /// may carry, would undo what callers have already seen.
-fn apply_config(state: &GatewayState, object: &StoreObject) {
+fn apply_config(state: &GatewayState, object: &StoreObject, receipt: ConfigReceipt) {
     if object.name() != CONFIG_NAME {
         return;
     }
+    let started = state.now();
     let config = match read_config(object) {
         Ok(config) => config,
         Err(fault) => {
@@ -208,8 +251,17 @@
         ),
         ("revision", object.revision().to_string()),
         ("routes", config.route_count().to_string()),
+        ("origin", receipt.origin.as_str().to_owned()),
+        ("bytes", receipt.transfer.bytes.to_string()),
+        ("body_ms", receipt.transfer.body_ms.to_string()),
+        ("decode_ms", receipt.transfer.decode_ms.to_string()),
+        ("read_ms", now.since(started).to_string()),
+        ("loop_lag_ms", state.loop_lag.recent_ms(now).to_string()),
     ];
     state.report.log(LogLevel::Info, "config_in_force", fields);
+    state
+        .metrics
+        .record_config(receipt.origin.as_str(), receipt.transfer);
     state.metrics.config_version.set(config.version as i64);
     state.escrow.borrow_mut().set_config(now, &config);
     let bounds = state.settings().change_bounds;
@@ -233,8 +285,12 @@
 /// connections and expired crash reports.
 pub(in crate::gateway) async fn run_expiry(state: Rc<GatewayState>) {
     loop {
+        let due = state.now().plus_ms(EXPIRY_INTERVAL.as_millis() as u64);
         sleep(EXPIRY_INTERVAL).await;
         let now = state.now();
+        state.loop_lag.record(now, now.since(due));
+        let lag_s = now.since(due) as f64 / 1_000.0;
+        state.metrics.loop_lag_s.observe(lag_s);
         let changes = state.roster.borrow_mut().expire(now);
         state.log_roster_changes(changes);
         state.pool.prune(now);
--- a/crates/beechsaddle/src/gateway/changes/follow_call.rs
+++ b/crates/beechsaddle/src/gateway/changes/follow_call.rs
@@ -4,7 +4,7 @@
 
 use beechsaddle_core::gateway::{ChangeBatch, FollowFailure, PeerRecord};
 use beechsaddle_core::report::LogLevel;
-use beechsaddle_platform::{ObjectKind, StoreChanges};
+use beechsaddle_platform::{ObjectKind, StoreChanges, TransferRecord};
 use tokio::time::timeout;
 
 use crate::gateway::gateway_metrics::OutcomeLabel;
@@ -122,9 +122,15 @@
     batches: &[ChangeBatch],
     revision: u64,
 ) -> FollowStep {
-    let read = batches
-        .iter()
-        .map(|batch| StoreChanges::try_decode(&batch.body));
+    let read = batches.iter().map(|batch| {
+        StoreChanges::try_decode(&batch.body).map(|changes| StoreChanges {
+            transfer: TransferRecord {
+                bytes: batch.body.len(),
+                ..changes.transfer
+            },
+            ..changes
+        })
+    });
     match read.collect::<Result<Vec<_>, _>>() {
         Ok(changes) => FollowStep::Changes(changes, revision),
         Err(error) => {
--- a/crates/beechsaddle/src/gateway/changes/outage_follow.rs
+++ b/crates/beechsaddle/src/gateway/changes/outage_follow.rs
@@ -11,7 +11,7 @@
 use beechsaddle_platform::ObjectKind;
 use tokio::time::sleep;
 
-use super::change_apply::apply_changes;
+use super::change_apply::{ChangeOrigin, apply_changes};
 use super::follow_call::{FollowStep, follow_router};
 use crate::gateway::gateway_state::GatewayState;
 
@@ -36,7 +36,7 @@
         match follow_router(state, &peer, kind, known).await {
             FollowStep::Changes(batches, revision) => {
                 for changes in &batches {
-                    apply_changes(state, kind, changes);
+                    apply_changes(state, kind, changes, ChangeOrigin::Router);
                 }
                 known = known.max(revision);
             }
--- a/crates/beechsaddle/src/gateway/changes/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/changes/store_follow.rs
@@ -12,7 +12,7 @@
 use beechsaddle_platform::{ObjectKind, StoreChanges, StoreFailure, StoreListing};
 use tokio::time::{sleep, timeout};
 
-use super::change_apply::{apply_changes, apply_listing};
+use super::change_apply::{ChangeOrigin, apply_changes, apply_listing};
 use super::follow_call::{FollowStep, follow_router};
 use super::outage_follow::follow_others;
 use crate::gateway::gateway_state::GatewayState;
@@ -45,7 +45,7 @@
 
 /// The next step of following a kind.
 enum StoreStep {
-    Changes(StoreChanges),
+    Changes(StoreChanges, ChangeOrigin),
     /// A complete listing, as changes may have been missed.
     Listing(StoreListing),
 }
@@ -116,7 +116,8 @@
     match step {
         FollowStep::Changes(batches, known) => {
             for changes in batches {
-                apply_step(state, kind, revision, StoreStep::Changes(changes));
+                let step = StoreStep::Changes(changes, ChangeOrigin::Router);
+                apply_step(state, kind, revision, step);
             }
             record_known(state, kind, started);
             known.max(revision)
@@ -141,7 +142,7 @@
     };
     state.record_store_call(StoreCall::Watch(kind), started, &watched);
     let step = match watched {
-        Ok(changes) => StoreStep::Changes(changes),
+        Ok(changes) => StoreStep::Changes(changes, ChangeOrigin::Watch),
         Err(StoreFailure::HistoryGone) => match try_list(state, kind).await {
             Some(listing) => StoreStep::Listing(listing),
             None => return revision,
@@ -169,8 +170,8 @@
 /// continue from.
 fn apply_step(state: &GatewayState, kind: ObjectKind, revision: u64, step: StoreStep) -> u64 {
     let (recorded, known) = match &step {
-        StoreStep::Changes(changes) => {
-            apply_changes(state, kind, changes);
+        StoreStep::Changes(changes, origin) => {
+            apply_changes(state, kind, changes, *origin);
             let recorded = state.relay.try_record_changes(kind, changes);
             (recorded, changes.revision.max(revision))
         }
@@ -209,7 +210,7 @@
     };
     state.record_store_call(StoreCall::Watch(kind), started, &watched);
     match watched {
-        Ok(changes) => StoreStep::Changes(changes),
+        Ok(changes) => StoreStep::Changes(changes, ChangeOrigin::Watch),
         // A compacted history is no failure of the store: the listing is requested at once.
         Err(StoreFailure::HistoryGone) => {
             state.relay.set_watched(kind, false);
@@ -233,7 +234,7 @@
     let mut listing = pin!(list_with_backoff(state, kind));
     let step = tokio::select! {
         watched = watching => match watched {
-            Ok(changes) => StoreStep::Changes(changes),
+            Ok(changes) => StoreStep::Changes(changes, ChangeOrigin::Watch),
             // The listing decides, whatever the watch failed with.
             Err(_) => StoreStep::Listing(listing.await),
         },
@@ -242,7 +243,7 @@
     };
     state.record_store_answer();
     let revision = match &step {
-        StoreStep::Changes(changes) => changes.revision,
+        StoreStep::Changes(changes, _) => changes.revision,
         StoreStep::Listing(listing) => listing.revision,
     };
     log_dependency(state, "store_regained", kind, revision.to_string());
--- a/crates/beechsaddle/src/gateway/changes/target_refresh.rs
+++ b/crates/beechsaddle/src/gateway/changes/target_refresh.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use super::change_apply::apply_changes;
+use super::change_apply::{ChangeOrigin, apply_changes};
 use crate::gateway::gateway_metrics::{OutcomeLabel, REFRESH_OUTCOMES};
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::store_call::StoreCall;
@@ -76,7 +76,7 @@
         return false;
     };
     // The watch delivers them again, and passes them on to the routers that follow this one.
-    apply_changes(state, kind, &changes);
+    apply_changes(state, kind, &changes, ChangeOrigin::Watch);
     state.target_refresh.confirmed_at.set(Some(started));
     true
 }
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::atomic::AtomicU64;
 
-use beechsaddle_platform::BodyFraming;
+use beechsaddle_platform::{BodyFraming, TransferRecord};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -286,6 +286,12 @@
     pub(super) reserve_s: Histogram,
     /// Seconds of a store call.
     pub(super) store_s: Histogram,
+    /// Bytes of configurations in force, by their origin.
+    config_bytes: Family<OutcomeLabel, Counter>,
+    /// Seconds in which the body of a configuration arrived.
+    config_body_s: Histogram,
+    /// Seconds by which a periodic task runs late, as all other work of the router.
+    pub(super) loop_lag_s: Histogram,
 }
 
 impl GatewayMetrics {
@@ -349,6 +355,9 @@
             whole_s: latency_histogram(),
             reserve_s: latency_histogram(),
             store_s: latency_histogram(),
+            config_bytes: Family::default(),
+            config_body_s: latency_histogram(),
+            loop_lag_s: latency_histogram(),
         };
         // So that a rate includes the first truncated stream.
         for framing in BodyFraming::ALL {
@@ -388,6 +397,15 @@
         }
     }
 
+    /// Records how a configuration was received.
+    pub(super) fn record_config(&self, origin: &'static str, transfer: TransferRecord) {
+        let label = OutcomeLabel { what: origin };
+        let bytes = self.config_bytes.get_or_create(&label);
+        bytes.inc_by(transfer.bytes as u64);
+        let body_s = transfer.body_ms as f64 / 1_000.0;
+        self.config_body_s.observe(body_s);
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("calls", "Calls that arrived", self.calls.clone());
@@ -525,6 +543,12 @@
         let reserve = self.reserve_s.clone();
         registry.register("reserve_seconds", "Wait for a reservation", reserve);
         registry.register("store_seconds", "Time of store calls", self.store_s.clone());
+        let bytes = self.config_bytes.clone();
+        registry.register("config_bytes", "Bytes of configurations, by origin", bytes);
+        let body_s = self.config_body_s.clone();
+        registry.register("config_body_seconds", "Transfer of configurations", body_s);
+        let lag_s = self.loop_lag_s.clone();
+        registry.register("loop_lag_seconds", "Lateness of a periodic task", lag_s);
     }
 }
 
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -25,6 +25,7 @@
 use super::ledger_updates::LedgerUpdates;
 use super::limits::LimitManager;
 use super::log_sampler::LogSampler;
+use super::loop_lag::LoopLag;
 use super::origins::OriginManager;
 use super::store_call::StoreCall;
 use super::store_tally::StoreTally;
@@ -128,6 +129,8 @@
     pub(super) target_refresh: TargetRefresh,
     /// The age of what is known of targets.
     pub(super) update_age: RefCell<UpdateAge>,
+    /// How late the router's thread runs.
+    pub(super) loop_lag: LoopLag,
     /// Counts of store calls since they were last logged.
     pub(super) store_tally: StoreTally,
     pub(super) report: ReportHandle,
@@ -201,6 +204,7 @@
             store_answered_at: Cell::new(ClockTime::ZERO),
             target_refresh: TargetRefresh::default(),
             update_age: RefCell::default(),
+            loop_lag: LoopLag::default(),
             store_tally: StoreTally::default(),
             report,
             metrics: GatewayMetrics::new(),
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod ledger_wait;
 mod limits;
 mod log_sampler;
+mod loop_lag;
 mod open_attempts;
 mod opening_turn;
 mod origins;
