--- a/crates/beechsaddle/tests/gateway_relay.rs
+++ b/crates/beechsaddle/tests/gateway_relay.rs
@@ -1,140 +1,16 @@
 //! Tests of routers that receive the store's changes from each other.
 
 mod gateway_support;
+mod relay_support;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use beechsaddle_platform_stand_in::{EntryState, StoreFault, TargetStandIn};
-use gateway_support::{GatewayBench, GatewayProcess, draft, wait_for};
+use gateway_support::{GatewayProcess, draft};
 use nix::sys::signal::Signal;
-use tokio::io::copy_bidirectional;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use relay_support::{IN_FORCE_LIMIT, RelayFleet};
 use tokio::time::sleep;
 
-/// Routers of the domain: enough that two follow the store and the others follow these.
-const ROUTERS: usize = 7;
-
-/// Time within which a new configuration must be in effect at every router.
-const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
-
-struct RelayFleet {
-    /// The store, the targets and a router of another domain.
-    bench: GatewayBench,
-    routers: Vec<GatewayProcess>,
-    /// The connection of each router to the store.
-    paths: Vec<StorePath>,
-}
-
-/// A proxy to the store whose connections can be cut.
-struct StorePath {
-    address: SocketAddr,
-    is_cut: watch::Sender<bool>,
-}
-
-impl StorePath {
-    async fn start(store: SocketAddr) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
-        let address = listener.local_addr().expect("its address");
-        let (is_cut, cuts) = watch::channel(false);
-        tokio::spawn(async move {
-            while let Ok((mut caller, _)) = listener.accept().await {
-                let mut cuts = cuts.clone();
-                tokio::spawn(async move {
-                    let Ok(mut server) = TcpStream::connect(store).await else {
-                        return;
-                    };
-                    // Either end may close at any moment; the other one notices.
-                    tokio::select! {
-                        _ = copy_bidirectional(&mut caller, &mut server) => {}
-                        _ = cuts.wait_for(|is_cut| *is_cut) => {}
-                    }
-                });
-            }
-        });
-        StorePath { address, is_cut }
-    }
-
-    /// Closes all connections, also later ones.
-    fn cut(&self) {
-        self.is_cut.send_replace(true);
-    }
-}
-
-impl RelayFleet {
-    async fn start() -> Self {
-        RelayFleet::start_with(GatewayProcess::start).await
-    }
-
-    async fn start_with(start: fn(SocketAddr, &str, &str) -> GatewayProcess) -> Self {
-        let bench = GatewayBench::start(&draft(1, 1_000_000)).await;
-        let (mut routers, mut paths) = (Vec::new(), Vec::new());
-        for number in 2..ROUTERS + 2 {
-            let path = StorePath::start(bench.store.address()).await;
-            let host = format!("host-{number}");
-            routers.push(start(path.address, &host, "south"));
-            paths.push(path);
-        }
-        let fleet = RelayFleet {
-            bench,
-            routers,
-            paths,
-        };
-        for router in fleet.routers() {
-            router.wait_ready().await;
-            let listed = format!("routers={}", ROUTERS + 1);
-            router.wait_log(&["routers_listed", &listed]).await;
-        }
-        // A router that was at first listed alone watches the store until that watch ends.
-        wait_for("two followers", || async {
-            fleet.followers().await.len() == 2 && fleet.step_count("news").await > 0.0
-        })
-        .await;
-        fleet
-    }
-
-    /// Returns the steps of all routers with this result.
-    async fn step_count(&self, what: &str) -> f64 {
-        let mut steps = 0.0;
-        for router in self.routers() {
-            let metric = format!("news_steps_total{{what=\"{what}\"}}");
-            steps += router.metric(&metric).await.unwrap_or(0.0);
-        }
-        steps
-    }
-
-    fn routers(&self) -> impl Iterator<Item = &GatewayProcess> {
-        self.routers.iter()
-    }
-
-    /// Applies a configuration and waits until all routers have it.
-    async fn change(&self, version: u64) {
-        let applied = Instant::now();
-        self.bench.store.put_config(&draft(version, 1_000_000));
-        for router in self.routers() {
-            let version = format!("version={version} ");
-            router.wait_log(&["config_in_force", &version]).await;
-        }
-        assert!(
-            applied.elapsed() < IN_FORCE_LIMIT,
-            "{:?}",
-            applied.elapsed()
-        );
-    }
-
-    /// Returns the indices of the routers that follow the store.
-    async fn followers(&self) -> Vec<usize> {
-        let mut followers = Vec::new();
-        for (index, router) in self.routers().enumerate() {
-            if router.metric("follows_store").await == Some(1.0) {
-                followers.push(index);
-            }
-        }
-        followers
-    }
-}
-
 /// Only two of the seven routers of a domain watch the store, so that a change does not end a watch
 /// of every router. Changes of the configuration and of targets must reach all seven as fast as if
 /// each watched.
@@ -167,7 +43,8 @@
 /// change.
 #[tokio::test]
 async fn starting_fleet_passes_over_no_follower() {
-    let fleet = RelayFleet::start_with(GatewayProcess::start_with_rare_probes).await;
+    let fleet =
+        RelayFleet::start_with(&draft(1, 1_000_000), GatewayProcess::start_with_rare_probes).await;
     assert_eq!(fleet.step_count("away").await, 0.0);
 }
 
--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -426,6 +426,22 @@
     }
 }
 
+/// Returns a configuration like [`draft`] with further routes `/many/0/`, `/many/1/` and so on.
+pub fn draft_with_routes(version: u64, count: usize) -> ConfigDraft {
+    let mut draft = draft(version, 1_000_000);
+    let many = (0..count).map(|number| {
+        let prefix = format!("/many/{number}/").leak();
+        RouteDraft::new(
+            format!("many-{number}").leak(),
+            prefix,
+            DraftKind::Idempotent,
+            "plain",
+        )
+    });
+    draft.routes.extend(many);
+    draft
+}
+
 /// Returns a call to a path with the workspace's key.
 pub fn request(line: &str, id: &str) -> CallRequest {
     CallRequest::new(line, id, KEY)
