Find routes by their prefix, and read them in linear time

Cause: add_route sorted all routes of the host with each one that was added, and find_route tried one prefix after the other. Class: work that grows with what the operator has declared where it need not. Now: routes of a host stand in an ordered map; the longest prefix is found by what the path shares with the greatest key before it. Of two routes with the same prefix the first one stays in force, as before. Copies of a configuration share its rules.

--- a/crates/beechsaddle-core/src/gateway/gateway_config.rs
+++ b/crates/beechsaddle-core/src/gateway/gateway_config.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::route_table::RouteTable;
 use super::{CallerLimits, RouteRule, WarmUpRule};
 use crate::names::{ServiceName, WorkspaceName};
 
@@ -27,8 +28,16 @@
     pub prepaid: Option<u64>,
 }
 
-/// One version of the configuration, indexed for lookups.
-#[derive(Clone, Debug, Default)]
+/// A workspace and its keys. A key belongs to one workspace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkspaceEntry {
+    pub rule: Arc<WorkspaceRule>,
+    /// The keys of its callers.
+    pub keys: Vec<Arc<str>>,
+}
+
+/// One version of the configuration, indexed for lookups. Copies share its rules.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct GatewayConfig {
     /// The version number; a larger one is newer.
     pub version: u64,
@@ -36,9 +45,9 @@
     pub services: BTreeMap<ServiceName, ServiceRule>,
     /// Whether callers need keys.
     pub has_workspaces: bool,
-    routes: BTreeMap<String, Vec<Arc<RouteRule>>>,
-    keys: BTreeMap<String, Arc<WorkspaceRule>>,
-    workspaces: BTreeMap<WorkspaceName, Arc<WorkspaceRule>>,
+    pub(super) hosts: BTreeMap<Arc<str>, Arc<RouteTable>>,
+    keys: BTreeMap<Arc<str>, Arc<WorkspaceRule>>,
+    workspaces: BTreeMap<WorkspaceName, WorkspaceEntry>,
 }
 
 /// The result of a route lookup.
@@ -59,36 +68,49 @@
         }
     }
 
+    /// Adds a route. Of two routes of a host with the same prefix the first one is in force.
     pub fn add_route(&mut self, mut route: RouteRule) {
         route.host = route.host.to_ascii_lowercase();
-        let routes = self.routes.entry(route.host.clone()).or_default();
-        routes.push(Arc::new(route));
-        // Sorted by descending prefix length, so that the first match is the longest.
-        routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        let host = Arc::from(route.host.as_str());
+        let table = self.hosts.entry(host).or_default();
+        Arc::make_mut(table).add(Arc::new(route));
     }
 
     /// Adds a workspace and its keys.
     pub fn add_workspace(&mut self, rule: WorkspaceRule, keys: impl IntoIterator<Item = String>) {
         self.has_workspaces = true;
-        let rule = Arc::new(rule);
-        for key in keys {
-            self.keys.insert(key, Arc::clone(&rule));
+        let keys = keys.into_iter().map(Arc::from);
+        self.set_workspace(WorkspaceEntry {
+            rule: Arc::new(rule),
+            keys: keys.collect(),
+        });
+    }
+
+    /// Adds a workspace or replaces the one of its name, with all its keys.
+    pub(super) fn set_workspace(&mut self, entry: WorkspaceEntry) {
+        self.remove_workspace(&entry.rule.name);
+        for key in &entry.keys {
+            self.keys.insert(Arc::clone(key), Arc::clone(&entry.rule));
+        }
+        self.workspaces.insert(entry.rule.name.clone(), entry);
+    }
+
+    /// Removes a workspace and its keys, except for those that belong to another one by now.
+    pub(super) fn remove_workspace(&mut self, name: &WorkspaceName) {
+        let removed = self.workspaces.remove(name);
+        for key in removed.iter().flat_map(|entry| &entry.keys) {
+            if self.keys.get(key).is_some_and(|rule| rule.name == *name) {
+                self.keys.remove(key);
+            }
         }
-        self.workspaces.insert(rule.name.clone(), rule);
     }
 
     /// Returns the route with the longest matching prefix among those of a host, ignoring a port in
     /// `host`.
     pub fn find_route(&self, host: &str, path: &str) -> RouteMatch {
         let bare = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        let routes = self
-            .routes
-            .get(&bare)
-            .map(Vec::as_slice)
-            .unwrap_or_default();
-        let found = routes
-            .iter()
-            .find(|route| path.starts_with(&route.path_prefix));
+        let table = self.hosts.get(bare.as_str());
+        let found = table.and_then(|table| table.find(path));
         found.map_or(RouteMatch::Missing, |route| {
             RouteMatch::Found(Arc::clone(route))
         })
@@ -100,10 +122,15 @@
     }
 
     pub fn workspaces(&self) -> impl Iterator<Item = &Arc<WorkspaceRule>> {
-        self.workspaces.values()
+        self.workspaces.values().map(|entry| &entry.rule)
+    }
+
+    /// Returns the workspaces with their keys.
+    pub(super) fn workspace_entries(&self) -> &BTreeMap<WorkspaceName, WorkspaceEntry> {
+        &self.workspaces
     }
 
     pub fn route_count(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
+        self.hosts.values().map(|table| table.len()).sum()
     }
 }
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 mod room_withdrawal;
 mod rotation_gate;
 mod route_rule;
+mod route_table;
 mod speed_average;
 mod speed_plan;
 mod speed_step;
@@ -93,7 +94,7 @@
 };
 pub use exchange_plan::ExchangePlan;
 pub use fleet_clock::{CLOCK_SKEW_MS, ClockBounds, ClockReading, FleetClock, StartBound};
-pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceRule};
+pub use gateway_config::{GatewayConfig, RouteMatch, ServiceRule, WorkspaceEntry, WorkspaceRule};
 pub use gateway_status::{
     ConfigStatus, EvacuationStatus, GatewayPeerStatus, GatewayStatus, GatewayTargetStatus,
     LinkStatus, ReportStatus, WorkspaceStatus,
--- a/crates/beechsaddle-core/tests/gateway_routes.rs
+++ b/crates/beechsaddle-core/tests/gateway_routes.rs
@@ -6,6 +6,7 @@
     CallerLimits, GatewayConfig, RouteKind, RouteMatch, RouteRule, WeightedService, WorkspaceRule,
 };
 use beechsaddle_core::prelude::*;
+use quickcheck::{Arbitrary, Gen, quickcheck};
 
 fn route(name: &str, host: &str, prefix: &str, services: &[(&str, u64)]) -> RouteRule {
     RouteRule {
@@ -102,3 +103,37 @@
         .collect();
     assert_eq!(services, BTreeSet::from(["a".to_owned()]));
 }
+
+/// A path, or the prefix of a route, over so few names that many of them share a start.
+#[derive(Clone, Debug)]
+struct ShortPath(String);
+
+impl Arbitrary for ShortPath {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let names = Vec::<u8>::arbitrary(generator);
+        let parts = names
+            .iter()
+            .take(4)
+            .map(|name| ["a", "ab", "b", "\u{e9}"][*name as usize % 4]);
+        let parts: Vec<_> = parts.collect();
+        ShortPath(format!("/{}", parts.join("/")))
+    }
+}
+
+quickcheck! {
+    /// A lookup that went through the prefixes in order of their length took longer with each route that
+    /// was added.
+    fn find_route_as_by_trying_all(prefixes: Vec<ShortPath>, path: ShortPath) -> bool {
+        let mut config = GatewayConfig::new(1, CallerLimits::default());
+        for ShortPath(prefix) in &prefixes {
+            config.add_route(route(prefix, "one.example", prefix, &[("s", 1)]));
+        }
+        let matching = prefixes.iter().filter(|prefix| path.0.starts_with(&prefix.0));
+        let longest = matching.max_by_key(|prefix| prefix.0.len());
+        let found = match config.find_route("one.example", &path.0) {
+            RouteMatch::Found(route) => Some(route.path_prefix.clone()),
+            RouteMatch::Missing => None,
+        };
+        found == longest.map(|prefix| prefix.0.clone())
+    }
+}
