Let the hosts with the largest links follow the store for the others

Cause: followers were chosen by their names alone. A router now tells its link in its entry, and the followers of a domain are those with the largest links; among equal ones names decide as before. Entries without it, of older routers, come last; routers with different lists ask different followers, as always. Evidence: followers_have_the_largest_links; PeerRecord has a field more in five tests.

--- a/crates/beechsaddle-core/src/gateway/peer_ring.rs
+++ b/crates/beechsaddle-core/src/gateway/peer_ring.rs
@@ -38,6 +38,25 @@
     pub domain: DomainName,
     /// Its address for other routers; `None` if it lends no tokens.
     pub address: Option<SocketAddr>,
+    /// The bandwidth of its host's link, in Mbit/s; 0 if unknown.
+    pub link_mbps: u32,
+}
+
+impl PeerRecord {
+    /// Returns the rank among the routers of a domain that follow the store for the others, the largest
+    /// first. A host with a small link would delay changes for itself and for those that follow it.
+    fn follower_rank(&self) -> FollowerRank {
+        FollowerRank {
+            link_mbps: self.link_mbps,
+            weight: rendezvous_weight(FOLLOWER_KEY, self.host.as_str()),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct FollowerRank {
+    link_mbps: u32,
+    weight: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -183,12 +202,9 @@
         let usable = own
             .into_iter()
             .filter(|peer| peer.host == self.me || self.is_usable(now, peer));
-        let mut weighted: Vec<_> = usable
-            .map(|peer| (rendezvous_weight(FOLLOWER_KEY, peer.host.as_str()), peer))
-            .collect();
-        weighted.sort_by_key(|(weight, _)| Reverse(*weight));
-        weighted.truncate(count);
-        let mut followers: Vec<_> = weighted.into_iter().map(|(_, peer)| peer).collect();
+        let mut followers: Vec<_> = usable.collect();
+        followers.sort_by_key(|peer| Reverse(peer.follower_rank()));
+        followers.truncate(count);
         if followers.iter().any(|peer| peer.host == self.me) {
             return Vec::new();
         }
@@ -204,12 +220,26 @@
     /// needs to follow the store because it is asked.
     pub fn outage_sources(&self, now: ClockTime) -> Vec<&PeerRecord> {
         let mut own: Vec<_> = self.neighbours(now).collect();
-        own.sort_by_key(|peer| Reverse(rendezvous_weight(FOLLOWER_KEY, peer.host.as_str())));
+        own.sort_by_key(|peer| Reverse(peer.follower_rank()));
         own.truncate(OWN_OUTAGE_SOURCES);
-        own.extend(self.foreign_coordinators_of(now, FOLLOWER_KEY));
+        own.extend(self.foreign_followers(now));
         own
     }
 
+    /// Returns the first follower of each other domain.
+    fn foreign_followers(&self, now: ClockTime) -> Vec<&PeerRecord> {
+        let mut followers = BTreeMap::<&DomainName, &PeerRecord>::new();
+        let others = self.peers.values();
+        let others = others.filter(|peer| peer.domain != self.domain && self.is_usable(now, peer));
+        for peer in others {
+            let first = followers.entry(&peer.domain).or_insert(peer);
+            if peer.follower_rank() > first.follower_rank() {
+                *first = peer;
+            }
+        }
+        followers.into_values().collect()
+    }
+
     /// Records that a router did not answer; it is skipped for a time that doubles with each
     /// failure.
     pub fn mark_down(&mut self, now: ClockTime, host: &HostName) {
--- a/crates/beechsaddle-core/tests/board_support/mod.rs
+++ b/crates/beechsaddle-core/tests/board_support/mod.rs
@@ -47,6 +47,7 @@
         host: HostName::new(host),
         domain: DomainName::new(domain),
         address: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 1))),
+        link_mbps: 0,
     }
 }
 
--- a/crates/beechsaddle-core/tests/gateway_changes.rs
+++ b/crates/beechsaddle-core/tests/gateway_changes.rs
@@ -25,10 +25,34 @@
         host: host(number),
         domain: domain.clone(),
         address: Some(([127, 0, 0, 1], 7_000 + number as u16).into()),
+        link_mbps: 0,
     }));
     ring
 }
 
+/// Followers were chosen by their names alone: one on a host with a small link had changes late, and so did
+/// all that followed it.
+#[test]
+fn followers_have_the_largest_links() {
+    for number in 0..ROUTERS {
+        let domain = DomainName::new("north");
+        let mut ring = PeerRing::new(host(number), domain.clone());
+        ring.take_listing((0..ROUTERS).map(|number| PeerRecord {
+            host: host(number),
+            domain: domain.clone(),
+            address: Some(([127, 0, 0, 1], 7_000 + number as u16).into()),
+            link_mbps: if number % 4 == 1 { 200 } else { 10 },
+        }));
+        let followers = ring.followers(START, 2, ROUTERS);
+        let mut hosts: Vec<_> = followers.iter().map(|peer| peer.host.clone()).collect();
+        hosts.sort();
+        match number % 4 {
+            1 => assert_eq!(hosts, []),
+            _ => assert_eq!(hosts, [host(1), host(5)]),
+        }
+    }
+}
+
 fn body(text: &str) -> Vec<u8> {
     text.as_bytes().to_vec()
 }
--- a/crates/beechsaddle-core/tests/gateway_crash_fleet.rs
+++ b/crates/beechsaddle-core/tests/gateway_crash_fleet.rs
@@ -98,6 +98,7 @@
                 host: host(number),
                 domain: DomainName::new(format!("domain-{}", number % domains)),
                 address: Some(([127, 0, 0, 1], 9).into()),
+                link_mbps: 0,
             })
         };
         let router = |number: usize| {
--- a/crates/beechsaddle-core/tests/gateway_path.rs
+++ b/crates/beechsaddle-core/tests/gateway_path.rs
@@ -131,6 +131,7 @@
                 host: HostName::new(format!("{domain}-{number}")),
                 domain: DomainName::new(domain),
                 address: Some(([127, 0, 0, 1], 7_000 + number).into()),
+                link_mbps: 0,
             }),
     );
     let (now, target) = (ClockTime::ZERO, TargetName::new("engine-1"));
--- a/crates/beechsaddle-core/tests/gateway_stream_origins.rs
+++ b/crates/beechsaddle-core/tests/gateway_stream_origins.rs
@@ -215,6 +215,7 @@
             host: HostName::new(format!("host-{number}")),
             domain: DomainName::new(format!("domain-{}", number % domains)),
             address: Some(SocketAddr::from(([127, 0, 0, 1], 7_000 + number as u16))),
+            link_mbps: 0,
         });
         Fleet {
             peers: peers.collect(),
--- a/crates/beechsaddle-core/tests/gateway_warm_up.rs
+++ b/crates/beechsaddle-core/tests/gateway_warm_up.rs
@@ -37,6 +37,7 @@
         host: host(number),
         domain: domain.clone(),
         address: Some(([127, 0, 0, 1], 7_000 + number as u16).into()),
+        link_mbps: 0,
     }));
     ring
 }
--- a/crates/beechsaddle/src/gateway/changes/router_registry.rs
+++ b/crates/beechsaddle/src/gateway/changes/router_registry.rs
@@ -46,6 +46,9 @@
 struct RouterEntry {
     domain: String,
     address: Option<String>,
+    /// The bandwidth of the host's link, in Mbit/s.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    link_mbps: Option<u32>,
 }
 
 /// The shared secret's entry in the store.
@@ -165,6 +168,7 @@
         host: HostName::new(object.name()),
         domain: DomainName::new(entry.domain),
         address,
+        link_mbps: entry.link_mbps.unwrap_or(0),
     })
 }
 
@@ -175,6 +179,7 @@
     let entry = RouterEntry {
         domain: settings.domain.to_string(),
         address: settings.peer_address.map(|address| address.to_string()),
+        link_mbps: settings.link_mbps.map(|link_mbps| link_mbps as u32),
     };
     let spec =
         serde_json::to_value(&entry).map_err(|error| StoreFailure::Malformed(error.to_string()))?;
