Deny no call by a configuration that may be out of date

Callers take 401 and 404 for final. Cause: a router took the configuration that it had for the newest one. Now: a router records up to when the store, or a router that follows it, has told of all versions. If that is longer ago than in_force_ms, a call whose route or key is unknown is refused as not run (config_unconfirmed, 503 with Retry-After). Calls that the known version allows are served as before; once the router's own link was full, late configurations refuse calls as late targets do (link_full).

--- a/crates/beechsaddle-core/tests/gateway_link.rs
+++ b/crates/beechsaddle-core/tests/gateway_link.rs
@@ -164,3 +164,19 @@
     age.record_known(late);
     assert!(!age.is_late_by_own_link(late, UPDATE_INTERVAL_MS));
 }
+
+/// A router whose link was congested went on admitting calls under a configuration that others had replaced
+/// seconds before, as only late targets counted.
+#[test]
+fn late_configurations_blame_the_link() {
+    let full_at = ClockTime::from_millis(1_000_000);
+    let mut age = UpdateAge::default();
+    age.record_config_known(full_at);
+    let late = full_at.plus_ms(UPDATE_INTERVAL_MS + 1);
+    age.record_known(late);
+    assert!(age.is_late_by_own_link(late, UPDATE_INTERVAL_MS));
+    assert!(!age.knows_config(late, UPDATE_INTERVAL_MS));
+    age.record_config_known(late);
+    assert!(!age.is_late_by_own_link(late, UPDATE_INTERVAL_MS));
+    assert!(age.knows_config(late, UPDATE_INTERVAL_MS));
+}
--- a/crates/beechsaddle/src/gateway/call_checks.rs
+++ b/crates/beechsaddle/src/gateway/call_checks.rs
@@ -144,13 +144,14 @@
     record.set_id(&head.request_id);
     record.add_field("config", config.version);
     let RouteMatch::Found(route) = config.find_route(&head.host, &head.path) else {
-        return Err(CallRefusal::new(
+        return Err(deny(
+            state,
             RefusalCause::UnknownRoute,
             "no route takes this host and path",
         ));
     };
     record.add_field("route", &route.name);
-    let workspace = find_workspace(&config, &route, &head)?;
+    let workspace = find_workspace(state, &config, &route, &head)?;
     if let Some(rule) = &workspace {
         record.add_field("workspace", &rule.name);
     }
@@ -186,7 +187,20 @@
     first_line + lines.sum::<usize>() + "\r\n".len()
 }
 
+/// Refuses a call that the known configuration does not allow. Callers take that for final, so a router
+/// that may lack a newer version only says that the call was not run.
+fn deny(state: &GatewayState, cause: RefusalCause, message: &str) -> CallRefusal {
+    match state.knows_config() {
+        true => CallRefusal::new(cause, message),
+        false => CallRefusal::new(
+            RefusalCause::ConfigUnconfirmed,
+            "this router may lack the newest configuration",
+        ),
+    }
+}
+
 fn find_workspace(
+    state: &GatewayState,
     config: &GatewayConfig,
     route: &RouteRule,
     head: &CallHead,
@@ -197,7 +211,8 @@
     let found = head.key.as_ref().and_then(|key| config.find_key(key));
     match found {
         Some(rule) => Ok(Some(Arc::clone(rule))),
-        None => Err(CallRefusal::new(
+        None => Err(deny(
+            state,
             RefusalCause::UnknownKey,
             "no workspace has this key",
         )),
--- a/crates/beechsaddle/src/gateway/changes/store_follow.rs
+++ b/crates/beechsaddle/src/gateway/changes/store_follow.rs
@@ -161,8 +161,13 @@
 /// Records that all changes up to `started` are known. An answer may have been delayed by a
 /// saturated link, so that nothing later is certain.
 fn record_known(state: &GatewayState, kind: ObjectKind, started: ClockTime) {
-    if kind == ObjectKind::Targets {
-        state.record_targets_known(started);
+    match kind {
+        ObjectKind::Targets => state.record_targets_known(started),
+        ObjectKind::Config => state.record_config_known(started),
+        ObjectKind::Routers
+        | ObjectKind::Budgets
+        | ObjectKind::Crashes
+        | ObjectKind::Evacuations => {}
     }
 }
 
--- a/crates/beechsaddle/src/gateway/changes/store_probe.rs
+++ b/crates/beechsaddle/src/gateway/changes/store_probe.rs
@@ -160,5 +160,8 @@
     if read.is_ok() && state.relay.is_watched(ObjectKind::Targets) {
         state.record_targets_known(started);
     }
+    if read.is_ok() && state.relay.is_watched(ObjectKind::Config) {
+        state.record_config_known(started);
+    }
     !read.as_ref().is_err_and(StoreFailure::is_unavailable)
 }
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -384,9 +384,21 @@
         self.update_age.borrow_mut().record_known(at);
     }
 
-    /// Whether to refuse calls because the router's own link was congested and changes of targets arrive
-    /// late. A draining target would otherwise get new calls from this router for seconds, and their
-    /// answers would be late. The current link load is no criterion, since it excludes messages queued in
+    /// Records that all versions of the configuration up to a time are known.
+    pub(super) fn record_config_known(&self, at: ClockTime) {
+        self.update_age.borrow_mut().record_config_known(at);
+    }
+
+    /// Whether the router knows all versions of the configuration that have to be in force.
+    pub(super) fn knows_config(&self) -> bool {
+        let in_force_ms = self.settings().change_bounds.in_force_ms;
+        let update_age = self.update_age.borrow();
+        update_age.knows_config(self.now(), in_force_ms)
+    }
+
+    /// Whether to refuse calls because the router's own link was congested and changes of targets or of the
+    /// configuration arrive late. A draining target would otherwise get new calls from this router for
+    /// seconds, and their answers would be late. The current link load is no criterion, since it excludes messages queued in
     /// the link.
     pub(super) fn is_behind_full_link(&self) -> bool {
         let settings = self.settings();
--- a/crates/beechsaddle/src/gateway/refusal.rs
+++ b/crates/beechsaddle/src/gateway/refusal.rs
@@ -32,6 +32,8 @@
     CrashesTargets,
     /// The router has not received a configuration yet.
     NoConfig,
+    /// The router has no route or key for the call, but may lack the version that adds it.
+    ConfigUnconfirmed,
     /// The router's own link is saturated, and changes of targets arrive late over it.
     LinkFull,
     /// The calls that are offered exceed the router's own link.
@@ -96,6 +98,7 @@
             RefusalCause::BudgetUnreachable
             | RefusalCause::BudgetReserved
             | RefusalCause::NoConfig
+            | RefusalCause::ConfigUnconfirmed
             | RefusalCause::LinkFull
             | RefusalCause::MemoryFull
             | RefusalCause::NoTarget
@@ -135,6 +138,7 @@
             RefusalCause::BudgetReserved => "budget_reserved",
             RefusalCause::CrashesTargets => "crashes_targets",
             RefusalCause::NoConfig => "no_config",
+            RefusalCause::ConfigUnconfirmed => "config_unconfirmed",
             RefusalCause::LinkFull => "link_full",
             RefusalCause::LinkShort => "link_short",
             RefusalCause::ShuttingDown => "shutting_down",
