Refuse calls when changes are late over a busy link

What callers saw: at the congested routers of the timeline calls were admitted for five seconds under a version that was out of date, before the link counted as full. Cause: the meter of the link counts requests that have been read. What waits in the queue, connections, tunnels and messages of routers are missing, so that it showed half of the capacity while every connection timed out. Now: a router that gets changes from others, and has heard of none for a probe's interval and relay_age_ms, nor promptly from any router, while calls alone take 0.4 of its link, refuses calls as not run (link_full) and leaves the rotation. A router that the store alone has lost hears promptly from the others and serves on.

--- a/crates/beechsaddle-core/src/gateway/link_meter.rs
+++ b/crates/beechsaddle-core/src/gateway/link_meter.rs
@@ -11,6 +11,10 @@
 /// the link, and the meter does not see all of it: retransmitted packets are missing.
 const FULL_LOAD: f64 = 0.8;
 
+/// The load from which the link may be full. The meter does not see messages of other routers, and those
+/// that wait in the queue.
+const BUSY_LOAD: f64 = 0.4;
+
 /// Overhead of a request or a complete answer beside its body, in bytes: its head and its packets'
 /// headers.
 const HEAD_BYTES: u64 = 500;
@@ -83,6 +87,11 @@
         self.load(now) >= FULL_LOAD
     }
 
+    /// Whether calls take so much of the link that it may be full.
+    pub fn is_busy(&self, now: ClockTime) -> bool {
+        self.load(now) >= BUSY_LOAD
+    }
+
     fn record_bytes(&mut self, now: ClockTime, direction: LinkDirection, bytes: u64) {
         let rate = match direction {
             LinkDirection::In => &mut self.inbound,
--- a/crates/beechsaddle-core/tests/gateway_link.rs
+++ b/crates/beechsaddle-core/tests/gateway_link.rs
@@ -180,3 +180,19 @@
     assert!(!age.is_late_by_own_link(late, UPDATE_INTERVAL_MS));
     assert!(age.knows_config(late, UPDATE_INTERVAL_MS));
 }
+
+/// A link was full of requests that still waited in its queue, and the meter of what had arrived showed half
+/// of its capacity for seconds: a router went on admitting calls, although changes no longer arrived.
+#[test]
+fn link_half_full_of_calls_is_busy() {
+    let now = ClockTime::from_millis(1_000_000);
+    let mut link = LinkMeter::new(Some(10.0), now);
+    let calls = 130 * 3;
+    for call in 0..calls {
+        let at = now.plus_ms(call * 3_000 / calls);
+        link.record_message(at, LinkDirection::In, 4_300);
+    }
+    let later = now.plus_ms(3_000);
+    assert!(link.is_busy(later) && !link.is_full(later));
+    assert!(!link.is_busy(later.plus_ms(2_000)));
+}
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -301,8 +301,9 @@
     pub(super) fn is_in_rotation(&self) -> bool {
         let now = self.now();
         let load = self.link.borrow().load(now);
+        let is_full = self.is_link_full() || self.is_behind_full_link();
         let mut rotation = self.rotation.borrow_mut();
-        if rotation.record(now, self.is_link_full()) {
+        if rotation.record(now, is_full) {
             let fields = [("link_load", format!("{load:.2}"))];
             self.report.log(LogLevel::Warning, "link_full", fields);
         }
@@ -396,8 +397,8 @@
         update_age.knows_config(self.now(), in_force_ms)
     }
 
-    /// Whether to refuse calls because the router's own link was congested and changes of targets or of the
-    /// configuration arrive late. A draining target would otherwise get new calls from this router for
+    /// Whether to refuse calls because the router's own link is or was congested, and changes of targets or of
+    /// the configuration arrive late. A draining target would otherwise get new calls from this router for
     /// seconds, and their answers would be late. The current link load is no criterion, since it excludes messages queued in
     /// the link.
     pub(super) fn is_behind_full_link(&self) -> bool {
@@ -407,7 +408,17 @@
         let update_interval = settings.probe_interval + settings.max_relay_age;
         let update_age = self.update_age.borrow();
         let interval_ms = update_interval.as_millis() as u64;
-        self.has_left_full_link() && update_age.is_late_by_own_link(self.now(), interval_ms)
+        let is_late = update_age.is_late_by_own_link(self.now(), interval_ms);
+        is_late && (self.has_left_full_link() || self.follows_over_busy_link())
+    }
+
+    /// Whether the router gets changes from other routers over a link that calls take much of. Such a
+    /// router hears promptly from the others if the store alone is lost.
+    fn follows_over_busy_link(&self) -> bool {
+        let now = self.now();
+        let ring = self.lending.ring.borrow();
+        let is_follower = self.relay.choice.borrow().is_follower(now, &ring);
+        !is_follower && self.link.borrow().is_busy(now)
     }
 
     /// Updates the metrics of blocked requests and prompt parts.
