--- a/crates/beechsaddle/src/gateway/changes/config_follow.rs
+++ b/crates/beechsaddle/src/gateway/changes/config_follow.rs
@@ -26,8 +26,8 @@
 /// lost or waits for a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Connections of their own for the configuration. Requests that callers wait for close theirs after
-/// short timeouts.
+/// Connections that only the following of the configuration uses. Requests that callers wait for close
+/// theirs after short timeouts.
 pub(super) struct ConfigLinks {
     links: PeerLinks,
     /// Routers whose last answer was late or did not come.
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -399,8 +399,8 @@
 
     /// Whether to refuse calls because the router's own link is or was congested, and changes of targets or of
     /// the configuration arrive late. A draining target would otherwise get new calls from this router for
-    /// seconds, and their answers would be late. The current link load is no criterion, since it excludes messages queued in
-    /// the link.
+    /// seconds, and calls would run under an old configuration. The link load alone is no criterion, since it
+    /// excludes messages queued in the link.
     pub(super) fn is_behind_full_link(&self) -> bool {
         let settings = self.settings();
         // On a link that is not congested, the router receives an answer or update of the store within this
