--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -107,14 +107,9 @@
         GatewayProcess::start_with(store, host, domain, true, &extra)
     }
 
-    /// Starts a router whose log is written to a pipe that is never read. It denies calls of unknown routes
-    /// also if the store has not confirmed its configuration for a while.
+    /// Starts a router whose log is written to a pipe that is never read.
     pub fn start_with_unread_log(store: SocketAddr, host: &str, domain: &str) -> Self {
-        let extra = ExtraSettings {
-            store: "in_force_ms = 30000\n",
-            ..ExtraSettings::default()
-        };
-        GatewayProcess::start_with(store, host, domain, false, &extra)
+        GatewayProcess::start_with(store, host, domain, false, &ExtraSettings::default())
     }
 
     fn start_with(
