--- a/crates/beechsaddle/tests/gateway_support/mod.rs
+++ b/crates/beechsaddle/tests/gateway_support/mod.rs
@@ -42,6 +42,8 @@
     pub address: SocketAddr,
     /// The address for readiness probes.
     pub ready: SocketAddr,
+    /// The address for other routers.
+    pub peer: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -89,6 +91,15 @@
         GatewayProcess::start_with(store, host, domain, true, &extra)
     }
 
+    /// Starts a router with 64 MB of memory.
+    pub fn start_with_memory(store: SocketAddr, host: &str, domain: &str) -> Self {
+        let extra = ExtraSettings {
+            gateway: "memory_mb = 64\n",
+            ..ExtraSettings::default()
+        };
+        GatewayProcess::start_with(store, host, domain, true, &extra)
+    }
+
     /// Starts a router that holds no tokens in advance, except for one call as large as the largest.
     pub fn start_with_low_holdings(store: SocketAddr, host: &str, domain: &str) -> Self {
         let extra = ExtraSettings {
@@ -142,6 +153,7 @@
             child,
             address,
             ready,
+            peer,
             settings,
             log,
         }
@@ -192,6 +204,11 @@
         kill(Pid::from_raw(id), signal).expect("a signal");
     }
 
+    /// Returns the id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the processor time used by the process, in milliseconds.
     pub fn processor_ms(&self) -> u64 {
         let stat =
@@ -336,6 +353,16 @@
         bench
     }
 
+    /// Starts a bench like [`start`](Self::start) with a router that has 64 MB of memory.
+    pub async fn start_with_memory(draft: &ConfigDraft) -> Self {
+        let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_memory).await;
+        for target in bench.plain.iter().chain(&bench.engines) {
+            let words = ["target_joined", target.name()];
+            bench.router.wait_log(&words).await;
+        }
+        bench
+    }
+
     /// Starts a bench like [`start`](Self::start) with a router on a host with a slow link.
     pub async fn start_with_narrow_link(draft: &ConfigDraft) -> Self {
         let bench = GatewayBench::start_with(draft, GatewayProcess::start_with_narrow_link).await;
