Refuse announced bodies by their head, and stop reading callers far over the limit

What callers saw: a router with 64 MB took 139 to 153 MB while 300 callers announced 1 GB and sent; one that announced as much and sent nothing had no answer until its time was over. Cause: an announced length was compared with the limit only as bytes came, and after the refusal up to 16 MB of each caller were read for 2 s, by one thread, while the receive queues of all filled. Class: a refusal that costs more than the request. Now: the head's length alone refuses a body. After a refusal a body up to twice the limit is read to its end, so that a caller just above it gets its 413, one without a length by as much as the largest body, and of one far above it 1 MB. All connections that are read on share 32 MB at a time, at the older edge too, where one may take 16 MB as before; who comes when nothing is left is closed at once. Ruled out: 64 KB for each caller far above the limit. Four tests of refusals with bodies of six times the limit failed with it: the reset took the refusal.

--- a/crates/beechsaddle/src/calls/calls_edge.rs
+++ b/crates/beechsaddle/src/calls/calls_edge.rs
@@ -22,6 +22,7 @@
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::event_ring::EventRing;
+use super::linger::LingerPool;
 use super::listener::run_listener;
 use super::probe::probe_memory;
 use super::query_table::QueryTable;
@@ -71,6 +72,7 @@
             phase: watch::Sender::new(EdgePhase::Accepting),
             serving: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
+            lingering: LingerPool::default(),
             options,
         });
         let call_task = runtime.spawn(run_listener(
--- a/crates/beechsaddle/src/calls/connection.rs
+++ b/crates/beechsaddle/src/calls/connection.rs
@@ -31,7 +31,7 @@
 use super::edge_phase::EdgePhase;
 use super::edge_state::EdgeState;
 use super::guarded_stream::GuardedStream;
-use super::linger::linger;
+use super::linger::{LingerBytes, linger};
 use super::tracked_body::TrackedBody;
 
 /// The library panics below this limit.
@@ -93,7 +93,8 @@
         count_unreadable(&error, &state);
     }
     if !tracker.is_broken() {
-        linger(connection.into_parts().io.into_inner()).await;
+        let stream = connection.into_parts().io.into_inner();
+        linger(stream, LingerBytes::PATIENT, &state.lingering).await;
     }
 }
 
--- a/crates/beechsaddle/src/calls/edge_state.rs
+++ b/crates/beechsaddle/src/calls/edge_state.rs
@@ -13,6 +13,7 @@
 use super::echo_table::EchoTable;
 use super::edge_phase::EdgePhase;
 use super::event_ring::EventRing;
+use super::linger::LingerPool;
 use super::query_table::QueryTable;
 use super::target_client::TargetClient;
 use crate::router::ClockSource;
@@ -40,6 +41,8 @@
     pub(crate) serving: AtomicBool,
     /// Number of open connections of callers and operators.
     pub(crate) connections: AtomicUsize,
+    /// What is read of connections after their last answer.
+    pub(crate) lingering: LingerPool,
 }
 
 impl EdgeState {
--- a/crates/beechsaddle/src/calls/linger.rs
+++ b/crates/beechsaddle/src/calls/linger.rs
@@ -1,5 +1,7 @@
 //! The `linger` module provides the close of connections whose peers may still be sending.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,12 +12,90 @@
 /// Time limit for a peer to read the last answer and close.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum number of bytes read from a peer that keeps sending after the last answer: a few times
-/// the largest accepted body, so that a caller just above that limit still receives the refusal.
-const MAX_LINGER_BYTES: usize = 16 * 1_024 * 1_024;
+/// Number of bytes read after the last answer from a peer that is far over a limit: what it has on its way
+/// when the answer arrives, on a fast and distant link.
+const FAR_LINGER_BYTES: usize = 1_024 * 1_024;
+
+/// Number of bytes read after the last answer where nothing is known of the limit: a few times the largest
+/// accepted body.
+const PATIENT_LINGER_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// How many times the largest accepted body a refused one may announce so that it is read to its end.
+const NEAR_BODY_FACTOR: u64 = 2;
+
+/// Number of bytes that are read from all peers that linger at the same time: a few large bodies.
+const POOL_BYTES: usize = 32 * 1_024 * 1_024;
 
 /// Read size while lingering, in bytes.
-const LINGER_BUFFER_BYTES: usize = 16 * 1_024;
+const LINGER_BUFFER_BYTES: usize = 8 * 1_024;
+
+/// How many bytes may be read from a peer after the last answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LingerBytes(usize);
+
+impl LingerBytes {
+    /// The bytes for a peer that is far over a limit, or that sends without a request.
+    pub(crate) const FAR: LingerBytes = LingerBytes(FAR_LINGER_BYTES);
+
+    /// The bytes for a peer of which it is not known how far it is over a limit.
+    pub(crate) const PATIENT: LingerBytes = LingerBytes(PATIENT_LINGER_BYTES);
+
+    /// Returns the bytes for a refused body that announced a length (0 for none), where bodies up to
+    /// `body_max` bytes are accepted: a caller just above that limit still receives its refusal.
+    pub(crate) fn for_body(announced: u64, body_max: usize) -> Self {
+        let near_max = (body_max as u64).saturating_mul(NEAR_BODY_FACTOR);
+        let bytes = match announced {
+            0 => body_max,
+            announced if announced <= near_max => announced as usize,
+            _ => FAR_LINGER_BYTES,
+        };
+        LingerBytes(bytes.max(FAR_LINGER_BYTES))
+    }
+}
+
+/// What is read from all peers that linger at the same time.
+///
+/// A crowd that sends on after its refusals would otherwise cost more than callers that are served, and fill
+/// the receive queues of all connections meanwhile. Peers that come when nothing is left are closed at once.
+#[derive(Clone, Debug)]
+pub(crate) struct LingerPool {
+    left: Arc<AtomicUsize>,
+}
+
+/// The bytes that one peer has taken from the pool, until it is dropped.
+struct LingerShare {
+    left: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl Default for LingerPool {
+    fn default() -> Self {
+        LingerPool {
+            left: Arc::new(AtomicUsize::new(POOL_BYTES)),
+        }
+    }
+}
+
+impl LingerPool {
+    /// Takes the bytes of a peer, or what is left of them.
+    fn take(&self, LingerBytes(wanted): LingerBytes) -> LingerShare {
+        let take = |left: usize| Some(left - left.min(wanted));
+        let before = self
+            .left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        let left = before.unwrap_or_else(|unchanged| unchanged);
+        LingerShare {
+            left: Arc::clone(&self.left),
+            bytes: left.min(wanted),
+        }
+    }
+}
+
+impl Drop for LingerShare {
+    fn drop(&mut self) {
+        self.left.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
 
 /// Closes a connection so that the peer can read the last answer.
 ///
@@ -23,7 +103,11 @@
 /// answer that the peer has not read yet: a caller whose body is too large would see a broken
 /// connection instead of its 413. The remaining bytes are therefore read, within limits, until the
 /// peer closes. A connection that exceeded one of its own limits is closed at once.
-pub(crate) async fn linger(mut guarded: GuardedStream<impl StreamLimits + Unpin>) {
+pub(crate) async fn linger(
+    mut guarded: GuardedStream<impl StreamLimits + Unpin>,
+    bytes: LingerBytes,
+    pool: &LingerPool,
+) {
     if guarded.is_cut() {
         return;
     }
@@ -34,7 +118,8 @@
     }
     // On the heap: in the future it would be part of every connection's task from its start.
     let mut buffer = vec![0_u8; LINGER_BUFFER_BYTES];
-    let mut left = MAX_LINGER_BYTES;
+    let share = pool.take(bytes);
+    let mut left = share.bytes;
     let reading = async {
         while left > 0 {
             match stream.read(&mut buffer).await {
--- a/crates/beechsaddle/src/calls/mod.rs
+++ b/crates/beechsaddle/src/calls/mod.rs
@@ -53,5 +53,5 @@
 pub use calls_options::CallsOptions;
 pub(crate) use connection_tracker::ConnectionTracker;
 pub(crate) use guarded_stream::GuardedStream;
-pub(crate) use linger::linger;
+pub(crate) use linger::{LingerBytes, LingerPool, linger};
 pub(crate) use stream_limits::{StreamCut, StreamLimits};
--- a/crates/beechsaddle/src/gateway/call_checks.rs
+++ b/crates/beechsaddle/src/gateway/call_checks.rs
@@ -71,6 +71,22 @@
     }
 }
 
+/// Refuses calls whose announced body is too large, before any of it is read. `body_bytes` is the size of the
+/// body as far as it is known.
+pub(super) fn refuse_oversized(state: &GatewayState, body_bytes: u64) -> Result<(), CallRefusal> {
+    let body_max = state.caller_limits().body_bytes;
+    match body_bytes > body_max as u64 {
+        true => Err(oversized_refusal(body_max)),
+        false => Ok(()),
+    }
+}
+
+/// Returns the refusal of a body of more than `body_max` bytes.
+pub(super) fn oversized_refusal(body_max: usize) -> CallRefusal {
+    let message = format!("at most {body_max} bytes are taken");
+    CallRefusal::new(RefusalCause::BodyTooLarge, message)
+}
+
 /// Refuses calls that exceed this router's short link, the less urgent and large ones first: other
 /// routers can serve them at once. `body_bytes` is the size of the body as far as it is known.
 pub(super) fn refuse_without_room(
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -21,8 +21,8 @@
 
 use super::answer_body::AnswerBody;
 use super::call_checks::{
-    CallRefusal, CallRules, check_head, refuse_behind_full_link, refuse_in_shutdown,
-    refuse_without_room,
+    CallRefusal, CallRules, check_head, oversized_refusal, refuse_behind_full_link,
+    refuse_in_shutdown, refuse_oversized, refuse_without_room,
 };
 use super::call_context::CallContext;
 use super::call_record::CallRecord;
@@ -37,6 +37,7 @@
 use super::stream_exchange::serve_stream;
 use super::target_choice::refuse_resting;
 use super::token_reservation::TokenReservation;
+use crate::calls::LingerBytes;
 
 /// Maximum time to read a request body, in milliseconds, if the caller's deadline allows more.
 const BODY_TIMEOUT_MS: u64 = 10_000;
@@ -57,6 +58,7 @@
     let (parts, body) = request.into_parts();
     let checked = check_head(&state, &parts, &record);
     let admitted = checked.and_then(|(head, rules)| {
+        refuse_oversized(&state, body.size_hint().lower())?;
         refuse_behind_full_link(&state).map_err(|refusal| CallRefusal {
             retry_ms: full_link_return_ms(&state, &head, &rules),
             ..refusal
@@ -68,7 +70,7 @@
     });
     let mut response = match admitted {
         Ok((head, rules)) => serve_checked(&state, parts, body, head, rules, record).await,
-        Err(refusal) => refuse_unread(&record, &refusal, &parts, body).await,
+        Err(refusal) => refuse_unread(&state, &record, &refusal, &parts, body).await,
     };
     // Makes callers send their next request elsewhere before this connection is closed.
     if state.phase() >= GatewayPhase::Leaving || state.has_left_rotation() {
@@ -91,11 +93,15 @@
 /// Marks a response to a request that is not read to its end. Its connection has to be read on after
 /// the response, or a reset takes the response from its caller.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct UnreadRequest;
+pub(super) struct UnreadRequest {
+    /// How much of the rest is read.
+    pub(super) linger_bytes: LingerBytes,
+}
 
-fn leave_unread(response: &mut Response<AnswerBody>) {
+fn leave_unread(response: &mut Response<AnswerBody>, linger_bytes: LingerBytes) {
     announce_close(response);
-    response.extensions_mut().insert(UnreadRequest);
+    let unread = UnreadRequest { linger_bytes };
+    response.extensions_mut().insert(unread);
 }
 
 /// Announces that the connection ends with the response.
@@ -112,12 +118,13 @@
     rules: CallRules,
     record: CallRecord,
 ) -> Response<AnswerBody> {
+    let linger_bytes = linger_bytes(state, &body);
     match read_call(state, parts, body, head, rules, record).await {
         Ok(call) => serve_read(Rc::new(call)).await,
         Err((record, refusal)) => {
             let mut response = refuse(&record, &refusal);
             if refusal.cause.leaves_body_unread() {
-                leave_unread(&mut response);
+                leave_unread(&mut response, linger_bytes);
             }
             response
         }
@@ -388,10 +395,7 @@
 
 fn body_refusal(fault: BodyFault, body_max: usize) -> CallRefusal {
     match fault {
-        BodyFault::TooLarge => CallRefusal::new(
-            RefusalCause::BodyTooLarge,
-            format!("at most {body_max} bytes are taken"),
-        ),
+        BodyFault::TooLarge => oversized_refusal(body_max),
         BodyFault::Unreadable(error) => CallRefusal::new(
             RefusalCause::BadHead,
             format!("the body cannot be read: {error}"),
@@ -406,18 +410,26 @@
     }
 }
 
+/// Returns how much is read of a body that is refused.
+fn linger_bytes(state: &GatewayState, body: &Incoming) -> LingerBytes {
+    let body_max = state.caller_limits().body_bytes;
+    LingerBytes::for_body(body.size_hint().lower(), body_max)
+}
+
 /// Refuses a call whose body is still to be read.
 async fn refuse_unread(
+    state: &GatewayState,
     record: &CallRecord,
     refusal: &CallRefusal,
     parts: &Parts,
     body: Incoming,
 ) -> Response<AnswerBody> {
     let mut response = refuse(record, refusal);
+    let linger_bytes = linger_bytes(state, &body);
     // Reading would ask a caller that waits for a `100 Continue` to send its body.
     let is_awaited = parts.headers.contains_key(EXPECT);
     if !body.is_end_stream() && (is_awaited || !discard_body(body).await) {
-        leave_unread(&mut response);
+        leave_unread(&mut response, linger_bytes);
     }
     response
 }
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -18,7 +18,7 @@
 use super::call_exchange::{UnreadRequest, serve_call};
 use super::caller_connection::{ActiveConnection, CallerConnection, ConnectionHistory};
 use super::gateway_state::{GatewayPhase, GatewayState};
-use crate::calls::{ConnectionTracker, GuardedStream, linger};
+use crate::calls::{ConnectionTracker, GuardedStream, LingerBytes, linger};
 
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -99,18 +99,17 @@
     let head_bytes = state.caller_limits().head_bytes;
     let mark = ConnectionTracker::default();
     let stream = GuardedStream::new(stream, mark.clone(), connection, WRITE_STALL_TIMEOUT);
-    let leaves_unread = Cell::new(false);
+    let unread = Cell::new(None);
     let service = service_fn(|request| {
         mark.start_request();
         let version = request.version();
         let arrival = history.record_request(state.now());
         let mark = mark.clone();
         let state = Rc::clone(&state);
-        let leaves_unread = &leaves_unread;
+        let unread = &unread;
         async move {
             let response = serve_call(state, request, arrival).await;
-            let is_unread = response.extensions().get::<UnreadRequest>().is_some();
-            leaves_unread.set(is_unread);
+            unread.set(response.extensions().get::<UnreadRequest>().copied());
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark, version)))
         }
     });
@@ -130,7 +129,7 @@
         }
     };
     let is_unreadable = ended.as_ref().is_err_and(hyper::Error::is_parse);
-    if !is_unreadable && !leaves_unread.get() {
+    if !is_unreadable && unread.get().is_none() {
         // All that was read is answered, and the answers are sent.
         drop(active);
     }
@@ -138,6 +137,7 @@
     // close at once.
     if is_unreadable || ended.is_ok() {
         let stream = connection.into_parts().io.into_inner();
-        linger(stream).await;
+        let bytes = unread.get().map(|unread| unread.linger_bytes);
+        linger(stream, bytes.unwrap_or(LingerBytes::FAR), &state.lingering).await;
     }
 }
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -32,6 +32,7 @@
 use super::target_pool::TargetPool;
 use super::token_lending::TokenLending;
 use super::tunnels::TunnelDirectory;
+use crate::calls::LingerPool;
 use crate::report::ReportHandle;
 use crate::router::ClockSource;
 
@@ -76,6 +77,8 @@
     pub(super) limit_history: RefCell<LimitHistory>,
     /// The number of open connections of callers.
     pub(super) open_connections: Cell<usize>,
+    /// What is read of callers' connections after their last response.
+    pub(super) lingering: LingerPool,
     pub(super) roster: RefCell<TargetRoster>,
     /// The failure domains whose targets get no new requests.
     pub(super) evacuations: RefCell<EvacuationRegistry>,
@@ -173,6 +176,7 @@
             config_at: Cell::new(ClockTime::ZERO),
             limit_history: RefCell::default(),
             open_connections: Cell::new(0),
+            lingering: LingerPool::default(),
             roster: RefCell::new(TargetRoster::default()),
             evacuations: RefCell::new(match settings.follows_evacuations() {
                 true => EvacuationRegistry::default(),
