Bound what waits unread on connections of callers

What callers saw: a router with 64 MB took 83 to 96 MB while 300 callers sent chunks without end, 110 to 122 MB while they sent heads without end, and 75 to 102 MB with 300 bodies whose last byte did not come. Cause: no listener set a receive buffer, so that the host let each connection grow to megabytes of unread bytes, which count towards the memory of the process. A thread that reads all connections is slower than a crowd that writes them. Now: connections of callers, and to the addresses for readiness and metrics, inherit a receive buffer of 12 KB. Ruled out: a smaller buffer on accepted connections.

--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -36,6 +36,11 @@
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
 
+/// Receive buffer of a connection of a caller or of an operator, in bytes; the host takes up to twice as much.
+/// What waits unread counts towards the memory of the process, and the host would let it grow to megabytes for
+/// each connection. Most requests fit.
+const CALLER_RECEIVE_BYTES: u32 = 12 * 1_024;
+
 /// Timeout of writing the last log lines.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -91,12 +96,13 @@
         signal(SignalKind::terminate()).wrap_err("cannot install a signal handler")?;
     let mut interrupt =
         signal(SignalKind::interrupt()).wrap_err("cannot install a signal handler")?;
-    let calls = try_bind(settings.call_address)?;
-    let ready = try_bind(settings.ready_address)?;
+    let calls = try_bind_for_callers(settings.call_address)?;
+    let ready = try_bind_for_callers(settings.ready_address)?;
     let listener = spawn_local(run_listener(calls, Rc::clone(&state)));
     spawn_local(run_host_listener(ready, Rc::clone(&state)));
     if let Some(address) = settings.metrics_address {
-        spawn_local(run_host_listener(try_bind(address)?, Rc::clone(&state)));
+        let metrics = try_bind_for_callers(address)?;
+        spawn_local(run_host_listener(metrics, Rc::clone(&state)));
     }
     if let Some(address) = settings.peer_address {
         spawn_local(run_peer_listener(try_bind(address)?, Rc::clone(&state)));
@@ -136,15 +142,32 @@
     Ok(())
 }
 
+/// Binds an address for routers, which send whole objects of the store.
 fn try_bind(address: SocketAddr) -> Result<TcpListener> {
-    open_listener(address).wrap_err_with(|| format!("cannot bind {address}"))
+    let socket = open_socket(address);
+    let listener = socket.and_then(|socket| start_listener(socket, address));
+    listener.wrap_err_with(|| format!("cannot bind {address}"))
+}
+
+/// Binds an address for callers or operators.
+fn try_bind_for_callers(address: SocketAddr) -> Result<TcpListener> {
+    let socket = open_socket(address).and_then(|socket| {
+        // Connections inherit the size. Reducing it later would stall them.
+        socket.set_recv_buffer_size(CALLER_RECEIVE_BYTES)?;
+        Ok(socket)
+    });
+    let listener = socket.and_then(|socket| start_listener(socket, address));
+    listener.wrap_err_with(|| format!("cannot bind {address}"))
+}
+
+fn open_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }
 }
 
-fn open_listener(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
+fn start_listener(socket: TcpSocket, address: SocketAddr) -> io::Result<TcpListener> {
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)
