Bound callers' connections and their memory as a whole

What callers saw: a router with 64 MB took 102 MB while 1,000 callers sent 60,000 bytes of a head and waited, 85 MB with 1,200 bodies of 16 KB whose last byte did not come, 128 MB (70 since receive buffers are bounded) with 600 callers that did not read their answers, and with 512 descriptors 600 silent connections took them all, so that no call got a connection to its target. Cause: a connection may hold a head of 64 KB, a small body that always fits, a call and its connection to a target, or nothing but a descriptor, and each of these limits was one for a connection. Their sum was not limited. Class: a limit on one times a number without a limit. Now: one budget counts all connections of callers by what their stage takes, up to 30 % of the memory and half of the free descriptors (new setting, by default the host's limit; the platform's is taken). Over it the connections that matter least end: those that are read on after their answer, then without a request, idle, with a part of a head or body; for memory the largest head first. Calls are never cut, except for a caller that has read nothing for a second. If nothing may end, calls are refused as not run, by their head, and new connections are closed. While memory is short, a head is read 2 KB at a time and in turn, as connections that have to end are freed only after the others were served. A caller that does not read its answers is not read either. Bodies are copied out of the read buffers which they held, and announced lengths are no longer reserved before they come; a call's future lives only as long as the call.

--- a/crates/beechsaddle-core/src/gateway/connection_budget.rs
+++ b/crates/beechsaddle-core/src/gateway/connection_budget.rs
@@ -13,12 +13,13 @@
 /// Memory of a connection that waits for a request, in bytes: its task, and buffers of earlier requests.
 const CONNECTION_BYTES: usize = 24 * 1_024;
 
-/// Further memory of a connection on which a request arrives, in bytes: what may wait unread.
-const ARRIVING_BYTES: usize = 8 * 1_024;
+/// Further memory of a connection on which a request arrives, in bytes: what may wait unread. A new connection
+/// counts as one, as its caller has sent a request, or is about to.
+const ARRIVING_BYTES: usize = 16 * 1_024;
 
 /// Further memory of a connection whose request runs, in bytes: the call, its connection to a target, and
 /// the part of the response that is being sent.
-const RUNNING_BYTES: usize = 40 * 1_024;
+const RUNNING_BYTES: usize = 48 * 1_024;
 
 /// Further memory of a connection with a large receive window, in bytes.
 const WIDE_WINDOW_BYTES: usize = 96 * 1_024;
@@ -90,9 +91,9 @@
 impl ConnectionEntry {
     fn bytes(&self) -> usize {
         let stage_bytes = match self.stage {
-            ConnectionStage::New | ConnectionStage::Idle => 0,
+            ConnectionStage::Idle => 0,
+            ConnectionStage::New | ConnectionStage::Lingering => ARRIVING_BYTES,
             ConnectionStage::Head(bytes) => ARRIVING_BYTES + bytes * HEAD_BYTES_FACTOR,
-            ConnectionStage::Lingering => ARRIVING_BYTES,
             ConnectionStage::Body | ConnectionStage::Running => RUNNING_BYTES,
         };
         let window_bytes = match self.is_wide {
@@ -155,11 +156,6 @@
         while self.open >= self.limits.connections {
             self.evict_least(now)?;
         }
-        while self.used_bytes.saturating_add(CONNECTION_BYTES) > self.limits.bytes {
-            self.evict_for_bytes(now)?;
-        }
-        let id = ConnectionId(self.next_id);
-        self.next_id += 1;
         let entry = ConnectionEntry {
             stage: ConnectionStage::New,
             since: now,
@@ -167,6 +163,11 @@
             is_wide: false,
             is_evicted: false,
         };
+        while self.used_bytes.saturating_add(entry.bytes()) > self.limits.bytes {
+            self.evict_for_bytes(now)?;
+        }
+        let id = ConnectionId(self.next_id);
+        self.next_id += 1;
         self.used_bytes += entry.bytes();
         self.open += 1;
         self.entries.insert(id, entry);
@@ -214,7 +215,7 @@
 
     /// Whether a connection may have a large receive window until its end. None is evicted for it.
     pub fn try_widen(&mut self, id: ConnectionId) -> bool {
-        let is_free = self.used_bytes + WIDE_WINDOW_BYTES <= self.limits.bytes / 2;
+        let is_free = !self.is_short();
         let is_narrow = self.entries.get(&id).is_some_and(|entry| !entry.is_wide);
         if !is_free || !is_narrow {
             return false;
@@ -240,6 +241,11 @@
         std::mem::take(&mut self.evicted)
     }
 
+    /// Whether more than half of the memory is used.
+    pub fn is_short(&self) -> bool {
+        self.used_bytes > self.limits.bytes / 2
+    }
+
     /// Returns the number of connections that are not evicted.
     pub fn open(&self) -> usize {
         self.open
--- a/crates/beechsaddle/src/calls/connection_limits.rs
+++ b/crates/beechsaddle/src/calls/connection_limits.rs
@@ -42,7 +42,21 @@
         self.is_closing().then_some(Duration::ZERO)
     }
 
-    fn record_head_start(&self) {}
+    fn record_head_bytes(&self, _: usize, _: bool) {}
+
+    fn head_read_max(&self) -> usize {
+        usize::MAX
+    }
+
+    fn record_stall(&self, _: bool) {}
+
+    fn is_evicted(&self) -> bool {
+        false
+    }
+
+    fn take_widening(&self) -> bool {
+        false
+    }
 
     fn record_cut(&self, _: StreamCut) {}
 }
--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -17,6 +17,10 @@
 use super::idle_timer::IdleTimer;
 use super::stream_limits::{StreamCut, StreamLimits};
 
+/// Receive buffer of a connection on which a large body arrives, in bytes: more would have no effect, as the
+/// window was not scaled when the connection was made.
+const WIDE_RECEIVE_BYTES: usize = 64 * 1_024;
+
 /// A TCP stream that fails if the peer exceeds the time limit for a request head, or accepts no
 /// bytes of its answer for too long, and that ends if the peer sends no request for too long.
 ///
@@ -33,6 +37,8 @@
     stall: Option<Pin<Box<Sleep>>>,
     is_stalled: bool,
     is_cut: bool,
+    /// Whether other connections are served before more of a head is read.
+    yields_head: bool,
 }
 
 impl<L: StreamLimits + Unpin> GuardedStream<L> {
@@ -54,6 +60,7 @@
             stall: None,
             is_stalled: false,
             is_cut: false,
+            yields_head: false,
         }
     }
 
@@ -78,6 +85,7 @@
         if !self.is_stalled {
             stall.as_mut().reset(deadline);
             self.is_stalled = true;
+            self.limits.record_stall(true);
         }
         ready!(stall.as_mut().poll(context));
         self.is_cut = true;
@@ -93,6 +101,7 @@
             Poll::Ready(result) => {
                 if self.is_stalled {
                     self.is_stalled = false;
+                    self.limits.record_stall(false);
                     // The limits of an idle connection are checked once its answer is sent.
                     context.waker().wake_by_ref();
                 }
@@ -102,6 +111,29 @@
         }
     }
 
+    /// Reads as much of a request head as the limits allow at a time.
+    fn poll_head(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read_max = self.limits.head_read_max();
+        if buffer.remaining() <= read_max {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        if std::mem::take(&mut self.yields_head) {
+            // The HTTP connection would read on until nothing is left.
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(read_max));
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let count = part.filled().len();
+        buffer.advance(count);
+        self.yields_head = count > 0;
+        read
+    }
+
     /// Ends the connection if the awaited request, of which no further bytes are there, took too
     /// long, and the answer before it is sent.
     fn check_limits(&mut self, request: u64, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -116,12 +148,15 @@
         match cut {
             StreamCut::Head => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
             // The HTTP connection takes this for a close by the caller, and closes as well.
-            StreamCut::Idle => Poll::Ready(Ok(())),
+            StreamCut::Idle | StreamCut::Evicted => Poll::Ready(Ok(())),
         }
     }
 
     fn exceeded_limit(&mut self, request: u64, context: &mut Context<'_>) -> Option<StreamCut> {
         let limits = &self.limits;
+        if limits.is_evicted() {
+            return Some(StreamCut::Evicted);
+        }
         if self.head_timer.is_started(request) {
             let head_timeout = || limits.head_timeout();
             let is_over = self.head_timer.is_over(head_timeout, context);
@@ -143,15 +178,33 @@
     peeked.is_ok_and(|count| count > 0)
 }
 
+/// Gives a connection the receive buffer for a large body.
+fn widen(stream: &TcpStream) {
+    // Only the speed of the body depends on it.
+    let _ = SockRef::from(stream).set_recv_buffer_size(WIDE_RECEIVE_BYTES);
+}
+
 impl<L: StreamLimits + Unpin> AsyncRead for GuardedStream<L> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.limits.take_widening() {
+            widen(&self.stream);
+        }
+        let awaited = self.tracker.awaited_request();
+        if self.is_stalled && awaited.is_some() {
+            // Answers to further requests would be kept in memory. A write that makes progress wakes the
+            // task.
+            return Poll::Pending;
+        }
         let filled = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let Some(request) = self.tracker.awaited_request() else {
+        let read = match awaited {
+            Some(_) => self.poll_head(context, buffer),
+            None => Pin::new(&mut self.stream).poll_read(context, buffer),
+        };
+        let Some(request) = awaited else {
             if read.is_pending() {
                 // Nothing else may cause a read after the request, and limits are checked in reads.
                 self.tracker.set_reader(context.waker());
@@ -161,13 +214,19 @@
         if read.is_pending() {
             return self.check_limits(request, context);
         }
-        if buffer.filled().len() > filled {
-            if !self.head_timer.is_started(request) {
-                self.limits.record_head_start();
-            }
+        let count = buffer.filled().len() - filled;
+        if count > 0 {
+            let is_start = !self.head_timer.is_started(request);
+            self.limits.record_head_bytes(count, is_start);
             let head_timeout = self.limits.head_timeout();
             self.head_timer.start(request, head_timeout);
         }
+        if count > 0 && self.limits.is_evicted() {
+            // A peer that sends without a pause would never be found waiting.
+            self.is_cut = true;
+            self.limits.record_cut(StreamCut::Evicted);
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         read
     }
 }
--- a/crates/beechsaddle/src/calls/stream_limits.rs
+++ b/crates/beechsaddle/src/calls/stream_limits.rs
@@ -1,4 +1,4 @@
-//! The `stream_limits` module provides the time limits of a caller's connection.
+//! The `stream_limits` module provides the limits of a caller's connection.
 
 use std::time::Duration;
 
@@ -9,9 +9,11 @@
     Idle,
     /// A request head took too long.
     Head,
+    /// Others need its memory or its descriptor.
+    Evicted,
 }
 
-/// The time limits of a connection. They are read whenever one of them may be over, so that a
+/// The limits of a connection. They are read whenever one of them may be over, so that a
 /// change reaches open connections without any of them being woken.
 pub(crate) trait StreamLimits {
     /// Returns the time for one request head, from its first byte on.
@@ -21,8 +23,20 @@
     /// connection.
     fn idle_timeout(&self) -> Option<Duration>;
 
-    /// Records that the first bytes of a request head have arrived.
-    fn record_head_start(&self);
+    /// Records that bytes of a request head were read, the first ones if `is_start`.
+    fn record_head_bytes(&self, count: usize, is_start: bool);
+
+    /// Returns how many bytes of a request head may be read at a time.
+    fn head_read_max(&self) -> usize;
+
+    /// Records that the peer stops or goes on to read its answer.
+    fn record_stall(&self, is_stalled: bool);
+
+    /// Whether the connection has to end once no request runs on it.
+    fn is_evicted(&self) -> bool;
+
+    /// Whether the connection gets a large receive buffer, which was not set yet.
+    fn take_widening(&self) -> bool;
 
     /// Records that the connection ends by a limit.
     fn record_cut(&self, cut: StreamCut);
--- a/crates/beechsaddle/src/gateway/answer_body.rs
+++ b/crates/beechsaddle/src/gateway/answer_body.rs
@@ -1,6 +1,7 @@
 //! The `answer_body` module provides the bodies of responses to callers.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use http_body::{Body, Frame, SizeHint};
 
 use super::buffered_body::BufferedBody;
+use super::caller_slots::CallerSlot;
 use super::stream_relay::StreamBroken;
 use crate::calls::ConnectionTracker;
 
@@ -73,6 +75,7 @@
 pub(super) struct TrackedBody {
     body: AnswerBody,
     mark: ConnectionTracker,
+    slot: Rc<CallerSlot>,
 }
 
 impl TrackedBody {
@@ -80,11 +83,16 @@
     ///
     /// Before HTTP/1.1, a stream ends with its connection: until it is whole, the connection has to
     /// end in a reset.
-    pub(super) fn new(body: AnswerBody, mark: ConnectionTracker, version: Version) -> Self {
+    pub(super) fn new(
+        body: AnswerBody,
+        mark: ConnectionTracker,
+        version: Version,
+        slot: Rc<CallerSlot>,
+    ) -> Self {
         if version < Version::HTTP_11 && matches!(body, AnswerBody::Streamed(_)) {
             mark.mark_broken();
         }
-        TrackedBody { body, mark }
+        TrackedBody { body, mark, slot }
     }
 }
 
@@ -114,6 +122,7 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
+        self.slot.record_response();
         self.mark.end_request();
     }
 }
--- a/crates/beechsaddle/src/gateway/buffered_body.rs
+++ b/crates/beechsaddle/src/gateway/buffered_body.rs
@@ -7,19 +7,14 @@
 use beechsaddle_core::gateway::AttemptEnd;
 use beechsaddle_core::prelude::*;
 use beechsaddle_link::LinkBody;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 
+use super::body_parts::BodyParts;
 use super::buffer_memory::BufferShare;
 use super::target_send::SendFailure;
 
-/// Minimum size of the parts that a body is kept in, in bytes.
-const PART_BYTES_MIN: usize = 4_096;
-
-/// Maximum size of these parts, in bytes: a body that grows is never copied as a whole.
-const PART_BYTES_MAX: usize = 65_536;
-
 /// Number of chunks up to which their size does not matter.
 const SMALL_CHUNKS_MAX: usize = 4_096;
 
@@ -87,7 +82,7 @@
         let frame = frame.map_err(|error| error.to_string())?;
         // Trailers carry nothing for the caller.
         if let Some(data) = frame.into_data().ok().filter(|data| !data.is_empty()) {
-            collector.push(data)?;
+            collector.push(&data)?;
         }
     }
     Ok(collector.finish())
@@ -95,9 +90,8 @@
 
 /// A body that is being read.
 struct BodyCollector {
-    whole: BufferedBody,
-    /// The end of the body.
-    tail: BytesMut,
+    parts: BodyParts,
+    share: BufferShare<ServiceName>,
     chunks: usize,
     bytes_max: usize,
 }
@@ -105,58 +99,33 @@
 impl BodyCollector {
     fn new(share: BufferShare<ServiceName>, bytes_max: usize) -> Self {
         BodyCollector {
-            whole: BufferedBody::empty(share),
-            tail: BytesMut::new(),
+            parts: BodyParts::default(),
+            share,
             chunks: 0,
             bytes_max,
         }
     }
 
-    fn push(&mut self, data: Bytes) -> Result<(), String> {
+    fn push(&mut self, data: &[u8]) -> Result<(), String> {
         self.chunks += 1;
-        let bytes = self.whole.len() + data.len();
+        let bytes = self.parts.len() + data.len();
         if bytes > self.bytes_max {
             return Err(format!("response body exceeds {} bytes", self.bytes_max));
         }
         if self.chunks > SMALL_CHUNKS_MAX && bytes / self.chunks < CHUNK_BYTES_MIN {
             return Err("response body comes in chunks of a few bytes".to_owned());
         }
-        if !self.whole.share.try_resize(bytes) {
+        if !self.share.try_resize(bytes) {
             return Err("response body exceeds the memory left for its service".to_owned());
         }
-        match self.whole.parts.is_empty() {
-            // Most bodies come as one chunk.
-            true => self.whole.parts.push_back(data),
-            false => self.append(&data),
-        }
+        self.parts.push(data);
         Ok(())
     }
 
-    /// Copies a chunk, as it may hold a whole read buffer in memory.
-    fn append(&mut self, mut data: &[u8]) {
-        while !data.is_empty() {
-            let room = self.tail.capacity() - self.tail.len();
-            if room == 0 {
-                self.flush();
-                let part_bytes = self.whole.len().clamp(PART_BYTES_MIN, PART_BYTES_MAX);
-                self.tail = BytesMut::with_capacity(part_bytes);
-                continue;
-            }
-            let (fitting, rest) = data.split_at(room.min(data.len()));
-            self.tail.extend_from_slice(fitting);
-            data = rest;
-        }
-    }
-
-    fn flush(&mut self) {
-        let part = std::mem::take(&mut self.tail);
-        if !part.is_empty() {
-            self.whole.parts.push_back(part.freeze());
+    fn finish(self) -> BufferedBody {
+        BufferedBody {
+            parts: self.parts.into_parts(),
+            share: self.share,
         }
     }
-
-    fn finish(mut self) -> BufferedBody {
-        self.flush();
-        self.whole
-    }
 }
--- a/crates/beechsaddle/src/gateway/call_exchange.rs
+++ b/crates/beechsaddle/src/gateway/call_exchange.rs
@@ -27,6 +27,7 @@
 use super::call_context::CallContext;
 use super::call_record::CallRecord;
 use super::caller_connection::RequestArrival;
+use super::caller_slots::CallerSlot;
 use super::crashes::refuse_crashing;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use super::known_refusals::{TokenRefusal, count_refusal, return_ms};
@@ -53,6 +54,7 @@
     state: Rc<GatewayState>,
     request: Request<Incoming>,
     arrival: RequestArrival,
+    slot: &CallerSlot,
 ) -> Response<AnswerBody> {
     let record = CallRecord::start(&state, arrival);
     let (parts, body) = request.into_parts();
@@ -66,10 +68,16 @@
         let ends_at = record.arrived_at().plus_ms(rules.timeout_ms(&head));
         refuse_in_shutdown(&state, &rules, ends_at)?;
         refuse_without_room(&state, &rules, body.size_hint().lower())?;
-        Ok((head, rules))
+        match slot.try_start_call() {
+            true => Ok((head, rules)),
+            false => Err(CallRefusal::new(
+                RefusalCause::MemoryFull,
+                "this router has no memory left for the call",
+            )),
+        }
     });
     let mut response = match admitted {
-        Ok((head, rules)) => serve_checked(&state, parts, body, head, rules, record).await,
+        Ok((head, rules)) => serve_checked(&state, parts, body, head, rules, record, slot).await,
         Err(refusal) => refuse_unread(&state, &record, &refusal, &parts, body).await,
     };
     // Makes callers send their next request elsewhere before this connection is closed.
@@ -117,9 +125,10 @@
     head: CallHead,
     rules: CallRules,
     record: CallRecord,
+    slot: &CallerSlot,
 ) -> Response<AnswerBody> {
     let linger_bytes = linger_bytes(state, &body);
-    match read_call(state, parts, body, head, rules, record).await {
+    match read_call(state, parts, body, head, rules, record, slot).await {
         Ok(call) => serve_read(Rc::new(call)).await,
         Err((record, refusal)) => {
             let mut response = refuse(&record, &refusal);
@@ -282,6 +291,7 @@
     head: CallHead,
     rules: CallRules,
     record: CallRecord,
+    slot: &CallerSlot,
 ) -> Result<CallContext, (CallRecord, CallRefusal)> {
     let arrived_at = record.arrived_at();
     let body_max = state.caller_limits().body_bytes;
@@ -290,10 +300,11 @@
     let workspace = rules.workspace.as_ref().map(|rule| rule.name.clone());
     let share = state.request_memory.share(workspace);
     let left = Duration::from_millis(timeout_ms.min(BODY_TIMEOUT_MS));
-    let (body, body_share) = match read_request(body, share, body_max, left).await {
+    let (body, body_share) = match read_request(body, share, slot, body_max, left).await {
         Ok(read) => read,
         Err(fault) => return Err((record, body_refusal(fault, body_max))),
     };
+    slot.record_request();
     // The body may have come in a later phase than the head.
     if let Err(refusal) = refuse_in_shutdown(state, &rules, ends_at) {
         return Err((record, refusal));
--- a/crates/beechsaddle/src/gateway/caller_connection.rs
+++ b/crates/beechsaddle/src/gateway/caller_connection.rs
@@ -8,6 +8,7 @@
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 
+use super::caller_slots::CallerSlot;
 use super::gateway_metrics::{CALLER_CLOSES, OutcomeLabel};
 use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{StreamCut, StreamLimits};
@@ -16,6 +17,10 @@
 /// and one retransmission.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How many bytes of a head are read at a time while memory is short, in bytes. Connections that have to end are
+/// freed after all others were read once, which then take little more.
+const SHORT_READ_BYTES: usize = 2_048;
+
 /// How the requests of a caller's connection arrive.
 #[derive(Clone, Debug)]
 pub(super) struct ConnectionHistory {
@@ -83,14 +88,23 @@
 pub(super) struct CallerConnection {
     state: Rc<GatewayState>,
     history: Rc<ConnectionHistory>,
+    slot: Rc<CallerSlot>,
 }
 
 impl CallerConnection {
     /// Counts a connection that was accepted now.
-    pub(super) fn new(state: Rc<GatewayState>, history: Rc<ConnectionHistory>) -> Self {
+    pub(super) fn new(
+        state: Rc<GatewayState>,
+        history: Rc<ConnectionHistory>,
+        slot: Rc<CallerSlot>,
+    ) -> Self {
         let open_connections = state.open_connections.get() + 1;
         state.open_connections.set(open_connections);
-        CallerConnection { state, history }
+        CallerConnection {
+            state,
+            history,
+            slot,
+        }
     }
 
     fn idle_limit(&self) -> IdleLimit {
@@ -130,13 +144,39 @@
         Some(idle_timeout.min(shutdown_timeout))
     }
 
-    fn record_head_start(&self) {
-        self.history.head_began_at.set(self.state.now());
+    fn record_head_bytes(&self, count: usize, is_start: bool) {
+        if is_start {
+            self.history.head_began_at.set(self.state.now());
+        }
+        self.slot.record_head_bytes(count);
+    }
+
+    fn head_read_max(&self) -> usize {
+        match self.slot.is_memory_short() {
+            true => SHORT_READ_BYTES,
+            false => usize::MAX,
+        }
+    }
+
+    fn record_stall(&self, is_stalled: bool) {
+        self.slot.record_stall(is_stalled);
+    }
+
+    fn is_evicted(&self) -> bool {
+        self.slot.is_evicted()
+    }
+
+    fn take_widening(&self) -> bool {
+        self.slot.take_widening()
     }
 
     fn record_cut(&self, cut: StreamCut) {
+        if cut == StreamCut::Evicted {
+            // Counted when it was told to end.
+            return;
+        }
         let state = &self.state;
-        let [idle, unconfirmed, head, shutdown] = CALLER_CLOSES;
+        let [idle, unconfirmed, head, shutdown, ..] = CALLER_CLOSES;
         if cut == StreamCut::Idle && self.shutdown_timeout().is_some() {
             let label = OutcomeLabel { what: shutdown };
             state.metrics.caller_closes.get_or_create(&label).inc();
@@ -147,7 +187,9 @@
             (StreamCut::Idle, IdleLimit::Unconfirmed(limit_ms)) => {
                 (unconfirmed, limit_ms, LogLevel::Info)
             }
-            (StreamCut::Head, _) => (head, self.head_timeout_ms(), LogLevel::Debug),
+            (StreamCut::Head | StreamCut::Evicted, _) => {
+                (head, self.head_timeout_ms(), LogLevel::Debug)
+            }
         };
         let label = OutcomeLabel { what };
         state.metrics.caller_closes.get_or_create(&label).inc();
--- a/crates/beechsaddle/src/gateway/caller_listener.rs
+++ b/crates/beechsaddle/src/gateway/caller_listener.rs
@@ -17,6 +17,7 @@
 use super::answer_body::TrackedBody;
 use super::call_exchange::{UnreadRequest, serve_call};
 use super::caller_connection::{ActiveConnection, CallerConnection, ConnectionHistory};
+use super::caller_slots::CallerSlot;
 use super::gateway_state::{GatewayPhase, GatewayState};
 use crate::calls::{ConnectionTracker, GuardedStream, LingerBytes, linger};
 
@@ -24,7 +25,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Size of a head up to which a connection serves all later versions of the limits, in bytes: some
-/// times what servers commonly allow. A thousand callers who send such heads at once take 64 MB.
+/// times what servers commonly allow.
 const HEAD_BYTES_MAX: usize = 65_536;
 
 /// Maximum time a caller may go without reading any byte of its response.
@@ -82,20 +83,31 @@
     state.report.log(LogLevel::Warning, "accept_failed", fields);
 }
 
-/// Serves a connection in a task of its own, for which a shutdown waits from now on.
+/// Serves a connection in a task of its own, for which a shutdown waits from now on. One for which there is no
+/// memory or descriptor is closed.
 fn start_connection(stream: TcpStream, state: &Rc<GatewayState>) {
+    let Some(slot) = CallerSlot::try_open(state) else {
+        return;
+    };
     let active = ActiveConnection::start(state);
-    spawn_local(serve_connection(stream, Rc::clone(state), active));
+    spawn_local(serve_connection(stream, Rc::clone(state), active, slot));
 }
 
-async fn serve_connection(stream: TcpStream, state: Rc<GatewayState>, active: ActiveConnection) {
+async fn serve_connection(
+    stream: TcpStream,
+    state: Rc<GatewayState>,
+    active: ActiveConnection,
+    slot: CallerSlot,
+) {
     // Events are small; Nagle's algorithm would delay every token.
     if stream.set_nodelay(true).is_err() {
         // The caller has already disconnected.
         return;
     }
     let history = Rc::new(ConnectionHistory::new(state.now()));
-    let connection = CallerConnection::new(Rc::clone(&state), Rc::clone(&history));
+    let slot = Rc::new(slot);
+    let connection =
+        CallerConnection::new(Rc::clone(&state), Rc::clone(&history), Rc::clone(&slot));
     let head_bytes = state.caller_limits().head_bytes;
     let mark = ConnectionTracker::default();
     let stream = GuardedStream::new(stream, mark.clone(), connection, WRITE_STALL_TIMEOUT);
@@ -107,10 +119,12 @@
         let mark = mark.clone();
         let state = Rc::clone(&state);
         let unread = &unread;
+        let slot = Rc::clone(&slot);
         async move {
-            let response = serve_call(state, request, arrival).await;
+            // On the heap only while a call runs: idle connections would hold the memory of one each.
+            let response = Box::pin(serve_call(state, request, arrival, &slot)).await;
             unread.set(response.extensions().get::<UnreadRequest>().copied());
-            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark, version)))
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, mark, version, slot)))
         }
     });
     let mut connection = http1::Builder::new()
@@ -126,6 +140,8 @@
             // Polls the connection, which closes if it is idle. The library's own shutdown would drop a
             // part of a head, and a request that has arrived but is not read yet.
             _ = &mut closing, if !is_closing => is_closing = true,
+            // Polls the connection, which closes if it waits for a request.
+            () = slot.woken() => {}
         }
     };
     let is_unreadable = ended.as_ref().is_err_and(hyper::Error::is_parse);
@@ -138,6 +154,11 @@
     if is_unreadable || ended.is_ok() {
         let stream = connection.into_parts().io.into_inner();
         let bytes = unread.get().map(|unread| unread.linger_bytes);
-        linger(stream, bytes.unwrap_or(LingerBytes::FAR), &state.lingering).await;
+        slot.record_linger();
+        let lingering = linger(stream, bytes.unwrap_or(LingerBytes::FAR), &state.lingering);
+        tokio::select! {
+            () = lingering => {}
+            () = slot.evicted() => {}
+        }
     }
 }
--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -105,7 +105,20 @@
 /// Why a caller's connection was closed by this router without a call in progress: the idle time in
 /// force was over, that of a router which cannot know it, the time for a head, or the drain of a
 /// shutdown.
-pub(super) const CALLER_CLOSES: [&str; 4] = ["idle", "unconfirmed", "head", "shutdown"];
+pub(super) const CALLER_CLOSES: [&str; 6] = [
+    "idle",
+    "unconfirmed",
+    "head",
+    "shutdown",
+    CALLER_EVICTED,
+    CALLER_REFUSED,
+];
+
+/// The close of an open connection whose memory or descriptor others need.
+pub(super) const CALLER_EVICTED: &str = "evicted";
+
+/// The close of a new connection for which there is no memory or descriptor.
+pub(super) const CALLER_REFUSED: &str = "refused";
 
 /// Where the origin of a resumed stream was found: at this router or another one; or that no router
 /// knows it, or that none that answered does.
@@ -207,7 +220,7 @@
     pub(super) tunnels_ended: Family<OutcomeLabel, Counter>,
     /// Streams that were broken off towards their callers, by reason.
     pub(super) stream_breaks: Family<OutcomeLabel, Counter>,
-    /// Callers' connections whose time limit expired, by whether that limit was still in force.
+    /// Callers' connections that were closed by a limit on time, memory or descriptors, by limit.
     pub(super) caller_closes: Family<OutcomeLabel, Counter>,
     /// New connections to targets, by result.
     pub(super) connects: Family<OutcomeLabel, Counter>,
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -4,9 +4,12 @@
 use std::path::Path;
 use std::time::Duration;
 
-use beechsaddle_core::gateway::{ChangeBounds, EscrowOptions, PolicyOptions, RetryShareOptions};
+use beechsaddle_core::gateway::{
+    ChangeBounds, ConnectionLimits, EscrowOptions, PolicyOptions, RetryShareOptions,
+};
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::StoreOptions;
+use nix::sys::resource::{Resource, getrlimit};
 
 use crate::findings::{FindingList, TableReader};
 use crate::settings::{
@@ -58,9 +61,28 @@
 const DEFAULT_MEMORY_MB: u64 = 128;
 
 /// Part of the memory for the buffered bodies of all requests, and as much for those of all responses.
-/// The rest is for connections, what is known of the fleet, and copies on their way.
 const BODY_MEMORY_PART: u64 = 5;
 
+/// Percentage of the memory for connections of callers and the calls on them. With all bodies, it leaves 30 %
+/// for what is known of the fleet, and for unread bytes.
+const CONNECTION_MEMORY_PERCENT: u64 = 30;
+
+/// Descriptors that callers' connections leave to files, the store, other routers and idle connections to
+/// targets; half of all where there are fewer.
+const RESERVED_DESCRIPTORS: u64 = 256;
+
+/// Part of the other descriptors for callers' connections: calls and tunnels need as many for targets.
+const CALLER_DESCRIPTOR_PART: u64 = 2;
+
+/// Minimum number of descriptors that can be configured: a few callers beside the reserved ones.
+const DESCRIPTORS_MIN: u64 = 64;
+
+/// Maximum number of descriptors that can be configured.
+const DESCRIPTORS_MAX: u64 = 1_048_576;
+
+/// Descriptors of a process for which the host names no limit.
+const DEFAULT_DESCRIPTORS: u64 = 1_024;
+
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -93,6 +115,8 @@
     pub link_mbps: Option<f64>,
     /// The memory of the router's process, in mebibytes.
     pub memory_mb: u64,
+    /// The number of descriptors that the process may have open.
+    pub descriptors: u64,
     /// The time between the termination signal and the kill, in milliseconds.
     pub grace_ms: u64,
     /// The fleet's retry budget.
@@ -122,6 +146,18 @@
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
+    /// Returns the limits on callers' connections.
+    pub(super) fn connection_limits(&self) -> ConnectionLimits {
+        let bytes = self.memory_mb * 1_024 * 1_024 / 100 * CONNECTION_MEMORY_PERCENT;
+        let reserved = RESERVED_DESCRIPTORS.min(self.descriptors / 2);
+        let free = self.descriptors - reserved;
+        let connections = free / CALLER_DESCRIPTOR_PART;
+        ConnectionLimits {
+            connections: usize::try_from(connections).unwrap_or(usize::MAX),
+            bytes: usize::try_from(bytes).unwrap_or(usize::MAX),
+        }
+    }
+
     /// Whether the store holds evacuations that the router has to follow.
     pub fn follows_evacuations(&self) -> bool {
         self.evacuate_ms.is_some()
@@ -169,6 +205,12 @@
     let grace_ms = gateway.read_seconds_ms("grace_s", 8.0, findings);
     let link_mbps = gateway.read_f64("link_mbps", LINK_MIN_MBPS..=1e6, findings);
     let memory_mb = gateway.read_u64_or("memory_mb", DEFAULT_MEMORY_MB, 32..=1_048_576, findings);
+    let descriptors = gateway.read_u64_or(
+        "descriptors",
+        host_descriptors(),
+        DESCRIPTORS_MIN..=DESCRIPTORS_MAX,
+        findings,
+    );
     gateway.finish(findings);
     let store = store?;
     Some(GatewaySettings {
@@ -186,6 +228,7 @@
         evacuate_ms: store.evacuate_ms,
         link_mbps,
         memory_mb,
+        descriptors,
         grace_ms,
         retries,
         budgets,
@@ -194,6 +237,13 @@
     })
 }
 
+/// Returns the number of descriptors that the host lets the process open.
+fn host_descriptors() -> u64 {
+    let limits = getrlimit(Resource::RLIMIT_NOFILE);
+    let (soft, _) = limits.unwrap_or((DEFAULT_DESCRIPTORS, DEFAULT_DESCRIPTORS));
+    soft.clamp(DESCRIPTORS_MIN, DESCRIPTORS_MAX)
+}
+
 fn read_store(reader: &TableReader<'_>, findings: &mut FindingList) -> Option<StoreSettings> {
     let address = reader.require_address("address", findings);
     let call_ms = reader.read_u64_or(
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -17,6 +17,7 @@
 
 use super::board::BoardManager;
 use super::buffer_memory::BufferMemory;
+use super::caller_slots::CallerSlots;
 use super::changes::{ChangeRelay, StoreHealth, TargetRefresh, UnreadableLog};
 use super::clock_manager::ClockManager;
 use super::crashes::CrashManager;
@@ -77,6 +78,8 @@
     pub(super) limit_history: RefCell<LimitHistory>,
     /// The number of open connections of callers.
     pub(super) open_connections: Cell<usize>,
+    /// The memory and descriptors of callers' connections.
+    pub(super) callers: CallerSlots,
     /// What is read of callers' connections after their last response.
     pub(super) lingering: LingerPool,
     pub(super) roster: RefCell<TargetRoster>,
@@ -176,6 +179,7 @@
             config_at: Cell::new(ClockTime::ZERO),
             limit_history: RefCell::default(),
             open_connections: Cell::new(0),
+            callers: CallerSlots::new(settings.connection_limits()),
             lingering: LingerPool::default(),
             roster: RefCell::new(TargetRoster::default()),
             evacuations: RefCell::new(match settings.follows_evacuations() {
--- a/crates/beechsaddle/src/gateway/request_body.rs
+++ b/crates/beechsaddle/src/gateway/request_body.rs
@@ -3,12 +3,17 @@
 use std::time::Duration;
 
 use beechsaddle_core::prelude::*;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use super::body_parts::BodyParts;
 use super::buffer_memory::BufferShare;
+use super::caller_slots::CallerSlot;
+
+/// Size from which a body is worth a large receive window, in bytes: several round trips with a small one.
+const LARGE_BODY_BYTES: usize = 65_536;
 
 /// The memory of a request body.
 type RequestShare = BufferShare<Option<WorkspaceName>>;
@@ -30,52 +35,43 @@
 pub(super) async fn read_request(
     body: Incoming,
     share: RequestShare,
+    slot: &CallerSlot,
     bytes_max: usize,
     left: Duration,
 ) -> Result<(Bytes, RequestShare), BodyFault> {
-    let reading = read_to_end(body, share, bytes_max);
-    timeout(left, reading)
-        .await
-        .unwrap_or(Err(BodyFault::TimedOut))
+    let reading = read_to_end(body, share, slot, bytes_max);
+    tokio::select! {
+        biased;
+        read = timeout(left, reading) => read.unwrap_or(Err(BodyFault::TimedOut)),
+        // The memory is needed for calls whose requests have arrived.
+        () = slot.evicted() => Err(BodyFault::MemoryFull),
+    }
 }
 
 async fn read_to_end(
     mut body: Incoming,
     mut share: RequestShare,
+    slot: &CallerSlot,
     bytes_max: usize,
 ) -> Result<(Bytes, RequestShare), BodyFault> {
-    let mut first = Bytes::new();
-    let mut joined = BytesMut::new();
+    let mut parts = BodyParts::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(BodyFault::Unreadable)?;
         // Trailers are not passed on.
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = first.len() + joined.len() + data.len();
+        let length = parts.len() + data.len();
         if length > bytes_max {
             return Err(BodyFault::TooLarge);
         }
         if !share.try_resize(length) {
             return Err(BodyFault::MemoryFull);
         }
-        if length == data.len() {
-            // Most bodies come as one chunk.
-            first = data;
-            continue;
-        }
-        if joined.is_empty() {
-            // What has no announced length grows by itself.
-            let rest = usize::try_from(body.size_hint().lower()).unwrap_or(0);
-            joined.reserve((length + rest).min(bytes_max));
-            joined.extend_from_slice(&first);
-            first = Bytes::new();
+        if length > LARGE_BODY_BYTES {
+            slot.widen();
         }
-        joined.extend_from_slice(&data);
+        parts.push(&data);
     }
-    let whole = match joined.is_empty() {
-        true => first,
-        false => joined.freeze(),
-    };
-    Ok((whole, share))
+    Ok((parts.join(), share))
 }
--- a/crates/beechsaddle/tests/gateway_settings.rs
+++ b/crates/beechsaddle/tests/gateway_settings.rs
@@ -41,6 +41,7 @@
     let settings = GatewaySettings::try_parse("router.toml", text).expect("settings");
     assert_eq!(settings.link_mbps, Some(200.0));
     assert_eq!(settings.memory_mb, 200);
+    assert_eq!(settings.descriptors, 200);
     assert!(settings.peer_address.is_some() && settings.metrics_address.is_some());
 }
 
