Bound connections to the addresses for readiness, metrics and routers

What callers saw: with 512 descriptors, 600 silent connections to the address for readiness, or to the one for other routers, took them all; with 64 MB, 300 heads of 300 KB to the former took 122 MB. Callers got no connections to targets meanwhile. Cause: these listeners had no bound on connections, and took heads of 400 KB, or messages of 4 MB from peers that had not shown the fleet's secret. Now: an address of the host has 64 connections and heads of 8 KB. Connections of other routers are counted until they have shown the secret, an eighth of the descriptors, and may send 64 KB before. The oldest one ends for a new one, so that silent connections keep no router and no balancer out.

--- a/crates/beechsaddle/src/gateway/gateway_metrics.rs
+++ b/crates/beechsaddle/src/gateway/gateway_metrics.rs
@@ -222,6 +222,8 @@
     pub(super) stream_breaks: Family<OutcomeLabel, Counter>,
     /// Callers' connections that were closed by a limit on time, memory or descriptors, by limit.
     pub(super) caller_closes: Family<OutcomeLabel, Counter>,
+    /// Connections to the address for other routers that were closed for newer ones.
+    pub(super) peers_evicted: Counter,
     /// New connections to targets, by result.
     pub(super) connects: Family<OutcomeLabel, Counter>,
     /// Responses in which targets announce that they leave or want rest.
@@ -329,6 +331,7 @@
             tunnels_ended: zeroed_counters(TUNNEL_ENDS),
             stream_breaks: zeroed_counters(STREAM_BREAKS),
             caller_closes: zeroed_counters(CALLER_CLOSES),
+            peers_evicted: Counter::default(),
             connects: zeroed_counters(CONNECT_RESULTS),
             target_notices: zeroed_counters(TARGET_NOTICES),
             target_notes: zeroed_counters(TARGET_NOTE_OUTCOMES),
@@ -466,6 +469,12 @@
             "Callers' connections closed by a limit",
             closes,
         );
+        let peers = self.peers_evicted.clone();
+        registry.register(
+            "peers_evicted",
+            "Unproven peers closed for newer ones",
+            peers,
+        );
         let connects = self.connects.clone();
         registry.register("connects", "New connections to targets", connects);
         let notices = self.target_notices.clone();
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -71,6 +71,10 @@
 /// targets; half of all where there are fewer.
 const RESERVED_DESCRIPTORS: u64 = 256;
 
+/// Part of all descriptors for connections of other routers that have not shown the fleet's secret: most do so
+/// with their first message.
+const UNPROVEN_PEER_PART: u64 = 8;
+
 /// Part of the other descriptors for callers' connections: calls and tunnels need as many for targets.
 const CALLER_DESCRIPTOR_PART: u64 = 2;
 
@@ -158,6 +162,11 @@
         }
     }
 
+    /// Returns the maximum number of connections of other routers that have not shown the fleet's secret.
+    pub(super) fn unproven_peers_max(&self) -> usize {
+        usize::try_from(self.descriptors / UNPROVEN_PEER_PART).unwrap_or(usize::MAX)
+    }
+
     /// Whether the store holds evacuations that the router has to follow.
     pub fn follows_evacuations(&self) -> bool {
         self.evacuate_ms.is_some()
--- a/crates/beechsaddle/src/gateway/host_listener.rs
+++ b/crates/beechsaddle/src/gateway/host_listener.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
+use super::connection_ring::{ConnectionRing, ProofMark};
 use super::gateway_state::GatewayState;
 use super::status_view::view_status;
 
@@ -31,8 +32,15 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves requests until the process ends.
+/// Maximum number of connections to one address. The balancer and each operator need one or two.
+const CONNECTIONS_MAX: usize = 64;
+
+/// Maximum size of a request head, in bytes: the least that the library takes.
+const HEAD_BYTES_MAX: usize = 8_192;
+
+/// Serves requests until the process ends. With too many connections, the oldest one is closed.
 pub(super) async fn run_host_listener(listener: TcpListener, state: Rc<GatewayState>) {
+    let mut ring = ConnectionRing::new(CONNECTIONS_MAX);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -44,7 +52,7 @@
             }
         };
         let state = Rc::clone(&state);
-        spawn_local(async move {
+        let serving = spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
                 let response = answer(&state, request.uri().path());
                 async move { Ok::<_, Infallible>(response) }
@@ -52,10 +60,12 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE_TIMEOUT)
+                .max_buf_size(HEAD_BYTES_MAX)
                 .serve_connection(TokioIo::new(stream), service);
             // A failed connection has no consequences here; the client repeats its request.
             let _ = connection.await;
         });
+        ring.push(serving.abort_handle(), ProofMark::default());
     }
 }
 
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -26,12 +26,14 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::changes::{FollowReply, FollowRequest, serve_follow};
+use super::connection_ring::{ConnectionRing, ProofMark};
 use super::gateway_state::GatewayState;
 use super::known_refusals::forget_refusals;
 use super::ledger_updates::receive_ledger;
 use super::limits::{PermitRequest, answer_permit_request};
 use super::origins::read_origin;
 use super::peer_codec::{read_incarnation, reader_options, time_before};
+use super::quota_reader::QuotaReader;
 use super::token_lender::lend_tokens;
 use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
 use super::urgency_gate::levels_to_tell;
@@ -43,12 +45,23 @@
 /// time covers retransmissions.
 const START_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Serves other routers until the process ends.
+/// Number of bytes that are read from a peer before it has shown the fleet's secret: many times the first
+/// message of a router. What a message announces beyond that takes no memory, as it is never written.
+const UNPROVEN_BYTES_MAX: usize = 65_536;
+
+/// Serves other routers until the process ends. With too many connections that have not shown the fleet's
+/// secret, the oldest one is closed.
 pub(super) async fn run_peer_listener(listener: TcpListener, state: Rc<GatewayState>) {
+    let mut ring = ConnectionRing::new(state.settings().unproven_peers_max());
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                spawn_local(serve_peer(stream, peer, Rc::clone(&state)));
+                let mark = ProofMark::default();
+                let serving = serve_peer(stream, peer, Rc::clone(&state), Rc::clone(&mark));
+                let serving = spawn_local(serving);
+                if ring.push(serving.abort_handle(), mark) {
+                    state.metrics.peers_evicted.inc();
+                }
             }
             Err(error) => {
                 let fields = [("error", error.to_string())];
@@ -59,7 +72,12 @@
     }
 }
 
-async fn serve_peer(mut stream: TcpStream, peer: SocketAddr, state: Rc<GatewayState>) {
+async fn serve_peer(
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    state: Rc<GatewayState>,
+    mark: ProofMark,
+) {
     // Nagle's algorithm would delay the small messages that calls wait for.
     if stream.set_nodelay(true).is_err() {
         return;
@@ -76,9 +94,10 @@
         }
     }
     if start == TUNNEL_PREFACE {
-        return serve_tunnel(stream, peer, state).await;
+        return serve_tunnel(stream, peer, state, mark).await;
     }
     let (reader, writer) = stream.into_split();
+    let reader = QuotaReader::new(reader, Rc::clone(&mark), UNPROVEN_BYTES_MAX);
     let reader = Cursor::new(start).chain(reader);
     let network = VatNetwork::new(
         reader.compat(),
@@ -86,7 +105,7 @@
         Side::Server,
         reader_options(),
     );
-    let server = PeerServer { state, peer };
+    let server = PeerServer { state, peer, mark };
     let client: router_peer::Client = capnp_rpc::new_client(server);
     // A borrower that terminates closes the connection, which needs no handling here.
     let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
@@ -96,12 +115,15 @@
 pub(super) struct PeerServer {
     pub(super) state: Rc<GatewayState>,
     peer: SocketAddr,
+    /// Set once the peer has shown the fleet's secret.
+    mark: ProofMark,
 }
 
 impl PeerServer {
     /// Rejects peers that do not know the fleet's secret.
     pub(super) fn check_secret(&self, secret: capnp::text::Reader<'_>) -> Result<(), capnp::Error> {
         if self.state.lending.is_secret(secret.as_bytes()) {
+            self.mark.set(true);
             return Ok(());
         }
         let fields = [("peer", self.peer.to_string())];
--- a/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
+++ b/crates/beechsaddle/src/gateway/tunnels/tunnel_server.rs
@@ -14,6 +14,7 @@
 use super::tunnel_codec::{TunnelOrder, TunnelReply};
 use super::tunnel_copy::{TunnelEnd, copy_both_ways};
 use super::tunnel_watch::TunnelWatch;
+use crate::gateway::connection_ring::ProofMark;
 use crate::gateway::gateway_metrics::OutcomeLabel;
 use crate::gateway::gateway_state::{GatewayPhase, GatewayState};
 use crate::gateway::target_path::open_direct_stream;
@@ -51,11 +52,13 @@
     }
 }
 
-/// Carries a tunnel whose preface was read, until it ends.
+/// Carries a tunnel whose preface was read, until it ends. Sets `mark` if its request comes from a router of the
+/// fleet.
 pub(in crate::gateway) async fn serve_tunnel(
     mut stream: TcpStream,
     peer: SocketAddr,
     state: Rc<GatewayState>,
+    mark: ProofMark,
 ) {
     let order = match timeout(REQUEST_TIMEOUT, TunnelOrder::read(&mut stream)).await {
         Ok(Ok(order)) => order,
@@ -65,6 +68,7 @@
     if !state.lending.is_secret(order.secret.as_bytes()) {
         return log_refused(&state, peer, "wrong secret");
     }
+    mark.set(true);
     let guard = TunnelGuard::start(&state);
     let (outcome, opened) = match connect_target(&state, &order).await {
         Ok(opened) => (TunnelOutcome::Opened, Some(opened)),
--- a/crates/beechsaddle/tests/gateway_hostile.rs
+++ b/crates/beechsaddle/tests/gateway_hostile.rs
@@ -127,6 +127,18 @@
     assert_memory(BODY_BYTES, 600, CallerScript::UnreadRequests).await;
 }
 
+/// Guards against memory without a bound for large answers that are not read.
+#[tokio::test]
+async fn hostile_unread_large_answers_take_bounded_memory() {
+    let _turn = take_turn().await;
+    let mut bench = GatewayBench::start_with_memory(&body_draft(BODY_BYTES)).await;
+    for target in &bench.plain {
+        target.set_body_bytes(1_000_000);
+    }
+    let peak = play(&mut bench, 400, CallerScript::UnreadAnswer).await;
+    assert!(peak.memory_mb() <= MEMORY_MB, "{} MB", peak.memory_mb());
+}
+
 /// Guards against memory that one crowd leaves behind and the next one, of another kind, adds to.
 #[tokio::test]
 async fn hostile_crowds_in_turn_take_bounded_memory() {
@@ -197,6 +209,17 @@
     assert!(peak.memory_mb() <= MEMORY_MB, "{} MB", peak.memory_mb());
 }
 
+/// Guards against memory without a bound for messages of peers that are no routers.
+#[tokio::test]
+async fn hostile_messages_at_peer_address_take_bounded_memory() {
+    let _turn = take_turn().await;
+    let mut bench = GatewayBench::start_with_memory(&body_draft(BODY_BYTES)).await;
+    let address = bench.router.peer;
+    let script = CallerScript::PeerMessage { sent: 1_000_000 };
+    let peak = play_at(&mut bench, address, 300, script).await;
+    assert!(peak.memory_mb() <= MEMORY_MB, "{} MB", peak.memory_mb());
+}
+
 /// Guards against a caller whose body is announced over the limit and that waits without an answer.
 #[tokio::test]
 async fn hostile_announced_body_is_refused_by_its_head() {
--- a/crates/beechsaddle/tests/hostile_support/mod.rs
+++ b/crates/beechsaddle/tests/hostile_support/mod.rs
@@ -48,6 +48,10 @@
     Head { sent: usize },
     /// Nothing.
     Silence,
+    /// A message to a router that announces its largest size, of which so many bytes are sent.
+    PeerMessage { sent: usize },
+    /// One whole request, whose answer is not read.
+    UnreadAnswer,
     /// Whole requests, one behind the other, whose answers are not read.
     UnreadRequests,
 }
@@ -69,6 +73,15 @@
                 (head("POST /get/1", coding), chunk, SENT_BYTES_MAX)
             }
             CallerScript::Head { sent } => (head("GET /get/1", "X-Long: "), filler, sent),
+            CallerScript::PeerMessage { sent } => {
+                // One segment, whose size is in words of 8 bytes.
+                let segments = [0_u32, 512 * 1_024 - 1];
+                let table = segments.iter().flat_map(|field| field.to_le_bytes());
+                (table.collect(), filler, sent)
+            }
+            CallerScript::UnreadAnswer => {
+                (head("GET /get/1", "Content-Length: 0\r\n\r\n"), filler, 0)
+            }
             CallerScript::Silence => (Vec::new(), filler, 0),
             CallerScript::UnreadRequests => {
                 let request = head("GET /get/1", "Content-Length: 0\r\n\r\n");
