Read on after a refusal of a body within the limits, however many there are

What callers saw: of 40 callers with bodies of 4 MB, where the router has no memory for most, some had their connections reset in place of a 503 with Retry-After. Now: a body that keeps to the limit is read to its end after a refusal, which costs no more than serving it. Only what is over the limit, or has no length, takes from the pool.

--- a/crates/beechsaddle/src/calls/linger.rs
+++ b/crates/beechsaddle/src/calls/linger.rs
@@ -31,25 +31,30 @@
 
 /// How many bytes may be read from a peer after the last answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct LingerBytes(usize);
+pub(crate) enum LingerBytes {
+    /// The rest of a request that keeps to the limits: reading it costs no more than serving it.
+    Allowed(usize),
+    /// So many bytes, as far as the pool has them.
+    Pooled(usize),
+}
 
 impl LingerBytes {
     /// The bytes for a peer that is far over a limit, or that sends without a request.
-    pub(crate) const FAR: LingerBytes = LingerBytes(FAR_LINGER_BYTES);
+    pub(crate) const FAR: LingerBytes = LingerBytes::Pooled(FAR_LINGER_BYTES);
 
     /// The bytes for a peer of which it is not known how far it is over a limit.
-    pub(crate) const PATIENT: LingerBytes = LingerBytes(PATIENT_LINGER_BYTES);
+    pub(crate) const PATIENT: LingerBytes = LingerBytes::Pooled(PATIENT_LINGER_BYTES);
 
     /// Returns the bytes for a refused body that announced a length (0 for none), where bodies up to
     /// `body_max` bytes are accepted: a caller just above that limit still receives its refusal.
     pub(crate) fn for_body(announced: u64, body_max: usize) -> Self {
         let near_max = (body_max as u64).saturating_mul(NEAR_BODY_FACTOR);
-        let bytes = match announced {
-            0 => body_max,
-            announced if announced <= near_max => announced as usize,
-            _ => FAR_LINGER_BYTES,
-        };
-        LingerBytes(bytes.max(FAR_LINGER_BYTES))
+        match announced {
+            0 => LingerBytes::Pooled(body_max.max(FAR_LINGER_BYTES)),
+            announced if announced <= body_max as u64 => LingerBytes::Allowed(announced as usize),
+            announced if announced <= near_max => LingerBytes::Pooled(announced as usize),
+            _ => LingerBytes::FAR,
+        }
     }
 }
 
@@ -78,7 +83,7 @@
 
 impl LingerPool {
     /// Takes the bytes of a peer, or what is left of them.
-    fn take(&self, LingerBytes(wanted): LingerBytes) -> LingerShare {
+    fn take(&self, wanted: usize) -> LingerShare {
         let take = |left: usize| Some(left - left.min(wanted));
         let before = self
             .left
@@ -118,8 +123,13 @@
     }
     // On the heap: in the future it would be part of every connection's task from its start.
     let mut buffer = vec![0_u8; LINGER_BUFFER_BYTES];
-    let share = pool.take(bytes);
-    let mut left = share.bytes;
+    let (mut left, _share) = match bytes {
+        LingerBytes::Allowed(bytes) => (bytes, None),
+        LingerBytes::Pooled(bytes) => {
+            let share = pool.take(bytes);
+            (share.bytes, Some(share))
+        }
+    };
     let reading = async {
         while left > 0 {
             match stream.read(&mut buffer).await {
