Bound announced messages of peers that have not shown the fleet's secret

What was seen: hostile_messages_at_peer_address_take_bounded_memory took 57, 60 and then 937 MB where the router has 64. Now: the segment tables of messages are read as they come. Those over 4 KB, of all peers without a proof together, hold a sixteenth of the memory; a connection whose message finds none is closed before the message is allocated. Connections of other routers have a receive buffer of 32 KB; tunnels carry whole bodies.

--- a/crates/beechsaddle/src/gateway/gateway_process.rs
+++ b/crates/beechsaddle/src/gateway/gateway_process.rs
@@ -41,6 +41,9 @@
 /// each connection. Most requests fit.
 const CALLER_RECEIVE_BYTES: u32 = 12 * 1_024;
 
+/// Receive buffer of a connection of another router, in bytes: tunnels carry whole bodies.
+const PEER_RECEIVE_BYTES: u32 = 32 * 1_024;
+
 /// Timeout of writing the last log lines.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -96,16 +99,17 @@
         signal(SignalKind::terminate()).wrap_err("cannot install a signal handler")?;
     let mut interrupt =
         signal(SignalKind::interrupt()).wrap_err("cannot install a signal handler")?;
-    let calls = try_bind_for_callers(settings.call_address)?;
-    let ready = try_bind_for_callers(settings.ready_address)?;
+    let calls = try_bind(settings.call_address, CALLER_RECEIVE_BYTES)?;
+    let ready = try_bind(settings.ready_address, CALLER_RECEIVE_BYTES)?;
     let listener = spawn_local(run_listener(calls, Rc::clone(&state)));
     spawn_local(run_host_listener(ready, Rc::clone(&state)));
     if let Some(address) = settings.metrics_address {
-        let metrics = try_bind_for_callers(address)?;
+        let metrics = try_bind(address, CALLER_RECEIVE_BYTES)?;
         spawn_local(run_host_listener(metrics, Rc::clone(&state)));
     }
     if let Some(address) = settings.peer_address {
-        spawn_local(run_peer_listener(try_bind(address)?, Rc::clone(&state)));
+        let peers = try_bind(address, PEER_RECEIVE_BYTES)?;
+        spawn_local(run_peer_listener(peers, Rc::clone(&state)));
     } else {
         // Without a peer address there are no lenders.
         state.lending.enable_roles();
@@ -142,33 +146,20 @@
     Ok(())
 }
 
-/// Binds an address for routers, which send whole objects of the store.
-fn try_bind(address: SocketAddr) -> Result<TcpListener> {
-    let socket = open_socket(address);
-    let listener = socket.and_then(|socket| start_listener(socket, address));
-    listener.wrap_err_with(|| format!("cannot bind {address}"))
-}
-
-/// Binds an address for callers or operators.
-fn try_bind_for_callers(address: SocketAddr) -> Result<TcpListener> {
-    let socket = open_socket(address).and_then(|socket| {
-        // Connections inherit the size. Reducing it later would stall them.
-        socket.set_recv_buffer_size(CALLER_RECEIVE_BYTES)?;
-        Ok(socket)
-    });
-    let listener = socket.and_then(|socket| start_listener(socket, address));
+/// Binds an address whose connections have a receive buffer of a size, in bytes. Reducing it later would
+/// stall them.
+fn try_bind(address: SocketAddr, receive_bytes: u32) -> Result<TcpListener> {
+    let listener = open_listener(address, receive_bytes);
     listener.wrap_err_with(|| format!("cannot bind {address}"))
 }
 
-fn open_socket(address: SocketAddr) -> io::Result<TcpSocket> {
-    match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    }
-}
-
-fn start_listener(socket: TcpSocket, address: SocketAddr) -> io::Result<TcpListener> {
+fn open_listener(address: SocketAddr, receive_bytes: u32) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
     socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(receive_bytes)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)
 }
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -75,6 +75,10 @@
 /// with their first message.
 const UNPROVEN_PEER_PART: u64 = 8;
 
+/// Part of the memory for messages of other routers that have not shown the fleet's secret: on a small host,
+/// several of the largest that routers send.
+const UNPROVEN_MEMORY_PART: u64 = 16;
+
 /// Part of the other descriptors for callers' connections: calls and tunnels need as many for targets.
 const CALLER_DESCRIPTOR_PART: u64 = 2;
 
@@ -167,6 +171,11 @@
         usize::try_from(self.descriptors / UNPROVEN_PEER_PART).unwrap_or(usize::MAX)
     }
 
+    /// Returns the memory for messages of routers that have not shown the fleet's secret, in bytes.
+    pub(super) fn unproven_memory_bytes(&self) -> u64 {
+        self.memory_mb * 1_024 * 1_024 / UNPROVEN_MEMORY_PART
+    }
+
     /// Whether the store holds evacuations that the router has to follow.
     pub fn follows_evacuations(&self) -> bool {
         self.evacuate_ms.is_some()
--- a/crates/beechsaddle/src/gateway/mod.rs
+++ b/crates/beechsaddle/src/gateway/mod.rs
@@ -45,7 +45,6 @@
 mod peer_link;
 mod peer_server;
 mod plain_exchange;
-mod quota_reader;
 mod refusal;
 mod request_body;
 mod settings_watch;
@@ -69,6 +68,7 @@
 mod token_reservation;
 mod token_return;
 mod tunnels;
+mod unproven_reader;
 mod urgency_gate;
 
 pub use gateway_process::run;
--- a/crates/beechsaddle/src/gateway/peer_server.rs
+++ b/crates/beechsaddle/src/gateway/peer_server.rs
@@ -33,9 +33,9 @@
 use super::limits::{PermitRequest, answer_permit_request};
 use super::origins::read_origin;
 use super::peer_codec::{read_incarnation, reader_options, time_before};
-use super::quota_reader::QuotaReader;
 use super::token_lender::lend_tokens;
 use super::tunnels::{TUNNEL_PREFACE, serve_tunnel};
+use super::unproven_reader::{UnprovenMemory, UnprovenReader};
 use super::urgency_gate::levels_to_tell;
 
 /// Pause after a failed accept.
@@ -45,20 +45,23 @@
 /// time covers retransmissions.
 const START_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Number of bytes that are read from a peer before it has shown the fleet's secret: many times the first
-/// message of a router. What a message announces beyond that takes no memory, as it is never written.
-const UNPROVEN_BYTES_MAX: usize = 65_536;
-
 /// Serves other routers until the process ends. With too many connections that have not shown the fleet's
 /// secret, the oldest one is closed.
 pub(super) async fn run_peer_listener(listener: TcpListener, state: Rc<GatewayState>) {
-    let mut ring = ConnectionRing::new(state.settings().unproven_peers_max());
+    let settings = state.settings();
+    let mut ring = ConnectionRing::new(settings.unproven_peers_max());
+    let memory = Rc::new(UnprovenMemory::new(settings.unproven_memory_bytes()));
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let mark = ProofMark::default();
-                let serving = serve_peer(stream, peer, Rc::clone(&state), Rc::clone(&mark));
-                let serving = spawn_local(serving);
+                let serving = spawn_local(serve_peer(
+                    stream,
+                    peer,
+                    Rc::clone(&state),
+                    Rc::clone(&mark),
+                    Rc::clone(&memory),
+                ));
                 if ring.push(serving.abort_handle(), mark) {
                     state.metrics.peers_evicted.inc();
                 }
@@ -77,6 +80,7 @@
     peer: SocketAddr,
     state: Rc<GatewayState>,
     mark: ProofMark,
+    memory: Rc<UnprovenMemory>,
 ) {
     // Nagle's algorithm would delay the small messages that calls wait for.
     if stream.set_nodelay(true).is_err() {
@@ -97,8 +101,8 @@
         return serve_tunnel(stream, peer, state, mark).await;
     }
     let (reader, writer) = stream.into_split();
-    let reader = QuotaReader::new(reader, Rc::clone(&mark), UNPROVEN_BYTES_MAX);
     let reader = Cursor::new(start).chain(reader);
+    let reader = UnprovenReader::new(reader, Rc::clone(&mark), memory);
     let network = VatNetwork::new(
         reader.compat(),
         writer.compat_write(),
