Hand over responses as their callers read them

What callers saw: a router with 64 MB took 65 to 67 MB with 400 callers that did not read an answer of 1 MB. Cause: the memory of a buffered response counts as free once its parts are handed over to the connection, which kept up to 64 KB of them and one part more, unsent. The buffer of the target's connection grew to 64 KB as well, as each read filled it. Now: a response gets no further while its caller does not read, and after 16 KB it is sent first; parts are 32 KB at most. Reads from servers bring less than 16 KiB at a time, so that the library's buffer stays at that size, also on idle connections. Ruled out: the first change alone, 67 MB.

--- a/crates/beechsaddle-link/src/bounded_stream.rs
+++ b/crates/beechsaddle-link/src/bounded_stream.rs
@@ -19,6 +19,10 @@
 /// so for longer than most calls may last.
 const INTERIMS_MAX: usize = 64;
 
+/// Maximum number of bytes that are read at a time. The HTTP library doubles its buffer for each connection
+/// when a read fills it, up to the largest head; less than 16 KiB at a time keep it at 16 KiB.
+const READ_BYTES_MAX: usize = 16 * 1_024 - 1;
+
 /// What has come since a request began, until the head of its response is complete.
 #[derive(Debug)]
 pub(crate) struct HeadBound {
@@ -114,10 +118,12 @@
             let error = io::Error::new(io::ErrorKind::InvalidData, "response head without end");
             return Poll::Ready(Err(error));
         }
-        let filled_before = buffer.filled().len();
-        ready!(self.stream()?.poll_read(context, buffer))?;
-        self.bound
-            .record_read(buffer.filled().len() - filled_before);
+        let read_max = buffer.remaining().min(READ_BYTES_MAX);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(read_max));
+        ready!(self.stream()?.poll_read(context, &mut part))?;
+        let count = part.filled().len();
+        buffer.advance(count);
+        self.bound.record_read(count);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/beechsaddle/src/calls/connection_tracker.rs
+++ b/crates/beechsaddle/src/calls/connection_tracker.rs
@@ -18,6 +18,7 @@
     started: AtomicU64,
     ended: AtomicU64,
     reader: AtomicWaker,
+    is_stalled: AtomicBool,
 }
 
 impl ConnectionTracker {
@@ -37,6 +38,16 @@
         self.inner.is_broken.load(Ordering::Acquire)
     }
 
+    /// Records whether the peer reads nothing of its answer.
+    pub(crate) fn set_stalled(&self, is_stalled: bool) {
+        self.inner.is_stalled.store(is_stalled, Ordering::Release);
+    }
+
+    /// Whether the peer reads nothing of its answer.
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.inner.is_stalled.load(Ordering::Acquire)
+    }
+
     /// Records that the head of a request was read.
     pub(crate) fn start_request(&self) {
         self.inner.started.fetch_add(1, Ordering::AcqRel);
--- a/crates/beechsaddle/src/calls/guarded_stream.rs
+++ b/crates/beechsaddle/src/calls/guarded_stream.rs
@@ -85,6 +85,7 @@
         if !self.is_stalled {
             stall.as_mut().reset(deadline);
             self.is_stalled = true;
+            self.tracker.set_stalled(true);
             self.limits.record_stall(true);
         }
         ready!(stall.as_mut().poll(context));
@@ -101,6 +102,7 @@
             Poll::Ready(result) => {
                 if self.is_stalled {
                     self.is_stalled = false;
+                    self.tracker.set_stalled(false);
                     self.limits.record_stall(false);
                     // The limits of an idle connection are checked once its answer is sent.
                     context.waker().wake_by_ref();
--- a/crates/beechsaddle/src/gateway/answer_body.rs
+++ b/crates/beechsaddle/src/gateway/answer_body.rs
@@ -14,6 +14,10 @@
 use super::stream_relay::StreamBroken;
 use crate::calls::ConnectionTracker;
 
+/// Number of bytes of a response after which the connection sends before it gets more. It would keep as many as
+/// the largest head in memory, and the memory of a body counts as free once it was handed over.
+const UNSENT_BYTES_MAX: usize = 16_384;
+
 /// Chunks of a relayed response.
 pub(super) type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, StreamBroken>>>>;
 
@@ -76,6 +80,8 @@
     body: AnswerBody,
     mark: ConnectionTracker,
     slot: Rc<CallerSlot>,
+    /// Number of bytes that were handed over to the connection since it last sent some.
+    unsent_bytes: usize,
 }
 
 impl TrackedBody {
@@ -92,7 +98,12 @@
         if version < Version::HTTP_11 && matches!(body, AnswerBody::Streamed(_)) {
             mark.mark_broken();
         }
-        TrackedBody { body, mark, slot }
+        TrackedBody {
+            body,
+            mark,
+            slot,
+            unsent_bytes: 0,
+        }
     }
 }
 
@@ -104,9 +115,25 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        if self.mark.is_stalled() {
+            // The connection is woken, and asks again, when its caller reads.
+            return Poll::Pending;
+        }
+        if self.unsent_bytes >= UNSENT_BYTES_MAX {
+            // The connection sends what it has, and asks again.
+            self.unsent_bytes = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let frame = Pin::new(&mut self.body).poll_frame(context);
-        if matches!(frame, Poll::Ready(None)) {
-            self.mark.mark_whole();
+        match &frame {
+            Poll::Ready(Some(Ok(data))) => {
+                let bytes = data.data_ref().map_or(0, Bytes::len);
+                self.unsent_bytes += bytes;
+            }
+            Poll::Ready(Some(Err(_))) => {}
+            Poll::Ready(None) => self.mark.mark_whole(),
+            Poll::Pending => self.unsent_bytes = 0,
         }
         frame
     }
--- a/crates/beechsaddle/src/gateway/body_parts.rs
+++ b/crates/beechsaddle/src/gateway/body_parts.rs
@@ -8,7 +8,7 @@
 const PART_BYTES_MIN: usize = 4_096;
 
 /// Maximum size of a part, in bytes: a body that grows is never copied as a whole.
-const PART_BYTES_MAX: usize = 65_536;
+const PART_BYTES_MAX: usize = 32_768;
 
 /// The parts of a body.
 ///
