Accept callers and refuse their calls while others take all the memory

What callers saw: while 1,000 callers did not read their answers, an ordinary caller's connection was closed without an answer, in a trial with the release build and 110 MB. Cause: calls took all the memory of connections, so that a new one was closed at the accept; and a caller's own connection could be evicted for its own call. Now: calls leave an eighth to connections without one. A caller is accepted, and told to come back, or served, as connections that have stalled for a second end for it.

--- a/crates/beechsaddle-core/src/gateway/connection_budget.rs
+++ b/crates/beechsaddle-core/src/gateway/connection_budget.rs
@@ -27,6 +27,10 @@
 /// Memory of an arriving head for each of its bytes: the buffer doubles when it grows.
 const HEAD_BYTES_FACTOR: usize = 2;
 
+/// Part of the memory that calls leave to connections without one, so that callers are accepted, and told when
+/// to come back, while calls take all the rest.
+const WAITING_PART: usize = 8;
+
 /// How long a caller may read nothing of its response before its connection may be evicted, in
 /// milliseconds: several retransmissions.
 const STALL_MIN_MS: u64 = 1_000;
@@ -154,7 +158,7 @@
     /// Adds a connection that was accepted now; `None` if it has to be closed, as all others matter more.
     pub fn admit(&mut self, now: ClockTime) -> Option<ConnectionId> {
         while self.open >= self.limits.connections {
-            self.evict_least(now)?;
+            self.evict_least(now, None)?;
         }
         let entry = ConnectionEntry {
             stage: ConnectionStage::New,
@@ -164,7 +168,7 @@
             is_evicted: false,
         };
         while self.used_bytes.saturating_add(entry.bytes()) > self.limits.bytes {
-            self.evict_for_bytes(now)?;
+            self.evict_for_bytes(now, None)?;
         }
         let id = ConnectionId(self.next_id);
         self.next_id += 1;
@@ -189,7 +193,7 @@
             entry.since = if keeps_age { entry.since } else { now };
         });
         while self.used_bytes > self.limits.bytes || self.open > self.limits.connections {
-            if self.evict_for_bytes(now).is_none() {
+            if self.evict_for_bytes(now, None).is_none() {
                 return;
             }
         }
@@ -200,8 +204,9 @@
         let own_bytes = self.entries.get(&id).map_or(0, ConnectionEntry::bytes);
         let call_bytes = CONNECTION_BYTES + RUNNING_BYTES;
         let added_bytes = call_bytes.saturating_sub(own_bytes);
-        while self.used_bytes.saturating_add(added_bytes) > self.limits.bytes {
-            if self.evict_for_bytes(now).is_none() {
+        let limit_bytes = self.limits.bytes - self.limits.bytes / WAITING_PART;
+        while self.used_bytes.saturating_add(added_bytes) > limit_bytes {
+            if self.evict_for_bytes(now, Some(id)).is_none() {
                 return false;
             }
         }
@@ -276,10 +281,10 @@
         }
     }
 
-    /// Evicts the connection that matters least; `None` if there is none that may end.
-    fn evict_least(&mut self, now: ClockTime) -> Option<()> {
-        let entries = self.entries.iter();
-        let ranked = entries.filter_map(|(id, entry)| {
+    /// Evicts the connection that matters least, other than `kept`; `None` if there is none that may end.
+    fn evict_least(&mut self, now: ClockTime, kept: Option<ConnectionId>) -> Option<()> {
+        let others = self.entries.iter().filter(|(id, _)| Some(**id) != kept);
+        let ranked = others.filter_map(|(id, entry)| {
             let rank = entry.rank(now)?;
             Some((rank, entry.since, *id))
         });
@@ -289,16 +294,16 @@
     }
 
     /// Evicts the connection with the largest part of a head if that is more than others take; otherwise
-    /// the one that matters least.
-    fn evict_for_bytes(&mut self, now: ClockTime) -> Option<()> {
-        let entries = self.entries.iter();
-        let largest = entries.map(|(id, entry)| (entry.head_bytes(), Reverse(*id)));
+    /// the one that matters least. `kept` stays.
+    fn evict_for_bytes(&mut self, now: ClockTime, kept: Option<ConnectionId>) -> Option<()> {
+        let others = self.entries.iter().filter(|(id, _)| Some(**id) != kept);
+        let largest = others.map(|(id, entry)| (entry.head_bytes(), Reverse(*id)));
         match largest.max() {
             Some((bytes, Reverse(id))) if bytes > CONNECTION_BYTES / HEAD_BYTES_FACTOR => {
                 self.evict(id);
                 Some(())
             }
-            _ => self.evict_least(now),
+            _ => self.evict_least(now, kept),
         }
     }
 
--- a/crates/beechsaddle-core/tests/gateway_connections.rs
+++ b/crates/beechsaddle-core/tests/gateway_connections.rs
@@ -98,6 +98,20 @@
     }
     assert!((100..150).contains(&taken), "{taken}");
     assert!(budget.used_bytes() <= 10_000_000);
+    // A new caller is accepted, to be told that there is no memory.
+    let new = budget.admit(at(2_000)).expect("a place");
+    assert!(!budget.has_memory_for_call(new, at(2_000)));
+    assert!(!budget.is_evicted(new));
+}
+
+/// Guards against a caller that is told to come back though only idle connections take the memory.
+#[test]
+fn connections_that_are_idle_end_for_calls() {
+    let mut budget = budget(1_000, 10_000_000);
+    admit(&mut budget, 400, ConnectionStage::Idle);
+    let new = budget.admit(at(1_000)).expect("a place");
+    assert!(budget.has_memory_for_call(new, at(1_000)));
+    assert!(!budget.is_evicted(new));
 }
 
 /// Guards against memory that leaks or is counted twice in some order of events, and against a sum over the
