Count idle connections as they are, so that ordinary callers keep theirs

A limit must not be met by ordinary callers. Cause: an idle connection counted 24 KB, as one that has just served a large body; one that has sent nothing takes 11.7 KB, and most bodies are 1 to 2 KB. Now: an idle connection counts 16 KB; new ones, heads and calls count as much as before.

--- a/crates/beechsaddle-core/src/gateway/connection_budget.rs
+++ b/crates/beechsaddle-core/src/gateway/connection_budget.rs
@@ -11,15 +11,15 @@
 use crate::clock::ClockTime;
 
 /// Memory of a connection that waits for a request, in bytes: its task, and buffers of earlier requests.
-const CONNECTION_BYTES: usize = 24 * 1_024;
+const CONNECTION_BYTES: usize = 16 * 1_024;
 
 /// Further memory of a connection on which a request arrives, in bytes: what may wait unread. A new connection
 /// counts as one, as its caller has sent a request, or is about to.
-const ARRIVING_BYTES: usize = 16 * 1_024;
+const ARRIVING_BYTES: usize = 24 * 1_024;
 
 /// Further memory of a connection whose request runs, in bytes: the call, its connection to a target, and
 /// the part of the response that is being sent.
-const RUNNING_BYTES: usize = 48 * 1_024;
+const RUNNING_BYTES: usize = 56 * 1_024;
 
 /// Further memory of a connection with a large receive window, in bytes.
 const WIDE_WINDOW_BYTES: usize = 96 * 1_024;
@@ -27,6 +27,9 @@
 /// Memory of an arriving head for each of its bytes: the buffer doubles when it grows.
 const HEAD_BYTES_FACTOR: usize = 2;
 
+/// Size of a part of a head that ends for the memory of others, in bytes: far more than usual ones have.
+const LARGE_HEAD_BYTES: usize = 12 * 1_024;
+
 /// Part of the memory that calls leave to connections without one, so that callers are accepted, and told when
 /// to come back, while calls take all the rest.
 const WAITING_PART: usize = 8;
@@ -299,7 +302,7 @@
         let others = self.entries.iter().filter(|(id, _)| Some(**id) != kept);
         let largest = others.map(|(id, entry)| (entry.head_bytes(), Reverse(*id)));
         match largest.max() {
-            Some((bytes, Reverse(id))) if bytes > CONNECTION_BYTES / HEAD_BYTES_FACTOR => {
+            Some((bytes, Reverse(id))) if bytes > LARGE_HEAD_BYTES => {
                 self.evict(id);
                 Some(())
             }
