--- a/crates/beechsaddle-core/src/gateway/connection_budget.rs
+++ b/crates/beechsaddle-core/src/gateway/connection_budget.rs
@@ -38,9 +38,9 @@
 /// milliseconds: several retransmissions.
 const STALL_MIN_MS: u64 = 1_000;
 
-/// The limits on all connections together.
+/// What all connections together may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionLimits {
+pub struct ConnectionQuota {
     /// The maximum number of connections.
     pub connections: usize,
     /// The maximum of the memory that connections take, in bytes.
@@ -84,7 +84,7 @@
 /// The connections of callers, and those that have to end.
 #[derive(Clone, Debug)]
 pub struct ConnectionBudget {
-    limits: ConnectionLimits,
+    quota: ConnectionQuota,
     next_id: u64,
     entries: BTreeMap<ConnectionId, ConnectionEntry>,
     /// The number of connections that are not evicted.
@@ -142,9 +142,9 @@
 
 impl ConnectionBudget {
     /// Creates a budget without connections.
-    pub fn new(limits: ConnectionLimits) -> Self {
+    pub fn new(quota: ConnectionQuota) -> Self {
         ConnectionBudget {
-            limits,
+            quota,
             next_id: 0,
             entries: BTreeMap::new(),
             open: 0,
@@ -154,13 +154,13 @@
     }
 
     /// Sets other limits, which apply from the next change of a connection on.
-    pub fn set_limits(&mut self, limits: ConnectionLimits) {
-        self.limits = limits;
+    pub fn set_quota(&mut self, quota: ConnectionQuota) {
+        self.quota = quota;
     }
 
     /// Adds a connection that was accepted now; `None` if it has to be closed, as all others matter more.
     pub fn admit(&mut self, now: ClockTime) -> Option<ConnectionId> {
-        while self.open >= self.limits.connections {
+        while self.open >= self.quota.connections {
             self.evict_least(now, None)?;
         }
         let entry = ConnectionEntry {
@@ -170,7 +170,7 @@
             is_wide: false,
             is_evicted: false,
         };
-        while self.used_bytes.saturating_add(entry.bytes()) > self.limits.bytes {
+        while self.used_bytes.saturating_add(entry.bytes()) > self.quota.bytes {
             self.evict_for_bytes(now, None)?;
         }
         let id = ConnectionId(self.next_id);
@@ -195,7 +195,7 @@
             entry.stage = stage;
             entry.since = if keeps_age { entry.since } else { now };
         });
-        while self.used_bytes > self.limits.bytes || self.open > self.limits.connections {
+        while self.used_bytes > self.quota.bytes || self.open > self.quota.connections {
             if self.evict_for_bytes(now, None).is_none() {
                 return;
             }
@@ -207,7 +207,7 @@
         let own_bytes = self.entries.get(&id).map_or(0, ConnectionEntry::bytes);
         let call_bytes = CONNECTION_BYTES + RUNNING_BYTES;
         let added_bytes = call_bytes.saturating_sub(own_bytes);
-        let limit_bytes = self.limits.bytes - self.limits.bytes / WAITING_PART;
+        let limit_bytes = self.quota.bytes - self.quota.bytes / WAITING_PART;
         while self.used_bytes.saturating_add(added_bytes) > limit_bytes {
             if self.evict_for_bytes(now, Some(id)).is_none() {
                 return false;
@@ -251,7 +251,7 @@
 
     /// Whether more than half of the memory is used.
     pub fn is_short(&self) -> bool {
-        self.used_bytes > self.limits.bytes / 2
+        self.used_bytes > self.quota.bytes / 2
     }
 
     /// Returns the number of connections that are not evicted.
--- a/crates/beechsaddle-core/src/gateway/mod.rs
+++ b/crates/beechsaddle-core/src/gateway/mod.rs
@@ -86,7 +86,7 @@
 pub use choice_input::ChoiceInput;
 pub use completion_log::CompletionLog;
 pub use config_difference::{ConfigDifference, ConfigMismatch, HostDifference};
-pub use connection_budget::{ConnectionBudget, ConnectionId, ConnectionLimits, ConnectionStage};
+pub use connection_budget::{ConnectionBudget, ConnectionId, ConnectionQuota, ConnectionStage};
 pub use crash_registry::CrashRegistry;
 pub use crash_report::{CrashFacts, CrashReport, TargetIncarnation};
 pub use crash_verdict::{CrashDecision, CrashVerdict};
--- a/crates/beechsaddle/src/gateway/caller_slots.rs
+++ b/crates/beechsaddle/src/gateway/caller_slots.rs
@@ -5,9 +5,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use beechsaddle_core::gateway::{
-    ConnectionBudget, ConnectionId, ConnectionLimits, ConnectionStage,
-};
+use beechsaddle_core::gateway::{ConnectionBudget, ConnectionId, ConnectionQuota, ConnectionStage};
 use beechsaddle_core::prelude::*;
 use beechsaddle_core::report::LogLevel;
 use tokio::sync::Notify;
@@ -32,9 +30,9 @@
 
 impl CallerSlots {
     /// Creates the places of a process without connections.
-    pub(super) fn new(limits: ConnectionLimits) -> Self {
+    pub(super) fn new(quota: ConnectionQuota) -> Self {
         CallerSlots {
-            budget: RefCell::new(ConnectionBudget::new(limits)),
+            budget: RefCell::new(ConnectionBudget::new(quota)),
             wakers: RefCell::default(),
             closes_logged_at: Cell::default(),
             evicted: Cell::default(),
@@ -42,9 +40,9 @@
         }
     }
 
-    /// Sets other limits.
-    pub(super) fn set_limits(&self, limits: ConnectionLimits) {
-        self.budget.borrow_mut().set_limits(limits);
+    /// Sets another quota.
+    pub(super) fn set_quota(&self, quota: ConnectionQuota) {
+        self.budget.borrow_mut().set_quota(quota);
     }
 }
 
--- a/crates/beechsaddle/src/gateway/gateway_settings.rs
+++ b/crates/beechsaddle/src/gateway/gateway_settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use beechsaddle_core::gateway::{
-    ChangeBounds, ConnectionLimits, EscrowOptions, PolicyOptions, RetryShareOptions,
+    ChangeBounds, ConnectionQuota, EscrowOptions, PolicyOptions, RetryShareOptions,
 };
 use beechsaddle_core::prelude::*;
 use beechsaddle_platform::StoreOptions;
@@ -71,6 +71,9 @@
 /// targets; half of all where there are fewer.
 const RESERVED_DESCRIPTORS: u64 = 256;
 
+/// Part of the other descriptors for callers' connections: calls and tunnels need as many for targets.
+const CALLER_DESCRIPTOR_PART: u64 = 2;
+
 /// Part of all descriptors for connections of other routers that have not shown the fleet's secret: most do so
 /// with their first message.
 const UNPROVEN_PEER_PART: u64 = 8;
@@ -79,9 +82,6 @@
 /// several of the largest that routers send.
 const UNPROVEN_MEMORY_PART: u64 = 16;
 
-/// Part of the other descriptors for callers' connections: calls and tunnels need as many for targets.
-const CALLER_DESCRIPTOR_PART: u64 = 2;
-
 /// Minimum number of descriptors that can be configured: a few callers beside the reserved ones.
 const DESCRIPTORS_MIN: u64 = 64;
 
@@ -154,13 +154,13 @@
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
-    /// Returns the limits on callers' connections.
-    pub(super) fn connection_limits(&self) -> ConnectionLimits {
+    /// Returns what callers' connections may take.
+    pub(super) fn connection_quota(&self) -> ConnectionQuota {
         let bytes = self.memory_mb * 1_024 * 1_024 / 100 * CONNECTION_MEMORY_PERCENT;
         let reserved = RESERVED_DESCRIPTORS.min(self.descriptors / 2);
         let free = self.descriptors - reserved;
         let connections = free / CALLER_DESCRIPTOR_PART;
-        ConnectionLimits {
+        ConnectionQuota {
             connections: usize::try_from(connections).unwrap_or(usize::MAX),
             bytes: usize::try_from(bytes).unwrap_or(usize::MAX),
         }
--- a/crates/beechsaddle/src/gateway/gateway_state.rs
+++ b/crates/beechsaddle/src/gateway/gateway_state.rs
@@ -179,7 +179,7 @@
             config_at: Cell::new(ClockTime::ZERO),
             limit_history: RefCell::default(),
             open_connections: Cell::new(0),
-            callers: CallerSlots::new(settings.connection_limits()),
+            callers: CallerSlots::new(settings.connection_quota()),
             lingering: LingerPool::default(),
             roster: RefCell::new(TargetRoster::default()),
             evacuations: RefCell::new(match settings.follows_evacuations() {
--- a/crates/beechsaddle/src/gateway/settings_watch.rs
+++ b/crates/beechsaddle/src/gateway/settings_watch.rs
@@ -50,7 +50,7 @@
             let body_bytes = settings.body_memory_bytes();
             state.answer_memory.set_total(body_bytes);
             state.request_memory.set_total(body_bytes);
-            state.callers.set_limits(settings.connection_limits());
+            state.callers.set_quota(settings.connection_quota());
             let needs_restart = settings.call_address != before.call_address
                 || settings.ready_address != before.ready_address
                 || settings.store != before.store
