--- a/review/probes-2/src/main.rs
+++ b/review/probes-2/src/main.rs
@@ -3,11 +3,15 @@
 //! environment it does the same without the disruption.
 
 mod fleet;
+mod idle_callers;
+mod killed_replica;
 mod long_ids;
 mod prompt_parts;
+mod replica;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use fleet::Record;
 
@@ -24,15 +28,21 @@
         eprintln!("usage: review-probes-2 CASE FOLDER");
         return ExitCode::from(2);
     };
+    if case == "replica" {
+        replica::serve(folder).await;
+        return ExitCode::SUCCESS;
+    }
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let folder = PathBuf::from(folder);
-    let record = Record::new(&folder);
+    let record = Arc::new(Record::new(&folder));
     let temporary = std::env::temp_dir().join(format!("review-2-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
     record.say(format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "long-ids" => long_ids::play(&record, &temporary, trouble).await,
         "prompt-parts" => prompt_parts::play(&record, &temporary, trouble).await,
+        "idle-callers" => idle_callers::play(&record, &temporary, trouble).await,
+        "killed-replica" => killed_replica::play(&record, &temporary, trouble).await,
         _ => Verdict::CouldNotRun,
     };
     let code = match verdict {
