--- a/review/probes-2/src/idle_callers.rs
+++ b/review/probes-2/src/idle_callers.rs
@@ -29,6 +29,8 @@
 /// Callers of the crowd for each of these routers.
 const CALLERS: usize = 1_840;
 const SPAN: Duration = Duration::from_secs(60);
+/// Callers that did not get a connection.
+static UNCONNECTED: AtomicU64 = AtomicU64::new(0);
 /// The rule: processes that end by themselves three times in the day.
 const ENDS_MAX: u64 = 3;
 
@@ -62,14 +64,14 @@
         false => SHORT_ID_BYTES,
     };
     record.say(format!(
-        "{CALLERS} callers at each of {CROWDED} routers, with {REQUESTS} requests each and ids of {id_bytes} bytes"
+        "{CALLERS} callers at one of {CROWDED} routers after the other, with {REQUESTS} requests each and ids of {id_bytes} bytes"
     ));
     let ordinary = Ordinary::start(&routers);
     let mut crowds: Vec<Vec<AbortHandle>> =
         routers.iter().map(|_| Vec::new()).collect();
-    for index in 0..CROWDED {
-        crowds[index] = start_crowd(&routers[index], id_bytes);
-    }
+    // One crowd at a time, so that this process needs no more descriptors than a router.
+    let mut crowded = 0;
+    crowds[crowded] = start_crowd(&routers[crowded], id_bytes);
     let mut ends = [0_u64; ZONES.len()];
     let mut most = [0_u64; ZONES.len()];
     let started = Instant::now();
@@ -91,18 +93,21 @@
             router.restart();
             let is_ready = router.wait_ready().await;
             record.add(format!("{} is ready again: {is_ready}", router.host));
-            if index < CROWDED {
+            if index == crowded {
                 crowds[index].drain(..).for_each(|caller| caller.abort());
-                crowds[index] = start_crowd(router, id_bytes);
             }
         }
-        // Connections that the router closed are made again.
-        if crowds_at.elapsed() > Duration::from_secs(25) {
+        if ends[crowded] >= ENDS_MAX && crowded + 1 < CROWDED {
+            crowded += 1;
+        }
+        if crowds[crowded].is_empty() {
             crowds_at = Instant::now();
-            for index in 0..CROWDED {
-                crowds[index].drain(..).for_each(|caller| caller.abort());
-                crowds[index] = start_crowd(&routers[index], id_bytes);
-            }
+            crowds[crowded] = start_crowd(&routers[crowded], id_bytes);
+        }
+        // Connections that the router closed are made again, at the next router.
+        if crowds_at.elapsed() > Duration::from_secs(25) {
+            crowds[crowded].drain(..).for_each(|caller| caller.abort());
+            crowded = (crowded + 1).min(CROWDED - 1);
         }
     }
     crowds.iter().flatten().for_each(AbortHandle::abort);
@@ -112,6 +117,8 @@
     let is_broken = ends.iter().filter(|ends| **ends >= ENDS_MAX).count() >= 2;
     match is_broken {
         true => Verdict::Broken,
+        // Too few descriptors, for example.
+        false if UNCONNECTED.load(Ordering::Relaxed) > CALLERS as u64 / 10 => Verdict::CouldNotRun,
         false => Verdict::Held,
     }
 }
@@ -145,6 +152,7 @@
             sleep(Duration::from_millis(2 * number as u64)).await;
             let request = CallRequest::new("GET /offer/1", &id, KEY);
             let Ok(mut stream) = TcpStream::connect(address).await else {
+                UNCONNECTED.fetch_add(1, Ordering::Relaxed);
                 return;
             };
             if stream.write_all(&request.bytes().repeat(REQUESTS)).await.is_err() {
--- a/review/probes-2/src/main.rs
+++ b/review/probes-2/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod idle_callers;
 mod killed_replica;
+mod left_callers;
 mod long_ids;
 mod prompt_parts;
 mod replica;
@@ -42,6 +43,7 @@
         "long-ids" => long_ids::play(&record, &temporary, trouble).await,
         "prompt-parts" => prompt_parts::play(&record, &temporary, trouble).await,
         "idle-callers" => idle_callers::play(&record, &temporary, trouble).await,
+        "left-callers" => left_callers::play(&record, &temporary, trouble).await,
         "killed-replica" => killed_replica::play(&record, &temporary, trouble).await,
         _ => Verdict::CouldNotRun,
     };
