--- a/review/probes-2/src/idle_callers.rs
+++ b/review/probes-2/src/idle_callers.rs
@@ -27,7 +27,7 @@
 /// Requests that a caller sends one behind the other before it reads the answers.
 const REQUESTS: usize = 3;
 /// Callers of the crowd for each of these routers.
-const CALLERS: usize = 1_840;
+const CALLERS: usize = 1_900;
 const SPAN: Duration = Duration::from_secs(60);
 /// Callers that did not get a connection.
 static UNCONNECTED: AtomicU64 = AtomicU64::new(0);
